--- /dev/null
+++ b/src/bin/mintmoor/app.rs
@@ -0,0 +1,69 @@
+//! From arguments to a running command.
+
+use eyre::{Result, WrapErr};
+use mintmoor::telemetry::log::{self, LogFormat, LogLevel};
+
+use crate::{
+    apply,
+    args::{Args, Command},
+    check, completions, load, local, process, remote, standin,
+};
+
+/// How a command that ran ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// All is well.
+    Good,
+    /// Something is wrong, and has been printed.
+    Bad,
+}
+
+impl Ending {
+    /// Good when `right`.
+    pub(crate) fn of(right: bool) -> Self {
+        if right { Self::Good } else { Self::Bad }
+    }
+}
+
+/// Runs the command the arguments name.
+pub(crate) fn run() -> Result<Ending> {
+    let args: Args = argh::from_env();
+    if args.version {
+        println!("mintmoor {}", env!("CARGO_PKG_VERSION"));
+        return Ok(Ending::Good);
+    }
+    let Some(command) = args.command else {
+        eprintln!("mintmoor: name a command; `mintmoor --help` lists them");
+        return Ok(Ending::Bad);
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let ending = runtime.block_on(dispatch(command));
+    runtime.shutdown_background();
+    ending
+}
+
+async fn dispatch(command: Command) -> Result<Ending> {
+    match command {
+        Command::Entry(args) => process::run_entry(&args.settings).await,
+        Command::Agent(args) => process::run_agent(&args.settings).await,
+        Command::Local(args) => local::run(args).await,
+        Command::Check(args) => check::run(&args),
+        Command::Get(args) => remote::get(&args).await,
+        Command::Apply(args) => apply::run(&args).await,
+        Command::Delete(args) => remote::delete(&args).await,
+        Command::Watch(args) => remote::watch(&args).await,
+        Command::Dump(args) => remote::dump(&args).await,
+        Command::Explain(args) => remote::explain(&args).await,
+        Command::Load(args) => load::run(args).await,
+        Command::Standin(args) => standin::run(&args).await,
+        Command::Completions(_) => completions::run(),
+    }
+}
+
+/// Sends log lines of at least `level` to standard error.
+pub(crate) fn install_log(level: &str) -> Result<()> {
+    let level: LogLevel = level.parse().wrap_err("--log")?;
+    log::install(level, LogFormat::Text).wrap_err("log")
+}
--- /dev/null
+++ b/src/control/config.rs
@@ -0,0 +1,203 @@
+//! The configuration in force in one process, and how it follows the store and its peers.
+
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use crate::{
+    control::store_health::StoreHealth,
+    ids::Revision,
+    platform::{Result, TableClient},
+    protocol::ConfigUpdate,
+    resources::{Change, ConfigLog, Object, Snapshot},
+    telemetry::{Metrics, event},
+};
+
+/// Row that holds the newest revision.
+pub const HEAD_KEY: &str = "head/config";
+const PAGE: usize = 500;
+
+/// Key of a change's row; it sorts by revision.
+pub fn change_key(revision: Revision) -> Box<str> {
+    format!("changes/{revision:020}").into()
+}
+
+/// Key of an object's row.
+pub fn object_key(kind: crate::resources::Kind, id: &str) -> Box<str> {
+    format!("objects/{}/{id}", kind.as_str()).into()
+}
+
+/// Configuration of one process; clones share it.
+#[derive(Clone, Debug)]
+pub struct Config {
+    log: Arc<Mutex<ConfigLog>>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    revision: Arc<watch::Sender<Revision>>,
+    metrics: Metrics,
+}
+
+impl Config {
+    /// An empty configuration at revision 0.
+    pub fn new(metrics: Metrics) -> Self {
+        Self {
+            log: Arc::default(),
+            snapshot: Arc::default(),
+            revision: Arc::new(watch::Sender::new(0)),
+            metrics,
+        }
+    }
+
+    /// Snapshot in force.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Revision in force.
+    pub fn revision(&self) -> Revision {
+        *self.revision.borrow()
+    }
+
+    /// Wakes when a newer revision is in force.
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// Changes after a revision, or nothing when they are no longer kept.
+    pub fn changes_after(&self, revision: Revision) -> Option<Vec<Change>> {
+        self.log
+            .lock()
+            .expect("no panics under the lock")
+            .changes_after(revision)
+    }
+
+    /// All objects in force.
+    pub fn objects(&self) -> Vec<Object> {
+        self.log
+            .lock()
+            .expect("no panics under the lock")
+            .objects()
+            .cloned()
+            .collect()
+    }
+
+    /// What brings a peer at `revision` up to date; nothing when it is not behind.
+    pub fn update_for(&self, revision: Revision) -> Option<ConfigUpdate> {
+        let log = self.log.lock().expect("no panics under the lock");
+        if revision >= log.revision() {
+            return None;
+        }
+        Some(match log.changes_after(revision) {
+            Some(changes) => ConfigUpdate::Delta(changes),
+            None => ConfigUpdate::Full {
+                revision: log.revision(),
+                objects: log.objects().cloned().collect(),
+            },
+        })
+    }
+
+    /// Takes an update over; what is not newer is left out. True when a newer revision is in force.
+    pub fn apply(&self, update: ConfigUpdate) -> bool {
+        let mut log = self.log.lock().expect("no panics under the lock");
+        let before = log.revision();
+        match update {
+            ConfigUpdate::Delta(changes) => {
+                for change in changes {
+                    let _ = log.apply(change);
+                }
+            }
+            ConfigUpdate::Full { revision, objects } => drop(log.replace(revision, objects)),
+        }
+        let revision = log.revision();
+        if revision == before {
+            return false;
+        }
+        self.snapshot.store(log.snapshot());
+        drop(log);
+        self.metrics
+            .revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.revision.send_replace(revision);
+        event::CONFIG_ADVANCED.log(format_args!("revision={revision}"));
+        true
+    }
+
+    /// Reads the store's head and, when it is ahead, what is missing here.
+    ///
+    /// # Errors
+    /// When the store gives no answer; what is in force stays in force.
+    pub async fn poll(&self, table: &TableClient, health: &StoreHealth) -> Result<()> {
+        let head = health.watch("config_head", table.get(HEAD_KEY)).await?;
+        let head: Revision = match head {
+            Some(row) => row.parse()?,
+            None => 0,
+        };
+        let held = self.revision();
+        if head < held {
+            event::CONFIG_OLDER_SHOWN.log(format_args!("shown={head} held={held}"));
+            return Ok(());
+        }
+        if head > held {
+            self.catch_up(table, health, held).await?;
+        }
+        Ok(())
+    }
+
+    async fn catch_up(
+        &self,
+        table: &TableClient,
+        health: &StoreHealth,
+        mut held: Revision,
+    ) -> Result<()> {
+        loop {
+            let after = change_key(held);
+            let rows = health
+                .watch("config_changes", table.list("changes/", &after, PAGE))
+                .await?;
+            let changes = rows
+                .iter()
+                .map(|row| row.parse())
+                .collect::<Result<Vec<Change>>>()?;
+            let Some(first) = changes.first() else {
+                return Ok(());
+            };
+            if first.revision != held + 1 {
+                return self.read_all(table, health).await;
+            }
+            let full_page = changes.len() == PAGE;
+            self.apply(ConfigUpdate::Delta(changes));
+            held = self.revision();
+            if !full_page {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads every object; consistent when the head did not move meanwhile.
+    async fn read_all(&self, table: &TableClient, health: &StoreHealth) -> Result<()> {
+        let Some(before) = health.watch("config_head", table.get(HEAD_KEY)).await? else {
+            return Ok(());
+        };
+        let mut objects = Vec::new();
+        let mut after: Box<str> = Box::default();
+        loop {
+            let page = table.list("objects/", &after, PAGE);
+            let rows = health.watch("config_objects", page).await?;
+            for row in &rows {
+                objects.push(row.parse()?);
+            }
+            match rows.last() {
+                Some(row) if rows.len() == PAGE => after = row.key.clone(),
+                _ => break,
+            }
+        }
+        let unmoved = health.watch("config_head", table.get(HEAD_KEY)).await?;
+        if unmoved.is_some_and(|row| row.version == before.version) {
+            self.apply(ConfigUpdate::Full {
+                revision: before.parse()?,
+                objects,
+            });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/control/membership.rs
@@ -0,0 +1,78 @@
+//! Which agents an entry links to: a bounded, deterministic part of each version's pool.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    ids::{VersionId, qualify},
+    platform::{Host, HostState, Role},
+    resources::Snapshot,
+};
+
+/// Links kept to each version's pool at least, as far as `max_links` lets it.
+const LINKS_A_POOL: usize = 8;
+
+/// Chooses the agents an entry on `me` links to.
+///
+/// Own zone goes before own region before other regions; within those, rendezvous hashing, so
+/// that a host that comes or goes moves few links.
+pub fn select_links(me: &Host, hosts: &[Host], snapshot: &Snapshot, max_links: usize) -> Vec<Host> {
+    let mut agents: Vec<&Host> = hosts.iter().filter(|host| is_live_agent(host)).collect();
+    agents.sort_by_key(|host| (distance_class(me, host), rank(me, host)));
+    let mut chosen: BTreeSet<&str> = BTreeSet::new();
+    let mut pools: BTreeMap<VersionId, usize> = BTreeMap::new();
+    for host in &agents {
+        let versions = declared_versions(host, snapshot);
+        let wanted = versions
+            .iter()
+            .any(|v| pools.get(v).is_none_or(|n| *n < LINKS_A_POOL));
+        if chosen.len() < max_links && (wanted || versions.is_empty()) {
+            chosen.insert(&host.name);
+            for version in versions {
+                *pools.entry(version).or_default() += 1;
+            }
+        }
+    }
+    for host in &agents {
+        if chosen.len() >= max_links {
+            break;
+        }
+        chosen.insert(&host.name);
+    }
+    agents
+        .into_iter()
+        .filter(|host| chosen.contains(&*host.name))
+        .cloned()
+        .collect()
+}
+
+fn is_live_agent(host: &Host) -> bool {
+    matches!(host.role, Role::Agent(_)) && host.state == HostState::Live
+}
+
+/// 0 for the same zone, 1 for the same region, 2 for another region.
+pub fn distance_class(me: &Host, other: &Host) -> u8 {
+    if me.region != other.region {
+        return 2;
+    }
+    u8::from(me.zone != other.zone)
+}
+
+fn rank(me: &Host, host: &Host) -> u64 {
+    xxh3_64(format!("{}|{}", me.name, host.name).as_bytes())
+}
+
+fn declared_versions(host: &Host, snapshot: &Snapshot) -> Vec<VersionId> {
+    let Role::Agent(server) = &host.role else {
+        return Vec::new();
+    };
+    let Some(spec) = snapshot.servers.get(server) else {
+        return Vec::new();
+    };
+    let owner = crate::ids::partner_of(server);
+    spec.versions
+        .iter()
+        .map(|version| qualify(owner, version))
+        .collect()
+}
--- /dev/null
+++ b/src/entry/claims.rs
@@ -0,0 +1,160 @@
+//! Claiming requests that may run only once.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::{
+    entry::{ApiError, Entry},
+    ids::RequestId,
+    ledger::InsertOutcome,
+    platform::{Error, Result},
+    policy::claim::{Claim, ClaimState, ClaimStep, InsertReply, SavedAnswer, next_step},
+    telemetry::event,
+};
+
+/// Steps before a claim is given up as not run.
+const MAX_STEPS: usize = 8;
+/// Time beyond the deadline after which a held claim counts as abandoned.
+const HELD_MARGIN: Duration = Duration::from_secs(30);
+const FINISH_TRIES: u32 = 40;
+const FINISH_PAUSE: Duration = Duration::from_millis(500);
+
+/// A claim this entry holds.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    key: Box<str>,
+    claim: Claim,
+    version: u64,
+}
+
+/// What a claim came to.
+#[derive(Debug)]
+pub(crate) enum Claimed {
+    /// The request may be sent.
+    Granted(Grant),
+    /// The request ran before; this is its answer.
+    Replay(SavedAnswer),
+}
+
+/// Claims a request before its first send.
+///
+/// # Errors
+/// What the caller has to be told instead.
+pub(crate) async fn claim(
+    entry: &Entry,
+    key: Box<str>,
+    request: RequestId,
+    fingerprint: u64,
+    deadline: Duration,
+) -> std::result::Result<Claimed, ApiError> {
+    if entry.health.is_down() && entry.table.get("head/config").await.is_err() {
+        return Err(ApiError::not_run(
+            "the store that keeps claims gives no answer",
+        ));
+    }
+    let now = unix_now();
+    let held_until = now + (deadline + HELD_MARGIN).as_secs();
+    let mine = Claim::new(request, entry.incarnation, fingerprint, held_until);
+    let mut expected = None;
+    let mut step = ClaimStep::Insert;
+    let mut version = 0;
+    for _ in 0..MAX_STEPS {
+        let reply = match step {
+            ClaimStep::Insert => insert(entry, &key, &mine, expected, &mut version).await,
+            ClaimStep::TakeOver(held) => {
+                expected = Some(held);
+                insert(entry, &key, &mine, expected, &mut version).await
+            }
+            ClaimStep::ReadBack => read_back(entry, &key, &mut version).await,
+            ClaimStep::Send => {
+                return Ok(Claimed::Granted(Grant {
+                    key,
+                    claim: mine,
+                    version,
+                }));
+            }
+            ClaimStep::Replay(answer) => return Ok(Claimed::Replay(answer)),
+            ClaimStep::InProgress => return Err(ApiError::duplicate()),
+            ClaimStep::KeyReused => return Err(ApiError::key_reused()),
+            ClaimStep::OutcomeUnknown => {
+                let message = "the first request with this idempotency key was lost";
+                return Err(ApiError::outcome_unknown(message));
+            }
+            ClaimStep::NotRun => break,
+        };
+        if matches!(reply, InsertReply::Absent) {
+            expected = None;
+        }
+        step = next_step(&mine, reply, now);
+    }
+    Err(ApiError::not_run("the request could not be claimed"))
+}
+
+async fn insert(
+    entry: &Entry,
+    key: &str,
+    mine: &Claim,
+    expected: Option<u64>,
+    version: &mut u64,
+) -> InsertReply {
+    let value = serde_json::to_value(mine).expect("claims are plain data");
+    match entry.group.write(key.into(), expected, value).await {
+        InsertOutcome::Inserted(written) => {
+            *version = written;
+            InsertReply::Inserted
+        }
+        InsertOutcome::Conflict => read_back(entry, key, version).await,
+        InsertOutcome::Refused => InsertReply::Refused,
+        InsertOutcome::Lost => {
+            event::CLAIM_LOST_REPLY.log(format_args!("request={}", mine.request));
+            InsertReply::Lost
+        }
+    }
+}
+
+async fn read_back(entry: &Entry, key: &str, version: &mut u64) -> InsertReply {
+    let res: Result<InsertReply> = async {
+        let Some(row) = entry
+            .health
+            .watch("claim_read", entry.table.get(key))
+            .await?
+        else {
+            return Ok(InsertReply::Absent);
+        };
+        *version = row.version;
+        Ok(InsertReply::Found(row.parse()?, row.version))
+    }
+    .await;
+    match res {
+        Ok(reply) => reply,
+        // Without a look at the row nothing may be sent; an insert that did happen stays held
+        // and is released by nobody, so a retry is told that the outcome is unknown.
+        Err(Error::Refused(_) | Error::Unknown(_) | Error::Unreadable(_)) => InsertReply::Refused,
+    }
+}
+
+/// Writes down how a claimed request ended; repeated until the store takes it.
+pub(crate) async fn finish(entry: &Entry, grant: Grant, state: ClaimState) {
+    let claim = Claim {
+        state,
+        ..grant.claim
+    };
+    let value = serde_json::to_value(&claim).expect("claims are plain data");
+    for _ in 0..FINISH_TRIES {
+        match entry
+            .group
+            .write(grant.key.clone(), Some(grant.version), value.clone())
+            .await
+        {
+            InsertOutcome::Inserted(_) | InsertOutcome::Conflict => return,
+            // A repeat after a lost reply conflicts with our own write, which ends it.
+            InsertOutcome::Refused | InsertOutcome::Lost => tokio::time::sleep(FINISH_PAUSE).await,
+        }
+    }
+}
+
+fn unix_now() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs()
+}
--- /dev/null
+++ b/src/entry/guard.rs
@@ -0,0 +1,222 @@
+//! Suspect versions: held here at once, then for everyone.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{
+    entry::Entry,
+    ids::{ObjectId, Revision, VersionId, model_of, partner_of, qualify},
+    operator::commands::{Expected, WriteError, WriteRequest},
+    policy::roll_out::{Evidence, Finding, GuardStep, apply_step, guard_step, test_version},
+    protocol::Held,
+    resources::{Kind, RollOut, RollOutState, Snapshot, Spec},
+    telemetry::event,
+};
+
+/// Versions held at this entry, by the revision of the roll-out they were judged under.
+#[derive(Debug, Default)]
+pub(crate) struct Suspicion {
+    held: BTreeMap<VersionId, (Revision, Box<str>)>,
+}
+
+impl Suspicion {
+    /// Holds a version; true when it was not held under this revision before.
+    pub(crate) fn hold(&mut self, version: &VersionId, revision: Revision, why: &str) -> bool {
+        if self
+            .held
+            .get(version)
+            .is_some_and(|(held, _)| *held >= revision)
+        {
+            return false;
+        }
+        self.held.insert(version.clone(), (revision, why.into()));
+        true
+    }
+
+    /// Whether a version is held: its roll-out has not been changed since it was judged.
+    pub(crate) fn is_held(&self, version: &str, snapshot: &Snapshot) -> bool {
+        let Some((revision, _)) = self.held.get(version) else {
+            return false;
+        };
+        epoch(snapshot, version).is_some_and(|changed| changed <= *revision)
+    }
+
+    /// Why a version was held last.
+    pub(crate) fn reason(&self, version: &str) -> Option<Box<str>> {
+        self.held.get(version).map(|(_, why)| why.clone())
+    }
+
+    /// Forgets versions whose roll-out is gone.
+    pub(crate) fn forget_ended(&mut self, snapshot: &Snapshot) {
+        self.held
+            .retain(|version, _| epoch(snapshot, version).is_some());
+    }
+
+    /// Everything held, for heartbeats and the dump.
+    pub(crate) fn all(&self) -> Vec<Held> {
+        let held = self.held.iter();
+        held.map(|(v, (revision, _))| Held {
+            version: v.clone(),
+            revision: *revision,
+        })
+        .collect()
+    }
+}
+
+fn epoch(snapshot: &Snapshot, version: &str) -> Option<Revision> {
+    let (id, _) = snapshot.roll_out_of(model_of(version))?;
+    snapshot.changed.get(&(Kind::RollOut, id.clone())).copied()
+}
+
+/// One roll-out with what is known about it.
+pub(crate) struct Judged {
+    pub(crate) id: ObjectId,
+    pub(crate) spec: RollOut,
+    pub(crate) epoch: Revision,
+    pub(crate) version: VersionId,
+    pub(crate) old: Evidence,
+    pub(crate) new: Evidence,
+    pub(crate) finding: Finding,
+}
+
+/// Judges a roll-out by the evidence of all linked agents.
+pub(crate) fn judge(entry: &Entry, id: &ObjectId, spec: &RollOut, epoch: Revision) -> Judged {
+    let model = qualify(partner_of(id), &spec.model);
+    let version: VersionId = format!("{model}@{}", spec.to).into();
+    let from = format!("{model}@{}", spec.from);
+    let links = entry.all_links();
+    let sum = |version: &str| {
+        links
+            .iter()
+            .map(|link| link.evidence(version, epoch))
+            .fold(Evidence::default(), Evidence::plus)
+    };
+    let (old, new) = (sum(&from), sum(&version));
+    let finding = test_version(old, new, &spec.guard);
+    Judged {
+        id: id.clone(),
+        spec: spec.clone(),
+        epoch,
+        version,
+        old,
+        new,
+        finding,
+    }
+}
+
+fn judge_all(entry: &Entry) -> Vec<Judged> {
+    let snapshot = entry.config.snapshot();
+    snapshot
+        .roll_outs
+        .iter()
+        .filter_map(|(id, spec)| {
+            let epoch = snapshot.changed.get(&(Kind::RollOut, id.clone()))?;
+            Some(judge(entry, id, spec, *epoch))
+        })
+        .collect()
+}
+
+/// Holds suspect versions here at once and, as far as the store lets, for everyone.
+///
+/// The durable hold is conditional on the roll-out's revision, so any entry may write it: one
+/// wins, and an operator's newer write is never undone.
+pub(crate) async fn hold_suspects(entry: &Arc<Entry>) {
+    for judged in judge_all(entry) {
+        let why = describe(&judged);
+        let heard = is_held(entry, &judged.version);
+        if judged.finding == Finding::Worse {
+            note_hold(entry, &judged.version, judged.epoch, &why);
+        } else if !heard {
+            continue;
+        }
+        let runs = matches!(
+            judged.spec.state,
+            RollOutState::Running | RollOutState::Paused
+        );
+        if runs && !entry.health.is_down() {
+            write_step(entry, &judged, GuardStep::Hold, &why).await;
+        }
+    }
+}
+
+/// Moves roll-outs on that are no worse; only under the guard's lease.
+pub(crate) async fn advance_sound(entry: &Arc<Entry>) {
+    for judged in judge_all(entry) {
+        if is_held(entry, &judged.version) {
+            continue;
+        }
+        let step = guard_step(&judged.spec, judged.finding);
+        if step == GuardStep::Advance {
+            write_step(entry, &judged, step, &describe(&judged)).await;
+        }
+    }
+}
+
+/// Holds a version here.
+pub(crate) fn note_hold(entry: &Entry, version: &VersionId, revision: Revision, why: &str) {
+    let mut suspicion = entry.suspicion.lock().expect("no panics under the lock");
+    if suspicion.hold(version, revision, why) {
+        event::VERSION_HELD.log(format_args!("version={version} revision={revision} {why}"));
+    }
+}
+
+/// Whether a version is held here.
+pub(crate) fn is_held(entry: &Entry, version: &str) -> bool {
+    if !entry.policy.guard {
+        return false;
+    }
+    let snapshot = entry.config.snapshot();
+    entry
+        .suspicion
+        .lock()
+        .expect("no panics under the lock")
+        .is_held(version, &snapshot)
+}
+
+async fn write_step(entry: &Arc<Entry>, judged: &Judged, step: GuardStep, why: &str) {
+    let next = apply_step(&judged.spec, step);
+    let name = match step {
+        GuardStep::Hold => "hold",
+        _ => "advance",
+    };
+    let req = WriteRequest {
+        kind: Kind::RollOut,
+        id: judged.id.clone(),
+        spec: Some(Spec::RollOut(next.clone())),
+        expected: Expected::Revision(judged.epoch),
+        actor: "guard".into(),
+        // The same step of the same revision is one change, whoever writes it.
+        change_id: format!(
+            "guard-{name}-{}-{}",
+            judged.id.replace('/', "."),
+            judged.epoch
+        )
+        .into(),
+        dry_run: false,
+    };
+    match entry.writer.write(&req).await {
+        Ok(revision) => event::ROLL_OUT_MOVED.log(format_args!(
+            "roll_out={} state={:?} step={} revision={revision} {why}",
+            judged.id, next.state, next.step
+        )),
+        Err(WriteError::Conflict(_)) => {
+            event::ROLL_OUT_LEFT.log(format_args!("roll_out={} step={name}", judged.id));
+        }
+        Err(e) => event::STORE_UNREACHABLE.log(format_args!("cause=guard problem={e}")),
+    }
+}
+
+fn describe(judged: &Judged) -> Box<str> {
+    let (old, new) = (judged.old, judged.new);
+    format!(
+        "failures {}/{} against {}/{}, poor {}/{} against {}/{}",
+        new.failures,
+        new.answers,
+        old.failures,
+        old.answers,
+        new.poor,
+        new.rated,
+        old.poor,
+        old.rated
+    )
+    .into()
+}
--- /dev/null
+++ b/src/entry/jobs.rs
@@ -0,0 +1,76 @@
+//! Leased jobs: any entry may run them, one at a time does.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use crate::{
+    control::lease::{Lease, Permit},
+    entry::{Entry, guard},
+    ids::new_request_id,
+    ledger::Settler,
+    platform::{Result, Transaction},
+    policy::{charge::window_of, lease::LeaseTerms},
+    telemetry::event,
+};
+
+const TEND_EVERY: Duration = Duration::from_secs(1);
+/// Change rows kept for followers that are behind; older ones are read as whole objects.
+const KEPT_CHANGES: u64 = 4_096;
+const COMPACT_PAGE: usize = 200;
+
+/// Tends the leases and runs the jobs of those that are held.
+pub(crate) async fn run(entry: Arc<Entry>) {
+    let lease = |name| Lease::new(name, entry.incarnation, LeaseTerms::default());
+    let (mut guarding, mut settling, mut compacting) =
+        (lease("guard"), lease("settler"), lease("compactor"));
+    while !entry.is_dead() {
+        for lease in [&mut guarding, &mut settling, &mut compacting] {
+            let _ = lease.tend(&entry.table, &entry.health).await;
+        }
+        if entry.policy.guard && guarding.permit().is_some() {
+            guard::advance_sound(&entry).await;
+        }
+        if let Some(permit) = settling.permit() {
+            settle(&entry, &permit).await;
+        }
+        if let Some(permit) = compacting.permit() {
+            let _ = compact(&entry, &permit).await;
+        }
+        tokio::time::sleep(TEND_EVERY).await;
+    }
+}
+
+async fn settle(entry: &Entry, permit: &Permit) {
+    let settler = Settler {
+        table: entry.table.clone(),
+        objects: entry.objects.clone(),
+        health: entry.health.clone(),
+    };
+    let now_window = window_of(new_request_id(SystemTime::now()));
+    if let Err(e) = settler.pass(permit, now_window).await {
+        event::STORE_UNREACHABLE.log(format_args!("cause=settle problem={e}"));
+    }
+}
+
+/// Drops change rows that only followers far behind would still read one by one.
+async fn compact(entry: &Entry, permit: &Permit) -> Result<()> {
+    let Some(oldest_kept) = entry.config.revision().checked_sub(KEPT_CHANGES) else {
+        return Ok(());
+    };
+    let page = entry.table.list("changes/", "", COMPACT_PAGE);
+    let rows = entry.health.watch("compact_read", page).await?;
+    let limit = crate::control::config::change_key(oldest_kept);
+    let old = rows.into_iter().filter(|row| row.key < limit);
+    let tx = old.fold(permit.transaction(), |tx: Transaction, row| {
+        tx.delete(row.key)
+    });
+    if !tx.writes.is_empty() {
+        let _ = entry
+            .health
+            .watch("compact_write", entry.table.transact(tx))
+            .await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/stage.rs
@@ -0,0 +1,670 @@
+//! Running one stage of a request: choosing a server, sending attempts, reading their frames.
+
+use std::{
+    hash::Hasher,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use serde_json::Value;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    entry::{
+        Entry, RoutingPolicy,
+        answer::Answer,
+        link::{AttemptFrame, Link},
+        request::RequestHead,
+        routes::Route,
+        state::ServerPolicy,
+    },
+    ids::{ObjectId, VersionId, format_id, partner_of},
+    policy::{
+        attempt::{
+            AttemptEvent, AttemptKey, AttemptState, Verdict, advance, fresh, judge, may_send_again,
+        },
+        choice::{PREFERRED, choose, time_to_first_token},
+        gate::RefuseReason,
+        outlier::respects_out,
+    },
+    protocol::{Start, StartCall, ToAgent, Usage},
+    telemetry::{event, metrics::AttemptLabels},
+};
+
+/// Attempts of one stage at most, refusals included.
+const MAX_ATTEMPTS: usize = 6;
+const TOO_MANY_REQUESTS: u16 = 429;
+/// Time a cancelled attempt has to say that it was refused.
+const CANCEL_WAIT: Duration = Duration::from_millis(250);
+
+/// What a stage runs.
+#[derive(Clone, Debug)]
+pub(crate) enum JobCall {
+    Chat {
+        version: VersionId,
+    },
+    Service {
+        name: ObjectId,
+        method: Box<str>,
+        path: Box<str>,
+        content_type: Option<Box<str>>,
+    },
+}
+
+/// One stage of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Job<'a> {
+    pub(crate) head: &'a RequestHead,
+    pub(crate) call: JobCall,
+    pub(crate) body: &'a Bytes,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    pub(crate) ring_keys: [u64; PREFERRED],
+    pub(crate) chain: &'a [u64],
+}
+
+/// All attempts of a request, over its stages.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Attempts {
+    pub(crate) states: Vec<AttemptState>,
+    pub(crate) steps: Vec<Box<str>>,
+}
+
+impl Attempts {
+    fn begin(&mut self, request: u128) -> AttemptKey {
+        let number = self.states.len() as u32;
+        self.states.push(fresh());
+        AttemptKey { request, number }
+    }
+
+    fn note(&mut self, key: AttemptKey, event: AttemptEvent) {
+        let state = &mut self.states[key.number as usize];
+        *state = advance(*state, event);
+    }
+
+    /// What is true of the request so far.
+    pub(crate) fn verdict(&self) -> Verdict {
+        judge(&self.states)
+    }
+
+    /// Adds a line to the request's explanation.
+    pub(crate) fn explain(&mut self, step: String) {
+        self.steps.push(step.into());
+    }
+}
+
+/// Where the parts of an answer go.
+#[derive(Debug)]
+pub(crate) enum Collector {
+    /// A chat answer, passed on as it comes when there is a sink.
+    Chat {
+        answer: Answer,
+        sink: Option<mpsc::Sender<Value>>,
+        include_usage: bool,
+    },
+    /// A plain service's body.
+    Raw(Vec<u8>),
+}
+
+/// A stage that ended whole.
+#[derive(Debug)]
+pub(crate) struct Finished {
+    pub(crate) link: Arc<Link>,
+    pub(crate) status: u16,
+    pub(crate) usage: Usage,
+}
+
+/// Why a stage gave no whole answer.
+#[derive(Debug)]
+pub(crate) enum StageError {
+    /// No server that could run it is known.
+    NoServer,
+    /// Every server asked was full or leaving.
+    Full(Duration),
+    /// The version was withdrawn meanwhile.
+    Withdrawn,
+    /// The agent's newer configuration forbids it.
+    NotAllowed,
+    /// The deadline passed.
+    Deadline,
+    /// The caller went away.
+    CallerGone(Option<Arc<Link>>),
+    /// The BackendServer would not take the request itself.
+    Rejected(u16),
+    /// It failed, and may not or can not be tried again.
+    Failed(Option<Arc<Link>>),
+}
+
+/// How one attempt came out.
+enum AttemptEnd {
+    Ended { status: u16, usage: Usage },
+    Refused(RefuseReason),
+    Broken(Box<str>, u16),
+    Deadline,
+    CallerGone,
+}
+
+/// Runs a stage to its end.
+pub(crate) async fn run_job(
+    entry: &Entry,
+    job: &Job<'_>,
+    attempts: &mut Attempts,
+    collector: &mut Collector,
+) -> Result<Finished, StageError> {
+    let mut tried = Tried::default();
+    earn_budget(entry, job);
+    for _ in 0..MAX_ATTEMPTS {
+        let Some(link) = pick(entry, job, &tried.hosts, attempts) else {
+            break;
+        };
+        if job.head.time_left().is_zero() {
+            return Err(StageError::Deadline);
+        }
+        if !tried.hosts.is_empty() && !spend_budget(entry, job) {
+            attempts.explain("retry budget is used up".into());
+            break;
+        }
+        let key = attempts.begin(job.head.id);
+        let end = one_attempt(entry, job, &link, key, attempts, collector).await;
+        note_end(entry, job, &link, key, &end, attempts);
+        match end {
+            AttemptEnd::Ended { status, usage } => {
+                return Ok(Finished {
+                    link,
+                    status,
+                    usage,
+                });
+            }
+            AttemptEnd::Refused(reason) => tried.note_refusal(&link, reason)?,
+            AttemptEnd::Deadline => return Err(StageError::Deadline),
+            AttemptEnd::CallerGone => return Err(StageError::CallerGone(Some(link))),
+            AttemptEnd::Broken(_, status) => {
+                if (400..500).contains(&status) && status != TOO_MANY_REQUESTS {
+                    return Err(StageError::Rejected(status));
+                }
+                let again = may_send_again(&attempts.states, job.head.repeatable);
+                if !again || !collector.can_go_on() {
+                    return Err(StageError::Failed(Some(link)));
+                }
+                tried.broken = Some(link.clone());
+            }
+        }
+        tried.hosts.push(link.host.name.clone());
+    }
+    Err(tried.into_error())
+}
+
+/// What the attempts of one stage have met so far.
+#[derive(Default)]
+struct Tried {
+    hosts: Vec<Box<str>>,
+    broken: Option<Arc<Link>>,
+    retry_after: Option<Duration>,
+}
+
+impl Tried {
+    /// Notes a refusal; some refusals end the stage.
+    fn note_refusal(&mut self, link: &Link, reason: RefuseReason) -> Result<(), StageError> {
+        match reason {
+            RefuseReason::Withdrawn => return Err(StageError::Withdrawn),
+            RefuseReason::NotAllowed => return Err(StageError::NotAllowed),
+            RefuseReason::DeadlinePassed => return Err(StageError::Deadline),
+            RefuseReason::Full => {
+                self.retry_after = self.retry_after.max(Some(wait_estimate(link)));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn into_error(self) -> StageError {
+        if let Some(link) = self.broken {
+            return StageError::Failed(Some(link));
+        }
+        match self.retry_after {
+            Some(after) => StageError::Full(after),
+            None => StageError::NoServer,
+        }
+    }
+}
+
+fn wait_estimate(link: &Link) -> Duration {
+    let load = link.load(&[]);
+    load.service_time
+        .mul_f64(f64::from(load.queued + 1) / f64::from(load.limit.max(1)))
+}
+
+fn earn_budget(entry: &Entry, job: &Job<'_>) {
+    let mut budgets = entry.budgets.lock().expect("no panics under the lock");
+    budgets
+        .entry(job.head.organisation.clone())
+        .or_default()
+        .earn();
+}
+
+fn spend_budget(entry: &Entry, job: &Job<'_>) -> bool {
+    let mut budgets = entry.budgets.lock().expect("no panics under the lock");
+    budgets
+        .entry(job.head.organisation.clone())
+        .or_default()
+        .spend()
+}
+
+fn note_end(
+    entry: &Entry,
+    job: &Job<'_>,
+    link: &Arc<Link>,
+    key: AttemptKey,
+    end: &AttemptEnd,
+    attempts: &mut Attempts,
+) {
+    link.forget(key);
+    let (outcome, answered) = match end {
+        AttemptEnd::Ended { .. } => ("done", Some(true)),
+        AttemptEnd::Refused(RefuseReason::Unreachable) => ("refused", Some(false)),
+        AttemptEnd::Refused(_) => ("refused", None),
+        AttemptEnd::Broken(..) => ("lost", Some(false)),
+        AttemptEnd::Deadline | AttemptEnd::CallerGone => ("cancelled", None),
+    };
+    if let (Some(answered), Some(rules)) = (answered, &entry.policy.outlier) {
+        link.note_outcome(answered, rules, entry.now());
+    }
+    let version = match &job.call {
+        JobCall::Chat { version } => version.to_string(),
+        JobCall::Service { name, .. } => name.to_string(),
+    };
+    let labels = AttemptLabels {
+        version,
+        outcome: outcome.into(),
+    };
+    entry.metrics.attempts.get_or_create(&labels).inc();
+    let detail = match end {
+        AttemptEnd::Refused(reason) => format!("{reason:?}"),
+        AttemptEnd::Broken(problem, _) => problem.to_string(),
+        _ => String::new(),
+    };
+    attempts.explain(format!(
+        "attempt {} on {}: {outcome} {detail}",
+        key.number, link.server
+    ));
+    if outcome == "lost" || outcome == "refused" {
+        event::ATTEMPT_RETRIED.log(format_args!(
+            "request={} attempt={} server={} outcome={outcome} {detail}",
+            format_id(key.request),
+            key.number,
+            link.server
+        ));
+    }
+}
+
+impl Collector {
+    /// Whether an attempt that broke off can be followed by another.
+    fn can_go_on(&self) -> bool {
+        match self {
+            Collector::Chat { answer, .. } => answer.resumable_text().is_some(),
+            Collector::Raw(_) => true,
+        }
+    }
+
+    fn resume_text(&self) -> Option<Box<str>> {
+        let Collector::Chat { answer, .. } = self else {
+            return None;
+        };
+        answer.resumable_text().filter(|text| !text.is_empty())
+    }
+
+    /// Drops what can't be part of the next attempt's answer.
+    fn restart(&mut self) {
+        if let Collector::Raw(body) = self {
+            body.clear();
+        }
+    }
+
+    /// Takes a part in and passes it on to a streaming caller.
+    async fn take(&mut self, payload: Vec<u8>, job: &Job<'_>) {
+        match self {
+            Collector::Raw(body) => body.extend_from_slice(&payload),
+            Collector::Chat {
+                answer,
+                sink,
+                include_usage,
+            } => {
+                let JobCall::Chat { version } = &job.call else {
+                    return;
+                };
+                let Some(chunk) = answer.take(&payload, job.head.id, version) else {
+                    return;
+                };
+                let Some(sink) = sink.as_ref().filter(|_| !chunk.is_usage || *include_usage) else {
+                    return;
+                };
+                // A caller that went away is noticed by the closed channel.
+                let _ = sink.send(chunk.body).await;
+            }
+        }
+    }
+
+    fn caller_is_gone(&self) -> bool {
+        matches!(self, Collector::Chat { sink: Some(sink), .. } if sink.is_closed())
+    }
+}
+
+async fn one_attempt(
+    entry: &Entry,
+    job: &Job<'_>,
+    link: &Arc<Link>,
+    key: AttemptKey,
+    attempts: &mut Attempts,
+    collector: &mut Collector,
+) -> AttemptEnd {
+    collector.restart();
+    let start = make_start(entry, job, key, collector.resume_text());
+    let Some(mut rx) = link.start(start).await else {
+        return AttemptEnd::Refused(RefuseReason::Unreachable);
+    };
+    attempts.note(key, AttemptEvent::Sent);
+    link.believe(job.chain);
+    let deadline = tokio::time::Instant::now() + job.head.time_left();
+    let mut progress = Progress::default();
+    loop {
+        let frame = match tokio::time::timeout_at(deadline, rx.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => AttemptFrame::Lost,
+            Err(_) => return give_up(link, key, attempts, &mut rx).await,
+        };
+        if let AttemptFrame::Chunk { sequence, payload } = frame {
+            take_chunk(
+                entry,
+                job,
+                &mut progress,
+                collector,
+                (key, sequence, payload),
+            )
+            .await;
+        } else if let Some(end) = note_frame(key, frame, &progress, attempts) {
+            return end;
+        }
+        if collector.caller_is_gone() {
+            link.send(&ToAgent::Cancel(key)).await;
+            attempts.note(key, AttemptEvent::LinkLost);
+            return AttemptEnd::CallerGone;
+        }
+    }
+}
+
+/// Takes the next part of the answer; a part of something else is dropped.
+async fn take_chunk(
+    entry: &Entry,
+    job: &Job<'_>,
+    progress: &mut Progress,
+    collector: &mut Collector,
+    (key, sequence, payload): (AttemptKey, u64, Vec<u8>),
+) {
+    if !progress.accepts(sequence, &payload) {
+        let request = format_id(key.request);
+        event::ANSWER_DROPPED.log(format_args!("request={request} sequence={sequence}"));
+        return;
+    }
+    if progress.count == 1 {
+        entry
+            .metrics
+            .first_token
+            .observe(job.head.arrived.elapsed().as_secs_f64());
+    }
+    collector.take(payload, job).await;
+}
+
+/// Notes a frame other than a part of the answer; some when it ends the attempt.
+fn note_frame(
+    key: AttemptKey,
+    frame: AttemptFrame,
+    progress: &Progress,
+    attempts: &mut Attempts,
+) -> Option<AttemptEnd> {
+    let (event, end) = match frame {
+        AttemptFrame::Chunk { .. } => return None,
+        AttemptFrame::Started => (AttemptEvent::Started, None),
+        AttemptFrame::Refused(reason) => (AttemptEvent::Refused, Some(AttemptEnd::Refused(reason))),
+        AttemptFrame::End {
+            count,
+            digest,
+            status,
+            usage,
+        } if progress.is_whole(count, digest) => (
+            AttemptEvent::Ended,
+            Some(AttemptEnd::Ended { status, usage }),
+        ),
+        AttemptFrame::End { .. } => {
+            event::ANSWER_INCOMPLETE.log(format_args!("request={}", format_id(key.request)));
+            (
+                AttemptEvent::LinkLost,
+                Some(AttemptEnd::Broken("answer incomplete".into(), 0)),
+            )
+        }
+        AttemptFrame::Failed { problem, status } => (
+            AttemptEvent::Failed,
+            Some(AttemptEnd::Broken(problem, status)),
+        ),
+        AttemptFrame::Lost => (
+            AttemptEvent::LinkLost,
+            Some(AttemptEnd::Broken("link lost".into(), 0)),
+        ),
+    };
+    attempts.note(key, event);
+    end
+}
+
+/// Parts of one attempt's answer so far.
+#[derive(Default)]
+struct Progress {
+    count: u64,
+    digest: Xxh3,
+}
+
+impl Progress {
+    fn accepts(&mut self, sequence: u64, payload: &[u8]) -> bool {
+        if sequence != self.count {
+            return false;
+        }
+        self.count += 1;
+        self.digest.write(payload);
+        true
+    }
+
+    fn is_whole(&self, count: u64, digest: u64) -> bool {
+        self.count == count && self.digest.finish() == digest
+    }
+}
+
+/// Cancels an attempt whose deadline passed; a refusal in time makes "not run" true.
+async fn give_up(
+    link: &Link,
+    key: AttemptKey,
+    attempts: &mut Attempts,
+    rx: &mut mpsc::UnboundedReceiver<AttemptFrame>,
+) -> AttemptEnd {
+    link.send(&ToAgent::Cancel(key)).await;
+    let until = tokio::time::Instant::now() + CANCEL_WAIT;
+    while let Ok(Some(frame)) = tokio::time::timeout_at(until, rx.recv()).await {
+        match frame {
+            AttemptFrame::Refused(_) => {
+                attempts.note(key, AttemptEvent::Refused);
+                return AttemptEnd::Deadline;
+            }
+            AttemptFrame::Started => attempts.note(key, AttemptEvent::Started),
+            AttemptFrame::Chunk { .. } => {}
+            _ => break,
+        }
+    }
+    attempts.note(key, AttemptEvent::LinkLost);
+    AttemptEnd::Deadline
+}
+
+fn make_start(
+    entry: &Entry,
+    job: &Job<'_>,
+    key: AttemptKey,
+    resume: Option<Box<str>>,
+) -> Box<Start> {
+    let call = match &job.call {
+        JobCall::Chat { version } => StartCall::Chat {
+            version: version.clone(),
+            resume,
+        },
+        JobCall::Service {
+            method,
+            path,
+            content_type,
+            ..
+        } => StartCall::Service {
+            method: method.clone(),
+            path: path.clone(),
+            content_type: content_type.clone(),
+        },
+    };
+    Box::new(Start {
+        key,
+        organisation: job.head.organisation.clone(),
+        revision: entry.config.revision(),
+        deadline: job.head.time_left(),
+        priority: job.head.priority,
+        work: job.prompt_tokens / 8 + job.answer_tokens,
+        repeatable: job.head.repeatable,
+        call,
+        body: job.body.to_vec(),
+    })
+}
+
+/// Chooses a server for the next attempt.
+fn pick(
+    entry: &Entry,
+    job: &Job<'_>,
+    tried: &[Box<str>],
+    attempts: &mut Attempts,
+) -> Option<Arc<Link>> {
+    let routes = entry.routes.load();
+    let route = match &job.call {
+        JobCall::Chat { version } => routes.of_version(version)?,
+        JobCall::Service { name, .. } => routes.of_service(name)?,
+    };
+    let snapshot = entry.config.snapshot();
+    let partner = partner_of(&job.head.organisation);
+    let now = entry.now();
+    let usable = |link: &Link| {
+        !tried.contains(&link.host.name)
+            && link.takes_work()
+            && snapshot.server_is_shared(&link.server, partner)
+    };
+    let candidates = candidates(entry.policy, route, job);
+    let in_choice =
+        |link: &Link| usable(link) && !(link.is_passed_over(now) && heeds_out(entry, route, now));
+    let chosen = compare(entry.policy, route, job, &candidates, &in_choice)
+        // None of the few candidates will do: look at the whole pool, healthy servers first.
+        .or_else(|| compare(entry.policy, route, job, &all(route), &in_choice))
+        .or_else(|| compare(entry.policy, route, job, &all(route), &usable))?;
+    let link = route.links[chosen as usize].clone();
+    link.note_chosen(now);
+    let load = link.load(job.chain);
+    attempts.explain(format!(
+        "chose {} of {} servers: expected first token {:?}, running {}, queued {}, sent since {}, cached {}",
+        link.server,
+        route.links.len(),
+        time_to_first_token(&load, job.prompt_tokens),
+        load.running,
+        load.queued,
+        load.sent_since,
+        load.cached_tokens
+    ));
+    Some(link)
+}
+
+fn heeds_out(entry: &Entry, route: &Route, now: Duration) -> bool {
+    let Some(rules) = &entry.policy.outlier else {
+        return false;
+    };
+    let out = route.links.iter().filter(|link| link.is_out(now)).count();
+    respects_out(out, route.links.len(), rules)
+}
+
+fn all(route: &Route) -> Vec<u32> {
+    (0..route.links.len() as u32).collect()
+}
+
+fn candidates(policy: RoutingPolicy, route: &Route, job: &Job<'_>) -> Vec<u32> {
+    match policy.server {
+        ServerPolicy::Estimate => route.pool.candidates(&job.ring_keys, &mut rand::rng()),
+        ServerPolicy::Random | ServerPolicy::LeastReported => all(route),
+    }
+}
+
+fn compare(
+    policy: RoutingPolicy,
+    route: &Route,
+    job: &Job<'_>,
+    candidates: &[u32],
+    usable: &impl Fn(&Link) -> bool,
+) -> Option<u32> {
+    let link_of = |server: u32| route.links.get(server as usize).filter(|link| usable(link));
+    match policy.server {
+        ServerPolicy::Estimate => choose(candidates, job.prompt_tokens, |server| {
+            Some(link_of(server)?.load(job.chain))
+        }),
+        ServerPolicy::LeastReported => candidates
+            .iter()
+            .filter_map(|server| Some((link_of(*server)?.reported_load(), *server)))
+            .min()
+            .map(|(_, server)| server),
+        ServerPolicy::Random => {
+            let usable: Vec<u32> = candidates
+                .iter()
+                .copied()
+                .filter(|server| link_of(*server).is_some())
+                .collect();
+            let drawn = rand::RngExt::random_range(&mut rand::rng(), 0..usable.len().max(1));
+            usable.get(drawn).copied()
+        }
+    }
+}
+
+/// Expected time to the first token on the best server, for shedding early.
+pub(crate) fn best_estimate(entry: &Entry, job: &Job<'_>) -> Option<Duration> {
+    let routes = entry.routes.load();
+    let JobCall::Chat { version } = &job.call else {
+        return None;
+    };
+    let route = routes.of_version(version)?;
+    let candidates = route.pool.candidates(&job.ring_keys, &mut rand::rng());
+    candidates
+        .iter()
+        .filter_map(|server| route.links.get(*server as usize))
+        .map(|link| time_to_first_token(&link.load(job.chain), job.prompt_tokens))
+        .min()
+}
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlight<'a>(&'a Entry);
+
+impl<'a> InFlight<'a> {
+    pub(crate) fn begin(entry: &'a Entry) -> Self {
+        entry.in_flight.fetch_add(1, Ordering::Relaxed);
+        entry.metrics.in_flight.inc();
+        Self(entry)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+/// When a stage began, for learning how long it takes.
+pub(crate) fn learn_stage_time(entry: &Entry, version: &VersionId, began: Instant) {
+    let took = began.elapsed();
+    let mut times = entry.stage_times.lock().expect("no panics under the lock");
+    let mean = times.entry(version.clone()).or_insert(took);
+    *mean = mean.mul_f64(0.9) + took.mul_f64(0.1);
+}
--- /dev/null
+++ b/src/entry/status.rs
@@ -0,0 +1,61 @@
+//! Status of declared objects, as far as this entry knows.
+
+use serde_json::{Value, json};
+
+use crate::{
+    entry::{Entry, guard},
+    ids::{PartnerId, RequestId, partner_of},
+    operator::queries::{RollOutStatus, Status},
+    resources::{Object, Spec},
+};
+
+impl Entry {
+    /// Status of one object.
+    pub(crate) fn status_of(&self, object: &Object) -> Status {
+        let links = self.all_links();
+        let behind = links
+            .iter()
+            .filter(|link| link.beat().revision < object.revision)
+            .count();
+        let mut status = Status {
+            revision_in_force: self.config.revision(),
+            processes: links.len(),
+            processes_behind: behind,
+            ..Status::default()
+        };
+        match &object.spec {
+            Spec::Version(_) => {
+                let routes = self.routes.load();
+                let loaded = routes
+                    .of_version(&object.id)
+                    .map_or(0, |route| route.links.len());
+                status.servers_loaded = Some(loaded);
+            }
+            Spec::BackendServer(_) => {
+                let link = links.iter().find(|link| link.server == object.id);
+                status.loaded = link.map(|link| link.loaded());
+            }
+            Spec::RollOut(spec) => {
+                let judged = guard::judge(self, &object.id, spec, object.revision);
+                let suspicion = self.suspicion.lock().expect("no panics under the lock");
+                status.roll_out = Some(RollOutStatus {
+                    state: spec.state,
+                    share: spec.share(),
+                    held_here: suspicion.is_held(&judged.version, &self.config.snapshot()),
+                    reason: suspicion.reason(&judged.version),
+                    old: judged.old,
+                    new: judged.new,
+                });
+            }
+            _ => {}
+        }
+        status
+    }
+
+    /// Story of a recent request of one of the partner's organisations.
+    pub(crate) fn explanation(&self, request: RequestId, partner: &PartnerId) -> Option<Value> {
+        let explanations = self.explanations.lock().expect("no panics under the lock");
+        let story = explanations.get(request)?;
+        (partner_of(&story.organisation) == &**partner).then(|| json!(story))
+    }
+}
--- /dev/null
+++ b/src/ledger/group.rs
@@ -0,0 +1,139 @@
+//! Inserts of rows, committed in groups: the platform carries only several hundred writes a
+//! second, so rows that arrive together share a transaction.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    control::store_health::StoreHealth,
+    platform::{Error, TableClient, Transaction},
+};
+
+/// Rows in one transaction at most.
+const GROUP_ROWS: usize = 128;
+/// Groups waiting at most; beyond, an insert is refused at once.
+const WAITING: usize = 4_096;
+
+/// How an insert came out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum InsertOutcome {
+    /// The row is written, and has this version.
+    Inserted(u64),
+    /// The row has another version than was expected.
+    Conflict,
+    /// Nothing was written.
+    Refused,
+    /// It is not known whether the row was written.
+    Lost,
+}
+
+struct Insert {
+    key: Box<str>,
+    expected: Option<u64>,
+    value: Value,
+    done: oneshot::Sender<InsertOutcome>,
+}
+
+/// Handle on the task that commits groups.
+#[derive(Clone, Debug)]
+pub struct GroupCommit {
+    tx: mpsc::Sender<Insert>,
+}
+
+impl std::fmt::Debug for Insert {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Insert")
+            .field("key", &self.key)
+            .finish_non_exhaustive()
+    }
+}
+
+impl GroupCommit {
+    /// Starts the task; `linger` is how long the first row of a group waits for others.
+    pub fn start(table: TableClient, health: StoreHealth, linger: Duration) -> Self {
+        let (tx, rx) = mpsc::channel(WAITING);
+        tokio::spawn(run(table, health, linger, rx));
+        Self { tx }
+    }
+
+    /// Writes a row if it still has the expected version; none means absent.
+    pub async fn write(&self, key: Box<str>, expected: Option<u64>, value: Value) -> InsertOutcome {
+        let (done, outcome) = oneshot::channel();
+        if self
+            .tx
+            .try_send(Insert {
+                key,
+                expected,
+                value,
+                done,
+            })
+            .is_err()
+        {
+            return InsertOutcome::Refused;
+        }
+        outcome.await.unwrap_or(InsertOutcome::Lost)
+    }
+}
+
+async fn run(
+    table: TableClient,
+    health: StoreHealth,
+    linger: Duration,
+    mut rx: mpsc::Receiver<Insert>,
+) {
+    while let Some(first) = rx.recv().await {
+        if !linger.is_zero() {
+            tokio::time::sleep(linger).await;
+        }
+        let mut group = vec![first];
+        let mut deferred = Vec::new();
+        while group.len() < GROUP_ROWS {
+            let Ok(next) = rx.try_recv() else { break };
+            // Two writes of one row can't share a transaction.
+            let repeated = group.iter().any(|insert| insert.key == next.key);
+            if repeated {
+                deferred.push(next)
+            } else {
+                group.push(next)
+            }
+        }
+        tokio::spawn(commit(table.clone(), health.clone(), group));
+        for insert in deferred {
+            tokio::spawn(commit(table.clone(), health.clone(), vec![insert]));
+        }
+    }
+}
+
+/// Commits a group; rows that conflict are answered and the rest is tried again without them.
+async fn commit(table: TableClient, health: StoreHealth, mut group: Vec<Insert>) {
+    while !group.is_empty() {
+        let mut tx = Transaction::default();
+        for insert in &group {
+            tx = tx
+                .check(insert.key.clone(), insert.expected)
+                .put(insert.key.clone(), &insert.value);
+        }
+        let outcome = match health.watch("group_write", table.transact(tx)).await {
+            Ok(Ok(version)) => InsertOutcome::Inserted(version),
+            Ok(Err(conflicts)) => {
+                let (lost, rest): (Vec<_>, Vec<_>) = group
+                    .into_iter()
+                    .partition(|insert| conflicts.contains(&insert.key));
+                answer(lost, &InsertOutcome::Conflict);
+                group = rest;
+                continue;
+            }
+            Err(Error::Refused(_)) => InsertOutcome::Refused,
+            Err(_) => InsertOutcome::Lost,
+        };
+        answer(std::mem::take(&mut group), &outcome);
+    }
+}
+
+fn answer(group: Vec<Insert>, outcome: &InsertOutcome) {
+    for insert in group {
+        let _ = insert.done.send(outcome.clone());
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! mintmoor: a model-aware router for versions and cascades of language models.
+//!
+//! The modules, from the bottom up; dependencies point downwards only. The design is in
+//! `docs/decisions/0001-shape-of-the-system.md`.
+
+#![deny(unsafe_code)]
+
+pub mod ids;
+pub mod policy;
+pub mod resources;
+
+pub mod agent;
+pub mod control;
+pub mod entry;
+pub mod ledger;
+pub mod load;
+pub mod local;
+pub mod operator;
+pub mod platform;
+pub mod protocol;
+pub mod settings;
+pub mod telemetry;
+
+pub mod standin;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,19 @@
+//! The load and experiment tool: seeded, open-loop traffic, faults, and a check of the promises.
+
+mod audit;
+mod client;
+mod faults;
+mod outcome;
+mod plot;
+mod report;
+mod runner;
+mod scenario;
+pub mod slopes;
+mod traffic;
+
+pub use client::{ChatCall, ChatOutcome, Client, ServiceOutcome};
+pub use outcome::{Broken, Kind, Record};
+pub use plot::plot_reports;
+pub use report::{Percentiles, Report};
+pub use runner::run;
+pub use scenario::{Baseline, FaultSpec, Pool, Scenario, Stream};
--- /dev/null
+++ b/src/operator/commands/mod.rs
@@ -0,0 +1,5 @@
+//! Commands: accepted changes of configuration.
+
+mod write;
+
+pub use write::{Expected, WriteError, WriteRequest, Writer};
--- /dev/null
+++ b/src/platform/http_client.rs
@@ -0,0 +1,165 @@
+//! One HTTP client for the platform, engines, services and the command line.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_rustls::{HttpsConnector, HttpsConnectorBuilder};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use tokio_rustls::rustls::{ClientConfig, RootCertStore, crypto::ring};
+
+use crate::platform::{Error, Result};
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Answer headers.
+    pub headers: HeaderMap,
+    /// Answer body.
+    pub body: Bytes,
+}
+
+/// A pooled HTTP client; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpsConnector<HttpConnector>, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::trusting(RootCertStore::empty())
+    }
+}
+
+impl HttpClient {
+    /// Makes a client that accepts servers with certificates under `roots`.
+    pub fn trusting(roots: RootCertStore) -> Self {
+        let provider = Arc::new(ring::default_provider());
+        let config = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .expect("the ring provider has the default protocol versions")
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        let mut tcp = HttpConnector::new();
+        tcp.set_nodelay(true);
+        tcp.enforce_http(false);
+        tcp.set_connect_timeout(Some(Duration::from_secs(1)));
+        let connector = HttpsConnectorBuilder::new()
+            .with_tls_config(config)
+            .https_or_http()
+            .enable_http1()
+            .wrap_connector(tcp);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns as soon as the answer's headers are there.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when nothing was reached, [`Error::Unknown`] otherwise.
+    pub async fn open(
+        &self,
+        method: Method,
+        uri: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<http::Response<Incoming>> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body))
+            .map_err(|e| Error::Refused(e.to_string().into()))?;
+        *req.headers_mut() = headers;
+        self.client.request(req).await.map_err(|e| {
+            let text = format!("{uri}: {e}").into();
+            if e.is_connect() {
+                Error::Refused(text)
+            } else {
+                Error::Unknown(text)
+            }
+        })
+    }
+
+    /// Sends a request and reads the whole answer within `timeout`.
+    ///
+    /// # Errors
+    /// As [`HttpClient::open`]; a timeout is [`Error::Unknown`].
+    pub async fn call(
+        &self,
+        method: Method,
+        uri: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<HttpReply> {
+        let lost = |e: String| Error::Unknown(format!("{uri}: {e}").into());
+        let work = async {
+            let res = self.open(method, uri, headers, body).await?;
+            let (parts, body) = res.into_parts();
+            let body = body
+                .collect()
+                .await
+                .map_err(|e| lost(e.to_string()))?
+                .to_bytes();
+            Ok(HttpReply {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
+        };
+        let Ok(reply) = tokio::time::timeout(timeout, work).await else {
+            return Err(lost("timeout".into()));
+        };
+        reply
+    }
+
+    /// Sends JSON and reads JSON; a status other than success is an error.
+    ///
+    /// # Errors
+    /// As [`HttpClient::call`]; 429 and 503 are [`Error::Refused`], other failures unknown.
+    pub async fn call_json<Req: serde::Serialize, Res: serde::de::DeserializeOwned>(
+        &self,
+        method: Method,
+        uri: &str,
+        req: &Req,
+        timeout: Duration,
+    ) -> Result<Res> {
+        let body = serde_json::to_vec(req).map_err(|e| Error::Refused(e.to_string().into()))?;
+        let mut headers = HeaderMap::new();
+        headers.insert(
+            "content-type",
+            http::HeaderValue::from_static("application/json"),
+        );
+        let reply = self
+            .call(method, uri, headers, body.into(), timeout)
+            .await?;
+        check_status(uri, &reply)?;
+        serde_json::from_slice(&reply.body)
+            .map_err(|e| Error::Unreadable(format!("{uri}: {e}").into()))
+    }
+}
+
+/// Turns a failed status into an error that says whether the call can have had an effect.
+pub(crate) fn check_status(uri: &str, reply: &HttpReply) -> Result<()> {
+    if reply.status.is_success() {
+        return Ok(());
+    }
+    let text = format!("{uri}: status {}", reply.status).into();
+    let refused = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if refused.contains(&reply.status) || reply.status.is_client_error() {
+        return Err(Error::Refused(text));
+    }
+    Err(Error::Unknown(text))
+}
--- /dev/null
+++ b/src/policy/cascade.rs
@@ -0,0 +1,156 @@
+//! Which stage of a cascade a request starts at, and whether an answer is good enough.
+
+use std::collections::HashMap;
+
+use crate::ids::ObjectId;
+
+/// Weight of a new rating in the running mean.
+const STEP: f64 = 0.02;
+/// Ratings after which the declared quality no longer counts.
+const PRIOR_RATINGS: f64 = 20.0;
+/// How fast the acceptance threshold follows the gap to the target.
+const STEERING: f64 = 0.02;
+/// Estimates that kept no ratings for this many answers drift to the safe side.
+const DRIFT: f64 = 0.002;
+
+/// What one estimate is about.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct EstimateKey {
+    /// Full name of the cascade.
+    pub cascade: ObjectId,
+    /// Organisation.
+    pub organisation: ObjectId,
+    /// Task the caller named, or empty.
+    pub task: Box<str>,
+    /// Size class of the prompt: log2 of its tokens.
+    pub size_class: u32,
+    /// Index of the stage.
+    pub stage: usize,
+}
+
+/// A stage as the decision sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StageOutlook {
+    /// Expected cost of one answer.
+    pub cost: f64,
+    /// Chance that its answer passes, 0 to 1.
+    pub pass: f64,
+}
+
+/// Running estimates of one entry.
+#[derive(Clone, Debug, Default)]
+pub struct Estimates {
+    pass: HashMap<EstimateKey, Estimate>,
+    quality: HashMap<ObjectId, Steering>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    mean: f64,
+    ratings: f64,
+}
+
+/// Threshold of one cascade and the quality it has reached.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Steering {
+    /// Rating below which an answer is escalated.
+    pub threshold: f64,
+    /// Running mean of delivered ratings.
+    pub reached: f64,
+}
+
+impl Estimates {
+    /// Chance that a stage's answer passes; `prior` is the version's declared quality.
+    pub fn pass(&self, key: &EstimateKey, prior: f64) -> f64 {
+        let Some(estimate) = self.pass.get(key) else {
+            return prior;
+        };
+        let trust = (estimate.ratings / PRIOR_RATINGS).min(1.0);
+        prior * (1.0 - trust) + estimate.mean * trust
+    }
+
+    /// Notes whether a stage's answer passed.
+    pub fn note_pass(&mut self, key: EstimateKey, passed: bool) {
+        let value = if passed { 1.0 } else { 0.0 };
+        let fresh = Estimate {
+            mean: value,
+            ratings: 0.0,
+        };
+        let estimate = self.pass.entry(key).or_insert(fresh);
+        estimate.ratings += 1.0;
+        let step = STEP.max(1.0 / estimate.ratings);
+        estimate.mean += (value - estimate.mean) * step;
+    }
+
+    /// Notes that an answer could not be rated: trust in its estimate fades.
+    pub fn note_unrated(&mut self, key: &EstimateKey) {
+        if let Some(estimate) = self.pass.get_mut(key) {
+            estimate.mean *= 1.0 - DRIFT;
+        }
+    }
+
+    /// Threshold of a cascade in force.
+    pub fn steering(&self, cascade: &str, target: f64) -> Steering {
+        let start = Steering {
+            threshold: target,
+            reached: target,
+        };
+        self.quality.get(cascade).copied().unwrap_or(start)
+    }
+
+    /// Steers the threshold after an answer with this rating was delivered.
+    pub fn note_delivered(&mut self, cascade: &ObjectId, target: f64, rating: f64) {
+        let start = Steering {
+            threshold: target,
+            reached: target,
+        };
+        let steering = self.quality.entry(cascade.clone()).or_insert(start);
+        steering.reached += (rating - steering.reached) * STEP;
+        let gap = target - steering.reached;
+        steering.threshold = (steering.threshold + gap * STEERING).clamp(0.0, 1.0);
+    }
+
+    /// Estimates held.
+    pub fn len(&self) -> usize {
+        self.pass.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.pass.is_empty()
+    }
+}
+
+/// Stage to start at: lowest expected cost among the starts that meet the target.
+///
+/// Starting at a stage costs that stage and, as often as its answer does not pass, the stages
+/// after it. A request that may run only once, or whose deadline holds one stage only, has no
+/// stage after the first and must meet the target there.
+pub fn start_stage(stages: &[StageOutlook], target: f64, one_stage_only: bool) -> usize {
+    let last = stages.len().saturating_sub(1);
+    if one_stage_only {
+        return stages
+            .iter()
+            .position(|stage| stage.pass >= target)
+            .unwrap_or(last);
+    }
+    (0..stages.len())
+        .min_by(|a, b| expected_cost(&stages[*a..]).total_cmp(&expected_cost(&stages[*b..])))
+        .unwrap_or(last)
+}
+
+/// Expected cost of going through the stages in order until one passes.
+pub fn expected_cost(stages: &[StageOutlook]) -> f64 {
+    let mut reach = 1.0;
+    let mut cost = 0.0;
+    for stage in stages {
+        cost += reach * stage.cost;
+        reach *= 1.0 - stage.pass;
+    }
+    cost
+}
+
+/// Whether an answer with this rating is passed on rather than escalated.
+pub fn is_good_enough(rating: f64, steering: Steering) -> bool {
+    rating >= steering.threshold
+}
--- /dev/null
+++ b/src/policy/charge.rs
@@ -0,0 +1,133 @@
+//! Charge records and how copies of them are merged, so that each request is billed once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{MicroCost, OrganisationId, RequestId, ServerId, VersionId, partner_of};
+
+/// Length of a settlement window: requests that arrived in the same window settle together.
+pub const WINDOW_MS: u128 = 10_000;
+
+/// How much of its answer the caller got.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Delivery {
+    /// The whole answer.
+    #[default]
+    Whole,
+    /// A part: the caller hung up or the answer was cut; what was delivered is charged.
+    Part,
+    /// The agent's copy; the entry went away before it confirmed its own record.
+    Presumed,
+}
+
+/// One attempt as charged.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ChargedAttempt {
+    /// Version that ran.
+    pub version: VersionId,
+    /// BackendServer it ran on.
+    pub server: ServerId,
+    /// Prompt tokens.
+    pub tokens_in: u64,
+    /// Generated tokens.
+    pub tokens_out: u64,
+    /// Cost.
+    pub cost: MicroCost,
+}
+
+/// The one charge of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ChargeRecord {
+    /// The request.
+    pub request: RequestId,
+    /// Who is charged.
+    pub organisation: OrganisationId,
+    /// Attempts whose work the caller's answer needed, in order.
+    pub attempts: Vec<ChargedAttempt>,
+    /// How much was delivered.
+    pub delivery: Delivery,
+}
+
+impl ChargeRecord {
+    /// Sum over the attempts.
+    pub fn cost(&self) -> MicroCost {
+        self.attempts.iter().map(|attempt| attempt.cost).sum()
+    }
+}
+
+/// Settlement window a request falls into, from the arrival time in its id.
+pub fn window_of(request: RequestId) -> u64 {
+    let ms = crate::ids::request_time(request).as_millis();
+    u64::try_from(ms / WINDOW_MS).unwrap_or(u64::MAX)
+}
+
+/// What an organisation owes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Totals {
+    /// Requests charged.
+    pub requests: u64,
+    /// Prompt tokens.
+    pub tokens_in: u64,
+    /// Generated tokens.
+    pub tokens_out: u64,
+    /// Cost.
+    pub cost: MicroCost,
+}
+
+impl Totals {
+    /// Adds one record.
+    pub fn add(&mut self, record: &ChargeRecord) {
+        self.requests += 1;
+        self.tokens_in += record.attempts.iter().map(|a| a.tokens_in).sum::<u64>();
+        self.tokens_out += record.attempts.iter().map(|a| a.tokens_out).sum::<u64>();
+        self.cost += record.cost();
+    }
+}
+
+/// Merges copies of records by request; the entry's own record goes before an agent's copy.
+pub fn merge(records: impl IntoIterator<Item = ChargeRecord>) -> BTreeMap<RequestId, ChargeRecord> {
+    let mut merged: BTreeMap<RequestId, ChargeRecord> = BTreeMap::new();
+    for record in records {
+        let better = merged
+            .get(&record.request)
+            .is_none_or(|held| is_better(&record, held));
+        if better {
+            merged.insert(record.request, record);
+        }
+    }
+    merged
+}
+
+fn is_better(new: &ChargeRecord, held: &ChargeRecord) -> bool {
+    (new.delivery, usize::MAX - new.attempts.len())
+        < (held.delivery, usize::MAX - held.attempts.len())
+}
+
+/// Totals to add for the records that have not been settled before, and their ids.
+pub fn settle(
+    merged: &BTreeMap<RequestId, ChargeRecord>,
+    settled: &BTreeSet<RequestId>,
+) -> (BTreeMap<OrganisationId, Totals>, Vec<RequestId>) {
+    let mut totals: BTreeMap<OrganisationId, Totals> = BTreeMap::new();
+    let mut ids = Vec::new();
+    for (request, record) in merged
+        .iter()
+        .filter(|(request, _)| !settled.contains(*request))
+    {
+        totals
+            .entry(record.organisation.clone())
+            .or_default()
+            .add(record);
+        ids.push(*request);
+    }
+    (totals, ids)
+}
+
+/// Partner whose organisation is charged.
+pub fn payer(record: &ChargeRecord) -> &str {
+    partner_of(&record.organisation)
+}
--- /dev/null
+++ b/src/policy/gate.rs
@@ -0,0 +1,208 @@
+//! The agent's gate: the last check before an attempt starts, and the memory of what it refused.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::Revision, policy::attempt::AttemptKey};
+
+/// Attempts remembered after they ended or were refused.
+const REMEMBERED: usize = 65_536;
+
+/// Why an attempt was not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefuseReason {
+    /// The version takes no new requests.
+    Withdrawn,
+    /// The organisation may not use the version or the server.
+    NotAllowed,
+    /// The server is leaving.
+    Leaving,
+    /// The queue is full.
+    Full,
+    /// The entry cancelled it before it started.
+    Cancelled,
+    /// Its deadline passed in the queue.
+    DeadlinePassed,
+    /// The version is not loaded here.
+    NotLoaded,
+    /// The agent is behind the revision the attempt was decided on and can't catch up.
+    Behind,
+    /// The BackendServer could not be reached at all.
+    Unreachable,
+}
+
+/// Where an attempt stands at the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum GateState {
+    /// Waits until the agent has the revision it was decided on.
+    Behind,
+    /// Waits for a place.
+    Queued,
+    /// Handed to the BackendServer.
+    Started,
+    /// Refused; a late copy must not start.
+    Refused(RefuseReason),
+    /// Ended.
+    Ended,
+}
+
+/// What the agent's configuration says about an attempt now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct GateView {
+    /// Revision in force at the agent.
+    pub revision: Revision,
+    /// Whether that revision lets the organisation use version and server.
+    pub allowed: bool,
+    /// Whether that revision has the version available.
+    pub available: bool,
+    /// Whether the server is leaving.
+    pub leaving: bool,
+}
+
+/// What to do with an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum GateDecision {
+    /// Put it into the queue.
+    Queue,
+    /// Start it now.
+    Start,
+    /// Ask for the missing changes, then offer it again.
+    Pull,
+    /// Tell the entry that it has not run.
+    Refuse(RefuseReason),
+    /// A copy of something already here; do nothing.
+    Ignore,
+}
+
+/// All attempts an agent remembers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Gate {
+    attempts: BTreeMap<AttemptKey, GateState>,
+    settled: VecDeque<AttemptKey>,
+}
+
+impl Gate {
+    /// Where an attempt stands, if it is remembered.
+    pub fn state(&self, key: AttemptKey) -> Option<GateState> {
+        self.attempts.get(&key).copied()
+    }
+
+    /// Attempts remembered.
+    pub fn len(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Offers an attempt that was decided on at `decided`.
+    pub fn offer(&mut self, key: AttemptKey, decided: Revision, view: GateView) -> GateDecision {
+        match self.attempts.get(&key) {
+            Some(GateState::Refused(reason)) => return GateDecision::Refuse(*reason),
+            Some(GateState::Behind) | None => {}
+            Some(_) => return GateDecision::Ignore,
+        }
+        if view.leaving {
+            return self.refuse(key, RefuseReason::Leaving);
+        }
+        if view.revision < decided {
+            self.attempts.insert(key, GateState::Behind);
+            return GateDecision::Pull;
+        }
+        if let Some(reason) = objection(view) {
+            return self.refuse(key, reason);
+        }
+        self.attempts.insert(key, GateState::Queued);
+        GateDecision::Queue
+    }
+
+    /// Takes an attempt from the queue; the configuration is checked again.
+    pub fn take(&mut self, key: AttemptKey, view: GateView) -> GateDecision {
+        match self.attempts.get(&key) {
+            Some(GateState::Queued) => {}
+            Some(GateState::Refused(reason)) => return GateDecision::Refuse(*reason),
+            _ => return GateDecision::Ignore,
+        }
+        if let Some(reason) = objection(view) {
+            return self.refuse(key, reason);
+        }
+        self.attempts.insert(key, GateState::Started);
+        GateDecision::Start
+    }
+
+    /// Refuses an attempt unless it has started, and remembers the refusal.
+    ///
+    /// An attempt never seen is refused too, so that a late copy of it can not start.
+    pub fn refuse(&mut self, key: AttemptKey, reason: RefuseReason) -> GateDecision {
+        match self.attempts.get(&key) {
+            Some(GateState::Started | GateState::Ended) => return GateDecision::Ignore,
+            Some(GateState::Refused(earlier)) => return GateDecision::Refuse(*earlier),
+            _ => {}
+        }
+        self.attempts.insert(key, GateState::Refused(reason));
+        self.remember(key);
+        GateDecision::Refuse(reason)
+    }
+
+    /// Notes that a started attempt has ended.
+    pub fn end(&mut self, key: AttemptKey) {
+        if self.attempts.get(&key) == Some(&GateState::Started) {
+            self.attempts.insert(key, GateState::Ended);
+            self.remember(key);
+        }
+    }
+
+    /// Takes a start back: the BackendServer was not reached, so nothing ran.
+    pub fn not_reached(&mut self, key: AttemptKey) -> GateDecision {
+        if self.attempts.get(&key) != Some(&GateState::Started) {
+            return GateDecision::Ignore;
+        }
+        self.attempts
+            .insert(key, GateState::Refused(RefuseReason::Unreachable));
+        self.remember(key);
+        GateDecision::Refuse(RefuseReason::Unreachable)
+    }
+
+    /// Attempts that wait for a revision or a place.
+    pub fn waiting(&self) -> Vec<AttemptKey> {
+        let waits = |state: &GateState| matches!(state, GateState::Behind | GateState::Queued);
+        self.attempts
+            .iter()
+            .filter(|(_, state)| waits(state))
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Forgets the oldest settled attempts; links deliver in order, so copies come soon or never.
+    fn remember(&mut self, key: AttemptKey) {
+        self.settled.push_back(key);
+        while self.settled.len() > REMEMBERED {
+            let Some(oldest) = self.settled.pop_front() else {
+                break;
+            };
+            self.attempts.remove(&oldest);
+        }
+    }
+}
+
+fn objection(view: GateView) -> Option<RefuseReason> {
+    if view.leaving {
+        return Some(RefuseReason::Leaving);
+    }
+    if !view.available {
+        return Some(RefuseReason::Withdrawn);
+    }
+    (!view.allowed).then_some(RefuseReason::NotAllowed)
+}
+
+/// Whether an attempt that has waited this long can still answer in time.
+pub fn in_time(waited: Duration, deadline: Duration) -> bool {
+    waited < deadline
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,19 @@
+//! Pure decisions: functions and state machines over (state, event, now).
+//!
+//! Nothing here does I/O, reads a clock or draws randomness of its own, so that the model
+//! checks in `tests/model/`, the property tests and the measurements drive what production runs.
+
+pub mod attempt;
+pub mod cascade;
+pub mod charge;
+pub mod choice;
+pub mod claim;
+pub mod fair_queue;
+pub mod gate;
+pub mod lease;
+pub mod lifecycle;
+pub mod limit;
+pub mod outlier;
+pub mod retry;
+pub mod roll_out;
+pub mod session;
--- /dev/null
+++ b/src/policy/roll_out.rs
@@ -0,0 +1,140 @@
+//! Roll-outs: which version a new session gets, and when a version is held or moved on.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::resources::{Guard, RollOut, RollOutState};
+
+/// Outcomes of one version, as sums that only grow within one agent's life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Answers, whole or failed.
+    pub answers: u64,
+    /// Answers that failed.
+    pub failures: u64,
+    /// Answers that were rated.
+    pub rated: u64,
+    /// Answers rated as poor.
+    pub poor: u64,
+}
+
+impl Evidence {
+    /// Adds another agent's sums.
+    #[must_use]
+    pub fn plus(self, other: Evidence) -> Evidence {
+        Evidence {
+            answers: self.answers + other.answers,
+            failures: self.failures + other.failures,
+            rated: self.rated + other.rated,
+            poor: self.poor + other.poor,
+        }
+    }
+
+    /// What came after an earlier reading; an agent that started anew counts from zero.
+    #[must_use]
+    pub fn since(self, earlier: Evidence) -> Evidence {
+        Evidence {
+            answers: self.answers.saturating_sub(earlier.answers),
+            failures: self.failures.saturating_sub(earlier.failures),
+            rated: self.rated.saturating_sub(earlier.rated),
+            poor: self.poor.saturating_sub(earlier.poor),
+        }
+    }
+
+    fn failure_rate(self) -> f64 {
+        smoothed(self.failures, self.answers)
+    }
+
+    fn poor_rate(self) -> f64 {
+        smoothed(self.poor, self.rated)
+    }
+}
+
+/// Rate with one imagined good and half an imagined bad case, so it is never 0 or 1.
+fn smoothed(bad: u64, all: u64) -> f64 {
+    (bad as f64 + 0.5) / (all as f64 + 1.5)
+}
+
+/// What the evidence says about a new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Finding {
+    /// Not enough yet.
+    Undecided,
+    /// No worse, as far as this step can tell.
+    NoWorse,
+    /// Worse.
+    Worse,
+}
+
+/// Sequential probability ratio test of the new version against the old.
+///
+/// The log-likelihood ratio of "worse by the tolerated rise" against "the same" is summed over
+/// failures and over ratings; crossing the bound set by the false-hold rate finds it worse.
+pub fn test_version(old: Evidence, new: Evidence, guard: &Guard) -> Finding {
+    let bound = (1.0 / guard.false_hold.max(1e-9)).ln();
+    let rise = guard.tolerated_rise;
+    let failing = log_ratio(new.failures, new.answers, old.failure_rate(), rise);
+    let poor = log_ratio(new.poor, new.rated, old.poor_rate(), rise);
+    if failing.max(poor) >= bound {
+        return Finding::Worse;
+    }
+    if new.answers >= guard.step_samples {
+        Finding::NoWorse
+    } else {
+        Finding::Undecided
+    }
+}
+
+fn log_ratio(bad: u64, all: u64, base: f64, rise: f64) -> f64 {
+    let worse = (base + rise).min(0.999);
+    let bad_part = bad as f64 * (worse / base).ln();
+    let good_part = (all - bad.min(all)) as f64 * ((1.0 - worse) / (1.0 - base)).ln();
+    bad_part + good_part
+}
+
+/// What the guard writes, if anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum GuardStep {
+    /// Nothing.
+    Stay,
+    /// Hold the new version.
+    Hold,
+    /// Go to the next step, or finish after the last.
+    Advance,
+}
+
+/// Decides the guard's next write for a roll-out.
+pub fn guard_step(roll_out: &RollOut, finding: Finding) -> GuardStep {
+    match (roll_out.state, finding) {
+        (RollOutState::Running | RollOutState::Paused, Finding::Worse) => GuardStep::Hold,
+        (RollOutState::Running, Finding::NoWorse) => GuardStep::Advance,
+        _ => GuardStep::Stay,
+    }
+}
+
+/// The roll-out after the guard's write.
+pub fn apply_step(roll_out: &RollOut, step: GuardStep) -> RollOut {
+    let mut next = roll_out.clone();
+    match step {
+        GuardStep::Stay => {}
+        GuardStep::Hold => next.state = RollOutState::Held,
+        GuardStep::Advance if next.step + 1 < next.steps.len() => next.step += 1,
+        GuardStep::Advance => next.state = RollOutState::Finished,
+    }
+    next
+}
+
+/// Whether a new session gets the new version.
+///
+/// The same session always draws the same number, so a growing share only ever adds sessions.
+pub fn takes_new_version(roll_out: &RollOut, session: &str, held: bool) -> bool {
+    if held {
+        return false;
+    }
+    let hash = xxh3_64_with_seed(
+        session.as_bytes(),
+        xxh3_64_with_seed(roll_out.to.as_bytes(), 0),
+    );
+    let draw = (hash >> 11) as f64 / (1u64 << 53) as f64;
+    draw < roll_out.share()
+}
--- /dev/null
+++ b/src/protocol/handshake.rs
@@ -0,0 +1,194 @@
+//! Opening a link: both sides prove that they have the link key before anything else is read.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, KeyInit, Mac};
+use rand::RngExt;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use sha2::Sha256;
+use tokio::net::TcpStream;
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{
+        Message,
+        protocol::{Role, WebSocketConfig},
+    },
+};
+
+use crate::{
+    ids::{Incarnation, ServerId},
+    protocol::{Error, Result, decode, encode},
+};
+
+/// Largest frame before a peer has proved itself, bytes.
+const MAX_UNPROVED: usize = 4 << 10;
+/// Largest frame of a peer that has proved itself, bytes.
+const MAX_FRAME: usize = 16 << 20;
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Who is at the other end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Host name.
+    pub host: Box<str>,
+    /// Region.
+    pub region: Box<str>,
+    /// AvailabilityZone.
+    pub zone: Box<str>,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// BackendServer beside an agent; empty for an entry.
+    pub server: ServerId,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Challenge {
+    nonce: u128,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    nonce: u128,
+    peer: Peer,
+    #[serde(with = "serde_bytes")]
+    proof: Vec<u8>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Welcome {
+    peer: Peer,
+    #[serde(with = "serde_bytes")]
+    proof: Vec<u8>,
+}
+
+/// An open link at the entry.
+pub type EntrySide = WebSocketStream<TcpStream>;
+/// An open link at the agent.
+pub type AgentSide = WebSocketStream<TcpStream>;
+
+/// Opens a link from an entry to an agent.
+///
+/// # Errors
+/// When the agent can't be reached or does not prove itself in time.
+pub async fn connect(address: SocketAddr, me: &Peer, key: &[u8]) -> Result<(EntrySide, Peer)> {
+    let work = async {
+        let tcp = TcpStream::connect(address).await?;
+        tcp.set_nodelay(true)?;
+        let uri = format!("ws://{address}/link");
+        let config = Some(limits(MAX_FRAME));
+        let (mut ws, _) = client_async_with_config(uri, tcp, config).await?;
+        let challenge: Challenge = receive(&mut ws).await?;
+        let nonce: u128 = rand::rng().random();
+        let proof = prove(key, "entry", challenge.nonce, nonce, me);
+        send(
+            &mut ws,
+            &Hello {
+                nonce,
+                peer: me.clone(),
+                proof,
+            },
+        )
+        .await?;
+        let welcome: Welcome = receive(&mut ws).await?;
+        check(
+            key,
+            "agent",
+            (nonce, challenge.nonce),
+            &welcome.peer,
+            &welcome.proof,
+        )?;
+        Ok((ws, welcome.peer))
+    };
+    tokio::time::timeout(TIMEOUT, work)
+        .await
+        .unwrap_or(Err(Error::HandshakeTimeout))
+}
+
+/// Accepts a link at an agent.
+///
+/// # Errors
+/// When the entry does not prove itself in time.
+pub async fn accept(tcp: TcpStream, me: &Peer, key: &[u8]) -> Result<(AgentSide, Peer)> {
+    let work = async {
+        tcp.set_nodelay(true)?;
+        let mut ws = accept_async_with_config(tcp, Some(limits(MAX_UNPROVED))).await?;
+        let nonce: u128 = rand::rng().random();
+        send(&mut ws, &Challenge { nonce }).await?;
+        let hello: Hello = receive(&mut ws).await?;
+        check(
+            key,
+            "entry",
+            (nonce, hello.nonce),
+            &hello.peer,
+            &hello.proof,
+        )?;
+        let proof = prove(key, "agent", hello.nonce, nonce, me);
+        send(
+            &mut ws,
+            &Welcome {
+                peer: me.clone(),
+                proof,
+            },
+        )
+        .await?;
+        // The entry sends nothing until it has the welcome, so no byte is lost here.
+        let tcp = ws.into_inner();
+        let ws = WebSocketStream::from_raw_socket(tcp, Role::Server, Some(limits(MAX_FRAME))).await;
+        Ok((ws, hello.peer))
+    };
+    tokio::time::timeout(TIMEOUT, work)
+        .await
+        .unwrap_or(Err(Error::HandshakeTimeout))
+}
+
+fn limits(max: usize) -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(max))
+        .max_frame_size(Some(max))
+}
+
+fn mac(key: &[u8], side: &str, theirs: u128, mine: u128, peer: &Peer) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+    mac.update(side.as_bytes());
+    mac.update(&theirs.to_be_bytes());
+    mac.update(&mine.to_be_bytes());
+    mac.update(&encode(peer));
+    mac
+}
+
+fn prove(key: &[u8], side: &str, theirs: u128, mine: u128, me: &Peer) -> Vec<u8> {
+    mac(key, side, theirs, mine, me)
+        .finalize()
+        .into_bytes()
+        .to_vec()
+}
+
+/// `nonces` are ours, which the peer had to sign, and the peer's own.
+fn check(key: &[u8], side: &str, nonces: (u128, u128), peer: &Peer, proof: &[u8]) -> Result<()> {
+    let expected = mac(key, side, nonces.0, nonces.1, peer);
+    expected
+        .verify_slice(proof)
+        .map_err(|_| Error::NotAuthenticated)
+}
+
+async fn send<T: Serialize>(ws: &mut WebSocketStream<TcpStream>, message: &T) -> Result<()> {
+    Ok(ws.send(Message::Binary(encode(message))).await?)
+}
+
+async fn receive<T: DeserializeOwned>(ws: &mut WebSocketStream<TcpStream>) -> Result<T> {
+    decode(&receive_bytes(ws).await?)
+}
+
+async fn receive_bytes(ws: &mut WebSocketStream<TcpStream>) -> Result<Bytes> {
+    loop {
+        match ws.next().await {
+            Some(Ok(Message::Binary(buf))) => return Ok(buf),
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            Some(Ok(_)) => return Err(Error::NotAuthenticated),
+            Some(Err(e)) => return Err(e.into()),
+            None => return Err(Error::Broken("closed".into())),
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,16 @@
+//! Messages between entries and agents and the authenticated link that carries them.
+//!
+//! CBOR over WebSocket; the frames are described in `docs/decisions/0002-links.md`.
+
+mod codec;
+mod error;
+mod handshake;
+mod message;
+
+pub use codec::{decode, encode};
+pub use error::{Error, Result};
+pub use handshake::{AgentSide, EntrySide, Peer, accept, connect};
+pub use message::{
+    AgentBeat, ConfigUpdate, EntryBeat, Held, Start, StartCall, ToAgent, ToEntry, Usage,
+    VersionEvidence,
+};
--- /dev/null
+++ b/src/settings/process.rs
@@ -0,0 +1,340 @@
+//! Settings of the two processes.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
+
+use crate::{
+    ids::ServerId,
+    settings::{SettingsError, reader::Reader},
+    telemetry::log::{LogFormat, LogLevel},
+};
+
+const ANY_LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const ADDRESS: &str = "an IP address and port such as `10.0.0.1:7000`";
+const URL: &str = "a base URL such as `http://10.0.0.1:7000`";
+const MILLISECONDS: &str = "a whole number of milliseconds above 0";
+const KEY_MIN_BYTES: usize = 16;
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Table service.
+    pub table: Box<str>,
+    /// Object store.
+    pub objects: Box<str>,
+    /// Host list.
+    pub hosts: Box<str>,
+    /// Rating service.
+    pub ratings: Box<str>,
+}
+
+/// Certificate and key for callers and operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TlsSettings {
+    /// PEM file of the certificate chain.
+    pub certificate: PathBuf,
+    /// PEM file of the private key.
+    pub key: PathBuf,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Host name, as in the host list.
+    pub host: Box<str>,
+    /// Region.
+    pub region: Box<str>,
+    /// AvailabilityZone.
+    pub zone: Box<str>,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Address for health, metrics and the dump.
+    pub admin: SocketAddr,
+    /// Platform.
+    pub platform: PlatformSettings,
+    /// Key shared by entries and agents.
+    pub link_key: Box<str>,
+    /// Key that signs session tokens.
+    pub session_key: Box<str>,
+    /// Key of the operator who declares partners; none means that partners can't be declared.
+    pub root_key: Option<Box<str>>,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Time between polls of the head revision.
+    pub poll: Duration,
+    /// Links to agents at most.
+    pub max_links: usize,
+    /// Requests in flight before new ones are shed.
+    pub max_in_flight: usize,
+    /// Largest request body, bytes.
+    pub max_body: usize,
+    /// Charge records kept in memory while the object store is down.
+    pub max_waiting_charges: usize,
+    /// Time a planned stop may take.
+    pub grace: Duration,
+    /// TLS for callers and operators.
+    pub tls: Option<TlsSettings>,
+    /// Least level logged.
+    pub log_level: LogLevel,
+    /// Form of the log lines.
+    pub log_format: LogFormat,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Host name, as in the host list.
+    pub host: Box<str>,
+    /// Region.
+    pub region: Box<str>,
+    /// AvailabilityZone.
+    pub zone: Box<str>,
+    /// Address for links.
+    pub link: SocketAddr,
+    /// Address for health, metrics and the dump.
+    pub admin: SocketAddr,
+    /// Platform.
+    pub platform: PlatformSettings,
+    /// Key shared by entries and agents.
+    pub link_key: Box<str>,
+    /// Full name of the BackendServer beside this process.
+    pub server: ServerId,
+    /// Base URL of the BackendServer.
+    pub backend: Box<str>,
+    /// Attempts handed to the BackendServer at a time at most.
+    pub max_running: u32,
+    /// Attempts queued at most.
+    pub max_queued: usize,
+    /// Time between tokens above which the limit gives way.
+    pub token_target: Duration,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Charge copies kept until their entry confirms them.
+    pub max_waiting_charges: usize,
+    /// Time after which an entry that went away is given up.
+    pub entry_lost_after: Duration,
+    /// Time a planned stop may take.
+    pub grace: Duration,
+    /// Least level logged.
+    pub log_level: LogLevel,
+    /// Form of the log lines.
+    pub log_format: LogFormat,
+}
+
+/// Reads an entry's settings.
+///
+/// # Errors
+/// Everything wrong with the text at once.
+pub fn load_entry(file: &str, text: &str) -> Result<EntrySettings, SettingsError> {
+    let mut r = Reader::parse(file, text)?;
+    let host = get_word(&mut r, "process.host");
+    let region = get_word(&mut r, "process.region");
+    let zone = get_word(&mut r, "process.zone");
+    let caller = r.get("listen.caller", ADDRESS, None);
+    let operator = r.get("listen.operator", ADDRESS, None);
+    let admin = r.get("listen.admin", ADDRESS, Some(ANY_LOOPBACK));
+    let platform = read_platform(&mut r);
+    let link_key = read_key(&mut r, "keys.link");
+    let session_key = read_key(&mut r, "keys.session");
+    let root_key = read_optional_key(&mut r, "keys.root");
+    let heartbeat = get_time(&mut r, "control.heartbeat_ms", 1_000);
+    let poll = get_time(&mut r, "control.poll_ms", 1_000);
+    let max_links = get_count(&mut r, "control.max_links", 64);
+    let max_in_flight = get_count(&mut r, "limits.max_in_flight", 4_096);
+    let max_body = get_count(&mut r, "limits.max_body_bytes", 1 << 20);
+    let max_waiting_charges = get_count(&mut r, "limits.max_waiting_charges", 200_000);
+    let grace = get_time(&mut r, "stop.grace_ms", 30_000);
+    let tls = read_tls(&mut r);
+    let (log_level, log_format) = read_log(&mut r);
+    r.finish()?;
+    Ok(EntrySettings {
+        host,
+        region,
+        zone,
+        caller: checked(caller),
+        operator: checked(operator),
+        admin: checked(admin),
+        platform,
+        link_key,
+        session_key,
+        root_key,
+        heartbeat,
+        poll,
+        max_links,
+        max_in_flight,
+        max_body,
+        max_waiting_charges,
+        grace,
+        tls,
+        log_level,
+        log_format,
+    })
+}
+
+/// Reads an agent's settings.
+///
+/// # Errors
+/// Everything wrong with the text at once.
+pub fn load_agent(file: &str, text: &str) -> Result<AgentSettings, SettingsError> {
+    let mut r = Reader::parse(file, text)?;
+    let host = get_word(&mut r, "process.host");
+    let region = get_word(&mut r, "process.region");
+    let zone = get_word(&mut r, "process.zone");
+    let link = r.get("listen.link", ADDRESS, None);
+    let admin = r.get("listen.admin", ADDRESS, Some(ANY_LOOPBACK));
+    let platform = read_platform(&mut r);
+    let link_key = read_key(&mut r, "keys.link");
+    let server = get_word(&mut r, "backend.server");
+    if !server.is_empty() && server.matches('/').count() != 1 {
+        r.complain_about("backend.server", "must be a full name `partner/server`");
+    }
+    let backend = get_url(&mut r, "backend.url");
+    let max_running = r.get("backend.max_running", "a whole number above 0", Some(16));
+    let max_queued = get_count(&mut r, "limits.max_queued", 256);
+    let token_target = get_time(&mut r, "backend.token_target_ms", 80);
+    let heartbeat = get_time(&mut r, "control.heartbeat_ms", 1_000);
+    let max_waiting_charges = get_count(&mut r, "limits.max_waiting_charges", 100_000);
+    let entry_lost_after = get_time(&mut r, "control.entry_lost_after_ms", 20_000);
+    let grace = get_time(&mut r, "stop.grace_ms", 30_000);
+    let (log_level, log_format) = read_log(&mut r);
+    r.finish()?;
+    Ok(AgentSettings {
+        host,
+        region,
+        zone,
+        link: checked(link),
+        admin: checked(admin),
+        platform,
+        link_key,
+        server,
+        backend,
+        max_running: checked(max_running).max(1),
+        max_queued,
+        token_target,
+        heartbeat,
+        max_waiting_charges,
+        entry_lost_after,
+        grace,
+        log_level,
+        log_format,
+    })
+}
+
+/// A value whose absence has been reported as a problem, so `finish` has already failed.
+fn checked<T>(value: Option<T>) -> T {
+    value.expect("finish fails when a value is missing")
+}
+
+fn get_word(r: &mut Reader<'_>, key: &str) -> Box<str> {
+    let word: String = r.get(key, "a name", None).unwrap_or_default();
+    word.into()
+}
+
+fn get_url(r: &mut Reader<'_>, key: &str) -> Box<str> {
+    let text: Option<String> = r.get(key, URL, None);
+    let Some(text) = text else {
+        return Box::default();
+    };
+    let is_http = text.starts_with("http://") || text.starts_with("https://");
+    if !is_http || text.parse::<http::Uri>().is_err() {
+        r.complain_about(key, &format!("`{text}` is wrong; must be {URL}"));
+    }
+    text.trim_end_matches('/').into()
+}
+
+fn get_time(r: &mut Reader<'_>, key: &str, default_ms: u64) -> Duration {
+    let ms = r
+        .get(key, MILLISECONDS, Some(default_ms))
+        .unwrap_or(default_ms);
+    if ms == 0 {
+        r.complain_about(key, &format!("must be {MILLISECONDS}"));
+    }
+    Duration::from_millis(ms)
+}
+
+fn get_count(r: &mut Reader<'_>, key: &str, default: usize) -> usize {
+    let count = r
+        .get(key, "a whole number above 0", Some(default))
+        .unwrap_or(default);
+    if count == 0 {
+        r.complain_about(key, "must be a whole number above 0");
+    }
+    count
+}
+
+fn read_platform(r: &mut Reader<'_>) -> PlatformSettings {
+    PlatformSettings {
+        table: get_url(r, "platform.table"),
+        objects: get_url(r, "platform.objects"),
+        hosts: get_url(r, "platform.hosts"),
+        ratings: get_url(r, "platform.ratings"),
+    }
+}
+
+fn read_tls(r: &mut Reader<'_>) -> Option<TlsSettings> {
+    let certificate: Option<PathBuf> = r.get_optional("tls.certificate_file", "a PEM file");
+    let key: Option<PathBuf> = r.get_optional("tls.key_file", "a PEM file");
+    match (certificate, key) {
+        (Some(certificate), Some(key)) => Some(TlsSettings { certificate, key }),
+        (None, None) => None,
+        _ => {
+            r.complain_about(
+                "tls",
+                "needs both `certificate_file` and `key_file`, or neither",
+            );
+            None
+        }
+    }
+}
+
+fn read_log(r: &mut Reader<'_>) -> (LogLevel, LogFormat) {
+    let level = r.get(
+        "log.level",
+        "error, warn, info or debug",
+        Some(LogLevel::default()),
+    );
+    let format = r.get("log.format", "text or json", Some(LogFormat::default()));
+    (level.unwrap_or_default(), format.unwrap_or_default())
+}
+
+fn read_key(r: &mut Reader<'_>, key: &str) -> Box<str> {
+    match read_optional_key(r, key) {
+        Some(value) => value,
+        None => {
+            r.complain_about(key, &format!("is missing; give `{key}_file`, a file with the key, or its environment variable"));
+            Box::default()
+        }
+    }
+}
+
+/// Keys come from `NAME_file` or the environment variable of `NAME`, never from the text itself.
+fn read_optional_key(r: &mut Reader<'_>, key: &str) -> Option<Box<str>> {
+    let file_key = format!("{key}_file");
+    let name = format!("MINTMOOR_{}", key.replace('.', "_").to_uppercase());
+    let from_env = std::env::var(name).ok();
+    let file: Option<PathBuf> = r.get_optional(&file_key, "a file that holds the key");
+    let text = match (from_env, file) {
+        (Some(text), _) => text,
+        (None, Some(path)) => match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(e) => {
+                r.complain_about(&file_key, &format!("can't be read: {e}"));
+                return Some(Box::default());
+            }
+        },
+        (None, None) => return None,
+    };
+    let text = text.trim();
+    if text.len() < KEY_MIN_BYTES {
+        r.complain_about(
+            &file_key,
+            &format!("must hold a key of {KEY_MIN_BYTES} bytes or more"),
+        );
+    }
+    Some(text.into())
+}
--- /dev/null
+++ b/src/telemetry/admin.rs
@@ -0,0 +1,42 @@
+//! The admin address of every process: health, metrics and the state dump.
+
+use std::sync::Arc;
+
+use axum::{Json, Router, http::StatusCode, routing::get};
+use serde_json::Value;
+
+use crate::telemetry::Metrics;
+
+/// What differs between processes on the admin address.
+#[derive(Clone)]
+pub struct Admin {
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Whether the process takes work.
+    pub is_ready: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// The state dump; it holds no keys.
+    pub dump: Arc<dyn Fn() -> Value + Send + Sync>,
+}
+
+/// Router of the admin address.
+pub fn router(admin: Admin) -> Router {
+    let Admin {
+        metrics,
+        is_ready,
+        dump,
+    } = admin;
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .route(
+            "/readyz",
+            get(move || async move {
+                if is_ready() {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                }
+            }),
+        )
+        .route("/metrics", get(move || async move { metrics.render() }))
+        .route("/debug/state", get(move || async move { Json(dump()) }))
+}
--- /dev/null
+++ b/src/telemetry/event.rs
@@ -0,0 +1,77 @@
+//! Numbered events. The catalogue is `docs/EVENTS.md`; a test compares the two.
+
+use std::fmt::Arguments;
+
+use spdlog::Level;
+
+/// One kind of event.
+#[derive(Clone, Copy, Debug)]
+pub struct EventKind {
+    /// Stable number.
+    pub code: u16,
+    /// Stable name.
+    pub name: &'static str,
+    /// Level it is logged at.
+    pub level: Level,
+    /// What it means, as the catalogue has it.
+    pub meaning: &'static str,
+}
+
+impl EventKind {
+    /// Logs one event of this kind.
+    pub fn log(&self, details: Arguments<'_>) {
+        let (code, name) = (self.code, self.name);
+        spdlog::log!(self.level, "{} {}", name, details, kv: { code });
+    }
+}
+
+macro_rules! events {
+    ($($ident:ident = $code:literal, $level:ident, $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $ident: EventKind = EventKind {
+                code: $code,
+                name: stringify!($ident),
+                level: Level::$level,
+                meaning: $meaning,
+            };
+        )*
+        /// All kinds, in the order of their numbers.
+        pub const CATALOGUE: &[EventKind] = &[$($ident),*];
+    };
+}
+
+events! {
+    PROCESS_STARTED = 100, Info, "The process listens and has its settings.";
+    PROCESS_READY = 101, Info, "The process has a configuration and takes work.";
+    PROCESS_LEAVING = 102, Info, "A planned stop began; no new work is taken.";
+    PROCESS_STOPPED = 103, Info, "The process ends; the numbers say what was cut off.";
+    PROCESS_CUT_SHORT = 104, Warn, "A second signal or the end of the grace cut requests off.";
+    LINK_UP = 200, Info, "A link to a peer is authenticated.";
+    LINK_DOWN = 201, Warn, "A link went away; its attempts are settled as lost.";
+    LINK_REFUSED = 202, Warn, "A peer did not prove itself or sent frames that can't be read.";
+    CONFIG_ADVANCED = 300, Info, "A newer configuration revision is in force here.";
+    CONFIG_OLDER_SHOWN = 301, Error, "The store showed an older revision than is in force; it is not followed.";
+    CONFIG_CHANGED = 302, Info, "An operator's or a leased job's change was accepted.";
+    STORE_UNREACHABLE = 400, Warn, "The table or object service gives no answer; what depends on it waits or is refused.";
+    STORE_BACK = 401, Info, "The table or object service answers again.";
+    CLAIM_LOST_REPLY = 402, Info, "The reply to a claim was lost and is settled by reading back.";
+    ATTEMPT_RETRIED = 500, Info, "An attempt failed and another was sent.";
+    ANSWER_DROPPED = 501, Warn, "A frame of another attempt, or one out of order, was dropped.";
+    ANSWER_INCOMPLETE = 502, Warn, "An answer ended without its end frame or with the wrong digest.";
+    GATE_REFUSED = 503, Info, "The agent refused an attempt before it started.";
+    STRAY_CHUNK = 504, Warn, "An engine sent a chunk of another request, or one twice; it was dropped.";
+    VERSION_HELD = 600, Warn, "A version under roll-out is suspect; it takes no new sessions here.";
+    ROLL_OUT_MOVED = 601, Info, "The guard wrote a roll-out's next step.";
+    ROLL_OUT_LEFT = 602, Info, "The guard's write met a newer one by someone else and was dropped.";
+    LEASE_TAKEN = 700, Info, "This process holds a lease.";
+    LEASE_LOST = 701, Warn, "This process no longer holds a lease.";
+    CHARGES_SETTLED = 702, Info, "A window's charges were added to the totals.";
+    CHARGES_WAITING = 703, Warn, "Charge records wait in memory because the object store gives no answer.";
+    ENGINE_ORDERED = 800, Info, "The agent ordered its engine to load or drop versions.";
+    ENGINE_ORDER_FAILED = 801, Warn, "The engine gave no answer to an order or refused it.";
+    ENGINE_UNHEALTHY = 802, Warn, "The BackendServer fails its requests; entries are told.";
+    ENGINE_HEALTHY = 803, Info, "The BackendServer answers again.";
+    CERTIFICATE_RELOADED = 900, Info, "The certificate was read again from its file.";
+    CERTIFICATE_UNREADABLE = 901, Error, "The certificate file can't be read; the old one stays in use.";
+}
--- /dev/null
+++ b/src/telemetry/log.rs
@@ -0,0 +1,79 @@
+//! Where log lines go.
+
+use std::{str::FromStr, sync::Arc};
+
+use spdlog::{
+    Level, LevelFilter, Logger,
+    formatter::{FullFormatter, JsonFormatter},
+    sink::{StdStream, StdStreamSink},
+};
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// A word that names no log format or level.
+#[derive(Debug, thiserror::Error)]
+#[error("must be one of {0}")]
+pub struct UnknownWord(&'static str);
+
+impl FromStr for LogFormat {
+    type Err = UnknownWord;
+
+    fn from_str(text: &str) -> Result<Self, UnknownWord> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(UnknownWord("text, json")),
+        }
+    }
+}
+
+/// Least level that is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogLevel(pub Level);
+
+impl Default for LogLevel {
+    fn default() -> Self {
+        Self(Level::Info)
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = UnknownWord;
+
+    fn from_str(text: &str) -> Result<Self, UnknownWord> {
+        match text {
+            "error" => Ok(Self(Level::Error)),
+            "warn" => Ok(Self(Level::Warn)),
+            "info" => Ok(Self(Level::Info)),
+            "debug" => Ok(Self(Level::Debug)),
+            _ => Err(UnknownWord("error, warn, info, debug")),
+        }
+    }
+}
+
+/// Sends the process's events to standard error.
+///
+/// # Errors
+/// When the sink can't be made.
+pub fn install(level: LogLevel, format: LogFormat) -> Result<(), spdlog::Error> {
+    let builder = StdStreamSink::builder().std_stream(StdStream::Stderr);
+    let sink = match format {
+        LogFormat::Text => builder.formatter(FullFormatter::new()).build_arc()?,
+        LogFormat::Json => builder.formatter(JsonFormatter::new()).build_arc()?,
+    };
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level.0))
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()?;
+    spdlog::set_default_logger(Arc::clone(&logger));
+    Ok(())
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,155 @@
+//! Metrics of one process; the stable names are in `docs/METRICS.md`.
+
+use std::sync::{Arc, Mutex};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Organisation.
+    pub organisation: String,
+    /// `ok`, or the error's code.
+    pub code: String,
+}
+
+/// Labels of a finished attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AttemptLabels {
+    /// Version.
+    pub version: String,
+    /// `done`, `refused` or `lost`.
+    pub outcome: String,
+}
+
+/// Labels of a platform call that failed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// What the call was for.
+    pub cause: String,
+}
+
+/// All metrics of a process; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    /// Requests answered, by organisation and code.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Attempts, by version and outcome.
+    pub attempts: Family<AttemptLabels, Counter>,
+    /// Time to first token at this process, seconds.
+    pub first_token: Histogram,
+    /// Requests or attempts in flight.
+    pub in_flight: Gauge,
+    /// Attempts queued.
+    pub queued: Gauge,
+    /// Links up.
+    pub links: Gauge,
+    /// Configuration revision in force.
+    pub revision: Gauge,
+    /// Charge records waiting to be written.
+    pub charges_waiting: Gauge,
+    /// Charge records written.
+    pub charges_written: Counter,
+    /// Control bytes sent over links: heartbeats and configuration.
+    pub control_bytes: Counter,
+    /// Calls to the table service, by cause.
+    pub store_calls: Family<StoreLabels, Counter>,
+    /// Calls to the platform that failed, by cause.
+    pub store_errors: Family<StoreLabels, Counter>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: Arc::new(Mutex::new(Registry::with_prefix("mintmoor"))),
+            requests: Family::default(),
+            attempts: Family::default(),
+            first_token: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
+            in_flight: Gauge::default(),
+            queued: Gauge::default(),
+            links: Gauge::default(),
+            revision: Gauge::default(),
+            charges_waiting: Gauge::default(),
+            charges_written: Counter::default(),
+            control_bytes: Counter::default(),
+            store_calls: Family::default(),
+            store_errors: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut registry = self.registry.lock().expect("no panics under the lock");
+        registry.register("requests", "Requests answered", self.requests.clone());
+        registry.register("attempts", "Attempts ended", self.attempts.clone());
+        let first_token = self.first_token.clone();
+        registry.register("first_token_seconds", "Time to first token", first_token);
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register("queued", "Attempts queued", self.queued.clone());
+        registry.register("links", "Links up", self.links.clone());
+        registry.register(
+            "config_revision",
+            "Revision in force",
+            self.revision.clone(),
+        );
+        let waiting = self.charges_waiting.clone();
+        registry.register("charges_waiting", "Charge records not yet written", waiting);
+        let written = self.charges_written.clone();
+        registry.register("charges_written", "Charge records written", written);
+        let control_bytes = self.control_bytes.clone();
+        registry.register(
+            "control_bytes",
+            "Control bytes sent over links",
+            control_bytes,
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the table service",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "store_errors",
+            "Platform calls that failed",
+            self.store_errors.clone(),
+        );
+    }
+
+    /// Counts one call to the table service.
+    pub fn count_store_call(&self, cause: &str) {
+        self.store_calls
+            .get_or_create(&StoreLabels {
+                cause: cause.into(),
+            })
+            .inc();
+    }
+
+    /// Counts one failed call to the platform.
+    pub fn count_store_error(&self, cause: &str) {
+        self.store_errors
+            .get_or_create(&StoreLabels {
+                cause: cause.into(),
+            })
+            .inc();
+    }
+
+    /// The text exposition of all metrics.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().expect("no panics under the lock");
+        encode(&mut text, &registry).expect("writing to a string can't fail");
+        text
+    }
+}
