--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -45,6 +45,10 @@
             json!(format!("chatcmpl-{}", format_id(request))),
         );
         fields.insert("model".into(), json!(version));
+        fields.insert(
+            "created".into(),
+            json!(crate::ids::request_time(request).as_secs()),
+        );
         fields.remove("index");
         let empty = Vec::new();
         let choices = fields
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -18,6 +18,7 @@
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 const MAX_KEY: usize = 200;
+const MAX_SESSION: usize = 4_096;
 /// Prompt words in one link of the prefix chain.
 pub(crate) const CHAIN_WORDS: usize = 32;
 /// Links of the prefix chain at most; a longer prompt is known by its first part.
@@ -75,6 +76,14 @@
             let problem = format!("must have 1 to {MAX_KEY} characters");
             return Err(ApiError::bad_request("Idempotency-Key", problem));
         }
+        let session = text_header(headers, "mintmoor-session")?;
+        if session
+            .as_ref()
+            .is_some_and(|session| session.len() > MAX_SESSION)
+        {
+            let problem = format!("must have at most {MAX_SESSION} characters");
+            return Err(ApiError::bad_request("Mintmoor-Session", problem));
+        }
         let repeatable = parse_header(headers, "mintmoor-repeatable")?;
         Ok(Self {
             id: new_request_id(SystemTime::now()),
@@ -83,7 +92,7 @@
             deadline: deadline.map(|ms| Duration::from_millis(ms).min(MAX_DEADLINE)),
             priority: parse_header(headers, "mintmoor-priority")?.unwrap_or(0),
             task: text_header(headers, "mintmoor-task")?.unwrap_or_default(),
-            session: text_header(headers, "mintmoor-session")?,
+            session,
             repeatable: repeatable.unwrap_or(true),
             idempotency_key,
         })
--- a/src/entry/sessions.rs
+++ b/src/entry/sessions.rs
@@ -158,7 +158,7 @@
     model: &str,
     usable: &impl Fn(&str) -> bool,
 ) -> Option<VersionId> {
-    let key: Box<str> = format!("pins/{}/{}/{model}", session.organisation, session.id).into();
+    let key: Box<str> = format!("pins/{}/{model}/{}", session.organisation, session.id).into();
     let mut row = entry
         .pins
         .lock()
