--- /dev/null
+++ b/tests/model/claim.rs
@@ -0,0 +1,428 @@
+//! Claim and attempt: two entries, one idempotency key, two agents.
+//!
+//! The network loses, delays, duplicates and reorders frames; entries crash; links are cut;
+//! replies of the store are lost; agents refuse. At most one run, and "not run" is true.
+
+use mintmoor::policy::{
+    attempt::{
+        AttemptEvent, AttemptKey, AttemptState, Verdict, advance, fresh, judge, may_send_again,
+    },
+    claim::{Claim, ClaimState, ClaimStep, InsertReply, SavedAnswer, next_step},
+    gate::{Gate, GateDecision, GateView, RefuseReason},
+};
+
+use crate::explore::{Found, Step, assert_found, assert_holds, explore};
+
+const ENTRIES: usize = 2;
+const AGENTS: usize = 2;
+const MAX_ATTEMPTS: usize = 2;
+const HELD_UNTIL: u64 = 10;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mutation {
+    None,
+    TombstoneForgotten,
+    SendBeforeClaim,
+    RetryAfterUnknown,
+    TakeOverAbandoned,
+    NotRunAfterLinkLoss,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Frame {
+    Start { entry: u8, number: u8 },
+    Cancel { entry: u8, number: u8 },
+    Refused { entry: u8, number: u8 },
+    Ended { entry: u8, number: u8 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Idle,
+    /// The insert is on its way to the store, over a row of this version.
+    Inserting(Option<u64>),
+    ReadingBack,
+    Sending,
+    Told(Told),
+    Crashed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Told {
+    Answer,
+    NotRun,
+    Unknown,
+    Other,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Entry {
+    phase: Phase,
+    attempts: Vec<AttemptState>,
+    cancelled: bool,
+    released: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    row: Option<(Claim, u64)>,
+    last_version: u64,
+    now: u64,
+    entries: [Entry; ENTRIES],
+    gates: [Gate; AGENTS],
+    frames: Vec<Frame>,
+    runs: [u8; ENTRIES],
+    faults: u8,
+}
+
+fn claim_of(entry: usize) -> Claim {
+    Claim::new(entry as u128 + 1, entry as u128 + 1, 7, HELD_UNTIL)
+}
+
+fn start() -> State {
+    let entry = Entry {
+        phase: Phase::Idle,
+        attempts: Vec::new(),
+        cancelled: false,
+        released: false,
+    };
+    State {
+        row: None,
+        last_version: 0,
+        now: 0,
+        entries: [entry.clone(), entry],
+        gates: Default::default(),
+        frames: Vec::new(),
+        runs: [0; ENTRIES],
+        faults: 0,
+    }
+}
+
+fn key(entry: u8, number: u8) -> AttemptKey {
+    AttemptKey {
+        request: u128::from(entry) + 1,
+        number: u32::from(number),
+    }
+}
+
+fn push(state: &mut State, frame: Frame) {
+    state.frames.push(frame);
+    state.frames.sort();
+}
+
+/// Faults in one run; two took 688,610 states and held as well.
+const MAX_FAULTS: u8 = 1;
+
+/// Causes a fault, if one may still happen.
+fn with_fault(state: &State, change: impl FnOnce(&mut State)) -> Option<State> {
+    if state.faults >= MAX_FAULTS {
+        return None;
+    }
+    let mut next = state.clone();
+    next.faults += 1;
+    change(&mut next);
+    Some(next)
+}
+
+fn next(state: &State, mutation: Mutation) -> Vec<Step<State>> {
+    let mut steps = Vec::new();
+    for entry in 0..ENTRIES {
+        entry_steps(state, entry, mutation, &mut steps);
+    }
+    frame_steps(state, mutation, &mut steps);
+    if state.now == 0 {
+        let mut next = state.clone();
+        next.now = HELD_UNTIL;
+        steps.push(("held claims count as abandoned", next));
+    }
+    steps
+}
+
+fn entry_steps(state: &State, i: usize, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+    match &state.entries[i].phase {
+        Phase::Idle => {
+            let mut next = state.clone();
+            next.entries[i].phase = Phase::Inserting(None);
+            steps.push(("a caller asks", next));
+        }
+        Phase::Inserting(expected) => insert_steps(state, i, *expected, mutation, steps),
+        Phase::ReadingBack => {
+            let mut next = state.clone();
+            let reply = match &state.row {
+                Some((claim, version)) => InsertReply::Found(claim.clone(), *version),
+                None => InsertReply::Absent,
+            };
+            apply_reply(&mut next, i, reply, mutation);
+            steps.push(("the entry reads back", next));
+        }
+        Phase::Sending => sending_steps(state, i, mutation, steps),
+        Phase::Told(told) => release_step(state, i, *told, steps),
+        Phase::Crashed => {}
+    }
+    if !matches!(
+        state.entries[i].phase,
+        Phase::Crashed | Phase::Idle | Phase::Told(_)
+    ) {
+        steps.extend(
+            with_fault(state, |next| next.entries[i].phase = Phase::Crashed)
+                .map(|next| ("an entry crashes", next)),
+        );
+    }
+}
+
+fn insert_steps(
+    state: &State,
+    i: usize,
+    expected: Option<u64>,
+    mutation: Mutation,
+    steps: &mut Vec<Step<State>>,
+) {
+    let mut written = state.clone();
+    let found = written.row.as_ref().map(|(_, version)| *version);
+    let reply = if found == expected {
+        written.last_version += 1;
+        written.row = Some((claim_of(i), written.last_version));
+        InsertReply::Inserted
+    } else {
+        let (claim, version) = written.row.clone().unwrap();
+        InsertReply::Found(claim, version)
+    };
+    let mut answered = written.clone();
+    apply_reply(&mut answered, i, reply, mutation);
+    steps.push(("the store answers the insert", answered));
+    let lost = with_fault(&written, |next| {
+        apply_reply(next, i, InsertReply::Lost, mutation)
+    });
+    steps.extend(lost.map(|next| ("the store's reply is lost", next)));
+    let unsent = with_fault(state, |next| {
+        apply_reply(next, i, InsertReply::Lost, mutation)
+    });
+    steps.extend(unsent.map(|next| ("the insert is lost", next)));
+    let refused = with_fault(state, |next| {
+        apply_reply(next, i, InsertReply::Refused, mutation)
+    });
+    steps.extend(refused.map(|next| ("the store refuses", next)));
+}
+
+fn apply_reply(state: &mut State, i: usize, reply: InsertReply, mutation: Mutation) {
+    if mutation == Mutation::SendBeforeClaim && reply == InsertReply::Lost {
+        state.entries[i].phase = Phase::Sending;
+        return;
+    }
+    let mut step = next_step(&claim_of(i), reply, state.now);
+    if mutation == Mutation::TakeOverAbandoned && step == ClaimStep::OutcomeUnknown {
+        step = ClaimStep::TakeOver(state.row.as_ref().unwrap().1);
+    }
+    state.entries[i].phase = match step {
+        ClaimStep::Send => Phase::Sending,
+        ClaimStep::ReadBack => Phase::ReadingBack,
+        ClaimStep::Insert => Phase::Inserting(None),
+        ClaimStep::TakeOver(version) => Phase::Inserting(Some(version)),
+        ClaimStep::NotRun => Phase::Told(Told::NotRun),
+        _ => Phase::Told(Told::Other),
+    };
+}
+
+fn sending_steps(state: &State, i: usize, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+    let attempts = &state.entries[i].attempts;
+    let is_open = attempts
+        .last()
+        .is_some_and(|s| *s == advance(fresh(), AttemptEvent::Sent));
+    let may = may_send_again(attempts, mutation == Mutation::RetryAfterUnknown);
+    if !is_open && may && attempts.len() < MAX_ATTEMPTS {
+        let mut next = state.clone();
+        let number = attempts.len() as u8;
+        next.entries[i]
+            .attempts
+            .push(advance(fresh(), AttemptEvent::Sent));
+        push(
+            &mut next,
+            Frame::Start {
+                entry: i as u8,
+                number,
+            },
+        );
+        steps.push(("the entry sends an attempt", next));
+    }
+    if is_open {
+        let number = attempts.len() as u8 - 1;
+        if !state.entries[i].cancelled {
+            let mut next = state.clone();
+            next.entries[i].cancelled = true;
+            push(
+                &mut next,
+                Frame::Cancel {
+                    entry: i as u8,
+                    number,
+                },
+            );
+            steps.push(("the entry cancels", next));
+        }
+        let cut = with_fault(state, |next| {
+            let event = match mutation {
+                Mutation::NotRunAfterLinkLoss => AttemptEvent::Refused,
+                _ => AttemptEvent::LinkLost,
+            };
+            note(next, i, number, event);
+        });
+        steps.extend(cut.map(|next| ("the entry's link breaks", next)));
+    } else if !attempts.is_empty() {
+        let mut next = state.clone();
+        next.entries[i].phase = Phase::Told(match judge(attempts) {
+            Verdict::NotRun => Told::NotRun,
+            Verdict::Done => Told::Answer,
+            Verdict::Unknown => Told::Unknown,
+        });
+        steps.push(("the entry tells its caller", next));
+    }
+}
+
+/// The entry writes down how the claimed request ended.
+fn release_step(state: &State, i: usize, told: Told, steps: &mut Vec<Step<State>>) {
+    let entry = &state.entries[i];
+    let Some((claim, _)) = state.row.as_ref().filter(|_| !entry.released) else {
+        return;
+    };
+    if claim.request != claim_of(i).request || entry.attempts.is_empty() {
+        return;
+    }
+    let mut next = state.clone();
+    next.entries[i].released = true;
+    next.last_version += 1;
+    let state_of = match told {
+        Told::NotRun => ClaimState::NotRun,
+        Told::Answer => ClaimState::Done(SavedAnswer {
+            status: 200,
+            body: "x".into(),
+        }),
+        _ => ClaimState::Unknown,
+    };
+    next.row = Some((
+        Claim {
+            state: state_of,
+            ..claim.clone()
+        },
+        next.last_version,
+    ));
+    steps.push(("the entry finishes its claim", next));
+}
+
+fn frame_steps(state: &State, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+    for (at, frame) in state.frames.iter().enumerate() {
+        if at > 0 && state.frames[at - 1] == *frame {
+            continue;
+        }
+        let mut delivered = state.clone();
+        delivered.frames.remove(at);
+        steps.extend(
+            with_fault(state, |next| drop(next.frames.remove(at)))
+                .map(|next| ("a frame is lost", next)),
+        );
+        steps.extend(
+            with_fault(state, |next| push(next, *frame)).map(|next| ("a frame is doubled", next)),
+        );
+        deliver(delivered, *frame, mutation, steps);
+    }
+}
+
+fn deliver(mut next: State, frame: Frame, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+    match frame {
+        Frame::Start { entry, number } => {
+            let mut leaving = next.clone();
+            offer(&mut next, entry, number, false, mutation);
+            steps.push(("an agent takes an attempt", next));
+            offer(&mut leaving, entry, number, true, mutation);
+            steps.push(("an agent that leaves gets an attempt", leaving));
+        }
+        Frame::Cancel { entry, number } => {
+            let gate = &mut next.gates[usize::from(number) % AGENTS];
+            let decision = gate.refuse(key(entry, number), RefuseReason::Cancelled);
+            answer_refusal(&mut next, entry, number, decision, mutation);
+            steps.push(("an agent gets a cancel", next));
+        }
+        Frame::Refused { entry, number } => {
+            note(&mut next, usize::from(entry), number, AttemptEvent::Refused);
+            steps.push(("the entry learns of a refusal", next));
+        }
+        Frame::Ended { entry, number } => {
+            note(&mut next, usize::from(entry), number, AttemptEvent::Ended);
+            steps.push(("the entry gets the answer", next));
+        }
+    }
+}
+
+fn offer(state: &mut State, entry: u8, number: u8, leaving: bool, mutation: Mutation) {
+    let view = GateView {
+        revision: 1,
+        allowed: true,
+        available: true,
+        leaving,
+    };
+    let key = key(entry, number);
+    let gate = &mut state.gates[usize::from(number) % AGENTS];
+    let mut decision = gate.offer(key, 1, view);
+    if decision == GateDecision::Queue {
+        decision = gate.take(key, view);
+    }
+    if decision == GateDecision::Start {
+        state.runs[usize::from(entry)] += 1;
+        push(state, Frame::Ended { entry, number });
+        return;
+    }
+    answer_refusal(state, entry, number, decision, mutation);
+}
+
+fn answer_refusal(
+    state: &mut State,
+    entry: u8,
+    number: u8,
+    decision: GateDecision,
+    mutation: Mutation,
+) {
+    let GateDecision::Refuse(_) = decision else {
+        return;
+    };
+    if mutation == Mutation::TombstoneForgotten {
+        state.gates[usize::from(number) % AGENTS] = Gate::default();
+    }
+    push(state, Frame::Refused { entry, number });
+}
+
+fn note(state: &mut State, entry: usize, number: u8, event: AttemptEvent) {
+    if !matches!(state.entries[entry].phase, Phase::Sending) {
+        return;
+    }
+    let attempt = &mut state.entries[entry].attempts[usize::from(number)];
+    *attempt = advance(*attempt, event);
+}
+
+fn broken(state: &State) -> Option<&'static str> {
+    if state.runs.iter().sum::<u8>() > 1 {
+        return Some("the request ran twice");
+    }
+    let lied = (0..ENTRIES)
+        .any(|i| state.entries[i].phase == Phase::Told(Told::NotRun) && state.runs[i] > 0);
+    lied.then_some("a caller was told `not run` of a request that ran")
+}
+
+fn run(mutation: Mutation) -> Found {
+    explore(&start(), |state| next(state, mutation), broken)
+}
+
+#[test]
+fn a_claimed_request_runs_at_most_once() {
+    assert_holds("claim", &run(Mutation::None), 50_000);
+}
+
+#[test]
+fn every_mutation_of_claims_is_found() {
+    for mutation in [
+        Mutation::TombstoneForgotten,
+        Mutation::SendBeforeClaim,
+        Mutation::RetryAfterUnknown,
+        Mutation::TakeOverAbandoned,
+        Mutation::NotRunAfterLinkLoss,
+    ] {
+        assert_found("claim", &format!("{mutation:?}"), &run(mutation));
+    }
+}
--- /dev/null
+++ b/tests/model/lease.rs
@@ -0,0 +1,209 @@
+//! Lease and fencing: two processes, one lease, a protected row and an engine that checks.
+//!
+//! Processes pause without knowing it, replies are lost, writes are delayed. No two processes
+//! believe at the same time that they hold the lease, and no late write of an earlier holder
+//! takes effect after a later holder's.
+
+use std::time::Duration;
+
+use mintmoor::policy::lease::{LeaseAction, LeaseRow, LeaseTerms, LeaseView};
+
+use crate::explore::{Found, Step, assert_found, assert_holds, explore};
+
+const PROCESSES: usize = 2;
+const LAST_TICK: u64 = 7;
+const LAST_VERSION: u64 = 3;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mutation {
+    None,
+    NoFencingCondition,
+    ValidFromReply,
+    TakesOverAtOnce,
+    NoMargin,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Process {
+    view: LeaseView,
+    version: u64,
+    /// A renewal or take-over on its way: the row, the version it expects, when it was sent.
+    writing: Option<(LeaseRow, Option<u64>, u64)>,
+    /// The reply to a write that took effect: the row, its version, when the write was sent.
+    reply: Option<(LeaseRow, u64, u64)>,
+    /// A protected write on its way, with the version and fencing number it was permitted under.
+    acting: Option<(u64, u64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    now: u64,
+    row: Option<(LeaseRow, u64)>,
+    last_version: u64,
+    processes: [Process; PROCESSES],
+    /// Fencing number of the last protected write that took effect.
+    protected: u64,
+    faults: u8,
+    wrong: Option<&'static str>,
+}
+
+fn terms(mutation: Mutation) -> LeaseTerms {
+    let margin = if mutation == Mutation::NoMargin { 0 } else { 1 };
+    LeaseTerms {
+        time: Duration::from_secs(3),
+        margin: Duration::from_secs(margin),
+    }
+}
+
+fn at(tick: u64) -> Duration {
+    Duration::from_secs(tick)
+}
+
+fn name(i: usize) -> &'static str {
+    ["a", "b"][i]
+}
+
+fn start() -> State {
+    let process = Process {
+        view: LeaseView::default(),
+        version: 0,
+        writing: None,
+        reply: None,
+        acting: None,
+    };
+    State {
+        now: 0,
+        row: None,
+        last_version: 0,
+        processes: [process.clone(), process],
+        protected: 0,
+        faults: 0,
+        wrong: None,
+    }
+}
+
+fn next(state: &State, mutation: Mutation) -> Vec<Step<State>> {
+    let mut steps = Vec::new();
+    if state.now < LAST_TICK {
+        let mut next = state.clone();
+        next.now += 1;
+        steps.push(("time passes", next));
+    }
+    for i in 0..PROCESSES {
+        tend_steps(state, i, mutation, &mut steps);
+        act_steps(state, i, mutation, &mut steps);
+    }
+    for (_, next) in &mut steps {
+        check_holders(next);
+    }
+    steps
+}
+
+/// Two processes may not both believe that they hold the lease. With the margin this is true
+/// even for a holder whose clock runs one tick behind.
+fn check_holders(state: &mut State) {
+    let slow = at(state.now.saturating_sub(1));
+    let holds = |i: usize, now| state.processes[i].view.fencing(now).is_some();
+    let both =
+        holds(0, at(state.now)) && holds(1, slow) || holds(1, at(state.now)) && holds(0, slow);
+    if both {
+        state.wrong = Some("two processes hold the lease");
+    }
+}
+
+/// Reading, planning and writing the lease row; the write's answer may be late or lost.
+fn tend_steps(state: &State, i: usize, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+    if let Some((row, version, sent)) = state.processes[i].reply.clone() {
+        let mut next = state.clone();
+        let counted_from = if mutation == Mutation::ValidFromReply {
+            state.now
+        } else {
+            sent
+        };
+        let process = &mut next.processes[i];
+        process.reply = None;
+        process.version = version;
+        process
+            .view
+            .committed(row, version, at(counted_from), terms(mutation));
+        steps.push(("the reply to a lease write arrives", next));
+        return;
+    }
+    let Some((row, expected, sent)) = state.processes[i].writing.clone() else {
+        let mut next = state.clone();
+        let now = at(state.now);
+        let view = &mut next.processes[i].view;
+        view.observe(state.row.clone(), now);
+        let mut plan = view.plan(name(i), now, terms(mutation));
+        if mutation == Mutation::TakesOverAtOnce {
+            plan = view.plan(name(i), now + at(100), terms(mutation));
+        }
+        if let LeaseAction::Write { row, expected } = plan
+            && state.last_version < LAST_VERSION
+        {
+            next.processes[i].writing = Some((row, expected, state.now));
+        }
+        steps.push(("a process reads the lease", next));
+        return;
+    };
+    let mut next = state.clone();
+    next.processes[i].writing = None;
+    if state.row.as_ref().map(|(_, version)| *version) != expected {
+        next.processes[i].view.lost();
+        steps.push(("a lease write fails its condition", next));
+        return;
+    }
+    next.last_version += 1;
+    next.row = Some((row.clone(), next.last_version));
+    if state.faults == 0 {
+        let mut lost = next.clone();
+        lost.faults += 1;
+        steps.push(("the reply to a lease write is lost", lost));
+    }
+    next.processes[i].reply = Some((row, next.last_version, sent));
+    steps.push(("a lease write takes effect", next));
+}
+
+/// A protected write: permitted now, carried out at any later time.
+fn act_steps(state: &State, i: usize, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+    let process = &state.processes[i];
+    let Some((version, fencing)) = process.acting else {
+        if let Some(fencing) = process.view.fencing(at(state.now)) {
+            let mut next = state.clone();
+            next.processes[i].acting = Some((process.version, fencing));
+            steps.push(("a holder sends a protected write", next));
+        }
+        return;
+    };
+    let mut next = state.clone();
+    next.processes[i].acting = None;
+    let still_held = state.row.as_ref().is_some_and(|(_, v)| *v == version);
+    if still_held || mutation == Mutation::NoFencingCondition {
+        if fencing < state.protected {
+            next.wrong = Some("an earlier holder's write came after a later holder's");
+        }
+        next.protected = fencing;
+    }
+    steps.push(("a protected write arrives", next));
+}
+
+fn run(mutation: Mutation) -> Found {
+    explore(&start(), |state| next(state, mutation), |state| state.wrong)
+}
+
+#[test]
+fn a_lease_has_one_holder_and_late_writes_fail() {
+    assert_holds("lease", &run(Mutation::None), 20_000);
+}
+
+#[test]
+fn every_mutation_of_leases_is_found() {
+    for mutation in [
+        Mutation::NoFencingCondition,
+        Mutation::ValidFromReply,
+        Mutation::TakesOverAtOnce,
+        Mutation::NoMargin,
+    ] {
+        assert_found("lease", &format!("{mutation:?}"), &run(mutation));
+    }
+}
