--- a/src/load/slopes.rs
+++ b/src/load/slopes/mod.rs
@@ -1,5 +1,8 @@
 //! Slopes: what one more of something costs. `docs/CAPACITY.md` is worked out from them.
 
+mod compute;
+mod system;
+
 use std::fmt;
 
 use eyre::Result;
@@ -75,10 +78,12 @@
     }
 }
 
-/// Measures all slopes.
+/// Measures all slopes: first what can be computed in memory, then running systems.
 ///
 /// # Errors
 /// When a system can't be started.
 pub async fn measure() -> Result<Vec<Slope>> {
-    Ok(Vec::new())
+    let mut slopes = compute::measure();
+    slopes.extend(system::measure().await?);
+    Ok(slopes)
 }
