--- a/src/agent/copies.rs
+++ b/src/agent/copies.rs
@@ -63,20 +63,12 @@
 
     /// Gives up entries that have been gone for `patience` and adopts their records.
     fn adopt(&mut self, patience: Duration) {
-        let given_up: Vec<Incarnation> = self
-            .gone
-            .iter()
-            .filter(|(_, at)| at.elapsed() >= patience)
-            .map(|(e, _)| *e)
-            .collect();
+        let given_up: Vec<Incarnation> =
+            self.gone.iter().filter(|(_, at)| at.elapsed() >= patience).map(|(e, _)| *e).collect();
         for entry in given_up {
             self.gone.remove(&entry);
-            let theirs: Vec<RequestId> = self
-                .records
-                .iter()
-                .filter(|(_, (e, _))| *e == entry)
-                .map(|(r, _)| *r)
-                .collect();
+            let theirs: Vec<RequestId> =
+                self.records.iter().filter(|(_, (e, _))| *e == entry).map(|(r, _)| *r).collect();
             for request in theirs {
                 let Some((_, mut record)) = self.records.remove(&request) else {
                     continue;
--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -72,9 +72,7 @@
         return None;
     };
     let loaded = agent.loaded.lock().expect("no panics under the lock");
-    let missing = loaded
-        .as_ref()
-        .is_some_and(|loaded| !loaded.contains(version));
+    let missing = loaded.as_ref().is_some_and(|loaded| !loaded.contains(version));
     missing.then_some(RefuseReason::NotLoaded)
 }
 
@@ -88,28 +86,18 @@
             snapshot.is_available(version),
         ),
         StartCall::Service { .. } => {
-            let is_service = snapshot
-                .servers
-                .get(server)
-                .is_some_and(|s| s.kind == BackendKind::Service);
+            let is_service =
+                snapshot.servers.get(server).is_some_and(|s| s.kind == BackendKind::Service);
             let known = snapshot.organisations.contains_key(&start.organisation);
             (shared && is_service && known, true)
         }
     };
-    GateView {
-        revision: snapshot.revision,
-        allowed,
-        available,
-        leaving: agent.is_leaving(),
-    }
+    GateView { revision: snapshot.revision, allowed, available, leaving: agent.is_leaving() }
 }
 
 fn enqueue(snapshot: &Snapshot, work: &mut Work, pending: Pending, outbox: &mut Outbox) {
     let organisation = pending.start.organisation.clone();
-    let weight = snapshot
-        .organisations
-        .get(&organisation)
-        .map_or(1, |o| o.weight);
+    let weight = snapshot.organisations.get(&organisation).map_or(1, |o| o.weight);
     let waiting = Waiting {
         organisation,
         priority: pending.start.priority,
@@ -127,10 +115,8 @@
     let GateDecision::Refuse(reason) = decision else {
         return;
     };
-    event::GATE_REFUSED.log(format_args!(
-        "request={:032x} attempt={} reason={reason:?}",
-        key.request, key.number
-    ));
+    event::GATE_REFUSED
+        .log(format_args!("request={:032x} attempt={} reason={reason:?}", key.request, key.number));
     outbox.push((link, ToEntry::Refused { key, reason }));
 }
 
@@ -152,14 +138,7 @@
                 work.started += 1;
                 let repeatable = pending.start.repeatable;
                 let task = tokio::spawn(driver::run(agent.clone(), pending));
-                work.running.insert(
-                    key,
-                    Running {
-                        link,
-                        repeatable,
-                        abort: task.abort_handle(),
-                    },
-                );
+                work.running.insert(key, Running { link, repeatable, abort: task.abort_handle() });
             }
             decision => note_refusal(link, key, decision, outbox),
         }
@@ -226,10 +205,7 @@
     for pending in gone {
         work.gate.refuse(pending.start.key, RefuseReason::Cancelled);
     }
-    let stopped = work
-        .running
-        .iter()
-        .filter(|(_, r)| r.link == link && r.repeatable);
+    let stopped = work.running.iter().filter(|(_, r)| r.link == link && r.repeatable);
     let stopped: Vec<AttemptKey> = stopped.map(|(key, _)| *key).collect();
     for key in stopped {
         abort(&mut work, key);
@@ -288,9 +264,7 @@
     held.retain(|version, revision| {
         let roll_out = snapshot.roll_out_of(crate::ids::model_of(version));
         roll_out.is_some_and(|(id, _)| {
-            let changed = snapshot
-                .changed
-                .get(&(crate::resources::Kind::RollOut, id.clone()));
+            let changed = snapshot.changed.get(&(crate::resources::Kind::RollOut, id.clone()));
             changed.is_none_or(|changed| changed <= revision)
         })
     });
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -76,33 +76,14 @@
     let was_reached = !matches!(outcome, Outcome::NotReached);
     let taken_back = dispatch::ended(&agent, key, was_reached).await;
     let frame = match outcome {
-        Outcome::Ended {
-            count,
-            digest,
-            status,
-            usage,
-            ..
-        } => ToEntry::End {
-            key,
-            count,
-            digest,
-            status,
-            usage,
-        },
-        Outcome::Failed { problem, status } => ToEntry::Failed {
-            key,
-            problem,
-            status,
-        },
-        Outcome::NotReached if taken_back => ToEntry::Refused {
-            key,
-            reason: crate::policy::gate::RefuseReason::Unreachable,
-        },
-        Outcome::NotReached => ToEntry::Failed {
-            key,
-            problem: "not reached".into(),
-            status: 0,
-        },
+        Outcome::Ended { count, digest, status, usage, .. } => {
+            ToEntry::End { key, count, digest, status, usage }
+        }
+        Outcome::Failed { problem, status } => ToEntry::Failed { key, problem, status },
+        Outcome::NotReached if taken_back => {
+            ToEntry::Refused { key, reason: crate::policy::gate::RefuseReason::Unreachable }
+        }
+        Outcome::NotReached => ToEntry::Failed { key, problem: "not reached".into(), status: 0 },
     };
     agent.send(link, &frame).await;
 }
@@ -128,16 +109,12 @@
         event::ENGINE_HEALTHY.log(format_args!("server={}", agent.settings.server));
     }
     work.failures_in_a_row = 0;
-    let Outcome::Ended {
-        usage, first_token, ..
-    } = outcome
-    else {
+    let Outcome::Ended { usage, first_token, .. } = outcome else {
         return;
     };
-    let between = first_token.filter(|_| usage.tokens_out > 1).map(|first| {
-        took.saturating_sub(first)
-            .div_f64((usage.tokens_out - 1) as f64)
-    });
+    let between = first_token
+        .filter(|_| usage.tokens_out > 1)
+        .map(|first| took.saturating_sub(first).div_f64((usage.tokens_out - 1) as f64));
     work.observe(took, between);
 }
 
@@ -149,10 +126,7 @@
     resume: Option<&str>,
 ) -> Outcome {
     let Some(body) = engine_body(start, version, resume) else {
-        return Outcome::Failed {
-            problem: "body is not JSON".into(),
-            status: 0,
-        };
+        return Outcome::Failed { problem: "body is not JSON".into(), status: 0 };
     };
     let uri = format!("{}/v1/chat/completions", agent.settings.backend);
     let res = match open(agent, Method::POST, &uri, request_headers(start), body).await {
@@ -161,10 +135,7 @@
     };
     let status = res.status().as_u16();
     if !res.status().is_success() {
-        return Outcome::Failed {
-            problem: format!("engine answered {status}").into(),
-            status,
-        };
+        return Outcome::Failed { problem: format!("engine answered {status}").into(), status };
     }
     pass_stream_on(agent, link, start, res).await
 }
@@ -177,17 +148,10 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Result<http::Response<hyper::body::Incoming>, Outcome> {
-    agent
-        .http
-        .open(method, uri, headers, body)
-        .await
-        .map_err(|e| match e {
-            Error::Refused(_) => Outcome::NotReached,
-            e => Outcome::Failed {
-                problem: e.to_string().into(),
-                status: 0,
-            },
-        })
+    agent.http.open(method, uri, headers, body).await.map_err(|e| match e {
+        Error::Refused(_) => Outcome::NotReached,
+        e => Outcome::Failed { problem: e.to_string().into(), status: 0 },
+    })
 }
 
 async fn pass_stream_on(
@@ -216,19 +180,14 @@
         }
         passed.first_token.get_or_insert_with(|| began.elapsed());
         if let Some(usage) = chunk.usage {
-            passed.usage = Usage {
-                tokens_in: usage.prompt_tokens,
-                tokens_out: usage.completion_tokens,
-            };
+            passed.usage =
+                Usage { tokens_in: usage.prompt_tokens, tokens_out: usage.completion_tokens };
         }
         let payload = event.data.into_bytes();
         let frame = passed.next_frame(start.key, payload);
         agent.send(link, &frame).await;
     }
-    Outcome::Failed {
-        problem: "stream ended without its end".into(),
-        status: 0,
-    }
+    Outcome::Failed { problem: "stream ended without its end".into(), status: 0 }
 }
 
 /// What has been passed on of one answer.
@@ -256,11 +215,7 @@
         self.digest.write(&payload);
         let sequence = self.count;
         self.count += 1;
-        ToEntry::Chunk {
-            key,
-            sequence,
-            payload,
-        }
+        ToEntry::Chunk { key, sequence, payload }
     }
 
     fn into_outcome(self, status: u16) -> Outcome {
@@ -289,29 +244,15 @@
 }
 
 async fn service(agent: &Arc<Agent>, link: u64, start: &Start) -> Outcome {
-    let StartCall::Service {
-        method,
-        path,
-        content_type,
-    } = &start.call
-    else {
-        return Outcome::Failed {
-            problem: "not a service call".into(),
-            status: 0,
-        };
+    let StartCall::Service { method, path, content_type } = &start.call else {
+        return Outcome::Failed { problem: "not a service call".into(), status: 0 };
     };
     let Ok(method) = Method::from_bytes(method.as_bytes()) else {
-        return Outcome::Failed {
-            problem: "unknown method".into(),
-            status: 0,
-        };
+        return Outcome::Failed { problem: "unknown method".into(), status: 0 };
     };
     let uri = format!("{}/{path}", agent.settings.backend);
     let mut headers = request_headers(start);
-    if let Some(value) = content_type
-        .as_deref()
-        .and_then(|t| HeaderValue::from_str(t).ok())
-    {
+    if let Some(value) = content_type.as_deref().and_then(|t| HeaderValue::from_str(t).ok()) {
         headers.insert("content-type", value);
     }
     let res = match open(agent, method, &uri, headers, start.body.clone().into()).await {
@@ -320,10 +261,7 @@
     };
     let status = res.status().as_u16();
     let Ok(body) = res.into_body().collect().await else {
-        return Outcome::Failed {
-            problem: "answer was cut".into(),
-            status,
-        };
+        return Outcome::Failed { problem: "answer was cut".into(), status };
     };
     let mut passed = Passed::default();
     for part in body.to_bytes().chunks(SERVICE_PART) {
@@ -336,10 +274,7 @@
 fn request_headers(start: &Start) -> HeaderMap {
     let mut headers = HeaderMap::new();
     let id = format_id(start.key.request);
-    headers.insert(
-        "x-request-id",
-        HeaderValue::from_str(&id).expect("hex is a header value"),
-    );
+    headers.insert("x-request-id", HeaderValue::from_str(&id).expect("hex is a header value"));
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     headers
 }
--- a/src/agent/evidence.rs
+++ b/src/agent/evidence.rs
@@ -48,10 +48,7 @@
         let epoch = epoch_of(snapshot, version);
         let held = self.sums.entry(version.clone()).or_default();
         if held.epoch != epoch {
-            *held = EpochSums {
-                epoch,
-                sums: Evidence::default(),
-            };
+            *held = EpochSums { epoch, sums: Evidence::default() };
         }
         &mut held.sums
     }
@@ -62,9 +59,5 @@
     let Some((id, _)) = snapshot.roll_out_of(model_of(version)) else {
         return 0;
     };
-    snapshot
-        .changed
-        .get(&(Kind::RollOut, id.clone()))
-        .copied()
-        .unwrap_or_default()
+    snapshot.changed.get(&(Kind::RollOut, id.clone())).copied().unwrap_or_default()
 }
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -8,8 +8,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt, stream::SplitSink};
+use futures_util::StreamExt;
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_tungstenite::tungstenite::Message;
 
@@ -56,20 +55,12 @@
         starts_seen: AtomicU64::new(0),
         sent: Mutex::new(SentOnLink::default()),
     });
-    agent
-        .links
-        .lock()
-        .expect("no panics under the lock")
-        .insert(id, handle.clone());
-    agent
-        .copies
-        .lock()
-        .expect("no panics under the lock")
-        .entry_is_up(peer.incarnation);
+    agent.links.lock().expect("no panics under the lock").insert(id, handle.clone());
+    agent.copies.lock().expect("no panics under the lock").entry_is_up(peer.incarnation);
     agent.metrics.links.inc();
     event::LINK_UP.log(format_args!("entry={}", peer.host));
     send_beat(&agent, &handle).await;
-    let writer = tokio::spawn(write_all(rx, sink));
+    let writer = tokio::spawn(protocol::write_frames(rx, sink));
     let mut killed = agent.killed.subscribe();
     loop {
         let message = tokio::select! {
@@ -89,47 +80,19 @@
         }
     }
     writer.abort();
-    agent
-        .links
-        .lock()
-        .expect("no panics under the lock")
-        .remove(&id);
-    agent
-        .copies
-        .lock()
-        .expect("no panics under the lock")
-        .entry_is_gone(peer.incarnation);
+    agent.links.lock().expect("no panics under the lock").remove(&id);
+    agent.copies.lock().expect("no panics under the lock").entry_is_gone(peer.incarnation);
     agent.metrics.links.dec();
     event::LINK_DOWN.log(format_args!("entry={}", peer.host));
     dispatch::link_lost(&agent, id);
 }
 
-async fn write_all(mut rx: mpsc::Receiver<Bytes>, mut sink: SplitSink<AgentSide, Message>) {
-    while let Some(buf) = rx.recv().await {
-        if sink.feed(Message::Binary(buf)).await.is_err() {
-            return;
-        }
-        while let Ok(buf) = rx.try_recv() {
-            if sink.feed(Message::Binary(buf)).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn handle_frame(agent: &Arc<Agent>, id: LinkId, link: &Arc<LinkHandle>, frame: ToAgent) {
     match frame {
         ToAgent::Beat(beat) => note_beat(agent, link, beat).await,
         ToAgent::Start(start) => {
             link.starts_seen.fetch_add(1, Ordering::Relaxed);
-            let pending = Pending {
-                start: *start,
-                link: id,
-                received: Instant::now(),
-            };
+            let pending = Pending { start: *start, link: id, received: Instant::now() };
             dispatch::offer(agent, pending).await;
         }
         ToAgent::Cancel(key) => dispatch::cancel(agent, id, key).await,
@@ -149,30 +112,14 @@
         }
         ToAgent::Charge(record) => {
             let from = link.peer.incarnation;
-            agent
-                .copies
-                .lock()
-                .expect("no panics under the lock")
-                .keep(from, *record);
+            agent.copies.lock().expect("no panics under the lock").keep(from, *record);
         }
         ToAgent::Confirm(requests) => {
-            agent
-                .copies
-                .lock()
-                .expect("no panics under the lock")
-                .confirm(&requests);
+            agent.copies.lock().expect("no panics under the lock").confirm(&requests);
         }
         ToAgent::Leave => dispatch::leave(agent),
-        ToAgent::Pin {
-            session,
-            model,
-            version,
-        } => agent.remember_pin(session, model, version),
-        ToAgent::AskPin {
-            question,
-            session,
-            model,
-        } => {
+        ToAgent::Pin { session, model, version } => agent.remember_pin(session, model, version),
+        ToAgent::AskPin { question, session, model } => {
             let version = agent.remembered_pin(session, model);
             agent.send(id, &ToEntry::PinIs { question, version }).await;
         }
@@ -220,14 +167,7 @@
             () = tokio::time::sleep(agent.settings.heartbeat) => {}
             _ = revision.changed() => {}
         }
-        let links: Vec<_> = agent
-            .links
-            .lock()
-            .expect("no panics under the lock")
-            .values()
-            .cloned()
-            .collect();
-        for link in links {
+        for link in agent.all_links() {
             send_beat(&agent, &link).await;
         }
     }
@@ -239,33 +179,17 @@
 }
 
 fn make_beat(agent: &Agent, link: &LinkHandle) -> AgentBeat {
-    let loaded = agent
-        .loaded
-        .lock()
-        .expect("no panics under the lock")
-        .clone();
-    let evidence = agent
-        .evidence
-        .lock()
-        .expect("no panics under the lock")
-        .all();
+    let loaded = agent.loaded.lock().expect("no panics under the lock").clone();
+    let evidence = agent.evidence.lock().expect("no panics under the lock").all();
     let held = agent.held.lock().expect("no panics under the lock").clone();
     let mut sent = link.sent.lock().expect("no panics under the lock");
-    let changed_loaded = if sent.loaded == loaded {
-        None
-    } else {
-        loaded.clone()
-    };
+    let changed_loaded = if sent.loaded == loaded { None } else { loaded.clone() };
     sent.loaded = loaded;
     // Only versions under roll-out are judged; the evidence of others is not worth its bytes.
     let mut changed = Vec::new();
     for (version, held) in evidence.into_iter().filter(|(_, held)| held.epoch > 0) {
         if sent.evidence.insert(version.clone(), held) != Some(held) {
-            changed.push(VersionEvidence {
-                version,
-                epoch: held.epoch,
-                sums: held.sums,
-            });
+            changed.push(VersionEvidence { version, epoch: held.epoch, sums: held.sums });
         }
     }
     drop(sent);
@@ -292,14 +216,7 @@
 
 /// Tells all links at once that this server is leaving.
 pub(super) fn announce(agent: &Arc<Agent>) {
-    let links: Vec<_> = agent
-        .links
-        .lock()
-        .expect("no panics under the lock")
-        .values()
-        .cloned()
-        .collect();
-    for link in links {
+    for link in agent.all_links() {
         let beat = make_beat(agent, &link);
         let _ = link.tx.try_send(encode(&ToEntry::Beat(beat)));
     }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -48,10 +48,7 @@
 pub async fn start(settings: AgentSettings) -> std::io::Result<RunningAgent> {
     let link = TcpListener::bind(settings.link).await?;
     let admin = TcpListener::bind(settings.admin).await?;
-    let addresses = AgentAddresses {
-        link: link.local_addr()?,
-        admin: admin.local_addr()?,
-    };
+    let addresses = AgentAddresses { link: link.local_addr()?, admin: admin.local_addr()? };
     let agent = Arc::new(Agent::new(settings));
     let admin_router = admin::router(agent.admin());
     let control = agent.clone();
@@ -66,11 +63,7 @@
         "role=agent server={server} link={} admin={}",
         addresses.link, addresses.admin
     ));
-    Ok(RunningAgent {
-        agent,
-        addresses,
-        tasks,
-    })
+    Ok(RunningAgent { agent, addresses, tasks })
 }
 
 async fn control_work(agent: Arc<Agent>, traffic: tokio::runtime::Handle) {
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -40,10 +40,7 @@
         return Ok(());
     };
     let uri = format!("{}/v1/engine/state", agent.settings.backend);
-    let state: EngineOrder = agent
-        .http
-        .call_json(Method::GET, &uri, &(), TIMEOUT)
-        .await?;
+    let state: EngineOrder = agent.http.call_json(Method::GET, &uri, &(), TIMEOUT).await?;
     let mut loaded = state.versions;
     loaded.sort();
     *agent.loaded.lock().expect("no panics under the lock") = Some(loaded.clone());
@@ -51,25 +48,13 @@
         return Ok(());
     }
     let uri = format!("{}/v1/engine/orders", agent.settings.backend);
-    let order = EngineOrder {
-        fencing,
-        versions: wanted,
-    };
+    let order = EngineOrder { fencing, versions: wanted };
     let body = serde_json::to_vec(&order).unwrap_or_default();
     let mut headers = http::HeaderMap::new();
-    headers.insert(
-        "content-type",
-        http::HeaderValue::from_static("application/json"),
-    );
-    let reply = agent
-        .http
-        .call(Method::POST, &uri, headers, body.into(), TIMEOUT)
-        .await?;
+    headers.insert("content-type", http::HeaderValue::from_static("application/json"));
+    let reply = agent.http.call(Method::POST, &uri, headers, body.into(), TIMEOUT).await?;
     if reply.status.is_success() {
-        event::ENGINE_ORDERED.log(format_args!(
-            "versions={:?} fencing={fencing}",
-            order.versions
-        ));
+        event::ENGINE_ORDERED.log(format_args!("versions={:?} fencing={fencing}", order.versions));
     } else {
         event::ENGINE_ORDER_FAILED.log(format_args!("status={} fencing={fencing}", reply.status));
     }
@@ -85,9 +70,6 @@
     let owner = partner_of(server);
     let mut versions: Vec<VersionId> = spec.versions.iter().map(|v| qualify(owner, v)).collect();
     versions.sort();
-    let revision = snapshot
-        .changed
-        .get(&(Kind::BackendServer, server.into()))
-        .copied()?;
+    let revision = snapshot.changed.get(&(Kind::BackendServer, server.into())).copied()?;
     Some((versions, revision))
 }
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -139,9 +139,7 @@
 
 impl std::fmt::Debug for Agent {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Agent")
-            .field("server", &self.settings.server)
-            .finish_non_exhaustive()
+        f.debug_struct("Agent").field("server", &self.settings.server).finish_non_exhaustive()
     }
 }
 
@@ -195,6 +193,11 @@
         }
     }
 
+    /// Links that are up.
+    pub(crate) fn all_links(&self) -> Vec<Arc<LinkHandle>> {
+        self.links.lock().expect("no panics under the lock").values().cloned().collect()
+    }
+
     pub(crate) fn lock_work(&self) -> MutexGuard<'_, Work> {
         self.work.lock().expect("no panics under the lock")
     }
@@ -202,17 +205,11 @@
     /// Whether new work is refused.
     pub fn is_leaving(&self) -> bool {
         let lifecycle = self.lifecycle.lock().expect("no panics under the lock");
-        !matches!(
-            lifecycle.state(),
-            LifecycleState::Starting {} | LifecycleState::Serving {}
-        )
+        !matches!(lifecycle.state(), LifecycleState::Starting {} | LifecycleState::Serving {})
     }
 
     pub(crate) fn advance(&self, event: LifecycleEvent) {
-        self.lifecycle
-            .lock()
-            .expect("no panics under the lock")
-            .handle(&event);
+        self.lifecycle.lock().expect("no panics under the lock").handle(&event);
     }
 
     /// Whether nothing runs or waits.
@@ -241,12 +238,7 @@
 
     /// Sends a frame on a link, if it is still up.
     pub(crate) async fn send(&self, link: LinkId, frame: &ToEntry) {
-        let handle = self
-            .links
-            .lock()
-            .expect("no panics under the lock")
-            .get(&link)
-            .cloned();
+        let handle = self.links.lock().expect("no panics under the lock").get(&link).cloned();
         if let Some(handle) = handle {
             let _ = handle.tx.send(encode(frame)).await;
         }
@@ -289,18 +281,10 @@
                 })
             })
             .collect();
-        let evidence = self
-            .evidence
-            .lock()
-            .expect("no panics under the lock")
-            .all();
+        let evidence = self.evidence.lock().expect("no panics under the lock").all();
         let held = self.held.lock().expect("no panics under the lock").clone();
         let copies = self.copies.lock().expect("no panics under the lock").len();
-        let loaded = self
-            .loaded
-            .lock()
-            .expect("no panics under the lock")
-            .clone();
+        let loaded = self.loaded.lock().expect("no panics under the lock").clone();
         let work = self.lock_work();
         json!({
             "role": "agent",
--- a/src/bin/mintmoor/app.rs
+++ b/src/bin/mintmoor/app.rs
@@ -36,9 +36,7 @@
         eprintln!("mintmoor: name a command; `mintmoor --help` lists them");
         return Ok(Ending::Bad);
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let ending = runtime.block_on(dispatch(command));
     runtime.shutdown_background();
     ending
--- a/src/bin/mintmoor/apply.rs
+++ b/src/bin/mintmoor/apply.rs
@@ -39,29 +39,14 @@
     let parsed: ObjectFile = toml::from_str(text).wrap_err_with(|| file.to_owned())?;
     let mut problems = Vec::new();
     let mut objects = Vec::new();
-    for ObjectEntry {
-        kind,
-        name,
-        revision,
-        spec,
-    } in parsed.object
-    {
+    for ObjectEntry { kind, name, revision, spec } in parsed.object {
         let spec = serde_json::to_value(spec)?;
         if let Err(e) = Spec::from_json(kind, spec.clone()) {
             problems.push(format!("{file}: {} {name}: {e}", kind.as_str()));
         }
-        objects.push(FileObject {
-            kind,
-            name,
-            revision,
-            spec,
-        });
-    }
-    if problems.is_empty() {
-        Ok(objects)
-    } else {
-        Err(eyre!("{}", problems.join("\n")))
+        objects.push(FileObject { kind, name, revision, spec });
     }
+    if problems.is_empty() { Ok(objects) } else { Err(eyre!("{}", problems.join("\n"))) }
 }
 
 /// Applies a file; goes on after an error and reports each object.
@@ -74,9 +59,8 @@
     for object in objects {
         let query = if args.dry_run { "?dry_run=true" } else { "" };
         let path = format!("{}/{}{query}", object.kind.as_str(), object.name);
-        let (status, body) = remote
-            .call(Method::PUT, &path, object.revision, Some(&object.spec))
-            .await?;
+        let (status, body) =
+            remote.call(Method::PUT, &path, object.revision, Some(&object.spec)).await?;
         let label = format!("{} {}", object.kind.as_str(), object.name);
         if (200..300).contains(&status) {
             println!("{label}: accepted at revision {}", body["revision"]);
--- a/src/bin/mintmoor/check.rs
+++ b/src/bin/mintmoor/check.rs
@@ -20,9 +20,7 @@
             let _: Scenario = toml::from_str(&text).wrap_err_with(|| file.clone())?;
         }
         other => {
-            return Err(eyre!(
-                "--kind `{other}`: must be entry, agent, objects or scenario"
-            ));
+            return Err(eyre!("--kind `{other}`: must be entry, agent, objects or scenario"));
         }
     }
     println!("{file}: good");
--- a/src/bin/mintmoor/load.rs
+++ b/src/bin/mintmoor/load.rs
@@ -16,34 +16,22 @@
     if args.slopes {
         return run_slopes(&args).await;
     }
-    let file = args
-        .scenario
-        .as_ref()
-        .ok_or_else(|| eyre!("give --scenario or --slopes"))?;
+    let file = args.scenario.as_ref().ok_or_else(|| eyre!("give --scenario or --slopes"))?;
     let text = std::fs::read_to_string(file).wrap_err_with(|| format!("{file} can't be read"))?;
     let scenario: Scenario = toml::from_str(&text).wrap_err_with(|| file.clone())?;
     let policies = policies(&args)?;
-    let seeds = if args.seed.is_empty() {
-        vec![scenario.seed]
-    } else {
-        args.seed.clone()
-    };
+    let seeds = if args.seed.is_empty() { vec![scenario.seed] } else { args.seed.clone() };
     let mut reports: Vec<Report> = Vec::new();
     for seed in seeds {
         for policy in &policies {
-            let scenario = Scenario {
-                seed,
-                ..scenario.clone()
-            };
+            let scenario = Scenario { seed, ..scenario.clone() };
             let report = load::run(&scenario, *policy).await?;
             println!("{report}\n");
             reports.push(report);
         }
     }
     write_files(&args, &reports)?;
-    let ours = reports
-        .iter()
-        .filter(|report| &*report.policy == Baseline::Mintmoor.name());
+    let ours = reports.iter().filter(|report| &*report.policy == Baseline::Mintmoor.name());
     let broken: u64 = ours.map(|report| report.broken.total()).sum();
     Ok(Ending::of(broken == 0))
 }
@@ -52,10 +40,7 @@
     if args.policy.is_empty() {
         return Ok(vec![Baseline::Mintmoor]);
     }
-    args.policy
-        .iter()
-        .map(|name| name.parse().wrap_err("--policy"))
-        .collect()
+    args.policy.iter().map(|name| name.parse().wrap_err("--policy")).collect()
 }
 
 fn write_files(args: &LoadArgs, reports: &[Report]) -> Result<()> {
--- a/src/bin/mintmoor/local.rs
+++ b/src/bin/mintmoor/local.rs
@@ -57,9 +57,7 @@
     let report = load::run(&scenario, Baseline::Mintmoor).await?;
     println!("{report}");
     let answered = report.codes.get("ok").copied().unwrap_or(0);
-    Ok(Ending::of(
-        report.broken.total() == 0 && answered == report.requests,
-    ))
+    Ok(Ending::of(report.broken.total() == 0 && answered == report.requests))
 }
 
 /// Mixed traffic of both partners: cascades, models, sessions, services, once-only requests.
--- a/src/bin/mintmoor/remote.rs
+++ b/src/bin/mintmoor/remote.rs
@@ -39,11 +39,7 @@
                 .map_err(|_| eyre!("give --operator or set {URL_VARIABLE}"))?,
         };
         let key = read_key()?;
-        Ok(Self {
-            http: client()?,
-            base: base.trim_end_matches('/').into(),
-            key,
-        })
+        Ok(Self { http: client()?, base: base.trim_end_matches('/').into(), key })
     }
 
     fn headers(&self, revision: Option<u64>) -> Result<HeaderMap> {
@@ -52,10 +48,7 @@
             .map_err(|_| eyre!("the operator key is not printable"))?;
         headers.insert("authorization", bearer);
         if let Some(revision) = revision {
-            headers.insert(
-                "if-match",
-                HeaderValue::from_str(&format!("\"{revision}\""))?,
-            );
+            headers.insert("if-match", HeaderValue::from_str(&format!("\"{revision}\""))?);
         }
         Ok(headers)
     }
@@ -71,10 +64,7 @@
         let uri = format!("{}/api/v1/{path}", self.base);
         let body = body.map(Value::to_string).unwrap_or_default();
         let headers = self.headers(revision)?;
-        let reply = self
-            .http
-            .call(method, &uri, headers, body.into(), TIMEOUT)
-            .await?;
+        let reply = self.http.call(method, &uri, headers, body.into(), TIMEOUT).await?;
         let json = serde_json::from_slice(&reply.body).unwrap_or_default();
         Ok((reply.status.as_u16(), json))
     }
@@ -146,14 +136,9 @@
 pub(crate) async fn delete(args: &DeleteArgs) -> Result<Ending> {
     let remote = Remote::new(args.operator.as_deref())?;
     let path = format!("{}/{}", args.kind, args.name);
-    let (status, body) = remote
-        .call(Method::DELETE, &path, args.revision, None)
-        .await?;
+    let (status, body) = remote.call(Method::DELETE, &path, args.revision, None).await?;
     if status == 200 {
-        println!(
-            "{} {}: deleted at revision {}",
-            args.kind, args.name, body["revision"]
-        );
+        println!("{} {}: deleted at revision {}", args.kind, args.name, body["revision"]);
         return Ok(Ending::Good);
     }
     eprintln!("{} {}: {status} {}", args.kind, args.name, describe(&body));
@@ -165,10 +150,8 @@
     let remote = Remote::new(args.operator.as_deref())?;
     let path = format!("{}?watch=true&since={}", args.kind, args.since);
     let uri = format!("{}/api/v1/{path}", remote.base);
-    let res = remote
-        .http
-        .open(Method::GET, &uri, remote.headers(None)?, Default::default())
-        .await?;
+    let res =
+        remote.http.open(Method::GET, &uri, remote.headers(None)?, Default::default()).await?;
     if !res.status().is_success() {
         let status = res.status();
         let body = res.into_body().collect().await?.to_bytes();
@@ -197,15 +180,8 @@
 /// `dump`
 pub(crate) async fn dump(args: &DumpArgs) -> Result<Ending> {
     let uri = format!("{}/debug/state", args.admin.trim_end_matches('/'));
-    let reply = client()?
-        .call(
-            Method::GET,
-            &uri,
-            HeaderMap::new(),
-            Default::default(),
-            TIMEOUT,
-        )
-        .await?;
+    let reply =
+        client()?.call(Method::GET, &uri, HeaderMap::new(), Default::default(), TIMEOUT).await?;
     let json: Value = serde_json::from_slice(&reply.body)?;
     println!("{}", serde_json::to_string_pretty(&json)?);
     Ok(Ending::Good)
@@ -217,10 +193,7 @@
     let Some(story) = remote.get(&format!("explain/{}", args.request)).await? else {
         return Ok(Ending::Bad);
     };
-    println!(
-        "{} asked {}: {}",
-        story["organisation"], story["model"], story["outcome"]
-    );
+    println!("{} asked {}: {}", story["organisation"], story["model"], story["outcome"]);
     for step in story["steps"].as_array().unwrap_or(&Vec::new()) {
         println!("  {}", step.as_str().unwrap_or_default());
     }
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -65,20 +65,12 @@
 
     /// Changes after a revision, or nothing when they are no longer kept.
     pub fn changes_after(&self, revision: Revision) -> Option<Vec<Change>> {
-        self.log
-            .lock()
-            .expect("no panics under the lock")
-            .changes_after(revision)
+        self.log.lock().expect("no panics under the lock").changes_after(revision)
     }
 
     /// All objects in force.
     pub fn objects(&self) -> Vec<Object> {
-        self.log
-            .lock()
-            .expect("no panics under the lock")
-            .objects()
-            .cloned()
-            .collect()
+        self.log.lock().expect("no panics under the lock").objects().cloned().collect()
     }
 
     /// What brings a peer at `revision` up to date; nothing when it is not behind.
@@ -114,9 +106,7 @@
         }
         self.snapshot.store(log.snapshot());
         drop(log);
-        self.metrics
-            .revision
-            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
         self.revision.send_replace(revision);
         event::CONFIG_ADVANCED.log(format_args!("revision={revision}"));
         true
@@ -151,13 +141,8 @@
     ) -> Result<()> {
         loop {
             let after = change_key(held);
-            let rows = health
-                .watch("config_changes", table.list("changes/", &after, PAGE))
-                .await?;
-            let changes = rows
-                .iter()
-                .map(|row| row.parse())
-                .collect::<Result<Vec<Change>>>()?;
+            let rows = health.watch("config_changes", table.list("changes/", &after, PAGE)).await?;
+            let changes = rows.iter().map(|row| row.parse()).collect::<Result<Vec<Change>>>()?;
             let Some(first) = changes.first() else {
                 return Ok(());
             };
@@ -193,10 +178,7 @@
         }
         let unmoved = health.watch("config_head", table.get(HEAD_KEY)).await?;
         if unmoved.is_some_and(|row| row.version == before.version) {
-            self.apply(ConfigUpdate::Full {
-                revision: before.parse()?,
-                objects,
-            });
+            self.apply(ConfigUpdate::Full { revision: before.parse()?, objects });
         }
         Ok(())
     }
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -65,11 +65,7 @@
     /// Permission to act now, if this process holds the lease.
     pub fn permit(&self) -> Option<Permit> {
         let fencing = self.view.fencing(self.now())?;
-        Some(Permit {
-            key: self.key(),
-            version: self.version,
-            fencing,
-        })
+        Some(Permit { key: self.key(), version: self.version, fencing })
     }
 
     /// Reads the row, then takes or renews the lease if that is due.
@@ -89,9 +85,7 @@
         };
         let held_before = self.permit().is_some();
         let sent = self.now();
-        let tx = Transaction::default()
-            .check(self.key(), expected)
-            .put(self.key(), &row);
+        let tx = Transaction::default().check(self.key(), expected).put(self.key(), &row);
         match health.watch("lease_write", table.transact(tx)).await {
             Ok(Ok(version)) => {
                 let fencing = row.fencing;
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -24,9 +24,7 @@
     let mut pools: BTreeMap<VersionId, usize> = BTreeMap::new();
     for host in &agents {
         let versions = declared_versions(host, snapshot);
-        let wanted = versions
-            .iter()
-            .any(|v| pools.get(v).is_none_or(|n| *n < LINKS_A_POOL));
+        let wanted = versions.iter().any(|v| pools.get(v).is_none_or(|n| *n < LINKS_A_POOL));
         if chosen.len() < max_links && (wanted || versions.is_empty()) {
             chosen.insert(&host.name);
             for version in versions {
@@ -40,11 +38,34 @@
         }
         chosen.insert(&host.name);
     }
-    agents
-        .into_iter()
-        .filter(|host| chosen.contains(&*host.name))
-        .cloned()
-        .collect()
+    agents.into_iter().filter(|host| chosen.contains(&*host.name)).cloned().collect()
+}
+
+/// Whether a duty that a few entries share falls to `me`: rendezvous hashing over live entries.
+///
+/// An entry that is not in the list, or a list without entries, can't share and does the duty.
+pub fn has_duty(me: &Host, hosts: &[Host], duty: &str, sharers: usize, scope: Scope) -> bool {
+    let rank = |host: &Host| xxh3_64(format!("{duty}|{}", host.name).as_bytes());
+    let shares = |host: &&Host| {
+        host.role == Role::Entry
+            && host.state == HostState::Live
+            && (scope == Scope::Everywhere || (host.region == me.region && host.zone == me.zone))
+    };
+    let live: Vec<&Host> = hosts.iter().filter(shares).collect();
+    if !live.iter().any(|host| host.name == me.name) {
+        return true;
+    }
+    let mine = rank(me);
+    live.iter().filter(|host| rank(host) > mine).count() < sharers
+}
+
+/// Over which entries a duty is shared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Those of the same AvailabilityZone.
+    Zone,
+    /// All.
+    Everywhere,
 }
 
 fn is_live_agent(host: &Host) -> bool {
@@ -71,8 +92,5 @@
         return Vec::new();
     };
     let owner = crate::ids::partner_of(server);
-    spec.versions
-        .iter()
-        .map(|version| qualify(owner, version))
-        .collect()
+    spec.versions.iter().map(|version| qualify(owner, version)).collect()
 }
--- a/src/control/store_health.rs
+++ b/src/control/store_health.rs
@@ -23,10 +23,7 @@
 impl StoreHealth {
     /// Starts out as up.
     pub fn new(metrics: Metrics) -> Self {
-        Self {
-            down: Arc::default(),
-            metrics,
-        }
+        Self { down: Arc::default(), metrics }
     }
 
     /// Whether the last call failed.
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -11,10 +11,6 @@
     F: FnOnce() -> Fut + Send + 'static,
     Fut: Future<Output = ()>,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    std::thread::Builder::new()
-        .name(name.into())
-        .spawn(move || runtime.block_on(work()))
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name(name.into()).spawn(move || runtime.block_on(work()))
 }
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -40,21 +40,12 @@
     ) -> Option<CallerChunk> {
         let mut body: Value = serde_json::from_slice(payload).ok()?;
         let fields = body.as_object_mut()?;
-        fields.insert(
-            "id".into(),
-            json!(format!("chatcmpl-{}", format_id(request))),
-        );
+        fields.insert("id".into(), json!(format!("chatcmpl-{}", format_id(request))));
         fields.insert("model".into(), json!(version));
-        fields.insert(
-            "created".into(),
-            json!(crate::ids::request_time(request).as_secs()),
-        );
+        fields.insert("created".into(), json!(crate::ids::request_time(request).as_secs()));
         fields.remove("index");
         let empty = Vec::new();
-        let choices = fields
-            .get("choices")
-            .and_then(Value::as_array)
-            .unwrap_or(&empty);
+        let choices = fields.get("choices").and_then(Value::as_array).unwrap_or(&empty);
         for choice in choices {
             self.merge_choice(choice);
         }
@@ -88,12 +79,7 @@
     pub(crate) fn resumable_text(&self) -> Option<Box<str>> {
         match self.choices.as_slice() {
             [] => Some(Box::default()),
-            [one]
-                if one
-                    .message
-                    .keys()
-                    .all(|key| key == "content" || key == "role") =>
-            {
+            [one] if one.message.keys().all(|key| key == "content" || key == "role") => {
                 Some(self.text().into())
             }
             _ => None,
@@ -102,10 +88,7 @@
 
     /// Text of the first choice.
     pub(crate) fn text(&self) -> &str {
-        let first = self
-            .choices
-            .first()
-            .and_then(|choice| choice.message.get("content"));
+        let first = self.choices.first().and_then(|choice| choice.message.get("content"));
         first.and_then(Value::as_str).unwrap_or_default()
     }
 
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -43,19 +43,13 @@
 }
 
 async fn ready(State(entry): State<Arc<Entry>>) -> StatusCode {
-    if entry.is_ready() {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    }
+    if entry.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
 /// Reads a body up to the limit.
 async fn read_body(entry: &Entry, req: Request) -> Result<Bytes, ApiError> {
     let limit = entry.settings.max_body;
-    axum::body::to_bytes(req.into_body(), limit)
-        .await
-        .map_err(|_| ApiError::too_large(limit))
+    axum::body::to_bytes(req.into_body(), limit).await.map_err(|_| ApiError::too_large(limit))
 }
 
 fn check_serving(entry: &Entry) -> Result<(), ApiError> {
@@ -101,10 +95,8 @@
 pub(crate) fn saved_response(saved: SavedAnswer) -> Response {
     let status = StatusCode::from_u16(saved.status).unwrap_or(StatusCode::OK);
     let mut res = (status, saved.body.into_string()).into_response();
-    res.headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    res.headers_mut()
-        .insert("mintmoor-replayed", HeaderValue::from_static("true"));
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    res.headers_mut().insert("mintmoor-replayed", HeaderValue::from_static("true"));
     res
 }
 
@@ -141,26 +133,12 @@
 ) -> Result<Response, ApiError> {
     let head = read_head(&entry, req.headers())?;
     let method = req.method().as_str().into();
-    let query = req
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
-    let content_type = req
-        .headers()
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok())
-        .map(Into::into);
+    let query = req.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+    let content_type =
+        req.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).map(Into::into);
     let body = read_body(&entry, req).await?;
     let path = format!("{path}{query}").into();
     let name = name.into();
-    let req = ServiceRequest {
-        head,
-        name,
-        method,
-        path,
-        content_type,
-        body,
-    };
+    let req = ServiceRequest { head, name, method, path, content_type, body };
     serve_service(entry, req).await
 }
--- a/src/entry/charges.rs
+++ b/src/entry/charges.rs
@@ -41,10 +41,7 @@
 
     /// Whether billable work must be refused because too many records wait.
     pub(crate) fn is_full(&self) -> bool {
-        self.buffer
-            .lock()
-            .expect("no panics under the lock")
-            .is_full()
+        self.buffer.lock().expect("no panics under the lock").is_full()
     }
 }
 
@@ -53,19 +50,11 @@
     if let Some(link) = winner.filter(|_| entry.policy.charge_copies) {
         let frame = ToAgent::Charge(Box::new(record.clone()));
         if link.is_up() && link.send(&frame).await {
-            let mut copies = entry
-                .charges
-                .copies
-                .lock()
-                .expect("no panics under the lock");
+            let mut copies = entry.charges.copies.lock().expect("no panics under the lock");
             copies.insert(record.request, link.clone());
         }
     }
-    let mut buffer = entry
-        .charges
-        .buffer
-        .lock()
-        .expect("no panics under the lock");
+    let mut buffer = entry.charges.buffer.lock().expect("no panics under the lock");
     buffer.push(record);
     entry.metrics.charges_waiting.set(buffer.len() as i64);
 }
@@ -83,20 +72,13 @@
     let mut pending = entry.charges.pending.lock().await;
     // While a write fails, records stay in the bounded buffer.
     if pending.is_empty() {
-        let mut buffer = entry
-            .charges
-            .buffer
-            .lock()
-            .expect("no panics under the lock");
+        let mut buffer = entry.charges.buffer.lock().expect("no panics under the lock");
         pending.extend(buffer.take_batches(entry.incarnation));
     }
     let (written, res) = write_batches(&entry.objects, &mut pending).await;
     drop(pending);
     entry.metrics.charges_written.inc_by(written.len() as u64);
-    entry
-        .metrics
-        .charges_waiting
-        .set(entry.charges.waiting() as i64);
+    entry.metrics.charges_waiting.set(entry.charges.waiting() as i64);
     confirm(entry, &written).await;
     if let Err(e) = res {
         entry.metrics.count_store_error("charges");
@@ -110,21 +92,13 @@
 async fn confirm(entry: &Entry, written: &[RequestId]) {
     let mut by_link: HashMap<Box<str>, (Arc<Link>, Vec<RequestId>)> = HashMap::new();
     {
-        let mut copies = entry
-            .charges
-            .copies
-            .lock()
-            .expect("no panics under the lock");
+        let mut copies = entry.charges.copies.lock().expect("no panics under the lock");
         for request in written {
             let Some(link) = copies.remove(request) else {
                 continue;
             };
             let name = link.host.name.clone();
-            by_link
-                .entry(name)
-                .or_insert_with(|| (link, Vec::new()))
-                .1
-                .push(*request);
+            by_link.entry(name).or_insert_with(|| (link, Vec::new())).1.push(*request);
         }
     }
     for (link, requests) in by_link.into_values() {
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -47,9 +47,7 @@
     deadline: Duration,
 ) -> std::result::Result<Claimed, ApiError> {
     if entry.health.is_down() && entry.table.get("head/config").await.is_err() {
-        return Err(ApiError::not_run(
-            "the store that keeps claims gives no answer",
-        ));
+        return Err(ApiError::not_run("the store that keeps claims gives no answer"));
     }
     let now = unix_now();
     let held_until = now + (deadline + HELD_MARGIN).as_secs();
@@ -66,11 +64,7 @@
             }
             ClaimStep::ReadBack => read_back(entry, &key, &mut version).await,
             ClaimStep::Send => {
-                return Ok(Claimed::Granted(Grant {
-                    key,
-                    claim: mine,
-                    version,
-                }));
+                return Ok(Claimed::Granted(Grant { key, claim: mine, version }));
             }
             ClaimStep::Replay(answer) => return Ok(Claimed::Replay(answer)),
             ClaimStep::InProgress => return Err(ApiError::duplicate()),
@@ -113,11 +107,7 @@
 
 async fn read_back(entry: &Entry, key: &str, version: &mut u64) -> InsertReply {
     let res: Result<InsertReply> = async {
-        let Some(row) = entry
-            .health
-            .watch("claim_read", entry.table.get(key))
-            .await?
-        else {
+        let Some(row) = entry.health.watch("claim_read", entry.table.get(key)).await? else {
             return Ok(InsertReply::Absent);
         };
         *version = row.version;
@@ -134,17 +124,10 @@
 
 /// Writes down how a claimed request ended; repeated until the store takes it.
 pub(crate) async fn finish(entry: &Entry, grant: Grant, state: ClaimState) {
-    let claim = Claim {
-        state,
-        ..grant.claim
-    };
+    let claim = Claim { state, ..grant.claim };
     let value = serde_json::to_value(&claim).expect("claims are plain data");
     for _ in 0..FINISH_TRIES {
-        match entry
-            .group
-            .write(grant.key.clone(), Some(grant.version), value.clone())
-            .await
-        {
+        match entry.group.write(grant.key.clone(), Some(grant.version), value.clone()).await {
             InsertOutcome::Inserted(_) | InsertOutcome::Conflict => return,
             // A repeat after a lost reply conflicts with our own write, which ends it.
             InsertOutcome::Refused | InsertOutcome::Lost => tokio::time::sleep(FINISH_PAUSE).await,
@@ -153,8 +136,5 @@
 }
 
 fn unix_now() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_secs()
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
 }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -5,6 +5,7 @@
 use tokio::runtime::Handle;
 
 use crate::{
+    control::membership::Scope,
     entry::{Entry, charges, guard, jobs, links, links::Dialer},
     platform::HostsClient,
     policy::lifecycle::LifecycleEvent,
@@ -12,6 +13,10 @@
 };
 
 const HOSTS_EVERY: Duration = Duration::from_secs(1);
+/// Entries of a zone that poll the store's head; the others learn from their links.
+const POLLERS: usize = 2;
+/// Polls that the others leave out, so that an entry without links still catches up.
+const POLLS_LEFT_OUT: u32 = 9;
 const GUARD_EVERY: Duration = Duration::from_millis(200);
 
 /// Runs until the entry dies.
@@ -27,34 +32,46 @@
 }
 
 async fn follow_store(entry: Arc<Entry>) {
+    let mut left_out = 0;
     while !entry.is_dead() {
-        // The store's outage is logged where it is noticed; what is in force stays in force.
-        let _ = entry.config.poll(&entry.table, &entry.health).await;
-        if entry.config.revision() > 0 && !entry.is_ready() && !entry.is_leaving() {
-            entry.advance(LifecycleEvent::Ready);
-            event::PROCESS_READY.log(format_args!("revision={}", entry.config.revision()));
+        let leaves_out = entry.config.revision() > 0 && !is_poller(&entry);
+        if leaves_out && left_out < POLLS_LEFT_OUT {
+            left_out += 1;
+        } else {
+            left_out = 0;
+            // The store's outage is logged where it is noticed; what is in force stays so.
+            let _ = entry.config.poll(&entry.table, &entry.health).await;
         }
+        note_ready(&entry);
         tokio::time::sleep(entry.settings.poll).await;
     }
 }
 
+/// Takes requests once a configuration is in force, from the store or from a link.
+fn note_ready(entry: &Entry) {
+    let revision = entry.config.revision();
+    if revision > 0 && !entry.is_ready() && !entry.is_leaving() {
+        entry.advance(LifecycleEvent::Ready);
+        event::PROCESS_READY.log(format_args!("revision={revision}"));
+    }
+}
+
+fn is_poller(entry: &Entry) -> bool {
+    entry.has_duty("poll", POLLERS, Scope::Zone)
+}
+
 async fn follow_hosts(entry: Arc<Entry>, traffic: Handle) {
     let hosts = HostsClient::over_http(entry.http.clone(), &entry.settings.platform.hosts);
     let mut dialer = Dialer::default();
     let mut revision = entry.config.subscribe();
     while !entry.is_dead() {
-        if let Ok(list) = hosts.list().await {
+        if let Ok(Some(list)) = hosts.changed().await {
             *entry.hosts.lock().expect("no panics under the lock") = list;
+            dialer.follow(&entry, &traffic);
         }
-        let list = entry
-            .hosts
-            .lock()
-            .expect("no panics under the lock")
-            .clone();
-        dialer.follow(&entry, &traffic, &list);
         tokio::select! {
             () = tokio::time::sleep(HOSTS_EVERY) => {}
-            _ = revision.changed() => {}
+            _ = revision.changed() => dialer.follow(&entry, &traffic),
         }
     }
 }
@@ -66,10 +83,6 @@
             guard::hold_suspects(&entry).await;
         }
         let snapshot = entry.config.snapshot();
-        entry
-            .suspicion
-            .lock()
-            .expect("no panics under the lock")
-            .forget_ended(&snapshot);
+        entry.suspicion.lock().expect("no panics under the lock").forget_ended(&snapshot);
     }
 }
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -27,13 +27,7 @@
 
 impl ApiError {
     fn new(status: StatusCode, code: &'static str, message: impl Into<Box<str>>) -> Self {
-        Self {
-            status,
-            code,
-            message: message.into(),
-            param: None,
-            retry_after: None,
-        }
+        Self { status, code, message: message.into(), param: None, retry_after: None }
     }
 
     /// A request that can't be understood.
@@ -155,8 +149,7 @@
         }
         if self.code == "outcome_unknown" || self.code == "key_reused" {
             // Clients of this API repeat 409 and 5xx by themselves unless they are told not to.
-            res.headers_mut()
-                .insert("x-should-retry", HeaderValue::from_static("false"));
+            res.headers_mut().insert("x-should-retry", HeaderValue::from_static("false"));
         }
         res
     }
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -42,11 +42,6 @@
 
     /// The newest ids, newest first.
     pub(crate) fn ids(&self, most: usize) -> Vec<Box<str>> {
-        self.order
-            .iter()
-            .rev()
-            .take(most)
-            .map(|id| format_id(*id))
-            .collect()
+        self.order.iter().rev().take(most).map(|id| format_id(*id)).collect()
     }
 }
--- a/src/entry/guard.rs
+++ b/src/entry/guard.rs
@@ -21,11 +21,7 @@
 impl Suspicion {
     /// Holds a version; true when it was not held under this revision before.
     pub(crate) fn hold(&mut self, version: &VersionId, revision: Revision, why: &str) -> bool {
-        if self
-            .held
-            .get(version)
-            .is_some_and(|(held, _)| *held >= revision)
-        {
+        if self.held.get(version).is_some_and(|(held, _)| *held >= revision) {
             return false;
         }
         self.held.insert(version.clone(), (revision, why.into()));
@@ -47,18 +43,13 @@
 
     /// Forgets versions whose roll-out is gone.
     pub(crate) fn forget_ended(&mut self, snapshot: &Snapshot) {
-        self.held
-            .retain(|version, _| epoch(snapshot, version).is_some());
+        self.held.retain(|version, _| epoch(snapshot, version).is_some());
     }
 
     /// Everything held, for heartbeats and the dump.
     pub(crate) fn all(&self) -> Vec<Held> {
         let held = self.held.iter();
-        held.map(|(v, (revision, _))| Held {
-            version: v.clone(),
-            revision: *revision,
-        })
-        .collect()
+        held.map(|(v, (revision, _))| Held { version: v.clone(), revision: *revision }).collect()
     }
 }
 
@@ -92,15 +83,7 @@
     };
     let (old, new) = (sum(&from), sum(&version));
     let finding = test_version(old, new, &spec.guard);
-    Judged {
-        id: id.clone(),
-        spec: spec.clone(),
-        epoch,
-        version,
-        old,
-        new,
-        finding,
-    }
+    Judged { id: id.clone(), spec: spec.clone(), epoch, version, old, new, finding }
 }
 
 fn judge_all(entry: &Entry) -> Vec<Judged> {
@@ -128,10 +111,7 @@
         } else if !heard {
             continue;
         }
-        let runs = matches!(
-            judged.spec.state,
-            RollOutState::Running | RollOutState::Paused
-        );
+        let runs = matches!(judged.spec.state, RollOutState::Running | RollOutState::Paused);
         if runs && !entry.health.is_down() {
             write_step(entry, &judged, GuardStep::Hold, &why).await;
         }
@@ -165,11 +145,7 @@
         return false;
     }
     let snapshot = entry.config.snapshot();
-    entry
-        .suspicion
-        .lock()
-        .expect("no panics under the lock")
-        .is_held(version, &snapshot)
+    entry.suspicion.lock().expect("no panics under the lock").is_held(version, &snapshot)
 }
 
 async fn write_step(entry: &Arc<Entry>, judged: &Judged, step: GuardStep, why: &str) {
@@ -185,12 +161,7 @@
         expected: Expected::Revision(judged.epoch),
         actor: "guard".into(),
         // The same step of the same revision is one change, whoever writes it.
-        change_id: format!(
-            "guard-{name}-{}-{}",
-            judged.id.replace('/', "."),
-            judged.epoch
-        )
-        .into(),
+        change_id: format!("guard-{name}-{}-{}", judged.id.replace('/', "."), judged.epoch).into(),
         dry_run: false,
     };
     match entry.writer.write(&req).await {
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -2,11 +2,14 @@
 
 use std::{
     sync::Arc,
-    time::{Duration, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use crate::{
-    control::lease::{Lease, Permit},
+    control::{
+        lease::{Lease, Permit},
+        membership::Scope,
+    },
     entry::{Entry, guard},
     ids::new_request_id,
     ledger::Settler,
@@ -16,26 +19,55 @@
 };
 
 const TEND_EVERY: Duration = Duration::from_secs(1);
+/// Entries that look at a lease each time.
+const CANDIDATES: usize = 2;
+const OTHERS_LOOK_EVERY: Duration = Duration::from_secs(30);
 /// Change rows kept for followers that are behind; older ones are read as whole objects.
 const KEPT_CHANGES: u64 = 4_096;
 const COMPACT_PAGE: usize = 200;
 
+/// A lease and whose duty it is to look at it.
+struct Duty {
+    name: &'static str,
+    lease: Lease,
+    looked: Option<Instant>,
+}
+
+impl Duty {
+    fn new(entry: &Entry, name: &'static str) -> Self {
+        let lease = Lease::new(name, entry.incarnation, LeaseTerms::default());
+        Self { name, lease, looked: None }
+    }
+
+    /// Looks at the lease when that is due: candidates always, others now and then, so that
+    /// the job goes on when every candidate is gone.
+    async fn tend(&mut self, entry: &Entry) {
+        let is_candidate = entry.has_duty(self.name, CANDIDATES, Scope::Everywhere);
+        let is_due = self.looked.is_none_or(|at| at.elapsed() >= OTHERS_LOOK_EVERY);
+        if !is_candidate && !is_due && self.lease.permit().is_none() {
+            return;
+        }
+        self.looked = Some(Instant::now());
+        let _ = self.lease.tend(&entry.table, &entry.health).await;
+    }
+}
+
 /// Tends the leases and runs the jobs of those that are held.
 pub(crate) async fn run(entry: Arc<Entry>) {
-    let lease = |name| Lease::new(name, entry.incarnation, LeaseTerms::default());
-    let (mut guarding, mut settling, mut compacting) =
-        (lease("guard"), lease("settler"), lease("compactor"));
+    let mut guarding = Duty::new(&entry, "guard");
+    let mut settling = Duty::new(&entry, "settler");
+    let mut compacting = Duty::new(&entry, "compactor");
     while !entry.is_dead() {
-        for lease in [&mut guarding, &mut settling, &mut compacting] {
-            let _ = lease.tend(&entry.table, &entry.health).await;
+        for duty in [&mut guarding, &mut settling, &mut compacting] {
+            duty.tend(&entry).await;
         }
-        if entry.policy.guard && guarding.permit().is_some() {
+        if entry.policy.guard && guarding.lease.permit().is_some() {
             guard::advance_sound(&entry).await;
         }
-        if let Some(permit) = settling.permit() {
+        if let Some(permit) = settling.lease.permit() {
             settle(&entry, &permit).await;
         }
-        if let Some(permit) = compacting.permit() {
+        if let Some(permit) = compacting.lease.permit() {
             let _ = compact(&entry, &permit).await;
         }
         tokio::time::sleep(TEND_EVERY).await;
@@ -63,14 +95,9 @@
     let rows = entry.health.watch("compact_read", page).await?;
     let limit = crate::control::config::change_key(oldest_kept);
     let old = rows.into_iter().filter(|row| row.key < limit);
-    let tx = old.fold(permit.transaction(), |tx: Transaction, row| {
-        tx.delete(row.key)
-    });
+    let tx = old.fold(permit.transaction(), |tx: Transaction, row| tx.delete(row.key));
     if !tx.writes.is_empty() {
-        let _ = entry
-            .health
-            .watch("compact_write", entry.table.transact(tx))
-            .await?;
+        let _ = entry.health.watch("compact_write", entry.table.transact(tx)).await?;
     }
     Ok(())
 }
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -28,31 +28,17 @@
 /// Prefix links remembered for one engine.
 const MAX_BELIEFS: usize = 4_096;
 /// One-way distances by class: same zone, same region, other region.
-const DISTANCES: [Duration; 3] = [
-    Duration::from_micros(100),
-    Duration::from_millis(1),
-    Duration::from_millis(20),
-];
+const DISTANCES: [Duration; 3] =
+    [Duration::from_micros(100), Duration::from_millis(1), Duration::from_millis(20)];
 
 /// What a link brings for one attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptFrame {
     Refused(RefuseReason),
     Started,
-    Chunk {
-        sequence: u64,
-        payload: Vec<u8>,
-    },
-    End {
-        count: u64,
-        digest: u64,
-        status: u16,
-        usage: Usage,
-    },
-    Failed {
-        problem: Box<str>,
-        status: u16,
-    },
+    Chunk { sequence: u64, payload: Vec<u8> },
+    End { count: u64, digest: u64, status: u16, usage: Usage },
+    Failed { problem: Box<str>, status: u16 },
     Lost,
 }
 
@@ -131,10 +117,7 @@
     /// Evidence of the agent about a version under one revision of its roll-out.
     pub(crate) fn evidence(&self, version: &str, epoch: u64) -> crate::policy::roll_out::Evidence {
         let state = self.lock();
-        let held = state
-            .evidence
-            .get(version)
-            .filter(|held| held.epoch == epoch);
+        let held = state.evidence.get(version).filter(|held| held.epoch == epoch);
         held.map(|held| held.sums).unwrap_or_default()
     }
 
@@ -143,10 +126,7 @@
         let state = self.lock();
         let beat = &state.beat;
         let sent_since = state.starts_sent.saturating_sub(beat.starts_seen);
-        let known = chain
-            .iter()
-            .take_while(|link| state.beliefs.contains_key(link))
-            .count();
+        let known = chain.iter().take_while(|link| state.beliefs.contains_key(link)).count();
         ServerLoad {
             running: beat.running.saturating_sub(state.ended_since_beat),
             queued: beat.queued,
@@ -230,32 +210,19 @@
     ) -> Option<mpsc::UnboundedReceiver<AttemptFrame>> {
         let key = start.key;
         let (tx, rx) = mpsc::unbounded_channel();
-        self.waiters
-            .lock()
-            .expect("no panics under the lock")
-            .insert(key, tx);
+        self.waiters.lock().expect("no panics under the lock").insert(key, tx);
         // A link that went down in between has already told its waiters.
         if !self.is_up() {
             self.forget(key);
             return None;
         }
         self.lock().starts_sent += 1;
-        if self.send(&ToAgent::Start(start)).await {
-            Some(rx)
-        } else {
-            None
-        }
+        if self.send(&ToAgent::Start(start)).await { Some(rx) } else { None }
     }
 
     /// Stops waiting for an attempt's frames.
     pub(crate) fn forget(&self, key: AttemptKey) {
-        if self
-            .waiters
-            .lock()
-            .expect("no panics under the lock")
-            .remove(&key)
-            .is_some()
-        {
+        if self.waiters.lock().expect("no panics under the lock").remove(&key).is_some() {
             self.lock().ended_since_beat += 1;
         }
     }
@@ -280,31 +247,17 @@
     pub(crate) async fn ask_pin(&self, session: &str, model: &str) -> Option<VersionId> {
         let question = self.next_question.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
-        self.questions
-            .lock()
-            .expect("no panics under the lock")
-            .insert(question, tx);
-        let frame = ToAgent::AskPin {
-            question,
-            session: session.into(),
-            model: model.into(),
-        };
+        self.questions.lock().expect("no panics under the lock").insert(question, tx);
+        let frame = ToAgent::AskPin { question, session: session.into(), model: model.into() };
         self.send(&frame).await;
         let answer = tokio::time::timeout(Duration::from_millis(200), rx).await;
-        self.questions
-            .lock()
-            .expect("no panics under the lock")
-            .remove(&question);
+        self.questions.lock().expect("no panics under the lock").remove(&question);
         answer.ok()?.ok()?
     }
 
     /// Answers a question about a pin.
     pub(crate) fn answer_question(&self, question: u64, version: Option<VersionId>) {
-        let asked = self
-            .questions
-            .lock()
-            .expect("no panics under the lock")
-            .remove(&question);
+        let asked = self.questions.lock().expect("no panics under the lock").remove(&question);
         if let Some(tx) = asked {
             let _ = tx.send(version);
         }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -6,8 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt, stream::SplitSink};
+use futures_util::StreamExt;
 use tokio::{
     runtime::Handle,
     sync::{mpsc, watch},
@@ -20,7 +19,7 @@
         Entry, guard,
         link::{AttemptFrame, Link},
     },
-    platform::{Host, HostState, Role},
+    platform::{Host, HostState},
     protocol::{self, EntryBeat, EntrySide, ToAgent, ToEntry, decode, encode},
     telemetry::event,
 };
@@ -38,10 +37,11 @@
 
 impl Dialer {
     /// Brings the set of links in line with the host list.
-    pub(crate) fn follow(&mut self, entry: &Arc<Entry>, traffic: &Handle, hosts: &[Host]) {
-        let me = self_as_host(entry);
+    pub(crate) fn follow(&mut self, entry: &Arc<Entry>, traffic: &Handle) {
+        let hosts = entry.hosts.lock().expect("no panics under the lock").clone();
+        let me = entry.as_host();
         let snapshot = entry.config.snapshot();
-        let chosen = select_links(&me, hosts, &snapshot, entry.settings.max_links);
+        let chosen = select_links(&me, &hosts, &snapshot, entry.settings.max_links);
         let names: BTreeSet<&str> = chosen.iter().map(|host| &*host.name).collect();
         self.wanted.retain(|name, stop| {
             let kept = names.contains(&**name);
@@ -58,17 +58,14 @@
             self.wanted.insert(host.name.clone(), stop);
             traffic.spawn(keep_link(entry.clone(), host, stopped));
         }
-        tell_leaving(entry, traffic, hosts);
+        tell_leaving(entry, traffic, &hosts);
     }
 }
 
 /// Tells agents whose hosts the list shows as leaving.
 fn tell_leaving(entry: &Arc<Entry>, traffic: &Handle, hosts: &[Host]) {
-    let leaving: BTreeSet<&str> = hosts
-        .iter()
-        .filter(|h| h.state == HostState::Leaving)
-        .map(|h| &*h.name)
-        .collect();
+    let leaving: BTreeSet<&str> =
+        hosts.iter().filter(|h| h.state == HostState::Leaving).map(|h| &*h.name).collect();
     for link in entry.all_links() {
         if leaving.contains(&*link.host.name) && link.takes_work() {
             traffic.spawn(async move { link.send(&ToAgent::Leave).await });
@@ -76,17 +73,6 @@
     }
 }
 
-fn self_as_host(entry: &Entry) -> Host {
-    Host {
-        name: entry.settings.host.clone(),
-        region: entry.settings.region.clone(),
-        zone: entry.settings.zone.clone(),
-        address: entry.settings.caller,
-        role: Role::Entry,
-        state: HostState::Live,
-    }
-}
-
 /// Dials one host again and again until it is no longer wanted.
 async fn keep_link(entry: Arc<Entry>, host: Host, mut stopped: watch::Receiver<bool>) {
     let mut pause = FIRST_REDIAL;
@@ -124,10 +110,7 @@
         let name = &self.link.host.name;
         {
             let mut links = self.entry.links.lock().expect("no panics under the lock");
-            if links
-                .get(name)
-                .is_some_and(|held| Arc::ptr_eq(held, &self.link))
-            {
+            if links.get(name).is_some_and(|held| Arc::ptr_eq(held, &self.link)) {
                 links.remove(name);
             }
         }
@@ -147,21 +130,14 @@
 ) {
     let (sink, mut stream) = ws.split();
     let (tx, rx) = mpsc::channel(OUTGOING);
-    let class = distance_class(&self_as_host(entry), host);
+    let class = distance_class(&entry.as_host(), host);
     let link = Arc::new(Link::new(host.clone(), class, peer, tx));
-    entry
-        .links
-        .lock()
-        .expect("no panics under the lock")
-        .insert(host.name.clone(), link.clone());
+    entry.links.lock().expect("no panics under the lock").insert(host.name.clone(), link.clone());
     entry.metrics.links.inc();
     event::LINK_UP.log(format_args!("agent={}", host.name));
-    let _closing = Closing {
-        entry,
-        link: link.clone(),
-    };
+    let _closing = Closing { entry, link: link.clone() };
     send_beat(entry, &link).await;
-    let writer = tokio::spawn(write_all(rx, sink));
+    let writer = tokio::spawn(protocol::write_frames(rx, sink));
     let idle_check = Duration::from_millis(200);
     loop {
         // An unwanted link is let go of once its attempts are done.
@@ -187,22 +163,6 @@
     writer.abort();
 }
 
-async fn write_all(mut rx: mpsc::Receiver<Bytes>, mut sink: SplitSink<EntrySide, Message>) {
-    while let Some(buf) = rx.recv().await {
-        if sink.feed(Message::Binary(buf)).await.is_err() {
-            return;
-        }
-        while let Ok(buf) = rx.try_recv() {
-            if sink.feed(Message::Binary(buf)).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn handle_frame(entry: &Arc<Entry>, link: &Arc<Link>, frame: ToEntry) {
     let (key, frame) = match frame {
         ToEntry::Beat(beat) => return note_beat(entry, link, beat).await,
@@ -220,31 +180,13 @@
         ToEntry::PinIs { question, version } => return link.answer_question(question, version),
         ToEntry::Refused { key, reason } => (key, AttemptFrame::Refused(reason)),
         ToEntry::Started(key) => (key, AttemptFrame::Started),
-        ToEntry::Chunk {
-            key,
-            sequence,
-            payload,
-        } => (key, AttemptFrame::Chunk { sequence, payload }),
-        ToEntry::End {
-            key,
-            count,
-            digest,
-            status,
-            usage,
-        } => (
-            key,
-            AttemptFrame::End {
-                count,
-                digest,
-                status,
-                usage,
-            },
-        ),
-        ToEntry::Failed {
-            key,
-            problem,
-            status,
-        } => (key, AttemptFrame::Failed { problem, status }),
+        ToEntry::Chunk { key, sequence, payload } => {
+            (key, AttemptFrame::Chunk { sequence, payload })
+        }
+        ToEntry::End { key, count, digest, status, usage } => {
+            (key, AttemptFrame::End { count, digest, status, usage })
+        }
+        ToEntry::Failed { key, problem, status } => (key, AttemptFrame::Failed { problem, status }),
     };
     // Frames of attempts that were given up come late; nobody waits for them.
     link.deliver(key, frame);
@@ -279,15 +221,8 @@
 }
 
 async fn send_beat(entry: &Entry, link: &Link) {
-    let held = entry
-        .suspicion
-        .lock()
-        .expect("no panics under the lock")
-        .all();
-    let beat = EntryBeat {
-        revision: entry.config.revision(),
-        held,
-    };
+    let held = entry.suspicion.lock().expect("no panics under the lock").all();
+    let beat = EntryBeat { revision: entry.config.revision(), held };
     send_control(entry, link, &ToAgent::Beat(beat)).await;
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -58,29 +58,18 @@
     /// Checks the headers; the key decides the organisation.
     pub(crate) fn read(headers: &HeaderMap, snapshot: &Snapshot) -> Result<Self, ApiError> {
         let key = bearer(headers).ok_or_else(ApiError::unauthorized)?;
-        let organisation = snapshot
-            .organisation_by_key(key)
-            .ok_or_else(ApiError::unauthorized)?;
+        let organisation = snapshot.organisation_by_key(key).ok_or_else(ApiError::unauthorized)?;
         let deadline: Option<u64> = parse_header(headers, "mintmoor-deadline-ms")?;
         if deadline == Some(0) {
-            return Err(ApiError::bad_request(
-                "Mintmoor-Deadline-Ms",
-                "must be above 0",
-            ));
+            return Err(ApiError::bad_request("Mintmoor-Deadline-Ms", "must be above 0"));
         }
         let idempotency_key = text_header(headers, "idempotency-key")?;
-        if idempotency_key
-            .as_ref()
-            .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY)
-        {
+        if idempotency_key.as_ref().is_some_and(|key| key.is_empty() || key.len() > MAX_KEY) {
             let problem = format!("must have 1 to {MAX_KEY} characters");
             return Err(ApiError::bad_request("Idempotency-Key", problem));
         }
         let session = text_header(headers, "mintmoor-session")?;
-        if session
-            .as_ref()
-            .is_some_and(|session| session.len() > MAX_SESSION)
-        {
+        if session.as_ref().is_some_and(|session| session.len() > MAX_SESSION) {
             let problem = format!("must have at most {MAX_SESSION} characters");
             return Err(ApiError::bad_request("Mintmoor-Session", problem));
         }
@@ -109,10 +98,7 @@
         if self.repeatable {
             return Ok(None);
         }
-        let key = self
-            .idempotency_key
-            .clone()
-            .ok_or_else(ApiError::missing_key)?;
+        let key = self.idempotency_key.clone().ok_or_else(ApiError::missing_key)?;
         Ok(Some(format!("claims/{}/{key}", self.organisation).into()))
     }
 }
@@ -135,23 +121,15 @@
             .and_then(Value::as_array)
             .filter(|messages| !messages.is_empty())
             .ok_or_else(|| ApiError::bad_request("messages", "must be a list with entries"))?;
-        if messages
-            .iter()
-            .any(|m| m.get("role").and_then(Value::as_str).is_none())
-        {
-            return Err(ApiError::bad_request(
-                "messages",
-                "each entry must have a `role`",
-            ));
+        if messages.iter().any(|m| m.get("role").and_then(Value::as_str).is_none()) {
+            return Err(ApiError::bad_request("messages", "each entry must have a `role`"));
         }
         let stream = flag(fields.get("stream"), "stream")?;
         let options = fields.get("stream_options").and_then(Value::as_object);
         let include_usage =
             options.and_then(|o| o.get("include_usage")) == Some(&Value::Bool(true));
-        let max_tokens = limit_field(fields.get("max_tokens"), "max_tokens")?.or(limit_field(
-            fields.get("max_completion_tokens"),
-            "max_completion_tokens",
-        )?);
+        let max_tokens = limit_field(fields.get("max_tokens"), "max_tokens")?
+            .or(limit_field(fields.get("max_completion_tokens"), "max_completion_tokens")?);
         let prompt = prompt_text(messages);
         let words = prompt.split_whitespace();
         let chain = prefix_chain(words.clone());
@@ -160,9 +138,7 @@
             stream,
             include_usage,
             prompt_tokens: words.count() as u64,
-            answer_tokens: max_tokens
-                .unwrap_or(DEFAULT_ANSWER_TOKENS)
-                .min(DEFAULT_ANSWER_TOKENS),
+            answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS).min(DEFAULT_ANSWER_TOKENS),
             chain,
             prompt: prompt.into(),
             head,
@@ -178,21 +154,14 @@
 
 /// Key of an `Authorization: Bearer` header.
 pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
-    headers
-        .get("authorization")?
-        .to_str()
-        .ok()?
-        .strip_prefix("Bearer ")
-        .map(str::trim)
+    headers.get("authorization")?.to_str().ok()?.strip_prefix("Bearer ").map(str::trim)
 }
 
 fn text_header(headers: &HeaderMap, name: &str) -> Result<Option<Box<str>>, ApiError> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
-    let text = value
-        .to_str()
-        .map_err(|_| ApiError::bad_request(name, "must be visible ASCII"))?;
+    let text = value.to_str().map_err(|_| ApiError::bad_request(name, "must be visible ASCII"))?;
     Ok(Some(text.trim().into()))
 }
 
@@ -203,9 +172,7 @@
     let Some(text) = text_header(headers, name)? else {
         return Ok(None);
     };
-    let value = text
-        .parse()
-        .map_err(|e| ApiError::bad_request(name, format!("`{text}`: {e}")))?;
+    let value = text.parse().map_err(|e| ApiError::bad_request(name, format!("`{text}`: {e}")))?;
     Ok(Some(value))
 }
 
@@ -222,10 +189,7 @@
         None | Some(Value::Null) => Ok(None),
         Some(value) => match value.as_u64().filter(|tokens| *tokens > 0) {
             Some(tokens) => Ok(Some(tokens)),
-            None => Err(ApiError::bad_request(
-                name,
-                "must be a whole number above 0",
-            )),
+            None => Err(ApiError::bad_request(name, "must be a whole number above 0")),
         },
     }
 }
@@ -233,10 +197,7 @@
 fn prompt_text(messages: &[Value]) -> String {
     let mut prompt = String::new();
     for message in messages {
-        let role = message
-            .get("role")
-            .and_then(Value::as_str)
-            .unwrap_or_default();
+        let role = message.get("role").and_then(Value::as_str).unwrap_or_default();
         prompt.push_str(role);
         prompt.push(' ');
         match message.get("content") {
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -49,10 +49,7 @@
                 }
             }
         }
-        Self {
-            versions: index(versions),
-            services: index(services),
-        }
+        Self { versions: index(versions), services: index(services) }
     }
 
     /// Links that have a version loaded.
@@ -67,10 +64,7 @@
 
     /// Links that have each version loaded, counted.
     pub(crate) fn version_counts(&self) -> HashMap<VersionId, usize> {
-        self.versions
-            .iter()
-            .map(|(version, route)| (version.clone(), route.links.len()))
-            .collect()
+        self.versions.iter().map(|(version, route)| (version.clone(), route.links.len())).collect()
     }
 }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -71,11 +71,7 @@
         "role=entry host={} caller={} operator={} admin={}",
         entry.settings.host, addresses.caller, addresses.operator, addresses.admin
     ));
-    Ok(RunningEntry {
-        entry,
-        addresses,
-        tasks,
-    })
+    Ok(RunningEntry { entry, addresses, tasks })
 }
 
 fn serve(
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -79,8 +79,7 @@
         let res = work.run().await;
         work.close(res);
     });
-    rx.await
-        .unwrap_or_else(|_| Err(ApiError::outcome_unknown("the request was dropped")))
+    rx.await.unwrap_or_else(|_| Err(ApiError::outcome_unknown("the request was dropped")))
 }
 
 /// One request being served.
@@ -126,24 +125,16 @@
         let target = resolve(&snapshot, &self.req.head.organisation, &self.req.model)?;
         let _share = OrganisationShare::take(self.entry, &self.req.head, &snapshot)?;
         if self.entry.charges.is_full() {
-            return Err(ApiError::not_run(
-                "too many charges wait for the object store",
-            ));
+            return Err(ApiError::not_run("too many charges wait for the object store"));
         }
-        let Some(key) = self
-            .req
-            .head
-            .claim_key()?
-            .filter(|_| self.entry.policy.claims)
-        else {
+        let Some(key) = self.req.head.claim_key()?.filter(|_| self.entry.policy.claims) else {
             return self.run_stages(&target).await.map(drop);
         };
         let (id, print) = (self.req.head.id, self.req.fingerprint());
         let deadline = self.req.head.time_left();
         match claims::claim(self.entry, key, id, print, deadline).await? {
             Claimed::Replay(answer) => {
-                self.attempts
-                    .explain("answered from the saved result".into());
+                self.attempts.explain("answered from the saved result".into());
                 self.send_reply(Ok(Reply::Saved(answer)));
                 Ok(())
             }
@@ -179,8 +170,7 @@
                 Err(StageError::NoServer | StageError::Full(_))
                     if stage < last && self.may_spill() =>
                 {
-                    self.attempts
-                        .explain(format!("stage {stage} has no capacity, next stage"));
+                    self.attempts.explain(format!("stage {stage} has no capacity, next stage"));
                     stage += 1;
                     continue;
                 }
@@ -193,8 +183,7 @@
             if self.passes(target, stage, &answer).await {
                 return Ok(self.deliver(answer).await);
             }
-            self.attempts
-                .explain(format!("stage {stage} was not good enough, next stage"));
+            self.attempts.explain(format!("stage {stage} was not good enough, next stage"));
             stage += 1;
         }
     }
@@ -204,10 +193,7 @@
     }
 
     fn stops_at_first(&self) -> bool {
-        matches!(
-            self.entry.policy.cascade,
-            CascadePolicy::Cheapest | CascadePolicy::Costliest
-        )
+        matches!(self.entry.policy.cascade, CascadePolicy::Cheapest | CascadePolicy::Costliest)
     }
 
     /// Stage to start at, and whether it has to be the only one.
@@ -223,9 +209,8 @@
             CascadePolicy::Fixed | CascadePolicy::Learned => {}
         }
         let snapshot = self.entry.config.snapshot();
-        let outlooks: Vec<StageOutlook> = (0..=last)
-            .map(|stage| self.outlook(&snapshot, target, stage))
-            .collect();
+        let outlooks: Vec<StageOutlook> =
+            (0..=last).map(|stage| self.outlook(&snapshot, target, stage)).collect();
         let one_stage_only = !self.req.head.repeatable || !self.holds_two(&snapshot, target);
         let start = start_stage(&outlooks, quality_target, one_stage_only);
         self.attempts.explain(format!(
@@ -237,44 +222,26 @@
 
     fn outlook(&self, snapshot: &Snapshot, target: &Target, stage: usize) -> StageOutlook {
         let name = &target.stages[stage];
-        let version = if name.contains('@') {
-            Some(name.clone())
-        } else {
-            snapshot.stable_version(name)
-        };
+        let version =
+            if name.contains('@') { Some(name.clone()) } else { snapshot.stable_version(name) };
         let spec = version.and_then(|version| snapshot.versions.get(&version));
-        let cost = spec.map_or(0, |v| {
-            v.cost(self.req.prompt_tokens, self.req.answer_tokens)
-        });
+        let cost = spec.map_or(0, |v| v.cost(self.req.prompt_tokens, self.req.answer_tokens));
         let prior = spec.map_or(0.5, |v| v.quality);
         let key = self.estimate_key(target, stage);
-        let estimates = self
-            .entry
-            .estimates
-            .lock()
-            .expect("no panics under the lock");
-        StageOutlook {
-            cost: cost as f64,
-            pass: estimates.pass(&key, prior),
-        }
+        let estimates = self.entry.estimates.lock().expect("no panics under the lock");
+        StageOutlook { cost: cost as f64, pass: estimates.pass(&key, prior) }
     }
 
     /// Whether the time left holds the first stage and another after it.
     fn holds_two(&self, snapshot: &Snapshot, target: &Target) -> bool {
-        let times = self
-            .entry
-            .stage_times
-            .lock()
-            .expect("no panics under the lock");
+        let times = self.entry.stage_times.lock().expect("no panics under the lock");
         let time_of = |stage: &ObjectId| {
             let version = if stage.contains('@') {
                 Some(stage.clone())
             } else {
                 snapshot.stable_version(stage)
             };
-            version
-                .and_then(|version| times.get(&version).copied())
-                .unwrap_or_default()
+            version.and_then(|version| times.get(&version).copied()).unwrap_or_default()
         };
         let two: Duration = target.stages.iter().take(2).map(time_of).sum();
         two <= self.time_left(target)
@@ -283,9 +250,7 @@
     fn time_left(&self, target: &Target) -> Duration {
         let left = self.req.head.time_left();
         let declared = target.deadline.filter(|_| self.req.head.deadline.is_none());
-        declared.map_or(left, |d| {
-            left.min(d.saturating_sub(self.req.head.arrived.elapsed()))
-        })
+        declared.map_or(left, |d| left.min(d.saturating_sub(self.req.head.arrived.elapsed())))
     }
 
     fn estimate_key(&self, target: &Target, stage: usize) -> EstimateKey {
@@ -327,16 +292,11 @@
         let passes_on = self.req.stream && is_last;
         let job = Job {
             head: &self.req.head,
-            call: JobCall::Chat {
-                version: version.clone(),
-            },
+            call: JobCall::Chat { version: version.clone() },
             body: &self.req.body,
             prompt_tokens: self.req.prompt_tokens,
             answer_tokens: self.req.answer_tokens,
-            ring_keys: [
-                self.session.ring_key(),
-                self.req.chain.first().copied().unwrap_or(0),
-            ],
+            ring_keys: [self.session.ring_key(), self.req.chain.first().copied().unwrap_or(0)],
             chain: &self.req.chain,
         };
         shed_early(self.entry, &job)?;
@@ -365,12 +325,7 @@
                 learn_stage_time(self.entry, &version, began);
                 self.note_use(&version, &finished.link, finished.usage);
                 let passed_on = self.stream.is_some();
-                Ok(StageAnswer {
-                    answer,
-                    version,
-                    finished,
-                    passed_on,
-                })
+                Ok(StageAnswer { answer, version, finished, passed_on })
             }
             Err(e) => {
                 self.note_partial(&version, &answer, &e);
@@ -381,10 +336,8 @@
 
     fn note_use(&mut self, version: &VersionId, link: &Link, usage: Usage) {
         let snapshot = self.entry.config.snapshot();
-        let cost = snapshot
-            .versions
-            .get(version)
-            .map_or(0, |v| v.cost(usage.tokens_in, usage.tokens_out));
+        let cost =
+            snapshot.versions.get(version).map_or(0, |v| v.cost(usage.tokens_in, usage.tokens_out));
         self.charged.push(ChargedAttempt {
             version: version.clone(),
             server: link.server.clone(),
@@ -402,10 +355,7 @@
         if self.stream.is_none() || answer.parts == 0 {
             return;
         }
-        let usage = Usage {
-            tokens_in: self.req.prompt_tokens,
-            tokens_out: answer.parts,
-        };
+        let usage = Usage { tokens_in: self.req.prompt_tokens, tokens_out: answer.parts };
         let link = link.clone();
         self.note_use(version, &link, usage);
     }
@@ -415,11 +365,7 @@
         let quality_target = target.quality_target.unwrap_or(0.0);
         let key = self.estimate_key(target, stage);
         let rating = rate(self.entry, self.req, answer).await;
-        let mut estimates = self
-            .entry
-            .estimates
-            .lock()
-            .expect("no panics under the lock");
+        let mut estimates = self.entry.estimates.lock().expect("no panics under the lock");
         let Some(rating) = rating else {
             // Without ratings the last estimate decides, and it drifts to the safe side.
             estimates.note_unrated(&key);
@@ -444,9 +390,7 @@
         let link = answer.finished.link.clone();
         let version = answer.version.clone();
         let key = self.estimate_key(target, stage);
-        let cascade = target
-            .quality_target
-            .map(|quality| (target.name.clone(), quality));
+        let cascade = target.quality_target.map(|quality| (target.name.clone(), quality));
         tokio::spawn(async move {
             let Some(rating) = rate_request(&entry, req, &link, &version).await else {
                 return;
@@ -463,12 +407,8 @@
     /// Charges the request, then hands the caller the last part of its answer.
     async fn deliver(&mut self, answer: StageAnswer) -> Value {
         let head = self.reply_head(&answer.version);
-        self.charge(Delivery::Whole, Some(&answer.finished.link))
-            .await;
-        let completion = answer
-            .answer
-            .clone()
-            .into_completion(self.req.head.id, &answer.version);
+        self.charge(Delivery::Whole, Some(&answer.finished.link)).await;
+        let completion = answer.answer.clone().into_completion(self.req.head.id, &answer.version);
         if answer.passed_on {
             if let Some(stream) = self.stream.take() {
                 let _ = stream.send(StreamItem::Done).await;
@@ -521,9 +461,7 @@
     fn reply_head(&self, version: &VersionId) -> ReplyHead {
         ReplyHead {
             request: format_id(self.req.head.id),
-            session: self
-                .session
-                .token(self.entry.settings.session_key.as_bytes()),
+            session: self.session.token(self.entry.settings.session_key.as_bytes()),
             version: version.clone(),
         }
     }
@@ -537,13 +475,7 @@
     /// Gives the final answer if none has been given, and keeps the story.
     fn close(&mut self, res: Result<(), ApiError>) {
         let code = res.as_ref().map_or_else(|e| e.code, |()| "ok");
-        keep_story(
-            self.entry,
-            &self.req.head,
-            &self.req.model,
-            code,
-            &mut self.attempts,
-        );
+        keep_story(self.entry, &self.req.head, &self.req.model, code, &mut self.attempts);
         let Err(e) = res else { return };
         if let Some(stream) = self.stream.take() {
             let body = e.body();
@@ -562,10 +494,8 @@
     code: &str,
     attempts: &mut Attempts,
 ) {
-    let labels = RequestLabels {
-        organisation: head.organisation.to_string(),
-        code: code.to_string(),
-    };
+    let labels =
+        RequestLabels { organisation: head.organisation.to_string(), code: code.to_string() };
     entry.metrics.requests.get_or_create(&labels).inc();
     let story = Explanation {
         organisation: head.organisation.clone(),
@@ -573,11 +503,7 @@
         outcome: code.into(),
         steps: std::mem::take(&mut attempts.steps),
     };
-    entry
-        .explanations
-        .lock()
-        .expect("no panics under the lock")
-        .keep(head.id, story);
+    entry.explanations.lock().expect("no panics under the lock").keep(head.id, story);
 }
 
 /// What a caller is told when a stage fails, by what is true of the attempts.
@@ -603,11 +529,7 @@
     let Some(estimate) = best_estimate(entry, job) else {
         return Ok(());
     };
-    if estimate > job.head.time_left() {
-        Err(StageError::Full(estimate))
-    } else {
-        Ok(())
-    }
+    if estimate > job.head.time_left() { Err(StageError::Full(estimate)) } else { Ok(()) }
 }
 
 /// Runs a stage while its chunks go to the caller; the reply opens with the first chunk.
@@ -678,10 +600,7 @@
     version: &VersionId,
 ) -> Option<f64> {
     let rating = entry.ratings.rate(req).await.ok()?;
-    let frame = ToAgent::Rated {
-        version: version.clone(),
-        poor: rating < POOR_BELOW,
-    };
+    let frame = ToAgent::Rated { version: version.clone(), poor: rating < POOR_BELOW };
     link.send(&frame).await;
     Some(rating)
 }
@@ -732,17 +651,11 @@
         snapshot: &Snapshot,
     ) -> Result<Self, ApiError> {
         if entry.in_flight() > entry.settings.max_in_flight {
-            return Err(ApiError::overloaded(
-                "this entry is full",
-                Duration::from_secs(1),
-            ));
+            return Err(ApiError::overloaded("this entry is full", Duration::from_secs(1)));
         }
         let spec = snapshot.organisations.get(&head.organisation);
         let limit = spec.and_then(|spec| spec.max_in_flight);
-        let mut running = entry
-            .running_by_organisation
-            .lock()
-            .expect("no panics under the lock");
+        let mut running = entry.running_by_organisation.lock().expect("no panics under the lock");
         let count = running.entry(head.organisation.clone()).or_default();
         if limit.is_some_and(|limit| *count >= limit) {
             let message = "your organisation has too many requests in flight";
@@ -750,20 +663,14 @@
         }
         *count += 1;
         drop(running);
-        Ok(Self {
-            entry,
-            organisation: head.organisation.clone(),
-        })
+        Ok(Self { entry, organisation: head.organisation.clone() })
     }
 }
 
 impl Drop for OrganisationShare<'_> {
     fn drop(&mut self) {
-        let mut running = self
-            .entry
-            .running_by_organisation
-            .lock()
-            .expect("no panics under the lock");
+        let mut running =
+            self.entry.running_by_organisation.lock().expect("no panics under the lock");
         if let Some(count) = running.get_mut(&self.organisation) {
             *count = count.saturating_sub(1);
         }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -54,8 +54,7 @@
         keep_story(&entry, &req.head, &req.name, code, &mut attempts);
         res
     });
-    work.await
-        .unwrap_or_else(|_| Err(ApiError::outcome_unknown("the request was dropped")))
+    work.await.unwrap_or_else(|_| Err(ApiError::outcome_unknown("the request was dropped")))
 }
 
 /// Full name of a service the organisation may call.
@@ -63,11 +62,7 @@
     let partner = partner_of(organisation);
     let full = qualify(partner, name);
     let known = replicas(snapshot, &full).any(|server| snapshot.server_is_shared(server, partner));
-    if known {
-        Ok(full)
-    } else {
-        Err(ApiError::not_found(name))
-    }
+    if known { Ok(full) } else { Err(ApiError::not_found(name)) }
 }
 
 fn replicas<'a>(snapshot: &'a Snapshot, service: &'a str) -> impl Iterator<Item = &'a ObjectId> {
@@ -150,10 +145,7 @@
         return Err(ApiError::not_found(&req.name));
     };
     let body = String::from_utf8_lossy(&body).into();
-    Ok(SavedAnswer {
-        status: finished.status,
-        body,
-    })
+    Ok(SavedAnswer { status: finished.status, body })
 }
 
 async fn charge(entry: &Entry, req: &ServiceRequest, name: &ObjectId, finished: &Finished) {
@@ -184,12 +176,7 @@
 
 fn fingerprint(req: &ServiceRequest) -> u64 {
     let mut hasher = Xxh3::new();
-    for part in [
-        req.name.as_bytes(),
-        req.method.as_bytes(),
-        req.path.as_bytes(),
-        &req.body,
-    ] {
+    for part in [req.name.as_bytes(), req.method.as_bytes(), req.path.as_bytes(), &req.body] {
         hasher.update(part);
         hasher.update(&[0]);
     }
--- a/src/entry/sessions.rs
+++ b/src/entry/sessions.rs
@@ -7,14 +7,14 @@
 
 use crate::{
     entry::{Entry, guard, request::RequestHead},
-    ids::{ObjectId, VersionId, format_id},
+    ids::{ObjectId, Revision, VersionId, format_id},
     ledger::InsertOutcome,
     policy::{
         roll_out::takes_new_version,
         session::{self, Session},
     },
     protocol::ToAgent,
-    resources::Snapshot,
+    resources::{Kind, RollOutState, Snapshot},
 };
 
 const MAX_CACHED: usize = 100_000;
@@ -26,10 +26,19 @@
     version: VersionId,
 }
 
-/// Pins read or written lately, with the version of their row.
+/// Pins read or written lately.
 #[derive(Debug, Default)]
 pub(crate) struct PinCache {
-    pins: HashMap<Box<str>, (VersionId, u64)>,
+    pins: HashMap<Box<str>, CachedPin>,
+}
+
+/// A pin as it was read.
+#[derive(Clone, Debug)]
+struct CachedPin {
+    version: VersionId,
+    /// Revision at which the version was last changed when the pin was read: after a later
+    /// change, such as a withdrawal, another entry may have moved the session.
+    version_changed: Revision,
 }
 
 impl PinCache {
@@ -37,18 +46,25 @@
         self.pins.len()
     }
 
-    fn get(&self, key: &str) -> Option<(VersionId, u64)> {
-        self.pins.get(key).cloned()
+    /// The version cached, unless it has been changed since.
+    fn get(&self, key: &str, snapshot: &Snapshot) -> Option<VersionId> {
+        let pin = self.pins.get(key)?;
+        (changed_at(snapshot, &pin.version) == pin.version_changed).then(|| pin.version.clone())
     }
 
-    fn put(&mut self, key: Box<str>, version: VersionId, row: u64) {
+    fn put(&mut self, key: Box<str>, version: VersionId, snapshot: &Snapshot) {
         if self.pins.len() >= MAX_CACHED {
             self.pins.clear();
         }
-        self.pins.insert(key, (version, row));
+        let version_changed = changed_at(snapshot, &version);
+        self.pins.insert(key, CachedPin { version, version_changed });
     }
 }
 
+fn changed_at(snapshot: &Snapshot, version: &VersionId) -> Revision {
+    snapshot.changed.get(&(Kind::Version, version.clone())).copied().unwrap_or_default()
+}
+
 /// The session of one request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestSession {
@@ -66,22 +82,13 @@
             ..Session::default()
         };
         let Some(value) = head.session.as_deref().filter(|value| !value.is_empty()) else {
-            return Self {
-                session: fresh(format_id(head.id)),
-                by_row: false,
-            };
+            return Self { session: fresh(format_id(head.id)), by_row: false };
         };
         if !session::is_token(value) {
-            return Self {
-                session: fresh(value.into()),
-                by_row: true,
-            };
+            return Self { session: fresh(value.into()), by_row: true };
         }
         let held = session::verify(value, key).filter(|s| s.organisation == head.organisation);
-        Self {
-            session: held.unwrap_or_else(|| fresh(format_id(head.id))),
-            by_row: false,
-        }
+        Self { session: held.unwrap_or_else(|| fresh(format_id(head.id))), by_row: false }
     }
 
     /// Number that prefers the same servers for the same session.
@@ -109,21 +116,13 @@
     if stage.contains('@') {
         return usable(stage).then(|| stage.into());
     }
-    let held = session
-        .session
-        .versions
-        .get(stage)
-        .filter(|version| usable(version))
-        .cloned();
+    let held = session.session.versions.get(stage).filter(|version| usable(version)).cloned();
     let version = match held {
         Some(version) => version,
         None if session.by_row => pinned_by_row(entry, &session.session, stage, &usable).await?,
         None => assign(entry, &snapshot, &session.session.id, stage, &usable)?,
     };
-    session
-        .session
-        .versions
-        .insert(stage.into(), version.clone());
+    session.session.versions.insert(stage.into(), version.clone());
     Some(version)
 }
 
@@ -142,7 +141,7 @@
     let mut order: Vec<VersionId> = Vec::new();
     if let Some((_, roll_out)) = snapshot.roll_out_of(model) {
         let (from, to) = (full(&roll_out.from), full(&roll_out.to));
-        let finished = roll_out.share() >= 1.0;
+        let finished = roll_out.state == RollOutState::Finished;
         let shy = guard::is_held(entry, &to) || (entry.health.is_down() && !finished);
         let new_first = takes_new_version(roll_out, session, shy);
         order.extend(if new_first { [to, from] } else { [from, to] });
@@ -159,38 +158,31 @@
     usable: &impl Fn(&str) -> bool,
 ) -> Option<VersionId> {
     let key: Box<str> = format!("pins/{}/{model}/{}", session.organisation, session.id).into();
-    let mut row = entry
-        .pins
-        .lock()
-        .expect("no panics under the lock")
-        .get(&key);
+    let snapshot = entry.config.snapshot();
+    let cached = entry.pins.lock().expect("no panics under the lock").get(&key, &snapshot);
+    if let Some(version) = cached.filter(|version| usable(version)) {
+        return Some(version);
+    }
     for _ in 0..MAX_TRIES {
-        if let Some((version, _)) = row.as_ref().filter(|(version, _)| usable(version)) {
-            return Some(version.clone());
-        }
         let Ok(read) = entry.health.watch("pin_read", entry.table.get(&key)).await else {
             return pinned_by_agent(entry, session, model, usable).await;
         };
         let read = read.and_then(|row| Some((row.parse::<PinRow>().ok()?.version, row.version)));
-        if let Some((version, at)) = &read {
-            remember(entry, &key, session, model, version, *at).await;
-            if usable(version) {
-                return Some(version.clone());
-            }
+        if let Some((version, _)) = read.as_ref().filter(|(version, _)| usable(version)) {
+            remember(entry, &key, session, model, version).await;
+            return Some(version.clone());
         }
         let snapshot = entry.config.snapshot();
         let version = assign(entry, &snapshot, &session.id, model, usable)?;
-        let value = serde_json::to_value(PinRow {
-            version: version.clone(),
-        })
-        .ok()?;
+        let value = serde_json::to_value(PinRow { version: version.clone() }).ok()?;
         let expected = read.as_ref().map(|(_, at)| *at);
         match entry.group.write(key.clone(), expected, value).await {
-            InsertOutcome::Inserted(at) => {
-                remember(entry, &key, session, model, &version, at).await;
+            InsertOutcome::Inserted(_) => {
+                remember(entry, &key, session, model, &version).await;
                 return Some(version);
             }
-            InsertOutcome::Conflict | InsertOutcome::Lost => row = None,
+            // Another entry was faster, or may have been us: the row tells.
+            InsertOutcome::Conflict | InsertOutcome::Lost => {}
             InsertOutcome::Refused => {
                 return pinned_by_agent(entry, session, model, usable).await;
             }
@@ -222,19 +214,13 @@
     Some(version)
 }
 
-async fn remember(
-    entry: &Entry,
-    key: &str,
-    session: &Session,
-    model: &str,
-    version: &VersionId,
-    row: u64,
-) {
-    entry
-        .pins
-        .lock()
-        .expect("no panics under the lock")
-        .put(key.into(), version.clone(), row);
+async fn remember(entry: &Entry, key: &str, session: &Session, model: &str, version: &VersionId) {
+    let snapshot = entry.config.snapshot();
+    entry.pins.lock().expect("no panics under the lock").put(
+        key.into(),
+        version.clone(),
+        &snapshot,
+    );
     let name = memory_name(session);
     if let Some(link) = keeper_of(entry, &name) {
         tell_keeper(&link, name, model.into(), version.clone()).await;
@@ -247,12 +233,7 @@
     model: ObjectId,
     version: VersionId,
 ) {
-    link.send(&ToAgent::Pin {
-        session,
-        model,
-        version,
-    })
-    .await;
+    link.send(&ToAgent::Pin { session, model, version }).await;
 }
 
 fn memory_name(session: &Session) -> Box<str> {
@@ -263,8 +244,5 @@
 fn keeper_of(entry: &Entry, name: &str) -> Option<std::sync::Arc<crate::entry::link::Link>> {
     let links = entry.all_links();
     let rank = |host: &str| xxh3_64(format!("{name}|{host}").as_bytes());
-    links
-        .into_iter()
-        .filter(|link| link.takes_work())
-        .max_by_key(|link| rank(&link.host.name))
+    links.into_iter().filter(|link| link.takes_work()).max_by_key(|link| rank(&link.host.name))
 }
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -42,15 +42,8 @@
 /// What a stage runs.
 #[derive(Clone, Debug)]
 pub(crate) enum JobCall {
-    Chat {
-        version: VersionId,
-    },
-    Service {
-        name: ObjectId,
-        method: Box<str>,
-        path: Box<str>,
-        content_type: Option<Box<str>>,
-    },
+    Chat { version: VersionId },
+    Service { name: ObjectId, method: Box<str>, path: Box<str>, content_type: Option<Box<str>> },
 }
 
 /// One stage of a request.
@@ -99,11 +92,7 @@
 #[derive(Debug)]
 pub(crate) enum Collector {
     /// A chat answer, passed on as it comes when there is a sink.
-    Chat {
-        answer: Answer,
-        sink: Option<mpsc::Sender<Value>>,
-        include_usage: bool,
-    },
+    Chat { answer: Answer, sink: Option<mpsc::Sender<Value>>, include_usage: bool },
     /// A plain service's body.
     Raw(Vec<u8>),
 }
@@ -171,11 +160,7 @@
         note_end(entry, job, &link, key, &end, attempts);
         match end {
             AttemptEnd::Ended { status, usage } => {
-                return Ok(Finished {
-                    link,
-                    status,
-                    usage,
-                });
+                return Ok(Finished { link, status, usage });
             }
             AttemptEnd::Refused(reason) => tried.note_refusal(&link, reason)?,
             AttemptEnd::Deadline => return Err(StageError::Deadline),
@@ -232,24 +217,17 @@
 
 fn wait_estimate(link: &Link) -> Duration {
     let load = link.load(&[]);
-    load.service_time
-        .mul_f64(f64::from(load.queued + 1) / f64::from(load.limit.max(1)))
+    load.service_time.mul_f64(f64::from(load.queued + 1) / f64::from(load.limit.max(1)))
 }
 
 fn earn_budget(entry: &Entry, job: &Job<'_>) {
     let mut budgets = entry.budgets.lock().expect("no panics under the lock");
-    budgets
-        .entry(job.head.organisation.clone())
-        .or_default()
-        .earn();
+    budgets.entry(job.head.organisation.clone()).or_default().earn();
 }
 
 fn spend_budget(entry: &Entry, job: &Job<'_>) -> bool {
     let mut budgets = entry.budgets.lock().expect("no panics under the lock");
-    budgets
-        .entry(job.head.organisation.clone())
-        .or_default()
-        .spend()
+    budgets.entry(job.head.organisation.clone()).or_default().spend()
 }
 
 fn note_end(
@@ -275,20 +253,14 @@
         JobCall::Chat { version } => version.to_string(),
         JobCall::Service { name, .. } => name.to_string(),
     };
-    let labels = AttemptLabels {
-        version,
-        outcome: outcome.into(),
-    };
+    let labels = AttemptLabels { version, outcome: outcome.into() };
     entry.metrics.attempts.get_or_create(&labels).inc();
     let detail = match end {
         AttemptEnd::Refused(reason) => format!("{reason:?}"),
         AttemptEnd::Broken(problem, _) => problem.to_string(),
         _ => String::new(),
     };
-    attempts.explain(format!(
-        "attempt {} on {}: {outcome} {detail}",
-        key.number, link.server
-    ));
+    attempts.explain(format!("attempt {} on {}: {outcome} {detail}", key.number, link.server));
     if outcome == "lost" || outcome == "refused" {
         event::ATTEMPT_RETRIED.log(format_args!(
             "request={} attempt={} server={} outcome={outcome} {detail}",
@@ -326,11 +298,7 @@
     async fn take(&mut self, payload: Vec<u8>, job: &Job<'_>) {
         match self {
             Collector::Raw(body) => body.extend_from_slice(&payload),
-            Collector::Chat {
-                answer,
-                sink,
-                include_usage,
-            } => {
+            Collector::Chat { answer, sink, include_usage } => {
                 let JobCall::Chat { version } = &job.call else {
                     return;
                 };
@@ -375,14 +343,7 @@
             Err(_) => return give_up(link, key, attempts, &mut rx).await,
         };
         if let AttemptFrame::Chunk { sequence, payload } = frame {
-            take_chunk(
-                entry,
-                job,
-                &mut progress,
-                collector,
-                (key, sequence, payload),
-            )
-            .await;
+            take_chunk(entry, job, &mut progress, collector, (key, sequence, payload)).await;
         } else if let Some(end) = note_frame(key, frame, &progress, attempts) {
             return end;
         }
@@ -408,10 +369,7 @@
         return;
     }
     if progress.count == 1 {
-        entry
-            .metrics
-            .first_token
-            .observe(job.head.arrived.elapsed().as_secs_f64());
+        entry.metrics.first_token.observe(job.head.arrived.elapsed().as_secs_f64());
     }
     collector.take(payload, job).await;
 }
@@ -427,30 +385,19 @@
         AttemptFrame::Chunk { .. } => return None,
         AttemptFrame::Started => (AttemptEvent::Started, None),
         AttemptFrame::Refused(reason) => (AttemptEvent::Refused, Some(AttemptEnd::Refused(reason))),
-        AttemptFrame::End {
-            count,
-            digest,
-            status,
-            usage,
-        } if progress.is_whole(count, digest) => (
-            AttemptEvent::Ended,
-            Some(AttemptEnd::Ended { status, usage }),
-        ),
+        AttemptFrame::End { count, digest, status, usage } if progress.is_whole(count, digest) => {
+            (AttemptEvent::Ended, Some(AttemptEnd::Ended { status, usage }))
+        }
         AttemptFrame::End { .. } => {
             event::ANSWER_INCOMPLETE.log(format_args!("request={}", format_id(key.request)));
-            (
-                AttemptEvent::LinkLost,
-                Some(AttemptEnd::Broken("answer incomplete".into(), 0)),
-            )
+            (AttemptEvent::LinkLost, Some(AttemptEnd::Broken("answer incomplete".into(), 0)))
+        }
+        AttemptFrame::Failed { problem, status } => {
+            (AttemptEvent::Failed, Some(AttemptEnd::Broken(problem, status)))
+        }
+        AttemptFrame::Lost => {
+            (AttemptEvent::LinkLost, Some(AttemptEnd::Broken("link lost".into(), 0)))
         }
-        AttemptFrame::Failed { problem, status } => (
-            AttemptEvent::Failed,
-            Some(AttemptEnd::Broken(problem, status)),
-        ),
-        AttemptFrame::Lost => (
-            AttemptEvent::LinkLost,
-            Some(AttemptEnd::Broken("link lost".into(), 0)),
-        ),
     };
     attempts.note(key, event);
     end
@@ -509,16 +456,8 @@
     resume: Option<Box<str>>,
 ) -> Box<Start> {
     let call = match &job.call {
-        JobCall::Chat { version } => StartCall::Chat {
-            version: version.clone(),
-            resume,
-        },
-        JobCall::Service {
-            method,
-            path,
-            content_type,
-            ..
-        } => StartCall::Service {
+        JobCall::Chat { version } => StartCall::Chat { version: version.clone(), resume },
+        JobCall::Service { method, path, content_type, .. } => StartCall::Service {
             method: method.clone(),
             path: path.clone(),
             content_type: content_type.clone(),
@@ -608,20 +547,17 @@
 ) -> Option<u32> {
     let link_of = |server: u32| route.links.get(server as usize).filter(|link| usable(link));
     match policy.server {
-        ServerPolicy::Estimate => choose(candidates, job.prompt_tokens, |server| {
-            Some(link_of(server)?.load(job.chain))
-        }),
+        ServerPolicy::Estimate => {
+            choose(candidates, job.prompt_tokens, |server| Some(link_of(server)?.load(job.chain)))
+        }
         ServerPolicy::LeastReported => candidates
             .iter()
             .filter_map(|server| Some((link_of(*server)?.reported_load(), *server)))
             .min()
             .map(|(_, server)| server),
         ServerPolicy::Random => {
-            let usable: Vec<u32> = candidates
-                .iter()
-                .copied()
-                .filter(|server| link_of(*server).is_some())
-                .collect();
+            let usable: Vec<u32> =
+                candidates.iter().copied().filter(|server| link_of(*server).is_some()).collect();
             let drawn = rand::RngExt::random_range(&mut rand::rng(), 0..usable.len().max(1));
             usable.get(drawn).copied()
         }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -14,7 +14,11 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::{config::Config, store_health::StoreHealth},
+    control::{
+        config::Config,
+        membership::{Scope, has_duty},
+        store_health::StoreHealth,
+    },
     entry::{
         charges::Charges, explain::Explanations, guard::Suspicion, link::Link, routes::Routes,
         sessions::PinCache,
@@ -22,7 +26,7 @@
     ids::{Incarnation, ObjectId, OrganisationId, VersionId, format_id, new_incarnation},
     ledger::GroupCommit,
     operator::commands::Writer,
-    platform::{Host, HttpClient, ObjectsClient, RatingsClient, TableClient},
+    platform::{Host, HostState, HttpClient, ObjectsClient, RatingsClient, Role, TableClient},
     policy::{
         cascade::Estimates,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
@@ -114,6 +118,7 @@
     pub(crate) writer: Writer,
     pub(crate) links: Mutex<BTreeMap<Box<str>, Arc<Link>>>,
     pub(crate) routes: ArcSwap<Routes>,
+    rebuilding: Mutex<()>,
     pub(crate) hosts: Mutex<Vec<Host>>,
     pub(crate) pulling: Mutex<Option<Instant>>,
     pub(crate) estimates: Mutex<Estimates>,
@@ -132,9 +137,7 @@
 
 impl std::fmt::Debug for Entry {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Entry")
-            .field("host", &self.settings.host)
-            .finish_non_exhaustive()
+        f.debug_struct("Entry").field("host", &self.settings.host).finish_non_exhaustive()
     }
 }
 
@@ -146,11 +149,8 @@
         let health = StoreHealth::new(metrics.clone());
         let config = Config::new(metrics.clone());
         let table = TableClient::over_http(http.clone(), &settings.platform.table);
-        let writer = Writer {
-            table: table.clone(),
-            health: health.clone(),
-            config: config.clone(),
-        };
+        let writer =
+            Writer { table: table.clone(), health: health.clone(), config: config.clone() };
         Self {
             incarnation: new_incarnation(),
             objects: ObjectsClient::over_http(http.clone(), &settings.platform.objects),
@@ -165,6 +165,7 @@
             metrics,
             links: Mutex::default(),
             routes: ArcSwap::default(),
+            rebuilding: Mutex::default(),
             hosts: Mutex::default(),
             pulling: Mutex::default(),
             estimates: Mutex::default(),
@@ -193,6 +194,24 @@
         }
     }
 
+    /// This entry as the host list has it.
+    pub(crate) fn as_host(&self) -> Host {
+        Host {
+            name: self.settings.host.clone(),
+            region: self.settings.region.clone(),
+            zone: self.settings.zone.clone(),
+            address: self.settings.caller,
+            role: Role::Entry,
+            state: HostState::Live,
+        }
+    }
+
+    /// Whether a duty that a few entries share falls to this one.
+    pub(crate) fn has_duty(&self, duty: &str, sharers: usize, scope: Scope) -> bool {
+        let hosts = self.hosts.lock().expect("no panics under the lock");
+        has_duty(&self.as_host(), &hosts, duty, sharers, scope)
+    }
+
     /// Time on this entry's monotonic clock.
     pub(crate) fn now(&self) -> Duration {
         self.started.elapsed()
@@ -200,16 +219,14 @@
 
     /// Links that are up.
     pub(crate) fn all_links(&self) -> Vec<Arc<Link>> {
-        self.links
-            .lock()
-            .expect("no panics under the lock")
-            .values()
-            .cloned()
-            .collect()
+        self.links.lock().expect("no panics under the lock").values().cloned().collect()
     }
 
     /// Builds the routes anew after links, loaded versions or the configuration changed.
+    ///
+    /// One at a time: of two that overlap, the one that saw the older state could win.
     pub(crate) fn rebuild_routes(&self) {
+        let _one = self.rebuilding.lock().expect("no panics under the lock");
         let routes = Routes::build(&self.all_links(), &self.config.snapshot());
         self.routes.store(Arc::new(routes));
     }
@@ -217,10 +234,7 @@
     /// Whether new requests are refused.
     pub fn is_leaving(&self) -> bool {
         let lifecycle = self.lifecycle.lock().expect("no panics under the lock");
-        matches!(
-            lifecycle.state(),
-            LifecycleState::Leaving {} | LifecycleState::Stopped {}
-        )
+        matches!(lifecycle.state(), LifecycleState::Leaving {} | LifecycleState::Stopped {})
     }
 
     /// Whether the entry has a configuration and takes requests.
@@ -230,10 +244,7 @@
     }
 
     pub(crate) fn advance(&self, event: LifecycleEvent) {
-        self.lifecycle
-            .lock()
-            .expect("no panics under the lock")
-            .handle(&event);
+        self.lifecycle.lock().expect("no panics under the lock").handle(&event);
     }
 
     /// Requests in flight.
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -13,10 +13,7 @@
     /// Status of one object.
     pub(crate) fn status_of(&self, object: &Object) -> Status {
         let links = self.all_links();
-        let behind = links
-            .iter()
-            .filter(|link| link.beat().revision < object.revision)
-            .count();
+        let behind = links.iter().filter(|link| link.beat().revision < object.revision).count();
         let mut status = Status {
             revision_in_force: self.config.revision(),
             processes: links.len(),
@@ -26,9 +23,7 @@
         match &object.spec {
             Spec::Version(_) => {
                 let routes = self.routes.load();
-                let loaded = routes
-                    .of_version(&object.id)
-                    .map_or(0, |route| route.links.len());
+                let loaded = routes.of_version(&object.id).map_or(0, |route| route.links.len());
                 status.servers_loaded = Some(loaded);
             }
             Spec::BackendServer(_) => {
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -31,17 +31,11 @@
 ) -> Result<Target, ApiError> {
     let partner = partner_of(organisation);
     let full = qualify(partner, name);
-    if let Some(cascade) = snapshot
-        .cascades
-        .get(&full)
-        .filter(|_| partner_of(&full) == partner)
-    {
+    if let Some(cascade) = snapshot.cascades.get(&full).filter(|_| partner_of(&full) == partner) {
         let owner = partner_of(&full);
         let stages: Vec<ObjectId> = cascade.stages.iter().map(|s| qualify(owner, s)).collect();
-        let allowed: Vec<ObjectId> = stages
-            .into_iter()
-            .filter(|s| may_use(snapshot, organisation, s))
-            .collect();
+        let allowed: Vec<ObjectId> =
+            stages.into_iter().filter(|s| may_use(snapshot, organisation, s)).collect();
         if allowed.is_empty() {
             return Err(ApiError::not_allowed(name));
         }
@@ -63,12 +57,7 @@
     if is_version && !snapshot.is_available(&full) {
         return Err(ApiError::withdrawn(name));
     }
-    Ok(Target {
-        name: full.clone(),
-        stages: vec![full],
-        quality_target: None,
-        deadline: None,
-    })
+    Ok(Target { name: full.clone(), stages: vec![full], quality_target: None, deadline: None })
 }
 
 /// Whether an organisation may use a stage: the version, or any version of the model.
@@ -89,15 +78,9 @@
         Some(name) => name.into(),
         None => id.clone(),
     };
-    let cascades = snapshot
-        .cascades
-        .keys()
-        .filter(|id| partner_of(id) == partner);
+    let cascades = snapshot.cascades.keys().filter(|id| partner_of(id) == partner);
     let cascades = cascades.filter(|id| resolve(snapshot, organisation, id).is_ok());
-    let models = snapshot
-        .models
-        .keys()
-        .filter(|id| may_use(snapshot, organisation, id));
+    let models = snapshot.models.keys().filter(|id| may_use(snapshot, organisation, id));
     let versions = snapshot.versions.keys();
     let versions =
         versions.filter(|id| snapshot.is_allowed(organisation, id) && snapshot.is_available(id));
--- a/src/entry/tls.rs
+++ b/src/entry/tls.rs
@@ -74,20 +74,14 @@
                 event::CERTIFICATE_RELOADED
                     .log(format_args!("file={}", settings.certificate.display()));
             }
-            Err(e) => event::CERTIFICATE_UNREADABLE.log(format_args!(
-                "file={} problem={e}",
-                settings.certificate.display()
-            )),
+            Err(e) => event::CERTIFICATE_UNREADABLE
+                .log(format_args!("file={} problem={e}", settings.certificate.display())),
         }
     }
 }
 
 fn changed_at(settings: &TlsSettings) -> [Option<SystemTime>; 2] {
-    let of = |path: &Path| {
-        std::fs::metadata(path)
-            .and_then(|meta| meta.modified())
-            .ok()
-    };
+    let of = |path: &Path| std::fs::metadata(path).and_then(|meta| meta.modified()).ok();
     [of(&settings.certificate), of(&settings.key)]
 }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -32,10 +32,7 @@
 
 /// Draws a request id for a request that arrived at `now`.
 pub fn new_request_id(now: SystemTime) -> RequestId {
-    let ms = now
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis();
+    let ms = now.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     let low: u128 = rand::rng().random::<u128>() >> (128 - RANDOM_BITS);
     (ms << RANDOM_BITS) | low
 }
--- a/src/ledger/batch.rs
+++ b/src/ledger/batch.rs
@@ -32,11 +32,7 @@
 impl ChargeBuffer {
     /// An empty buffer for `capacity` records.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            waiting: VecDeque::new(),
-            capacity,
-            next_batch: 0,
-        }
+        Self { waiting: VecDeque::new(), capacity, next_batch: 0 }
     }
 
     /// Records waiting.
@@ -63,20 +59,14 @@
     pub fn take_batches(&mut self, writer: Incarnation) -> Vec<Batch> {
         let mut windows: BTreeMap<u64, Vec<ChargeRecord>> = BTreeMap::new();
         for record in self.waiting.drain(..) {
-            windows
-                .entry(window_of(record.request))
-                .or_default()
-                .push(record);
+            windows.entry(window_of(record.request)).or_default().push(record);
         }
         let mut batches = Vec::new();
         for (window, records) in windows {
             for part in records.chunks(BATCH_RECORDS) {
                 let name = batch_name(window, writer, self.next_batch);
                 self.next_batch += 1;
-                batches.push(Batch {
-                    name,
-                    records: part.to_vec(),
-                });
+                batches.push(Batch { name, records: part.to_vec() });
             }
         }
         batches
--- a/src/ledger/group.rs
+++ b/src/ledger/group.rs
@@ -44,9 +44,7 @@
 
 impl std::fmt::Debug for Insert {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Insert")
-            .field("key", &self.key)
-            .finish_non_exhaustive()
+        f.debug_struct("Insert").field("key", &self.key).finish_non_exhaustive()
     }
 }
 
@@ -61,16 +59,7 @@
     /// Writes a row if it still has the expected version; none means absent.
     pub async fn write(&self, key: Box<str>, expected: Option<u64>, value: Value) -> InsertOutcome {
         let (done, outcome) = oneshot::channel();
-        if self
-            .tx
-            .try_send(Insert {
-                key,
-                expected,
-                value,
-                done,
-            })
-            .is_err()
-        {
+        if self.tx.try_send(Insert { key, expected, value, done }).is_err() {
             return InsertOutcome::Refused;
         }
         outcome.await.unwrap_or(InsertOutcome::Lost)
@@ -93,11 +82,7 @@
             let Ok(next) = rx.try_recv() else { break };
             // Two writes of one row can't share a transaction.
             let repeated = group.iter().any(|insert| insert.key == next.key);
-            if repeated {
-                deferred.push(next)
-            } else {
-                group.push(next)
-            }
+            if repeated { deferred.push(next) } else { group.push(next) }
         }
         tokio::spawn(commit(table.clone(), health.clone(), group));
         for insert in deferred {
@@ -118,9 +103,8 @@
         let outcome = match health.watch("group_write", table.transact(tx)).await {
             Ok(Ok(version)) => InsertOutcome::Inserted(version),
             Ok(Err(conflicts)) => {
-                let (lost, rest): (Vec<_>, Vec<_>) = group
-                    .into_iter()
-                    .partition(|insert| conflicts.contains(&insert.key));
+                let (lost, rest): (Vec<_>, Vec<_>) =
+                    group.into_iter().partition(|insert| conflicts.contains(&insert.key));
                 answer(lost, &InsertOutcome::Conflict);
                 group = rest;
                 continue;
--- a/src/ledger/settle.rs
+++ b/src/ledger/settle.rs
@@ -59,10 +59,7 @@
     /// # Errors
     /// When the store gives no answer; what was not settled stays for the next pass.
     pub async fn pass(&self, permit: &Permit, now_window: u64) -> Result<SettleReport> {
-        let names = self
-            .health
-            .watch("charge_list", self.objects.list("charges/"))
-            .await?;
+        let names = self.health.watch("charge_list", self.objects.list("charges/")).await?;
         let mut windows: BTreeMap<u64, Vec<Box<str>>> = BTreeMap::new();
         for name in names {
             let Some(window) = window_in(&name) else {
@@ -74,10 +71,7 @@
         }
         let mut report = SettleReport::default();
         for (window, batches) in windows {
-            if !self
-                .settle_window(permit, window, batches, &mut report)
-                .await?
-            {
+            if !self.settle_window(permit, window, batches, &mut report).await? {
                 break;
             }
         }
@@ -93,24 +87,17 @@
         report: &mut SettleReport,
     ) -> Result<bool> {
         let key: Box<str> = format!("settled/{window:012}").into();
-        let row = self
-            .health
-            .watch("settle_read", self.table.get(&key))
-            .await?;
+        let row = self.health.watch("settle_read", self.table.get(&key)).await?;
         let mut settled: WindowRow = match &row {
             Some(row) => row.parse()?,
             None => WindowRow::default(),
         };
-        let fresh: Vec<Box<str>> = batches
-            .iter()
-            .filter(|name| !settled.batches.contains(*name))
-            .cloned()
-            .collect();
+        let fresh: Vec<Box<str>> =
+            batches.iter().filter(|name| !settled.batches.contains(*name)).cloned().collect();
         if !fresh.is_empty() {
             let version = row.as_ref().map(|row| row.version);
-            let permitted = self
-                .add_batches(permit, (&key, version), &mut settled, &fresh, report)
-                .await?;
+            let permitted =
+                self.add_batches(permit, (&key, version), &mut settled, &fresh, report).await?;
             if !permitted {
                 return Ok(false);
             }
@@ -146,19 +133,11 @@
         let mut tx = permit.transaction().check(key, version).put(key, settled);
         for (organisation, sum) in sums {
             let total_key = total_key(&organisation);
-            let row = self
-                .health
-                .watch("total_read", self.table.get(&total_key))
-                .await?;
+            let row = self.health.watch("total_read", self.table.get(&total_key)).await?;
             let total = plus(row.as_ref(), sum)?;
-            tx = tx
-                .check(total_key.clone(), row.map(|row| row.version))
-                .put(total_key, &total);
+            tx = tx.check(total_key.clone(), row.map(|row| row.version)).put(total_key, &total);
         }
-        let outcome = self
-            .health
-            .watch("settle_write", self.table.transact(tx))
-            .await?;
+        let outcome = self.health.watch("settle_write", self.table.transact(tx)).await?;
         if outcome.is_err() {
             return Ok(false);
         }
@@ -174,9 +153,7 @@
             return Ok(BTreeSet::new());
         }
         let Some(body) = self.objects.get(name).await? else {
-            return Err(Error::Unreadable(
-                format!("object {name} is missing").into(),
-            ));
+            return Err(Error::Unreadable(format!("object {name} is missing").into()));
         };
         decode(&body).map_err(|e| Error::Unreadable(e.to_string().into()))
     }
@@ -199,9 +176,7 @@
 pub async fn read_totals(table: &TableClient) -> Result<BTreeMap<Box<str>, Totals>> {
     let rows = table.list("totals/", "", 10_000).await?;
     let name = |row: &Row| row.key.trim_start_matches("totals/").into();
-    rows.iter()
-        .map(|row| Ok((name(row), row.parse()?)))
-        .collect()
+    rows.iter().map(|row| Ok((name(row), row.parse()?))).collect()
 }
 
 fn total_key(organisation: &str) -> Box<str> {
@@ -222,9 +197,5 @@
 }
 
 fn window_in(name: &str) -> Option<u64> {
-    name.strip_prefix("charges/")?
-        .split_once('/')?
-        .0
-        .parse()
-        .ok()
+    name.strip_prefix("charges/")?.split_once('/')?.0.parse().ok()
 }
--- a/src/load/audit.rs
+++ b/src/load/audit.rs
@@ -54,19 +54,12 @@
             records.extend(read_batch(&body)?);
         }
     }
-    let open: BTreeSet<RequestId> = merge(records)
-        .into_keys()
-        .filter(|request| !settled.contains(request))
-        .collect();
+    let open: BTreeSet<RequestId> =
+        merge(records).into_keys().filter(|request| !settled.contains(request)).collect();
     let count = settled.len();
     let open_count = open.len();
     let requests = settled.into_iter().chain(open).collect();
-    Ok(Charged {
-        requests,
-        totals,
-        settled: count,
-        open: open_count,
-    })
+    Ok(Charged { requests, totals, settled: count, open: open_count })
 }
 
 async fn read_settled(
@@ -74,13 +67,7 @@
     system: &LocalSystem,
 ) -> Result<BTreeSet<RequestId>> {
     let mut settled = BTreeSet::new();
-    for row in system
-        .platform
-        .table
-        .client()
-        .list("settled/", "", 10_000)
-        .await?
-    {
+    for row in system.platform.table.client().list("settled/", "", 10_000).await? {
         let Some(name) = row.value["ids"].as_str() else {
             continue;
         };
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -136,24 +136,15 @@
 impl Client {
     /// A caller of the entry at `base`.
     pub fn new(base: &str) -> Self {
-        Self {
-            http: HttpClient::default(),
-            base: base.into(),
-        }
+        Self { http: HttpClient::default(), base: base.into() }
     }
 
     /// Sends a chat request and reads its answer to the end.
     pub async fn chat(&self, call: &ChatCall) -> ChatOutcome {
         let began = Instant::now();
         let uri = format!("{}/v1/chat/completions", self.base);
-        let mut outcome = ChatOutcome {
-            code: "cut".into(),
-            ..ChatOutcome::default()
-        };
-        let res = self
-            .http
-            .open(Method::POST, &uri, call.headers(), call.body())
-            .await;
+        let mut outcome = ChatOutcome { code: "cut".into(), ..ChatOutcome::default() };
+        let res = self.http.open(Method::POST, &uri, call.headers(), call.body()).await;
         let Ok(res) = res else {
             outcome.total = began.elapsed();
             return outcome;
@@ -190,24 +181,14 @@
             headers.insert("idempotency-key", value);
         }
         let uri = format!("{}/v1/services/{path}", self.base);
-        let mut outcome = ServiceOutcome {
-            code: "cut".into(),
-            ..ServiceOutcome::default()
-        };
+        let mut outcome = ServiceOutcome { code: "cut".into(), ..ServiceOutcome::default() };
         let timeout = Duration::from_secs(60);
-        let Ok(reply) = self
-            .http
-            .call(Method::POST, &uri, headers, body, timeout)
-            .await
-        else {
+        let Ok(reply) = self.http.call(Method::POST, &uri, headers, body, timeout).await else {
             return outcome;
         };
         outcome.status = reply.status.as_u16();
-        outcome.request = reply
-            .headers
-            .get("mintmoor-request")
-            .and_then(|id| id.to_str().ok())
-            .map(Into::into);
+        outcome.request =
+            reply.headers.get("mintmoor-request").and_then(|id| id.to_str().ok()).map(Into::into);
         outcome.body = String::from_utf8_lossy(&reply.body).into();
         outcome.code = match reply.status.is_success() {
             true => "ok".into(),
@@ -223,20 +204,14 @@
     pub async fn get(&self, key: &str, path: &str) -> crate::platform::Result<(u16, Bytes)> {
         let uri = format!("{}{path}", self.base);
         let timeout = Duration::from_secs(10);
-        let reply = self
-            .http
-            .call(Method::GET, &uri, bearer(key), Bytes::new(), timeout)
-            .await?;
+        let reply = self.http.call(Method::GET, &uri, bearer(key), Bytes::new(), timeout).await?;
         Ok((reply.status.as_u16(), reply.body))
     }
 }
 
 fn error_code(body: &[u8]) -> Box<str> {
     let json: Value = serde_json::from_slice(body).unwrap_or_default();
-    json["error"]["code"]
-        .as_str()
-        .unwrap_or("unreadable")
-        .into()
+    json["error"]["code"].as_str().unwrap_or("unreadable").into()
 }
 
 async fn read_whole(
@@ -296,9 +271,7 @@
             parts += 1;
             last = Instant::now();
         }
-        outcome.tokens_out = json["usage"]["completion_tokens"]
-            .as_u64()
-            .or(outcome.tokens_out);
+        outcome.tokens_out = json["usage"]["completion_tokens"].as_u64().or(outcome.tokens_out);
     }
     if let Some(first) = outcome.first_token.filter(|_| parts > 1) {
         let span = last.duration_since(began).saturating_sub(first);
--- a/src/load/faults.rs
+++ b/src/load/faults.rs
@@ -69,17 +69,11 @@
         FaultKind::SlowEngine => faults.slow_factor = value,
         FaultKind::FailingEngine => faults.fail = value,
         FaultKind::VersionFails => {
-            let bad = BadVersion {
-                fail: value,
-                ..BadVersion::default()
-            };
+            let bad = BadVersion { fail: value, ..BadVersion::default() };
             faults.bad.insert(fault.target.clone(), bad);
         }
         FaultKind::VersionPoor => {
-            let bad = BadVersion {
-                poor: value,
-                ..BadVersion::default()
-            };
+            let bad = BadVersion { poor: value, ..BadVersion::default() };
             faults.bad.insert(fault.target.clone(), bad);
         }
         _ => {}
--- a/src/load/plot.rs
+++ b/src/load/plot.rs
@@ -22,11 +22,7 @@
     if reports.is_empty() {
         return Err(eyre!("no runs to draw"));
     }
-    let top = reports
-        .iter()
-        .map(|r| r.first_token.p99)
-        .fold(1.0, f64::max)
-        * 1.1;
+    let top = reports.iter().map(|r| r.first_token.p99).fold(1.0, f64::max) * 1.1;
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
     let width = reports.len() as f64;
@@ -35,17 +31,9 @@
         .x_label_area_size(8)
         .y_label_area_size(60)
         .build_cartesian_2d(0.0..width, 0.0..top)?;
-    chart
-        .configure_mesh()
-        .disable_x_mesh()
-        .disable_x_axis()
-        .draw()?;
+    chart.configure_mesh().disable_x_mesh().disable_x_axis().draw()?;
     for (i, report) in reports.iter().enumerate() {
-        let values = [
-            report.first_token.p50,
-            report.first_token.p95,
-            report.first_token.p99,
-        ];
+        let values = [report.first_token.p50, report.first_token.p95, report.first_token.p99];
         for (j, (value, (_, colour))) in values.into_iter().zip(BARS).enumerate() {
             let left = i as f64 + 0.1 + j as f64 * 0.27;
             let bar = Rectangle::new([(left, 0.0), (left + 0.25, value)], colour.filled());
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -31,11 +31,7 @@
             let _ = histogram.record(time.as_micros() as u64);
         }
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
-        Self {
-            p50: at(0.50),
-            p95: at(0.95),
-            p99: at(0.99),
-        }
+        Self { p50: at(0.50), p95: at(0.95), p99: at(0.99) }
     }
 }
 
@@ -128,16 +124,8 @@
         let charged: u64 = totals.values().map(|t| t.requests).sum();
         self.cost = cost as f64 / charged.max(1) as f64;
         self.totals = totals.clone();
-        let starts: u64 = system
-            .engines
-            .values()
-            .flat_map(|e| e.started().into_values())
-            .sum();
-        let calls: u64 = system
-            .services
-            .values()
-            .flat_map(|s| s.calls().into_values())
-            .sum();
+        let starts: u64 = system.engines.values().flat_map(|e| e.started().into_values()).sum();
+        let calls: u64 = system.services.values().flat_map(|s| s.calls().into_values()).sum();
         self.attempts_per_request = (starts + calls) as f64 / sent.max(1) as f64;
         let (hits, prompts) = system
             .engines
@@ -153,17 +141,11 @@
 
 fn by_organisation(answered: &[&&Record]) -> BTreeMap<Box<str>, Percentiles> {
     let mut times: BTreeMap<Box<str>, Vec<Duration>> = BTreeMap::new();
-    for record in answered
-        .iter()
-        .filter(|r| r.outcome.between_tokens.is_some())
-    {
+    for record in answered.iter().filter(|r| r.outcome.between_tokens.is_some()) {
         let times = times.entry(record.organisation.clone()).or_default();
         times.extend(record.outcome.first_token);
     }
-    times
-        .into_iter()
-        .map(|(name, times)| (name, Percentiles::of(times.into_iter())))
-        .collect()
+    times.into_iter().map(|(name, times)| (name, Percentiles::of(times.into_iter()))).collect()
 }
 
 /// Poor answers and failures callers got from a version after it turned bad.
@@ -172,24 +154,14 @@
         return 0;
     };
     let after = Duration::from_secs_f64(at);
-    let exposed = records
-        .iter()
-        .filter(|r| r.sent >= after && r.version() == Some(&version));
+    let exposed = records.iter().filter(|r| r.sent >= after && r.version() == Some(&version));
     exposed.count() as u64
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "scenario {}  policy {}  seed {}",
-            self.scenario, self.policy, self.seed
-        )?;
-        let codes: Vec<String> = self
-            .codes
-            .iter()
-            .map(|(code, n)| format!("{code} {n}"))
-            .collect();
+        writeln!(f, "scenario {}  policy {}  seed {}", self.scenario, self.policy, self.seed)?;
+        let codes: Vec<String> = self.codes.iter().map(|(code, n)| format!("{code} {n}")).collect();
         writeln!(f, "  requests {}: {}", self.requests, codes.join(", "))?;
         writeln!(f, "  quality {:.3}  cost {:.1}", self.quality, self.cost)?;
         let row = |p: &Percentiles| format!("{:8.1} {:8.1} {:8.1}", p.p50, p.p95, p.p99);
@@ -219,11 +191,6 @@
             self.store_writes,
             self.store_reads
         )?;
-        write!(
-            f,
-            "  promises broken {}: {:?}",
-            self.broken.total(),
-            self.broken
-        )
+        write!(f, "  promises broken {}: {:?}", self.broken.total(), self.broken)
     }
 }
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -49,27 +49,16 @@
 /// # Errors
 /// When the system can't be started.
 pub async fn run(scenario: &Scenario, baseline: Baseline) -> Result<Report> {
-    let system = LocalSystem::start(scenario.fleet(baseline))
-        .await
-        .wrap_err("starting")?;
+    let system = LocalSystem::start(scenario.fleet(baseline)).await.wrap_err("starting")?;
     let system = Arc::new(system);
     let began = Instant::now();
-    let clients: Vec<Client> = system
-        .urls
-        .iter()
-        .map(|(url, _)| Client::new(url))
-        .collect();
+    let clients: Vec<Client> = system.urls.iter().map(|(url, _)| Client::new(url)).collect();
     let events = tokio::spawn(cause_events(system.clone(), scenario.clone(), began));
     let records = send_all(scenario, &clients, began).await;
     let changes = events.await.unwrap_or_default();
     let charged = read_charges(&system).await?;
     let sent = records.len();
-    let run = Run {
-        records,
-        charged,
-        changes,
-        sent,
-    };
+    let run = Run { records, charged, changes, sent };
     let mut report = Report::new(scenario, baseline, &run.records);
     report.broken = check(&system, &run);
     report.note_system(&system, &run.charged.totals, run.sent);
@@ -101,13 +90,7 @@
 }
 
 async fn send_one(client: &Client, arrival: Arrival) -> Record {
-    let Arrival {
-        at,
-        organisation,
-        kind,
-        call,
-        mark,
-    } = arrival;
+    let Arrival { at, organisation, kind, call, mark } = arrival;
     let outcome = match kind {
         Kind::ServiceOnce => {
             let partner = crate::ids::partner_of(&organisation);
@@ -127,26 +110,13 @@
     let text_is_right = match kind {
         Kind::ServiceOnce => outcome.text.contains(&*mark),
         _ => {
-            text::is_answer(
-                &call.prompt(),
-                &outcome.version,
-                call.max_tokens,
-                &outcome.text,
-            ) || outcome.replayed
+            text::is_answer(&call.prompt(), &outcome.version, call.max_tokens, &outcome.text)
+                || outcome.replayed
         }
     };
     let is_poor = outcome.text.contains(POOR_MARK);
     let session = call.session.clone();
-    Record {
-        sent: at,
-        kind,
-        organisation,
-        session,
-        mark,
-        text_is_right,
-        is_poor,
-        outcome,
-    }
+    Record { sent: at, kind, organisation, session, mark, text_is_right, is_poor, outcome }
 }
 
 /// Makes the changes and causes the faults when they are due.
@@ -161,13 +131,7 @@
         End(usize),
     }
     let mut due: Vec<(f64, Due)> = Vec::new();
-    due.extend(
-        scenario
-            .changes
-            .iter()
-            .enumerate()
-            .map(|(i, c)| (c.at_s, Due::Change(i))),
-    );
+    due.extend(scenario.changes.iter().enumerate().map(|(i, c)| (c.at_s, Due::Change(i))));
     for (i, fault) in scenario.faults.iter().enumerate() {
         due.push((fault.at_s, Due::Begin(i)));
         if let Some(time) = fault.for_s {
@@ -197,17 +161,8 @@
     } else {
         vec![put().await]
     };
-    let accepted = replies
-        .into_iter()
-        .flatten()
-        .filter_map(|r| r["revision"].as_u64())
-        .collect();
-    ChangeSeen {
-        id: change.id.clone(),
-        kind: change.kind,
-        accepted,
-        at: began.elapsed(),
-    }
+    let accepted = replies.into_iter().flatten().filter_map(|r| r["revision"].as_u64()).collect();
+    ChangeSeen { id: change.id.clone(), kind: change.kind, accepted, at: began.elapsed() }
 }
 
 /// Compares what callers saw with what backends and stores hold.
@@ -253,12 +208,7 @@
             broken.charged_not_run += 1;
         }
     }
-    let billed: u64 = run
-        .charged
-        .totals
-        .values()
-        .map(|totals| totals.requests)
-        .sum();
+    let billed: u64 = run.charged.totals.values().map(|totals| totals.requests).sum();
     broken.charged_twice = billed.saturating_sub(run.charged.settled as u64);
 }
 
@@ -284,11 +234,7 @@
             broken.sessions_moved += 1;
         }
     }
-    for change in run
-        .changes
-        .iter()
-        .filter(|change| withdrawn.contains(&*change.id))
-    {
+    for change in run.changes.iter().filter(|change| withdrawn.contains(&*change.id)) {
         let late = run.records.iter().filter(|record| {
             record.sent > change.at + IN_FORCE && record.version().is_some_and(|v| *v == change.id)
         });
@@ -298,29 +244,13 @@
 
 /// Every accepted change is in force at every process, and of a race only one was accepted.
 fn check_changes(system: &LocalSystem, run: &Run, broken: &mut Broken) {
-    let newest = run
-        .changes
-        .iter()
-        .flat_map(|change| &change.accepted)
-        .max()
-        .copied();
+    let newest = run.changes.iter().flat_map(|change| &change.accepted).max().copied();
     let Some(newest) = newest else { return };
     let entries = system.entries.lock().expect("no panics under the lock");
-    let behind = entries
-        .iter()
-        .flatten()
-        .filter(|e| e.entry.config.revision() < newest)
-        .count();
+    let behind = entries.iter().flatten().filter(|e| e.entry.config.revision() < newest).count();
     let agents = system.agents.lock().expect("no panics under the lock");
-    let agents_behind = agents
-        .values()
-        .filter(|a| a.agent.config.revision() < newest)
-        .count();
-    let raced = run
-        .changes
-        .iter()
-        .filter(|change| change.accepted.len() > 1)
-        .count();
+    let agents_behind = agents.values().filter(|a| a.agent.config.revision() < newest).count();
+    let raced = run.changes.iter().filter(|change| change.accepted.len() > 1).count();
     broken.changes_lost = (behind + agents_behind + raced) as u64;
 }
 
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -258,10 +258,7 @@
 
     /// Name on the command line.
     pub fn name(self) -> &'static str {
-        Self::NAMES
-            .iter()
-            .find(|(_, b)| *b == self)
-            .map_or("mintmoor", |(name, _)| name)
+        Self::NAMES.iter().find(|(_, b)| *b == self).map_or("mintmoor", |(name, _)| name)
     }
 
     /// The entry's policies under this baseline.
@@ -306,15 +303,10 @@
         if !self.pools.is_empty() {
             fleet.servers = self.pools.iter().enumerate().flat_map(servers_of).collect();
         }
-        let regions: Vec<Box<str>> = fleet
-            .entries
-            .iter()
-            .map(|(region, _)| region.clone())
-            .collect();
-        let served: Vec<&Box<str>> = regions
-            .iter()
-            .filter(|r| fleet.servers.iter().any(|s| s.region == **r))
-            .collect();
+        let regions: Vec<Box<str>> =
+            fleet.entries.iter().map(|(region, _)| region.clone()).collect();
+        let served: Vec<&Box<str>> =
+            regions.iter().filter(|r| fleet.servers.iter().any(|s| s.region == **r)).collect();
         fleet.entries = (0..self.entries)
             .map(|i| {
                 let region = served[i % served.len().max(1)].clone();
--- a/src/load/slopes/compute.rs
+++ b/src/load/slopes/compute.rs
@@ -2,10 +2,12 @@
 
 use std::{
     hint::black_box,
+    io::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
 };
 
+use flate2::{Compression, write::GzEncoder};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -37,6 +39,7 @@
         snapshot_time(),
         snapshot_memory(),
         link_selection_time(),
+        host_list_bytes(),
         decision_time(),
         encode_beat_time(),
     ]
@@ -48,10 +51,7 @@
         step();
         began.elapsed()
     };
-    (0..ROUNDS)
-        .map(|_| time(&mut step))
-        .min()
-        .unwrap_or_default()
+    (0..ROUNDS).map(|_| time(&mut step)).min().unwrap_or_default()
 }
 
 fn micros(time: Duration) -> f64 {
@@ -62,12 +62,7 @@
     let evidence = (0..versions).map(|i| VersionEvidence {
         version: format!("ricarica/swift@{i}").into(),
         epoch: 123_456,
-        sums: Evidence {
-            answers: 90_000,
-            failures: 900,
-            rated: 80_000,
-            poor: 9_000,
-        },
+        sums: Evidence { answers: 90_000, failures: 900, rated: 80_000, poor: 9_000 },
     });
     AgentBeat {
         revision: 123_456,
@@ -86,38 +81,20 @@
 fn beat_bytes() -> Slope {
     let bytes = |n: usize| encode(&ToEntry::Beat(agent_beat(n))).len() as f64 + FRAME_OVERHEAD;
     let points = [0, 1, 2, 4, 8].map(|n| (n as f64, bytes(n))).to_vec();
-    Slope::fit(
-        "version under roll-out in it",
-        "bytes of an agent's heartbeat",
-        "B",
-        points,
-    )
+    Slope::fit("version under roll-out in it", "bytes of an agent's heartbeat", "B", points)
 }
 
 fn entry_beat_bytes() -> Slope {
     let held = |n: usize| {
         let versions = (0..n).map(|i| format!("ricarica/swift@{i}").into());
-        versions
-            .map(|version| crate::protocol::Held {
-                version,
-                revision: 123_456,
-            })
-            .collect()
+        versions.map(|version| crate::protocol::Held { version, revision: 123_456 }).collect()
     };
     let bytes = |n: usize| {
-        let beat = EntryBeat {
-            revision: 123_456,
-            held: held(n),
-        };
+        let beat = EntryBeat { revision: 123_456, held: held(n) };
         encode(&ToAgent::Beat(beat)).len() as f64 + FRAME_OVERHEAD
     };
     let points = [0, 1, 2, 4].map(|n| (n as f64, bytes(n))).to_vec();
-    Slope::fit(
-        "held version in it",
-        "bytes of an entry's heartbeat",
-        "B",
-        points,
-    )
+    Slope::fit("held version in it", "bytes of an entry's heartbeat", "B", points)
 }
 
 fn change(revision: u64) -> Change {
@@ -144,12 +121,7 @@
         encode(&ToAgent::Config(ConfigUpdate::Delta(changes))).len() as f64 + FRAME_OVERHEAD
     };
     let points = [1, 2, 4, 8, 16].map(|n| (n as f64, bytes(n))).to_vec();
-    Slope::fit(
-        "configuration change",
-        "bytes sent to one peer",
-        "B",
-        points,
-    )
+    Slope::fit("configuration change", "bytes sent to one peer", "B", points)
 }
 
 fn charge_bytes() -> Slope {
@@ -166,9 +138,7 @@
         delivery: Delivery::Whole,
     };
     let bytes = |n: usize| encode(&(0..n).map(record).collect::<Vec<_>>()).len() as f64;
-    let points = [100, 500, 1_000, 2_000]
-        .map(|n| (n as f64, bytes(n)))
-        .to_vec();
+    let points = [100, 500, 1_000, 2_000].map(|n| (n as f64, bytes(n))).to_vec();
     Slope::fit("charged request", "bytes of a batch object", "B", points)
 }
 
@@ -189,31 +159,14 @@
             weight: 1,
             max_in_flight: None,
         };
-        (
-            format!("ricarica/organisation-{i}"),
-            Spec::Organisation(spec),
-        )
+        (format!("ricarica/organisation-{i}"), Spec::Organisation(spec))
     };
     let versions = (0..17).map(|i| {
-        let spec = Version {
-            cost_in: 1,
-            cost_out: 4,
-            quality: 0.8,
-            state: Default::default(),
-        };
+        let spec = Version { cost_in: 1, cost_out: 4, quality: 0.8, state: Default::default() };
         (format!("ricarica/model-{i}@1"), Spec::Version(spec))
     });
-    let all = (0..servers)
-        .map(server)
-        .chain((0..10).map(organisation))
-        .chain(versions);
-    let objects = all
-        .map(|(id, spec)| Object {
-            id: id.into(),
-            revision: 1,
-            spec,
-        })
-        .collect();
+    let all = (0..servers).map(server).chain((0..10).map(organisation)).chain(versions);
+    let objects = all.map(|(id, spec)| Object { id: id.into(), revision: 1, spec }).collect();
     let mut log = ConfigLog::default();
     log.replace(1, objects);
     log
@@ -224,28 +177,15 @@
         let log = log_of(n);
         micros(fastest(|| drop(black_box(log.snapshot()))))
     };
-    let points = [250, 500, 1_000, 2_100]
-        .map(|n| (n as f64, time(n)))
-        .to_vec();
-    Slope::fit(
-        "BackendServer declared",
-        "time to take one change into force",
-        "µs",
-        points,
-    )
+    let points = [250, 500, 1_000, 2_100].map(|n| (n as f64, time(n))).to_vec();
+    Slope::fit("BackendServer declared", "time to take one change into force", "µs", points)
 }
 
 /// Resident memory of this process, KB.
 pub(super) fn resident_kb() -> f64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .unwrap_or_default();
-    line.split_whitespace()
-        .nth(1)
-        .and_then(|kb| kb.parse().ok())
-        .unwrap_or(0.0)
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0.0)
 }
 
 /// Each point holds ten copies, to be seen above the allocator's grain.
@@ -253,9 +193,7 @@
     const COPIES: usize = 10;
     let memory = |n: usize| {
         let before = resident_kb();
-        let held: Vec<_> = (0..COPIES)
-            .map(|_| (log_of(n), log_of(n).snapshot()))
-            .collect();
+        let held: Vec<_> = (0..COPIES).map(|_| (log_of(n), log_of(n).snapshot())).collect();
         let grown = resident_kb() - before;
         drop(black_box(held));
         grown / COPIES as f64
@@ -265,12 +203,7 @@
     for n in [1_000, 2_100, 4_200, 8_400] {
         points.push((n as f64, memory(n)));
     }
-    Slope::fit(
-        "BackendServer declared",
-        "memory of the configuration",
-        "KB",
-        points,
-    )
+    Slope::fit("BackendServer declared", "memory of the configuration", "KB", points)
 }
 
 fn hosts(n: usize) -> Vec<Host> {
@@ -285,23 +218,25 @@
     (0..n).map(host).collect()
 }
 
+fn host_list_bytes() -> Slope {
+    let bytes = |n: usize| {
+        let body = serde_json::to_vec(&hosts(n)).unwrap_or_default();
+        let mut packer = GzEncoder::new(Vec::new(), Compression::default());
+        packer.write_all(&body).expect("writing to memory can't fail");
+        packer.finish().map_or(0, |packed| packed.len()) as f64
+    };
+    let points = [250, 500, 1_000, 2_460].map(|n| (n as f64, bytes(n))).to_vec();
+    Slope::fit("host in the list", "bytes of one packed host list", "B", points)
+}
+
 fn link_selection_time() -> Slope {
     let time = |n: usize| {
         let hosts = hosts(n);
         let snapshot = log_of(n).snapshot();
-        micros(fastest(|| {
-            drop(black_box(select_links(&hosts[0], &hosts, &snapshot, 32)))
-        }))
+        micros(fastest(|| drop(black_box(select_links(&hosts[0], &hosts, &snapshot, 32)))))
     };
-    let points = [250, 500, 1_000, 2_460]
-        .map(|n| (n as f64, time(n)))
-        .to_vec();
-    Slope::fit(
-        "host in the list",
-        "time to choose an entry's links",
-        "µs",
-        points,
-    )
+    let points = [250, 500, 1_000, 2_460].map(|n| (n as f64, time(n))).to_vec();
+    Slope::fit("host in the list", "time to choose an entry's links", "µs", points)
 }
 
 /// One routing decision, mean of many, with every server equally loaded.
@@ -333,15 +268,8 @@
         });
         micros(all) / DECISIONS as f64
     };
-    let points = [20, 200, 1_000, 2_100]
-        .map(|n| (n as f64, time(n)))
-        .to_vec();
-    Slope::fit(
-        "engine in the pool",
-        "time of one routing decision",
-        "µs",
-        points,
-    )
+    let points = [20, 200, 1_000, 2_100].map(|n| (n as f64, time(n))).to_vec();
+    Slope::fit("engine in the pool", "time of one routing decision", "µs", points)
 }
 
 fn encode_beat_time() -> Slope {
@@ -358,10 +286,5 @@
         micros(all) / BEATS as f64
     };
     let points = [0, 1, 2, 4, 8].map(|n| (n as f64, time(n))).to_vec();
-    Slope::fit(
-        "version under roll-out in it",
-        "time to write and read a heartbeat",
-        "µs",
-        points,
-    )
+    Slope::fit("version under roll-out in it", "time to write and read a heartbeat", "µs", points)
 }
--- a/src/load/slopes/mod.rs
+++ b/src/load/slopes/mod.rs
@@ -37,14 +37,8 @@
         let joint: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
         let slope = if spread > 0.0 { joint / spread } else { 0.0 };
         let base = mean_y - slope * mean_x;
-        let top = points
-            .iter()
-            .map(|p| p.1.abs())
-            .fold(f64::MIN_POSITIVE, f64::max);
-        let off = points
-            .iter()
-            .map(|p| (p.1 - base - slope * p.0).abs())
-            .fold(0.0, f64::max);
+        let top = points.iter().map(|p| p.1.abs()).fold(f64::MIN_POSITIVE, f64::max);
+        let off = points.iter().map(|p| (p.1 - base - slope * p.0).abs()).fold(0.0, f64::max);
         Self {
             per: per.into(),
             measured: measured.into(),
@@ -59,11 +53,8 @@
 
 impl fmt::Display for Slope {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let points: Vec<String> = self
-            .points
-            .iter()
-            .map(|(x, y)| format!("{x:.0}: {y:.3}"))
-            .collect();
+        let points: Vec<String> =
+            self.points.iter().map(|(x, y)| format!("{x:.0}: {y:.3}")).collect();
         write!(
             f,
             "{} per {}: {:.4} {} (base {:.3}, residual {:.1} %; {})",
--- a/src/load/slopes/system.rs
+++ b/src/load/slopes/system.rs
@@ -32,11 +32,7 @@
     };
     for task in tasks.flatten() {
         let stat = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
-        let used: u64 = stat
-            .split(' ')
-            .next()
-            .and_then(|n| n.parse().ok())
-            .unwrap_or(0);
+        let used: u64 = stat.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0);
         nanos += used;
     }
     Duration::from_nanos(nanos)
@@ -45,9 +41,8 @@
 /// A fleet of one region with the production heartbeat.
 fn fleet(entries: usize, agents: usize) -> Fleet {
     let mut fleet = Fleet::standard(1);
-    fleet.entries = (0..entries)
-        .map(|i| ("sicily".into(), format!("sicily-{}", i % 3 + 1).into()))
-        .collect();
+    fleet.entries =
+        (0..entries).map(|i| ("sicily".into(), format!("sicily-{}", i % 3 + 1).into())).collect();
     fleet.servers = (0..agents)
         .map(|i| ServerSetup {
             id: format!("ricarica/engine-{}", i + 1).into(),
@@ -78,19 +73,9 @@
         system.stop().await;
     }
     Ok(vec![
-        Slope::fit(
-            "link",
-            "processor time of an idle system, both ends",
-            "% of a core",
-            cpu,
-        ),
+        Slope::fit("link", "processor time of an idle system, both ends", "% of a core", cpu),
         Slope::fit("link", "control payload, both directions", "B/s", bytes),
-        Slope::fit(
-            "agent",
-            "time until a change is in force everywhere",
-            "ms",
-            spread,
-        ),
+        Slope::fit("agent", "time until a change is in force everywhere", "ms", spread),
     ])
 }
 
@@ -98,10 +83,7 @@
 fn control_bytes(system: &LocalSystem) -> u64 {
     let entries = system.entries.lock().expect("no panics under the lock");
     let agents = system.agents.lock().expect("no panics under the lock");
-    let of_entries = entries
-        .iter()
-        .flatten()
-        .map(|e| e.entry.metrics.control_bytes.get());
+    let of_entries = entries.iter().flatten().map(|e| e.entry.metrics.control_bytes.get());
     let of_agents = agents.values().map(|a| a.agent.metrics.control_bytes.get());
     of_entries.sum::<u64>() + of_agents.sum::<u64>()
 }
@@ -148,12 +130,7 @@
     Ok(vec![
         Slope::fit("entry", "reads of the table service, idle", "/s", reads),
         Slope::fit("entry", "writes to the table service, idle", "/s", writes),
-        Slope::fit(
-            "entry",
-            "time until a change is in force everywhere",
-            "ms",
-            spread,
-        ),
+        Slope::fit("entry", "time until a change is in force everywhere", "ms", spread),
     ])
 }
 
--- a/src/load/traffic.rs
+++ b/src/load/traffic.rs
@@ -51,9 +51,8 @@
 /// Draws all arrivals of a stream, with exponential gaps.
 pub(super) fn arrivals(stream: &Stream, number: usize, seed: u64, duration: f64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(7_919).wrapping_add(number as u64));
-    let systems: Vec<Box<str>> = (0..stream.shared_prompts.max(1))
-        .map(|_| words(&mut rng, stream.shared_words))
-        .collect();
+    let systems: Vec<Box<str>> =
+        (0..stream.shared_prompts.max(1)).map(|_| words(&mut rng, stream.shared_words)).collect();
     let mut arrivals = Vec::new();
     let mut at = stream.from_s;
     loop {
@@ -96,18 +95,10 @@
         deadline: stream.deadline_ms.map(Duration::from_millis),
     };
     let at = Duration::from_secs_f64(at);
-    Arrival {
-        at,
-        organisation: stream.organisation.clone(),
-        kind,
-        call,
-        mark,
-    }
+    Arrival { at, organisation: stream.organisation.clone(), kind, call, mark }
 }
 
 fn words(rng: &mut ChaCha8Rng, count: usize) -> Box<str> {
-    let drawn: Vec<&str> = (0..count)
-        .map(|_| WORDS[rng.random_range(0..WORDS.len())])
-        .collect();
+    let drawn: Vec<&str> = (0..count).map(|_| WORDS[rng.random_range(0..WORDS.len())]).collect();
     drawn.join(" ").into()
 }
--- a/src/local/preset.rs
+++ b/src/local/preset.rs
@@ -67,17 +67,8 @@
 ];
 
 fn add_models(objects: &mut Vec<PresetObject>) {
-    for model in [
-        "ricarica/swift",
-        "ricarica/deep",
-        "majlis/tagger",
-        "majlis/counsel",
-    ] {
-        let shared: &[&str] = if model == "ricarica/deep" {
-            &["majlis"]
-        } else {
-            &[]
-        };
+    for model in ["ricarica/swift", "ricarica/deep", "majlis/tagger", "majlis/counsel"] {
+        let shared: &[&str] = if model == "ricarica/deep" { &["majlis"] } else { &[] };
         let spec = json!({ "stable": "1", "shared_with": shared });
         objects.push((Kind::Model, model.into(), spec));
     }
--- a/src/local/system.rs
+++ b/src/local/system.rs
@@ -173,34 +173,20 @@
             serve(hosts.router()).await?,
             serve(ratings::router(&ratings)).await?,
         ];
-        Ok(Self {
-            table,
-            objects,
-            hosts,
-            ratings,
-            served,
-        })
+        Ok(Self { table, objects, hosts, ratings, served })
     }
 
     /// Where faults are controlled: `PUT` a JSON object to these.
     pub fn fault_urls(&self) -> BTreeMap<Box<str>, String> {
         let names = ["table", "objects", "hosts", "ratings"];
-        let urls = self
-            .served
-            .iter()
-            .map(|served| format!("{}/faults", served.url()));
+        let urls = self.served.iter().map(|served| format!("{}/faults", served.url()));
         names.into_iter().map(Into::into).zip(urls).collect()
     }
 
     /// Where they are.
     pub fn settings(&self) -> PlatformSettings {
         let url = |i: usize| self.served[i].url().into();
-        PlatformSettings {
-            table: url(0),
-            objects: url(1),
-            hosts: url(2),
-            ratings: url(3),
-        }
+        PlatformSettings { table: url(0), objects: url(1), hosts: url(2), ratings: url(3) }
     }
 }
 
@@ -217,15 +203,9 @@
         threads: usize,
         start: impl Future<Output = std::io::Result<T>> + Send + 'static,
     ) -> Result<Self> {
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(threads)
-            .enable_all()
-            .build()?;
+        let runtime = Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
         let running = runtime.spawn(start).await??;
-        Ok(Self {
-            running: Some(running),
-            runtime: Some(runtime),
-        })
+        Ok(Self { running: Some(running), runtime: Some(runtime) })
     }
 
     /// Takes the running process out to stop it; its runtime ends with the guard returned.
@@ -291,6 +271,7 @@
         for (i, server) in fleet.servers.iter().enumerate() {
             hosts.push(system.start_server(&fleet, server, i).await?);
         }
+        hosts.extend(fleet.entries.iter().enumerate().map(|(i, at)| entry_host(i, at)));
         system.platform.hosts.set(hosts);
         for (i, (region, zone)) in fleet.entries.iter().enumerate() {
             let settings = system.entry_settings(&fleet, i, region, zone);
@@ -300,11 +281,7 @@
                 format!("http://{}", entry.addresses.operator),
             );
             system.urls.push(urls);
-            system
-                .entries
-                .lock()
-                .expect("no panics under the lock")
-                .push(Some(entry));
+            system.entries.lock().expect("no panics under the lock").push(Some(entry));
         }
         system.declare(&fleet).await?;
         system.wait_until_linked(&fleet).await?;
@@ -340,10 +317,7 @@
             role: Role::Agent(server.id.clone()),
             state: HostState::Live,
         };
-        self.agents
-            .lock()
-            .expect("no panics under the lock")
-            .insert(server.id.clone(), agent);
+        self.agents.lock().expect("no panics under the lock").insert(server.id.clone(), agent);
         Ok(host)
     }
 
@@ -415,19 +389,9 @@
     /// When the API refuses it.
     pub async fn put(&self, kind: Kind, id: &str, spec: &Value) -> Result<Value> {
         let partner = partner_of(id);
-        let key = if kind == Kind::Partner {
-            ROOT_KEY.into()
-        } else {
-            operator_key(partner)
-        };
+        let key = if kind == Kind::Partner { ROOT_KEY.into() } else { operator_key(partner) };
         let name = id.split_once('/').map_or(id, |(_, name)| name);
-        self.operator_call(
-            Method::PUT,
-            &format!("{}/{name}", kind.as_str()),
-            &key,
-            spec,
-        )
-        .await
+        self.operator_call(Method::PUT, &format!("{}/{name}", kind.as_str()), &key, spec).await
     }
 
     /// Calls the operator API of the first entry that runs.
@@ -443,22 +407,13 @@
     ) -> Result<Value> {
         let running = {
             let entries = self.entries.lock().expect("no panics under the lock");
-            entries
-                .iter()
-                .position(Option::is_some)
-                .ok_or_else(|| eyre!("no entry runs"))?
+            entries.iter().position(Option::is_some).ok_or_else(|| eyre!("no entry runs"))?
         };
         let uri = format!("{}/api/v1/{path}", self.urls[running].1);
         let mut headers = HeaderMap::new();
-        headers.insert(
-            "authorization",
-            HeaderValue::from_str(&format!("Bearer {key}"))?,
-        );
+        headers.insert("authorization", HeaderValue::from_str(&format!("Bearer {key}"))?);
         let body = serde_json::to_vec(body)?;
-        let reply = self
-            .http
-            .call(method, &uri, headers, body.into(), TIMEOUT)
-            .await?;
+        let reply = self.http.call(method, &uri, headers, body.into(), TIMEOUT).await?;
         let text = String::from_utf8_lossy(&reply.body);
         if !reply.status.is_success() {
             return Err(eyre!("{path}: {} {text}", reply.status));
@@ -499,24 +454,16 @@
             .iter()
             .flatten()
             .map(|e| (e.entry.settings.host.clone(), url(e.addresses.admin)));
-        let of_agents = agents
-            .iter()
-            .map(|(name, a)| (name.clone(), url(a.addresses.admin)));
+        let of_agents = agents.iter().map(|(name, a)| (name.clone(), url(a.addresses.admin)));
         of_entries.chain(of_agents).collect()
     }
 
     /// Keys by who holds them.
     pub fn keys(&self) -> Keys {
-        let organisations = [
-            "ricarica/tills",
-            "ricarica/kiosks",
-            "majlis/clerks",
-            "majlis/advocates",
-        ];
-        let mut keys: Keys = organisations
-            .into_iter()
-            .map(|name| (name.into(), caller_key(name)))
-            .collect();
+        let organisations =
+            ["ricarica/tills", "ricarica/kiosks", "majlis/clerks", "majlis/advocates"];
+        let mut keys: Keys =
+            organisations.into_iter().map(|name| (name.into(), caller_key(name))).collect();
         for partner in ["ricarica", "majlis"] {
             keys.insert(format!("operator:{partner}").into(), operator_key(partner));
         }
@@ -526,11 +473,7 @@
 
     /// Ends one agent as a crash of its process would; the engine stays.
     pub fn kill_agent(&self, server: &str) -> bool {
-        let agent = self
-            .agents
-            .lock()
-            .expect("no panics under the lock")
-            .remove(server);
+        let agent = self.agents.lock().expect("no panics under the lock").remove(server);
         agent.map(|agent| agent.kill()).is_some()
     }
 
@@ -560,11 +503,20 @@
     }
 }
 
+fn entry_host(i: usize, (region, zone): &(Box<str>, Box<str>)) -> Host {
+    Host {
+        name: format!("entry-{}", i + 1).into(),
+        region: region.clone(),
+        zone: zone.clone(),
+        address: LOOPBACK,
+        role: Role::Entry,
+        state: HostState::Live,
+    }
+}
+
 fn engine_settings(fleet: &Fleet, server: &ServerSetup, index: usize) -> EngineSettings {
-    let quality: HashMap<VersionId, f64> = VERSIONS
-        .iter()
-        .map(|(id, _, _, quality)| ((*id).into(), *quality))
-        .collect();
+    let quality: HashMap<VersionId, f64> =
+        VERSIONS.iter().map(|(id, _, _, quality)| ((*id).into(), *quality)).collect();
     EngineSettings {
         model: fleet.model,
         cache_blocks: fleet.cache_blocks,
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -49,20 +49,11 @@
 
 impl Refusal {
     fn new(status: StatusCode, code: &'static str, message: impl Into<Box<str>>) -> Self {
-        Self {
-            status,
-            code,
-            message: message.into(),
-            details: Value::Null,
-        }
+        Self { status, code, message: message.into(), details: Value::Null }
     }
 
     fn not_found() -> Self {
-        Self::new(
-            StatusCode::NOT_FOUND,
-            "not_found",
-            "there is no such object",
-        )
+        Self::new(StatusCode::NOT_FOUND, "not_found", "there is no such object")
     }
 }
 
@@ -73,8 +64,7 @@
         });
         let mut res = (self.status, Json(body)).into_response();
         if self.status == StatusCode::SERVICE_UNAVAILABLE {
-            res.headers_mut()
-                .insert("retry-after", HeaderValue::from_static("1"));
+            res.headers_mut().insert("retry-after", HeaderValue::from_static("1"));
         }
         res
     }
@@ -84,30 +74,19 @@
     fn from(e: WriteError) -> Self {
         let message = e.to_string();
         let (status, code, details) = match e {
-            WriteError::Invalid(errors) => (
-                StatusCode::UNPROCESSABLE_ENTITY,
-                "invalid",
-                json!({ "fields": errors }),
-            ),
+            WriteError::Invalid(errors) => {
+                (StatusCode::UNPROCESSABLE_ENTITY, "invalid", json!({ "fields": errors }))
+            }
             WriteError::Conflict(current) => {
                 let current = current.map(|object| view_object(&object, Default::default()));
-                (
-                    StatusCode::CONFLICT,
-                    "conflict",
-                    json!({ "current": current }),
-                )
+                (StatusCode::CONFLICT, "conflict", json!({ "current": current }))
             }
             WriteError::InUse(users) => (StatusCode::CONFLICT, "in_use", json!({ "users": users })),
             WriteError::Missing => (StatusCode::NOT_FOUND, "not_found", Value::Null),
             WriteError::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "not_run", Value::Null),
             WriteError::Unknown => (StatusCode::BAD_GATEWAY, "outcome_unknown", Value::Null),
         };
-        Self {
-            status,
-            code,
-            message: message.into(),
-            details,
-        }
+        Self { status, code, message: message.into(), details }
     }
 }
 
@@ -130,10 +109,7 @@
 pub fn router(entry: Arc<Entry>) -> Router {
     Router::new()
         .route("/api/v1/{kind}", get(list))
-        .route(
-            "/api/v1/{kind}/{name}",
-            get(read).put(replace).delete(remove),
-        )
+        .route("/api/v1/{kind}/{name}", get(read).put(replace).delete(remove))
         .route("/api/v1/totals", get(totals))
         .route("/api/v1/explain/{request}", get(explain))
         .fallback(|| async { Refusal::not_found() })
@@ -142,11 +118,7 @@
 
 fn authenticate(entry: &Entry, headers: &HeaderMap) -> Answer<Caller> {
     let refused = || {
-        Refusal::new(
-            StatusCode::UNAUTHORIZED,
-            "unauthorized",
-            "the key is missing or not known",
-        )
+        Refusal::new(StatusCode::UNAUTHORIZED, "unauthorized", "the key is missing or not known")
     };
     let key = headers
         .get("authorization")
@@ -160,10 +132,7 @@
         return Ok(Caller::Root);
     }
     let snapshot = entry.config.snapshot();
-    snapshot
-        .partner_by_key(key)
-        .map(|partner| Caller::Partner(partner.into()))
-        .ok_or_else(refused)
+    snapshot.partner_by_key(key).map(|partner| Caller::Partner(partner.into())).ok_or_else(refused)
 }
 
 fn parse_kind(kind: &str) -> Answer<Kind> {
@@ -237,10 +206,7 @@
         .iter()
         .find(|object| object.id == id && is_visible(&caller, kind, object))
         .ok_or_else(Refusal::not_found)?;
-    Ok(with_etag(
-        Json(view_object(object, entry.status_of(object))),
-        object.revision,
-    ))
+    Ok(with_etag(Json(view_object(object, entry.status_of(object))), object.revision))
 }
 
 fn with_etag(body: impl IntoResponse, revision: Revision) -> Response {
@@ -257,21 +223,14 @@
         let message = format!("`{name}` must be a revision, such as \"12\"");
         Refusal::new(StatusCode::BAD_REQUEST, "bad_request", message)
     };
-    if headers
-        .get("if-none-match")
-        .is_some_and(|value| value == "*")
-    {
+    if headers.get("if-none-match").is_some_and(|value| value == "*") {
         return Ok(Expected::Absent);
     }
     let Some(value) = headers.get("if-match") else {
         return Ok(Expected::Current);
     };
     let text = value.to_str().map_err(|_| wrong("If-Match"))?;
-    let revision = text
-        .trim()
-        .trim_matches('"')
-        .parse()
-        .map_err(|_| wrong("If-Match"))?;
+    let revision = text.trim().trim_matches('"').parse().map_err(|_| wrong("If-Match"))?;
     Ok(Expected::Revision(revision))
 }
 
@@ -282,9 +241,7 @@
     headers: &HeaderMap,
     query: &WriteQuery,
 ) -> Answer<WriteRequest> {
-    let given = headers
-        .get("mintmoor-change-id")
-        .and_then(|value| value.to_str().ok());
+    let given = headers.get("mintmoor-change-id").and_then(|value| value.to_str().ok());
     let owner = partner_of(&id);
     let change_id = match given {
         // Scoped by owner, so that partners can't meet each other's ids.
@@ -347,10 +304,8 @@
     let id = full_name(&caller, kind, &name)?;
     let req = write_request(&caller, kind, id, &headers, &query)?;
     let revision = entry.writer.write(&req).await?;
-    Ok(
-        Json(json!({ "id": req.id, "revision": revision, "dry_run": query.dry_run }))
-            .into_response(),
-    )
+    Ok(Json(json!({ "id": req.id, "revision": revision, "dry_run": query.dry_run }))
+        .into_response())
 }
 
 /// State of one watch.
@@ -365,13 +320,7 @@
 fn watch(entry: Arc<Entry>, partner: PartnerId, kind: Kind, since: Revision) -> Answer<Response> {
     let too_old = |e: WatchError| Refusal::new(StatusCode::GONE, "revision_too_old", e.to_string());
     collect_after(&entry.config, &partner, kind, since).map_err(too_old)?;
-    let start = Watch {
-        entry,
-        partner,
-        kind,
-        since,
-        ended: false,
-    };
+    let start = Watch { entry, partner, kind, since, ended: false };
     let stream = unfold(start, |mut watch| async move {
         if watch.ended {
             return None;
@@ -403,10 +352,7 @@
                     }
                 }
             }
-            if tokio::time::timeout(WATCH_KEEPALIVE, revision.changed())
-                .await
-                .is_err()
-            {
+            if tokio::time::timeout(WATCH_KEEPALIVE, revision.changed()).await.is_err() {
                 return "\n".into();
             }
         }
@@ -423,9 +369,7 @@
     let Caller::Partner(partner) = authenticate(&entry, &headers)? else {
         return Err(Refusal::not_found());
     };
-    let all = read_totals(&entry.table)
-        .await
-        .map_err(|_| Refusal::from(WriteError::NotRun))?;
+    let all = read_totals(&entry.table).await.map_err(|_| Refusal::from(WriteError::NotRun))?;
     let own: serde_json::Map<String, Value> = all
         .into_iter()
         .filter(|(organisation, _)| partner_of(organisation) == &*partner)
@@ -443,8 +387,5 @@
         return Err(Refusal::not_found());
     };
     let id = parse_id(&request).ok_or_else(Refusal::not_found)?;
-    entry
-        .explanation(id, &partner)
-        .map(Json)
-        .ok_or_else(Refusal::not_found)
+    entry.explanation(id, &partner).map(Json).ok_or_else(Refusal::not_found)
 }
--- a/src/operator/commands/write.rs
+++ b/src/operator/commands/write.rs
@@ -94,11 +94,7 @@
         let mut is_lost = false;
         for _ in 0..TRIES {
             let Ok(rows) = self.read(req).await else {
-                return Err(if is_lost {
-                    WriteError::Unknown
-                } else {
-                    WriteError::NotRun
-                });
+                return Err(if is_lost { WriteError::Unknown } else { WriteError::NotRun });
             };
             let current = rows.object.as_ref().map(|(object, _)| object);
             if let Some(revision) = self.find_accepted(req, is_lost).await? {
@@ -109,11 +105,7 @@
             if req.dry_run {
                 return Ok(revision);
             }
-            match self
-                .health
-                .watch("config_write", self.table.transact(tx))
-                .await
-            {
+            match self.health.watch("config_write", self.table.transact(tx)).await {
                 Ok(Ok(_)) => return Ok(self.accepted(req, revision).await),
                 // The head, the object or the change id has moved: look again.
                 Ok(Err(_)) => {}
@@ -121,29 +113,15 @@
                 Err(_) => is_lost = true,
             }
         }
-        Err(if is_lost {
-            WriteError::Unknown
-        } else {
-            WriteError::NotRun
-        })
+        Err(if is_lost { WriteError::Unknown } else { WriteError::NotRun })
     }
 
     async fn read(&self, req: &WriteRequest) -> Result<Rows, Error> {
-        let head = self
-            .health
-            .watch("config_head", self.table.get(HEAD_KEY))
-            .await?;
-        let head = head
-            .map(|row| Ok::<_, Error>((row.parse()?, row.version)))
-            .transpose()?;
+        let head = self.health.watch("config_head", self.table.get(HEAD_KEY)).await?;
+        let head = head.map(|row| Ok::<_, Error>((row.parse()?, row.version))).transpose()?;
         let key = object_key(req.kind, &req.id);
-        let object = self
-            .health
-            .watch("config_object", self.table.get(&key))
-            .await?;
-        let object = object
-            .map(|row| Ok::<_, Error>((row.parse()?, row.version)))
-            .transpose()?;
+        let object = self.health.watch("config_object", self.table.get(&key)).await?;
+        let object = object.map(|row| Ok::<_, Error>((row.parse()?, row.version))).transpose()?;
         self.config.poll(&self.table, &self.health).await?;
         Ok(Rows { head, object })
     }
@@ -155,17 +133,9 @@
         is_lost: bool,
     ) -> Result<Option<Revision>, WriteError> {
         let key = change_id_key(&req.change_id);
-        let row = self
-            .health
-            .watch("config_change_id", self.table.get(&key))
-            .await;
-        let row = row.map_err(|_| {
-            if is_lost {
-                WriteError::Unknown
-            } else {
-                WriteError::NotRun
-            }
-        })?;
+        let row = self.health.watch("config_change_id", self.table.get(&key)).await;
+        let row =
+            row.map_err(|_| if is_lost { WriteError::Unknown } else { WriteError::NotRun })?;
         Ok(row.and_then(|row| row.parse().ok()))
     }
 
@@ -176,11 +146,7 @@
     ) -> Result<(Transaction, Revision), WriteError> {
         let snapshot = self.config.snapshot();
         let revision = rows.head.map_or(0, |(revision, _)| revision) + 1;
-        let object = req.spec.clone().map(|spec| Object {
-            id: req.id.clone(),
-            revision,
-            spec,
-        });
+        let object = req.spec.clone().map(|spec| Object { id: req.id.clone(), revision, spec });
         match &object {
             Some(object) => {
                 let errors = check_object(object, &snapshot);
@@ -203,10 +169,7 @@
         let change_id = change_id_key(&req.change_id);
         let mut tx = Transaction::default()
             .check(HEAD_KEY, rows.head.map(|(_, version)| version))
-            .check(
-                key.clone(),
-                rows.object.as_ref().map(|(_, version)| *version),
-            )
+            .check(key.clone(), rows.object.as_ref().map(|(_, version)| *version))
             .check(change_id.clone(), None)
             .put(HEAD_KEY, &revision)
             .put(change_key(revision), &change)
@@ -243,11 +206,7 @@
 
 fn check_unused(req: &WriteRequest, snapshot: &Snapshot) -> Result<(), WriteError> {
     let users = snapshot.users_of(req.kind, &req.id);
-    if users.is_empty() {
-        Ok(())
-    } else {
-        Err(WriteError::InUse(users))
-    }
+    if users.is_empty() { Ok(()) } else { Err(WriteError::InUse(users)) }
 }
 
 fn change_id_key(change_id: &str) -> Box<str> {
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -1,16 +1,29 @@
 //! The platform's lagging list of Hosts.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fmt,
+    io::Read,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use http::Method;
+use bytes::Bytes;
+use flate2::read::GzDecoder;
+use http::{
+    HeaderMap, HeaderValue, Method, StatusCode,
+    header::{ACCEPT_ENCODING, CONTENT_ENCODING, ETAG, IF_NONE_MATCH},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     ids::ServerId,
-    platform::{HttpClient, Reply},
+    platform::{Error, HttpClient, HttpReply, Reply, Result, http_client::check_status},
 };
 
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest list read, bytes.
+const MAX_LIST: u64 = 64 << 20;
 
 /// Whether a Host stays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,7 +67,7 @@
 /// Client of the host list.
 #[derive(Clone)]
 pub struct HostsClient {
-    send: Arc<dyn Fn() -> Reply<Vec<Host>> + Send + Sync>,
+    send: Arc<dyn Fn() -> Reply<Option<Vec<Host>>> + Send + Sync>,
 }
 
 impl fmt::Debug for HostsClient {
@@ -65,26 +78,57 @@
 
 impl HostsClient {
     /// A client whose calls go through `send`; tests pass a fake.
-    pub fn new(send: impl Fn() -> Reply<Vec<Host>> + Send + Sync + 'static) -> Self {
-        Self {
-            send: Arc::new(send),
-        }
+    pub fn new(send: impl Fn() -> Reply<Option<Vec<Host>>> + Send + Sync + 'static) -> Self {
+        Self { send: Arc::new(send) }
     }
 
-    /// A client of the service at `base`.
+    /// A client of the service at `base`, which is asked for changes only: at the size of
+    /// `docs/CAPACITY.md` the whole list each time would be a hundred times a node's budget.
     pub fn over_http(http: HttpClient, base: &str) -> Self {
         let uri: Arc<str> = format!("{base}/v1/hosts").into();
-        Self::new(move || {
-            let (http, uri) = (http.clone(), uri.clone());
-            Box::pin(async move { http.call_json(Method::GET, &uri, &(), TIMEOUT).await })
-        })
+        let tag: Arc<Mutex<Option<HeaderValue>>> = Arc::default();
+        Self::new(move || Box::pin(fetch(http.clone(), uri.clone(), tag.clone())))
     }
 
-    /// Reads the list.
+    /// Reads the list; nothing when it has not changed since the last call.
     ///
     /// # Errors
     /// When the service gives no answer.
-    pub async fn list(&self) -> super::Result<Vec<Host>> {
+    pub async fn changed(&self) -> Result<Option<Vec<Host>>> {
         (self.send)().await
     }
 }
+
+async fn fetch(
+    http: HttpClient,
+    uri: Arc<str>,
+    tag: Arc<Mutex<Option<HeaderValue>>>,
+) -> Result<Option<Vec<Host>>> {
+    let mut headers = HeaderMap::new();
+    headers.insert(ACCEPT_ENCODING, HeaderValue::from_static("gzip"));
+    if let Some(tag) = tag.lock().expect("no panics under the lock").clone() {
+        headers.insert(IF_NONE_MATCH, tag);
+    }
+    let reply = http.call(Method::GET, &uri, headers, Bytes::new(), TIMEOUT).await?;
+    if reply.status == StatusCode::NOT_MODIFIED {
+        return Ok(None);
+    }
+    check_status(&uri, &reply)?;
+    let body = unpack(&reply)?;
+    let hosts = serde_json::from_slice(&body)
+        .map_err(|e| Error::Unreadable(format!("{uri}: {e}").into()))?;
+    *tag.lock().expect("no panics under the lock") = reply.headers.get(ETAG).cloned();
+    Ok(Some(hosts))
+}
+
+fn unpack(reply: &HttpReply) -> Result<Vec<u8>> {
+    if reply.headers.get(CONTENT_ENCODING).is_none_or(|coding| coding != "gzip") {
+        return Ok(reply.body.to_vec());
+    }
+    let mut body = Vec::new();
+    GzDecoder::new(&*reply.body)
+        .take(MAX_LIST)
+        .read_to_end(&mut body)
+        .map_err(|e| Error::Unreadable(format!("gzip: {e}").into()))?;
+    Ok(body)
+}
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -81,11 +81,7 @@
         *req.headers_mut() = headers;
         self.client.request(req).await.map_err(|e| {
             let text = format!("{uri}: {e}").into();
-            if e.is_connect() {
-                Error::Refused(text)
-            } else {
-                Error::Unknown(text)
-            }
+            if e.is_connect() { Error::Refused(text) } else { Error::Unknown(text) }
         })
     }
 
@@ -105,16 +101,8 @@
         let work = async {
             let res = self.open(method, uri, headers, body).await?;
             let (parts, body) = res.into_parts();
-            let body = body
-                .collect()
-                .await
-                .map_err(|e| lost(e.to_string()))?
-                .to_bytes();
-            Ok(HttpReply {
-                status: parts.status,
-                headers: parts.headers,
-                body,
-            })
+            let body = body.collect().await.map_err(|e| lost(e.to_string()))?.to_bytes();
+            Ok(HttpReply { status: parts.status, headers: parts.headers, body })
         };
         let Ok(reply) = tokio::time::timeout(timeout, work).await else {
             return Err(lost("timeout".into()));
@@ -135,13 +123,8 @@
     ) -> Result<Res> {
         let body = serde_json::to_vec(req).map_err(|e| Error::Refused(e.to_string().into()))?;
         let mut headers = HeaderMap::new();
-        headers.insert(
-            "content-type",
-            http::HeaderValue::from_static("application/json"),
-        );
-        let reply = self
-            .call(method, uri, headers, body.into(), timeout)
-            .await?;
+        headers.insert("content-type", http::HeaderValue::from_static("application/json"));
+        let reply = self.call(method, uri, headers, body.into(), timeout).await?;
         check_status(uri, &reply)?;
         serde_json::from_slice(&reply.body)
             .map_err(|e| Error::Unreadable(format!("{uri}: {e}").into()))
@@ -154,10 +137,7 @@
         return Ok(());
     }
     let text = format!("{uri}: status {}", reply.status).into();
-    let refused = [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ];
+    let refused = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
     if refused.contains(&reply.status) || reply.status.is_client_error() {
         return Err(Error::Refused(text));
     }
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -48,9 +48,7 @@
 impl ObjectsClient {
     /// A client whose calls go through `send`; tests pass a fake.
     pub fn new(send: impl Fn(ObjectRequest) -> Reply<ObjectReply> + Send + Sync + 'static) -> Self {
-        Self {
-            send: Arc::new(send),
-        }
+        Self { send: Arc::new(send) }
     }
 
     /// A client of the service at `base`.
@@ -64,9 +62,7 @@
     /// # Errors
     /// When the service gives no answer.
     pub async fn put(&self, name: &str, body: Bytes) -> Result<()> {
-        (self.send)(ObjectRequest::Put(name.into(), body))
-            .await
-            .map(drop)
+        (self.send)(ObjectRequest::Put(name.into(), body)).await.map(drop)
     }
 
     /// Reads an object.
@@ -96,38 +92,26 @@
     /// # Errors
     /// When the service gives no answer.
     pub async fn delete(&self, name: &str) -> Result<()> {
-        (self.send)(ObjectRequest::Delete(name.into()))
-            .await
-            .map(drop)
+        (self.send)(ObjectRequest::Delete(name.into())).await.map(drop)
     }
 }
 
 async fn call(http: HttpClient, base: Arc<str>, req: ObjectRequest) -> Result<ObjectReply> {
     let (method, uri, body) = match &req {
-        ObjectRequest::Put(name, body) => (
-            Method::PUT,
-            format!("{base}/v1/objects/{name}"),
-            body.clone(),
-        ),
-        ObjectRequest::Get(name) => (
-            Method::GET,
-            format!("{base}/v1/objects/{name}"),
-            Bytes::new(),
-        ),
-        ObjectRequest::List(prefix) => (
-            Method::GET,
-            format!("{base}/v1/names/{prefix}"),
-            Bytes::new(),
-        ),
-        ObjectRequest::Delete(name) => (
-            Method::DELETE,
-            format!("{base}/v1/objects/{name}"),
-            Bytes::new(),
-        ),
+        ObjectRequest::Put(name, body) => {
+            (Method::PUT, format!("{base}/v1/objects/{name}"), body.clone())
+        }
+        ObjectRequest::Get(name) => {
+            (Method::GET, format!("{base}/v1/objects/{name}"), Bytes::new())
+        }
+        ObjectRequest::List(prefix) => {
+            (Method::GET, format!("{base}/v1/names/{prefix}"), Bytes::new())
+        }
+        ObjectRequest::Delete(name) => {
+            (Method::DELETE, format!("{base}/v1/objects/{name}"), Bytes::new())
+        }
     };
-    let reply = http
-        .call(method, &uri, HeaderMap::new(), body, TIMEOUT)
-        .await?;
+    let reply = http.call(method, &uri, HeaderMap::new(), body, TIMEOUT).await?;
     if matches!(req, ObjectRequest::Get(_)) && reply.status == StatusCode::NOT_FOUND {
         return Ok(ObjectReply::Object(None));
     }
--- a/src/platform/ratings.rs
+++ b/src/platform/ratings.rs
@@ -45,9 +45,7 @@
 impl RatingsClient {
     /// A client whose calls go through `send`; tests pass a fake.
     pub fn new(send: impl Fn(RatingRequest) -> Reply<f64> + Send + Sync + 'static) -> Self {
-        Self {
-            send: Arc::new(send),
-        }
+        Self { send: Arc::new(send) }
     }
 
     /// A client of the service at `base`.
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -62,10 +62,7 @@
     /// Adds a condition.
     #[must_use]
     pub fn check(mut self, key: impl Into<Box<str>>, version: Option<u64>) -> Self {
-        self.checks.push(Check {
-            key: key.into(),
-            version,
-        });
+        self.checks.push(Check { key: key.into(), version });
         self
     }
 
@@ -73,20 +70,14 @@
     #[must_use]
     pub fn put(mut self, key: impl Into<Box<str>>, value: &impl Serialize) -> Self {
         let value = serde_json::to_value(value).expect("rows are plain data");
-        self.writes.push(Write {
-            key: key.into(),
-            value: Some(value),
-        });
+        self.writes.push(Write { key: key.into(), value: Some(value) });
         self
     }
 
     /// Adds a row to delete.
     #[must_use]
     pub fn delete(mut self, key: impl Into<Box<str>>) -> Self {
-        self.writes.push(Write {
-            key: key.into(),
-            value: None,
-        });
+        self.writes.push(Write { key: key.into(), value: None });
         self
     }
 }
@@ -139,9 +130,7 @@
 impl TableClient {
     /// A client whose calls go through `send`; tests pass a fake.
     pub fn new(send: impl Fn(TableRequest) -> Reply<TableReply> + Send + Sync + 'static) -> Self {
-        Self {
-            send: Arc::new(send),
-        }
+        Self { send: Arc::new(send) }
     }
 
     /// A client of the service at `base`, such as `http://10.0.0.1:7000`.
@@ -184,11 +173,7 @@
     /// # Errors
     /// When the service gives no answer.
     pub async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
-        let req = TableRequest::List {
-            prefix: prefix.into(),
-            after: after.into(),
-            limit,
-        };
+        let req = TableRequest::List { prefix: prefix.into(), after: after.into(), limit };
         match (self.send)(req).await? {
             TableReply::Rows(rows) => Ok(rows),
             _ => Err(Error::Unreadable("answer to another call".into())),
--- a/src/policy/attempt.rs
+++ b/src/policy/attempt.rs
@@ -139,11 +139,7 @@
         return Verdict::Done;
     }
     let never_ran = |state: &AttemptState| matches!(state, State::NotSent {} | State::Refused {});
-    if attempts.iter().all(never_ran) {
-        Verdict::NotRun
-    } else {
-        Verdict::Unknown
-    }
+    if attempts.iter().all(never_ran) { Verdict::NotRun } else { Verdict::Unknown }
 }
 
 /// Whether another attempt may be sent.
