--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -77,7 +77,8 @@
     let taken_back = dispatch::ended(&agent, key, was_reached).await;
     let frame = match outcome {
         Outcome::Ended { count, digest, status, usage, .. } => {
-            ToEntry::End { key, count, digest, status, usage }
+            let load = agent.load_now(link);
+            ToEntry::End { key, count, digest, status, usage, load }
         }
         Outcome::Failed { problem, status } => ToEntry::Failed { key, problem, status },
         Outcome::NotReached if taken_back => {
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -31,7 +31,7 @@
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
         limit::AdaptiveLimit,
     },
-    protocol::{Peer, Start, ToEntry, encode},
+    protocol::{LoadNow, Peer, Start, ToEntry, encode},
     settings::AgentSettings,
     telemetry::{Metrics, admin::Admin},
 };
@@ -212,6 +212,16 @@
         self.lifecycle.lock().expect("no panics under the lock").handle(&event);
     }
 
+    /// Load as a link is told.
+    pub(crate) fn load_now(&self, link: LinkId) -> LoadNow {
+        let starts_seen = {
+            let links = self.links.lock().expect("no panics under the lock");
+            links.get(&link).map_or(0, |link| link.starts_seen.load(Ordering::Relaxed))
+        };
+        let work = self.lock_work();
+        LoadNow { running: work.started as u32, queued: work.queue.len() as u32, starts_seen }
+    }
+
     /// Whether nothing runs or waits.
     pub fn is_idle(&self) -> bool {
         let work = self.lock_work();
--- a/src/bin/mintmoor/args.rs
+++ b/src/bin/mintmoor/args.rs
@@ -187,6 +187,9 @@
     /// measure the slopes behind docs/CAPACITY.md instead of a scenario
     #[argh(switch)]
     pub(crate) slopes: bool,
+    /// measure what the path through entry and agent adds instead of a scenario
+    #[argh(switch)]
+    pub(crate) overhead: bool,
     /// log level: error, warn, info or debug
     #[argh(option, default = "String::from(\"error\")")]
     pub(crate) log: String,
--- a/src/bin/mintmoor/load.rs
+++ b/src/bin/mintmoor/load.rs
@@ -16,6 +16,12 @@
     if args.slopes {
         return run_slopes(&args).await;
     }
+    if args.overhead {
+        for overhead in slopes::measure_overhead().await? {
+            println!("{overhead}");
+        }
+        return Ok(Ending::Good);
+    }
     let file = args.scenario.as_ref().ok_or_else(|| eyre!("give --scenario or --slopes"))?;
     let text = std::fs::read_to_string(file).wrap_err_with(|| format!("{file} can't be read"))?;
     let scenario: Scenario = toml::from_str(&text).wrap_err_with(|| file.clone())?;
--- a/src/bin/mintmoor/local.rs
+++ b/src/bin/mintmoor/local.rs
@@ -94,6 +94,7 @@
         ],
         changes: Vec::new(),
         faults: Vec::new(),
+        heartbeat_ms: 250,
         entry_lost_after_s: 2.0,
     }
 }
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -20,15 +20,19 @@
 pub fn select_links(me: &Host, hosts: &[Host], snapshot: &Snapshot, max_links: usize) -> Vec<Host> {
     let mut agents: Vec<&Host> = hosts.iter().filter(|host| is_live_agent(host)).collect();
     agents.sort_by_key(|host| (distance_class(me, host), rank(me, host)));
+    let pools: Vec<Vec<VersionId>> =
+        agents.iter().map(|host| declared_versions(host, snapshot)).collect();
     let mut chosen: BTreeSet<&str> = BTreeSet::new();
-    let mut pools: BTreeMap<VersionId, usize> = BTreeMap::new();
-    for host in &agents {
-        let versions = declared_versions(host, snapshot);
-        let wanted = versions.iter().any(|v| pools.get(v).is_none_or(|n| *n < LINKS_A_POOL));
-        if chosen.len() < max_links && (wanted || versions.is_empty()) {
-            chosen.insert(&host.name);
-            for version in versions {
-                *pools.entry(version).or_default() += 1;
+    let mut links: BTreeMap<&VersionId, usize> = BTreeMap::new();
+    // One more link a pool in each round, so that a version few engines have is not crowded out.
+    for wanted in 1..=LINKS_A_POOL {
+        for (host, versions) in agents.iter().zip(&pools) {
+            let lacks = versions.iter().any(|v| links.get(v).copied().unwrap_or(0) < wanted);
+            let is_service = versions.is_empty();
+            if chosen.len() < max_links && (lacks || is_service) && chosen.insert(&host.name) {
+                for version in versions {
+                    *links.entry(version).or_default() += 1;
+                }
             }
         }
     }
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -79,10 +79,12 @@
 }
 
 fn with_head(mut res: Response, head: &ReplyHead) -> Response {
+    let stage = head.stage.to_string();
     let fields = [
-        ("mintmoor-request", &head.request),
-        ("mintmoor-session", &head.session),
-        ("mintmoor-version", &head.version),
+        ("mintmoor-request", &*head.request),
+        ("mintmoor-session", &*head.session),
+        ("mintmoor-version", &*head.version),
+        ("mintmoor-stage", &*stage),
     ];
     for (name, value) in fields {
         if let Ok(value) = HeaderValue::from_str(value) {
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -22,7 +22,7 @@
         gate::RefuseReason,
         outlier::{Outlier, OutlierRules},
     },
-    protocol::{AgentBeat, Peer, Start, ToAgent, Usage, VersionEvidence, encode},
+    protocol::{AgentBeat, LoadNow, Peer, Start, ToAgent, Usage, VersionEvidence, encode},
 };
 
 /// Prefix links remembered for one engine.
@@ -162,6 +162,15 @@
         changed
     }
 
+    /// Takes the load that came with an answer.
+    pub(crate) fn note_load(&self, load: LoadNow) {
+        let mut state = self.lock();
+        state.ended_since_beat = 0;
+        state.beat.running = load.running;
+        state.beat.queued = load.queued;
+        state.beat.starts_seen = load.starts_seen;
+    }
+
     /// Whether the server is out of the choice now.
     pub(crate) fn is_out(&self, now: Duration) -> bool {
         self.lock().outlier.is_out(now)
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -183,7 +183,8 @@
         ToEntry::Chunk { key, sequence, payload } => {
             (key, AttemptFrame::Chunk { sequence, payload })
         }
-        ToEntry::End { key, count, digest, status, usage } => {
+        ToEntry::End { key, count, digest, status, usage, load } => {
+            link.note_load(load);
             (key, AttemptFrame::End { count, digest, status, usage })
         }
         ToEntry::Failed { key, problem, status } => (key, AttemptFrame::Failed { problem, status }),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -52,6 +52,7 @@
     pub(crate) request: Box<str>,
     pub(crate) session: Box<str>,
     pub(crate) version: VersionId,
+    pub(crate) stage: usize,
 }
 
 /// An answer on its way to the caller.
@@ -91,6 +92,7 @@
     attempts: Attempts,
     charged: Vec<ChargedAttempt>,
     session: RequestSession,
+    stage: usize,
 }
 
 /// An answer of a stage.
@@ -117,6 +119,7 @@
             attempts: Attempts::default(),
             charged: Vec::new(),
             session,
+            stage: 0,
         }
     }
 
@@ -163,6 +166,7 @@
         let (mut stage, one_stage_only) = self.first_stage(target);
         loop {
             let is_last = stage == last || one_stage_only || self.stops_at_first();
+            self.stage = stage;
             let res = self.run_stage(&target.stages[stage], is_last).await;
             let answer = match res {
                 Ok(answer) => answer,
@@ -374,7 +378,7 @@
         let steering = estimates.steering(&target.name, quality_target);
         let good = match self.entry.policy.cascade {
             CascadePolicy::Fixed => rating >= quality_target,
-            _ => is_good_enough(rating, steering),
+            _ => is_good_enough(rating, quality_target, steering),
         };
         estimates.note_pass(key, rating >= POOR_BELOW);
         if good {
@@ -463,6 +467,7 @@
             request: format_id(self.req.head.id),
             session: self.session.token(self.entry.settings.session_key.as_bytes()),
             version: version.clone(),
+            stage: self.stage,
         }
     }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -56,7 +56,7 @@
 /// How a cascade's stage is chosen; all but the first are baselines for measurements.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CascadePolicy {
-    /// Learned start stage and steered threshold.
+    /// Learned start stage, and quality spent as far as it has been saved up.
     #[default]
     Learned,
     /// Always the first stage.
@@ -314,7 +314,7 @@
         for (id, spec) in &snapshot.cascades {
             let steering = estimates.steering(id, spec.quality_target);
             let state = json!({
-                "threshold": steering.threshold,
+                "credit": steering.credit,
                 "reached": steering.reached,
                 "target": spec.quality_target,
             });
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -97,6 +97,8 @@
     pub request: Option<Box<str>>,
     /// Version that answered.
     pub version: VersionId,
+    /// Index of the cascade's stage that answered.
+    pub stage: Option<u32>,
     /// Session token.
     pub session: Option<Box<str>>,
     /// Text of the answer.
@@ -155,6 +157,7 @@
         };
         outcome.request = header("mintmoor-request");
         outcome.version = header("mintmoor-version").unwrap_or_default();
+        outcome.stage = header("mintmoor-stage").and_then(|stage| stage.parse().ok());
         outcome.session = header("mintmoor-session");
         outcome.replayed = header("mintmoor-replayed").is_some();
         let is_stream =
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     load::{Baseline, Broken, Record, Scenario, runner::turned_bad},
-    local::LocalSystem,
+    local::{LocalSystem, VERSIONS},
     policy::charge::Totals,
 };
 
@@ -35,6 +35,23 @@
     }
 }
 
+/// Answers to one organisation from one version in one stage.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AnswerRow {
+    /// Organisation.
+    pub organisation: Box<str>,
+    /// Version.
+    pub version: Box<str>,
+    /// Stage, from 0.
+    pub stage: u32,
+    /// Whole answers.
+    pub answers: u64,
+    /// Cost of the tokens generated, by the preset's prices; the charges below have it all.
+    pub cost: u64,
+    /// Time to first token, milliseconds.
+    pub first_token: Percentiles,
+}
+
 /// The report of one run.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Report {
@@ -60,8 +77,8 @@
     pub total: Percentiles,
     /// Time to first token by organisation, milliseconds.
     pub first_token_by_organisation: BTreeMap<Box<str>, Percentiles>,
-    /// Answers by version.
-    pub versions: BTreeMap<Box<str>, u64>,
+    /// Answers by organisation, version and stage.
+    pub answers: Vec<AnswerRow>,
     /// Answers from a version after it turned bad, and failures it caused.
     pub exposure: u64,
     /// Attempts sent for each request.
@@ -98,10 +115,8 @@
         };
         for record in &counted {
             *report.codes.entry(record.outcome.code.clone()).or_default() += 1;
-            if let Some(version) = record.version() {
-                *report.versions.entry(version.clone()).or_default() += 1;
-            }
         }
+        report.answers = answer_rows(&answered);
         let streamed = |r: &&&Record| r.outcome.between_tokens.is_some();
         let firsts = answered.iter().copied().filter(streamed);
         report.first_token = Percentiles::of(firsts.filter_map(|r| r.outcome.first_token));
@@ -139,6 +154,29 @@
     }
 }
 
+fn answer_rows(answered: &[&&Record]) -> Vec<AnswerRow> {
+    let mut groups: BTreeMap<(Box<str>, Box<str>, u32), Vec<&&&Record>> = BTreeMap::new();
+    for record in answered {
+        let Some(version) = record.version() else { continue };
+        let stage = record.outcome.stage.unwrap_or(0);
+        let key = (record.organisation.clone(), version.clone(), stage);
+        groups.entry(key).or_default().push(record);
+    }
+    let row = |((organisation, version, stage), records): ((_, Box<str>, _), Vec<&&&Record>)| {
+        let price = VERSIONS.iter().find(|(id, ..)| *id == &*version).map_or(0, |v| v.2);
+        let tokens: u64 = records.iter().filter_map(|r| r.outcome.tokens_out).sum();
+        AnswerRow {
+            organisation,
+            stage,
+            answers: records.len() as u64,
+            cost: (tokens * price).div_ceil(1_000),
+            first_token: Percentiles::of(records.iter().filter_map(|r| r.outcome.first_token)),
+            version,
+        }
+    };
+    groups.into_iter().map(row).collect()
+}
+
 fn by_organisation(answered: &[&&Record]) -> BTreeMap<Box<str>, Percentiles> {
     let mut times: BTreeMap<Box<str>, Vec<Duration>> = BTreeMap::new();
     for record in answered.iter().filter(|r| r.outcome.between_tokens.is_some()) {
@@ -172,8 +210,22 @@
         for (organisation, times) in &self.first_token_by_organisation {
             writeln!(f, "  first token     {}  {organisation}", row(times))?;
         }
-        for (version, count) in &self.versions {
-            writeln!(f, "  answers by version  {version:24} {count}")?;
+        writeln!(
+            f,
+            "  answers  organisation         version             stage   cost  first token"
+        )?;
+        for row in &self.answers {
+            writeln!(
+                f,
+                "  {:7}  {:20} {:20} {:4} {:6}  p50 {:.1} p95 {:.1}",
+                row.answers,
+                row.organisation,
+                row.version,
+                row.stage,
+                row.cost,
+                row.first_token.p50,
+                row.first_token.p95
+            )?;
         }
         for (organisation, t) in &self.totals {
             writeln!(
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -44,6 +44,9 @@
     /// Faults.
     #[serde(default)]
     pub faults: Vec<FaultSpec>,
+    /// Milliseconds between heartbeats.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat_ms: u64,
     /// Seconds agents wait before they give up an entry that went away.
     #[serde(default = "default_lost_after")]
     pub entry_lost_after_s: f64,
@@ -57,6 +60,10 @@
     2
 }
 
+fn default_heartbeat() -> u64 {
+    250
+}
+
 fn default_lost_after() -> f64 {
     2.0
 }
@@ -324,6 +331,7 @@
         fleet.max_running = self.engine.max_batch as u32;
         fleet.max_queued = self.engine.max_queued;
         fleet.cache_blocks = self.engine.cache_blocks;
+        fleet.heartbeat = Duration::from_millis(self.heartbeat_ms);
         fleet.entry_lost_after = Duration::from_secs_f64(self.entry_lost_after_s);
         fleet
     }
--- a/src/load/slopes/mod.rs
+++ b/src/load/slopes/mod.rs
@@ -1,8 +1,12 @@
 //! Slopes: what one more of something costs. `docs/CAPACITY.md` is worked out from them.
 
 mod compute;
+mod overhead;
 mod system;
 
+pub use compute::decide_once;
+pub use overhead::{Overhead, measure_overhead};
+
 use std::fmt;
 
 use eyre::Result;
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -3,5 +3,5 @@
 mod preset;
 mod system;
 
-pub use preset::{Keys, caller_key, operator_key, standard_objects};
+pub use preset::{Keys, VERSIONS, caller_key, operator_key, standard_objects};
 pub use system::{Fleet, LocalSystem, Platform, Process, ServerSetup};
--- a/src/policy/cascade.rs
+++ b/src/policy/cascade.rs
@@ -8,8 +8,9 @@
 const STEP: f64 = 0.02;
 /// Ratings after which the declared quality no longer counts.
 const PRIOR_RATINGS: f64 = 20.0;
-/// How fast the acceptance threshold follows the gap to the target.
-const STEERING: f64 = 0.02;
+/// Quality above the target that can be saved up, in whole answers: a bound on how many poor
+/// answers in a row good ones before them can pay for.
+const MAX_CREDIT: f64 = 3.0;
 /// Estimates that kept no ratings for this many answers drift to the safe side.
 const DRIFT: f64 = 0.002;
 
@@ -50,11 +51,11 @@
     ratings: f64,
 }
 
-/// Threshold of one cascade and the quality it has reached.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// Quality one cascade has reached and what it has saved up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Steering {
-    /// Rating below which an answer is escalated.
-    pub threshold: f64,
+    /// Sum of delivered ratings less the target, bounded; what may be spent on poor answers.
+    pub credit: f64,
     /// Running mean of delivered ratings.
     pub reached: f64,
 }
@@ -86,19 +87,18 @@
         }
     }
 
-    /// Threshold of a cascade in force.
+    /// Quality of a cascade so far.
     pub fn steering(&self, cascade: &str, target: f64) -> Steering {
-        let start = Steering { threshold: target, reached: target };
+        let start = Steering { credit: 0.0, reached: target };
         self.quality.get(cascade).copied().unwrap_or(start)
     }
 
-    /// Steers the threshold after an answer with this rating was delivered.
+    /// Notes that an answer with this rating was delivered.
     pub fn note_delivered(&mut self, cascade: &ObjectId, target: f64, rating: f64) {
-        let start = Steering { threshold: target, reached: target };
-        let steering = self.quality.entry(cascade.clone()).or_insert(start);
+        let mut steering = self.steering(cascade, target);
         steering.reached += (rating - steering.reached) * STEP;
-        let gap = target - steering.reached;
-        steering.threshold = (steering.threshold + gap * STEERING).clamp(0.0, 1.0);
+        steering.credit = (steering.credit + rating - target).clamp(-MAX_CREDIT, MAX_CREDIT);
+        self.quality.insert(cascade.clone(), steering);
     }
 
     /// Estimates held.
@@ -139,6 +139,9 @@
 }
 
 /// Whether an answer with this rating is passed on rather than escalated.
-pub fn is_good_enough(rating: f64, steering: Steering) -> bool {
-    rating >= steering.threshold
+///
+/// Below the target it is passed on only as far as better answers before it have paid for it, so
+/// the mean stays at the target and nothing is spent on reaching more.
+pub fn is_good_enough(rating: f64, target: f64, steering: Steering) -> bool {
+    rating >= target || steering.credit + rating - target >= 0.0
 }
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -163,6 +163,20 @@
     pub tokens_out: u64,
 }
 
+/// Load of an agent at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNow {
+    /// Attempts running.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Attempts queued.
+    #[serde(rename = "q")]
+    pub queued: u32,
+    /// Starts received on this link so far.
+    #[serde(rename = "n")]
+    pub starts_seen: u64,
+}
+
 /// Frames from an entry to an agent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
@@ -245,6 +259,8 @@
         status: u16,
         /// Tokens used.
         usage: Usage,
+        /// Load of the agent now; answers are more frequent than heartbeats.
+        load: LoadNow,
     },
     /// The BackendServer failed the attempt after the start.
     Failed {
--- a/src/settings/process.rs
+++ b/src/settings/process.rs
@@ -142,9 +142,9 @@
     let link_key = read_key(&mut r, "keys.link");
     let session_key = read_key(&mut r, "keys.session");
     let root_key = read_optional_key(&mut r, "keys.root");
-    let heartbeat = get_time(&mut r, "control.heartbeat_ms", 1_000);
+    let heartbeat = get_time(&mut r, "control.heartbeat_ms", 2_000);
     let poll = get_time(&mut r, "control.poll_ms", 1_000);
-    let max_links = get_count(&mut r, "control.max_links", 64);
+    let max_links = get_count(&mut r, "control.max_links", 40);
     let max_in_flight = get_count(&mut r, "limits.max_in_flight", 4_096);
     let max_body = get_count(&mut r, "limits.max_body_bytes", 1 << 20);
     let max_waiting_charges = get_count(&mut r, "limits.max_waiting_charges", 200_000);
@@ -197,7 +197,7 @@
     let max_running = r.get("backend.max_running", "a whole number above 0", Some(16));
     let max_queued = get_count(&mut r, "limits.max_queued", 256);
     let token_target = get_time(&mut r, "backend.token_target_ms", 80);
-    let heartbeat = get_time(&mut r, "control.heartbeat_ms", 1_000);
+    let heartbeat = get_time(&mut r, "control.heartbeat_ms", 2_000);
     let max_waiting_charges = get_count(&mut r, "limits.max_waiting_charges", 100_000);
     let entry_lost_after = get_time(&mut r, "control.entry_lost_after_ms", 20_000);
     let grace = get_time(&mut r, "stop.grace_ms", 30_000);
