Rows of a region are written by one relay agent; doubled once-only requests in the load tool

Cause: CAPACITY.md: claims and their results are 680 writes/s at the size; an entry alone sees about two a second, so grouping at the entry saves nothing. Change: entries hand conditional rows to one agent of their region, chosen by rendezvous, which commits what comes within 50 ms in one transaction. The row's condition stays the only judge: a relay that dies leaves a lost reply, which the nonce settles; a refusal falls back to the entry. Test: the_death_of_the_relay_makes_nothing_run_twice_and_stops_nothing.

--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -17,8 +17,10 @@
         Agent, dispatch,
         state::{LinkHandle, LinkId, Pending, SentOnLink},
     },
+    platform::InsertOutcome,
     protocol::{
-        self, AgentBeat, AgentSide, EntryBeat, ToAgent, ToEntry, VersionEvidence, decode, encode,
+        self, AgentBeat, AgentSide, EntryBeat, RowWrite, ToAgent, ToEntry, VersionEvidence, decode,
+        encode,
     },
     telemetry::event,
 };
@@ -117,6 +119,9 @@
         ToAgent::Confirm(requests) => {
             agent.copies.lock().expect("no panics under the lock").confirm(&requests);
         }
+        ToAgent::WriteRow(row) => {
+            tokio::spawn(write_row(agent.clone(), id, *row));
+        }
         ToAgent::Leave => dispatch::leave(agent),
         ToAgent::Pin { session, model, version } => agent.remember_pin(session, model, version),
         ToAgent::AskPin { question, session, model } => {
@@ -126,6 +131,16 @@
     }
 }
 
+/// Writes a row for an entry; a value that can't be read is refused, so nothing is written.
+async fn write_row(agent: Arc<Agent>, link: LinkId, row: RowWrite) {
+    let RowWrite { question, key, expected, value } = row;
+    let outcome = match serde_json::from_str(&value) {
+        Ok(value) => agent.rows.write(key, expected, value).await,
+        Err(_) => InsertOutcome::Refused,
+    };
+    agent.send(link, &ToEntry::RowWritten { question, outcome }).await;
+}
+
 async fn note_beat(agent: &Arc<Agent>, link: &Arc<LinkHandle>, beat: EntryBeat) {
     {
         let mut held = agent.held.lock().expect("no panics under the lock");
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -23,7 +23,8 @@
     },
     control::{config::Config, store_health::StoreHealth},
     ids::{Incarnation, ObjectId, Revision, VersionId, format_id, new_incarnation},
-    platform::{HttpClient, ObjectsClient},
+    ledger::GroupCommit,
+    platform::{HttpClient, ObjectsClient, TableClient},
     policy::{
         attempt::AttemptKey,
         fair_queue::FairQueue,
@@ -41,6 +42,8 @@
 const FIRST_SERVICE: Duration = Duration::from_millis(300);
 const FIRST_TOKEN: Duration = Duration::from_millis(10);
 const FIRST_PREFILL: f64 = 8_000.0;
+/// How long the first row of a group waits for rows of other entries: at most 20 groups a second.
+const ROW_LINGER: Duration = Duration::from_millis(50);
 /// Pins remembered for the time while the table service is down.
 const MAX_PINS: usize = 50_000;
 
@@ -123,6 +126,7 @@
     pub(crate) health: StoreHealth,
     pub(crate) http: HttpClient,
     pub(crate) objects: ObjectsClient,
+    pub(crate) rows: GroupCommit,
     pub(crate) work: Mutex<Work>,
     pub(crate) links: Mutex<BTreeMap<LinkId, Arc<LinkHandle>>>,
     pub(crate) next_link: AtomicU64,
@@ -144,7 +148,7 @@
 }
 
 impl Agent {
-    /// An agent that has not been started.
+    /// An agent that has not been started; must be called on a runtime.
     pub fn new(settings: AgentSettings) -> Self {
         let metrics = Metrics::default();
         let http = HttpClient::default();
@@ -160,10 +164,13 @@
             prefill: FIRST_PREFILL,
             failures_in_a_row: 0,
         };
+        let health = StoreHealth::new(metrics.clone());
+        let table = TableClient::over_http(http.clone(), &settings.platform.table);
         Self {
             incarnation: new_incarnation(),
             config: Config::new(metrics.clone()),
-            health: StoreHealth::new(metrics.clone()),
+            rows: GroupCommit::start(table, health.clone(), ROW_LINGER),
+            health,
             objects: ObjectsClient::over_http(http.clone(), &settings.platform.objects),
             http,
             work: Mutex::new(work),
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -23,6 +23,7 @@
     let pools: Vec<Vec<VersionId>> =
         agents.iter().map(|host| declared_versions(host, snapshot)).collect();
     let mut chosen: BTreeSet<&str> = BTreeSet::new();
+    chosen.extend(relay_of(me, hosts).map(|host| &*host.name));
     let mut links: BTreeMap<&VersionId, usize> = BTreeMap::new();
     // One more link a pool in each round, so that a version few engines have is not crowded out.
     for wanted in 1..=LINKS_A_POOL {
@@ -63,6 +64,16 @@
     live.iter().filter(|host| rank(host) > mine).count() < sharers
 }
 
+/// The agent that writes rows for the entries of `me`'s region.
+///
+/// Entries that see the list differently may use two; that costs transactions, nothing else.
+pub fn relay_of<'a>(me: &Host, hosts: &'a [Host]) -> Option<&'a Host> {
+    hosts
+        .iter()
+        .filter(|host| is_live_agent(host) && host.region == me.region)
+        .max_by_key(|host| xxh3_64(format!("relay|{}", host.name).as_bytes()))
+}
+
 /// Over which entries a duty is shared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -5,8 +5,7 @@
 use crate::{
     entry::{ApiError, Entry},
     ids::RequestId,
-    ledger::InsertOutcome,
-    platform::{Error, Result},
+    platform::{Error, InsertOutcome, Result},
     policy::claim::{Claim, ClaimState, ClaimStep, InsertReply, SavedAnswer, next_step},
     telemetry::event,
 };
@@ -91,7 +90,7 @@
     version: &mut u64,
 ) -> InsertReply {
     let value = serde_json::to_value(mine).expect("claims are plain data");
-    match entry.group.write(key.into(), expected, value).await {
+    match entry.write_row(key.into(), expected, value).await {
         InsertOutcome::Inserted(written) => {
             *version = written;
             InsertReply::Inserted
@@ -127,7 +126,7 @@
     let claim = Claim { state, ..grant.claim };
     let value = serde_json::to_value(&claim).expect("claims are plain data");
     for _ in 0..FINISH_TRIES {
-        match entry.group.write(grant.key.clone(), Some(grant.version), value.clone()).await {
+        match entry.write_row(grant.key.clone(), Some(grant.version), value.clone()).await {
             InsertOutcome::Inserted(_) | InsertOutcome::Conflict => return,
             // A repeat after a lost reply conflicts with our own write, which ends it.
             InsertOutcome::Refused | InsertOutcome::Lost => tokio::time::sleep(FINISH_PAUSE).await,
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -15,18 +15,22 @@
 use crate::{
     entry::request::CHAIN_WORDS,
     ids::{ServerId, VersionId},
-    platform::Host,
+    platform::{Host, InsertOutcome},
     policy::{
         attempt::AttemptKey,
         choice::ServerLoad,
         gate::RefuseReason,
         outlier::{Outlier, OutlierRules},
     },
-    protocol::{AgentBeat, LoadNow, Peer, Start, ToAgent, Usage, VersionEvidence, encode},
+    protocol::{
+        AgentBeat, LoadNow, Peer, RowWrite, Start, ToAgent, Usage, VersionEvidence, encode,
+    },
 };
 
 /// Prefix links remembered for one engine.
 const MAX_BELIEFS: usize = 4_096;
+/// Time a row's write may take before its outcome counts as lost.
+const ROW_WAIT: Duration = Duration::from_secs(3);
 /// One-way distances by class: same zone, same region, other region.
 const DISTANCES: [Duration; 3] =
     [Duration::from_micros(100), Duration::from_millis(1), Duration::from_millis(20)];
@@ -65,6 +69,7 @@
     up: AtomicBool,
     waiters: Mutex<HashMap<AttemptKey, mpsc::UnboundedSender<AttemptFrame>>>,
     questions: Mutex<HashMap<u64, oneshot::Sender<Option<VersionId>>>>,
+    row_questions: Mutex<HashMap<u64, oneshot::Sender<InsertOutcome>>>,
     next_question: AtomicU64,
     state: Mutex<LinkState>,
 }
@@ -80,6 +85,7 @@
             up: AtomicBool::new(true),
             waiters: Mutex::default(),
             questions: Mutex::default(),
+            row_questions: Mutex::default(),
             next_question: AtomicU64::new(0),
             state: Mutex::default(),
         }
@@ -264,6 +270,38 @@
         answer.ok()?.ok()?
     }
 
+    /// Has the agent write a row; a link that goes away leaves the outcome open.
+    pub(crate) async fn write_row(
+        &self,
+        key: Box<str>,
+        expected: Option<u64>,
+        value: &serde_json::Value,
+    ) -> InsertOutcome {
+        let question = self.next_question.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        self.row_questions.lock().expect("no panics under the lock").insert(question, tx);
+        let row = RowWrite { question, key, expected, value: value.to_string().into() };
+        // A link that went down in between has already dropped its questions.
+        if !self.is_up() || !self.send(&ToAgent::WriteRow(Box::new(row))).await {
+            self.take_row_question(question);
+            return InsertOutcome::Lost;
+        }
+        let answer = tokio::time::timeout(ROW_WAIT, rx).await;
+        self.take_row_question(question);
+        answer.ok().and_then(Result::ok).unwrap_or(InsertOutcome::Lost)
+    }
+
+    fn take_row_question(&self, question: u64) -> Option<oneshot::Sender<InsertOutcome>> {
+        self.row_questions.lock().expect("no panics under the lock").remove(&question)
+    }
+
+    /// Answers a row's question.
+    pub(crate) fn note_row(&self, question: u64, outcome: InsertOutcome) {
+        if let Some(tx) = self.take_row_question(question) {
+            let _ = tx.send(outcome);
+        }
+    }
+
     /// Answers a question about a pin.
     pub(crate) fn answer_question(&self, question: u64, version: Option<VersionId>) {
         let asked = self.questions.lock().expect("no panics under the lock").remove(&question);
@@ -275,6 +313,7 @@
     /// Marks the link as down and tells every attempt on it.
     pub(crate) fn close(&self) {
         self.up.store(false, Ordering::Relaxed);
+        self.row_questions.lock().expect("no panics under the lock").clear();
         let waiters = std::mem::take(&mut *self.waiters.lock().expect("no panics under the lock"));
         for tx in waiters.into_values() {
             let _ = tx.send(AttemptFrame::Lost);
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -14,7 +14,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::{
-    control::membership::{distance_class, select_links},
+    control::membership::{distance_class, relay_of, select_links},
     entry::{
         Entry, guard,
         link::{AttemptFrame, Link},
@@ -42,6 +42,8 @@
         let me = entry.as_host();
         let snapshot = entry.config.snapshot();
         let chosen = select_links(&me, &hosts, &snapshot, entry.settings.max_links);
+        *entry.relay.lock().expect("no panics under the lock") =
+            relay_of(&me, &hosts).map(|host| host.name.clone());
         let names: BTreeSet<&str> = chosen.iter().map(|host| &*host.name).collect();
         self.wanted.retain(|name, stop| {
             let kept = names.contains(&**name);
@@ -177,6 +179,7 @@
             *entry.pulling.lock().expect("no panics under the lock") = None;
             return;
         }
+        ToEntry::RowWritten { question, outcome } => return link.note_row(question, outcome),
         ToEntry::PinIs { question, version } => return link.answer_question(question, version),
         ToEntry::Refused { key, reason } => (key, AttemptFrame::Refused(reason)),
         ToEntry::Started(key) => (key, AttemptFrame::Started),
--- a/src/entry/sessions.rs
+++ b/src/entry/sessions.rs
@@ -8,7 +8,7 @@
 use crate::{
     entry::{Entry, guard, request::RequestHead},
     ids::{ObjectId, Revision, VersionId, format_id},
-    ledger::InsertOutcome,
+    platform::InsertOutcome,
     policy::{
         roll_out::takes_new_version,
         session::{self, Session},
@@ -176,7 +176,7 @@
         let version = assign(entry, &snapshot, &session.id, model, usable)?;
         let value = serde_json::to_value(PinRow { version: version.clone() }).ok()?;
         let expected = read.as_ref().map(|(_, at)| *at);
-        match entry.group.write(key.clone(), expected, value).await {
+        match entry.write_row(key.clone(), expected, value).await {
             InsertOutcome::Inserted(_) => {
                 remember(entry, &key, session, model, &version).await;
                 return Some(version);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -26,7 +26,9 @@
     ids::{Incarnation, ObjectId, OrganisationId, VersionId, format_id, new_incarnation},
     ledger::GroupCommit,
     operator::commands::Writer,
-    platform::{Host, HostState, HttpClient, ObjectsClient, RatingsClient, Role, TableClient},
+    platform::{
+        Host, HostState, HttpClient, InsertOutcome, ObjectsClient, RatingsClient, Role, TableClient,
+    },
     policy::{
         cascade::Estimates,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
@@ -80,6 +82,8 @@
     pub outlier: Option<OutlierRules>,
     /// Whether requests that may run only once are claimed first.
     pub claims: bool,
+    /// Whether rows are written through the region's relay.
+    pub relay: bool,
     /// Whether charge records are copied to the agent before an answer is delivered.
     pub charge_copies: bool,
 }
@@ -92,6 +96,7 @@
             guard: true,
             outlier: Some(OutlierRules::default()),
             claims: true,
+            relay: true,
             charge_copies: true,
         }
     }
@@ -119,6 +124,8 @@
     pub(crate) links: Mutex<BTreeMap<Box<str>, Arc<Link>>>,
     pub(crate) routes: ArcSwap<Routes>,
     rebuilding: Mutex<()>,
+    /// Host of the agent that writes this region's rows.
+    pub(crate) relay: Mutex<Option<Box<str>>>,
     pub(crate) hosts: Mutex<Vec<Host>>,
     pub(crate) pulling: Mutex<Option<Instant>>,
     pub(crate) estimates: Mutex<Estimates>,
@@ -166,6 +173,7 @@
             links: Mutex::default(),
             routes: ArcSwap::default(),
             rebuilding: Mutex::default(),
+            relay: Mutex::default(),
             hosts: Mutex::default(),
             pulling: Mutex::default(),
             estimates: Mutex::default(),
@@ -212,6 +220,33 @@
         has_duty(&self.as_host(), &hosts, duty, sharers, scope)
     }
 
+    /// Writes a row if it still has the expected version; none means absent.
+    ///
+    /// Entries of a region hand their rows to one agent, which commits them in groups: at the size
+    /// of `docs/CAPACITY.md` each entry alone sees too few to group.
+    pub(crate) async fn write_row(
+        &self,
+        key: Box<str>,
+        expected: Option<u64>,
+        value: serde_json::Value,
+    ) -> InsertOutcome {
+        if let Some(link) = self.relay_link().filter(|_| self.policy.relay) {
+            let outcome = link.write_row(key.clone(), expected, &value).await;
+            // Nothing was written: the relay may be cut off from the store where this entry is not.
+            if outcome != InsertOutcome::Refused {
+                return outcome;
+            }
+        }
+        self.group.write(key, expected, value).await
+    }
+
+    /// Link to the agent that writes the rows of this region, if it is up and takes work.
+    pub(crate) fn relay_link(&self) -> Option<Arc<Link>> {
+        let name = self.relay.lock().expect("no panics under the lock").clone()?;
+        let links = self.links.lock().expect("no panics under the lock");
+        links.get(&name).filter(|link| link.takes_work()).cloned()
+    }
+
     /// Time on this entry's monotonic clock.
     pub(crate) fn now(&self) -> Duration {
         self.started.elapsed()
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     entry::{Entry, guard},
-    ids::{PartnerId, RequestId, partner_of},
+    ids::{PartnerId, RequestId, ServerId, partner_of},
     operator::queries::{RollOutStatus, Status},
     resources::{Object, Spec},
 };
@@ -47,6 +47,11 @@
         status
     }
 
+    /// BackendServer whose agent writes this entry's rows, if it is linked.
+    pub fn relay_server(&self) -> Option<ServerId> {
+        self.relay_link().map(|link| link.server.clone())
+    }
+
     /// Story of a recent request of one of the partner's organisations.
     pub(crate) fn explanation(&self, request: RequestId, partner: &PartnerId) -> Option<Value> {
         let explanations = self.explanations.lock().expect("no panics under the lock");
--- a/src/ledger/group.rs
+++ b/src/ledger/group.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     control::store_health::StoreHealth,
-    platform::{Error, TableClient, Transaction},
+    platform::{Error, InsertOutcome, TableClient, Transaction},
 };
 
 /// Rows in one transaction at most.
@@ -16,19 +16,6 @@
 /// Groups waiting at most; beyond, an insert is refused at once.
 const WAITING: usize = 4_096;
 
-/// How an insert came out.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum InsertOutcome {
-    /// The row is written, and has this version.
-    Inserted(u64),
-    /// The row has another version than was expected.
-    Conflict,
-    /// Nothing was written.
-    Refused,
-    /// It is not known whether the row was written.
-    Lost,
-}
-
 struct Insert {
     key: Box<str>,
     expected: Option<u64>,
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -5,5 +5,5 @@
 mod settle;
 
 pub use batch::{Batch, ChargeBuffer, read_batch, write_batches};
-pub use group::{GroupCommit, InsertOutcome};
+pub use group::GroupCommit;
 pub use settle::{SettleReport, Settler, read_totals};
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -75,9 +75,15 @@
     }
     all.sort_by_key(|arrival| arrival.at);
     let mut tasks = JoinSet::new();
+    // What is checked of a doubled request is how often it ran, not its second answer.
+    let mut twins = JoinSet::new();
     for (i, arrival) in all.into_iter().enumerate() {
         tokio::time::sleep_until((began + arrival.at).into()).await;
         let client = clients[i % clients.len()].clone();
+        if arrival.doubled {
+            let (other, twin) = (clients[(i + 1) % clients.len()].clone(), arrival.clone());
+            twins.spawn(async move { drop(send_one(&other, twin).await) });
+        }
         tasks.spawn(async move { send_one(&client, arrival).await });
     }
     let mut records = Vec::new();
@@ -90,7 +96,7 @@
 }
 
 async fn send_one(client: &Client, arrival: Arrival) -> Record {
-    let Arrival { at, organisation, kind, call, mark } = arrival;
+    let Arrival { at, organisation, kind, call, mark, .. } = arrival;
     let outcome = match kind {
         Kind::ServiceOnce => {
             let partner = crate::ids::partner_of(&organisation);
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -246,10 +246,11 @@
     FlatOutlier,
     NoClaims,
     NoCopies,
+    NoRelay,
 }
 
 impl Baseline {
-    const NAMES: [(&'static str, Baseline); 11] = [
+    const NAMES: [(&'static str, Baseline); 12] = [
         ("mintmoor", Baseline::Mintmoor),
         ("cheapest", Baseline::Cheapest),
         ("costliest", Baseline::Costliest),
@@ -261,6 +262,7 @@
         ("flat-outlier", Baseline::FlatOutlier),
         ("no-claims", Baseline::NoClaims),
         ("no-copies", Baseline::NoCopies),
+        ("no-relay", Baseline::NoRelay),
     ];
 
     /// Name on the command line.
@@ -283,6 +285,7 @@
             Baseline::FlatOutlier => policy.outlier = Some(OutlierRules::flat()),
             Baseline::NoClaims => policy.claims = false,
             Baseline::NoCopies => policy.charge_copies = false,
+            Baseline::NoRelay => policy.relay = false,
         }
         policy
     }
--- a/src/load/traffic.rs
+++ b/src/load/traffic.rs
@@ -37,6 +37,8 @@
     "why",
 ];
 const MAX_TOKENS: u64 = 40;
+/// Share of once-only requests that a caller sends twice at the same moment.
+const DOUBLED: f64 = 0.2;
 
 /// One request to be sent.
 #[derive(Clone, Debug)]
@@ -46,6 +48,8 @@
     pub(super) kind: Kind,
     pub(super) call: ChatCall,
     pub(super) mark: Box<str>,
+    /// Sent twice at the same moment, as by a double tap.
+    pub(super) doubled: bool,
 }
 
 /// Draws all arrivals of a stream, with exponential gaps.
@@ -95,7 +99,8 @@
         deadline: stream.deadline_ms.map(Duration::from_millis),
     };
     let at = Duration::from_secs_f64(at);
-    Arrival { at, organisation: stream.organisation.clone(), kind, call, mark }
+    let doubled = is_once && rng.random_bool(DOUBLED);
+    Arrival { at, doubled, organisation: stream.organisation.clone(), kind, call, mark }
 }
 
 fn words(rng: &mut ChaCha8Rng, count: usize) -> Box<str> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,7 +16,9 @@
 pub use http_client::{HttpClient, HttpReply};
 pub use objects::{ObjectReply, ObjectRequest, ObjectsClient};
 pub use ratings::{RatingRequest, RatingsClient};
-pub use table::{Check, Row, TableClient, TableReply, TableRequest, Transaction, Write};
+pub use table::{
+    Check, InsertOutcome, Row, TableClient, TableReply, TableRequest, Transaction, Write,
+};
 
 use std::{future::Future, pin::Pin};
 
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -115,6 +115,19 @@
     Rows(Vec<Row>),
 }
 
+/// How an insert came out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InsertOutcome {
+    /// The row is written, and has this version.
+    Inserted(u64),
+    /// The row has another version than was expected.
+    Conflict,
+    /// Nothing was written.
+    Refused,
+    /// It is not known whether the row was written.
+    Lost,
+}
+
 /// Client of the table service.
 #[derive(Clone)]
 pub struct TableClient {
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     ids::{ObjectId, OrganisationId, RequestId, Revision, VersionId},
+    platform::InsertOutcome,
     policy::{attempt::AttemptKey, charge::ChargeRecord, gate::RefuseReason, roll_out::Evidence},
     resources::{Change, Object},
 };
@@ -163,6 +164,22 @@
     pub tokens_out: u64,
 }
 
+/// A row an agent writes for an entry.
+///
+/// The agent only batches: the row's condition is judged by the table alone, and an agent that
+/// goes away leaves a lost reply behind. See `docs/decisions/0003-at-most-once.md`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RowWrite {
+    /// Number of the question on this link.
+    pub question: u64,
+    /// Key of the row.
+    pub key: Box<str>,
+    /// Version it must have; none means absent.
+    pub expected: Option<u64>,
+    /// New value, as JSON text.
+    pub value: Box<str>,
+}
+
 /// Load of an agent at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadNow {
@@ -212,6 +229,8 @@
         /// Version.
         version: VersionId,
     },
+    /// Write a row for the entry, in one transaction with the rows of other entries.
+    WriteRow(Box<RowWrite>),
     /// Ask for a remembered pin.
     AskPin {
         /// Number of the question on this link.
@@ -275,6 +294,13 @@
     Pull(Revision),
     /// Changes.
     Config(ConfigUpdate),
+    /// How a row's write came out.
+    RowWritten {
+        /// Number of the question.
+        question: u64,
+        /// Outcome.
+        outcome: InsertOutcome,
+    },
     /// Answer to a question about a pin.
     PinIs {
         /// Number of the question.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -12,7 +12,7 @@
 pub use error::{Error, Result};
 pub use handshake::{AgentSide, EntrySide, Peer, accept, connect};
 pub use message::{
-    AgentBeat, ConfigUpdate, EntryBeat, Held, LoadNow, Start, StartCall, ToAgent, ToEntry, Usage,
-    VersionEvidence,
+    AgentBeat, ConfigUpdate, EntryBeat, Held, LoadNow, RowWrite, Start, StartCall, ToAgent,
+    ToEntry, Usage, VersionEvidence,
 };
 pub use writer::write_frames;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -252,6 +252,42 @@
     assert!(outcomes.iter().any(|o| &*o.code == "ok"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_death_of_the_relay_makes_nothing_run_twice_and_stops_nothing() {
+    let system = start().await;
+    let relay = {
+        let entries = system.entries.lock().unwrap();
+        entries[0].as_ref().unwrap().entry.relay_server().expect("a relay is chosen")
+    };
+    let key = caller_key("ricarica/tills");
+    let order = |i: usize, round: usize| {
+        let (client, key) = (client(&system, 0), key.clone());
+        async move {
+            let id = format!("order-{round}-{i}");
+            client.service(&key, "confirm/topup", Some(&id), id.clone().into_bytes().into()).await
+        }
+    };
+    let mut tasks = JoinSet::new();
+    for i in 0..20 {
+        tasks.spawn(order(i, 1));
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+
+    system.kill_agent(&relay);
+
+    let first = tasks.join_all().await;
+    let mut second = Vec::new();
+    // Without the service's own agent there is nothing to serve; any other relay is replaced.
+    for i in (0..5).filter(|_| &*relay != "ricarica/confirm") {
+        second.push(order(i, 2).await);
+    }
+    let calls = system.services["ricarica/confirm"].calls();
+    assert!(calls.values().all(|count| *count == 1), "{calls:?}");
+    assert!(second.iter().all(|o| &*o.code == "ok"), "{second:?}");
+    let known = BTreeSet::from(["ok", "not_run", "outcome_unknown", "duplicate"]);
+    assert!(first.iter().all(|o| known.contains(&*o.code)), "{first:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cascade_never_runs_a_once_only_request_twice() {
     let system = start().await;
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -8,8 +8,8 @@
         lease::{Lease, Permit},
         store_health::StoreHealth,
     },
-    ledger::{ChargeBuffer, GroupCommit, InsertOutcome, Settler, read_totals, write_batches},
-    platform::Transaction,
+    ledger::{ChargeBuffer, GroupCommit, Settler, read_totals, write_batches},
+    platform::{InsertOutcome, Transaction},
     policy::{
         charge::{ChargeRecord, ChargedAttempt, Delivery, WINDOW_MS},
         lease::LeaseTerms,
