A twin of a request that ran is not told that it has not run; large files split

Change: reading back is repeated after a lost reply; a row that stays unreadable is outcome_unknown. The claim model has the unreadable row too.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -21,8 +21,9 @@
     entry::{
         ApiError, Entry,
         request::{ChatRequest, RequestHead},
-        serve::{Reply, ReplyHead, StreamItem, serve_chat},
+        serve::serve_chat,
         service::{ServiceRequest, serve_service},
+        stream::{Reply, ReplyHead, StreamItem},
         target::visible_names,
     },
     policy::claim::SavedAnswer,
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -5,13 +5,14 @@
 use crate::{
     entry::{ApiError, Entry},
     ids::RequestId,
-    platform::{Error, InsertOutcome, Result},
+    platform::{Error, InsertOutcome},
     policy::claim::{Claim, ClaimState, ClaimStep, InsertReply, SavedAnswer, next_step},
     telemetry::event,
 };
 
-/// Steps before a claim is given up as not run.
+/// Steps before a claim is given up.
 const MAX_STEPS: usize = 8;
+const READ_TRIES: usize = 4;
 /// Time beyond the deadline after which a held claim counts as abandoned.
 const HELD_MARGIN: Duration = Duration::from_secs(30);
 const FINISH_TRIES: u32 = 40;
@@ -44,7 +45,7 @@
     request: RequestId,
     fingerprint: u64,
     deadline: Duration,
-) -> std::result::Result<Claimed, ApiError> {
+) -> Result<Claimed, ApiError> {
     if entry.health.is_down() && entry.table.get("head/config").await.is_err() {
         return Err(ApiError::not_run("the store that keeps claims gives no answer"));
     }
@@ -69,17 +70,19 @@
             ClaimStep::InProgress => return Err(ApiError::duplicate()),
             ClaimStep::KeyReused => return Err(ApiError::key_reused()),
             ClaimStep::OutcomeUnknown => {
-                let message = "the first request with this idempotency key was lost";
+                let message = "what became of a request with this idempotency key is not known";
                 return Err(ApiError::outcome_unknown(message));
             }
-            ClaimStep::NotRun => break,
+            ClaimStep::NotRun => {
+                return Err(ApiError::not_run("the store did not take the claim"));
+            }
         };
         if matches!(reply, InsertReply::Absent) {
             expected = None;
         }
         step = next_step(&mine, reply, now);
     }
-    Err(ApiError::not_run("the request could not be claimed"))
+    Err(ApiError::outcome_unknown("the claim could not be settled"))
 }
 
 async fn insert(
@@ -105,20 +108,20 @@
 }
 
 async fn read_back(entry: &Entry, key: &str, version: &mut u64) -> InsertReply {
-    let res: Result<InsertReply> = async {
-        let Some(row) = entry.health.watch("claim_read", entry.table.get(key)).await? else {
-            return Ok(InsertReply::Absent);
-        };
-        *version = row.version;
-        Ok(InsertReply::Found(row.parse()?, row.version))
-    }
-    .await;
-    match res {
-        Ok(reply) => reply,
-        // Without a look at the row nothing may be sent; an insert that did happen stays held
-        // and is released by nobody, so a retry is told that the outcome is unknown.
-        Err(Error::Refused(_) | Error::Unknown(_) | Error::Unreadable(_)) => InsertReply::Refused,
+    for _ in 0..READ_TRIES {
+        match entry.health.watch("claim_read", entry.table.get(key)).await {
+            Ok(None) => return InsertReply::Absent,
+            Ok(Some(row)) => {
+                *version = row.version;
+                let Ok(claim) = row.parse() else { return InsertReply::Unreadable };
+                return InsertReply::Found(claim, row.version);
+            }
+            // A read may be repeated; while the store refuses, that would only take time.
+            Err(Error::Unknown(_)) => {}
+            Err(_) => break,
+        }
     }
+    InsertReply::Unreadable
 }
 
 /// Writes down how a claimed request ended; repeated until the store takes it.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: the process callers and operators talk to.
 
+mod admission;
 mod answer;
 mod api;
 mod charges;
@@ -11,6 +12,7 @@
 mod jobs;
 mod link;
 mod links;
+mod pick;
 mod request;
 mod routes;
 mod run;
@@ -20,6 +22,7 @@
 mod stage;
 mod state;
 mod status;
+mod stream;
 mod target;
 mod tls;
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -11,18 +11,20 @@
 use crate::{
     entry::{
         ApiError, Entry,
+        admission::{InFlight, OrganisationShare},
         answer::Answer,
         charges,
         claims::{self, Claimed, Grant},
         explain::Explanation,
         link::Link,
+        pick::best_estimate,
         request::{ChatRequest, RequestHead},
         sessions::{RequestSession, version_for},
         stage::{
-            Attempts, Collector, Finished, InFlight, Job, JobCall, StageError, best_estimate,
-            learn_stage_time, run_job,
+            Attempts, Collector, Finished, Job, JobCall, StageError, learn_stage_time, run_job,
         },
         state::CascadePolicy,
+        stream::{CHUNKS_WAITING, Reply, ReplyHead, StreamItem, as_chunks, pass_on},
         target::{Target, resolve},
     },
     ids::{ObjectId, VersionId, format_id},
@@ -38,39 +40,12 @@
     telemetry::metrics::RequestLabels,
 };
 
-/// Parts of an answer waiting for the caller.
-const CHUNKS_WAITING: usize = 64;
 /// Times a request is decided anew because its version was withdrawn meanwhile.
 const WITHDRAWN_TRIES: usize = 3;
 const CATCH_UP: Duration = Duration::from_millis(300);
 /// Rating below which an answer counts as poor evidence.
 const POOR_BELOW: f64 = 0.5;
 
-/// What goes into the answer's headers.
-#[derive(Clone, Debug)]
-pub(crate) struct ReplyHead {
-    pub(crate) request: Box<str>,
-    pub(crate) session: Box<str>,
-    pub(crate) version: VersionId,
-    pub(crate) stage: usize,
-}
-
-/// An answer on its way to the caller.
-#[derive(Debug)]
-pub(crate) enum Reply {
-    Whole(ReplyHead, Value),
-    Saved(SavedAnswer),
-    Stream(ReplyHead, mpsc::Receiver<StreamItem>),
-}
-
-/// A part of a streamed answer.
-#[derive(Debug)]
-pub(crate) enum StreamItem {
-    Chunk(Value),
-    Done,
-    Failed(Value),
-}
-
 /// Serves a chat request; the work goes on by itself so that a lost caller is noticed.
 pub(crate) async fn serve_chat(entry: Arc<Entry>, req: ChatRequest) -> Result<Reply, ApiError> {
     let (tx, rx) = oneshot::channel();
@@ -537,52 +512,6 @@
     if estimate > job.head.time_left() { Err(StageError::Full(estimate)) } else { Ok(()) }
 }
 
-/// Runs a stage while its chunks go to the caller; the reply opens with the first chunk.
-async fn pass_on(
-    run: impl Future<Output = Result<Finished, StageError>>,
-    mut rx: mpsc::Receiver<Value>,
-    mut reply: Option<oneshot::Sender<Result<Reply, ApiError>>>,
-    head: ReplyHead,
-) -> (
-    Result<Finished, StageError>,
-    Option<oneshot::Sender<Result<Reply, ApiError>>>,
-    Option<mpsc::Sender<StreamItem>>,
-) {
-    let mut stream: Option<mpsc::Sender<StreamItem>> = None;
-    let mut run = std::pin::pin!(run);
-    let mut result = None;
-    let mut is_drained = false;
-    loop {
-        tokio::select! {
-            biased;
-            chunk = rx.recv(), if !is_drained => {
-                let Some(chunk) = chunk else {
-                    is_drained = true;
-                    continue;
-                };
-                if let Some(reply) = reply.take() {
-                    let (tx, items) = mpsc::channel(CHUNKS_WAITING);
-                    stream = Some(tx);
-                    let _ = reply.send(Ok(Reply::Stream(head.clone(), items)));
-                }
-                let Some(tx) = &stream else { continue };
-                if tx.send(StreamItem::Chunk(chunk)).await.is_err() {
-                    // The caller is gone: closing the channel tells the stage.
-                    rx.close();
-                }
-            }
-            res = &mut run, if result.is_none() => {
-                result = Some(res);
-                // No more chunks come; those under way are still passed on.
-                rx.close();
-            }
-            else => break,
-        }
-    }
-    let result = result.unwrap_or(Err(StageError::NoServer));
-    (result, reply, stream)
-}
-
 fn rating_request(req: &ChatRequest, answer: &StageAnswer) -> RatingRequest {
     RatingRequest {
         task: req.head.task.clone(),
@@ -609,75 +538,3 @@
     link.send(&frame).await;
     Some(rating)
 }
-
-/// A completion as the chunks a streaming caller expects.
-fn as_chunks(completion: &Value, include_usage: bool) -> Vec<Value> {
-    let base = |choices: Value| {
-        let mut chunk = completion.clone();
-        chunk["object"] = "chat.completion.chunk".into();
-        chunk["choices"] = choices;
-        if let Some(fields) = chunk.as_object_mut() {
-            fields.remove("usage");
-        }
-        chunk
-    };
-    let empty = Vec::new();
-    let choices = completion["choices"].as_array().unwrap_or(&empty);
-    let mut chunks = Vec::new();
-    for choice in choices {
-        let delta = serde_json::json!([{
-            "index": choice["index"], "delta": choice["message"], "finish_reason": null,
-        }]);
-        chunks.push(base(delta));
-        let end = serde_json::json!([{
-            "index": choice["index"], "delta": {}, "finish_reason": choice["finish_reason"],
-        }]);
-        chunks.push(base(end));
-    }
-    if include_usage {
-        let mut usage = base(serde_json::json!([]));
-        usage["usage"] = completion["usage"].clone();
-        chunks.push(usage);
-    }
-    chunks
-}
-
-/// Counts a request against its organisation's limit until it is dropped.
-pub(crate) struct OrganisationShare<'a> {
-    entry: &'a Entry,
-    organisation: ObjectId,
-}
-
-impl<'a> OrganisationShare<'a> {
-    /// Sheds the request when the entry or its organisation has too many in flight.
-    pub(crate) fn take(
-        entry: &'a Entry,
-        head: &RequestHead,
-        snapshot: &Snapshot,
-    ) -> Result<Self, ApiError> {
-        if entry.in_flight() > entry.settings.max_in_flight {
-            return Err(ApiError::overloaded("this entry is full", Duration::from_secs(1)));
-        }
-        let spec = snapshot.organisations.get(&head.organisation);
-        let limit = spec.and_then(|spec| spec.max_in_flight);
-        let mut running = entry.running_by_organisation.lock().expect("no panics under the lock");
-        let count = running.entry(head.organisation.clone()).or_default();
-        if limit.is_some_and(|limit| *count >= limit) {
-            let message = "your organisation has too many requests in flight";
-            return Err(ApiError::overloaded(message, Duration::from_secs(1)));
-        }
-        *count += 1;
-        drop(running);
-        Ok(Self { entry, organisation: head.organisation.clone() })
-    }
-}
-
-impl Drop for OrganisationShare<'_> {
-    fn drop(&mut self) {
-        let mut running =
-            self.entry.running_by_organisation.lock().expect("no panics under the lock");
-        if let Some(count) = running.get_mut(&self.organisation) {
-            *count = count.saturating_sub(1);
-        }
-    }
-}
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -12,12 +12,13 @@
 use crate::{
     entry::{
         ApiError, Entry,
+        admission::{InFlight, OrganisationShare},
         api::saved_response,
         charges, claims,
         claims::Claimed,
         request::RequestHead,
-        serve::{OrganisationShare, describe_failure, keep_story},
-        stage::{Attempts, Collector, Finished, InFlight, Job, JobCall, StageError, run_job},
+        serve::{describe_failure, keep_story},
+        stage::{Attempts, Collector, Finished, Job, JobCall, StageError, run_job},
     },
     ids::{ObjectId, format_id, partner_of, qualify},
     policy::{
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -154,27 +154,31 @@
     }
 }
 
+/// Organisation, version and stage.
+type AnswerGroup = (Box<str>, Box<str>, u32);
+
 fn answer_rows(answered: &[&&Record]) -> Vec<AnswerRow> {
-    let mut groups: BTreeMap<(Box<str>, Box<str>, u32), Vec<&&&Record>> = BTreeMap::new();
+    let mut groups: BTreeMap<AnswerGroup, Vec<&&&Record>> = BTreeMap::new();
     for record in answered {
         let Some(version) = record.version() else { continue };
         let stage = record.outcome.stage.unwrap_or(0);
-        let key = (record.organisation.clone(), version.clone(), stage);
-        groups.entry(key).or_default().push(record);
+        let group = (record.organisation.clone(), version.clone(), stage);
+        groups.entry(group).or_default().push(record);
+    }
+    groups.into_iter().map(|(group, records)| answer_row(group, &records)).collect()
+}
+
+fn answer_row((organisation, version, stage): AnswerGroup, records: &[&&&Record]) -> AnswerRow {
+    let price = VERSIONS.iter().find(|(id, ..)| *id == &*version).map_or(0, |v| v.2);
+    let tokens: u64 = records.iter().filter_map(|r| r.outcome.tokens_out).sum();
+    AnswerRow {
+        organisation,
+        stage,
+        answers: records.len() as u64,
+        cost: (tokens * price).div_ceil(1_000),
+        first_token: Percentiles::of(records.iter().filter_map(|r| r.outcome.first_token)),
+        version,
     }
-    let row = |((organisation, version, stage), records): ((_, Box<str>, _), Vec<&&&Record>)| {
-        let price = VERSIONS.iter().find(|(id, ..)| *id == &*version).map_or(0, |v| v.2);
-        let tokens: u64 = records.iter().filter_map(|r| r.outcome.tokens_out).sum();
-        AnswerRow {
-            organisation,
-            stage,
-            answers: records.len() as u64,
-            cost: (tokens * price).div_ceil(1_000),
-            first_token: Percentiles::of(records.iter().filter_map(|r| r.outcome.first_token)),
-            version,
-        }
-    };
-    groups.into_iter().map(row).collect()
 }
 
 fn by_organisation(answered: &[&&Record]) -> BTreeMap<Box<str>, Percentiles> {
--- a/src/local/system.rs
+++ b/src/local/system.rs
@@ -10,28 +10,23 @@
 use eyre::{Result, eyre};
 use http::{HeaderMap, HeaderValue, Method};
 use serde_json::{Value, json};
-use tokio::runtime::{Builder, Runtime};
 
 use crate::{
     agent::{self, RunningAgent},
-    entry::{self, RoutingPolicy, RunningEntry},
+    entry::{self, RunningEntry},
     ids::{ObjectId, VersionId, partner_of},
     local::{
-        Keys, caller_key, operator_key,
-        preset::{PresetObject, VERSIONS, standard_objects},
+        Fleet, Keys, Platform, Process, ServerSetup, caller_key, operator_key,
+        preset::{VERSIONS, standard_objects},
     },
     platform::{Host, HostState, HttpClient, Role},
     resources::Kind,
-    settings::{AgentSettings, EntrySettings, PlatformSettings},
+    settings::{AgentSettings, EntrySettings},
     standin::{
         Served,
-        engine::{EngineModel, EngineSettings, EngineStandin, Stepping},
-        faults::FaultControl,
-        hosts::HostsStandin,
-        objects::ObjectsStandin,
-        ratings, serve,
+        engine::{EngineSettings, EngineStandin, Stepping},
+        serve,
         service::ServiceStandin,
-        table::TableStandin,
         weights::WeightStore,
     },
     telemetry::log::{LogFormat, LogLevel},
@@ -44,193 +39,6 @@
 const TIMEOUT: Duration = Duration::from_secs(10);
 const SERVICE_WORK: Duration = Duration::from_millis(5);
 
-/// One BackendServer of a local system.
-#[derive(Clone, Debug)]
-pub struct ServerSetup {
-    /// Full name.
-    pub id: ObjectId,
-    /// Region.
-    pub region: Box<str>,
-    /// AvailabilityZone.
-    pub zone: Box<str>,
-    /// Versions loaded; none makes it a plain service.
-    pub versions: Vec<VersionId>,
-}
-
-/// What a local system is made of.
-#[derive(Clone, Debug)]
-pub struct Fleet {
-    /// Region and zone of each entry.
-    pub entries: Vec<(Box<str>, Box<str>)>,
-    /// BackendServers.
-    pub servers: Vec<ServerSetup>,
-    /// Policies of all entries.
-    pub policy: RoutingPolicy,
-    /// Speed of every engine.
-    pub model: EngineModel,
-    /// Prefix blocks each engine keeps.
-    pub cache_blocks: usize,
-    /// Seed of the stand-ins.
-    pub seed: u64,
-    /// Attempts an agent hands to its engine at a time at most.
-    pub max_running: u32,
-    /// Attempts an agent queues at most.
-    pub max_queued: usize,
-    /// Time between heartbeats.
-    pub heartbeat: Duration,
-    /// Time after which agents give up an entry that went away.
-    pub entry_lost_after: Duration,
-    /// More objects, declared after the preset's.
-    pub more_objects: Vec<PresetObject>,
-}
-
-impl Fleet {
-    /// Two entries and eight BackendServers in two regions.
-    pub fn standard(seed: u64) -> Self {
-        let mut servers = Vec::new();
-        let pools: [(&str, &str, [&[&str]; 3]); 2] = [
-            (
-                "ricarica",
-                "sicily",
-                [
-                    &["ricarica/swift@1", "ricarica/swift@2"],
-                    &["ricarica/swift@1", "ricarica/swift@2", "ricarica/deep@1"],
-                    &["ricarica/deep@1"],
-                ],
-            ),
-            (
-                "majlis",
-                "muscat",
-                [
-                    &["majlis/tagger@1", "majlis/tagger@2"],
-                    &["majlis/tagger@1", "majlis/tagger@2", "majlis/counsel@1"],
-                    &["majlis/counsel@1"],
-                ],
-            ),
-        ];
-        for (partner, region, engines) in pools {
-            for (i, versions) in engines.into_iter().enumerate() {
-                servers.push(ServerSetup {
-                    id: format!("{partner}/engine-{}", i + 1).into(),
-                    region: region.into(),
-                    zone: format!("{region}-{}", i + 1).into(),
-                    versions: versions.iter().map(|v| (*v).into()).collect(),
-                });
-            }
-            servers.push(ServerSetup {
-                id: format!("{partner}/confirm").into(),
-                region: region.into(),
-                zone: format!("{region}-1").into(),
-                versions: Vec::new(),
-            });
-        }
-        Self {
-            entries: vec![
-                ("sicily".into(), "sicily-1".into()),
-                ("muscat".into(), "muscat-1".into()),
-            ],
-            servers,
-            policy: RoutingPolicy::default(),
-            model: EngineModel::default(),
-            cache_blocks: 4_096,
-            seed,
-            max_running: 16,
-            max_queued: 256,
-            heartbeat: Duration::from_millis(250),
-            entry_lost_after: Duration::from_secs(3),
-            more_objects: Vec::new(),
-        }
-    }
-}
-
-/// Stand-ins of the platform, served over HTTP.
-#[derive(Debug)]
-pub struct Platform {
-    /// Table service.
-    pub table: TableStandin,
-    /// Object store.
-    pub objects: ObjectsStandin,
-    /// Host list.
-    pub hosts: HostsStandin,
-    /// Faults of the rating service.
-    pub ratings: FaultControl,
-    served: [Served; 4],
-}
-
-impl Platform {
-    /// Starts the stand-ins.
-    ///
-    /// # Errors
-    /// When no port can be had.
-    pub async fn start(seed: u64) -> Result<Self> {
-        let table = TableStandin::new(seed);
-        let objects = ObjectsStandin::new(seed + 1);
-        let hosts = HostsStandin::new(seed + 2, Duration::from_millis(500));
-        let ratings = FaultControl::new(seed + 3);
-        let served = [
-            serve(table.router()).await?,
-            serve(objects.router()).await?,
-            serve(hosts.router()).await?,
-            serve(ratings::router(&ratings)).await?,
-        ];
-        Ok(Self { table, objects, hosts, ratings, served })
-    }
-
-    /// Where faults are controlled: `PUT` a JSON object to these.
-    pub fn fault_urls(&self) -> BTreeMap<Box<str>, String> {
-        let names = ["table", "objects", "hosts", "ratings"];
-        let urls = self.served.iter().map(|served| format!("{}/faults", served.url()));
-        names.into_iter().map(Into::into).zip(urls).collect()
-    }
-
-    /// Where they are.
-    pub fn settings(&self) -> PlatformSettings {
-        let url = |i: usize| self.served[i].url().into();
-        PlatformSettings { table: url(0), objects: url(1), hosts: url(2), ratings: url(3) }
-    }
-}
-
-/// An entry or agent on a runtime of its own, so that killing it cuts everything it was doing,
-/// as the end of a process would.
-#[derive(Debug)]
-pub struct Process<T> {
-    running: Option<T>,
-    runtime: Option<Runtime>,
-}
-
-impl<T: Send + 'static> Process<T> {
-    async fn start(
-        threads: usize,
-        start: impl Future<Output = std::io::Result<T>> + Send + 'static,
-    ) -> Result<Self> {
-        let runtime = Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
-        let running = runtime.spawn(start).await??;
-        Ok(Self { running: Some(running), runtime: Some(runtime) })
-    }
-
-    /// Takes the running process out to stop it; its runtime ends with the guard returned.
-    fn into_running(mut self) -> (T, Self) {
-        let running = self.running.take().expect("taken out once");
-        (running, self)
-    }
-}
-
-impl<T> std::ops::Deref for Process<T> {
-    type Target = T;
-
-    fn deref(&self) -> &T {
-        self.running.as_ref().expect("present until it is stopped")
-    }
-}
-
-impl<T> Drop for Process<T> {
-    fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
 /// A system that runs in this process.
 #[derive(Debug)]
 pub struct LocalSystem {
--- a/src/policy/claim.rs
+++ b/src/policy/claim.rs
@@ -70,6 +70,8 @@
     Refused,
     /// The reply was lost; the row may be ours.
     Lost,
+    /// The row can't be read back: it may be ours or another's that has run.
+    Unreadable,
 }
 
 /// What the entry does next.
@@ -104,6 +106,8 @@
         InsertReply::Lost => ClaimStep::ReadBack,
         InsertReply::Absent => ClaimStep::Insert,
         InsertReply::Refused => ClaimStep::NotRun,
+        // Nothing of ours has run, but a request with the same key may have.
+        InsertReply::Unreadable => ClaimStep::OutcomeUnknown,
         InsertReply::Found(found, version) => judge_found(mine, found, version, now),
     }
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -241,7 +241,9 @@
         let (client, key) = (client(&system, i % 2), key.clone());
         tasks.spawn(async move {
             let id = format!("order-{}", i / 2);
-            client.service(&key, "confirm/topup", Some(&id), id.clone().into_bytes().into()).await
+            let body = id.clone().into_bytes().into();
+            let outcome = client.service(&key, "confirm/topup", Some(&id), body).await;
+            (id, outcome)
         });
     }
 
@@ -249,7 +251,11 @@
 
     let calls = system.services["ricarica/confirm"].calls();
     assert!(calls.values().all(|count| *count == 1), "{calls:?}");
-    assert!(outcomes.iter().any(|o| &*o.code == "ok"));
+    assert!(outcomes.iter().any(|(_, o)| &*o.code == "ok"));
+    // Also of the twin of a request that ran, nobody is told that it has not run.
+    let told = outcomes.iter().filter(|(_, o)| &*o.code == "not_run");
+    let lied: Vec<_> = told.filter(|(id, _)| calls.contains_key(id.as_bytes())).collect();
+    assert!(lied.is_empty(), "{lied:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/model/claim.rs
+++ b/tests/model/claim.rs
@@ -147,6 +147,9 @@
             };
             apply_reply(&mut next, i, reply, mutation);
             steps.push(("the entry reads back", next));
+            let blind =
+                with_fault(state, |next| apply_reply(next, i, InsertReply::Unreadable, mutation));
+            steps.extend(blind.map(|next| ("the row can't be read back", next)));
         }
         Phase::Sending => sending_steps(state, i, mutation, steps),
         Phase::Told(told) => release_step(state, i, *told, steps),
