--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -54,7 +54,7 @@
     }
     let view = view_of(agent, snapshot, &pending.start);
     match work.gate.offer(key, pending.start.revision, view) {
-        GateDecision::Queue => enqueue(agent, snapshot, work, pending, outbox),
+        GateDecision::Queue => enqueue(snapshot, work, pending, outbox),
         GateDecision::Pull => {
             outbox.push((link, ToEntry::Pull(snapshot.revision)));
             work.behind.push(pending);
@@ -95,16 +95,9 @@
     GateView { revision: snapshot.revision, allowed, available, leaving: agent.is_leaving() }
 }
 
-fn enqueue(
-    agent: &Agent,
-    snapshot: &Snapshot,
-    work: &mut Work,
-    pending: Pending,
-    outbox: &mut Outbox,
-) {
+fn enqueue(snapshot: &Snapshot, work: &mut Work, pending: Pending, outbox: &mut Outbox) {
     let organisation = pending.start.organisation.clone();
     let weight = snapshot.organisations.get(&organisation).map_or(1, |o| o.weight);
-    work.reserve.note(&organisation, agent.now());
     let waiting = Waiting {
         organisation,
         priority: pending.start.priority,
@@ -130,7 +123,9 @@
 /// Starts attempts from the queue while there are places.
 fn pump(agent: &Arc<Agent>, snapshot: &Snapshot, work: &mut Work, outbox: &mut Outbox) {
     while work.started < work.limit.get().max(1) {
-        let Some(pending) = next_pending(agent, work) else { break };
+        let Some(pending) = work.queue.pop() else {
+            break;
+        };
         let (key, link) = (pending.start.key, pending.link);
         // What could not end in time any more is not begun: the refusal is true, and its place
         // goes to one that can.
@@ -146,12 +141,8 @@
             GateDecision::Start => {
                 work.started += 1;
                 let repeatable = pending.start.repeatable;
-                let organisation = pending.start.organisation.clone();
                 let task = tokio::spawn(driver::run(agent.clone(), pending));
-                work.running.insert(
-                    key,
-                    Running { link, organisation, repeatable, abort: task.abort_handle() },
-                );
+                work.running.insert(key, Running { link, repeatable, abort: task.abort_handle() });
             }
             decision => note_refusal(link, key, decision, outbox),
         }
@@ -160,15 +151,6 @@
     agent.metrics.queued.set(work.queue.len() as i64);
 }
 
-/// The attempt that is next, if the next place is not kept for someone else.
-fn next_pending(agent: &Agent, work: &mut Work) -> Option<Pending> {
-    if !work.reserve.keeps_next(work.started, work.limit.get(), agent.now()) {
-        return work.queue.pop();
-    }
-    let running = &work.running;
-    work.queue.pop_from(|name| running.values().all(|r| *r.organisation != *name))
-}
-
 /// Notes that an attempt has ended and lets the next one start.
 pub(super) async fn ended(agent: &Arc<Agent>, key: AttemptKey, was_reached: bool) -> bool {
     let (outbox, taken_back) = {
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -22,7 +22,7 @@
         evidence::{EpochSums, EvidenceSums},
     },
     control::{config::Config, store_health::StoreHealth},
-    ids::{Incarnation, ObjectId, OrganisationId, Revision, VersionId, format_id, new_incarnation},
+    ids::{Incarnation, ObjectId, Revision, VersionId, format_id, new_incarnation},
     ledger::GroupCommit,
     platform::{HttpClient, ObjectsClient, TableClient},
     policy::{
@@ -31,7 +31,6 @@
         gate::Gate,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
         limit::AdaptiveLimit,
-        reserve::Reserve,
     },
     protocol::{LoadNow, Peer, Start, ToEntry, encode},
     settings::AgentSettings,
@@ -63,7 +62,6 @@
 #[derive(Debug)]
 pub(crate) struct Running {
     pub(crate) link: LinkId,
-    pub(crate) organisation: OrganisationId,
     pub(crate) repeatable: bool,
     pub(crate) abort: AbortHandle,
 }
@@ -89,7 +87,6 @@
 pub(crate) struct Work {
     pub(crate) gate: Gate,
     pub(crate) queue: FairQueue<Pending>,
-    pub(crate) reserve: Reserve,
     pub(crate) behind: Vec<Pending>,
     pub(crate) running: HashMap<AttemptKey, Running>,
     pub(crate) started: usize,
@@ -139,7 +136,6 @@
     pub(crate) copies: Mutex<Copies>,
     pub(crate) pins: Mutex<HashMap<(Box<str>, ObjectId), VersionId>>,
     pub(crate) pulling: Mutex<Option<Instant>>,
-    began: Instant,
     lifecycle: Mutex<Lifecycle>,
     dead: AtomicBool,
     pub(crate) killed: watch::Sender<bool>,
@@ -159,7 +155,6 @@
         let work = Work {
             gate: Gate::default(),
             queue: FairQueue::new(settings.max_queued),
-            reserve: Reserve::default(),
             behind: Vec::new(),
             running: HashMap::new(),
             started: 0,
@@ -187,7 +182,6 @@
             copies: Mutex::new(Copies::new(settings.max_waiting_charges)),
             pins: Mutex::default(),
             pulling: Mutex::default(),
-            began: Instant::now(),
             lifecycle: Mutex::new(lifecycle::start()),
             dead: AtomicBool::new(false),
             killed: watch::Sender::new(false),
@@ -246,11 +240,6 @@
         self.lock_work().started
     }
 
-    /// Time on this agent's monotonic clock.
-    pub(crate) fn now(&self) -> Duration {
-        self.began.elapsed()
-    }
-
     pub(crate) fn is_dead(&self) -> bool {
         self.dead.load(Ordering::Relaxed)
     }
--- a/src/policy/fair_queue.rs
+++ b/src/policy/fair_queue.rs
@@ -72,18 +72,13 @@
 
     /// Takes the attempt whose organisation is furthest behind its share.
     pub fn pop(&mut self) -> Option<T> {
-        self.pop_from(|_| true)
-    }
-
-    /// The same among the organisations that `may` go.
-    pub fn pop_from(&mut self, may: impl Fn(&str) -> bool) -> Option<T> {
         let (_, line) = self
             .lines
             .iter_mut()
-            .filter(|(organisation, line)| !line.waiting.is_empty() && may(organisation))
+            .filter(|(_, line)| !line.waiting.is_empty())
             .min_by(|a, b| a.1.finish.total_cmp(&b.1.finish))?;
         let waiting = line.waiting.pop_front()?;
-        self.virtual_time = self.virtual_time.max(line.finish);
+        self.virtual_time = line.finish;
         line.finish += waiting.cost / waiting.weight.max(f64::MIN_POSITIVE);
         self.len -= 1;
         let now = self.virtual_time;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,7 +14,6 @@
 pub mod lifecycle;
 pub mod limit;
 pub mod outlier;
-pub mod reserve;
 pub mod retry;
 pub mod roll_out;
 pub mod session;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -16,7 +16,6 @@
         lifecycle::{self, LifecycleEvent, LifecycleState},
         limit::AdaptiveLimit,
         outlier::{Outlier, OutlierRules, respects_out},
-        reserve::Reserve,
         retry::RetryBudget,
         roll_out::{
             Evidence, Finding, GuardStep, VersionTest, apply_step, guard_step, takes_new_version,
@@ -152,19 +151,6 @@
     assert!((148..=152).contains(&of_a), "{of_a}");
 }
 
-#[test]
-fn the_last_place_is_kept_only_while_several_organisations_send() {
-    let mut reserve = Reserve::default();
-    let second = Duration::from_secs(1);
-    reserve.note(&"p/large".into(), second);
-    assert!(!reserve.keeps_next(7, 8, second), "alone it has all places");
-    reserve.note(&"p/small".into(), second);
-    assert!(reserve.keeps_next(7, 8, second));
-    assert!(!reserve.keeps_next(6, 8, second));
-    assert!(!reserve.keeps_next(0, 1, second), "a single place is for all");
-    assert!(!reserve.keeps_next(7, 8, second * 20), "forgotten after a while");
-}
-
 #[test]
 fn retries_are_a_bounded_share_of_first_tries() {
     let mut budget = RetryBudget::default();
