--- a/src/bin/mintmoor/local.rs
+++ b/src/bin/mintmoor/local.rs
@@ -56,8 +56,10 @@
     eprintln!("mintmoor: sending about {requests} requests, then waiting for their settlement");
     let report = load::run(&scenario, Baseline::Mintmoor).await?;
     println!("{report}");
-    let answered = report.codes.get("ok").copied().unwrap_or(0);
-    Ok(Ending::of(report.broken.total() == 0 && answered == report.requests))
+    // A once-only request that was sent twice at the same moment is told so, if it comes second.
+    let expected = ["ok", "duplicate"];
+    let settled: u64 = expected.iter().filter_map(|code| report.codes.get(*code)).sum();
+    Ok(Ending::of(report.broken.total() == 0 && settled == report.requests))
 }
 
 /// Mixed traffic of both partners: cascades, models, sessions, services, once-only requests.
--- a/src/control/store_health.rs
+++ b/src/control/store_health.rs
@@ -2,33 +2,45 @@
 
 use std::{
     future::Future,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
+    time::Duration,
 };
 
+use tokio::time::Instant;
+
 use crate::{
     platform::Result,
     telemetry::{Metrics, event},
 };
 
+/// Time without any answer after which the store counts as out rather than as losing replies.
+const OUT_AFTER: Duration = Duration::from_secs(2);
+
 /// Store health of one process; clones share it.
 #[derive(Clone, Debug)]
 pub struct StoreHealth {
-    down: Arc<AtomicBool>,
+    down_since: Arc<Mutex<Option<Instant>>>,
     metrics: Metrics,
 }
 
 impl StoreHealth {
     /// Starts out as up.
     pub fn new(metrics: Metrics) -> Self {
-        Self { down: Arc::default(), metrics }
+        Self { down_since: Arc::default(), metrics }
     }
 
     /// Whether the last call failed.
     pub fn is_down(&self) -> bool {
-        self.down.load(Ordering::Relaxed)
+        self.lock().is_some()
+    }
+
+    /// Whether no call has been answered for a while.
+    pub fn is_out(&self) -> bool {
+        self.lock().is_some_and(|since| since.elapsed() >= OUT_AFTER)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
+        self.down_since.lock().expect("no panics under the lock")
     }
 
     /// Carries a call out, counts it and notes whether it was answered.
@@ -40,12 +52,14 @@
         let res = call.await;
         if let Err(e) = &res {
             self.metrics.count_store_error(cause);
-            if !self.down.swap(true, Ordering::Relaxed) {
+            let was_down = self.is_down();
+            self.lock().get_or_insert_with(Instant::now);
+            if !was_down {
                 event::STORE_UNREACHABLE.log(format_args!("cause={cause} problem={e}"));
             }
             return res;
         }
-        if self.down.swap(false, Ordering::Relaxed) {
+        if self.lock().take().is_some() {
             event::STORE_BACK.log(format_args!("cause={cause}"));
         }
         res
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::{
+    control::config::HEAD_KEY,
     entry::{ApiError, Entry},
     ids::RequestId,
     platform::{Error, InsertOutcome},
@@ -46,7 +47,8 @@
     fingerprint: u64,
     deadline: Duration,
 ) -> Result<Claimed, ApiError> {
-    if entry.health.is_down() && entry.table.get("head/config").await.is_err() {
+    // One lost reply says nothing about the store: a twin of this request may well have run.
+    if entry.health.is_out() && entry.table.get(HEAD_KEY).await.is_err() {
         return Err(ApiError::not_run("the store that keeps claims gives no answer"));
     }
     let now = unix_now();
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -171,3 +171,39 @@
 
     assert!(outcomes.iter().chain(&resumed).all(|o| &*o.code == "ok"));
 }
+
+#[test]
+fn the_first_command_of_the_readme_answers_everything_and_breaks_nothing() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_mintmoor"))
+        .args(["local", "--requests", "60", "--seed", "2"])
+        .output()
+        .unwrap();
+
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{text}");
+    assert!(text.contains("promises broken 0"), "{text}");
+    assert!(text.contains("majlis/clerks") && text.contains("ricarica/tills"), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn local_prints_one_line_that_tells_how_to_use_it() {
+    let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_mintmoor"))
+        .arg("local")
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let stdout = child.stdout.take().unwrap();
+    let mut reader = tokio::io::BufReader::new(stdout);
+    tokio::io::AsyncBufReadExt::read_line(&mut reader, &mut line).await.unwrap();
+    let told: serde_json::Value = serde_json::from_str(&line).unwrap();
+
+    let mut call = chat("ricarica/tills", told["model"].as_str().unwrap(), "first look");
+    call.key = told["caller_key"].as_str().unwrap().into();
+    let outcome = Client::new(told["caller"].as_str().unwrap()).chat(&call).await;
+
+    assert_eq!(&*outcome.code, "ok");
+    assert!(told["keys"]["operator:majlis"].is_string());
+}
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -241,3 +241,19 @@
     assert_eq!(outcome, InsertOutcome::Refused);
     assert!(stores.health.is_down());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_reply_is_no_outage_and_a_silent_store_is() {
+    let health = StoreHealth::new(Metrics::default());
+    let lost = || async { Err::<(), _>(mintmoor::platform::Error::Unknown("lost".into())) };
+
+    let _ = health.watch("test", lost()).await;
+    assert!(health.is_down() && !health.is_out());
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let _ = health.watch("test", lost()).await;
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert!(health.is_out(), "counted from the first call without an answer");
+    let _ = health.watch("test", async { Ok(()) }).await;
+
+    assert!(!health.is_down() && !health.is_out());
+}
