No delay on sockets towards callers and from the stand-ins

Callers that give no X-Request-Id shared one id at the stand-in, so that the end of one answer cancelled others (299 of 1,200 failed). Change: TCP_NODELAY on accepted connections; an id of its own for each such call.

--- a/src/entry/tls.rs
+++ b/src/entry/tls.rs
@@ -8,7 +8,10 @@
 };
 
 use arc_swap::ArcSwap;
-use axum::{Router, serve::Listener};
+use axum::{
+    Router,
+    serve::{Listener, ListenerExt},
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -36,6 +39,8 @@
     tls: Option<TlsSettings>,
 ) -> io::Result<()> {
     let Some(settings) = tls else {
+        // Without it small parts of an answer wait for the acknowledgement of earlier ones.
+        let listener = listener.tap_io(|tcp| drop(tcp.set_nodelay(true)));
         return axum::serve(listener, router).await;
     };
     let config = Arc::new(ArcSwap::from(read_config(&settings)?));
@@ -100,6 +105,7 @@
                 let Ok((tcp, from)) = listener.accept().await else {
                     continue;
                 };
+                let _ = tcp.set_nodelay(true);
                 let acceptor = TlsAcceptor::from(config.load_full());
                 let tx = tx.clone();
                 tokio::spawn(async move {
--- a/src/standin/engine/face.rs
+++ b/src/standin/engine/face.rs
@@ -12,6 +12,7 @@
     },
     routing::{delete, get, post, put},
 };
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -75,7 +76,12 @@
     headers: HeaderMap,
     Json(req): Json<Completion>,
 ) -> Response {
-    let id = headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("none");
+    let given = headers.get("x-request-id").and_then(|id| id.to_str().ok());
+    // Sequences are known by their id, so a caller that gives none gets one of its own.
+    let id: Box<str> = match given {
+        Some(id) => id.into(),
+        None => format!("own-{:016x}", engine.lock().rng.random::<u64>()).into(),
+    };
     let faults = engine.lock().faults.clone();
     let bad = faults.bad.get(&req.model).copied().unwrap_or_default();
     if !engine.lock().loaded.contains(&req.model) {
@@ -87,7 +93,7 @@
         return (StatusCode::INTERNAL_SERVER_ERROR, Json(json!({"error": "failed"})))
             .into_response();
     }
-    let answer = admit(&engine, id, &req, engine.draw(bad.poor));
+    let answer = admit(&engine, &id, &req, engine.draw(bad.poor));
     let stream = futures_util::stream::unfold(answer, next_event);
     Sse::new(stream).into_response()
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -14,7 +14,7 @@
 
 use std::net::SocketAddr;
 
-use axum::Router;
+use axum::{Router, serve::ListenerExt};
 use tokio::{net::TcpListener, task::JoinHandle};
 
 /// A stand-in that serves until it is dropped.
@@ -46,6 +46,7 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let address = listener.local_addr()?;
     let task = tokio::spawn(async move {
+        let listener = listener.tap_io(|tcp| drop(tcp.set_nodelay(true)));
         let _ = axum::serve(listener, router).await;
     });
     Ok(Served { address, task })
