--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -118,3 +118,10 @@
         }
     }
 }
+
+/// An agent that is let go of ends: its control thread would outlive it otherwise.
+impl Drop for RunningAgent {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -22,11 +22,17 @@
 /// Keeps the engine at what is declared.
 pub(super) async fn follow(agent: Arc<Agent>) {
     let mut revision = agent.config.subscribe();
+    let mut was_failing = false;
     while !agent.is_dead() {
-        if let Err(e) = reconcile(&agent).await {
-            event::ENGINE_ORDER_FAILED
-                .log(format_args!("server={} problem={e}", agent.settings.server));
+        let res = reconcile(&agent).await;
+        // Told when it begins; an engine that stays away would fill the log.
+        if let Err(e) = res.as_ref().map_err(|e| e.to_string())
+            && !was_failing
+        {
+            let server = &agent.settings.server;
+            event::ENGINE_ORDER_FAILED.log(format_args!("server={server} problem={e}"));
         }
+        was_failing = res.is_err();
         tokio::select! {
             () = tokio::time::sleep(CHECK) => {}
             _ = revision.changed() => {}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -134,3 +134,10 @@
         }
     }
 }
+
+/// An entry that is let go of ends: its control thread would outlive it otherwise.
+impl Drop for RunningEntry {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
