Reads of the table whose answer was lost are read again

Ruled out: the change itself, whose lost reply is settled by its id. Change: the table client reads up to four times within half a second; a slow store is not asked again. Names: the guard gathers RollOutEvidence.

--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -6,14 +6,13 @@
     control::config::HEAD_KEY,
     entry::{ApiError, Entry},
     ids::RequestId,
-    platform::{Error, InsertOutcome},
+    platform::InsertOutcome,
     policy::claim::{Claim, ClaimState, ClaimStep, InsertReply, SavedAnswer, next_step},
     telemetry::event,
 };
 
 /// Steps before a claim is given up.
 const MAX_STEPS: usize = 8;
-const READ_TRIES: usize = 4;
 /// Time beyond the deadline after which a held claim counts as abandoned.
 const HELD_MARGIN: Duration = Duration::from_secs(30);
 const FINISH_TRIES: u32 = 40;
@@ -110,20 +109,15 @@
 }
 
 async fn read_back(entry: &Entry, key: &str, version: &mut u64) -> InsertReply {
-    for _ in 0..READ_TRIES {
-        match entry.health.watch("claim_read", entry.table.get(key)).await {
-            Ok(None) => return InsertReply::Absent,
-            Ok(Some(row)) => {
-                *version = row.version;
-                let Ok(claim) = row.parse() else { return InsertReply::Unreadable };
-                return InsertReply::Found(claim, row.version);
-            }
-            // A read may be repeated; while the store refuses, that would only take time.
-            Err(Error::Unknown(_)) => {}
-            Err(_) => break,
+    match entry.health.watch("claim_read", entry.table.get(key)).await {
+        Ok(None) => InsertReply::Absent,
+        Ok(Some(row)) => {
+            *version = row.version;
+            row.parse()
+                .map_or(InsertReply::Unreadable, |claim| InsertReply::Found(claim, row.version))
         }
+        Err(_) => InsertReply::Unreadable,
     }
-    InsertReply::Unreadable
 }
 
 /// Writes down how a claimed request ended; repeated until the store takes it.
--- a/src/entry/guard.rs
+++ b/src/entry/guard.rs
@@ -12,7 +12,7 @@
     telemetry::event,
 };
 
-/// Versions held at this entry, by the revision of the roll-out they were looked under.
+/// Versions held at this entry, by the revision of the roll-out they were gathered under.
 #[derive(Debug, Default)]
 pub(crate) struct Suspicion {
     held: BTreeMap<VersionId, (Revision, Box<str>)>,
@@ -28,7 +28,7 @@
         true
     }
 
-    /// Whether a version is held: its roll-out has not been changed since it was looked.
+    /// Whether a version is held: its roll-out has not been changed since it was gathered.
     pub(crate) fn is_held(&self, version: &str, snapshot: &Snapshot) -> bool {
         let Some((revision, _)) = self.held.get(version) else {
             return false;
@@ -59,7 +59,7 @@
 }
 
 /// One roll-out with what is known about it.
-pub(crate) struct Looked {
+pub(crate) struct RollOutEvidence {
     pub(crate) id: ObjectId,
     pub(crate) spec: RollOut,
     pub(crate) epoch: Revision,
@@ -69,7 +69,12 @@
 }
 
 /// Sums up the evidence of all linked agents about a roll-out.
-pub(crate) fn look(entry: &Entry, id: &ObjectId, spec: &RollOut, epoch: Revision) -> Looked {
+pub(crate) fn gather(
+    entry: &Entry,
+    id: &ObjectId,
+    spec: &RollOut,
+    epoch: Revision,
+) -> RollOutEvidence {
     let model = qualify(partner_of(id), &spec.model);
     let version: VersionId = format!("{model}@{}", spec.to).into();
     let from = format!("{model}@{}", spec.from);
@@ -81,17 +86,17 @@
             .fold(Evidence::default(), Evidence::plus)
     };
     let (old, new) = (sum(&from), sum(&version));
-    Looked { id: id.clone(), spec: spec.clone(), epoch, version, old, new }
+    RollOutEvidence { id: id.clone(), spec: spec.clone(), epoch, version, old, new }
 }
 
-fn look_at_all(entry: &Entry) -> Vec<Looked> {
+fn gather_all(entry: &Entry) -> Vec<RollOutEvidence> {
     let snapshot = entry.config.snapshot();
     snapshot
         .roll_outs
         .iter()
         .filter_map(|(id, spec)| {
             let epoch = snapshot.changed.get(&(Kind::RollOut, id.clone()))?;
-            Some(look(entry, id, spec, *epoch))
+            Some(gather(entry, id, spec, *epoch))
         })
         .collect()
 }
@@ -103,22 +108,22 @@
 }
 
 /// Takes new evidence into a version's test.
-fn note_evidence(entry: &Entry, looked: &Looked) -> Finding {
+fn note_evidence(entry: &Entry, gathered: &RollOutEvidence) -> Finding {
     let mut tests = entry.version_tests.lock().expect("no panics under the lock");
-    let fresh = (looked.epoch, VersionTest::default());
-    let held = tests.tests.entry(looked.version.clone()).or_insert(fresh);
-    if held.0 != looked.epoch {
+    let fresh = (gathered.epoch, VersionTest::default());
+    let held = tests.tests.entry(gathered.version.clone()).or_insert(fresh);
+    if held.0 != gathered.epoch {
         *held = fresh;
     }
-    held.1.observe(looked.old, looked.new, &looked.spec.guard);
-    held.1.finding(&looked.spec.guard)
+    held.1.observe(gathered.old, gathered.new, &gathered.spec.guard);
+    held.1.finding(&gathered.spec.guard)
 }
 
 /// What the test of a version has found so far.
-fn finding_of(entry: &Entry, looked: &Looked) -> Finding {
+fn finding_of(entry: &Entry, gathered: &RollOutEvidence) -> Finding {
     let tests = entry.version_tests.lock().expect("no panics under the lock");
-    let held = tests.tests.get(&looked.version).filter(|(epoch, _)| *epoch == looked.epoch);
-    held.map_or(Finding::Undecided, |(_, test)| test.finding(&looked.spec.guard))
+    let held = tests.tests.get(&gathered.version).filter(|(epoch, _)| *epoch == gathered.epoch);
+    held.map_or(Finding::Undecided, |(_, test)| test.finding(&gathered.spec.guard))
 }
 
 /// Holds suspect versions here at once and, as far as the store lets, for everyone.
@@ -126,30 +131,30 @@
 /// The durable hold is conditional on the roll-out's revision, so any entry may write it: one
 /// wins, and an operator's newer write is never undone.
 pub(crate) async fn hold_suspects(entry: &Arc<Entry>) {
-    for looked in look_at_all(entry) {
-        let why = describe(&looked);
-        let heard = is_held(entry, &looked.version);
-        if note_evidence(entry, &looked) == Finding::Worse {
-            note_hold(entry, &looked.version, looked.epoch, &why);
+    for gathered in gather_all(entry) {
+        let why = describe(&gathered);
+        let heard = is_held(entry, &gathered.version);
+        if note_evidence(entry, &gathered) == Finding::Worse {
+            note_hold(entry, &gathered.version, gathered.epoch, &why);
         } else if !heard {
             continue;
         }
-        let runs = matches!(looked.spec.state, RollOutState::Running | RollOutState::Paused);
+        let runs = matches!(gathered.spec.state, RollOutState::Running | RollOutState::Paused);
         if runs && !entry.health.is_down() {
-            write_step(entry, &looked, GuardStep::Hold, &why).await;
+            write_step(entry, &gathered, GuardStep::Hold, &why).await;
         }
     }
 }
 
 /// Moves roll-outs on that are no worse; only under the guard's lease.
 pub(crate) async fn advance_sound(entry: &Arc<Entry>) {
-    for looked in look_at_all(entry) {
-        if is_held(entry, &looked.version) {
+    for gathered in gather_all(entry) {
+        if is_held(entry, &gathered.version) {
             continue;
         }
-        let step = guard_step(&looked.spec, finding_of(entry, &looked));
+        let step = guard_step(&gathered.spec, finding_of(entry, &gathered));
         if step == GuardStep::Advance {
-            write_step(entry, &looked, step, &describe(&looked)).await;
+            write_step(entry, &gathered, step, &describe(&gathered)).await;
         }
     }
 }
@@ -171,36 +176,37 @@
     entry.suspicion.lock().expect("no panics under the lock").is_held(version, &snapshot)
 }
 
-async fn write_step(entry: &Arc<Entry>, looked: &Looked, step: GuardStep, why: &str) {
-    let next = apply_step(&looked.spec, step);
+async fn write_step(entry: &Arc<Entry>, gathered: &RollOutEvidence, step: GuardStep, why: &str) {
+    let next = apply_step(&gathered.spec, step);
     let name = match step {
         GuardStep::Hold => "hold",
         _ => "advance",
     };
     let req = WriteRequest {
         kind: Kind::RollOut,
-        id: looked.id.clone(),
+        id: gathered.id.clone(),
         spec: Some(Spec::RollOut(next.clone())),
-        expected: Expected::Revision(looked.epoch),
+        expected: Expected::Revision(gathered.epoch),
         actor: "guard".into(),
         // The same step of the same revision is one change, whoever writes it.
-        change_id: format!("guard-{name}-{}-{}", looked.id.replace('/', "."), looked.epoch).into(),
+        change_id: format!("guard-{name}-{}-{}", gathered.id.replace('/', "."), gathered.epoch)
+            .into(),
         dry_run: false,
     };
     match entry.writer.write(&req).await {
         Ok(revision) => event::ROLL_OUT_MOVED.log(format_args!(
             "roll_out={} state={:?} step={} revision={revision} {why}",
-            looked.id, next.state, next.step
+            gathered.id, next.state, next.step
         )),
         Err(WriteError::Conflict(_)) => {
-            event::ROLL_OUT_LEFT.log(format_args!("roll_out={} step={name}", looked.id));
+            event::ROLL_OUT_LEFT.log(format_args!("roll_out={} step={name}", gathered.id));
         }
         Err(e) => event::STORE_UNREACHABLE.log(format_args!("cause=guard problem={e}")),
     }
 }
 
-fn describe(looked: &Looked) -> Box<str> {
-    let (old, new) = (looked.old, looked.new);
+fn describe(gathered: &RollOutEvidence) -> Box<str> {
+    let (old, new) = (gathered.old, gathered.new);
     format!(
         "failures {}/{} against {}/{}, poor {}/{} against {}/{}",
         new.failures,
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -31,15 +31,15 @@
                 status.loaded = link.map(|link| link.loaded());
             }
             Spec::RollOut(spec) => {
-                let looked = guard::look(self, &object.id, spec, object.revision);
+                let gathered = guard::gather(self, &object.id, spec, object.revision);
                 let suspicion = self.suspicion.lock().expect("no panics under the lock");
                 status.roll_out = Some(RollOutStatus {
                     state: spec.state,
                     share: spec.share(),
-                    held_here: suspicion.is_held(&looked.version, &self.config.snapshot()),
-                    reason: suspicion.reason(&looked.version),
-                    old: looked.old,
-                    new: looked.new,
+                    held_here: suspicion.is_held(&gathered.version, &self.config.snapshot()),
+                    reason: suspicion.reason(&gathered.version),
+                    old: gathered.old,
+                    new: gathered.new,
                 });
             }
             _ => {}
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -4,10 +4,14 @@
 
 use http::Method;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::time::Instant;
 
 use crate::platform::{Error, HttpClient, Reply, Result};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
+const READ_TRIES: usize = 4;
+/// A read is not repeated once it has taken this long: the service is slow, not forgetful.
+const READ_AGAIN_WITHIN: Duration = Duration::from_millis(500);
 
 /// One row with the number of the transaction that last wrote it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -170,12 +174,24 @@
         }
     }
 
+    /// Carries a read out; one whose answer was lost is harmless to repeat for a while.
+    async fn read(&self, req: TableRequest) -> Result<TableReply> {
+        let began = Instant::now();
+        for _ in 1..READ_TRIES {
+            match (self.send)(req.clone()).await {
+                Err(Error::Unknown(_)) if began.elapsed() < READ_AGAIN_WITHIN => {}
+                res => return res,
+            }
+        }
+        (self.send)(req).await
+    }
+
     /// Reads one row.
     ///
     /// # Errors
     /// When the service gives no answer.
     pub async fn get(&self, key: &str) -> Result<Option<Row>> {
-        match (self.send)(TableRequest::Get(key.into())).await? {
+        match self.read(TableRequest::Get(key.into())).await? {
             TableReply::Row(row) => Ok(row),
             _ => Err(Error::Unreadable("answer to another call".into())),
         }
@@ -187,7 +203,7 @@
     /// When the service gives no answer.
     pub async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
         let req = TableRequest::List { prefix: prefix.into(), after: after.into(), limit };
-        match (self.send)(req).await? {
+        match self.read(req).await? {
             TableReply::Rows(rows) => Ok(rows),
             _ => Err(Error::Unreadable("answer to another call".into())),
         }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -257,3 +257,18 @@
 
     assert!(!health.is_down() && !health.is_out());
 }
+
+#[tokio::test]
+async fn a_read_whose_answer_was_lost_is_read_again() {
+    let stores = stores();
+    let table = stores.table.client();
+    table.transact(Transaction::default().put("objects/a", &1)).await.unwrap().unwrap();
+    stores.table.faults.set(Faults { lose_replies: 0.3, ..Faults::default() });
+
+    let mut failed = 0;
+    for _ in 0..200 {
+        failed += usize::from(table.get("objects/a").await.is_err());
+    }
+
+    assert!(failed < 10, "{failed} of 200 reads failed");
+}
