One pull turn for entry and agent; the pool is counted once a choice; dead code out

Read over the whole change. Entry and agent each had the same check of whether another peer was being asked for configuration: control::pull::PullTurn serves both. A choice counted the servers that are out again for each server it passed over: now once, and only when one is passed over. policy::charge::payer was never called.

--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -27,8 +27,6 @@
 
 const OUTGOING: usize = 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// One answer to a pull is waited for this long before another peer is asked.
-const PULL_PATIENCE: Duration = Duration::from_millis(500);
 
 pub(super) async fn accept_all(agent: Arc<Agent>, listener: TcpListener) {
     loop {
@@ -105,7 +103,7 @@
         }
         ToAgent::Config(update) => {
             agent.config.apply(update);
-            *agent.pulling.lock().expect("no panics under the lock") = None;
+            agent.pulling.done();
         }
         ToAgent::Rated { version, poor } => {
             let snapshot = agent.config.snapshot();
@@ -158,12 +156,8 @@
     if shown <= held {
         return;
     }
-    {
-        let mut pulling = agent.pulling.lock().expect("no panics under the lock");
-        if pulling.is_some_and(|since| since.elapsed() < PULL_PATIENCE) {
-            return;
-        }
-        *pulling = Some(Instant::now());
+    if !agent.pulling.take() {
+        return;
     }
     send_control(agent, link, &ToEntry::Pull(held)).await;
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,5 +3,6 @@
 pub mod config;
 pub mod lease;
 pub mod membership;
+pub mod pull;
 pub mod store_health;
 pub mod thread;
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures_util::StreamExt;
@@ -27,7 +27,6 @@
 const OUTGOING: usize = 1024;
 const FIRST_REDIAL: Duration = Duration::from_millis(100);
 const LONGEST_REDIAL: Duration = Duration::from_secs(5);
-const PULL_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Dials hosts that should be linked to and lets go of others.
 #[derive(Debug, Default)]
@@ -176,7 +175,7 @@
         }
         ToEntry::Config(update) => {
             entry.config.apply(update);
-            *entry.pulling.lock().expect("no panics under the lock") = None;
+            entry.pulling.done();
             return;
         }
         ToEntry::RowWritten { question, outcome } => return link.note_row(question, outcome),
@@ -208,12 +207,8 @@
     if revision <= held {
         return;
     }
-    {
-        let mut pulling = entry.pulling.lock().expect("no panics under the lock");
-        if pulling.is_some_and(|since: Instant| since.elapsed() < PULL_PATIENCE) {
-            return;
-        }
-        *pulling = Some(Instant::now());
+    if !entry.pulling.take() {
+        return;
     }
     send_control(entry, link, &ToAgent::Pull(held)).await;
 }
--- a/src/entry/pick.rs
+++ b/src/entry/pick.rs
@@ -1,6 +1,6 @@
 //! Choosing a server for an attempt out of a route.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::LazyCell, sync::Arc, time::Duration};
 
 use crate::{
     entry::{
@@ -38,8 +38,9 @@
             && snapshot.server_is_shared(&link.server, partner)
     };
     let candidates = candidates(entry.policy, route, job);
-    let in_choice =
-        |link: &Link| usable(link) && !(link.is_passed_over(now) && heeds_out(entry, route, now));
+    // Counting the whole pool is left until a server is passed over, and done once.
+    let heeds_out = LazyCell::new(|| heeds_out(entry, route, now));
+    let in_choice = |link: &Link| usable(link) && !(link.is_passed_over(now) && *heeds_out);
     let chosen = compare(entry.policy, route, job, &candidates, &in_choice)
         // None of the few candidates will do: look at the whole pool, healthy servers first.
         .or_else(|| compare(entry.policy, route, job, &all(route), &in_choice))
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -17,6 +17,7 @@
     control::{
         config::Config,
         membership::{Scope, has_duty},
+        pull::PullTurn,
         store_health::StoreHealth,
     },
     entry::{
@@ -131,7 +132,7 @@
     /// Host of the agent that writes this region's rows.
     pub(crate) relay: Mutex<Option<Box<str>>>,
     pub(crate) hosts: Mutex<Vec<Host>>,
-    pub(crate) pulling: Mutex<Option<Instant>>,
+    pub(crate) pulling: PullTurn,
     pub(crate) estimates: Mutex<Estimates>,
     pub(crate) stage_times: Mutex<HashMap<VersionId, Duration>>,
     pub(crate) budgets: Mutex<HashMap<OrganisationId, RetryBudget>>,
@@ -180,7 +181,7 @@
             rebuilding: Mutex::default(),
             relay: Mutex::default(),
             hosts: Mutex::default(),
-            pulling: Mutex::default(),
+            pulling: PullTurn::default(),
             estimates: Mutex::default(),
             stage_times: Mutex::default(),
             budgets: Mutex::default(),
--- a/src/policy/charge.rs
+++ b/src/policy/charge.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{MicroCost, OrganisationId, RequestId, ServerId, VersionId, partner_of};
+use crate::ids::{MicroCost, OrganisationId, RequestId, ServerId, VersionId};
 
 /// Length of a settlement window: requests that arrived in the same window settle together.
 pub const WINDOW_MS: u128 = 10_000;
@@ -118,8 +118,3 @@
     }
     (totals, ids)
 }
-
-/// Partner whose organisation is charged.
-pub fn payer(record: &ChargeRecord) -> &str {
-    partner_of(&record.organisation)
-}
