--- a/src/bin/mintmoor/app.rs
+++ b/src/bin/mintmoor/app.rs
@@ -36,7 +36,13 @@
         eprintln!("mintmoor: name a command; `mintmoor --help` lists them");
         return Ok(Ending::Bad);
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    // A host on the platform has a fifth of a core; more threads would only take turns on it.
+    let mut builder = if matches!(command, Command::Route(_)) {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+    };
+    let runtime = builder.enable_all().build()?;
     let ending = runtime.block_on(dispatch(command));
     runtime.shutdown_background();
     ending
@@ -46,6 +52,7 @@
     match command {
         Command::Entry(args) => process::run_entry(&args.settings).await,
         Command::Agent(args) => process::run_agent(&args.settings).await,
+        Command::Route(args) => process::run_route(&args).await,
         Command::Local(args) => local::run(args).await,
         Command::Check(args) => check::run(&args),
         Command::Get(args) => remote::get(&args).await,
--- a/src/bin/mintmoor/args.rs
+++ b/src/bin/mintmoor/args.rs
@@ -17,6 +17,7 @@
 pub(crate) enum Command {
     Entry(EntryArgs),
     Agent(AgentArgs),
+    Route(RouteArgs),
     Local(LocalArgs),
     Check(CheckArgs),
     Get(GetArgs),
@@ -48,6 +49,18 @@
     pub(crate) settings: String,
 }
 
+/// Run an entry on the users' platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "route")]
+pub(crate) struct RouteArgs {
+    /// the platform's settings file; by default the one its environment variable names
+    #[argh(option)]
+    pub(crate) settings: Option<String>,
+    /// log level: error, warn, info or debug
+    #[argh(option, default = "String::from(\"info\")")]
+    pub(crate) log: String,
+}
+
 /// Run entries, agents and stand-ins for everything else in one process on loopback.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "local")]
--- a/src/bin/mintmoor/completions.rs
+++ b/src/bin/mintmoor/completions.rs
@@ -5,9 +5,10 @@
 
 use crate::app::Ending;
 
-const COMMANDS: [&str; 13] = [
+const COMMANDS: [&str; 14] = [
     "entry",
     "agent",
+    "route",
     "local",
     "check",
     "get",
--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -1,18 +1,20 @@
 //! `entry` and `agent`: the two processes.
 
-use std::io::Write;
+use std::{io::Write, path::PathBuf, time::Duration};
 
 use eyre::{Result, WrapErr};
 use mintmoor::{
     agent, entry,
     entry::RoutingPolicy,
+    platform::host_settings::{self, SETTINGS_VARIABLE},
+    router::{self, RouterSettings, RunningRouter},
     settings::{load_agent, load_entry},
     telemetry::log,
 };
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::app::Ending;
+use crate::{app::Ending, args::RouteArgs};
 
 /// The signals that ask for a planned stop; a second one ends the grace.
 struct StopSignals {
@@ -83,3 +85,44 @@
     let cut = running.stop(signals.next()).await;
     Ok(Ending::of(cut == 0))
 }
+
+/// Time between looks at a settings file that may change without a signal.
+const FILE_CHECK: Duration = Duration::from_secs(2);
+
+/// Runs an entry on the users' platform until it is asked to stop.
+pub(crate) async fn run_route(args: &RouteArgs) -> Result<Ending> {
+    let file: PathBuf = match &args.settings {
+        Some(file) => file.into(),
+        None => std::env::var(SETTINGS_VARIABLE)
+            .wrap_err_with(|| format!("give --settings, or set {SETTINGS_VARIABLE}"))?
+            .into(),
+    };
+    let name = file.display().to_string();
+    let host = host_settings::read(&read(&name)?).wrap_err_with(|| name.clone())?;
+    log::install_bounded(args.log.parse().wrap_err("--log")?).wrap_err("log")?;
+    let mut stop = StopSignals::listen()?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let running = router::start(RouterSettings { host, file: Some(file) }).await?;
+    let mut text = read(&name)?;
+    loop {
+        tokio::select! {
+            () = stop.next() => break,
+            _ = reload.recv() => reload_changed(&running, &name, &mut text, true),
+            () = tokio::time::sleep(FILE_CHECK) => {
+                reload_changed(&running, &name, &mut text, false);
+            }
+        }
+    }
+    let cut = running.stop().await;
+    Ok(Ending::of(cut == 0))
+}
+
+/// Reloads when asked, or when the file's text is another than before.
+fn reload_changed(running: &RunningRouter, name: &str, text: &mut String, is_asked: bool) {
+    // A file that can't be read is told by the reload itself.
+    let now = read(name).unwrap_or_default();
+    if is_asked || now != *text {
+        *text = now;
+        running.reload();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ids;
 pub mod policy;
 pub mod resources;
+pub mod routing;
 
 pub mod agent;
 pub mod control;
@@ -18,6 +19,7 @@
 pub mod operator;
 pub mod platform;
 pub mod protocol;
+pub mod router;
 pub mod settings;
 pub mod telemetry;
 
--- /dev/null
+++ b/src/platform/documents.rs
@@ -0,0 +1,331 @@
+//! Documents the operator and the BackendServers keep in the store, read into our types.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::Revision,
+    platform::{
+        Error, Result,
+        store::{Row, Table},
+    },
+    routing::{
+        BackendServer, CallerLimits, ModelPrice, Organisation, Progress, RollOutOrder,
+        RollOutStatus, Route, RouteKind, RoutingTable, Service, Target,
+    },
+};
+
+const CONFIGURATION: &str = "config";
+const ROLL_OUT_PREFIX: &str = "rollout/";
+/// State word of a server that is about to leave.
+const LEAVING: &str = "draining";
+
+/// What the operator changed.
+#[derive(Clone, Debug)]
+pub enum OperatorChange {
+    /// A new version of the configuration.
+    Configuration(Box<RoutingTable>),
+    /// An order to roll a version out.
+    RollOut(RollOutOrder),
+    /// The order for this service is gone.
+    RollOutWithdrawn(Box<str>),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ConfigDoc {
+    version: Revision,
+    #[serde(default)]
+    routes: Vec<RouteDoc>,
+    #[serde(default)]
+    services: Vec<ServiceDoc>,
+    limits: Option<LimitsDoc>,
+    tenants: Option<Vec<OrganisationDoc>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RouteDoc {
+    name: Box<str>,
+    host: Box<str>,
+    prefix: Box<str>,
+    route_kind: Option<Box<str>>,
+    timeout_ms: Option<f64>,
+    target_latency_ms: Option<f64>,
+    /// Longest pause between events, though its name speaks of tokens.
+    itl_target_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    /// Models of the cascade, smallest first.
+    #[serde(default)]
+    sizes: Vec<Box<str>>,
+    /// The only service; absent where `split` names several.
+    service: Option<Box<str>>,
+    #[serde(default)]
+    split: Vec<SplitDoc>,
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    sticky: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct SplitDoc {
+    service: Box<str>,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ServiceDoc {
+    name: Box<str>,
+    max_conns: Option<usize>,
+    engine: Option<EngineDoc>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct EngineDoc {
+    /// Prompt tokens one engine can hold.
+    kv_capacity: Option<f64>,
+    #[serde(default)]
+    models: Vec<ModelDoc>,
+}
+
+#[derive(Deserialize)]
+struct ModelDoc {
+    name: Box<str>,
+    #[serde(default)]
+    cost: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsDoc {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct OrganisationDoc {
+    name: Box<str>,
+    #[serde(default)]
+    api_keys: Vec<Box<str>>,
+    priority: Option<u8>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RollOutDoc {
+    service: Box<str>,
+    to: Box<str>,
+    /// Time in which the roll-out is to be done.
+    duration_s: f64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct StatusDoc {
+    state: Box<str>,
+    to: Box<str>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ServerDoc {
+    service: Box<str>,
+    address: Box<str>,
+    #[serde(default)]
+    zone: Box<str>,
+    #[serde(default)]
+    version: Box<str>,
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    state: Box<str>,
+    #[serde(default)]
+    models: Vec<NameDoc>,
+}
+
+#[derive(Deserialize)]
+struct NameDoc {
+    name: Box<str>,
+}
+
+/// Timeout of a route that sets none.
+const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
+
+/// Reads a row the operator wrote; nothing for kinds of rows not known here.
+///
+/// # Errors
+/// When the document can't be read.
+pub fn read_operator_row(row: &Row) -> Result<Option<OperatorChange>> {
+    if let Some(service) = row.key.strip_prefix(ROLL_OUT_PREFIX) {
+        if row.is_removed {
+            return Ok(Some(OperatorChange::RollOutWithdrawn(service.into())));
+        }
+        let doc: RollOutDoc = parse(row)?;
+        return Ok(Some(OperatorChange::RollOut(RollOutOrder {
+            service: doc.service,
+            to: doc.to,
+            within: Duration::from_secs_f64(doc.duration_s.max(0.0)),
+            revision: row.version,
+        })));
+    }
+    if &*row.key != CONFIGURATION || row.is_removed {
+        return Ok(None);
+    }
+    let doc: ConfigDoc = parse(row)?;
+    Ok(Some(OperatorChange::Configuration(Box::new(read_config(doc)))))
+}
+
+/// Reads the row of a BackendServer.
+///
+/// # Errors
+/// When the document can't be read.
+pub fn read_server(row: &Row) -> Result<BackendServer> {
+    let doc: ServerDoc = parse(row)?;
+    let address = doc.address.parse().map_err(|e| unreadable(row, &e))?;
+    Ok(BackendServer {
+        id: row.key.clone(),
+        service: doc.service,
+        address,
+        zone: doc.zone,
+        version: doc.version,
+        slots: doc.slots.max(1),
+        is_leaving: &*doc.state == LEAVING,
+        models: doc.models.into_iter().map(|model| model.name).collect(),
+    })
+}
+
+/// Reads what was last told about a roll-out.
+///
+/// # Errors
+/// When the document can't be read.
+pub fn read_status(row: &Row) -> Result<RollOutStatus> {
+    let doc: StatusDoc = parse(row)?;
+    let progress = match &*doc.state {
+        "completed" => Progress::Completed,
+        "rolled_back" => Progress::RolledBack,
+        _ => Progress::Running,
+    };
+    Ok(RollOutStatus { to: doc.to, progress })
+}
+
+/// Key of the row that tells about a service's roll-out.
+pub fn status_key(service: &str) -> Box<str> {
+    format!("{ROLL_OUT_PREFIX}{service}").into()
+}
+
+/// Service a status row is about.
+pub fn service_of_status(key: &str) -> Option<&str> {
+    key.strip_prefix(ROLL_OUT_PREFIX)
+}
+
+/// The document that tells about a roll-out.
+pub fn write_status(status: &RollOutStatus) -> Vec<u8> {
+    let state = match status.progress {
+        Progress::Running => "in_progress",
+        Progress::Completed => "completed",
+        Progress::RolledBack => "rolled_back",
+    };
+    let doc = StatusDoc { state: state.into(), to: status.to.clone() };
+    serde_json::to_vec(&doc).expect("a document of texts can be written")
+}
+
+fn parse<T: for<'de> Deserialize<'de>>(row: &Row) -> Result<T> {
+    serde_json::from_slice(&row.value).map_err(|e| unreadable(row, &e))
+}
+
+fn unreadable(row: &Row, e: &dyn std::fmt::Display) -> Error {
+    let table: Table = row.table;
+    Error::Unreadable(format!("{table:?} row {}: {e}", row.key).into())
+}
+
+fn read_config(doc: ConfigDoc) -> RoutingTable {
+    let mut routes: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
+    for route in doc.routes {
+        let host = route.host.clone();
+        routes.entry(host).or_default().push(Arc::new(read_route(route)));
+    }
+    for of_host in routes.values_mut() {
+        of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    }
+    RoutingTable {
+        version: doc.version,
+        routes,
+        services: doc.services.into_iter().map(|s| (s.name.clone(), read_service(s))).collect(),
+        keys: doc.tenants.map(read_keys),
+        limits: doc.limits.map(read_limits),
+    }
+}
+
+fn read_route(doc: RouteDoc) -> Route {
+    let mut targets: Vec<Target> =
+        doc.split.into_iter().map(|s| Target { service: s.service, weight: s.weight }).collect();
+    if let Some(service) = doc.service {
+        targets.push(Target { service, weight: 1.0 });
+    }
+    let timeout = doc.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+    Route {
+        name: doc.name,
+        prefix: doc.prefix,
+        targets,
+        kind: match doc.route_kind.as_deref() {
+            Some("safe") => RouteKind::Idempotent,
+            Some("stream") => RouteKind::Stream,
+            // An unknown kind is served with the most care.
+            _ => RouteKind::OnceOnly,
+        },
+        timeout: milliseconds(timeout),
+        objective: milliseconds(doc.target_latency_ms.unwrap_or(timeout)),
+        event_gap: doc.itl_target_ms.map(milliseconds),
+        priority: doc.priority,
+        max_attempts: doc.max_attempts.unwrap_or(1).max(1),
+        is_public: doc.public,
+        is_sticky: doc.sticky,
+        is_resumable: doc.resumable,
+        cascade: doc.sizes,
+    }
+}
+
+fn read_service(doc: ServiceDoc) -> Service {
+    let engine = doc.engine;
+    let memory = engine.as_ref().and_then(|e| e.kv_capacity);
+    let price = |m: ModelDoc| ModelPrice { model: m.name, cost: m.cost };
+    Service {
+        max_connections: doc.max_conns.unwrap_or(usize::MAX),
+        prices: engine.map(|e| e.models.into_iter().map(price).collect()).unwrap_or_default(),
+        memory_tokens: memory.map(|tokens| tokens as u64),
+    }
+}
+
+fn read_keys(docs: Vec<OrganisationDoc>) -> HashMap<Box<str>, Arc<Organisation>> {
+    let mut keys = HashMap::new();
+    for doc in docs {
+        let organisation = Arc::new(Organisation { name: doc.name, priority: doc.priority });
+        for key in doc.api_keys {
+            keys.insert(key, organisation.clone());
+        }
+    }
+    keys
+}
+
+fn read_limits(doc: LimitsDoc) -> CallerLimits {
+    CallerLimits {
+        header_bytes: doc.max_header_bytes,
+        body_bytes: doc.max_body_bytes,
+        header_timeout: Duration::from_millis(doc.header_timeout_ms),
+        idle_timeout: Duration::from_millis(doc.idle_timeout_ms),
+    }
+}
+
+fn milliseconds(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1e3).max(0.0))
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,231 @@
+//! HTTP headers of callers and BackendServers, read into and written from our types.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
+
+use crate::{
+    policy::load::ReportedLoad,
+    routing::{AnswerHead, AnswerKind, Organisation, PromptPart, RequestHead},
+};
+
+/// Id of one try of a caller, echoed in its answer.
+const REQUEST_ID: &str = "x-request-id";
+/// Milliseconds: for callers the time they wait, for servers the time left.
+const TIME_LEFT: &str = "x-deadline-ms";
+/// `prompt,answer` tokens; the second is the most the answer may have.
+const TOKENS: &str = "x-token-usage";
+/// `id:tokens` of each prompt part; the page calls it a prefix hash.
+const PROMPT_PARTS: &str = "x-prefix-hash";
+const MODEL: &str = "x-model";
+/// What callers send as the model where the choice is ours.
+const ANY_MODEL: &str = "*";
+const SESSION: &str = "session";
+const LAST_EVENT: &str = "last-event-id";
+/// Id of the server life that may run the request.
+const EXPECTED_SERVER: &str = "x-expect-instance";
+const ORGANISATION: &str = "x-tenant";
+const PRIORITY: &str = "x-request-priority";
+/// Signature of the server that answered.
+const SIGNATURE: &str = "x-instance-stamp";
+/// Present when the server did not run the request.
+const NOT_RUN: &str = "x-not-executed";
+/// `running,waiting,slots` of the server.
+const LOAD: &str = "x-instance-load";
+const CONFIDENCE: &str = "x-confidence";
+const AUTH_SCHEME: &str = "Bearer ";
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+/// Headers that only this system may set towards a server.
+const OURS: [&str; 11] = [
+    EXPECTED_SERVER,
+    ORGANISATION,
+    PRIORITY,
+    TIME_LEFT,
+    "x-expect-version",
+    "x-pin-ms",
+    "x-hold",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "authorization",
+];
+
+/// A request head that can't be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HeadError {
+    /// No id to match an answer by.
+    #[error("the request has no id")]
+    NoId,
+    /// No host to route by.
+    #[error("the request names no host")]
+    NoHost,
+    /// Two ways to tell where the body ends, which two readers may take differently.
+    #[error("the request gives its length twice")]
+    AmbiguousLength,
+}
+
+/// Reads a caller's request head.
+///
+/// # Errors
+/// When the request can't be told from others or its end is ambiguous.
+pub fn read_request(
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Result<RequestHead, HeadError> {
+    if headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH)
+    {
+        return Err(HeadError::AmbiguousLength);
+    }
+    let id = text(headers, REQUEST_ID).ok_or(HeadError::NoId)?;
+    let host = text(headers, "host").or_else(|| uri.host()).ok_or(HeadError::NoHost)?;
+    let host = host.split(':').next().unwrap_or(host);
+    let (prompt_tokens, answer_tokens) = text(headers, TOKENS).map_or((0, 0), read_tokens);
+    let mut passed_on = without_hop_by_hop(headers);
+    for name in OURS {
+        passed_on.remove(name);
+    }
+    passed_on.remove(header::CONTENT_LENGTH);
+    passed_on.remove(header::EXPECT);
+    Ok(RequestHead {
+        method: method.clone(),
+        uri: uri.clone(),
+        host: host.into(),
+        id: id.into(),
+        key: text(headers, "authorization")
+            .and_then(|value| value.strip_prefix(AUTH_SCHEME))
+            .map(|key| key.trim().into()),
+        patience: number(headers, TIME_LEFT).map(Duration::from_millis),
+        model: text(headers, MODEL).filter(|model| *model != ANY_MODEL).map(Into::into),
+        prompt_tokens,
+        answer_tokens,
+        parts: text(headers, PROMPT_PARTS).map(read_parts).unwrap_or_default(),
+        session: text(headers, SESSION).map(Into::into),
+        last_event: number(headers, LAST_EVENT),
+        headers: passed_on,
+    })
+}
+
+/// What one attempt adds to the request.
+#[derive(Clone, Debug)]
+pub struct AttemptHeaders<'a> {
+    /// Id of the server chosen.
+    pub server: &'a str,
+    /// Organisation of the caller's key.
+    pub organisation: Option<&'a Organisation>,
+    /// Time left for the attempt.
+    pub time_left: Duration,
+    /// Model that we chose, where the caller left it to us.
+    pub model: Option<&'a str>,
+    /// Urgency, 0 first.
+    pub priority: u8,
+    /// Last event the caller has, where the attempt resumes a stream.
+    pub last_event: Option<u64>,
+}
+
+/// Headers of one attempt.
+pub fn write_attempt(head: &RequestHead, attempt: &AttemptHeaders<'_>) -> HeaderMap {
+    let mut headers = head.headers.clone();
+    let mut set = |name: &'static str, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    };
+    set(EXPECTED_SERVER, attempt.server);
+    set(TIME_LEFT, &attempt.time_left.as_millis().max(1).to_string());
+    set(PRIORITY, &attempt.priority.to_string());
+    if let Some(organisation) = attempt.organisation {
+        set(ORGANISATION, &organisation.name);
+    }
+    if let Some(model) = attempt.model {
+        set(MODEL, model);
+    }
+    if let Some(event) = attempt.last_event {
+        set(LAST_EVENT, &event.to_string());
+    }
+    headers
+}
+
+/// Reads the head of an answer to the request with this id.
+pub fn read_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerHead {
+    let closes = text(headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    AnswerHead {
+        kind: kind_of_answer(status, headers, request_id),
+        status,
+        headers: without_hop_by_hop(headers),
+        confidence: number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
+        load: text(headers, LOAD).and_then(read_load),
+        closes,
+    }
+}
+
+fn kind_of_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerKind {
+    if text(headers, REQUEST_ID).is_some_and(|id| id != request_id) {
+        return AnswerKind::Misplaced;
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return AnswerKind::OtherServer;
+    }
+    if headers.contains_key(NOT_RUN) {
+        return AnswerKind::NotRun;
+    }
+    if !headers.contains_key(SIGNATURE) || headers.contains_key(header::CONTENT_ENCODING) {
+        return AnswerKind::Unsigned;
+    }
+    if status.is_success() { AnswerKind::Success } else { AnswerKind::Failure }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    for name in named.flat_map(|value| value.split(',')) {
+        kept.remove(name.trim());
+    }
+    for name in &HOP_BY_HOP {
+        kept.remove(name);
+    }
+    kept.remove(KEEP_ALIVE);
+    kept
+}
+
+fn read_tokens(value: &str) -> (u64, u64) {
+    let mut numbers = value.split(',').map(|n| n.trim().parse().unwrap_or(0));
+    (numbers.next().unwrap_or(0), numbers.next().unwrap_or(0))
+}
+
+fn read_parts(value: &str) -> Vec<PromptPart> {
+    let part = |entry: &str| {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        let id = u64::from_str_radix(id, 16).ok()?;
+        Some(PromptPart { id, tokens: tokens.parse().ok()? })
+    };
+    value.split(',').filter_map(part).collect()
+}
+
+fn read_load(value: &str) -> Option<ReportedLoad> {
+    let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
+    let running = numbers.next()??;
+    let waiting = numbers.next()??;
+    let slots = numbers.next()??;
+    Some(ReportedLoad { running, waiting, slots })
+}
--- /dev/null
+++ b/src/platform/host_settings.rs
@@ -0,0 +1,174 @@
+//! The settings file that the platform writes for a process on one of its Hosts.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+
+/// Environment variable that holds the path of the file.
+pub const SETTINGS_VARIABLE: &str = "MINTMOOR_CONFIG";
+
+/// What the platform tells a process about its Host, in our words.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostSettings {
+    /// Name of the Host.
+    pub host: Box<str>,
+    /// AvailabilityZone of the Host.
+    pub zone: Box<str>,
+    /// Region by AvailabilityZone.
+    pub regions: HashMap<Box<str>, Box<str>>,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where the balancer asks whether this process takes work.
+    pub readiness: SocketAddr,
+    /// Where the other entries connect; none where the role has no such address.
+    pub peer: Option<SocketAddr>,
+    /// Peer addresses of a few entries; they may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// First port that is free for this system.
+    pub first_port: u16,
+    /// Store, as `IP:PORT`.
+    pub store: Box<str>,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+    /// Time in which a leaving server may still get requests.
+    pub drain: Duration,
+    /// Sends beyond the first of each request that are allowed per request.
+    pub retry_ratio: f64,
+    /// Sends allowed beyond that ratio in a window, over all entries.
+    pub retry_extra: f64,
+    /// Window the two are counted in.
+    pub retry_window: Duration,
+    /// Time after which a session that sent nothing is over.
+    pub session: Duration,
+    /// Descriptors the process may use.
+    pub max_descriptors: usize,
+}
+
+/// Why the platform's file can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HostSettingsError {
+    /// Not the format.
+    #[error("is not readable: {0}")]
+    Syntax(Box<str>),
+    /// A value has no default and is missing, or is wrong; all of them at once.
+    #[error("{}", .0.join("; "))]
+    Values(Vec<String>),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Doc {
+    #[serde(default)]
+    node_name: Box<str>,
+    #[serde(default)]
+    zone: Box<str>,
+    /// Region of each zone.
+    #[serde(default)]
+    zones: HashMap<Box<str>, Box<str>>,
+    #[serde(default)]
+    listen: ListenDoc,
+    #[serde(default)]
+    port_range: Vec<u16>,
+    #[serde(default)]
+    seeds: Vec<Box<str>>,
+    #[serde(default)]
+    limits: LimitsDoc,
+    #[serde(default)]
+    bounds: BoundsDoc,
+    #[serde(default)]
+    platform: PlatformDoc,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ListenDoc {
+    /// Where callers connect.
+    frontend: Option<Box<str>>,
+    readiness: Option<Box<str>>,
+    /// Free for the entries among themselves.
+    control_plane: Option<Box<str>>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsDoc {
+    max_fds: Option<usize>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct BoundsDoc {
+    grace_s: Option<f64>,
+    drain_ms: Option<f64>,
+    retry_ratio: Option<f64>,
+    retry_extra: Option<f64>,
+    retry_window_s: Option<f64>,
+    session_s: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+struct PlatformDoc {
+    /// The store's.
+    address: Option<Box<str>>,
+}
+
+/// Defaults of bounds that a deployment leaves out; those of both first deployments.
+const DEFAULT_GRACE_S: f64 = 8.0;
+const DEFAULT_DRAIN_MS: f64 = 2_000.0;
+const DEFAULT_RETRY_RATIO: f64 = 0.1;
+const DEFAULT_RETRY_EXTRA: f64 = 20.0;
+const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+const DEFAULT_SESSION_S: f64 = 5.0;
+const DEFAULT_DESCRIPTORS: usize = 1_024;
+
+/// Reads the file's text.
+///
+/// # Errors
+/// Everything that is wrong with it at once.
+pub fn read(text: &str) -> Result<HostSettings, HostSettingsError> {
+    let doc: Doc = serde_saphyr::from_str(text)
+        .map_err(|e| HostSettingsError::Syntax(e.to_string().into()))?;
+    let mut problems = Vec::new();
+    let caller = address("listen.frontend", doc.listen.frontend.as_deref(), &mut problems);
+    let readiness = address("listen.readiness", doc.listen.readiness.as_deref(), &mut problems);
+    if doc.platform.address.is_none() {
+        problems.push("platform.address is missing".into());
+    }
+    let (Some(caller), Some(readiness), Some(store)) = (caller, readiness, doc.platform.address)
+    else {
+        return Err(HostSettingsError::Values(problems));
+    };
+    let bounds = doc.bounds;
+    Ok(HostSettings {
+        host: doc.node_name,
+        zone: doc.zone,
+        regions: doc.zones,
+        caller,
+        readiness,
+        peer: doc.listen.control_plane.and_then(|text| text.parse().ok()),
+        seeds: doc.seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
+        first_port: doc.port_range.first().copied().unwrap_or_default(),
+        store,
+        grace: Duration::from_secs_f64(bounds.grace_s.unwrap_or(DEFAULT_GRACE_S)),
+        drain: Duration::from_secs_f64(bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS) / 1e3),
+        retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
+        retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
+        retry_window: Duration::from_secs_f64(
+            bounds.retry_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S),
+        ),
+        session: Duration::from_secs_f64(bounds.session_s.unwrap_or(DEFAULT_SESSION_S)),
+        max_descriptors: doc.limits.max_fds.unwrap_or(DEFAULT_DESCRIPTORS),
+    })
+}
+
+fn address(key: &str, value: Option<&str>, problems: &mut Vec<String>) -> Option<SocketAddr> {
+    let Some(text) = value else {
+        problems.push(format!("{key} is missing"));
+        return None;
+    };
+    let parsed = text.parse().ok();
+    if parsed.is_none() {
+        problems.push(format!("{key} `{text}` is no IP address and port"));
+    }
+    parsed
+}
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -15,6 +15,14 @@
 
 use crate::platform::{Error, Result};
 
+/// Time a connection may take: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between probes of an idle connection, so that a peer that fell silent is noticed while a
+/// long poll waits.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Time after which a connection whose bytes nobody acknowledges is given up.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -50,7 +58,11 @@
         let mut tcp = HttpConnector::new();
         tcp.set_nodelay(true);
         tcp.enforce_http(false);
-        tcp.set_connect_timeout(Some(Duration::from_secs(1)));
+        tcp.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        tcp.set_keepalive(Some(KEEPALIVE));
+        tcp.set_keepalive_interval(Some(KEEPALIVE));
+        tcp.set_keepalive_retries(Some(1));
+        tcp.set_tcp_user_timeout(Some(USER_TIMEOUT));
         let connector = HttpsConnectorBuilder::new()
             .with_tls_config(config)
             .https_or_http()
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,12 +2,16 @@
 //!
 //! A site puts an adapter to its own services here; the shapes are in `docs/PLATFORM.md`.
 
+pub mod documents;
 mod engine;
 mod error;
+pub mod headers;
+pub mod host_settings;
 mod hosts;
 mod http_client;
 mod objects;
 mod ratings;
+pub mod store;
 mod table;
 
 pub use engine::EngineOrder;
@@ -20,6 +24,9 @@
     Check, InsertOutcome, Row, TableClient, TableReply, TableRequest, Transaction, Write,
 };
 
+/// Path at which the platform's balancer asks whether an entry takes work.
+pub const READINESS_PATH: &str = "/-/readyz";
+
 use std::{future::Future, pin::Pin};
 
 /// The future a client's closure returns.
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,282 @@
+//! Client of the platform's store: rows in tables, a feed of their changes, and transactions.
+
+use std::time::Duration;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::Revision,
+    platform::{Error, HttpClient, HttpReply, Result},
+};
+
+/// A table of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Table {
+    /// What the operator orders: configuration and roll-outs.
+    #[serde(rename = "op")]
+    Orders,
+    /// The BackendServers that are alive.
+    #[serde(rename = "servers")]
+    Servers,
+    /// What this system tells the operator.
+    #[serde(rename = "status")]
+    Status,
+    /// This system's own rows.
+    #[serde(rename = "mintmoor")]
+    Own,
+    /// A table that this system does not use.
+    #[serde(other)]
+    Other,
+}
+
+impl Table {
+    fn name(self) -> &'static str {
+        match self {
+            Table::Orders => "op",
+            Table::Servers => "servers",
+            Table::Status => "status",
+            Table::Own => "mintmoor",
+            Table::Other => "",
+        }
+    }
+}
+
+/// A row, or the news that it is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Its table.
+    pub table: Table,
+    /// Its key.
+    pub key: Box<str>,
+    /// Its document; empty when it is gone.
+    pub value: Bytes,
+    /// Transaction that last wrote it.
+    pub version: Revision,
+    /// Whether it is gone.
+    pub is_removed: bool,
+}
+
+/// Rows, and how new they are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rows {
+    /// In the order of their keys, or for a feed of their changes.
+    pub rows: Vec<Row>,
+    /// Newest transaction the answer covers.
+    pub version: Revision,
+    /// The store's steady clock.
+    pub now: Duration,
+}
+
+/// What a feed brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Feed {
+    /// What changed since; empty when nothing did.
+    Changes(Rows),
+    /// The store no longer knows; the table has to be read anew.
+    HistoryGone,
+}
+
+/// One row of a transaction.
+#[derive(Clone, Debug)]
+pub struct Put {
+    /// Table.
+    pub table: Table,
+    /// Key.
+    pub key: Box<str>,
+    /// Version the row must have; 0 means that it must not exist.
+    pub expected: Revision,
+    /// New document.
+    pub value: Vec<u8>,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It is kept, under this version.
+    Written(Revision),
+    /// A row had another version; these are the rows as they are.
+    Conflict(Vec<Row>),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RowDoc {
+    table: Table,
+    key: Box<str>,
+    #[serde(default)]
+    value: Option<Box<str>>,
+    #[serde(default)]
+    ver: Revision,
+    #[serde(default)]
+    removed: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RowsDoc {
+    #[serde(default)]
+    rows: Vec<RowDoc>,
+    #[serde(default)]
+    truncated: bool,
+    #[serde(default)]
+    ver: Revision,
+    #[serde(default)]
+    now_ms: f64,
+}
+
+#[derive(Serialize)]
+struct Expected<'a> {
+    table: Table,
+    part: &'a str,
+    key: &'a str,
+    ver: Revision,
+}
+
+#[derive(Serialize)]
+struct PutDoc<'a> {
+    table: Table,
+    part: &'a str,
+    key: &'a str,
+    value: String,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct TransactionDoc<'a> {
+    /// Rows and the versions they must have.
+    expected_rev: Vec<Expected<'a>>,
+    puts: Vec<PutDoc<'a>>,
+    remove: [(); 0],
+}
+
+/// Time a read or a write may take; the store answers in 4 ms, and 60 times that when slow.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time a feed may take beyond what it was asked to wait.
+const FEED_SLACK: Duration = Duration::from_millis(500);
+
+/// Client of the store; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct StoreClient {
+    http: HttpClient,
+    base: Box<str>,
+}
+
+impl StoreClient {
+    /// A client of the store at this address, `IP:PORT`.
+    pub fn new(http: HttpClient, address: &str) -> Self {
+        Self { http, base: format!("http://{address}/-/").into() }
+    }
+
+    /// Reads all rows of a table.
+    ///
+    /// # Errors
+    /// When the store gives no answer or refuses.
+    pub async fn read(&self, table: Table) -> Result<Rows> {
+        let mut all = Rows { rows: Vec::new(), version: 0, now: Duration::ZERO };
+        let mut from = String::new();
+        loop {
+            let path = format!("rows-get?table={}&part=&from={from}", table.name());
+            let reply = self.get(&path, CALL_TIMEOUT).await?;
+            let doc = read_rows(&path, &reply)?;
+            if from.is_empty() {
+                // Later pages may be newer; the feed then brings their changes once more.
+                all.version = doc.ver;
+                all.now = Duration::from_secs_f64(doc.now_ms / 1e3);
+            }
+            let more = doc.truncated;
+            all.rows.extend(doc.rows.into_iter().map(read_row).collect::<Result<Vec<_>>>()?);
+            let Some(last) = all.rows.last().filter(|_| more) else {
+                return Ok(all);
+            };
+            // The smallest key after the last one read.
+            from = format!("{}%00", last.key);
+        }
+    }
+
+    /// Waits until a table has changed since a version, or for `wait`.
+    ///
+    /// # Errors
+    /// When the store gives no answer or refuses.
+    pub async fn follow(&self, table: Table, after: Revision, wait: Duration) -> Result<Feed> {
+        let name = table.name();
+        let wait_ms = wait.as_millis();
+        let path = format!("rows-feed?table={name}&after-rev={after}&wait-ms={wait_ms}");
+        let reply = self.get(&path, wait + FEED_SLACK).await?;
+        if reply.status == StatusCode::GONE {
+            return Ok(Feed::HistoryGone);
+        }
+        let doc = read_rows(&path, &reply)?;
+        let rows = doc.rows.into_iter().map(read_row).collect::<Result<Vec<_>>>()?;
+        let now = Duration::from_secs_f64(doc.now_ms / 1e3);
+        Ok(Feed::Changes(Rows { rows, version: doc.ver.max(after), now }))
+    }
+
+    /// Writes rows, all or none, if each has the version expected.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when nothing was written, [`Error::Unknown`] when it may have been.
+    pub async fn write(&self, puts: &[Put]) -> Result<WriteOutcome> {
+        let expect =
+            |put: &'_ Put| (put.table, put.key.clone(), put.expected, STANDARD.encode(&put.value));
+        let rows: Vec<_> = puts.iter().map(expect).collect();
+        let doc = TransactionDoc {
+            expected_rev: rows
+                .iter()
+                .map(|(table, key, ver, _)| Expected { table: *table, part: "", key, ver: *ver })
+                .collect(),
+            puts: rows
+                .iter()
+                .map(|(table, key, _, value)| PutDoc {
+                    table: *table,
+                    part: "",
+                    key,
+                    value: value.clone(),
+                })
+                .collect(),
+            remove: [],
+        };
+        let body = serde_json::to_vec(&doc).map_err(|e| Error::Refused(e.to_string().into()))?;
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let uri = format!("{}rows-tx", self.base);
+        let reply = self.http.call(Method::POST, &uri, headers, body.into(), CALL_TIMEOUT).await?;
+        if reply.status == StatusCode::PRECONDITION_FAILED {
+            let doc: RowsDoc = parse("rows-tx", &reply)?;
+            let rows = doc.rows.into_iter().map(read_row).collect::<Result<Vec<_>>>()?;
+            return Ok(WriteOutcome::Conflict(rows));
+        }
+        Ok(WriteOutcome::Written(read_rows("rows-tx", &reply)?.ver))
+    }
+
+    async fn get(&self, path: &str, timeout: Duration) -> Result<HttpReply> {
+        let uri = format!("{}{path}", self.base);
+        self.http.call(Method::GET, &uri, HeaderMap::new(), Bytes::new(), timeout).await
+    }
+}
+
+fn read_rows(path: &str, reply: &HttpReply) -> Result<RowsDoc> {
+    super::http_client::check_status(path, reply)?;
+    parse(path, reply)
+}
+
+fn parse(path: &str, reply: &HttpReply) -> Result<RowsDoc> {
+    serde_json::from_slice(&reply.body)
+        .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))
+}
+
+fn read_row(doc: RowDoc) -> Result<Row> {
+    let value = doc.value.unwrap_or_default();
+    let value = STANDARD
+        .decode(value.as_bytes())
+        .map_err(|e| Error::Unreadable(format!("row {}: {e}", doc.key).into()))?;
+    Ok(Row {
+        table: doc.table,
+        key: doc.key,
+        value: value.into(),
+        version: doc.ver,
+        is_removed: doc.removed,
+    })
+}
--- a/src/policy/roll_out.rs
+++ b/src/policy/roll_out.rs
@@ -1,9 +1,10 @@
 //! Roll-outs: which version a new session gets, and when a version is held or moved on.
 
+use crate::{
+    policy::exposure::takes_new,
+    resources::{Guard, RollOut, RollOutState},
+};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use crate::resources::{Guard, RollOut, RollOutState};
 
 /// Outcomes of one version, as sums that only grow within one agent's life.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -171,7 +172,5 @@
     if held {
         return false;
     }
-    let hash = xxh3_64_with_seed(session.as_bytes(), xxh3_64_with_seed(roll_out.to.as_bytes(), 0));
-    let draw = (hash >> 11) as f64 / (1u64 << 53) as f64;
-    draw < roll_out.share()
+    takes_new(session, &roll_out.to, roll_out.share())
 }
--- /dev/null
+++ b/src/policy/send_budget.rs
@@ -0,0 +1,76 @@
+//! The budget of repeated sends that all entries share without talking.
+//!
+//! A service may get, in any window, so many sends beyond the first of each request: a ratio of
+//! the requests for it, and a fixed extra. Each entry keeps to the ratio on its own requests and
+//! to a part of the extra, so the sum over any number of entries stays within.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Part of the allowed ratio that is used; the rest is for windows that cut a request from its
+/// repeats.
+const RATIO_USED: f64 = 0.8;
+/// Entries among which the extra is parted where their number is not known.
+const ENTRIES_ASSUMED: f64 = 8.0;
+/// Steps a window is counted in.
+const STEPS: u32 = 10;
+
+/// What a deployment allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendTerms {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond that in a window, over all entries.
+    pub extra: f64,
+    /// Window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Sends of one entry to one service.
+#[derive(Clone, Debug, Default)]
+pub struct SendBudget {
+    steps: VecDeque<Step>,
+}
+
+impl SendBudget {
+    /// Notes a caller's request for the service.
+    pub fn note_request(&mut self, terms: &SendTerms, now: Duration) {
+        self.current(terms, now).requests += 1;
+    }
+
+    /// Takes one repeated send from the budget; false when it is used up.
+    pub fn try_repeat(&mut self, terms: &SendTerms, now: Duration) -> bool {
+        if self.left(terms, now) < 1.0 {
+            return false;
+        }
+        self.current(terms, now).repeats += 1;
+        true
+    }
+
+    /// Repeats still allowed.
+    pub fn left(&mut self, terms: &SendTerms, now: Duration) -> f64 {
+        self.current(terms, now);
+        let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
+        let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
+        let allowed = f64::from(requests) * terms.ratio * RATIO_USED;
+        allowed + terms.extra / ENTRIES_ASSUMED - f64::from(repeats)
+    }
+
+    fn current(&mut self, terms: &SendTerms, now: Duration) -> &mut Step {
+        let step = terms.window / STEPS;
+        let number = (now.as_nanos() / step.as_nanos().max(1)) as u64;
+        while self.steps.front().is_some_and(|s| s.number + u64::from(STEPS) < number) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|s| s.number != number) {
+            self.steps.push_back(Step { number, ..Step::default() });
+        }
+        self.steps.back_mut().expect("a step was just pushed")
+    }
+}
--- /dev/null
+++ b/src/router/attempt.rs
@@ -0,0 +1,189 @@
+//! One attempt: a request sent to one BackendServer, up to the head of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::Request as HttpRequest;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    platform::headers::{AttemptHeaders, read_answer, write_attempt},
+    router::{
+        Member, Router,
+        connection::{self, Checkout, ConnectError, Connection},
+    },
+    routing::{AnswerHead, AnswerKind, Request},
+};
+
+/// Counts a request as being at a server until it is dropped.
+#[derive(Debug)]
+pub(crate) struct AtServer(Arc<Member>);
+
+impl AtServer {
+    fn enter(member: &Arc<Member>) -> Self {
+        member.record().load.own += 1;
+        Self(member.clone())
+    }
+}
+
+impl Drop for AtServer {
+    fn drop(&mut self) {
+        self.0.record().load.own -= 1;
+    }
+}
+
+/// An answer whose head is here and whose body is still coming.
+///
+/// Dropping it closes the connection, which stops the server's work.
+#[derive(Debug)]
+pub(crate) struct OpenAnswer {
+    pub(crate) head: AnswerHead,
+    pub(crate) body: Incoming,
+    pub(crate) member: Arc<Member>,
+    connection: Connection,
+    _at_server: AtServer,
+}
+
+impl OpenAnswer {
+    /// Gives the connection back once the body was read to its end.
+    pub(crate) fn finish(self, now: Duration) {
+        if !self.head.closes {
+            connection::check_in(&self.member, self.connection, now);
+        }
+    }
+}
+
+/// Why an attempt brought no answer of the server.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AttemptError {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(#[from] ConnectError),
+    /// The server says that it did not run it.
+    #[error("the server refused it with status {0}")]
+    Refused(http::StatusCode),
+    /// Another server has the address.
+    #[error("another server has the address")]
+    OtherServer,
+    /// It was sent and may have run.
+    #[error("the connection ended: {0}")]
+    Lost(#[from] hyper::Error),
+    /// No head of an answer in time; it may have run.
+    #[error("no answer in time")]
+    Timeout,
+    /// What came is not the server's answer to this request; it may have run.
+    #[error("the answer is not its server's or belongs to another request")]
+    Foreign,
+}
+
+impl AttemptError {
+    /// Whether this proves that the request did not run and never will.
+    pub(crate) fn proves_not_run(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::Refused(_) | Self::OtherServer)
+    }
+}
+
+/// How an attempt is to be made.
+#[derive(Debug)]
+pub(crate) struct Plan<'a> {
+    pub(crate) member: &'a Arc<Member>,
+    pub(crate) headers: AttemptHeaders<'a>,
+    pub(crate) is_once_only: bool,
+    /// When the answer's head must be here.
+    pub(crate) head_by: Instant,
+}
+
+/// Makes the attempt.
+pub(crate) async fn send(
+    router: &Router,
+    req: &Request,
+    plan: &Plan<'_>,
+) -> Result<OpenAnswer, AttemptError> {
+    let at_server = AtServer::enter(plan.member);
+    let outcome = exchange(router, req, plan).await;
+    match &outcome {
+        Ok((_, res)) => note_head(router, plan, res),
+        Err(e) => note_error(router, plan.member, e),
+    }
+    let (connection, res) = outcome?;
+    let (parts, body) = res.into_parts();
+    let head = read_answer(parts.status, &parts.headers, &req.head.id);
+    if let Some(load) = head.load {
+        plan.member.record().load.note_report(load, router.now());
+    }
+    let answer =
+        OpenAnswer { head, body, member: plan.member.clone(), connection, _at_server: at_server };
+    sort(router, answer)
+}
+
+/// Turns answers that are no answer to this request into errors.
+fn sort(router: &Router, answer: OpenAnswer) -> Result<OpenAnswer, AttemptError> {
+    match answer.head.kind {
+        AnswerKind::Success | AnswerKind::Failure => Ok(answer),
+        AnswerKind::NotRun => {
+            let status = answer.head.status;
+            Err(AttemptError::Refused(status))
+        }
+        AnswerKind::OtherServer => {
+            answer.member.record().is_replaced = true;
+            Err(AttemptError::OtherServer)
+        }
+        AnswerKind::Misplaced | AnswerKind::Unsigned => {
+            answer.member.note_failure(router.now());
+            Err(AttemptError::Foreign)
+        }
+    }
+}
+
+fn note_head(router: &Router, plan: &Plan<'_>, res: &http::Response<Incoming>) {
+    if res.status().is_server_error() {
+        plan.member.note_failure(router.now());
+    } else {
+        plan.member.note_answer();
+    }
+}
+
+fn note_error(router: &Router, member: &Member, e: &AttemptError) {
+    if !matches!(e, AttemptError::Refused(_) | AttemptError::OtherServer) {
+        member.note_failure(router.now());
+    }
+}
+
+type Exchanged = (Connection, http::Response<Incoming>);
+
+async fn exchange(
+    router: &Router,
+    req: &Request,
+    plan: &Plan<'_>,
+) -> Result<Exchanged, AttemptError> {
+    let mut message = build(req, plan);
+    let mut checkout = connection::check_out(plan.member, router.now(), plan.is_once_only).await?;
+    loop {
+        let Checkout { mut connection, is_used } = checkout;
+        let sent = timeout_at(plan.head_by, connection.try_send_request(message)).await;
+        let Ok(sent) = sent else {
+            return Err(AttemptError::Timeout);
+        };
+        let mut e = match sent {
+            Ok(res) => return Ok((connection, res)),
+            Err(e) => e,
+        };
+        // A kept connection that the server had closed gives the request back unsent.
+        let Some(unsent) = e.take_message().filter(|_| is_used) else {
+            return Err(AttemptError::Lost(e.into_error()));
+        };
+        message = unsent;
+        let connection = connection::connect(plan.member).await?;
+        checkout = Checkout { connection, is_used: false };
+    }
+}
+
+fn build(req: &Request, plan: &Plan<'_>) -> HttpRequest<Full<Bytes>> {
+    let mut message = HttpRequest::new(Full::new(req.body.clone()));
+    *message.method_mut() = req.head.method.clone();
+    *message.uri_mut() = req.head.uri.clone();
+    *message.headers_mut() = write_attempt(&req.head, &plan.headers);
+    message
+}
--- /dev/null
+++ b/src/router/body.rs
@@ -0,0 +1,88 @@
+//! Bodies of the answers that callers get.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+use tokio::{sync::mpsc, task::JoinHandle};
+
+/// Part of a streamed answer.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// Whole events.
+    Events(Bytes),
+    /// The stream ended whole.
+    End,
+}
+
+/// The stream can't be finished; the caller's connection must not end as if it were whole.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off")]
+pub(crate) struct BrokenOff;
+
+/// A stream that a task of its own fills; dropping it ends the task and with it the server's work.
+#[derive(Debug)]
+pub(crate) struct StreamBody {
+    parts: mpsc::Receiver<Part>,
+    filler: JoinHandle<()>,
+}
+
+impl StreamBody {
+    pub(crate) fn new(parts: mpsc::Receiver<Part>, filler: JoinHandle<()>) -> Self {
+        Self { parts, filler }
+    }
+}
+
+impl Drop for StreamBody {
+    fn drop(&mut self) {
+        self.filler.abort();
+    }
+}
+
+/// An answer's body.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// All of it is here.
+    Whole(Full<Bytes>),
+    /// It comes event by event.
+    Stream(StreamBody),
+}
+
+impl AnswerBody {
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Full::new(bytes.into()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(body) => {
+                Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {})
+            }
+            Self::Stream(stream) => stream.parts.poll_recv(cx).map(|part| match part {
+                Some(Part::Events(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Part::End) => None,
+                None => Some(Err(BrokenOff)),
+            }),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/router/dispatch.rs
@@ -0,0 +1,215 @@
+//! Which server a request is tried at next, until one answers or nothing more may be tried.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    platform::headers::AttemptHeaders,
+    policy::{
+        attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
+        patience::head_patience,
+        placement::place,
+    },
+    router::{
+        Member, Router,
+        attempt::{AttemptError, OpenAnswer, Plan, send},
+        refusal::Refusal,
+        roll_out::VersionRule,
+    },
+    routing::{AnswerKind, Organisation, Request, Route},
+    telemetry::event,
+};
+
+/// Sends of one request at most, refused ones included: with more, a full pool would be asked
+/// over and over.
+const MOST_SENDS: usize = 5;
+/// Least time left with which a server is still asked.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// A request on its way through this entry.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) req: Request,
+    pub(crate) route: Arc<Route>,
+    /// Service that runs it.
+    pub(crate) service: Box<str>,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: Instant,
+    /// Which versions may run it.
+    pub(crate) versions: VersionRule,
+    pub(crate) attempts: Vec<AttemptState>,
+    /// Attempts that may have run.
+    pub(crate) runs: u32,
+    tried: Vec<Box<str>>,
+}
+
+impl Job {
+    pub(crate) fn new(
+        req: Request,
+        route: Arc<Route>,
+        service: Box<str>,
+        organisation: Option<Arc<Organisation>>,
+        deadline: Instant,
+        versions: VersionRule,
+    ) -> Self {
+        let (attempts, tried) = (Vec::new(), Vec::new());
+        Self { req, route, service, organisation, deadline, versions, attempts, runs: 0, tried }
+    }
+
+    /// Runs that it may still cause.
+    pub(crate) fn runs_left(&self) -> u32 {
+        self.route.max_attempts.saturating_sub(self.runs)
+    }
+
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// What the caller is told when nothing more is tried.
+    pub(crate) fn refusal(&self) -> Refusal {
+        match judge(&self.attempts) {
+            Verdict::NotRun => Refusal::NotRun,
+            _ if self.time_left() < LEAST_TIME => Refusal::TimedOut,
+            _ => Refusal::Lost,
+        }
+    }
+
+    /// Notes that an attempt which had been sent came to nothing.
+    pub(crate) fn note_lost(&mut self) {
+        if let Some(last) = self.attempts.last_mut() {
+            *last = attempt::advance(*last, AttemptEvent::LinkLost);
+        }
+    }
+
+    fn priority(&self) -> u8 {
+        let of_organisation = self.organisation.as_ref().and_then(|o| o.priority);
+        of_organisation.unwrap_or(self.route.priority)
+    }
+}
+
+/// What an attempt is to ask for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Ask<'a> {
+    /// Model that we chose.
+    pub(crate) model: Option<&'a str>,
+    /// Last event the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// Tries servers until one answers; the answer may be the server's own failure.
+pub(crate) async fn next_answer(
+    router: &Router,
+    job: &mut Job,
+    ask: Ask<'_>,
+) -> Result<OpenAnswer, Refusal> {
+    let mut failed = None;
+    loop {
+        let Some(member) = next_server(router, job, ask) else {
+            return failed.ok_or_else(|| job.refusal());
+        };
+        let sent_before = !job.attempts.is_empty();
+        if sent_before && !router.try_repeat(&job.service) {
+            return failed.ok_or_else(|| job.refusal());
+        }
+        match try_at(router, job, &member, ask).await {
+            Ok(answer) if answer.head.kind == AnswerKind::Success => return Ok(answer),
+            Ok(answer) => failed = Some(answer),
+            Err(e) => {
+                let id = &job.req.head.id;
+                let (route, server, number) = (&job.route.name, &member.server.id, job.runs);
+                event::ATTEMPT_FAILED.log(format_args!(
+                    "request={id} route={route} server={server} runs={number} cause=\"{e}\""
+                ));
+            }
+        }
+    }
+}
+
+/// The next server, if another attempt may be made.
+fn next_server(router: &Router, job: &Job, ask: Ask<'_>) -> Option<Arc<Member>> {
+    let may = may_send_again(&job.attempts, job.route.is_idempotent())
+        && job.runs_left() > 0
+        && job.attempts.len() < MOST_SENDS
+        && job.time_left() > LEAST_TIME;
+    if !may {
+        return None;
+    }
+    pick(router, job, ask, true).or_else(|| pick(router, job, ask, false))
+}
+
+fn pick(router: &Router, job: &Job, ask: Ask<'_>, only_untried: bool) -> Option<Arc<Member>> {
+    let fleet = router.fleet.load();
+    let settings = router.settings.load();
+    let now = router.now();
+    let usable = |member: &&Arc<Member>| {
+        let server = &member.server;
+        let has_model = ask.model.is_none_or(|model| {
+            server.models.is_empty() || server.models.iter().any(|m| **m == *model)
+        });
+        member.takes_requests()
+            && has_model
+            && job.versions.allows(&server.version)
+            && !(only_untried && job.tried.contains(&server.id))
+    };
+    let members: Vec<&Arc<Member>> = fleet.of_service(&job.service).iter().filter(usable).collect();
+    let candidates: Vec<_> = members.iter().map(|m| m.candidate(&settings.zone, now)).collect();
+    let chosen = place(&candidates, affinity(job, ask))?;
+    Some(members[chosen].clone())
+}
+
+/// What should be kept together: requests for one model that share their prompt's parts.
+fn affinity(job: &Job, ask: Ask<'_>) -> Option<u64> {
+    if !job.route.is_sticky {
+        return None;
+    }
+    let part = job.req.head.shared_part()?;
+    let model = ask.model.or(job.req.head.model.as_deref()).unwrap_or_default();
+    Some(xxh3_64_with_seed(model.as_bytes(), part.id))
+}
+
+async fn try_at(
+    router: &Router,
+    job: &mut Job,
+    member: &Arc<Member>,
+    ask: Ask<'_>,
+) -> Result<OpenAnswer, AttemptError> {
+    let may_go_elsewhere = job.route.is_idempotent() && job.runs_left() > 1;
+    let patience = head_patience(job.route.kind, job.route.objective, job.req.head.prompt_tokens);
+    let head_by =
+        if may_go_elsewhere { job.deadline.min(Instant::now() + patience) } else { job.deadline };
+    let plan = Plan {
+        member,
+        headers: AttemptHeaders {
+            server: &member.server.id,
+            organisation: job.organisation.as_deref(),
+            time_left: job.time_left(),
+            model: ask.model,
+            priority: job.priority(),
+            last_event: ask.last_event,
+        },
+        is_once_only: !job.route.is_idempotent(),
+        head_by,
+    };
+    let result = send(router, &job.req, &plan).await;
+    let sent = attempt::advance(attempt::fresh(), AttemptEvent::Sent);
+    let (state, outcome) = match &result {
+        Ok(answer) if answer.head.kind == AnswerKind::Success => {
+            (attempt::advance(sent, AttemptEvent::Started), "answered")
+        }
+        Ok(_) => (attempt::advance(sent, AttemptEvent::Failed), "failed"),
+        Err(e) if e.proves_not_run() => (attempt::advance(sent, AttemptEvent::Refused), "refused"),
+        Err(_) => (attempt::advance(sent, AttemptEvent::LinkLost), "lost"),
+    };
+    router.count_attempt(&member.server.version, outcome);
+    job.attempts.push(state);
+    job.tried.push(member.server.id.clone());
+    if !matches!(&result, Err(e) if e.proves_not_run()) {
+        job.runs += 1;
+        let is_good = matches!(&result, Ok(a) if a.head.kind == AnswerKind::Success);
+        router.roll_outs.note_outcome(&member.server, is_good);
+    }
+    result
+}
--- /dev/null
+++ b/src/router/fleet.rs
@@ -0,0 +1,154 @@
+//! The BackendServers in view, and what this entry has learned about each.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+
+use crate::{
+    policy::{
+        load::LoadBelief,
+        outlier::{Outlier, OutlierRules},
+        placement::{Candidate, hash_id},
+    },
+    router::connection::IdleConnection,
+    routing::BackendServer,
+};
+
+/// Rules by which a server is passed over. Out after two failures in a row: one lost answer is
+/// common here, and a third of a second request's time is too much to wait for a third.
+const OUTLIER_RULES: OutlierRules = OutlierRules {
+    out_after: 2,
+    first_out: Duration::from_millis(500),
+    longest_out: Duration::from_secs(4),
+    back_after: 6,
+    most_out: 0.7,
+};
+
+/// What this entry has learned about one life of a server.
+#[derive(Debug, Default)]
+pub(crate) struct Record {
+    /// Belief about its load.
+    pub(crate) load: LoadBelief,
+    /// Its failures.
+    pub(crate) outlier: Outlier,
+    /// Connections that wait for use, the longest idle first.
+    pub(crate) idle: Vec<IdleConnection>,
+    /// Whether another server answered at its address.
+    pub(crate) is_replaced: bool,
+}
+
+/// A server in view.
+#[derive(Debug)]
+pub struct Member {
+    /// As the platform lists it.
+    pub server: BackendServer,
+    id_hash: u64,
+    record: Arc<Mutex<Record>>,
+}
+
+impl Member {
+    /// A server seen for the first time.
+    pub fn new(server: BackendServer) -> Self {
+        let id_hash = hash_id(&server.id);
+        Self { server, id_hash, record: Arc::default() }
+    }
+
+    /// The same life of the server with a newer listing.
+    fn renewed(&self, server: BackendServer) -> Self {
+        Self { server, id_hash: self.id_hash, record: self.record.clone() }
+    }
+
+    pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().expect("no panics under the lock")
+    }
+
+    /// Notes an answer that shows the server as sound.
+    pub(crate) fn note_answer(&self) {
+        self.record().outlier.note_answer(&OUTLIER_RULES);
+    }
+
+    /// Notes a failure of the server.
+    pub(crate) fn note_failure(&self, now: Duration) {
+        self.record().outlier.note_failure(&OUTLIER_RULES, now);
+    }
+
+    /// Whether a new request may be sent to it.
+    pub fn takes_requests(&self) -> bool {
+        !self.server.is_leaving && !self.record().is_replaced
+    }
+
+    /// The server as the choice sees it.
+    pub fn candidate(&self, zone: &str, now: Duration) -> Candidate {
+        let record = self.record();
+        Candidate {
+            id_hash: self.id_hash,
+            load: record.load.estimate(now),
+            slots: self.server.slots,
+            is_near: &*self.server.zone == zone,
+            is_suspect: record.outlier.is_passed_over(now),
+        }
+    }
+}
+
+/// All servers in view; replaced as a whole when the list changes.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    members: HashMap<Box<str>, Arc<Member>>,
+    by_service: HashMap<Box<str>, Vec<Arc<Member>>>,
+}
+
+impl Fleet {
+    /// The fleet of these servers, which keeps what is known about those already in view.
+    #[must_use]
+    pub fn with(&self, servers: impl Iterator<Item = BackendServer>) -> Self {
+        let mut next = Self::default();
+        for server in servers {
+            let member = match self.members.get(&server.id) {
+                Some(known) if known.server == server => known.clone(),
+                Some(known) => Arc::new(known.renewed(server)),
+                None => Arc::new(Member::new(server)),
+            };
+            let service = member.server.service.clone();
+            next.by_service.entry(service).or_default().push(member.clone());
+            next.members.insert(member.server.id.clone(), member);
+        }
+        next
+    }
+
+    /// Servers of a service.
+    pub fn of_service(&self, service: &str) -> &[Arc<Member>] {
+        self.by_service.get(service).map(Vec::as_slice).unwrap_or_default()
+    }
+
+    /// Servers in view.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Part of the state dump.
+    pub fn dump(&self, now: Duration) -> Value {
+        let one = |member: &Arc<Member>| {
+            let record = member.record();
+            json!({
+                "id": member.server.id,
+                "service": member.server.service,
+                "version": member.server.version,
+                "zone": member.server.zone,
+                "leaving": member.server.is_leaving,
+                "load": record.load.estimate(now),
+                "out": record.outlier.is_out(now),
+                "idle_connections": record.idle.len(),
+            })
+        };
+        Value::Array(self.members.values().map(one).collect())
+    }
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,25 @@
+//! The request path of an entry on the users' platform.
+//!
+//! A request is admitted ([`serve`]), tried at one BackendServer after another ([`dispatch`],
+//! [`attempt`]), and its answer passed on ([`relay`]). What the platform's store says is followed
+//! on the control thread ([`feed`], [`roll_out`]). The design is in docs/decisions/0008.
+
+mod attempt;
+mod body;
+mod connection;
+mod dispatch;
+mod event_stream;
+mod feed;
+mod fleet;
+mod listen;
+mod refusal;
+mod relay;
+mod roll_out;
+mod run;
+mod serve;
+mod state;
+
+pub use event_stream::EventSplitter;
+pub use fleet::{Fleet, Member};
+pub use run::{RouterSettings, RunningRouter, start};
+pub use state::Router;
--- /dev/null
+++ b/src/router/refusal.rs
@@ -0,0 +1,81 @@
+//! Answers of this system itself, where there is none of a server to pass on.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::router::body::AnswerBody;
+
+/// Why a request gets no server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub(crate) enum Refusal {
+    #[error("the request can't be told from others")]
+    Malformed,
+    #[error("no route")]
+    NoRoute,
+    #[error("no key, or one that no organisation has")]
+    UnknownKey,
+    #[error("the body is too large")]
+    TooLarge,
+    #[error("the body did not arrive in time")]
+    SlowBody,
+    /// Did not run and never will.
+    #[error("no configuration yet")]
+    NoConfiguration,
+    /// Did not run and never will.
+    #[error("no server can take it")]
+    NotRun,
+    /// May have run.
+    #[error("it was sent and its answer is lost")]
+    Lost,
+    /// May have run.
+    #[error("it was sent and no answer came in time")]
+    TimedOut,
+}
+
+/// Time after which a caller may try again; a server place frees up in a fraction of a second.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+impl Refusal {
+    /// Status of the answer.
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::NoConfiguration | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Code for logs and metrics.
+    pub(crate) fn code(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::TooLarge => "too_large",
+            Self::SlowBody => "slow_body",
+            Self::NoConfiguration => "no_configuration",
+            Self::NotRun => "not_run",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// The whole answer.
+    pub(crate) fn response(self) -> Response<AnswerBody> {
+        let mut res = Response::new(AnswerBody::whole(format!("{self}\n")));
+        *res.status_mut() = self.status();
+        if res.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let seconds = format!("{:.3}", RETRY_AFTER.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                res.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        res
+    }
+}
--- /dev/null
+++ b/src/router/relay.rs
@@ -0,0 +1,230 @@
+//! Passing an answer on: in one piece, or event by event with a resume where a server breaks off.
+
+use std::{sync::Arc, time::Duration};
+
+use http::Response;
+use http_body_util::{BodyExt, Limited};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    policy::{
+        escalation::{StageAnswer, escalate},
+        patience::event_patience,
+    },
+    router::{
+        EventSplitter, Router,
+        attempt::OpenAnswer,
+        body::{AnswerBody, Part, StreamBody},
+        dispatch::{Ask, Job, next_answer},
+        refusal::Refusal,
+    },
+    routing::{AnswerHead, AnswerKind, RouteKind},
+    telemetry::event,
+};
+
+/// Largest answer in one piece, bytes; it is held until it is whole.
+const MOST_WHOLE: usize = 4 << 20;
+/// Largest event of a stream, bytes.
+const MOST_EVENT: usize = 1 << 20;
+/// Parts that may wait for a slow caller before the server is no longer read.
+const PARTS_WAITING: usize = 8;
+
+/// Runs a job and gives the answer for its caller.
+pub(crate) async fn answer(
+    router: &Arc<Router>,
+    mut job: Job,
+) -> Result<Response<AnswerBody>, Refusal> {
+    if job.route.kind != RouteKind::Stream {
+        return whole_answer(router, &mut job).await;
+    }
+    let (answer, model) = first_stage_answer(router, &mut job).await?;
+    if answer.head.kind != AnswerKind::Success {
+        return read_whole(router, answer).await.map_err(|()| Refusal::Lost);
+    }
+    let mut res = head_of(&answer.head);
+    let (tx, rx) = mpsc::channel(PARTS_WAITING);
+    let relay = Relay { router: router.clone(), job, model, tx, last_event: None };
+    let filler = tokio::spawn(relay.run(answer));
+    *res.body_mut() = AnswerBody::Stream(StreamBody::new(rx, filler));
+    Ok(res)
+}
+
+async fn whole_answer(
+    router: &Arc<Router>,
+    job: &mut Job,
+) -> Result<Response<AnswerBody>, Refusal> {
+    loop {
+        let answer = next_answer(router, job, Ask::default()).await?;
+        let deadline = job.deadline;
+        let read = timeout_at(deadline, read_whole(router, answer)).await;
+        match read {
+            Ok(Ok(res)) => return Ok(res),
+            Ok(Err(())) => job.note_lost(),
+            Err(_) => {
+                job.note_lost();
+                return Err(Refusal::TimedOut);
+            }
+        }
+    }
+}
+
+/// The first answer of a cascade that is good enough, and the model that gave it.
+async fn first_stage_answer(
+    router: &Arc<Router>,
+    job: &mut Job,
+) -> Result<(OpenAnswer, Option<Box<str>>), Refusal> {
+    let cascade = job.route.cascade.clone();
+    let mut stage = 0;
+    loop {
+        let model = cascade.get(stage).filter(|_| job.req.head.model.is_none()).cloned();
+        let ask = Ask { model: model.as_deref(), last_event: job.req.head.last_event };
+        let answer = next_answer(router, job, ask).await?;
+        let next = escalate(&StageAnswer {
+            stage,
+            stages: if model.is_some() { cascade.len() } else { 0 },
+            confidence: answer.head.confidence,
+            runs_left: job.runs_left(),
+            time_left: job.time_left(),
+        });
+        let Some(next) = next.filter(|_| router.may_escalate(job)) else {
+            return Ok((answer, model));
+        };
+        stage = next;
+    }
+}
+
+fn head_of(head: &AnswerHead) -> Response<AnswerBody> {
+    let mut res = Response::new(AnswerBody::whole(""));
+    *res.status_mut() = head.status;
+    *res.headers_mut() = head.headers.clone();
+    res
+}
+
+/// Reads an answer to its end, so that nothing of it is passed on unless all of it is here.
+async fn read_whole(router: &Router, mut answer: OpenAnswer) -> Result<Response<AnswerBody>, ()> {
+    let mut res = head_of(&answer.head);
+    let body = Limited::new(&mut answer.body, MOST_WHOLE).collect().await;
+    let Ok(body) = body else {
+        answer.member.note_failure(router.now());
+        return Err(());
+    };
+    *res.body_mut() = AnswerBody::whole(body.to_bytes());
+    answer.finish(router.now());
+    Ok(res)
+}
+
+/// Why a server's stream was not read on.
+#[derive(Debug, thiserror::Error)]
+enum StreamError {
+    #[error("the connection ended: {0}")]
+    Lost(#[from] hyper::Error),
+    #[error("it ended within an event")]
+    EndedInside,
+    #[error("no event in time")]
+    Silent,
+    #[error("an event is missing")]
+    Gap,
+    #[error("an event is too large")]
+    TooLarge,
+    #[error("the caller is gone")]
+    CallerGone,
+}
+
+/// Passes a stream on.
+struct Relay {
+    router: Arc<Router>,
+    job: Job,
+    model: Option<Box<str>>,
+    tx: mpsc::Sender<Part>,
+    /// Last event passed on.
+    last_event: Option<u64>,
+}
+
+impl Relay {
+    async fn run(mut self, first: OpenAnswer) {
+        let mut answer = first;
+        loop {
+            let server = answer.member.clone();
+            let Err(e) = self.pass_on(answer).await else {
+                // A caller that has left no longer minds whether the end arrives.
+                let _ = self.tx.send(Part::End).await;
+                return;
+            };
+            if matches!(e, StreamError::CallerGone) {
+                return;
+            }
+            server.note_failure(self.router.now());
+            self.router.roll_outs.note_outcome(&server.server, false);
+            let (id, events) = (&self.job.req.head.id, self.last_event);
+            event::STREAM_BROKEN.log(format_args!(
+                "request={id} server={} last_event={events:?} cause=\"{e}\"",
+                server.server.id
+            ));
+            self.job.note_lost();
+            let Some(next) = self.resume().await else {
+                return;
+            };
+            answer = next;
+        }
+    }
+
+    /// Asks another server for the rest.
+    async fn resume(&mut self) -> Option<OpenAnswer> {
+        if !self.job.route.is_resumable {
+            return None;
+        }
+        let model = self.model.clone();
+        let last_event = self.last_event.or(self.job.req.head.last_event);
+        let ask = Ask { model: model.as_deref(), last_event };
+        let answer = next_answer(&self.router, &mut self.job, ask).await.ok()?;
+        (answer.head.kind == AnswerKind::Success).then_some(answer)
+    }
+
+    /// Passes one server's events on until its stream ends whole.
+    async fn pass_on(&mut self, mut answer: OpenAnswer) -> Result<(), StreamError> {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = timeout_at(self.wait_until(), answer.body.frame()).await;
+            let Some(frame) = frame.map_err(|_| StreamError::Silent)? else {
+                if splitter.is_inside_event() {
+                    return Err(StreamError::EndedInside);
+                }
+                answer.finish(self.router.now());
+                return Ok(());
+            };
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            splitter.push(&data);
+            while let Some(event) = splitter.next_event() {
+                self.check_order(event.id)?;
+                let sent = self.tx.send(Part::Events(event.bytes)).await;
+                sent.map_err(|_| StreamError::CallerGone)?;
+                self.last_event = event.id.or(self.last_event);
+            }
+            if splitter.pending() > MOST_EVENT {
+                return Err(StreamError::TooLarge);
+            }
+        }
+    }
+
+    fn check_order(&self, id: Option<u64>) -> Result<(), StreamError> {
+        match (id, self.last_event) {
+            (Some(id), Some(last)) if id != last + 1 => Err(StreamError::Gap),
+            _ => Ok(()),
+        }
+    }
+
+    fn wait_until(&self) -> Instant {
+        let may_resume = self.job.route.is_resumable && self.job.runs_left() > 0;
+        let patience: Duration = event_patience(self.job.route.event_gap);
+        if may_resume {
+            self.job.deadline.min(Instant::now() + patience)
+        } else {
+            self.job.deadline
+        }
+    }
+}
--- /dev/null
+++ b/src/router/roll_out.rs
@@ -0,0 +1,273 @@
+//! Roll-outs: which version a request runs on, the evidence on a new version, and the verdict.
+//!
+//! Every entry judges by its own evidence and keeps a bad version from its own requests at once.
+//! The verdict is written to the store under a condition, so that it is given once, whoever
+//! writes it; no lease is needed (docs/decisions/0008).
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use crate::{
+    ids::Revision,
+    policy::{
+        exposure::{may_complete, may_move_sessions, share_at, takes_new},
+        roll_out::{Evidence, Finding, VersionTest},
+    },
+    resources::Guard,
+    routing::{BackendServer, Progress, RequestHead, RollOutOrder, RollOutStatus, ServerVersion},
+    telemetry::event,
+};
+
+/// Rise of the failure rate that makes a version bad, and the chance of a false verdict. Bad
+/// versions fail a third of their requests and more.
+const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.01 };
+/// Answers of the new version without which a roll-out is not completed.
+const LEAST_ANSWERS: u64 = 20;
+/// Sessions remembered at most; the oldest are forgotten first.
+const MOST_SESSIONS: usize = 20_000;
+
+/// Which versions may run a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum VersionRule {
+    /// All.
+    #[default]
+    Any,
+    /// Only this one.
+    Only(ServerVersion),
+    /// All but this one.
+    Not(ServerVersion),
+}
+
+impl VersionRule {
+    pub(crate) fn allows(&self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => **only == *version,
+            Self::Not(not) => **not != *version,
+        }
+    }
+}
+
+/// One roll-out as this entry sees it.
+#[derive(Debug)]
+struct RollOut {
+    order: RollOutOrder,
+    /// When it began, on the entry's clock.
+    began: Duration,
+    progress: Progress,
+    /// Whether our own evidence says that the version is bad.
+    is_held: bool,
+    old: Evidence,
+    new: Evidence,
+    test: VersionTest,
+    /// Whether servers of the new version were seen.
+    has_servers: bool,
+}
+
+/// When a session last sent something, and whether it ran on the version being rolled out.
+#[derive(Clone, Copy, Debug)]
+struct SessionNote {
+    at: Duration,
+    on_new: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    roll_outs: HashMap<Box<str>, RollOut>,
+    sessions: HashMap<Box<str>, SessionNote>,
+}
+
+/// What the driver should tell the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Verdict {
+    pub(crate) order: RollOutOrder,
+    pub(crate) status: RollOutStatus,
+}
+
+/// All roll-outs; shared by both threads.
+#[derive(Debug, Default)]
+pub struct RollOuts {
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl RollOuts {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panics under the lock")
+    }
+
+    /// Takes in an order; one already known keeps its evidence.
+    pub(crate) fn order(&self, order: RollOutOrder, now: Duration) {
+        let mut inner = self.lock();
+        let known = inner.roll_outs.get(&order.service);
+        if known.is_some_and(|known| known.order.revision >= order.revision) {
+            return;
+        }
+        let service = order.service.clone();
+        let fresh = RollOut {
+            order,
+            began: now,
+            progress: Progress::Running,
+            is_held: false,
+            old: Evidence::default(),
+            new: Evidence::default(),
+            test: VersionTest::default(),
+            has_servers: false,
+        };
+        for note in inner.sessions.values_mut() {
+            note.on_new = false;
+        }
+        inner.roll_outs.insert(service, fresh);
+    }
+
+    /// Forgets the roll-out of a service.
+    pub(crate) fn withdraw(&self, service: &str) {
+        self.lock().roll_outs.remove(service);
+    }
+
+    /// Takes in what the store says about an order: when it began and how far it got.
+    pub(crate) fn adopt(
+        &self,
+        service: &str,
+        revision: Revision,
+        began: Option<Duration>,
+        progress: Progress,
+    ) {
+        let mut inner = self.lock();
+        let Some(roll_out) = inner.roll_outs.get_mut(service) else {
+            return;
+        };
+        if roll_out.order.revision != revision {
+            return;
+        }
+        roll_out.began = began.unwrap_or(roll_out.began).min(roll_out.began);
+        if roll_out.progress == Progress::Running && progress != Progress::Running {
+            event::VERDICT_SEEN.log(format_args!("service={service} progress={progress:?}"));
+            roll_out.progress = progress;
+        }
+    }
+
+    /// Orders that are still under way.
+    pub(crate) fn running(&self) -> Vec<RollOutOrder> {
+        let inner = self.lock();
+        let running = inner.roll_outs.values().filter(|r| r.progress == Progress::Running);
+        running.map(|r| r.order.clone()).collect()
+    }
+
+    /// Which versions may run a request of a session.
+    pub(crate) fn rule(
+        &self,
+        service: &str,
+        head: &RequestHead,
+        now: Duration,
+        session_time: Duration,
+    ) -> VersionRule {
+        let mut inner = self.lock();
+        let session = head.session_key();
+        let note = inner.sessions.get(session).copied();
+        let note = note.filter(|note| now < note.at + session_time);
+        let rule = inner
+            .roll_outs
+            .get(service)
+            .map_or(VersionRule::Any, |roll_out| roll_out.rule(session, note, now));
+        if head.session.is_some() {
+            let on_new = matches!(rule, VersionRule::Only(_));
+            inner.remember(session, SessionNote { at: now, on_new }, session_time);
+        }
+        rule
+    }
+
+    /// Notes what became of an attempt that ran.
+    pub(crate) fn note_outcome(&self, server: &BackendServer, is_good: bool) {
+        let mut inner = self.lock();
+        let Some(roll_out) = inner.roll_outs.get_mut(&server.service) else {
+            return;
+        };
+        let is_new = roll_out.order.to == server.version;
+        let evidence = if is_new { &mut roll_out.new } else { &mut roll_out.old };
+        evidence.answers += 1;
+        evidence.failures += u64::from(!is_good);
+        roll_out.judge();
+    }
+
+    /// Notes that servers of a version are in view.
+    pub(crate) fn note_servers(&self, service: &str, version: &str) {
+        if let Some(roll_out) = self.lock().roll_outs.get_mut(service) {
+            roll_out.has_servers |= *roll_out.order.to == *version;
+        }
+    }
+
+    /// Verdicts that this entry can give now.
+    pub(crate) fn verdicts(&self, now: Duration) -> Vec<Verdict> {
+        let inner = self.lock();
+        inner.roll_outs.values().filter_map(|roll_out| roll_out.verdict(now)).collect()
+    }
+}
+
+impl Inner {
+    fn remember(&mut self, session: &str, note: SessionNote, session_time: Duration) {
+        if self.sessions.len() >= MOST_SESSIONS {
+            self.sessions.retain(|_, kept| note.at < kept.at + session_time);
+        }
+        self.sessions.insert(session.into(), note);
+    }
+}
+
+impl RollOut {
+    fn rule(&self, session: &str, note: Option<SessionNote>, now: Duration) -> VersionRule {
+        let new = VersionRule::Only(self.order.to.clone());
+        let old = VersionRule::Not(self.order.to.clone());
+        match self.progress {
+            Progress::Completed => return new,
+            Progress::RolledBack => return old,
+            Progress::Running if self.is_held || !self.has_servers => return old,
+            Progress::Running => {}
+        }
+        let elapsed = now.saturating_sub(self.began);
+        if let Some(note) = note {
+            if note.on_new {
+                return new;
+            }
+            if !may_move_sessions(elapsed, self.order.within) {
+                return old;
+            }
+        }
+        let share = share_at(elapsed, self.order.within);
+        if takes_new(session, &self.order.to, share) { new } else { old }
+    }
+
+    fn judge(&mut self) {
+        self.test.observe(self.old, self.new, &GUARD);
+        if !self.is_held && self.test.finding(&GUARD) == Finding::Worse {
+            self.is_held = true;
+            event::VERSION_SUSPECT.log(format_args!(
+                "service={} version={} answers={} failures={} old_answers={} old_failures={}",
+                self.order.service,
+                self.order.to,
+                self.new.answers,
+                self.new.failures,
+                self.old.answers,
+                self.old.failures
+            ));
+        }
+    }
+
+    fn verdict(&self, now: Duration) -> Option<Verdict> {
+        if self.progress != Progress::Running {
+            return None;
+        }
+        let elapsed = now.saturating_sub(self.began);
+        let is_proved = self.new.answers >= LEAST_ANSWERS;
+        let progress = if self.is_held {
+            Progress::RolledBack
+        } else if may_complete(elapsed, self.order.within) && is_proved {
+            Progress::Completed
+        } else {
+            return None;
+        };
+        let status = RollOutStatus { to: self.order.to.clone(), progress };
+        Some(Verdict { order: self.order.clone(), status })
+    }
+}
--- /dev/null
+++ b/src/router/run.rs
@@ -0,0 +1,120 @@
+//! Starting, reloading and stopping an entry on the platform.
+
+use std::{
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep};
+
+use crate::{
+    control::thread,
+    platform::{
+        HttpClient,
+        host_settings::{self, HostSettings},
+        store::StoreClient,
+    },
+    policy::lifecycle::LifecycleEvent,
+    router::{Router, feed, listen},
+    telemetry::event,
+};
+
+/// Time the balancer needs to see that this entry is no longer ready: two questions, a second
+/// apart, and a little more.
+const BALANCER: Duration = Duration::from_millis(2_500);
+/// Time before the end of the grace at which what is left is cut.
+const BEFORE_KILL: Duration = Duration::from_millis(300);
+/// Time between looks at whether requests are still in flight.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
+/// What an entry on the platform is started with.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// What the platform says about the Host.
+    pub host: HostSettings,
+    /// File it was read from, read again at a reload.
+    pub file: Option<PathBuf>,
+}
+
+/// An entry that runs.
+#[derive(Debug)]
+pub struct RunningRouter {
+    /// Its state.
+    pub router: Arc<Router>,
+    file: Option<PathBuf>,
+    closing: watch::Sender<bool>,
+    callers: JoinHandle<()>,
+}
+
+/// Starts an entry on the current runtime, with a control thread of its own.
+///
+/// # Errors
+/// When an address can't be bound or the thread can't be made.
+pub async fn start(settings: RouterSettings) -> std::io::Result<RunningRouter> {
+    let RouterSettings { host, file } = settings;
+    let callers = TcpListener::bind(host.caller).await?;
+    let readiness = TcpListener::bind(host.readiness).await?;
+    event::PROCESS_STARTED.log(format_args!(
+        "role=entry host={} zone={} caller={} readiness={} store={}",
+        host.host, host.zone, host.caller, host.readiness, host.store
+    ));
+    let store = StoreClient::new(HttpClient::default(), &host.store);
+    let router = Arc::new(Router::new(host));
+    let control = router.clone();
+    thread::spawn("control", move || run_control(control, store))?;
+    let (closing, is_closing) = watch::channel(false);
+    let callers = tokio::spawn(listen::callers(router.clone(), callers, is_closing));
+    let asked = router.clone();
+    tokio::spawn(async move {
+        if let Err(e) = listen::readiness(asked, readiness).await {
+            event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
+        }
+    });
+    Ok(RunningRouter { router, file, closing, callers })
+}
+
+async fn run_control(router: Arc<Router>, store: StoreClient) {
+    tokio::join!(
+        feed::follow_orders(&router, &store),
+        feed::follow_servers(&router, &store),
+        feed::drive_roll_outs(&router, &store),
+    );
+}
+
+impl RunningRouter {
+    /// Reads the platform's file again; a file that can't be read changes nothing.
+    pub fn reload(&self) {
+        let Some(file) = &self.file else {
+            return;
+        };
+        let read = std::fs::read_to_string(file)
+            .map_err(|e| e.to_string())
+            .and_then(|text| host_settings::read(&text).map_err(|e| e.to_string()));
+        match read {
+            Ok(settings) => {
+                self.router.settings.store(Arc::new(settings));
+                event::SETTINGS_RELOADED.log(format_args!("file={}", file.display()));
+            }
+            Err(e) => event::SETTINGS_UNREADABLE.log(format_args!("cause=\"{e}\"")),
+        }
+    }
+
+    /// Stops as planned: unready at once, callers served until the balancer has seen it, requests
+    /// in flight finished within the grace. Gives the number of requests cut off.
+    pub async fn stop(self) -> usize {
+        let began = Instant::now();
+        let router = &self.router;
+        router.advance(LifecycleEvent::Leave);
+        event::PROCESS_LEAVING.log(format_args!("in_flight={}", router.in_flight()));
+        sleep(BALANCER).await;
+        self.closing.send_replace(true);
+        let grace = router.settings.load().grace.saturating_sub(BEFORE_KILL);
+        while !self.callers.is_finished() && began.elapsed() < grace {
+            sleep(IDLE_CHECK).await;
+        }
+        let cut = router.in_flight();
+        event::PROCESS_STOPPED.log(format_args!("cut={cut}"));
+        cut
+    }
+}
--- /dev/null
+++ b/src/router/serve.rs
@@ -0,0 +1,128 @@
+//! One caller's request, from its head to its answer.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request as HttpRequest, Response, header::CONNECTION};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout};
+
+use crate::{
+    platform::headers::read_request,
+    policy::exposure::draw,
+    router::{Router, body::AnswerBody, dispatch::Job, refusal::Refusal, relay},
+    routing::{CallerLimits, Organisation, Request, RequestHead, Route, RoutingTable},
+    telemetry::event,
+};
+
+/// Limits in force until a configuration sets some; those of both first deployments.
+pub(crate) const DEFAULT_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// Leaves the count of requests in flight when dropped.
+struct InFlight(Arc<Router>);
+
+impl InFlight {
+    fn enter(router: &Arc<Router>) -> Self {
+        router.enter();
+        Self(router.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
+
+/// Serves one request.
+pub(crate) async fn serve(
+    router: Arc<Router>,
+    req: HttpRequest<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let _in_flight = InFlight::enter(&router);
+    let id = req.headers().get("x-request-id").cloned();
+    let mut res = match try_serve(&router, req).await {
+        Ok(res) => {
+            router.count_request("ok");
+            res
+        }
+        Err(refusal) => {
+            router.count_request(refusal.code());
+            let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+            event::REQUEST_REFUSED.log(format_args!("request={id} cause=\"{refusal}\""));
+            refusal.response()
+        }
+    };
+    if router.is_leaving() {
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(res)
+}
+
+async fn try_serve(
+    router: &Arc<Router>,
+    req: HttpRequest<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let arrived = Instant::now();
+    let (parts, body) = req.into_parts();
+    let head =
+        read_request(&parts.method, &parts.uri, &parts.headers).map_err(|_| Refusal::Malformed)?;
+    let table = router.table.load_full();
+    let Some(table) = table.as_ref() else {
+        return Err(Refusal::NoConfiguration);
+    };
+    let (route, organisation) = admit(table, &head)?;
+    let body = read_body(body, &table.limits.unwrap_or(DEFAULT_LIMITS)).await?;
+    let wait = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let service = choose_service(&route, &head);
+    router.note_request(&service);
+    let versions = router.roll_outs.rule(&service, &head, router.now(), router.session_time());
+    let req = Request { head, body };
+    let job = Job::new(req, route, service, organisation, arrived + wait, versions);
+    relay::answer(router, job).await
+}
+
+/// The request's route and Organisation, if the configuration allows it.
+fn admit(
+    table: &RoutingTable,
+    head: &RequestHead,
+) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Refusal> {
+    let route = table.route(&head.host, head.uri.path()).ok_or(Refusal::NoRoute)?;
+    let holder = |keys: &std::collections::HashMap<Box<str>, Arc<Organisation>>| {
+        head.key.as_ref().and_then(|key| keys.get(key)).cloned()
+    };
+    let organisation = table.keys.as_ref().and_then(holder);
+    if table.keys.is_some() && !route.is_public && organisation.is_none() {
+        return Err(Refusal::UnknownKey);
+    }
+    Ok((route.clone(), organisation))
+}
+
+async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    let read = Limited::new(body, limits.body_bytes).collect();
+    match timeout(limits.idle_timeout, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed),
+        Err(_) => Err(Refusal::SlowBody),
+    }
+}
+
+/// The service that runs a request: by weight, the same one for a whole session.
+fn choose_service(route: &Route, head: &RequestHead) -> Box<str> {
+    let all: f64 = route.targets.iter().map(|target| target.weight).sum();
+    let mut left = draw(head.session_key(), &route.name) * all;
+    for target in &route.targets {
+        left -= target.weight;
+        if left < 0.0 {
+            return target.service.clone();
+        }
+    }
+    route.targets.last().map(|target| target.service.clone()).unwrap_or_default()
+}
--- /dev/null
+++ b/src/router/state.rs
@@ -0,0 +1,179 @@
+//! What an entry on the platform holds.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use serde_json::{Value, json};
+
+use crate::{
+    platform::host_settings::HostSettings,
+    policy::{
+        lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
+        send_budget::{SendBudget, SendTerms},
+    },
+    router::{Fleet, dispatch::Job, roll_out::RollOuts},
+    routing::RoutingTable,
+    telemetry::{
+        Metrics,
+        admin::Admin,
+        metrics::{AttemptLabels, RequestLabels},
+    },
+};
+
+/// State of one entry, shared by its control and its traffic thread.
+pub struct Router {
+    /// What the platform says about this Host; replaced at a reload.
+    pub settings: ArcSwap<HostSettings>,
+    /// Configuration in force; none until one was read.
+    pub table: ArcSwap<Option<RoutingTable>>,
+    /// BackendServers in view.
+    pub fleet: ArcSwap<Fleet>,
+    /// Roll-outs and the evidence on their versions.
+    pub roll_outs: RollOuts,
+    /// Metrics.
+    pub metrics: Metrics,
+    budgets: Mutex<HashMap<Box<str>, SendBudget>>,
+    lifecycle: Mutex<Lifecycle>,
+    in_flight: AtomicUsize,
+    started: Instant,
+}
+
+impl Router {
+    /// An entry that has no configuration yet.
+    pub fn new(settings: HostSettings) -> Self {
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            table: ArcSwap::from_pointee(None),
+            fleet: ArcSwap::from_pointee(Fleet::default()),
+            roll_outs: RollOuts::default(),
+            metrics: Metrics::default(),
+            budgets: Mutex::default(),
+            lifecycle: Mutex::new(lifecycle::start()),
+            in_flight: AtomicUsize::new(0),
+            started: Instant::now(),
+        }
+    }
+
+    /// Time on the entry's monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Moves the process on.
+    pub fn advance(&self, event: LifecycleEvent) {
+        self.lifecycle.lock().expect("no panics under the lock").handle(&event);
+    }
+
+    /// Whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.is_in(LifecycleState::Serving {})
+    }
+
+    /// Whether a planned stop began.
+    pub fn is_leaving(&self) -> bool {
+        !self.is_ready() && !self.is_in(LifecycleState::Starting {})
+    }
+
+    fn is_in(&self, state: LifecycleState) -> bool {
+        *self.lifecycle.lock().expect("no panics under the lock").state() == state
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub(crate) fn enter(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.metrics.in_flight.inc();
+    }
+
+    /// Counts a request as no longer in flight.
+    pub(crate) fn leave(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.metrics.in_flight.dec();
+    }
+
+    /// Notes a caller's request for a service.
+    pub(crate) fn note_request(&self, service: &str) {
+        let terms = self.send_terms();
+        let mut budgets = self.budgets.lock().expect("no panics under the lock");
+        budgets.entry(service.into()).or_default().note_request(&terms, self.now());
+    }
+
+    /// Takes one repeated send to a service from the budget.
+    pub(crate) fn try_repeat(&self, service: &str) -> bool {
+        let terms = self.send_terms();
+        let mut budgets = self.budgets.lock().expect("no panics under the lock");
+        budgets.entry(service.into()).or_default().try_repeat(&terms, self.now())
+    }
+
+    fn send_terms(&self) -> SendTerms {
+        let settings = self.settings.load();
+        SendTerms {
+            ratio: settings.retry_ratio,
+            extra: settings.retry_extra,
+            window: settings.retry_window,
+        }
+    }
+
+    /// Time after which a session that sent nothing is over.
+    pub(crate) fn session_time(&self) -> Duration {
+        self.settings.load().session
+    }
+
+    /// Whether the budget of sends lets a request go on to another stage of its cascade.
+    pub(crate) fn may_escalate(&self, job: &Job) -> bool {
+        let terms = self.send_terms();
+        let mut budgets = self.budgets.lock().expect("no panics under the lock");
+        let budget = budgets.entry(job.service.clone()).or_default();
+        budget.left(&terms, self.now()) >= 1.0
+    }
+
+    /// Counts an answered request.
+    pub(crate) fn count_request(&self, code: &str) {
+        let labels = RequestLabels { organisation: String::new(), code: code.into() };
+        self.metrics.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts an attempt that ended.
+    pub(crate) fn count_attempt(&self, version: &str, outcome: &str) {
+        let labels = AttemptLabels { version: version.into(), outcome: outcome.into() };
+        self.metrics.attempts.get_or_create(&labels).inc();
+    }
+
+    /// What the admin address serves.
+    pub(crate) fn admin(self: &Arc<Self>) -> Admin {
+        let (ready, dumped) = (self.clone(), self.clone());
+        Admin {
+            metrics: self.metrics.clone(),
+            is_ready: Arc::new(move || ready.is_ready()),
+            dump: Arc::new(move || dumped.dump()),
+        }
+    }
+
+    /// The state dump; it holds no keys.
+    pub fn dump(&self) -> Value {
+        let table = self.table.load();
+        json!({
+            "host": self.settings.load().host,
+            "configuration": table.as_ref().as_ref().map(|t| t.version),
+            "in_flight": self.in_flight(),
+            "servers": self.fleet.load().dump(self.now()),
+        })
+    }
+}
+
+impl std::fmt::Debug for Router {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Router").field("host", &self.settings.load().host).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,16 @@
+//! The data of the request path: what the operator configured, which BackendServers there are,
+//! and what a request asks for. Plain types; decisions over them are in [`crate::policy`].
+
+mod answer;
+mod backend_server;
+mod request;
+mod roll_out;
+mod table;
+
+pub use answer::{AnswerHead, AnswerKind};
+pub use backend_server::{BackendServer, ServerVersion};
+pub use request::{PromptPart, Request, RequestHead};
+pub use roll_out::{Progress, RollOutOrder, RollOutStatus};
+pub use table::{
+    CallerLimits, ModelPrice, Organisation, Route, RouteKind, RoutingTable, Service, Target,
+};
--- /dev/null
+++ b/src/routing/roll_out.rs
@@ -0,0 +1,38 @@
+//! An operator's order to move a service to another version, and how far it got.
+
+use std::time::Duration;
+
+use crate::{ids::Revision, routing::ServerVersion};
+
+/// An order to move a service's traffic to a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RollOutOrder {
+    /// The service.
+    pub service: Box<str>,
+    /// The version to move to.
+    pub to: ServerVersion,
+    /// Time in which it is to be done.
+    pub within: Duration,
+    /// Version of the store's row, which tells one order from the next.
+    pub revision: Revision,
+}
+
+/// How far a roll-out got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Progress {
+    /// Traffic is being moved.
+    Running,
+    /// All traffic runs on the new version; the platform stops the old servers.
+    Completed,
+    /// The new version was bad; the platform takes its servers away.
+    RolledBack,
+}
+
+/// What this system tells the operator about a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RollOutStatus {
+    /// The version it moves to.
+    pub to: ServerVersion,
+    /// How far it got.
+    pub progress: Progress,
+}
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,133 @@
+//! The operator's configuration, in the form requests are routed by.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use crate::ids::Revision;
+
+/// How a request on a route may be repeated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum RouteKind {
+    /// May run more than once.
+    #[default]
+    Idempotent,
+    /// May run at most once.
+    OnceOnly,
+    /// Answered by a stream of events; idempotent only where the route allows to resume it.
+    Stream,
+}
+
+/// A service a route sends requests to, and its share of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Share relative to the other targets of the route.
+    pub weight: f64,
+}
+
+/// One route of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: Box<str>,
+    /// Start of the paths it serves; begins and ends with a slash.
+    pub prefix: Box<str>,
+    /// Services that may run its requests; never empty.
+    pub targets: Vec<Target>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time to the answer, or to a stream's first event, that the operator aims at.
+    pub objective: Duration,
+    /// Longest pause between two events of a stream that still counts as on time.
+    pub event_gap: Option<Duration>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Runs that one request may cause.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// Whether requests carry prompt parts worth keeping together.
+    pub is_sticky: bool,
+    /// Whether a broken stream may go on at another server.
+    pub is_resumable: bool,
+    /// Models of the cascade, smallest first; empty where the caller names the model.
+    pub cascade: Vec<Box<str>>,
+}
+
+impl Route {
+    /// Whether a request on this route may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::OnceOnly => false,
+            RouteKind::Stream => self.is_resumable,
+        }
+    }
+}
+
+/// What one model costs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelPrice {
+    /// Name of the model.
+    pub model: Box<str>,
+    /// Cost of 1,000 generated tokens, in the operator's unit.
+    pub cost: f64,
+}
+
+/// A service and what its BackendServers can take.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Service {
+    /// Connections that all callers together may hold to one server.
+    pub max_connections: usize,
+    /// Prices of its models; empty where it is no model engine.
+    pub prices: Vec<ModelPrice>,
+    /// Prompt tokens one server can hold; none where it is no model engine.
+    pub memory_tokens: Option<u64>,
+}
+
+/// An Organisation as the operator declares it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organisation {
+    /// Name, which servers are told.
+    pub name: Box<str>,
+    /// Rank that replaces the route's, if it has one.
+    pub priority: Option<u8>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time in which a request's head has to arrive.
+    pub header_timeout: Duration,
+    /// Time a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+/// One version of the configuration; replaced as a whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RoutingTable {
+    /// Version; it only grows.
+    pub version: Revision,
+    /// Routes by host, the longest prefix first.
+    pub routes: HashMap<Box<str>, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: HashMap<Box<str>, Service>,
+    /// Organisations by key; none where requests need no keys at all.
+    pub keys: Option<HashMap<Box<str>, Arc<Organisation>>>,
+    /// Limits on callers; none where the operator sets none.
+    pub limits: Option<CallerLimits>,
+}
+
+impl RoutingTable {
+    /// The route of a request, if there is one.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+}
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -1,11 +1,18 @@
 //! Where log lines go.
 
-use std::{str::FromStr, sync::Arc};
+use std::{
+    num::NonZeroUsize,
+    str::FromStr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use spdlog::{
-    Level, LevelFilter, Logger,
+    ErrorHandler, Level, LevelFilter, Logger, ThreadPool,
     formatter::{FullFormatter, JsonFormatter},
-    sink::{StdStream, StdStreamSink},
+    sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
 };
 
 /// Form of the log lines.
@@ -77,3 +84,42 @@
     spdlog::set_default_logger(Arc::clone(&logger));
     Ok(())
 }
+
+/// Lines that wait to be written; further ones are dropped and counted.
+const LINES_WAITING: usize = 2_048;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped so far because too many waited.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sends the process's events to standard output as JSON, from a thread of its own, so that a
+/// slow reader of the log never holds a request up.
+///
+/// # Errors
+/// When the sink can't be made.
+pub fn install_bounded(level: LogLevel) -> Result<(), spdlog::Error> {
+    let out = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(JsonFormatter::new())
+        .build_arc()?;
+    let capacity = NonZeroUsize::new(LINES_WAITING).expect("a constant above 0");
+    let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
+    let count: ErrorHandler = ErrorHandler::from(|_| {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    });
+    let sink = AsyncPoolSink::builder()
+        .sink(out)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(count)
+        .build_arc()?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level.0))
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
