Patience by a server's liveness, placement by expected time, shared parts on one server

Change: a server is left early only when it is silent on all connections; the wait for slow ones follows the mean; placement takes the server with the least backlog, re-reading and way; long shared parts have one home.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -19,6 +19,7 @@
 pub mod outlier;
 pub mod patience;
 pub mod placement;
+pub mod reading;
 pub mod retry;
 pub mod roll_out;
 pub mod send_budget;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -1,8 +1,10 @@
-//! Which BackendServer gets an attempt: where its prompt's shared parts are, unless that server is
-//! loaded well beyond the others; servers of the own AvailabilityZone first.
+//! Which BackendServer gets an attempt: the one with the least expected cost in time.
 //!
-//! Rendezvous hashing, so that all entries send the same shared parts to the same servers without
-//! talking, with a bound on load (docs/decisions/0008).
+//! The cost of a server is its expected wait, the time to read shared prompt parts that it does
+//! not hold, and a charge for leaving the AvailabilityZone. Where shared parts are kept follows
+//! from rendezvous hashing, so all entries agree without talking (docs/decisions/0008).
+
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -15,58 +17,78 @@
     pub load: f64,
     /// Requests it runs at a time.
     pub slots: u32,
+    /// Time the server needs for prompts that it was sent and has not answered yet.
+    pub backlog: Duration,
     /// Whether it stands in the entry's own zone.
     pub is_near: bool,
     /// Whether it failed lately and should be passed over while others can serve.
     pub is_suspect: bool,
 }
 
-/// Load above the mean of the pool that a server may have and still be preferred for its cache.
-const LOAD_FACTOR: f64 = 1.25;
-/// Requests a server may always have at once and still be preferred for its cache.
-const LOAD_FLOOR: f64 = 4.0;
-/// Share of its slots that a near server may have in use before far ones are considered.
-const NEAR_FILL: f64 = 0.7;
+/// What is to be placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Hash of the shared parts, if there are any worth keeping together.
+    pub affinity: Option<u64>,
+    /// Tokens of those parts.
+    pub shared_tokens: u64,
+    /// Time the model takes to read one token.
+    pub token_time: Duration,
+}
+
+/// Slow-down by each request that already runs: steps of the engines here grow by 1.5 % for each,
+/// so a second of answer by about this much.
+const TIME_PER_RUNNING: f64 = 0.006;
+/// Wait for each request beyond the slots.
+const TIME_PER_WAITING: f64 = 0.060;
+/// Charge for leaving the zone: bytes between zones are dear, a millisecond of way is not.
+const FAR: f64 = 0.030;
+/// Charge for each shared token that is read again, beyond the time that takes.
+const REREAD_TOKEN: f64 = 30e-6;
 
 /// Hash of a server's id.
 pub fn hash_id(id: &str) -> u64 {
     xxh3_64_with_seed(id.as_bytes(), 0)
 }
 
-/// Chooses among candidates; `affinity` is the hash of what should be kept together, if anything.
-pub fn place(candidates: &[Candidate], affinity: Option<u64>) -> Option<usize> {
-    let sound: Vec<usize> = (0..candidates.len()).filter(|i| !candidates[*i].is_suspect).collect();
-    let all: Vec<usize> = (0..candidates.len()).collect();
-    let pool = if sound.is_empty() { &all } else { &sound };
-    let near: Vec<usize> = pool.iter().copied().filter(|i| candidates[*i].is_near).collect();
-    let near_pick = pick(candidates, &near, affinity);
-    match near_pick {
-        Some(i) if fill(&candidates[i]) < NEAR_FILL => Some(i),
-        _ => pick(candidates, pool, affinity),
-    }
-}
-
-fn fill(candidate: &Candidate) -> f64 {
-    candidate.load / f64::from(candidate.slots.max(1))
+/// Chooses among candidates.
+pub fn place(candidates: &[Candidate], work: &Work) -> Option<usize> {
+    let any_sound = candidates.iter().any(|c| !c.is_suspect);
+    let usable = |i: &usize| !any_sound || !candidates[*i].is_suspect;
+    let reread = work.shared_tokens as f64 * (REREAD_TOKEN + work.token_time.as_secs_f64());
+    let home = home(candidates, work, reread, &usable);
+    let cost = |i: usize| {
+        let candidate = &candidates[i];
+        let reread = if work.affinity.is_none() || home == Some(i) { 0.0 } else { reread };
+        let far = if candidate.is_near { 0.0 } else { FAR };
+        wait(candidate) + reread + far
+    };
+    let order = |a: &usize, b: &usize| {
+        let by_id = || candidates[*a].id_hash.cmp(&candidates[*b].id_hash);
+        cost(*a).total_cmp(&cost(*b)).then_with(by_id)
+    };
+    (0..candidates.len()).filter(usable).min_by(order)
 }
 
-fn pick(candidates: &[Candidate], pool: &[usize], affinity: Option<u64>) -> Option<usize> {
-    let Some(key) = affinity else {
-        return least_loaded(candidates, pool);
-    };
-    let mean = pool.iter().map(|i| candidates[*i].load).sum::<f64>() / pool.len().max(1) as f64;
-    let bound = (mean * LOAD_FACTOR).max(LOAD_FLOOR);
-    let preferred = pool
-        .iter()
-        .copied()
-        .filter(|i| candidates[*i].load <= bound)
-        .max_by_key(|i| xxh3_64_with_seed(&key.to_le_bytes(), candidates[*i].id_hash));
-    preferred.or_else(|| least_loaded(candidates, pool))
+/// The server that keeps the shared parts: one for all zones where reading them again costs more
+/// than the way, one in each zone otherwise.
+fn home(
+    candidates: &[Candidate],
+    work: &Work,
+    reread: f64,
+    usable: &impl Fn(&usize) -> bool,
+) -> Option<usize> {
+    let key = work.affinity?;
+    let is_zonal = reread < FAR && candidates.iter().any(|c| c.is_near);
+    (0..candidates.len())
+        .filter(usable)
+        .filter(|i| !is_zonal || candidates[*i].is_near)
+        .max_by_key(|i| xxh3_64_with_seed(&key.to_le_bytes(), candidates[*i].id_hash))
 }
 
-fn least_loaded(candidates: &[Candidate], pool: &[usize]) -> Option<usize> {
-    pool.iter().copied().min_by(|a, b| {
-        let (a, b) = (&candidates[*a], &candidates[*b]);
-        fill(a).total_cmp(&fill(b)).then(a.id_hash.cmp(&b.id_hash))
-    })
+fn wait(candidate: &Candidate) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let waiting = (candidate.load + 1.0 - slots).max(0.0);
+    let running = candidate.load.min(slots);
+    candidate.backlog.as_secs_f64() + running * TIME_PER_RUNNING + waiting * TIME_PER_WAITING
 }
--- /dev/null
+++ b/src/policy/reading.rs
@@ -0,0 +1,54 @@
+//! How long a model takes to read prompt tokens and to begin its answer, learned from answers.
+
+use std::time::Duration;
+
+/// Time a token takes until answers have shown it: the largest model on the first engines.
+const FIRST_GUESS: f64 = 27e-6;
+/// Prompts shorter than this tell more about the rest of the way than about reading.
+const LEAST_TOKENS: u64 = 1_000;
+/// Part of the time to the first event that does not depend on the prompt, seconds.
+const FIXED: f64 = 0.050;
+/// Step towards a faster reading: waiting only makes readings slower, so fast ones are truer.
+const FASTER: f64 = 0.2;
+/// Step towards a slower reading.
+const SLOWER: f64 = 0.005;
+/// Step of the mean time to an answer's head.
+const MEAN_STEP: f64 = 0.05;
+
+/// What was learned about one model, or about a service without models.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadingBelief {
+    token_time: f64,
+    head_time: Option<f64>,
+}
+
+impl Default for ReadingBelief {
+    fn default() -> Self {
+        Self { token_time: FIRST_GUESS, head_time: None }
+    }
+}
+
+impl ReadingBelief {
+    /// Notes the time from a request to its answer's head.
+    pub fn note(&mut self, prompt_tokens: u64, took: Duration) {
+        let took = took.as_secs_f64();
+        let mean = self.head_time.get_or_insert(took);
+        *mean += (took - *mean) * MEAN_STEP;
+        if prompt_tokens < LEAST_TOKENS {
+            return;
+        }
+        let reading = (took - FIXED).max(0.0) / prompt_tokens as f64;
+        let step = if reading < self.token_time { FASTER } else { SLOWER };
+        self.token_time += (reading - self.token_time) * step;
+    }
+
+    /// Time for one prompt token on an engine with nothing else to read.
+    pub fn token_time(&self) -> Duration {
+        Duration::from_secs_f64(self.token_time)
+    }
+
+    /// Mean time to an answer's head; none before the first answer.
+    pub fn head_time(&self) -> Option<Duration> {
+        self.head_time.map(Duration::from_secs_f64)
+    }
+}
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -1,36 +1,53 @@
 //! One attempt: a request sent to one BackendServer, up to the head of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::Request as HttpRequest;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     platform::headers::{AttemptHeaders, read_answer, write_attempt},
+    policy::patience::Patience,
     router::{
         Member, Router,
         connection::{self, Checkout, ConnectError, Connection},
+        silence::bear,
     },
     routing::{AnswerHead, AnswerKind, Request},
 };
 
 /// Counts a request as being at a server until it is dropped.
 #[derive(Debug)]
-pub(crate) struct AtServer(Arc<Member>);
+pub(crate) struct AtServer {
+    member: Arc<Member>,
+    /// Time for its prompt, until the answer has begun.
+    reading: Duration,
+}
 
 impl AtServer {
-    fn enter(member: &Arc<Member>) -> Self {
-        member.record().load.own += 1;
-        Self(member.clone())
+    fn enter(member: &Arc<Member>, reading: Duration) -> Self {
+        let mut record = member.record();
+        record.load.own += 1;
+        record.backlog += reading;
+        drop(record);
+        Self { member: member.clone(), reading }
+    }
+
+    /// Notes that the prompt has been read.
+    fn note_read(&mut self) {
+        let mut record = self.member.record();
+        record.backlog = record.backlog.saturating_sub(self.reading);
+        self.reading = Duration::ZERO;
     }
 }
 
 impl Drop for AtServer {
     fn drop(&mut self) {
-        self.0.record().load.own -= 1;
+        self.note_read();
+        self.member.record().load.own -= 1;
     }
 }
 
@@ -91,8 +108,14 @@
     pub(crate) member: &'a Arc<Member>,
     pub(crate) headers: AttemptHeaders<'a>,
     pub(crate) is_once_only: bool,
-    /// When the answer's head must be here.
-    pub(crate) head_by: Instant,
+    /// What head times are learned by: the model, or the service where there is none.
+    pub(crate) reading_key: &'a str,
+    /// Time the server needs to read the prompt.
+    pub(crate) reading: Duration,
+    /// How long its silence is borne; none where no other server may be tried after.
+    pub(crate) patience: Option<Patience>,
+    /// When the request is given up in any case.
+    pub(crate) deadline: Instant,
 }
 
 /// Makes the attempt.
@@ -101,15 +124,21 @@
     req: &Request,
     plan: &Plan<'_>,
 ) -> Result<OpenAnswer, AttemptError> {
-    let at_server = AtServer::enter(plan.member);
+    let mut at_server = AtServer::enter(plan.member, plan.reading);
+    let began = Instant::now();
     let outcome = exchange(router, req, plan).await;
     match &outcome {
         Ok((_, res)) => note_head(router, plan, res),
         Err(e) => note_error(router, plan.member, e),
     }
     let (connection, res) = outcome?;
+    at_server.note_read();
+    plan.member.note_heard(router.now());
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &req.head.id);
+    if head.kind == AnswerKind::Success {
+        router.note_head_time(plan.reading_key, req.head.prompt_tokens, began.elapsed());
+    }
     if let Some(load) = head.load {
         plan.member.record().load.note_report(load, router.now());
     }
@@ -162,10 +191,9 @@
     let mut checkout = connection::check_out(plan.member, router.now(), plan.is_once_only).await?;
     loop {
         let Checkout { mut connection, is_used } = checkout;
-        let sent = timeout_at(plan.head_by, connection.try_send_request(message)).await;
-        let Ok(sent) = sent else {
-            return Err(AttemptError::Timeout);
-        };
+        let send = pin!(connection.try_send_request(message));
+        let sent = bear(router, plan.member, plan.patience, plan.deadline, send).await;
+        let sent = sent.ok_or(AttemptError::Timeout)?;
         let mut e = match sent {
             Ok(res) => return Ok((connection, res)),
             Err(e) => e,
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -10,7 +10,7 @@
     policy::{
         attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
         patience::head_patience,
-        placement::place,
+        placement::{Work, place},
     },
     router::{
         Member, Router,
@@ -156,18 +156,28 @@
     };
     let members: Vec<&Arc<Member>> = fleet.of_service(&job.service).iter().filter(usable).collect();
     let candidates: Vec<_> = members.iter().map(|m| m.candidate(&settings.zone, now)).collect();
-    let chosen = place(&candidates, affinity(job, ask))?;
+    let chosen = place(&candidates, &work(router, job, ask))?;
     Some(members[chosen].clone())
 }
 
-/// What should be kept together: requests for one model that share their prompt's parts.
-fn affinity(job: &Job, ask: Ask<'_>) -> Option<u64> {
-    if !job.route.is_sticky {
-        return None;
+/// What is to be placed. Requests for one model that share their prompt's parts belong together.
+fn work(router: &Router, job: &Job, ask: Ask<'_>) -> Work {
+    let key = reading_key(job, ask);
+    let token_time = router.reading(key).token_time();
+    let parts = &job.req.head.parts;
+    let Some(last_shared) = job.req.head.shared_part().filter(|_| job.route.is_sticky) else {
+        return Work { token_time, ..Work::default() };
+    };
+    Work {
+        affinity: Some(xxh3_64_with_seed(key.as_bytes(), last_shared.id)),
+        shared_tokens: parts[..parts.len() - 1].iter().map(|part| part.tokens).sum(),
+        token_time,
     }
-    let part = job.req.head.shared_part()?;
-    let model = ask.model.or(job.req.head.model.as_deref()).unwrap_or_default();
-    Some(xxh3_64_with_seed(model.as_bytes(), part.id))
+}
+
+/// What head times are learned by: the model, or the service where there is none.
+fn reading_key<'a>(job: &'a Job, ask: Ask<'a>) -> &'a str {
+    ask.model.or(job.req.head.model.as_deref()).unwrap_or(&job.service)
 }
 
 async fn try_at(
@@ -177,9 +187,12 @@
     ask: Ask<'_>,
 ) -> Result<OpenAnswer, AttemptError> {
     let may_go_elsewhere = job.route.is_idempotent() && job.runs_left() > 1;
-    let patience = head_patience(job.route.kind, job.route.objective, job.req.head.prompt_tokens);
-    let head_by =
-        if may_go_elsewhere { job.deadline.min(Instant::now() + patience) } else { job.deadline };
+    let key = reading_key(job, ask);
+    let belief = router.reading(key);
+    let tokens = u32::try_from(job.req.head.prompt_tokens).unwrap_or(u32::MAX);
+    let reading = belief.token_time().saturating_mul(tokens);
+    let (kind, objective) = (job.route.kind, job.route.objective);
+    let patience = head_patience(kind, objective, belief.head_time(), reading);
     let plan = Plan {
         member,
         headers: AttemptHeaders {
@@ -191,7 +204,10 @@
             last_event: ask.last_event,
         },
         is_once_only: !job.route.is_idempotent(),
-        head_by,
+        reading_key: key,
+        reading,
+        patience: may_go_elsewhere.then_some(patience),
+        deadline: job.deadline,
     };
     let result = send(router, &job.req, &plan).await;
     let sent = attempt::advance(attempt::fresh(), AttemptEvent::Sent);
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -37,6 +37,10 @@
     pub(crate) outlier: Outlier,
     /// Connections that wait for use, the longest idle first.
     pub(crate) idle: Vec<IdleConnection>,
+    /// Time for the prompts it was sent and has not answered yet.
+    pub(crate) backlog: Duration,
+    /// When anything last came from it, on the entry's clock.
+    pub(crate) heard_at: Duration,
     /// Whether another server answered at its address.
     pub(crate) is_replaced: bool,
 }
@@ -76,6 +80,16 @@
         self.record().outlier.note_failure(&OUTLIER_RULES, now);
     }
 
+    /// Notes that something came from the server.
+    pub(crate) fn note_heard(&self, now: Duration) {
+        self.record().heard_at = now;
+    }
+
+    /// When anything last came from it.
+    pub(crate) fn heard_at(&self) -> Duration {
+        self.record().heard_at
+    }
+
     /// Whether a new request may be sent to it.
     pub fn takes_requests(&self) -> bool {
         !self.server.is_leaving && !self.record().is_replaced
@@ -88,6 +102,7 @@
             id_hash: self.id_hash,
             load: record.load.estimate(now),
             slots: self.server.slots,
+            backlog: record.backlog,
             is_near: &*self.server.zone == zone,
             is_suspect: record.outlier.is_passed_over(now),
         }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -17,6 +17,7 @@
 mod roll_out;
 mod run;
 mod serve;
+mod silence;
 mod state;
 
 pub use event_stream::EventSplitter;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -1,18 +1,15 @@
 //! Passing an answer on: in one piece, or event by event with a resume where a server breaks off.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc};
 
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
-};
+use tokio::{sync::mpsc, time::timeout_at};
 
 use crate::{
     policy::{
         escalation::{StageAnswer, escalate},
-        patience::event_patience,
+        patience::{Patience, event_patience},
     },
     router::{
         EventSplitter, Router,
@@ -20,6 +17,7 @@
         body::{AnswerBody, Part, StreamBody},
         dispatch::{Ask, Job, next_answer},
         refusal::Refusal,
+        silence::bear,
     },
     routing::{AnswerHead, AnswerKind, RouteKind},
     telemetry::event,
@@ -187,8 +185,11 @@
     async fn pass_on(&mut self, mut answer: OpenAnswer) -> Result<(), StreamError> {
         let mut splitter = EventSplitter::default();
         loop {
-            let frame = timeout_at(self.wait_until(), answer.body.frame()).await;
-            let Some(frame) = frame.map_err(|_| StreamError::Silent)? else {
+            let patience = self.patience();
+            let next = pin!(answer.body.frame());
+            let deadline = self.job.deadline;
+            let frame = bear(&self.router, &answer.member, patience, deadline, next).await;
+            let Some(frame) = frame.ok_or(StreamError::Silent)? else {
                 if splitter.is_inside_event() {
                     return Err(StreamError::EndedInside);
                 }
@@ -198,6 +199,7 @@
             let Ok(data) = frame?.into_data() else {
                 continue;
             };
+            answer.member.note_heard(self.router.now());
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
@@ -218,13 +220,9 @@
         }
     }
 
-    fn wait_until(&self) -> Instant {
+    /// How long the server's silence is borne; without end where nothing else could be done.
+    fn patience(&self) -> Option<Patience> {
         let may_resume = self.job.route.is_resumable && self.job.runs_left() > 0;
-        let patience: Duration = event_patience(self.job.route.event_gap);
-        if may_resume {
-            self.job.deadline.min(Instant::now() + patience)
-        } else {
-            self.job.deadline
-        }
+        may_resume.then(|| event_patience(self.job.route.event_gap))
     }
 }
--- /dev/null
+++ b/src/router/silence.rs
@@ -0,0 +1,41 @@
+//! Waiting for a server without waiting for one that is gone.
+
+use std::{future::Future, pin::Pin, time::Duration};
+
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    policy::patience::Patience,
+    router::{Member, Router},
+};
+
+/// Time between looks at whether a slow server still answers others.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Waits for `work`; gives up at the deadline, when the patience with a slow server is over, or
+/// when the server has been silent on all its connections for longer than a sound one is.
+pub(crate) async fn bear<F: Future>(
+    router: &Router,
+    member: &Member,
+    patience: Option<Patience>,
+    deadline: Instant,
+    mut work: Pin<&mut F>,
+) -> Option<F::Output> {
+    let Some(patience) = patience else {
+        return timeout_at(deadline, work).await.ok();
+    };
+    let (began, began_at) = (Instant::now(), router.now());
+    let last = deadline.min(began + patience.slow);
+    let mut look = began + patience.dark;
+    loop {
+        if let Ok(output) = timeout_at(last.min(look), work.as_mut()).await {
+            return Some(output);
+        }
+        let now = Instant::now();
+        let silent_since = member.heard_at().max(began_at);
+        if now >= last || router.now() >= silent_since + patience.dark {
+            return None;
+        }
+        look = now + LOOK_EVERY;
+    }
+}
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -16,6 +16,7 @@
     platform::host_settings::HostSettings,
     policy::{
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
+        reading::ReadingBelief,
         send_budget::{SendBudget, SendTerms},
     },
     router::{Fleet, dispatch::Job, roll_out::RollOuts},
@@ -40,6 +41,7 @@
     /// Metrics.
     pub metrics: Metrics,
     budgets: Mutex<HashMap<Box<str>, SendBudget>>,
+    readings: Mutex<HashMap<Box<str>, ReadingBelief>>,
     lifecycle: Mutex<Lifecycle>,
     in_flight: AtomicUsize,
     started: Instant,
@@ -55,6 +57,7 @@
             roll_outs: RollOuts::default(),
             metrics: Metrics::default(),
             budgets: Mutex::default(),
+            readings: Mutex::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
             started: Instant::now(),
@@ -125,6 +128,18 @@
         }
     }
 
+    /// What was learned about a model, or about a service without models.
+    pub(crate) fn reading(&self, key: &str) -> ReadingBelief {
+        let readings = self.readings.lock().expect("no panics under the lock");
+        readings.get(key).copied().unwrap_or_default()
+    }
+
+    /// Learns from the time to an answer's head.
+    pub(crate) fn note_head_time(&self, key: &str, prompt_tokens: u64, took: Duration) {
+        let mut readings = self.readings.lock().expect("no panics under the lock");
+        readings.entry(key.into()).or_default().note(prompt_tokens, took);
+    }
+
     /// Time after which a session that sent nothing is over.
     pub(crate) fn session_time(&self) -> Duration {
         self.settings.load().session
