Entries learn each other's verdicts on a roll-out; a version without servers falls back

Ruled out: full servers (nothing was sent), the store's outage (another host). Change: the status rows are read each 0.8 s while a roll-out runs; a wanted version that nobody runs is waived.

--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -156,6 +156,8 @@
     let now = router.now();
     // Asked anew for each attempt: a roll-out may have begun since the last one.
     let versions = router.roll_outs.rule(&job.service, &job.req.head, now, router.session_time());
+    let members = fleet.of_service(&job.service);
+    let versions = versions.or_any_if_missing(members.iter().map(|m| &*m.server.version));
     let usable = |member: &&Arc<Member>| {
         let server = &member.server;
         let has_model = ask.model.is_none_or(|model| {
@@ -166,7 +168,7 @@
             && versions.allows(&server.version)
             && !(only_untried && job.tried.contains(&server.id))
     };
-    let members: Vec<&Arc<Member>> = fleet.of_service(&job.service).iter().filter(usable).collect();
+    let members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
     let candidates: Vec<_> = members.iter().map(|m| m.candidate(&settings.zone, now)).collect();
     let chosen = place(&candidates, &work(router, job, ask))?;
     Some(members[chosen].clone())
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -30,6 +30,8 @@
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
 /// Time between looks at what this entry can say about roll-outs.
 const DRIVE_EVERY: Duration = Duration::from_millis(200);
+/// Such looks between reads of what other entries said: a verdict is then known within a second.
+const DRIVES_PER_LOOK: u32 = 4;
 
 /// Whether the store answers, for events and for judging removals.
 #[derive(Debug, Default)]
@@ -310,8 +312,13 @@
 pub(crate) async fn drive_roll_outs(router: &Router, store: &StoreClient) {
     let mut told = Told::default();
     let mut seen: HashMap<Box<str>, Revision> = HashMap::new();
+    let mut drives = 0;
     loop {
         sleep(DRIVE_EVERY).await;
+        drives += 1;
+        if drives % DRIVES_PER_LOOK == 0 {
+            learn_verdicts(router, store, &mut told, &seen).await;
+        }
         for order in router.roll_outs.running() {
             let is_new = seen.get(&order.service) != Some(&order.revision);
             let outcome =
@@ -332,6 +339,29 @@
     }
 }
 
+/// Learns what other entries said about the roll-outs that are under way.
+async fn learn_verdicts(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+    seen: &HashMap<Box<str>, Revision>,
+) {
+    let mut running = router.roll_outs.running();
+    running.retain(|order| seen.get(&order.service) == Some(&order.revision));
+    if running.is_empty() {
+        return;
+    }
+    router.metrics.count_store_call("status");
+    match store.read(Table::Status).await {
+        Ok(rows) => {
+            rows.rows.iter().for_each(|row| told.note(row));
+            running.iter().for_each(|order| take_over(router, told, order, rows.now));
+        }
+        // The feeds tell of a store that is away; the next look comes soon.
+        Err(e) => router.metrics.count_store_error(&e.to_string()),
+    }
+}
+
 /// Reads what the store has about roll-outs and, if nothing about this one, writes its begin.
 async fn begin(
     router: &Router,
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -49,6 +49,15 @@
             Self::Not(not) => **not != *version,
         }
     }
+
+    /// The rule, or none where it asks for a version that no server in view runs: the servers of
+    /// a version may be taken away before the news of why is here.
+    pub(crate) fn or_any_if_missing<'a>(self, mut versions: impl Iterator<Item = &'a str>) -> Self {
+        match &self {
+            Self::Only(only) if !versions.any(|version| *version == **only) => Self::Any,
+            _ => self,
+        }
+    }
 }
 
 /// One roll-out as this entry sees it.
