--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    fn priority(&self) -> u8 {
+    pub(crate) fn priority(&self) -> u8 {
         let of_organisation = self.organisation.as_ref().and_then(|o| o.priority);
         of_organisation.unwrap_or(self.route.priority)
     }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -86,6 +86,9 @@
             confidence: answer.head.confidence,
             runs_left: job.runs_left(),
             time_left: job.time_left(),
+            objective: job.route.objective,
+            largest_wait: cascade.last().and_then(|model| router.reading(model).head_time()),
+            priority: job.priority(),
         });
         let Some(next) = next.filter(|_| router.may_escalate(job)) else {
             return Ok((answer, model));
