--- a/src/bin/mintmoor/args.rs
+++ b/src/bin/mintmoor/args.rs
@@ -56,9 +56,9 @@
     /// the platform's settings file; by default the one its environment variable names
     #[argh(option)]
     pub(crate) settings: Option<String>,
-    /// log level: error, warn, info or debug
-    #[argh(option, default = "String::from(\"info\")")]
-    pub(crate) log: String,
+    /// our own settings, in TOML; defaults without
+    #[argh(option)]
+    pub(crate) policy: Option<String>,
 }
 
 /// Run entries, agents and stand-ins for everything else in one process on loopback.
@@ -80,7 +80,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub(crate) struct CheckArgs {
-    /// what the file is for: entry, agent, objects or scenario
+    /// what the file is for: entry, agent, route, host, objects or scenario
     #[argh(option, default = "String::from(\"entry\")")]
     pub(crate) kind: String,
     /// the file
--- a/src/bin/mintmoor/check.rs
+++ b/src/bin/mintmoor/check.rs
@@ -3,7 +3,8 @@
 use eyre::{Result, WrapErr, eyre};
 use mintmoor::{
     load::Scenario,
-    settings::{load_agent, load_entry},
+    platform::host_settings,
+    settings::{load_agent, load_entry, load_route},
 };
 
 use crate::{app::Ending, apply::read_objects, args::CheckArgs};
@@ -15,12 +16,16 @@
     match &*args.kind {
         "entry" => drop(load_entry(file, &text)?),
         "agent" => drop(load_agent(file, &text)?),
+        "route" => drop(load_route(file, &text)?),
+        "host" => drop(host_settings::read(&text).wrap_err_with(|| file.clone())?),
         "objects" => drop(read_objects(file, &text)?),
         "scenario" => {
             let _: Scenario = toml::from_str(&text).wrap_err_with(|| file.clone())?;
         }
         other => {
-            return Err(eyre!("--kind `{other}`: must be entry, agent, objects or scenario"));
+            return Err(eyre!(
+                "--kind `{other}`: must be entry, agent, route, host, objects or scenario"
+            ));
         }
     }
     println!("{file}: good");
--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -8,7 +8,7 @@
     entry::RoutingPolicy,
     platform::host_settings::{self, SETTINGS_VARIABLE},
     router::{self, RouterSettings, RunningRouter},
-    settings::{load_agent, load_entry},
+    settings::{RouteSettings, load_agent, load_entry, load_route},
     telemetry::log,
 };
 use serde_json::json;
@@ -99,10 +99,14 @@
     };
     let name = file.display().to_string();
     let host = host_settings::read(&read(&name)?).wrap_err_with(|| name.clone())?;
-    log::install_bounded(args.log.parse().wrap_err("--log")?).wrap_err("log")?;
+    let policy = match &args.policy {
+        Some(file) => load_route(file, &read(file)?)?,
+        None => RouteSettings::default(),
+    };
+    log::install_bounded(policy.log_level).wrap_err("log")?;
     let mut stop = StopSignals::listen()?;
     let mut reload = signal(SignalKind::hangup())?;
-    let running = router::start(RouterSettings { host, file: Some(file) }).await?;
+    let running = router::start(RouterSettings { host, policy, file: Some(file) }).await?;
     let mut text = read(&name)?;
     loop {
         tokio::select! {
--- a/src/policy/escalation.rs
+++ b/src/policy/escalation.rs
@@ -7,16 +7,39 @@
 
 use std::time::Duration;
 
-/// Confidence, 0 to 100, from which an answer is passed on. Of 45, 60, 75 and 90 the best in a
-/// trial on both first sites (docs/decisions/0008).
-const CONFIDENT: f64 = 60.0;
-/// Threshold under full pressure: a late answer earns about a third of one in time, so an answer
-/// that is right one time in five is still worth less than a late one, but costs others nothing.
-const CONFIDENT_UNDER_PRESSURE: f64 = 20.0;
-/// Mean wait for the largest model, as a part of the objective, at which pressure begins.
-const PRESSURE_FROM: f64 = 0.3;
-/// Mean wait at which pressure is full.
-const PRESSURE_FULL: f64 = 0.8;
+/// When an answer is good enough; settings under `cascade`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EscalationTerms {
+    /// Confidence, 0 to 100, from which an answer is passed on.
+    pub confident: f64,
+    /// The same under full pressure.
+    pub confident_under_pressure: f64,
+    /// The same where the larger model's answer would be late for its prompt alone.
+    pub confident_if_late: f64,
+    /// Mean wait for the largest model, as a part of the objective, at which pressure begins.
+    pub pressure_from: f64,
+    /// Mean wait at which pressure is full.
+    pub pressure_full: f64,
+}
+
+impl Default for EscalationTerms {
+    fn default() -> Self {
+        Self {
+            // Of 45, 52, 60 and 75 the best in trials on both first sites (docs/decisions/0008).
+            confident: 52.0,
+            // A late answer earns about a third of one in time: an answer that is right one time
+            // in five is worth less, but costs others nothing.
+            confident_under_pressure: 20.0,
+            // A late answer earns 0.3 of one in time at both users.
+            confident_if_late: 30.0,
+            // Quiet days stay below the first; days with a third of the servers gone pass the
+            // second.
+            pressure_from: 0.2,
+            pressure_full: 0.6,
+        }
+    }
+}
+
 /// Ranks over which the fall of the threshold is spread; the most urgent takes the least of it.
 const RANKS: f64 = 3.0;
 /// Least time that must be left for the largest model; below it any answer beats none.
@@ -39,23 +62,32 @@
     pub objective: Duration,
     /// Mean wait for the largest model of late; none before its first answer.
     pub largest_wait: Option<Duration>,
+    /// Time the largest model needs to read this prompt.
+    pub largest_reading: Duration,
+    /// Time since the request arrived.
+    pub elapsed: Duration,
     /// Rank of the request, 0 the most urgent.
     pub priority: u8,
 }
 
 /// The stage to ask instead, or none to pass the answer on.
-pub fn escalate(answer: &StageAnswer) -> Option<usize> {
+pub fn escalate(answer: &StageAnswer, terms: &EscalationTerms) -> Option<usize> {
     let largest = answer.stages.checked_sub(1)?;
     let confidence = f64::from(answer.confidence?);
     let may = answer.runs_left > 0 && answer.time_left >= LEAST_TIME;
-    (answer.stage < largest && confidence < threshold(answer) && may).then_some(largest)
+    (answer.stage < largest && confidence < threshold(answer, terms) && may).then_some(largest)
 }
 
 /// Confidence from which the answer is passed on.
-pub fn threshold(answer: &StageAnswer) -> f64 {
+pub fn threshold(answer: &StageAnswer, terms: &EscalationTerms) -> f64 {
     let objective = answer.objective.as_secs_f64().max(1e-3);
+    if answer.elapsed + answer.largest_reading > answer.objective {
+        return terms.confident_if_late.min(terms.confident);
+    }
     let wait = answer.largest_wait.unwrap_or_default().as_secs_f64() / objective;
-    let pressure = ((wait - PRESSURE_FROM) / (PRESSURE_FULL - PRESSURE_FROM)).clamp(0.0, 1.0);
+    let pressure = ((wait - terms.pressure_from)
+        / (terms.pressure_full - terms.pressure_from).max(1e-3))
+    .clamp(0.0, 1.0);
     let part = (f64::from(answer.priority) + 1.0).min(RANKS) / RANKS;
-    CONFIDENT - (CONFIDENT - CONFIDENT_UNDER_PRESSURE) * pressure * part
+    terms.confident - (terms.confident - terms.confident_under_pressure) * pressure * part
 }
--- a/src/policy/exposure.rs
+++ b/src/policy/exposure.rs
@@ -8,33 +8,51 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Share during the first half; below the least exposure any deployment allows (0.15).
-const TRIAL_SHARE: f64 = 0.08;
-/// Part of the time at which the share begins to grow.
-const GROWS_FROM: f64 = 0.5;
-/// Part of the time at which all traffic is on the new version.
-const ALL_FROM: f64 = 0.75;
-/// Part of the time from which the roll-out may be called completed.
-const COMPLETE_FROM: f64 = 0.85;
+/// How a roll-out's share grows; settings under `roll_out`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureTerms {
+    /// Share until it begins to grow.
+    pub trial_share: f64,
+    /// Part of the time at which the share begins to grow.
+    pub grows_from: f64,
+    /// Part of the time at which all traffic is on the new version.
+    pub all_from: f64,
+    /// Part of the time from which the roll-out may be called completed.
+    pub complete_from: f64,
+}
+
+impl Default for ExposureTerms {
+    fn default() -> Self {
+        Self {
+            // Below the least exposure any deployment allows (0.15).
+            trial_share: 0.08,
+            // Sessions must not be moved in the first half.
+            grows_from: 0.5,
+            all_from: 0.75,
+            // Leaves the store an outage of a few seconds before the time is up.
+            complete_from: 0.85,
+        }
+    }
+}
 
 /// Share of sessions that run on the new version.
-pub fn share_at(elapsed: Duration, within: Duration) -> f64 {
+pub fn share_at(elapsed: Duration, within: Duration, terms: &ExposureTerms) -> f64 {
     let part = part_of(elapsed, within);
-    if part < GROWS_FROM {
-        return TRIAL_SHARE;
+    if part < terms.grows_from {
+        return terms.trial_share;
     }
-    let grown = (part - GROWS_FROM) / (ALL_FROM - GROWS_FROM);
-    (TRIAL_SHARE + (1.0 - TRIAL_SHARE) * grown).min(1.0)
+    let grown = (part - terms.grows_from) / (terms.all_from - terms.grows_from).max(1e-3);
+    (terms.trial_share + (1.0 - terms.trial_share) * grown).min(1.0)
 }
 
 /// Whether running sessions may be moved to the new version.
-pub fn may_move_sessions(elapsed: Duration, within: Duration) -> bool {
-    part_of(elapsed, within) >= GROWS_FROM
+pub fn may_move_sessions(elapsed: Duration, within: Duration, terms: &ExposureTerms) -> bool {
+    part_of(elapsed, within) >= terms.grows_from
 }
 
 /// Whether the roll-out may be completed now.
-pub fn may_complete(elapsed: Duration, within: Duration) -> bool {
-    part_of(elapsed, within) >= COMPLETE_FROM
+pub fn may_complete(elapsed: Duration, within: Duration, terms: &ExposureTerms) -> bool {
+    part_of(elapsed, within) >= terms.complete_from
 }
 
 /// Whether a session runs on the new version at this share.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,3 +24,4 @@
 pub mod roll_out;
 pub mod send_budget;
 pub mod session;
+pub mod stopping;
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -8,8 +8,8 @@
 use crate::routing::RouteKind;
 
 /// Silence of a server on all its connections after which it is taken as dark. Reading a long
-/// prompt holds the events of a sound engine back by up to 0.8 s.
-const DARK_AFTER: Duration = Duration::from_millis(900);
+/// prompt holds the events of a sound engine back by up to 0.8 s, and a pause of 1.2 s is late.
+const DARK_AFTER: Duration = Duration::from_millis(1_100);
 /// Wait for a head as a multiple of the mean wait for such heads.
 const MEAN_WAITS: u32 = 4;
 /// Least wait for a head from a server that answers others, as a part of the objective: a
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -36,15 +36,33 @@
     pub token_time: Duration,
 }
 
-/// Slow-down by each request that already runs: steps of the engines here grow by 1.5 % for each,
-/// so a second of answer by about this much.
-const TIME_PER_RUNNING: f64 = 0.006;
-/// Wait for each request beyond the slots.
-const TIME_PER_WAITING: f64 = 0.060;
-/// Charge for leaving the zone: bytes between zones are dear, a millisecond of way is not.
-const FAR: f64 = 0.030;
-/// Charge for each shared token that is read again, beyond the time that takes.
-const REREAD_TOKEN: f64 = 30e-6;
+/// What a server costs besides its backlog; settings under `placement`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementTerms {
+    /// For each request that runs at the server.
+    pub running: Duration,
+    /// For each request beyond its slots.
+    pub waiting: Duration,
+    /// For leaving the AvailabilityZone.
+    pub far: Duration,
+    /// For each shared token that is read again, beyond the time that takes.
+    pub reread_token: Duration,
+}
+
+impl Default for PlacementTerms {
+    fn default() -> Self {
+        Self {
+            // Steps of the engines grow by 1.5 % for each running request: 6 ms in half a second.
+            running: Duration::from_millis(6),
+            // Mean work of the application servers.
+            waiting: Duration::from_millis(60),
+            // Bytes between zones are dear; the way itself is a millisecond.
+            far: Duration::from_millis(30),
+            // Puts 1,000 tokens on a par with leaving the zone, as the users price them.
+            reread_token: Duration::from_micros(30),
+        }
+    }
+}
 
 /// Hash of a server's id.
 pub fn hash_id(id: &str) -> u64 {
@@ -52,16 +70,18 @@
 }
 
 /// Chooses among candidates.
-pub fn place(candidates: &[Candidate], work: &Work) -> Option<usize> {
+pub fn place(candidates: &[Candidate], work: &Work, terms: &PlacementTerms) -> Option<usize> {
     let any_sound = candidates.iter().any(|c| !c.is_suspect);
     let usable = |i: &usize| !any_sound || !candidates[*i].is_suspect;
-    let reread = work.shared_tokens as f64 * (REREAD_TOKEN + work.token_time.as_secs_f64());
-    let home = home(candidates, work, reread, &usable);
+    let token = (terms.reread_token + work.token_time).as_secs_f64();
+    let reread = work.shared_tokens as f64 * token;
+    let far = terms.far.as_secs_f64();
+    let home = home(candidates, work, reread < far, &usable);
     let cost = |i: usize| {
         let candidate = &candidates[i];
         let reread = if work.affinity.is_none() || home == Some(i) { 0.0 } else { reread };
-        let far = if candidate.is_near { 0.0 } else { FAR };
-        wait(candidate) + reread + far
+        let far = if candidate.is_near { 0.0 } else { far };
+        wait(candidate, terms) + reread + far
     };
     let order = |a: &usize, b: &usize| {
         let by_id = || candidates[*a].id_hash.cmp(&candidates[*b].id_hash);
@@ -75,20 +95,22 @@
 fn home(
     candidates: &[Candidate],
     work: &Work,
-    reread: f64,
+    is_cheap: bool,
     usable: &impl Fn(&usize) -> bool,
 ) -> Option<usize> {
     let key = work.affinity?;
-    let is_zonal = reread < FAR && candidates.iter().any(|c| c.is_near);
+    let is_zonal = is_cheap && candidates.iter().any(|c| c.is_near);
     (0..candidates.len())
         .filter(usable)
         .filter(|i| !is_zonal || candidates[*i].is_near)
         .max_by_key(|i| xxh3_64_with_seed(&key.to_le_bytes(), candidates[*i].id_hash))
 }
 
-fn wait(candidate: &Candidate) -> f64 {
+fn wait(candidate: &Candidate, terms: &PlacementTerms) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let waiting = (candidate.load + 1.0 - slots).max(0.0);
     let running = candidate.load.min(slots);
-    candidate.backlog.as_secs_f64() + running * TIME_PER_RUNNING + waiting * TIME_PER_WAITING
+    candidate.backlog.as_secs_f64()
+        + running * terms.running.as_secs_f64()
+        + waiting * terms.waiting.as_secs_f64()
 }
--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -19,12 +19,14 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReadingBelief {
     token_time: f64,
+    /// Mean over prompts as they came, with the wait behind others.
+    mean_token_time: f64,
     head_time: Option<f64>,
 }
 
 impl Default for ReadingBelief {
     fn default() -> Self {
-        Self { token_time: FIRST_GUESS, head_time: None }
+        Self { token_time: FIRST_GUESS, mean_token_time: FIRST_GUESS, head_time: None }
     }
 }
 
@@ -38,6 +40,7 @@
             return;
         }
         let reading = (took - FIXED).max(0.0) / prompt_tokens as f64;
+        self.mean_token_time += (reading - self.mean_token_time) * MEAN_STEP;
         let step = if reading < self.token_time { FASTER } else { SLOWER };
         self.token_time += (reading - self.token_time) * step;
     }
@@ -47,6 +50,11 @@
         Duration::from_secs_f64(self.token_time)
     }
 
+    /// Time for one prompt token as prompts were read of late, with their waits.
+    pub fn mean_token_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_token_time)
+    }
+
     /// Mean time to an answer's head; none before the first answer.
     pub fn head_time(&self) -> Option<Duration> {
         self.head_time.map(Duration::from_secs_f64)
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -38,6 +38,8 @@
     pub(crate) organisation: Option<Arc<Organisation>>,
     /// When the caller or the route gives up.
     pub(crate) deadline: Instant,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
     /// Counts it as in flight, also while its stream is passed on.
     _in_flight: InFlight,
     pub(crate) attempts: Vec<AttemptState>,
@@ -62,6 +64,7 @@
             service,
             organisation,
             deadline,
+            arrived: Instant::now(),
             _in_flight: in_flight,
             attempts,
             runs: 0,
@@ -170,7 +173,7 @@
     };
     let members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
     let candidates: Vec<_> = members.iter().map(|m| m.candidate(&settings.zone, now)).collect();
-    let chosen = place(&candidates, &work(router, job, ask))?;
+    let chosen = place(&candidates, &work(router, job, ask), &router.policy.placement)?;
     Some(members[chosen].clone())
 }
 
@@ -238,8 +241,15 @@
     job.tried.push(member.server.id.clone());
     if !matches!(&result, Err(e) if e.proves_not_run()) {
         job.runs += 1;
-        let is_good = matches!(&result, Ok(a) if a.head.kind == AnswerKind::Success);
-        router.roll_outs.note_outcome(&member.server, is_good);
+        match &result {
+            Err(AttemptError::Timeout) => {
+                router.roll_outs.note_silence(&member.server, router.now());
+            }
+            Ok(answer) if answer.head.kind == AnswerKind::Success => {
+                router.roll_outs.note_outcome(&member.server, true);
+            }
+            _ => router.roll_outs.note_outcome(&member.server, false),
+        }
     }
     result
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -1,10 +1,13 @@
 //! Passing an answer on: in one piece, or event by event with a resume where a server breaks off.
 
-use std::{pin::pin, sync::Arc};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use tokio::{sync::mpsc, time::timeout_at};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     policy::{
@@ -12,7 +15,7 @@
         patience::{Patience, event_patience},
     },
     router::{
-        EventSplitter, Router,
+        EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
         dispatch::{Ask, Job, next_answer},
@@ -44,7 +47,8 @@
     }
     let mut res = head_of(&answer.head);
     let (tx, rx) = mpsc::channel(PARTS_WAITING);
-    let relay = Relay { router: router.clone(), job, model, tx, last_event: None };
+    let timing = StreamTiming::new(job.arrived);
+    let relay = Relay { router: router.clone(), job, model, tx, last_event: None, timing };
     let filler = tokio::spawn(relay.run(answer));
     *res.body_mut() = AnswerBody::Stream(StreamBody::new(rx, filler));
     Ok(res)
@@ -80,16 +84,21 @@
         let model = cascade.get(stage).filter(|_| job.req.head.model.is_none()).cloned();
         let ask = Ask { model: model.as_deref(), last_event: job.req.head.last_event };
         let answer = next_answer(router, job, ask).await?;
-        let next = escalate(&StageAnswer {
+        let largest = cascade.last().map(|model| router.reading(model)).unwrap_or_default();
+        let tokens = u32::try_from(job.req.head.prompt_tokens).unwrap_or(u32::MAX);
+        let stage_answer = StageAnswer {
             stage,
             stages: if model.is_some() { cascade.len() } else { 0 },
             confidence: answer.head.confidence,
             runs_left: job.runs_left(),
             time_left: job.time_left(),
             objective: job.route.objective,
-            largest_wait: cascade.last().and_then(|model| router.reading(model).head_time()),
+            largest_wait: largest.head_time(),
+            largest_reading: largest.mean_token_time().saturating_mul(tokens),
+            elapsed: job.arrived.elapsed(),
             priority: job.priority(),
-        });
+        };
+        let next = escalate(&stage_answer, &router.policy.escalation);
         let Some(next) = next.filter(|_| router.may_escalate(job)) else {
             return Ok((answer, model));
         };
@@ -134,6 +143,29 @@
     CallerGone,
 }
 
+/// When a stream's events came.
+#[derive(Clone, Copy, Debug)]
+struct StreamTiming {
+    arrived: Instant,
+    last: Option<Instant>,
+    first_after: Duration,
+    longest_pause: Duration,
+}
+
+impl StreamTiming {
+    fn new(arrived: Instant) -> Self {
+        let (first_after, longest_pause) = (Duration::ZERO, Duration::ZERO);
+        Self { arrived, last: None, first_after, longest_pause }
+    }
+
+    fn note_event(&mut self, now: Instant) {
+        match self.last.replace(now) {
+            None => self.first_after = now - self.arrived,
+            Some(last) => self.longest_pause = self.longest_pause.max(now - last),
+        }
+    }
+}
+
 /// Passes a stream on.
 struct Relay {
     router: Arc<Router>,
@@ -142,6 +174,7 @@
     tx: mpsc::Sender<Part>,
     /// Last event passed on.
     last_event: Option<u64>,
+    timing: StreamTiming,
 }
 
 impl Relay {
@@ -152,13 +185,18 @@
             let Err(e) = self.pass_on(answer).await else {
                 // A caller that has left no longer minds whether the end arrives.
                 let _ = self.tx.send(Part::End).await;
+                self.tell_if_late(&server);
                 return;
             };
             if matches!(e, StreamError::CallerGone) {
                 return;
             }
             server.note_failure(self.router.now());
-            self.router.roll_outs.note_outcome(&server.server, false);
+            if matches!(e, StreamError::Silent) {
+                self.router.roll_outs.note_silence(&server.server, self.router.now());
+            } else {
+                self.router.roll_outs.note_outcome(&server.server, false);
+            }
             let (id, events) = (&self.job.req.head.id, self.last_event);
             event::STREAM_BROKEN.log(format_args!(
                 "request={id} server={} last_event={events:?} cause=\"{e}\"",
@@ -209,6 +247,7 @@
                 let sent = self.tx.send(Part::Events(event.bytes)).await;
                 sent.map_err(|_| StreamError::CallerGone)?;
                 self.last_event = event.id.or(self.last_event);
+                self.timing.note_event(Instant::now());
             }
             if splitter.pending() > MOST_EVENT {
                 return Err(StreamError::TooLarge);
@@ -216,6 +255,28 @@
         }
     }
 
+    /// Tells of a stream that ended whole but came later than its route aims at.
+    fn tell_if_late(&self, server: &Member) {
+        let (first, pause) = (self.timing.first_after, self.timing.longest_pause);
+        self.router.metrics.first_token.observe(first.as_secs_f64());
+        let route = &self.job.route;
+        let is_late = first > route.objective;
+        if !is_late && route.event_gap.is_none_or(|allowed| pause <= allowed) {
+            return;
+        }
+        event::STREAM_LATE.log(format_args!(
+            "request={} route={} server={} model={} runs={} prompt_tokens={} first_ms={} pause_ms={}",
+            self.job.req.head.id,
+            route.name,
+            server.server.id,
+            self.model.as_deref().unwrap_or("-"),
+            self.job.runs,
+            self.job.req.head.prompt_tokens,
+            first.as_millis(),
+            pause.as_millis()
+        ));
+    }
+
     fn check_order(&self, id: Option<u64>) -> Result<(), StreamError> {
         match (id, self.last_event) {
             (Some(id), Some(last)) if id != last + 1 => Err(StreamError::Gap),
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -13,7 +13,7 @@
 use crate::{
     ids::Revision,
     policy::{
-        exposure::{may_complete, may_move_sessions, share_at, takes_new},
+        exposure::{ExposureTerms, may_complete, may_move_sessions, share_at, takes_new},
         roll_out::{Evidence, Finding, VersionTest},
     },
     resources::Guard,
@@ -26,6 +26,10 @@
 const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.01 };
 /// Answers of the new version without which a roll-out is not completed.
 const LEAST_ANSWERS: u64 = 20;
+/// Time in which the silences of one server count once: one long prompt may hold up many streams.
+const SAME_SILENCE: Duration = Duration::from_secs(2);
+/// Servers whose silence is remembered before old ones are forgotten.
+const MOST_SILENCES: usize = 4_096;
 /// Sessions remembered at most; the oldest are forgotten first.
 const MOST_SESSIONS: usize = 20_000;
 
@@ -87,6 +91,8 @@
 struct Inner {
     roll_outs: HashMap<Box<str>, RollOut>,
     sessions: HashMap<Box<str>, SessionNote>,
+    /// When a server's silence was last counted.
+    silences: HashMap<Box<str>, Duration>,
 }
 
 /// What the driver should tell the store.
@@ -97,12 +103,18 @@
 }
 
 /// All roll-outs; shared by both threads.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RollOuts {
     inner: Arc<Mutex<Inner>>,
+    terms: ExposureTerms,
 }
 
 impl RollOuts {
+    /// No roll-outs yet; their shares will grow by these terms.
+    pub fn new(terms: ExposureTerms) -> Self {
+        Self { inner: Arc::default(), terms }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().expect("no panics under the lock")
     }
@@ -180,7 +192,7 @@
         let rule = inner
             .roll_outs
             .get(service)
-            .map_or(VersionRule::Any, |roll_out| roll_out.rule(session, note, now));
+            .map_or(VersionRule::Any, |roll_out| roll_out.rule(session, note, now, &self.terms));
         if head.session.is_some() {
             let on_new = matches!(rule, VersionRule::Only(_));
             inner.remember(session, SessionNote { at: now, on_new }, session_time);
@@ -201,6 +213,24 @@
         roll_out.judge();
     }
 
+    /// Notes that a server did not answer in time. All that wait for a server time out together,
+    /// so such failures of one server count once in a while.
+    pub(crate) fn note_silence(&self, server: &BackendServer, now: Duration) {
+        {
+            let mut inner = self.lock();
+            let told = inner.silences.entry(server.id.clone()).or_default();
+            let is_same = *told > Duration::ZERO && now < *told + SAME_SILENCE;
+            if is_same {
+                return;
+            }
+            *told = now;
+            if inner.silences.len() > MOST_SILENCES {
+                inner.silences.retain(|_, told| now < *told + SAME_SILENCE);
+            }
+        }
+        self.note_outcome(server, false);
+    }
+
     /// Notes that servers of a version are in view.
     pub(crate) fn note_servers(&self, service: &str, version: &str) {
         if let Some(roll_out) = self.lock().roll_outs.get_mut(service) {
@@ -211,7 +241,7 @@
     /// Verdicts that this entry can give now.
     pub(crate) fn verdicts(&self, now: Duration) -> Vec<Verdict> {
         let inner = self.lock();
-        inner.roll_outs.values().filter_map(|roll_out| roll_out.verdict(now)).collect()
+        inner.roll_outs.values().filter_map(|roll_out| roll_out.verdict(now, &self.terms)).collect()
     }
 }
 
@@ -225,7 +255,13 @@
 }
 
 impl RollOut {
-    fn rule(&self, session: &str, note: Option<SessionNote>, now: Duration) -> VersionRule {
+    fn rule(
+        &self,
+        session: &str,
+        note: Option<SessionNote>,
+        now: Duration,
+        terms: &ExposureTerms,
+    ) -> VersionRule {
         let new = VersionRule::Only(self.order.to.clone());
         let old = VersionRule::Not(self.order.to.clone());
         match self.progress {
@@ -239,11 +275,11 @@
             if note.on_new {
                 return new;
             }
-            if !may_move_sessions(elapsed, self.order.within) {
+            if !may_move_sessions(elapsed, self.order.within, terms) {
                 return old;
             }
         }
-        let share = share_at(elapsed, self.order.within);
+        let share = share_at(elapsed, self.order.within, terms);
         if takes_new(session, &self.order.to, share) { new } else { old }
     }
 
@@ -263,7 +299,7 @@
         }
     }
 
-    fn verdict(&self, now: Duration) -> Option<Verdict> {
+    fn verdict(&self, now: Duration, terms: &ExposureTerms) -> Option<Verdict> {
         if self.progress != Progress::Running {
             return None;
         }
@@ -271,7 +307,7 @@
         let is_proved = self.new.answers >= LEAST_ANSWERS;
         let progress = if self.is_held {
             Progress::RolledBack
-        } else if may_complete(elapsed, self.order.within) && is_proved {
+        } else if may_complete(elapsed, self.order.within, terms) && is_proved {
             Progress::Completed
         } else {
             return None;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -16,6 +16,7 @@
         store::StoreClient,
     },
     router::{Router, feed, listen, state::BEFORE_KILL},
+    settings::RouteSettings,
     telemetry::event,
 };
 
@@ -32,7 +33,9 @@
 pub struct RouterSettings {
     /// What the platform says about the Host.
     pub host: HostSettings,
-    /// File it was read from, read again at a reload.
+    /// What the operator settled about decisions.
+    pub policy: RouteSettings,
+    /// File the Host's settings were read from, read again at a reload.
     pub file: Option<PathBuf>,
 }
 
@@ -51,7 +54,7 @@
 /// # Errors
 /// When an address can't be bound or the thread can't be made.
 pub async fn start(settings: RouterSettings) -> std::io::Result<RunningRouter> {
-    let RouterSettings { host, file } = settings;
+    let RouterSettings { host, policy, file } = settings;
     let callers = TcpListener::bind(host.caller).await?;
     let readiness = TcpListener::bind(host.readiness).await?;
     event::PROCESS_STARTED.log(format_args!(
@@ -59,7 +62,7 @@
         host.host, host.zone, host.caller, host.readiness, host.store
     ));
     let store = StoreClient::new(HttpClient::default(), &host.store);
-    let router = Arc::new(Router::new(host));
+    let router = Arc::new(Router::new(host, policy));
     let control = router.clone();
     thread::spawn("control", move || run_control(control, store))?;
     let (closing, is_closing) = watch::channel(false);
--- a/src/router/silence.rs
+++ b/src/router/silence.rs
@@ -33,7 +33,9 @@
         }
         let now = Instant::now();
         let silent_since = member.heard_at().max(began_at);
-        if now >= last || router.now() >= silent_since + patience.dark {
+        // A server that reads a long prompt says nothing meanwhile.
+        let dark_at = silent_since + patience.dark + member.record().backlog;
+        if now >= last || router.now() >= dark_at {
             return None;
         }
         look = now + LOOK_EVERY;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -18,9 +18,11 @@
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
         reading::ReadingBelief,
         send_budget::{SendBudget, SendTerms},
+        stopping::still_fits,
     },
     router::{Fleet, dispatch::Job, roll_out::RollOuts},
-    routing::{Route, RouteKind, RoutingTable},
+    routing::{Route, RoutingTable},
+    settings::RouteSettings,
     telemetry::{
         Metrics,
         admin::Admin,
@@ -28,9 +30,6 @@
     },
 };
 
-/// Time a stream may take to its end; nine in ten end sooner on the first sites. With the grace of
-/// 8 s no stream is taken later than 2.8 s after the request to stop: the balancer knows by then.
-const STREAM_NEEDS: Duration = Duration::from_millis(4_900);
 /// Time before the end of the grace at which what is left is cut.
 pub(crate) const BEFORE_KILL: Duration = Duration::from_millis(300);
 
@@ -44,6 +43,8 @@
     pub fleet: ArcSwap<Fleet>,
     /// Roll-outs and the evidence on their versions.
     pub roll_outs: RollOuts,
+    /// What the operator settled about decisions.
+    pub policy: RouteSettings,
     /// Metrics.
     pub metrics: Metrics,
     budgets: Mutex<HashMap<Box<str>, SendBudget>>,
@@ -56,12 +57,13 @@
 
 impl Router {
     /// An entry that has no configuration yet.
-    pub fn new(settings: HostSettings) -> Self {
+    pub fn new(settings: HostSettings, policy: RouteSettings) -> Self {
         Self {
             settings: ArcSwap::from_pointee(settings),
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
-            roll_outs: RollOuts::default(),
+            roll_outs: RollOuts::new(policy.exposure),
+            policy,
             metrics: Metrics::default(),
             budgets: Mutex::default(),
             readings: Mutex::default(),
@@ -93,18 +95,13 @@
         self.advance(LifecycleEvent::Leave);
     }
 
-    /// Whether a request on this route can still be finished: one that runs long can not when a
-    /// planned stop is well under way, and another entry takes it at once.
+    /// Whether a request on this route can still be finished once a planned stop began.
     pub(crate) fn takes(&self, route: &Route) -> bool {
         let Some(began) = self.stop_began.get() else {
             return true;
         };
-        let left = (*began + self.settings.load().grace).saturating_sub(self.now());
-        let needs = match route.kind {
-            RouteKind::Stream => STREAM_NEEDS,
-            RouteKind::Idempotent | RouteKind::OnceOnly => route.timeout,
-        };
-        left > needs + BEFORE_KILL
+        let end = *began + self.settings.load().grace.saturating_sub(BEFORE_KILL);
+        still_fits(route, end.saturating_sub(self.now()))
     }
 
     /// Whether a planned stop began.
--- /dev/null
+++ b/src/settings/route.rs
@@ -0,0 +1,89 @@
+//! Settings of an entry on the users' platform that are ours: the platform's own file tells the
+//! rest. The keys are in `docs/SETTINGS.md`.
+
+use std::time::Duration;
+
+use crate::{
+    policy::{escalation::EscalationTerms, exposure::ExposureTerms, placement::PlacementTerms},
+    settings::{SettingsError, reader::Reader},
+    telemetry::log::LogLevel,
+};
+
+/// What an operator may change about the decisions of an entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RouteSettings {
+    /// When a cascade's answer is good enough.
+    pub escalation: EscalationTerms,
+    /// How a roll-out's share grows.
+    pub exposure: ExposureTerms,
+    /// What a server costs besides its backlog.
+    pub placement: PlacementTerms,
+    /// Least level logged.
+    pub log_level: LogLevel,
+}
+
+/// Reads the settings.
+///
+/// # Errors
+/// Everything wrong with the text at once.
+pub fn load_route(file: &str, text: &str) -> Result<RouteSettings, SettingsError> {
+    let mut r = Reader::parse(file, text)?;
+    let given = RouteSettings::default();
+    let cascade = given.escalation;
+    let escalation = EscalationTerms {
+        confident: number(&mut r, "cascade.confident", cascade.confident, 100.0),
+        confident_under_pressure: number(
+            &mut r,
+            "cascade.confident_under_pressure",
+            cascade.confident_under_pressure,
+            100.0,
+        ),
+        confident_if_late: number(
+            &mut r,
+            "cascade.confident_if_late",
+            cascade.confident_if_late,
+            100.0,
+        ),
+        pressure_from: number(&mut r, "cascade.pressure_from", cascade.pressure_from, 10.0),
+        pressure_full: number(&mut r, "cascade.pressure_full", cascade.pressure_full, 10.0),
+    };
+    let shares = given.exposure;
+    let exposure = ExposureTerms {
+        trial_share: number(&mut r, "roll_out.trial_share", shares.trial_share, 1.0),
+        grows_from: number(&mut r, "roll_out.grows_from", shares.grows_from, 1.0),
+        all_from: number(&mut r, "roll_out.all_from", shares.all_from, 1.0),
+        complete_from: number(&mut r, "roll_out.complete_from", shares.complete_from, 1.0),
+    };
+    let costs = given.placement;
+    let placement = PlacementTerms {
+        running: micros(&mut r, "placement.running_us", costs.running),
+        waiting: micros(&mut r, "placement.waiting_us", costs.waiting),
+        far: micros(&mut r, "placement.far_us", costs.far),
+        reread_token: micros(&mut r, "placement.reread_token_us", costs.reread_token),
+    };
+    let wanted = "error, warn, info or debug";
+    let log_level = r.get("log.level", wanted, Some(given.log_level)).unwrap_or_default();
+    if escalation.pressure_full <= escalation.pressure_from {
+        r.complain_about("cascade.pressure_full", "must be above `cascade.pressure_from`");
+    }
+    let parts = [exposure.grows_from, exposure.all_from, exposure.complete_from];
+    if !parts.is_sorted() {
+        r.complain_about("roll_out", "`grows_from`, `all_from`, `complete_from` must not fall");
+    }
+    r.finish()?;
+    Ok(RouteSettings { escalation, exposure, placement, log_level })
+}
+
+fn number(r: &mut Reader<'_>, key: &str, default: f64, most: f64) -> f64 {
+    let value = r.get(key, "a number", Some(default)).unwrap_or(default);
+    if !(0.0..=most).contains(&value) {
+        r.complain_about(key, &format!("`{value}` is wrong; must be from 0 to {most}"));
+    }
+    value
+}
+
+fn micros(r: &mut Reader<'_>, key: &str, default: Duration) -> Duration {
+    let given = u64::try_from(default.as_micros()).unwrap_or(u64::MAX);
+    let value = r.get(key, "a whole number of microseconds", Some(given)).unwrap_or(given);
+    Duration::from_micros(value)
+}
