--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -262,7 +262,7 @@
         routes,
         services: doc.services.into_iter().map(|s| (s.name.clone(), read_service(s))).collect(),
         keys: doc.tenants.map(read_keys),
-        limits: doc.limits.map(read_limits),
+        limits: doc.limits.as_ref().map(read_limits),
     }
 }
 
@@ -317,7 +317,7 @@
     keys
 }
 
-fn read_limits(doc: LimitsDoc) -> CallerLimits {
+fn read_limits(doc: &LimitsDoc) -> CallerLimits {
     CallerLimits {
         header_bytes: doc.max_header_bytes,
         body_bytes: doc.max_body_bytes,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -118,6 +118,11 @@
     })
 }
 
+/// Id of a request whose head may be wrong otherwise, for logs.
+pub fn request_id(headers: &HeaderMap) -> Option<&str> {
+    text(headers, REQUEST_ID)
+}
+
 /// What one attempt adds to the request.
 #[derive(Clone, Debug)]
 pub struct AttemptHeaders<'a> {
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -10,6 +10,8 @@
     time::Duration,
 };
 
+use serde_json::{Value, json};
+
 use crate::{
     ids::Revision,
     policy::{
@@ -238,6 +240,24 @@
         }
     }
 
+    /// Part of the state dump.
+    pub(crate) fn dump(&self) -> Value {
+        let inner = self.lock();
+        let one = |r: &RollOut| {
+            json!({
+                "service": r.order.service,
+                "to": r.order.to,
+                "progress": format!("{:?}", r.progress),
+                "held": r.is_held,
+                "answers": r.new.answers,
+                "failures": r.new.failures,
+                "old_answers": r.old.answers,
+                "old_failures": r.old.failures,
+            })
+        };
+        Value::Array(inner.roll_outs.values().map(one).collect())
+    }
+
     /// Verdicts that this entry can give now.
     pub(crate) fn verdicts(&self, now: Duration) -> Vec<Verdict> {
         let inner = self.lock();
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::{
-    platform::headers::read_request,
+    platform::headers::{read_request, request_id},
     policy::exposure::draw,
     router::{Router, body::AnswerBody, dispatch::Job, refusal::Refusal, relay},
     routing::{CallerLimits, Organisation, Request, RequestHead, Route, RoutingTable},
@@ -46,7 +46,7 @@
     router: Arc<Router>,
     req: HttpRequest<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let id = req.headers().get("x-request-id").cloned();
+    let id: Box<str> = request_id(req.headers()).unwrap_or("-").into();
     let mut res = match try_serve(&router, req).await {
         Ok(res) => {
             router.count_request("ok");
@@ -54,7 +54,6 @@
         }
         Err(refusal) => {
             router.count_request(refusal.code());
-            let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
             event::REQUEST_REFUSED.log(format_args!("request={id} cause=\"{refusal}\""));
             refusal.response()
         }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -207,6 +207,7 @@
             "host": self.settings.load().host,
             "configuration": table.as_ref().as_ref().map(|t| t.version),
             "in_flight": self.in_flight(),
+            "roll_outs": self.roll_outs.dump(),
             "servers": self.fleet.load().dump(self.now()),
         })
     }
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,281 @@
+//! Pure decisions of the request path: placement, budgets, exposure, escalation, patience, stops.
+
+use std::time::Duration;
+
+use mintmoor::{
+    policy::{
+        escalation::{EscalationTerms, StageAnswer, escalate, threshold},
+        exposure::{ExposureTerms, may_move_sessions, share_at, takes_new},
+        load::{LoadBelief, ReportedLoad},
+        patience::head_patience,
+        placement::{Candidate, PlacementTerms, Work, hash_id, place},
+        reading::ReadingBelief,
+        send_budget::{SendBudget, SendTerms},
+        stopping::still_fits,
+    },
+    router::EventSplitter,
+    routing::{Route, RouteKind},
+};
+use proptest::prelude::*;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn candidate(id: &str, is_near: bool) -> Candidate {
+    Candidate {
+        id_hash: hash_id(id),
+        load: 0.0,
+        slots: 32,
+        backlog: Duration::ZERO,
+        is_near,
+        is_suspect: false,
+    }
+}
+
+/// Six servers, the first three near.
+fn pool() -> Vec<Candidate> {
+    (0..6).map(|i| candidate(&format!("i-{i}"), i < 3)).collect()
+}
+
+fn work(affinity: u64, shared_tokens: u64) -> Work {
+    Work { affinity: Some(affinity), shared_tokens, token_time: Duration::from_micros(3) }
+}
+
+fn chosen(candidates: &[Candidate], work: &Work) -> Option<usize> {
+    place(candidates, work, &PlacementTerms::default())
+}
+
+#[test]
+fn long_shared_parts_have_one_home_for_all_zones() {
+    for key in 0..50 {
+        let here = pool();
+        let mut there = pool();
+        there.iter_mut().for_each(|c| c.is_near = !c.is_near);
+
+        assert_eq!(chosen(&here, &work(key, 5_000)), chosen(&there, &work(key, 5_000)));
+    }
+}
+
+#[test]
+fn short_shared_parts_stay_in_their_zone_and_together() {
+    for key in 0..50 {
+        let server = chosen(&pool(), &work(key, 200)).unwrap();
+        assert!(server < 3);
+        assert_eq!(chosen(&pool(), &work(key, 200)), Some(server));
+    }
+}
+
+#[test]
+fn a_home_with_a_long_backlog_is_left() {
+    let mut pool = pool();
+    let home = chosen(&pool, &work(7, 5_000)).unwrap();
+    pool[home].backlog = Duration::from_secs(2);
+
+    assert_ne!(chosen(&pool, &work(7, 5_000)), Some(home));
+}
+
+#[test]
+fn a_suspect_is_passed_over_unless_all_are() {
+    let mut pool = pool();
+    pool[..3].iter_mut().for_each(|c| c.is_suspect = true);
+    assert!(chosen(&pool, &Work::default()).unwrap() >= 3);
+
+    pool.iter_mut().for_each(|c| c.is_suspect = true);
+    assert!(chosen(&pool, &Work::default()).is_some());
+    assert_eq!(chosen(&[], &Work::default()), None);
+}
+
+#[test]
+fn a_full_zone_sends_to_the_next() {
+    let mut pool = pool();
+    pool[..3].iter_mut().for_each(|c| c.load = 40.0);
+
+    assert!(chosen(&pool, &Work::default()).unwrap() >= 3);
+}
+
+#[test]
+fn a_report_fades_and_own_requests_do_not() {
+    let mut belief = LoadBelief::default();
+    belief.own = 2;
+    belief.note_report(ReportedLoad { running: 9, waiting: 1, slots: 32 }, MS);
+
+    assert!((belief.estimate(MS) - 10.0).abs() < 1e-9);
+    let later = belief.estimate(Duration::from_secs(30));
+    assert!((2.0..2.01).contains(&later));
+}
+
+fn terms() -> SendTerms {
+    SendTerms { ratio: 0.9, extra: 52.0, window: Duration::from_secs(10) }
+}
+
+proptest! {
+    /// Over any number of entries and any order of requests and repeats, no window has more
+    /// repeats than the ratio of its requests, or of those in the window before, and the extra.
+    #[test]
+    fn repeats_of_all_entries_stay_within_the_shared_budget(
+        steps in prop::collection::vec((0usize..8, any::<bool>(), 0u64..400), 1..600),
+    ) {
+        let mut entries = vec![SendBudget::default(); 8];
+        let (mut now, mut requests, mut repeats) = (Duration::ZERO, Vec::new(), Vec::new());
+        for (entry, is_request, pause) in steps {
+            now += Duration::from_millis(pause);
+            if is_request {
+                entries[entry].note_request(&terms(), now);
+                requests.push(now);
+            } else if entries[entry].try_repeat(&terms(), now) {
+                repeats.push(now);
+            }
+            let from = now.saturating_sub(terms().window);
+            let earlier = from.saturating_sub(terms().window);
+            let in_window = repeats.iter().filter(|at| **at >= from).count() as f64;
+            let asked = requests.iter().filter(|at| **at >= earlier).count() as f64;
+            prop_assert!(in_window <= terms().ratio * asked + terms().extra);
+        }
+    }
+
+    /// However the bytes are cut, the events are the same, and nothing partial is given out.
+    #[test]
+    fn events_do_not_depend_on_where_the_bytes_are_cut(
+        texts in prop::collection::vec("[a-z :]{0,12}", 1..12),
+        cuts in prop::collection::vec(1usize..9, 1..40),
+    ) {
+        let events: Vec<String> =
+            texts.iter().enumerate().map(|(i, t)| format!("id: {i}\ndata: x{t}\n\n")).collect();
+        let all = events.concat();
+        let mut splitter = EventSplitter::default();
+        let (mut found, mut at, mut cut) = (Vec::new(), 0, cuts.iter().cycle());
+        while at < all.len() {
+            let end = (at + cut.next().unwrap()).min(all.len());
+            splitter.push(&all.as_bytes()[at..end]);
+            at = end;
+            while let Some(event) = splitter.next_event() {
+                found.push((event.id, String::from_utf8(event.bytes.to_vec()).unwrap()));
+            }
+        }
+        let wanted: Vec<_> =
+            events.into_iter().enumerate().map(|(i, e)| (Some(i as u64), e)).collect();
+        prop_assert_eq!(found, wanted);
+        prop_assert!(!splitter.is_inside_event());
+    }
+
+    /// A share only grows, so a session that is on the new version stays there.
+    #[test]
+    fn a_session_never_moves_back(session in "[a-z0-9]{1,12}", a in 0u64..30_000, b in 0u64..30_000) {
+        let within = Duration::from_secs(24);
+        let (early, late) = (Duration::from_millis(a.min(b)), Duration::from_millis(a.max(b)));
+        let on_new = |at| takes_new(&session, "v2", share_at(at, within, &ExposureTerms::default()));
+        prop_assert!(!on_new(early) || on_new(late));
+    }
+}
+
+#[test]
+fn the_share_is_small_until_sessions_may_move() {
+    let terms = ExposureTerms::default();
+    let within = Duration::from_secs(20);
+
+    assert!(share_at(Duration::ZERO, within, &terms) < 0.15);
+    assert!(!may_move_sessions(within / 2 - MS, within, &terms));
+    assert!(share_at(within / 2 - MS, within, &terms) < 0.15);
+    assert!((share_at(within, within, &terms) - 1.0).abs() < 1e-9);
+}
+
+fn answer(confidence: u8) -> StageAnswer {
+    StageAnswer {
+        stage: 0,
+        stages: 3,
+        confidence: Some(confidence),
+        runs_left: 2,
+        time_left: Duration::from_secs(5),
+        objective: Duration::from_secs(2),
+        largest_wait: Some(Duration::from_millis(300)),
+        largest_reading: Duration::from_millis(100),
+        elapsed: Duration::from_millis(60),
+        priority: 1,
+    }
+}
+
+#[test]
+fn only_an_unsure_answer_goes_to_the_largest_model_and_only_if_it_may() {
+    let terms = EscalationTerms::default();
+
+    assert_eq!(escalate(&answer(20), &terms), Some(2));
+    assert_eq!(escalate(&answer(80), &terms), None);
+    assert_eq!(escalate(&StageAnswer { runs_left: 0, ..answer(20) }, &terms), None);
+    assert_eq!(escalate(&StageAnswer { stage: 2, ..answer(20) }, &terms), None);
+    assert_eq!(escalate(&StageAnswer { time_left: MS, ..answer(20) }, &terms), None);
+    assert_eq!(escalate(&StageAnswer { confidence: None, ..answer(20) }, &terms), None);
+}
+
+#[test]
+fn the_threshold_falls_with_the_wait_and_least_for_the_most_urgent() {
+    let terms = EscalationTerms::default();
+    let at = |wait_ms: u64, priority: u8| {
+        let wait = Some(Duration::from_millis(wait_ms));
+        threshold(&StageAnswer { largest_wait: wait, priority, ..answer(50) }, &terms)
+    };
+
+    assert!((at(100, 0) - terms.confident).abs() < 1e-9);
+    assert!(at(800, 2) < at(600, 2));
+    assert!(at(800, 2) < at(800, 0));
+    assert!((at(5_000, 2) - terms.confident_under_pressure).abs() < 1e-9);
+}
+
+#[test]
+fn a_prompt_too_long_for_the_largest_model_takes_a_fair_answer_now() {
+    let terms = EscalationTerms::default();
+    let giant = StageAnswer { largest_reading: Duration::from_secs(4), ..answer(40) };
+
+    assert_eq!(escalate(&giant, &terms), None);
+    assert_eq!(escalate(&StageAnswer { confidence: Some(10), ..giant }, &terms), Some(2));
+}
+
+#[test]
+fn waiting_makes_readings_slower_but_not_the_belief_in_the_best_one() {
+    let mut belief = ReadingBelief::default();
+    for _ in 0..50 {
+        belief.note(10_000, Duration::from_millis(150));
+    }
+    let alone = belief.token_time();
+    for _ in 0..10 {
+        belief.note(10_000, Duration::from_millis(2_000));
+    }
+
+    assert!(belief.token_time() < alone * 2);
+    assert!(belief.head_time().unwrap() > Duration::from_millis(500));
+}
+
+#[test]
+fn a_silent_server_is_left_sooner_than_a_slow_one() {
+    let objective = Duration::from_secs(2);
+    let mean = Some(Duration::from_millis(900));
+    let patience = head_patience(RouteKind::Stream, objective, mean, Duration::ZERO);
+
+    assert!(patience.dark < patience.slow);
+    assert!(patience.slow >= Duration::from_millis(3_600), "four times the mean");
+}
+
+fn route(kind: RouteKind) -> Route {
+    Route {
+        name: "r".into(),
+        prefix: "/r/".into(),
+        targets: Vec::new(),
+        kind,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(300),
+        event_gap: None,
+        priority: 0,
+        max_attempts: 2,
+        is_public: false,
+        is_sticky: false,
+        is_resumable: true,
+        cascade: Vec::new(),
+    }
+}
+
+#[test]
+fn a_leaving_entry_takes_what_it_can_finish() {
+    let left = Duration::from_secs(3);
+
+    assert!(still_fits(&route(RouteKind::OnceOnly), left));
+    assert!(!still_fits(&route(RouteKind::Stream), left));
+    assert!(still_fits(&route(RouteKind::Stream), Duration::from_secs(5)));
+}
--- /dev/null
+++ b/tests/platform/adapter.rs
@@ -0,0 +1,246 @@
+//! The adapter: settings, headers, documents and answers of the platform in our types.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Method, StatusCode, Uri};
+use mintmoor::{
+    platform::{
+        HttpClient,
+        headers::{AttemptHeaders, HeadError, read_answer, read_request, write_attempt},
+        host_settings,
+        store::{Put, StoreClient, Table, WriteOutcome},
+    },
+    routing::{AnswerKind, Organisation},
+};
+
+use crate::store::{Fault, Store};
+
+type Pairs<'a> = &'a [(&'static str, &'a str)];
+
+fn headers(pairs: Pairs<'_>) -> HeaderMap {
+    pairs.iter().map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap())).collect()
+}
+
+fn get(pairs: Pairs<'_>) -> Result<mintmoor::routing::RequestHead, HeadError> {
+    read_request(&Method::GET, &Uri::from_static("/a/b?c"), &headers(pairs))
+}
+
+#[test]
+fn a_request_head_is_read_whole() {
+    let head = get(&[
+        ("host", "h.example:80"),
+        ("x-request-id", "r1"),
+        ("authorization", "Bearer k"),
+        ("x-deadline-ms", "2500"),
+        ("x-model", "*"),
+        ("x-token-usage", "1460,80"),
+        ("x-prefix-hash", "5c:800,91bd:410,e4:250"),
+        ("session", "s"),
+        ("last-event-id", "12"),
+    ])
+    .unwrap();
+
+    assert_eq!((&*head.host, &*head.id, head.key.as_deref()), ("h.example", "r1", Some("k")));
+    assert_eq!(head.patience, Some(Duration::from_millis(2_500)));
+    assert_eq!((head.prompt_tokens, head.answer_tokens, head.last_event), (1_460, 80, Some(12)));
+    assert_eq!(head.model, None, "the choice is ours");
+    assert_eq!(head.shared_part().map(|part| (part.id, part.tokens)), Some((0x91bd, 410)));
+    assert_eq!(head.session_key(), "s");
+}
+
+#[test]
+fn what_is_ours_to_set_is_not_taken_from_callers() {
+    let forged = [
+        "x-tenant",
+        "x-expect-instance",
+        "x-hold",
+        "x-pin-ms",
+        "x-kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "x-request-priority",
+        "x-expect-version",
+        "authorization",
+        "connection",
+        "keep-alive",
+        "te",
+        "upgrade",
+    ];
+    let mut pairs = vec![("host", "h"), ("x-request-id", "r"), ("x-kept", "1")];
+    pairs.extend(forged.iter().map(|name| (*name, "x-dropped")));
+    pairs.push(("x-dropped", "1"));
+
+    let head = get(&pairs).unwrap();
+
+    let passed: Vec<&str> = head.headers.keys().map(|name| name.as_str()).collect();
+    assert_eq!(passed, ["host", "x-request-id", "x-kept"]);
+}
+
+#[test]
+fn an_attempt_names_its_server_its_time_and_its_organisation() {
+    let head = get(&[("host", "h"), ("x-request-id", "r"), ("x-model", "*")]).unwrap();
+    let organisation = Organisation { name: "org".into(), priority: None };
+    let attempt = AttemptHeaders {
+        server: "i-1",
+        organisation: Some(&organisation),
+        time_left: Duration::from_millis(800),
+        model: Some("small"),
+        priority: 2,
+        last_event: Some(4),
+    };
+
+    let sent = write_attempt(&head, &attempt);
+
+    let value = |name: &str| sent.get(name).unwrap().to_str().unwrap().to_owned();
+    assert_eq!(value("x-expect-instance"), "i-1");
+    assert_eq!(value("x-deadline-ms"), "800");
+    assert_eq!(value("x-tenant"), "org");
+    assert_eq!(value("x-model"), "small");
+    assert_eq!(value("x-request-priority"), "2");
+    assert_eq!(value("last-event-id"), "4");
+}
+
+#[test]
+fn two_lengths_and_missing_names_are_refused() {
+    let both = [
+        ("host", "h"),
+        ("x-request-id", "r"),
+        ("content-length", "3"),
+        ("transfer-encoding", "chunked"),
+    ];
+    assert_eq!(get(&both).unwrap_err(), HeadError::AmbiguousLength);
+    assert_eq!(get(&[("host", "h")]).unwrap_err(), HeadError::NoId);
+    assert_eq!(get(&[("x-request-id", "r")]).unwrap_err(), HeadError::NoHost);
+}
+
+#[test]
+fn an_answer_proves_no_more_than_it_says() {
+    let signed = ("x-instance-stamp", "s");
+    let ours = ("x-request-id", "r");
+    let cases: [(u16, Pairs, AnswerKind); 8] = [
+        (200, &[signed, ours], AnswerKind::Success),
+        (500, &[signed, ours], AnswerKind::Failure),
+        (503, &[("x-not-executed", "1")], AnswerKind::NotRun),
+        (503, &[signed, ours], AnswerKind::Failure),
+        (421, &[], AnswerKind::OtherServer),
+        (200, &[ours], AnswerKind::Unsigned),
+        (200, &[signed, ("x-request-id", "other")], AnswerKind::Misplaced),
+        (200, &[signed, ours, ("content-encoding", "gzip")], AnswerKind::Unsigned),
+    ];
+    for (status, pairs, kind) in cases {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(read_answer(status, &headers(pairs), "r").kind, kind, "{status} {pairs:?}");
+    }
+}
+
+const SETTINGS: &str = r#"
+node-name: "edge-a-1"
+zone: "a"
+zones: {a: "r", b: "r"}
+listen:
+  frontend: "10.1.0.40:8227"
+  readiness: "10.1.0.40:8220"
+  control-plane: "10.1.0.40:8229"
+port-range: [7340, 7355]
+seeds: ["10.1.0.40:8229", "10.2.0.29:8229"]
+limits: {max-fds: 4200, cores: 1}
+data-dir: null
+a-new-field: {x: [1, 2]}
+bounds: {grace-s: 8, retry-ratio: 0.9, retry-extra: 52, retry-window-s: 10, session-s: 5}
+platform: {address: "10.200.1.7:8223", form: "table"}
+"#;
+
+#[test]
+fn the_platforms_settings_are_read_and_unknown_fields_ignored() {
+    let settings = host_settings::read(SETTINGS).unwrap();
+
+    assert_eq!((&*settings.host, &*settings.zone), ("edge-a-1", "a"));
+    assert_eq!(settings.caller.port(), 8_227);
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(&*settings.store, "10.200.1.7:8223");
+}
+
+#[test]
+fn all_problems_of_the_platforms_settings_are_told_at_once() {
+    let text = SETTINGS.replace("10.1.0.40:8227", "nowhere").replace("address", "adress");
+
+    let error = host_settings::read(&text).unwrap_err().to_string();
+
+    assert!(error.contains("listen.frontend `nowhere`"), "{error}");
+    assert!(error.contains("platform.address is missing"), "{error}");
+}
+
+#[tokio::test]
+async fn a_write_takes_effect_only_under_its_condition() {
+    let store = Store::start().await;
+    let client = StoreClient::new(HttpClient::default(), &store.address.to_string());
+    let put =
+        |expected| Put { table: Table::Own, key: "k".into(), expected, value: b"{}".to_vec() };
+
+    let first = client.write(&[put(0)]).await.unwrap();
+    let second = client.write(&[put(0)]).await.unwrap();
+
+    let WriteOutcome::Written(version) = first else { panic!("{first:?}") };
+    assert!(matches!(second, WriteOutcome::Conflict(_)), "{second:?}");
+    assert!(matches!(client.write(&[put(version)]).await.unwrap(), WriteOutcome::Written(_)));
+}
+
+#[tokio::test]
+async fn a_refused_call_is_told_from_one_that_may_have_taken_effect() {
+    use mintmoor::platform::Error;
+    let store = Store::start().await;
+    let client = StoreClient::new(HttpClient::default(), &store.address.to_string());
+    let put = [Put { table: Table::Own, key: "k".into(), expected: 0, value: b"{}".to_vec() }];
+
+    for fault in [Fault::Down, Fault::TooMany] {
+        store.set_fault(fault);
+        assert!(matches!(client.write(&put).await, Err(Error::Refused(_))));
+    }
+    store.set_fault(Fault::RepliesLost);
+    assert!(matches!(client.write(&put).await, Err(Error::Unknown(_))));
+    assert!(store.read("mintmoor", "k").is_some(), "it did take effect");
+}
+
+#[test]
+fn names_of_the_platform_stay_in_its_folder() {
+    // Headers, calls and fields that nothing but the adapter may know.
+    const NAMES: [&str; 19] = [
+        "x-deadline-ms",
+        "x-token-usage",
+        "x-prefix-hash",
+        "x-instance",
+        "x-expect-instance",
+        "x-not-executed",
+        "x-tenant",
+        "x-confidence",
+        "rows-tx",
+        "rows-get",
+        "rows-feed",
+        "expected-rev",
+        "after-rev",
+        "cold-remaining",
+        "api-keys",
+        "target-latency",
+        "itl-target",
+        "route-kind",
+        "node-name",
+    ];
+    let mut found = Vec::new();
+    let mut folders = vec![std::path::PathBuf::from("src")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(&folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                if !path.ends_with("src/platform") {
+                    folders.push(path);
+                }
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).unwrap().to_lowercase();
+            let names = NAMES.iter().filter(|name| text.contains(**name));
+            found.extend(names.map(|name| format!("{}: {name}", path.display())));
+        }
+    }
+    assert!(found.is_empty(), "{found:#?}");
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,10 @@
+//! An entry on the users' platform, against small stand-ins of its store and its servers.
+
+mod adapter;
+mod requests;
+mod roll_outs;
+mod server;
+mod site;
+mod state;
+mod store;
+mod streams;
--- /dev/null
+++ b/tests/platform/roll_outs.rs
@@ -0,0 +1,164 @@
+//! Roll-outs: a bad version is found and taken back, a good one completed, whoever says so first.
+
+use serde_json::json;
+
+use crate::{
+    server::{Act, Server},
+    site::{Site, always, until},
+    store::Fault,
+};
+
+const GOOD: Act = Act::Answer { status: 200, body: "good" };
+const FAILS: Act = Act::Answer { status: 500, body: "bad" };
+
+fn order(to: &str, seconds: f64) -> serde_json::Value {
+    json!({"service": "app", "to": to, "duration-s": seconds})
+}
+
+fn state(site: &Site) -> String {
+    let status = site.store.read("status", "rollout/app");
+    status.and_then(|s| Some(s["state"].as_str()?.to_owned())).unwrap_or_default()
+}
+
+/// Asks until the store tells this state of the roll-out.
+async fn ask_until(site: &Site, wanted: &str) -> usize {
+    let mut asked = 0;
+    while state(site) != wanted {
+        asked += 1;
+        assert!(asked < 20_000, "never {wanted}, but {}", state(site));
+        let headers = format!("Session: s-{asked}\r\n");
+        site.ask("GET", "/safe/a", &headers).await;
+    }
+    asked
+}
+
+async fn two_versions(new: Act) -> (Server, Server, Site) {
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", new).await);
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    (old, new, site)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_fails_is_rolled_back_after_few_requests() {
+    let (_old, new, site) = two_versions(FAILS).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+    let before = new.seen().len();
+
+    let asked = ask_until(&site, "rolled_back").await;
+
+    let exposed = new.seen().len() - before;
+    assert!(exposed < 30, "{exposed} of {asked} requests reached the bad version");
+    let after = new.seen().len();
+    for i in 0..40 {
+        let answer = site.ask("GET", "/safe/a", &format!("Session: t-{i}\r\n")).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(new.seen().len(), after, "a version that was rolled back gets nothing");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_good_version_is_completed_and_gets_everything() {
+    let (old, _new, site) = two_versions(GOOD).await;
+    site.store.put("op", "rollout/app", &order("v2", 3.0));
+
+    ask_until(&site, "completed").await;
+
+    let before = old.seen().len();
+    for i in 0..20 {
+        site.ask("GET", "/safe/a", &format!("Session: t-{i}\r\n")).await;
+    }
+    assert_eq!(old.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_stays_on_the_old_version_in_the_first_half() {
+    let (_old, new, site) = two_versions(GOOD).await;
+    let sessions: Vec<String> = (0..40).map(|i| format!("Session: s-{i}\r\n")).collect();
+    for session in &sessions {
+        site.ask("GET", "/safe/a", session).await;
+    }
+
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+    let before = new.seen().len();
+    for session in &sessions {
+        site.ask("GET", "/safe/a", session).await;
+    }
+
+    // Before the order any server may serve; after it, running sessions are on the old version.
+    assert_eq!(new.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_learns_the_verdict_of_another() {
+    let (_old, new, site) = two_versions(GOOD).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+
+    site.store.put("status", "rollout/app", &json!({"state": "rolled_back", "to": "v2"}));
+    until("it is taken over", || {
+        site.entry.router.dump()["roll_outs"][0]["progress"] == "RolledBack"
+    })
+    .await;
+
+    let before = new.seen().len();
+    for i in 0..60 {
+        site.ask("GET", "/safe/a", &format!("Session: t-{i}\r\n")).await;
+    }
+    assert_eq!(new.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_entry_does_not_begin_a_roll_out_again() {
+    let (_old, new, site) = two_versions(FAILS).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+    ask_until(&site, "rolled_back").await;
+
+    let next = Site::beside(site.store.clone()).await;
+    until("it is ready", || next.entry.router.is_ready()).await;
+    until("it knows the verdict", || {
+        next.entry.router.dump()["roll_outs"][0]["progress"] == "RolledBack"
+    })
+    .await;
+
+    let before = new.seen().len();
+    for i in 0..60 {
+        next.ask("GET", "/safe/a", &format!("Session: u-{i}\r\n")).await;
+    }
+    assert_eq!(new.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_version_is_kept_from_requests_while_the_store_is_away() {
+    let (_old, new, site) = two_versions(FAILS).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+
+    site.store.set_fault(Fault::Down);
+    for i in 0..600 {
+        site.ask("GET", "/safe/a", &format!("Session: s-{i}\r\n")).await;
+    }
+    let exposed = new.seen().len();
+    assert!(exposed < 30, "{exposed} requests reached the bad version");
+
+    site.store.set_fault(Fault::None);
+    until("the verdict is written", || state(&site) == "rolled_back").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_verdict_whose_reply_was_lost_is_given_once() {
+    let (_old, _new, site) = two_versions(FAILS).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+
+    site.store.set_fault(Fault::RepliesLost);
+    ask_until(&site, "rolled_back").await;
+    site.store.set_fault(Fault::None);
+
+    until("the entry knows", || {
+        site.entry.router.dump()["roll_outs"][0]["progress"] == "RolledBack"
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/platform/server.rs
@@ -0,0 +1,221 @@
+//! A stand-in of a BackendServer on the platform that answers as its script says, byte by byte.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// A request as it reached the server.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub line: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// What the server does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// A whole answer.
+    Answer { status: u16, body: &'static str },
+    /// An answer in one piece that breaks off.
+    CutAnswer,
+    /// Says that it did not run it.
+    Shed,
+    /// Says that another server is meant.
+    OtherServer,
+    /// Answers another request.
+    WrongId,
+    /// An answer without a signature.
+    Unsigned,
+    /// A body with an encoding nobody asked for.
+    Encoded,
+    /// Ends the connection once the request is here.
+    Close,
+    /// Never answers.
+    Hang,
+    /// Events from after the caller's last to `to`; ends whole, or breaks off inside an event.
+    Stream { to: u64, is_whole: bool, confidence: u8 },
+    /// Events without an end, each after a pause.
+    Endless,
+    /// An answer without a length that ends with its connection.
+    Unframed,
+    /// A whole answer, and a second one after it.
+    Twice,
+}
+
+type Script = Arc<dyn Fn(&Seen) -> Act + Send + Sync>;
+
+/// The stand-in.
+#[derive(Clone)]
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Server {
+    pub async fn start(id: &str, script: impl Fn(&Seen) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = Self {
+            id: id.into(),
+            address: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+            open: Arc::default(),
+        };
+        let script: Script = Arc::new(script);
+        let taken = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (server, script) = (taken.clone(), script.clone());
+                tokio::spawn(async move { server.talk(stream, script).await });
+            }
+        });
+        server
+    }
+
+    /// Requests that reached it.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Requests it is at work on.
+    pub fn at_work(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    async fn talk(&self, mut stream: TcpStream, script: Script) {
+        while let Some(seen) = read_request(&mut stream).await {
+            self.seen.lock().unwrap().push(seen.clone());
+            self.open.fetch_add(1, Ordering::SeqCst);
+            let goes_on = act(&mut stream, &seen, script(&seen)).await;
+            self.open.fetch_sub(1, Ordering::SeqCst);
+            if !goes_on {
+                return;
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+    let mut buf = Vec::new();
+    let end = loop {
+        if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let mut chunk = [0; 4096];
+        let n = stream.read(&mut chunk).await.ok().filter(|n| *n > 0)?;
+        buf.extend_from_slice(&chunk[..n]);
+    };
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let line = lines.next()?.to_owned();
+    let headers: HashMap<String, String> = lines
+        .filter_map(|l| l.split_once(": "))
+        .map(|(name, value)| (name.to_lowercase(), value.to_owned()))
+        .collect();
+    let length: usize = headers.get("content-length").map_or(0, |v| v.parse().unwrap());
+    let mut body = buf[end..].to_vec();
+    while body.len() < length {
+        let mut chunk = [0; 4096];
+        let n = stream.read(&mut chunk).await.ok().filter(|n| *n > 0)?;
+        body.extend_from_slice(&chunk[..n]);
+    }
+    Some(Seen { line, headers, body })
+}
+
+/// Does it; whether the connection goes on.
+async fn act(stream: &mut TcpStream, seen: &Seen, act: Act) -> bool {
+    let id = seen.header("x-request-id");
+    let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n");
+    let whole = |status: u16, headers: &str, body: &str| {
+        format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let (bytes, goes_on) = match act {
+        Act::Answer { status, body } => (whole(status, &signed, body), true),
+        Act::CutAnswer => {
+            (format!("HTTP/1.1 200 X\r\n{signed}Content-Length: 100\r\n\r\nhalf"), false)
+        }
+        Act::Shed => (whole(503, "X-Not-Executed: 1\r\n", ""), true),
+        Act::OtherServer => (whole(421, "X-Instance-Id: i-other\r\n", ""), true),
+        Act::WrongId => (whole(200, "X-Request-Id: other\r\nX-Instance-Stamp: s\r\n", "no"), true),
+        Act::Unsigned => (whole(200, &format!("X-Request-Id: {id}\r\n"), "no"), true),
+        Act::Encoded => (whole(200, &format!("{signed}Content-Encoding: gzip\r\n"), "no"), true),
+        Act::Close => (String::new(), false),
+        Act::Hang => {
+            // Until the entry gives up on the connection.
+            let mut rest = [0; 16];
+            let _ = stream.read(&mut rest).await;
+            return false;
+        }
+        Act::Unframed => (format!("HTTP/1.1 200 X\r\n{signed}\r\nall of it"), false),
+        Act::Twice => {
+            let one = whole(200, &signed, "once");
+            (format!("{one}{one}"), true)
+        }
+        Act::Stream { to, is_whole, confidence } => {
+            return send_events(stream, seen, &signed, to, is_whole, confidence).await;
+        }
+        Act::Endless => return send_endless(stream, &signed).await,
+    };
+    stream.write_all(bytes.as_bytes()).await.is_ok() && goes_on
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+async fn send_events(
+    stream: &mut TcpStream,
+    seen: &Seen,
+    signed: &str,
+    to: u64,
+    is_whole: bool,
+    confidence: u8,
+) -> bool {
+    let from: u64 = seen.header("last-event-id").parse().unwrap_or(0);
+    let head = format!(
+        "HTTP/1.1 200 X\r\n{signed}X-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut out = head;
+    for event in from + 1..=to {
+        out += &chunk(&format!("id: {event}\ndata: e{event}\n\n"));
+    }
+    out += if is_whole { "0\r\n\r\n" } else { "9\r\nid: 99\nda\r\n" };
+    stream.write_all(out.as_bytes()).await.is_ok() && is_whole
+}
+
+async fn send_endless(stream: &mut TcpStream, signed: &str) -> bool {
+    let head = format!(
+        "HTTP/1.1 200 X\r\n{signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return false;
+    }
+    for event in 1.. {
+        let text = chunk(&format!("id: {event}\ndata: e{event}\n\n"));
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return false;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
--- /dev/null
+++ b/tests/platform/site.rs
@@ -0,0 +1,224 @@
+//! A small site: the store, servers, one entry, and a caller.
+
+use std::{net::SocketAddr, time::Duration};
+
+use mintmoor::{
+    platform::host_settings::HostSettings,
+    router::{self, RouterSettings, RunningRouter},
+    settings::RouteSettings,
+};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    server::{Act, Seen, Server},
+    store::Store,
+};
+
+/// Longest that a test waits for anything; it asserts nothing about time.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Free port on loopback.
+fn free_address() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Settings of an entry beside this store.
+pub fn host_settings(store: &Store) -> HostSettings {
+    HostSettings {
+        host: "edge-1".into(),
+        zone: "zone-a".into(),
+        regions: [("zone-a".into(), "region".into())].into(),
+        caller: free_address(),
+        readiness: free_address(),
+        peer: None,
+        seeds: Vec::new(),
+        first_port: 0,
+        store: store.address.to_string().into(),
+        grace: Duration::from_secs(4),
+        drain: Duration::from_secs(2),
+        retry_ratio: 0.9,
+        retry_extra: 52.0,
+        retry_window: Duration::from_secs(10),
+        session: Duration::from_secs(5),
+        max_descriptors: 1_024,
+    }
+}
+
+/// A configuration with an idempotent, a once-only and a stream route, each with its service.
+pub fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "a-field-nobody-knows": {"x": 1},
+        "routes": [
+            {"name": "safe", "host": "h.example", "prefix": "/safe/", "route-kind": "safe",
+             "timeout-ms": 3000, "target-latency-ms": 300, "max-attempts": 2, "service": "app"},
+            {"name": "once", "host": "h.example", "prefix": "/once/", "route-kind": "unsafe",
+             "timeout-ms": 1500, "target-latency-ms": 300, "max-attempts": 1, "service": "app"},
+            {"name": "chat", "host": "h.example", "prefix": "/chat/", "route-kind": "stream",
+             "timeout-ms": 8000, "target-latency-ms": 1500, "max-attempts": 3, "service": "llm",
+             "resumable": true, "sticky": true, "sizes": ["small", "large"], "itl-target-ms": 1200},
+            {"name": "plain", "host": "h.example", "prefix": "/plain/", "route-kind": "stream",
+             "timeout-ms": 8000, "target-latency-ms": 1500, "max-attempts": 3, "service": "llm",
+             "resumable": false},
+        ],
+        "services": [
+            {"name": "app", "health-path": "/healthz", "max-conns": 96},
+            {"name": "llm", "max-conns": 200, "engine": {"kv-capacity": 1000, "models": []}},
+        ],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536,
+                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "org", "api-keys": ["key-1", "key-2"]}],
+    })
+}
+
+/// A site under test.
+pub struct Site {
+    pub store: Store,
+    pub entry: RunningRouter,
+    pub caller: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+impl Site {
+    /// A site whose servers are listed; it is ready when this returns.
+    pub async fn start(servers: &[(&Server, &str, &str)]) -> Self {
+        let store = Store::start().await;
+        store.put("op", "config", &configuration(1));
+        for (server, service, version) in servers {
+            list(&store, server, service, version, "ready");
+        }
+        let site = Self::beside(store).await;
+        let count = servers.len();
+        until("the entry has its view", || {
+            site.entry.router.is_ready() && site.entry.router.fleet.load().len() == count
+        })
+        .await;
+        site
+    }
+
+    /// An entry beside a store as it is; it may not be ready.
+    pub async fn beside(store: Store) -> Self {
+        let host = host_settings(&store);
+        let (caller, readiness) = (host.caller, host.readiness);
+        let settings = RouterSettings { host, policy: RouteSettings::default(), file: None };
+        let entry = router::start(settings).await.unwrap();
+        Self { store, entry, caller, readiness }
+    }
+
+    /// Sends a request on a connection of its own and reads the answer to its end.
+    pub async fn ask(&self, method: &str, path: &str, headers: &str) -> Answer {
+        self.send(&request(method, path, headers, "")).await
+    }
+
+    /// Sends raw bytes and reads what comes until the connection ends.
+    pub async fn send(&self, bytes: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.caller).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let mut raw = Vec::new();
+        // A reset shows as an answer that is not whole.
+        let _ = timeout(PATIENCE, stream.read_to_end(&mut raw)).await.expect("no answer");
+        Answer::parse(&raw)
+    }
+}
+
+/// A request's bytes; the connection ends after it.
+pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-{path}\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: {length}\r\n{headers}\r\n{body}"
+    )
+}
+
+/// Lists a server in the store.
+pub fn list(store: &Store, server: &Server, service: &str, version: &str, state: &str) {
+    store.put(
+        "servers",
+        &server.id,
+        &json!({
+            "service": service, "address": server.address.to_string(), "zone": "zone-a",
+            "version": version, "slots": 8, "state": state, "sequence": 1, "cold-remaining-ms": 0,
+        }),
+    );
+}
+
+/// An answer as the caller got it.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether it ended as its framing says.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    fn parse(raw: &[u8]) -> Self {
+        let text = String::from_utf8_lossy(raw).into_owned();
+        let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+            return Self::default();
+        };
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        let head = head.to_lowercase();
+        let (body, is_whole) = if head.contains("transfer-encoding: chunked") {
+            unchunk(rest)
+        } else {
+            let length = head.split("content-length: ").nth(1);
+            let length = length.and_then(|l| l.split("\r\n").next()?.parse().ok());
+            (rest.to_owned(), length == Some(rest.len()))
+        };
+        Self { status, head, body, is_whole }
+    }
+}
+
+fn unchunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, tail)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            return (body, false);
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        if tail.len() < size + 2 {
+            return (body, false);
+        }
+        body += &tail[..size];
+        rest = &tail[size + 2..];
+    }
+    (body, false)
+}
+
+/// Events of a stream from 1 to `to`.
+pub fn events(to: u64) -> String {
+    (1..=to).map(|event| format!("id: {event}\ndata: e{event}\n\n")).collect()
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let work = async {
+        while !holds() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(timeout(PATIENCE, work).await.is_ok(), "never: {what}");
+}
+
+/// A server that does the same with every request.
+pub async fn always(id: &str, act: Act) -> Server {
+    Server::start(id, move |_: &Seen| act.clone()).await
+}
+
+/// A server that does one thing with its first request and another with the rest.
+pub async fn first_then(id: &str, first: Act, then: Act) -> Server {
+    let asked = std::sync::atomic::AtomicBool::new(false);
+    Server::start(id, move |_: &Seen| {
+        let was_asked = asked.swap(true, std::sync::atomic::Ordering::SeqCst);
+        if was_asked { then.clone() } else { first.clone() }
+    })
+    .await
+}
--- /dev/null
+++ b/tests/platform/state.rs
@@ -0,0 +1,155 @@
+//! Configuration and servers: what is in force when the store changes, fails or forgets.
+
+use serde_json::json;
+
+use crate::{
+    server::Act,
+    site::{Site, always, configuration, list, until},
+    store::{Fault, Store},
+};
+
+const GOOD: Act = Act::Answer { status: 200, body: "good" };
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_a_configuration_is_not_ready_and_refuses() {
+    let store = Store::start().await;
+    let site = Site::beside(store).await;
+
+    let answer = site.ask("GET", "/safe/a", "").await;
+
+    assert!(!site.entry.router.is_ready());
+    assert_eq!(answer.status, 503);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_configuration_is_in_force_without_a_restart() {
+    let server = always("i-1", GOOD).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+    let mut changed = configuration(7);
+    changed["tenants"] = json!([{"name": "org", "api-keys": ["key-2"]}]);
+    changed["routes"][0]["prefix"] = json!("/moved/");
+
+    site.store.put("op", "config", &changed);
+    until("the new one is in force", || version(&site) == 7).await;
+
+    assert_eq!(site.ask("GET", "/safe/a", "").await.status, 404);
+    assert_eq!(site.ask("GET", "/moved/a", "").await.status, 401, "the key was taken away");
+}
+
+fn version(site: &Site) -> u64 {
+    site.entry.router.table.load().as_ref().as_ref().map_or(0, |table| table.version)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_configuration_is_not_followed() {
+    let server = always("i-1", GOOD).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+    site.store.put("op", "config", &configuration(9));
+    until("version 9", || version(&site) == 9).await;
+    let mut older = configuration(4);
+    older["routes"] = json!([]);
+
+    site.store.put("op", "config", &older);
+    site.store.put("servers", "i-2", &json!({"service": "app", "address": "127.0.0.1:1"}));
+    until("the feed went on", || site.entry.router.fleet.load().len() == 2).await;
+
+    assert_eq!(version(&site), 9);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_nothing_more() {
+    let (stays, leaves) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let site = Site::start(&[(&stays, "app", "v1"), (&leaves, "app", "v1")]).await;
+
+    list(&site.store, &leaves, "app", "v1", "draining");
+    let takes = || {
+        let fleet = site.entry.router.fleet.load();
+        fleet.of_service("app").iter().filter(|member| member.takes_requests()).count()
+    };
+    until("one takes requests", || takes() == 1).await;
+    let before = leaves.seen().len();
+    for _ in 0..6 {
+        assert_eq!(site.ask("GET", "/safe/a", "").await.status, 200);
+    }
+
+    assert_eq!(leaves.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_history_is_made_up_for_by_reading_anew() {
+    let (one, two) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let site = Site::start(&[(&one, "app", "v1"), (&two, "app", "v1")]).await;
+
+    site.store.remove("servers", "i-2");
+    site.store.forget();
+
+    until("the removal is known", || site.entry.router.fleet.load().len() == 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_goes_on_with_what_it_knows_while_the_store_is_away() {
+    for fault in [Fault::Down, Fault::TooMany] {
+        let server = always("i-1", GOOD).await;
+        let site = Site::start(&[(&server, "app", "v1")]).await;
+
+        site.store.set_fault(fault);
+        until("the entry noticed", || site.entry.router.metrics.render().contains("store_errors"))
+            .await;
+        assert_eq!(site.ask("GET", "/safe/a", "").await.status, 200);
+
+        site.store.put("op", "config", &configuration(3));
+        site.store.set_fault(Fault::None);
+        until("the change is in force", || version(&site) == 3).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_lapsed_while_the_store_was_away_is_kept_until_it_is_back_or_gone() {
+    let (back, gone) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let site = Site::start(&[(&back, "app", "v1"), (&gone, "app", "v1")]).await;
+    site.store.set_fault(Fault::Down);
+    until("the entry noticed", || site.entry.router.metrics.render().contains("store_errors"))
+        .await;
+
+    site.store.remove("servers", "i-1");
+    site.store.remove("servers", "i-2");
+    let changes = version(&site);
+    site.store.put("op", "config", &configuration(changes + 1));
+    site.store.set_fault(Fault::None);
+    until("the store is back", || version(&site) == changes + 1).await;
+
+    // The feed of servers came back with it or will within a moment; both are still in view.
+    assert_eq!(site.entry.router.fleet.load().len(), 2);
+    list(&site.store, &back, "app", "v1", "ready");
+    until("the one that did not return is gone", || site.entry.router.fleet.load().len() == 1)
+        .await;
+    assert_eq!(&*site.entry.router.fleet.load().of_service("app")[0].server.id, "i-1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_list_is_read_page_by_page() {
+    let store = Store::start().await;
+    store.set_page(2);
+    store.put("op", "config", &configuration(1));
+    for i in 0..7 {
+        let address = format!("127.0.0.1:{}", 1000 + i);
+        store.put("servers", &format!("i-{i}"), &json!({"service": "app", "address": address}));
+    }
+
+    let site = Site::beside(store).await;
+
+    until("all are in view", || site.entry.router.fleet.load().len() == 7).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_that_can_not_be_read_is_passed_over() {
+    let server = always("i-1", GOOD).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+
+    site.store.put("op", "config", &json!({"version": "not a number"}));
+    site.store.put("servers", "i-9", &json!({"service": 5}));
+    site.store.put("op", "config", &configuration(2));
+    until("the next one is in force", || version(&site) == 2).await;
+
+    assert_eq!(site.ask("GET", "/safe/a", "").await.status, 200);
+}
--- /dev/null
+++ b/tests/platform/store.rs
@@ -0,0 +1,218 @@
+//! A stand-in of the platform's store: rows, a feed of changes, transactions, and faults.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use axum::{
+    Json, Router,
+    extract::{Query, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::Notify};
+
+/// What goes wrong with the store's calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Calls are refused.
+    Down,
+    /// Calls beyond the rate.
+    TooMany,
+    /// The connection ends without an answer; writes take effect.
+    RepliesLost,
+}
+
+#[derive(Default)]
+struct Rows {
+    rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    /// Every change, oldest first: version, table, key, and whether it removed the row.
+    changes: Vec<(u64, String, String, bool)>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    fault: Fault,
+    page: usize,
+}
+
+/// The stand-in; clones share it.
+#[derive(Clone)]
+pub struct Store {
+    rows: Arc<Mutex<Rows>>,
+    changed: Arc<Notify>,
+    started: Instant,
+    pub address: SocketAddr,
+}
+
+type Params = Query<HashMap<String, String>>;
+
+impl Store {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = Self {
+            rows: Arc::new(Mutex::new(Rows { page: 500, ..Rows::default() })),
+            changed: Arc::default(),
+            started: Instant::now(),
+            address: listener.local_addr().unwrap(),
+        };
+        let app = Router::new()
+            .route("/-/rows-get", get(read))
+            .route("/-/rows-feed", get(feed))
+            .route("/-/rows-tx", post(write))
+            .with_state(store.clone());
+        tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
+        store
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let bytes = serde_json::to_vec(value).unwrap();
+        rows.rows.insert((table.into(), key.into()), (bytes, version));
+        rows.changes.push((version, table.into(), key.into(), false));
+        self.changed.notify_waiters();
+    }
+
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows.remove(&(table.into(), key.into()));
+        rows.changes.push((version, table.into(), key.into(), true));
+        self.changed.notify_waiters();
+    }
+
+    pub fn read(&self, table: &str, key: &str) -> Option<Value> {
+        let rows = self.rows.lock().unwrap();
+        let (bytes, _) = rows.rows.get(&(table.into(), key.into()))?;
+        serde_json::from_slice(bytes).ok()
+    }
+
+    pub fn set_fault(&self, fault: Fault) {
+        self.rows.lock().unwrap().fault = fault;
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history; feeds from before it get 410.
+    pub fn forget(&self) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.forgotten = rows.version;
+    }
+
+    pub fn set_page(&self, page: usize) {
+        self.rows.lock().unwrap().page = page;
+    }
+
+    fn fault(&self) -> Option<Response> {
+        match self.rows.lock().unwrap().fault {
+            Fault::Down => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            Fault::TooMany => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
+            Fault::None | Fault::RepliesLost => None,
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
+
+fn row_doc(table: &str, key: &str, value: &[u8], version: u64) -> Value {
+    json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value), "ver": version})
+}
+
+async fn read(State(store): State<Store>, Query(params): Params) -> Response {
+    if let Some(fault) = store.fault() {
+        return fault;
+    }
+    let rows = store.rows.lock().unwrap();
+    let from = params.get("from").cloned().unwrap_or_default();
+    let of_table = rows.rows.iter().filter(|((t, key), _)| *t == params["table"] && *key >= from);
+    let mut found: Vec<Value> =
+        of_table.map(|((t, key), (value, version))| row_doc(t, key, value, *version)).collect();
+    let truncated = found.len() > rows.page;
+    found.truncate(rows.page);
+    let body = json!({
+        "rows": found, "truncated": truncated, "ver": rows.version, "now-ms": store.now_ms()
+    });
+    Json(body).into_response()
+}
+
+async fn feed(State(store): State<Store>, Query(params): Params) -> Response {
+    let after: u64 = params["after-rev"].parse().unwrap();
+    let wait = Duration::from_millis(params["wait-ms"].parse().unwrap());
+    let until = Instant::now() + wait;
+    loop {
+        let changed = store.changed.notified();
+        if let Some(fault) = store.fault() {
+            return fault;
+        }
+        if let Some(answer) = store.changes(&params["table"], after, Instant::now() >= until) {
+            return answer;
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        let _ = tokio::time::timeout(left, changed).await;
+    }
+}
+
+impl Store {
+    fn changes(&self, table: &str, after: u64, is_over: bool) -> Option<Response> {
+        let rows = self.rows.lock().unwrap();
+        if after < rows.forgotten {
+            return Some(StatusCode::GONE.into_response());
+        }
+        let new = rows.changes.iter().filter(|(v, t, ..)| *v > after && t == table);
+        let docs: Vec<Value> = new
+            .map(|(version, t, key, is_removed)| {
+                match rows.rows.get(&(t.clone(), key.clone())).filter(|_| !is_removed) {
+                    Some((value, _)) => row_doc(t, key, value, *version),
+                    None => {
+                        json!({"table": t, "part": "", "key": key, "ver": version, "removed": true})
+                    }
+                }
+            })
+            .collect();
+        if docs.is_empty() && !is_over {
+            return None;
+        }
+        let body = json!({"rows": docs, "ver": rows.version, "now-ms": self.now_ms()});
+        Some(Json(body).into_response())
+    }
+}
+
+async fn write(State(store): State<Store>, Json(body): Json<Value>) -> Response {
+    if let Some(fault) = store.fault() {
+        return fault;
+    }
+    let conflicts = {
+        let rows = store.rows.lock().unwrap();
+        let wanted = body["expected-rev"].as_array().unwrap();
+        let is_met = |e: &Value| {
+            let key = (e["table"].as_str().unwrap().into(), e["key"].as_str().unwrap().into());
+            rows.rows.get(&key).map_or(0, |(_, version)| *version) == e["ver"].as_u64().unwrap()
+        };
+        !wanted.iter().all(is_met)
+    };
+    if conflicts {
+        let body = json!({"rows": [], "ver": 0, "now-ms": store.now_ms()});
+        return (StatusCode::PRECONDITION_FAILED, Json(body)).into_response();
+    }
+    for put in body["puts"].as_array().unwrap() {
+        let value = STANDARD.decode(put["value"].as_str().unwrap()).unwrap();
+        let value: Value = serde_json::from_slice(&value).unwrap();
+        store.put(put["table"].as_str().unwrap(), put["key"].as_str().unwrap(), &value);
+    }
+    if store.rows.lock().unwrap().fault == Fault::RepliesLost {
+        return (StatusCode::INTERNAL_SERVER_ERROR, "lost").into_response();
+    }
+    let version = store.rows.lock().unwrap().version;
+    Json(json!({"ver": version, "now-ms": store.now_ms()})).into_response()
+}
--- /dev/null
+++ b/tests/platform/streams.rs
@@ -0,0 +1,128 @@
+//! Streams: whole events only, resumed where that is allowed, and cascades.
+
+use crate::{
+    server::{Act, Seen, Server},
+    site::{Site, always, events, first_then, request, until},
+};
+
+const WHOLE: Act = Act::Stream { to: 5, is_whole: true, confidence: 90 };
+
+async fn site_of(servers: &[&Server]) -> Site {
+    let listed: Vec<_> = servers.iter().map(|s| (*s, "llm", "v1")).collect();
+    Site::start(&listed).await
+}
+
+fn prompt() -> &'static str {
+    "X-Model: *\r\nX-Token-Usage: 100,50\r\nX-Prefix-Hash: aa:80,bb:20\r\n"
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_passed_on_event_by_event() {
+    let server = always("i-1", WHOLE).await;
+    let site = site_of(&[&server]).await;
+
+    let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, events(5));
+    assert_eq!(server.seen()[0].header("x-model"), "small");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_goes_on_at_another_server_without_loss_or_repeat() {
+    let breaks = Act::Stream { to: 3, is_whole: false, confidence: 90 };
+    let (one, two) =
+        (first_then("i-1", breaks.clone(), WHOLE).await, first_then("i-2", breaks, WHOLE).await);
+    let site = site_of(&[&one, &two]).await;
+
+    let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, events(5));
+    let resumed: Vec<Seen> = [one.seen(), two.seen()].concat();
+    assert!(resumed.iter().any(|seen| seen.header("last-event-id") == "3"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_that_may_not_be_resumed_does_not_look_whole() {
+    let server = always("i-1", Act::Stream { to: 3, is_whole: false, confidence: 90 }).await;
+    let site = site_of(&[&server]).await;
+
+    let answer = site.ask("POST", "/plain/a", "X-Model: small\r\n").await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, false));
+    assert_eq!(answer.body, events(3), "whole events only");
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_resumed_beyond_the_allowed_attempts() {
+    let breaks = |to| Act::Stream { to, is_whole: false, confidence: 90 };
+    let (one, two) = (always("i-1", breaks(1)).await, always("i-2", breaks(1)).await);
+    let site = site_of(&[&one, &two]).await;
+
+    let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+    assert!(!answer.is_whole);
+    assert_eq!(one.seen().len() + two.seen().len(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_that_is_missing_breaks_the_stream() {
+    // The second server goes on at event 5 though event 3 is due.
+    let breaks = Act::Stream { to: 2, is_whole: false, confidence: 90 };
+    let server = first_then("i-1", breaks, Act::Endless).await;
+    let site = site_of(&[&server]).await;
+
+    let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+    // `Endless` begins at 1 again: nothing of it may be passed on.
+    assert!(!answer.is_whole);
+    assert_eq!(answer.body, events(2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unsure_answer_is_asked_again_of_the_largest_model() {
+    let server = Server::start("i-1", |seen: &Seen| {
+        let confidence = if seen.header("x-model") == "small" { 10 } else { 95 };
+        Act::Stream { to: 2, is_whole: true, confidence }
+    })
+    .await;
+    let site = site_of(&[&server]).await;
+
+    let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(answer.head.contains("x-confidence: 95"));
+    let models: Vec<String> =
+        server.seen().iter().map(|seen| seen.header("x-model").to_owned()).collect();
+    assert_eq!(models, ["small", "large"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_the_caller_names_is_left_alone() {
+    let server = always("i-1", Act::Stream { to: 2, is_whole: true, confidence: 10 }).await;
+    let site = site_of(&[&server]).await;
+
+    let answer = site.ask("POST", "/chat/a", "X-Model: small\r\n").await;
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(server.seen().len(), 1);
+    assert_eq!(server.seen()[0].header("x-model"), "small");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_stops_when_the_caller_of_its_stream_leaves() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let server = always("i-1", Act::Endless).await;
+    let site = site_of(&[&server]).await;
+    let mut stream = tokio::net::TcpStream::connect(site.caller).await.unwrap();
+    stream.write_all(request("POST", "/chat/a", prompt(), "").as_bytes()).await.unwrap();
+    let mut some = [0; 64];
+    stream.read_exact(&mut some).await.unwrap();
+
+    drop(stream);
+
+    until("the server stops", || server.at_work() == 0).await;
+    until("nothing is in flight", || site.entry.router.in_flight() == 0).await;
+}
