Entries learn from each other while the store is silent; feeds coalesce changes

Change: links between entries (WebSocket, CBOR) carry the store's rows as last seen, asked for only while the store is silent for 2.5 s or there is no configuration; feeds wait as long as a host has to catch up, less 1 s, and rest 250 ms after changes; an order missing from all rows is withdrawn; a dropped entry ends its control thread.

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -30,8 +30,8 @@
     pub store: Box<str>,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
-    /// Time in which a leaving server may still get requests.
-    pub drain: Duration,
+    /// Time after trouble in which a host has to have caught up.
+    pub catch_up: Duration,
     /// Sends beyond the first of each request that are allowed per request.
     pub retry_ratio: f64,
     /// Sends allowed beyond that ratio in a window, over all entries.
@@ -99,7 +99,8 @@
 #[serde(rename_all = "kebab-case")]
 struct BoundsDoc {
     grace_s: Option<f64>,
-    drain_ms: Option<f64>,
+    /// Time after trouble from which the host is held to all bounds.
+    contact_ms: Option<f64>,
     retry_ratio: Option<f64>,
     retry_extra: Option<f64>,
     retry_window_s: Option<f64>,
@@ -114,7 +115,7 @@
 
 /// Defaults of bounds that a deployment leaves out; those of both first deployments.
 const DEFAULT_GRACE_S: f64 = 8.0;
-const DEFAULT_DRAIN_MS: f64 = 2_000.0;
+const DEFAULT_CONTACT_MS: f64 = 3_000.0;
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 20.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
@@ -150,7 +151,7 @@
         first_port: doc.port_range.first().copied().unwrap_or_default(),
         store,
         grace: Duration::from_secs_f64(bounds.grace_s.unwrap_or(DEFAULT_GRACE_S)),
-        drain: Duration::from_secs_f64(bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS) / 1e3),
+        catch_up: Duration::from_secs_f64(bounds.contact_ms.unwrap_or(DEFAULT_CONTACT_MS) / 1e3),
         retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
         retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
         retry_window: Duration::from_secs_f64(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -45,14 +45,15 @@
 }
 
 /// A row, or the news that it is gone.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Its table.
     pub table: Table,
     /// Its key.
     pub key: Box<str>,
     /// Its document; empty when it is gone.
-    pub value: Bytes,
+    #[serde(with = "serde_bytes")]
+    pub value: Vec<u8>,
     /// Transaction that last wrote it.
     pub version: Revision,
     /// Whether it is gone.
@@ -272,11 +273,5 @@
     let value = STANDARD
         .decode(value.as_bytes())
         .map_err(|e| Error::Unreadable(format!("row {}: {e}", doc.key).into()))?;
-    Ok(Row {
-        table: doc.table,
-        key: doc.key,
-        value: value.into(),
-        version: doc.ver,
-        is_removed: doc.removed,
-    })
+    Ok(Row { table: doc.table, key: doc.key, value, version: doc.ver, is_removed: doc.removed })
 }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -15,14 +15,17 @@
         store::{Feed, Put, Row, Rows, StoreClient, Table, WriteOutcome},
     },
     policy::lifecycle::LifecycleEvent,
-    router::{Router, roll_out::Verdict},
+    router::{Router, roll_out::Verdict, views::TableView},
     routing::{BackendServer, Progress, RollOutOrder, RollOutStatus, RoutingTable},
     telemetry::event,
 };
 
-/// Time a feed waits for changes: short, because a call whose answer is lost shows only then,
-/// and a host counts as in touch again 3 s after its trouble ends.
-const FEED_WAIT: Duration = Duration::from_millis(1_500);
+/// Part of the time in which a host has to have caught up that a feed leaves for the call after
+/// it: a call whose answer is lost shows only when its wait is over.
+const CATCH_UP: Duration = Duration::from_millis(1_000);
+/// Pause after changes, so that a burst of them takes few calls: each is paid for, and changes
+/// have two seconds to be in force.
+const COALESCE: Duration = Duration::from_millis(250);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time after the store's return in which a missing server may still come back: just under the
@@ -74,34 +77,69 @@
     let mut at: Option<Revision> = None;
     loop {
         router.metrics.count_store_call("follow");
-        let outcome = match at {
-            None => store.read(table).await.map(|rows| (rows, true)),
-            Some(after) => match store.follow(table, after, FEED_WAIT).await {
-                Ok(Feed::Changes(rows)) => Ok((rows, false)),
-                Ok(Feed::HistoryGone) => {
-                    at = None;
-                    continue;
-                }
-                Err(e) => Err(e),
-            },
+        let news = tokio::select! {
+            news = ask_store(router, store, table, at) => news,
+            view = router.views.offer_for(table) => Ok(News::FromPeer(view)),
         };
-        match outcome {
-            Ok((rows, is_whole)) => {
+        let (rows, is_whole) = match news {
+            Ok(News::Rows(rows, is_whole)) => {
                 contact.note_answer(table, router.now());
-                at = Some(rows.version);
-                apply(rows, is_whole, &contact);
+                router.views.note_answer(table, router.now());
+                (rows, is_whole)
+            }
+            Ok(News::HistoryGone) => {
+                at = None;
+                continue;
             }
+            Ok(News::FromPeer(view)) => (view.into_rows(), true),
             Err(e) => {
                 contact.note_failure(router, table, &e.to_string());
                 sleep(PAUSE).await;
+                continue;
             }
+        };
+        at = Some(rows.version);
+        router.views.note(table, &rows, is_whole);
+        let has_news = !rows.rows.is_empty();
+        apply(rows, is_whole, &contact);
+        if has_news {
+            sleep(COALESCE).await;
         }
     }
 }
 
+/// What is new about a table.
+enum News {
+    /// Rows of the store: all of them, or those that changed.
+    Rows(Rows, bool),
+    /// The table has to be read anew.
+    HistoryGone,
+    /// All rows as another entry has seen them.
+    FromPeer(TableView),
+}
+
+async fn ask_store(
+    router: &Router,
+    store: &StoreClient,
+    table: Table,
+    at: Option<Revision>,
+) -> crate::platform::Result<News> {
+    let Some(after) = at else {
+        return Ok(News::Rows(store.read(table).await?, true));
+    };
+    let wait = router.settings.load().catch_up.saturating_sub(CATCH_UP);
+    Ok(match store.follow(table, after, wait).await? {
+        Feed::Changes(rows) => News::Rows(rows, false),
+        Feed::HistoryGone => News::HistoryGone,
+    })
+}
+
 /// Follows the operator's orders.
 pub(crate) async fn follow_orders(router: &Router, store: &StoreClient) {
-    follow(router, store, Table::Orders, |rows, _, _| {
+    follow(router, store, Table::Orders, |rows, is_whole, _| {
+        if is_whole {
+            withdraw_missing(router, &rows);
+        }
         for row in &rows.rows {
             match read_operator_row(row) {
                 Ok(Some(change)) => apply_change(router, change),
@@ -113,6 +151,16 @@
     .await;
 }
 
+/// Withdraws the roll-outs whose orders are not among all rows.
+fn withdraw_missing(router: &Router, rows: &Rows) {
+    for order in router.roll_outs.orders() {
+        let key = status_key(&order.service);
+        if !rows.rows.iter().any(|row| row.key == key) {
+            router.roll_outs.withdraw(&order.service);
+        }
+    }
+}
+
 fn apply_change(router: &Router, change: OperatorChange) {
     match change {
         OperatorChange::Configuration(table) => put_in_force(router, *table),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A request is admitted ([`serve`]), tried at one BackendServer after another ([`dispatch`],
 //! [`attempt`]), and its answer passed on ([`relay`]). What the platform's store says is followed
-//! on the control thread ([`feed`], [`roll_out`]). The design is in docs/decisions/0008.
+//! on the control thread ([`feed`], [`roll_out`]), or learned from another entry ([`peers`]). The design is in docs/decisions/0008.
 
 mod attempt;
 mod body;
@@ -12,6 +12,7 @@
 mod feed;
 mod fleet;
 mod listen;
+mod peers;
 mod refusal;
 mod relay;
 mod roll_out;
@@ -19,6 +20,7 @@
 mod serve;
 mod silence;
 mod state;
+mod views;
 
 pub use event_stream::EventSplitter;
 pub use fleet::{Fleet, Member};
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// All orders known.
+    pub(crate) fn orders(&self) -> Vec<RollOutOrder> {
+        self.lock().roll_outs.values().map(|r| r.order.clone()).collect()
+    }
+
     /// Orders that are still under way.
     pub(crate) fn running(&self) -> Vec<RollOutOrder> {
         let inner = self.lock();
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -15,7 +15,7 @@
         host_settings::{self, HostSettings},
         store::StoreClient,
     },
-    router::{Router, feed, listen, state::BEFORE_KILL},
+    router::{Router, feed, listen, peers, state::BEFORE_KILL},
     settings::RouteSettings,
     telemetry::event,
 };
@@ -46,6 +46,8 @@
     pub router: Arc<Router>,
     file: Option<PathBuf>,
     closing: watch::Sender<bool>,
+    /// Ends the control thread when dropped.
+    _ending: watch::Sender<bool>,
     callers: JoinHandle<()>,
 }
 
@@ -64,7 +66,12 @@
     let store = StoreClient::new(HttpClient::default(), &host.store);
     let router = Arc::new(Router::new(host, policy));
     let control = router.clone();
-    thread::spawn("control", move || run_control(control, store))?;
+    let peers = match router.settings.load().peer {
+        Some(address) => Some(std::net::TcpListener::bind(address)?),
+        None => None,
+    };
+    let (ending, has_ended) = watch::channel(false);
+    thread::spawn("control", move || run_control(control, store, peers, has_ended))?;
     let (closing, is_closing) = watch::channel(false);
     let callers = tokio::spawn(listen::callers(router.clone(), callers, is_closing));
     let asked = router.clone();
@@ -73,15 +80,41 @@
             event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
         }
     });
-    Ok(RunningRouter { router, file, closing, callers })
+    Ok(RunningRouter { router, file, closing, _ending: ending, callers })
 }
 
-async fn run_control(router: Arc<Router>, store: StoreClient) {
-    tokio::join!(
-        feed::follow_orders(&router, &store),
-        feed::follow_servers(&router, &store),
-        feed::drive_roll_outs(&router, &store),
-    );
+/// Runs control work until the entry ends.
+async fn run_control(
+    router: Arc<Router>,
+    store: StoreClient,
+    peers: Option<std::net::TcpListener>,
+    mut has_ended: watch::Receiver<bool>,
+) {
+    let work = async {
+        tokio::join!(
+            feed::follow_orders(&router, &store),
+            feed::follow_servers(&router, &store),
+            feed::drive_roll_outs(&router, &store),
+            answer_peers(&router, peers),
+            peers::ask_while_cut_off(&router),
+        )
+    };
+    tokio::select! {
+        _ = work => {}
+        // An entry that was dropped without a word has ended, too.
+        _ = has_ended.wait_for(|ended| *ended) => {}
+    }
+}
+
+async fn answer_peers(router: &Router, listener: Option<std::net::TcpListener>) {
+    let Some(listener) = listener else {
+        return;
+    };
+    let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
+    match listener {
+        Ok(listener) => peers::answer(router, listener).await,
+        Err(e) => event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\"")),
+    }
 }
 
 impl RunningRouter {
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -20,7 +20,7 @@
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
-    router::{Fleet, dispatch::Job, roll_out::RollOuts},
+    router::{Fleet, dispatch::Job, roll_out::RollOuts, views::Views},
     routing::{Route, RoutingTable},
     settings::RouteSettings,
     telemetry::{
@@ -45,6 +45,8 @@
     pub roll_outs: RollOuts,
     /// What the operator settled about decisions.
     pub policy: RouteSettings,
+    /// The store's rows as last seen.
+    pub(crate) views: Views,
     /// Metrics.
     pub metrics: Metrics,
     budgets: Mutex<HashMap<Box<str>, SendBudget>>,
@@ -64,6 +66,7 @@
             fleet: ArcSwap::from_pointee(Fleet::default()),
             roll_outs: RollOuts::new(policy.exposure),
             policy,
+            views: Views::default(),
             metrics: Metrics::default(),
             budgets: Mutex::default(),
             readings: Mutex::default(),
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -53,6 +53,8 @@
     LINK_UP = 200, Info, "A link to a peer is authenticated.";
     LINK_DOWN = 201, Warn, "A link went away; its attempts are settled as lost.";
     LINK_REFUSED = 202, Warn, "A peer did not prove itself or sent frames that can't be read.";
+    PEER_FAILED = 203, Warn, "Another entry could not be asked, or asked something unreadable.";
+    PEER_VIEW_TAKEN = 204, Info, "The store is silent; what another entry has seen of it was taken in.";
     CONFIG_ADVANCED = 300, Info, "A newer configuration revision is in force here.";
     CONFIG_OLDER_SHOWN = 301, Error, "The store showed an older revision than is in force; it is not followed.";
     CONFIG_CHANGED = 302, Info, "An operator's or a leased job's change was accepted.";
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -35,12 +35,12 @@
         regions: [("zone-a".into(), "region".into())].into(),
         caller: free_address(),
         readiness: free_address(),
-        peer: None,
+        peer: Some(free_address()),
         seeds: Vec::new(),
         first_port: 0,
         store: store.address.to_string().into(),
         grace: Duration::from_secs(4),
-        drain: Duration::from_secs(2),
+        catch_up: Duration::from_secs(3),
         retry_ratio: 0.9,
         retry_extra: 52.0,
         retry_window: Duration::from_secs(10),
@@ -103,7 +103,13 @@
 
     /// An entry beside a store as it is; it may not be ready.
     pub async fn beside(store: Store) -> Self {
-        let host = host_settings(&store);
+        Self::seeded(store, None).await
+    }
+
+    /// An entry beside a store that knows another entry.
+    pub async fn seeded(store: Store, seed: Option<SocketAddr>) -> Self {
+        let mut host = host_settings(&store);
+        host.seeds.extend(seed);
         let (caller, readiness) = (host.caller, host.readiness);
         let settings = RouterSettings { host, policy: RouteSettings::default(), file: None };
         let entry = router::start(settings).await.unwrap();
--- a/tests/platform/state.rs
+++ b/tests/platform/state.rs
@@ -153,3 +153,40 @@
 
     assert_eq!(site.ask("GET", "/safe/a", "").await.status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_the_store_refuses_learns_from_another() {
+    let server = always("i-1", GOOD).await;
+    let first = Site::start(&[(&server, "app", "v1")]).await;
+    let seed = first.entry.router.settings.load().peer;
+    // A store of its own that never answers stands for one that refuses this host alone.
+    let store = Store::start().await;
+    store.set_fault(Fault::Down);
+
+    let cut_off = Site::seeded(store, seed).await;
+    until("it has a configuration", || cut_off.entry.router.is_ready()).await;
+    until("it has the servers", || cut_off.entry.router.fleet.load().len() == 1).await;
+    assert_eq!(cut_off.ask("GET", "/safe/a", "").await.status, 200);
+
+    first.store.put("op", "config", &configuration(5));
+    until("the change gets through", || version(&cut_off) == 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_entry_asks_the_store_no_more() {
+    let site = Site::beside(Store::start().await).await;
+    let (store, entry) = (site.store, site.entry);
+    until("it asks", || store.calls() > 0).await;
+
+    drop(entry);
+    let mut calls = store.calls();
+    loop {
+        // Two feeds and the calls under way end; then nothing more comes.
+        tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+        let now = store.calls();
+        if now == calls {
+            break;
+        }
+        calls = now;
+    }
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -41,6 +41,7 @@
     forgotten: u64,
     fault: Fault,
     page: usize,
+    calls: usize,
 }
 
 /// The stand-in; clones share it.
@@ -112,8 +113,15 @@
         self.rows.lock().unwrap().page = page;
     }
 
+    /// Calls so far.
+    pub fn calls(&self) -> usize {
+        self.rows.lock().unwrap().calls
+    }
+
     fn fault(&self) -> Option<Response> {
-        match self.rows.lock().unwrap().fault {
+        let mut rows = self.rows.lock().unwrap();
+        rows.calls += 1;
+        match rows.fault {
             Fault::Down => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
             Fault::TooMany => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
             Fault::None | Fault::RepliesLost => None,
