--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -23,9 +23,12 @@
 /// Part of the time in which a host has to have caught up that a feed leaves for the call after
 /// it: a call whose answer is lost shows only when its wait is over.
 const CATCH_UP: Duration = Duration::from_millis(1_000);
-/// Pause after changes, so that a burst of them takes few calls: each is paid for, and changes
-/// have two seconds to be in force.
-const COALESCE: Duration = Duration::from_millis(250);
+/// Pause after changes of orders, so that a burst of them takes few calls: each is paid for, and
+/// a configuration has two seconds to be in force.
+const COALESCE_ORDERS: Duration = Duration::from_millis(250);
+/// The same for servers, which come and leave one by one; a leaving one may get requests for two
+/// seconds more.
+const COALESCE_SERVERS: Duration = Duration::from_millis(800);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time after the store's return in which a missing server may still come back: just under the
@@ -33,8 +36,9 @@
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
 /// Time between looks at what this entry can say about roll-outs.
 const DRIVE_EVERY: Duration = Duration::from_millis(200);
-/// Such looks between reads of what other entries said: a verdict is then known within a second.
-const DRIVES_PER_LOOK: u32 = 4;
+/// Such looks between reads of what other entries said: a bad version may get requests for 5 s
+/// after its fiftieth bad answer, and each entry finds it on its own, too.
+const DRIVES_PER_LOOK: u32 = 8;
 
 /// Whether the store answers, for events and for judging removals.
 #[derive(Debug, Default)]
@@ -103,7 +107,8 @@
         let has_news = !rows.rows.is_empty();
         apply(rows, is_whole, &contact);
         if has_news {
-            sleep(COALESCE).await;
+            let is_servers = table == Table::Servers;
+            sleep(if is_servers { COALESCE_SERVERS } else { COALESCE_ORDERS }).await;
         }
     }
 }
