Shared parts that are read fast have a home in each zone

Change: one home for all zones only where reading the parts takes longer than leaving the zone costs.

--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -76,7 +76,8 @@
     let token = (terms.reread_token + work.token_time).as_secs_f64();
     let reread = work.shared_tokens as f64 * token;
     let far = terms.far.as_secs_f64();
-    let home = home(candidates, work, reread < far, &usable);
+    let reading = work.shared_tokens as f64 * work.token_time.as_secs_f64();
+    let home = home(candidates, work, reading < far, &usable);
     let cost = |i: usize| {
         let candidate = &candidates[i];
         let reread = if work.affinity.is_none() || home == Some(i) { 0.0 } else { reread };
@@ -90,8 +91,8 @@
     (0..candidates.len()).filter(usable).min_by(order)
 }
 
-/// The server that keeps the shared parts: one for all zones where reading them again costs more
-/// than the way, one in each zone otherwise.
+/// The server that keeps the shared parts: one for all zones where reading them takes longer than
+/// leaving the zone costs, one in each zone otherwise.
 fn home(
     candidates: &[Candidate],
     work: &Work,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -36,8 +36,9 @@
     (0..6).map(|i| candidate(&format!("i-{i}"), i < 3)).collect()
 }
 
+/// Work for the largest model, which reads slowly.
 fn work(affinity: u64, shared_tokens: u64) -> Work {
-    Work { affinity: Some(affinity), shared_tokens, token_time: Duration::from_micros(3) }
+    Work { affinity: Some(affinity), shared_tokens, token_time: Duration::from_micros(27) }
 }
 
 fn chosen(candidates: &[Candidate], work: &Work) -> Option<usize> {
@@ -64,6 +65,14 @@
     }
 }
 
+#[test]
+fn a_model_that_reads_fast_keeps_long_parts_in_each_zone() {
+    for key in 0..50 {
+        let fast = Work { token_time: Duration::from_micros(3), ..work(key, 5_000) };
+        assert!(chosen(&pool(), &fast).unwrap() < 3);
+    }
+}
+
 #[test]
 fn a_home_with_a_long_backlog_is_left() {
     let mut pool = pool();
