--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -300,9 +300,9 @@
 
     /// What the admin address shows.
     pub(crate) fn admin(self: &Arc<Self>) -> Admin {
-        let (ready, dumped) = (self.clone(), self.clone());
+        let (ready, dumped, metrics) = (self.clone(), self.clone(), self.metrics.clone());
         Admin {
-            metrics: self.metrics.clone(),
+            render: Arc::new(move || metrics.render()),
             is_ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dumped.dump()),
         }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -15,7 +15,7 @@
         store::{Feed, Put, Row, Rows, StoreClient, Table, WriteOutcome},
     },
     policy::lifecycle::LifecycleEvent,
-    router::{Router, roll_out::Verdict, views::TableView},
+    router::{Router, roll_out::Verdict},
     routing::{BackendServer, Progress, RollOutOrder, RollOutStatus, RoutingTable},
     telemetry::event,
 };
@@ -36,6 +36,9 @@
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
 /// Time between looks at what this entry can say about roll-outs.
 const DRIVE_EVERY: Duration = Duration::from_millis(200);
+/// Rest after a verdict that could not be written: each call is paid for, and this entry already
+/// keeps to its verdict.
+const VERDICT_REST: Duration = Duration::from_secs(1);
 /// Such looks between reads of what other entries said: a bad version may get requests for 5 s
 /// after its fiftieth bad answer, and each entry finds it on its own, too.
 const DRIVES_PER_LOOK: u32 = 8;
@@ -57,7 +60,8 @@
     }
 
     fn note_failure(&mut self, router: &Router, table: Table, cause: &str) {
-        router.metrics.count_store_error(cause);
+        router.metrics.count_store_error("follow");
+        router.views.note_lost(table);
         if !self.is_lost {
             self.is_lost = true;
             event::STORE_UNREACHABLE.log(format_args!("table={table:?} cause=\"{cause}\""));
@@ -81,10 +85,7 @@
     let mut at: Option<Revision> = None;
     loop {
         router.metrics.count_store_call("follow");
-        let news = tokio::select! {
-            news = ask_store(router, store, table, at) => news,
-            view = router.views.offer_for(table) => Ok(News::FromPeer(view)),
-        };
+        let news = ask_store(router, store, table, at, contact.is_lost).await;
         let (rows, is_whole) = match news {
             Ok(News::Rows(rows, is_whole)) => {
                 contact.note_answer(table, router.now());
@@ -95,18 +96,20 @@
                 at = None;
                 continue;
             }
-            Ok(News::FromPeer(view)) => (view.into_rows(), true),
             Err(e) => {
                 contact.note_failure(router, table, &e.to_string());
                 sleep(PAUSE).await;
-                continue;
+                let Some(view) = router.views.take_offer(table) else {
+                    continue;
+                };
+                (view.into_rows(), true)
             }
         };
         at = Some(rows.version);
         router.views.note(table, &rows, is_whole);
         let has_news = !rows.rows.is_empty();
         apply(rows, is_whole, &contact);
-        if has_news {
+        if has_news && !contact.is_lost {
             let is_servers = table == Table::Servers;
             sleep(if is_servers { COALESCE_SERVERS } else { COALESCE_ORDERS }).await;
         }
@@ -119,8 +122,6 @@
     Rows(Rows, bool),
     /// The table has to be read anew.
     HistoryGone,
-    /// All rows as another entry has seen them.
-    FromPeer(TableView),
 }
 
 async fn ask_store(
@@ -128,11 +129,14 @@
     store: &StoreClient,
     table: Table,
     at: Option<Revision>,
+    is_lost: bool,
 ) -> crate::platform::Result<News> {
     let Some(after) = at else {
         return Ok(News::Rows(store.read(table).await?, true));
     };
-    let wait = router.settings.load().catch_up.saturating_sub(CATCH_UP);
+    // A store that was lost is asked without waiting, so that its return shows at once.
+    let catch_up = router.settings.load().catch_up;
+    let wait = if is_lost { Duration::ZERO } else { catch_up.saturating_sub(CATCH_UP) };
     Ok(match store.follow(table, after, wait).await? {
         Feed::Changes(rows) => News::Rows(rows, false),
         Feed::HistoryGone => News::HistoryGone,
@@ -170,12 +174,12 @@
     match change {
         OperatorChange::Configuration(table) => put_in_force(router, *table),
         OperatorChange::RollOut(order) => {
-            event::ROLL_OUT_ORDERED.log(format_args!(
-                "service={} to={} within={:?}",
-                order.service, order.to, order.within
-            ));
-            router.roll_outs.order(order, router.now());
-            note_versions(router);
+            let told =
+                format!("service={} to={} within={:?}", order.service, order.to, order.within);
+            if router.roll_outs.order(order, router.now()) {
+                event::ROLL_OUT_ORDERED.log(format_args!("{told}"));
+                note_versions(router);
+            }
         }
         OperatorChange::RollOutWithdrawn(service) => router.roll_outs.withdraw(&service),
     }
@@ -366,6 +370,7 @@
     let mut told = Told::default();
     let mut seen: HashMap<Box<str>, Revision> = HashMap::new();
     let mut drives = 0;
+    let mut rest_until = Duration::ZERO;
     loop {
         sleep(DRIVE_EVERY).await;
         drives += 1;
@@ -383,8 +388,12 @@
                 Err(e) => router.metrics.count_store_error(&e.to_string()),
             }
         }
+        if router.now() < rest_until {
+            continue;
+        }
         for verdict in router.roll_outs.verdicts(router.now()) {
             if let Err(e) = give(router, store, &mut told, &verdict).await {
+                rest_until = router.now() + VERDICT_REST;
                 event::VERDICT_WAITS
                     .log(format_args!("service={} cause=\"{e}\"", verdict.order.service));
             }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -24,9 +24,7 @@
     telemetry::event,
 };
 
-/// Time the store may be silent before other entries are asked.
-const STORE_SILENT: Duration = Duration::from_millis(2_500);
-/// Time between looks at whether the store is silent.
+/// Time between looks at whether the store gives no answer, and between questions.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Time an exchange with another entry may take: a few round trips between regions.
 const EXCHANGE: Duration = Duration::from_secs(1);
@@ -90,8 +88,7 @@
     loop {
         sleep(LOOK_EVERY).await;
         let has_table = router.table.load().is_some();
-        let is_cut_off = router.now() >= router.views.answered_at() + STORE_SILENT;
-        if has_table && !is_cut_off {
+        if has_table && !router.views.is_cut_off() {
             continue;
         }
         let settings = router.settings.load_full();
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -100,8 +100,10 @@
         };
         let next = escalate(&stage_answer, &router.policy.escalation);
         let Some(next) = next.filter(|_| router.may_escalate(job)) else {
+            router.count_stage(model.as_deref().unwrap_or("-"), "passed");
             return Ok((answer, model));
         };
+        router.count_stage(model.as_deref().unwrap_or("-"), "escalated");
         stage = next;
     }
 }
@@ -259,6 +261,7 @@
     fn tell_if_late(&self, server: &Member) {
         let (first, pause) = (self.timing.first_after, self.timing.longest_pause);
         self.router.metrics.first_token.observe(first.as_secs_f64());
+        self.router.metrics.total_time.observe(self.job.arrived.elapsed().as_secs_f64());
         let route = &self.job.route;
         let is_late = first > route.objective;
         if !is_late && route.event_gap.is_none_or(|allowed| pause <= allowed) {
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -20,7 +20,7 @@
     },
     resources::Guard,
     routing::{BackendServer, Progress, RequestHead, RollOutOrder, RollOutStatus, ServerVersion},
-    telemetry::event,
+    telemetry::{Metrics, event, metrics::EvidenceLabels},
 };
 
 /// Rise of the failure rate that makes a version bad, and the chance of a false verdict. Bad
@@ -121,12 +121,12 @@
         self.inner.lock().expect("no panics under the lock")
     }
 
-    /// Takes in an order; one already known keeps its evidence.
-    pub(crate) fn order(&self, order: RollOutOrder, now: Duration) {
+    /// Takes in an order; one already known keeps its evidence. Whether it is new.
+    pub(crate) fn order(&self, order: RollOutOrder, now: Duration) -> bool {
         let mut inner = self.lock();
         let known = inner.roll_outs.get(&order.service);
         if known.is_some_and(|known| known.order.revision >= order.revision) {
-            return;
+            return false;
         }
         let service = order.service.clone();
         let fresh = RollOut {
@@ -143,6 +143,7 @@
             note.on_new = false;
         }
         inner.roll_outs.insert(service, fresh);
+        true
     }
 
     /// Forgets the roll-out of a service.
@@ -245,6 +246,25 @@
         }
     }
 
+    /// Shows the evidence as metrics.
+    pub(crate) fn report(&self, metrics: &Metrics) {
+        let inner = self.lock();
+        for roll_out in inner.roll_outs.values() {
+            for (version, evidence) in [("old", roll_out.old), ("new", roll_out.new)] {
+                let counts = [("answers", evidence.answers), ("failures", evidence.failures)];
+                for (count, value) in counts {
+                    let labels = EvidenceLabels {
+                        service: roll_out.order.service.to_string(),
+                        version: version.into(),
+                        count: count.into(),
+                    };
+                    let value = i64::try_from(value).unwrap_or(i64::MAX);
+                    metrics.evidence.get_or_create(&labels).set(value);
+                }
+            }
+        }
+    }
+
     /// Part of the state dump.
     pub(crate) fn dump(&self) -> Value {
         let inner = self.lock();
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -20,7 +20,7 @@
         state::{BALANCER, BEFORE_KILL},
     },
     settings::RouteSettings,
-    telemetry::event,
+    telemetry::{admin, event},
 };
 
 /// Time before the end of the grace at which idle connections are closed.
@@ -63,6 +63,7 @@
         "role=entry host={} zone={} caller={} readiness={} store={}",
         host.host, host.zone, host.caller, host.readiness, host.store
     ));
+    let host_address = host.caller.ip();
     let store = StoreClient::new(HttpClient::default(), &host.store);
     let router = Arc::new(Router::new(host, policy));
     let control = router.clone();
@@ -72,6 +73,10 @@
     };
     let (ending, has_ended) = watch::channel(false);
     thread::spawn("control", move || run_control(control, store, peers, has_ended))?;
+    if let Some(port) = policy.metrics_port {
+        let address = (host_address, port);
+        serve_admin(&router, TcpListener::bind(address).await?);
+    }
     let (closing, is_closing) = watch::channel(false);
     let callers = tokio::spawn(listen::callers(router.clone(), callers, is_closing));
     let asked = router.clone();
@@ -83,6 +88,16 @@
     Ok(RunningRouter { router, file, closing, _ending: ending, callers })
 }
 
+/// Serves metrics and the state dump on an address of their own.
+fn serve_admin(router: &Arc<Router>, listener: TcpListener) {
+    let app = admin::router(router.admin());
+    tokio::spawn(async move {
+        if let Err(e) = axum::serve(listener, app).await {
+            event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
+        }
+    });
+}
+
 /// Runs control work until the entry ends.
 async fn run_control(
     router: Arc<Router>,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -26,7 +26,8 @@
     telemetry::{
         Metrics,
         admin::Admin,
-        metrics::{AttemptLabels, RequestLabels},
+        log::dropped_lines,
+        metrics::{AttemptLabels, RequestLabels, ServiceLabels, StageLabels},
     },
 };
 
@@ -212,11 +213,36 @@
         self.metrics.attempts.get_or_create(&labels).inc();
     }
 
+    /// Counts a stage of a cascade.
+    pub(crate) fn count_stage(&self, model: &str, outcome: &str) {
+        let labels = StageLabels { model: model.into(), outcome: outcome.into() };
+        self.metrics.stages.get_or_create(&labels).inc();
+    }
+
+    /// Brings the gauges up to date that nothing else keeps so.
+    fn refresh_gauges(&self) {
+        let now = self.now();
+        let age = now.saturating_sub(self.views.answered_at()).as_millis();
+        self.metrics.feed_age.set(i64::try_from(age).unwrap_or(i64::MAX));
+        let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
+        self.metrics.log_lines_dropped.set(dropped);
+        let terms = self.send_terms();
+        let mut budgets = self.budgets.lock().expect("no panics under the lock");
+        for (service, budget) in budgets.iter_mut() {
+            let labels = ServiceLabels { service: service.to_string() };
+            self.metrics.repeats_left.get_or_create(&labels).set(budget.left(&terms, now) as i64);
+        }
+        self.roll_outs.report(&self.metrics);
+    }
+
     /// What the admin address serves.
     pub(crate) fn admin(self: &Arc<Self>) -> Admin {
-        let (ready, dumped) = (self.clone(), self.clone());
+        let (ready, dumped, shown) = (self.clone(), self.clone(), self.clone());
         Admin {
-            metrics: self.metrics.clone(),
+            render: Arc::new(move || {
+                shown.refresh_gauges();
+                shown.metrics.render()
+            }),
             is_ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dumped.dump()),
         }
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -7,7 +7,6 @@
 };
 
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
 
 use crate::{
     ids::Revision,
@@ -35,6 +34,7 @@
     version: Revision,
     rows: BTreeMap<Box<str>, Row>,
     answered_at: Duration,
+    is_lost: bool,
 }
 
 /// What was last seen of each table, and what another entry offers.
@@ -42,7 +42,6 @@
 pub(crate) struct Views {
     seen: Mutex<HashMap<Table, Seen>>,
     offers: Mutex<HashMap<Table, TableView>>,
-    offered: Notify,
 }
 
 impl Views {
@@ -66,7 +65,21 @@
     /// Notes that the store answered about a table.
     pub(crate) fn note_answer(&self, table: Table, now: Duration) {
         let mut seen = self.seen.lock().expect("no panics under the lock");
-        seen.entry(table).or_default().answered_at = now;
+        let seen = seen.entry(table).or_default();
+        seen.answered_at = now;
+        seen.is_lost = false;
+    }
+
+    /// Notes that the store gave no answer about a table.
+    pub(crate) fn note_lost(&self, table: Table) {
+        let mut seen = self.seen.lock().expect("no panics under the lock");
+        seen.entry(table).or_default().is_lost = true;
+    }
+
+    /// Whether the store last gave no answer about some table.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let seen = self.seen.lock().expect("no panics under the lock");
+        seen.values().any(|seen| seen.is_lost)
     }
 
     /// When the store last answered about every table that is followed.
@@ -95,18 +108,10 @@
     /// Offers what another entry has seen to whoever follows the table.
     pub(crate) fn offer(&self, view: TableView) {
         self.offers.lock().expect("no panics under the lock").insert(view.table, view);
-        self.offered.notify_waiters();
     }
 
-    /// Waits for an offer about a table.
-    pub(crate) async fn offer_for(&self, table: Table) -> TableView {
-        loop {
-            let offered = self.offered.notified();
-            let offer = self.offers.lock().expect("no panics under the lock").remove(&table);
-            if let Some(offer) = offer {
-                return offer;
-            }
-            offered.await;
-        }
+    /// Takes what another entry offers about a table.
+    pub(crate) fn take_offer(&self, table: Table) -> Option<TableView> {
+        self.offers.lock().expect("no panics under the lock").remove(&table)
     }
 }
--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -18,6 +18,9 @@
     pub exposure: ExposureTerms,
     /// What a server costs besides its backlog.
     pub placement: PlacementTerms,
+    /// Port on the Host's address where metrics and the state dump are served, besides the
+    /// readiness address.
+    pub metrics_port: Option<u16>,
     /// Least level logged.
     pub log_level: LogLevel,
 }
@@ -61,6 +64,7 @@
         far: micros(&mut r, "placement.far_us", costs.far),
         reread_token: micros(&mut r, "placement.reread_token_us", costs.reread_token),
     };
+    let metrics_port = r.get_optional("listen.metrics_port", "a port number");
     let wanted = "error, warn, info or debug";
     let log_level = r.get("log.level", wanted, Some(given.log_level)).unwrap_or_default();
     if escalation.pressure_full <= escalation.pressure_from {
@@ -71,7 +75,7 @@
         r.complain_about("roll_out", "`grows_from`, `all_from`, `complete_from` must not fall");
     }
     r.finish()?;
-    Ok(RouteSettings { escalation, exposure, placement, log_level })
+    Ok(RouteSettings { escalation, exposure, placement, metrics_port, log_level })
 }
 
 fn number(r: &mut Reader<'_>, key: &str, default: f64, most: f64) -> f64 {
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -5,13 +5,11 @@
 use axum::{Json, Router, http::StatusCode, routing::get};
 use serde_json::Value;
 
-use crate::telemetry::Metrics;
-
 /// What differs between processes on the admin address.
 #[derive(Clone)]
 pub struct Admin {
-    /// Metrics of the process.
-    pub metrics: Metrics,
+    /// The text exposition of the process's metrics.
+    pub render: Arc<dyn Fn() -> String + Send + Sync>,
     /// Whether the process takes work.
     pub is_ready: Arc<dyn Fn() -> bool + Send + Sync>,
     /// The state dump; it holds no keys.
@@ -20,7 +18,7 @@
 
 /// Router of the admin address.
 pub fn router(admin: Admin) -> Router {
-    let Admin { metrics, is_ready, dump } = admin;
+    let Admin { render, is_ready, dump } = admin;
     Router::new()
         .route("/healthz", get(|| async { "ok" }))
         .route(
@@ -29,6 +27,6 @@
                 if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
             }),
         )
-        .route("/metrics", get(move || async move { metrics.render() }))
+        .route("/metrics", get(move || async move { render() }))
         .route("/debug/state", get(move || async move { Json(dump()) }))
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -38,6 +38,33 @@
     pub cause: String,
 }
 
+/// Labels of a cascade's stage.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StageLabels {
+    /// Model.
+    pub model: String,
+    /// `passed` or `escalated`.
+    pub outcome: String,
+}
+
+/// Labels of what is counted by service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// Service.
+    pub service: String,
+}
+
+/// Labels of the evidence on a version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EvidenceLabels {
+    /// Service.
+    pub service: String,
+    /// `old` or `new`.
+    pub version: String,
+    /// `answers` or `failures`.
+    pub count: String,
+}
+
 /// All metrics of a process; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -48,6 +75,18 @@
     pub attempts: Family<AttemptLabels, Counter>,
     /// Time to first token at this process, seconds.
     pub first_token: Histogram,
+    /// Time from a request to the end of its answer, seconds.
+    pub total_time: Histogram,
+    /// Cascade stages passed on or asked again, by model.
+    pub stages: Family<StageLabels, Counter>,
+    /// Log lines dropped because too many waited.
+    pub log_lines_dropped: Gauge,
+    /// Age of what the store last said, milliseconds.
+    pub feed_age: Gauge,
+    /// Repeated sends still allowed, by service.
+    pub repeats_left: Family<ServiceLabels, Gauge>,
+    /// Evidence on versions under roll-out.
+    pub evidence: Family<EvidenceLabels, Gauge>,
     /// Requests or attempts in flight.
     pub in_flight: Gauge,
     /// Attempts queued.
@@ -75,6 +114,12 @@
             requests: Family::default(),
             attempts: Family::default(),
             first_token: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
+            total_time: Histogram::new(exponential_buckets(0.005, 1.8, 16)),
+            stages: Family::default(),
+            log_lines_dropped: Gauge::default(),
+            feed_age: Gauge::default(),
+            repeats_left: Family::default(),
+            evidence: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
             links: Gauge::default(),
@@ -97,6 +142,15 @@
         registry.register("attempts", "Attempts ended", self.attempts.clone());
         let first_token = self.first_token.clone();
         registry.register("first_token_seconds", "Time to first token", first_token);
+        let total_time = self.total_time.clone();
+        registry.register("total_seconds", "Time to the end of the answer", total_time);
+        registry.register("stages", "Cascade stages by outcome", self.stages.clone());
+        let dropped = self.log_lines_dropped.clone();
+        registry.register("log_lines_dropped", "Log lines dropped", dropped);
+        registry.register("feed_age_ms", "Age of the store's last word", self.feed_age.clone());
+        let left = self.repeats_left.clone();
+        registry.register("repeats_left", "Repeated sends still allowed", left);
+        registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("queued", "Attempts queued", self.queued.clone());
         registry.register("links", "Links up", self.links.clone());
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -5,7 +5,7 @@
 use mintmoor::telemetry::{
     Metrics,
     event::CATALOGUE,
-    metrics::{AttemptLabels, RequestLabels},
+    metrics::{AttemptLabels, EvidenceLabels, RequestLabels, ServiceLabels, StageLabels},
 };
 
 #[test]
@@ -55,6 +55,11 @@
     metrics.requests.get_or_create(&requests).inc();
     let attempts = AttemptLabels { version: "v".into(), outcome: "done".into() };
     metrics.attempts.get_or_create(&attempts).inc();
+    let stages = StageLabels { model: "m".into(), outcome: "passed".into() };
+    metrics.stages.get_or_create(&stages).inc();
+    metrics.repeats_left.get_or_create(&ServiceLabels { service: "s".into() }).set(1);
+    let (service, version, count) = ("s".into(), "new".into(), "answers".into());
+    metrics.evidence.get_or_create(&EvidenceLabels { service, version, count }).set(1);
     metrics.count_store_call("c");
     metrics.count_store_error("c");
 }
--- a/tests/platform/state.rs
+++ b/tests/platform/state.rs
@@ -170,6 +170,14 @@
 
     first.store.put("op", "config", &configuration(5));
     until("the change gets through", || version(&cut_off) == 5).await;
+
+    // Its own store returns with something newer, while the other entry goes on offering.
+    for number in 0..20 {
+        list(&cut_off.store, &server, "app", &format!("v{number}"), "ready");
+    }
+    cut_off.store.put("op", "config", &configuration(9));
+    cut_off.store.set_fault(Fault::None);
+    until("the store's word is followed again", || version(&cut_off) == 9).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
