A server that fails part of its requests gets fewer

Change: the rate of failures of late, halved every 3 s, is charged in the placement (400 ms for a sure failure).

--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -19,6 +19,8 @@
     pub slots: u32,
     /// Time the server needs for prompts that it was sent and has not answered yet.
     pub backlog: Duration,
+    /// How often it failed of late, 0 to 1.
+    pub failure_rate: f64,
     /// Whether it stands in the entry's own zone.
     pub is_near: bool,
     /// Whether it failed lately and should be passed over while others can serve.
@@ -43,6 +45,8 @@
     pub running: Duration,
     /// For each request beyond its slots.
     pub waiting: Duration,
+    /// For a failure, as often as the server fails.
+    pub failure: Duration,
     /// For leaving the AvailabilityZone.
     pub far: Duration,
     /// For each shared token that is read again, beyond the time that takes.
@@ -56,6 +60,8 @@
             running: Duration::from_millis(6),
             // Mean work of the application servers.
             waiting: Duration::from_millis(60),
+            // A failed attempt costs the time until it shows and one of the few attempts.
+            failure: Duration::from_millis(400),
             // Bytes between zones are dear; the way itself is a millisecond.
             far: Duration::from_millis(30),
             // Puts 1,000 tokens on a par with leaving the zone, as the users price them.
@@ -112,6 +118,7 @@
     let waiting = (candidate.load + 1.0 - slots).max(0.0);
     let running = candidate.load.min(slots);
     candidate.backlog.as_secs_f64()
+        + candidate.failure_rate * terms.failure.as_secs_f64()
         + running * terms.running.as_secs_f64()
         + waiting * terms.waiting.as_secs_f64()
 }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -170,7 +170,7 @@
     if res.status().is_server_error() {
         plan.member.note_failure(router.now());
     } else {
-        plan.member.note_answer();
+        plan.member.note_answer(router.now());
     }
 }
 
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     policy::{
+        failure_rate::FailureRate,
         load::LoadBelief,
         outlier::{Outlier, OutlierRules},
         placement::{Candidate, hash_id},
@@ -33,8 +34,10 @@
 pub(crate) struct Record {
     /// Belief about its load.
     pub(crate) load: LoadBelief,
-    /// Its failures.
+    /// Its failures in a row.
     pub(crate) outlier: Outlier,
+    /// Its failures of late.
+    pub(crate) failures: FailureRate,
     /// Connections that wait for use, the longest idle first.
     pub(crate) idle: Vec<IdleConnection>,
     /// Time for the prompts it was sent and has not answered yet.
@@ -71,13 +74,17 @@
     }
 
     /// Notes an answer that shows the server as sound.
-    pub(crate) fn note_answer(&self) {
-        self.record().outlier.note_answer(&OUTLIER_RULES);
+    pub(crate) fn note_answer(&self, now: Duration) {
+        let mut record = self.record();
+        record.outlier.note_answer(&OUTLIER_RULES);
+        record.failures.note(false, now);
     }
 
     /// Notes a failure of the server.
     pub(crate) fn note_failure(&self, now: Duration) {
-        self.record().outlier.note_failure(&OUTLIER_RULES, now);
+        let mut record = self.record();
+        record.outlier.note_failure(&OUTLIER_RULES, now);
+        record.failures.note(true, now);
     }
 
     /// Notes that something came from the server.
@@ -103,6 +110,7 @@
             load: record.load.estimate(now),
             slots: self.server.slots,
             backlog: record.backlog,
+            failure_rate: record.failures.get(now),
             is_near: &*self.server.zone == zone,
             is_suspect: record.outlier.is_passed_over(now),
         }
@@ -160,6 +168,7 @@
                 "zone": member.server.zone,
                 "leaving": member.server.is_leaving,
                 "load": record.load.estimate(now),
+                "failure_rate": record.failures.get(now),
                 "out": record.outlier.is_out(now),
                 "idle_connections": record.idle.len(),
             })
--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -61,6 +61,7 @@
     let placement = PlacementTerms {
         running: micros(&mut r, "placement.running_us", costs.running),
         waiting: micros(&mut r, "placement.waiting_us", costs.waiting),
+        failure: micros(&mut r, "placement.failure_us", costs.failure),
         far: micros(&mut r, "placement.far_us", costs.far),
         reread_token: micros(&mut r, "placement.reread_token_us", costs.reread_token),
     };
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -6,6 +6,7 @@
     policy::{
         escalation::{EscalationTerms, StageAnswer, escalate, threshold},
         exposure::{ExposureTerms, may_move_sessions, share_at, takes_new},
+        failure_rate::FailureRate,
         load::{LoadBelief, ReportedLoad},
         patience::head_patience,
         placement::{Candidate, PlacementTerms, Work, hash_id, place},
@@ -26,6 +27,7 @@
         load: 0.0,
         slots: 32,
         backlog: Duration::ZERO,
+        failure_rate: 0.0,
         is_near,
         is_suspect: false,
     }
@@ -93,6 +95,23 @@
     assert_eq!(chosen(&[], &Work::default()), None);
 }
 
+#[test]
+fn a_server_that_fails_part_of_its_requests_gets_fewer_and_is_tried_again() {
+    let mut failures = FailureRate::default();
+    let mut now = Duration::ZERO;
+    for i in 0..20 {
+        now += Duration::from_millis(50);
+        failures.note(i % 3 == 0, now);
+    }
+    let mut pool = pool();
+    let home = chosen(&pool, &work(7, 200)).unwrap();
+    pool[home].failure_rate = failures.get(now);
+    assert_ne!(chosen(&pool, &work(7, 200)), Some(home));
+
+    pool[home].failure_rate = failures.get(now + Duration::from_secs(30));
+    assert_eq!(chosen(&pool, &work(7, 200)), Some(home));
+}
+
 #[test]
 fn a_full_zone_sends_to_the_next() {
     let mut pool = pool();
