--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -1,12 +1,18 @@
 //! One routing decision at growing pools: `cargo bench --bench decision`.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use divan::{Bencher, black_box};
 use mintmoor::{
     load::slopes::decide_once,
-    policy::{choice::Pool, roll_out::takes_new_version},
+    policy::{
+        choice::Pool,
+        placement::{PlacementTerms, Work, place},
+        roll_out::takes_new_version,
+    },
     resources::{Guard, RollOut, RollOutState},
+    router::Member,
+    routing::BackendServer,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -47,3 +53,30 @@
         black_box(decide_once(&pools[&version], &mut rng, key))
     });
 }
+
+/// One placement on the users' platform: the servers' records are read and one is chosen.
+#[divan::bench(args = [20, 200, 2_100])]
+fn place_an_attempt(bencher: Bencher, servers: usize) {
+    let members: Vec<Member> = (0..servers).map(|i| Member::new(backend_server(i))).collect();
+    let terms = PlacementTerms::default();
+    let work =
+        Work { affinity: Some(7), shared_tokens: 5_000, token_time: Duration::from_micros(3) };
+    let now = Duration::from_secs(60);
+    bencher.bench(|| {
+        let candidates: Vec<_> = members.iter().map(|m| m.candidate("zone-3", now)).collect();
+        place(&candidates, &work, &terms)
+    });
+}
+
+fn backend_server(i: usize) -> BackendServer {
+    BackendServer {
+        id: format!("i-{i}").into(),
+        service: "llm".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: format!("zone-{}", i % 16).into(),
+        version: "v1".into(),
+        slots: 32,
+        is_leaving: false,
+        models: vec!["small".into(), "large".into()],
+    }
+}
