Streams that trickle count against their version

Change: a run whose events take four times the mean pace of its model counts as a failure once; whole runs count for their version at their end. Test: a_version_whose_streams_trickle_is_rolled_back, failed first.

--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -18,6 +18,8 @@
 /// An answer that takes so many times longer than expected counts against its version; bad ones
 /// take several times as long, and waits behind others seldom double the time.
 const SLOW_FACTOR: f64 = 4.0;
+/// No stream is judged before this, seconds: one long prompt beside it stops it for as long.
+const TRICKLE_LEAST: f64 = 0.6;
 /// No answer sooner than this is slow, whatever was expected, seconds.
 const SLOW_LEAST: f64 = 0.1;
 
@@ -28,11 +30,13 @@
     /// Mean over prompts as they came, with the wait behind others.
     mean_token_time: f64,
     head_time: Option<f64>,
+    /// Mean time between two events of a stream.
+    pace: Option<f64>,
 }
 
 impl Default for ReadingBelief {
     fn default() -> Self {
-        Self { token_time: FIRST_GUESS, mean_token_time: FIRST_GUESS, head_time: None }
+        Self { token_time: FIRST_GUESS, mean_token_time: FIRST_GUESS, head_time: None, pace: None }
     }
 }
 
@@ -62,6 +66,22 @@
         took.as_secs_f64() > (mean.max(reading) * SLOW_FACTOR).max(SLOW_LEAST)
     }
 
+    /// Notes a stream's mean time between two events.
+    pub fn note_pace(&mut self, pace: Duration) {
+        let pace = pace.as_secs_f64();
+        let mean = self.pace.get_or_insert(pace);
+        *mean += (pace - *mean) * MEAN_STEP;
+    }
+
+    /// Whether so many pauses between events took several times longer than they do.
+    pub fn is_trickle(&self, pauses: u32, took: Duration) -> bool {
+        let Some(pace) = self.pace else {
+            return false;
+        };
+        let expected = pace * f64::from(pauses) * SLOW_FACTOR;
+        took.as_secs_f64() > expected.max(TRICKLE_LEAST)
+    }
+
     /// Time for one prompt token on an engine with nothing else to read.
     pub fn token_time(&self) -> Duration {
         Duration::from_secs_f64(self.token_time)
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -18,7 +18,7 @@
         refusal::Refusal,
         serve::InFlight,
     },
-    routing::{AnswerKind, Organisation, Request, Route},
+    routing::{AnswerKind, Organisation, Request, Route, RouteKind},
     telemetry::event,
 };
 
@@ -193,7 +193,7 @@
 }
 
 /// What head times are learned by: the model, or the service where there is none.
-fn reading_key<'a>(job: &'a Job, ask: Ask<'a>) -> &'a str {
+pub(crate) fn reading_key<'a>(job: &'a Job, ask: Ask<'a>) -> &'a str {
     ask.model.or(job.req.head.model.as_deref()).unwrap_or(&job.service)
 }
 
@@ -246,7 +246,10 @@
                 router.roll_outs.note_silence(&member.server, router.now());
             }
             Ok(answer) if answer.head.kind == AnswerKind::Success => {
-                router.roll_outs.note_outcome(&member.server, !answer.is_slow);
+                // A stream is judged by its events, once some have come.
+                if answer.is_slow || job.route.kind != RouteKind::Stream {
+                    router.roll_outs.note_outcome(&member.server, !answer.is_slow);
+                }
             }
             _ => router.roll_outs.note_outcome(&member.server, false),
         }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -13,12 +13,13 @@
     policy::{
         escalation::{StageAnswer, escalate},
         patience::{Patience, event_patience},
+        reading::ReadingBelief,
     },
     router::{
         EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
-        dispatch::{Ask, Job, next_answer},
+        dispatch::{Ask, Job, next_answer, reading_key},
         refusal::Refusal,
         silence::bear,
     },
@@ -168,6 +169,33 @@
     }
 }
 
+/// When the events of one run came.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunTiming {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    pauses: u32,
+    /// Whether it was counted against its version already.
+    is_judged: bool,
+}
+
+impl RunTiming {
+    fn note_event(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        if self.last.replace(now).is_some() {
+            self.pauses += 1;
+        }
+    }
+
+    /// Time from the first event to the last.
+    fn took(&self) -> Duration {
+        let Some((first, last)) = self.first.zip(self.last) else {
+            return Duration::ZERO;
+        };
+        last - first
+    }
+}
+
 /// Passes a stream on.
 struct Relay {
     router: Arc<Router>,
@@ -227,6 +255,7 @@
     /// Passes one server's events on until its stream ends whole.
     async fn pass_on(&mut self, mut answer: OpenAnswer) -> Result<(), StreamError> {
         let mut splitter = EventSplitter::default();
+        let mut run = RunTiming::default();
         loop {
             let patience = self.patience();
             let next = pin!(answer.body.frame());
@@ -236,6 +265,7 @@
                 if splitter.is_inside_event() {
                     return Err(StreamError::EndedInside);
                 }
+                self.judge_whole(&answer, &run);
                 answer.finish(self.router.now());
                 return Ok(());
             };
@@ -250,6 +280,7 @@
                 sent.map_err(|_| StreamError::CallerGone)?;
                 self.last_event = event.id.or(self.last_event);
                 self.timing.note_event(Instant::now());
+                self.judge_event(&answer, &mut run);
             }
             if splitter.pending() > MOST_EVENT {
                 return Err(StreamError::TooLarge);
@@ -257,6 +288,35 @@
         }
     }
 
+    /// Counts a run against its version as soon as its events come far too slowly.
+    fn judge_event(&self, answer: &OpenAnswer, run: &mut RunTiming) {
+        run.note_event(Instant::now());
+        if run.is_judged || !self.reading().is_trickle(run.pauses, run.took()) {
+            return;
+        }
+        run.is_judged = true;
+        self.router.roll_outs.note_outcome(&answer.member.server, false);
+    }
+
+    /// Counts a run that ended whole for its version, and learns its pace.
+    fn judge_whole(&self, answer: &OpenAnswer, run: &RunTiming) {
+        if run.is_judged {
+            return;
+        }
+        self.router.roll_outs.note_outcome(&answer.member.server, true);
+        if run.pauses > 0 {
+            self.router.note_pace(self.reading_key(), run.took() / run.pauses);
+        }
+    }
+
+    fn reading(&self) -> ReadingBelief {
+        self.router.reading(self.reading_key())
+    }
+
+    fn reading_key(&self) -> &str {
+        reading_key(&self.job, Ask { model: self.model.as_deref(), last_event: None })
+    }
+
     /// Tells of a stream that ended whole but came later than its route aims at.
     fn tell_if_late(&self, server: &Member) {
         let (first, pause) = (self.timing.first_after, self.timing.longest_pause);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -188,6 +188,12 @@
         readings.entry(key.into()).or_default().note(prompt_tokens, took);
     }
 
+    /// Learns from a stream's mean time between two events.
+    pub(crate) fn note_pace(&self, key: &str, pace: Duration) {
+        let mut readings = self.readings.lock().expect("no panics under the lock");
+        readings.entry(key.into()).or_default().note_pace(pace);
+    }
+
     /// Time after which a session that sent nothing is over.
     pub(crate) fn session_time(&self) -> Duration {
         self.settings.load().session
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -72,6 +72,25 @@
     assert!(exposed < 60, "{exposed} of {asked} requests reached the slow version");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_whose_streams_trickle_is_rolled_back() {
+    let fast = Act::Stream { to: 8, is_whole: true, confidence: 90 };
+    let slow = Act::Paced { to: 8, pause: Duration::from_millis(120) };
+    let (old, new) = (always("i-1", fast).await, always("i-2", slow).await);
+    let site = Site::start(&[(&old, "llm", "v1"), (&new, "llm", "v2")]).await;
+    let order = json!({"service": "llm", "to": "v2", "duration-s": 600.0});
+    site.store.put("op", "rollout/llm", &order);
+    let state = || site.store.read("status", "rollout/llm").map(|s| s["state"].clone());
+    until("it is under way", || state().is_some()).await;
+
+    let mut asked = 0;
+    while state() != Some(json!("rolled_back")) {
+        asked += 1;
+        assert!(asked < 1_000, "never, but {}", site.entry.router.dump()["roll_outs"]);
+        site.ask("POST", "/chat/a", &format!("X-Model: *\r\nSession: s-{asked}\r\n")).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_good_version_is_completed_and_gets_everything() {
     let (old, _new, site) = two_versions(GOOD).await;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -55,6 +55,8 @@
     Hang,
     /// Events from after the caller's last to `to`; ends whole, or breaks off inside an event.
     Stream { to: u64, is_whole: bool, confidence: u8 },
+    /// A whole stream whose events come one by one after a pause.
+    Paced { to: u64, pause: Duration },
     /// Events without an end, each after a pause.
     Endless,
     /// An answer without a length that ends with its connection.
@@ -180,7 +182,10 @@
         Act::Stream { to, is_whole, confidence } => {
             return send_events(stream, seen, &signed, to, is_whole, confidence).await;
         }
-        Act::Endless => return send_endless(stream, &signed).await,
+        Act::Paced { to, pause } => return send_paced(stream, &signed, to, pause).await,
+        Act::Endless => {
+            return send_paced(stream, &signed, u64::MAX, Duration::from_millis(10)).await;
+        }
     };
     stream.write_all(bytes.as_bytes()).await.is_ok() && goes_on
 }
@@ -209,19 +214,19 @@
     stream.write_all(out.as_bytes()).await.is_ok() && is_whole
 }
 
-async fn send_endless(stream: &mut TcpStream, signed: &str) -> bool {
+async fn send_paced(stream: &mut TcpStream, signed: &str, to: u64, pause: Duration) -> bool {
     let head = format!(
-        "HTTP/1.1 200 X\r\n{signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 X\r\n{signed}X-Confidence: 90\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
-    for event in 1.. {
+    for event in 1..=to {
         let text = chunk(&format!("id: {event}\ndata: e{event}\n\n"));
         if stream.write_all(text.as_bytes()).await.is_err() {
             return false;
         }
-        sleep(Duration::from_millis(10)).await;
+        sleep(pause).await;
     }
-    false
+    stream.write_all(b"0\r\n\r\n").await.is_ok()
 }
