--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -18,8 +18,11 @@
 /// An answer that takes so many times longer than expected counts against its version; bad ones
 /// take several times as long, and waits behind others seldom double the time.
 const SLOW_FACTOR: f64 = 4.0;
-/// No stream is judged before this, seconds: one long prompt beside it stops it for as long.
-const TRICKLE_LEAST: f64 = 0.6;
+/// A stream whose events take so many times longer than the mean counts against its version. Sound
+/// ones do so, too, beside long prompts; the old version's rate of them is what is compared with.
+const TRICKLE_FACTOR: f64 = 2.0;
+/// No stream is judged before this, seconds.
+const TRICKLE_LEAST: f64 = 0.3;
 /// No answer sooner than this is slow, whatever was expected, seconds.
 const SLOW_LEAST: f64 = 0.1;
 
@@ -78,7 +81,7 @@
         let Some(pace) = self.pace else {
             return false;
         };
-        let expected = pace * f64::from(pauses) * SLOW_FACTOR;
+        let expected = pace * f64::from(pauses) * TRICKLE_FACTOR;
         took.as_secs_f64() > expected.max(TRICKLE_LEAST)
     }
 
