Failures and slowness of a version are tested apart

Ruled out: a verdict lost in the store's outage (it begins at 18 s). Change: slow runs go into the test's second channel; hard failures keep the old version's low rate as their base. Test: slow_sound_servers_do_not_hide_a_version_that_fails shows the mixed evidence undecided.

--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -16,6 +16,7 @@
         Member, Router,
         attempt::{AttemptError, OpenAnswer, Plan, send},
         refusal::Refusal,
+        roll_out::RunOutcome,
         serve::InFlight,
     },
     routing::{AnswerKind, Organisation, Request, Route, RouteKind},
@@ -247,11 +248,12 @@
             }
             Ok(answer) if answer.head.kind == AnswerKind::Success => {
                 // A stream is judged by its events, once some have come.
+                let outcome = if answer.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
                 if answer.is_slow || job.route.kind != RouteKind::Stream {
-                    router.roll_outs.note_outcome(&member.server, !answer.is_slow);
+                    router.roll_outs.note_outcome(&member.server, outcome);
                 }
             }
-            _ => router.roll_outs.note_outcome(&member.server, false),
+            _ => router.roll_outs.note_outcome(&member.server, RunOutcome::Failed),
         }
     }
     result
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -21,6 +21,7 @@
         body::{AnswerBody, Part, StreamBody},
         dispatch::{Ask, Job, next_answer, reading_key},
         refusal::Refusal,
+        roll_out::RunOutcome,
         silence::bear,
     },
     routing::{AnswerHead, AnswerKind, RouteKind},
@@ -225,7 +226,7 @@
             if matches!(e, StreamError::Silent) {
                 self.router.roll_outs.note_silence(&server.server, self.router.now());
             } else {
-                self.router.roll_outs.note_outcome(&server.server, false);
+                self.router.roll_outs.note_outcome(&server.server, RunOutcome::Failed);
             }
             let (id, events) = (&self.job.req.head.id, self.last_event);
             event::STREAM_BROKEN.log(format_args!(
@@ -295,7 +296,7 @@
             return;
         }
         run.is_judged = true;
-        self.router.roll_outs.note_outcome(&answer.member.server, false);
+        self.router.roll_outs.note_outcome(&answer.member.server, RunOutcome::Slow);
     }
 
     /// Counts a run that ended whole for its version, and learns its pace.
@@ -303,7 +304,7 @@
         if run.is_judged {
             return;
         }
-        self.router.roll_outs.note_outcome(&answer.member.server, true);
+        self.router.roll_outs.note_outcome(&answer.member.server, RunOutcome::Good);
         if run.pauses > 0 {
             self.router.note_pace(self.reading_key(), run.took() / run.pauses);
         }
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -36,6 +36,18 @@
 /// Sessions remembered at most; the oldest are forgotten first.
 const MOST_SESSIONS: usize = 20_000;
 
+/// What became of a run, as evidence on its version. Failures and slowness are tested apart:
+/// sound servers are slow now and then beside long prompts, and seldom fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunOutcome {
+    /// Whole and not slow.
+    Good,
+    /// It failed or broke off.
+    Failed,
+    /// It took several times longer than such runs do.
+    Slow,
+}
+
 /// Which versions may run a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) enum VersionRule {
@@ -210,7 +222,7 @@
     }
 
     /// Notes what became of an attempt that ran.
-    pub(crate) fn note_outcome(&self, server: &BackendServer, is_good: bool) {
+    pub(crate) fn note_outcome(&self, server: &BackendServer, outcome: RunOutcome) {
         let mut inner = self.lock();
         let Some(roll_out) = inner.roll_outs.get_mut(&server.service) else {
             return;
@@ -218,7 +230,9 @@
         let is_new = roll_out.order.to == server.version;
         let evidence = if is_new { &mut roll_out.new } else { &mut roll_out.old };
         evidence.answers += 1;
-        evidence.failures += u64::from(!is_good);
+        evidence.failures += u64::from(outcome == RunOutcome::Failed);
+        evidence.rated += u64::from(outcome != RunOutcome::Failed);
+        evidence.poor += u64::from(outcome == RunOutcome::Slow);
         roll_out.judge();
     }
 
@@ -237,7 +251,7 @@
                 inner.silences.retain(|_, told| now < *told + SAME_SILENCE);
             }
         }
-        self.note_outcome(server, false);
+        self.note_outcome(server, RunOutcome::Failed);
     }
 
     /// Notes that servers of a version are in view.
@@ -252,7 +266,11 @@
         let inner = self.lock();
         for roll_out in inner.roll_outs.values() {
             for (version, evidence) in [("old", roll_out.old), ("new", roll_out.new)] {
-                let counts = [("answers", evidence.answers), ("failures", evidence.failures)];
+                let counts = [
+                    ("answers", evidence.answers),
+                    ("failures", evidence.failures),
+                    ("slow", evidence.poor),
+                ];
                 for (count, value) in counts {
                     let labels = EvidenceLabels {
                         service: roll_out.order.service.to_string(),
@@ -277,8 +295,10 @@
                 "held": r.is_held,
                 "answers": r.new.answers,
                 "failures": r.new.failures,
+                "slow": r.new.poor,
                 "old_answers": r.old.answers,
                 "old_failures": r.old.failures,
+                "old_slow": r.old.poor,
             })
         };
         Value::Array(inner.roll_outs.values().map(one).collect())
@@ -334,13 +354,15 @@
         if !self.is_held && self.test.finding(&GUARD) == Finding::Worse {
             self.is_held = true;
             event::VERSION_SUSPECT.log(format_args!(
-                "service={} version={} answers={} failures={} old_answers={} old_failures={}",
+                "service={} version={} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={}",
                 self.order.service,
                 self.order.to,
                 self.new.answers,
                 self.new.failures,
+                self.new.poor,
                 self.old.answers,
-                self.old.failures
+                self.old.failures,
+                self.old.poor
             ));
         }
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -61,7 +61,7 @@
     pub service: String,
     /// `old` or `new`.
     pub version: String,
-    /// `answers` or `failures`.
+    /// `answers`, `failures` or `slow`.
     pub count: String,
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -11,9 +11,11 @@
         patience::head_patience,
         placement::{Candidate, PlacementTerms, Work, hash_id, place},
         reading::ReadingBelief,
+        roll_out::{Evidence, Finding, VersionTest},
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
+    resources::Guard,
     router::EventSplitter,
     routing::{Route, RouteKind},
 };
@@ -320,3 +322,19 @@
         assert!(exposed < 0.14, "{exposed} of the requests");
     }
 }
+
+#[test]
+fn slow_sound_servers_do_not_hide_a_version_that_fails() {
+    let guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
+    let old = Evidence { answers: 170, failures: 1, rated: 169, poor: 44 };
+    let mut test = VersionTest::default();
+
+    let new = Evidence { answers: 8, failures: 4, rated: 4, poor: 1 };
+    test.observe(old, new, &guard);
+
+    assert_eq!(test.finding(&guard), Finding::Worse);
+    let together = Evidence { answers: 170, failures: 45, ..Evidence::default() };
+    let mut mixed = VersionTest::default();
+    mixed.observe(together, Evidence { answers: 8, failures: 5, ..Evidence::default() }, &guard);
+    assert_ne!(mixed.finding(&guard), Finding::Worse, "why the two are tested apart");
+}
