Read over: what stood twice, was read twice, or is used by nobody

- Links between entries use protocol::Error, which had every case that PeerError wrote again.
- A view asked for is filtered where it lies (newer_than, oldest_version); all rows were copied to compare versions.
- The time to read a prompt is ReadingBelief's; dispatch and relay each multiplied tokens.
- Until when a removed server may come back is one question to Contact, not a check and the same sum again.
- The settings file's text is read once a look and handed to the reload, which read it again.
- Documents of services, prices, regions, ports and descriptors were decoded and used by nobody: gone.
- Two counters of failed calls had the error's whole text as their label, without bound: now the call's name.

--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -98,7 +98,8 @@
             .into(),
     };
     let name = file.display().to_string();
-    let host = host_settings::read(&read(&name)?).wrap_err_with(|| name.clone())?;
+    let mut text = read(&name)?;
+    let host = host_settings::read(&text).wrap_err_with(|| name.clone())?;
     let policy = match &args.policy {
         Some(file) => load_route(file, &read(file)?)?,
         None => RouteSettings::default(),
@@ -106,8 +107,7 @@
     log::install_bounded(policy.log_level).wrap_err("log")?;
     let mut stop = StopSignals::listen()?;
     let mut reload = signal(SignalKind::hangup())?;
-    let running = router::start(RouterSettings { host, policy, file: Some(file) }).await?;
-    let mut text = read(&name)?;
+    let running = router::start(RouterSettings { host, policy }).await?;
     loop {
         tokio::select! {
             () = stop.next() => break,
@@ -123,10 +123,10 @@
 
 /// Reloads when asked, or when the file's text is another than before.
 fn reload_changed(running: &RunningRouter, name: &str, text: &mut String, is_asked: bool) {
-    // A file that can't be read is told by the reload itself.
+    // A file that can't be read counts as empty, and the reload tells that it can't be used.
     let now = read(name).unwrap_or_default();
     if is_asked || now != *text {
+        running.reload(&now);
         *text = now;
-        running.reload();
     }
 }
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -11,8 +11,8 @@
         store::{Row, Table},
     },
     routing::{
-        BackendServer, CallerLimits, ModelPrice, Organisation, Progress, RollOutOrder,
-        RollOutStatus, Route, RouteKind, RoutingTable, Service, Target,
+        BackendServer, CallerLimits, Organisation, Progress, RollOutOrder, RollOutStatus, Route,
+        RouteKind, RoutingTable, Target,
     },
 };
 
@@ -38,8 +38,6 @@
     version: Revision,
     #[serde(default)]
     routes: Vec<RouteDoc>,
-    #[serde(default)]
-    services: Vec<ServiceDoc>,
     limits: Option<LimitsDoc>,
     tenants: Option<Vec<OrganisationDoc>>,
 }
@@ -79,30 +77,6 @@
     weight: f64,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct ServiceDoc {
-    name: Box<str>,
-    max_conns: Option<usize>,
-    engine: Option<EngineDoc>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct EngineDoc {
-    /// Prompt tokens one engine can hold.
-    kv_capacity: Option<f64>,
-    #[serde(default)]
-    models: Vec<ModelDoc>,
-}
-
-#[derive(Deserialize)]
-struct ModelDoc {
-    name: Box<str>,
-    #[serde(default)]
-    cost: f64,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct LimitsDoc {
@@ -260,7 +234,6 @@
     RoutingTable {
         version: doc.version,
         routes,
-        services: doc.services.into_iter().map(|s| (s.name.clone(), read_service(s))).collect(),
         keys: doc.tenants.map(read_keys),
         limits: doc.limits.as_ref().map(read_limits),
     }
@@ -295,17 +268,6 @@
     }
 }
 
-fn read_service(doc: ServiceDoc) -> Service {
-    let engine = doc.engine;
-    let memory = engine.as_ref().and_then(|e| e.kv_capacity);
-    let price = |m: ModelDoc| ModelPrice { model: m.name, cost: m.cost };
-    Service {
-        max_connections: doc.max_conns.unwrap_or(usize::MAX),
-        prices: engine.map(|e| e.models.into_iter().map(price).collect()).unwrap_or_default(),
-        memory_tokens: memory.map(|tokens| tokens as u64),
-    }
-}
-
 fn read_keys(docs: Vec<OrganisationDoc>) -> HashMap<Box<str>, Arc<Organisation>> {
     let mut keys = HashMap::new();
     for doc in docs {
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -1,6 +1,6 @@
 //! The settings file that the platform writes for a process on one of its Hosts.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use serde::Deserialize;
 
@@ -14,8 +14,6 @@
     pub host: Box<str>,
     /// AvailabilityZone of the Host.
     pub zone: Box<str>,
-    /// Region by AvailabilityZone.
-    pub regions: HashMap<Box<str>, Box<str>>,
     /// Where callers connect.
     pub caller: SocketAddr,
     /// Where the balancer asks whether this process takes work.
@@ -24,8 +22,6 @@
     pub peer: Option<SocketAddr>,
     /// Peer addresses of a few entries; they may be stale.
     pub seeds: Vec<SocketAddr>,
-    /// First port that is free for this system.
-    pub first_port: u16,
     /// Store, as `IP:PORT`.
     pub store: Box<str>,
     /// Time from the request to stop until the process is killed.
@@ -40,8 +36,6 @@
     pub retry_window: Duration,
     /// Time after which a session that sent nothing is over.
     pub session: Duration,
-    /// Descriptors the process may use.
-    pub max_descriptors: usize,
 }
 
 /// Why the platform's file can't be used.
@@ -62,18 +56,11 @@
     node_name: Box<str>,
     #[serde(default)]
     zone: Box<str>,
-    /// Region of each zone.
-    #[serde(default)]
-    zones: HashMap<Box<str>, Box<str>>,
     #[serde(default)]
     listen: ListenDoc,
     #[serde(default)]
-    port_range: Vec<u16>,
-    #[serde(default)]
     seeds: Vec<Box<str>>,
     #[serde(default)]
-    limits: LimitsDoc,
-    #[serde(default)]
     bounds: BoundsDoc,
     #[serde(default)]
     platform: PlatformDoc,
@@ -89,12 +76,6 @@
     control_plane: Option<Box<str>>,
 }
 
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct LimitsDoc {
-    max_fds: Option<usize>,
-}
-
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct BoundsDoc {
@@ -120,7 +101,6 @@
 const DEFAULT_RETRY_EXTRA: f64 = 20.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 const DEFAULT_SESSION_S: f64 = 5.0;
-const DEFAULT_DESCRIPTORS: usize = 1_024;
 
 /// Reads the file's text.
 ///
@@ -143,12 +123,10 @@
     Ok(HostSettings {
         host: doc.node_name,
         zone: doc.zone,
-        regions: doc.zones,
         caller,
         readiness,
         peer: doc.listen.control_plane.and_then(|text| text.parse().ok()),
         seeds: doc.seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
-        first_port: doc.port_range.first().copied().unwrap_or_default(),
         store,
         grace: Duration::from_secs_f64(bounds.grace_s.unwrap_or(DEFAULT_GRACE_S)),
         catch_up: Duration::from_secs_f64(bounds.contact_ms.unwrap_or(DEFAULT_CONTACT_MS) / 1e3),
@@ -158,7 +136,6 @@
             bounds.retry_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S),
         ),
         session: Duration::from_secs_f64(bounds.session_s.unwrap_or(DEFAULT_SESSION_S)),
-        max_descriptors: doc.limits.max_fds.unwrap_or(DEFAULT_DESCRIPTORS),
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -220,21 +220,23 @@
     /// # Errors
     /// [`Error::Refused`] when nothing was written, [`Error::Unknown`] when it may have been.
     pub async fn write(&self, puts: &[Put]) -> Result<WriteOutcome> {
-        let expect =
-            |put: &'_ Put| (put.table, put.key.clone(), put.expected, STANDARD.encode(&put.value));
-        let rows: Vec<_> = puts.iter().map(expect).collect();
         let doc = TransactionDoc {
-            expected_rev: rows
+            expected_rev: puts
                 .iter()
-                .map(|(table, key, ver, _)| Expected { table: *table, part: "", key, ver: *ver })
+                .map(|put| Expected {
+                    table: put.table,
+                    part: "",
+                    key: &put.key,
+                    ver: put.expected,
+                })
                 .collect(),
-            puts: rows
+            puts: puts
                 .iter()
-                .map(|(table, key, _, value)| PutDoc {
-                    table: *table,
+                .map(|put| PutDoc {
+                    table: put.table,
                     part: "",
-                    key,
-                    value: value.clone(),
+                    key: &put.key,
+                    value: STANDARD.encode(&put.value),
                 })
                 .collect(),
             remove: [],
--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -90,9 +90,14 @@
         Duration::from_secs_f64(self.token_time)
     }
 
-    /// Time for one prompt token as prompts were read of late, with their waits.
-    pub fn mean_token_time(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_token_time)
+    /// Time to read a prompt on an engine with nothing else to read.
+    pub fn reading_time(&self, prompt_tokens: u64) -> Duration {
+        Duration::from_secs_f64(self.token_time * prompt_tokens as f64)
+    }
+
+    /// Time to read a prompt as prompts were read of late, with their waits.
+    pub fn mean_reading_time(&self, prompt_tokens: u64) -> Duration {
+        Duration::from_secs_f64(self.mean_token_time * prompt_tokens as f64)
     }
 
     /// Mean time to an answer's head; none before the first answer.
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -207,8 +207,7 @@
     let may_go_elsewhere = job.route.is_idempotent() && job.runs_left() > 1;
     let key = reading_key(job, ask);
     let belief = router.reading(key);
-    let tokens = u32::try_from(job.req.head.prompt_tokens).unwrap_or(u32::MAX);
-    let reading = belief.token_time().saturating_mul(tokens);
+    let reading = belief.reading_time(job.req.head.prompt_tokens);
     let (kind, objective) = (job.route.kind, job.route.objective);
     let patience = head_patience(kind, objective, belief.head_time(), reading);
     let plan = Plan {
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -68,9 +68,10 @@
         }
     }
 
-    /// Whether removals seen now may only be entries that lapsed while the store was away.
-    fn doubts_removals(&self, now: Duration) -> bool {
-        self.back_at.is_some_and(|back| now < back + RETURN_TIME)
+    /// Until when a server that is removed now may come back: its row may only have lapsed while
+    /// the store was away. None when removals are sure.
+    fn doubtful_until(&self, now: Duration) -> Option<Duration> {
+        self.back_at.map(|back| back + RETURN_TIME).filter(|until| now < *until)
     }
 }
 
@@ -268,10 +269,8 @@
 pub(crate) async fn follow_servers(router: &Router, store: &StoreClient) {
     let listing = std::sync::Mutex::new(Listing::default());
     let apply = |rows: Rows, is_whole: bool, contact: &Contact| {
-        let now = router.now();
-        let doubtful_until = contact.back_at.filter(|_| contact.doubts_removals(now));
         let mut listing = listing.lock().expect("no panics under the lock");
-        listing.apply(&rows, is_whole, doubtful_until.map(|back| back + RETURN_TIME));
+        listing.apply(&rows, is_whole, contact.doubtful_until(router.now()));
         if is_whole || !rows.rows.is_empty() {
             publish(router, &listing);
         }
@@ -378,14 +377,15 @@
             learn_verdicts(router, store, &mut told, &seen).await;
         }
         for order in router.roll_outs.running() {
-            let is_new = seen.get(&order.service) != Some(&order.revision);
-            let outcome =
-                if is_new { begin(router, store, &mut told, &order).await } else { Ok(()) };
-            match outcome {
+            if seen.get(&order.service) == Some(&order.revision) {
+                continue;
+            }
+            match begin(router, store, &mut told, &order).await {
                 Ok(()) => {
                     seen.insert(order.service.clone(), order.revision);
                 }
-                Err(e) => router.metrics.count_store_error(&e.to_string()),
+                // The feeds tell of a store that is away; it is tried again at the next look.
+                Err(_) => router.metrics.count_store_error("roll_out"),
             }
         }
         if router.now() < rest_until {
@@ -420,7 +420,7 @@
             running.iter().for_each(|order| take_over(router, told, order, rows.now));
         }
         // The feeds tell of a store that is away; the next look comes soon.
-        Err(e) => router.metrics.count_store_error(&e.to_string()),
+        Err(_) => router.metrics.count_store_error("status"),
     }
 }
 
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -12,14 +12,11 @@
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
-use tokio_tungstenite::{
-    accept_async, client_async,
-    tungstenite::{Error as SocketError, Message},
-};
+use tokio_tungstenite::{accept_async, client_async, tungstenite::Message};
 
 use crate::{
     ids::Revision,
-    protocol::{decode, encode},
+    protocol::{Error, Result, decode, encode},
     router::{Router, views::TableView},
     telemetry::event,
 };
@@ -36,19 +33,9 @@
     version: Revision,
 }
 
-/// Why another entry could not be asked.
-#[derive(Debug, thiserror::Error)]
-enum PeerError {
-    #[error("can't connect: {0}")]
-    Connect(#[from] std::io::Error),
-    #[error("link: {0}")]
-    Socket(#[from] SocketError),
-    #[error("unreadable: {0}")]
-    Unreadable(#[from] crate::protocol::Error),
-    #[error("no answer in time")]
-    Timeout,
-    #[error("the link ended")]
-    Ended,
+/// An exchange that takes longer than [`EXCHANGE`], or ends before its answer.
+fn no_answer() -> Error {
+    Error::Broken("no answer in time".into())
 }
 
 /// Answers other entries.
@@ -66,17 +53,16 @@
         match timeout(EXCHANGE, answer_one(router, stream)).await {
             Ok(Ok(())) => {}
             Ok(Err(e)) => event::PEER_FAILED.log(format_args!("cause=\"{e}\"")),
-            Err(_) => event::PEER_FAILED.log(format_args!("cause=\"{}\"", PeerError::Timeout)),
+            Err(_) => event::PEER_FAILED.log(format_args!("cause=\"{}\"", no_answer())),
         }
     }
 }
 
-async fn answer_one(router: &Router, stream: TcpStream) -> Result<(), PeerError> {
+async fn answer_one(router: &Router, stream: TcpStream) -> Result<()> {
     let mut socket = accept_async(stream).await?;
-    let message = socket.next().await.ok_or(PeerError::Ended)??;
+    let message = socket.next().await.ok_or_else(no_answer)??;
     let ask: Ask = decode(&message.into_data())?;
-    let views: Vec<TableView> =
-        router.views.all().into_iter().filter(|view| view.version > ask.version).collect();
+    let views = router.views.newer_than(ask.version);
     socket.send(Message::binary(encode(&views))).await?;
     socket.close(None).await?;
     Ok(())
@@ -100,20 +86,20 @@
         turn += 1;
         let peer = others[turn % others.len()];
         let asked = timeout(EXCHANGE, ask(router, peer)).await;
-        match asked.unwrap_or(Err(PeerError::Timeout)) {
+        match asked.unwrap_or_else(|_| Err(no_answer())) {
             Ok(views) => take_in(router, peer, &views),
             Err(e) => event::PEER_FAILED.log(format_args!("peer={peer} cause=\"{e}\"")),
         }
     }
 }
 
-async fn ask(router: &Router, peer: SocketAddr) -> Result<Vec<TableView>, PeerError> {
+async fn ask(router: &Router, peer: SocketAddr) -> Result<Vec<TableView>> {
     let stream = TcpStream::connect(peer).await?;
     let (mut socket, _) = client_async(format!("ws://{peer}/"), stream).await?;
-    let version = router.views.all().iter().map(|view| view.version).min().unwrap_or(0);
+    let version = router.views.oldest_version();
     socket.send(Message::binary(encode(&Ask { version }))).await?;
-    let message = socket.next().await.ok_or(PeerError::Ended)??;
-    Ok(decode(&message.into_data())?)
+    let message = socket.next().await.ok_or_else(no_answer)??;
+    decode(&message.into_data())
 }
 
 fn take_in(router: &Router, peer: SocketAddr, views: &[TableView]) {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -87,7 +87,6 @@
         let ask = Ask { model: model.as_deref(), last_event: job.req.head.last_event };
         let answer = next_answer(router, job, ask).await?;
         let largest = cascade.last().map(|model| router.reading(model)).unwrap_or_default();
-        let tokens = u32::try_from(job.req.head.prompt_tokens).unwrap_or(u32::MAX);
         let stage_answer = StageAnswer {
             stage,
             stages: if model.is_some() { cascade.len() } else { 0 },
@@ -96,7 +95,7 @@
             time_left: job.time_left(),
             objective: job.route.objective,
             largest_wait: largest.head_time(),
-            largest_reading: largest.mean_token_time().saturating_mul(tokens),
+            largest_reading: largest.mean_reading_time(job.req.head.prompt_tokens),
             elapsed: job.arrived.elapsed(),
             priority: job.priority(),
         };
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -1,7 +1,6 @@
 //! Starting, reloading and stopping an entry on the platform.
 
 use std::{
-    path::PathBuf,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -35,8 +34,6 @@
     pub host: HostSettings,
     /// What the operator settled about decisions.
     pub policy: RouteSettings,
-    /// File the Host's settings were read from, read again at a reload.
-    pub file: Option<PathBuf>,
 }
 
 /// An entry that runs.
@@ -44,7 +41,6 @@
 pub struct RunningRouter {
     /// Its state.
     pub router: Arc<Router>,
-    file: Option<PathBuf>,
     closing: watch::Sender<bool>,
     /// Ends the control thread when dropped.
     _ending: watch::Sender<bool>,
@@ -56,7 +52,7 @@
 /// # Errors
 /// When an address can't be bound or the thread can't be made.
 pub async fn start(settings: RouterSettings) -> std::io::Result<RunningRouter> {
-    let RouterSettings { host, policy, file } = settings;
+    let RouterSettings { host, policy } = settings;
     let callers = TcpListener::bind(host.caller).await?;
     let readiness = TcpListener::bind(host.readiness).await?;
     event::PROCESS_STARTED.log(format_args!(
@@ -85,7 +81,7 @@
             event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
         }
     });
-    Ok(RunningRouter { router, file, closing, _ending: ending, callers })
+    Ok(RunningRouter { router, closing, _ending: ending, callers })
 }
 
 /// Serves metrics and the state dump on an address of their own.
@@ -133,18 +129,12 @@
 }
 
 impl RunningRouter {
-    /// Reads the platform's file again; a file that can't be read changes nothing.
-    pub fn reload(&self) {
-        let Some(file) = &self.file else {
-            return;
-        };
-        let read = std::fs::read_to_string(file)
-            .map_err(|e| e.to_string())
-            .and_then(|text| host_settings::read(&text).map_err(|e| e.to_string()));
-        match read {
+    /// Takes over the text of the platform's file; one that can't be read changes nothing.
+    pub fn reload(&self, text: &str) {
+        match host_settings::read(text) {
             Ok(settings) => {
+                event::SETTINGS_RELOADED.log(format_args!("host={}", settings.host));
                 self.router.settings.store(Arc::new(settings));
-                event::SETTINGS_RELOADED.log(format_args!("file={}", file.display()));
             }
             Err(e) => event::SETTINGS_UNREADABLE.log(format_args!("cause=\"{e}\"")),
         }
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -94,15 +94,21 @@
         seen.get(&table).map_or(0, |seen| seen.version)
     }
 
-    /// All tables as last seen.
-    pub(crate) fn all(&self) -> Vec<TableView> {
+    /// Newest transaction seen of the table that is furthest behind.
+    pub(crate) fn oldest_version(&self) -> Revision {
+        let seen = self.seen.lock().expect("no panics under the lock");
+        seen.values().map(|seen| seen.version).min().unwrap_or(0)
+    }
+
+    /// Tables of which something newer than this has been seen.
+    pub(crate) fn newer_than(&self, version: Revision) -> Vec<TableView> {
         let seen = self.seen.lock().expect("no panics under the lock");
         let view = |(table, seen): (&Table, &Seen)| TableView {
             table: *table,
             version: seen.version,
             rows: seen.rows.values().cloned().collect(),
         };
-        seen.iter().map(view).collect()
+        seen.iter().filter(|(_, seen)| seen.version > version).map(view).collect()
     }
 
     /// Offers what another entry has seen to whoever follows the table.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,6 +11,4 @@
 pub use backend_server::{BackendServer, ServerVersion};
 pub use request::{PromptPart, Request, RequestHead};
 pub use roll_out::{Progress, RollOutOrder, RollOutStatus};
-pub use table::{
-    CallerLimits, ModelPrice, Organisation, Route, RouteKind, RoutingTable, Service, Target,
-};
+pub use table::{CallerLimits, Organisation, Route, RouteKind, RoutingTable, Target};
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -67,26 +67,6 @@
     }
 }
 
-/// What one model costs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelPrice {
-    /// Name of the model.
-    pub model: Box<str>,
-    /// Cost of 1,000 generated tokens, in the operator's unit.
-    pub cost: f64,
-}
-
-/// A service and what its BackendServers can take.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Service {
-    /// Connections that all callers together may hold to one server.
-    pub max_connections: usize,
-    /// Prices of its models; empty where it is no model engine.
-    pub prices: Vec<ModelPrice>,
-    /// Prompt tokens one server can hold; none where it is no model engine.
-    pub memory_tokens: Option<u64>,
-}
-
 /// An Organisation as the operator declares it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Organisation {
@@ -116,8 +96,6 @@
     pub version: Revision,
     /// Routes by host, the longest prefix first.
     pub routes: HashMap<Box<str>, Vec<Arc<Route>>>,
-    /// Services by name.
-    pub services: HashMap<Box<str>, Service>,
     /// Organisations by key; none where requests need no keys at all.
     pub keys: Option<HashMap<Box<str>, Arc<Organisation>>>,
     /// Limits on callers; none where the operator sets none.
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -32,12 +32,10 @@
     HostSettings {
         host: "edge-1".into(),
         zone: "zone-a".into(),
-        regions: [("zone-a".into(), "region".into())].into(),
         caller: free_address(),
         readiness: free_address(),
         peer: Some(free_address()),
         seeds: Vec::new(),
-        first_port: 0,
         store: store.address.to_string().into(),
         grace: Duration::from_secs(4),
         catch_up: Duration::from_secs(3),
@@ -45,7 +43,6 @@
         retry_extra: 52.0,
         retry_window: Duration::from_secs(10),
         session: Duration::from_secs(5),
-        max_descriptors: 1_024,
     }
 }
 
@@ -111,7 +108,7 @@
         let mut host = host_settings(&store);
         host.seeds.extend(seed);
         let (caller, readiness) = (host.caller, host.readiness);
-        let settings = RouterSettings { host, policy: RouteSettings::default(), file: None };
+        let settings = RouterSettings { host, policy: RouteSettings::default() };
         let entry = router::start(settings).await.unwrap();
         Self { store, entry, caller, readiness }
     }
