The test of a good version may ask 20,000 times again

Cause: a_good_version_is_completed failed in 2 of 7 runs ("never completed", 2,785 answers, none failed or slow, progress Running): the roll-out takes 2.9 s, and 3,000 requests take less when the machine is idle. Change: the first limit again. No assertion about the product is touched.

--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -27,7 +27,7 @@
     let mut asked = 0;
     while state(site) != wanted {
         asked += 1;
-        assert!(asked < 3_000, "never {wanted}, but {}", site.entry.router.dump()["roll_outs"]);
+        assert!(asked < 20_000, "never {wanted}, but {}", site.entry.router.dump()["roll_outs"]);
         let headers = format!("Session: s-{asked}\r\n");
         site.ask("GET", "/safe/a", &headers).await;
     }
