--- /dev/null
+++ b/src/router/driver.rs
@@ -0,0 +1,230 @@
+//! Driving roll-outs in the store: their begin, their end, and what other entries said of them.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::{
+    ids::Revision,
+    platform::{
+        documents::{read_status, service_of_status, status_key, write_status},
+        store::{Put, Row, StoreClient, Table, WriteOutcome},
+    },
+    router::{Router, roll_out::Verdict},
+    routing::{Progress, RollOutOrder, RollOutStatus},
+    telemetry::event,
+};
+
+/// Time between looks at what this entry can say about roll-outs.
+const DRIVE_EVERY: Duration = Duration::from_millis(200);
+/// Rest after a verdict that could not be written: each call is paid for, and this entry already
+/// keeps to its verdict.
+const VERDICT_REST: Duration = Duration::from_secs(1);
+/// Such looks between reads of what other entries said: a bad version may get requests for 5 s
+/// after its fiftieth bad answer, and each entry finds it on its own, too.
+const DRIVES_PER_LOOK: u32 = 8;
+
+/// Our own row about a roll-out.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct RollOutRow {
+    /// Order it is about.
+    revision: Revision,
+    /// When it began, on the store's clock.
+    began_ms: u64,
+}
+
+/// What is known of the store's rows about roll-outs.
+#[derive(Debug, Default)]
+struct Told {
+    /// Versions of the rows, 0 where there is none.
+    status: HashMap<Box<str>, (Revision, RollOutStatus)>,
+    own: HashMap<Box<str>, (Revision, RollOutRow)>,
+}
+
+impl Told {
+    fn note(&mut self, row: &Row) {
+        let Some(service) = service_of_status(&row.key) else {
+            return;
+        };
+        if row.is_removed {
+            return;
+        }
+        match row.table {
+            Table::Status => match read_status(row) {
+                Ok(status) => {
+                    self.status.insert(service.into(), (row.version, status));
+                }
+                Err(e) => event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\"")),
+            },
+            Table::Own => match serde_json::from_slice(&row.value) {
+                Ok(own) => {
+                    self.own.insert(service.into(), (row.version, own));
+                }
+                Err(e) => event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\"")),
+            },
+            _ => {}
+        }
+    }
+
+    /// Progress the store tells of an order; none when it has not been begun.
+    fn progress(&self, order: &RollOutOrder) -> Option<(Progress, u64)> {
+        let (_, own) = self.own.get(&order.service)?;
+        if own.revision != order.revision {
+            return None;
+        }
+        let (_, status) = self.status.get(&order.service)?;
+        Some((status.progress, own.began_ms))
+    }
+
+    fn own_version(&self, service: &str) -> Revision {
+        self.own.get(service).map_or(0, |(version, _)| *version)
+    }
+
+    fn status_version(&self, service: &str) -> Revision {
+        self.status.get(service).map_or(0, |(version, _)| *version)
+    }
+}
+
+/// Drives roll-outs: notes their begin in the store, gives verdicts and learns of others'.
+pub(crate) async fn drive_roll_outs(router: &Router, store: &StoreClient) {
+    let mut told = Told::default();
+    let mut seen: HashMap<Box<str>, Revision> = HashMap::new();
+    let mut drives = 0;
+    let mut rest_until = Duration::ZERO;
+    loop {
+        sleep(DRIVE_EVERY).await;
+        drives += 1;
+        if drives % DRIVES_PER_LOOK == 0 {
+            learn_verdicts(router, store, &mut told, &seen).await;
+        }
+        for order in router.roll_outs.running() {
+            if seen.get(&order.service) == Some(&order.revision) {
+                continue;
+            }
+            match begin(router, store, &mut told, &order).await {
+                Ok(()) => {
+                    seen.insert(order.service.clone(), order.revision);
+                }
+                // The feeds tell of a store that is away; it is tried again at the next look.
+                Err(_) => router.metrics.count_store_error("roll_out"),
+            }
+        }
+        if router.now() < rest_until {
+            continue;
+        }
+        for verdict in router.roll_outs.verdicts(router.now()) {
+            if let Err(e) = give(router, store, &mut told, &verdict).await {
+                rest_until = router.now() + VERDICT_REST;
+                event::VERDICT_WAITS
+                    .log(format_args!("service={} cause=\"{e}\"", verdict.order.service));
+            }
+        }
+    }
+}
+
+/// Learns what other entries said about the roll-outs that are under way.
+async fn learn_verdicts(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+    seen: &HashMap<Box<str>, Revision>,
+) {
+    let mut running = router.roll_outs.running();
+    running.retain(|order| seen.get(&order.service) == Some(&order.revision));
+    if running.is_empty() {
+        return;
+    }
+    router.metrics.count_store_call("status");
+    match store.read(Table::Status).await {
+        Ok(rows) => {
+            rows.rows.iter().for_each(|row| told.note(row));
+            running.iter().for_each(|order| take_over(router, told, order, rows.now));
+        }
+        // The feeds tell of a store that is away; the next look comes soon.
+        Err(_) => router.metrics.count_store_error("status"),
+    }
+}
+
+/// Reads what the store has about roll-outs and, if nothing about this one, writes its begin.
+async fn begin(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+    order: &RollOutOrder,
+) -> crate::platform::Result<()> {
+    let now = look(store, told).await?;
+    if told.progress(order).is_none() {
+        let row = RollOutRow { revision: order.revision, began_ms: now.as_millis() as u64 };
+        let status = RollOutStatus { to: order.to.clone(), progress: Progress::Running };
+        let key = status_key(&order.service);
+        let puts = [
+            Put {
+                table: Table::Own,
+                key: key.clone(),
+                expected: told.own_version(&order.service),
+                value: serde_json::to_vec(&row).expect("a row of numbers can be written"),
+            },
+            Put {
+                table: Table::Status,
+                key,
+                expected: told.status_version(&order.service),
+                value: write_status(&status),
+            },
+        ];
+        let outcome = store.write(&puts).await?;
+        event::ROLL_OUT_BEGUN.log(format_args!("service={} outcome={outcome:?}", order.service));
+        look(store, told).await?;
+    }
+    take_over(router, told, order, now);
+    Ok(())
+}
+
+async fn look(store: &StoreClient, told: &mut Told) -> crate::platform::Result<Duration> {
+    let own = store.read(Table::Own).await?;
+    let status = store.read(Table::Status).await?;
+    own.rows.iter().chain(&status.rows).for_each(|row| told.note(row));
+    Ok(status.now)
+}
+
+/// Takes over what the store tells of an order.
+fn take_over(router: &Router, told: &Told, order: &RollOutOrder, store_now: Duration) {
+    let Some((progress, began_ms)) = told.progress(order) else {
+        return;
+    };
+    let age = store_now.saturating_sub(Duration::from_millis(began_ms));
+    let began = router.now().saturating_sub(age);
+    router.roll_outs.adopt(&order.service, order.revision, Some(began), progress);
+}
+
+/// Writes a verdict, unless another entry has given one.
+async fn give(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+    verdict: &Verdict,
+) -> crate::platform::Result<()> {
+    let order = &verdict.order;
+    let put = Put {
+        table: Table::Status,
+        key: status_key(&order.service),
+        expected: told.status_version(&order.service),
+        value: write_status(&verdict.status),
+    };
+    let outcome = store.write(&[put]).await?;
+    event::ROLL_OUT_MOVED.log(format_args!(
+        "service={} progress={:?} outcome={outcome:?}",
+        order.service, verdict.status.progress
+    ));
+    match outcome {
+        WriteOutcome::Written(_) => {
+            let progress = verdict.status.progress;
+            router.roll_outs.adopt(&order.service, order.revision, None, progress);
+        }
+        WriteOutcome::Conflict(_) => {
+            let now = look(store, told).await?;
+            take_over(router, told, order, now);
+        }
+    }
+    Ok(())
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,16 +2,18 @@
 //!
 //! A request is admitted ([`serve`]), tried at one BackendServer after another ([`dispatch`],
 //! [`attempt`]), and its answer passed on ([`relay`]). What the platform's store says is followed
-//! on the control thread ([`feed`], [`roll_out`]), or learned from another entry ([`peers`]). The design is in docs/decisions/0008.
+//! on the control thread ([`feed`], [`driver`]), or learned from another entry ([`peers`]). The design is in docs/decisions/0008.
 
 mod attempt;
 mod body;
 mod connection;
 mod dispatch;
+mod driver;
 mod event_stream;
 mod feed;
 mod fleet;
 mod listen;
+mod listing;
 mod peers;
 mod refusal;
 mod relay;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -15,7 +15,7 @@
         store::StoreClient,
     },
     router::{
-        Router, feed, listen, peers,
+        Router, driver, feed, listen, peers,
         state::{BALANCER, BEFORE_KILL},
     },
     settings::RouteSettings,
@@ -105,7 +105,7 @@
         tokio::join!(
             feed::follow_orders(&router, &store),
             feed::follow_servers(&router, &store),
-            feed::drive_roll_outs(&router, &store),
+            driver::drive_roll_outs(&router, &store),
             answer_peers(&router, peers),
             peers::ask_while_cut_off(&router),
         )
