A running entry tells its addresses; tests take no port that another may get

Cause: of 60 runs of tests/platform, three at a time, eight failed with "Address already in use": a port was asked for, given back and bound again. Change: entries of tests bind port 0 and RunningRouter says what they got, as the older entry does; the server that listens no more is bound without listening.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -26,5 +26,5 @@
 
 pub use event_stream::EventSplitter;
 pub use fleet::{Fleet, Member};
-pub use run::{RouterSettings, RunningRouter, start};
+pub use run::{RouterAddresses, RouterSettings, RunningRouter, start};
 pub use state::Router;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -1,6 +1,7 @@
 //! Starting, reloading and stopping an entry on the platform.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -36,11 +37,24 @@
     pub policy: RouteSettings,
 }
 
+/// Where an entry on the platform listens.
+#[derive(Clone, Copy, Debug)]
+pub struct RouterAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For the balancer.
+    pub readiness: SocketAddr,
+    /// For the other entries, if the role has such an address.
+    pub peer: Option<SocketAddr>,
+}
+
 /// An entry that runs.
 #[derive(Debug)]
 pub struct RunningRouter {
     /// Its state.
     pub router: Arc<Router>,
+    /// Where it listens.
+    pub addresses: RouterAddresses,
     closing: watch::Sender<bool>,
     /// Ends the control thread when dropped.
     _ending: watch::Sender<bool>,
@@ -67,6 +81,11 @@
         Some(address) => Some(std::net::TcpListener::bind(address)?),
         None => None,
     };
+    let addresses = RouterAddresses {
+        caller: callers.local_addr()?,
+        readiness: readiness.local_addr()?,
+        peer: peers.as_ref().map(std::net::TcpListener::local_addr).transpose()?,
+    };
     let (ending, has_ended) = watch::channel(false);
     thread::spawn("control", move || run_control(control, store, peers, has_ended))?;
     if let Some(port) = policy.metrics_port {
@@ -81,7 +100,7 @@
             event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
         }
     });
-    Ok(RunningRouter { router, closing, _ending: ending, callers })
+    Ok(RunningRouter { router, addresses, closing, _ending: ending, callers })
 }
 
 /// Serves metrics and the state dump on an address of their own.
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -105,7 +105,10 @@
 async fn a_server_that_listens_no_more_is_passed_over() {
     let good = always("i-1", GOOD).await;
     let mut gone = always("i-2", GOOD).await;
-    gone.address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // Bound for as long as the test lasts, so that nobody else gets the port, but not listening.
+    let deaf = tokio::net::TcpSocket::new_v4().unwrap();
+    deaf.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    gone.address = deaf.local_addr().unwrap();
     let site = site_of(&[&good, &gone]).await;
 
     for _ in 0..4 {
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -4,7 +4,7 @@
 
 use mintmoor::{
     platform::host_settings::HostSettings,
-    router::{self, RouterSettings, RunningRouter},
+    router::{self, RouterAddresses, RouterSettings, RunningRouter},
     settings::RouteSettings,
 };
 use serde_json::{Value, json};
@@ -22,9 +22,9 @@
 /// Longest that a test waits for anything; it asserts nothing about time.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Free port on loopback.
-fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Any free port on loopback; the entry tells which one it got.
+fn any_address() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
 }
 
 /// Settings of an entry beside this store.
@@ -32,9 +32,9 @@
     HostSettings {
         host: "edge-1".into(),
         zone: "zone-a".into(),
-        caller: free_address(),
-        readiness: free_address(),
-        peer: Some(free_address()),
+        caller: any_address(),
+        readiness: any_address(),
+        peer: Some(any_address()),
         seeds: Vec::new(),
         store: store.address.to_string().into(),
         grace: Duration::from_secs(4),
@@ -107,9 +107,9 @@
     pub async fn seeded(store: Store, seed: Option<SocketAddr>) -> Self {
         let mut host = host_settings(&store);
         host.seeds.extend(seed);
-        let (caller, readiness) = (host.caller, host.readiness);
         let settings = RouterSettings { host, policy: RouteSettings::default() };
         let entry = router::start(settings).await.unwrap();
+        let RouterAddresses { caller, readiness, .. } = entry.addresses;
         Self { store, entry, caller, readiness }
     }
 
--- a/tests/platform/state.rs
+++ b/tests/platform/state.rs
@@ -158,7 +158,7 @@
 async fn an_entry_that_the_store_refuses_learns_from_another() {
     let server = always("i-1", GOOD).await;
     let first = Site::start(&[(&server, "app", "v1")]).await;
-    let seed = first.entry.router.settings.load().peer;
+    let seed = first.entry.addresses.peer;
     // A store of its own that never answers stands for one that refuses this host alone.
     let store = Store::start().await;
     store.set_fault(Fault::Down);
