A process that starts during a roll-out takes it up where it stands

Ruled out: late news of the end (the entry had read the store), a wrong listing (the rows of the stopped servers were still there). Test: roll_outs::an_entry_that_starts_during_a_roll_out_takes_it_up_where_it_stands, red before.

--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -85,6 +85,8 @@
     order: RollOutOrder,
     /// When it began, on the entry's clock.
     began: Duration,
+    /// Whether the store told when it began.
+    is_begun: bool,
     progress: Progress,
     /// Whether our own evidence says that the version is bad.
     is_held: bool,
@@ -145,6 +147,7 @@
         let fresh = RollOut {
             order,
             began: now,
+            is_begun: false,
             progress: Progress::Running,
             is_held: false,
             old: Evidence::default(),
@@ -179,6 +182,7 @@
         if roll_out.order.revision != revision {
             return;
         }
+        roll_out.is_begun |= began.is_some();
         roll_out.began = began.unwrap_or(roll_out.began).min(roll_out.began);
         if roll_out.progress == Progress::Running && progress != Progress::Running {
             event::VERDICT_SEEN.log(format_args!("service={service} progress={progress:?}"));
@@ -292,6 +296,7 @@
                 "service": r.order.service,
                 "to": r.order.to,
                 "progress": format!("{:?}", r.progress),
+                "began": r.is_begun,
                 "held": r.is_held,
                 "answers": r.new.answers,
                 "failures": r.new.failures,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -42,6 +42,10 @@
 /// Time before the end of the grace at which what is left is cut.
 pub(crate) const BEFORE_KILL: Duration = Duration::from_millis(300);
 
+/// Reading of the entry's clock when the process starts. It leaves room for times before the start,
+/// such as the begin of a roll-out that is under way; none of interest lies a day back.
+const CLOCK_ORIGIN: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// State of one entry, shared by its control and its traffic thread.
 pub struct Router {
     /// What the platform says about this Host; replaced at a reload.
@@ -88,7 +92,7 @@
 
     /// Time on the entry's monotonic clock.
     pub fn now(&self) -> Duration {
-        self.started.elapsed()
+        CLOCK_ORIGIN + self.started.elapsed()
     }
 
     /// Moves the process on.
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -164,6 +164,24 @@
     assert_eq!(new.seen().len(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_during_a_roll_out_takes_it_up_where_it_stands() {
+    let (_old, new, site) = two_versions(GOOD).await;
+    site.store.put("op", "rollout/app", &order("v2", 1.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+    // Past its end, and not completed for want of answers.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+
+    let next = Site::beside(site.store.clone()).await;
+    until("it is ready", || next.entry.router.is_ready()).await;
+    until("it knows the order", || next.entry.router.dump()["roll_outs"][0]["began"] == true).await;
+    for i in 0..10 {
+        next.ask("GET", "/safe/a", &format!("Session: u-{i}\r\n")).await;
+    }
+
+    assert_eq!(new.seen().len(), 10, "all requests are on the new version by now");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_bad_version_is_kept_from_requests_while_the_store_is_away() {
     let (_old, new, site) = two_versions(FAILS).await;
