Entries follow a seed instead of the store; refused connections cost no attempts; silence alone ends nothing

Now only the entries that the settings name as seeds follow it; the others follow a seed, of their zone if there is one, over a WebSocket link with heartbeats each 0.3 s, and ask the store at once when the seed is silent for 0.9 s or says that the store does not answer it. A seed that is followed waits 1 s at a feed, so that this shows while a configuration still has time. Roll-outs' rows go the same way. Tests: tests/platform/peers.rs. Now a silent server is left only with a repeat in hand and another server to go to. - Servers that refuse connections counted as sends and repeats: five of them and a request was refused, although nothing had reached anybody. Now they count as neither, twelve may be tried, and one refusal takes a server out. - After a power loss of all hosts, 330 requests were refused for want of a configuration, which came 0.03 to 0.4 s later. Now they wait up to half a second for the first view.

--- a/src/policy/outlier.rs
+++ b/src/policy/outlier.rs
@@ -74,6 +74,16 @@
         if self.failures < rules.out_after && !on_trial {
             return;
         }
+        self.take_out(rules, now);
+    }
+
+    /// Notes that the server can't be reached at all, which takes it out at once.
+    pub fn note_unreachable(&mut self, rules: &OutlierRules, now: Duration) {
+        self.answers = 0;
+        self.take_out(rules, now);
+    }
+
+    fn take_out(&mut self, rules: &OutlierRules, now: Duration) {
         let time = rules.first_out * 2u32.saturating_pow(self.times_out.min(16));
         self.times_out += 1;
         self.failures = 0;
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -125,10 +125,11 @@
     router: &Router,
     req: &Request,
     plan: &Plan<'_>,
+    may_leave: impl FnMut() -> bool,
 ) -> Result<OpenAnswer, AttemptError> {
     let mut at_server = AtServer::enter(plan.member, plan.reading);
     let began = Instant::now();
-    let outcome = exchange(router, req, plan).await;
+    let outcome = exchange(router, req, plan, may_leave).await;
     match &outcome {
         Ok((_, res)) => note_head(router, plan, res),
         Err(e) => note_error(router, plan.member, e),
@@ -179,8 +180,10 @@
 }
 
 fn note_error(router: &Router, member: &Member, e: &AttemptError) {
-    if !matches!(e, AttemptError::Refused(_) | AttemptError::OtherServer) {
-        member.note_failure(router.now());
+    match e {
+        AttemptError::Refused(_) | AttemptError::OtherServer => {}
+        AttemptError::NotSent(ConnectError::Refused(_)) => member.note_unreachable(router.now()),
+        _ => member.note_failure(router.now()),
     }
 }
 
@@ -190,13 +193,15 @@
     router: &Router,
     req: &Request,
     plan: &Plan<'_>,
+    mut may_leave: impl FnMut() -> bool,
 ) -> Result<Exchanged, AttemptError> {
     let mut message = build(req, plan);
     let mut checkout = connection::check_out(plan.member, router.now(), plan.is_once_only).await?;
     loop {
         let Checkout { mut connection, is_used } = checkout;
         let send = pin!(connection.try_send_request(message));
-        let sent = bear(router, plan.member, plan.patience, plan.deadline, send).await;
+        let sent =
+            bear(router, plan.member, plan.patience, plan.deadline, send, &mut may_leave).await;
         let sent = sent.ok_or(AttemptError::Timeout)?;
         let mut e = match sent {
             Ok(res) => return Ok((connection, res)),
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -23,9 +23,12 @@
     telemetry::event,
 };
 
-/// Sends of one request at most, refused ones included: with more, a full pool would be asked
-/// over and over.
-const MOST_SENDS: usize = 5;
+/// Sends of one request that reach a server at most, refused ones included: with more, a full
+/// pool would be asked over and over.
+const MOST_ARRIVALS: u32 = 5;
+/// Servers that one request is tried at, those included that can't be reached: these cost a round
+/// trip each, and half of a pool may be gone before the list says so.
+const MOST_TRIES: usize = 12;
 /// Least time left with which a server is still asked.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 
@@ -46,6 +49,10 @@
     pub(crate) attempts: Vec<AttemptState>,
     /// Attempts that may have run.
     pub(crate) runs: u32,
+    /// Attempts that reached a server.
+    arrivals: u32,
+    /// Whether a repeated send was taken from the budget and not used yet.
+    has_repeat: bool,
     tried: Vec<Box<str>>,
 }
 
@@ -69,6 +76,8 @@
             _in_flight: in_flight,
             attempts,
             runs: 0,
+            arrivals: 0,
+            has_repeat: false,
             tried,
         }
     }
@@ -82,6 +91,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Takes a repeated send from the budget, unless one is in hand; false when there is none.
+    fn take_repeat(&mut self, router: &Router) -> bool {
+        self.has_repeat = self.has_repeat || router.try_repeat(&self.service);
+        self.has_repeat
+    }
+
     /// What the caller is told when nothing more is tried.
     pub(crate) fn refusal(&self) -> Refusal {
         match judge(&self.attempts) {
@@ -91,6 +106,15 @@
         }
     }
 
+    fn has_tried(&self, server: &str) -> bool {
+        self.tried.iter().any(|tried| **tried == *server)
+    }
+
+    /// Notes that a repeated send was taken from the budget for what comes next.
+    pub(crate) fn note_repeat(&mut self) {
+        self.has_repeat = true;
+    }
+
     /// Notes that an attempt which had been sent came to nothing.
     pub(crate) fn note_lost(&mut self) {
         if let Some(last) = self.attempts.last_mut() {
@@ -124,8 +148,7 @@
         let Some(member) = next_server(router, job, ask) else {
             return failed.ok_or_else(|| job.refusal());
         };
-        let sent_before = !job.attempts.is_empty();
-        if sent_before && !router.try_repeat(&job.service) {
+        if job.arrivals > 0 && !job.take_repeat(router) {
             return failed.ok_or_else(|| job.refusal());
         }
         match try_at(router, job, &member, ask).await {
@@ -146,15 +169,22 @@
 fn next_server(router: &Router, job: &Job, ask: Ask<'_>) -> Option<Arc<Member>> {
     let may = may_send_again(&job.attempts, job.route.is_idempotent())
         && job.runs_left() > 0
-        && job.attempts.len() < MOST_SENDS
+        && job.arrivals < MOST_ARRIVALS
+        && job.attempts.len() < MOST_TRIES
         && job.time_left() > LEAST_TIME;
     if !may {
         return None;
     }
-    pick(router, job, ask, true).or_else(|| pick(router, job, ask, false))
+    let untried = pick(router, job, ask, |server| !job.has_tried(server));
+    untried.or_else(|| pick(router, job, ask, |_| true))
 }
 
-fn pick(router: &Router, job: &Job, ask: Ask<'_>, only_untried: bool) -> Option<Arc<Member>> {
+fn pick(
+    router: &Router,
+    job: &Job,
+    ask: Ask<'_>,
+    may_be: impl Fn(&str) -> bool,
+) -> Option<Arc<Member>> {
     let fleet = router.fleet.load();
     let settings = router.settings.load();
     let now = router.now();
@@ -170,7 +200,7 @@
         member.takes_requests()
             && has_model
             && versions.allows(&server.version)
-            && !(only_untried && job.tried.contains(&server.id))
+            && may_be(&server.id)
     };
     let members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
     let candidates: Vec<_> = members.iter().map(|m| m.candidate(&settings.zone, now)).collect();
@@ -178,6 +208,13 @@
     Some(members[chosen].clone())
 }
 
+/// Whether the request could go on at another server than this one; takes the repeated send that
+/// it needs from the budget.
+pub(crate) fn may_go_on(router: &Router, job: &Job, ask: Ask<'_>, silent: &str) -> bool {
+    pick(router, job, ask, |server| server != silent && !job.has_tried(server)).is_some()
+        && router.try_repeat(&job.service)
+}
+
 /// What is to be placed. Requests for one model that share their prompt's parts belong together.
 fn work(router: &Router, job: &Job, ask: Ask<'_>) -> Work {
     let key = reading_key(job, ask);
@@ -226,7 +263,12 @@
         patience: may_go_elsewhere.then_some(patience),
         deadline: job.deadline,
     };
-    let result = send(router, &job.req, &plan).await;
+    let mut has_repeat = false;
+    let may_leave = || {
+        has_repeat = may_go_on(router, job, ask, &member.server.id);
+        has_repeat
+    };
+    let result = send(router, &job.req, &plan, may_leave).await;
     let sent = attempt::advance(attempt::fresh(), AttemptEvent::Sent);
     let (state, outcome) = match &result {
         Ok(answer) if answer.head.kind == AnswerKind::Success => {
@@ -239,6 +281,10 @@
     router.count_attempt(&member.server.version, outcome);
     job.attempts.push(state);
     job.tried.push(member.server.id.clone());
+    if !matches!(result, Err(AttemptError::NotSent(_))) {
+        job.arrivals += 1;
+        job.has_repeat = has_repeat;
+    }
     if !matches!(&result, Err(e) if e.proves_not_run()) {
         job.runs += 1;
         match &result {
--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -25,6 +25,10 @@
 /// after its fiftieth bad answer, and each entry finds it on its own, too.
 const DRIVES_PER_LOOK: u32 = 8;
 
+/// Time that an entry which follows another one leaves to those that follow the store for noting the
+/// begin of a roll-out: they look each [`DRIVE_EVERY`], and a process starts in under a second.
+const OTHERS_BEGIN: Duration = Duration::from_secs(2);
+
 /// Our own row about a roll-out.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct RollOutRow {
@@ -95,11 +99,18 @@
     loop {
         sleep(DRIVE_EVERY).await;
         drives += 1;
-        if drives % DRIVES_PER_LOOK == 0 {
+        take_from_link(router, &mut told);
+        let follows = router.follows_link();
+        if drives % DRIVES_PER_LOOK == 0 && !follows {
             learn_verdicts(router, store, &mut told, &seen).await;
         }
         for order in router.roll_outs.running() {
-            if seen.get(&order.service) == Some(&order.revision) {
+            let waits = follows && router.roll_outs.age(&order, router.now()) < OTHERS_BEGIN;
+            if seen.get(&order.service) == Some(&order.revision) || waits {
+                continue;
+            }
+            if told.progress(&order).is_some() {
+                seen.insert(order.service.clone(), order.revision);
                 continue;
             }
             match begin(router, store, &mut told, &order).await {
@@ -123,6 +134,19 @@
     }
 }
 
+/// Learns what the entry that is followed passed on about roll-outs.
+fn take_from_link(router: &Router, told: &mut Told) {
+    for table in [Table::Own, Table::Status] {
+        while let Some(update) = router.link.take(table) {
+            let rows = update.into_rows();
+            rows.rows.iter().for_each(|row| told.note(row));
+            router.views.note(table, &rows, true);
+            let running = router.roll_outs.running();
+            running.iter().for_each(|order| take_over(router, told, order, rows.now));
+        }
+    }
+}
+
 /// Learns what other entries said about the roll-outs that are under way.
 async fn learn_verdicts(
     router: &Router,
@@ -139,6 +163,7 @@
     match store.read(Table::Status).await {
         Ok(rows) => {
             rows.rows.iter().for_each(|row| told.note(row));
+            router.views.note(Table::Status, &rows, true);
             running.iter().for_each(|order| take_over(router, told, order, rows.now));
         }
         // The feeds tell of a store that is away; the next look comes soon.
@@ -153,7 +178,7 @@
     told: &mut Told,
     order: &RollOutOrder,
 ) -> crate::platform::Result<()> {
-    let now = look(store, told).await?;
+    let now = look(router, store, told).await?;
     if told.progress(order).is_none() {
         let row = RollOutRow { revision: order.revision, began_ms: now.as_millis() as u64 };
         let status = RollOutStatus { to: order.to.clone(), progress: Progress::Running };
@@ -174,16 +199,24 @@
         ];
         let outcome = store.write(&puts).await?;
         event::ROLL_OUT_BEGUN.log(format_args!("service={} outcome={outcome:?}", order.service));
-        look(store, told).await?;
+        look(router, store, told).await?;
     }
     take_over(router, told, order, now);
     Ok(())
 }
 
-async fn look(store: &StoreClient, told: &mut Told) -> crate::platform::Result<Duration> {
+/// Reads what the store has about roll-outs; its clock.
+async fn look(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+) -> crate::platform::Result<Duration> {
+    router.metrics.count_store_call("roll_out");
     let own = store.read(Table::Own).await?;
     let status = store.read(Table::Status).await?;
     own.rows.iter().chain(&status.rows).for_each(|row| told.note(row));
+    router.views.note(Table::Own, &own, true);
+    router.views.note(Table::Status, &status, true);
     Ok(status.now)
 }
 
@@ -222,7 +255,7 @@
             router.roll_outs.adopt(&order.service, order.revision, None, progress);
         }
         WriteOutcome::Conflict(_) => {
-            let now = look(store, told).await?;
+            let now = look(router, store, told).await?;
             take_over(router, told, order, now);
         }
     }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -1,6 +1,6 @@
 //! Following the platform's store: the operator's orders and the servers.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use tokio::time::sleep;
 
@@ -11,7 +11,7 @@
         store::{Feed, Rows, StoreClient, Table},
     },
     policy::lifecycle::LifecycleEvent,
-    router::{Router, listing::Listing},
+    router::{Router, listing::Listing, views::TableUpdate},
     routing::RoutingTable,
     telemetry::event,
 };
@@ -25,6 +25,9 @@
 /// The same for servers, which come and leave one by one; a leaving one may get requests for two
 /// seconds more.
 const COALESCE_SERVERS: Duration = Duration::from_millis(800);
+/// Wait of a feed that other entries follow: what keeps it from the store must show soon enough for
+/// them to ask the store themselves while a new configuration still has time.
+const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time after the store's return in which a missing server may still come back: just under the
@@ -72,6 +75,13 @@
     let mut contact = Contact::default();
     let mut at: Option<Revision> = None;
     loop {
+        // At the start, and while the store's return is awaited, the store itself is asked.
+        if at.is_some() && !contact.is_lost && router.follows_link() {
+            if let Some(update) = router.link.next(table).await {
+                take_in(router, update, &mut at, &contact, &mut apply);
+            }
+            continue;
+        }
         router.metrics.count_store_call("follow");
         let news = ask_store(router, store, table, at, contact.is_lost).await;
         let (rows, is_whole) = match news {
@@ -87,10 +97,10 @@
             Err(e) => {
                 contact.note_failure(router, table, &e.to_string());
                 sleep(PAUSE).await;
-                let Some(view) = router.views.take_offer(table) else {
-                    continue;
-                };
-                (view.into_rows(), true)
+                while let Some(update) = router.link.take(table) {
+                    take_in(router, update, &mut at, &contact, &mut apply);
+                }
+                continue;
             }
         };
         at = Some(rows.version);
@@ -104,6 +114,35 @@
     }
 }
 
+/// Takes in what another entry passed on, as far as it is newer than what is known.
+fn take_in(
+    router: &Router,
+    update: TableUpdate,
+    at: &mut Option<Revision>,
+    contact: &Contact,
+    apply: &mut impl FnMut(Rows, bool, &Contact),
+) {
+    let known = at.unwrap_or_default();
+    if update.version <= known {
+        return;
+    }
+    if contact.is_lost {
+        event::PEER_VIEW_TAKEN.log(format_args!(
+            "table={:?} version={} before={known}",
+            update.table, update.version
+        ));
+    }
+    let (table, is_whole) = (update.table, update.is_whole);
+    let mut rows = update.into_rows();
+    if !is_whole {
+        // A removal may carry no version of its own.
+        rows.rows.retain(|row| row.version == 0 || row.version > known);
+    }
+    *at = Some(rows.version);
+    router.views.note(table, &rows, is_whole);
+    apply(rows, is_whole, contact);
+}
+
 /// What is new about a table.
 enum News {
     /// Rows of the store: all of them, or those that changed.
@@ -124,7 +163,11 @@
     };
     // A store that was lost is asked without waiting, so that its return shows at once.
     let catch_up = router.settings.load().catch_up;
-    let wait = if is_lost { Duration::ZERO } else { catch_up.saturating_sub(CATCH_UP) };
+    let wait = match () {
+        () if is_lost => Duration::ZERO,
+        () if router.views.has_subscribers() => WAIT_FOR_OTHERS,
+        () => catch_up.saturating_sub(CATCH_UP),
+    };
     Ok(match store.follow(table, after, wait).await? {
         Feed::Changes(rows) => News::Rows(rows, false),
         Feed::HistoryGone => News::HistoryGone,
@@ -185,7 +228,7 @@
         return;
     }
     router.metrics.revision.set(i64::try_from(version).unwrap_or(i64::MAX));
-    router.table.store(Arc::new(Some(table)));
+    router.put_table(table);
     event::CONFIG_ADVANCED.log(format_args!("version={version} before={current}"));
     if current == 0 {
         router.advance(LifecycleEvent::Ready);
@@ -218,7 +261,7 @@
 fn publish(router: &Router, listing: &Listing) {
     let next = router.fleet.load().with(listing.servers.values().cloned());
     event::SERVERS_CHANGED.log(format_args!("servers={}", next.len()));
-    router.fleet.store(Arc::new(next));
+    router.put_fleet(next);
     note_versions(router);
 }
 
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -87,6 +87,13 @@
         record.failures.note(true, now);
     }
 
+    /// Notes that nobody listens at the server's address, which one refusal shows.
+    pub(crate) fn note_unreachable(&self, now: Duration) {
+        let mut record = self.record();
+        record.outlier.note_unreachable(&OUTLIER_RULES, now);
+        record.failures.note(true, now);
+    }
+
     /// Notes that something came from the server.
     pub(crate) fn note_heard(&self, now: Duration) {
         self.record().heard_at = now;
--- /dev/null
+++ b/src/router/link.rs
@@ -0,0 +1,94 @@
+//! What an entry gets from another entry that it follows.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Mutex, MutexGuard},
+};
+
+use tokio::sync::Notify;
+
+use crate::{platform::store::Table, router::views::TableUpdate};
+
+/// Updates that wait for whoever follows a table; more than that means that nobody takes them, and
+/// a new link begins with all rows anyway.
+const MOST_WAITING: usize = 256;
+
+#[derive(Debug, Default)]
+struct Inner {
+    is_current: bool,
+    waiting: HashMap<Table, VecDeque<TableUpdate>>,
+}
+
+/// The link to another entry, as those who follow a table see it.
+///
+/// While it is current it stands in for the store: the other entry hears the store's answers and
+/// passes on what they say (docs/decisions/0009).
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    inner: Mutex<Inner>,
+    news: Notify,
+}
+
+impl Link {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panics under the lock")
+    }
+
+    /// Notes whether the other entry is up to date with the store; a change of that is returned.
+    pub(crate) fn set_current(&self, is_current: bool) -> bool {
+        let before = std::mem::replace(&mut self.lock().is_current, is_current);
+        if before != is_current {
+            self.news.notify_waiters();
+        }
+        before != is_current
+    }
+
+    /// Whether the link stands in for the store now.
+    pub(crate) fn is_current(&self) -> bool {
+        self.lock().is_current
+    }
+
+    /// Takes in an update; false when nobody took the ones before it.
+    pub(crate) fn push(&self, update: TableUpdate) -> bool {
+        let mut inner = self.lock();
+        let waiting = inner.waiting.entry(update.table).or_default();
+        if update.is_whole {
+            waiting.clear();
+        }
+        if waiting.len() >= MOST_WAITING {
+            return false;
+        }
+        waiting.push_back(update);
+        drop(inner);
+        self.news.notify_waiters();
+        true
+    }
+
+    /// Forgets what came over a link that has ended.
+    pub(crate) fn reset(&self) {
+        let mut inner = self.lock();
+        inner.is_current = false;
+        inner.waiting.clear();
+        drop(inner);
+        self.news.notify_waiters();
+    }
+
+    /// Takes the next update about a table, if one waits.
+    pub(crate) fn take(&self, table: Table) -> Option<TableUpdate> {
+        self.lock().waiting.get_mut(&table)?.pop_front()
+    }
+
+    /// Waits for the next update about a table; none once the link is not current.
+    pub(crate) async fn next(&self, table: Table) -> Option<TableUpdate> {
+        loop {
+            let news = self.news.notified();
+            if let Some(update) = self.take(table) {
+                return Some(update);
+            }
+            if !self.is_current() {
+                return None;
+            }
+            news.await;
+        }
+    }
+}
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -1,45 +1,75 @@
-//! Links between entries: an entry that the store refuses or does not reach learns from another
-//! what the store said last.
+//! Links between entries: an entry follows another one instead of the store.
 //!
-//! Entries keep no state for each other; what is passed on are rows as the store gave them, and
-//! they are taken in by the same code (docs/decisions/0009).
+//! Calls to the store are paid for and limited, so only the entries that the settings name as seeds
+//! follow it while all is well; each other entry follows a seed, in its own AvailabilityZone if
+//! there is one. An entry that the store refuses or does not reach follows another one, too. What is
+//! passed on are rows as the store gave them, taken in by the same code (docs/decisions/0009).
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    sync::{Semaphore, broadcast::error::RecvError},
+    task::JoinSet,
+    time::{Instant, sleep, timeout, timeout_at},
 };
-use tokio_tungstenite::{accept_async, client_async, tungstenite::Message};
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
 
 use crate::{
     ids::Revision,
     protocol::{Error, Result, decode, encode},
-    router::{Router, views::TableView},
+    router::{Router, views::TableUpdate},
     telemetry::event,
 };
 
-/// Time between looks at whether the store gives no answer, and between questions.
+/// Time between looks at whether a link is wanted, and between tries to get one.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
-/// Time an exchange with another entry may take: a few round trips between regions.
-const EXCHANGE: Duration = Duration::from_secs(1);
+/// Time to reach another entry and to get its first answer: a few round trips between regions.
+const OPENING: Duration = Duration::from_secs(1);
+/// Time between heartbeats on a link.
+const BEAT_EVERY: Duration = Duration::from_millis(300);
+/// Silence after which a link is given up: three heartbeats. The store is asked at once after
+/// that, and a new configuration has two seconds to be in force.
+const SILENT_AFTER: Duration = Duration::from_millis(900);
+/// Links that one entry serves; 360 entries share three seeds.
+const MOST_LINKS: usize = 400;
 
-/// What one entry asks of another.
+/// What an entry says first on a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Ask {
-    /// Newest rows of the asking entry, by the store's count.
+struct Subscribe {
+    /// Newest rows it has, by the store's count.
     version: Revision,
 }
 
-/// An exchange that takes longer than [`EXCHANGE`], or ends before its answer.
-fn no_answer() -> Error {
-    Error::Broken("no answer in time".into())
+/// What the entry that is followed says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Told {
+    /// Its first word.
+    Welcome {
+        /// Its AvailabilityZone.
+        zone: Box<str>,
+    },
+    /// A heartbeat, and what has come since the last one.
+    Beat {
+        /// Whether the store answers it.
+        is_current: bool,
+        updates: Vec<TableUpdate>,
+    },
 }
 
-/// Answers other entries.
-pub(crate) async fn answer(router: &Router, listener: TcpListener) {
+type Socket = WebSocketStream<TcpStream>;
+
+fn silent() -> Error {
+    Error::Broken("no word in time".into())
+}
+
+/// Serves the entries that follow this one.
+pub(crate) async fn answer(router: Arc<Router>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(MOST_LINKS));
+    // Ends the links with the control thread's work.
+    let mut links = JoinSet::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -49,69 +79,137 @@
                 continue;
             }
         };
-        // One at a time: an entry asks seldom, and only while it is cut off from the store.
-        match timeout(EXCHANGE, answer_one(router, stream)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(e)) => event::PEER_FAILED.log(format_args!("cause=\"{e}\"")),
-            Err(_) => event::PEER_FAILED.log(format_args!("cause=\"{}\"", no_answer())),
-        }
+        while links.try_join_next().is_some() {}
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            event::PEER_FAILED.log(format_args!("cause=\"{MOST_LINKS} links are open\""));
+            continue;
+        };
+        let router = router.clone();
+        links.spawn(async move {
+            let _place = place;
+            if let Err(e) = serve(&router, stream).await {
+                event::PEER_FAILED.log(format_args!("cause=\"{e}\""));
+            }
+        });
     }
 }
 
-async fn answer_one(router: &Router, stream: TcpStream) -> Result<()> {
-    let mut socket = accept_async(stream).await?;
-    let message = socket.next().await.ok_or_else(no_answer)??;
-    let ask: Ask = decode(&message.into_data())?;
-    let views = router.views.newer_than(ask.version);
-    socket.send(Message::binary(encode(&views))).await?;
-    socket.close(None).await?;
+/// Serves one entry until it leaves.
+async fn serve(router: &Router, stream: TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
+    let asked = timeout(OPENING, socket.next()).await.map_err(|_| silent())?;
+    let subscribe: Subscribe = decode(&asked.ok_or_else(silent)??.into_data())?;
+    let zone = router.settings.load().zone.clone();
+    tell(&mut socket, &Told::Welcome { zone }).await?;
+    let (mut updates, mut news) = router.views.subscribe(subscribe.version);
+    loop {
+        let is_current = router.is_current();
+        tell(&mut socket, &Told::Beat { is_current, updates }).await?;
+        updates = tokio::select! {
+            update = news.recv() => match update {
+                Ok(update) => vec![update],
+                Err(RecvError::Lagged(_) | RecvError::Closed) => return Ok(()),
+            },
+            () = sleep(BEAT_EVERY) => Vec::new(),
+            message = socket.next() => match message {
+                Some(Ok(Message::Close(_))) | None => return Ok(()),
+                Some(message) => { message?; Vec::new() }
+            },
+        };
+    }
+}
+
+async fn tell(socket: &mut Socket, told: &Told) -> Result<()> {
+    let message = Message::binary(encode(told));
+    timeout(SILENT_AFTER, socket.send(message)).await.map_err(|_| silent())??;
     Ok(())
 }
 
-/// Asks the other entries in turn while the store is silent.
-pub(crate) async fn ask_while_cut_off(router: &Router) {
+/// Follows another entry whenever that is wanted.
+pub(crate) async fn follow(router: &Router) {
+    let mut zones: HashMap<SocketAddr, Box<str>> = HashMap::new();
     let mut turn = 0;
     loop {
-        sleep(LOOK_EVERY).await;
-        let has_table = router.table.load().is_some();
-        if has_table && !router.views.is_cut_off() {
-            continue;
+        if router.wants_link() {
+            let settings = router.settings.load_full();
+            let mut others: Vec<SocketAddr> = settings.seeds.clone();
+            others.retain(|seed| Some(*seed) != settings.peer);
+            // Those in this zone first, then those not asked yet.
+            others.sort_by_key(|seed| match zones.get(seed) {
+                Some(zone) => (*zone != settings.zone, true),
+                None => (false, false),
+            });
+            if let Some(peer) = others.get(turn % others.len().max(1)) {
+                let has_choice = zones.len() < others.len();
+                match follow_one(router, *peer, &mut zones, has_choice).await {
+                    Ok(()) => turn = 0,
+                    Err(e) => {
+                        event::PEER_FAILED.log(format_args!("peer={peer} cause=\"{e}\""));
+                        turn += 1;
+                    }
+                }
+                if router.link.set_current(false) {
+                    event::PEER_LEFT.log(format_args!("peer={peer}"));
+                }
+                router.link.reset();
+            }
         }
-        let settings = router.settings.load_full();
-        let others: Vec<SocketAddr> =
-            settings.seeds.iter().copied().filter(|seed| Some(*seed) != settings.peer).collect();
-        if others.is_empty() {
-            continue;
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Follows one entry as long as it speaks and the link is wanted. One of another zone is left at
+/// once while others have not been asked for theirs.
+async fn follow_one(
+    router: &Router,
+    peer: SocketAddr,
+    zones: &mut HashMap<SocketAddr, Box<str>>,
+    has_choice: bool,
+) -> Result<()> {
+    let opening = Instant::now() + OPENING;
+    let mut socket = timeout_at(opening, open(peer)).await.map_err(|_| silent())??;
+    let version = router.views.oldest_version();
+    socket.send(Message::binary(encode(&Subscribe { version }))).await?;
+    let Told::Welcome { zone } = hear(&mut socket).await? else {
+        return Err(Error::Broken("no welcome".into()));
+    };
+    let is_near = zone == router.settings.load().zone;
+    zones.insert(peer, zone);
+    if !is_near && has_choice && zones.len() < router.settings.load().seeds.len() {
+        return Ok(());
+    }
+    while router.wants_link() {
+        let Told::Beat { is_current, updates } = hear(&mut socket).await? else {
+            return Err(Error::Broken("a second welcome".into()));
+        };
+        for update in updates {
+            if !router.link.push(update) {
+                return Err(Error::Broken("its updates are not taken".into()));
+            }
         }
-        turn += 1;
-        let peer = others[turn % others.len()];
-        let asked = timeout(EXCHANGE, ask(router, peer)).await;
-        match asked.unwrap_or_else(|_| Err(no_answer())) {
-            Ok(views) => take_in(router, peer, &views),
-            Err(e) => event::PEER_FAILED.log(format_args!("peer={peer} cause=\"{e}\"")),
+        router.views.note_heard(router.now());
+        if router.link.set_current(is_current) && is_current {
+            event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
     }
+    Ok(())
 }
 
-async fn ask(router: &Router, peer: SocketAddr) -> Result<Vec<TableView>> {
+async fn open(peer: SocketAddr) -> Result<Socket> {
     let stream = TcpStream::connect(peer).await?;
-    let (mut socket, _) = client_async(format!("ws://{peer}/"), stream).await?;
-    let version = router.views.oldest_version();
-    socket.send(Message::binary(encode(&Ask { version }))).await?;
-    let message = socket.next().await.ok_or_else(no_answer)??;
-    decode(&message.into_data())
+    stream.set_nodelay(true)?;
+    let (socket, _) = client_async(format!("ws://{peer}/"), stream).await?;
+    Ok(socket)
 }
 
-fn take_in(router: &Router, peer: SocketAddr, views: &[TableView]) {
-    for view in views {
-        let known = router.views.version(view.table);
-        if view.version <= known {
-            continue;
+async fn hear(socket: &mut Socket) -> Result<Told> {
+    loop {
+        let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
+        match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
+            Message::Binary(data) => return decode(&data),
+            Message::Close(_) => return Err(Error::Broken("the link ended".into())),
+            _ => {}
         }
-        event::PEER_VIEW_TAKEN.log(format_args!(
-            "peer={peer} table={:?} version={} before={known}",
-            view.table, view.version
-        ));
-        router.views.offer(view.clone());
     }
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -19,7 +19,7 @@
         EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
-        dispatch::{Ask, Job, next_answer, reading_key},
+        dispatch::{Ask, Job, may_go_on, next_answer, reading_key},
         refusal::Refusal,
         roll_out::RunOutcome,
         silence::bear,
@@ -100,7 +100,7 @@
             priority: job.priority(),
         };
         let next = escalate(&stage_answer, &router.policy.escalation);
-        let Some(next) = next.filter(|_| router.may_escalate(job)) else {
+        let Some(next) = next.filter(|_| router.may_repeat(&job.service)) else {
             router.count_stage(model.as_deref().unwrap_or("-"), "passed");
             return Ok((answer, model));
         };
@@ -246,12 +246,17 @@
             return None;
         }
         let model = self.model.clone();
-        let last_event = self.last_event.or(self.job.req.head.last_event);
-        let ask = Ask { model: model.as_deref(), last_event };
+        let ask = Ask { model: model.as_deref(), ..self.ask() };
         let answer = next_answer(&self.router, &mut self.job, ask).await.ok()?;
         (answer.head.kind == AnswerKind::Success).then_some(answer)
     }
 
+    /// What another server is asked for.
+    fn ask(&self) -> Ask<'_> {
+        let last_event = self.last_event.or(self.job.req.head.last_event);
+        Ask { model: self.model.as_deref(), last_event }
+    }
+
     /// Passes one server's events on until its stream ends whole.
     async fn pass_on(&mut self, mut answer: OpenAnswer) -> Result<(), StreamError> {
         let mut splitter = EventSplitter::default();
@@ -260,7 +265,17 @@
             let patience = self.patience();
             let next = pin!(answer.body.frame());
             let deadline = self.job.deadline;
-            let frame = bear(&self.router, &answer.member, patience, deadline, next).await;
+            let (router, job, server) = (&self.router, &self.job, &answer.member);
+            let ask = self.ask();
+            let mut has_repeat = false;
+            let may_leave = || {
+                has_repeat = may_go_on(router, job, ask, &server.server.id);
+                has_repeat
+            };
+            let frame = bear(router, server, patience, deadline, next, may_leave).await;
+            if has_repeat {
+                self.job.note_repeat();
+            }
             let Some(frame) = frame.ok_or(StreamError::Silent)? else {
                 if splitter.is_inside_event() {
                     return Err(StreamError::EndedInside);
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -195,6 +195,13 @@
         self.lock().roll_outs.values().map(|r| r.order.clone()).collect()
     }
 
+    /// Time since a roll-out began, as far as this entry knows.
+    pub(crate) fn age(&self, order: &RollOutOrder, now: Duration) -> Duration {
+        let inner = self.lock();
+        let roll_out = inner.roll_outs.get(&order.service);
+        roll_out.map(|r| now.saturating_sub(r.began)).unwrap_or_default()
+    }
+
     /// Orders that are still under way.
     pub(crate) fn running(&self) -> Vec<RollOutOrder> {
         let inner = self.lock();
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -125,8 +125,8 @@
             feed::follow_orders(&router, &store),
             feed::follow_servers(&router, &store),
             driver::drive_roll_outs(&router, &store),
-            answer_peers(&router, peers),
-            peers::ask_while_cut_off(&router),
+            answer_peers(router.clone(), peers),
+            peers::follow(&router),
         )
     };
     tokio::select! {
@@ -136,7 +136,7 @@
     }
 }
 
-async fn answer_peers(router: &Router, listener: Option<std::net::TcpListener>) {
+async fn answer_peers(router: Arc<Router>, listener: Option<std::net::TcpListener>) {
     let Some(listener) = listener else {
         return;
     };
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -75,6 +75,7 @@
     let (parts, body) = req.into_parts();
     let head =
         read_request(&parts.method, &parts.uri, &parts.headers).map_err(|_| Refusal::Malformed)?;
+    router.wait_for_view().await;
     let table = router.table.load_full();
     let Some(table) = table.as_ref() else {
         return Err(Refusal::NoConfiguration);
--- a/src/router/silence.rs
+++ b/src/router/silence.rs
@@ -13,29 +13,35 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// Waits for `work`; gives up at the deadline, when the patience with a slow server is over, or
-/// when the server has been silent on all its connections for longer than a sound one is.
+/// when the server has been silent on all its connections for longer than a sound one is. A server
+/// is left only if `may_leave` says that the request can go on elsewhere: a slow answer is better
+/// than none.
 pub(crate) async fn bear<F: Future>(
     router: &Router,
     member: &Member,
     patience: Option<Patience>,
     deadline: Instant,
     mut work: Pin<&mut F>,
+    mut may_leave: impl FnMut() -> bool,
 ) -> Option<F::Output> {
     let Some(patience) = patience else {
         return timeout_at(deadline, work).await.ok();
     };
     let (began, began_at) = (Instant::now(), router.now());
-    let last = deadline.min(began + patience.slow);
-    let mut look = began + patience.dark;
+    let slow_at = began + patience.slow;
+    let mut look = slow_at.min(began + patience.dark);
     loop {
-        if let Ok(output) = timeout_at(last.min(look), work.as_mut()).await {
+        if let Ok(output) = timeout_at(deadline.min(look), work.as_mut()).await {
             return Some(output);
         }
         let now = Instant::now();
+        if now >= deadline {
+            return None;
+        }
         let silent_since = member.heard_at().max(began_at);
         // A server that reads a long prompt says nothing meanwhile.
         let dark_at = silent_since + patience.dark + member.record().backlog;
-        if now >= last || router.now() >= dark_at {
+        if (now >= slow_at || router.now() >= dark_at) && may_leave() {
             return None;
         }
         look = now + LOOK_EVERY;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwap;
 use serde_json::{Value, json};
+use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     platform::host_settings::HostSettings,
@@ -20,7 +21,7 @@
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
-    router::{Fleet, dispatch::Job, roll_out::RollOuts, views::Views},
+    router::{Fleet, link::Link, roll_out::RollOuts, views::Views},
     routing::{Route, RoutingTable},
     settings::RouteSettings,
     telemetry::{
@@ -46,6 +47,10 @@
 /// such as the begin of a roll-out that is under way; none of interest lies a day back.
 const CLOCK_ORIGIN: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Longest wait for the first configuration; 0.4 s on the slowest links of the grown sites after
+/// all hosts lost power, and half a second leaves most of a stream's time to its first event.
+const VIEW_WAIT: Duration = Duration::from_millis(500);
+
 /// State of one entry, shared by its control and its traffic thread.
 pub struct Router {
     /// What the platform says about this Host; replaced at a reload.
@@ -60,12 +65,16 @@
     pub policy: RouteSettings,
     /// The store's rows as last seen.
     pub(crate) views: Views,
+    /// What comes from another entry that is followed.
+    pub(crate) link: Link,
     /// Metrics.
     pub metrics: Metrics,
     budgets: Mutex<HashMap<Box<str>, SendBudget>>,
     readings: Mutex<HashMap<Box<str>, ReadingBelief>>,
     lifecycle: Mutex<Lifecycle>,
     in_flight: AtomicUsize,
+    /// Tells waiting requests that a configuration or servers came into view.
+    news: Notify,
     stop_began: OnceLock<Duration>,
     started: Instant,
 }
@@ -80,11 +89,13 @@
             roll_outs: RollOuts::new(policy.exposure),
             policy,
             views: Views::default(),
+            link: Link::default(),
             metrics: Metrics::default(),
             budgets: Mutex::default(),
             readings: Mutex::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
+            news: Notify::new(),
             stop_began: OnceLock::new(),
             started: Instant::now(),
         }
@@ -100,6 +111,56 @@
         self.lifecycle.lock().expect("no panics under the lock").handle(&event);
     }
 
+    /// Puts a configuration in force.
+    pub(crate) fn put_table(&self, table: RoutingTable) {
+        self.table.store(Arc::new(Some(table)));
+        self.news.notify_waiters();
+    }
+
+    /// Takes over the servers in view.
+    pub(crate) fn put_fleet(&self, fleet: Fleet) {
+        self.fleet.store(Arc::new(fleet));
+        self.news.notify_waiters();
+    }
+
+    /// Whether the settings name this entry as one that others may follow.
+    pub(crate) fn is_seed(&self) -> bool {
+        let settings = self.settings.load();
+        settings.peer.is_some_and(|peer| settings.seeds.contains(&peer))
+    }
+
+    /// Whether this entry should follow another one: always, unless it is a seed that the store
+    /// answers.
+    pub(crate) fn wants_link(&self) -> bool {
+        !self.is_seed() || self.views.is_cut_off() || self.table.load().is_none()
+    }
+
+    /// Whether the link to another entry stands in for the store.
+    pub(crate) fn follows_link(&self) -> bool {
+        !self.is_seed() && self.link.is_current()
+    }
+
+    /// Whether those that follow this entry hear what the store says.
+    pub(crate) fn is_current(&self) -> bool {
+        self.table.load().is_some() && !self.views.is_cut_off()
+    }
+
+    /// Waits for the first configuration and the first servers; a process that has just started
+    /// has them in a moment, and a caller who is refused meanwhile may have no further try.
+    pub(crate) async fn wait_for_view(&self) {
+        let work = async {
+            loop {
+                let news = self.news.notified();
+                if self.table.load().is_some() && !self.fleet.load().is_empty() {
+                    return;
+                }
+                news.await;
+            }
+        };
+        // Without a view the request is refused by the checks that follow.
+        let _ = timeout(VIEW_WAIT, work).await;
+    }
+
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         self.is_in(LifecycleState::Serving {})
@@ -171,6 +232,13 @@
         budgets.entry(service.into()).or_default().try_repeat(&terms, self.now())
     }
 
+    /// Whether the budget still holds a repeated send to a service.
+    pub(crate) fn may_repeat(&self, service: &str) -> bool {
+        let terms = self.send_terms();
+        let mut budgets = self.budgets.lock().expect("no panics under the lock");
+        budgets.entry(service.into()).or_default().left(&terms, self.now()) >= 1.0
+    }
+
     fn send_terms(&self) -> SendTerms {
         let settings = self.settings.load();
         SendTerms {
@@ -203,14 +271,6 @@
         self.settings.load().session
     }
 
-    /// Whether the budget of sends lets a request go on to another stage of its cascade.
-    pub(crate) fn may_escalate(&self, job: &Job) -> bool {
-        let terms = self.send_terms();
-        let mut budgets = self.budgets.lock().expect("no panics under the lock");
-        let budget = budgets.entry(job.service.clone()).or_default();
-        budget.left(&terms, self.now()) >= 1.0
-    }
-
     /// Counts an answered request.
     pub(crate) fn count_request(&self, code: &str) {
         let labels = RequestLabels { organisation: String::new(), code: code.into() };
@@ -265,6 +325,7 @@
             "host": self.settings.load().host,
             "configuration": table.as_ref().as_ref().map(|t| t.version),
             "in_flight": self.in_flight(),
+            "follows_another_entry": self.follows_link(),
             "roll_outs": self.roll_outs.dump(),
             "servers": self.fleet.load().dump(self.now()),
         })
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -55,6 +55,8 @@
     LINK_REFUSED = 202, Warn, "A peer did not prove itself or sent frames that can't be read.";
     PEER_FAILED = 203, Warn, "Another entry could not be asked, or asked something unreadable.";
     PEER_VIEW_TAKEN = 204, Info, "The store is silent; what another entry has seen of it was taken in.";
+    PEER_FOLLOWED = 205, Info, "Another entry that the store answers is followed instead of the store.";
+    PEER_LEFT = 206, Info, "The entry that was followed is silent or cut off; the store is asked again.";
     CONFIG_ADVANCED = 300, Info, "A newer configuration revision is in force here.";
     CONFIG_OLDER_SHOWN = 301, Error, "The store showed an older revision than is in force; it is not followed.";
     CONFIG_CHANGED = 302, Info, "An operator's or a leased job's change was accepted.";
--- /dev/null
+++ b/tests/platform/peers.rs
@@ -0,0 +1,114 @@
+//! Links between entries: one that follows another leaves the store alone, and asks it at once when
+//! the other one is gone or cut off.
+//!
+//! Each entry has a store of its own here, so that it shows whose word is followed.
+
+use serde_json::json;
+
+use crate::{
+    server::Act,
+    site::{Site, always, configuration, list, until},
+    store::{Fault, Store},
+};
+
+const GOOD: Act = Act::Answer { status: 200, body: "good" };
+
+fn version(site: &Site) -> u64 {
+    site.entry.router.table.load().as_ref().as_ref().map_or(0, |table| table.version)
+}
+
+fn follows(site: &Site) -> bool {
+    site.entry.router.dump()["follows_another_entry"] == true
+}
+
+/// A store whose rows are newer than those of one that has seen fewer changes.
+async fn store_after(changes: usize) -> Store {
+    let store = Store::start().await;
+    for _ in 0..changes {
+        store.put("op", "config", &configuration(1));
+    }
+    store
+}
+
+/// An entry that is followed, and one that follows it; the first one's store is ahead.
+async fn linked() -> (Site, Site) {
+    let first = Site::seed(store_after(20).await, None).await;
+    until("the first is ready", || first.entry.router.is_ready()).await;
+    let second = Site::following(store_after(1).await, &first).await;
+    until("the second follows", || follows(&second)).await;
+    (first, second)
+}
+
+/// Puts a configuration into a store so often that its rows are newer than another's.
+fn overtake(store: &Store, version: u64) {
+    for _ in 0..60 {
+        store.put("op", "config", &configuration(version));
+    }
+}
+
+/// Waits until an entry has ended the calls to its store that were under way.
+async fn until_silent(store: &Store) -> usize {
+    loop {
+        let calls = store.calls();
+        tokio::time::sleep(std::time::Duration::from_millis(3_300)).await;
+        if store.calls() == calls {
+            return calls;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_follows_another_leaves_the_store_alone() {
+    let server = always("i-1", GOOD).await;
+    let (first, second) = linked().await;
+    let calls = until_silent(&second.store).await;
+
+    list(&first.store, &server, "app", "v1", "ready");
+    first.store.put("op", "config", &configuration(5));
+    until("the change is in force", || version(&second) == 5).await;
+    until("the server is in view", || second.entry.router.fleet.load().len() == 1).await;
+
+    assert_eq!(second.ask("GET", "/safe/a", "").await.status, 200);
+    first.store.remove("servers", "i-1");
+    until("the server is gone", || second.entry.router.fleet.load().is_empty()).await;
+    assert_eq!(second.store.calls(), calls);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_asked_again_when_the_entry_that_is_followed_is_gone() {
+    let (first, second) = linked().await;
+
+    drop(first.entry);
+    until("the link is gone", || !follows(&second)).await;
+    overtake(&second.store, 9);
+
+    until("the store is followed", || version(&second) == 9).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_asked_again_when_it_does_not_answer_the_entry_that_is_followed() {
+    let (first, second) = linked().await;
+
+    first.store.set_fault(Fault::Down);
+    until("the link does not stand in", || !follows(&second)).await;
+    overtake(&second.store, 9);
+    until("the store is followed", || version(&second) == 9).await;
+
+    first.store.set_fault(Fault::None);
+    until("the link stands in again", || follows(&second)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_roll_out_is_followed_over_the_link() {
+    let (first, second) = linked().await;
+    let calls = until_silent(&second.store).await;
+    let roll_out = || second.entry.router.dump()["roll_outs"][0].clone();
+
+    let order = json!({"service": "app", "to": "v2", "duration-s": 600.0});
+    first.store.put("op", "rollout/app", &order);
+    until("its begin is known", || roll_out()["began"] == true).await;
+    first.store.put("status", "rollout/app", &json!({"state": "rolled_back", "to": "v2"}));
+    until("its end is known", || roll_out()["progress"] == "RolledBack").await;
+
+    assert_eq!(second.store.calls(), calls);
+}
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use mintmoor::policy::placement::hash_id;
+
 use crate::{
     server::{Act, Server},
     site::{Site, always, first_then, request, until},
@@ -116,6 +118,29 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_listen_no_more_cost_neither_attempts_nor_budget() {
+    let good = always("i-good", GOOD).await;
+    let mut deaf = Vec::new();
+    let mut gone: Vec<Server> = Vec::new();
+    // All that are tried before the good one: costs are equal, so the order is that of the ids.
+    let ids = (0..).map(|i| format!("i-{i}")).filter(|id| hash_id(id) < hash_id("i-good"));
+    for id in ids.take(8) {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut server = good.clone();
+        (server.address, server.id) = (socket.local_addr().unwrap(), id);
+        gone.push(server);
+        deaf.push(socket);
+    }
+    let listed: Vec<_> = gone.iter().chain([&good]).map(|s| (s, "app", "v1")).collect();
+    let site = Site::without_repeats(&listed).await;
+
+    let answer = site.ask("POST", "/once/a", "").await;
+
+    assert_eq!((answer.status, &*answer.body), (200, "good"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_without_a_length_is_whole_when_its_connection_ends_well() {
     let server = always("i-1", Act::Unframed).await;
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -1,5 +1,7 @@
 //! Streams: whole events only, resumed where that is allowed, and cascades.
 
+use std::time::Duration;
+
 use crate::{
     server::{Act, Seen, Server},
     site::{Site, always, events, first_then, request, until},
@@ -67,6 +69,18 @@
     assert_eq!(one.seen().len() + two.seen().len(), 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_server_is_not_left_when_nothing_more_may_be_sent() {
+    let slow = Act::Paced { to: 2, pause: Duration::from_millis(2_000) };
+    let (one, two) = (always("i-1", slow.clone()).await, always("i-2", slow).await);
+    let site = Site::without_repeats(&[(&one, "llm", "v1"), (&two, "llm", "v1")]).await;
+
+    let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, events(2));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_event_that_is_missing_breaks_the_stream() {
     // The second server goes on at event 5 though event 3 is due.
