--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -269,15 +269,7 @@
         has_repeat
     };
     let result = send(router, &job.req, &plan, may_leave).await;
-    let sent = attempt::advance(attempt::fresh(), AttemptEvent::Sent);
-    let (state, outcome) = match &result {
-        Ok(answer) if answer.head.kind == AnswerKind::Success => {
-            (attempt::advance(sent, AttemptEvent::Started), "answered")
-        }
-        Ok(_) => (attempt::advance(sent, AttemptEvent::Failed), "failed"),
-        Err(e) if e.proves_not_run() => (attempt::advance(sent, AttemptEvent::Refused), "refused"),
-        Err(_) => (attempt::advance(sent, AttemptEvent::LinkLost), "lost"),
-    };
+    let (state, outcome) = sum_up(&result);
     router.count_attempt(&member.server.version, outcome);
     job.attempts.push(state);
     job.tried.push(member.server.id.clone());
@@ -287,19 +279,43 @@
     }
     if !matches!(&result, Err(e) if e.proves_not_run()) {
         job.runs += 1;
-        match &result {
-            Err(AttemptError::Timeout) => {
-                router.roll_outs.note_silence(&member.server, router.now());
-            }
-            Ok(answer) if answer.head.kind == AnswerKind::Success => {
-                // A stream is judged by its events, once some have come.
-                let outcome = if answer.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
-                if answer.is_slow || job.route.kind != RouteKind::Stream {
-                    router.roll_outs.note_outcome(&member.server, outcome);
-                }
-            }
-            _ => router.roll_outs.note_outcome(&member.server, RunOutcome::Failed),
-        }
+        judge_version(router, job, member, &result);
     }
     result
 }
+
+/// State of an attempt after its result, and the word for it in metrics.
+fn sum_up(result: &Result<OpenAnswer, AttemptError>) -> (AttemptState, &'static str) {
+    let sent = attempt::advance(attempt::fresh(), AttemptEvent::Sent);
+    match result {
+        Ok(answer) if answer.head.kind == AnswerKind::Success => {
+            (attempt::advance(sent, AttemptEvent::Started), "answered")
+        }
+        Ok(_) => (attempt::advance(sent, AttemptEvent::Failed), "failed"),
+        Err(e) if e.proves_not_run() => (attempt::advance(sent, AttemptEvent::Refused), "refused"),
+        Err(_) => (attempt::advance(sent, AttemptEvent::LinkLost), "lost"),
+    }
+}
+
+/// Counts an attempt that may have run for or against its server's version.
+fn judge_version(
+    router: &Router,
+    job: &Job,
+    member: &Member,
+    result: &Result<OpenAnswer, AttemptError>,
+) {
+    let outcome = match result {
+        Err(AttemptError::Timeout) => {
+            return router.roll_outs.note_silence(&member.server, router.now());
+        }
+        Ok(answer) if answer.head.kind == AnswerKind::Success => {
+            // A stream is judged by its events, once some have come.
+            if !answer.is_slow && job.route.kind == RouteKind::Stream {
+                return;
+            }
+            if answer.is_slow { RunOutcome::Slow } else { RunOutcome::Good }
+        }
+        _ => RunOutcome::Failed,
+    };
+    router.roll_outs.note_outcome(&member.server, outcome);
+}
