--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -91,6 +91,9 @@
 
 /// Runs an entry on the users' platform until it is asked to stop.
 pub(crate) async fn run_route(args: &RouteArgs) -> Result<Ending> {
+    // First of all: a signal that comes before its handler ends the process, also one to reload.
+    let mut stop = StopSignals::listen()?;
+    let mut reload = signal(SignalKind::hangup())?;
     let file: PathBuf = match &args.settings {
         Some(file) => file.into(),
         None => std::env::var(SETTINGS_VARIABLE)
@@ -105,8 +108,6 @@
         None => RouteSettings::default(),
     };
     log::install_bounded(policy.log_level).wrap_err("log")?;
-    let mut stop = StopSignals::listen()?;
-    let mut reload = signal(SignalKind::hangup())?;
     let running = router::start(RouterSettings { host, policy }).await?;
     loop {
         tokio::select! {
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -25,6 +25,10 @@
     others: f64,
     /// When that was, on the entry's monotonic clock.
     reported_at: Duration,
+    /// Time for the prompts of other entries that were not read yet, when they told of them.
+    others_backlog: Duration,
+    /// When that was.
+    backlog_at: Duration,
 }
 
 impl LoadBelief {
@@ -35,6 +39,20 @@
         self.reported_at = now;
     }
 
+    /// Takes in what the other entries say they have at the server.
+    pub fn note_others(&mut self, requests: u32, backlog: Duration, now: Duration) {
+        self.others = f64::from(requests);
+        self.reported_at = now;
+        self.others_backlog = backlog;
+        self.backlog_at = now;
+    }
+
+    /// Time for the prompts of other entries that are not read yet: what they told of, less the
+    /// time since.
+    pub fn others_backlog(&self, now: Duration) -> Duration {
+        self.others_backlog.saturating_sub(now.saturating_sub(self.backlog_at))
+    }
+
     /// Requests believed to be at the server.
     pub fn estimate(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     ids::Revision,
@@ -30,6 +30,12 @@
 const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
+/// The same for an entry that follows another one, which tells it of the store's return: in an outage
+/// of several seconds, 32 entries that asked four times a second made a third of a day's calls.
+const PAUSE_OF_FOLLOWERS: Duration = Duration::from_millis(1_000);
+/// Time an entry that has read all rows waits for a link before it asks the store for changes; a
+/// link to a running seed takes a few round trips, one to a seed that starts too under a second.
+const LINK_WAIT: Duration = Duration::from_millis(1_000);
 /// Time after the store's return in which a missing server may still come back: just under the
 /// 2 s in which a server that is gone must get no more requests.
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
@@ -96,24 +102,39 @@
             }
             Err(e) => {
                 contact.note_failure(router, table, &e.to_string());
-                sleep(PAUSE).await;
+                rest(router, table).await;
                 while let Some(update) = router.link.take(table) {
                     take_in(router, update, &mut at, &contact, &mut apply);
                 }
                 continue;
             }
         };
+        let is_first = at.is_none();
         at = Some(rows.version);
         router.views.note(table, &rows, is_whole);
         let has_news = !rows.rows.is_empty();
         apply(rows, is_whole, &contact);
-        if has_news && !contact.is_lost {
+        if is_first && !router.is_seed() {
+            // Without a link the store is asked.
+            let _ = timeout(LINK_WAIT, router.link.until_current()).await;
+        } else if has_news && !contact.is_lost {
             let is_servers = table == Table::Servers;
             sleep(if is_servers { COALESCE_SERVERS } else { COALESCE_ORDERS }).await;
         }
     }
 }
 
+/// Pauses after a call that failed; a follower hears of the store's return from the entry it follows.
+async fn rest(router: &Router, table: Table) {
+    sleep(PAUSE).await;
+    if router.is_seed() || router.table.load().is_none() {
+        return;
+    }
+    // Either way the store is asked next.
+    let _ =
+        timeout(PAUSE_OF_FOLLOWERS.saturating_sub(PAUSE), router.link.until_changed(table)).await;
+}
+
 /// Takes in what another entry passed on, as far as it is newer than what is known.
 fn take_in(
     router: &Router,
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -99,6 +99,17 @@
         self.record().heard_at = now;
     }
 
+    /// Time for prompts sent to it that are not read yet, of all entries.
+    pub(crate) fn backlog(&self, now: Duration) -> Duration {
+        let record = self.record();
+        record.backlog + record.load.others_backlog(now)
+    }
+
+    /// Hash of the server's id.
+    pub(crate) fn id_hash(&self) -> u64 {
+        self.id_hash
+    }
+
     /// When anything last came from it.
     pub(crate) fn heard_at(&self) -> Duration {
         self.record().heard_at
@@ -116,7 +127,7 @@
             id_hash: self.id_hash,
             load: record.load.estimate(now),
             slots: self.server.slots,
-            backlog: record.backlog,
+            backlog: record.backlog + record.load.others_backlog(now),
             failure_rate: record.failures.get(now),
             is_near: &*self.server.zone == zone,
             is_suspect: record.outlier.is_passed_over(now),
@@ -154,6 +165,11 @@
         self.by_service.get(service).map(Vec::as_slice).unwrap_or_default()
     }
 
+    /// All servers in view.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.members.values()
+    }
+
     /// Servers in view.
     pub fn len(&self) -> usize {
         self.members.len()
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -78,6 +78,30 @@
         self.lock().waiting.get_mut(&table)?.pop_front()
     }
 
+    /// Waits until the link stands in for the store.
+    pub(crate) async fn until_current(&self) {
+        loop {
+            let news = self.news.notified();
+            if self.is_current() {
+                return;
+            }
+            news.await;
+        }
+    }
+
+    /// Waits until there is an update about a table, or the link begins or ceases to stand in.
+    pub(crate) async fn until_changed(&self, table: Table) {
+        let before = self.is_current();
+        loop {
+            let news = self.news.notified();
+            let waits = self.lock().waiting.get(&table).is_some_and(|all| !all.is_empty());
+            if waits || self.is_current() != before {
+                return;
+            }
+            news.await;
+        }
+    }
+
     /// Waits for the next update about a table; none once the link is not current.
     pub(crate) async fn next(&self, table: Table) -> Option<TableUpdate> {
         loop {
--- /dev/null
+++ b/src/router/load_board.rs
@@ -0,0 +1,115 @@
+//! What entries tell each other about the load they put on BackendServers.
+//!
+//! A server's answers tell its load, but with many entries each of them hears from one server only
+//! every few seconds. So each entry reports what it has at each server to the seeds, and these
+//! add the reports up and pass the sums on (docs/decisions/0010).
+
+use std::{collections::HashMap, sync::Mutex, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::router::Fleet;
+
+/// Age at which a report counts no more: three reports missed.
+const REPORT_LASTS: Duration = Duration::from_millis(1_200);
+/// Servers told of at most, the busiest first; keeps a report under 2 KB at 2,100 servers.
+const MOST_TOLD: usize = 128;
+
+/// Load that one entry, or all of them, have put on a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ServerLoad {
+    /// Hash of the server's id, cut to four bytes: rarely two servers share it, and then both are
+    /// believed to be busier than they are.
+    server: u32,
+    requests: u32,
+    /// Time for prompts that are not read yet, milliseconds.
+    backlog_ms: u32,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Reports by the Host they came from, and when they came.
+    reports: HashMap<Box<str>, (Duration, Vec<ServerLoad>)>,
+    /// What was last reported of this entry.
+    own: Vec<ServerLoad>,
+}
+
+/// The reports an entry has, and its own.
+#[derive(Debug, Default)]
+pub(crate) struct LoadBoard {
+    inner: Mutex<Inner>,
+}
+
+fn short(id_hash: u64) -> u32 {
+    id_hash as u32
+}
+
+fn busiest(mut loads: Vec<ServerLoad>) -> Vec<ServerLoad> {
+    if loads.len() > MOST_TOLD {
+        loads.sort_by_key(|load| std::cmp::Reverse((load.backlog_ms, load.requests)));
+        loads.truncate(MOST_TOLD);
+    }
+    loads
+}
+
+impl LoadBoard {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panics under the lock")
+    }
+
+    /// What this entry has at the servers now, to be reported.
+    pub(crate) fn report(&self, fleet: &Fleet) -> Vec<ServerLoad> {
+        let loads = fleet.members().filter_map(|member| {
+            let record = member.record();
+            let requests = record.load.own;
+            let backlog_ms = u32::try_from(record.backlog.as_millis()).unwrap_or(u32::MAX);
+            let server = short(member.id_hash());
+            (requests > 0).then_some(ServerLoad { server, requests, backlog_ms })
+        });
+        let own = busiest(loads.collect());
+        self.lock().own.clone_from(&own);
+        own
+    }
+
+    /// Takes in another entry's report.
+    pub(crate) fn take_report(&self, host: &str, loads: Vec<ServerLoad>, now: Duration) {
+        let mut inner = self.lock();
+        inner.reports.retain(|_, (at, _)| now < *at + REPORT_LASTS);
+        inner.reports.insert(host.into(), (now, loads));
+    }
+
+    /// The sums of all reports, this entry's own included.
+    pub(crate) fn sums(&self, now: Duration) -> Vec<ServerLoad> {
+        let inner = self.lock();
+        let fresh = inner.reports.values().filter(|(at, _)| now < *at + REPORT_LASTS);
+        let mut sums: HashMap<u32, ServerLoad> = HashMap::new();
+        for load in fresh.flat_map(|(_, loads)| loads).chain(&inner.own) {
+            let sum = sums.entry(load.server).or_insert(ServerLoad {
+                server: load.server,
+                requests: 0,
+                backlog_ms: 0,
+            });
+            sum.requests = sum.requests.saturating_add(load.requests);
+            sum.backlog_ms = sum.backlog_ms.saturating_add(load.backlog_ms);
+        }
+        busiest(sums.into_values().collect())
+    }
+
+    /// Lets the servers' records know what the other entries have there.
+    pub(crate) fn apply(&self, sums: &[ServerLoad], fleet: &Fleet, now: Duration) {
+        let inner = self.lock();
+        let own: HashMap<u32, &ServerLoad> = inner.own.iter().map(|l| (l.server, l)).collect();
+        let all: HashMap<u32, &ServerLoad> = sums.iter().map(|l| (l.server, l)).collect();
+        for member in fleet.members() {
+            let server = short(member.id_hash());
+            let told = |of: &HashMap<u32, &ServerLoad>| {
+                of.get(&server).map_or((0, 0), |load| (load.requests, load.backlog_ms))
+            };
+            let (requests, backlog_ms) = told(&all);
+            let (own_requests, own_backlog_ms) = told(&own);
+            let backlog = Duration::from_millis(backlog_ms.saturating_sub(own_backlog_ms).into());
+            let requests = requests.saturating_sub(own_requests);
+            member.record().load.note_others(requests, backlog, now);
+        }
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod link;
 mod listen;
 mod listing;
+mod load_board;
 mod peers;
 mod refusal;
 mod relay;
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -8,10 +8,10 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{SinkExt, StreamExt};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, broadcast::error::RecvError},
+    sync::{Semaphore, broadcast::error::RecvError, watch},
     task::JoinSet,
     time::{Instant, sleep, timeout, timeout_at},
 };
@@ -20,7 +20,7 @@
 use crate::{
     ids::Revision,
     protocol::{Error, Result, decode, encode},
-    router::{Router, views::TableUpdate},
+    router::{Router, load_board::ServerLoad, views::TableUpdate},
     telemetry::event,
 };
 
@@ -36,11 +36,22 @@
 /// Links that one entry serves; 360 entries share three seeds.
 const MOST_LINKS: usize = 400;
 
-/// What an entry says first on a link.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Subscribe {
-    /// Newest rows it has, by the store's count.
-    version: Revision,
+/// Time between reports of the own load to the seeds; streams last a second or a few.
+const REPORT_EVERY: Duration = Duration::from_millis(400);
+
+/// Pause before a seed that could not be reported to is tried again.
+const REPORT_AGAIN: Duration = Duration::from_secs(2);
+
+/// What an entry says on a link that it opened.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Asked {
+    /// It wants to hear what the store says.
+    Follow {
+        /// Newest rows it has, by the store's count.
+        version: Revision,
+    },
+    /// What it has at the servers; over and over on a link of its own.
+    Report { host: Box<str>, loads: Vec<ServerLoad> },
 }
 
 /// What the entry that is followed says.
@@ -56,6 +67,8 @@
         /// Whether the store answers it.
         is_current: bool,
         updates: Vec<TableUpdate>,
+        /// What all entries together have at the servers.
+        loads: Vec<ServerLoad>,
     },
 }
 
@@ -98,14 +111,37 @@
 async fn serve(router: &Router, stream: TcpStream) -> Result<()> {
     stream.set_nodelay(true)?;
     let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
-    let asked = timeout(OPENING, socket.next()).await.map_err(|_| silent())?;
-    let subscribe: Subscribe = decode(&asked.ok_or_else(silent)??.into_data())?;
+    match timeout(OPENING, hear(&mut socket)).await.map_err(|_| silent())?? {
+        Asked::Follow { version } => serve_follower(router, socket, version).await,
+        Asked::Report { host, loads } => take_reports(router, socket, &host, loads).await,
+    }
+}
+
+/// Takes in an entry's reports until it leaves.
+async fn take_reports(
+    router: &Router,
+    mut socket: Socket,
+    host: &str,
+    mut loads: Vec<ServerLoad>,
+) -> Result<()> {
+    loop {
+        router.loads.take_report(host, loads, router.now());
+        loads = match hear(&mut socket).await? {
+            Asked::Report { loads, .. } => loads,
+            Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
+        };
+    }
+}
+
+/// Tells a follower what the store says until it leaves.
+async fn serve_follower(router: &Router, mut socket: Socket, version: Revision) -> Result<()> {
     let zone = router.settings.load().zone.clone();
     tell(&mut socket, &Told::Welcome { zone }).await?;
-    let (mut updates, mut news) = router.views.subscribe(subscribe.version);
+    let (mut updates, mut news) = router.views.subscribe(version);
     loop {
         let is_current = router.is_current();
-        tell(&mut socket, &Told::Beat { is_current, updates }).await?;
+        let loads = router.loads.sums(router.now());
+        tell(&mut socket, &Told::Beat { is_current, updates, loads }).await?;
         updates = tokio::select! {
             update = news.recv() => match update {
                 Ok(update) => vec![update],
@@ -120,7 +156,7 @@
     }
 }
 
-async fn tell(socket: &mut Socket, told: &Told) -> Result<()> {
+async fn tell<T: Serialize>(socket: &mut Socket, told: &T) -> Result<()> {
     let message = Message::binary(encode(told));
     timeout(SILENT_AFTER, socket.send(message)).await.map_err(|_| silent())??;
     Ok(())
@@ -170,7 +206,7 @@
     let opening = Instant::now() + OPENING;
     let mut socket = timeout_at(opening, open(peer)).await.map_err(|_| silent())??;
     let version = router.views.oldest_version();
-    socket.send(Message::binary(encode(&Subscribe { version }))).await?;
+    tell(&mut socket, &Asked::Follow { version }).await?;
     let Told::Welcome { zone } = hear(&mut socket).await? else {
         return Err(Error::Broken("no welcome".into()));
     };
@@ -180,7 +216,7 @@
         return Ok(());
     }
     while router.wants_link() {
-        let Told::Beat { is_current, updates } = hear(&mut socket).await? else {
+        let Told::Beat { is_current, updates, loads } = hear(&mut socket).await? else {
             return Err(Error::Broken("a second welcome".into()));
         };
         for update in updates {
@@ -189,6 +225,7 @@
             }
         }
         router.views.note_heard(router.now());
+        router.loads.apply(&loads, &router.fleet.load(), router.now());
         if router.link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
@@ -203,7 +240,7 @@
     Ok(socket)
 }
 
-async fn hear(socket: &mut Socket) -> Result<Told> {
+async fn hear<T: DeserializeOwned>(socket: &mut Socket) -> Result<T> {
     loop {
         let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
         match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
@@ -213,3 +250,60 @@
         }
     }
 }
+
+/// Reports the own load to every seed, and lets a seed know the sums itself.
+pub(crate) async fn report_load(router: &Arc<Router>) {
+    let mut links: JoinSet<()> = JoinSet::new();
+    let mut reported: Vec<SocketAddr> = Vec::new();
+    let (reports, _) = watch::channel(Vec::new());
+    loop {
+        let settings = router.settings.load_full();
+        let others: Vec<SocketAddr> =
+            settings.seeds.iter().copied().filter(|seed| Some(*seed) != settings.peer).collect();
+        if others != reported {
+            links.abort_all();
+            for seed in &others {
+                let host = settings.host.clone();
+                links.spawn(keep_reporting(*seed, host, reports.subscribe()));
+            }
+            reported = others;
+        }
+        let fleet = router.fleet.load();
+        reports.send_replace(router.loads.report(&fleet));
+        if router.is_seed() {
+            let now = router.now();
+            router.loads.apply(&router.loads.sums(now), &fleet, now);
+        }
+        drop(fleet);
+        sleep(REPORT_EVERY).await;
+    }
+}
+
+/// Reports to one seed for ever; a seed that is away is tried again at a pause.
+async fn keep_reporting(
+    seed: SocketAddr,
+    host: Box<str>,
+    mut reports: watch::Receiver<Vec<ServerLoad>>,
+) {
+    loop {
+        if let Err(e) = report_to(seed, &host, &mut reports).await {
+            event::PEER_FAILED.log(format_args!("peer={seed} cause=\"{e}\""));
+        }
+        sleep(REPORT_AGAIN).await;
+    }
+}
+
+async fn report_to(
+    seed: SocketAddr,
+    host: &str,
+    reports: &mut watch::Receiver<Vec<ServerLoad>>,
+) -> Result<()> {
+    let mut socket = timeout(OPENING, open(seed)).await.map_err(|_| silent())??;
+    loop {
+        let loads = reports.borrow_and_update().clone();
+        tell(&mut socket, &Asked::Report { host: host.into(), loads }).await?;
+        if reports.changed().await.is_err() {
+            return Ok(());
+        }
+    }
+}
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -127,6 +127,7 @@
             driver::drive_roll_outs(&router, &store),
             answer_peers(router.clone(), peers),
             peers::follow(&router),
+            peers::report_load(&router),
         )
     };
     tokio::select! {
--- a/src/router/silence.rs
+++ b/src/router/silence.rs
@@ -40,7 +40,7 @@
         }
         let silent_since = member.heard_at().max(began_at);
         // A server that reads a long prompt says nothing meanwhile.
-        let dark_at = silent_since + patience.dark + member.record().backlog;
+        let dark_at = silent_since + patience.dark + member.backlog(router.now());
         if (now >= slow_at || router.now() >= dark_at) && may_leave() {
             return None;
         }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -21,7 +21,7 @@
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
-    router::{Fleet, link::Link, roll_out::RollOuts, views::Views},
+    router::{Fleet, link::Link, load_board::LoadBoard, roll_out::RollOuts, views::Views},
     routing::{Route, RoutingTable},
     settings::RouteSettings,
     telemetry::{
@@ -65,6 +65,8 @@
     pub policy: RouteSettings,
     /// The store's rows as last seen.
     pub(crate) views: Views,
+    /// What entries tell each other about the servers' load.
+    pub(crate) loads: LoadBoard,
     /// What comes from another entry that is followed.
     pub(crate) link: Link,
     /// Metrics.
@@ -89,6 +91,7 @@
             roll_outs: RollOuts::new(policy.exposure),
             policy,
             views: Views::default(),
+            loads: LoadBoard::default(),
             link: Link::default(),
             metrics: Metrics::default(),
             budgets: Mutex::default(),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -133,6 +133,17 @@
     assert!((2.0..2.01).contains(&later));
 }
 
+#[test]
+fn what_others_have_at_a_server_counts_until_it_is_read() {
+    let mut belief = LoadBelief::default();
+    belief.own = 1;
+    belief.note_others(7, Duration::from_millis(900), MS);
+
+    assert!((belief.estimate(MS) - 8.0).abs() < 1e-9);
+    assert_eq!(belief.others_backlog(MS * 401), Duration::from_millis(500));
+    assert_eq!(belief.others_backlog(MS * 2_000), Duration::ZERO);
+}
+
 fn terms() -> SendTerms {
     SendTerms { ratio: 0.9, extra: 52.0, window: Duration::from_secs(10) }
 }
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -4,10 +4,11 @@
 //! Each entry has a store of its own here, so that it shows whose word is followed.
 
 use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::{
     server::Act,
-    site::{Site, always, configuration, list, until},
+    site::{Site, always, configuration, list, request, until},
     store::{Fault, Store},
 };
 
@@ -112,3 +113,27 @@
 
     assert_eq!(second.store.calls(), calls);
 }
+
+/// Load that an entry believes to be at the only server in its view.
+fn believed_load(site: &Site) -> f64 {
+    site.entry.router.dump()["servers"][0]["load"].as_f64().unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_know_what_others_have_at_a_server() {
+    let server = always("i-1", Act::Endless).await;
+    let (first, second) = linked().await;
+    list(&first.store, &server, "llm", "v1", "ready");
+    until("both see the server", || {
+        [&first, &second].iter().all(|site| site.entry.router.fleet.load().len() == 1)
+    })
+    .await;
+
+    for (asking, other) in [(&first, &second), (&second, &first)] {
+        until("nothing runs", || believed_load(other) < 0.1).await;
+        let mut stream = TcpStream::connect(asking.caller).await.unwrap();
+        let asked = request("POST", "/chat/a", "X-Model: *\r\n", "");
+        stream.write_all(asked.as_bytes()).await.unwrap();
+        until("the other one knows", || believed_load(other) > 0.6).await;
+    }
+}
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use mintmoor::policy::placement::hash_id;
 
 use crate::{
@@ -40,6 +41,21 @@
     assert!((1..=3_000).contains(&left), "the route allows 3 s, the caller 5 s; sent {left} ms");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_at_the_same_time_get_each_their_own_answer() {
+    let after = Duration::from_millis(20);
+    let (one, two) =
+        (always("i-1", Act::Echo { after }).await, always("i-2", Act::Echo { after }).await);
+    let site = site_of(&[&one, &two]).await;
+    let paths: Vec<String> = (0..20).map(|i| format!("/safe/{i}")).collect();
+
+    let answers = join_all(paths.iter().map(|path| site.ask("GET", path, ""))).await;
+
+    for (path, answer) in paths.iter().zip(answers) {
+        assert_eq!((answer.status, answer.body), (200, format!("r-{path}")));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failed_idempotent_request_is_asked_elsewhere() {
     for first in [FAILS, Act::Close, Act::CutAnswer, Act::WrongId, Act::Unsigned, Act::Encoded] {
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -37,6 +37,8 @@
     Answer { status: u16, body: &'static str },
     /// A whole answer after a while.
     Late { body: &'static str, after: Duration },
+    /// A whole answer after a while that repeats the request's id.
+    Echo { after: Duration },
     /// An answer in one piece that breaks off.
     CutAnswer,
     /// Says that it did not run it.
@@ -153,11 +155,12 @@
     let whole = |status: u16, headers: &str, body: &str| {
         format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
     };
-    if let Act::Late { after, .. } = &act {
+    if let Act::Late { after, .. } | Act::Echo { after } = &act {
         sleep(*after).await;
     }
     let (bytes, goes_on) = match act {
         Act::Late { body, .. } => (whole(200, &signed, body), true),
+        Act::Echo { .. } => (whole(200, &signed, id), true),
         Act::Answer { status, body } => (whole(status, &signed, body), true),
         Act::CutAnswer => {
             (format!("HTTP/1.1 200 X\r\n{signed}Content-Length: 100\r\n\r\nhalf"), false)
--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,156 @@
+//! Callers: each keeps a connection as long as it lasts and goes on with the next entry.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::record::{Exchange, Kind, Outcome, Record, WITHDRAWN_KEY};
+
+/// Longest that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Pause of a caller between two requests.
+const PAUSE_MS: u64 = 20;
+/// Requests that a caller sends on one connection at most.
+const MOST_ON_ONE: u64 = 12;
+
+/// What callers share.
+pub struct Callers {
+    pub record: Arc<Record>,
+    /// Where the entries take requests.
+    pub entries: Vec<SocketAddr>,
+    /// Which of them the balancer sends new connections to.
+    pub in_rotation: Vec<AtomicBool>,
+    pub is_over: AtomicBool,
+    pub next_id: AtomicU64,
+}
+
+impl Callers {
+    /// One caller, until the soak is over.
+    pub async fn call(self: Arc<Self>, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        while !self.is_over.load(Ordering::SeqCst) {
+            let entry = self.choose(&mut rng);
+            let Ok(Ok(stream)) =
+                timeout(Duration::from_secs(1), TcpStream::connect(self.entries[entry])).await
+            else {
+                sleep(Duration::from_millis(PAUSE_MS)).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let Ok((mut sender, connection)) = handshake(TokioIo::new(stream)).await else {
+                continue;
+            };
+            // What ends the connection shows in the exchange.
+            let connection = tokio::spawn(async move { drop(connection.await) });
+            for _ in 0..rng.random_range(1..=MOST_ON_ONE) {
+                if sender.ready().await.is_err() || self.is_over.load(Ordering::SeqCst) {
+                    break;
+                }
+                let is_kept = self.exchange(&mut sender, entry, &mut rng).await;
+                if !is_kept {
+                    break;
+                }
+                sleep(Duration::from_millis(rng.random_range(0..2 * PAUSE_MS))).await;
+            }
+            connection.abort();
+        }
+    }
+
+    /// An entry in rotation; any where there is none.
+    fn choose(&self, rng: &mut impl Rng) -> usize {
+        let all: Vec<usize> = (0..self.entries.len()).collect();
+        let ready: Vec<usize> = all
+            .iter()
+            .copied()
+            .filter(|entry| self.in_rotation[*entry].load(Ordering::SeqCst))
+            .collect();
+        let from = if ready.is_empty() { all } else { ready };
+        from[rng.random_range(0..from.len())]
+    }
+
+    /// Sends one request; whether the connection goes on.
+    async fn exchange(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        entry: usize,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let kind = [Kind::Idempotent, Kind::OnceOnly, Kind::Stream][rng.random_range(0..3)];
+        let key = if rng.random_range(0..10) == 0 { WITHDRAWN_KEY } else { "key-1" };
+        let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
+        let req = request(&id, kind, key, rng.random_range(0..40));
+        let sent = Instant::now();
+        let (outcome, is_kept) = match timeout(PATIENCE, send(sender, req)).await {
+            Ok(done) => done,
+            // The caller gives up; nothing is promised beyond its own deadline.
+            Err(_) => (Outcome::NotSent, false),
+        };
+        let ended = Instant::now();
+        let exchange = Exchange { id, kind, entry, key, sent, ended, outcome };
+        self.record.exchanges.lock().unwrap().push(exchange);
+        is_kept
+    }
+}
+
+fn request(id: &str, kind: Kind, key: &str, session: u32) -> Request<Full<Bytes>> {
+    let (method, path) = match kind {
+        Kind::Idempotent => ("GET", "/safe/a"),
+        Kind::OnceOnly => ("POST", "/once/a"),
+        Kind::Stream => ("POST", "/chat/a"),
+    };
+    let body = if method == "POST" { Bytes::from("asked") } else { Bytes::new() };
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "h.example")
+        .header("x-request-id", id)
+        .header("authorization", format!("Bearer {key}"))
+        .header("x-deadline-ms", "4000")
+        .header("x-model", "*")
+        .header("session", format!("s-{session}"))
+        .body(Full::new(body))
+        .unwrap()
+}
+
+async fn send(sender: &mut SendRequest<Full<Bytes>>, req: Request<Full<Bytes>>) -> (Outcome, bool) {
+    let mut res = match sender.try_send_request(req).await {
+        Ok(res) => res,
+        Err(mut e) => {
+            // A request that crossed the entry's close was never taken.
+            let is_unsent = e.take_message().is_some();
+            return (if is_unsent { Outcome::NotSent } else { Outcome::NoAnswer }, false);
+        }
+    };
+    let mut body = Vec::new();
+    while let Some(frame) = res.body_mut().frame().await {
+        match frame {
+            Ok(frame) => body.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(_) => {
+                let body = String::from_utf8_lossy(&body).into_owned();
+                return (Outcome::Broken { body }, false);
+            }
+        }
+    }
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let is_signed = res.headers().contains_key("x-instance-stamp");
+    let closes = res.headers().get("connection").is_some_and(|value| value == "close");
+    let status = StatusCode::as_u16(&res.status());
+    (Outcome::Answered { status, body, is_signed }, !closes)
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,190 @@
+//! What is done to the processes, to the ways between them and to the store, in series and at once.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, RngExt};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::{
+    proxy::Way,
+    record::{Barred, Disturbance, IN_FORCE, What},
+    site::configuration,
+    store::Fault,
+    system::System,
+};
+
+/// One thing that can be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deed {
+    Stop,
+    Reload,
+    ChangeSettingsFile,
+    ChangeConfiguration,
+    Drain,
+    Kill,
+    KillInStop,
+    Pause,
+    PauseInStop,
+    StoreFault(Fault),
+    ForgetHistory,
+    CutFromStore(Way),
+    SpoilServer(Way),
+}
+
+const PLANNED: [Deed; 5] =
+    [Deed::Stop, Deed::Reload, Deed::ChangeSettingsFile, Deed::ChangeConfiguration, Deed::Drain];
+const STORE: [Deed; 8] = [
+    Deed::StoreFault(Fault::Down),
+    Deed::StoreFault(Fault::TooMany),
+    Deed::StoreFault(Fault::RepliesLost),
+    Deed::ForgetHistory,
+    Deed::CutFromStore(Way::Slow),
+    Deed::CutFromStore(Way::Silent),
+    Deed::CutFromStore(Way::AskOnly),
+    Deed::CutFromStore(Way::Reset),
+];
+const FAULTS: [Deed; 8] = [
+    Deed::Kill,
+    Deed::KillInStop,
+    Deed::Pause,
+    Deed::PauseInStop,
+    Deed::SpoilServer(Way::Slow),
+    Deed::SpoilServer(Way::Silent),
+    Deed::SpoilServer(Way::AskOnly),
+    Deed::SpoilServer(Way::Reset),
+];
+
+impl Deed {
+    /// What may happen under a seed: a third of the seeds have planned work only, a third store
+    /// faults as well, and the rest everything, so that one kind does not hide another.
+    pub fn all_of(seed: u64) -> Vec<Self> {
+        let mut all = PLANNED.to_vec();
+        let third = seed % 3;
+        if third > 0 {
+            all.extend(STORE);
+        }
+        if third > 1 {
+            all.extend(FAULTS);
+        }
+        all
+    }
+
+    fn what(self) -> What {
+        match self {
+            _ if PLANNED.contains(&self) => What::Planned,
+            _ if STORE.contains(&self) => What::Store,
+            _ => What::Fault,
+        }
+    }
+
+    /// Does it and mends it again; tells the record when.
+    pub async fn done(self, system: Arc<System>, entry: usize, server: usize, lasts: Duration) {
+        let concerns = match self {
+            Self::Stop | Self::Reload | Self::ChangeSettingsFile | Self::Kill => Some(entry),
+            Self::KillInStop | Self::Pause | Self::PauseInStop => Some(entry),
+            Self::CutFromStore(_) => Some(entry),
+            _ => None,
+        };
+        let disturbance = Disturbance {
+            entry: concerns,
+            what: self.what(),
+            from: Instant::now(),
+            to: Instant::now() + Duration::from_secs(3_600),
+        };
+        let number = system.record.begin(disturbance);
+        self.act(&system, entry, server, lasts).await;
+        system.record.end(number);
+    }
+
+    async fn act(self, system: &System, entry: usize, server: usize, lasts: Duration) {
+        match self {
+            Self::ChangeConfiguration => change_configuration(system),
+            Self::Drain => drain(system, server, lasts).await,
+            Self::StoreFault(fault) => {
+                system.store.set_fault(fault);
+                sleep(lasts).await;
+                system.store.set_fault(Fault::None);
+            }
+            Self::ForgetHistory => system.store.forget(),
+            Self::SpoilServer(way) => spoil(&system.servers[server].way, way, lasts).await,
+            Self::CutFromStore(way) => {
+                let proxy = system.entries[entry].lock().await.store.clone();
+                spoil(&proxy, way, lasts).await;
+            }
+            _ => self.act_on_process(system, entry, lasts).await,
+        }
+    }
+
+    async fn act_on_process(self, system: &System, entry: usize, lasts: Duration) {
+        let mut process = system.entries[entry].lock().await;
+        match self {
+            Self::Reload => return process.signal(Signal::HUP),
+            Self::ChangeSettingsFile => return process.write_settings(),
+            Self::Pause => {
+                process.signal(Signal::STOP);
+                sleep(lasts).await;
+                return process.signal(Signal::CONT);
+            }
+            Self::Stop => process.signal(Signal::TERM),
+            Self::Kill => process.signal(Signal::KILL),
+            Self::KillInStop => {
+                process.signal(Signal::TERM);
+                sleep(lasts).await;
+                process.signal(Signal::KILL);
+            }
+            _ => {
+                process.signal(Signal::TERM);
+                process.signal(Signal::STOP);
+                sleep(lasts).await;
+                process.signal(Signal::CONT);
+            }
+        }
+        process.wait().await;
+        process.run_again().await;
+    }
+}
+
+async fn spoil(proxy: &crate::proxy::Proxy, way: Way, lasts: Duration) {
+    proxy.set(way);
+    sleep(lasts).await;
+    proxy.set(Way::Clear);
+}
+
+/// Puts a newer configuration in the store; the second one takes a key away.
+fn change_configuration(system: &System) {
+    let version = system.version.fetch_add(3, Ordering::SeqCst) + 3;
+    let mut changed: Value = configuration(version);
+    if version > 4 {
+        changed["tenants"] = json!([{"name": "org", "api-keys": ["key-1"]}]);
+        let mut withdrawn = system.record.key_withdrawn.lock().unwrap();
+        withdrawn.get_or_insert_with(Instant::now);
+    }
+    system.store.put("op", "config", &changed);
+}
+
+/// Lists a server as leaving for a while.
+async fn drain(system: &System, server: usize, lasts: Duration) {
+    let drained = &system.servers[server];
+    let Ok(_alone) = drained.drains.try_lock() else {
+        return;
+    };
+    drained.list(&system.store, "draining");
+    let from = Instant::now();
+    sleep(IN_FORCE + lasts).await;
+    let barred = Barred { server: drained.id().into(), told: from, to: Instant::now() };
+    system.record.barred.lock().unwrap().push(barred);
+    drained.list(&system.store, "ready");
+}
+
+/// Draws what is done next, and to whom.
+pub fn draw(rng: &mut impl Rng, deeds: &[Deed], system: &System) -> (Deed, usize, usize, Duration) {
+    let deed = deeds[rng.random_range(0..deeds.len())];
+    let entry = rng.random_range(0..system.entries.len());
+    let server = rng.random_range(0..system.servers.len());
+    (deed, entry, server, Duration::from_millis(rng.random_range(200..1_800)))
+}
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,54 @@
+//! A randomized soak: the real program as processes on loopback, faults from outside, and the
+//! promises of docs/PROMISES.md checked from what callers and servers see. docs/SOAK.md tells how to
+//! run it by hand.
+
+mod callers;
+mod faults;
+mod fleet;
+mod proxy;
+mod record;
+#[path = "../platform/server.rs"]
+#[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
+mod server;
+#[path = "../platform/site.rs"]
+#[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
+mod site;
+#[path = "../platform/store.rs"]
+#[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
+mod store;
+mod system;
+
+use std::time::Duration;
+
+/// Seeds of the run in CI: one of each third, see [`faults::Deed::all_of`].
+const SEEDS: [u64; 3] = [3, 4, 5];
+/// Time in which things are done under one seed, seconds.
+const LASTS_S: u64 = 4;
+/// First and last seed of a run by hand, as `FIRST-LAST`.
+const SEEDS_VARIABLE: &str = "MINTMOOR_SOAK_SEEDS";
+const LASTS_VARIABLE: &str = "MINTMOOR_SOAK_SECONDS";
+
+fn seeds() -> Vec<u64> {
+    let Ok(range) = std::env::var(SEEDS_VARIABLE) else {
+        return SEEDS.to_vec();
+    };
+    let (first, last) = range.split_once('-').expect("FIRST-LAST");
+    (first.parse().unwrap()..=last.parse().unwrap()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_whatever_is_done() {
+    let lasts = std::env::var(LASTS_VARIABLE).map_or(LASTS_S, |text| text.parse().unwrap());
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let (findings, logs) = system::soak(seed, Duration::from_secs(lasts)).await;
+        if findings.is_empty() {
+            std::fs::remove_dir_all(logs).unwrap();
+            continue;
+        }
+        eprintln!("seed {seed}: logs in {}", logs.display());
+        findings.iter().for_each(|finding| eprintln!("  {finding}"));
+        failed.push(seed);
+    }
+    assert!(failed.is_empty(), "promises broken under seeds {failed:?}");
+}
--- /dev/null
+++ b/tests/soak/record.rs
@@ -0,0 +1,252 @@
+//! What callers and servers saw, and what of it breaks a promise.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer.
+    Answered { status: u16, body: String, is_signed: bool },
+    /// An answer that broke off; what came of its body.
+    Broken { body: String },
+    /// The connection ended without an answer.
+    NoAnswer,
+    /// The request was never sent.
+    NotSent,
+}
+
+/// One request and what became of it.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    pub id: String,
+    pub kind: Kind,
+    pub entry: usize,
+    pub key: &'static str,
+    pub sent: Instant,
+    pub ended: Instant,
+    pub outcome: Outcome,
+}
+
+/// Kinds of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Idempotent,
+    OnceOnly,
+    Stream,
+}
+
+impl Exchange {
+    pub fn is_served(&self) -> bool {
+        matches!(self.outcome, Outcome::Answered { status: 200, .. })
+    }
+}
+
+/// What was done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    /// Planned work, which must cut nothing off.
+    Planned,
+    /// Trouble with the store, which must cut nothing off either, but may delay changes.
+    Store,
+    /// Processes and servers that fail.
+    Fault,
+}
+
+/// A span in which something was done to an entry or to everything.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    /// None: all entries.
+    pub entry: Option<usize>,
+    pub what: What,
+    pub from: Instant,
+    pub to: Instant,
+}
+
+/// Time before and after a disturbance that it may still explain.
+const SLACK: Duration = Duration::from_millis(600);
+/// Events of every whole stream.
+pub const EVENTS: u64 = 6;
+/// Time after a change in the store in which it must be in force, with the store at rest: 2 s, and
+/// a second for a machine that is busy.
+pub const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// A run of a request at a server.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub server: String,
+    pub at: Instant,
+    /// Whether the server breaks its answer off.
+    pub breaks: bool,
+}
+
+/// A server that was listed as leaving.
+#[derive(Clone, Debug)]
+pub struct Barred {
+    pub server: String,
+    /// When the store was told.
+    pub told: Instant,
+    /// Until when it was so.
+    pub to: Instant,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Default)]
+pub struct Record {
+    pub exchanges: Mutex<Vec<Exchange>>,
+    pub runs: Mutex<Vec<Run>>,
+    pub disturbances: Mutex<Vec<Disturbance>>,
+    pub barred: Mutex<Vec<Barred>>,
+    /// From when a withdrawn key must not be taken.
+    pub key_withdrawn: Mutex<Option<Instant>>,
+}
+
+impl Record {
+    /// What was asked and answered, in one line.
+    pub fn summary(&self) -> String {
+        let exchanges = self.exchanges.lock().unwrap();
+        let count = |is: fn(&Outcome) -> bool| exchanges.iter().filter(|e| is(&e.outcome)).count();
+        format!(
+            "{} requests, {} served, {} refused or failed, {} broken, {} unanswered, {} deeds",
+            exchanges.len(),
+            exchanges.iter().filter(|e| e.is_served()).count(),
+            count(|o| matches!(o, Outcome::Answered { status, .. } if *status != 200)),
+            count(|o| matches!(o, Outcome::Broken { .. })),
+            count(|o| matches!(o, Outcome::NoAnswer)),
+            self.disturbances.lock().unwrap().len(),
+        )
+    }
+
+    /// All broken promises, in words.
+    pub fn findings(&self) -> Vec<String> {
+        let exchanges = self.exchanges.lock().unwrap();
+        let runs = self.runs.lock().unwrap();
+        let mut by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
+        runs.iter().for_each(|run| by_id.entry(&run.id).or_default().push(run));
+        let mut found = Vec::new();
+        let asked: HashSet<&str> = exchanges.iter().map(|e| &*e.id).collect();
+        for exchange in exchanges.iter() {
+            let runs = by_id.get(&*exchange.id).map_or(&[][..], Vec::as_slice);
+            let ran = runs.len();
+            found.extend(check_answer(exchange, ran));
+            found.extend(self.check_stop(exchange, runs));
+            found.extend(self.check_key(exchange, ran));
+        }
+        for run in runs.iter().filter(|run| !asked.contains(&*run.id)) {
+            found.push(format!("{}: ran, but nobody asked for it", run.id));
+        }
+        found.extend(runs.iter().filter_map(|run| self.check_leaving(run)));
+        found
+    }
+
+    /// A server that leaves gets nothing once that must be known.
+    fn check_leaving(&self, run: &Run) -> Option<String> {
+        let barred = self.barred.lock().unwrap();
+        let is_hit =
+            |b: &&Barred| b.server == run.server && b.told + IN_FORCE < run.at && run.at < b.to;
+        let hit = barred.iter().find(is_hit)?;
+        self.is_calm(hit.told, run.at)
+            .then(|| format!("{}: reached {} though it leaves", run.id, run.server))
+    }
+
+    /// Notes that something is done, from now on.
+    pub fn begin(&self, disturbance: Disturbance) -> usize {
+        let mut all = self.disturbances.lock().unwrap();
+        all.push(disturbance);
+        all.len() - 1
+    }
+
+    /// Notes that it is over.
+    pub fn end(&self, number: usize) {
+        self.disturbances.lock().unwrap()[number].to = Instant::now();
+    }
+
+    /// Whether nothing but planned work was done from shortly before one time to another.
+    fn is_calm(&self, from: Instant, to: Instant) -> bool {
+        let all = self.disturbances.lock().unwrap();
+        !all.iter().any(|d| d.what != What::Planned && d.from < to && from < d.to + IN_FORCE)
+    }
+
+    /// A planned stop, reload or change cuts off nothing.
+    fn check_stop(&self, exchange: &Exchange, runs: &[&Run]) -> Option<String> {
+        // A request that crosses the end of its connection and reaches nobody may be lost.
+        let is_cut = match exchange.outcome {
+            Outcome::Broken { .. } => true,
+            Outcome::NoAnswer => !runs.is_empty(),
+            _ => false,
+        };
+        // A server may break off the last attempt that the route allows.
+        let is_servers_own = runs.last().is_some_and(|run| run.breaks);
+        if !is_cut || is_servers_own {
+            return None;
+        }
+        let disturbances = self.disturbances.lock().unwrap();
+        let mut near = disturbances.iter().filter(|d| {
+            d.entry.is_none_or(|entry| entry == exchange.entry)
+                && d.from < exchange.ended + SLACK
+                && exchange.sent < d.to + SLACK
+        });
+        let is_explained = near.any(|d| d.what == What::Fault);
+        (!is_explained).then(|| {
+            format!(
+                "{}: {:?} at entry {} without a fault",
+                exchange.id, exchange.outcome, exchange.entry
+            )
+        })
+    }
+
+    /// A key that was withdrawn opens nothing.
+    fn check_key(&self, exchange: &Exchange, ran: usize) -> Option<String> {
+        let withdrawn = (*self.key_withdrawn.lock().unwrap())?;
+        let is_late = exchange.key == WITHDRAWN_KEY && exchange.sent > withdrawn + IN_FORCE;
+        let is_calm = self.is_calm(withdrawn, exchange.ended);
+        (is_late && is_calm && ran > 0)
+            .then(|| format!("{}: ran with a withdrawn key", exchange.id))
+    }
+}
+
+/// The key that is withdrawn midway.
+pub const WITHDRAWN_KEY: &str = "key-2";
+
+fn check_answer(exchange: &Exchange, ran: usize) -> Vec<String> {
+    let id = &exchange.id;
+    let mut found = Vec::new();
+    if exchange.kind == Kind::OnceOnly && ran > 1 {
+        found.push(format!("{id}: ran {ran} times, may run once"));
+    }
+    match &exchange.outcome {
+        Outcome::Answered { status: 200, body, is_signed } => {
+            if !is_signed || ran == 0 {
+                found.push(format!("{id}: a success that no server gave"));
+            }
+            let wanted = match exchange.kind {
+                Kind::Stream => events(EVENTS),
+                _ => id.clone(),
+            };
+            if *body != wanted {
+                found.push(format!("{id}: got {body:?}"));
+            }
+        }
+        Outcome::Answered { status: 408 | 421 | 429 | 503, .. }
+            if exchange.kind == Kind::OnceOnly && ran > 0 =>
+        {
+            found.push(format!("{id}: told that it had not run, and it ran"));
+        }
+        Outcome::Broken { body }
+            if exchange.kind == Kind::Stream && !events(EVENTS).starts_with(body.as_str()) =>
+        {
+            found.push(format!("{id}: got {body:?} of a broken stream"));
+        }
+        _ => {}
+    }
+    found
+}
+
+/// The events of a stream from 1 to `to`.
+pub fn events(to: u64) -> String {
+    (1..=to).map(|event| format!("id: {event}\ndata: e{event}\n\n")).collect()
+}
--- /dev/null
+++ b/tests/soak/system.rs
@@ -0,0 +1,249 @@
+//! All that a soak runs: entries as processes, and store and servers as stand-ins.
+
+use std::{
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Mutex,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    callers::Callers,
+    faults::{Deed, draw},
+    fleet::{Entry, host_of},
+    proxy::Proxy,
+    record::{EVENTS, Record, Run},
+    server::{Act, Seen, Server},
+    site::{configuration, list},
+    store::Store,
+};
+
+const ENTRIES: u8 = 4;
+const SERVERS_OF_EACH: usize = 4;
+const CALLERS: u64 = 12;
+/// Deeds under way at once.
+const MOST_AT_ONCE: usize = 3;
+/// Time after the last fault in which all must be served again, as the first sites allow.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time the balancer takes between two questions, and those it misses before it turns away.
+const BALANCER_ASKS: Duration = Duration::from_millis(500);
+const MISSES: u32 = 2;
+
+/// A server behind its way.
+pub struct Backend {
+    listed: Server,
+    service: &'static str,
+    pub way: Proxy,
+    /// Held while it is listed as leaving.
+    pub drains: Mutex<()>,
+}
+
+impl Backend {
+    pub fn id(&self) -> &str {
+        &self.listed.id
+    }
+
+    pub fn list(&self, store: &Store, state: &str) {
+        list(store, &self.listed, self.service, "v1", state);
+    }
+}
+
+/// Everything.
+pub struct System {
+    pub store: Store,
+    pub entries: Vec<Mutex<Entry>>,
+    pub servers: Vec<Backend>,
+    pub record: Arc<Record>,
+    /// Newest version of the configuration.
+    pub version: AtomicU64,
+    folder: PathBuf,
+}
+
+impl System {
+    /// Starts all and waits until every entry takes requests.
+    async fn start(seed: u64) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("mintmoor-soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let record = Arc::new(Record::default());
+        let store = Store::start().await;
+        store.put("op", "config", &configuration(1));
+        let mut servers = Vec::new();
+        for number in 0..SERVERS_OF_EACH {
+            servers.push(start_server(&record, "app", number, seed).await);
+            servers.push(start_server(&record, "llm", number, seed).await);
+        }
+        servers.iter().for_each(|server| server.list(&store, "ready"));
+        let mut entries = Vec::new();
+        for number in 0..ENTRIES {
+            let way = Proxy::start(store.address).await;
+            entries.push(Mutex::new(Entry::start(number, way, &folder)));
+        }
+        let version = AtomicU64::new(1);
+        Self { store, entries, servers, record, version, folder }
+    }
+
+    /// Asks whether an entry takes requests, as the balancer does.
+    async fn is_ready(&self, number: usize) -> bool {
+        let asked = async {
+            let address =
+                std::net::SocketAddr::new(host_of(number as u8), crate::fleet::READINESS_PORT);
+            let mut stream = TcpStream::connect(address).await.ok()?;
+            let ask = "GET /-/readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+            stream.write_all(ask.as_bytes()).await.ok()?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.ok()?;
+            answer.starts_with("HTTP/1.1 200").then_some(())
+        };
+        matches!(timeout(BALANCER_ASKS, asked).await, Ok(Some(())))
+    }
+
+    async fn wait_until_ready(&self) -> bool {
+        let all = async {
+            for entry in 0..self.entries.len() {
+                while !self.is_ready(entry).await {
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        timeout(RECOVERY, all).await.is_ok()
+    }
+}
+
+async fn start_server(
+    record: &Arc<Record>,
+    service: &'static str,
+    number: usize,
+    seed: u64,
+) -> Backend {
+    let id = format!("i-{service}-{number}");
+    let (record, server_id) = (record.clone(), id.clone());
+    let rng = std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ number as u64));
+    let script = move |seen: &Seen| {
+        let act = draw_act(&mut rng.lock().unwrap(), service);
+        if !matches!(act, Act::Shed) {
+            let run = Run {
+                id: seen.header("x-request-id").into(),
+                server: server_id.clone(),
+                at: Instant::now(),
+                breaks: matches!(act, Act::Stream { is_whole: false, .. }),
+            };
+            record.runs.lock().unwrap().push(run);
+        }
+        act
+    };
+    let mut listed = Server::start(&id, script).await;
+    let way = Proxy::start(listed.address).await;
+    listed.address = way.address;
+    Backend { listed, service, way, drains: Mutex::default() }
+}
+
+/// What a server does with a request: mostly what it should.
+fn draw_act(rng: &mut ChaCha8Rng, service: &str) -> Act {
+    let draw = rng.random_range(0..100);
+    if draw < 3 {
+        return Act::Shed;
+    }
+    match service {
+        "app" if draw < 6 => Act::Answer { status: 500, body: "failed" },
+        "app" => Act::Echo { after: Duration::from_millis(rng.random_range(1..60)) },
+        _ if draw < 6 => Act::Stream { to: EVENTS / 2, is_whole: false, confidence: 90 },
+        _ if draw < 20 => Act::Stream { to: EVENTS, is_whole: true, confidence: 10 },
+        _ => Act::Stream { to: EVENTS, is_whole: true, confidence: 90 },
+    }
+}
+
+/// Soaks with one seed; what was found, and where the logs are.
+pub async fn soak(seed: u64, lasts: Duration) -> (Vec<String>, PathBuf) {
+    let system = Arc::new(System::start(seed).await);
+    assert!(system.wait_until_ready().await, "the entries never started");
+    let mut addresses = Vec::new();
+    for entry in &system.entries {
+        addresses.push(entry.lock().await.caller());
+    }
+    let callers = Arc::new(Callers {
+        record: system.record.clone(),
+        in_rotation: addresses.iter().map(|_| AtomicBool::new(true)).collect(),
+        entries: addresses,
+        is_over: AtomicBool::new(false),
+        next_id: AtomicU64::new(0),
+    });
+    let mut tasks = JoinSet::new();
+    for number in 0..CALLERS {
+        tasks.spawn(callers.clone().call(seed * 1_000 + number));
+    }
+    let balancer = tokio::spawn(balance(system.clone(), callers.clone()));
+    disturb(&system, seed, lasts).await;
+    let mut findings = recover(&system, &callers).await;
+    callers.is_over.store(true, Ordering::SeqCst);
+    while tasks.join_next().await.is_some() {}
+    balancer.abort();
+    for (number, entry) in system.entries.iter().enumerate() {
+        if entry.lock().await.has_ended() {
+            findings.push(format!("entry {number} ended by itself"));
+        }
+    }
+    findings.extend(system.record.findings());
+    println!("seed {seed}: {}", system.record.summary());
+    (findings, system.folder.clone())
+}
+
+async fn balance(system: Arc<System>, callers: Arc<Callers>) {
+    let mut misses = vec![0; system.entries.len()];
+    loop {
+        for (entry, missed) in misses.iter_mut().enumerate() {
+            *missed = if system.is_ready(entry).await { 0 } else { *missed + 1 };
+            callers.in_rotation[entry].store(*missed < MISSES, Ordering::SeqCst);
+        }
+        sleep(BALANCER_ASKS).await;
+    }
+}
+
+/// Does one thing after the other, some at once, and waits until all is mended.
+async fn disturb(system: &Arc<System>, seed: u64, lasts: Duration) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let deeds = Deed::all_of(seed);
+    let until = Instant::now() + lasts;
+    let mut under_way = JoinSet::new();
+    while Instant::now() < until {
+        let (deed, entry, server, time) = draw(&mut rng, &deeds, system);
+        under_way.spawn(deed.done(system.clone(), entry, server, time));
+        if under_way.len() >= MOST_AT_ONCE {
+            under_way.join_next().await;
+        }
+        sleep(Duration::from_millis(rng.random_range(50..400))).await;
+    }
+    while under_way.join_next().await.is_some() {}
+}
+
+/// After the last fault every entry answers every kind of request again.
+async fn recover(system: &System, callers: &Callers) -> Vec<String> {
+    if !system.wait_until_ready().await {
+        return vec!["an entry was not ready again in time".into()];
+    }
+    sleep(Duration::from_secs(2)).await;
+    let from = Instant::now();
+    sleep(Duration::from_secs(1)).await;
+    let exchanges = callers.record.exchanges.lock().unwrap();
+    let mut findings = Vec::new();
+    for entry in 0..system.entries.len() {
+        let last: Vec<_> = exchanges.iter().filter(|e| e.entry == entry && e.sent > from).collect();
+        let served = last.iter().filter(|e| e.is_served()).count();
+        if served * 2 < last.len() || last.is_empty() {
+            findings.push(format!("entry {entry} served {served} of {} at the end", last.len()));
+        }
+    }
+    findings
+}
