Evidence on versions is pooled at the seeds; a suspicious version is not completed

Of the old version's runs 42 % were counted as slow: the mean pace learned only from runs that were not, so it fell, and more were. Ruled out: the store (its troubles had ended), a late start of the roll-out (the order was 1.1 s old when seen, no more). Changes: entries report their evidence to the seeds with their load; the seeds judge by the sum as well. A version is not completed while the evidence points against it (0.4 of the bound): completion can't be taken back. All runs count in the mean pace, but those of a version on trial. A verdict is passed on at once to the entries that follow. Tests: placement::thin_evidence_of_several_entries…, a_version_that_only_may_be_worse…, peers::what_an_entry_sees_of_a_version….

--- a/src/policy/roll_out.rs
+++ b/src/policy/roll_out.rs
@@ -86,6 +86,10 @@
 /// that expects it.
 const RISES: [f64; 3] = [1.0, 2.0, 4.0];
 
+/// Part of the bound from which a version is suspicious. A completed roll-out can't be taken back,
+/// and one that is not completed costs little.
+const SUSPICION: f64 = 0.4;
+
 /// Cumulative-sum test of a new version against the old one.
 ///
 /// The log-likelihood ratio of "worse" against "the same" is summed over failures and over
@@ -116,6 +120,13 @@
         }
     }
 
+    /// Whether the evidence points to a worse version, though it does not prove one.
+    pub fn is_suspicious(&self, guard: &Guard) -> bool {
+        let bound = (CHANCES / guard.false_hold.max(1e-9)).ln();
+        let most = self.failing.iter().chain(&self.poor).fold(0.0, |a: f64, b| a.max(*b));
+        self.is_worse || most >= bound * SUSPICION
+    }
+
     /// What has been found.
     pub fn finding(&self, guard: &Guard) -> Finding {
         if self.is_worse {
--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -198,7 +198,8 @@
             },
         ];
         let outcome = store.write(&puts).await?;
-        event::ROLL_OUT_BEGUN.log(format_args!("service={} outcome={outcome:?}", order.service));
+        let is_written = matches!(outcome, WriteOutcome::Written(_));
+        event::ROLL_OUT_BEGUN.log(format_args!("service={} written={is_written}", order.service));
         look(router, store, told).await?;
     }
     take_over(router, told, order, now);
@@ -245,14 +246,19 @@
         value: write_status(&verdict.status),
     };
     let outcome = store.write(&[put]).await?;
+    let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_MOVED.log(format_args!(
-        "service={} progress={:?} outcome={outcome:?}",
+        "service={} progress={:?} written={is_written}",
         order.service, verdict.status.progress
     ));
     match outcome {
         WriteOutcome::Written(_) => {
             let progress = verdict.status.progress;
             router.roll_outs.adopt(&order.service, order.revision, None, progress);
+            if router.views.has_subscribers() {
+                // Those that follow this entry hear of the verdict now, not at the next look.
+                look(router, store, told).await?;
+            }
         }
         WriteOutcome::Conflict(_) => {
             let now = look(router, store, told).await?;
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -20,7 +20,7 @@
 use crate::{
     ids::Revision,
     protocol::{Error, Result, decode, encode},
-    router::{Router, load_board::ServerLoad, views::TableUpdate},
+    router::{Router, load_board::ServerLoad, roll_out::VersionEvidence, views::TableUpdate},
     telemetry::event,
 };
 
@@ -50,8 +50,15 @@
         /// Newest rows it has, by the store's count.
         version: Revision,
     },
-    /// What it has at the servers; over and over on a link of its own.
-    Report { host: Box<str>, loads: Vec<ServerLoad> },
+    /// What it has at the servers and has seen of versions; over and over on a link of its own.
+    Report { host: Box<str>, report: Report },
+}
+
+/// What one entry lets the others know.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Report {
+    loads: Vec<ServerLoad>,
+    evidence: Vec<VersionEvidence>,
 }
 
 /// What the entry that is followed says.
@@ -113,7 +120,7 @@
     let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
     match timeout(OPENING, hear(&mut socket)).await.map_err(|_| silent())?? {
         Asked::Follow { version } => serve_follower(router, socket, version).await,
-        Asked::Report { host, loads } => take_reports(router, socket, &host, loads).await,
+        Asked::Report { host, report } => take_reports(router, socket, &host, report).await,
     }
 }
 
@@ -122,12 +129,13 @@
     router: &Router,
     mut socket: Socket,
     host: &str,
-    mut loads: Vec<ServerLoad>,
+    mut report: Report,
 ) -> Result<()> {
     loop {
-        router.loads.take_report(host, loads, router.now());
-        loads = match hear(&mut socket).await? {
-            Asked::Report { loads, .. } => loads,
+        router.loads.take_report(host, report.loads, router.now());
+        router.roll_outs.take_evidence(host, report.evidence);
+        report = match hear(&mut socket).await? {
+            Asked::Report { report, .. } => report,
             Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
         };
     }
@@ -255,7 +263,7 @@
 pub(crate) async fn report_load(router: &Arc<Router>) {
     let mut links: JoinSet<()> = JoinSet::new();
     let mut reported: Vec<SocketAddr> = Vec::new();
-    let (reports, _) = watch::channel(Vec::new());
+    let (reports, _) = watch::channel(Report::default());
     loop {
         let settings = router.settings.load_full();
         let others: Vec<SocketAddr> =
@@ -269,7 +277,8 @@
             reported = others;
         }
         let fleet = router.fleet.load();
-        reports.send_replace(router.loads.report(&fleet));
+        let evidence = router.roll_outs.evidence();
+        reports.send_replace(Report { loads: router.loads.report(&fleet), evidence });
         if router.is_seed() {
             let now = router.now();
             router.loads.apply(&router.loads.sums(now), &fleet, now);
@@ -280,11 +289,7 @@
 }
 
 /// Reports to one seed for ever; a seed that is away is tried again at a pause.
-async fn keep_reporting(
-    seed: SocketAddr,
-    host: Box<str>,
-    mut reports: watch::Receiver<Vec<ServerLoad>>,
-) {
+async fn keep_reporting(seed: SocketAddr, host: Box<str>, mut reports: watch::Receiver<Report>) {
     loop {
         if let Err(e) = report_to(seed, &host, &mut reports).await {
             event::PEER_FAILED.log(format_args!("peer={seed} cause=\"{e}\""));
@@ -296,12 +301,12 @@
 async fn report_to(
     seed: SocketAddr,
     host: &str,
-    reports: &mut watch::Receiver<Vec<ServerLoad>>,
+    reports: &mut watch::Receiver<Report>,
 ) -> Result<()> {
     let mut socket = timeout(OPENING, open(seed)).await.map_err(|_| silent())??;
     loop {
-        let loads = reports.borrow_and_update().clone();
-        tell(&mut socket, &Asked::Report { host: host.into(), loads }).await?;
+        let report = reports.borrow_and_update().clone();
+        tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
         if reports.changed().await.is_err() {
             return Ok(());
         }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -315,13 +315,15 @@
 
     /// Counts a run that ended whole for its version, and learns its pace.
     fn judge_whole(&self, answer: &OpenAnswer, run: &RunTiming) {
-        if run.is_judged {
-            return;
-        }
-        self.router.roll_outs.note_outcome(&answer.member.server, RunOutcome::Good);
-        if run.pauses > 0 {
+        let (server, roll_outs) = (&answer.member.server, &self.router.roll_outs);
+        // Slow runs count in the mean, too: without them it falls, and more runs are called slow. A
+        // version on trial does not set the pace that it is measured by.
+        if run.pauses > 0 && !roll_outs.is_on_trial(server) {
             self.router.note_pace(self.reading_key(), run.took() / run.pauses);
         }
+        if !run.is_judged {
+            roll_outs.note_outcome(server, RunOutcome::Good);
+        }
     }
 
     fn reading(&self) -> ReadingBelief {
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::{
@@ -48,6 +49,16 @@
     Slow,
 }
 
+/// What one entry has seen of a roll-out's two versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct VersionEvidence {
+    service: Box<str>,
+    /// Order it is about.
+    revision: Revision,
+    old: Evidence,
+    new: Evidence,
+}
+
 /// Which versions may run a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) enum VersionRule {
@@ -93,6 +104,10 @@
     old: Evidence,
     new: Evidence,
     test: VersionTest,
+    /// The test on the evidence of all entries, where this one is told of it.
+    pooled_test: VersionTest,
+    /// Evidence of the other entries, by Host.
+    others: HashMap<Box<str>, VersionEvidence>,
     /// Whether servers of the new version were seen.
     has_servers: bool,
 }
@@ -153,6 +168,8 @@
             old: Evidence::default(),
             new: Evidence::default(),
             test: VersionTest::default(),
+            pooled_test: VersionTest::default(),
+            others: HashMap::new(),
             has_servers: false,
         };
         for note in inner.sessions.values_mut() {
@@ -265,6 +282,34 @@
         self.note_outcome(server, RunOutcome::Failed);
     }
 
+    /// What this entry has seen of the roll-outs under way, to be reported.
+    pub(crate) fn evidence(&self) -> Vec<VersionEvidence> {
+        let inner = self.lock();
+        let running = inner.roll_outs.values().filter(|r| r.progress == Progress::Running);
+        running.map(RollOut::evidence).collect()
+    }
+
+    /// Takes in what another entry has seen, and judges by all of it.
+    pub(crate) fn take_evidence(&self, host: &str, all: Vec<VersionEvidence>) {
+        let mut inner = self.lock();
+        for evidence in all {
+            let Some(roll_out) = inner.roll_outs.get_mut(&evidence.service) else {
+                continue;
+            };
+            if roll_out.order.revision == evidence.revision {
+                roll_out.others.insert(host.into(), evidence);
+                roll_out.judge_pooled();
+            }
+        }
+    }
+
+    /// Whether a server runs the version that is being rolled out.
+    pub(crate) fn is_on_trial(&self, server: &BackendServer) -> bool {
+        let inner = self.lock();
+        let roll_out = inner.roll_outs.get(&server.service);
+        roll_out.is_some_and(|r| r.progress == Progress::Running && r.order.to == server.version)
+    }
+
     /// Notes that servers of a version are in view.
     pub(crate) fn note_servers(&self, service: &str, version: &str) {
         if let Some(roll_out) = self.lock().roll_outs.get_mut(service) {
@@ -306,6 +351,7 @@
                 "began": r.is_begun,
                 "held": r.is_held,
                 "answers": r.new.answers,
+                "answers_of_all": r.pooled().1.answers,
                 "failures": r.new.failures,
                 "slow": r.new.poor,
                 "old_answers": r.old.answers,
@@ -363,31 +409,68 @@
 
     fn judge(&mut self) {
         self.test.observe(self.old, self.new, &GUARD);
-        if !self.is_held && self.test.finding(&GUARD) == Finding::Worse {
-            self.is_held = true;
-            event::VERSION_SUSPECT.log(format_args!(
-                "service={} version={} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={}",
-                self.order.service,
-                self.order.to,
-                self.new.answers,
-                self.new.failures,
-                self.new.poor,
-                self.old.answers,
-                self.old.failures,
-                self.old.poor
-            ));
+        if self.test.finding(&GUARD) == Finding::Worse {
+            self.hold(1, self.old, self.new);
         }
     }
 
+    /// Evidence of all entries on the old and the new version, as far as it is known here.
+    fn pooled(&self) -> (Evidence, Evidence) {
+        let sum = |(old, new): (Evidence, Evidence), other: &VersionEvidence| {
+            (old.plus(other.old), new.plus(other.new))
+        };
+        self.others.values().fold((self.old, self.new), sum)
+    }
+
+    fn judge_pooled(&mut self) {
+        let (old, new) = self.pooled();
+        self.pooled_test.observe(old, new, &GUARD);
+        if self.pooled_test.finding(&GUARD) == Finding::Worse {
+            self.hold(self.others.len() + 1, old, new);
+        }
+    }
+
+    /// Keeps the version from requests, by the evidence of so many entries.
+    fn hold(&mut self, entries: usize, old: Evidence, new: Evidence) {
+        if std::mem::replace(&mut self.is_held, true) {
+            return;
+        }
+        event::VERSION_SUSPECT.log(format_args!(
+            "service={} version={} entries={entries} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={}",
+            self.order.service,
+            self.order.to,
+            new.answers,
+            new.failures,
+            new.poor,
+            old.answers,
+            old.failures,
+            old.poor
+        ));
+    }
+
+    fn evidence(&self) -> VersionEvidence {
+        VersionEvidence {
+            service: self.order.service.clone(),
+            revision: self.order.revision,
+            old: self.old,
+            new: self.new,
+        }
+    }
+
+    /// Whether the version may be called good.
+    fn is_proved(&self) -> bool {
+        let tests = [&self.test, &self.pooled_test];
+        self.new.answers >= LEAST_ANSWERS && !tests.iter().any(|t| t.is_suspicious(&GUARD))
+    }
+
     fn verdict(&self, now: Duration, terms: &ExposureTerms) -> Option<Verdict> {
         if self.progress != Progress::Running {
             return None;
         }
         let elapsed = now.saturating_sub(self.began);
-        let is_proved = self.new.answers >= LEAST_ANSWERS;
         let progress = if self.is_held {
             Progress::RolledBack
-        } else if may_complete(elapsed, self.order.within, terms) && is_proved {
+        } else if may_complete(elapsed, self.order.within, terms) && self.is_proved() {
             Progress::Completed
         } else {
             return None;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -79,7 +79,7 @@
     ROLL_OUT_LEFT = 602, Info, "The guard's write met a newer one by someone else and was dropped.";
     ROLL_OUT_ORDERED = 603, Info, "The operator ordered a roll-out.";
     ROLL_OUT_BEGUN = 604, Info, "The begin of a roll-out was written to the store.";
-    VERSION_SUSPECT = 605, Warn, "The evidence of this entry says that a version is bad; it gets no more requests here.";
+    VERSION_SUSPECT = 605, Warn, "The evidence of this entry, or of all that report to it, says that a version is bad; it gets no more requests here.";
     VERDICT_SEEN = 606, Info, "The store tells how a roll-out ended.";
     VERDICT_WAITS = 607, Warn, "The end of a roll-out could not be written; it is tried again.";
     LEASE_TAKEN = 700, Info, "This process holds a lease.";
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -334,6 +334,40 @@
     }
 }
 
+#[test]
+fn thin_evidence_of_several_entries_proves_together_what_none_proves_alone() {
+    let guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
+    let old = Evidence { answers: 60, failures: 0, rated: 60, poor: 6 };
+    let new = Evidence { answers: 4, failures: 0, rated: 4, poor: 2 };
+    let found = |old: Evidence, new: Evidence| {
+        let mut test = VersionTest::default();
+        test.observe(old, new, &guard);
+        test
+    };
+    let times = |e: Evidence| (1..8).fold(e, |sum, _| sum.plus(e));
+
+    let (alone, together) = (found(old, new), found(times(old), times(new)));
+
+    assert_ne!(alone.finding(&guard), Finding::Worse);
+    assert_eq!(together.finding(&guard), Finding::Worse);
+}
+
+#[test]
+fn a_version_that_only_may_be_worse_is_suspicious() {
+    let guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
+    let old = Evidence { answers: 300, failures: 2, rated: 298, poor: 30 };
+    let found = |failures: u64| {
+        let mut test = VersionTest::default();
+        let new = Evidence { answers: 30, failures, rated: 30 - failures, poor: 3 };
+        test.observe(old, new, &guard);
+        test
+    };
+
+    assert!(!found(0).is_suspicious(&guard));
+    assert!(found(3).is_suspicious(&guard));
+    assert_ne!(found(3).finding(&guard), Finding::Worse);
+}
+
 #[test]
 fn slow_sound_servers_do_not_hide_a_version_that_fails() {
     let guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -137,3 +137,24 @@
         until("the other one knows", || believed_load(other) > 0.6).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_an_entry_sees_of_a_version_counts_at_the_seed() {
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let (first, second) = linked().await;
+    list(&first.store, &old, "app", "v1", "ready");
+    list(&first.store, &new, "app", "v2", "ready");
+    let order = json!({"service": "app", "to": "v2", "duration-s": 600.0});
+    first.store.put("op", "rollout/app", &order);
+    let roll_out = |site: &Site| site.entry.router.dump()["roll_outs"][0].clone();
+    until("its begin is known", || roll_out(&second)["began"] == true).await;
+
+    for i in 0..200 {
+        second.ask("GET", "/safe/a", &format!("Session: s-{i}\r\n")).await;
+    }
+    let seen = roll_out(&second)["answers"].clone();
+    assert!(seen.as_u64() > Some(0), "some sessions are on the new version");
+
+    until("the seed knows", || roll_out(&first)["answers_of_all"] == seen).await;
+    assert_eq!(roll_out(&first)["answers"], 0, "it has seen none itself");
+}
