Foreign answers count as failures; an answer counts for its version when its body has ended

Left: a server that breaks every stream midway answers heads between its failures, so it is charged for failures but not taken out.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -130,15 +130,15 @@
     let mut at_server = AtServer::enter(plan.member, plan.reading);
     let began = Instant::now();
     let outcome = exchange(router, req, plan, may_leave).await;
-    match &outcome {
-        Ok((_, res)) => note_head(router, plan, res),
-        Err(e) => note_error(router, plan.member, e),
+    if let Err(e) = &outcome {
+        note_error(router, plan.member, e);
     }
     let (connection, res) = outcome?;
     at_server.note_read();
     plan.member.note_heard(router.now());
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &req.head.id);
+    note_head(router, plan.member, &head);
     let (tokens, took) = (req.head.prompt_tokens, began.elapsed());
     let is_slow = router.reading(plan.reading_key).is_slow(tokens, took);
     if head.kind == AnswerKind::Success {
@@ -149,11 +149,11 @@
     }
     let member = plan.member.clone();
     let answer = OpenAnswer { head, body, member, is_slow, connection, _at_server: at_server };
-    sort(router, answer)
+    sort(answer)
 }
 
 /// Turns answers that are no answer to this request into errors.
-fn sort(router: &Router, answer: OpenAnswer) -> Result<OpenAnswer, AttemptError> {
+fn sort(answer: OpenAnswer) -> Result<OpenAnswer, AttemptError> {
     match answer.head.kind {
         AnswerKind::Success | AnswerKind::Failure => Ok(answer),
         AnswerKind::NotRun => {
@@ -164,18 +164,16 @@
             answer.member.record().is_replaced = true;
             Err(AttemptError::OtherServer)
         }
-        AnswerKind::Misplaced | AnswerKind::Unsigned => {
-            answer.member.note_failure(router.now());
-            Err(AttemptError::Foreign)
-        }
+        AnswerKind::Misplaced | AnswerKind::Unsigned => Err(AttemptError::Foreign),
     }
 }
 
-fn note_head(router: &Router, plan: &Plan<'_>, res: &http::Response<Incoming>) {
-    if res.status().is_server_error() {
-        plan.member.note_failure(router.now());
+fn note_head(router: &Router, member: &Member, head: &AnswerHead) {
+    let is_foreign = matches!(head.kind, AnswerKind::Misplaced | AnswerKind::Unsigned);
+    if is_foreign || head.status.is_server_error() {
+        member.note_failure(router.now());
     } else {
-        plan.member.note_answer(router.now());
+        member.note_answer(router.now());
     }
 }
 
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -309,11 +309,11 @@
             return router.roll_outs.note_silence(&member.server, router.now());
         }
         Ok(answer) if answer.head.kind == AnswerKind::Success => {
-            // A stream is judged by its events, once some have come.
-            if !answer.is_slow && job.route.kind == RouteKind::Stream {
+            // Judged when its body has ended, but for a stream that is late already.
+            if !answer.is_slow || job.route.kind != RouteKind::Stream {
                 return;
             }
-            if answer.is_slow { RunOutcome::Slow } else { RunOutcome::Good }
+            RunOutcome::Slow
         }
         _ => RunOutcome::Failed,
     };
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -62,13 +62,14 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     loop {
         let answer = next_answer(router, job, Ask::default()).await?;
-        let deadline = job.deadline;
+        let (deadline, server) = (job.deadline, answer.member.clone());
         let read = timeout_at(deadline, read_whole(router, answer)).await;
         match read {
             Ok(Ok(res)) => return Ok(res),
             Ok(Err(())) => job.note_lost(),
             Err(_) => {
                 job.note_lost();
+                router.roll_outs.note_silence(&server.server, router.now());
                 return Err(Refusal::TimedOut);
             }
         }
@@ -122,8 +123,13 @@
     let body = Limited::new(&mut answer.body, MOST_WHOLE).collect().await;
     let Ok(body) = body else {
         answer.member.note_failure(router.now());
+        router.roll_outs.note_outcome(&answer.member.server, RunOutcome::Failed);
         return Err(());
     };
+    if answer.head.kind == AnswerKind::Success {
+        let outcome = if answer.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
+        router.roll_outs.note_outcome(&answer.member.server, outcome);
+    }
     *res.body_mut() = AnswerBody::whole(body.to_bytes());
     answer.finish(router.now());
     Ok(res)
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -157,6 +157,20 @@
     assert_eq!((answer.status, &*answer.body), (200, "good"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_gives_answers_of_others_is_taken_out() {
+    for act in [Act::WrongId, Act::Unsigned] {
+        let server = always("i-1", act).await;
+        let site = site_of(&[&server]).await;
+
+        for _ in 0..2 {
+            site.ask("POST", "/once/a", "").await;
+        }
+
+        assert_eq!(site.entry.router.dump()["servers"][0]["out"], true);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_without_a_length_is_whole_when_its_connection_ends_well() {
     let server = always("i-1", Act::Unframed).await;
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -59,6 +59,18 @@
     assert_eq!(new.seen().len(), after, "a version that was rolled back gets nothing");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_whose_answers_break_off_is_rolled_back() {
+    let (_old, new, site) = two_versions(Act::CutAnswer).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    until("it is under way", || state(&site) == "in_progress").await;
+
+    let asked = ask_until(&site, "rolled_back").await;
+
+    let exposed = new.seen().len();
+    assert!(exposed < 30, "{exposed} of {asked} requests reached the bad version");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_that_answers_slowly_is_rolled_back() {
     let slow = Act::Late { body: "good", after: Duration::from_millis(150) };
