roll_out.rs split: one roll-out as an entry sees it, and the rule for versions, have files of their own

481 lines held three jobs: all roll-outs shared by both threads, one roll-out with its evidence and tests, and which versions may run a request. Moved, not changed.

--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -11,7 +11,7 @@
         documents::{read_status, service_of_status, status_key, write_status},
         store::{Put, Row, StoreClient, Table, WriteOutcome},
     },
-    router::{Router, roll_out::Verdict},
+    router::{Router, trial::Verdict},
     routing::{Progress, RollOutOrder, RollOutStatus},
     telemetry::event,
 };
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -24,6 +24,8 @@
 mod serve;
 mod silence;
 mod state;
+mod trial;
+mod version_rule;
 mod views;
 
 pub use event_stream::EventSplitter;
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -20,7 +20,7 @@
 use crate::{
     ids::Revision,
     protocol::{Error, Result, decode, encode},
-    router::{Router, load_board::ServerLoad, roll_out::VersionEvidence, views::TableUpdate},
+    router::{Router, load_board::ServerLoad, trial::VersionEvidence, views::TableUpdate},
     telemetry::event,
 };
 
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -10,26 +10,19 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::{
     ids::Revision,
-    policy::{
-        exposure::{ExposureTerms, may_complete, may_move_sessions, share_at, takes_new},
-        roll_out::{Evidence, Finding, VersionTest},
+    policy::exposure::ExposureTerms,
+    router::{
+        trial::{RollOut, SessionNote, Verdict, VersionEvidence},
+        version_rule::VersionRule,
     },
-    resources::Guard,
-    routing::{BackendServer, Progress, RequestHead, RollOutOrder, RollOutStatus, ServerVersion},
+    routing::{BackendServer, Progress, RequestHead, RollOutOrder},
     telemetry::{Metrics, event, metrics::EvidenceLabels},
 };
 
-/// Rise of the failure rate that makes a version bad, and the chance of a false verdict. Bad
-/// versions fail a third of their requests and more. A good version taken back costs a roll-out,
-/// a bad one found late breaks a promise, so the chance is not made small.
-const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
-/// Answers of the new version without which a roll-out is not completed.
-const LEAST_ANSWERS: u64 = 20;
 /// Time in which the silences of one server count once: one long prompt may hold up many streams.
 const SAME_SILENCE: Duration = Duration::from_secs(2);
 /// Servers whose silence is remembered before old ones are forgotten.
@@ -49,76 +42,6 @@
     Slow,
 }
 
-/// What one entry has seen of a roll-out's two versions.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct VersionEvidence {
-    service: Box<str>,
-    /// Order it is about.
-    revision: Revision,
-    old: Evidence,
-    new: Evidence,
-}
-
-/// Which versions may run a request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) enum VersionRule {
-    /// All.
-    #[default]
-    Any,
-    /// Only this one.
-    Only(ServerVersion),
-    /// All but this one.
-    Not(ServerVersion),
-}
-
-impl VersionRule {
-    pub(crate) fn allows(&self, version: &str) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(only) => **only == *version,
-            Self::Not(not) => **not != *version,
-        }
-    }
-
-    /// The rule, or none where it asks for a version that no server in view runs: the servers of
-    /// a version may be taken away before the news of why is here.
-    pub(crate) fn or_any_if_missing<'a>(self, mut versions: impl Iterator<Item = &'a str>) -> Self {
-        match &self {
-            Self::Only(only) if !versions.any(|version| *version == **only) => Self::Any,
-            _ => self,
-        }
-    }
-}
-
-/// One roll-out as this entry sees it.
-#[derive(Debug)]
-struct RollOut {
-    order: RollOutOrder,
-    /// When it began, on the entry's clock.
-    began: Duration,
-    /// Whether the store told when it began.
-    is_begun: bool,
-    progress: Progress,
-    /// Whether our own evidence says that the version is bad.
-    is_held: bool,
-    old: Evidence,
-    new: Evidence,
-    test: VersionTest,
-    /// The test on the evidence of all entries, where this one is told of it.
-    pooled_test: VersionTest,
-    /// Evidence of the other entries, by Host.
-    others: HashMap<Box<str>, VersionEvidence>,
-    /// Whether servers of the new version were seen.
-    has_servers: bool,
-}
-
-/// When a session last sent something, and whether it ran on the version being rolled out.
-#[derive(Clone, Copy, Debug)]
-struct SessionNote {
-    at: Duration,
-    on_new: bool,
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     roll_outs: HashMap<Box<str>, RollOut>,
@@ -127,13 +50,6 @@
     silences: HashMap<Box<str>, Duration>,
 }
 
-/// What the driver should tell the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Verdict {
-    pub(crate) order: RollOutOrder,
-    pub(crate) status: RollOutStatus,
-}
-
 /// All roll-outs; shared by both threads.
 #[derive(Debug)]
 pub struct RollOuts {
@@ -159,19 +75,7 @@
             return false;
         }
         let service = order.service.clone();
-        let fresh = RollOut {
-            order,
-            began: now,
-            is_begun: false,
-            progress: Progress::Running,
-            is_held: false,
-            old: Evidence::default(),
-            new: Evidence::default(),
-            test: VersionTest::default(),
-            pooled_test: VersionTest::default(),
-            others: HashMap::new(),
-            has_servers: false,
-        };
+        let fresh = RollOut::begun_now(order, now);
         for note in inner.sessions.values_mut() {
             note.on_new = false;
         }
@@ -377,105 +281,3 @@
         self.sessions.insert(session.into(), note);
     }
 }
-
-impl RollOut {
-    fn rule(
-        &self,
-        session: &str,
-        note: Option<SessionNote>,
-        now: Duration,
-        terms: &ExposureTerms,
-    ) -> VersionRule {
-        let new = VersionRule::Only(self.order.to.clone());
-        let old = VersionRule::Not(self.order.to.clone());
-        match self.progress {
-            Progress::Completed => return new,
-            Progress::RolledBack => return old,
-            Progress::Running if self.is_held || !self.has_servers => return old,
-            Progress::Running => {}
-        }
-        let elapsed = now.saturating_sub(self.began);
-        if let Some(note) = note {
-            if note.on_new {
-                return new;
-            }
-            if !may_move_sessions(elapsed, self.order.within, terms) {
-                return old;
-            }
-        }
-        let share = share_at(elapsed, self.order.within, terms);
-        if takes_new(session, &self.order.to, share) { new } else { old }
-    }
-
-    fn judge(&mut self) {
-        self.test.observe(self.old, self.new, &GUARD);
-        if self.test.finding(&GUARD) == Finding::Worse {
-            self.hold(1, self.old, self.new);
-        }
-    }
-
-    /// Evidence of all entries on the old and the new version, as far as it is known here.
-    fn pooled(&self) -> (Evidence, Evidence) {
-        let sum = |(old, new): (Evidence, Evidence), other: &VersionEvidence| {
-            (old.plus(other.old), new.plus(other.new))
-        };
-        self.others.values().fold((self.old, self.new), sum)
-    }
-
-    fn judge_pooled(&mut self) {
-        let (old, new) = self.pooled();
-        self.pooled_test.observe(old, new, &GUARD);
-        if self.pooled_test.finding(&GUARD) == Finding::Worse {
-            self.hold(self.others.len() + 1, old, new);
-        }
-    }
-
-    /// Keeps the version from requests, by the evidence of so many entries.
-    fn hold(&mut self, entries: usize, old: Evidence, new: Evidence) {
-        if std::mem::replace(&mut self.is_held, true) {
-            return;
-        }
-        event::VERSION_SUSPECT.log(format_args!(
-            "service={} version={} entries={entries} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={}",
-            self.order.service,
-            self.order.to,
-            new.answers,
-            new.failures,
-            new.poor,
-            old.answers,
-            old.failures,
-            old.poor
-        ));
-    }
-
-    fn evidence(&self) -> VersionEvidence {
-        VersionEvidence {
-            service: self.order.service.clone(),
-            revision: self.order.revision,
-            old: self.old,
-            new: self.new,
-        }
-    }
-
-    /// Whether the version may be called good.
-    fn is_proved(&self) -> bool {
-        let tests = [&self.test, &self.pooled_test];
-        self.new.answers >= LEAST_ANSWERS && !tests.iter().any(|t| t.is_suspicious(&GUARD))
-    }
-
-    fn verdict(&self, now: Duration, terms: &ExposureTerms) -> Option<Verdict> {
-        if self.progress != Progress::Running {
-            return None;
-        }
-        let elapsed = now.saturating_sub(self.began);
-        let progress = if self.is_held {
-            Progress::RolledBack
-        } else if may_complete(elapsed, self.order.within, terms) && self.is_proved() {
-            Progress::Completed
-        } else {
-            return None;
-        };
-        let status = RollOutStatus { to: self.order.to.clone(), progress };
-        Some(Verdict { order: self.order.clone(), status })
-    }
-}
--- /dev/null
+++ b/src/router/trial.rs
@@ -0,0 +1,188 @@
+//! One roll-out as an entry sees it: whom its version serves, what speaks against it, and how it ends.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::Revision,
+    policy::{
+        exposure::{ExposureTerms, may_complete, may_move_sessions, share_at, takes_new},
+        roll_out::{Evidence, Finding, VersionTest},
+    },
+    resources::Guard,
+    router::version_rule::VersionRule,
+    routing::{Progress, RollOutOrder, RollOutStatus},
+    telemetry::event,
+};
+
+/// Rise of the failure rate that makes a version bad, and the chance of a false verdict. Bad
+/// versions fail a third of their requests and more. A good version taken back costs a roll-out,
+/// a bad one found late breaks a promise, so the chance is not made small.
+const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
+/// Answers of the new version without which a roll-out is not completed.
+const LEAST_ANSWERS: u64 = 20;
+/// What one entry has seen of a roll-out's two versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct VersionEvidence {
+    pub(super) service: Box<str>,
+    /// Order it is about.
+    pub(super) revision: Revision,
+    pub(super) old: Evidence,
+    pub(super) new: Evidence,
+}
+
+/// What the driver should tell the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Verdict {
+    pub(crate) order: RollOutOrder,
+    pub(crate) status: RollOutStatus,
+}
+
+/// When a session last sent something, and whether it ran on the version being rolled out.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SessionNote {
+    pub(super) at: Duration,
+    pub(super) on_new: bool,
+}
+
+/// One roll-out as this entry sees it.
+#[derive(Debug)]
+pub(super) struct RollOut {
+    pub(super) order: RollOutOrder,
+    /// When it began, on the entry's clock.
+    pub(super) began: Duration,
+    /// Whether the store told when it began.
+    pub(super) is_begun: bool,
+    pub(super) progress: Progress,
+    /// Whether our own evidence says that the version is bad.
+    pub(super) is_held: bool,
+    pub(super) old: Evidence,
+    pub(super) new: Evidence,
+    pub(super) test: VersionTest,
+    /// The test on the evidence of all entries, where this one is told of it.
+    pub(super) pooled_test: VersionTest,
+    /// Evidence of the other entries, by Host.
+    pub(super) others: HashMap<Box<str>, VersionEvidence>,
+    /// Whether servers of the new version were seen.
+    pub(super) has_servers: bool,
+}
+
+impl RollOut {
+    /// An order that has just been seen.
+    pub(super) fn begun_now(order: RollOutOrder, now: Duration) -> Self {
+        Self {
+            order,
+            began: now,
+            is_begun: false,
+            progress: Progress::Running,
+            is_held: false,
+            old: Evidence::default(),
+            new: Evidence::default(),
+            test: VersionTest::default(),
+            pooled_test: VersionTest::default(),
+            others: HashMap::new(),
+            has_servers: false,
+        }
+    }
+
+    pub(super) fn rule(
+        &self,
+        session: &str,
+        note: Option<SessionNote>,
+        now: Duration,
+        terms: &ExposureTerms,
+    ) -> VersionRule {
+        let new = VersionRule::Only(self.order.to.clone());
+        let old = VersionRule::Not(self.order.to.clone());
+        match self.progress {
+            Progress::Completed => return new,
+            Progress::RolledBack => return old,
+            Progress::Running if self.is_held || !self.has_servers => return old,
+            Progress::Running => {}
+        }
+        let elapsed = now.saturating_sub(self.began);
+        if let Some(note) = note {
+            if note.on_new {
+                return new;
+            }
+            if !may_move_sessions(elapsed, self.order.within, terms) {
+                return old;
+            }
+        }
+        let share = share_at(elapsed, self.order.within, terms);
+        if takes_new(session, &self.order.to, share) { new } else { old }
+    }
+
+    pub(super) fn judge(&mut self) {
+        self.test.observe(self.old, self.new, &GUARD);
+        if self.test.finding(&GUARD) == Finding::Worse {
+            self.hold(1, self.old, self.new);
+        }
+    }
+
+    /// Evidence of all entries on the old and the new version, as far as it is known here.
+    pub(super) fn pooled(&self) -> (Evidence, Evidence) {
+        let sum = |(old, new): (Evidence, Evidence), other: &VersionEvidence| {
+            (old.plus(other.old), new.plus(other.new))
+        };
+        self.others.values().fold((self.old, self.new), sum)
+    }
+
+    pub(super) fn judge_pooled(&mut self) {
+        let (old, new) = self.pooled();
+        self.pooled_test.observe(old, new, &GUARD);
+        if self.pooled_test.finding(&GUARD) == Finding::Worse {
+            self.hold(self.others.len() + 1, old, new);
+        }
+    }
+
+    /// Keeps the version from requests, by the evidence of so many entries.
+    fn hold(&mut self, entries: usize, old: Evidence, new: Evidence) {
+        if std::mem::replace(&mut self.is_held, true) {
+            return;
+        }
+        event::VERSION_SUSPECT.log(format_args!(
+            "service={} version={} entries={entries} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={}",
+            self.order.service,
+            self.order.to,
+            new.answers,
+            new.failures,
+            new.poor,
+            old.answers,
+            old.failures,
+            old.poor
+        ));
+    }
+
+    pub(super) fn evidence(&self) -> VersionEvidence {
+        VersionEvidence {
+            service: self.order.service.clone(),
+            revision: self.order.revision,
+            old: self.old,
+            new: self.new,
+        }
+    }
+
+    /// Whether the version may be called good.
+    fn is_proved(&self) -> bool {
+        let tests = [&self.test, &self.pooled_test];
+        self.new.answers >= LEAST_ANSWERS && !tests.iter().any(|t| t.is_suspicious(&GUARD))
+    }
+
+    pub(super) fn verdict(&self, now: Duration, terms: &ExposureTerms) -> Option<Verdict> {
+        if self.progress != Progress::Running {
+            return None;
+        }
+        let elapsed = now.saturating_sub(self.began);
+        let progress = if self.is_held {
+            Progress::RolledBack
+        } else if may_complete(elapsed, self.order.within, terms) && self.is_proved() {
+            Progress::Completed
+        } else {
+            return None;
+        };
+        let status = RollOutStatus { to: self.order.to.clone(), progress };
+        Some(Verdict { order: self.order.clone(), status })
+    }
+}
