--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -22,6 +22,8 @@
 
 /// Seeds of the run in CI: one of each third, see [`faults::Deed::all_of`].
 const SEEDS: [u64; 3] = [3, 4, 5];
+/// Seeds that once failed; docs/SOAK.md has a line on the cause of each.
+const FAILED_ONCE: [u64; 1] = [108];
 /// Time in which things are done under one seed, seconds.
 const LASTS_S: u64 = 4;
 /// First and last seed of a run by hand, as `FIRST-LAST`.
@@ -30,7 +32,7 @@
 
 fn seeds() -> Vec<u64> {
     let Ok(range) = std::env::var(SEEDS_VARIABLE) else {
-        return SEEDS.to_vec();
+        return [&SEEDS[..], &FAILED_ONCE].concat();
     };
     let (first, last) = range.split_once('-').expect("FIRST-LAST");
     (first.parse().unwrap()..=last.parse().unwrap()).collect()
