Read over: what the change wrote twice is written once

- The soak had its own copy of the events of a stream; it uses the one of tests/platform/site.rs.
- Site::start and Site::without_repeats each filled a store with servers: store_with.
- The bound of the version test was worked out in two methods, the seeds but for oneself in two tasks: bound, other_seeds.
- A request that the soak's caller gave up on was recorded as never sent; it has a name of its own.
No check treats it otherwise.
- A comment said that only the own evidence holds a version.

--- a/src/policy/roll_out.rs
+++ b/src/policy/roll_out.rs
@@ -109,7 +109,7 @@
     pub fn observe(&mut self, old: Evidence, new: Evidence, guard: &Guard) {
         let fresh = new.since(self.seen);
         self.seen = new;
-        let bound = (CHANCES / guard.false_hold.max(1e-9)).ln();
+        let bound = bound(guard);
         for (i, factor) in RISES.into_iter().enumerate() {
             let rise = guard.tolerated_rise * factor;
             let failing = log_ratio(fresh.failures, fresh.answers, old.failure_bound(), rise);
@@ -122,9 +122,8 @@
 
     /// Whether the evidence points to a worse version, though it does not prove one.
     pub fn is_suspicious(&self, guard: &Guard) -> bool {
-        let bound = (CHANCES / guard.false_hold.max(1e-9)).ln();
         let most = self.failing.iter().chain(&self.poor).fold(0.0, |a: f64, b| a.max(*b));
-        self.is_worse || most >= bound * SUSPICION
+        self.is_worse || most >= bound(guard) * SUSPICION
     }
 
     /// What has been found.
@@ -137,6 +136,11 @@
     }
 }
 
+/// Sum from which a version is found worse.
+fn bound(guard: &Guard) -> f64 {
+    (CHANCES / guard.false_hold.max(1e-9)).ln()
+}
+
 fn log_ratio(bad: u64, all: u64, base: f64, rise: f64) -> f64 {
     let worse = (base + rise).min(0.999);
     let bad_part = bad as f64 * (worse / base).ln();
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     ids::Revision,
+    platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
     router::{Router, load_board::ServerLoad, trial::VersionEvidence, views::TableUpdate},
     telemetry::event,
@@ -85,6 +86,11 @@
     Error::Broken("no word in time".into())
 }
 
+/// The seeds but for this entry itself.
+fn other_seeds(settings: &HostSettings) -> Vec<SocketAddr> {
+    settings.seeds.iter().copied().filter(|seed| Some(*seed) != settings.peer).collect()
+}
+
 /// Serves the entries that follow this one.
 pub(crate) async fn answer(router: Arc<Router>, listener: TcpListener) {
     let places = Arc::new(Semaphore::new(MOST_LINKS));
@@ -177,8 +183,7 @@
     loop {
         if router.wants_link() {
             let settings = router.settings.load_full();
-            let mut others: Vec<SocketAddr> = settings.seeds.clone();
-            others.retain(|seed| Some(*seed) != settings.peer);
+            let mut others = other_seeds(&settings);
             // Those in this zone first, then those not asked yet.
             others.sort_by_key(|seed| match zones.get(seed) {
                 Some(zone) => (*zone != settings.zone, true),
@@ -266,8 +271,7 @@
     let (reports, _) = watch::channel(Report::default());
     loop {
         let settings = router.settings.load_full();
-        let others: Vec<SocketAddr> =
-            settings.seeds.iter().copied().filter(|seed| Some(*seed) != settings.peer).collect();
+        let others = other_seeds(&settings);
         if others != reported {
             links.abort_all();
             for seed in &others {
--- a/src/router/trial.rs
+++ b/src/router/trial.rs
@@ -22,6 +22,7 @@
 const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
 /// Answers of the new version without which a roll-out is not completed.
 const LEAST_ANSWERS: u64 = 20;
+
 /// What one entry has seen of a roll-out's two versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct VersionEvidence {
@@ -55,7 +56,7 @@
     /// Whether the store told when it began.
     pub(super) is_begun: bool,
     pub(super) progress: Progress,
-    /// Whether our own evidence says that the version is bad.
+    /// Whether the evidence, our own or that of all entries, says that the version is bad.
     pub(super) is_held: bool,
     pub(super) old: Evidence,
     pub(super) new: Evidence,
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -84,12 +84,7 @@
 impl Site {
     /// A site whose servers are listed; it is ready when this returns.
     pub async fn start(servers: &[(&Server, &str, &str)]) -> Self {
-        let store = Store::start().await;
-        store.put("op", "config", &configuration(1));
-        for (server, service, version) in servers {
-            list(&store, server, service, version, "ready");
-        }
-        let site = Self::beside(store).await;
+        let site = Self::beside(store_with(servers).await).await;
         let count = servers.len();
         until("the entry has its view", || {
             site.entry.router.is_ready() && site.entry.router.fleet.load().len() == count
@@ -100,12 +95,7 @@
 
     /// A site whose servers are listed and whose entry may repeat no sends.
     pub async fn without_repeats(servers: &[(&Server, &str, &str)]) -> Self {
-        let store = Store::start().await;
-        store.put("op", "config", &configuration(1));
-        for (server, service, version) in servers {
-            list(&store, server, service, version, "ready");
-        }
-        let site = Self::with(store, |host| {
+        let site = Self::with(store_with(servers).await, |host| {
             (host.retry_ratio, host.retry_extra) = (0.0, 0.0);
         })
         .await;
@@ -157,6 +147,16 @@
     }
 }
 
+/// A store with a configuration, where servers are listed.
+async fn store_with(servers: &[(&Server, &str, &str)]) -> Store {
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1));
+    for (server, service, version) in servers {
+        list(&store, server, service, version, "ready");
+    }
+    store
+}
+
 /// A request's bytes; the connection ends after it.
 pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
     let length = body.len();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -100,7 +100,7 @@
         let (outcome, is_kept) = match timeout(PATIENCE, send(sender, req)).await {
             Ok(done) => done,
             // The caller gives up; nothing is promised beyond its own deadline.
-            Err(_) => (Outcome::NotSent, false),
+            Err(_) => (Outcome::GaveUp, false),
         };
         let ended = Instant::now();
         let exchange = Exchange { id, kind, entry, key, sent, ended, outcome };
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use crate::site::events;
+
 /// What a caller got.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -17,6 +19,8 @@
     NoAnswer,
     /// The request was never sent.
     NotSent,
+    /// The caller gave up on it.
+    GaveUp,
 }
 
 /// One request and what became of it.
@@ -245,8 +249,3 @@
     }
     found
 }
-
-/// The events of a stream from 1 to `to`.
-pub fn events(to: u64) -> String {
-    (1..=to).map(|event| format!("id: {event}\ndata: e{event}\n\n")).collect()
-}
