A repeat that comes before its first run's end was written waits for it and gets the answer

Cause: the end of a claim is written after the answer was delivered, so a repeat that comes at once met the claim still held and was told `duplicate`. Ruled out: a second run (the claim is never taken over while it is held). Change: a repeat that meets a held claim looks again, each 40 ms for 800 ms at most, before it is told so.

--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use tokio::time::sleep;
+
 use crate::{
     control::config::HEAD_KEY,
     entry::{ApiError, Entry},
@@ -17,6 +19,12 @@
 const HELD_MARGIN: Duration = Duration::from_secs(30);
 const FINISH_TRIES: u32 = 40;
 const FINISH_PAUSE: Duration = Duration::from_millis(500);
+/// Time a repeat waits for the end of a request that holds its claim. The end is written while the
+/// answer is on its way to the caller, so a repeat that comes at once may be there first; a write
+/// takes 5 ms at the platform's store, and many times that on a busy host.
+const END_WAIT: Duration = Duration::from_millis(800);
+/// Pause between two looks at the claim meanwhile.
+const END_PAUSE: Duration = Duration::from_millis(40);
 
 /// A claim this entry holds.
 #[derive(Clone, Debug)]
@@ -56,7 +64,10 @@
     let mut expected = None;
     let mut step = ClaimStep::Insert;
     let mut version = 0;
-    for _ in 0..MAX_STEPS {
+    let mut waited = Duration::ZERO;
+    let mut steps = 0;
+    while steps < MAX_STEPS {
+        steps += 1;
         let reply = match step {
             ClaimStep::Insert => insert(entry, &key, &mine, expected, &mut version).await,
             ClaimStep::TakeOver(held) => {
@@ -68,7 +79,13 @@
                 return Ok(Claimed::Granted(Grant { key, claim: mine, version }));
             }
             ClaimStep::Replay(answer) => return Ok(Claimed::Replay(answer)),
-            ClaimStep::InProgress => return Err(ApiError::duplicate()),
+            ClaimStep::InProgress if waited >= END_WAIT => return Err(ApiError::duplicate()),
+            ClaimStep::InProgress => {
+                sleep(END_PAUSE).await;
+                waited += END_PAUSE;
+                steps -= 1;
+                read_back(entry, &key, &mut version).await
+            }
             ClaimStep::KeyReused => return Err(ApiError::key_reused()),
             ClaimStep::OutcomeUnknown => {
                 let message = "what became of a request with this idempotency key is not known";
@@ -128,7 +145,7 @@
         match entry.write_row(grant.key.clone(), Some(grant.version), value.clone()).await {
             InsertOutcome::Inserted(_) | InsertOutcome::Conflict => return,
             // A repeat after a lost reply conflicts with our own write, which ends it.
-            InsertOutcome::Refused | InsertOutcome::Lost => tokio::time::sleep(FINISH_PAUSE).await,
+            InsertOutcome::Refused | InsertOutcome::Lost => sleep(FINISH_PAUSE).await,
         }
     }
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -9,6 +9,8 @@
 use mintmoor::{
     load::{ChatOutcome, Client},
     local::{Fleet, LocalSystem, caller_key, operator_key},
+    platform::{TableClient, Transaction},
+    policy::claim::{Claim, ClaimState},
     resources::Kind,
     standin::{
         engine::{EngineFaults, EngineModel},
@@ -314,6 +316,41 @@
     assert_eq!(after - before, 12, "one stage and one run for each");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_that_comes_before_the_end_was_written_gets_the_answer() {
+    let system = start().await;
+    let client = client(&system, 0);
+    let mut call = chat("ricarica/tills", "topup", "hearing at nine");
+    call.once_key = Some("notice-early".into());
+    let first = client.chat(&call).await;
+    let table = system.platform.table.client();
+    let key = "claims/ricarica/tills/notice-early";
+    let is_done = || async { claim_at(&table, key).await.0.state != ClaimState::Held };
+    wait_until("the end is written", is_done).await;
+    let (done, version) = claim_at(&table, key).await;
+    let held = Claim { state: ClaimState::Held, ..done.clone() };
+    let version = write_claim(&table, key, version, &held).await;
+
+    let repeat = tokio::spawn(async move { client.chat(&call).await });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    write_claim(&table, key, version, &done).await;
+    let second = repeat.await.unwrap();
+
+    assert_eq!((&*first.code, &*second.code), ("ok", "ok"));
+    assert_eq!(first.text, second.text);
+    assert!(second.replayed);
+}
+
+async fn claim_at(table: &TableClient, key: &str) -> (Claim, u64) {
+    let row = table.get(key).await.unwrap().expect("the request was claimed");
+    (row.parse().unwrap(), row.version)
+}
+
+async fn write_claim(table: &TableClient, key: &str, version: u64, claim: &Claim) -> u64 {
+    let tx = Transaction::default().check(key, Some(version)).put(key, claim);
+    table.transact(tx).await.unwrap().expect("nobody else writes the claim")
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_bad_version_is_held_and_an_operators_resume_wins() {
     let system = start().await;
