Entries remember which prompt parts they sent where, and tell each other

Cause: the choice took shared parts to be kept where a hash says and nowhere else; copies elsewhere were never found again, and the time for a token was learned from whole prompts, kept parts included (docs/decisions/0011). Change: policy::kept records by server life what was sent there; placement, backlog and learned reading times count only tokens that have to be read; entries tell each other over the links between them.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -63,7 +63,7 @@
         Work { affinity: Some(7), shared_tokens: 5_000, token_time: Duration::from_micros(3) };
     let now = Duration::from_secs(60);
     bencher.bench(|| {
-        let candidates: Vec<_> = members.iter().map(|m| m.candidate("zone-3", now)).collect();
+        let candidates: Vec<_> = members.iter().map(|m| m.candidate("zone-3", &[], now)).collect();
         place(&candidates, &work, &terms)
     });
 }
--- /dev/null
+++ b/src/policy/kept.rs
@@ -0,0 +1,154 @@
+//! Which prompt parts a BackendServer still holds in its KV cache, as far as they were sent there.
+//!
+//! A server keeps the parts of the prompts that it read until newer ones push them out. Whoever sends
+//! a prompt therefore knows what is kept where, and a request whose parts are kept need not be read
+//! again: reading is what the largest models spend most of their time on. The record ages as the
+//! server's memory does, by the tokens read since a part was last used.
+
+use std::{collections::HashMap, time::Duration};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::routing::PromptPart;
+
+/// Tokens read by a server after which a part that was not used meanwhile counts as gone. The
+/// engines met so far keep 470,000 to 870,000 tokens, their running requests included; half of the
+/// least leaves room for those, and for what other entries send.
+const KEPT_FOR_TOKENS: u64 = 240_000;
+/// Parts remembered for one server; 16 KB. A prompt of 1,500 tokens adds two, so the record holds as
+/// much as the tokens above.
+const MOST_PARTS: usize = 512;
+/// Time after which other entries are told again of a part that is still in use. They take a part as
+/// used when they are told of it; in this time a busy server reads a tenth of what it keeps.
+const TELL_AGAIN: Duration = Duration::from_secs(4);
+
+/// A prompt up to the end of one of its parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptMark {
+    /// Hash of the model and of all parts up to this one: a part can be used again only behind the
+    /// same parts and by the same model.
+    pub hash: u32,
+    /// Tokens of this part.
+    pub tokens: u64,
+}
+
+/// The marks of a prompt that other requests may share: all parts but the last, which is the
+/// request's own.
+pub fn shared_marks(model: &str, parts: &[PromptPart]) -> Vec<PromptMark> {
+    let shared = &parts[..parts.len().saturating_sub(1)];
+    let mut hash = xxh3_64_with_seed(model.as_bytes(), 0);
+    let mark = |part: &PromptPart| {
+        hash = xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
+        // Cut to four bytes for the messages between entries; rarely two prompts share one, and then
+        // a server is believed to keep what it doesn't.
+        PromptMark { hash: hash as u32, tokens: part.tokens }
+    };
+    shared.iter().map(mark).collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KeptPart {
+    tokens: u64,
+    /// Tokens the server had read when the part was last used.
+    used_at: u64,
+    /// When other entries were last told of it by this one.
+    told_at: Option<Duration>,
+}
+
+/// What one life of a server is believed to keep.
+#[derive(Clone, Debug, Default)]
+pub struct KeptParts {
+    parts: HashMap<u32, KeptPart>,
+    /// Tokens the server has read.
+    read: u64,
+}
+
+impl KeptParts {
+    /// How many of a prompt's parts the server keeps, from the first on without a gap.
+    pub fn kept_marks(&self, marks: &[PromptMark]) -> usize {
+        marks.iter().take_while(|mark| self.is_kept(mark.hash)).count()
+    }
+
+    /// Tokens of a prompt that the server need not read: those of the parts it keeps.
+    pub fn kept_tokens(&self, marks: &[PromptMark]) -> u64 {
+        marks[..self.kept_marks(marks)].iter().map(|mark| mark.tokens).sum()
+    }
+
+    fn is_kept(&self, hash: u32) -> bool {
+        self.parts.get(&hash).is_some_and(|part| self.read - part.used_at < KEPT_FOR_TOKENS)
+    }
+
+    /// Notes that a prompt was sent of which the server has to read so many tokens. Gives the parts
+    /// that other entries should be told of.
+    pub fn note_sent(
+        &mut self,
+        marks: &[PromptMark],
+        unread_tokens: u64,
+        now: Duration,
+    ) -> Vec<PromptMark> {
+        self.read += unread_tokens;
+        let mut to_tell = Vec::new();
+        for mark in marks {
+            let told_at = self.parts.get(&mark.hash).and_then(|part| part.told_at);
+            let is_due = told_at.is_none_or(|at| now >= at + TELL_AGAIN);
+            if is_due {
+                to_tell.push(*mark);
+            }
+            let told_at = if is_due { Some(now) } else { told_at };
+            self.put(mark.hash, KeptPart { tokens: mark.tokens, used_at: self.read, told_at });
+        }
+        to_tell
+    }
+
+    /// Takes in that another entry sent a part.
+    pub fn note_told(&mut self, hash: u32, tokens: u64) {
+        if !self.is_kept(hash) {
+            self.read += tokens;
+        }
+        let told_at = self.parts.get(&hash).and_then(|part| part.told_at);
+        self.put(hash, KeptPart { tokens, used_at: self.read, told_at });
+    }
+
+    fn put(&mut self, hash: u32, part: KeptPart) {
+        self.parts.insert(hash, part);
+        if self.parts.len() > MOST_PARTS {
+            self.forget_oldest();
+        }
+    }
+
+    /// Forgets the parts of a prompt that was sent but not read after all.
+    pub fn forget(&mut self, marks: &[PromptMark]) {
+        for mark in marks {
+            self.parts.remove(&mark.hash);
+        }
+    }
+
+    /// Parts in the record, those included that count as gone.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Whether nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Tokens of all parts that count as kept.
+    pub fn total_tokens(&self) -> u64 {
+        let kept = self.parts.values().filter(|part| self.read - part.used_at < KEPT_FOR_TOKENS);
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Drops what counts as gone, and the half used longest ago if that is not enough.
+    fn forget_oldest(&mut self) {
+        let read = self.read;
+        self.parts.retain(|_, part| read - part.used_at < KEPT_FOR_TOKENS);
+        if self.parts.len() <= MOST_PARTS {
+            return;
+        }
+        let mut used: Vec<u64> = self.parts.values().map(|part| part.used_at).collect();
+        used.sort_unstable();
+        let middle = used[used.len() / 2];
+        self.parts.retain(|_, part| part.used_at > middle);
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod failure_rate;
 pub mod fair_queue;
 pub mod gate;
+pub mod kept;
 pub mod lease;
 pub mod lifecycle;
 pub mod limit;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -1,8 +1,9 @@
 //! Which BackendServer gets an attempt: the one with the least expected cost in time.
 //!
 //! The cost of a server is its expected wait, the time to read shared prompt parts that it does
-//! not hold, and a charge for leaving the AvailabilityZone. Where shared parts are kept follows
-//! from rendezvous hashing, so all entries agree without talking (docs/decisions/0008).
+//! not keep, and a charge for leaving the AvailabilityZone. What servers keep is known from what
+//! entries sent there (docs/decisions/0011). Parts that none keeps go to the server that rendezvous
+//! hashing gives, so that entries which send them at the same time agree.
 
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
     pub slots: u32,
     /// Time the server needs for prompts that it was sent and has not answered yet.
     pub backlog: Duration,
+    /// Shared tokens of the prompt that it need not read again.
+    pub kept_tokens: u64,
     /// How often it failed of late, 0 to 1.
     pub failure_rate: f64,
     /// Whether it stands in the entry's own zone.
@@ -80,13 +83,14 @@
     let any_sound = candidates.iter().any(|c| !c.is_suspect);
     let usable = |i: &usize| !any_sound || !candidates[*i].is_suspect;
     let token = (terms.reread_token + work.token_time).as_secs_f64();
-    let reread = work.shared_tokens as f64 * token;
     let far = terms.far.as_secs_f64();
     let reading = work.shared_tokens as f64 * work.token_time.as_secs_f64();
-    let home = home(candidates, work, reading < far, &usable);
+    let is_known = candidates.iter().any(|c| c.kept_tokens > 0);
+    let home = if is_known { None } else { home(candidates, work, reading < far, &usable) };
     let cost = |i: usize| {
         let candidate = &candidates[i];
-        let reread = if work.affinity.is_none() || home == Some(i) { 0.0 } else { reread };
+        let kept = if home == Some(i) { work.shared_tokens } else { candidate.kept_tokens };
+        let reread = work.shared_tokens.saturating_sub(kept) as f64 * token;
         let far = if candidate.is_near { 0.0 } else { far };
         wait(candidate, terms) + reread + far
     };
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -10,10 +10,11 @@
 
 use crate::{
     platform::headers::{AttemptHeaders, read_answer, write_attempt},
-    policy::patience::Patience,
+    policy::{kept::PromptMark, patience::Patience},
     router::{
         Member, Router,
         connection::{self, Checkout, ConnectError, Connection},
+        kept_board::KeptNote,
         silence::bear,
     },
     routing::{AnswerHead, AnswerKind, Request},
@@ -112,14 +113,25 @@
     pub(crate) is_once_only: bool,
     /// What head times are learned by: the model, or the service where there is none.
     pub(crate) reading_key: &'a str,
-    /// Time the server needs to read the prompt.
-    pub(crate) reading: Duration,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) marks: &'a [PromptMark],
+    /// How many of these the server kept before.
+    pub(crate) kept_marks: usize,
+    /// Tokens of the prompt that the server has to read.
+    pub(crate) unread_tokens: u64,
     /// How long its silence is borne; none where no other server may be tried after.
     pub(crate) patience: Option<Patience>,
     /// When the request is given up in any case.
     pub(crate) deadline: Instant,
 }
 
+impl Plan<'_> {
+    /// Parts that the server did not keep before this attempt.
+    fn new_marks(&self) -> &[PromptMark] {
+        &self.marks[self.kept_marks..]
+    }
+}
+
 /// Makes the attempt.
 pub(crate) async fn send(
     router: &Router,
@@ -127,11 +139,14 @@
     plan: &Plan<'_>,
     may_leave: impl FnMut() -> bool,
 ) -> Result<OpenAnswer, AttemptError> {
-    let mut at_server = AtServer::enter(plan.member, plan.reading);
+    let reading = router.reading(plan.reading_key).reading_time(plan.unread_tokens);
+    let mut at_server = AtServer::enter(plan.member, reading);
+    note_sent(router, plan);
     let began = Instant::now();
     let outcome = exchange(router, req, plan, may_leave).await;
     if let Err(e) = &outcome {
         note_error(router, plan.member, e);
+        plan.member.record().kept.forget(plan.new_marks());
     }
     let (connection, res) = outcome?;
     at_server.note_read();
@@ -139,7 +154,7 @@
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &req.head.id);
     note_head(router, plan.member, &head);
-    let (tokens, took) = (req.head.prompt_tokens, began.elapsed());
+    let (tokens, took) = (plan.unread_tokens, began.elapsed());
     let is_slow = router.reading(plan.reading_key).is_slow(tokens, took);
     if head.kind == AnswerKind::Success {
         router.note_head_time(plan.reading_key, tokens, took);
@@ -148,10 +163,23 @@
         plan.member.record().load.note_report(load, router.now());
     }
     let member = plan.member.clone();
+    if !matches!(head.kind, AnswerKind::Success) {
+        member.record().kept.forget(plan.new_marks());
+    }
     let answer = OpenAnswer { head, body, member, is_slow, connection, _at_server: at_server };
     sort(answer)
 }
 
+/// Notes which parts of the prompt the server will keep, and lets the other entries know.
+fn note_sent(router: &Router, plan: &Plan<'_>) {
+    let now = router.now();
+    let server = plan.member.short_hash();
+    let to_tell = plan.member.record().kept.note_sent(plan.marks, plan.unread_tokens, now);
+    let tokens = |mark: &PromptMark| u32::try_from(mark.tokens).unwrap_or(u32::MAX);
+    let notes = to_tell.iter().map(|mark| KeptNote(server, mark.hash, tokens(mark)));
+    router.kept.note_own(&notes.collect::<Vec<_>>(), now);
+}
+
 /// Turns answers that are no answer to this request into errors.
 fn sort(answer: OpenAnswer) -> Result<OpenAnswer, AttemptError> {
     match answer.head.kind {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -9,6 +9,7 @@
     platform::headers::AttemptHeaders,
     policy::{
         attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
+        kept::{PromptMark, shared_marks},
         patience::head_patience,
         placement::{Work, place},
     },
@@ -203,7 +204,9 @@
             && may_be(&server.id)
     };
     let members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
-    let candidates: Vec<_> = members.iter().map(|m| m.candidate(&settings.zone, now)).collect();
+    let marks = marks(job, ask);
+    let candidate = |m: &&Arc<Member>| m.candidate(&settings.zone, &marks, now);
+    let candidates: Vec<_> = members.iter().map(candidate).collect();
     let chosen = place(&candidates, &work(router, job, ask), &router.policy.placement)?;
     Some(members[chosen].clone())
 }
@@ -215,6 +218,22 @@
         && router.try_repeat(&job.service)
 }
 
+/// Tokens of the prompt that the server which would be chosen now has to read; all of them where there
+/// is none.
+pub(crate) fn unread_tokens(router: &Router, job: &Job, ask: Ask<'_>) -> u64 {
+    let all = job.req.head.prompt_tokens;
+    let kept = |m: Arc<Member>| m.record().kept.kept_tokens(&marks(job, ask));
+    all.saturating_sub(pick(router, job, ask, |_| true).map_or(0, kept))
+}
+
+/// The parts of the prompt that other requests may share.
+fn marks(job: &Job, ask: Ask<'_>) -> Vec<PromptMark> {
+    if !job.route.is_sticky {
+        return Vec::new();
+    }
+    shared_marks(reading_key(job, ask), &job.req.head.parts)
+}
+
 /// What is to be placed. Requests for one model that share their prompt's parts belong together.
 fn work(router: &Router, job: &Job, ask: Ask<'_>) -> Work {
     let key = reading_key(job, ask);
@@ -244,7 +263,13 @@
     let may_go_elsewhere = job.route.is_idempotent() && job.runs_left() > 1;
     let key = reading_key(job, ask);
     let belief = router.reading(key);
-    let reading = belief.reading_time(job.req.head.prompt_tokens);
+    let marks = marks(job, ask);
+    let prompt_tokens = job.req.head.prompt_tokens;
+    let kept_marks = member.record().kept.kept_marks(&marks);
+    let kept_tokens: u64 = marks[..kept_marks].iter().map(|mark| mark.tokens).sum();
+    let unread_tokens = prompt_tokens.saturating_sub(kept_tokens);
+    // What is believed to be kept may be gone: the whole prompt's time is borne.
+    let reading = belief.reading_time(prompt_tokens);
     let (kind, objective) = (job.route.kind, job.route.objective);
     let patience = head_patience(kind, objective, belief.head_time(), reading);
     let plan = Plan {
@@ -259,7 +284,9 @@
         },
         is_once_only: !job.route.is_idempotent(),
         reading_key: key,
-        reading,
+        marks: &marks,
+        kept_marks,
+        unread_tokens,
         patience: may_go_elsewhere.then_some(patience),
         deadline: job.deadline,
     };
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -11,6 +11,7 @@
 use crate::{
     policy::{
         failure_rate::FailureRate,
+        kept::{KeptParts, PromptMark},
         load::LoadBelief,
         outlier::{Outlier, OutlierRules},
         placement::{Candidate, hash_id},
@@ -42,6 +43,8 @@
     pub(crate) idle: Vec<IdleConnection>,
     /// Time for the prompts it was sent and has not answered yet.
     pub(crate) backlog: Duration,
+    /// Prompt parts it is believed to keep.
+    pub(crate) kept: KeptParts,
     /// When anything last came from it, on the entry's clock.
     pub(crate) heard_at: Duration,
     /// Whether another server answered at its address.
@@ -105,9 +108,10 @@
         record.backlog + record.load.others_backlog(now)
     }
 
-    /// Hash of the server's id.
-    pub(crate) fn id_hash(&self) -> u64 {
-        self.id_hash
+    /// Hash of the server's id, cut to four bytes for the messages between entries: rarely two
+    /// servers share it, and then both are believed to have what either has.
+    pub(crate) fn short_hash(&self) -> u32 {
+        self.id_hash as u32
     }
 
     /// When anything last came from it.
@@ -120,14 +124,15 @@
         !self.server.is_leaving && !self.record().is_replaced
     }
 
-    /// The server as the choice sees it.
-    pub fn candidate(&self, zone: &str, now: Duration) -> Candidate {
+    /// The server as the choice sees it for a prompt with these shared parts.
+    pub fn candidate(&self, zone: &str, marks: &[PromptMark], now: Duration) -> Candidate {
         let record = self.record();
         Candidate {
             id_hash: self.id_hash,
             load: record.load.estimate(now),
             slots: self.server.slots,
             backlog: record.backlog + record.load.others_backlog(now),
+            kept_tokens: record.kept.kept_tokens(marks),
             failure_rate: record.failures.get(now),
             is_near: &*self.server.zone == zone,
             is_suspect: record.outlier.is_passed_over(now),
@@ -140,6 +145,7 @@
 pub struct Fleet {
     members: HashMap<Box<str>, Arc<Member>>,
     by_service: HashMap<Box<str>, Vec<Arc<Member>>>,
+    by_short_hash: HashMap<u32, Arc<Member>>,
 }
 
 impl Fleet {
@@ -154,6 +160,7 @@
                 None => Arc::new(Member::new(server)),
             };
             let service = member.server.service.clone();
+            next.by_short_hash.insert(member.short_hash(), member.clone());
             next.by_service.entry(service).or_default().push(member.clone());
             next.members.insert(member.server.id.clone(), member);
         }
@@ -165,6 +172,11 @@
         self.by_service.get(service).map(Vec::as_slice).unwrap_or_default()
     }
 
+    /// The server whose id has this short hash.
+    pub(crate) fn by_short_hash(&self, hash: u32) -> Option<&Arc<Member>> {
+        self.by_short_hash.get(&hash)
+    }
+
     /// All servers in view.
     pub(crate) fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
         self.members.values()
@@ -194,6 +206,7 @@
                 "failure_rate": record.failures.get(now),
                 "out": record.outlier.is_out(now),
                 "idle_connections": record.idle.len(),
+                "kept_tokens": record.kept.total_tokens(),
             })
         };
         Value::Array(self.members.values().map(one).collect())
--- /dev/null
+++ b/src/router/kept_board.rs
@@ -0,0 +1,117 @@
+//! What entries tell each other about the prompt parts that BackendServers keep.
+//!
+//! Each entry knows which parts it sent where. With many entries most of what a server keeps was sent
+//! there by others, and an entry that has just started knows nothing; so each entry tells the seeds
+//! what it sent, and the seeds pass it on with their heartbeats (docs/decisions/0011).
+
+use std::{collections::VecDeque, sync::Mutex, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::router::Fleet;
+
+/// Notes kept for links that are behind or new; 40 KB. At 1,700 requests a second the seeds take in
+/// so many in a second or two, and older ones will be told again.
+const MOST_NOTES: usize = 2_048;
+/// Notes told in one message at most, so that a message stays under 10 KB.
+const MOST_TOLD: usize = 512;
+/// Age at which a note is passed on no more: a part that is still in use was told of again by then.
+const TOLD_FOR: Duration = Duration::from_secs(8);
+
+/// A part of a prompt that a server was sent, as entries tell of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KeptNote(
+    /// Short hash of the server's id.
+    pub(crate) u32,
+    /// Hash of the prompt up to the part's end.
+    pub(crate) u32,
+    /// Tokens of the part.
+    pub(crate) u32,
+);
+
+/// Notes in the order in which they came; readers keep the number of the next one they want.
+#[derive(Debug, Default)]
+struct Notes {
+    notes: VecDeque<(Duration, KeptNote)>,
+    /// Number of the oldest one.
+    first: u64,
+}
+
+impl Notes {
+    fn push(&mut self, note: KeptNote, now: Duration) {
+        self.notes.push_back((now, note));
+        if self.notes.len() > MOST_NOTES {
+            self.notes.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// The notes from a number on that are not too old, and the number to go on with.
+    fn from(&self, number: u64, now: Duration) -> (Vec<KeptNote>, u64) {
+        let skipped = usize::try_from(number.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        let after = self.notes.iter().skip(skipped);
+        let fresh = after.filter(|(at, _)| now < *at + TOLD_FOR).map(|(_, note)| *note);
+        let fresh: Vec<KeptNote> = fresh.collect();
+        // The newest count: what is left out was told earlier.
+        let left_out = fresh.len().saturating_sub(MOST_TOLD);
+        (fresh[left_out..].to_vec(), self.first + self.notes.len() as u64)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Of this entry.
+    own: Notes,
+    /// Of all entries, where others follow this one.
+    all: Notes,
+}
+
+/// The notes of an entry.
+#[derive(Debug, Default)]
+pub(crate) struct KeptBoard {
+    inner: Mutex<Inner>,
+}
+
+impl KeptBoard {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panics under the lock")
+    }
+
+    /// Notes what this entry sent.
+    pub(crate) fn note_own(&self, notes: &[KeptNote], now: Duration) {
+        let mut inner = self.lock();
+        for note in notes {
+            inner.own.push(*note, now);
+            inner.all.push(*note, now);
+        }
+    }
+
+    /// Takes in what another entry sent.
+    pub(crate) fn take(&self, notes: &[KeptNote], fleet: &Fleet, now: Duration) {
+        let mut inner = self.lock();
+        for note in notes {
+            inner.all.push(*note, now);
+        }
+        drop(inner);
+        apply(notes, fleet);
+    }
+
+    /// What this entry sent since the note with this number, and the number to go on with.
+    pub(crate) fn own_from(&self, number: u64, now: Duration) -> (Vec<KeptNote>, u64) {
+        self.lock().own.from(number, now)
+    }
+
+    /// The same for all entries.
+    pub(crate) fn all_from(&self, number: u64, now: Duration) -> (Vec<KeptNote>, u64) {
+        self.lock().all.from(number, now)
+    }
+}
+
+/// Lets the servers' records know what other entries sent them.
+pub(crate) fn apply(notes: &[KeptNote], fleet: &Fleet) {
+    for KeptNote(server, hash, tokens) in notes {
+        if let Some(member) = fleet.by_short_hash(*server) {
+            member.record().kept.note_told(*hash, u64::from(*tokens));
+        }
+    }
+}
--- a/src/router/load_board.rs
+++ b/src/router/load_board.rs
@@ -18,8 +18,7 @@
 /// Load that one entry, or all of them, have put on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ServerLoad {
-    /// Hash of the server's id, cut to four bytes: rarely two servers share it, and then both are
-    /// believed to be busier than they are.
+    /// Short hash of the server's id.
     server: u32,
     requests: u32,
     /// Time for prompts that are not read yet, milliseconds.
@@ -40,10 +39,6 @@
     inner: Mutex<Inner>,
 }
 
-fn short(id_hash: u64) -> u32 {
-    id_hash as u32
-}
-
 fn busiest(mut loads: Vec<ServerLoad>) -> Vec<ServerLoad> {
     if loads.len() > MOST_TOLD {
         loads.sort_by_key(|load| std::cmp::Reverse((load.backlog_ms, load.requests)));
@@ -63,7 +58,7 @@
             let record = member.record();
             let requests = record.load.own;
             let backlog_ms = u32::try_from(record.backlog.as_millis()).unwrap_or(u32::MAX);
-            let server = short(member.id_hash());
+            let server = member.short_hash();
             (requests > 0).then_some(ServerLoad { server, requests, backlog_ms })
         });
         let own = busiest(loads.collect());
@@ -101,7 +96,7 @@
         let own: HashMap<u32, &ServerLoad> = inner.own.iter().map(|l| (l.server, l)).collect();
         let all: HashMap<u32, &ServerLoad> = sums.iter().map(|l| (l.server, l)).collect();
         for member in fleet.members() {
-            let server = short(member.id_hash());
+            let server = member.short_hash();
             let told = |of: &HashMap<u32, &ServerLoad>| {
                 of.get(&server).map_or((0, 0), |load| (load.requests, load.backlog_ms))
             };
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod event_stream;
 mod feed;
 mod fleet;
+mod kept_board;
 mod link;
 mod listen;
 mod listing;
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -21,7 +21,13 @@
     ids::Revision,
     platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
-    router::{Router, load_board::ServerLoad, trial::VersionEvidence, views::TableUpdate},
+    router::{
+        Router,
+        kept_board::{self, KeptNote},
+        load_board::ServerLoad,
+        trial::VersionEvidence,
+        views::TableUpdate,
+    },
     telemetry::event,
 };
 
@@ -60,6 +66,8 @@
 struct Report {
     loads: Vec<ServerLoad>,
     evidence: Vec<VersionEvidence>,
+    /// Prompt parts that it sent since its last report.
+    kept: Vec<KeptNote>,
 }
 
 /// What the entry that is followed says.
@@ -77,6 +85,8 @@
         updates: Vec<TableUpdate>,
         /// What all entries together have at the servers.
         loads: Vec<ServerLoad>,
+        /// Prompt parts that entries sent since the last heartbeat.
+        kept: Vec<KeptNote>,
     },
 }
 
@@ -140,6 +150,7 @@
     loop {
         router.loads.take_report(host, report.loads, router.now());
         router.roll_outs.take_evidence(host, report.evidence);
+        router.kept.take(&report.kept, &router.fleet.load(), router.now());
         report = match hear(&mut socket).await? {
             Asked::Report { report, .. } => report,
             Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
@@ -152,10 +163,13 @@
     let zone = router.settings.load().zone.clone();
     tell(&mut socket, &Told::Welcome { zone }).await?;
     let (mut updates, mut news) = router.views.subscribe(version);
+    let mut next_kept = 0;
     loop {
         let is_current = router.is_current();
         let loads = router.loads.sums(router.now());
-        tell(&mut socket, &Told::Beat { is_current, updates, loads }).await?;
+        let (kept, next) = router.kept.all_from(next_kept, router.now());
+        next_kept = next;
+        tell(&mut socket, &Told::Beat { is_current, updates, loads, kept }).await?;
         updates = tokio::select! {
             update = news.recv() => match update {
                 Ok(update) => vec![update],
@@ -229,7 +243,7 @@
         return Ok(());
     }
     while router.wants_link() {
-        let Told::Beat { is_current, updates, loads } = hear(&mut socket).await? else {
+        let Told::Beat { is_current, updates, loads, kept } = hear(&mut socket).await? else {
             return Err(Error::Broken("a second welcome".into()));
         };
         for update in updates {
@@ -238,7 +252,9 @@
             }
         }
         router.views.note_heard(router.now());
-        router.loads.apply(&loads, &router.fleet.load(), router.now());
+        let fleet = router.fleet.load_full();
+        router.loads.apply(&loads, &fleet, router.now());
+        kept_board::apply(&kept, &fleet);
         if router.link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
@@ -276,13 +292,14 @@
             links.abort_all();
             for seed in &others {
                 let host = settings.host.clone();
-                links.spawn(keep_reporting(*seed, host, reports.subscribe()));
+                links.spawn(keep_reporting(router.clone(), *seed, host, reports.subscribe()));
             }
             reported = others;
         }
         let fleet = router.fleet.load();
         let evidence = router.roll_outs.evidence();
-        reports.send_replace(Report { loads: router.loads.report(&fleet), evidence });
+        let loads = router.loads.report(&fleet);
+        reports.send_replace(Report { loads, evidence, kept: Vec::new() });
         if router.is_seed() {
             let now = router.now();
             router.loads.apply(&router.loads.sums(now), &fleet, now);
@@ -293,9 +310,14 @@
 }
 
 /// Reports to one seed for ever; a seed that is away is tried again at a pause.
-async fn keep_reporting(seed: SocketAddr, host: Box<str>, mut reports: watch::Receiver<Report>) {
+async fn keep_reporting(
+    router: Arc<Router>,
+    seed: SocketAddr,
+    host: Box<str>,
+    mut reports: watch::Receiver<Report>,
+) {
     loop {
-        if let Err(e) = report_to(seed, &host, &mut reports).await {
+        if let Err(e) = report_to(&router, seed, &host, &mut reports).await {
             event::PEER_FAILED.log(format_args!("peer={seed} cause=\"{e}\""));
         }
         sleep(REPORT_AGAIN).await;
@@ -303,13 +325,16 @@
 }
 
 async fn report_to(
+    router: &Router,
     seed: SocketAddr,
     host: &str,
     reports: &mut watch::Receiver<Report>,
 ) -> Result<()> {
     let mut socket = timeout(OPENING, open(seed)).await.map_err(|_| silent())??;
+    let mut next_kept = 0;
     loop {
-        let report = reports.borrow_and_update().clone();
+        let mut report = reports.borrow_and_update().clone();
+        (report.kept, next_kept) = router.kept.own_from(next_kept, router.now());
         tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
         if reports.changed().await.is_err() {
             return Ok(());
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -19,7 +19,7 @@
         EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
-        dispatch::{Ask, Job, may_go_on, next_answer, reading_key},
+        dispatch::{Ask, Job, may_go_on, next_answer, reading_key, unread_tokens},
         refusal::Refusal,
         roll_out::RunOutcome,
         silence::bear,
@@ -88,6 +88,8 @@
         let ask = Ask { model: model.as_deref(), last_event: job.req.head.last_event };
         let answer = next_answer(router, job, ask).await?;
         let largest = cascade.last().map(|model| router.reading(model)).unwrap_or_default();
+        let largest_ask = Ask { model: cascade.last().map(|model| &**model), ..ask };
+        let largest_unread = unread_tokens(router, job, largest_ask);
         let stage_answer = StageAnswer {
             stage,
             stages: if model.is_some() { cascade.len() } else { 0 },
@@ -96,7 +98,7 @@
             time_left: job.time_left(),
             objective: job.route.objective,
             largest_wait: largest.head_time(),
-            largest_reading: largest.mean_reading_time(job.req.head.prompt_tokens),
+            largest_reading: largest.mean_reading_time(largest_unread),
             elapsed: job.arrived.elapsed(),
             priority: job.priority(),
         };
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -21,7 +21,10 @@
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
-    router::{Fleet, link::Link, load_board::LoadBoard, roll_out::RollOuts, views::Views},
+    router::{
+        Fleet, kept_board::KeptBoard, link::Link, load_board::LoadBoard, roll_out::RollOuts,
+        views::Views,
+    },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
     telemetry::{
@@ -67,6 +70,8 @@
     pub(crate) views: Views,
     /// What entries tell each other about the servers' load.
     pub(crate) loads: LoadBoard,
+    /// What entries tell each other about prompt parts that servers keep.
+    pub(crate) kept: KeptBoard,
     /// What comes from another entry that is followed.
     pub(crate) link: Link,
     /// Metrics.
@@ -92,6 +97,7 @@
             policy,
             views: Views::default(),
             loads: LoadBoard::default(),
+            kept: KeptBoard::default(),
             link: Link::default(),
             metrics: Metrics::default(),
             budgets: Mutex::default(),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -7,6 +7,7 @@
         escalation::{EscalationTerms, StageAnswer, escalate, threshold},
         exposure::{ExposureTerms, may_move_sessions, share_at, takes_new},
         failure_rate::FailureRate,
+        kept::{KeptParts, PromptMark, shared_marks},
         load::{LoadBelief, ReportedLoad},
         patience::head_patience,
         placement::{Candidate, PlacementTerms, Work, hash_id, place},
@@ -17,7 +18,7 @@
     },
     resources::Guard,
     router::EventSplitter,
-    routing::{Route, RouteKind},
+    routing::{PromptPart, Route, RouteKind},
 };
 use proptest::prelude::*;
 
@@ -29,6 +30,7 @@
         load: 0.0,
         slots: 32,
         backlog: Duration::ZERO,
+        kept_tokens: 0,
         failure_rate: 0.0,
         is_near,
         is_suspect: false,
@@ -77,6 +79,70 @@
     }
 }
 
+fn marks(ids: &[u64]) -> Vec<PromptMark> {
+    let part = |id: &u64| PromptPart { id: *id, tokens: 1_000 };
+    let own = PromptPart { id: 99, tokens: 10 };
+    let parts: Vec<_> = ids.iter().map(part).chain([own]).collect();
+    shared_marks("large", &parts)
+}
+
+#[test]
+fn parts_are_kept_behind_the_same_parts_only() {
+    let mut kept = KeptParts::default();
+    kept.note_sent(&marks(&[1, 2]), 2_010, MS);
+
+    assert_eq!(kept.kept_tokens(&marks(&[1, 2, 3])), 2_000);
+    assert_eq!(kept.kept_tokens(&marks(&[1, 3])), 1_000);
+    assert_eq!(kept.kept_tokens(&marks(&[2])), 0);
+}
+
+#[test]
+fn a_part_is_gone_once_the_server_has_read_enough_since() {
+    let mut kept = KeptParts::default();
+    kept.note_sent(&marks(&[1]), 1_010, MS);
+    kept.note_sent(&marks(&[2]), 230_000, MS);
+    assert_eq!(kept.kept_tokens(&marks(&[1])), 1_000);
+
+    kept.note_sent(&marks(&[3]), 10_000, MS);
+
+    assert_eq!(kept.kept_tokens(&marks(&[1])), 0);
+    assert_eq!(kept.kept_tokens(&marks(&[2])), 1_000);
+}
+
+#[test]
+fn other_entries_are_told_of_a_part_once_and_again_after_a_while() {
+    let mut kept = KeptParts::default();
+    let parts = marks(&[1]);
+
+    assert_eq!(kept.note_sent(&parts, 10, MS), parts);
+    assert_eq!(kept.note_sent(&parts, 10, 1_000 * MS), []);
+    assert_eq!(kept.note_sent(&parts, 10, 5_000 * MS), parts);
+}
+
+#[test]
+fn the_record_of_a_server_is_bounded() {
+    let mut kept = KeptParts::default();
+
+    for id in 0..10_000 {
+        kept.note_told(id, 100);
+    }
+
+    assert!(kept.len() <= 512);
+    assert_eq!(kept.kept_tokens(&[PromptMark { hash: 9_999, tokens: 100 }]), 100);
+}
+
+#[test]
+fn a_server_that_keeps_the_shared_parts_is_chosen_and_left_under_a_long_backlog() {
+    let mut pool = pool();
+    let home = chosen(&pool, &work(7, 5_000)).unwrap();
+    let other = (home + 1) % pool.len();
+    pool[other].kept_tokens = 5_000;
+    assert_eq!(chosen(&pool, &work(7, 5_000)), Some(other));
+
+    pool[other].backlog = Duration::from_secs(2);
+    assert_ne!(chosen(&pool, &work(7, 5_000)), Some(other));
+}
+
 #[test]
 fn a_home_with_a_long_backlog_is_left() {
     let mut pool = pool();
--- /dev/null
+++ b/tests/play/main.rs
@@ -0,0 +1,8 @@
+//! Loads played on the decision code: what callers get, against the policy it replaced.
+//!
+//! Time is simulated and all draws come from seeds, so a run always gives the same figures.
+
+mod engine;
+mod mix;
+mod placing;
+mod system;
