A roll-out is completed on the answers of all entries; an entry that starts is told what servers keep

Change: the twenty are counted over all entries, whose evidence is pooled already. Cause of the second: parts told with the first heartbeat, before the list of servers was read, were dropped. Change: they wait. Both tests failed before.

--- a/src/router/kept_board.rs
+++ b/src/router/kept_board.rs
@@ -64,6 +64,9 @@
     own: Notes,
     /// Of all entries, where others follow this one.
     all: Notes,
+    /// Notes about servers that are not in view yet, at most [`MOST_TOLD`]: an entry that starts is told
+    /// of parts before it has read the list of servers.
+    unplaced: Vec<KeptNote>,
 }
 
 /// The notes of an entry.
@@ -86,14 +89,29 @@
         }
     }
 
-    /// Takes in what another entry sent.
-    pub(crate) fn take(&self, notes: &[KeptNote], fleet: &Fleet, now: Duration) {
+    /// Takes in what another entry reports that it sent; those that follow this one are told, too.
+    pub(crate) fn take_report(&self, notes: &[KeptNote], fleet: &Fleet, now: Duration) {
         let mut inner = self.lock();
         for note in notes {
             inner.all.push(*note, now);
         }
         drop(inner);
-        apply(notes, fleet);
+        self.apply(notes, fleet);
+    }
+
+    /// Lets the servers' records know what other entries sent them.
+    pub(crate) fn apply(&self, notes: &[KeptNote], fleet: &Fleet) {
+        let mut inner = self.lock();
+        let earlier = std::mem::take(&mut inner.unplaced);
+        for note in earlier.iter().chain(notes) {
+            let KeptNote(server, hash, tokens) = *note;
+            match fleet.by_short_hash(server) {
+                Some(member) => member.record().kept.note_told(hash, u64::from(tokens)),
+                None => inner.unplaced.push(*note),
+            }
+        }
+        let too_many = inner.unplaced.len().saturating_sub(MOST_TOLD);
+        inner.unplaced.drain(..too_many);
     }
 
     /// What this entry sent since the note with this number, and the number to go on with.
@@ -106,12 +124,3 @@
         self.lock().all.from(number, now)
     }
 }
-
-/// Lets the servers' records know what other entries sent them.
-pub(crate) fn apply(notes: &[KeptNote], fleet: &Fleet) {
-    for KeptNote(server, hash, tokens) in notes {
-        if let Some(member) = fleet.by_short_hash(*server) {
-            member.record().kept.note_told(*hash, u64::from(*tokens));
-        }
-    }
-}
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -22,10 +22,7 @@
     platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
     router::{
-        Router,
-        kept_board::{self, KeptNote},
-        load_board::ServerLoad,
-        trial::VersionEvidence,
+        Router, kept_board::KeptNote, load_board::ServerLoad, trial::VersionEvidence,
         views::TableUpdate,
     },
     telemetry::event,
@@ -150,7 +147,7 @@
     loop {
         router.loads.take_report(host, report.loads, router.now());
         router.roll_outs.take_evidence(host, report.evidence);
-        router.kept.take(&report.kept, &router.fleet.load(), router.now());
+        router.kept.take_report(&report.kept, &router.fleet.load(), router.now());
         report = match hear(&mut socket).await? {
             Asked::Report { report, .. } => report,
             Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
@@ -254,7 +251,7 @@
         router.views.note_heard(router.now());
         let fleet = router.fleet.load_full();
         router.loads.apply(&loads, &fleet, router.now());
-        kept_board::apply(&kept, &fleet);
+        router.kept.apply(&kept, &fleet);
         if router.link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -128,6 +128,7 @@
 
     /// Takes over the servers in view.
     pub(crate) fn put_fleet(&self, fleet: Fleet) {
+        self.kept.apply(&[], &fleet);
         self.fleet.store(Arc::new(fleet));
         self.news.notify_waiters();
     }
--- a/src/router/trial.rs
+++ b/src/router/trial.rs
@@ -20,7 +20,8 @@
 /// versions fail a third of their requests and more. A good version taken back costs a roll-out,
 /// a bad one found late breaks a promise, so the chance is not made small.
 const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
-/// Answers of the new version without which a roll-out is not completed.
+/// Answers of the new version, to all entries together, without which a roll-out is not completed. An
+/// entry that waits for so many of its own completes a good version a second or two late.
 const LEAST_ANSWERS: u64 = 20;
 
 /// What one entry has seen of a roll-out's two versions.
@@ -168,7 +169,8 @@
     /// Whether the version may be called good.
     fn is_proved(&self) -> bool {
         let tests = [&self.test, &self.pooled_test];
-        self.new.answers >= LEAST_ANSWERS && !tests.iter().any(|t| t.is_suspicious(&GUARD))
+        let (_, new) = self.pooled();
+        new.answers >= LEAST_ANSWERS && !tests.iter().any(|t| t.is_suspicious(&GUARD))
     }
 
     pub(super) fn verdict(&self, now: Duration, terms: &ExposureTerms) -> Option<Verdict> {
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -158,3 +158,54 @@
     until("the seed knows", || roll_out(&first)["answers_of_all"] == seen).await;
     assert_eq!(roll_out(&first)["answers"], 0, "it has seen none itself");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_good_version_is_completed_on_the_answers_of_all_entries() {
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1));
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    list(&store, &old, "app", "v1", "ready");
+    list(&store, &new, "app", "v2", "ready");
+    let first = Site::seed(store.clone(), None).await;
+    let second = Site::following(store.clone(), &first).await;
+    for site in [&first, &second] {
+        let ready = || site.entry.router.is_ready() && site.entry.router.fleet.load().len() == 2;
+        until("both entries know both servers", ready).await;
+    }
+    let order = json!({"service": "app", "to": "v2", "duration-s": 0.5});
+    store.put("op", "rollout/app", &order);
+    let knows = |site: &Site| site.entry.router.dump()["roll_outs"][0]["began"] == true;
+    until("both know the order", || knows(&first) && knows(&second)).await;
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+
+    // Fewer than either entry alone would want to have seen, and enough together.
+    for i in 0..14 {
+        first.ask("GET", "/safe/a", &format!("Session: f-{i}\r\n")).await;
+        second.ask("GET", "/safe/a", &format!("Session: s-{i}\r\n")).await;
+    }
+
+    let state = || store.read("status", "rollout/app").map(|s| s["state"].clone());
+    until("it is completed", || state() == Some(json!("completed"))).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_learns_what_another_sent_a_server_and_so_does_one_that_starts() {
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1));
+    let stream = Act::Stream { to: 4, is_whole: true, confidence: 90 };
+    let server = always("i-1", stream).await;
+    list(&store, &server, "llm", "v1", "ready");
+    let first = Site::seed(store.clone(), None).await;
+    let second = Site::following(store.clone(), &first).await;
+    let knows = |site: &Site, count| site.entry.router.fleet.load().len() == count;
+    until("both know the server", || knows(&first, 1) && knows(&second, 1)).await;
+    let prompt =
+        "X-Token-Usage: 1250,80\r\nX-Prefix-Hash: 5c1e:800,91bd:410,e440:40\r\nX-Model: *\r\n";
+
+    second.ask("POST", "/chat/a", prompt).await;
+
+    let kept = |site: &Site| site.entry.router.dump()["servers"][0]["kept_tokens"] == 1_210;
+    until("the sender and the seed know", || kept(&second) && kept(&first)).await;
+    let third = Site::following(store.clone(), &first).await;
+    until("one that starts is told", || kept(&third)).await;
+}
