An answer that would come late is not asked again of the largest model where others wait

A request that had waited past its objective for the smallest model was asked again of the largest, as its prompt alone, counted from its arrival, made it late. Change: late where others wait is never asked. The new test failed before.

--- a/src/policy/escalation.rs
+++ b/src/policy/escalation.rs
@@ -87,14 +87,13 @@
 /// Confidence from which the answer is passed on.
 pub fn threshold(answer: &StageAnswer, terms: &EscalationTerms) -> f64 {
     let objective = answer.objective.as_secs_f64().max(1e-3);
-    if answer.elapsed + answer.expected_alone > answer.objective {
-        return terms.confident_if_late.min(terms.confident);
-    }
-    // Others wait there, too: an answer that comes late takes from them what they could have in time.
+    let behind = answer.expected.saturating_sub(answer.expected_alone).as_secs_f64() / objective;
     if answer.elapsed + answer.expected > answer.objective {
-        return 0.0;
+        // Where others wait, an answer that comes late takes from them what they could have in time. On
+        // two days of three times the load for 12 s, with a third of the servers away, 0.60 and 0.62 of
+        // the worth was earned instead of 0.35 and 0.40 (docs/decisions/0012).
+        return if behind < BUSY { terms.confident_if_late.min(terms.confident) } else { 0.0 };
     }
-    let behind = answer.expected.saturating_sub(answer.expected_alone).as_secs_f64() / objective;
     let reading = answer.expected_alone.as_secs_f64() / objective;
     // Reading takes from others only where others wait.
     let wait = behind + reading * (behind / BUSY).min(1.0);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -339,12 +339,25 @@
 #[test]
 fn a_prompt_too_long_for_the_largest_model_takes_a_fair_answer_now() {
     let terms = EscalationTerms::default();
-    let giant = StageAnswer { expected_alone: Duration::from_secs(4), ..answer(40) };
+    let alone = Duration::from_secs(4);
+    let giant = StageAnswer { expected: alone, expected_alone: alone, ..answer(40) };
 
     assert_eq!(escalate(&giant, &terms), None);
     assert_eq!(escalate(&StageAnswer { confidence: Some(10), ..giant }, &terms), Some(2));
 }
 
+#[test]
+fn an_answer_that_would_come_late_is_not_asked_again_where_others_wait() {
+    let terms = EscalationTerms::default();
+    let late = StageAnswer { elapsed: Duration::from_millis(1_950), ..answer(5) };
+    let alone = StageAnswer { expected_alone: late.expected, ..late };
+
+    assert_eq!(escalate(&late, &terms), None);
+    assert_eq!(escalate(&alone, &terms), Some(2), "nobody waits there");
+    let long_late = StageAnswer { elapsed: Duration::from_secs(5), ..late };
+    assert_eq!(escalate(&long_late, &terms), None);
+}
+
 #[test]
 fn waiting_makes_readings_slower_but_not_the_belief_in_the_best_one() {
     let mut belief = ReadingBelief::default();
