--- a/src/policy/kept.rs
+++ b/src/policy/kept.rs
@@ -17,8 +17,8 @@
 const LASTS_FOR: f64 = 0.6;
 /// Memory of a server in tokens where the configuration tells none; the least of the first sites.
 const MEMORY_ASSUMED: u64 = 470_000;
-/// Parts remembered for one server; 16 KB. A prompt of 1,500 tokens adds two, so the record holds as
-/// much as the tokens above.
+/// Parts remembered for one server; 25 KB. Prompts here bring one or two shared parts of 140 to 13,000
+/// tokens each, so a server's memory is full before the record is.
 const MOST_PARTS: usize = 512;
 /// Time after which other entries are told again of a part that is still in use. They take a part as
 /// used when they are told of it; in this time a busy server reads a tenth of what it keeps.
