--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -75,14 +75,14 @@
             far: Duration::from_millis(15),
             // On a par with reading 830 tokens again, as the users price them (310 to 980). Against a
             // charge whatever the size, a third less goes between zones (tests/play/placing.rs). With 9 ms
-            // quiet days earned 0.03 less at the newest customer; with 40 ms no more, and days with
-            // load 0.008 less at trinacria (docs/decisions/0011).
+            // quiet days earned 0.03 less where prompts are longest; with 40 ms no more, and days with load
+            // 0.008 less where they are shorter (docs/decisions/0011).
             far_kilobyte: Duration::from_millis(25),
             // Puts 830 tokens on a par with a kilobyte that leaves the zone.
             reread_token: Duration::from_micros(30),
             // A tenth of the shortest objective of a stream met so far: up to it nothing is late. Unlike
             // servers earn 1 % more by it in tests/play; charged less from no backlog on, quiet days
-            // earned 0.02 less at the newest customer (docs/decisions/0011).
+            // earned 0.02 less where prompts are longest (docs/decisions/0011).
             spare_backlog: Duration::from_millis(200),
         }
     }
