Sight: what an entry knew of a session that goes to a version under roll-out; repeats counted

Incident: sessions moved to another version in the first half of a good roll-out. Timeline: roll-out ordered at 2.0 s, all 32 entries know it at 2.02 s, its begin is written once, servers of the new version in view from 2.2 s; no store trouble, no entry down, no suspicion. Hypotheses, told apart by nothing in logs or metrics: 1. a note is dated at its request's begin and expires while a long answer runs; 2. notes live in one entry, sessions come through several; 3. a note is overwritten (another service, a query, a missing version).

Change: event 608 tells for each request of a session that goes to a version under roll-out what this entry knew of the session; counter mintmoor_repeats by service, taken or denied.

--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -11,6 +11,7 @@
 };
 
 use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     ids::Revision,
@@ -140,15 +141,19 @@
     ) -> VersionRule {
         let mut inner = self.lock();
         let session = head.session_key();
-        let note = inner.sessions.get(session).copied();
-        let note = note.filter(|note| now < note.at + session_time);
+        let known = inner.sessions.get(session).copied();
+        let note = known.filter(|note| now < note.at + session_time);
         let rule = inner
             .roll_outs
             .get(service)
             .map_or(VersionRule::Any, |roll_out| roll_out.rule(session, note, now, &self.terms));
         if head.session.is_some() {
             let on_new = matches!(rule, VersionRule::Only(_));
-            inner.remember(session, SessionNote { at: now, on_new }, session_time);
+            let request = xxh3_64(head.id.as_bytes());
+            if on_new && known.is_none_or(|known| known.request != request) {
+                inner.log_trial(service, head, known, now);
+            }
+            inner.remember(session, SessionNote { at: now, on_new, request }, session_time);
         }
         rule
     }
@@ -274,6 +279,30 @@
 }
 
 impl Inner {
+    /// Tells that a request goes to the version under roll-out, and what was known of its session.
+    fn log_trial(
+        &self,
+        service: &str,
+        head: &RequestHead,
+        known: Option<SessionNote>,
+        now: Duration,
+    ) {
+        let trial = self.roll_outs.get(service).filter(|r| r.progress == Progress::Running);
+        let Some(roll_out) = trial else {
+            return;
+        };
+        let (request, session) = (&head.id, head.session_key());
+        let version = &roll_out.order.to;
+        let age = now.saturating_sub(roll_out.began).as_millis();
+        let known = known.map_or("no".to_owned(), |known| {
+            let idle = now.saturating_sub(known.at).as_millis();
+            format!("idle_ms={idle} on_new={}", known.on_new)
+        });
+        event::SESSION_ON_TRIAL.log(format_args!(
+            "request={request} session={session} service={service} version={version} roll_out_ms={age} known=\"{known}\""
+        ));
+    }
+
     fn remember(&mut self, session: &str, note: SessionNote, session_time: Duration) {
         if self.sessions.len() >= MOST_SESSIONS {
             self.sessions.retain(|_, kept| note.at < kept.at + session_time);
--- a/src/router/trial.rs
+++ b/src/router/trial.rs
@@ -46,6 +46,8 @@
 pub(super) struct SessionNote {
     pub(super) at: Duration,
     pub(super) on_new: bool,
+    /// Hash of the id of the request that it is about.
+    pub(super) request: u64,
 }
 
 /// One roll-out as this entry sees it.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -54,6 +54,15 @@
     pub service: String,
 }
 
+/// Labels of a repeated send that was asked of the budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RepeatLabels {
+    /// Service.
+    pub service: String,
+    /// Whether it was taken or denied.
+    pub outcome: String,
+}
+
 /// Labels of the evidence on a version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EvidenceLabels {
@@ -85,6 +94,8 @@
     pub feed_age: Gauge,
     /// Repeated sends still allowed, by service.
     pub repeats_left: Family<ServiceLabels, Gauge>,
+    /// Repeated sends asked of the budget, by service: taken or denied.
+    pub repeats: Family<RepeatLabels, Counter>,
     /// Evidence on versions under roll-out.
     pub evidence: Family<EvidenceLabels, Gauge>,
     /// Requests or attempts in flight.
@@ -119,6 +130,7 @@
             log_lines_dropped: Gauge::default(),
             feed_age: Gauge::default(),
             repeats_left: Family::default(),
+            repeats: Family::default(),
             evidence: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -150,6 +162,8 @@
         registry.register("feed_age_ms", "Age of the store's last word", self.feed_age.clone());
         let left = self.repeats_left.clone();
         registry.register("repeats_left", "Repeated sends still allowed", left);
+        let repeats = self.repeats.clone();
+        registry.register("repeats", "Repeated sends taken and denied", repeats);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("queued", "Attempts queued", self.queued.clone());
@@ -165,6 +179,13 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    /// Counts one repeated send that the budget gave or denied.
+    pub fn count_repeat(&self, service: &str, is_taken: bool) {
+        let outcome = if is_taken { "taken" } else { "denied" };
+        let labels = RepeatLabels { service: service.into(), outcome: outcome.into() };
+        self.repeats.get_or_create(&labels).inc();
+    }
+
     /// Counts one call to the table service.
     pub fn count_store_call(&self, cause: &str) {
         self.store_calls.get_or_create(&StoreLabels { cause: cause.into() }).inc();
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -60,6 +60,7 @@
     metrics.repeats_left.get_or_create(&ServiceLabels { service: "s".into() }).set(1);
     let (service, version, count) = ("s".into(), "new".into(), "answers".into());
     metrics.evidence.get_or_create(&EvidenceLabels { service, version, count }).set(1);
+    metrics.count_repeat("s", true);
     metrics.count_store_call("c");
     metrics.count_store_error("c");
 }
