--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod requests;
 mod roll_outs;
 mod server;
+mod sessions;
 mod site;
 mod state;
 mod store;
