A seed has room for the links of all entries

A seed served 400 links; each of the 360 entries that the system is designed for opens two to it when it is the only one left, and the entries are counted by these links. Test: 358 entries with two links each, and one more that follows; with 400 a link was reset.

--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -37,8 +37,9 @@
 /// Silence after which a link is given up: three heartbeats. The store is asked at once after
 /// that, and a new configuration has two seconds to be in force.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
-/// Links that one entry serves; 360 entries share three seeds.
-const MOST_LINKS: usize = 400;
+/// Links that one entry serves: at 360 entries all report to each seed and follow it, when it is the only
+/// one that is left; with 400 the last of them had no link.
+const MOST_LINKS: usize = 800;
 
 /// Time between reports of the own load to the seeds; streams last a second or a few.
 const REPORT_EVERY: Duration = Duration::from_millis(400);
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -3,8 +3,12 @@
 //!
 //! Each entry has a store of its own here, so that it shows whose word is followed.
 
-use serde_json::json;
+use std::net::SocketAddr;
+
+use futures_util::SinkExt;
+use serde_json::{Value, json};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio_tungstenite::{WebSocketStream, client_async, tungstenite::Message};
 
 use crate::{
     server::Act,
@@ -148,6 +152,38 @@
     }
 }
 
+/// Opens a link to an entry and says one thing on it.
+async fn open_link(peer: SocketAddr, asked: &Value) -> WebSocketStream<TcpStream> {
+    let stream = TcpStream::connect(peer).await.unwrap();
+    let (mut socket, _) = client_async(format!("ws://{peer}/"), stream).await.unwrap();
+    let mut message = Vec::new();
+    ciborium::into_writer(asked, &mut message).unwrap();
+    socket.send(Message::binary(message)).await.unwrap();
+    socket
+}
+
+/// Each of the 360 entries that the system is designed for reports to every seed, and all follow one
+/// of them when the others are away.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seed_has_room_for_the_links_of_all_entries() {
+    let seed = Site::seed(store_after(20).await, None).await;
+    until("it is ready", || seed.entry.router.is_ready()).await;
+    let peer = seed.entry.addresses.peer.unwrap();
+    let follow = json!({"Follow": {"version": 0}});
+    let mut links = Vec::new();
+    for i in 0..358 {
+        let report = json!({"loads": [], "evidence": [], "kept": []});
+        let report = json!({"Report": {"host": format!("host-{i}"), "report": report}});
+        links.push(open_link(peer, &follow).await);
+        links.push(open_link(peer, &report).await);
+    }
+
+    let last = Site::following(store_after(1).await, &seed).await;
+
+    until("the last one follows", || follows(&last)).await;
+    assert_eq!(links.len(), 2 * 358);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_an_entry_sees_of_a_version_counts_at_the_seed() {
     let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
