The soak plays a good roll-out and checks that sessions keep their version

Change: each seed orders a good roll-out; 400 sessions come through four entries that are stopped, restarted and cut off; none may run on the new version in the first half, none may go back. Deeds and their draws are as they were.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -30,6 +30,9 @@
 /// Requests that a caller sends on one connection at most.
 const MOST_ON_ONE: u64 = 12;
 
+/// Sessions that callers ask for; so many that an entry has not seen most of them lately.
+const SESSIONS: u32 = 400;
+
 /// What callers share.
 pub struct Callers {
     pub record: Arc<Record>,
@@ -95,7 +98,7 @@
         let kind = [Kind::Idempotent, Kind::OnceOnly, Kind::Stream][rng.random_range(0..3)];
         let key = if rng.random_range(0..10) == 0 { WITHDRAWN_KEY } else { "key-1" };
         let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
-        let req = request(&id, kind, key, rng.random_range(0..40));
+        let req = request(&id, kind, key, rng.random_range(0..SESSIONS));
         let sent = Instant::now();
         let (outcome, is_kept) = match timeout(PATIENCE, send(sender, req)).await {
             Ok(done) => done,
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -82,7 +82,10 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
+    /// Session the request belongs to.
+    pub session: String,
     pub server: String,
+    pub version: &'static str,
     pub at: Instant,
     /// Whether the server breaks its answer off.
     pub breaks: bool,
@@ -98,6 +101,21 @@
     pub to: Instant,
 }
 
+/// Versions of the service that is rolled out.
+pub const OLD: &str = "v1";
+pub const NEW: &str = "v2";
+
+/// A good roll-out that was ordered.
+#[derive(Clone, Copy, Debug)]
+pub struct Ordered {
+    pub at: Instant,
+    pub within: Duration,
+}
+
+/// Time in which entries come to agree that a session is on the new version: the lines of a roll-out
+/// that an entry reads after a restart are up to 250 ms late, and a machine that is busy is later.
+const AGREED: Duration = Duration::from_secs(1);
+
 /// Everything that was seen.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -105,6 +123,7 @@
     pub runs: Mutex<Vec<Run>>,
     pub disturbances: Mutex<Vec<Disturbance>>,
     pub barred: Mutex<Vec<Barred>>,
+    pub ordered: Mutex<Option<Ordered>>,
     /// From when a withdrawn key must not be taken.
     pub key_withdrawn: Mutex<Option<Instant>>,
 }
@@ -144,9 +163,39 @@
             found.push(format!("{}: ran, but nobody asked for it", run.id));
         }
         found.extend(runs.iter().filter_map(|run| self.check_leaving(run)));
+        found.extend(runs.iter().filter_map(|run| self.check_first_half(run)));
+        found.extend(self.check_moved_back(&runs));
         found
     }
 
+    /// In the first half of a roll-out no session is moved to the new version.
+    fn check_first_half(&self, run: &Run) -> Option<String> {
+        let ordered = (*self.ordered.lock().unwrap())?;
+        let is_early = run.version == NEW && run.at < ordered.at + ordered.within / 2;
+        (is_early && self.is_calm(ordered.at, run.at))
+            .then(|| format!("{}: ran on the new version in the first half", run.id))
+    }
+
+    /// A session that is on the new version stays there, whichever entry serves it.
+    fn check_moved_back(&self, runs: &[Run]) -> Vec<String> {
+        let Some(ordered) = *self.ordered.lock().unwrap() else {
+            return Vec::new();
+        };
+        let mut on_new: HashMap<&str, Instant> = HashMap::new();
+        for run in runs.iter().filter(|run| run.version == NEW) {
+            on_new.entry(&run.session).or_insert(run.at);
+        }
+        let is_back = |run: &&Run| {
+            let since = on_new.get(&*run.session);
+            run.server.contains("app")
+                && run.version == OLD
+                && since.is_some_and(|since| *since + AGREED < run.at)
+                && self.is_calm(ordered.at, run.at)
+        };
+        let tell = |run: &Run| format!("{}: its session was moved back", run.id);
+        runs.iter().filter(is_back).map(tell).collect()
+    }
+
     /// A server that leaves gets nothing once that must be known.
     fn check_leaving(&self, run: &Run) -> Option<String> {
         let barred = self.barred.lock().unwrap();
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -11,6 +11,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -24,7 +25,7 @@
     faults::{Deed, draw},
     fleet::{Entry, host_of},
     proxy::Proxy,
-    record::{EVENTS, Record, Run},
+    record::{EVENTS, NEW, OLD, Ordered, Record, Run},
     server::{Act, Seen, Server},
     site::{configuration, list},
     store::Store,
@@ -32,6 +33,8 @@
 
 const ENTRIES: u8 = 4;
 const SERVERS_OF_EACH: usize = 4;
+/// Servers of the version that is rolled out; nothing else is done to them.
+const SERVERS_OF_NEW: usize = 3;
 const CALLERS: u64 = 12;
 /// Deeds under way at once.
 const MOST_AT_ONCE: usize = 3;
@@ -45,6 +48,7 @@
 pub struct Backend {
     listed: Server,
     service: &'static str,
+    version: &'static str,
     pub way: Proxy,
     /// Held while it is listed as leaving.
     pub drains: Mutex<()>,
@@ -56,7 +60,7 @@
     }
 
     pub fn list(&self, store: &Store, state: &str) {
-        list(store, &self.listed, self.service, "v1", state);
+        list(store, &self.listed, self.service, self.version, state);
     }
 }
 
@@ -65,6 +69,8 @@
     pub store: Store,
     pub entries: Vec<Mutex<Entry>>,
     pub servers: Vec<Backend>,
+    /// Those of the version that is rolled out.
+    new_servers: Vec<Backend>,
     pub record: Arc<Record>,
     /// Newest version of the configuration.
     pub version: AtomicU64,
@@ -82,8 +88,12 @@
         store.put("op", "config", &configuration(1));
         let mut servers = Vec::new();
         for number in 0..SERVERS_OF_EACH {
-            servers.push(start_server(&record, "app", number, seed).await);
-            servers.push(start_server(&record, "llm", number, seed).await);
+            servers.push(start_server(&record, "app", OLD, number, seed).await);
+            servers.push(start_server(&record, "llm", OLD, number, seed).await);
+        }
+        let mut new_servers = Vec::new();
+        for number in 0..SERVERS_OF_NEW {
+            new_servers.push(start_server(&record, "app", NEW, number, seed).await);
         }
         servers.iter().for_each(|server| server.list(&store, "ready"));
         let mut entries = Vec::new();
@@ -92,7 +102,16 @@
             entries.push(Mutex::new(Entry::start(number, way, &folder)));
         }
         let version = AtomicU64::new(1);
-        Self { store, entries, servers, record, version, folder }
+        Self { store, entries, servers, new_servers, record, version, folder }
+    }
+
+    /// Orders a good roll-out and lists the servers of its version.
+    fn order_roll_out(&self, within: Duration) {
+        let ordered = Ordered { at: Instant::now(), within };
+        *self.record.ordered.lock().unwrap() = Some(ordered);
+        let order = json!({"service": "app", "to": NEW, "duration-s": within.as_secs_f64()});
+        self.store.put("op", "rollout/app", &order);
+        self.new_servers.iter().for_each(|server| server.list(&self.store, "ready"));
     }
 
     /// Asks whether an entry takes requests, as the balancer does.
@@ -125,10 +144,11 @@
 async fn start_server(
     record: &Arc<Record>,
     service: &'static str,
+    version: &'static str,
     number: usize,
     seed: u64,
 ) -> Backend {
-    let id = format!("i-{service}-{number}");
+    let id = format!("i-{service}-{version}-{number}");
     let (record, server_id) = (record.clone(), id.clone());
     let rng = std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ number as u64));
     let script = move |seen: &Seen| {
@@ -136,7 +156,9 @@
         if !matches!(act, Act::Shed) {
             let run = Run {
                 id: seen.header("x-request-id").into(),
+                session: seen.header("session").into(),
                 server: server_id.clone(),
+                version,
                 at: Instant::now(),
                 breaks: matches!(act, Act::Stream { is_whole: false, .. }),
             };
@@ -147,7 +169,7 @@
     let mut listed = Server::start(&id, script).await;
     let way = Proxy::start(listed.address).await;
     listed.address = way.address;
-    Backend { listed, service, way, drains: Mutex::default() }
+    Backend { listed, service, version, way, drains: Mutex::default() }
 }
 
 /// What a server does with a request: mostly what it should.
@@ -185,6 +207,7 @@
         tasks.spawn(callers.clone().call(seed * 1_000 + number));
     }
     let balancer = tokio::spawn(balance(system.clone(), callers.clone()));
+    system.order_roll_out(lasts);
     disturb(&system, seed, lasts).await;
     let mut findings = recover(&system, &callers).await;
     callers.is_over.store(true, Ordering::SeqCst);
