An entry that starts asks at once how far the roll-outs that it finds have got

Change: an order that is found at the start is unknown until the store, or where it is away a seed, has told of it; the driver asks at once, and requests wait for the answer with the first configuration, half a second at most. Seeds always tell followers the rows about roll-outs, and have those of their own verdicts. Ruled out: what the link tells alone; it may be older than the end.

--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::{
     ids::Revision,
@@ -97,7 +97,8 @@
     let mut drives = 0;
     let mut rest_until = Duration::ZERO;
     loop {
-        sleep(DRIVE_EVERY).await;
+        // What an entry that starts finds has to be known before requests are answered by it.
+        let _ = timeout(DRIVE_EVERY, router.roll_outs.until_found()).await;
         drives += 1;
         take_from_link(router, &mut told);
         let follows = router.follows_link();
@@ -105,20 +106,29 @@
             learn_verdicts(router, store, &mut told, &seen).await;
         }
         for order in router.roll_outs.running() {
-            let waits = follows && router.roll_outs.age(&order, router.now()) < OTHERS_BEGIN;
+            let is_unknown = router.roll_outs.is_unknown(&order);
+            let is_young = router.roll_outs.age(&order, router.now()) < OTHERS_BEGIN;
+            let waits = follows && is_young && !is_unknown;
             if seen.get(&order.service) == Some(&order.revision) || waits {
                 continue;
             }
-            if told.progress(&order).is_some() {
+            // What another entry tells may be older than the end, so an entry that starts asks the
+            // store and makes do with it only where the store is away.
+            let is_begun = told.progress(&order).is_some();
+            let is_seen = (is_begun && !is_unknown) || {
+                let begun = begin(router, store, &mut told, &order).await;
+                if begun.is_err() {
+                    // The feeds tell of a store that is away; it is tried again at the next look.
+                    router.metrics.count_store_error("roll_out");
+                }
+                begun.is_ok()
+            };
+            if is_seen {
                 seen.insert(order.service.clone(), order.revision);
-                continue;
             }
-            match begin(router, store, &mut told, &order).await {
-                Ok(()) => {
-                    seen.insert(order.service.clone(), order.revision);
-                }
-                // The feeds tell of a store that is away; it is tried again at the next look.
-                Err(_) => router.metrics.count_store_error("roll_out"),
+            if is_unknown && (is_seen || is_begun) {
+                router.roll_outs.note_known(&order);
+                router.tell_news();
             }
         }
         if router.now() < rest_until {
@@ -255,8 +265,8 @@
         WriteOutcome::Written(_) => {
             let progress = verdict.status.progress;
             router.roll_outs.adopt(&order.service, order.revision, None, progress);
-            if router.views.has_subscribers() {
-                // Those that follow this entry hear of the verdict now, not at the next look.
+            if router.is_seed() || router.views.has_subscribers() {
+                // Those that follow this entry, now or later, hear of the verdict.
                 look(router, store, told).await?;
             }
         }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -201,9 +201,10 @@
         if is_whole {
             withdraw_missing(router, &rows);
         }
+        let is_start = router.table.load().is_none();
         for row in &rows.rows {
             match read_operator_row(row) {
-                Ok(Some(change)) => apply_change(router, change),
+                Ok(Some(change)) => apply_change(router, change, is_start),
                 Ok(None) => {}
                 Err(e) => event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\"")),
             }
@@ -222,13 +223,13 @@
     }
 }
 
-fn apply_change(router: &Router, change: OperatorChange) {
+fn apply_change(router: &Router, change: OperatorChange, is_start: bool) {
     match change {
         OperatorChange::Configuration(table) => put_in_force(router, *table),
         OperatorChange::RollOut(order) => {
             let told =
                 format!("service={} to={} within={:?}", order.service, order.to, order.within);
-            if router.roll_outs.order(order, router.now()) {
+            if router.roll_outs.order(order, router.now(), is_start) {
                 event::ROLL_OUT_ORDERED.log(format_args!("{told}"));
                 note_versions(router);
             }
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -11,6 +11,7 @@
 };
 
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 
 use crate::{
     ids::Revision,
@@ -52,31 +53,58 @@
 pub struct RollOuts {
     inner: Arc<Mutex<Inner>>,
     terms: ExposureTerms,
+    found: Notify,
 }
 
 impl RollOuts {
     /// No roll-outs yet; their shares will grow by these terms.
     pub fn new(terms: ExposureTerms) -> Self {
-        Self { inner: Arc::default(), terms }
+        Self { inner: Arc::default(), terms, found: Notify::new() }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().expect("no panics under the lock")
     }
 
-    /// Takes in an order; one already known keeps its evidence. Whether it is new.
-    pub(crate) fn order(&self, order: RollOutOrder, now: Duration) -> bool {
+    /// Takes in an order, which an entry that starts may have found; one already known keeps its
+    /// evidence. Whether it is new.
+    pub(crate) fn order(&self, order: RollOutOrder, now: Duration, is_found: bool) -> bool {
         let mut inner = self.lock();
         let known = inner.roll_outs.get(&order.service);
         if known.is_some_and(|known| known.order.revision >= order.revision) {
             return false;
         }
         let service = order.service.clone();
-        let fresh = RollOut::begun_now(order, now);
-        inner.roll_outs.insert(service, fresh);
+        inner.roll_outs.insert(service, RollOut::begun_now(order, now, is_found));
+        if is_found {
+            self.found.notify_one();
+        }
         true
     }
 
+    /// Waits until an order is found whose state has to be heard.
+    pub(crate) async fn until_found(&self) {
+        self.found.notified().await;
+    }
+
+    /// Whether an order was found after this time and nothing is known yet of how far it got.
+    pub(crate) fn is_any_unknown(&self, found_after: Duration) -> bool {
+        let is_new = |r: &RollOut| r.found_at.is_some_and(|at| at > found_after);
+        self.lock().roll_outs.values().any(|r| r.is_unknown() && is_new(r))
+    }
+
+    /// Whether this order was found and nothing is known yet of how far its roll-out got.
+    pub(crate) fn is_unknown(&self, order: &RollOutOrder) -> bool {
+        self.lock().roll_outs.get(&order.service).is_some_and(RollOut::is_unknown)
+    }
+
+    /// Notes that it was heard how far an order's roll-out got.
+    pub(crate) fn note_known(&self, order: &RollOutOrder) {
+        if let Some(roll_out) = self.lock().roll_outs.get_mut(&order.service) {
+            roll_out.found_at = None;
+        }
+    }
+
     /// Forgets the roll-out of a service.
     pub(crate) fn withdraw(&self, service: &str) {
         self.lock().roll_outs.remove(service);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -162,13 +162,23 @@
         self.table.load().is_some() && !self.views.is_cut_off()
     }
 
-    /// Waits for the first configuration and the first servers; a process that has just started
-    /// has them in a moment, and a caller who is refused meanwhile may have no further try.
+    /// Tells those who wait that something they may wait for is known.
+    pub(crate) fn tell_news(&self) {
+        self.news.notify_waiters();
+    }
+
+    /// Waits for the first configuration, the first servers and the state of the roll-outs that were
+    /// ordered before; a process that has just started has them in a moment, and a caller who is refused
+    /// meanwhile may have no further try. An entry that took a completed roll-out as just begun sent
+    /// sessions back to the old version for two seconds, though its servers may be gone.
     pub(crate) async fn wait_for_view(&self) {
         let work = async {
             loop {
                 let news = self.news.notified();
-                if self.table.load().is_some() && !self.fleet.load().is_empty() {
+                let has_view = self.table.load().is_some() && !self.fleet.load().is_empty();
+                // Where the store is away this can't be known, and requests are not held for it.
+                let lately = self.now().saturating_sub(VIEW_WAIT);
+                if has_view && !self.roll_outs.is_any_unknown(lately) {
                     return;
                 }
                 news.await;
--- a/src/router/trial.rs
+++ b/src/router/trial.rs
@@ -52,6 +52,8 @@
     pub(super) began: Duration,
     /// Whether the store told when it began.
     pub(super) is_begun: bool,
+    /// When this entry found it as it started, until it has heard how far it got.
+    pub(super) found_at: Option<Duration>,
     pub(super) progress: Progress,
     /// Whether the evidence, our own or that of all entries, says that the version is bad.
     pub(super) is_held: bool,
@@ -67,12 +69,13 @@
 }
 
 impl RollOut {
-    /// An order that has just been seen.
-    pub(super) fn begun_now(order: RollOutOrder, now: Duration) -> Self {
+    /// An order that has just been seen, or found by an entry that starts.
+    pub(super) fn begun_now(order: RollOutOrder, now: Duration, is_found: bool) -> Self {
         Self {
             order,
             began: now,
             is_begun: false,
+            found_at: is_found.then_some(now),
             progress: Progress::Running,
             is_held: false,
             old: Evidence::default(),
@@ -107,6 +110,11 @@
         if takes_new(head.session_key(), &self.order.to, share) { new } else { old }
     }
 
+    /// Whether nothing was heard yet of how far it got; an end that was heard stands.
+    pub(super) fn is_unknown(&self) -> bool {
+        self.found_at.is_some() && self.progress == Progress::Running
+    }
+
     /// Time since it began, as far as this entry knows.
     pub(super) fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.began)
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -98,7 +98,8 @@
     }
 
     /// All rows of the tables of which something newer than this has been seen, and what comes
-    /// after them.
+    /// after them. Rows about roll-outs are few and always told: an entry that starts has not read
+    /// them, whatever it has read of orders and servers.
     pub(crate) fn subscribe(
         &self,
         version: Revision,
@@ -111,7 +112,10 @@
             is_whole: true,
             rows: seen.rows.values().cloned().collect(),
         };
-        let views = all.iter().filter(|(_, seen)| seen.version > version).map(whole).collect();
+        let is_wanted = |(table, seen): &(&Table, &Seen)| {
+            matches!(table, Table::Own | Table::Status) || seen.version > version
+        };
+        let views = all.iter().filter(is_wanted).map(whole).collect();
         (views, self.updates.subscribe())
     }
 
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -59,6 +59,40 @@
     assert_eq!(new.seen().len(), 0, "sessions moved to the new version in the first half");
 }
 
+/// What callers saw: for two seconds after an entry was restarted, requests of sessions that were on the
+/// new version for good ran on the old one again, or failed where its servers had been stopped.
+///
+/// Order of events: a roll-out is completed; an entry starts, reads the order, and takes the roll-out as
+/// just begun until it has heard how far it got.
+///
+/// Cause: an entry that follows another waits for that one to note the begin of a new order, and was
+/// told only of rows newer than those that it had read, though it had read other tables.
+///
+/// Evidence: in the soak an entry that started 0.16 s after the end logged the order at once and the
+/// verdict 2.01 s later; six requests of sessions that were on the new version ran on the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_after_a_roll_out_knows_how_it_ended() {
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let first = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    let order = json!({"service": "app", "to": "v2", "duration-s": 1.0});
+    first.store.put("op", "rollout/app", &order);
+    let state = || first.store.read("status", "rollout/app").map(|s| s["state"].clone());
+    let mut asked = 0;
+    while state() != Some(json!("completed")) {
+        asked += 1;
+        first.ask("GET", "/safe/a", &format!("Session: s-{asked}\r\n")).await;
+    }
+    let before = old.seen().len();
+
+    let next = Site::following(first.store.clone(), &first).await;
+    until("it is ready", || next.entry.router.is_ready()).await;
+    for i in 0..100 {
+        next.ask("GET", "/safe/a", &format!("Session: s-{i}\r\n")).await;
+    }
+
+    assert_eq!(old.seen().len(), before, "requests ran on the old version after the roll-out");
+}
+
 fn listed(id: &str, version: &str) -> BackendServer {
     BackendServer {
         id: id.into(),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -23,7 +23,7 @@
 /// Seeds of the run in CI: one of each third, see [`faults::Deed::all_of`].
 const SEEDS: [u64; 3] = [3, 4, 5];
 /// Seeds that once failed; docs/SOAK.md has a line on the cause of each.
-const FAILED_ONCE: [u64; 1] = [108];
+const FAILED_ONCE: [u64; 2] = [108, 402];
 /// Time in which things are done under one seed, seconds.
 const LASTS_S: u64 = 4;
 /// First and last seed of a run by hand, as `FIRST-LAST`.
