--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -4,7 +4,11 @@
 
 use serde::Serialize;
 
-use crate::ids::{OrganisationId, RequestId, format_id};
+use crate::{
+    entry::{Entry, request::RequestHead, stage::Attempts},
+    ids::{OrganisationId, RequestId, format_id},
+    telemetry::metrics::RequestLabels,
+};
 
 const KEPT: usize = 2_000;
 
@@ -45,3 +49,23 @@
         self.order.iter().rev().take(most).map(|id| format_id(*id)).collect()
     }
 }
+
+/// Counts the request and keeps what explains it.
+pub(crate) fn keep_story(
+    entry: &Entry,
+    head: &RequestHead,
+    model: &str,
+    code: &str,
+    attempts: &mut Attempts,
+) {
+    let labels =
+        RequestLabels { organisation: head.organisation.to_string(), code: code.to_string() };
+    entry.metrics.requests.get_or_create(&labels).inc();
+    let story = Explanation {
+        organisation: head.organisation.clone(),
+        model: model.into(),
+        outcome: code.into(),
+        steps: std::mem::take(&mut attempts.steps),
+    };
+    entry.explanations.lock().expect("no panics under the lock").keep(head.id, story);
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod links;
 mod pick;
+mod rating;
 mod request;
 mod routes;
 mod run;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -15,10 +15,11 @@
         answer::Answer,
         charges,
         claims::{self, Claimed, Grant},
-        explain::Explanation,
+        explain::keep_story,
         link::Link,
         pick::best_estimate,
-        request::{ChatRequest, RequestHead},
+        rating::{POOR_BELOW, rate},
+        request::ChatRequest,
         sessions::{RequestSession, version_for},
         stage::{
             Attempts, Collector, Finished, Job, JobCall, StageError, learn_stage_time, run_job,
@@ -35,16 +36,13 @@
         charge::{ChargeRecord, ChargedAttempt, Delivery},
         claim::{ClaimState, SavedAnswer},
     },
-    protocol::{ToAgent, Usage},
+    protocol::Usage,
     resources::Snapshot,
-    telemetry::metrics::RequestLabels,
 };
 
 /// Times a request is decided anew because its version was withdrawn meanwhile.
 const WITHDRAWN_TRIES: usize = 3;
 const CATCH_UP: Duration = Duration::from_millis(300);
-/// Rating below which an answer counts as poor evidence.
-const POOR_BELOW: f64 = 0.5;
 
 /// Serves a chat request; the work goes on by itself so that a lost caller is noticed.
 pub(crate) async fn serve_chat(entry: Arc<Entry>, req: ChatRequest) -> Result<Reply, ApiError> {
@@ -343,7 +341,8 @@
     async fn passes(&mut self, target: &Target, stage: usize, answer: &StageAnswer) -> bool {
         let quality_target = target.quality_target.unwrap_or(0.0);
         let key = self.estimate_key(target, stage);
-        let rating = rate(self.entry, self.req, answer).await;
+        let req = rating_request(self.req, answer);
+        let rating = rate(self.entry, req, &answer.finished.link, &answer.version).await;
         let mut estimates = self.entry.estimates.lock().expect("no panics under the lock");
         let Some(rating) = rating else {
             // Without ratings the last estimate decides, and it drifts to the safe side.
@@ -371,7 +370,7 @@
         let key = self.estimate_key(target, stage);
         let cascade = target.quality_target.map(|quality| (target.name.clone(), quality));
         tokio::spawn(async move {
-            let Some(rating) = rate_request(&entry, req, &link, &version).await else {
+            let Some(rating) = rate(&entry, req, &link, &version).await else {
                 return;
             };
             let Some((name, quality)) = cascade else {
@@ -466,26 +465,6 @@
     }
 }
 
-/// Counts the request and keeps what explains it.
-pub(crate) fn keep_story(
-    entry: &Entry,
-    head: &RequestHead,
-    model: &str,
-    code: &str,
-    attempts: &mut Attempts,
-) {
-    let labels =
-        RequestLabels { organisation: head.organisation.to_string(), code: code.to_string() };
-    entry.metrics.requests.get_or_create(&labels).inc();
-    let story = Explanation {
-        organisation: head.organisation.clone(),
-        model: model.into(),
-        outcome: code.into(),
-        steps: std::mem::take(&mut attempts.steps),
-    };
-    entry.explanations.lock().expect("no panics under the lock").keep(head.id, story);
-}
-
 /// What a caller is told when a stage fails, by what is true of the attempts.
 pub(crate) fn describe_failure(e: &StageError, verdict: Verdict, model: &str) -> ApiError {
     match (e, verdict) {
@@ -520,21 +499,3 @@
         answer: answer.answer.text().into(),
     }
 }
-
-async fn rate(entry: &Entry, req: &ChatRequest, answer: &StageAnswer) -> Option<f64> {
-    let link = &answer.finished.link;
-    rate_request(entry, rating_request(req, answer), link, &answer.version).await
-}
-
-/// Rates an answer and tells the agent, whose evidence it is.
-async fn rate_request(
-    entry: &Entry,
-    req: RatingRequest,
-    link: &Link,
-    version: &VersionId,
-) -> Option<f64> {
-    let rating = entry.ratings.rate(req).await.ok()?;
-    let frame = ToAgent::Rated { version: version.clone(), poor: rating < POOR_BELOW };
-    link.send(&frame).await;
-    Some(rating)
-}
--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -105,32 +105,7 @@
         if drives % DRIVES_PER_LOOK == 0 && !follows {
             learn_verdicts(router, store, &mut told, &seen).await;
         }
-        for order in router.roll_outs.running() {
-            let is_unknown = router.roll_outs.is_unknown(&order);
-            let is_young = router.roll_outs.age(&order, router.now()) < OTHERS_BEGIN;
-            let waits = follows && is_young && !is_unknown;
-            if seen.get(&order.service) == Some(&order.revision) || waits {
-                continue;
-            }
-            // What another entry tells may be older than the end, so an entry that starts asks the
-            // store and makes do with it only where the store is away.
-            let is_begun = told.progress(&order).is_some();
-            let is_seen = (is_begun && !is_unknown) || {
-                let begun = begin(router, store, &mut told, &order).await;
-                if begun.is_err() {
-                    // The feeds tell of a store that is away; it is tried again at the next look.
-                    router.metrics.count_store_error("roll_out");
-                }
-                begun.is_ok()
-            };
-            if is_seen {
-                seen.insert(order.service.clone(), order.revision);
-            }
-            if is_unknown && (is_seen || is_begun) {
-                router.roll_outs.note_known(&order);
-                router.tell_news();
-            }
-        }
+        settle_begins(router, store, &mut told, &mut seen).await;
         if router.now() < rest_until {
             continue;
         }
@@ -144,6 +119,51 @@
     }
 }
 
+/// Sees to it that the begin of each order is in the store, and learns how far those got that this
+/// entry found as it started.
+async fn settle_begins(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+    seen: &mut HashMap<Box<str>, Revision>,
+) {
+    let follows = router.follows_link();
+    for order in router.roll_outs.running() {
+        let is_unknown = router.roll_outs.is_unknown(&order);
+        let is_young = router.roll_outs.age(&order, router.now()) < OTHERS_BEGIN;
+        let waits = follows && is_young && !is_unknown;
+        if seen.get(&order.service) == Some(&order.revision) || waits {
+            continue;
+        }
+        let is_told = told.progress(&order).is_some();
+        // What another entry tells may be older than the end, so an entry that starts asks the
+        // store and makes do with it only where the store is away.
+        let is_settled = (is_told && !is_unknown) || try_begin(router, store, told, &order).await;
+        if is_settled {
+            seen.insert(order.service.clone(), order.revision);
+        }
+        if is_unknown && (is_settled || is_told) {
+            router.roll_outs.note_known(&order);
+            router.tell_news();
+        }
+    }
+}
+
+/// Whether the store answered about the begin of an order; it is asked again at the next look.
+async fn try_begin(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+    order: &RollOutOrder,
+) -> bool {
+    let begun = begin(router, store, told, order).await;
+    if begun.is_err() {
+        // The feeds log that the store is away.
+        router.metrics.count_store_error("roll_out");
+    }
+    begun.is_ok()
+}
+
 /// Learns what the entry that is followed passed on about roll-outs.
 fn take_from_link(router: &Router, told: &mut Told) {
     for table in [Table::Own, Table::Status] {
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -277,6 +277,11 @@
         share.hear(entries, self.now());
     }
 
+    /// Entries that this one knows of.
+    fn entries(&self) -> u32 {
+        self.extra_share.lock().expect("no panics under the lock").entries()
+    }
+
     fn send_terms(&self) -> SendTerms {
         let settings = self.settings.load();
         let window = settings.retry_window;
@@ -334,8 +339,7 @@
         self.metrics.feed_age.set(i64::try_from(age).unwrap_or(i64::MAX));
         let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
         self.metrics.log_lines_dropped.set(dropped);
-        let entries = self.extra_share.lock().expect("no panics under the lock").entries();
-        self.metrics.entries.set(entries.into());
+        self.metrics.entries.set(self.entries().into());
         let terms = self.send_terms();
         let mut budgets = self.budgets.lock().expect("no panics under the lock");
         for (service, budget) in budgets.iter_mut() {
@@ -365,7 +369,7 @@
             "host": self.settings.load().host,
             "configuration": table.as_ref().as_ref().map(|t| t.version),
             "in_flight": self.in_flight(),
-            "entries": self.extra_share.lock().expect("no panics under the lock").entries(),
+            "entries": self.entries(),
             "follows_another_entry": self.follows_link(),
             "roll_outs": self.roll_outs.dump(),
             "servers": self.fleet.load().dump(self.now()),
