Read over: tests call what the stand-in site already has

Stores with listed servers, waiting for a view, and asking until a roll-out's state stood several times, in new tests and beside older twins; one piece serves each. Two loops of the new tests had no bound and have the one of ask_until now. The soak records a run's service instead of reading it out of the server's id. The story of one test said six requests; the record has eight.

--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     server::Act,
-    site::{Site, always, configuration, list, request, until},
+    site::{Site, always, configuration, list, request, store_with, until},
     store::{Fault, Store},
 };
 
@@ -207,17 +207,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_good_version_is_completed_on_the_answers_of_all_entries() {
-    let store = Store::start().await;
-    store.put("op", "config", &configuration(1));
     let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
-    list(&store, &old, "app", "v1", "ready");
-    list(&store, &new, "app", "v2", "ready");
+    let store = store_with(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
     let first = Site::seed(store.clone(), None).await;
     let second = Site::following(store.clone(), &first).await;
-    for site in [&first, &second] {
-        let ready = || site.entry.router.is_ready() && site.entry.router.fleet.load().len() == 2;
-        until("both entries know both servers", ready).await;
-    }
+    first.until_in_view(2).await;
+    second.until_in_view(2).await;
     let order = json!({"service": "app", "to": "v2", "duration-s": 0.5});
     store.put("op", "rollout/app", &order);
     let knows = |site: &Site| site.entry.router.dump()["roll_outs"][0]["began"] == true;
@@ -236,15 +231,13 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_learns_what_another_sent_a_server_and_so_does_one_that_starts() {
-    let store = Store::start().await;
-    store.put("op", "config", &configuration(1));
     let stream = Act::Stream { to: 4, is_whole: true, confidence: 90 };
     let server = always("i-1", stream).await;
-    list(&store, &server, "llm", "v1", "ready");
+    let store = store_with(&[(&server, "llm", "v1")]).await;
     let first = Site::seed(store.clone(), None).await;
     let second = Site::following(store.clone(), &first).await;
-    let knows = |site: &Site, count| site.entry.router.fleet.load().len() == count;
-    until("both know the server", || knows(&first, 1) && knows(&second, 1)).await;
+    first.until_in_view(1).await;
+    second.until_in_view(1).await;
     let prompt =
         "X-Token-Usage: 1250,80\r\nX-Prefix-Hash: 5c1e:800,91bd:410,e440:40\r\nX-Model: *\r\n";
 
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -24,12 +24,22 @@
 
 /// Asks until the store tells this state of the roll-out; requests without a session are on trial
 /// from its begin on, drawn by their ids.
-async fn ask_until(site: &Site, wanted: &str) -> usize {
+pub async fn ask_until(site: &Site, wanted: &str) -> usize {
+    ask_each_until(site, wanted, |i| (format!("/safe/{i}"), String::new())).await
+}
+
+/// Asks with the path and headers of each number until the store tells this state of the roll-out.
+async fn ask_each_until(
+    site: &Site,
+    wanted: &str,
+    request: impl Fn(usize) -> (String, String),
+) -> usize {
     let mut asked = 0;
     while state(site) != wanted {
         asked += 1;
         assert!(asked < 20_000, "never {wanted}, but {}", site.entry.router.dump()["roll_outs"]);
-        site.ask("GET", &format!("/safe/{asked}"), "").await;
+        let (path, headers) = request(asked);
+        site.ask("GET", &path, &headers).await;
     }
     asked
 }
@@ -65,11 +75,8 @@
     site.store.put("op", "rollout/app", &order("v2", 3.0));
     until("it is under way", || state(&site) == "in_progress").await;
 
-    let mut asked = 0;
-    while state(&site) != "rolled_back" {
-        asked += 1;
-        site.ask("GET", "/safe/a", &format!("Session: s-{asked}\r\n")).await;
-    }
+    let of_session = |i| ("/safe/a".into(), format!("Session: s-{i}\r\n"));
+    let asked = ask_each_until(&site, "rolled_back", of_session).await;
 
     let exposed = new.seen().len();
     assert!(exposed < 30, "{exposed} of {asked} requests reached the bad version");
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -6,9 +6,9 @@
 use serde_json::json;
 
 use crate::{
+    roll_outs::ask_until,
     server::Act,
-    site::{Site, always, list, until},
-    store::Store,
+    site::{Site, always, list, store_with, until},
 };
 
 const GOOD: Act = Act::Answer { status: 200, body: "good" };
@@ -34,9 +34,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_session_that_another_entry_served_stays_on_the_old_version_in_the_first_half() {
     let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
-    let store = Store::start().await;
-    store.put("op", "config", &crate::site::configuration(1));
-    list(&store, &old, "app", "v1", "ready");
+    let store = store_with(&[(&old, "app", "v1")]).await;
     let one = Site::beside(store.clone()).await;
     let other = Site::beside(store.clone()).await;
     one.until_in_view(1).await;
@@ -69,19 +67,14 @@
 /// told only of rows newer than those that it had read, though it had read other tables.
 ///
 /// Evidence: in the soak an entry that started 0.16 s after the end logged the order at once and the
-/// verdict 2.01 s later; six requests of sessions that were on the new version ran on the old one.
+/// verdict 2.01 s later; eight requests of sessions that were on the new version ran on the old one.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_starts_after_a_roll_out_knows_how_it_ended() {
     let (old, new) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
     let first = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
     let order = json!({"service": "app", "to": "v2", "duration-s": 1.0});
     first.store.put("op", "rollout/app", &order);
-    let state = || first.store.read("status", "rollout/app").map(|s| s["state"].clone());
-    let mut asked = 0;
-    while state() != Some(json!("completed")) {
-        asked += 1;
-        first.ask("GET", "/safe/a", &format!("Session: s-{asked}\r\n")).await;
-    }
+    ask_until(&first, "completed").await;
     let before = old.seen().len();
 
     let next = Site::following(first.store.clone(), &first).await;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -163,7 +163,7 @@
 }
 
 /// A store with a configuration, where servers are listed.
-async fn store_with(servers: &[(&Server, &str, &str)]) -> Store {
+pub async fn store_with(servers: &[(&Server, &str, &str)]) -> Store {
     let store = Store::start().await;
     store.put("op", "config", &configuration(1));
     for (server, service, version) in servers {
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -85,6 +85,7 @@
     /// Session the request belongs to.
     pub session: String,
     pub server: String,
+    pub service: &'static str,
     pub version: &'static str,
     pub at: Instant,
     /// Whether the server breaks its answer off.
@@ -101,7 +102,8 @@
     pub to: Instant,
 }
 
-/// Versions of the service that is rolled out.
+/// The service that is rolled out, and its versions.
+pub const ROLLED_OUT: &str = "app";
 pub const OLD: &str = "v1";
 pub const NEW: &str = "v2";
 
@@ -187,7 +189,7 @@
         }
         let is_back = |run: &&Run| {
             let since = on_new.get(&*run.session);
-            run.server.contains("app")
+            run.service == ROLLED_OUT
                 && run.version == OLD
                 && since.is_some_and(|since| *since + AGREED < run.at)
                 && self.is_calm(ordered.at, run.at)
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -25,7 +25,7 @@
     faults::{Deed, draw},
     fleet::{Entry, host_of},
     proxy::Proxy,
-    record::{EVENTS, NEW, OLD, Ordered, Record, Run},
+    record::{EVENTS, NEW, OLD, Ordered, ROLLED_OUT, Record, Run},
     server::{Act, Seen, Server},
     site::{configuration, list},
     store::Store,
@@ -93,7 +93,7 @@
         }
         let mut new_servers = Vec::new();
         for number in 0..SERVERS_OF_NEW {
-            new_servers.push(start_server(&record, "app", NEW, number, seed).await);
+            new_servers.push(start_server(&record, ROLLED_OUT, NEW, number, seed).await);
         }
         servers.iter().for_each(|server| server.list(&store, "ready"));
         let mut entries = Vec::new();
@@ -109,8 +109,8 @@
     fn order_roll_out(&self, within: Duration) {
         let ordered = Ordered { at: Instant::now(), within };
         *self.record.ordered.lock().unwrap() = Some(ordered);
-        let order = json!({"service": "app", "to": NEW, "duration-s": within.as_secs_f64()});
-        self.store.put("op", "rollout/app", &order);
+        let order = json!({"service": ROLLED_OUT, "to": NEW, "duration-s": within.as_secs_f64()});
+        self.store.put("op", &format!("rollout/{ROLLED_OUT}"), &order);
         self.new_servers.iter().for_each(|server| server.list(&self.store, "ready"));
     }
 
@@ -158,6 +158,7 @@
                 id: seen.header("x-request-id").into(),
                 session: seen.header("session").into(),
                 server: server_id.clone(),
+                service,
                 version,
                 at: Instant::now(),
                 breaks: matches!(act, Act::Stream { is_whole: false, .. }),
