A row of another writer names no server; a server that starts again under its id is a new life

Cause: a row of the list without a field, of another type or state was taken as a ready server; one that could not be read left the former server in use; one whose bytes can't be decoded failed the whole read and every feed after it. Nothing read when a server started, so one that started again under its id kept its former life's kept parts, load, failures and idle connections, and what had run there was waited for until its deadline.

Change: documents.rs reads every field that servers tell, or none; listing.rs takes a server out whose row can't be read (told once a change, counted by mintmoor_rows_unreadable); store.rs passes undecodable bytes on as an empty document. BackendServer has its start; a later one is a new life in the fleet, with a record of its own, another short hash in what entries tell each other, and an end for what waits at the former one. The row of an earlier start is passed over.

Fixtures of tests/platform/state.rs list whole rows now: they had two fields, which no longer name a server.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -76,6 +76,7 @@
 fn backend_server(i: usize) -> BackendServer {
     BackendServer {
         id: format!("i-{i}").into(),
+        born: None,
         service: "llm".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: format!("zone-{}", i % 16).into(),
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -1,8 +1,8 @@
 //! Documents the operator and the BackendServers keep in the store, read into our types.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, num::NonZeroU32, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::{
     ids::Revision,
@@ -11,16 +11,13 @@
         store::{Row, Table},
     },
     routing::{
-        BackendServer, CallerLimits, Organisation, Progress, RollOutOrder, RollOutStatus, Route,
-        RouteKind, RoutingTable, Target,
+        BackendServer, BornAt, CallerLimits, Organisation, Progress, RollOutOrder, RollOutStatus,
+        Route, RouteKind, RoutingTable, Target,
     },
 };
 
 const CONFIGURATION: &str = "config";
 const ROLL_OUT_PREFIX: &str = "rollout/";
-/// State word of a server that is about to leave.
-const LEAVING: &str = "draining";
-
 /// What the operator changed.
 #[derive(Clone, Debug)]
 pub enum OperatorChange {
@@ -126,21 +123,41 @@
     to: Box<str>,
 }
 
+/// A server writes all of these about itself: a row that lacks one, or has one of another type, is not
+/// its own and names no server.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ServerDoc {
     service: Box<str>,
-    address: Box<str>,
-    #[serde(default)]
+    address: SocketAddr,
     zone: Box<str>,
-    #[serde(default)]
     version: Box<str>,
-    #[serde(default)]
-    slots: u32,
-    #[serde(default)]
-    state: Box<str>,
+    slots: NonZeroU32,
+    state: StateDoc,
+    #[serde(rename = "cold-remaining-ms")]
+    _cold_remaining_ms: f64,
+    /// Counts what the server wrote or accepted in this life.
+    #[serde(rename = "sequence")]
+    _sequence: u64,
+    /// Missing where no model runs.
     #[serde(default)]
     models: Vec<NameDoc>,
+    /// Missing on platforms whose servers have a new id after each start.
+    #[serde(default, deserialize_with = "whole_number")]
+    born: Option<BornAt>,
+}
+
+#[derive(Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+enum StateDoc {
+    Ready,
+    /// About to leave.
+    Draining,
+}
+
+/// Reads a number that may be missing but not null.
+fn whole_number<'de, D: Deserializer<'de>>(from: D) -> std::result::Result<Option<u64>, D::Error> {
+    u64::deserialize(from).map(Some)
 }
 
 #[derive(Deserialize)]
@@ -178,18 +195,24 @@
 /// Reads the row of a BackendServer.
 ///
 /// # Errors
-/// When the document can't be read.
+/// When the document can't be read, or tells what no server tells of itself.
 pub fn read_server(row: &Row) -> Result<BackendServer> {
     let doc: ServerDoc = parse(row)?;
-    let address = doc.address.parse().map_err(|e| unreadable(row, &e))?;
+    if doc.address.ip().is_unspecified()
+        || doc.address.ip().is_multicast()
+        || doc.address.port() == 0
+    {
+        return Err(unreadable(row, &"nobody can listen at its address"));
+    }
     Ok(BackendServer {
         id: row.key.clone(),
+        born: doc.born,
         service: doc.service,
-        address,
+        address: doc.address,
         zone: doc.zone,
         version: doc.version,
-        slots: doc.slots.max(1),
-        is_leaving: &*doc.state == LEAVING,
+        slots: doc.slots.get(),
+        is_leaving: doc.state == StateDoc::Draining,
         models: doc.models.into_iter().map(|model| model.name).collect(),
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -51,7 +51,7 @@
     pub table: Table,
     /// Its key.
     pub key: Box<str>,
-    /// Its document; empty when it is gone.
+    /// Its document; empty when it is gone or its bytes can't be decoded, and then nothing reads it.
     #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
     /// Transaction that last wrote it.
@@ -107,8 +107,9 @@
 struct RowDoc {
     table: Table,
     key: Box<str>,
+    /// Text, but for what another writer left there.
     #[serde(default)]
-    value: Option<Box<str>>,
+    value: serde_json::Value,
     #[serde(default)]
     ver: Revision,
     #[serde(default)]
@@ -188,7 +189,7 @@
                 all.now = Duration::from_secs_f64(doc.now_ms / 1e3);
             }
             let more = doc.truncated;
-            all.rows.extend(doc.rows.into_iter().map(read_row).collect::<Result<Vec<_>>>()?);
+            all.rows.extend(doc.rows.into_iter().map(read_row));
             let Some(last) = all.rows.last().filter(|_| more) else {
                 return Ok(all);
             };
@@ -210,7 +211,7 @@
             return Ok(Feed::HistoryGone);
         }
         let doc = read_rows(&path, &reply)?;
-        let rows = doc.rows.into_iter().map(read_row).collect::<Result<Vec<_>>>()?;
+        let rows = doc.rows.into_iter().map(read_row).collect();
         let now = Duration::from_secs_f64(doc.now_ms / 1e3);
         Ok(Feed::Changes(Rows { rows, version: doc.ver.max(after), now }))
     }
@@ -248,7 +249,7 @@
         let reply = self.http.call(Method::POST, &uri, headers, body.into(), CALL_TIMEOUT).await?;
         if reply.status == StatusCode::PRECONDITION_FAILED {
             let doc: RowsDoc = parse("rows-tx", &reply)?;
-            let rows = doc.rows.into_iter().map(read_row).collect::<Result<Vec<_>>>()?;
+            let rows = doc.rows.into_iter().map(read_row).collect();
             return Ok(WriteOutcome::Conflict(rows));
         }
         Ok(WriteOutcome::Written(read_rows("rows-tx", &reply)?.ver))
@@ -270,10 +271,9 @@
         .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))
 }
 
-fn read_row(doc: RowDoc) -> Result<Row> {
-    let value = doc.value.unwrap_or_default();
-    let value = STANDARD
-        .decode(value.as_bytes())
-        .map_err(|e| Error::Unreadable(format!("row {}: {e}", doc.key).into()))?;
-    Ok(Row { table: doc.table, key: doc.key, value, version: doc.ver, is_removed: doc.removed })
+/// Reads a row. One whose bytes can't be decoded has an empty document: whoever reads that document finds
+/// it unreadable and says so, and the table's other rows hold.
+fn read_row(doc: RowDoc) -> Row {
+    let value = doc.value.as_str().and_then(|text| STANDARD.decode(text).ok()).unwrap_or_default();
+    Row { table: doc.table, key: doc.key, value, version: doc.ver, is_removed: doc.removed }
 }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -281,8 +281,10 @@
 }
 
 fn publish(router: &Router, listing: &Listing) {
-    let next = router.fleet.load().with(listing.servers.values().cloned(), router.now());
-    event::SERVERS_CHANGED.log(format_args!("servers={}", next.len()));
+    let next = router.fleet.load().with(listing.usable().cloned(), router.now());
+    let unreadable = listing.unreadable();
+    event::SERVERS_CHANGED.log(format_args!("servers={} unreadable={unreadable}", next.len()));
+    router.metrics.rows_unreadable.set(i64::try_from(unreadable).unwrap_or(i64::MAX));
     router.put_fleet(next);
     note_versions(router);
 }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -7,6 +7,8 @@
 };
 
 use serde_json::{Value, json};
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     policy::{
@@ -18,6 +20,7 @@
     },
     router::connection::IdleConnection,
     routing::{BackendServer, ServerVersion},
+    telemetry::event,
 };
 
 /// Rules by which a server is passed over. Out after two failures in a row: one lost answer is
@@ -58,24 +61,46 @@
     pub server: BackendServer,
     id_hash: u64,
     waits_until: Duration,
-    record: Arc<Mutex<Record>>,
+    life: Arc<Life>,
+}
+
+/// One life of a server, whatever is listed of it meanwhile.
+#[derive(Debug, Default)]
+struct Life {
+    record: Mutex<Record>,
+    /// Turns true when the server has started again.
+    has_ended: watch::Sender<bool>,
 }
 
 impl Member {
     /// A server seen for the first time, which gets nothing until then if others can serve.
     pub fn new(server: BackendServer, waits_until: Duration) -> Self {
         let id_hash = hash_id(&server.id);
-        Self { server, id_hash, waits_until, record: Arc::default() }
+        Self { server, id_hash, waits_until, life: Arc::default() }
     }
 
     /// The same life of the server with a newer listing.
     fn renewed(&self, server: BackendServer) -> Self {
         let (id_hash, waits_until) = (self.id_hash, self.waits_until);
-        Self { server, id_hash, waits_until, record: self.record.clone() }
+        Self { server, id_hash, waits_until, life: self.life.clone() }
     }
 
     pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
-        self.record.lock().expect("no panics under the lock")
+        self.life.record.lock().expect("no panics under the lock")
+    }
+
+    /// Waits until the server has started again: what it ran is lost, though its connections may never
+    /// say so, and a caller would wait for that until its deadline.
+    pub(crate) async fn until_ended(&self) {
+        let mut has_ended = self.life.has_ended.subscribe();
+        if has_ended.wait_for(|ended| *ended).await.is_err() {
+            // Without a sender nobody can tell any more.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    fn end(&self) {
+        self.life.has_ended.send_replace(true);
     }
 
     /// Notes an answer that shows the server as sound.
@@ -116,10 +141,14 @@
         record.backlog + record.load.others_backlog_for_choice(now)
     }
 
-    /// Hash of the server's id, cut to four bytes for the messages between entries: rarely two
-    /// servers share it, and then both are believed to have what either has.
+    /// Hash of the server's life, cut to four bytes for the messages between entries: rarely two
+    /// servers share it, and then both are believed to have what either has. What entries tell of a
+    /// former life finds no server.
     pub(crate) fn short_hash(&self) -> u32 {
-        self.id_hash as u32
+        match self.server.born {
+            Some(born) => xxh3_64_with_seed(&born.to_le_bytes(), self.id_hash) as u32,
+            None => self.id_hash as u32,
+        }
     }
 
     /// When anything last came from it.
@@ -179,8 +208,13 @@
         for server in servers {
             let member = match self.members.get(&server.id) {
                 Some(known) if known.server == server => known.clone(),
-                Some(known) => Arc::new(known.renewed(server)),
-                None => {
+                Some(known) if known.server.born == server.born => Arc::new(known.renewed(server)),
+                known => {
+                    if let Some(known) = known {
+                        known.end();
+                        event::SERVER_REBORN
+                            .log(format_args!("server={} born={:?}", server.id, server.born));
+                    }
                     let waits_until = next.note_version(self, &server, now);
                     Arc::new(Member::new(server, waits_until))
                 }
--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use crate::{
+    ids::Revision,
     platform::{
         documents::read_server,
         store::{Row, Rows},
@@ -17,6 +18,8 @@
     pub(crate) servers: HashMap<Box<str>, BackendServer>,
     /// Servers that may come back until this time.
     missing: HashMap<Box<str>, Duration>,
+    /// Rows that could not be read, by key, at this revision: each is told of once.
+    unreadable: HashMap<Box<str>, Revision>,
 }
 
 impl Listing {
@@ -24,8 +27,9 @@
     pub(crate) fn apply(&mut self, rows: &Rows, is_whole: bool, doubtful_until: Option<Duration>) {
         if is_whole {
             let listed: Vec<&str> = rows.rows.iter().map(|row| &*row.key).collect();
+            let known = self.servers.keys().chain(self.unreadable.keys());
             let gone: Vec<Box<str>> =
-                self.servers.keys().filter(|id| !listed.contains(&&***id)).cloned().collect();
+                known.filter(|id| !listed.contains(&&***id)).cloned().collect();
             for id in gone {
                 self.remove(&id, doubtful_until);
             }
@@ -40,16 +44,50 @@
     }
 
     fn put(&mut self, row: &Row) {
+        let known = self.servers.get(&row.key).and_then(|server| server.born);
         match read_server(row) {
+            Ok(server) if known.is_some() && server.born.is_none() => {
+                self.pass_over(row, "it does not tell its start, as it did before");
+            }
+            // What a former life said, and what reached the store after the present one's first word.
+            Ok(server) if server.born < known => {
+                event::FORMER_LIFE_SHOWN.log(format_args!(
+                    "server={} shown={:?} known={known:?}",
+                    row.key, server.born
+                ));
+            }
             Ok(server) => {
                 self.missing.remove(&server.id);
+                self.unreadable.remove(&server.id);
                 self.servers.insert(server.id.clone(), server);
             }
-            Err(e) => event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\"")),
+            Err(e) => self.pass_over(row, &e.to_string()),
+        }
+    }
+
+    /// Takes a row as one of another writer: its server is not used until it can be read again.
+    fn pass_over(&mut self, row: &Row, cause: &str) {
+        self.missing.remove(&row.key);
+        self.servers.remove(&row.key);
+        if self.unreadable.insert(row.key.clone(), row.version) != Some(row.version) {
+            event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{cause}\""));
         }
     }
 
+    /// Servers that may be used. Where most tell their start, all do: a row without it has another writer.
+    pub(crate) fn usable(&self) -> impl Iterator<Item = &BackendServer> {
+        let tell = self.servers.values().filter(|server| server.born.is_some()).count();
+        let is_told = tell * 2 > self.servers.len();
+        self.servers.values().filter(move |server| !is_told || server.born.is_some())
+    }
+
+    /// Rows that can't be read.
+    pub(crate) fn unreadable(&self) -> usize {
+        self.unreadable.len()
+    }
+
     fn remove(&mut self, id: &str, doubtful_until: Option<Duration>) {
+        self.unreadable.remove(id);
         let is_leaving = self.servers.get(id).is_none_or(|server| server.is_leaving);
         match doubtful_until {
             Some(until) if !is_leaving => {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -4,10 +4,7 @@
 
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
-};
+use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     policy::{
@@ -64,14 +61,15 @@
     loop {
         let answer = next_answer(router, job, Ask::default()).await?;
         let (deadline, server) = (job.deadline, answer.member.clone());
-        let read = timeout_at(deadline, read_whole(router, answer)).await;
+        let read = pin!(read_whole(router, answer));
+        let read = bear(router, &server, None, deadline, read, || false).await;
         match read {
-            Ok(Ok(res)) => return Ok(res),
-            Ok(Err(())) => job.note_lost(),
-            Err(_) => {
+            Some(Ok(res)) => return Ok(res),
+            Some(Err(())) => job.note_lost(),
+            // At the deadline, or when the server has started again: then it may be tried elsewhere.
+            None => {
                 job.note_lost();
                 router.roll_outs.note_silence(&server.server, router.now());
-                return Err(Refusal::TimedOut);
             }
         }
     }
--- a/src/router/silence.rs
+++ b/src/router/silence.rs
@@ -12,11 +12,27 @@
 /// Time between looks at whether a slow server still answers others.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// Waits for `work`; gives up at the deadline, when the patience with a slow server is over, or
-/// when the server has been silent on all its connections for longer than a sound one is. A server
-/// is left only if `may_leave` says that the request can go on elsewhere: a slow answer is better
-/// than none.
+/// Waits for `work`; gives up at the deadline, when the server's life has ended, when the patience with
+/// a slow server is over, or when the server has been silent on all its connections for longer than a
+/// sound one is. A server that lives is left only if `may_leave` says that the request can go on
+/// elsewhere: a slow answer is better than none.
 pub(crate) async fn bear<F: Future>(
+    router: &Router,
+    member: &Member,
+    patience: Option<Patience>,
+    deadline: Instant,
+    work: Pin<&mut F>,
+    may_leave: impl FnMut() -> bool,
+) -> Option<F::Output> {
+    tokio::select! {
+        // What has come is taken, also from a life that has ended since.
+        biased;
+        output = bear_living(router, member, patience, deadline, work, may_leave) => output,
+        () = member.until_ended() => None,
+    }
+}
+
+async fn bear_living<F: Future>(
     router: &Router,
     member: &Member,
     patience: Option<Patience>,
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -2,14 +2,19 @@
 
 use std::net::SocketAddr;
 
+/// Start of a server's life, milliseconds since the Unix epoch by the server's own clock.
+pub type BornAt = u64;
+
 /// Version of the software or weights a server runs.
 pub type ServerVersion = Box<str>;
 
-/// One life of a BackendServer; a restart is a new one with a new id.
+/// One life of a BackendServer; a restart is a new one, with a new id or a later start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackendServer {
-    /// Id of this life, which requests name so that no other server runs them.
+    /// Id, which requests name so that no other server runs them.
     pub id: Box<str>,
+    /// When this life began; none where the platform does not tell.
+    pub born: Option<BornAt>,
     /// Service it belongs to.
     pub service: Box<str>,
     /// Where it takes requests.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -8,7 +8,7 @@
 mod table;
 
 pub use answer::{AnswerHead, AnswerKind};
-pub use backend_server::{BackendServer, ServerVersion};
+pub use backend_server::{BackendServer, BornAt, ServerVersion};
 pub use request::{PromptPart, Request, RequestHead};
 pub use roll_out::{Progress, RollOutOrder, RollOutStatus};
 pub use table::{CallerLimits, Organisation, Route, RouteKind, RoutingTable, Target};
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -62,6 +62,8 @@
     CONFIG_CHANGED = 302, Info, "An operator's or a leased job's change was accepted.";
     DOCUMENT_UNREADABLE = 303, Error, "A document in the store can't be read; it is passed over.";
     SERVERS_CHANGED = 304, Info, "The list of BackendServers changed.";
+    FORMER_LIFE_SHOWN = 305, Warn, "A BackendServer's row tells of a life before the one in view; it is passed over.";
+    SERVER_REBORN = 306, Info, "A BackendServer started again under its id; what was known of it is forgotten.";
     STORE_UNREACHABLE = 400, Warn, "The table or object service gives no answer; what depends on it waits or is refused.";
     STORE_BACK = 401, Info, "The table or object service answers again.";
     CLAIM_LOST_REPLY = 402, Info, "The reply to a claim was lost and is settled by reading back.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -92,6 +92,8 @@
     pub log_lines_dropped: Gauge,
     /// Age of what the store last said, milliseconds.
     pub feed_age: Gauge,
+    /// Rows of BackendServers that can't be read now.
+    pub rows_unreadable: Gauge,
     /// Entries that this one knows of.
     pub entries: Gauge,
     /// Repeated sends still allowed, by service.
@@ -131,6 +133,7 @@
             stages: Family::default(),
             log_lines_dropped: Gauge::default(),
             feed_age: Gauge::default(),
+            rows_unreadable: Gauge::default(),
             entries: Gauge::default(),
             repeats_left: Family::default(),
             repeats: Family::default(),
@@ -163,6 +166,8 @@
         let dropped = self.log_lines_dropped.clone();
         registry.register("log_lines_dropped", "Log lines dropped", dropped);
         registry.register("feed_age_ms", "Age of the store's last word", self.feed_age.clone());
+        let unreadable = self.rows_unreadable.clone();
+        registry.register("rows_unreadable", "Rows of servers that can't be read", unreadable);
         registry.register("entries", "Entries known of", self.entries.clone());
         let left = self.repeats_left.clone();
         registry.register("repeats_left", "Repeated sends still allowed", left);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,9 +1,11 @@
 //! An entry on the users' platform, against small stand-ins of its store and its servers.
 
 mod adapter;
+mod lives;
 mod peers;
 mod requests;
 mod roll_outs;
+mod rows;
 mod server;
 mod sessions;
 mod site;
--- /dev/null
+++ b/tests/platform/rows.rs
@@ -0,0 +1,164 @@
+//! Rows in the list of servers that no server wrote: each names no server, and all others hold.
+
+use mintmoor::platform::{
+    documents::read_server,
+    store::{Row, Table},
+};
+use proptest::{prelude::*, sample::select};
+use serde_json::{Value, json};
+
+use crate::{
+    server::{Act, Server},
+    site::{Site, always, configuration, list, list_life, server_row, until},
+    store::Store,
+};
+
+const GOOD: Act = Act::Answer { status: 200, body: "good" };
+/// What a server tells of itself, each time it writes.
+const FIELDS: [&str; 8] =
+    ["service", "address", "zone", "version", "slots", "state", "cold-remaining-ms", "sequence"];
+
+/// A whole row of a server that tells its start and its models.
+fn whole_row() -> Value {
+    let mut row = server_row("127.0.0.1:9".parse().unwrap(), "llm", "v1", "ready");
+    row["born"] = json!(1_764_720_000_000_u64);
+    row["models"] = json!([{"name": "small", "version": 1, "adapters": []}]);
+    row
+}
+
+fn read(document: &Value) -> mintmoor::platform::Result<mintmoor::routing::BackendServer> {
+    let value = serde_json::to_vec(document).unwrap();
+    let key = "i-1".into();
+    read_server(&Row { table: Table::Servers, key, value, version: 1, is_removed: false })
+}
+
+/// Documents that no server writes, with what is wrong about each.
+fn foreign_documents(server: &Server) -> Vec<(&'static str, Value)> {
+    let good = server_row(server.address, "app", "v1", "ready");
+    let with = |field: &str, value: Value| {
+        let mut row = good.clone();
+        row[field] = value;
+        row
+    };
+    let mut without_state = good.clone();
+    without_state.as_object_mut().unwrap().remove("state");
+    vec![
+        ("a missing field", without_state),
+        ("a field of another type", with("slots", json!("8"))),
+        ("no slots", with("slots", json!(0))),
+        ("an unknown state", with("state", json!("resting"))),
+        ("a start that is no number", with("born", json!("today"))),
+        ("a wrong address", with("address", json!("nowhere:x"))),
+        ("an address where nobody listens", with("address", json!("0.0.0.0:0"))),
+        ("no object", json!([1, 2])),
+    ]
+}
+
+fn servers(site: &Site) -> usize {
+    site.entry.router.fleet.load().len()
+}
+
+#[test]
+fn a_whole_row_is_read() {
+    let server = read(&whole_row()).unwrap();
+
+    assert_eq!((&*server.service, server.slots, server.is_leaving), ("llm", 8, false));
+    assert_eq!(server.born, Some(1_764_720_000_000));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn a_row_without_a_field_names_no_server(field in select(&FIELDS[..])) {
+        let mut row = whole_row();
+        row.as_object_mut().unwrap().remove(field);
+        prop_assert!(read(&row).is_err());
+    }
+
+    #[test]
+    fn a_row_with_a_field_of_another_type_names_no_server(
+        field in select([&FIELDS[..], &["born", "models"]].concat()), kind in 0usize..4, text in "[a-z]{0,8}",
+    ) {
+        let other = [json!(null), json!(true), json!({"a": 1}), json!([text])];
+        let mut row = whole_row();
+        row[field] = other[kind].clone();
+        prop_assert!(read(&row).is_err(), "{row}");
+    }
+
+    #[test]
+    fn any_bytes_are_a_server_or_an_error(value in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let key = "i-1".into();
+        let _ = read_server(&Row { table: Table::Servers, key, value, version: 1, is_removed: false });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_foreign_row_takes_its_server_out_and_leaves_the_others() {
+    let (stays, spoiled) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let site = Site::start(&[(&stays, "app", "v1"), (&spoiled, "app", "v1")]).await;
+
+    for (what, document) in foreign_documents(&spoiled) {
+        site.store.put("servers", "i-2", &document);
+        until(what, || servers(&site) == 1).await;
+        assert_eq!(site.ask("GET", "/safe/a", "").await.status, 200, "{what}");
+
+        list(&site.store, &spoiled, "app", "v1", "ready");
+        until("it can be read again", || servers(&site) == 2).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_can_not_be_decoded_stop_neither_a_whole_read_nor_a_feed() {
+    let (stays, spoiled) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1));
+    list(&store, &stays, "app", "v1", "ready");
+    store.put_spoiled("servers", "i-2", &json!("%%%"));
+    store.put_spoiled("servers", "i-3", &json!({"no": "text"}));
+
+    let site = Site::beside(store).await;
+
+    site.until_in_view(1).await;
+    list(&site.store, &spoiled, "app", "v1", "ready");
+    until("the feed goes on", || servers(&site) == 2).await;
+    site.store.put_spoiled("servers", "i-2", &json!("%%%"));
+    until("it is taken out again", || servers(&site) == 1).await;
+    assert!(site.entry.router.metrics.render().contains("mintmoor_rows_unreadable 2"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_foreign_row_names_no_server_to_an_entry_that_follows_another() {
+    let (stays, spoiled) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1));
+    let first = Site::seed(store.clone(), None).await;
+    let second = Site::following(store.clone(), &first).await;
+    list(&store, &stays, "app", "v1", "ready");
+    list(&store, &spoiled, "app", "v1", "ready");
+    until("both are in view", || servers(&second) == 2).await;
+
+    store.put_spoiled("servers", "i-2", &json!("%%%"));
+
+    until("the readable one is left", || servers(&second) == 1).await;
+    assert_eq!(second.ask("GET", "/safe/a", "").await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_row_that_does_not_tell_its_start_is_foreign_where_the_others_do() {
+    let (stays, spoiled, foreign) =
+        (always("i-1", GOOD).await, always("i-2", GOOD).await, always("i-3", GOOD).await);
+    let also = always("i-4", GOOD).await;
+    let site = Site::start(&[]).await;
+    for server in [&stays, &spoiled, &also] {
+        list_life(&site.store, server, "app", 1_000);
+    }
+    until("all are in view", || servers(&site) == 3).await;
+
+    list(&site.store, &foreign, "app", "v1", "ready");
+    list(&site.store, &spoiled, "app", "v1", "ready");
+
+    until("the two that tell their start are left", || servers(&site) == 2).await;
+    let fleet = site.entry.router.fleet.load();
+    assert!(fleet.of_service("app").iter().all(|member| member.server.born == Some(1_000)));
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -180,16 +180,24 @@
     )
 }
 
+/// The row of a server, with all that servers tell of themselves.
+pub fn server_row(address: SocketAddr, service: &str, version: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": address.to_string(), "zone": "zone-a", "version": version,
+        "slots": 8, "state": state, "sequence": 1, "cold-remaining-ms": 0,
+    })
+}
+
 /// Lists a server in the store.
 pub fn list(store: &Store, server: &Server, service: &str, version: &str, state: &str) {
-    store.put(
-        "servers",
-        &server.id,
-        &json!({
-            "service": service, "address": server.address.to_string(), "zone": "zone-a",
-            "version": version, "slots": 8, "state": state, "sequence": 1, "cold-remaining-ms": 0,
-        }),
-    );
+    store.put("servers", &server.id, &server_row(server.address, service, version, state));
+}
+
+/// Lists a server that tells its start.
+pub fn list_life(store: &Store, server: &Server, service: &str, born: u64) {
+    let mut row = server_row(server.address, service, "v1", "ready");
+    row["born"] = json!(born);
+    store.put("servers", &server.id, &row);
 }
 
 /// An answer as the caller got it.
--- a/tests/platform/state.rs
+++ b/tests/platform/state.rs
@@ -1,13 +1,18 @@
 //! Configuration and servers: what is in force when the store changes, fails or forgets.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
 use serde_json::json;
 
 use crate::{
     server::Act,
-    site::{Site, always, configuration, list, until},
+    site::{Site, always, configuration, list, server_row, until},
     store::{Fault, Store},
 };
 
+/// Where nobody listens.
+const ANYWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 const GOOD: Act = Act::Answer { status: 200, body: "good" };
 
 #[tokio::test(flavor = "multi_thread")]
@@ -65,7 +70,7 @@
     older["routes"] = json!([]);
 
     site.store.put("op", "config", &older);
-    site.store.put("servers", "i-2", &json!({"service": "app", "address": "127.0.0.1:1"}));
+    site.store.put("servers", "i-2", &server_row(ANYWHERE, "app", "v1", "ready"));
     until("the feed went on", || site.entry.router.fleet.load().len() == 2).await;
 
     assert_eq!(version(&site), 9);
@@ -147,8 +152,7 @@
     store.set_page(2);
     store.put("op", "config", &configuration(1));
     for i in 0..7 {
-        let address = format!("127.0.0.1:{}", 1000 + i);
-        store.put("servers", &format!("i-{i}"), &json!({"service": "app", "address": address}));
+        store.put("servers", &format!("i-{i}"), &server_row(ANYWHERE, "app", "v1", "ready"));
     }
 
     let site = Site::beside(store).await;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -31,9 +31,26 @@
     RepliesLost,
 }
 
+/// What a row holds.
+#[derive(Clone)]
+enum Document {
+    Bytes(Vec<u8>),
+    /// Something that is no encoded text, as the answer shows it.
+    Spoiled(Value),
+}
+
+impl Document {
+    fn shown(&self) -> Value {
+        match self {
+            Document::Bytes(bytes) => STANDARD.encode(bytes).into(),
+            Document::Spoiled(value) => value.clone(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct Rows {
-    rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    rows: BTreeMap<(String, String), (Document, u64)>,
     /// Every change, oldest first: version, table, key, and whether it removed the row.
     changes: Vec<(u64, String, String, bool)>,
     version: u64,
@@ -74,11 +91,19 @@
     }
 
     pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_document(table, key, Document::Bytes(serde_json::to_vec(value).unwrap()));
+    }
+
+    /// Puts a row whose document is shown as it is given, instead of as encoded text.
+    pub fn put_spoiled(&self, table: &str, key: &str, shown: &Value) {
+        self.put_document(table, key, Document::Spoiled(shown.clone()));
+    }
+
+    fn put_document(&self, table: &str, key: &str, document: Document) {
         let mut rows = self.rows.lock().unwrap();
         rows.version += 1;
         let version = rows.version;
-        let bytes = serde_json::to_vec(value).unwrap();
-        rows.rows.insert((table.into(), key.into()), (bytes, version));
+        rows.rows.insert((table.into(), key.into()), (document, version));
         rows.changes.push((version, table.into(), key.into(), false));
         self.changed.notify_waiters();
     }
@@ -94,7 +119,9 @@
 
     pub fn read(&self, table: &str, key: &str) -> Option<Value> {
         let rows = self.rows.lock().unwrap();
-        let (bytes, _) = rows.rows.get(&(table.into(), key.into()))?;
+        let (Document::Bytes(bytes), _) = rows.rows.get(&(table.into(), key.into()))? else {
+            return None;
+        };
         serde_json::from_slice(bytes).ok()
     }
 
@@ -133,8 +160,8 @@
     }
 }
 
-fn row_doc(table: &str, key: &str, value: &[u8], version: u64) -> Value {
-    json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value), "ver": version})
+fn row_doc(table: &str, key: &str, document: &Document, version: u64) -> Value {
+    json!({"table": table, "part": "", "key": key, "value": document.shown(), "ver": version})
 }
 
 async fn read(State(store): State<Store>, Query(params): Params) -> Response {
