An earlier stage's answer is kept until the larger model has begun

Cause: an answer below the threshold was dropped before the larger model was asked.

Change: the answer stays open until the larger model's has begun and is passed on if that takes longer than two objectives from the arrival or half of the time left (policy/escalation.rs, time_to_begin). The server's work on it ends as soon as the larger answer begins. Counted as outcome kept of mintmoor_stages, told by event 509.

Not measured yet on the deployments.

--- a/src/policy/escalation.rs
+++ b/src/policy/escalation.rs
@@ -50,6 +50,13 @@
 /// Least time that must be left for the largest model; below it any answer beats none.
 const LEAST_TIME: Duration = Duration::from_secs(1);
 
+/// Part of the time left in which the larger model has to begin; the rest is for its events, which take
+/// it about as long as reading the prompt.
+const BEGIN_PART: f64 = 0.5;
+/// Objectives after a request's arrival by which the larger model has to begin: up to there a better
+/// answer is worth the wait, and readers of a stream leave after about four.
+const BEGIN_OBJECTIVES: f64 = 2.0;
+
 /// What is known when an answer's head is here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StageAnswer {
@@ -83,6 +90,13 @@
     (answer.stage < largest && confidence < threshold(answer, terms) && may).then_some(largest)
 }
 
+/// How long the larger model may take to begin while this answer is kept in hand. Without an end to
+/// that wait, a caller whose deadline passes meanwhile gets nothing though an answer was there.
+pub fn time_to_begin(answer: &StageAnswer) -> Duration {
+    let by_objective = answer.objective.mul_f64(BEGIN_OBJECTIVES).saturating_sub(answer.elapsed);
+    by_objective.min(answer.time_left.mul_f64(BEGIN_PART))
+}
+
 /// Confidence from which the answer is passed on.
 pub fn threshold(answer: &StageAnswer, terms: &EscalationTerms) -> f64 {
     let objective = answer.objective.as_secs_f64().max(1e-3);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -40,6 +40,8 @@
     pub(crate) organisation: Option<Arc<Organisation>>,
     /// When the caller or the route gives up.
     pub(crate) deadline: Instant,
+    /// When the next answer has to begin, while an earlier stage's answer is in hand.
+    pub(crate) begin_by: Option<Instant>,
     /// When it arrived.
     pub(crate) arrived: Instant,
     /// Counts it as in flight, also while its stream is passed on.
@@ -70,6 +72,7 @@
             service,
             organisation,
             deadline,
+            begin_by: None,
             arrived: Instant::now(),
             _in_flight: in_flight,
             attempts,
@@ -89,6 +92,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// When servers are waited for no longer.
+    fn wait_ends(&self) -> Instant {
+        self.begin_by.unwrap_or(self.deadline)
+    }
+
     /// Takes a repeated send from the budget, unless one is in hand; false when there is none.
     fn take_repeat(&mut self, router: &Router) -> bool {
         self.has_repeat = self.has_repeat || router.try_repeat(&self.service);
@@ -169,7 +177,7 @@
         && job.runs_left() > 0
         && job.arrivals < MOST_ARRIVALS
         && job.attempts.len() < MOST_TRIES
-        && job.time_left() > LEAST_TIME;
+        && Instant::now() + LEAST_TIME < job.wait_ends();
     if !may {
         return None;
     }
@@ -218,7 +226,7 @@
         kept_marks,
         unread_tokens,
         patience: may_go_elsewhere.then_some(patience),
-        deadline: job.deadline,
+        deadline: job.wait_ends(),
     };
     let mut has_repeat = false;
     let may_leave = || {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     policy::{
-        escalation::{StageAnswer, escalate},
+        escalation::{StageAnswer, escalate, time_to_begin},
         patience::{Patience, event_patience},
         reading::ReadingBelief,
     },
@@ -75,17 +75,26 @@
     }
 }
 
-/// The first answer of a cascade that is good enough, and the model that gave it.
+/// The first answer of a cascade that is good enough, and the model that gave it. An earlier stage's
+/// answer is kept until the larger model has begun, and passed on where that does not come in time.
 async fn first_stage_answer(
     router: &Arc<Router>,
     job: &mut Job,
 ) -> Result<(OpenAnswer, Option<Box<str>>), Refusal> {
     let cascade = job.route.cascade.clone();
     let mut stage = 0;
+    let mut in_hand: Option<(OpenAnswer, Option<Box<str>>)> = None;
     loop {
         let model = cascade.get(stage).filter(|_| job.req.head.model.is_none()).cloned();
         let ask = Ask { model: model.as_deref(), last_event: job.req.head.last_event };
-        let answer = next_answer(router, job, ask).await?;
+        let next = next_answer(router, job, ask).await;
+        job.begin_by = None;
+        let has_begun = matches!(&next, Ok(answer) if answer.head.kind == AnswerKind::Success);
+        if let Some((answer, model)) = in_hand.take().filter(|_| !has_begun) {
+            note_kept(router, job, &answer, model.as_deref());
+            return Ok((answer, model));
+        }
+        let answer = next?;
         let largest_ask = Ask { model: cascade.last().map(|model| &**model), ..ask };
         let largest = estimate(router, job, largest_ask);
         let stage_answer = StageAnswer {
@@ -106,10 +115,27 @@
             return Ok((answer, model));
         };
         router.count_stage(model.as_deref().unwrap_or("-"), "escalated");
+        job.begin_by = Some(Instant::now() + time_to_begin(&stage_answer));
+        in_hand = Some((answer, model));
         stage = next;
     }
 }
 
+/// Tells of an answer that is passed on because the larger model gave none in time.
+fn note_kept(router: &Router, job: &Job, answer: &OpenAnswer, model: Option<&str>) {
+    let model = model.unwrap_or("-");
+    router.count_stage(model, "kept");
+    event::EARLIER_ANSWER_KEPT.log(format_args!(
+        "request={} route={} server={} model={model} confidence={:?} runs={} after_ms={}",
+        job.req.head.id,
+        job.route.name,
+        answer.member.server.id,
+        answer.head.confidence,
+        job.runs,
+        job.arrived.elapsed().as_millis()
+    ));
+}
+
 fn head_of(head: &AnswerHead) -> Response<AnswerBody> {
     let mut res = Response::new(AnswerBody::whole(""));
     *res.status_mut() = head.status;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -76,6 +76,7 @@
     STREAM_BROKEN = 506, Warn, "A server's stream broke off; it is resumed elsewhere where the route allows it.";
     REQUEST_REFUSED = 507, Info, "A request got an answer of this system instead of a server's.";
     STREAM_LATE = 508, Info, "A stream came whole, but its first event or a pause was later than its route aims at.";
+    EARLIER_ANSWER_KEPT = 509, Info, "The larger model of a cascade gave no answer in time; the earlier stage's was passed on.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; it takes no new sessions here.";
     ROLL_OUT_MOVED = 601, Info, "The guard wrote a roll-out's next step.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write met a newer one by someone else and was dropped.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -43,7 +43,7 @@
 pub struct StageLabels {
     /// Model.
     pub model: String,
-    /// `passed` or `escalated`.
+    /// `passed`, `escalated` or `kept`.
     pub outcome: String,
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use mintmoor::{
     policy::{
-        escalation::{EscalationTerms, StageAnswer, escalate, threshold},
+        escalation::{EscalationTerms, StageAnswer, escalate, threshold, time_to_begin},
         exposure::{ExposureTerms, request_share_at, session_share_at, takes_new},
         failure_rate::FailureRate,
         kept::{KeptParts, PromptMark, shared_marks},
@@ -337,6 +337,17 @@
     assert_eq!(escalate(&StageAnswer { confidence: None, ..answer(20) }, &terms), None);
 }
 
+#[test]
+fn a_larger_model_is_waited_for_until_two_objectives_or_half_of_the_time_left() {
+    let patient = StageAnswer { time_left: 20_000 * MS, elapsed: 100 * MS, ..answer(20) };
+    let hurried = StageAnswer { time_left: 3_000 * MS, ..patient };
+    let late = StageAnswer { elapsed: 5_000 * MS, ..patient };
+
+    assert_eq!(time_to_begin(&patient), 3_900 * MS);
+    assert_eq!(time_to_begin(&hurried), 1_500 * MS);
+    assert_eq!(time_to_begin(&late), Duration::ZERO);
+}
+
 #[test]
 fn the_threshold_falls_with_the_wait_and_least_for_the_most_urgent() {
     let terms = EscalationTerms::default();
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -61,12 +61,19 @@
     Paced { to: u64, pause: Duration },
     /// Events without an end, each after a pause.
     Endless,
+    /// The same from a model that has this opinion of them.
+    Trickle { confidence: u8 },
     /// An answer without a length that ends with its connection.
     Unframed,
     /// A whole answer, and a second one after it.
     Twice,
 }
 
+/// Opinion of an answer that is asked again of no larger model.
+const SURE: u8 = 90;
+/// Pause of a stream without an end.
+const OFTEN: Duration = Duration::from_millis(10);
+
 type Script = Arc<dyn Fn(&Seen) -> Act + Send + Sync>;
 
 /// The stand-in.
@@ -185,9 +192,10 @@
         Act::Stream { to, is_whole, confidence } => {
             return send_events(stream, seen, &signed, to, is_whole, confidence).await;
         }
-        Act::Paced { to, pause } => return send_paced(stream, &signed, to, pause).await,
-        Act::Endless => {
-            return send_paced(stream, &signed, u64::MAX, Duration::from_millis(10)).await;
+        Act::Paced { to, pause } => return send_paced(stream, &signed, to, pause, SURE).await,
+        Act::Endless => return send_paced(stream, &signed, u64::MAX, OFTEN, SURE).await,
+        Act::Trickle { confidence } => {
+            return send_paced(stream, &signed, u64::MAX, OFTEN, confidence).await;
         }
     };
     stream.write_all(bytes.as_bytes()).await.is_ok() && goes_on
@@ -217,9 +225,15 @@
     stream.write_all(out.as_bytes()).await.is_ok() && is_whole
 }
 
-async fn send_paced(stream: &mut TcpStream, signed: &str, to: u64, pause: Duration) -> bool {
+async fn send_paced(
+    stream: &mut TcpStream,
+    signed: &str,
+    to: u64,
+    pause: Duration,
+    confidence: u8,
+) -> bool {
     let head = format!(
-        "HTTP/1.1 200 X\r\n{signed}X-Confidence: 90\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 X\r\n{signed}X-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -113,6 +113,48 @@
     assert_eq!(models, ["small", "large"]);
 }
 
+/// A server whose small model is unsure; the large one does this.
+async fn unsure_then(large: Act) -> Server {
+    Server::start("i-1", move |seen: &Seen| match seen.header("x-model") {
+        "small" => Act::Stream { to: 4, is_whole: true, confidence: 10 },
+        _ => large.clone(),
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_in_hand_reaches_its_caller_when_the_largest_model_gives_none() {
+    let nothing = [Act::Hang, Act::Shed, Act::Close, Act::Answer { status: 500, body: "no" }];
+    for large in nothing {
+        let server = unsure_then(large.clone()).await;
+        let site = site_of(&[&server]).await;
+
+        let answer = site.ask("POST", "/chat/a", prompt()).await;
+
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{large:?}");
+        assert_eq!(answer.body, events(4), "{large:?}");
+        let kept = "outcome=\"kept\"} 1";
+        assert!(site.entry.router.metrics.render().contains(kept), "{large:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_servers_work_on_an_answer_in_hand_ends_when_the_larger_model_has_begun() {
+    let server = Server::start("i-1", |seen: &Seen| match seen.header("x-model") {
+        "small" => Act::Trickle { confidence: 10 },
+        _ => Act::Paced { to: 8, pause: Duration::from_millis(400) },
+    })
+    .await;
+    let site = site_of(&[&server]).await;
+
+    let (answer, ()) = tokio::join!(site.ask("POST", "/chat/a", prompt()), async {
+        until("both run", || server.at_work() == 2).await;
+        until("the larger one alone", || server.at_work() == 1).await;
+    });
+
+    assert_eq!((answer.is_whole, answer.body), (true, events(8)));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_model_the_caller_names_is_left_alone() {
     let server = always("i-1", Act::Stream { to: 2, is_whole: true, confidence: 10 }).await;
