An entry that starts learns the tables from another one, the store only where no seed answers

Change: for the first 250 ms an entry waits for a link to a seed, which tells it all rows; for 300 ms after a link ended it waits for the next seed, which is tried without a pause. Seeds that start too are tried each 50 ms until there is a configuration. Loads are told as three numbers without names, and of 256 servers instead of 128: those not told of looked free.

--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -36,6 +36,13 @@
 /// Time an entry that has read all rows waits for a link before it asks the store for changes; a
 /// link to a running seed takes a few round trips, one to a seed that starts too under a second.
 const LINK_WAIT: Duration = Duration::from_millis(1_000);
+/// Time an entry that starts waits for another one to tell it what the store says, before it asks the
+/// store itself: a link to a running seed takes a few round trips, and seeds that start too have read
+/// their tables by then. Callers' first requests wait for it, half a second at most.
+const LINK_FIRST: Duration = Duration::from_millis(250);
+/// The same for an entry whose link has just ended: another seed answers within a round trip or two, and
+/// a new configuration still has time.
+const LINK_AGAIN: Duration = Duration::from_millis(300);
 /// Time after the store's return in which a missing server may still come back: just under the
 /// 2 s in which a server that is gone must get no more requests.
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
@@ -80,11 +87,13 @@
 ) {
     let mut contact = Contact::default();
     let mut at: Option<Revision> = None;
+    wait_for_link(router, LINK_FIRST).await;
     loop {
-        // At the start, and while the store's return is awaited, the store itself is asked.
-        if at.is_some() && !contact.is_lost && router.follows_link() {
-            if let Some(update) = router.link.next(table).await {
-                take_in(router, update, &mut at, &contact, &mut apply);
+        // While the store's return is awaited, the store itself is asked.
+        if !contact.is_lost && router.follows_link() {
+            match router.link.next(table).await {
+                Some(update) => take_in(router, update, &mut at, &contact, &mut apply),
+                None => wait_for_link(router, LINK_AGAIN).await,
             }
             continue;
         }
@@ -114,9 +123,8 @@
         router.views.note(table, &rows, is_whole);
         let has_news = !rows.rows.is_empty();
         apply(rows, is_whole, &contact);
-        if is_first && !router.is_seed() {
-            // Without a link the store is asked.
-            let _ = timeout(LINK_WAIT, router.link.until_current()).await;
+        if is_first {
+            wait_for_link(router, LINK_WAIT).await;
         } else if has_news && !contact.is_lost {
             let is_servers = table == Table::Servers;
             sleep(if is_servers { COALESCE_SERVERS } else { COALESCE_ORDERS }).await;
@@ -124,6 +132,13 @@
     }
 }
 
+/// Waits for a link that stands in for the store; without one the store is asked.
+async fn wait_for_link(router: &Router, most: Duration) {
+    if !router.is_seed() && router.has_seeds() {
+        let _ = timeout(most, router.link.until_current()).await;
+    }
+}
+
 /// Pauses after a call that failed; a follower hears of the store's return from the entry it follows.
 async fn rest(router: &Router, table: Table) {
     sleep(PAUSE).await;
--- a/src/router/load_board.rs
+++ b/src/router/load_board.rs
@@ -12,11 +12,14 @@
 
 /// Age at which a report counts no more: three reports missed.
 const REPORT_LASTS: Duration = Duration::from_millis(1_200);
-/// Servers told of at most, the busiest first; keeps a report under 2 KB at 2,100 servers.
-const MOST_TOLD: usize = 128;
+/// Servers told of at most, the busiest first: 3 KB at 2,100 servers. Servers that are not told of look
+/// free, so there is room for all that a pool of some hundred has.
+const MOST_TOLD: usize = 256;
 
-/// Load that one entry, or all of them, have put on a server.
+/// Load that one entry, or all of them, have put on a server. It is told as three numbers without names,
+/// 11 bytes instead of 40.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
 pub(crate) struct ServerLoad {
     /// Short hash of the server's id.
     server: u32,
@@ -25,6 +28,18 @@
     backlog_ms: u32,
 }
 
+impl From<(u32, u32, u32)> for ServerLoad {
+    fn from((server, requests, backlog_ms): (u32, u32, u32)) -> Self {
+        Self { server, requests, backlog_ms }
+    }
+}
+
+impl From<ServerLoad> for (u32, u32, u32) {
+    fn from(load: ServerLoad) -> Self {
+        (load.server, load.requests, load.backlog_ms)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     /// Reports by the Host they came from, and when they came.
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -30,6 +30,9 @@
 
 /// Time between looks at whether a link is wanted, and between tries to get one.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// The same until there is a configuration: seeds that start at the same time listen a moment later, and
+/// whoever has no link by then asks the store for everything.
+const LOOK_AT_START: Duration = Duration::from_millis(50);
 /// Time to reach another entry and to get its first answer: a few round trips between regions.
 const OPENING: Duration = Duration::from_secs(1);
 /// Time between heartbeats on a link.
@@ -214,13 +217,20 @@
                         turn += 1;
                     }
                 }
-                if router.link.set_current(false) {
+                let was_followed = router.link.set_current(false);
+                if was_followed {
                     event::PEER_LEFT.log(format_args!("peer={peer}"));
                 }
                 router.link.reset();
+                // The next seed may have what this one no longer tells.
+                let is_round_over = turn % others.len() == 0;
+                if (was_followed || !is_round_over) && others.len() > 1 {
+                    continue;
+                }
             }
         }
-        sleep(LOOK_EVERY).await;
+        let is_starting = router.table.load().is_none();
+        sleep(if is_starting { LOOK_AT_START } else { LOOK_EVERY }).await;
     }
 }
 
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -146,6 +146,11 @@
         settings.peer.is_some_and(|peer| settings.seeds.contains(&peer))
     }
 
+    /// Whether the settings name an entry that others may follow.
+    pub(crate) fn has_seeds(&self) -> bool {
+        !self.settings.load().seeds.is_empty()
+    }
+
     /// Whether this entry should follow another one: always, unless it is a seed that the store
     /// answers.
     pub(crate) fn wants_link(&self) -> bool {
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -79,6 +79,32 @@
     assert_eq!(second.store.calls(), calls);
 }
 
+/// A hundred entries that start at once would ask the store for everything a hundred times.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_beside_a_running_seed_asks_the_store_for_nothing() {
+    let server = always("i-1", GOOD).await;
+    let first = Site::seed(store_with(&[(&server, "app", "v1")]).await, None).await;
+    first.until_in_view(1).await;
+
+    let second = Site::following(Store::start().await, &first).await;
+    second.until_in_view(1).await;
+
+    assert_eq!(second.ask("GET", "/safe/a", "").await.status, 200);
+    assert_eq!(second.store.calls(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_where_no_seed_answers_asks_the_store() {
+    let server = always("i-1", GOOD).await;
+    let nobody = "127.0.0.1:1".parse().unwrap();
+    let store = store_with(&[(&server, "app", "v1")]).await;
+
+    let site = Site::with(store, |host| host.seeds = vec![nobody]).await;
+
+    site.until_in_view(1).await;
+    assert_eq!(site.ask("GET", "/safe/a", "").await.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_store_is_asked_again_when_the_entry_that_is_followed_is_gone() {
     let (first, second) = linked().await;
