Seeds that the store does not answer are left for others; tables are told packed

After the loss of all entries a link took 0.4 to 2.2 s: followers left seeds of other zones after all rows had been sent to them, and paused half a second before the next. An entry of a zone without a seed never followed anybody when one seed was gone.

Change: a follower leaves a seed that the store does not answer, and stays 2 s with the last one; it says in which zone it wants a seed, and one that is met again is followed; rows are packed once for all followers (router/packed_rows.rs); an entry that starts waits up to 1 s for a seed while no caller waits; it takes the end of a roll-out from a seed and asks the store only about one that runs; followers that lost the store ask each 2 s.

Tests: a seed of another zone when the others are gone, another seed when the store does not answer the first.

--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -135,10 +135,13 @@
         if seen.get(&order.service) == Some(&order.revision) || waits {
             continue;
         }
-        let is_told = told.progress(&order).is_some();
-        // What another entry tells may be older than the end, so an entry that starts asks the
-        // store and makes do with it only where the store is away.
-        let is_settled = (is_told && !is_unknown) || try_begin(router, store, told, &order).await;
+        let progress = told.progress(&order).map(|(progress, _)| progress);
+        let (is_told, has_ended) =
+            (progress.is_some(), progress.is_some_and(|p| p != Progress::Running));
+        // What another entry tells may be older than the end, so an entry that starts asks the store
+        // unless it is told of the end, and makes do with what it is told only where the store is away.
+        let is_known = is_told && (has_ended || !is_unknown);
+        let is_settled = is_known || try_begin(router, store, told, &order).await;
         if is_settled {
             seen.insert(order.service.clone(), order.revision);
         }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -32,14 +32,19 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// The same for an entry that follows another one, which tells it of the store's return: in an outage
 /// of several seconds, 32 entries that asked four times a second made a third of a day's calls.
-const PAUSE_OF_FOLLOWERS: Duration = Duration::from_millis(1_000);
+const PAUSE_OF_FOLLOWERS: Duration = Duration::from_millis(2_000);
 /// Time an entry that has read all rows waits for a link before it asks the store for changes; a
 /// link to a running seed takes a few round trips, one to a seed that starts too under a second.
 const LINK_WAIT: Duration = Duration::from_millis(1_000);
 /// Time an entry that starts waits for another one to tell it what the store says, before it asks the
-/// store itself: a link to a running seed takes a few round trips, and seeds that start too have read
-/// their tables by then. Callers' first requests wait for it, half a second at most.
+/// store itself, while callers wait: a link to a running seed takes a few round trips, and callers wait
+/// half a second at most.
 const LINK_FIRST: Duration = Duration::from_millis(250);
+/// The same while no caller waits: seeds that start too, late and on small hosts, have read their tables
+/// by then.
+const LINK_FIRST_IDLE: Duration = Duration::from_millis(1_000);
+/// Time between looks at whether a caller waits.
+const LOOK_FOR_CALLERS: Duration = Duration::from_millis(50);
 /// The same for an entry whose link has just ended: another seed answers within a round trip or two, and
 /// a new configuration still has time.
 const LINK_AGAIN: Duration = Duration::from_millis(300);
@@ -87,7 +92,7 @@
 ) {
     let mut contact = Contact::default();
     let mut at: Option<Revision> = None;
-    wait_for_link(router, LINK_FIRST).await;
+    wait_for_first_link(router).await;
     loop {
         // While the store's return is awaited, the store itself is asked.
         if !contact.is_lost && router.follows_link() {
@@ -132,6 +137,18 @@
     }
 }
 
+/// Waits for a link as an entry starts.
+async fn wait_for_first_link(router: &Router) {
+    wait_for_link(router, LINK_FIRST).await;
+    let began = router.now();
+    while router.now() < began + LINK_FIRST_IDLE - LINK_FIRST && router.in_flight() == 0 {
+        wait_for_link(router, LOOK_FOR_CALLERS).await;
+        if router.is_seed() || !router.has_seeds() || router.link.is_current() {
+            return;
+        }
+    }
+}
+
 /// Waits for a link that stands in for the store; without one the store is asked.
 async fn wait_for_link(router: &Router, most: Duration) {
     if !router.is_seed() && router.has_seeds() {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod listen;
 mod listing;
 mod load_board;
+mod packed_rows;
 mod peers;
 mod refusal;
 mod relay;
--- /dev/null
+++ b/src/router/packed_rows.rs
@@ -0,0 +1,67 @@
+//! Rows of the store as entries pass them on: packed once, however many follow.
+
+use std::{
+    io::{Read, Write},
+    sync::Arc,
+    time::Duration,
+};
+
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::Revision,
+    platform::store::{Row, Table},
+    protocol::{Result, decode, encode},
+    router::views::TableUpdate,
+};
+
+/// Largest unpacked size that is taken, bytes: ten times the rows of 2,100 servers.
+const MOST_UNPACKED: u64 = 8 << 20;
+
+/// Rows of one table, packed. After a loss of all entries each seed sends all rows to dozens of others at
+/// once: 60 KB each for 160 servers, and a sixth of it packed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PackedUpdate {
+    table: Table,
+    version: Revision,
+    store_now: Duration,
+    is_whole: bool,
+    rows: Arc<Packed>,
+}
+
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Packed(#[serde(with = "serde_bytes")] Vec<u8>);
+
+impl PackedUpdate {
+    /// Packs rows.
+    pub(crate) fn pack(update: &TableUpdate) -> Self {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        let rows = encoder.write_all(&encode(&update.rows)).and_then(|()| encoder.finish());
+        let rows = rows.expect("writing to memory can't fail");
+        Self {
+            table: update.table,
+            version: update.version,
+            store_now: update.store_now,
+            is_whole: update.is_whole,
+            rows: Arc::new(Packed(rows)),
+        }
+    }
+
+    /// The rows again.
+    ///
+    /// # Errors
+    /// When they were not packed by [`PackedUpdate::pack`].
+    pub(crate) fn unpack(&self) -> Result<TableUpdate> {
+        let mut unpacked = Vec::new();
+        let mut decoder = DeflateDecoder::new(&self.rows.0[..]).take(MOST_UNPACKED);
+        decoder.read_to_end(&mut unpacked)?;
+        Ok(TableUpdate {
+            table: self.table,
+            version: self.version,
+            store_now: self.store_now,
+            is_whole: self.is_whole,
+            rows: decode::<Vec<Row>>(&unpacked)?,
+        })
+    }
+}
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -22,8 +22,8 @@
     platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
     router::{
-        Router, kept_board::KeptNote, load_board::ServerLoad, trial::VersionEvidence,
-        views::TableUpdate,
+        Router, kept_board::KeptNote, load_board::ServerLoad, packed_rows::PackedUpdate,
+        trial::VersionEvidence,
     },
     telemetry::event,
 };
@@ -37,6 +37,9 @@
 const OPENING: Duration = Duration::from_secs(1);
 /// Time between heartbeats on a link.
 const BEAT_EVERY: Duration = Duration::from_millis(300);
+/// Time an entry stays with a seed that the store does not answer, where the other seeds were no better:
+/// as long as one of them may have been cut off for a moment.
+const STAY_WITH_LOST: Duration = Duration::from_secs(2);
 /// Silence after which a link is given up: three heartbeats. The store is asked at once after
 /// that, and a new configuration has two seconds to be in force.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
@@ -57,6 +60,10 @@
     Follow {
         /// Newest rows it has, by the store's count.
         version: Revision,
+        /// AvailabilityZone that the other one has to be in; any where there is none. Without it a link that
+        /// is left at once brought all rows first.
+        #[serde(default)]
+        only_in: Option<Box<str>>,
     },
     /// What it has at the servers and has seen of versions; over and over on a link of its own.
     Report { host: Box<str>, report: Report },
@@ -83,7 +90,7 @@
     Beat {
         /// Whether the store answers it.
         is_current: bool,
-        updates: Vec<TableUpdate>,
+        updates: Vec<PackedUpdate>,
         /// How many entries report to it, itself included; 0 from one that does not tell.
         #[serde(default)]
         entries: usize,
@@ -94,6 +101,14 @@
     },
 }
 
+/// Why an entry that was followed is followed no more.
+enum Left {
+    /// It stands in another AvailabilityZone, and there are entries whose zone is not known yet.
+    OtherZone,
+    /// No link is wanted any more.
+    Unwanted,
+}
+
 type Socket = WebSocketStream<TcpStream>;
 
 fn silent() -> Error {
@@ -139,7 +154,9 @@
     stream.set_nodelay(true)?;
     let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
     match timeout(OPENING, hear(&mut socket)).await.map_err(|_| silent())?? {
-        Asked::Follow { version } => serve_follower(router, socket, version).await,
+        Asked::Follow { version, only_in } => {
+            serve_follower(router, socket, version, only_in.as_deref()).await
+        }
         Asked::Report { host, report } => take_reports(router, socket, &host, report).await,
     }
 }
@@ -163,9 +180,18 @@
 }
 
 /// Tells a follower what the store says until it leaves.
-async fn serve_follower(router: &Router, mut socket: Socket, version: Revision) -> Result<()> {
+async fn serve_follower(
+    router: &Router,
+    mut socket: Socket,
+    version: Revision,
+    only_in: Option<&str>,
+) -> Result<()> {
     let zone = router.settings.load().zone.clone();
+    let is_wanted = only_in.is_none_or(|wanted| *wanted == *zone);
     tell(&mut socket, &Told::Welcome { zone }).await?;
+    if !is_wanted {
+        return Ok(());
+    }
     let (mut updates, mut news) = router.views.subscribe(version);
     let mut next_kept = 0;
     loop {
@@ -209,9 +235,15 @@
                 None => (false, false),
             });
             if let Some(peer) = others.get(turn % others.len().max(1)) {
-                let has_choice = zones.len() < others.len();
-                match follow_one(router, *peer, &mut zones, has_choice).await {
-                    Ok(()) => turn = 0,
+                // One that was left for its zone and comes up again is followed: the others may be gone.
+                let is_new = |seed: &SocketAddr| !zones.contains_key(seed);
+                let has_choice =
+                    is_new(peer) && others.iter().any(|seed| seed != peer && is_new(seed));
+                let is_last = turn % others.len() == others.len() - 1;
+                let stay = if is_last { STAY_WITH_LOST } else { Duration::ZERO };
+                match follow_one(router, *peer, &mut zones, has_choice, stay).await {
+                    Ok(Left::Unwanted) => turn = 0,
+                    Ok(Left::OtherZone) => continue,
                     Err(e) => {
                         event::PEER_FAILED.log(format_args!("peer={peer} cause=\"{e}\""));
                         turn += 1;
@@ -235,32 +267,37 @@
 }
 
 /// Follows one entry as long as it speaks and the link is wanted. One of another zone is left at
-/// once while others have not been asked for theirs.
+/// once while others have not been asked for theirs, and one that the store does not answer after
+/// `stay`.
 async fn follow_one(
     router: &Router,
     peer: SocketAddr,
     zones: &mut HashMap<SocketAddr, Box<str>>,
     has_choice: bool,
-) -> Result<()> {
+    stay: Duration,
+) -> Result<Left> {
     let opening = Instant::now() + OPENING;
     let mut socket = timeout_at(opening, open(peer)).await.map_err(|_| silent())??;
     let version = router.views.oldest_version();
-    tell(&mut socket, &Asked::Follow { version }).await?;
+    let own_zone = router.settings.load().zone.clone();
+    let only_in = has_choice.then(|| own_zone.clone());
+    tell(&mut socket, &Asked::Follow { version, only_in }).await?;
     let Told::Welcome { zone } = hear(&mut socket).await? else {
         return Err(Error::Broken("no welcome".into()));
     };
-    let is_near = zone == router.settings.load().zone;
+    let is_near = zone == own_zone;
     zones.insert(peer, zone);
-    if !is_near && has_choice && zones.len() < router.settings.load().seeds.len() {
-        return Ok(());
+    if !is_near && has_choice {
+        return Ok(Left::OtherZone);
     }
+    let mut current_at = Instant::now();
     while router.wants_link() {
         let Told::Beat { is_current, updates, entries, loads, kept } = hear(&mut socket).await?
         else {
             return Err(Error::Broken("a second welcome".into()));
         };
         for update in updates {
-            if !router.link.push(update) {
+            if !router.link.push(update.unpack()?) {
                 return Err(Error::Broken("its updates are not taken".into()));
             }
         }
@@ -274,8 +311,13 @@
         if router.link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
+        if is_current {
+            current_at = Instant::now();
+        } else if current_at.elapsed() >= stay {
+            return Err(Error::Broken("the store does not answer it".into()));
+        }
     }
-    Ok(())
+    Ok(Left::Unwanted)
 }
 
 async fn open(peer: SocketAddr) -> Result<Socket> {
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -6,19 +6,32 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::broadcast;
 
 use crate::{
     ids::Revision,
     platform::store::{Row, Rows, Table},
+    router::packed_rows::PackedUpdate,
 };
 
 /// Updates kept for a subscriber that reads slowly; one further behind has to begin anew.
 const MOST_BEHIND: usize = 64;
 
+impl Seen {
+    /// All rows, packed once for all that begin to follow before something changes.
+    fn packed(&mut self, table: Table) -> PackedUpdate {
+        let Self { version, store_now, rows, packed, .. } = self;
+        let pack = || {
+            let rows = rows.values().cloned().collect();
+            let (version, store_now) = (*version, *store_now);
+            PackedUpdate::pack(&TableUpdate { table, version, store_now, is_whole: true, rows })
+        };
+        packed.get_or_insert_with(pack).clone()
+    }
+}
+
 /// Rows of one table as the store gave them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct TableUpdate {
     pub(crate) table: Table,
     /// Newest transaction they cover.
@@ -42,6 +55,8 @@
     version: Revision,
     store_now: Duration,
     rows: BTreeMap<Box<str>, Row>,
+    /// All rows packed, until something changes.
+    packed: Option<PackedUpdate>,
     answered_at: Duration,
     is_lost: bool,
 }
@@ -50,7 +65,7 @@
 #[derive(Debug)]
 pub(crate) struct Views {
     seen: Mutex<HashMap<Table, Seen>>,
-    updates: broadcast::Sender<TableUpdate>,
+    updates: broadcast::Sender<PackedUpdate>,
     /// When an entry that is followed last spoke.
     heard_at: Mutex<Duration>,
 }
@@ -72,6 +87,7 @@
         let seen = all.entry(table).or_default();
         seen.version = rows.version;
         seen.store_now = rows.now;
+        seen.packed = None;
         if is_whole {
             seen.rows.clear();
         }
@@ -92,9 +108,11 @@
             is_whole,
             rows: rows.rows.clone(),
         };
-        // Under the lock, so that a subscriber's first view and its updates fit together. An error
-        // only says that there are no subscribers.
-        let _ = self.updates.send(update);
+        if self.has_subscribers() {
+            // Under the lock, so that a subscriber's first view and its updates fit together. An error
+            // only says that there are no subscribers any more.
+            let _ = self.updates.send(PackedUpdate::pack(&update));
+        }
     }
 
     /// All rows of the tables of which something newer than this has been seen, and what comes
@@ -103,19 +121,13 @@
     pub(crate) fn subscribe(
         &self,
         version: Revision,
-    ) -> (Vec<TableUpdate>, broadcast::Receiver<TableUpdate>) {
-        let all = self.seen.lock().expect("no panics under the lock");
-        let whole = |(table, seen): (&Table, &Seen)| TableUpdate {
-            table: *table,
-            version: seen.version,
-            store_now: seen.store_now,
-            is_whole: true,
-            rows: seen.rows.values().cloned().collect(),
-        };
-        let is_wanted = |(table, seen): &(&Table, &Seen)| {
+    ) -> (Vec<PackedUpdate>, broadcast::Receiver<PackedUpdate>) {
+        let mut all = self.seen.lock().expect("no panics under the lock");
+        let is_wanted = |(table, seen): &(&Table, &mut Seen)| {
             matches!(table, Table::Own | Table::Status) || seen.version > version
         };
-        let views = all.iter().filter(is_wanted).map(whole).collect();
+        let wanted = all.iter_mut().filter(is_wanted);
+        let views = wanted.map(|(table, seen)| seen.packed(*table)).collect();
         (views, self.updates.subscribe())
     }
 
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -129,6 +129,51 @@
     until("the link stands in again", || follows(&second)).await;
 }
 
+/// Both seeds are asked for their zone first; one that is gone must not keep an entry from the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_follows_a_seed_of_another_zone_when_the_others_are_gone() {
+    let far = Site::seed(store_after(20).await, None).await;
+    until("it is ready", || far.entry.router.is_ready()).await;
+    let seeds = vec!["127.0.0.1:1".parse().unwrap(), far.entry.addresses.peer.unwrap()];
+
+    let entry = Site::with(store_after(1).await, |host| {
+        host.zone = "zone-b".into();
+        host.seeds = seeds;
+    })
+    .await;
+
+    until("it follows", || follows(&entry)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_seed_is_followed_when_the_store_does_not_answer_the_first() {
+    let (first, other) = (
+        Site::seed(store_after(20).await, None).await,
+        Site::seed(store_after(20).await, None).await,
+    );
+    until("both are ready", || first.entry.router.is_ready() && other.entry.router.is_ready())
+        .await;
+    let peers = [&first, &other].map(|site| site.entry.addresses.peer.unwrap());
+    let entry = Site::with(Store::start().await, |host| host.seeds = peers.to_vec()).await;
+    until("it follows", || follows(&entry)).await;
+
+    // Whichever it follows, the other one goes on: one outage after the other.
+    for (lost, healthy) in [(&first, &other), (&other, &first)] {
+        lost.store.set_fault(Fault::Down);
+        overtake(&healthy.store, if std::ptr::eq(lost, &first) { 5 } else { 7 });
+        let newest = version(healthy).max(5);
+        until("the healthy one's word is followed", || {
+            follows(&entry) && version(&entry) >= newest
+        })
+        .await;
+        lost.store.set_fault(Fault::None);
+        until("the lost one is back", || {
+            lost.entry.router.dump()["follows_another_entry"] == false
+        })
+        .await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_roll_out_is_followed_over_the_link() {
     let (first, second) = linked().await;
