A caller that is refused comes back after as long as the overload has lasted

Cause: Retry-After was 0.2 s whatever went on.

Change: policy/comeback.rs: the wait is the time for which the service's servers have been refusing, 0.2 to 6 s, drawn from half to one and a half of that by the request's id; told in the log line of the refusal.

--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -104,9 +104,12 @@
     }
 
     /// What the caller is told when nothing more is tried.
-    pub(crate) fn refusal(&self) -> Refusal {
+    fn refusal(&self, router: &Router) -> Refusal {
         match judge(&self.attempts) {
-            Verdict::NotRun => Refusal::NotRun,
+            Verdict::NotRun => {
+                let retry_after = router.note_refusal(&self.service, &self.req.head.id);
+                Refusal::NotRun { retry_after }
+            }
             _ if self.time_left() < LEAST_TIME => Refusal::TimedOut,
             _ => Refusal::Lost,
         }
@@ -152,10 +155,10 @@
     let mut failed = None;
     loop {
         let Some(member) = next_server(router, job, ask) else {
-            return failed.ok_or_else(|| job.refusal());
+            return failed.ok_or_else(|| job.refusal(router));
         };
         if job.arrivals > 0 && !job.take_repeat(router) {
-            return failed.ok_or_else(|| job.refusal());
+            return failed.ok_or_else(|| job.refusal(router));
         }
         match try_at(router, job, &member, ask).await {
             Ok(answer) if answer.head.kind == AnswerKind::Success => return Ok(answer),
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -29,8 +29,11 @@
         retry_after: Duration,
     },
     /// Did not run and never will.
-    #[error("no server can take it")]
-    NotRun,
+    #[error("no server can take it, back in {retry_after:?}")]
+    NotRun {
+        /// When a server can be expected to take it.
+        retry_after: Duration,
+    },
     /// May have run.
     #[error("it was sent and its answer is lost")]
     Lost,
@@ -39,7 +42,7 @@
     TimedOut,
 }
 
-/// Time after which a caller may try again; a server place frees up in a fraction of a second.
+/// Time after which a caller may try again that came before the configuration.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 impl Refusal {
@@ -51,7 +54,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration | Self::Leaving { .. } | Self::NotRun => {
+            Self::NoConfiguration | Self::Leaving { .. } | Self::NotRun { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -69,7 +72,7 @@
             Self::SlowBody => "slow_body",
             Self::NoConfiguration => "no_configuration",
             Self::Leaving { .. } => "leaving",
-            Self::NotRun => "not_run",
+            Self::NotRun { .. } => "not_run",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -77,7 +80,7 @@
 
     fn retry_after(self) -> Duration {
         match self {
-            Self::Leaving { retry_after } => retry_after,
+            Self::Leaving { retry_after } | Self::NotRun { retry_after } => retry_after,
             _ => RETRY_AFTER,
         }
     }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -16,6 +16,8 @@
 use crate::{
     platform::host_settings::HostSettings,
     policy::{
+        comeback::{Overload, retry_after},
+        exposure::draw,
         extra_share::ExtraShare,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
         reading::ReadingBelief,
@@ -79,6 +81,7 @@
     pub metrics: Metrics,
     budgets: Mutex<HashMap<Box<str>, SendBudget>>,
     extra_share: Mutex<ExtraShare>,
+    overloads: Mutex<HashMap<Box<str>, Overload>>,
     readings: Mutex<HashMap<Box<str>, ReadingBelief>>,
     lifecycle: Mutex<Lifecycle>,
     in_flight: AtomicUsize,
@@ -104,6 +107,7 @@
             metrics: Metrics::default(),
             budgets: Mutex::default(),
             extra_share: Mutex::new(ExtraShare::started_at(CLOCK_ORIGIN)),
+            overloads: Mutex::default(),
             readings: Mutex::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
@@ -266,6 +270,13 @@
         is_taken
     }
 
+    /// Notes that no server of a service could take a request; when its caller should come back.
+    pub(crate) fn note_refusal(&self, service: &str, request_id: &str) -> Duration {
+        let mut overloads = self.overloads.lock().expect("no panics under the lock");
+        let lasted = overloads.entry(service.into()).or_default().note_refusal(self.now());
+        retry_after(lasted, draw(request_id, service))
+    }
+
     /// Whether the budget still holds a repeated send to a service.
     pub(crate) fn may_repeat(&self, service: &str) -> bool {
         let terms = self.send_terms();
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Time is simulated and all draws come from seeds, so a run always gives the same figures.
 
+mod comeback;
 mod engine;
 mod mix;
 mod overload;
