--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -33,12 +33,15 @@
     StoreFault(Fault),
     ForgetHistory,
     CutFromStore(Way),
+    /// Another writer's row stands where a server's was.
+    MangleRow,
     SpoilServer(Way),
+    StartServerAgain,
 }
 
 const PLANNED: [Deed; 5] =
     [Deed::Stop, Deed::Reload, Deed::ChangeSettingsFile, Deed::ChangeConfiguration, Deed::Drain];
-const STORE: [Deed; 8] = [
+const STORE: [Deed; 9] = [
     Deed::StoreFault(Fault::Down),
     Deed::StoreFault(Fault::TooMany),
     Deed::StoreFault(Fault::RepliesLost),
@@ -47,8 +50,9 @@
     Deed::CutFromStore(Way::Silent),
     Deed::CutFromStore(Way::AskOnly),
     Deed::CutFromStore(Way::Reset),
+    Deed::MangleRow,
 ];
-const FAULTS: [Deed; 8] = [
+const FAULTS: [Deed; 9] = [
     Deed::Kill,
     Deed::KillInStop,
     Deed::Pause,
@@ -57,6 +61,7 @@
     Deed::SpoilServer(Way::Silent),
     Deed::SpoilServer(Way::AskOnly),
     Deed::SpoilServer(Way::Reset),
+    Deed::StartServerAgain,
 ];
 
 impl Deed {
@@ -111,6 +116,8 @@
                 system.store.set_fault(Fault::None);
             }
             Self::ForgetHistory => system.store.forget(),
+            Self::MangleRow => mangle(system, server, lasts).await,
+            Self::StartServerAgain => start_again(system, server, lasts).await,
             Self::SpoilServer(way) => spoil(&system.servers[server].way, way, lasts).await,
             Self::CutFromStore(way) => {
                 let proxy = system.entries[entry].lock().await.store.clone();
@@ -170,7 +177,7 @@
 /// Lists a server as leaving for a while.
 async fn drain(system: &System, server: usize, lasts: Duration) {
     let drained = &system.servers[server];
-    let Ok(_alone) = drained.drains.try_lock() else {
+    let Ok(_alone) = drained.row.try_lock() else {
         return;
     };
     drained.list(&system.store, "draining");
@@ -181,6 +188,27 @@
     drained.list(&system.store, "ready");
 }
 
+/// Puts something that can't be read in place of a server's row for a while.
+async fn mangle(system: &System, server: usize, lasts: Duration) {
+    let mangled = &system.servers[server];
+    let Ok(_alone) = mangled.row.try_lock() else {
+        return;
+    };
+    system.store.put_spoiled("servers", mangled.id(), &json!("%%%"));
+    sleep(lasts).await;
+    mangled.list(&system.store, "ready");
+}
+
+/// Resets a server's connections, and lists it as started again under its id a while later.
+async fn start_again(system: &System, server: usize, lasts: Duration) {
+    let reborn = &system.servers[server];
+    let Ok(_alone) = reborn.row.try_lock() else {
+        return;
+    };
+    spoil(&reborn.way, Way::Reset, lasts).await;
+    reborn.start_again(&system.store);
+}
+
 /// Draws what is done next, and to whom.
 pub fn draw(rng: &mut impl Rng, deeds: &[Deed], system: &System) -> (Deed, usize, usize, Duration) {
     let deed = deeds[rng.random_range(0..deeds.len())];
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -27,7 +27,7 @@
     proxy::Proxy,
     record::{EVENTS, NEW, OLD, Ordered, ROLLED_OUT, Record, Run},
     server::{Act, Seen, Server},
-    site::{configuration, list},
+    site::{configuration, server_row},
     store::Store,
 };
 
@@ -50,8 +50,10 @@
     service: &'static str,
     version: &'static str,
     pub way: Proxy,
-    /// Held while it is listed as leaving.
-    pub drains: Mutex<()>,
+    /// Start of its present life.
+    born: AtomicU64,
+    /// Held while its row is not as it would be at rest.
+    pub row: Mutex<()>,
 }
 
 impl Backend {
@@ -60,7 +62,15 @@
     }
 
     pub fn list(&self, store: &Store, state: &str) {
-        list(store, &self.listed, self.service, self.version, state);
+        let mut row = server_row(self.listed.address, self.service, self.version, state);
+        row["born"] = json!(self.born.load(Ordering::SeqCst));
+        store.put("servers", self.id(), &row);
+    }
+
+    /// Starts again under its id: what it ran is lost.
+    pub fn start_again(&self, store: &Store) {
+        self.born.fetch_add(1_000, Ordering::SeqCst);
+        self.list(store, "ready");
     }
 }
 
@@ -170,7 +180,7 @@
     let mut listed = Server::start(&id, script).await;
     let way = Proxy::start(listed.address).await;
     listed.address = way.address;
-    Backend { listed, service, version, way, drains: Mutex::default() }
+    Backend { listed, service, version, way, born: AtomicU64::new(1_000), row: Mutex::default() }
 }
 
 /// What a server does with a request: mostly what it should.
