An entry that the store refuses asks it no more once it follows a seed again

Change: a link that stands in for the store ends the loss. Test: the calls stop once a seed is followed (it failed first).

--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -45,8 +45,8 @@
 const LINK_FIRST_IDLE: Duration = Duration::from_millis(1_000);
 /// Time between looks at whether a caller waits.
 const LOOK_FOR_CALLERS: Duration = Duration::from_millis(50);
-/// The same for an entry whose link has just ended: another seed answers within a round trip or two, and
-/// a new configuration still has time.
+/// Time an entry whose link has just ended waits for another one before it asks the store: another seed
+/// answers within a round trip or two, and a new configuration still has time.
 const LINK_AGAIN: Duration = Duration::from_millis(300);
 /// Time after the store's return in which a missing server may still come back: just under the
 /// 2 s in which a server that is gone must get no more requests.
@@ -94,8 +94,10 @@
     let mut at: Option<Revision> = None;
     wait_for_first_link(router).await;
     loop {
-        // While the store's return is awaited, the store itself is asked.
-        if !contact.is_lost && router.follows_link() {
+        if router.follows_link() {
+            // The store answers the entry that is followed; whether it answers this one no longer matters.
+            contact.note_answer(table, router.now());
+            router.views.note_answer(table, router.now());
             match router.link.next(table).await {
                 Some(update) => take_in(router, update, &mut at, &contact, &mut apply),
                 None => wait_for_link(router, LINK_AGAIN).await,
