--- /dev/null
+++ b/src/router/follow.rs
@@ -0,0 +1,151 @@
+//! Following another entry instead of the store.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    platform::host_settings::HostSettings,
+    protocol::{Error, Result},
+    router::{
+        Router,
+        peers::{Asked, OPENING, Told, hear, open, other_seeds, silent, tell},
+    },
+    telemetry::event,
+};
+
+/// Time between looks at whether a link is wanted, and between tries to get one.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// The same until there is a configuration: seeds that start at the same time listen a moment later, and
+/// whoever has no link by then asks the store for everything.
+const LOOK_AT_START: Duration = Duration::from_millis(50);
+/// Time an entry stays with a seed that the store does not answer, where the other seeds were no better:
+/// as long as one of them may have been cut off for a moment.
+const STAY_WITH_LOST: Duration = Duration::from_secs(2);
+
+/// Why an entry that was followed is followed no more.
+enum Left {
+    /// It stands in another AvailabilityZone, and there are entries whose zone is not known yet.
+    OtherZone,
+    /// No link is wanted any more.
+    Unwanted,
+}
+
+/// The seeds as an entry that follows one knows them.
+#[derive(Default)]
+struct Seeds {
+    zones: HashMap<SocketAddr, Box<str>>,
+    /// Seeds given up since one was left for no fault of its own.
+    turn: usize,
+}
+
+impl Seeds {
+    /// All but this entry: those in this zone first, then those not asked yet.
+    fn in_order(&self, settings: &HostSettings) -> Vec<SocketAddr> {
+        let mut others = other_seeds(settings);
+        others.sort_by_key(|seed| match self.zones.get(seed) {
+            Some(zone) => (*zone != settings.zone, true),
+            None => (false, false),
+        });
+        others
+    }
+
+    /// Whether a seed's zone should be asked before it is followed. One that was left for its zone and comes
+    /// up again is followed: the others may be gone.
+    fn is_asked_for_zone(&self, peer: SocketAddr, others: &[SocketAddr]) -> bool {
+        let is_new = |seed: &SocketAddr| !self.zones.contains_key(seed);
+        is_new(&peer) && others.iter().any(|seed| *seed != peer && is_new(seed))
+    }
+}
+
+/// Follows another entry whenever that is wanted.
+pub(crate) async fn follow(router: &Router) {
+    let mut seeds = Seeds::default();
+    loop {
+        if router.wants_link() && follow_next(router, &mut seeds).await {
+            continue;
+        }
+        let is_starting = router.table.load().is_none();
+        sleep(if is_starting { LOOK_AT_START } else { LOOK_EVERY }).await;
+    }
+}
+
+/// Follows the next seed; whether the one after it should be tried at once.
+async fn follow_next(router: &Router, seeds: &mut Seeds) -> bool {
+    let others = seeds.in_order(&router.settings.load());
+    let Some(peer) = others.get(seeds.turn % others.len().max(1)).copied() else {
+        return false;
+    };
+    let wants_zone = seeds.is_asked_for_zone(peer, &others);
+    let is_last = seeds.turn % others.len() == others.len() - 1;
+    let stay = if is_last { STAY_WITH_LOST } else { Duration::ZERO };
+    match follow_one(router, peer, &mut seeds.zones, wants_zone, stay).await {
+        Ok(Left::OtherZone) => return true,
+        Ok(Left::Unwanted) => seeds.turn = 0,
+        Err(e) => {
+            event::PEER_FAILED.log(format_args!("peer={peer} cause=\"{e}\""));
+            seeds.turn += 1;
+        }
+    }
+    let was_followed = router.link.set_current(false);
+    if was_followed {
+        event::PEER_LEFT.log(format_args!("peer={peer}"));
+    }
+    router.link.reset();
+    // The next seed may have what this one no longer tells.
+    let is_round_over = seeds.turn.is_multiple_of(others.len());
+    others.len() > 1 && (was_followed || !is_round_over)
+}
+
+/// Follows one entry as long as it speaks and the link is wanted. One of another zone is left at
+/// once where `wants_zone`, and one that the store does not answer after `stay`.
+async fn follow_one(
+    router: &Router,
+    peer: SocketAddr,
+    zones: &mut HashMap<SocketAddr, Box<str>>,
+    wants_zone: bool,
+    stay: Duration,
+) -> Result<Left> {
+    let opening = Instant::now() + OPENING;
+    let mut socket = timeout_at(opening, open(peer)).await.map_err(|_| silent())??;
+    let version = router.views.oldest_version();
+    let own_zone = router.settings.load().zone.clone();
+    let only_in = wants_zone.then(|| own_zone.clone());
+    tell(&mut socket, &Asked::Follow { version, only_in }).await?;
+    let Told::Welcome { zone } = hear(&mut socket).await? else {
+        return Err(Error::Broken("no welcome".into()));
+    };
+    let is_near = zone == own_zone;
+    zones.insert(peer, zone);
+    if !is_near && wants_zone {
+        return Ok(Left::OtherZone);
+    }
+    let mut current_at = Instant::now();
+    while router.wants_link() {
+        let Told::Beat { is_current, updates, entries, loads, kept } = hear(&mut socket).await?
+        else {
+            return Err(Error::Broken("a second welcome".into()));
+        };
+        for update in updates {
+            if !router.link.push(update.unpack()?) {
+                return Err(Error::Broken("its updates are not taken".into()));
+            }
+        }
+        router.views.note_heard(router.now());
+        if entries > 0 {
+            router.hear_entries(entries);
+        }
+        let fleet = router.fleet.load_full();
+        router.loads.apply(&loads, &fleet, router.now());
+        router.kept.apply(&kept, &fleet);
+        if router.link.set_current(is_current) && is_current {
+            event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
+        }
+        if is_current {
+            current_at = Instant::now();
+        } else if current_at.elapsed() >= stay {
+            return Err(Error::Broken("the store does not answer it".into()));
+        }
+    }
+    Ok(Left::Unwanted)
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A request is admitted ([`serve`]), tried at one BackendServer after another ([`choice`],
 //! [`dispatch`], [`attempt`]), and its answer passed on ([`relay`]). What the platform's store says is followed
-//! on the control thread ([`feed`], [`driver`]), or learned from another entry ([`peers`]). The design is in docs/decisions/0008.
+//! on the control thread ([`feed`], [`driver`]), or learned from another entry ([`follow`], [`peers`]). The design is in docs/decisions/0008.
 
 mod attempt;
 mod body;
@@ -13,6 +13,7 @@
 mod event_stream;
 mod feed;
 mod fleet;
+mod follow;
 mod kept_board;
 mod link;
 mod listen;
@@ -22,6 +23,7 @@
 mod peers;
 mod refusal;
 mod relay;
+mod reports;
 mod roll_out;
 mod run;
 mod serve;
--- /dev/null
+++ b/src/router/reports.rs
@@ -0,0 +1,86 @@
+//! Reporting to the seeds what this entry has at the servers and has seen of versions.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    protocol::Result,
+    router::{
+        Router,
+        peers::{Asked, OPENING, Report, open, other_seeds, silent, tell},
+    },
+    telemetry::event,
+};
+
+/// Time between reports of the own load to the seeds; streams last a second or a few.
+const REPORT_EVERY: Duration = Duration::from_millis(400);
+/// Pause before a seed that could not be reported to is tried again.
+const REPORT_AGAIN: Duration = Duration::from_secs(2);
+
+/// Reports the own load to every seed, and lets a seed know the sums itself.
+pub(crate) async fn report_load(router: &Arc<Router>) {
+    let mut links: JoinSet<()> = JoinSet::new();
+    let mut reported: Vec<SocketAddr> = Vec::new();
+    let (reports, _) = watch::channel(Report::default());
+    loop {
+        let settings = router.settings.load_full();
+        let others = other_seeds(&settings);
+        if others != reported {
+            links.abort_all();
+            for seed in &others {
+                let host = settings.host.clone();
+                links.spawn(keep_reporting(router.clone(), *seed, host, reports.subscribe()));
+            }
+            reported = others;
+        }
+        let fleet = router.fleet.load();
+        let evidence = router.roll_outs.evidence();
+        let loads = router.loads.report(&fleet);
+        reports.send_replace(Report { loads, evidence, kept: Vec::new() });
+        if router.is_seed() {
+            let now = router.now();
+            router.hear_entries(router.loads.entries(now));
+            router.loads.apply(&router.loads.sums(now), &fleet, now);
+        }
+        drop(fleet);
+        sleep(REPORT_EVERY).await;
+    }
+}
+
+/// Reports to one seed for ever; a seed that is away is tried again at a pause.
+async fn keep_reporting(
+    router: Arc<Router>,
+    seed: SocketAddr,
+    host: Box<str>,
+    mut reports: watch::Receiver<Report>,
+) {
+    loop {
+        if let Err(e) = report_to(&router, seed, &host, &mut reports).await {
+            event::PEER_FAILED.log(format_args!("peer={seed} cause=\"{e}\""));
+        }
+        sleep(REPORT_AGAIN).await;
+    }
+}
+
+async fn report_to(
+    router: &Router,
+    seed: SocketAddr,
+    host: &str,
+    reports: &mut watch::Receiver<Report>,
+) -> Result<()> {
+    let mut socket = timeout(OPENING, open(seed)).await.map_err(|_| silent())??;
+    let mut next_kept = 0;
+    loop {
+        let mut report = reports.borrow_and_update().clone();
+        (report.kept, next_kept) = router.kept.own_from(next_kept, router.now());
+        tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
+        if reports.changed().await.is_err() {
+            return Ok(());
+        }
+    }
+}
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -16,7 +16,7 @@
         store::StoreClient,
     },
     router::{
-        Router, driver, feed, listen, peers,
+        Router, driver, feed, follow, listen, peers, reports,
         state::{BALANCER, BEFORE_KILL},
     },
     settings::RouteSettings,
@@ -126,8 +126,8 @@
             feed::follow_servers(&router, &store),
             driver::drive_roll_outs(&router, &store),
             answer_peers(router.clone(), peers),
-            peers::follow(&router),
-            peers::report_load(&router),
+            follow::follow(&router),
+            reports::report_load(&router),
         )
     };
     tokio::select! {
