--- a/src/policy/kept.rs
+++ b/src/policy/kept.rs
@@ -24,8 +24,9 @@
 /// used when they are told of it; in this time a busy server reads a tenth of what it keeps.
 const TELL_AGAIN: Duration = Duration::from_secs(4);
 /// Tokens of a prompt's shared parts from which on other entries are told. A note takes 14 bytes to each of
-/// them, which at a hundred entries and the users' prices is worth reading 50 tokens again; and at 1,000
-/// requests a second before 160 engines, four in five have less to share than this.
+/// them: with a hundred entries, two in five in another AvailabilityZone, the users pay for that as much as
+/// for reading 220 tokens again. Seven in ten of their requests to models share less than this, and told of
+/// all of them seeds had no room for the rest (docs/decisions/0013).
 const LEAST_TOLD: u64 = 1_000;
 
 /// A prompt up to the end of one of its parts.
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -89,8 +89,9 @@
         self.life.record.lock().expect("no panics under the lock")
     }
 
-    /// Waits until the server has started again: what it ran is lost, though its connections may never
-    /// say so, and a caller would wait for that until its deadline.
+    /// Waits until the list tells that the server has started again: what it ran is lost, though its
+    /// connections may never say so, and a caller would wait for that until its deadline. For a server that
+    /// was taken off the list in between, probes of its connections have to tell.
     pub(crate) async fn until_ended(&self) {
         let mut has_ended = self.life.has_ended.subscribe();
         if has_ended.wait_for(|ended| *ended).await.is_err() {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -1,8 +1,9 @@
 //! The request path of an entry on the users' platform.
 //!
 //! A request is admitted ([`serve`]), tried at one BackendServer after another ([`choice`],
-//! [`dispatch`], [`attempt`]), and its answer passed on ([`relay`]). What the platform's store says is followed
-//! on the control thread ([`feed`], [`driver`]), or learned from another entry ([`follow`], [`peers`]). The design is in docs/decisions/0008.
+//! [`dispatch`], [`attempt`]), model after model in a cascade ([`stages`]), and its answer passed on
+//! ([`relay`]). What the platform's store says is followed on the control thread ([`feed`], [`driver`]),
+//! or learned from another entry ([`follow`], [`peers`]). The design is in docs/decisions/0008.
 
 mod attempt;
 mod body;
@@ -28,6 +29,7 @@
 mod run;
 mod serve;
 mod silence;
+mod stages;
 mod state;
 mod trial;
 mod version_rule;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -8,7 +8,6 @@
 
 use crate::{
     policy::{
-        escalation::{StageAnswer, escalate, time_to_begin},
         patience::{Patience, event_patience},
         reading::ReadingBelief,
     },
@@ -16,11 +15,12 @@
         EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
-        choice::{estimate, reading_key},
+        choice::reading_key,
         dispatch::{Ask, Job, may_go_on, next_answer},
         refusal::Refusal,
         roll_out::RunOutcome,
         silence::bear,
+        stages::{self, StageEnd},
     },
     routing::{AnswerHead, AnswerKind, RouteKind},
     telemetry::event,
@@ -41,7 +41,7 @@
     if job.route.kind != RouteKind::Stream {
         return whole_answer(router, &mut job).await;
     }
-    let (answer, model) = first_stage_answer(router, &mut job).await?;
+    let StageEnd { answer, model } = stages::answer(router, &mut job).await?;
     if answer.head.kind != AnswerKind::Success {
         return read_whole(router, answer).await.map_err(|()| Refusal::Lost);
     }
@@ -75,67 +75,6 @@
     }
 }
 
-/// The first answer of a cascade that is good enough, and the model that gave it. An earlier stage's
-/// answer is kept until the larger model has begun, and passed on where that does not come in time.
-async fn first_stage_answer(
-    router: &Arc<Router>,
-    job: &mut Job,
-) -> Result<(OpenAnswer, Option<Box<str>>), Refusal> {
-    let cascade = job.route.cascade.clone();
-    let mut stage = 0;
-    let mut in_hand: Option<(OpenAnswer, Option<Box<str>>)> = None;
-    loop {
-        let model = cascade.get(stage).filter(|_| job.req.head.model.is_none()).cloned();
-        let ask = Ask { model: model.as_deref(), last_event: job.req.head.last_event };
-        let next = next_answer(router, job, ask).await;
-        job.begin_by = None;
-        let has_begun = matches!(&next, Ok(answer) if answer.head.kind == AnswerKind::Success);
-        if let Some((answer, model)) = in_hand.take().filter(|_| !has_begun) {
-            note_kept(router, job, &answer, model.as_deref());
-            return Ok((answer, model));
-        }
-        let answer = next?;
-        let largest_ask = Ask { model: cascade.last().map(|model| &**model), ..ask };
-        let largest = estimate(router, job, largest_ask);
-        let stage_answer = StageAnswer {
-            stage,
-            stages: if model.is_some() { cascade.len() } else { 0 },
-            confidence: answer.head.confidence,
-            runs_left: job.runs_left(),
-            time_left: job.time_left(),
-            objective: job.route.objective,
-            expected: largest.head,
-            expected_alone: largest.head_alone,
-            elapsed: job.arrived.elapsed(),
-            priority: job.priority(),
-        };
-        let next = escalate(&stage_answer, &router.policy.escalation);
-        let Some(next) = next.filter(|_| router.may_repeat(&job.service)) else {
-            router.count_stage(model.as_deref().unwrap_or("-"), "passed");
-            return Ok((answer, model));
-        };
-        router.count_stage(model.as_deref().unwrap_or("-"), "escalated");
-        job.begin_by = Some(Instant::now() + time_to_begin(&stage_answer));
-        in_hand = Some((answer, model));
-        stage = next;
-    }
-}
-
-/// Tells of an answer that is passed on because the larger model gave none in time.
-fn note_kept(router: &Router, job: &Job, answer: &OpenAnswer, model: Option<&str>) {
-    let model = model.unwrap_or("-");
-    router.count_stage(model, "kept");
-    event::EARLIER_ANSWER_KEPT.log(format_args!(
-        "request={} route={} server={} model={model} confidence={:?} runs={} after_ms={}",
-        job.req.head.id,
-        job.route.name,
-        answer.member.server.id,
-        answer.head.confidence,
-        job.runs,
-        job.arrived.elapsed().as_millis()
-    ));
-}
-
 fn head_of(head: &AnswerHead) -> Response<AnswerBody> {
     let mut res = Response::new(AnswerBody::whole(""));
     *res.status_mut() = head.status;
