The soak waits for the end of a seed's processes

Seed 608 failed: two entries could not listen, as the processes of seed 607 on the same addresses had been killed but not waited for (their logs: address already in use). Nothing of the program; the check is as it was.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Ends its process and waits for that: the next seed takes the same addresses.
+    pub async fn end(&mut self) {
+        self.signal(Signal::KILL);
+        self.wait().await;
+    }
+
     /// Whether its process ended without having been told to.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_some())
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -225,9 +225,11 @@
     while tasks.join_next().await.is_some() {}
     balancer.abort();
     for (number, entry) in system.entries.iter().enumerate() {
-        if entry.lock().await.has_ended() {
+        let mut entry = entry.lock().await;
+        if entry.has_ended() {
             findings.push(format!("entry {number} ended by itself"));
         }
+        entry.end().await;
     }
     findings.extend(system.record.findings());
     println!("seed {seed}: {}", system.record.summary());
