--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -118,7 +118,6 @@
     let reading = work.shared_tokens as f64 * work.token_time.as_secs_f64();
     let is_known = candidates.iter().any(|c| c.kept_tokens > 0);
     let home = if is_known { None } else { home(candidates, work, reading < far, &usable) };
-    let choices = choices(candidates, work, terms.choices, &usable);
     let cost = |i: usize| {
         let candidate = &candidates[i];
         let kept = if home == Some(i) { work.shared_tokens } else { candidate.kept_tokens };
@@ -126,22 +125,23 @@
         let far = if candidate.is_near { 0.0 } else { far };
         wait(candidate, terms) + reread + far
     };
+    let key = work.affinity.unwrap_or(work.draw);
+    // Servers as free as each other differ by the draw; by their ids, one of them would get everything.
+    let by_rank = |i: usize| Reverse(rank(key, &candidates[i]));
     let order = |a: &usize, b: &usize| {
-        let by_id = || candidates[*a].id_hash.cmp(&candidates[*b].id_hash);
-        cost(*a).total_cmp(&cost(*b)).then_with(by_id)
+        cost(*a).total_cmp(&cost(*b)).then_with(|| by_rank(*a).cmp(&by_rank(*b)))
     };
-    choices.into_iter().min_by(order)
+    choices(candidates, key, terms.choices, &usable).into_iter().min_by(order)
 }
 
 /// The servers that are weighed: the first by rendezvous hashing in the zone and outside, and those that
 /// keep some of the shared parts.
 fn choices(
     candidates: &[Candidate],
-    work: &Work,
+    key: u64,
     most: usize,
     usable: &impl Fn(&usize) -> bool,
 ) -> Vec<usize> {
-    let key = work.affinity.unwrap_or(work.draw);
     let (mut near, mut far): (Vec<usize>, Vec<usize>) =
         (0..candidates.len()).filter(usable).partition(|i| candidates[*i].is_near);
     let keepers = near.iter().chain(&far).filter(|i| candidates[**i].kept_tokens > 0);
