state.rs, entry/stage.rs and entry/serve.rs: second jobs have files of their own

What was learned of models' pace (router/readings.rs), counting requests, attempts and stages (telemetry/metrics.rs, which had the same for repeats; explain.rs and stage.rs call it too), collecting an answer's parts (entry/collector.rs), why a stage failed and what its caller is told (entry/failure.rs).

--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -7,7 +7,6 @@
 use crate::{
     entry::{Entry, request::RequestHead, stage::Attempts},
     ids::{OrganisationId, RequestId, format_id},
-    telemetry::metrics::RequestLabels,
 };
 
 const KEPT: usize = 2_000;
@@ -58,9 +57,7 @@
     code: &str,
     attempts: &mut Attempts,
 ) {
-    let labels =
-        RequestLabels { organisation: head.organisation.to_string(), code: code.to_string() };
-    entry.metrics.requests.get_or_create(&labels).inc();
+    entry.metrics.count_request(&head.organisation, code);
     let story = Explanation {
         organisation: head.organisation.clone(),
         model: model.into(),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -15,15 +15,15 @@
         answer::Answer,
         charges,
         claims::{self, Claimed, Grant},
+        collector::Collector,
         explain::keep_story,
+        failure::{StageError, describe_failure},
         link::Link,
         pick::best_estimate,
         rating::{POOR_BELOW, rate},
         request::ChatRequest,
         sessions::{RequestSession, version_for},
-        stage::{
-            Attempts, Collector, Finished, Job, JobCall, StageError, learn_stage_time, run_job,
-        },
+        stage::{Attempts, Finished, Job, JobCall, learn_stage_time, run_job},
         state::CascadePolicy,
         stream::{CHUNKS_WAITING, Reply, ReplyHead, StreamItem, as_chunks, pass_on},
         target::{Target, resolve},
@@ -465,24 +465,6 @@
     }
 }
 
-/// What a caller is told when a stage fails, by what is true of the attempts.
-pub(crate) fn describe_failure(e: &StageError, verdict: Verdict, model: &str) -> ApiError {
-    match (e, verdict) {
-        (StageError::Rejected(status), _) => {
-            ApiError::bad_request("body", format!("the backend answered {status}"))
-        }
-        (_, Verdict::Unknown | Verdict::Done) => {
-            ApiError::outcome_unknown("the answer was lost on the way")
-        }
-        (StageError::Withdrawn, _) => ApiError::withdrawn(model),
-        (StageError::NotAllowed, _) => ApiError::not_allowed(model),
-        (StageError::Full(after), _) => ApiError::overloaded("every server is full", *after),
-        (StageError::Deadline, _) => ApiError::deadline(),
-        (StageError::NoServer, _) => ApiError::not_run("no server that can run it is known"),
-        _ => ApiError::not_run("no server could be reached"),
-    }
-}
-
 /// Refuses at once what can't have its first token before its deadline.
 fn shed_early(entry: &Entry, job: &Job<'_>) -> Result<(), StageError> {
     let Some(estimate) = best_estimate(entry, job) else {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -16,10 +16,11 @@
         api::saved_response,
         charges, claims,
         claims::Claimed,
+        collector::Collector,
         explain::keep_story,
+        failure::{StageError, describe_failure},
         request::RequestHead,
-        serve::describe_failure,
-        stage::{Attempts, Collector, Finished, Job, JobCall, StageError, run_job},
+        stage::{Attempts, Finished, Job, JobCall, run_job},
     },
     ids::{ObjectId, format_id, partner_of, qualify},
     policy::{
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -1,20 +1,18 @@
 //! Running one stage of a request: choosing a server, sending attempts, reading their frames.
 
 use std::{
-    hash::Hasher,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use serde_json::Value;
 use tokio::sync::mpsc;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     entry::{
         Entry,
-        answer::Answer,
+        collector::{Collector, Progress},
+        failure::StageError,
         link::{AttemptFrame, Link},
         pick::pick,
         request::RequestHead,
@@ -28,7 +26,7 @@
         gate::RefuseReason,
     },
     protocol::{Start, StartCall, ToAgent, Usage},
-    telemetry::{event, metrics::AttemptLabels},
+    telemetry::event,
 };
 
 /// Attempts of one stage at most, refusals included.
@@ -44,6 +42,16 @@
     Service { name: ObjectId, method: Box<str>, path: Box<str>, content_type: Option<Box<str>> },
 }
 
+impl JobCall {
+    /// Version that a chat request runs on.
+    fn version(&self) -> Option<&VersionId> {
+        match self {
+            Self::Chat { version } => Some(version),
+            Self::Service { .. } => None,
+        }
+    }
+}
+
 /// One stage of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Job<'a> {
@@ -86,15 +94,6 @@
     }
 }
 
-/// Where the parts of an answer go.
-#[derive(Debug)]
-pub(crate) enum Collector {
-    /// A chat answer, passed on as it comes when there is a sink.
-    Chat { answer: Answer, sink: Option<mpsc::Sender<Value>>, include_usage: bool },
-    /// A plain service's body.
-    Raw(Vec<u8>),
-}
-
 /// A stage that ended whole.
 #[derive(Debug)]
 pub(crate) struct Finished {
@@ -103,27 +102,6 @@
     pub(crate) usage: Usage,
 }
 
-/// Why a stage gave no whole answer.
-#[derive(Debug)]
-pub(crate) enum StageError {
-    /// No server that could run it is known.
-    NoServer,
-    /// Every server asked was full or leaving.
-    Full(Duration),
-    /// The version was withdrawn meanwhile.
-    Withdrawn,
-    /// The agent's newer configuration forbids it.
-    NotAllowed,
-    /// The deadline passed.
-    Deadline,
-    /// The caller went away.
-    CallerGone(Option<Arc<Link>>),
-    /// The BackendServer would not take the request itself.
-    Rejected(u16),
-    /// It failed, and may not or can not be tried again.
-    Failed(Option<Arc<Link>>),
-}
-
 /// How one attempt came out.
 enum AttemptEnd {
     Ended { status: u16, usage: Usage },
@@ -251,8 +229,7 @@
         JobCall::Chat { version } => version.to_string(),
         JobCall::Service { name, .. } => name.to_string(),
     };
-    let labels = AttemptLabels { version, outcome: outcome.into() };
-    entry.metrics.attempts.get_or_create(&labels).inc();
+    entry.metrics.count_attempt(&version, outcome);
     let detail = match end {
         AttemptEnd::Refused(reason) => format!("{reason:?}"),
         AttemptEnd::Broken(problem, _) => problem.to_string(),
@@ -269,54 +246,6 @@
     }
 }
 
-impl Collector {
-    /// Whether an attempt that broke off can be followed by another.
-    fn can_go_on(&self) -> bool {
-        match self {
-            Collector::Chat { answer, .. } => answer.resumable_text().is_some(),
-            Collector::Raw(_) => true,
-        }
-    }
-
-    fn resume_text(&self) -> Option<Box<str>> {
-        let Collector::Chat { answer, .. } = self else {
-            return None;
-        };
-        answer.resumable_text().filter(|text| !text.is_empty())
-    }
-
-    /// Drops what can't be part of the next attempt's answer.
-    fn restart(&mut self) {
-        if let Collector::Raw(body) = self {
-            body.clear();
-        }
-    }
-
-    /// Takes a part in and passes it on to a streaming caller.
-    async fn take(&mut self, payload: Vec<u8>, job: &Job<'_>) {
-        match self {
-            Collector::Raw(body) => body.extend_from_slice(&payload),
-            Collector::Chat { answer, sink, include_usage } => {
-                let JobCall::Chat { version } = &job.call else {
-                    return;
-                };
-                let Some(chunk) = answer.take(&payload, job.head.id, version) else {
-                    return;
-                };
-                let Some(sink) = sink.as_ref().filter(|_| !chunk.is_usage || *include_usage) else {
-                    return;
-                };
-                // A caller that went away is noticed by the closed channel.
-                let _ = sink.send(chunk.body).await;
-            }
-        }
-    }
-
-    fn caller_is_gone(&self) -> bool {
-        matches!(self, Collector::Chat { sink: Some(sink), .. } if sink.is_closed())
-    }
-}
-
 async fn one_attempt(
     entry: &Entry,
     job: &Job<'_>,
@@ -369,7 +298,7 @@
     if progress.count == 1 {
         entry.metrics.first_token.observe(job.head.arrived.elapsed().as_secs_f64());
     }
-    collector.take(payload, job).await;
+    collector.take(payload, job.head.id, job.call.version()).await;
 }
 
 /// Notes a frame other than a part of the answer; some when it ends the attempt.
@@ -401,28 +330,6 @@
     end
 }
 
-/// Parts of one attempt's answer so far.
-#[derive(Default)]
-struct Progress {
-    count: u64,
-    digest: Xxh3,
-}
-
-impl Progress {
-    fn accepts(&mut self, sequence: u64, payload: &[u8]) -> bool {
-        if sequence != self.count {
-            return false;
-        }
-        self.count += 1;
-        self.digest.write(payload);
-        true
-    }
-
-    fn is_whole(&self, count: u64, digest: u64) -> bool {
-        self.count == count && self.digest.finish() == digest
-    }
-}
-
 /// Cancels an attempt whose deadline passed; a refusal in time makes "not run" true.
 async fn give_up(
     link: &Link,
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -6,10 +6,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    entry::{
-        ApiError,
-        stage::{Finished, StageError},
-    },
+    entry::{ApiError, failure::StageError, stage::Finished},
     ids::VersionId,
     policy::claim::SavedAnswer,
 };
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -139,7 +139,7 @@
     plan: &Plan<'_>,
     may_leave: impl FnMut() -> bool,
 ) -> Result<OpenAnswer, AttemptError> {
-    let reading = router.reading(plan.reading_key).reading_time(plan.unread_tokens);
+    let reading = router.readings.get(plan.reading_key).reading_time(plan.unread_tokens);
     let ahead = plan.member.backlog(router.now());
     let mut at_server = AtServer::enter(plan.member, reading);
     note_sent(router, plan);
@@ -156,9 +156,9 @@
     let head = read_answer(parts.status, &parts.headers, &req.head.id);
     note_head(router, plan.member, &head);
     let (tokens, took) = (plan.unread_tokens, began.elapsed());
-    let is_slow = router.reading(plan.reading_key).is_slow(tokens, took);
+    let is_slow = router.readings.get(plan.reading_key).is_slow(tokens, took);
     if head.kind == AnswerKind::Success {
-        router.note_head_time(plan.reading_key, tokens, ahead, took);
+        router.readings.note_head_time(plan.reading_key, tokens, ahead, took);
     }
     if let Some(load) = head.load {
         plan.member.record().load.note_report(load, router.now());
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -61,7 +61,7 @@
 
 /// Estimates a request that would be sent now; a whole prompt with nothing before it where there is no server.
 pub(crate) fn estimate(router: &Router, job: &Job, ask: Ask<'_>) -> Expected {
-    let belief = router.reading(reading_key(job, ask));
+    let belief = router.readings.get(reading_key(job, ask));
     let prompt_tokens = job.req.head.prompt_tokens;
     let (ahead, kept) = match pick(router, job, ask, |_| true) {
         Some(member) => {
@@ -88,7 +88,7 @@
 /// What is to be placed. Requests for one model that share their prompt's parts belong together.
 fn work(router: &Router, job: &Job, ask: Ask<'_>) -> Work {
     let key = reading_key(job, ask);
-    let token_time = router.reading(key).token_time();
+    let token_time = router.readings.get(key).token_time();
     let bytes = job.req.body.len();
     let parts = &job.req.head.parts;
     let draw = hash_id(&job.req.head.id);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -203,7 +203,7 @@
 ) -> Result<OpenAnswer, AttemptError> {
     let may_go_elsewhere = job.route.is_idempotent() && job.runs_left() > 1;
     let key = reading_key(job, ask);
-    let belief = router.reading(key);
+    let belief = router.readings.get(key);
     let marks = marks(job, ask);
     let prompt_tokens = job.req.head.prompt_tokens;
     let kept_marks = member.record().kept.kept_marks(&marks);
@@ -241,7 +241,7 @@
     router.roll_outs.tell_trial(&member.server, &job.req.head, router.now());
     let result = send(router, &job.req, &plan, may_leave).await;
     let (state, outcome) = sum_up(&result);
-    router.count_attempt(&member.server.version, outcome);
+    router.metrics.count_attempt(&member.server.version, outcome);
     job.attempts.push(state);
     job.tried.push(member.server.id.clone());
     if !matches!(result, Err(AttemptError::NotSent(_))) {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod load_board;
 mod packed_rows;
 mod peers;
+mod readings;
 mod refusal;
 mod relay;
 mod reports;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -288,7 +288,7 @@
         // Slow runs count in the mean, too: without them it falls, and more runs are called slow. A
         // version on trial does not set the pace that it is measured by.
         if run.pauses > 0 && !roll_outs.is_on_trial(server) {
-            self.router.note_pace(self.reading_key(), run.took() / run.pauses);
+            self.router.readings.note_pace(self.reading_key(), run.took() / run.pauses);
         }
         if !run.is_judged {
             roll_outs.note_outcome(server, RunOutcome::Good);
@@ -296,7 +296,7 @@
     }
 
     fn reading(&self) -> ReadingBelief {
-        self.router.reading(self.reading_key())
+        self.router.readings.get(self.reading_key())
     }
 
     fn reading_key(&self) -> &str {
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -50,11 +50,11 @@
     let id: Box<str> = request_id(req.headers()).unwrap_or("-").into();
     let mut res = match try_serve(&router, req, connected_at).await {
         Ok(res) => {
-            router.count_request("ok");
+            router.metrics.count_request("", "ok");
             res
         }
         Err(refusal) => {
-            router.count_request(refusal.code());
+            router.metrics.count_request("", refusal.code());
             event::REQUEST_REFUSED.log(format_args!("request={id} cause=\"{refusal}\""));
             refusal.response()
         }
--- a/src/router/stages.rs
+++ b/src/router/stages.rs
@@ -44,10 +44,10 @@
         let known = what_is_known(router, job, ask, stage, &answer);
         let next = escalate(&known, &router.policy.escalation);
         let Some(next) = next.filter(|_| router.may_repeat(&job.service)) else {
-            router.count_stage(model.as_deref().unwrap_or("-"), "passed");
+            router.metrics.count_stage(model.as_deref().unwrap_or("-"), "passed");
             return Ok(StageEnd { answer, model });
         };
-        router.count_stage(model.as_deref().unwrap_or("-"), "escalated");
+        router.metrics.count_stage(model.as_deref().unwrap_or("-"), "escalated");
         job.begin_by = Some(Instant::now() + time_to_begin(&known));
         in_hand = Some(StageEnd { answer, model });
         stage = next;
@@ -83,7 +83,7 @@
 fn note_kept(router: &Router, job: &Job, earlier: &StageEnd) {
     let StageEnd { answer, model } = earlier;
     let model = model.as_deref().unwrap_or("-");
-    router.count_stage(model, "kept");
+    router.metrics.count_stage(model, "kept");
     event::EARLIER_ANSWER_KEPT.log(format_args!(
         "request={} route={} server={} model={model} confidence={:?} runs={} after_ms={}",
         job.req.head.id,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -20,22 +20,16 @@
         exposure::draw,
         extra_share::ExtraShare,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
-        reading::ReadingBelief,
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
     router::{
-        Fleet, kept_board::KeptBoard, link::Link, load_board::LoadBoard, roll_out::RollOuts,
-        views::Views,
+        Fleet, kept_board::KeptBoard, link::Link, load_board::LoadBoard, readings::Readings,
+        roll_out::RollOuts, views::Views,
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
-    telemetry::{
-        Metrics,
-        admin::Admin,
-        log::dropped_lines,
-        metrics::{AttemptLabels, RequestLabels, ServiceLabels, StageLabels},
-    },
+    telemetry::{Metrics, admin::Admin, log::dropped_lines, metrics::ServiceLabels},
 };
 
 /// Time the balancer needs to see that this entry is no longer ready: two questions, a second
@@ -75,6 +69,8 @@
     pub(crate) loads: LoadBoard,
     /// What entries tell each other about prompt parts that servers keep.
     pub(crate) kept: KeptBoard,
+    /// What was learned of the models' pace.
+    pub(crate) readings: Readings,
     /// What comes from another entry that is followed.
     pub(crate) link: Link,
     /// Metrics.
@@ -82,7 +78,6 @@
     budgets: Mutex<HashMap<Box<str>, SendBudget>>,
     extra_share: Mutex<ExtraShare>,
     overloads: Mutex<HashMap<Box<str>, Overload>>,
-    readings: Mutex<HashMap<Box<str>, ReadingBelief>>,
     lifecycle: Mutex<Lifecycle>,
     in_flight: AtomicUsize,
     /// Tells waiting requests that a configuration or servers came into view.
@@ -108,7 +103,7 @@
             budgets: Mutex::default(),
             extra_share: Mutex::new(ExtraShare::started_at(CLOCK_ORIGIN)),
             overloads: Mutex::default(),
-            readings: Mutex::default(),
+            readings: Readings::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
             news: Notify::new(),
@@ -306,48 +301,6 @@
         SendTerms { ratio: settings.retry_ratio, extra, window }
     }
 
-    /// What was learned about a model, or about a service without models.
-    pub(crate) fn reading(&self, key: &str) -> ReadingBelief {
-        let readings = self.readings.lock().expect("no panics under the lock");
-        readings.get(key).copied().unwrap_or_default()
-    }
-
-    /// Learns from the time to an answer's head.
-    pub(crate) fn note_head_time(
-        &self,
-        key: &str,
-        unread_tokens: u64,
-        ahead: Duration,
-        took: Duration,
-    ) {
-        let mut readings = self.readings.lock().expect("no panics under the lock");
-        readings.entry(key.into()).or_default().note(unread_tokens, ahead, took);
-    }
-
-    /// Learns from a stream's mean time between two events.
-    pub(crate) fn note_pace(&self, key: &str, pace: Duration) {
-        let mut readings = self.readings.lock().expect("no panics under the lock");
-        readings.entry(key.into()).or_default().note_pace(pace);
-    }
-
-    /// Counts an answered request.
-    pub(crate) fn count_request(&self, code: &str) {
-        let labels = RequestLabels { organisation: String::new(), code: code.into() };
-        self.metrics.requests.get_or_create(&labels).inc();
-    }
-
-    /// Counts an attempt that ended.
-    pub(crate) fn count_attempt(&self, version: &str, outcome: &str) {
-        let labels = AttemptLabels { version: version.into(), outcome: outcome.into() };
-        self.metrics.attempts.get_or_create(&labels).inc();
-    }
-
-    /// Counts a stage of a cascade.
-    pub(crate) fn count_stage(&self, model: &str, outcome: &str) {
-        let labels = StageLabels { model: model.into(), outcome: outcome.into() };
-        self.metrics.stages.get_or_create(&labels).inc();
-    }
-
     /// Brings the gauges up to date that nothing else keeps so.
     fn refresh_gauges(&self) {
         let now = self.now();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -193,6 +193,24 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    /// Counts an answered request.
+    pub fn count_request(&self, organisation: &str, code: &str) {
+        let labels = RequestLabels { organisation: organisation.into(), code: code.into() };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts an attempt that ended.
+    pub fn count_attempt(&self, version: &str, outcome: &str) {
+        let labels = AttemptLabels { version: version.into(), outcome: outcome.into() };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    /// Counts a stage of a cascade.
+    pub fn count_stage(&self, model: &str, outcome: &str) {
+        let labels = StageLabels { model: model.into(), outcome: outcome.into() };
+        self.stages.get_or_create(&labels).inc();
+    }
+
     /// Counts one repeated send that the budget gave or denied.
     pub fn count_repeat(&self, service: &str, is_taken: bool) {
         let outcome = if is_taken { "taken" } else { "denied" };
