--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -1,6 +1,9 @@
 //! Which server a request is tried at next, until one answers or nothing more may be tried.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use crate::{
     platform::headers::AttemptHeaders,
@@ -16,7 +19,7 @@
         roll_out::RunOutcome,
         serve::InFlight,
     },
-    routing::{AnswerKind, Organisation, Request, Route, RouteKind},
+    routing::{AnswerKind, Fingerprint, Organisation, Request, Route, RouteKind},
     telemetry::event,
 };
 use tokio::time::Instant;
@@ -54,6 +57,8 @@
     /// Whether a repeated send was taken from the budget and not used yet.
     has_repeat: bool,
     tried: Vec<Box<str>>,
+    /// Computed when it is first asked for: most requests never need it.
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
@@ -80,9 +85,15 @@
             arrivals: 0,
             has_repeat: false,
             tried,
+            fingerprint: OnceLock::new(),
         }
     }
 
+    /// What it is known by when it comes again.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| Fingerprint::of(&self.req, self.organisation.as_deref()))
+    }
+
     /// Runs that it may still cause.
     pub(crate) fn runs_left(&self) -> u32 {
         self.route.max_attempts.saturating_sub(self.runs)
@@ -167,7 +178,8 @@
                 let id = &job.req.head.id;
                 let (route, server, number) = (&job.route.name, &member.server.id, job.runs);
                 event::ATTEMPT_FAILED.log(format_args!(
-                    "request={id} route={route} server={server} runs={number} cause=\"{e}\""
+                    "request={id} fingerprint={} route={route} server={server} runs={number} cause=\"{e}\"",
+                    job.fingerprint()
                 ));
             }
         }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -198,7 +198,8 @@
             }
             let (id, events) = (&self.job.req.head.id, self.last_event);
             event::STREAM_BROKEN.log(format_args!(
-                "request={id} server={} last_event={events:?} cause=\"{e}\"",
+                "request={id} fingerprint={} server={} last_event={events:?} cause=\"{e}\"",
+                self.job.fingerprint(),
                 server.server.id
             ));
             self.job.note_lost();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,12 +3,14 @@
 
 mod answer;
 mod backend_server;
+mod fingerprint;
 mod request;
 mod roll_out;
 mod table;
 
 pub use answer::{AnswerHead, AnswerKind};
 pub use backend_server::{BackendServer, BornAt, ServerVersion};
+pub use fingerprint::Fingerprint;
 pub use request::{PromptPart, Request, RequestHead};
 pub use roll_out::{Progress, RollOutOrder, RollOutStatus};
 pub use table::{CallerLimits, Organisation, Route, RouteKind, RoutingTable, Target};
