--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,8 +1,10 @@
 //! An entry on the users' platform, against small stand-ins of its store and its servers.
 
 mod adapter;
+mod crashes;
 mod lives;
 mod peers;
+mod pool;
 mod requests;
 mod roll_outs;
 mod rows;
--- /dev/null
+++ b/tests/platform/pool.rs
@@ -0,0 +1,171 @@
+//! A pool of servers that end under some requests and start again a while later, and several entries
+//! before it.
+
+use std::{
+    collections::HashSet,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    server::{Act, Seen, Server},
+    site::{Answer, Site, list_life, request_with_id, store_with, until},
+    store::Store,
+};
+
+/// Body of the request that ends every server that begins to run it.
+pub const CRASHING: &str = "ends whoever runs it";
+/// Time from a server's end to its next life.
+pub const DOWN: Duration = Duration::from_millis(400);
+/// Events of a whole answer.
+pub const EVENTS: u64 = 6;
+
+/// What reached the servers, and their ends.
+#[derive(Default)]
+pub struct Witness {
+    /// When the crashing request reached a server, and under which id.
+    pub arrivals: Mutex<Vec<(Instant, String)>>,
+    /// When a server ended under it.
+    pub ends: Mutex<Vec<Instant>>,
+}
+
+impl Witness {
+    /// Arrivals of the crashing request later than this after the third server had ended under it.
+    pub fn arrivals_after_third(&self, slack: Duration) -> usize {
+        let ends = self.ends.lock().unwrap();
+        let Some(third) = ends.get(2) else {
+            return 0;
+        };
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().filter(|(at, _)| *at > *third + slack).count()
+    }
+
+    /// How many tries of callers all arrivals belong to.
+    pub fn tries(&self) -> usize {
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().map(|(_, id)| id).collect::<HashSet<_>>().len()
+    }
+
+    pub fn ends(&self) -> usize {
+        self.ends.lock().unwrap().len()
+    }
+}
+
+/// The servers and the store that lists them.
+pub struct Pool {
+    pub store: Store,
+    pub witness: Arc<Witness>,
+    pub servers: Vec<Server>,
+    /// Ends with the pool.
+    _lives: JoinSet<()>,
+}
+
+impl Pool {
+    /// Servers of a service, each of which answers streams and ends under the crashing request.
+    pub async fn start(service: &'static str, number: usize, has_begun: bool) -> Self {
+        let witness = Arc::new(Witness::default());
+        let store = store_with(&[]).await;
+        let (mut servers, mut lives) = (Vec::new(), JoinSet::new());
+        for i in 0..number {
+            let seen_by = witness.clone();
+            let script = move |seen: &Seen| {
+                if seen.body != CRASHING.as_bytes() {
+                    return Act::Paced { to: EVENTS, pause: Duration::from_millis(15) };
+                }
+                let id = seen.header("x-request-id").to_owned();
+                seen_by.arrivals.lock().unwrap().push((Instant::now(), id));
+                seen_by.ends.lock().unwrap().push(Instant::now());
+                Act::Crash { has_begun }
+            };
+            let server = Server::start(&format!("i-{i}"), script).await;
+            list_life(&store, &server, service, 1_000);
+            lives.spawn(live_again(store.clone(), server.clone(), service));
+            servers.push(server);
+        }
+        Self { store, witness, servers, _lives: lives }
+    }
+
+    /// Entries before the pool, of which the first two are seeds for the others.
+    pub async fn entries(&self, number: usize) -> Vec<Arc<Site>> {
+        let mut sites: Vec<Arc<Site>> = Vec::new();
+        for _ in 0..number {
+            let first = sites.first().and_then(|site| site.entry.addresses.peer);
+            let seeds: Vec<_> =
+                sites.iter().take(2).filter_map(|site| site.entry.addresses.peer).collect();
+            let site = match sites.len() {
+                0 | 1 => Site::seed(self.store.clone(), first).await,
+                _ => Site::with(self.store.clone(), |host| host.seeds = seeds).await,
+            };
+            sites.push(Arc::new(site));
+        }
+        for site in &sites {
+            site.until_in_view(self.servers.len()).await;
+        }
+        for site in sites.iter().skip(2) {
+            let follows = || site.entry.router.dump()["follows_another_entry"] == true;
+            until("it follows a seed", follows).await;
+        }
+        sites
+    }
+}
+
+/// Lists a server's next life a while after each end.
+async fn live_again(store: Store, server: Server, service: &'static str) {
+    let mut life = 0;
+    loop {
+        server.until_ended(life).await;
+        sleep(DOWN).await;
+        life = server.start_again();
+        list_life(&store, &server, service, 1_000 + life as u64);
+    }
+}
+
+/// Sends a body on a path under a new id.
+pub async fn ask(site: &Site, path: &str, body: &str) -> Answer {
+    static ASKED: AtomicUsize = AtomicUsize::new(0);
+    let id = format!("p-{}", ASKED.fetch_add(1, Ordering::Relaxed));
+    site.send(&request_with_id(&id, "POST", path, "X-Model: small\r\n", body)).await
+}
+
+/// Asks for the crashing request over and over, at one entry after the other, without waiting for
+/// answers.
+pub async fn insist(sites: &[Arc<Site>], path: &'static str, lasts: Duration) {
+    let mut asking = JoinSet::new();
+    let until = Instant::now() + lasts;
+    for site in sites.iter().cycle() {
+        if Instant::now() >= until {
+            break;
+        }
+        let site = site.clone();
+        asking.spawn(async move { ask(&site, path, CRASHING).await });
+        sleep(Duration::from_millis(60)).await;
+    }
+    while asking.join_next().await.is_some() {}
+}
+
+/// Asks for other requests meanwhile, each of its own; how many were asked and how many served whole.
+pub async fn ask_others(sites: &[Arc<Site>], lasts: Duration) -> (usize, usize) {
+    let mut asking = JoinSet::new();
+    let until = Instant::now() + lasts;
+    for (i, site) in sites.iter().cycle().enumerate() {
+        if Instant::now() >= until {
+            break;
+        }
+        let site = site.clone();
+        asking.spawn(async move {
+            let answer = ask(&site, "/chat/other", &format!("other {i}")).await;
+            answer.status == 200 && answer.is_whole
+        });
+        sleep(Duration::from_millis(20)).await;
+    }
+    let answers = asking.join_all().await;
+    (answers.len(), answers.iter().filter(|is_whole| **is_whole).count())
+}
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -13,6 +13,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::sleep,
 };
 
@@ -67,6 +68,9 @@
     Unframed,
     /// A whole answer, and a second one after it.
     Twice,
+    /// The whole process ends as it begins to run the request, with the head of a stream's answer or
+    /// without any.
+    Crash { has_begun: bool },
 }
 
 /// Opinion of an answer that is asked again of no larger model.
@@ -83,6 +87,8 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     open: Arc<AtomicUsize>,
+    /// Number of its present life, from 0, and whether it lives.
+    life: Arc<watch::Sender<(usize, bool)>>,
 }
 
 impl Server {
@@ -93,18 +99,60 @@
             address: listener.local_addr().unwrap(),
             seen: Arc::default(),
             open: Arc::default(),
+            life: Arc::new(watch::Sender::new((0, true))),
         };
         let script: Script = Arc::new(script);
-        let taken = server.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (server, script) = (taken.clone(), script.clone());
-                tokio::spawn(async move { server.talk(stream, script).await });
-            }
-        });
+        tokio::spawn(server.clone().live(listener, script));
         server
     }
 
+    /// Takes connections, life after life.
+    async fn live(self, mut listener: TcpListener, script: Script) {
+        loop {
+            let life = self.life.borrow().0;
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (server, script) = (self.clone(), script.clone());
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = server.talk(stream, script) => {}
+                            () = server.until_ended(life) => {}
+                        }
+                    });
+                }
+            };
+            tokio::select! {
+                () = accept => return,
+                () = self.until_ended(life) => {}
+            }
+            // Nobody listens between two lives: connections are refused.
+            drop(listener);
+            let mut lives = self.life.subscribe();
+            if lives.wait_for(|(_, is_alive)| *is_alive).await.is_err() {
+                return;
+            }
+            listener = TcpListener::bind(self.address).await.unwrap();
+        }
+    }
+
+    /// Waits until a life has ended.
+    pub async fn until_ended(&self, life: usize) {
+        let mut lives = self.life.subscribe();
+        let is_over = |(now, is_alive): &(usize, bool)| *now > life || !is_alive;
+        lives.wait_for(is_over).await.expect("the server is still here");
+    }
+
+    /// Ends its life at once, with all its connections.
+    pub fn crash(&self) {
+        self.life.send_modify(|(_, is_alive)| *is_alive = false);
+    }
+
+    /// Begins its next life, and gives its number.
+    pub fn start_again(&self) -> usize {
+        self.life.send_modify(|life| *life = (life.0 + 1, true));
+        self.life.borrow().0
+    }
+
     /// Requests that reached it.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().unwrap().clone()
@@ -119,7 +167,12 @@
         while let Some(seen) = read_request(&mut stream).await {
             self.seen.lock().unwrap().push(seen.clone());
             self.open.fetch_add(1, Ordering::SeqCst);
-            let goes_on = act(&mut stream, &seen, script(&seen)).await;
+            let act = script(&seen);
+            let ends = matches!(act, Act::Crash { .. });
+            let goes_on = answer(&mut stream, &seen, act).await;
+            if ends {
+                self.crash();
+            }
             self.open.fetch_sub(1, Ordering::SeqCst);
             if !goes_on {
                 return;
@@ -156,7 +209,7 @@
 }
 
 /// Does it; whether the connection goes on.
-async fn act(stream: &mut TcpStream, seen: &Seen, act: Act) -> bool {
+async fn answer(stream: &mut TcpStream, seen: &Seen, act: Act) -> bool {
     let id = seen.header("x-request-id");
     let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n");
     let whole = |status: u16, headers: &str, body: &str| {
@@ -177,7 +230,13 @@
         Act::WrongId => (whole(200, "X-Request-Id: other\r\nX-Instance-Stamp: s\r\n", "no"), true),
         Act::Unsigned => (whole(200, &format!("X-Request-Id: {id}\r\n"), "no"), true),
         Act::Encoded => (whole(200, &format!("{signed}Content-Encoding: gzip\r\n"), "no"), true),
-        Act::Close => (String::new(), false),
+        Act::Close | Act::Crash { has_begun: false } => (String::new(), false),
+        Act::Crash { has_begun: true } => {
+            let sent = stream.write_all(stream_head(&signed, SURE).as_bytes()).await.is_ok();
+            // The head is on its way before the process ends.
+            sleep(OFTEN).await;
+            return sent;
+        }
         Act::Hang => {
             // Until the entry gives up on the connection.
             let mut rest = [0; 16];
@@ -201,6 +260,13 @@
     stream.write_all(bytes.as_bytes()).await.is_ok() && goes_on
 }
 
+/// Head of a stream's answer.
+fn stream_head(signed: &str, confidence: u8) -> String {
+    format!(
+        "HTTP/1.1 200 X\r\n{signed}X-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
@@ -214,9 +280,7 @@
     confidence: u8,
 ) -> bool {
     let from: u64 = seen.header("last-event-id").parse().unwrap_or(0);
-    let head = format!(
-        "HTTP/1.1 200 X\r\n{signed}X-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
+    let head = stream_head(signed, confidence);
     let mut out = head;
     for event in from + 1..=to {
         out += &chunk(&format!("id: {event}\ndata: e{event}\n\n"));
@@ -232,9 +296,7 @@
     pause: Duration,
     confidence: u8,
 ) -> bool {
-    let head = format!(
-        "HTTP/1.1 200 X\r\n{signed}X-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
+    let head = stream_head(signed, confidence);
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -174,9 +174,14 @@
 
 /// A request's bytes; the connection ends after it.
 pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    request_with_id(&format!("r-{path}"), method, path, headers, body)
+}
+
+/// The same under an id of its own.
+pub fn request_with_id(id: &str, method: &str, path: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-{path}\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: {length}\r\n{headers}\r\n{body}"
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: {length}\r\n{headers}\r\n{body}"
     )
 }
 
