Ends are annulled by name, and the clock goes on while the Host is suspended

Cause of the first: a note that cleared a request carried a time, which each entry took for a few milliseconds later than the one before and passed on as news, so that it went round between seeds without end. Cause of the second: Instant and the runtime's clock stand still while a Host is suspended, so deadlines, what was heard, ages of roll-outs and idle connections looked as fresh as before. src/clock.rs is the one clock of the router; what waits is woken when a suspension is noticed, the list is heard anew before a request is sent, links are opened anew. tests/platform/suspended.rs. Report links are proved alive by a ping: one that is silent for good took reports that reached nobody.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(unsafe_code)]
 
+pub mod clock;
 pub mod ids;
 pub mod policy;
 pub mod resources;
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -9,7 +9,10 @@
 //! The notes of all entries are merged: in whatever order they come, and however often, the outcome is the
 //! same (docs/decisions/0015).
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use crate::routing::Fingerprint;
 
@@ -52,15 +55,25 @@
         /// When, on the clock of whoever holds the note.
         at: Duration,
     },
-    /// A server answered the request whole, or an operator let it go: what was noted before counts no more.
-    Cleared {
+    /// That end speaks no longer against the request: a server answered it whole since, or an operator let it
+    /// go. It names the end and not a time, which each entry would take for a little later than the one
+    /// before, and pass on as news without end.
+    Annulled {
         /// The request.
         fingerprint: Fingerprint,
-        /// When.
-        at: Duration,
+        /// The life that ended.
+        life: LifeHash,
     },
 }
 
+impl Note {
+    /// The request it is about.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let (Self::End { fingerprint, .. } | Self::Annulled { fingerprint, .. }) = self;
+        *fingerprint
+    }
+}
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -75,48 +88,55 @@
     },
 }
 
+/// The end of a server under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct End {
+    life: LifeHash,
+    at: Duration,
+    is_annulled: bool,
+}
+
 /// What is known of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Known {
-    /// Lives that ended under it and when, the earliest first.
-    ends: Vec<(LifeHash, Duration)>,
-    cleared_at: Option<Duration>,
+    /// The earliest first.
+    ends: Vec<End>,
     trials: u32,
     tried_at: Duration,
 }
 
 impl Known {
-    /// Takes a life in; whether that is new.
-    fn note_end(&mut self, life: LifeHash, at: Duration) -> bool {
-        let is_known = self.ends.iter().any(|(known, _)| *known == life);
-        if is_known || self.cleared_at.is_some_and(|cleared| at <= cleared) {
-            return false;
+    /// Takes an end in; whether that is new.
+    fn note(&mut self, life: LifeHash, at: Duration, is_annulled: bool) -> bool {
+        if let Some(end) = self.ends.iter_mut().find(|end| end.life == life) {
+            let is_new = is_annulled && !end.is_annulled;
+            end.is_annulled |= is_annulled;
+            return is_new;
         }
-        let place = self.ends.partition_point(|end| (end.1, end.0) < (at, life));
-        self.ends.insert(place, (life, at));
+        let place = self.ends.partition_point(|end| (end.at, end.life) < (at, life));
+        self.ends.insert(place, End { life, at, is_annulled });
         if self.ends.len() > MOST_ENDS {
             self.ends.remove(0);
         }
         true
     }
 
-    fn clear(&mut self, at: Duration) -> bool {
-        if self.cleared_at.is_some_and(|cleared| at <= cleared) {
-            return false;
-        }
-        self.cleared_at = Some(at);
-        self.ends.retain(|(_, end)| *end > at);
-        self.trials = 0;
-        true
+    /// The ends that speak against it.
+    fn counted(&self) -> impl Iterator<Item = (LifeHash, Duration)> {
+        self.ends.iter().filter(|end| !end.is_annulled).map(|end| (end.life, end.at))
     }
 
     fn last(&self) -> Duration {
-        let last_end = self.ends.last().map_or(Duration::ZERO, |(_, at)| *at);
-        last_end.max(self.tried_at).max(self.cleared_at.unwrap_or_default())
+        self.ends.last().map_or(Duration::ZERO, |end| end.at).max(self.tried_at)
     }
 
     fn was_at(&self, life: LifeHash) -> bool {
-        self.ends.iter().any(|(known, _)| *known == life)
+        self.ends.iter().any(|end| end.life == life)
+    }
+
+    /// Whether it may be refused; the least that is known decides what is forgotten.
+    fn is_grave(&self) -> bool {
+        self.counted().count() >= REFUSED_AFTER
     }
 }
 
@@ -151,18 +171,25 @@
     pub fn note(&mut self, note: Note, now: Duration) -> bool {
         match note {
             Note::End { fingerprint, life, at } => {
-                self.make_room(&fingerprint, now);
-                let is_new = self.known.entry(fingerprint).or_default().note_end(life, at);
+                self.make_room(&fingerprint);
+                let is_new = self.known.entry(fingerprint).or_default().note(life, at, false);
                 let ended_at = self.lives.entry(life).or_insert(at);
                 *ended_at = (*ended_at).min(at);
                 is_new
             }
-            Note::Cleared { fingerprint, at } => {
-                self.known.get_mut(&fingerprint).is_some_and(|known| known.clear(at))
+            Note::Annulled { fingerprint, life } => {
+                self.make_room(&fingerprint);
+                self.known.entry(fingerprint).or_default().note(life, now, true)
             }
         }
     }
 
+    /// What annuls all that is known against a request.
+    pub fn acquittal(&self, fingerprint: Fingerprint) -> Vec<Note> {
+        let counted = self.known.get(&fingerprint).into_iter().flat_map(Known::counted);
+        counted.map(|(life, _)| Note::Annulled { fingerprint, life }).collect()
+    }
+
     /// Takes in what the store keeps of a request; whether that says something new.
     pub fn take_case(&mut self, case: &Case, now: Duration) -> bool {
         let fingerprint = case.fingerprint;
@@ -170,8 +197,7 @@
         for (life, at) in &case.ends {
             is_new |= self.note(Note::End { fingerprint, life: *life, at: *at }, now);
         }
-        let Some(known) = self.known.get_mut(&fingerprint).filter(|known| !known.ends.is_empty())
-        else {
+        let Some(known) = self.known.get_mut(&fingerprint) else {
             return false;
         };
         let has_more_trials = case.trials > known.trials;
@@ -197,13 +223,13 @@
     fn events(&self, known: &Known) -> usize {
         let mut counted = 0;
         let mut began: Option<Duration> = None;
-        for (_, at) in &known.ends {
+        for (_, at) in known.counted() {
             let is_same = began.is_some_and(|began| {
-                *at <= began + SAME_EVENT && self.is_any_elsewhere(known, began, *at)
+                at <= began + SAME_EVENT && self.is_any_elsewhere(known, began, at)
             });
             if !is_same {
                 counted += 1;
-                began = Some(*at);
+                began = Some(at);
             }
         }
         counted
@@ -241,23 +267,23 @@
         let known = self.known.get(fingerprint)?;
         Some(Case {
             fingerprint: *fingerprint,
-            ends: known.ends.clone(),
+            ends: known.counted().collect(),
             trials: known.trials,
             tried_at: known.tried_at,
         })
     }
 
-    /// Forgets what is too old, and the least of the rest where there is no room for one more.
-    fn make_room(&mut self, wanted: &Fingerprint, now: Duration) {
+    /// Forgets the least of what is known where there is no room for one more: what is not refused and
+    /// oldest. An eighth goes at once, since looking for it takes a look at all.
+    fn make_room(&mut self, wanted: &Fingerprint) {
         if self.known.len() < MOST_KNOWN || self.known.contains_key(wanted) {
             return;
         }
-        let age = |known: &Known| now.saturating_sub(known.last());
-        let keys = self.known.iter().map(|(fingerprint, known)| {
-            (known.ends.len() >= REFUSED_AFTER, std::cmp::Reverse(age(known)), *fingerprint)
-        });
-        if let Some((.., least)) = keys.min() {
-            self.known.remove(&least);
+        let rank = |known: &Known| (known.is_grave(), known.last());
+        let mut all: Vec<_> = self.known.iter().map(|(f, known)| (rank(known), *f)).collect();
+        all.sort_unstable();
+        for (_, fingerprint) in &all[..MOST_KNOWN / 8] {
+            self.known.remove(fingerprint);
         }
         self.forget_lives();
     }
@@ -266,8 +292,7 @@
     pub fn expire(&mut self, now: Duration) -> bool {
         let before = self.known.len();
         self.known.retain(|_, known| {
-            let is_refused = known.ends.len() >= REFUSED_AFTER;
-            now < known.last() + if is_refused { REFUSED_FOR } else { SUSPECT_FOR }
+            now < known.last() + if known.is_grave() { REFUSED_FOR } else { SUSPECT_FOR }
         });
         if self.known.len() == before {
             return false;
@@ -277,13 +302,15 @@
     }
 
     fn forget_lives(&mut self) {
-        let Self { known, lives } = self;
-        lives.retain(|life, _| known.values().any(|known| known.was_at(*life)));
+        let ends = self.known.values().flat_map(|known| &known.ends);
+        let needed: HashSet<LifeHash> = ends.map(|end| end.life).collect();
+        self.lives.retain(|life, _| needed.contains(life));
     }
 }
 
 /// When a refused request may be tried once more; none after the last trial.
 fn trial_at(known: &Known) -> Option<Duration> {
     let rest = FIRST_REST * REST_GROWS.pow(known.trials.min(MOST_TRIALS));
-    (known.trials < MOST_TRIALS).then(|| known.last() + rest)
+    let last_end = known.counted().last().map_or(Duration::ZERO, |(_, at)| at);
+    (known.trials < MOST_TRIALS).then(|| last_end.max(known.tried_at) + rest)
 }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -126,7 +126,7 @@
     /// How long its silence is borne; none where no other server may be tried after.
     pub(crate) patience: Option<Patience>,
     /// When the request is given up in any case.
-    pub(crate) deadline: Instant,
+    pub(crate) deadline: Duration,
 }
 
 impl Plan<'_> {
@@ -147,6 +147,7 @@
     let ahead = plan.member.backlog(router.now());
     let mut at_server = AtServer::enter(plan.member, reading);
     note_sent(router, plan);
+    // By the runtime's clock: a suspension says nothing about the server's pace.
     let began = Instant::now();
     let outcome = exchange(router, job, plan, may_leave).await;
     if let Err(e) = &outcome {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -24,7 +24,6 @@
     routing::{AnswerKind, Fingerprint, Organisation, Request, Route, RouteKind},
     telemetry::event,
 };
-use tokio::time::Instant;
 
 /// Sends of one request that reach a server at most, refused ones included: with more, a full
 /// pool would be asked over and over.
@@ -45,12 +44,12 @@
     /// Service that runs it.
     pub(crate) service: Box<str>,
     pub(crate) organisation: Option<Arc<Organisation>>,
-    /// When the caller or the route gives up.
-    pub(crate) deadline: Instant,
+    /// When the caller or the route gives up, on the entry's clock as all times here.
+    pub(crate) deadline: Duration,
     /// When the next answer has to begin, while an earlier stage's answer is in hand.
-    pub(crate) begin_by: Option<Instant>,
+    pub(crate) begin_by: Option<Duration>,
     /// When it arrived.
-    pub(crate) arrived: Instant,
+    pub(crate) arrived: Duration,
     /// Counts it as in flight, also while its stream is passed on.
     _in_flight: InFlight,
     pub(crate) attempts: Vec<AttemptState>,
@@ -73,7 +72,7 @@
         route: Arc<Route>,
         service: Box<str>,
         organisation: Option<Arc<Organisation>>,
-        deadline: Instant,
+        wait: Duration,
         in_flight: InFlight,
     ) -> Self {
         let (attempts, tried) = (Vec::new(), Vec::new());
@@ -82,9 +81,9 @@
             route,
             service,
             organisation,
-            deadline,
+            deadline: in_flight.arrived + wait,
             begin_by: None,
-            arrived: Instant::now(),
+            arrived: in_flight.arrived,
             _in_flight: in_flight,
             attempts,
             runs: 0,
@@ -106,12 +105,12 @@
         self.route.max_attempts.saturating_sub(self.runs)
     }
 
-    pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+    pub(crate) fn time_left(&self, router: &Router) -> Duration {
+        self.deadline.saturating_sub(router.now())
     }
 
     /// When servers are waited for no longer.
-    fn wait_ends(&self) -> Instant {
+    fn wait_ends(&self) -> Duration {
         self.begin_by.unwrap_or(self.deadline)
     }
 
@@ -131,7 +130,7 @@
                 let retry_after = router.note_refusal(&self.service, &self.req.head.id);
                 Refusal::NotRun { retry_after }
             }
-            _ if self.time_left() < LEAST_TIME => Refusal::TimedOut,
+            _ if self.time_left(router) < LEAST_TIME => Refusal::TimedOut,
             _ => Refusal::Lost,
         }
     }
@@ -183,6 +182,9 @@
 ) -> Result<OpenAnswer, Refusal> {
     let mut failed = None;
     loop {
+        if router.notice_suspension() || !router.is_view_fresh() {
+            router.wait_for_view().await;
+        }
         let Some(member) = next_server(router, job, ask) else {
             return failed.ok_or_else(|| job.refusal(router));
         };
@@ -210,7 +212,7 @@
         && job.runs_left() > 0
         && job.arrivals < MOST_ARRIVALS
         && job.attempts.len() < MOST_TRIES
-        && Instant::now() + LEAST_TIME < job.wait_ends()
+        && router.now() + LEAST_TIME < job.wait_ends()
         && !router.is_refused(job)
         && !(job.is_trial && job.arrivals > 0);
     if !may {
@@ -252,7 +254,7 @@
         headers: AttemptHeaders {
             server: &member.server.id,
             organisation: job.organisation.as_deref(),
-            time_left: job.time_left(),
+            time_left: job.time_left(router),
             model: ask.model,
             priority: job.priority(),
             last_event: ask.last_event,
--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -109,6 +109,10 @@
         if router.now() < rest_until {
             continue;
         }
+        // A verdict by what was seen before a suspension may be overtaken.
+        if !router.is_view_fresh() {
+            continue;
+        }
         for verdict in router.roll_outs.verdicts(router.now()) {
             if let Err(e) = give(router, store, &mut told, &verdict).await {
                 rest_until = router.now() + VERDICT_REST;
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -110,11 +110,24 @@
             continue;
         }
         router.metrics.count_store_call("follow");
-        let news = ask_store(router, store, table, at, contact.is_lost).await;
+        let is_stale = !router.is_view_fresh();
+        let mut wakes = router.clock.wakes();
+        let news = tokio::select! {
+            biased;
+            // What the call was to wait for is long over.
+            _ = wakes.changed() => continue,
+            news = ask_store(router, store, table, at, contact.is_lost || is_stale) => news,
+        };
+        if router.notice_suspension() {
+            continue;
+        }
         let (rows, is_whole) = match news {
             Ok(News::Rows(rows, is_whole)) => {
                 contact.note_answer(table, router.now());
                 router.views.note_answer(table, router.now());
+                if is_stale {
+                    router.tell_news();
+                }
                 (rows, is_whole)
             }
             Ok(News::HistoryGone) => {
@@ -218,15 +231,15 @@
     store: &StoreClient,
     table: Table,
     at: Option<Revision>,
-    is_lost: bool,
+    is_urgent: bool,
 ) -> crate::platform::Result<News> {
     let Some(after) = at else {
         return Ok(News::Rows(store.read(table).await?, true));
     };
-    // A store that was lost is asked without waiting, so that its return shows at once.
+    // A store that was lost, or a Host that was suspended: what holds now has to show at once.
     let catch_up = router.settings.load().catch_up;
     let wait = match () {
-        () if is_lost => Duration::ZERO,
+        () if is_urgent => Duration::ZERO,
         () if router.views.has_subscribers() => WAIT_FOR_OTHERS,
         () => catch_up.saturating_sub(CATCH_UP),
     };
@@ -312,6 +325,7 @@
     let expire = async {
         loop {
             sleep(PAUSE).await;
+            router.notice_suspension();
             let mut listing = listing.lock().expect("no panics under the lock");
             if listing.expire(router.now()) {
                 publish(router, &listing);
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -106,6 +106,7 @@
     wants_zone: bool,
     stay: Duration,
 ) -> Result<Left> {
+    let mut wakes = router.clock.wakes();
     let opening = Instant::now() + OPENING;
     let mut socket = timeout_at(opening, open(peer)).await.map_err(|_| silent())??;
     let version = router.views.oldest_version();
@@ -120,21 +121,34 @@
     if !is_near && wants_zone {
         return Ok(Left::OtherZone);
     }
-    let mut current_at = Instant::now();
+    let mut current_at = router.now();
     while router.wants_link() {
-        let is_current = take_beat(router, hear(&mut socket).await?)?;
+        let beat = tokio::select! {
+            biased;
+            _ = wakes.changed() => return Err(resumed()),
+            beat = hear(&mut socket) => beat?,
+        };
+        // What waited to be read while the Host was suspended is old.
+        if router.notice_suspension() {
+            return Err(resumed());
+        }
+        let is_current = take_beat(router, beat)?;
         if router.link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
         if is_current {
-            current_at = Instant::now();
-        } else if current_at.elapsed() >= stay {
+            current_at = router.now();
+        } else if router.now() >= current_at + stay {
             return Err(Error::Broken("the store does not answer it".into()));
         }
     }
     Ok(Left::Unwanted)
 }
 
+fn resumed() -> Error {
+    Error::Broken("the Host was suspended".into())
+}
+
 /// Takes in a heartbeat; whether the store answers the entry that sent it.
 fn take_beat(router: &Router, told: Told) -> Result<bool> {
     let Told::Beat { is_current, updates, entries, loads, kept, ends, is_informed } = told else {
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -10,6 +10,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
@@ -223,6 +224,20 @@
     Ok(())
 }
 
+/// Waits until the other end has shown that it lives. A link that has gone silent for good takes what is
+/// written to it, and what was reported would reach nobody.
+pub(crate) async fn until_alive(socket: &mut Socket) -> Result<()> {
+    socket.send(Message::Ping(Bytes::new())).await?;
+    loop {
+        let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
+        match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
+            Message::Pong(_) => return Ok(()),
+            Message::Close(_) => return Err(Error::Broken("the link ended".into())),
+            _ => {}
+        }
+    }
+}
+
 pub(crate) async fn open(peer: SocketAddr) -> Result<Socket> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -27,28 +27,29 @@
 /// at most, 16 KB; what is told of later is told to new links as a whole.
 const LIMITS: NoteLimits = NoteLimits { kept: 4_096, told: 512, told_for: Duration::from_secs(60) };
 
-/// A note on its way: fingerprint in two halves, the life, 0 where it is cleared, and the age in milliseconds.
-/// Four numbers without names take 32 bytes instead of 70.
+/// A note on its way: fingerprint in two halves, the life, and the age in milliseconds, none where the end is
+/// annulled. Four numbers without names take 32 bytes instead of 70.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ToldNote(u64, u64, LifeHash, u32);
+pub(crate) struct ToldNote(u64, u64, LifeHash, Option<u32>);
 
 impl ToldNote {
     fn new(note: &Note, now: Duration) -> Self {
-        let (fingerprint, life, at) = match note {
-            Note::End { fingerprint, life, at } => (fingerprint, *life, *at),
-            Note::Cleared { fingerprint, at } => (fingerprint, 0, *at),
+        let age_ms =
+            |at: &Duration| u32::try_from(now.saturating_sub(*at).as_millis()).unwrap_or(u32::MAX);
+        let Fingerprint(fingerprint) = note.fingerprint();
+        let (life, age_ms) = match note {
+            Note::End { life, at, .. } => (*life, Some(age_ms(at))),
+            Note::Annulled { life, .. } => (*life, None),
         };
-        let age_ms = u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX);
-        Self((fingerprint.0 >> 64) as u64, fingerprint.0 as u64, life, age_ms)
+        Self((fingerprint >> 64) as u64, fingerprint as u64, life, age_ms)
     }
 
     fn read(self, now: Duration) -> Note {
         let Self(high, low, life, age_ms) = self;
         let fingerprint = Fingerprint(u128::from(high) << 64 | u128::from(low));
-        let at = now.saturating_sub(Duration::from_millis(age_ms.into()));
-        match life {
-            0 => Note::Cleared { fingerprint, at },
-            life => Note::End { fingerprint, life, at },
+        match age_ms.map(u64::from).map(Duration::from_millis) {
+            Some(age) => Note::End { fingerprint, life, at: now.saturating_sub(age) },
+            None => Note::Annulled { fingerprint, life },
         }
     }
 }
@@ -126,7 +127,8 @@
         if matches!(standing, Standing::Refused { .. }) {
             self.is_row_stale.store(true, Ordering::Release);
         }
-        self.take_in([Note::Cleared { fingerprint, at: now }].into_iter(), true, now);
+        let acquittal = self.lock().quarantine.acquittal(fingerprint);
+        self.take_in(acquittal.into_iter(), true, now);
         event::REQUEST_CLEARED.log(format_args!("fingerprint={fingerprint}"));
         true
     }
@@ -160,7 +162,7 @@
         let mut inner = self.lock();
         let mut is_new = false;
         for note in notes {
-            let (Note::End { fingerprint, .. } | Note::Cleared { fingerprint, .. }) = note;
+            let fingerprint = note.fingerprint();
             let was_refused = is_refused(&inner.quarantine, &fingerprint, now);
             if !inner.quarantine.note(note, now) {
                 continue;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -137,22 +137,22 @@
     Quarantined,
 }
 
-/// When a stream's events came.
+/// When a stream's events came, on the entry's clock.
 #[derive(Clone, Copy, Debug)]
 struct StreamTiming {
-    arrived: Instant,
-    last: Option<Instant>,
+    arrived: Duration,
+    last: Option<Duration>,
     first_after: Duration,
     longest_pause: Duration,
 }
 
 impl StreamTiming {
-    fn new(arrived: Instant) -> Self {
+    fn new(arrived: Duration) -> Self {
         let (first_after, longest_pause) = (Duration::ZERO, Duration::ZERO);
         Self { arrived, last: None, first_after, longest_pause }
     }
 
-    fn note_event(&mut self, now: Instant) {
+    fn note_event(&mut self, now: Duration) {
         match self.last.replace(now) {
             None => self.first_after = now - self.arrived,
             Some(last) => self.longest_pause = self.longest_pause.max(now - last),
@@ -160,7 +160,7 @@
     }
 }
 
-/// When the events of one run came.
+/// When the events of one run came, by the runtime's clock: a suspension says nothing about the server's pace.
 #[derive(Clone, Copy, Debug, Default)]
 struct RunTiming {
     first: Option<Instant>,
@@ -301,7 +301,7 @@
                 let sent = self.tx.send(Part::Events(event.bytes)).await;
                 sent.map_err(|_| StreamError::CallerGone)?;
                 self.last_event = event.id.or(self.last_event);
-                self.timing.note_event(Instant::now());
+                self.timing.note_event(self.router.now());
                 self.judge_event(&answer, &mut run);
             }
             if splitter.pending() > MOST_EVENT {
@@ -345,7 +345,8 @@
     fn tell_if_late(&self, server: &Member) {
         let (first, pause) = (self.timing.first_after, self.timing.longest_pause);
         self.router.metrics.first_token.observe(first.as_secs_f64());
-        self.router.metrics.total_time.observe(self.job.arrived.elapsed().as_secs_f64());
+        let total = self.router.now().saturating_sub(self.job.arrived);
+        self.router.metrics.total_time.observe(total.as_secs_f64());
         let route = &self.job.route;
         let is_late = first > route.objective;
         if !is_late && route.event_gap.is_none_or(|allowed| pause <= allowed) {
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -12,7 +12,7 @@
     protocol::Result,
     router::{
         Router,
-        peers::{Asked, OPENING, Report, open, other_seeds, silent, tell},
+        peers::{Asked, OPENING, Report, open, other_seeds, silent, tell, until_alive},
     },
     telemetry::event,
 };
@@ -75,6 +75,7 @@
     host: &str,
     reports: &mut watch::Receiver<Report>,
 ) -> Result<()> {
+    let mut wakes = router.clock.wakes();
     let mut socket = timeout(OPENING, open(seed)).await.map_err(|_| silent())??;
     let (mut next_kept, mut next_end) = (0, None);
     loop {
@@ -88,8 +89,15 @@
         };
         (report.ends, next_end) = (ends, Some(next));
         tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
-        if reports.changed().await.is_err() {
-            return Ok(());
+        until_alive(&mut socket).await?;
+        tokio::select! {
+            changed = reports.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+            }
+            // The seed has given the link up meanwhile.
+            _ = wakes.changed() => return Err(silent()),
         }
     }
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -1,10 +1,6 @@
 //! Starting, reloading and stopping an entry on the platform.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep};
 
@@ -170,19 +166,20 @@
     /// Stops as planned: unready at once, callers served until the balancer has seen it, requests
     /// in flight finished within the grace. Gives the number of requests cut off.
     pub async fn stop(self) -> usize {
-        let began = Instant::now();
         let router = &self.router;
+        let began = router.now();
+        let elapsed = || router.now().saturating_sub(began);
         router.begin_stop();
         event::PROCESS_LEAVING.log(format_args!("in_flight={}", router.in_flight()));
         sleep(BALANCER).await;
         let grace = router.settings.load().grace;
         // The balancer may still send callers here when it has nowhere else to send them.
-        while router.in_flight() > 0 && began.elapsed() < grace.saturating_sub(BEFORE_CLOSE) {
+        while router.in_flight() > 0 && elapsed() < grace.saturating_sub(BEFORE_CLOSE) {
             sleep(IDLE_CHECK).await;
         }
         self.closing.send_replace(true);
         let last = grace.saturating_sub(BEFORE_KILL);
-        while !self.callers.is_finished() && began.elapsed() < last {
+        while !self.callers.is_finished() && elapsed() < last {
             sleep(IDLE_CHECK).await;
         }
         let cut = router.in_flight();
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request as HttpRequest, Response, header::CONNECTION};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::{
     platform::headers::{read_request, request_id},
@@ -24,20 +24,24 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// Leaves the count of requests in flight when dropped.
+/// A request that has arrived; leaves the count of requests in flight when dropped.
 #[derive(Debug)]
-pub(crate) struct InFlight(Arc<Router>);
+pub(crate) struct InFlight {
+    router: Arc<Router>,
+    /// When it arrived, on the entry's clock.
+    pub(crate) arrived: Duration,
+}
 
 impl InFlight {
     fn enter(router: &Arc<Router>) -> Self {
         router.enter();
-        Self(router.clone())
+        Self { router: router.clone(), arrived: router.now() }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.leave();
+        self.router.leave();
     }
 }
 
@@ -70,7 +74,7 @@
     req: HttpRequest<Incoming>,
     connected_at: Duration,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let arrived = Instant::now();
+    router.notice_suspension();
     let in_flight = InFlight::enter(router);
     let (parts, body) = req.into_parts();
     let head =
@@ -90,7 +94,7 @@
     let service = choose_service(&route, &head);
     router.note_request(&service);
     let req = Request { head, body };
-    let job = Job::new(req, route, service, organisation, arrived + wait, in_flight);
+    let job = Job::new(req, route, service, organisation, wait, in_flight);
     relay::answer(router, job).await
 }
 
--- a/src/router/silence.rs
+++ b/src/router/silence.rs
@@ -2,8 +2,6 @@
 
 use std::{future::Future, pin::Pin, time::Duration};
 
-use tokio::time::{Instant, timeout_at};
-
 use crate::{
     policy::patience::Patience,
     router::{Member, Router, dispatch::Job},
@@ -19,7 +17,8 @@
     pub(crate) member: &'a Member,
     /// How long silence is borne; none where nothing else could be done.
     pub(crate) patience: Option<Patience>,
-    pub(crate) deadline: Instant,
+    /// On the entry's clock.
+    pub(crate) deadline: Duration,
     /// Whether something of the answer is here: the server runs the request and lives.
     pub(crate) has_begun: bool,
 }
@@ -58,23 +57,23 @@
 ) -> Option<F::Output> {
     let Wait { member, deadline, .. } = *wait;
     let Some(patience) = wait.patience else {
-        return timeout_at(deadline, work).await.ok();
+        return router.clock.until(deadline, work).await;
     };
-    let (began, began_at) = (Instant::now(), router.now());
+    let began = router.now();
     let slow_at = began + patience.slow;
     let mut look = slow_at.min(began + patience.dark);
     loop {
-        if let Ok(output) = timeout_at(deadline.min(look), work.as_mut()).await {
+        if let Some(output) = router.clock.until(deadline.min(look), work.as_mut()).await {
             return Some(output);
         }
-        let now = Instant::now();
+        let now = router.now();
         if now >= deadline {
             return None;
         }
-        let silent_since = member.heard_at().max(began_at);
+        let silent_since = member.heard_at().max(began);
         // A server that reads a long prompt says nothing meanwhile.
-        let dark_at = silent_since + patience.dark + member.backlog_for_choice(router.now());
-        if (now >= slow_at || router.now() >= dark_at) && may_leave() {
+        let dark_at = silent_since + patience.dark + member.backlog_for_choice(now);
+        if (now >= slow_at || now >= dark_at) && may_leave() {
             return None;
         }
         look = now + LOOK_EVERY;
--- a/src/router/stages.rs
+++ b/src/router/stages.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use tokio::time::Instant;
-
 use crate::{
     policy::escalation::{StageAnswer, escalate, time_to_begin},
     router::{
@@ -48,7 +46,7 @@
             return Ok(StageEnd { answer, model });
         };
         router.metrics.count_stage(model.as_deref().unwrap_or("-"), "escalated");
-        job.begin_by = Some(Instant::now() + time_to_begin(&known));
+        job.begin_by = Some(router.now() + time_to_begin(&known));
         in_hand = Some(StageEnd { answer, model });
         stage = next;
     }
@@ -70,11 +68,11 @@
         stages: if ask.model.is_some() { cascade.len() } else { 0 },
         confidence: answer.head.confidence,
         runs_left: job.runs_left(),
-        time_left: job.time_left(),
+        time_left: job.time_left(router),
         objective: job.route.objective,
         expected: largest.head,
         expected_alone: largest.head_alone,
-        elapsed: job.arrived.elapsed(),
+        elapsed: router.now().saturating_sub(job.arrived),
         priority: job.priority(),
     }
 }
@@ -91,6 +89,6 @@
         answer.member.server.id,
         answer.head.confidence,
         job.runs,
-        job.arrived.elapsed().as_millis()
+        router.now().saturating_sub(job.arrived).as_millis()
     ));
 }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    clock::Clock,
     platform::host_settings::HostSettings,
     policy::{
         comeback::{Overload, retry_after},
@@ -34,7 +35,7 @@
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
-    telemetry::{Metrics, admin::Admin, log::dropped_lines, metrics::ServiceLabels},
+    telemetry::{Metrics, admin::Admin, event, log::dropped_lines, metrics::ServiceLabels},
 };
 
 /// Time the balancer needs to see that this entry is no longer ready: two questions, a second
@@ -56,6 +57,9 @@
 /// all hosts lost power, and half a second leaves most of a stream's time to its first event.
 const VIEW_WAIT: Duration = Duration::from_millis(500);
 
+/// Time in which a process that starts or resumes is told what holds now: a read of the store takes 10 ms and
+/// a link 0.3 s. Later, requests are no longer held for it.
+const FRESH_WITHIN: Duration = Duration::from_secs(2);
 /// Age at which what another entry said counts no more: four heartbeats.
 const HEARD_LASTS: Duration = Duration::from_millis(1_200);
 /// Longest wait for the store's word on a trial: two calls of 5 ms each, ten times over.
@@ -97,7 +101,8 @@
     /// Tells waiting requests that a configuration or servers came into view.
     news: Notify,
     stop_began: OnceLock<Duration>,
-    started: Instant,
+    /// The entry's clock.
+    pub clock: Clock,
     trials: (mpsc::Sender<TrialRequest>, Mutex<Option<mpsc::Receiver<TrialRequest>>>),
 }
 
@@ -125,14 +130,39 @@
             in_flight: AtomicUsize::new(0),
             news: Notify::new(),
             stop_began: OnceLock::new(),
-            started: Instant::now(),
+            clock: Clock::starting_at(CLOCK_ORIGIN),
             trials: (tx, Mutex::new(Some(rx))),
         }
     }
 
-    /// Time on the entry's monotonic clock.
+    /// Time on the entry's clock.
     pub fn now(&self) -> Duration {
-        CLOCK_ORIGIN + self.started.elapsed()
+        self.clock.now()
+    }
+
+    /// Looks whether the Host was suspended; then what was heard before is taken as old, and whoever waits
+    /// looks again.
+    pub(crate) fn notice_suspension(&self) -> bool {
+        let Some(suspended) = self.clock.notice_suspension() else {
+            return false;
+        };
+        event::HOST_RESUMED.log(format_args!("suspended_ms={}", suspended.as_millis()));
+        // Followed entries have given this one up meanwhile, and the store's calls are long over.
+        self.link.set_current(false);
+        self.news.notify_waiters();
+        true
+    }
+
+    /// Whether configuration and servers were heard of since the Host last resumed. Where nobody tells of them
+    /// in time, what was known before has to do, as where the store is away.
+    pub(crate) fn is_view_fresh(&self) -> bool {
+        let woke_at = self.clock.woke_at();
+        self.views.answered_at() >= woke_at || self.now() >= woke_at + FRESH_WITHIN
+    }
+
+    /// Whether this entry knows what is refused, or nobody told it in time.
+    fn is_informed(&self) -> bool {
+        self.quarantine.is_informed() || self.now() >= CLOCK_ORIGIN + FRESH_WITHIN
     }
 
     /// Moves the process on.
@@ -201,13 +231,15 @@
                 // Where the store is away this can't be known, and requests are not held for it.
                 let lately = self.now().saturating_sub(VIEW_WAIT);
                 let is_known = !self.roll_outs.is_any_unknown(lately);
-                if has_view && is_known && self.quarantine.is_informed() {
+                let is_heard = self.is_view_fresh() && self.is_informed();
+                if has_view && is_known && is_heard {
                     return;
                 }
                 news.await;
             }
         };
-        // Without a view the request is refused by the checks that follow.
+        // Without a view the request is refused by the checks that follow. A view from before a suspension is
+        // used where nobody tells a newer one in time.
         let _ = timeout(VIEW_WAIT, work).await;
     }
 
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -50,6 +50,7 @@
     ACCEPT_FAILED = 105, Warn, "A connection could not be taken.";
     SETTINGS_RELOADED = 106, Info, "The settings file was read again.";
     SETTINGS_UNREADABLE = 107, Error, "The settings file can't be read again; the old settings stay in force.";
+    HOST_RESUMED = 108, Warn, "The Host was suspended; what was heard before is taken as old.";
     LINK_UP = 200, Info, "A link to a peer is authenticated.";
     LINK_DOWN = 201, Warn, "A link went away; its attempts are settled as lost.";
     LINK_REFUSED = 202, Warn, "A peer did not prove itself or sent frames that can't be read.";
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,3 +14,4 @@
 mod state;
 mod store;
 mod streams;
+mod suspended;
