--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -4,7 +4,7 @@
 //! or silence is no proof of that: the server may live. Proof is that nobody listens at its address right
 //! after, that the list tells of its next life, or that the list drops it unannounced.
 
-use std::{sync::Arc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{net::TcpStream, time::timeout};
 
@@ -17,6 +17,10 @@
 /// Time to wait for a refusal; zones are 1.4 ms apart, and a request that waits for it goes on after. A
 /// server that is silent refuses nothing: then the list has to tell.
 const REFUSED_WITHIN: Duration = Duration::from_millis(100);
+/// Time in which a process that is ending closes what it holds, one thing after the other.
+const RESET_WITHIN: Duration = Duration::from_millis(5);
+/// Looks at an address whose connections are taken and reset at once.
+const LOOKS: u32 = 2;
 /// Time for which the answer to one look holds: all connections of a server that ends break within 10 ms.
 const LOOK_LASTS: Duration = Duration::from_millis(500);
 /// Time before a proof from which on broken requests count as at work when the server ended: a server that
@@ -80,15 +84,29 @@
         }
         breaks.looked_at = Some(router.now());
     }
-    let connecting = timeout(REFUSED_WITHIN, TcpStream::connect(member.server.address)).await;
-    let is_refused =
-        matches!(&connecting, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused);
+    let is_refused = is_refused(member.server.address).await;
     if is_refused {
         note_end(router, member, Proof::Refused);
     }
     is_refused
 }
 
+/// Whether nobody listens at an address.
+async fn is_refused(address: SocketAddr) -> bool {
+    for _ in 0..LOOKS {
+        match timeout(REFUSED_WITHIN, TcpStream::connect(address)).await {
+            Ok(Err(e)) => return e.kind() == ErrorKind::ConnectionRefused,
+            // A process that is just ending may have taken it, and resets it.
+            Ok(Ok(stream)) => match timeout(RESET_WITHIN, stream.readable()).await {
+                Ok(_) => {}
+                Err(_) => return false,
+            },
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
 /// What shows that a server's life ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Proof {
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -102,7 +102,10 @@
         if router.follows_link() {
             // The store answers the entry that is followed; whether it answers this one no longer matters.
             contact.note_answer(table, router.now());
-            router.views.note_answer(table, router.now());
+            while let Some(update) = router.link.take(table) {
+                take_in(router, update, &mut at, &contact, &mut apply);
+            }
+            note_applied(router, table);
             match router.link.next(table).await {
                 Some(update) => take_in(router, update, &mut at, &contact, &mut apply),
                 None => wait_for_link(router, LINK_AGAIN).await,
@@ -124,10 +127,6 @@
         let (rows, is_whole) = match news {
             Ok(News::Rows(rows, is_whole)) => {
                 contact.note_answer(table, router.now());
-                router.views.note_answer(table, router.now());
-                if is_stale {
-                    router.tell_news();
-                }
                 (rows, is_whole)
             }
             Ok(News::HistoryGone) => {
@@ -148,6 +147,7 @@
         router.views.note(table, &rows, is_whole);
         let has_news = !rows.rows.is_empty();
         apply(rows, is_whole, &contact);
+        note_applied(router, table);
         if is_first {
             wait_for_link(router, LINK_WAIT).await;
         } else if has_news && !contact.is_lost {
@@ -157,6 +157,15 @@
     }
 }
 
+/// Notes that all that was heard of a table is in force; requests may wait for that after a suspension.
+fn note_applied(router: &Router, table: Table) {
+    let was_fresh = router.is_view_fresh();
+    router.views.note_answer(table, router.now());
+    if !was_fresh {
+        router.tell_news();
+    }
+}
+
 /// Waits for a link as an entry starts, shorter once a caller waits.
 async fn wait_for_first_link(router: &Router) {
     let until_called = async {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -43,5 +43,6 @@
 
 pub use event_stream::EventSplitter;
 pub use fleet::{Fleet, Member};
+pub use release::Released;
 pub use run::{RouterAddresses, RouterSettings, RunningRouter, start};
 pub use state::Router;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -157,7 +157,7 @@
     /// in time, what was known before has to do, as where the store is away.
     pub(crate) fn is_view_fresh(&self) -> bool {
         let woke_at = self.clock.woke_at();
-        self.views.answered_at() >= woke_at || self.now() >= woke_at + FRESH_WITHIN
+        self.views.applied_at() >= woke_at || self.now() >= woke_at + FRESH_WITHIN
     }
 
     /// Whether this entry knows what is refused, or nobody told it in time.
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -167,10 +167,14 @@
 
     /// When the store last answered about every table that is followed, or another entry spoke.
     pub(crate) fn answered_at(&self) -> Duration {
-        let heard_at = self.heard_at();
+        self.applied_at().max(self.heard_at())
+    }
+
+    /// Until when all that was said of every table that is followed has been taken in.
+    pub(crate) fn applied_at(&self) -> Duration {
         let seen = self.seen.lock().expect("no panics under the lock");
         let answered = seen.values().map(|seen| seen.answered_at).filter(|at| !at.is_zero());
-        answered.min().unwrap_or_default().max(heard_at)
+        answered.min().unwrap_or_default()
     }
 
     /// Newest transaction seen of the table that is furthest behind.
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -16,9 +16,16 @@
 //! second after the third end, so they were not under way when it came; they belong to 28 tries of three
 //! arrivals each, so a try's own retries multiply it by three, and without them it comes all the same.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use crate::pool::{Pool, ask_others, insist};
+use mintmoor::router::Released;
+
+use crate::{
+    pool::{CRASHING, EVENTS, Pool, ask, ask_others, free_address, insist},
+    server::Act,
+    site::{Answer, Site, always, list, until},
+    store::Fault,
+};
 
 /// Time that the news of a server's end may take to all entries, a busy machine included.
 const NEWS: Duration = Duration::from_millis(1_000);
@@ -70,3 +77,205 @@
     println!("beside it {served} of {asked} served, {} ends", pool.witness.ends());
     assert!(beside >= 0.9 * calm, "{served} of {asked}, without it {calm_served} of {calm_asked}");
 }
+
+/// Sends the crashing request until it is refused at an entry.
+async fn until_refused(site: &Arc<Site>, path: &str) -> Answer {
+    for _ in 0..100 {
+        let answer = ask(site, path, CRASHING).await;
+        if answer.status == 503 && answer.body.contains("servers ended") {
+            return answer;
+        }
+    }
+    panic!("it is never refused");
+}
+
+fn is_quarantined(site: &Site) -> bool {
+    let dump = site.entry.router.dump();
+    dump["quarantine"].as_array().unwrap().iter().any(|case| case["refused"] == true)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn its_caller_is_told_at_once_and_truly() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.entries(2).await;
+    until_refused(&sites[0], "/chat/a").await;
+    until("the other one knows", || is_quarantined(&sites[1])).await;
+    let arrivals = || pool.witness.arrivals.lock().unwrap().len();
+    let before = arrivals();
+
+    for site in &sites {
+        let answer = ask(site, "/chat/a", CRASHING).await;
+
+        assert_eq!(answer.status, 503);
+        assert!(answer.head.contains("retry-after: 2"), "nearly five minutes: {}", answer.head);
+    }
+    assert_eq!(arrivals(), before, "what is said not to have run has not");
+}
+
+/// Whoever sends the same bytes with another Organisation's key, or on another path, is served.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_others_send_is_not_taken_for_it() {
+    let pool = Pool::start("llm", 10, true).await;
+    let sites = pool.entries(2).await;
+    until_refused(&sites[0], "/chat/a").await;
+    let arrivals = || pool.witness.arrivals.lock().unwrap().len();
+    let before = arrivals();
+
+    let _ = ask(&sites[0], "/chat/b", CRASHING).await;
+    assert!(arrivals() > before, "another path is another request");
+    assert_eq!(ask(&sites[0], "/chat/a", "something else").await.status, 200);
+}
+
+/// All entries are killed at once, and the caller goes on asking.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_all_start_again_still_refuse_it() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.entries(3).await;
+    until_refused(&sites[0], "/chat/a").await;
+    until("the store keeps it", || pool.store.read("mintmoor", "quarantine").is_some()).await;
+    let arrivals = || pool.witness.arrivals.lock().unwrap().len();
+    let before = arrivals();
+    drop(sites);
+
+    let sites = pool.entries(3).await;
+    for site in &sites {
+        assert_eq!(ask(site, "/chat/a", CRASHING).await.status, 503);
+    }
+
+    assert_eq!(arrivals(), before);
+}
+
+/// The entries know each other by no seed that lives: the store is all that they share.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_without_a_seed_learn_it_from_the_store() {
+    let pool = Pool::start("llm", 6, true).await;
+    let nobody = [free_address()];
+    let mut sites = Vec::new();
+    for _ in 0..3 {
+        let site = pool.entry(&nobody, None).await;
+        site.until_in_view(6).await;
+        sites.push(Arc::new(site));
+    }
+
+    until_refused(&sites[0], "/chat/a").await;
+    for site in &sites {
+        until("it knows", || is_quarantined(site)).await;
+    }
+
+    assert_eq!(pool.witness.ends(), 3);
+}
+
+/// The three ends are seen by an entry each, none of which hears from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_that_were_seen_apart_are_put_together_in_the_store() {
+    let pool = Pool::start("app", 6, false).await;
+    let nobody = [free_address()];
+    let mut sites = Vec::new();
+    for _ in 0..3 {
+        let site = pool.entry(&nobody, None).await;
+        site.until_in_view(6).await;
+        sites.push(Arc::new(site));
+    }
+    let in_store = || {
+        let row = pool.store.read("mintmoor", "quarantine").unwrap_or_default();
+        row["cases"][0]["ends"].as_array().map_or(0, Vec::len)
+    };
+
+    for (i, site) in sites.iter().enumerate() {
+        // One send a try.
+        let _ = ask(site, "/once/a", CRASHING).await;
+        until("it is in the store", || in_store() == i + 1).await;
+    }
+
+    for site in &sites {
+        until("it knows", || is_quarantined(site)).await;
+    }
+    assert_eq!(pool.witness.ends(), 3);
+}
+
+/// The store is away while servers end: entries tell each other, and the store hears of it later.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_told_when_it_is_back() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.entries(3).await;
+    pool.store.set_fault(Fault::Down);
+
+    until_refused(&sites[2], "/chat/a").await;
+    for site in &sites {
+        until("it knows", || is_quarantined(site)).await;
+    }
+    assert!(pool.store.read("mintmoor", "quarantine").is_none());
+    pool.store.set_fault(Fault::None);
+
+    until("the store keeps it", || pool.store.read("mintmoor", "quarantine").is_some()).await;
+}
+
+/// A seed hears of the ends and is killed; others have heard of them as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seed_that_is_killed_takes_no_end_with_it() {
+    let pool = Pool::start("llm", 6, true).await;
+    let mut sites = pool.entries(4).await;
+    let last = sites.pop().unwrap();
+    until_refused(&last, "/chat/a").await;
+    let first = sites.remove(0);
+    drop(first);
+    drop(last);
+
+    for site in &sites {
+        until("it knows", || is_quarantined(site)).await;
+    }
+    assert_eq!(pool.witness.ends(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_lets_it_go_on_all_entries() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.entries(2).await;
+    until_refused(&sites[0], "/chat/a").await;
+    until("the other one knows", || is_quarantined(&sites[1])).await;
+    until("the store keeps it", || pool.store.read("mintmoor", "quarantine").is_some()).await;
+    let case = sites[0].entry.router.dump()["quarantine"][0].clone();
+    let fingerprint = case["fingerprint"].as_str().unwrap().to_owned();
+
+    let released = sites[1].entry.router.release(&fingerprint);
+
+    assert_eq!(released, Released::Done);
+    assert_eq!(sites[1].entry.router.release(&fingerprint), Released::Unknown);
+    until("the other one lets it go", || !is_quarantined(&sites[0])).await;
+    let kept = || pool.store.read("mintmoor", "quarantine").unwrap()["cases"].clone();
+    until("so does the store", || kept().as_array().unwrap().is_empty()).await;
+}
+
+/// A server that breaks connections and lives on proves nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_answers_of_servers_that_live_speak_against_nothing() {
+    let servers = [always("i-1", Act::Close).await, always("i-2", Act::CutAnswer).await];
+    let listed: Vec<_> = servers.iter().map(|server| (server, "app", "v1")).collect();
+    let site = Arc::new(Site::start(&listed).await);
+
+    for _ in 0..20 {
+        ask(&site, "/safe/a", "asked often").await;
+    }
+
+    assert_eq!(site.entry.router.dump()["quarantine"], serde_json::json!([]));
+}
+
+/// A request that ran beside the guilty one is cleared by its first whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_clears_what_ran_beside_it() {
+    let slow = Act::Paced { to: EVENTS, pause: Duration::from_millis(200) };
+    let (dies, serves) = (always("i-1", Act::Hang).await, always("i-2", slow).await);
+    let site = Arc::new(Site::start(&[(&dies, "llm", "v1")]).await);
+    let asking = site.clone();
+    let asked = tokio::spawn(async move { ask(&asking, "/chat/a", "innocent").await });
+    until("it is there", || dies.seen().len() == 1).await;
+    list(&site.store, &serves, "llm", "v1", "ready");
+    until("both are in view", || site.entry.router.fleet.load().len() == 2).await;
+
+    dies.crash();
+    let suspects = || site.entry.router.dump()["quarantine"].as_array().unwrap().len();
+    until("it is suspected", || suspects() == 1).await;
+    asked.await.unwrap();
+
+    until("it is cleared", || suspects() == 0).await;
+}
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -80,6 +80,14 @@
 
 type Script = Arc<dyn Fn(&Seen) -> Act + Send + Sync>;
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Alive,
+    /// Nobody listens any more; its connections end next, as those of a process that is gone.
+    Ending,
+    Over,
+}
+
 /// The stand-in.
 #[derive(Clone)]
 pub struct Server {
@@ -87,8 +95,8 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     open: Arc<AtomicUsize>,
-    /// Number of its present life, from 0, and whether it lives.
-    life: Arc<watch::Sender<(usize, bool)>>,
+    /// Number of its present life, from 0, and how far that got.
+    life: Arc<watch::Sender<(usize, Life)>>,
 }
 
 impl Server {
@@ -99,7 +107,7 @@
             address: listener.local_addr().unwrap(),
             seen: Arc::default(),
             open: Arc::default(),
-            life: Arc::new(watch::Sender::new((0, true))),
+            life: Arc::new(watch::Sender::new((0, Life::Alive))),
         };
         let script: Script = Arc::new(script);
         tokio::spawn(server.clone().live(listener, script));
@@ -123,12 +131,13 @@
             };
             tokio::select! {
                 () = accept => return,
-                () = self.until_ended(life) => {}
+                () = self.until(|state| state.1 != Life::Alive) => {}
             }
             // Nobody listens between two lives: connections are refused.
             drop(listener);
+            self.life.send_modify(|state| state.1 = Life::Over);
             let mut lives = self.life.subscribe();
-            if lives.wait_for(|(_, is_alive)| *is_alive).await.is_err() {
+            if lives.wait_for(|state| state.1 == Life::Alive).await.is_err() {
                 return;
             }
             listener = TcpListener::bind(self.address).await.unwrap();
@@ -137,19 +146,22 @@
 
     /// Waits until a life has ended.
     pub async fn until_ended(&self, life: usize) {
+        self.until(|state| state.0 > life || state.1 == Life::Over).await;
+    }
+
+    async fn until(&self, holds: impl Fn(&(usize, Life)) -> bool) {
         let mut lives = self.life.subscribe();
-        let is_over = |(now, is_alive): &(usize, bool)| *now > life || !is_alive;
-        lives.wait_for(is_over).await.expect("the server is still here");
+        lives.wait_for(holds).await.expect("the server is still here");
     }
 
     /// Ends its life at once, with all its connections.
     pub fn crash(&self) {
-        self.life.send_modify(|(_, is_alive)| *is_alive = false);
+        self.life.send_modify(|state| state.1 = Life::Ending);
     }
 
     /// Begins its next life, and gives its number.
     pub fn start_again(&self) -> usize {
-        self.life.send_modify(|life| *life = (life.0 + 1, true));
+        self.life.send_modify(|state| *state = (state.0 + 1, Life::Alive));
         self.life.borrow().0
     }
 
@@ -171,7 +183,9 @@
             let ends = matches!(act, Act::Crash { .. });
             let goes_on = answer(&mut stream, &seen, act).await;
             if ends {
+                let life = self.life.borrow().0;
                 self.crash();
+                self.until_ended(life).await;
             }
             self.open.fetch_sub(1, Ordering::SeqCst);
             if !goes_on {
