Each end of a server counts, though the list is behind

Cause: an end was named after the life that the list tells of, so a server that is back and ends again before its row is read counted once, and the request went on. An end later than 0.4 s after the known one is that of another life. Test: each_end_of_a_server_counts…, red before (one end noted after any number).

--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -14,6 +14,8 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::routing::Fingerprint;
 
 /// One life of one server, hashed.
@@ -26,6 +28,9 @@
 /// server ended meanwhile where it was not; under a request that ends servers they are further apart, since
 /// each has to be sent it and begin to run it.
 const SAME_EVENT: Duration = Duration::from_millis(250);
+/// Time within which all connections to a server that ends are seen to break, a busy Host included; servers
+/// take a second or more to start again.
+const SAME_END: Duration = Duration::from_millis(400);
 /// Requests that are remembered, at most; 0.5 MB. A zone with 700 servers of four requests each fits.
 const MOST_KNOWN: usize = 4_096;
 /// Ends remembered of one request; what it was at before no longer matters.
@@ -184,6 +189,16 @@
         }
     }
 
+    /// The name of a life that ended now. A server may be back, and end again, before the list tells of its next
+    /// life: an end that comes later than the one known is that of another life.
+    pub fn name_of_end(&self, listed: LifeHash, now: Duration) -> LifeHash {
+        let mut name = listed;
+        while self.lives.get(&name).is_some_and(|at| *at + SAME_END < now) {
+            name = xxh3_64_with_seed(&name.to_le_bytes(), listed);
+        }
+        name
+    }
+
     /// What annuls all that is known against a request.
     pub fn acquittal(&self, fingerprint: Fingerprint) -> Vec<Note> {
         let counted = self.known.get(&fingerprint).into_iter().flat_map(Known::counted);
--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -22,7 +22,7 @@
 /// Looks at an address whose connections are taken and reset at once.
 const LOOKS: u32 = 2;
 /// Time for which the answer to one look holds: all connections of a server that ends break within 10 ms.
-const LOOK_LASTS: Duration = Duration::from_millis(500);
+const LOOK_LASTS: Duration = Duration::from_millis(300);
 /// Time before a proof from which on broken requests count as at work when the server ended: a server that
 /// is silent is dropped from the list after three heartbeats of 1.2 s, read 0.8 s later at most.
 const PROVED_AFTER: Duration = Duration::from_secs(6);
@@ -35,7 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Breaks {
     lost: Vec<(Fingerprint, Duration)>,
-    has_ended: bool,
+    /// When its end was proved; a server may be back before the list tells of its next life.
+    ended_at: Option<Duration>,
     /// When it was last looked whether the server listens.
     looked_at: Option<Duration>,
 }
@@ -63,7 +64,7 @@
 pub(super) fn note_lost(router: &Router, job: &Job, member: &Member) {
     let (fingerprint, now) = (job.fingerprint(), router.now());
     let mut breaks = member.breaks();
-    if breaks.has_ended {
+    if breaks.has_ended(now) {
         drop(breaks);
         return router.quarantine.note_ends(&[fingerprint], member.life_hash(), now);
     }
@@ -78,11 +79,12 @@
     let _one_looks = member.look().await;
     {
         let mut breaks = member.breaks();
-        let is_fresh = breaks.looked_at.is_some_and(|at| router.now() < at + LOOK_LASTS);
-        if breaks.has_ended || is_fresh {
-            return breaks.has_ended;
+        let now = router.now();
+        let is_fresh = breaks.looked_at.is_some_and(|at| now < at + LOOK_LASTS);
+        if breaks.has_ended(now) || is_fresh {
+            return breaks.has_ended(now);
         }
-        breaks.looked_at = Some(router.now());
+        breaks.looked_at = Some(now);
     }
     let is_refused = is_refused(member.server.address).await;
     if is_refused {
@@ -107,6 +109,13 @@
     false
 }
 
+impl Breaks {
+    /// Whether what breaks now broke with the end that was proved.
+    fn has_ended(&self, now: Duration) -> bool {
+        self.ended_at.is_some_and(|at| now < at + LOOK_LASTS)
+    }
+}
+
 /// What shows that a server's life ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Proof {
@@ -125,7 +134,9 @@
     let lost = {
         let heard_at = member.heard_at();
         let mut breaks = member.breaks();
-        breaks.has_ended |= proof != Proof::Dropped;
+        if proof != Proof::Dropped {
+            breaks.ended_at = Some(now);
+        }
         let lost = std::mem::take(&mut breaks.lost);
         // Whoever was left before the server last spoke was no longer at work there.
         lost.into_iter()
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -113,6 +113,7 @@
 
     /// Notes that a server's life ended while these requests were at work there.
     pub(crate) fn note_ends(&self, all: &[Fingerprint], life: LifeHash, now: Duration) {
+        let life = self.lock().quarantine.name_of_end(life, now);
         let note = |f: &Fingerprint| Note::End { fingerprint: *f, life, at: now };
         self.take_in(all.iter().map(note), true, now);
     }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -19,9 +19,10 @@
 use std::{sync::Arc, time::Duration};
 
 use mintmoor::router::Released;
+use tokio::time::sleep;
 
 use crate::{
-    pool::{CRASHING, EVENTS, Pool, ask, ask_others, free_address, insist},
+    pool::{CRASHING, DOWN, EVENTS, Pool, ask, ask_others, free_address, insist},
     server::Act,
     site::{Answer, Site, always, list, until},
     store::Fault,
@@ -279,3 +280,27 @@
 
     until("it is cleared", || suspects() == 0).await;
 }
+
+/// It comes back before its row tells of its next life, and meets the request again.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_end_of_a_server_counts_though_the_list_is_behind() {
+    let server = always("i-1", Act::Crash { has_begun: false }).await;
+    let site = Arc::new(Site::start(&[(&server, "app", "v1")]).await);
+    let ends = || site.entry.router.dump()["quarantine"][0]["ends"].as_u64().unwrap_or(0);
+
+    for life in 0..3 {
+        for _ in 0..50 {
+            if ends() > life {
+                break;
+            }
+            let _ = ask(&site, "/once/a", CRASHING).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        server.until_ended(life as usize).await;
+        sleep(DOWN).await;
+        server.start_again();
+    }
+
+    assert!(is_quarantined(&site));
+    assert_eq!(server.seen().len(), 3);
+}
--- a/tests/platform/pool.rs
+++ b/tests/platform/pool.rs
@@ -25,7 +25,7 @@
 /// Body of the request that ends every server that begins to run it.
 pub const CRASHING: &str = "ends whoever runs it";
 /// Time from a server's end to its next life.
-pub const DOWN: Duration = Duration::from_millis(400);
+pub const DOWN: Duration = Duration::from_millis(600);
 /// Events of a whole answer.
 pub const EVENTS: u64 = 6;
 
