--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -3,6 +3,7 @@
 //! Time is simulated and all draws come from seeds, so a run always gives the same figures.
 
 mod comeback;
+mod crashing;
 mod engine;
 mod fleet;
 mod mix;
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -18,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{
     net::TcpStream,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -33,6 +34,17 @@
 /// Sessions that callers ask for; so many that an entry has not seen most of them lately.
 const SESSIONS: u32 = 400;
 
+/// Time between two tries of a caller that insists.
+const INSIST_EVERY: Duration = Duration::from_millis(150);
+
+/// What is asked, and of whom.
+struct Asked {
+    id: String,
+    kind: Kind,
+    entry: usize,
+    key: &'static str,
+}
+
 /// What callers share.
 pub struct Callers {
     pub record: Arc<Record>,
@@ -45,6 +57,38 @@
 }
 
 impl Callers {
+    /// Asks for the same work over and over, at any entry, without waiting for answers.
+    pub async fn insist(self: &Arc<Self>, body: String, seed: u64, lasts: Duration) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut asking = JoinSet::new();
+        let until = Instant::now() + lasts;
+        while Instant::now() < until {
+            let entry = self.choose(&mut rng);
+            let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
+            let req = request(&id, Kind::Stream, "key-1", 0, &body);
+            let asked = Asked { id, kind: Kind::Stream, entry, key: "key-1" };
+            let callers = self.clone();
+            asking.spawn(async move { callers.send_alone(asked, req).await });
+            sleep(INSIST_EVERY).await;
+        }
+        while asking.join_next().await.is_some() {}
+    }
+
+    /// Sends a request on a connection of its own.
+    async fn send_alone(&self, asked: Asked, req: Request<Full<Bytes>>) {
+        let connecting = TcpStream::connect(self.entries[asked.entry]);
+        let Ok(Ok(stream)) = timeout(Duration::from_secs(1), connecting).await else {
+            return;
+        };
+        let Ok((mut sender, connection)) = handshake(TokioIo::new(stream)).await else {
+            return;
+        };
+        // What ends the connection shows in the exchange.
+        let connection = tokio::spawn(async move { drop(connection.await) });
+        self.send_recorded(&mut sender, asked, req).await;
+        connection.abort();
+    }
+
     /// One caller, until the soak is over.
     pub async fn call(self: Arc<Self>, seed: u64) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -98,7 +142,17 @@
         let kind = [Kind::Idempotent, Kind::OnceOnly, Kind::Stream][rng.random_range(0..3)];
         let key = if rng.random_range(0..10) == 0 { WITHDRAWN_KEY } else { "key-1" };
         let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
-        let req = request(&id, kind, key, rng.random_range(0..SESSIONS));
+        let req = request(&id, kind, key, rng.random_range(0..SESSIONS), "asked");
+        self.send_recorded(sender, Asked { id, kind, entry, key }, req).await
+    }
+
+    /// Sends a request and records what became of it; whether the connection goes on.
+    async fn send_recorded(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        asked: Asked,
+        req: Request<Full<Bytes>>,
+    ) -> bool {
         let sent = Instant::now();
         let (outcome, is_kept) = match timeout(PATIENCE, send(sender, req)).await {
             Ok(done) => done,
@@ -106,19 +160,21 @@
             Err(_) => (Outcome::GaveUp, false),
         };
         let ended = Instant::now();
+        let Asked { id, kind, entry, key } = asked;
         let exchange = Exchange { id, kind, entry, key, sent, ended, outcome };
         self.record.exchanges.lock().unwrap().push(exchange);
         is_kept
     }
 }
 
-fn request(id: &str, kind: Kind, key: &str, session: u32) -> Request<Full<Bytes>> {
+fn request(id: &str, kind: Kind, key: &str, session: u32, body: &str) -> Request<Full<Bytes>> {
     let (method, path) = match kind {
         Kind::Idempotent => ("GET", "/safe/a"),
         Kind::OnceOnly => ("POST", "/once/a"),
         Kind::Stream => ("POST", "/chat/a"),
     };
-    let body = if method == "POST" { Bytes::from("asked") } else { Bytes::new() };
+    let body =
+        if method == "POST" { Bytes::copy_from_slice(body.as_bytes()) } else { Bytes::new() };
     Request::builder()
         .method(method)
         .uri(path)
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     proxy::Way,
-    record::{Barred, Disturbance, IN_FORCE, What},
+    record::{Barred, CRASHING, Disturbance, IN_FORCE, What},
     site::configuration,
     store::Fault,
     system::System,
@@ -37,8 +37,13 @@
     MangleRow,
     SpoilServer(Way),
     StartServerAgain,
+    /// A caller insists on a request that ends every server that runs it.
+    Insist,
 }
 
+/// How much longer than other deeds a caller insists: the bound holds from 3 s after the third end on.
+const INSISTS: u32 = 6;
+
 const PLANNED: [Deed; 5] =
     [Deed::Stop, Deed::Reload, Deed::ChangeSettingsFile, Deed::ChangeConfiguration, Deed::Drain];
 const STORE: [Deed; 9] = [
@@ -52,7 +57,7 @@
     Deed::CutFromStore(Way::Reset),
     Deed::MangleRow,
 ];
-const FAULTS: [Deed; 9] = [
+const FAULTS: [Deed; 10] = [
     Deed::Kill,
     Deed::KillInStop,
     Deed::Pause,
@@ -62,6 +67,7 @@
     Deed::SpoilServer(Way::AskOnly),
     Deed::SpoilServer(Way::Reset),
     Deed::StartServerAgain,
+    Deed::Insist,
 ];
 
 impl Deed {
@@ -118,6 +124,7 @@
             Self::ForgetHistory => system.store.forget(),
             Self::MangleRow => mangle(system, server, lasts).await,
             Self::StartServerAgain => start_again(system, server, lasts).await,
+            Self::Insist => insist(system, lasts).await,
             Self::SpoilServer(way) => spoil(&system.servers[server].way, way, lasts).await,
             Self::CutFromStore(way) => {
                 let proxy = system.entries[entry].lock().await.store.clone();
@@ -199,6 +206,13 @@
     mangled.list(&system.store, "ready");
 }
 
+/// Lets a caller insist on a request that ends every server that runs it; each time another one.
+async fn insist(system: &System, lasts: Duration) {
+    let number = system.insisted.fetch_add(1, Ordering::SeqCst);
+    let callers = system.callers.get().expect("callers come before deeds");
+    callers.insist(format!("{CRASHING} {number}"), number, lasts * INSISTS).await;
+}
+
 /// Resets a server's connections, and lists it as started again under its id a while later.
 async fn start_again(system: &System, server: usize, lasts: Duration) {
     let reborn = &system.servers[server];
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -90,8 +90,17 @@
     pub at: Instant,
     /// Whether the server breaks its answer off.
     pub breaks: bool,
+    /// The request that ends servers, if it is one.
+    pub crashing: Option<String>,
 }
 
+/// Begin of the bodies that end servers.
+pub const CRASHING: &str = "ends whoever runs it";
+/// Time after the third end in which all entries have to know; the deployments' least.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Sends after that which are borne.
+const BORNE: usize = 3;
+
 /// A server that was listed as leaving.
 #[derive(Clone, Debug)]
 pub struct Barred {
@@ -167,6 +176,7 @@
         found.extend(runs.iter().filter_map(|run| self.check_leaving(run)));
         found.extend(runs.iter().filter_map(|run| self.check_first_half(run)));
         found.extend(self.check_moved_back(&runs));
+        found.extend(self.check_crashing(&runs, &exchanges));
         found
     }
 
@@ -198,6 +208,40 @@
         runs.iter().filter(is_back).map(tell).collect()
     }
 
+    /// A request under which three servers ended reaches three more at most, from entries at rest.
+    fn check_crashing(&self, runs: &[Run], exchanges: &[Exchange]) -> Vec<String> {
+        let entry_of: HashMap<&str, usize> = exchanges.iter().map(|e| (&*e.id, e.entry)).collect();
+        let mut of_body: HashMap<&str, Vec<&Run>> = HashMap::new();
+        for run in runs {
+            if let Some(body) = &run.crashing {
+                of_body.entry(body).or_default().push(run);
+            }
+        }
+        let is_late = |run: &&&Run, third: &Run| {
+            let entry = entry_of.get(&*run.id);
+            run.at > third.at + CONTACT
+                && entry.is_some_and(|entry| self.is_in_touch(*entry, run.at))
+        };
+        let mut found = Vec::new();
+        for (body, runs) in of_body {
+            let Some(third) = runs.get(2) else { continue };
+            let late = runs.iter().filter(|run| is_late(run, third)).count();
+            if late > BORNE {
+                found.push(format!("{body}: {late} sends late, {} in all", runs.len()));
+            }
+        }
+        found
+    }
+
+    /// Whether nothing was done to an entry or the store for long enough before.
+    fn is_in_touch(&self, entry: usize, at: Instant) -> bool {
+        let all = self.disturbances.lock().unwrap();
+        !all.iter().any(|d| {
+            let concerns = d.entry == Some(entry) || d.what == What::Store;
+            concerns && d.from < at && at < d.to + CONTACT
+        })
+    }
+
     /// A server that leaves gets nothing once that must be known.
     fn check_leaving(&self, run: &Run) -> Option<String> {
         let barred = self.barred.lock().unwrap();
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -3,7 +3,7 @@
 use std::{
     path::PathBuf,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -25,7 +25,7 @@
     faults::{Deed, draw},
     fleet::{Entry, host_of},
     proxy::Proxy,
-    record::{EVENTS, NEW, OLD, Ordered, ROLLED_OUT, Record, Run},
+    record::{CRASHING, EVENTS, NEW, OLD, Ordered, ROLLED_OUT, Record, Run},
     server::{Act, Seen, Server},
     site::{configuration, server_row},
     store::Store,
@@ -40,6 +40,8 @@
 const MOST_AT_ONCE: usize = 3;
 /// Time after the last fault in which all must be served again, as the first sites allow.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Time from a server's end to its next life.
+const DOWN: Duration = Duration::from_secs(1);
 /// Time the balancer takes between two questions, and those it misses before it turns away.
 const BALANCER_ASKS: Duration = Duration::from_millis(500);
 const MISSES: u32 = 2;
@@ -47,6 +49,8 @@
 /// A server behind its way.
 pub struct Backend {
     listed: Server,
+    /// The same at the address where it listens itself.
+    server: Server,
     service: &'static str,
     version: &'static str,
     pub way: Proxy,
@@ -67,6 +71,19 @@
         store.put("servers", self.id(), &row);
     }
 
+    /// Starts again a while after each end, for ever.
+    async fn live_again(&self, store: &Store) {
+        let mut life = 0;
+        loop {
+            self.server.until_ended(life).await;
+            sleep(DOWN).await;
+            life = self.server.start_again();
+            // Whatever else is done to its row comes after.
+            let _alone = self.row.lock().await;
+            self.start_again(store);
+        }
+    }
+
     /// Starts again under its id: what it ran is lost.
     pub fn start_again(&self, store: &Store) {
         self.born.fetch_add(1_000, Ordering::SeqCst);
@@ -82,6 +99,10 @@
     /// Those of the version that is rolled out.
     new_servers: Vec<Backend>,
     pub record: Arc<Record>,
+    /// Callers, once there are any.
+    pub callers: OnceLock<Arc<Callers>>,
+    /// Requests that end servers so far.
+    pub insisted: AtomicU64,
     /// Newest version of the configuration.
     pub version: AtomicU64,
     folder: PathBuf,
@@ -112,7 +133,8 @@
             entries.push(Mutex::new(Entry::start(number, way, &folder)));
         }
         let version = AtomicU64::new(1);
-        Self { store, entries, servers, new_servers, record, version, folder }
+        let (callers, insisted) = (OnceLock::new(), AtomicU64::new(0));
+        Self { store, entries, servers, new_servers, record, callers, insisted, version, folder }
     }
 
     /// Orders a good roll-out and lists the servers of its version.
@@ -162,7 +184,12 @@
     let (record, server_id) = (record.clone(), id.clone());
     let rng = std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ number as u64));
     let script = move |seen: &Seen| {
-        let act = draw_act(&mut rng.lock().unwrap(), service);
+        let body = String::from_utf8_lossy(&seen.body);
+        let crashing = body.starts_with(CRASHING).then(|| body.into_owned());
+        let act = match crashing {
+            Some(_) => Act::Crash { has_begun: true },
+            None => draw_act(&mut rng.lock().unwrap(), service),
+        };
         if !matches!(act, Act::Shed) {
             let run = Run {
                 id: seen.header("x-request-id").into(),
@@ -171,7 +198,8 @@
                 service,
                 version,
                 at: Instant::now(),
-                breaks: matches!(act, Act::Stream { is_whole: false, .. }),
+                breaks: matches!(act, Act::Stream { is_whole: false, .. } | Act::Crash { .. }),
+                crashing,
             };
             record.runs.lock().unwrap().push(run);
         }
@@ -179,8 +207,10 @@
     };
     let mut listed = Server::start(&id, script).await;
     let way = Proxy::start(listed.address).await;
+    let server = listed.clone();
     listed.address = way.address;
-    Backend { listed, service, version, way, born: AtomicU64::new(1_000), row: Mutex::default() }
+    let (born, row) = (AtomicU64::new(1_000), Mutex::default());
+    Backend { listed, server, service, version, way, born, row }
 }
 
 /// What a server does with a request: mostly what it should.
@@ -213,6 +243,12 @@
         is_over: AtomicBool::new(false),
         next_id: AtomicU64::new(0),
     });
+    let _ = system.callers.set(callers.clone());
+    let mut lives = JoinSet::new();
+    for number in 0..system.servers.len() {
+        let system = system.clone();
+        lives.spawn(async move { system.servers[number].live_again(&system.store).await });
+    }
     let mut tasks = JoinSet::new();
     for number in 0..CALLERS {
         tasks.spawn(callers.clone().call(seed * 1_000 + number));
