--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -51,7 +51,7 @@
         router.roll_outs.note_outcome(&member.server, RunOutcome::Failed);
         return;
     }
-    note_lost(router, job, member);
+    note_unanswered(router, job, member);
     if has_ended(router, member).await {
         // All that ran there broke off, which says one thing about the version and not thirty.
         router.roll_outs.note_silence(&member.server, router.now());
@@ -61,7 +61,7 @@
 }
 
 /// Notes that a request got no answer from a server, which may end or have ended.
-pub(super) fn note_lost(router: &Router, job: &Job, member: &Member) {
+pub(super) fn note_unanswered(router: &Router, job: &Job, member: &Member) {
     let (fingerprint, now) = (job.fingerprint(), router.now());
     let mut breaks = member.breaks();
     if breaks.has_ended(now) {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -10,12 +10,11 @@
     policy::{
         attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
         patience::head_patience,
-        quarantine::Standing,
     },
     router::{
         Member, Router,
         attempt::{AttemptError, OpenAnswer, Plan, send},
-        breaks::{note_break, note_lost},
+        breaks::{note_break, note_unanswered},
         choice::{marks, pick, reading_key},
         refusal::Refusal,
         roll_out::RunOutcome,
@@ -31,8 +30,6 @@
 /// Servers that one request is tried at, those included that can't be reached: these cost a round
 /// trip each, and half of a pool may be gone before the list says so.
 const MOST_TRIES: usize = 12;
-/// What a caller is told whose request only an operator can let go: as long as it is remembered.
-const REFUSED_FOR_GOOD: Duration = Duration::from_secs(24 * 60 * 60);
 /// Least time left with which a server is still asked.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 
@@ -124,7 +121,7 @@
     fn refusal(&self, router: &Router) -> Refusal {
         match judge(&self.attempts) {
             Verdict::NotRun if router.is_refused(self) => {
-                Refusal::EndsServers { retry_after: self.trial_in(router) }
+                Refusal::EndsServers { retry_after: router.refused_for(self) }
             }
             Verdict::NotRun => {
                 let retry_after = router.note_refusal(&self.service, &self.req.head.id);
@@ -135,14 +132,6 @@
         }
     }
 
-    /// Time until a refused request may be tried again.
-    fn trial_in(&self, router: &Router) -> Duration {
-        match router.standing(self) {
-            Standing::Refused { trial_in: Some(trial_in) } => trial_in,
-            _ => REFUSED_FOR_GOOD,
-        }
-    }
-
     fn has_tried(&self, server: &str) -> bool {
         self.tried.iter().any(|tried| **tried == *server)
     }
@@ -313,7 +302,7 @@
         Err(AttemptError::Quarantined) => return,
         Err(AttemptError::Lost(_)) => return note_break(router, job, member).await,
         Err(AttemptError::Timeout) => {
-            note_lost(router, job, member);
+            note_unanswered(router, job, member);
             return router.roll_outs.note_silence(&member.server, router.now());
         }
         Ok(answer) if answer.head.kind == AnswerKind::Success => {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -24,6 +24,7 @@
 mod note_log;
 mod packed_rows;
 mod peers;
+mod quarantine;
 mod quarantine_board;
 mod quarantine_row;
 mod readings;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -15,7 +15,7 @@
         EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
-        breaks::{note_break, note_lost},
+        breaks::{note_break, note_unanswered},
         choice::reading_key,
         dispatch::{Ask, Job, may_go_on, next_answer},
         refusal::Refusal,
@@ -68,7 +68,7 @@
             Some(Err(())) => {}
             // At the deadline, or when the server has started again: then it may be tried elsewhere.
             None => {
-                note_lost(router, job, &server);
+                note_unanswered(router, job, &server);
                 router.roll_outs.note_silence(&server.server, router.now());
             }
         }
@@ -235,7 +235,7 @@
             StreamError::Quarantined => {}
             StreamError::Silent => {
                 server.note_failure(router.now());
-                note_lost(router, job, server);
+                note_unanswered(router, job, server);
                 router.roll_outs.note_silence(&server.server, router.now());
             }
             _ => note_break(router, job, server).await,
--- a/src/router/release.rs
+++ b/src/router/release.rs
@@ -1,10 +1,10 @@
-//! Letting a refused request go, for operators.
+//! Letting a refused request go, for operators on the admin address.
 
 use std::sync::Arc;
 
 use axum::{Router as HttpRouter, extract::Path, http::StatusCode, routing::post};
 
-use crate::{router::Router, routing::Fingerprint, telemetry::event};
+use crate::router::Router;
 
 /// What became of an operator's wish.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,20 +17,6 @@
     Unreadable,
 }
 
-impl Router {
-    /// Lets a request go by its fingerprint, as the state dump shows it; all other entries are told.
-    pub fn release(&self, fingerprint: &str) -> Released {
-        let Ok(number) = u128::from_str_radix(fingerprint, 16) else {
-            return Released::Unreadable;
-        };
-        if !self.quarantine.clear(Fingerprint(number), self.now()) {
-            return Released::Unknown;
-        }
-        event::QUARANTINE_RELEASED.log(format_args!("fingerprint={fingerprint}"));
-        Released::Done
-    }
-}
-
 /// `POST /quarantine/release/{fingerprint}` of the admin address.
 pub(crate) fn routes(router: Arc<Router>) -> HttpRouter {
     let release = move |Path(text): Path<String>| async move {
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use serde_json::{Value, json};
 use tokio::{
-    sync::{Notify, mpsc, oneshot},
+    sync::{Notify, mpsc},
     time::timeout,
 };
 
@@ -24,12 +24,11 @@
         exposure::draw,
         extra_share::ExtraShare,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
-        quarantine::Standing,
         send_budget::{SendBudget, SendTerms},
         stopping::still_fits,
     },
     router::{
-        Fleet, dispatch::Job, kept_board::KeptBoard, link::Link, load_board::LoadBoard,
+        Fleet, kept_board::KeptBoard, link::Link, load_board::LoadBoard,
         quarantine_board::QuarantineBoard, quarantine_row::TrialRequest, readings::Readings,
         roll_out::RollOuts, views::Views,
     },
@@ -60,10 +59,6 @@
 /// Time in which a process that starts or resumes is told what holds now: a read of the store takes 10 ms and
 /// a link 0.3 s. Later, requests are no longer held for it.
 const FRESH_WITHIN: Duration = Duration::from_secs(2);
-/// Age at which what another entry said counts no more: four heartbeats.
-const HEARD_LASTS: Duration = Duration::from_millis(1_200);
-/// Longest wait for the store's word on a trial: two calls of 5 ms each, ten times over.
-const TRIAL_WAIT: Duration = Duration::from_millis(100);
 /// Trials that may be asked for at once; a caller beyond them is refused, and the next one asks.
 const TRIALS_WAITING: usize = 16;
 
@@ -103,7 +98,8 @@
     stop_began: OnceLock<Duration>,
     /// The entry's clock.
     pub clock: Clock,
-    trials: (mpsc::Sender<TrialRequest>, Mutex<Option<mpsc::Receiver<TrialRequest>>>),
+    /// Where trials of refused requests are asked for, and the end for the control thread to take.
+    pub(crate) trials: (mpsc::Sender<TrialRequest>, Mutex<Option<mpsc::Receiver<TrialRequest>>>),
 }
 
 impl Router {
@@ -243,61 +239,6 @@
         let _ = timeout(VIEW_WAIT, work).await;
     }
 
-    /// What may be done with a request, by the servers that ended under it.
-    pub(crate) fn standing(&self, job: &Job) -> Standing {
-        if self.quarantine.is_idle() {
-            return Standing::Free;
-        }
-        self.quarantine.standing(&job.fingerprint(), self.now())
-    }
-
-    /// Whether a request reaches no more servers because of those that ended under it.
-    pub(crate) fn is_refused(&self, job: &Job) -> bool {
-        !job.is_trial && matches!(self.standing(job), Standing::Refused { .. })
-    }
-
-    /// Whether a refused request gets its trial now, here and nowhere else; the store is asked only when one
-    /// is due.
-    pub(crate) async fn gets_trial(&self, job: &Job) -> bool {
-        let is_due = self.standing(job) == Standing::Refused { trial_in: Some(Duration::ZERO) };
-        if !is_due {
-            return false;
-        }
-        let (answer, answered) = oneshot::channel();
-        let asked = self.trials.0.try_send((job.fingerprint(), answer));
-        // A store that is slow to answer does not hold the caller up.
-        asked.is_ok() && matches!(timeout(TRIAL_WAIT, answered).await, Ok(Ok(true)))
-    }
-
-    /// Takes the end at which trials are asked for; once.
-    pub(crate) fn take_trials(&self) -> Option<mpsc::Receiver<TrialRequest>> {
-        self.trials.1.lock().expect("no panics under the lock").take()
-    }
-
-    /// Whether this entry hears from no other one.
-    pub(crate) fn is_alone(&self) -> bool {
-        let now = self.now();
-        let is_told = now < self.views.heard_at() + HEARD_LASTS;
-        !is_told && self.loads.entries(now) <= 1
-    }
-
-    /// Waits until a request reaches no more servers.
-    pub(crate) async fn until_refused(&self, job: &Job) {
-        let mut changes = self.quarantine.changes();
-        while !self.is_refused(job) {
-            if changes.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-        }
-    }
-
-    /// Notes that a server answered a request whole: it does not end servers.
-    pub(crate) fn note_answered_whole(&self, job: &Job) {
-        if self.standing(job) != Standing::Free {
-            self.quarantine.clear(job.fingerprint(), self.now());
-        }
-    }
-
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         self.is_in(LifecycleState::Serving {})
