News of ends is gathered for 30 ms at seeds; the soak asks again once all is calm

Cause: each note woke every link of a seed at once, and each message tells the load as well, 3 KB; an end that 30 entries see would have been 30 messages to each of 103 followers. Reporters tell what they saw at once. The test of a killed seed had raced: whoever saw the ends was dropped before anybody could hear of them. It now lives until one seed has heard, which is what the promise says.

--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -36,6 +36,10 @@
 pub(crate) const OPENING: Duration = Duration::from_secs(1);
 /// Time between heartbeats on a link.
 const BEAT_EVERY: Duration = Duration::from_millis(300);
+/// Time for which news of a server's end is gathered before it is told: dozens of entries see one end within
+/// 10 ms, and each message tells the load as well, 3 KB. A request that ends servers may come to any entry
+/// within a tenth of a second.
+pub(crate) const GATHER: Duration = Duration::from_millis(30);
 /// Silence after which a link is given up: three heartbeats. The store is asked at once after
 /// that, and a new configuration has two seconds to be in force.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
@@ -208,8 +212,10 @@
                 Err(RecvError::Lagged(_) | RecvError::Closed) => return Ok(()),
             },
             () = sleep(BEAT_EVERY) => Vec::new(),
-            // A request that ends servers may come to any entry within a tenth of a second.
-            _ = suspicions.changed() => Vec::new(),
+            _ = suspicions.changed() => {
+                sleep(GATHER).await;
+                Vec::new()
+            }
             message = socket.next() => match message {
                 Some(Ok(Message::Close(_))) | None => return Ok(()),
                 Some(message) => { message?; Vec::new() }
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -71,6 +71,8 @@
     is_idle: AtomicBool,
     /// Counts changes.
     changes: watch::Sender<u64>,
+    /// Counts those that this entry saw itself.
+    own_changes: watch::Sender<u64>,
     /// Whether it is known what the fleet knew before this process started.
     is_informed: AtomicBool,
     /// Whether the store may still keep a request that this entry let go.
@@ -85,6 +87,7 @@
             inner: Mutex::new(Inner { quarantine, own, all }),
             is_idle: AtomicBool::new(true),
             changes: watch::Sender::new(0),
+            own_changes: watch::Sender::new(0),
             is_informed: AtomicBool::new(false),
             is_row_stale: AtomicBool::new(false),
         }
@@ -111,6 +114,11 @@
         self.changes.subscribe()
     }
 
+    /// Tells of each change that this entry saw itself, from now on.
+    pub(crate) fn own_changes(&self) -> watch::Receiver<u64> {
+        self.own_changes.subscribe()
+    }
+
     /// Notes that a server's life ended while these requests were at work there.
     pub(crate) fn note_ends(&self, all: &[Fingerprint], life: LifeHash, now: Duration) {
         let life = self.lock().quarantine.name_of_end(life, now);
@@ -180,6 +188,9 @@
         }
         drop(inner);
         self.publish(is_new);
+        if is_new && is_own {
+            self.own_changes.send_modify(|changes| *changes += 1);
+        }
     }
 
     fn publish(&self, is_new: bool) {
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -12,7 +12,7 @@
     protocol::Result,
     router::{
         Router,
-        peers::{Asked, OPENING, Report, open, other_seeds, silent, tell, until_alive},
+        peers::{Asked, GATHER, OPENING, Report, open, other_seeds, silent, tell, until_alive},
     },
     telemetry::event,
 };
@@ -27,7 +27,12 @@
     let mut links: JoinSet<()> = JoinSet::new();
     let mut reported: Vec<SocketAddr> = Vec::new();
     let (reports, _) = watch::channel(Report::default());
-    let mut suspicions = router.quarantine.changes();
+    // A seed tells the others what it hears, too: some entries may not reach them.
+    let mut suspicions = if router.is_seed() {
+        router.quarantine.changes()
+    } else {
+        router.quarantine.own_changes()
+    };
     loop {
         let settings = router.settings.load_full();
         let others = other_seeds(&settings);
@@ -49,8 +54,11 @@
             router.loads.apply(&router.loads.sums(now), &fleet, now);
         }
         drop(fleet);
-        // A request that ends servers may come to any entry within a tenth of a second.
-        let _ = timeout(REPORT_EVERY, suspicions.changed()).await;
+        let is_news = timeout(REPORT_EVERY, suspicions.changed()).await.is_ok();
+        // What an entry saw itself is told at once: it may be killed next.
+        if is_news && router.is_seed() {
+            sleep(GATHER).await;
+        }
     }
 }
 
@@ -82,7 +90,6 @@
         let mut report = reports.borrow_and_update().clone();
         (report.kept, next_kept) = router.kept.own_from(next_kept, router.now());
         let (ends, next) = if router.is_seed() {
-            // Some entries may not reach the other seed.
             router.quarantine.all_from(next_end, router.now())
         } else {
             router.quarantine.own_from(next_end, router.now())
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -218,7 +218,9 @@
     let mut sites = pool.entries(4).await;
     let last = sites.pop().unwrap();
     until_refused(&last, "/chat/a").await;
-    let first = sites.remove(0);
+    // Whoever saw the ends lives until a seed has heard of them, and not until that has told others.
+    until("a seed knows", || is_quarantined(&sites[0]) || is_quarantined(&sites[1])).await;
+    let first = sites.remove(usize::from(!is_quarantined(&sites[0])));
     drop(first);
     drop(last);
 
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -97,7 +97,7 @@
 /// Begin of the bodies that end servers.
 pub const CRASHING: &str = "ends whoever runs it";
 /// Time after the third end in which all entries have to know; the deployments' least.
-const CONTACT: Duration = Duration::from_secs(3);
+pub const CONTACT: Duration = Duration::from_secs(3);
 /// Sends after that which are borne.
 const BORNE: usize = 3;
 
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -25,7 +25,7 @@
     faults::{Deed, draw},
     fleet::{Entry, host_of},
     proxy::Proxy,
-    record::{CRASHING, EVENTS, NEW, OLD, Ordered, ROLLED_OUT, Record, Run},
+    record::{CONTACT, CRASHING, EVENTS, NEW, OLD, Ordered, ROLLED_OUT, Record, Run},
     server::{Act, Seen, Server},
     site::{configuration, server_row},
     store::Store,
@@ -257,6 +257,7 @@
     system.order_roll_out(lasts);
     disturb(&system, seed, lasts).await;
     let mut findings = recover(&system, &callers).await;
+    insist_again(&system, &callers).await;
     callers.is_over.store(true, Ordering::SeqCst);
     while tasks.join_next().await.is_some() {}
     balancer.abort();
@@ -300,6 +301,18 @@
     while under_way.join_next().await.is_some() {}
 }
 
+/// Time for which each request that ended servers comes again once all is calm.
+const INSISTS_AGAIN: Duration = Duration::from_secs(1);
+
+/// What was found to end servers stays known, whatever was done meanwhile.
+async fn insist_again(system: &System, callers: &Arc<Callers>) {
+    sleep(CONTACT).await;
+    let insisted = system.insisted.load(Ordering::SeqCst);
+    let again = (0..insisted)
+        .map(|number| callers.insist(format!("{CRASHING} {number}"), number, INSISTS_AGAIN));
+    futures_util::future::join_all(again).await;
+}
+
 /// After the last fault every entry answers every kind of request again.
 async fn recover(system: &System, callers: &Callers) -> Vec<String> {
     if !system.wait_until_ready().await {
