A request that may be innocent is tried soon; a model of what is told and kept

Cause: all callers there send the same work, which was at three ends beside the guilty one, was refused, and could not clear itself any more for five minutes. Where another request was at all the same ends, a trial comes 1 to 2.5 s after, spread by fingerprint.

--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -40,13 +40,15 @@
 const SUSPECT_FOR: Duration = Duration::from_secs(60 * 60);
 /// The same for one that is refused.
 const REFUSED_FOR: Duration = Duration::from_secs(24 * 60 * 60);
-/// Time from the last end or trial to the next trial; each is [`REST_GROWS`] times longer than the one
-/// before. A version that was repaired is rolled out in minutes.
+/// Time from the last end or trial to the next trial. A version that was repaired is rolled out in minutes.
 const FIRST_REST: Duration = Duration::from_secs(5 * 60);
-const REST_GROWS: u32 = 8;
-/// Trials that are made at most: three sends over all entries are what a fleet may cost after the third end,
-/// and one of them is left for what crosses the news.
-const MOST_TRIALS: u32 = 2;
+const LAST_REST: Duration = Duration::from_secs(40 * 60);
+/// Time to one more trial before these, where another request was at all the same ends and either of them may
+/// be innocent: one that many callers send was refused for minutes after it had been at three ends beside a
+/// guilty one, half of an entry's requests in the soak.
+const DOUBTFUL_REST: Duration = Duration::from_secs(1);
+/// Time over which such trials are spread by fingerprint: two that ran beside each other would tell nothing.
+const DOUBTFUL_SPREAD: Duration = Duration::from_millis(1_500);
 
 /// What is known of one request, as entries tell it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -230,10 +232,29 @@
         match self.events(known) {
             0 => Standing::Free,
             few if few < REFUSED_AFTER => Standing::Suspect,
-            _ => Standing::Refused { trial_in: trial_at(known).map(|at| at.saturating_sub(now)) },
+            _ => {
+                let trial_at = self.trial_at(fingerprint, known);
+                Standing::Refused { trial_in: trial_at.map(|at| at.saturating_sub(now)) }
+            }
         }
     }
 
+    /// When a refused request may be tried once more; none after the last trial. Three sends over all entries
+    /// are what a fleet may cost after the third end.
+    fn trial_at(&self, fingerprint: &Fingerprint, known: &Known) -> Option<Duration> {
+        let spread = DOUBTFUL_SPREAD.mul_f64(f64::from(fingerprint.0 as u8) / f64::from(u8::MAX));
+        let doubtful = self.is_doubtful(fingerprint, known).then_some(DOUBTFUL_REST + spread);
+        let mut rests = doubtful.into_iter().chain([FIRST_REST, LAST_REST]);
+        let last_end = known.counted().last().map_or(Duration::ZERO, |(_, at)| at);
+        Some(last_end.max(known.tried_at) + rests.nth(known.trials as usize)?)
+    }
+
+    /// Whether another request was at all the ends that count against this one.
+    fn is_doubtful(&self, fingerprint: &Fingerprint, known: &Known) -> bool {
+        let was_there = |other: &Known| known.counted().all(|(life, _)| other.was_at(life));
+        self.known.iter().any(|(other, ends)| other != fingerprint && was_there(ends))
+    }
+
     /// How many ends count against a request: ends that may be one event with an end elsewhere count once.
     fn events(&self, known: &Known) -> usize {
         let mut counted = 0;
@@ -322,10 +343,3 @@
         self.lives.retain(|life, _| needed.contains(life));
     }
 }
-
-/// When a refused request may be tried once more; none after the last trial.
-fn trial_at(known: &Known) -> Option<Duration> {
-    let rest = FIRST_REST * REST_GROWS.pow(known.trials.min(MOST_TRIALS));
-    let last_end = known.counted().last().map_or(Duration::ZERO, |(_, at)| at);
-    (known.trials < MOST_TRIALS).then(|| last_end.max(known.tried_at) + rest)
-}
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -203,7 +203,7 @@
         && job.attempts.len() < MOST_TRIES
         && router.now() + LEAST_TIME < job.wait_ends()
         && !router.is_refused(job)
-        && !(job.is_trial && job.arrivals > 0);
+        && !(job.is_trial && job.runs > 0);
     if !may {
         return None;
     }
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -160,11 +160,15 @@
             is_new = true;
             let fingerprint = case.fingerprint;
             for (life, at) in &case.ends {
-                inner.all.push(Note::End { fingerprint, life: *life, at: *at }, now);
+                let note = Note::End { fingerprint, life: *life, at: *at };
+                inner.all.push(note, now);
+                // Others may not have been told by who wrote it.
+                inner.own.push(note, now);
             }
         }
         drop(inner);
         self.publish(is_new);
+        self.publish_own(is_new);
     }
 
     fn take_in(&self, notes: impl Iterator<Item = Note>, is_own: bool, now: Duration) {
@@ -188,7 +192,11 @@
         }
         drop(inner);
         self.publish(is_new);
-        if is_new && is_own {
+        self.publish_own(is_new && is_own);
+    }
+
+    fn publish_own(&self, is_new: bool) {
+        if is_new {
             self.own_changes.send_modify(|changes| *changes += 1);
         }
     }
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -8,3 +8,4 @@
 mod config;
 mod explore;
 mod lease;
+mod quarantine;
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -19,7 +19,10 @@
 use std::{sync::Arc, time::Duration};
 
 use mintmoor::router::Released;
-use tokio::time::sleep;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 use crate::{
     pool::{CRASHING, DOWN, EVENTS, Pool, ask, ask_others, free_address, insist},
@@ -249,6 +252,41 @@
     until("so does the store", || kept().as_array().unwrap().is_empty()).await;
 }
 
+/// Many callers send it, so it is wherever the guilty one is. A trial tells them apart a second later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_popular_request_beside_it_is_served_again_soon() {
+    let pool = Pool::start("llm", 3, true).await;
+    let sites = pool.entries(2).await;
+    let lasts = Duration::from_secs(3);
+    let popular = async {
+        let until = Instant::now() + lasts;
+        let mut asking = JoinSet::new();
+        for site in sites.iter().cycle() {
+            if Instant::now() >= until {
+                break;
+            }
+            let site = site.clone();
+            asking.spawn(async move { ask(&site, "/chat/a", "popular").await });
+            sleep(Duration::from_millis(5)).await;
+        }
+        asking.join_all().await
+    };
+
+    tokio::join!(insist(&sites, "/chat/a", lasts), popular);
+
+    let mut served = 0;
+    for _ in 0..200 {
+        let answer = ask(&sites[served % 2], "/chat/a", "popular").await;
+        served += usize::from(answer.status == 200 && answer.is_whole);
+        sleep(Duration::from_millis(50)).await;
+        if served >= 20 {
+            break;
+        }
+    }
+    assert_eq!(served, 20, "within ten seconds");
+    assert!(sites.iter().any(|site| is_quarantined(site)), "the guilty one is refused");
+}
+
 /// A server that breaks connections and lives on proves nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_answers_of_servers_that_live_speak_against_nothing() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -112,6 +112,7 @@
     };
 
     let first = trial_in(&quarantine, START).unwrap();
+    assert!(first > Duration::from_secs(60), "nobody else was there");
     let tried_at = START + first;
     quarantine.begin_trial(&GUILTY, tried_at).unwrap();
     let second = trial_in(&quarantine, tried_at).unwrap();
@@ -121,6 +122,25 @@
     assert_eq!(trial_in(&quarantine, tried_at + second), None);
 }
 
+/// One that many callers send was wherever the guilty one was, and nothing tells them apart but a trial.
+#[test]
+fn a_request_that_may_be_innocent_is_tried_soon() {
+    let popular = Fingerprint(2);
+    let both = (0..3).flat_map(|i| [end(GUILTY, i, i * 400), end(popular, i, i * 400)]);
+    let mut quarantine = with(both);
+    let trial_in = |quarantine: &Quarantine, now| match quarantine.standing(&popular, now) {
+        Standing::Refused { trial_in } => trial_in.unwrap(),
+        standing => panic!("{standing:?}"),
+    };
+
+    let first = trial_in(&quarantine, START + ms(800));
+    assert!(first <= Duration::from_millis(2_500));
+    let tried_at = START + ms(800) + first;
+    quarantine.begin_trial(&popular, tried_at).unwrap();
+
+    assert!(trial_in(&quarantine, tried_at) > Duration::from_secs(60));
+}
+
 #[test]
 fn a_trial_that_another_entry_made_is_known_from_the_store() {
     let mut here = with((0..3).map(|i| end(GUILTY, i, i)));
