A request is suspected only of ends at which it can have been at work

A request that was taken back as its server ended was not noted there, so the guilty one was missing at an end and nobody seemed doubtful. 2. The list's news of a next life came after the end was proved, and counted once more, against what was at work in that next life by then. 3. What an entry left only for that news counted as at work at the end.

--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -34,7 +34,7 @@
 /// Requests whose connection to a server broke, and what is known of its end.
 #[derive(Debug, Default)]
 pub(super) struct Breaks {
-    lost: Vec<(Fingerprint, Duration)>,
+    lost: Vec<Lost>,
     /// When its end was proved; a server may be back before the list tells of its next life.
     ended_at: Option<Duration>,
     /// When it was last looked whether the server listens.
@@ -51,7 +51,7 @@
         router.roll_outs.note_outcome(&member.server, RunOutcome::Failed);
         return;
     }
-    note_unanswered(router, job, member);
+    note_unanswered(router, job, member, Parting::Broken);
     if has_ended(router, member).await {
         // All that ran there broke off, which says one thing about the version and not thirty.
         router.roll_outs.note_silence(&member.server, router.now());
@@ -61,16 +61,16 @@
 }
 
 /// Notes that a request got no answer from a server, which may end or have ended.
-pub(super) fn note_unanswered(router: &Router, job: &Job, member: &Member) {
+pub(super) fn note_unanswered(router: &Router, job: &Job, member: &Member, parting: Parting) {
     let (fingerprint, now) = (job.fingerprint(), router.now());
     let mut breaks = member.breaks();
-    if breaks.has_ended(now) {
+    if breaks.has_ended(now) && parting == Parting::Broken {
         drop(breaks);
         return router.quarantine.note_ends(&[fingerprint], member.life_hash(), now);
     }
-    breaks.lost.retain(|(_, at)| now < *at + PROVED_AFTER);
+    breaks.lost.retain(|lost| now < lost.at + PROVED_AFTER);
     if breaks.lost.len() < MOST_LOST {
-        breaks.lost.push((fingerprint, now));
+        breaks.lost.push(Lost { fingerprint, at: now, parting });
     }
 }
 
@@ -109,6 +109,23 @@
     false
 }
 
+/// How a request and the server that had it parted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Parting {
+    /// The connection broke, or the request was taken back while the server may have begun to run it.
+    Broken,
+    /// The entry no longer waited: the server was silent, or its next life came into view.
+    Left,
+}
+
+/// A request that got no answer.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    fingerprint: Fingerprint,
+    at: Duration,
+    parting: Parting,
+}
+
 impl Breaks {
     /// Whether what breaks now broke with the end that was proved.
     fn has_ended(&self, now: Duration) -> bool {
@@ -134,14 +151,20 @@
     let lost = {
         let heard_at = member.heard_at();
         let mut breaks = member.breaks();
+        if proof != Proof::Refused && breaks.ended_at.is_some() {
+            // The list is behind: this end is known, and what was sent since is at work in the next life.
+            return;
+        }
         if proof != Proof::Dropped {
             breaks.ended_at = Some(now);
         }
         let lost = std::mem::take(&mut breaks.lost);
         // Whoever was left before the server last spoke was no longer at work there.
         lost.into_iter()
-            .filter(|(_, at)| now < *at + PROVED_AFTER && heard_at < *at + READ_LATE)
-            .map(|(fingerprint, _)| fingerprint)
+            .filter(|lost| now < lost.at + PROVED_AFTER && heard_at < lost.at + READ_LATE)
+            // What was left for the news of a next life may have been at work in that one.
+            .filter(|lost| lost.parting == Parting::Broken || lost.at + READ_LATE < now)
+            .map(|lost| lost.fingerprint)
             .collect::<Vec<_>>()
     };
     member.note_unreachable(now);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -14,7 +14,7 @@
     router::{
         Member, Router,
         attempt::{AttemptError, OpenAnswer, Plan, send},
-        breaks::{note_break, note_unanswered},
+        breaks::{Parting, note_break, note_unanswered},
         choice::{marks, pick, reading_key},
         refusal::Refusal,
         roll_out::RunOutcome,
@@ -299,10 +299,13 @@
     result: &Result<OpenAnswer, AttemptError>,
 ) {
     let outcome = match result {
-        Err(AttemptError::Quarantined) => return,
+        // It may have begun to run, and end the server all the same.
+        Err(AttemptError::Quarantined) => {
+            return note_unanswered(router, job, member, Parting::Broken);
+        }
         Err(AttemptError::Lost(_)) => return note_break(router, job, member).await,
         Err(AttemptError::Timeout) => {
-            note_unanswered(router, job, member);
+            note_unanswered(router, job, member, Parting::Left);
             return router.roll_outs.note_silence(&member.server, router.now());
         }
         Ok(answer) if answer.head.kind == AnswerKind::Success => {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -15,7 +15,7 @@
         EventSplitter, Member, Router,
         attempt::OpenAnswer,
         body::{AnswerBody, Part, StreamBody},
-        breaks::{note_break, note_unanswered},
+        breaks::{Parting, note_break, note_unanswered},
         choice::reading_key,
         dispatch::{Ask, Job, may_go_on, next_answer},
         refusal::Refusal,
@@ -68,7 +68,7 @@
             Some(Err(())) => {}
             // At the deadline, or when the server has started again: then it may be tried elsewhere.
             None => {
-                note_unanswered(router, job, &server);
+                note_unanswered(router, job, &server, Parting::Left);
                 router.roll_outs.note_silence(&server.server, router.now());
             }
         }
@@ -232,10 +232,11 @@
     async fn judge_break(&self, server: &Arc<Member>, e: &StreamError) {
         let (router, job) = (&self.router, &self.job);
         match e {
-            StreamError::Quarantined => {}
+            // It may have begun to run, and end the server all the same.
+            StreamError::Quarantined => note_unanswered(router, job, server, Parting::Broken),
             StreamError::Silent => {
                 server.note_failure(router.now());
-                note_unanswered(router, job, server);
+                note_unanswered(router, job, server, Parting::Left);
                 router.roll_outs.note_silence(&server.server, router.now());
             }
             _ => note_break(router, job, server).await,
