--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    pool::{CRASHING, DOWN, EVENTS, Pool, ask, ask_others, free_address, insist},
+    pool::{CRASHING, DOWN, EVENTS, Pool, ask, ask_others, insist},
     server::Act,
     site::{Answer, Site, always, list, until},
     store::Fault,
@@ -36,6 +36,15 @@
 /// Sends after the third end that are borne over all entries, beside those that cross the news.
 const BORNE: usize = 3;
 
+/// Three servers ended, and hardly anything was sent after all had to know of it.
+fn assert_sends_are_borne(pool: &Pool) {
+    assert!(pool.witness.ends() >= 3, "it ended servers");
+    let late = pool.witness.arrivals_after_third(NEWS);
+    let (ends, tries) = (pool.witness.ends(), pool.witness.tries());
+    println!("{late} arrivals late, {ends} ends in all, in {tries} tries");
+    assert!(late <= BORNE, "{late} arrivals late, {ends} ends in all, in {tries} tries");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ended_three_servers_reaches_no_more_of_them() {
     let pool = Pool::start("llm", 6, true).await;
@@ -43,11 +52,7 @@
 
     insist(&sites, "/chat/a", Duration::from_secs(6)).await;
 
-    assert!(pool.witness.ends() >= 3, "it ended servers");
-    let late = pool.witness.arrivals_after_third(NEWS);
-    let (ends, tries) = (pool.witness.ends(), pool.witness.tries());
-    println!("{late} arrivals late, {ends} ends in all, in {tries} tries");
-    assert!(late <= BORNE, "{late} arrivals late, {ends} ends in all, in {tries} tries");
+    assert_sends_are_borne(&pool);
 }
 
 /// A server may end before it has answered anything.
@@ -58,11 +63,7 @@
 
     insist(&sites, "/safe/a", Duration::from_secs(6)).await;
 
-    assert!(pool.witness.ends() >= 3, "it ended servers");
-    let late = pool.witness.arrivals_after_third(NEWS);
-    let (ends, tries) = (pool.witness.ends(), pool.witness.tries());
-    println!("{late} arrivals late, {ends} ends in all, in {tries} tries");
-    assert!(late <= BORNE, "{late} arrivals late, {ends} ends in all, in {tries} tries");
+    assert_sends_are_borne(&pool);
 }
 
 /// Nine in ten of what is served without such a request.
@@ -153,13 +154,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_without_a_seed_learn_it_from_the_store() {
     let pool = Pool::start("llm", 6, true).await;
-    let nobody = [free_address()];
-    let mut sites = Vec::new();
-    for _ in 0..3 {
-        let site = pool.entry(&nobody, None).await;
-        site.until_in_view(6).await;
-        sites.push(Arc::new(site));
-    }
+    let sites = pool.entries_apart(3).await;
 
     until_refused(&sites[0], "/chat/a").await;
     for site in &sites {
@@ -173,13 +168,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn ends_that_were_seen_apart_are_put_together_in_the_store() {
     let pool = Pool::start("app", 6, false).await;
-    let nobody = [free_address()];
-    let mut sites = Vec::new();
-    for _ in 0..3 {
-        let site = pool.entry(&nobody, None).await;
-        site.until_in_view(6).await;
-        sites.push(Arc::new(site));
-    }
+    let sites = pool.entries_apart(3).await;
     let in_store = || {
         let row = pool.store.read("mintmoor", "quarantine").unwrap_or_default();
         row["cases"][0]["ends"].as_array().map_or(0, Vec::len)
--- a/tests/platform/pool.rs
+++ b/tests/platform/pool.rs
@@ -114,6 +114,18 @@
         sites
     }
 
+    /// Entries that know of no seed that lives: none hears from another one.
+    pub async fn entries_apart(&self, number: usize) -> Vec<Arc<Site>> {
+        let nobody = [free_address()];
+        let mut sites = Vec::new();
+        for _ in 0..number {
+            let site = self.entry(&nobody, None).await;
+            site.until_in_view(self.servers.len()).await;
+            sites.push(Arc::new(site));
+        }
+        sites
+    }
+
     /// One entry with these seeds, at this address for other entries if it is to be one of them.
     pub async fn entry(&self, seeds: &[SocketAddr], peer: Option<SocketAddr>) -> Site {
         Site::with(self.store.clone(), |host| {
