--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -54,3 +54,12 @@
     }
     assert!(failed.is_empty(), "promises broken under seeds {failed:?}");
 }
+
+/// Two requests that end servers come at once, and the list alone tells of the ends, of several in one moment: one
+/// entry takes them for one event and sends on what the others refuse (4 sends late, 7 in all).
+#[tokio::test(flavor = "multi_thread")]
+async fn two_that_end_servers_are_refused_by_all_under_seed_836() {
+    let (findings, logs) = system::soak(836, Duration::from_secs(5)).await;
+
+    assert!(findings.is_empty(), "{findings:?}, logs in {}", logs.display());
+}
