--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -18,6 +18,8 @@
 
 const CONFIGURATION: &str = "config";
 const ROLL_OUT_PREFIX: &str = "rollout/";
+/// The rest of the key is the AvailabilityZone.
+const EVACUATION_PREFIX: &str = "evacuate/";
 
 /// What the operator changed.
 #[derive(Clone, Debug)]
@@ -28,6 +30,10 @@
     RollOut(RollOutOrder),
     /// The order for this service is gone.
     RollOutWithdrawn(Box<str>),
+    /// Nothing may be sent to the servers of this AvailabilityZone.
+    ZoneEvacuated(Box<str>),
+    /// This AvailabilityZone is taken back.
+    ZoneTakenBack(Box<str>),
 }
 
 #[derive(Deserialize)]
@@ -186,6 +192,13 @@
             revision: row.version,
         })));
     }
+    if let Some(zone) = evacuated_zone(&row.key) {
+        // What the document says is of no use: the row itself is the order.
+        return Ok(Some(match row.is_removed {
+            true => OperatorChange::ZoneTakenBack(zone.into()),
+            false => OperatorChange::ZoneEvacuated(zone.into()),
+        }));
+    }
     if &*row.key != CONFIGURATION || row.is_removed {
         return Ok(None);
     }
@@ -193,6 +206,11 @@
     Ok(Some(OperatorChange::Configuration(Box::new(read_config(doc)))))
 }
 
+/// AvailabilityZone that an operator's row orders to evacuate.
+pub fn evacuated_zone(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATION_PREFIX)
+}
+
 /// Reads the row of a BackendServer.
 ///
 /// # Errors
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -36,6 +36,7 @@
             server.models.is_empty() || server.models.iter().any(|m| **m == *model)
         });
         member.takes_requests()
+            && !router.evacuations.is_evacuated(&server.zone)
             && has_model
             && versions.allows(&server.version)
             && may_be(&server.id)
--- /dev/null
+++ b/src/router/evacuations.rs
@@ -0,0 +1,86 @@
+//! AvailabilityZones whose servers get nothing, by the operator's order.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use serde_json::{Value, json};
+
+use crate::telemetry::event;
+
+/// What is known of one AvailabilityZone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    /// Nothing is sent there, since this time.
+    Evacuated(Duration),
+    /// The operator took it back at this time.
+    TakenBack(Duration),
+}
+
+type Orders = HashMap<Box<str>, Order>;
+
+/// The operator's evacuation orders. Every send asks when its server is chosen, whatever it is for.
+#[derive(Debug, Default)]
+pub(crate) struct Evacuations {
+    orders: ArcSwap<Orders>,
+}
+
+impl Evacuations {
+    /// Notes an order to send nothing to a zone's servers.
+    pub(crate) fn begin(&self, zone: &str, now: Duration) {
+        if self.is_evacuated(zone) {
+            return;
+        }
+        self.put(zone, Order::Evacuated(now));
+        event::ZONE_EVACUATED.log(format_args!("zone={zone}"));
+    }
+
+    /// Notes that an order is gone.
+    pub(crate) fn end(&self, zone: &str, now: Duration) {
+        if !self.is_evacuated(zone) {
+            return;
+        }
+        self.put(zone, Order::TakenBack(now));
+        event::ZONE_TAKEN_BACK.log(format_args!("zone={zone}"));
+    }
+
+    /// Orders are read by one task, so none is lost between the load and the store.
+    fn put(&self, zone: &str, order: Order) {
+        let mut orders = Orders::clone(&self.orders.load());
+        orders.insert(zone.into(), order);
+        self.orders.store(Arc::new(orders));
+    }
+
+    /// Whether nothing may be sent to a zone's servers.
+    pub(crate) fn is_evacuated(&self, zone: &str) -> bool {
+        matches!(self.orders.load().get(zone), Some(Order::Evacuated(_)))
+    }
+
+    /// When the operator last took a zone back; none where it is evacuated or never was.
+    #[allow(dead_code, reason = "cold servers are limited next")]
+    pub(crate) fn taken_back_at(&self, zone: &str) -> Option<Duration> {
+        match self.orders.load().get(zone)? {
+            Order::TakenBack(at) => Some(*at),
+            Order::Evacuated(_) => None,
+        }
+    }
+
+    /// Zones that are evacuated.
+    pub(crate) fn zones(&self) -> Vec<Box<str>> {
+        let orders = self.orders.load();
+        let evacuated = orders.iter().filter(|(_, order)| matches!(order, Order::Evacuated(_)));
+        evacuated.map(|(zone, _)| zone.clone()).collect()
+    }
+
+    /// Part of the state dump.
+    pub(crate) fn dump(&self, now: Duration) -> Value {
+        let orders = self.orders.load();
+        let one = |(zone, order): (&Box<str>, &Order)| match order {
+            Order::Evacuated(since) => {
+                let for_s = now.saturating_sub(*since).as_secs_f64();
+                Some(json!({"zone": zone, "for_s": for_s}))
+            }
+            Order::TakenBack(_) => None,
+        };
+        Value::Array(orders.iter().filter_map(one).collect())
+    }
+}
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -7,7 +7,7 @@
 use crate::{
     ids::Revision,
     platform::{
-        documents::{OperatorChange, read_operator_row, status_key},
+        documents::{OperatorChange, evacuated_zone, read_operator_row, status_key},
         store::{Feed, Rows, StoreClient, Table},
     },
     policy::lifecycle::LifecycleEvent,
@@ -265,19 +265,33 @@
             withdraw_missing(router, &rows);
         }
         let is_start = router.table.load().is_none();
-        for row in &rows.rows {
-            match read_operator_row(row) {
-                Ok(Some(change)) => apply_change(router, change, is_start),
-                Ok(None) => {}
-                Err(e) => event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\"")),
-            }
+        // The first configuration lets requests in: whatever bars servers is in force before.
+        let (configuration, others): (Vec<_>, Vec<_>) =
+            read_changes(&rows).partition(|c| matches!(c, OperatorChange::Configuration(_)));
+        for change in others.into_iter().chain(configuration) {
+            apply_change(router, change, is_start);
         }
     })
     .await;
 }
 
-/// Withdraws the roll-outs whose orders are not among all rows.
+fn read_changes(rows: &Rows) -> impl Iterator<Item = OperatorChange> {
+    rows.rows.iter().filter_map(|row| match read_operator_row(row) {
+        Ok(change) => change,
+        Err(e) => {
+            event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\""));
+            None
+        }
+    })
+}
+
+/// Withdraws the orders that are not among all rows.
 fn withdraw_missing(router: &Router, rows: &Rows) {
+    for zone in router.evacuations.zones() {
+        if !rows.rows.iter().any(|row| evacuated_zone(&row.key) == Some(&zone)) {
+            router.evacuations.end(&zone, router.now());
+        }
+    }
     for order in router.roll_outs.orders() {
         let key = status_key(&order.service);
         if !rows.rows.iter().any(|row| row.key == key) {
@@ -298,6 +312,8 @@
             }
         }
         OperatorChange::RollOutWithdrawn(service) => router.roll_outs.withdraw(&service),
+        OperatorChange::ZoneEvacuated(zone) => router.evacuations.begin(&zone, router.now()),
+        OperatorChange::ZoneTakenBack(zone) => router.evacuations.end(&zone, router.now()),
     }
 }
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod dispatch;
 mod driver;
+mod evacuations;
 mod event_stream;
 mod feed;
 mod fleet;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -28,7 +28,7 @@
         stopping::still_fits,
     },
     router::{
-        Fleet, kept_board::KeptBoard, link::Link, load_board::LoadBoard,
+        Fleet, evacuations::Evacuations, kept_board::KeptBoard, link::Link, load_board::LoadBoard,
         quarantine_board::QuarantineBoard, quarantine_row::TrialRequest, readings::Readings,
         roll_out::RollOuts, views::Views,
     },
@@ -70,6 +70,8 @@
     pub table: ArcSwap<Option<RoutingTable>>,
     /// BackendServers in view.
     pub fleet: ArcSwap<Fleet>,
+    /// AvailabilityZones that the operator wants nothing sent to.
+    pub(crate) evacuations: Evacuations,
     /// Roll-outs and the evidence on their versions.
     pub roll_outs: RollOuts,
     /// What the operator settled about decisions.
@@ -110,6 +112,7 @@
             settings: ArcSwap::from_pointee(settings),
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
+            evacuations: Evacuations::default(),
             roll_outs: RollOuts::new(policy.exposure),
             policy,
             views: Views::default(),
@@ -368,6 +371,8 @@
             let labels = ServiceLabels { service: service.to_string() };
             self.metrics.repeats_left.get_or_create(&labels).set(budget.left(&terms, now) as i64);
         }
+        let evacuated = self.evacuations.zones().len();
+        self.metrics.evacuated_zones.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
         self.roll_outs.report(&self.metrics);
     }
 
@@ -394,6 +399,7 @@
             "entries": self.entries(),
             "follows_another_entry": self.follows_link(),
             "quarantine": self.quarantine.dump(self.now()),
+            "evacuated": self.evacuations.dump(self.now()),
             "roll_outs": self.roll_outs.dump(),
             "servers": self.fleet.load().dump(self.now()),
         })
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -102,6 +102,8 @@
     pub quarantine_notes_lost: Gauge,
     /// Requests that are refused because servers ended under them.
     pub quarantined: Gauge,
+    /// AvailabilityZones that are evacuated.
+    pub evacuated_zones: Gauge,
     /// Servers seen to end with requests at work.
     pub server_ends: Counter,
     /// Repeated sends still allowed, by service.
@@ -146,6 +148,7 @@
             kept_notes_lost: Gauge::default(),
             quarantine_notes_lost: Gauge::default(),
             quarantined: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             server_ends: Counter::default(),
             repeats_left: Family::default(),
             repeats: Family::default(),
@@ -186,6 +189,8 @@
         let lost = self.quarantine_notes_lost.clone();
         registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
         let quarantined = self.quarantined.clone();
+        let zones = self.evacuated_zones.clone();
+        registry.register("evacuated_zones", "AvailabilityZones that are evacuated", zones);
         registry.register("quarantined", "Requests refused because servers ended", quarantined);
         let ends = self.server_ends.clone();
         registry.register("server_ends", "Servers seen to end with requests at work", ends);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod crashes;
+mod evacuations;
 mod lives;
 mod peers;
 mod pool;
