A cold server gets what it bears: a few entries each send to it, by their place among all

Change: rows tell how long a server stays cold, the configuration what a cold one bears. Each cold server has as many entries as it bears requests a second, found by the rank of the entry's Host among all that report to the seeds (two numbers in a heartbeat); all others pass it over. A new process waits 3 s for its place; the largest number of entries counts for ten minutes, so that sides that lose each other don't each take all. Servers of a zone that is taken back, and those that nobody answered for, are presumed cold until their rows can have told. What can't be sent goes elsewhere or is refused at once. Ruled out: the first form of the limit had no effect at all, as the services' fields were decoded under other names; the log line of the list tells now how many servers are cold.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -57,8 +57,9 @@
 /// One placement on the users' platform: the servers' records are read and one is chosen.
 #[divan::bench(args = [20, 200, 2_100])]
 fn place_an_attempt(bencher: Bencher, servers: usize) {
-    let members: Vec<Member> =
-        (0..servers).map(|i| Member::new(backend_server(i), Duration::ZERO)).collect();
+    let members: Vec<Member> = (0..servers)
+        .map(|i| Member::new(backend_server(i), Duration::ZERO, Duration::ZERO))
+        .collect();
     let terms = PlacementTerms::default();
     let work = Work {
         affinity: Some(7),
@@ -84,6 +85,8 @@
         version: "v1".into(),
         slots: 32,
         is_leaving: false,
+        cold_for: Duration::ZERO,
+        revision: 1,
         models: vec!["small".into(), "large".into()],
     }
 }
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -10,6 +10,7 @@
         Error, Result,
         store::{Row, Table},
     },
+    policy::cold::ColdTerms,
     routing::{
         BackendServer, BornAt, CallerLimits, Organisation, Progress, RollOutOrder, RollOutStatus,
         Route, RouteKind, RoutingTable, Target,
@@ -49,10 +50,24 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
 struct ServiceDoc {
     name: Box<str>,
     /// Missing where no model runs.
     engine: Option<EngineDoc>,
+    /// Requests a second that a cold server bears; 0 or missing where they start warm.
+    #[serde(default)]
+    cold_per_s: f64,
+    /// How long a server is cold after its start.
+    #[serde(default)]
+    cold_start_s: f64,
+}
+
+impl ServiceDoc {
+    fn cold(&self) -> Option<ColdTerms> {
+        let lasts = milliseconds(self.cold_start_s * 1e3);
+        (self.cold_per_s > 0.0).then_some(ColdTerms { sends_per_second: self.cold_per_s, lasts })
+    }
 }
 
 #[derive(Deserialize)]
@@ -83,6 +98,9 @@
     #[serde(default)]
     split: Vec<SplitDoc>,
     max_attempts: Option<u32>,
+    /// Regions, not single zones.
+    #[serde(default)]
+    allowed_regions: Vec<Box<str>>,
     #[serde(default)]
     public: bool,
     #[serde(default)]
@@ -113,6 +131,8 @@
     #[serde(default)]
     api_keys: Vec<Box<str>>,
     priority: Option<u8>,
+    #[serde(default)]
+    allowed_regions: Vec<Box<str>>,
 }
 
 #[derive(Deserialize)]
@@ -141,8 +161,8 @@
     version: Box<str>,
     slots: NonZeroU32,
     state: StateDoc,
-    #[serde(rename = "cold-remaining-ms")]
-    _cold_remaining_ms: f64,
+    /// How much longer it is cold, as of when it wrote.
+    cold_remaining_ms: f64,
     /// Counts what the server wrote or accepted in this life.
     #[serde(rename = "sequence")]
     _sequence: u64,
@@ -232,6 +252,8 @@
         version: doc.version,
         slots: doc.slots.get(),
         is_leaving: doc.state == StateDoc::Draining,
+        cold_for: milliseconds(doc.cold_remaining_ms),
+        revision: row.version,
         models: doc.models.into_iter().map(|model| model.name).collect(),
     })
 }
@@ -289,11 +311,13 @@
     for of_host in routes.values_mut() {
         of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
+    let cold = doc.services.iter().filter_map(|s| Some((s.name.clone(), s.cold()?))).collect();
     let memory = |service: ServiceDoc| Some((service.name, service.engine?.kv_capacity?));
     RoutingTable {
         version: doc.version,
         routes,
         memories: doc.services.into_iter().filter_map(memory).collect(),
+        cold,
         keys: doc.tenants.map(read_keys),
         limits: doc.limits.as_ref().map(read_limits),
     }
@@ -324,6 +348,7 @@
         is_public: doc.public,
         is_sticky: doc.sticky,
         is_resumable: doc.resumable,
+        homes: doc.allowed_regions,
         cascade: doc.sizes,
     }
 }
@@ -331,7 +356,11 @@
 fn read_keys(docs: Vec<OrganisationDoc>) -> HashMap<Box<str>, Arc<Organisation>> {
     let mut keys = HashMap::new();
     for doc in docs {
-        let organisation = Arc::new(Organisation { name: doc.name, priority: doc.priority });
+        let organisation = Arc::new(Organisation {
+            name: doc.name,
+            priority: doc.priority,
+            homes: doc.allowed_regions,
+        });
         for key in doc.api_keys {
             keys.insert(key, organisation.clone());
         }
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -1,9 +1,11 @@
 //! The settings file that the platform writes for a process on one of its Hosts.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use serde::Deserialize;
 
+use crate::routing::Region;
+
 /// Environment variable that holds the path of the file.
 pub const SETTINGS_VARIABLE: &str = "MINTMOOR_CONFIG";
 
@@ -14,6 +16,8 @@
     pub host: Box<str>,
     /// AvailabilityZone of the Host.
     pub zone: Box<str>,
+    /// Region of each AvailabilityZone.
+    pub regions: HashMap<Box<str>, Region>,
     /// Where callers connect.
     pub caller: SocketAddr,
     /// Where the balancer asks whether this process takes work.
@@ -54,6 +58,9 @@
     node_name: Box<str>,
     #[serde(default)]
     zone: Box<str>,
+    /// Region of each zone.
+    #[serde(default)]
+    zones: HashMap<Box<str>, Region>,
     #[serde(default)]
     listen: ListenDoc,
     #[serde(default)]
@@ -119,6 +126,7 @@
     Ok(HostSettings {
         host: doc.node_name,
         zone: doc.zone,
+        regions: doc.zones,
         caller,
         readiness,
         peer: doc.listen.control_plane.and_then(|text| text.parse().ok()),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod charge;
 pub mod choice;
 pub mod claim;
+pub mod cold;
 pub mod comeback;
 pub mod escalation;
 pub mod exposure;
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -42,6 +42,7 @@
             && may_be(&server.id)
     };
     let mut members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
+    spare_cold(router, &job.service, &mut members);
     if members.iter().any(|m| !m.is_unannounced(now)) {
         members.retain(|m| !m.is_unannounced(now));
     }
@@ -55,6 +56,19 @@
     Some(members[chosen].clone())
 }
 
+/// Leaves out servers that have just started and can't be sent more from here now.
+fn spare_cold(router: &Router, service: &str, members: &mut Vec<&Arc<Member>>) {
+    let Some(terms) = router.cold_terms(service) else {
+        return;
+    };
+    let (open, spared): (Vec<_>, Vec<_>) =
+        members.iter().copied().partition(|member| router.may_send(member, &terms));
+    *members = open;
+    if members.is_empty() {
+        members.extend(spared.into_iter().filter(|member| router.may_send_at_least(member)));
+    }
+}
+
 /// The server for a request under which servers ended, by rendezvous hashing among those that answer: all
 /// entries send it to the same one, so that it ends one server at a time, and send what else was there to
 /// others, so that the next end tells them apart.
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -180,6 +180,10 @@
         if job.arrivals > 0 && !job.take_repeat(router) {
             return failed.ok_or_else(|| job.refusal(router));
         }
+        if !router.take_send(&member) {
+            // Another request took what the server may get: the choice is made anew.
+            continue;
+        }
         match try_at(router, job, &member, ask).await {
             Ok(answer) if answer.head.kind == AnswerKind::Success => return Ok(answer),
             Ok(answer) => failed = Some(answer),
--- a/src/router/evacuations.rs
+++ b/src/router/evacuations.rs
@@ -56,7 +56,6 @@
     }
 
     /// When the operator last took a zone back; none where it is evacuated or never was.
-    #[allow(dead_code, reason = "cold servers are limited next")]
     pub(crate) fn taken_back_at(&self, zone: &str) -> Option<Duration> {
         match self.orders.load().get(zone)? {
             Order::TakenBack(at) => Some(*at),
@@ -74,7 +73,7 @@
     /// Part of the state dump.
     pub(crate) fn dump(&self, now: Duration) -> Value {
         let orders = self.orders.load();
-        let one = |(zone, order): (&Box<str>, &Order)| match order {
+        let one = |(zone, order): (_, &Order)| match order {
             Order::Evacuated(since) => {
                 let for_s = now.saturating_sub(*since).as_secs_f64();
                 Some(json!({"zone": zone, "for_s": for_s}))
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -364,7 +364,9 @@
     let before = router.fleet.load_full();
     let next = before.with(listing.usable().cloned(), router.now());
     let unreadable = listing.unreadable();
-    event::SERVERS_CHANGED.log(format_args!("servers={} unreadable={unreadable}", next.len()));
+    let cold = next.members().filter(|member| router.now() < member.cold_until()).count();
+    event::SERVERS_CHANGED
+        .log(format_args!("servers={} cold={cold} unreadable={unreadable}", next.len()));
     router.metrics.rows_unreadable.set(i64::try_from(unreadable).unwrap_or(i64::MAX));
     note_ends(router, listing, &before, &next);
     router.put_fleet(next);
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     policy::{
+        cold::{Allowance, ColdSends},
         failure_rate::FailureRate,
         kept::{KeptParts, PromptMark},
         load::LoadBelief,
@@ -53,6 +54,10 @@
     pub(crate) heard_at: Duration,
     /// Whether another server answered at its address.
     pub(crate) is_replaced: bool,
+    /// Sends of this entry while it was cold.
+    cold_sends: ColdSends,
+    /// When nobody last listened at its address.
+    unreachable_at: Option<Duration>,
 }
 
 /// A server in view.
@@ -62,6 +67,8 @@
     pub server: BackendServer,
     id_hash: u64,
     waits_until: Duration,
+    /// Until when its row tells it to be cold; later than it is by the row's age.
+    cold_until: Duration,
     life: Arc<Life>,
 }
 
@@ -78,15 +85,42 @@
 
 impl Member {
     /// A server seen for the first time, which gets nothing until then if others can serve.
-    pub fn new(server: BackendServer, waits_until: Duration) -> Self {
+    pub fn new(server: BackendServer, waits_until: Duration, now: Duration) -> Self {
         let id_hash = hash_id(&server.id);
-        Self { server, id_hash, waits_until, life: Arc::default() }
+        let cold_until = now + server.cold_for;
+        Self { server, id_hash, waits_until, cold_until, life: Arc::default() }
     }
 
     /// The same life of the server with a newer listing.
-    fn renewed(&self, server: BackendServer) -> Self {
+    fn renewed(&self, server: BackendServer, now: Duration) -> Self {
         let (id_hash, waits_until) = (self.id_hash, self.waits_until);
-        Self { server, id_hash, waits_until, life: self.life.clone() }
+        let cold_until = now + server.cold_for;
+        Self { server, id_hash, waits_until, cold_until, life: self.life.clone() }
+    }
+
+    /// Until when its row tells it to be cold.
+    pub(crate) fn cold_until(&self) -> Duration {
+        self.cold_until
+    }
+
+    /// When nobody last listened at its address; none where somebody always did.
+    pub(crate) fn unreachable_at(&self) -> Option<Duration> {
+        self.record().unreachable_at
+    }
+
+    /// Whether this entry may send to it while it is cold.
+    pub(crate) fn may_send_cold(&self, allowance: &Allowance, now: Duration) -> bool {
+        self.record().cold_sends.may_send(allowance, now)
+    }
+
+    /// Takes a send to it from what this entry may send while it is cold; whether there was one.
+    pub(crate) fn take_cold_send(&self, allowance: &Allowance, now: Duration) -> bool {
+        let mut record = self.record();
+        let may = record.cold_sends.may_send(allowance, now);
+        if may {
+            record.cold_sends.note(allowance, now);
+        }
+        may
     }
 
     pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
@@ -135,6 +169,7 @@
     /// Notes that nobody listens at the server's address, which one refusal shows.
     pub(crate) fn note_unreachable(&self, now: Duration) {
         let mut record = self.record();
+        record.unreachable_at = Some(now);
         record.outlier.note_unreachable(&OUTLIER_RULES, now);
         record.failures.note(true, now);
     }
@@ -243,7 +278,9 @@
         for server in servers {
             let member = match self.members.get(&server.id) {
                 Some(known) if known.server == server => known.clone(),
-                Some(known) if known.server.born == server.born => Arc::new(known.renewed(server)),
+                Some(known) if known.server.born == server.born => {
+                    Arc::new(known.renewed(server, now))
+                }
                 known => {
                     if let Some(known) = known {
                         known.end();
@@ -251,7 +288,7 @@
                             .log(format_args!("server={} born={:?}", server.id, server.born));
                     }
                     let waits_until = next.note_version(self, &server, now);
-                    Arc::new(Member::new(server, waits_until))
+                    Arc::new(Member::new(server, waits_until, now))
                 }
             };
             let service = member.server.service.clone();
@@ -337,6 +374,7 @@
                 "zone": member.server.zone,
                 "leaving": member.server.is_leaving,
                 "load": record.load.estimate(now),
+                "cold_ms": member.cold_until.saturating_sub(now).as_millis() as u64,
                 "failure_rate": record.failures.get(now),
                 "out": record.outlier.is_out(now),
                 "idle_connections": record.idle.len(),
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     platform::host_settings::HostSettings,
+    policy::cold::Place,
     protocol::{Error, Result},
     router::{
         Router,
@@ -112,7 +113,8 @@
     let version = router.views.oldest_version();
     let own_zone = router.settings.load().zone.clone();
     let only_in = wants_zone.then(|| own_zone.clone());
-    tell(&mut socket, &Asked::Follow { version, only_in }).await?;
+    let host = router.settings.load().host.clone();
+    tell(&mut socket, &Asked::Follow { version, only_in, host }).await?;
     let Told::Welcome { zone } = hear(&mut socket).await? else {
         return Err(Error::Broken("no welcome".into()));
     };
@@ -151,7 +153,8 @@
 
 /// Takes in a heartbeat; whether the store answers the entry that sent it.
 fn take_beat(router: &Router, told: Told) -> Result<bool> {
-    let Told::Beat { is_current, updates, entries, loads, kept, ends, is_informed } = told else {
+    let Told::Beat { is_current, updates, entries, rank, loads, kept, ends, is_informed } = told
+    else {
         return Err(Error::Broken("a second welcome".into()));
     };
     for update in updates {
@@ -163,6 +166,10 @@
     if entries > 0 {
         router.hear_entries(entries);
     }
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    if let Some(rank) = rank.filter(|rank| *rank < entries) {
+        router.cold.hear_place(Place { rank, entries }, router.now());
+    }
     let fleet = router.fleet.load_full();
     router.loads.apply(&loads, &fleet, router.now());
     router.kept.apply(&kept, &fleet);
--- a/src/router/load_board.rs
+++ b/src/router/load_board.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::router::Fleet;
+use crate::{policy::cold::Place, router::Fleet};
 
 /// Age at which a report counts no more: three reports missed.
 const REPORT_LASTS: Duration = Duration::from_millis(1_200);
@@ -94,6 +94,19 @@
         inner.reports.values().filter(|(at, _)| now < *at + REPORT_LASTS).count() + 1
     }
 
+    /// The place of an entry that reports here, or of this one, among all by their Hosts' names.
+    pub(crate) fn place(&self, host: &str, own_host: &str, now: Duration) -> Option<Place> {
+        let inner = self.lock();
+        let fresh = inner.reports.iter().filter(|(_, (at, _))| now < *at + REPORT_LASTS);
+        let mut hosts: Vec<&str> = fresh.map(|(host, _)| &**host).collect();
+        hosts.push(own_host);
+        let is_known = hosts.contains(&host);
+        let rank = hosts.iter().filter(|other| **other < host).count();
+        let place =
+            Place { rank: u32::try_from(rank).ok()?, entries: u32::try_from(hosts.len()).ok()? };
+        is_known.then_some(place)
+    }
+
     /// The sums of all reports, this entry's own included.
     pub(crate) fn sums(&self, now: Duration) -> Vec<ServerLoad> {
         let inner = self.lock();
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod breaks;
 mod choice;
+mod cold_limit;
 mod connection;
 mod dispatch;
 mod driver;
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -60,6 +60,9 @@
         /// is left at once brought all rows first.
         #[serde(default)]
         only_in: Option<Box<str>>,
+        /// Name of its Host, which it reports under.
+        #[serde(default)]
+        host: Box<str>,
     },
     /// What it has at the servers and has seen of versions; over and over on a link of its own.
     Report { host: Box<str>, report: Report },
@@ -93,6 +96,9 @@
         /// How many entries report to it, itself included; 0 from one that does not tell.
         #[serde(default)]
         entries: usize,
+        /// How many of them come before the follower by their Hosts' names; none where it does not report yet.
+        #[serde(default)]
+        rank: Option<u32>,
         /// What all entries together have at the servers.
         loads: Vec<ServerLoad>,
         /// Prompt parts that entries sent since the last heartbeat.
@@ -152,8 +158,8 @@
     stream.set_nodelay(true)?;
     let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
     match timeout(OPENING, hear(&mut socket)).await.map_err(|_| silent())?? {
-        Asked::Follow { version, only_in } => {
-            serve_follower(router, socket, version, only_in.as_deref()).await
+        Asked::Follow { version, only_in, host } => {
+            serve_follower(router, socket, version, only_in.as_deref(), &host).await
         }
         Asked::Report { host, report } => take_reports(router, socket, &host, report).await,
     }
@@ -184,8 +190,10 @@
     mut socket: Socket,
     version: Revision,
     only_in: Option<&str>,
+    host: &str,
 ) -> Result<()> {
     let zone = router.settings.load().zone.clone();
+    let own_host = router.settings.load().host.clone();
     let is_wanted = only_in.is_none_or(|wanted| *wanted == *zone);
     tell(&mut socket, &Told::Welcome { zone }).await?;
     if !is_wanted {
@@ -203,8 +211,10 @@
         let (ends, next) = router.quarantine.all_from(next_end, router.now());
         next_end = Some(next);
         let entries = router.loads.entries(router.now());
+        let rank = router.loads.place(host, &own_host, router.now()).map(|place| place.rank);
         let is_informed = router.quarantine.is_informed();
-        let beat = Told::Beat { is_current, updates, entries, loads, kept, ends, is_informed };
+        let beat =
+            Told::Beat { is_current, updates, entries, rank, loads, kept, ends, is_informed };
         tell(&mut socket, &beat).await?;
         updates = tokio::select! {
             update = news.recv() => match update {
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -51,6 +51,9 @@
         if router.is_seed() {
             let now = router.now();
             router.hear_entries(router.loads.entries(now));
+            if let Some(place) = router.loads.place(&settings.host, &settings.host, now) {
+                router.cold.hear_place(place, now);
+            }
             router.loads.apply(&router.loads.sums(now), &fleet, now);
         }
         drop(fleet);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -28,9 +28,9 @@
         stopping::still_fits,
     },
     router::{
-        Fleet, evacuations::Evacuations, kept_board::KeptBoard, link::Link, load_board::LoadBoard,
-        quarantine_board::QuarantineBoard, quarantine_row::TrialRequest, readings::Readings,
-        roll_out::RollOuts, views::Views,
+        Fleet, cold_limit::ColdLimit, evacuations::Evacuations, kept_board::KeptBoard, link::Link,
+        load_board::LoadBoard, quarantine_board::QuarantineBoard, quarantine_row::TrialRequest,
+        readings::Readings, roll_out::RollOuts, views::Views,
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
@@ -72,6 +72,8 @@
     pub fleet: ArcSwap<Fleet>,
     /// AvailabilityZones that the operator wants nothing sent to.
     pub(crate) evacuations: Evacuations,
+    /// What this entry may send to servers that have just started.
+    pub(crate) cold: ColdLimit,
     /// Roll-outs and the evidence on their versions.
     pub roll_outs: RollOuts,
     /// What the operator settled about decisions.
@@ -113,6 +115,7 @@
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
             evacuations: Evacuations::default(),
+            cold: ColdLimit::default(),
             roll_outs: RollOuts::new(policy.exposure),
             policy,
             views: Views::default(),
@@ -399,6 +402,7 @@
             "entries": self.entries(),
             "follows_another_entry": self.follows_link(),
             "quarantine": self.quarantine.dump(self.now()),
+            "place": self.place().map(|place| json!([place.rank, place.entries])),
             "evacuated": self.evacuations.dump(self.now()),
             "roll_outs": self.roll_outs.dump(),
             "servers": self.fleet.load().dump(self.now()),
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -1,6 +1,8 @@
 //! A BackendServer as the platform lists it.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
+
+use crate::ids::Revision;
 
 /// Start of a server's life, milliseconds since the Unix epoch by the server's own clock.
 pub type BornAt = u64;
@@ -27,6 +29,10 @@
     pub slots: u32,
     /// Whether it is about to leave and must get no more requests.
     pub is_leaving: bool,
+    /// How much longer it was cold when it wrote its row.
+    pub cold_for: Duration,
+    /// Version of its row, so that two rows that say the same are told apart.
+    pub revision: Revision,
     /// Models it has loaded; empty where it is no model engine.
     pub models: Vec<Box<str>>,
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,4 +13,6 @@
 pub use fingerprint::Fingerprint;
 pub use request::{PromptPart, Request, RequestHead};
 pub use roll_out::{Progress, RollOutOrder, RollOutStatus};
-pub use table::{CallerLimits, Organisation, Route, RouteKind, RoutingTable, Target};
+pub use table::{
+    CallerLimits, Organisation, Region, Route, RouteKind, RoutingTable, Target, is_home,
+};
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use crate::ids::Revision;
+use crate::{ids::Revision, policy::cold::ColdTerms};
+
+/// Name of a region, which has one or more AvailabilityZones.
+pub type Region = Box<str>;
 
 /// How a request on a route may be repeated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -52,10 +55,22 @@
     pub is_sticky: bool,
     /// Whether a broken stream may go on at another server.
     pub is_resumable: bool,
+    /// Regions whose servers may run its requests; empty where all may.
+    pub homes: Vec<Region>,
     /// Models of the cascade, smallest first; empty where the caller names the model.
     pub cascade: Vec<Box<str>>,
 }
 
+/// Whether a server in a region may run the requests of a route and an Organisation: where both have homes, both
+/// bind. A region that is not known is nobody's home.
+pub fn is_home(route: &Route, organisation: Option<&Organisation>, region: Option<&str>) -> bool {
+    let of_organisation = organisation.map_or(&[][..], |organisation| &organisation.homes);
+    let mut binding =
+        [&route.homes[..], of_organisation].into_iter().filter(|homes| !homes.is_empty());
+    let holds = |homes: &[Region]| region.is_some_and(|r| homes.iter().any(|home| **home == *r));
+    binding.all(holds)
+}
+
 impl Route {
     /// Whether a request on this route may run more than once.
     pub fn is_idempotent(&self) -> bool {
@@ -74,6 +89,8 @@
     pub name: Box<str>,
     /// Rank that replaces the route's, if it has one.
     pub priority: Option<u8>,
+    /// Regions whose servers may run its requests; empty where all may.
+    pub homes: Vec<Region>,
 }
 
 /// What callers may send.
@@ -98,6 +115,8 @@
     pub routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     /// Tokens that one BackendServer of a service has memory for; none where no model runs.
     pub memories: HashMap<Box<str>, u64>,
+    /// What a cold BackendServer of a service bears; none where they start warm.
+    pub cold: HashMap<Box<str>, ColdTerms>,
     /// Organisations by key; none where requests need no keys at all.
     pub keys: Option<HashMap<Box<str>, Arc<Organisation>>>,
     /// Limits on callers; none where the operator sets none.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -487,6 +487,7 @@
         is_public: false,
         is_sticky: false,
         is_resumable: true,
+        homes: Vec::new(),
         cascade: Vec::new(),
     }
 }
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -79,7 +79,7 @@
 #[test]
 fn an_attempt_names_its_server_its_time_and_its_organisation() {
     let head = get(&[("host", "h"), ("x-request-id", "r"), ("x-model", "*")]).unwrap();
-    let organisation = Organisation { name: "org".into(), priority: None };
+    let organisation = Organisation { name: "org".into(), priority: None, homes: Vec::new() };
     let attempt = AttemptHeaders {
         server: "i-1",
         organisation: Some(&organisation),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! An entry on the users' platform, against small stand-ins of its store and its servers.
 
 mod adapter;
+mod cold;
 mod crashes;
 mod evacuations;
 mod lives;
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -96,6 +96,8 @@
         version: version.into(),
         slots: 8,
         is_leaving: false,
+        cold_for: Duration::ZERO,
+        revision: 1,
         models: Vec::new(),
     }
 }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -1,6 +1,7 @@
 //! A small site: the store, servers, one entry, and a caller.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
@@ -42,6 +43,7 @@
     HostSettings {
         host: next_host(),
         zone: "zone-a".into(),
+        regions: HashMap::new(),
         caller: any_address(),
         readiness: any_address(),
         peer: Some(any_address()),
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -383,7 +383,8 @@
         headers.insert("x-request-id", id.parse().unwrap());
         headers.insert("host", "h.example".parse().unwrap());
         let head = read_request(&Method::POST, &path.parse().unwrap(), &headers).unwrap();
-        let organisation = Organisation { name: organisation.into(), priority: None };
+        let organisation =
+            Organisation { name: organisation.into(), priority: None, homes: Vec::new() };
         Fingerprint::of(&Request { head, body: body.into() }, Some(&organisation))
     }
 }
