Requests of routes and Organisations that have homes reach no server elsewhere

Cause: allowed regions were not read. Tests: tests/platform/homes.rs, five, on a site with three regions; without the check in choice.rs all five fail.

--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -14,6 +14,7 @@
         Member, Router,
         dispatch::{Ask, Job},
     },
+    routing::is_home,
 };
 
 /// The server that an attempt would be sent to now, among those that may be asked.
@@ -37,6 +38,11 @@
         });
         member.takes_requests()
             && !router.evacuations.is_evacuated(&server.zone)
+            && is_home(
+                &job.route,
+                job.organisation.as_deref(),
+                settings.regions.get(&server.zone).map(|region| &**region),
+            )
             && has_model
             && versions.allows(&server.version)
             && may_be(&server.id)
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crashes;
 mod evacuations;
+mod homes;
 mod lives;
 mod peers;
 mod pool;
