--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -86,7 +86,8 @@
         slots: 32,
         is_leaving: false,
         cold_for: Duration::ZERO,
-        revision: 1,
+        sequence: 1,
+        written_at: mintmoor::ids::StoreVersion::default(),
         models: vec!["small".into(), "large".into()],
     }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 
 /// Name of a partner, unique in the system.
 pub type PartnerId = Box<str>;
@@ -20,6 +21,20 @@
 pub type RequestId = u128;
 /// Number of a configuration revision; it only grows.
 pub type Revision = u64;
+/// Counts how often the platform's store came back from an older copy; revisions are given out again then.
+pub type Era = u64;
+
+/// A moment in the life of the platform's store. The era goes first: revisions only grow within one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct StoreVersion {
+    /// Times the store came back from a copy before.
+    pub era: Era,
+    /// Transaction.
+    pub revision: Revision,
+}
+
 /// Cost in millionths of the currency unit the partners settle in.
 pub type MicroCost = u64;
 
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -164,8 +164,7 @@
     /// How much longer it is cold, as of when it wrote.
     cold_remaining_ms: f64,
     /// Counts what the server wrote or accepted in this life.
-    #[serde(rename = "sequence")]
-    _sequence: u64,
+    sequence: u64,
     /// Missing where no model runs.
     #[serde(default)]
     models: Vec<NameDoc>,
@@ -209,7 +208,7 @@
             service: doc.service,
             to: doc.to,
             within: Duration::from_secs_f64(doc.duration_s.max(0.0)),
-            revision: row.version,
+            revision: row.written_at(),
         })));
     }
     if let Some(zone) = evacuated_zone(&row.key) {
@@ -219,13 +218,18 @@
             false => OperatorChange::ZoneEvacuated(zone.into()),
         }));
     }
-    if &*row.key != CONFIGURATION || row.is_removed {
+    if !is_configuration(&row.key) || row.is_removed {
         return Ok(None);
     }
     let doc: ConfigDoc = parse(row)?;
     Ok(Some(OperatorChange::Configuration(Box::new(read_config(doc)))))
 }
 
+/// Whether a row of the operator's holds the configuration.
+pub fn is_configuration(key: &str) -> bool {
+    key == CONFIGURATION
+}
+
 /// AvailabilityZone that an operator's row orders to evacuate.
 pub fn evacuated_zone(key: &str) -> Option<&str> {
     key.strip_prefix(EVACUATION_PREFIX)
@@ -253,7 +257,8 @@
         slots: doc.slots.get(),
         is_leaving: doc.state == StateDoc::Draining,
         cold_for: milliseconds(doc.cold_remaining_ms),
-        revision: row.version,
+        sequence: doc.sequence,
+        written_at: row.written_at(),
         models: doc.models.into_iter().map(|model| model.name).collect(),
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::Revision,
+    ids::{Era, Revision, StoreVersion},
     platform::{Error, HttpClient, HttpReply, Result},
 };
 
@@ -56,17 +56,33 @@
     pub value: Vec<u8>,
     /// Transaction that last wrote it.
     pub version: Revision,
+    /// Era of the store when it was read; not told on links where the store never came back from a copy.
+    #[serde(default, skip_serializing_if = "is_first")]
+    pub era: Era,
     /// Whether it is gone.
     pub is_removed: bool,
 }
 
+impl Row {
+    /// When it was last written.
+    pub fn written_at(&self) -> StoreVersion {
+        StoreVersion { era: self.era, revision: self.version }
+    }
+}
+
+/// Whether an era is the one in which the store never came back from a copy.
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde hands in references")]
+pub(crate) fn is_first(era: &Era) -> bool {
+    *era == 0
+}
+
 /// Rows, and how new they are.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rows {
     /// In the order of their keys, or for a feed of their changes.
     pub rows: Vec<Row>,
     /// Newest transaction the answer covers.
-    pub version: Revision,
+    pub version: StoreVersion,
     /// The store's steady clock.
     pub now: Duration,
 }
@@ -76,7 +92,7 @@
 pub enum Feed {
     /// What changed since; empty when nothing did.
     Changes(Rows),
-    /// The store no longer knows; the table has to be read anew.
+    /// The store no longer knows, or came back from an older copy; the table has to be read anew.
     HistoryGone,
 }
 
@@ -98,8 +114,11 @@
 pub enum WriteOutcome {
     /// It is kept, under this version.
     Written(Revision),
-    /// A row had another version; these are the rows as they are.
-    Conflict(Vec<Row>),
+    /// A row had another version.
+    Conflict,
+    /// It was made in another era than the rows were read in. Revisions are given out again, so it may be
+    /// kept although a row is not what it was: all has to be read anew.
+    OtherEra,
 }
 
 #[derive(Deserialize)]
@@ -154,6 +173,9 @@
     remove: [(); 0],
 }
 
+/// In all answers: rises by one each time the store comes back from a copy.
+const ERA: &str = "store-era";
+
 /// Time a read or a write may take; the store answers in 4 ms, and 60 times that when slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time a feed may take beyond what it was asked to wait.
@@ -177,19 +199,24 @@
     /// # Errors
     /// When the store gives no answer or refuses.
     pub async fn read(&self, table: Table) -> Result<Rows> {
-        let mut all = Rows { rows: Vec::new(), version: 0, now: Duration::ZERO };
+        let mut all =
+            Rows { rows: Vec::new(), version: StoreVersion::default(), now: Duration::ZERO };
         let mut from = String::new();
         loop {
             let path = format!("rows-get?table={}&part=&from={from}", table.name());
             let reply = self.get(&path, CALL_TIMEOUT).await?;
             let doc = read_rows(&path, &reply)?;
+            let era = read_era(&reply);
             if from.is_empty() {
                 // Later pages may be newer; the feed then brings their changes once more.
-                all.version = doc.ver;
+                all.version = StoreVersion { era, revision: doc.ver };
                 all.now = Duration::from_secs_f64(doc.now_ms / 1e3);
             }
+            if era != all.version.era {
+                return Err(Error::Unreadable("the store came back from a copy".into()));
+            }
             let more = doc.truncated;
-            all.rows.extend(doc.rows.into_iter().map(read_row));
+            all.rows.extend(doc.rows.into_iter().map(|row| read_row(row, era)));
             let Some(last) = all.rows.last().filter(|_| more) else {
                 return Ok(all);
             };
@@ -202,25 +229,31 @@
     ///
     /// # Errors
     /// When the store gives no answer or refuses.
-    pub async fn follow(&self, table: Table, after: Revision, wait: Duration) -> Result<Feed> {
+    pub async fn follow(&self, table: Table, after: StoreVersion, wait: Duration) -> Result<Feed> {
         let name = table.name();
         let wait_ms = wait.as_millis();
+        let StoreVersion { era, revision: after } = after;
         let path = format!("rows-feed?table={name}&after-rev={after}&wait-ms={wait_ms}");
         let reply = self.get(&path, wait + FEED_SLACK).await?;
         if reply.status == StatusCode::GONE {
             return Ok(Feed::HistoryGone);
         }
         let doc = read_rows(&path, &reply)?;
-        let rows = doc.rows.into_iter().map(read_row).collect();
+        if read_era(&reply) != era {
+            // Others have written past what is known here since: these changes do not follow on it.
+            return Ok(Feed::HistoryGone);
+        }
+        let rows = doc.rows.into_iter().map(|row| read_row(row, era)).collect();
+        let version = StoreVersion { era, revision: doc.ver.max(after) };
         let now = Duration::from_secs_f64(doc.now_ms / 1e3);
-        Ok(Feed::Changes(Rows { rows, version: doc.ver.max(after), now }))
+        Ok(Feed::Changes(Rows { rows, version, now }))
     }
 
-    /// Writes rows, all or none, if each has the version expected.
+    /// Writes rows, all or none, if each has the version expected, as read in this era.
     ///
     /// # Errors
     /// [`Error::Refused`] when nothing was written, [`Error::Unknown`] when it may have been.
-    pub async fn write(&self, puts: &[Put]) -> Result<WriteOutcome> {
+    pub async fn write(&self, puts: &[Put], era: Era) -> Result<WriteOutcome> {
         let doc = TransactionDoc {
             expected_rev: puts
                 .iter()
@@ -248,11 +281,14 @@
         let uri = format!("{}rows-tx", self.base);
         let reply = self.http.call(Method::POST, &uri, headers, body.into(), CALL_TIMEOUT).await?;
         if reply.status == StatusCode::PRECONDITION_FAILED {
-            let doc: RowsDoc = parse("rows-tx", &reply)?;
-            let rows = doc.rows.into_iter().map(read_row).collect();
-            return Ok(WriteOutcome::Conflict(rows));
+            return Ok(WriteOutcome::Conflict);
         }
-        Ok(WriteOutcome::Written(read_rows("rows-tx", &reply)?.ver))
+        let version = read_rows("rows-tx", &reply)?.ver;
+        Ok(if read_era(&reply) == era {
+            WriteOutcome::Written(version)
+        } else {
+            WriteOutcome::OtherEra
+        })
     }
 
     async fn get(&self, path: &str, timeout: Duration) -> Result<HttpReply> {
@@ -271,9 +307,15 @@
         .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))
 }
 
+/// The era that an answer tells; the first one where the store does not tell any.
+fn read_era(reply: &HttpReply) -> Era {
+    let told = reply.headers.get(ERA).and_then(|value| value.to_str().ok());
+    told.and_then(|text| text.trim().parse().ok()).unwrap_or_default()
+}
+
 /// Reads a row. One whose bytes can't be decoded has an empty document: whoever reads that document finds
 /// it unreadable and says so, and the table's other rows hold.
-fn read_row(doc: RowDoc) -> Row {
+fn read_row(doc: RowDoc, era: Era) -> Row {
     let value = doc.value.as_str().and_then(|text| STANDARD.decode(text).ok()).unwrap_or_default();
-    Row { table: doc.table, key: doc.key, value, version: doc.ver, is_removed: doc.removed }
+    Row { table: doc.table, key: doc.key, value, version: doc.ver, era, is_removed: doc.removed }
 }
--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -6,8 +6,9 @@
 use tokio::time::timeout;
 
 use crate::{
-    ids::Revision,
+    ids::{Era, Revision, StoreVersion},
     platform::{
+        Error,
         documents::{read_status, service_of_status, status_key, write_status},
         store::{Put, Row, StoreClient, Table, WriteOutcome},
     },
@@ -34,6 +35,9 @@
 struct RollOutRow {
     /// Order it is about.
     revision: Revision,
+    /// Era of that order.
+    #[serde(default)]
+    era: Era,
     /// When it began, on the store's clock.
     began_ms: u64,
 }
@@ -41,6 +45,8 @@
 /// What is known of the store's rows about roll-outs.
 #[derive(Debug, Default)]
 struct Told {
+    /// Era that all of this is of: versions are given out again in the next one.
+    era: Era,
     /// Versions of the rows, 0 where there is none.
     status: HashMap<Box<str>, (Revision, RollOutStatus)>,
     own: HashMap<Box<str>, (Revision, RollOutRow)>,
@@ -74,13 +80,22 @@
     /// Progress the store tells of an order; none when it has not been begun.
     fn progress(&self, order: &RollOutOrder) -> Option<(Progress, u64)> {
         let (_, own) = self.own.get(&order.service)?;
-        if own.revision != order.revision {
+        if (StoreVersion { era: own.era, revision: own.revision }) != order.revision {
             return None;
         }
         let (_, status) = self.status.get(&order.service)?;
         Some((status.progress, own.began_ms))
     }
 
+    /// Forgets all where the store came back from an older copy; whether it did.
+    fn enter(&mut self, era: Era) -> bool {
+        let is_new = era > self.era;
+        if is_new {
+            *self = Self { era, ..Self::default() };
+        }
+        is_new
+    }
+
     fn own_version(&self, service: &str) -> Revision {
         self.own.get(service).map_or(0, |(version, _)| *version)
     }
@@ -93,7 +108,9 @@
 /// Drives roll-outs: notes their begin in the store, gives verdicts and learns of others'.
 pub(crate) async fn drive_roll_outs(router: &Router, store: &StoreClient) {
     let mut told = Told::default();
-    let mut seen: HashMap<Box<str>, Revision> = HashMap::new();
+    let mut seen: HashMap<Box<str>, StoreVersion> = HashMap::new();
+    let mut era = Era::default();
+    let mut are_ends_lost = false;
     let mut drives = 0;
     let mut rest_until = Duration::ZERO;
     loop {
@@ -101,6 +118,16 @@
         let _ = timeout(DRIVE_EVERY, router.roll_outs.until_found()).await;
         drives += 1;
         take_from_link(router, &mut told);
+        let now_era = told.era.max(router.views.era());
+        if now_era > era {
+            era = now_era;
+            told.enter(era);
+            seen.clear();
+            are_ends_lost = true;
+        }
+        if are_ends_lost {
+            are_ends_lost = tell_ends_again(router, store, &mut told).await.is_err();
+        }
         let follows = router.follows_link();
         if drives % DRIVES_PER_LOOK == 0 && !follows {
             learn_verdicts(router, store, &mut told, &seen).await;
@@ -129,7 +156,7 @@
     router: &Router,
     store: &StoreClient,
     told: &mut Told,
-    seen: &mut HashMap<Box<str>, Revision>,
+    seen: &mut HashMap<Box<str>, StoreVersion>,
 ) {
     let follows = router.follows_link();
     for order in router.roll_outs.running() {
@@ -175,7 +202,11 @@
 fn take_from_link(router: &Router, told: &mut Told) {
     for table in [Table::Own, Table::Status] {
         while let Some(update) = router.link.take(table) {
+            if update.version.era < router.views.era() {
+                continue;
+            }
             let rows = update.into_rows();
+            told.enter(rows.version.era);
             rows.rows.iter().for_each(|row| told.note(row));
             router.views.note(table, &rows, true);
             let running = router.roll_outs.running();
@@ -189,7 +220,7 @@
     router: &Router,
     store: &StoreClient,
     told: &mut Told,
-    seen: &HashMap<Box<str>, Revision>,
+    seen: &HashMap<Box<str>, StoreVersion>,
 ) {
     let mut running = router.roll_outs.running();
     running.retain(|order| seen.get(&order.service) == Some(&order.revision));
@@ -199,6 +230,7 @@
     router.metrics.count_store_call("status");
     match store.read(Table::Status).await {
         Ok(rows) => {
+            told.enter(rows.version.era);
             rows.rows.iter().for_each(|row| told.note(row));
             router.views.note(Table::Status, &rows, true);
             running.iter().for_each(|order| take_over(router, told, order, rows.now));
@@ -217,32 +249,69 @@
 ) -> crate::platform::Result<()> {
     let now = look(router, store, told).await?;
     if told.progress(order).is_none() {
-        let row = RollOutRow { revision: order.revision, began_ms: now.as_millis() as u64 };
-        let status = RollOutStatus { to: order.to.clone(), progress: Progress::Running };
-        let key = status_key(&order.service);
-        let puts = [
-            Put {
-                table: Table::Own,
-                key: key.clone(),
-                expected: told.own_version(&order.service),
-                value: serde_json::to_vec(&row).expect("a row of numbers can be written"),
-            },
-            Put {
-                table: Table::Status,
-                key,
-                expected: told.status_version(&order.service),
-                value: write_status(&status),
-            },
-        ];
-        let outcome = store.write(&puts).await?;
-        let is_written = matches!(outcome, WriteOutcome::Written(_));
-        event::ROLL_OUT_BEGUN.log(format_args!("service={} written={is_written}", order.service));
+        write_begin(router, store, told, order, now, Progress::Running).await?;
         look(router, store, told).await?;
     }
     take_over(router, told, order, now);
     Ok(())
 }
 
+/// Writes how far the roll-outs got that have ended, where the store lost that as it came back from a copy: an
+/// entry that starts would take them as under way.
+async fn tell_ends_again(
+    router: &Router,
+    store: &StoreClient,
+    told: &mut Told,
+) -> crate::platform::Result<()> {
+    let ended = router.roll_outs.ended();
+    if ended.is_empty() {
+        return Ok(());
+    }
+    let now = look(router, store, told).await?;
+    for (order, progress) in ended {
+        if told.progress(&order).map(|(progress, _)| progress) != Some(progress) {
+            write_begin(router, store, told, &order, now, progress).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Writes when a roll-out began and how far it got, unless another entry did.
+async fn write_begin(
+    router: &Router,
+    store: &StoreClient,
+    told: &Told,
+    order: &RollOutOrder,
+    store_now: Duration,
+    progress: Progress,
+) -> crate::platform::Result<()> {
+    // One that is known to have begun before goes on where it was.
+    let age = router.roll_outs.begun_for(order, router.now()).unwrap_or_default();
+    let StoreVersion { era, revision } = order.revision;
+    let began_ms = store_now.saturating_sub(age).as_millis() as u64;
+    let row = RollOutRow { revision, era, began_ms };
+    let status = RollOutStatus { to: order.to.clone(), progress };
+    let key = status_key(&order.service);
+    let puts = [
+        Put {
+            table: Table::Own,
+            key: key.clone(),
+            expected: told.own_version(&order.service),
+            value: serde_json::to_vec(&row).expect("a row of numbers can be written"),
+        },
+        Put {
+            table: Table::Status,
+            key,
+            expected: told.status_version(&order.service),
+            value: write_status(&status),
+        },
+    ];
+    let outcome = store.write(&puts, told.era).await?;
+    let is_written = matches!(outcome, WriteOutcome::Written(_));
+    event::ROLL_OUT_BEGUN.log(format_args!("service={} written={is_written}", order.service));
+    Ok(())
+}
+
 /// Reads what the store has about roll-outs; its clock.
 async fn look(
     router: &Router,
@@ -252,6 +321,14 @@
     router.metrics.count_store_call("roll_out");
     let own = store.read(Table::Own).await?;
     let status = store.read(Table::Status).await?;
+    if told.era > own.version.era.min(status.version.era) {
+        return Err(Error::Unreadable("the store came back from a copy".into()));
+    }
+    told.enter(own.version.era);
+    if told.enter(status.version.era) {
+        // Read in two eras: what was read first holds no more.
+        return Err(Error::Unreadable("the store came back from a copy".into()));
+    }
     own.rows.iter().chain(&status.rows).for_each(|row| told.note(row));
     router.views.note(Table::Own, &own, true);
     router.views.note(Table::Status, &status, true);
@@ -282,7 +359,7 @@
         expected: told.status_version(&order.service),
         value: write_status(&verdict.status),
     };
-    let outcome = store.write(&[put]).await?;
+    let outcome = store.write(&[put], told.era).await?;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_MOVED.log(format_args!(
         "service={} progress={:?} written={is_written}",
@@ -297,7 +374,7 @@
                 look(router, store, told).await?;
             }
         }
-        WriteOutcome::Conflict(_) => {
+        WriteOutcome::Conflict | WriteOutcome::OtherEra => {
             let now = look(router, store, told).await?;
             take_over(router, told, order, now);
         }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -5,9 +5,11 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    ids::Revision,
+    ids::{Era, StoreVersion},
     platform::{
-        documents::{OperatorChange, evacuated_zone, read_operator_row, status_key},
+        documents::{
+            OperatorChange, evacuated_zone, is_configuration, read_operator_row, status_key,
+        },
         store::{Feed, Rows, StoreClient, Table},
     },
     policy::lifecycle::LifecycleEvent,
@@ -15,6 +17,7 @@
         Fleet, Router,
         breaks::{self, Proof},
         listing::Listing,
+        restore::{self, Extent},
         views::TableUpdate,
     },
     routing::RoutingTable,
@@ -72,6 +75,12 @@
         }
     }
 
+    /// Notes that the store came back from an older copy: rows written since are written again.
+    fn note_restored(&mut self, table: Table, era: Era, now: Duration) {
+        self.back_at = Some(now);
+        event::STORE_RESTORED.log(format_args!("table={table:?} era={era}"));
+    }
+
     fn note_failure(&mut self, router: &Router, table: Table, cause: &str) {
         router.metrics.count_store_error("follow");
         router.views.note_lost(table);
@@ -88,69 +97,115 @@
     }
 }
 
+/// How far a table was followed.
+struct Followed {
+    table: Table,
+    /// None until all rows were read, and when they have to be read again.
+    at: Option<StoreVersion>,
+    /// Era of the last rows; none until there were any.
+    era: Option<Era>,
+    contact: Contact,
+}
+
+impl Followed {
+    /// Takes in rows, and hands them on to what they are for.
+    fn take(
+        &mut self,
+        router: &Router,
+        mut rows: Rows,
+        is_whole: bool,
+        apply: &mut impl FnMut(Rows, Extent, &Contact),
+    ) {
+        let era = rows.version.era;
+        let extent = Extent::of(is_whole, self.era, era);
+        (self.at, self.era) = (Some(rows.version), Some(era));
+        let is_restored = extent == Extent::Restored;
+        if is_restored {
+            self.contact.note_restored(self.table, era, router.now());
+        }
+        let is_amended = is_restored && restore::amend(router, self.table, &mut rows);
+        router.views.note_amended(self.table, &rows, is_whole, is_amended);
+        apply(rows, extent, &self.contact);
+    }
+
+    /// Takes in all that another entry has passed on so far.
+    fn take_waiting(&mut self, router: &Router, apply: &mut impl FnMut(Rows, Extent, &Contact)) {
+        while let Some(update) = router.link.take(self.table) {
+            take_in(router, update, self, apply);
+        }
+    }
+
+    /// Takes in what another entry passes on, until it no longer stands in for the store.
+    async fn follow_link(
+        &mut self,
+        router: &Router,
+        apply: &mut impl FnMut(Rows, Extent, &Contact),
+    ) {
+        // The store answers the entry that is followed; whether it answers this one no longer matters.
+        self.contact.note_answer(self.table, router.now());
+        self.take_waiting(router, apply);
+        note_applied(router, self.table);
+        match router.link.next(self.table).await {
+            Some(update) => take_in(router, update, self, apply),
+            None => wait_for_link(router, LINK_AGAIN).await,
+        }
+    }
+}
+
 /// Follows a table for ever; `apply` gets all rows first and then what changed.
 async fn follow(
     router: &Router,
     store: &StoreClient,
     table: Table,
-    mut apply: impl FnMut(Rows, bool, &Contact),
+    mut apply: impl FnMut(Rows, Extent, &Contact),
 ) {
-    let mut contact = Contact::default();
-    let mut at: Option<Revision> = None;
+    let mut followed = Followed { table, at: None, era: None, contact: Contact::default() };
     wait_for_first_link(router).await;
     loop {
         if router.follows_link() {
-            // The store answers the entry that is followed; whether it answers this one no longer matters.
-            contact.note_answer(table, router.now());
-            while let Some(update) = router.link.take(table) {
-                take_in(router, update, &mut at, &contact, &mut apply);
-            }
-            note_applied(router, table);
-            match router.link.next(table).await {
-                Some(update) => take_in(router, update, &mut at, &contact, &mut apply),
-                None => wait_for_link(router, LINK_AGAIN).await,
-            }
+            followed.follow_link(router, &mut apply).await;
             continue;
         }
         router.metrics.count_store_call("follow");
-        let is_stale = !router.is_view_fresh();
+        let is_urgent = followed.contact.is_lost || !router.is_view_fresh();
         let mut wakes = router.clock.wakes();
         let news = tokio::select! {
             biased;
             // What the call was to wait for is long over.
             _ = wakes.changed() => continue,
-            news = ask_store(router, store, table, at, contact.is_lost || is_stale) => news,
+            news = ask_store(router, store, table, followed.at, is_urgent) => news,
         };
         if router.notice_suspension() {
             continue;
         }
         let (rows, is_whole) = match news {
             Ok(News::Rows(rows, is_whole)) => {
-                contact.note_answer(table, router.now());
+                followed.contact.note_answer(table, router.now());
                 (rows, is_whole)
             }
             Ok(News::HistoryGone) => {
-                at = None;
+                followed.at = None;
                 continue;
             }
             Err(e) => {
-                contact.note_failure(router, table, &e.to_string());
+                followed.contact.note_failure(router, table, &e.to_string());
                 rest(router, table).await;
-                while let Some(update) = router.link.take(table) {
-                    take_in(router, update, &mut at, &contact, &mut apply);
-                }
+                followed.take_waiting(router, &mut apply);
                 continue;
             }
         };
-        let is_first = at.is_none();
-        at = Some(rows.version);
-        router.views.note(table, &rows, is_whole);
+        if Some(rows.version.era) < followed.era {
+            // An answer from before the store came back, which another entry told of meanwhile.
+            sleep(PAUSE).await;
+            continue;
+        }
+        let is_first = followed.at.is_none();
         let has_news = !rows.rows.is_empty();
-        apply(rows, is_whole, &contact);
+        followed.take(router, rows, is_whole, &mut apply);
         note_applied(router, table);
         if is_first {
             wait_for_link(router, LINK_WAIT).await;
-        } else if has_news && !contact.is_lost {
+        } else if has_news && !followed.contact.is_lost {
             let is_servers = table == Table::Servers;
             sleep(if is_servers { COALESCE_SERVERS } else { COALESCE_ORDERS }).await;
         }
@@ -202,29 +257,37 @@
 fn take_in(
     router: &Router,
     update: TableUpdate,
-    at: &mut Option<Revision>,
-    contact: &Contact,
-    apply: &mut impl FnMut(Rows, bool, &Contact),
+    followed: &mut Followed,
+    apply: &mut impl FnMut(Rows, Extent, &Contact),
 ) {
-    let known = at.unwrap_or_default();
+    let known = followed.at.unwrap_or_default();
+    let is_of_known_era = followed.era.is_none_or(|era| era == update.version.era);
     if update.version <= known {
+        if update.is_amended && is_of_known_era {
+            // The store has lost a configuration that is newer than the one read from it.
+            let mut rows = update.into_rows();
+            rows.rows.retain(|row| is_configuration(&row.key));
+            apply(rows, Extent::Changes, &followed.contact);
+        }
         return;
     }
-    if contact.is_lost {
+    if !update.is_whole && !is_of_known_era {
+        // Changes follow on rows of their own era; a link begins with all of them.
+        return;
+    }
+    if followed.contact.is_lost {
         event::PEER_VIEW_TAKEN.log(format_args!(
-            "table={:?} version={} before={known}",
+            "table={:?} version={:?} before={known:?}",
             update.table, update.version
         ));
     }
-    let (table, is_whole) = (update.table, update.is_whole);
+    let is_whole = update.is_whole;
     let mut rows = update.into_rows();
     if !is_whole {
         // A removal may carry no version of its own.
-        rows.rows.retain(|row| row.version == 0 || row.version > known);
+        rows.rows.retain(|row| row.version == 0 || row.written_at() > known);
     }
-    *at = Some(rows.version);
-    router.views.note(table, &rows, is_whole);
-    apply(rows, is_whole, contact);
+    followed.take(router, rows, is_whole, apply);
 }
 
 /// What is new about a table.
@@ -239,7 +302,7 @@
     router: &Router,
     store: &StoreClient,
     table: Table,
-    at: Option<Revision>,
+    at: Option<StoreVersion>,
     is_urgent: bool,
 ) -> crate::platform::Result<News> {
     let Some(after) = at else {
@@ -260,8 +323,8 @@
 
 /// Follows the operator's orders.
 pub(crate) async fn follow_orders(router: &Router, store: &StoreClient) {
-    follow(router, store, Table::Orders, |rows, is_whole, _| {
-        if is_whole {
+    follow(router, store, Table::Orders, |rows, extent, _| {
+        if extent.is_whole() {
             withdraw_missing(router, &rows);
         }
         let is_start = router.table.load().is_none();
@@ -269,12 +332,20 @@
         let (configuration, others): (Vec<_>, Vec<_>) =
             read_changes(&rows).partition(|c| matches!(c, OperatorChange::Configuration(_)));
         for change in others.into_iter().chain(configuration) {
+            if extent == Extent::Restored && is_withdrawn(router, &change) {
+                continue;
+            }
             apply_change(router, change, is_start);
         }
     })
     .await;
 }
 
+/// Whether a change is a roll-out that was withdrawn before the store came back from a copy that still has it.
+fn is_withdrawn(router: &Router, change: &OperatorChange) -> bool {
+    matches!(change, OperatorChange::RollOut(order) if router.roll_outs.was_withdrawn(order))
+}
+
 fn read_changes(rows: &Rows) -> impl Iterator<Item = OperatorChange> {
     rows.rows.iter().filter_map(|row| match read_operator_row(row) {
         Ok(change) => change,
@@ -340,10 +411,10 @@
 /// Follows the list of servers.
 pub(crate) async fn follow_servers(router: &Router, store: &StoreClient) {
     let listing = std::sync::Mutex::new(Listing::default());
-    let apply = |rows: Rows, is_whole: bool, contact: &Contact| {
+    let apply = |rows: Rows, extent: Extent, contact: &Contact| {
         let mut listing = listing.lock().expect("no panics under the lock");
-        listing.apply(&rows, is_whole, contact.doubtful_until(router.now()));
-        if is_whole || !rows.rows.is_empty() {
+        listing.apply(&rows, extent, contact.doubtful_until(router.now()), router.now());
+        if extent.is_whole() || !rows.rows.is_empty() {
             publish(router, &listing);
         }
     };
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -5,6 +5,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
+    ids::StoreVersion,
     platform::host_settings::HostSettings,
     policy::cold::Place,
     protocol::{Error, Result},
@@ -110,11 +111,11 @@
     let mut wakes = router.clock.wakes();
     let opening = Instant::now() + OPENING;
     let mut socket = timeout_at(opening, open(peer)).await.map_err(|_| silent())??;
-    let version = router.views.oldest_version();
+    let StoreVersion { era, revision: version } = router.views.oldest_version();
     let own_zone = router.settings.load().zone.clone();
     let only_in = wants_zone.then(|| own_zone.clone());
     let host = router.settings.load().host.clone();
-    tell(&mut socket, &Asked::Follow { version, only_in, host }).await?;
+    tell(&mut socket, &Asked::Follow { version, era, only_in, host }).await?;
     let Told::Welcome { zone } = hear(&mut socket).await? else {
         return Err(Error::Broken("no welcome".into()));
     };
--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -11,42 +11,73 @@
         documents::read_server,
         store::{Row, Rows},
     },
+    router::restore::Extent,
     routing::BackendServer,
     telemetry::event,
 };
 
+/// Time for which it is remembered that a server left: a store comes back from a copy some seconds old.
+const LEFT_LASTS: Duration = Duration::from_secs(60);
+/// Time after which the store has dropped the row of a server that is gone: three heartbeats of 1.2 s, and the
+/// 0.8 s by which the list is read late.
+const DISTRUST: Duration = Duration::from_millis(4_400);
+
 /// The servers listed, and those missing since the store came back.
 #[derive(Debug, Default)]
 pub(crate) struct Listing {
     servers: HashMap<Box<str>, BackendServer>,
     /// Servers that may come back until this time.
     missing: HashMap<Box<str>, Duration>,
+    /// Servers that left, and when: a store that comes back from an older copy may still have them.
+    left: HashMap<Box<str>, Duration>,
+    /// Such servers, until when the store would have dropped them if they are gone.
+    distrusted: HashMap<Box<str>, (BackendServer, Duration)>,
     /// Rows that could not be read, by key, at this revision: each is told of once.
     unreadable: HashMap<Box<str>, Revision>,
 }
 
 impl Listing {
     /// Takes in all rows or those that changed; what is removed may come back until then.
-    pub(crate) fn apply(&mut self, rows: &Rows, is_whole: bool, doubtful_until: Option<Duration>) {
-        if is_whole {
+    pub(crate) fn apply(
+        &mut self,
+        rows: &Rows,
+        extent: Extent,
+        doubtful_until: Option<Duration>,
+        now: Duration,
+    ) {
+        self.left.retain(|_, at| now < *at + LEFT_LASTS);
+        if extent.is_whole() {
             let listed: HashSet<&str> = rows.rows.iter().map(|row| &*row.key).collect();
             let known = self.servers.keys().chain(self.unreadable.keys());
             let gone: Vec<Box<str>> =
                 known.filter(|id| !listed.contains(&***id)).cloned().collect();
             for id in gone {
-                self.remove(&id, doubtful_until);
+                self.remove(&id, doubtful_until, now);
             }
         }
         for row in &rows.rows {
             if row.is_removed {
-                self.remove(&row.key, doubtful_until);
+                self.remove(&row.key, doubtful_until, now);
             } else {
-                self.put(row);
+                self.put(row, extent, now);
             }
         }
     }
 
-    fn put(&mut self, row: &Row) {
+    /// Whether a row that the store came back with tells less than is known: the server wrote on since, or left.
+    fn is_outdated(&mut self, server: &BackendServer, now: Duration) -> bool {
+        if let Some(known) = self.servers.get(&server.id) {
+            return known.born == server.born && server.sequence < known.sequence;
+        }
+        let has_left = self.left.contains_key(&server.id);
+        if has_left {
+            let distrusted = (server.clone(), now + DISTRUST);
+            self.distrusted.insert(server.id.clone(), distrusted);
+        }
+        has_left
+    }
+
+    fn put(&mut self, row: &Row, extent: Extent, now: Duration) {
         let known = self.servers.get(&row.key).and_then(|server| server.born);
         match read_server(row) {
             Ok(server) if known.is_some() && server.born.is_none() => {
@@ -59,8 +90,11 @@
                     row.key, server.born
                 ));
             }
+            Ok(server) if extent == Extent::Restored && self.is_outdated(&server, now) => {}
             Ok(server) => {
                 self.missing.remove(&server.id);
+                self.distrusted.remove(&server.id);
+                self.left.remove(&server.id);
                 self.unreadable.remove(&server.id);
                 self.servers.insert(server.id.clone(), server);
             }
@@ -94,8 +128,9 @@
         self.unreadable.contains_key(id)
     }
 
-    fn remove(&mut self, id: &str, doubtful_until: Option<Duration>) {
+    fn remove(&mut self, id: &str, doubtful_until: Option<Duration>, now: Duration) {
         self.unreadable.remove(id);
+        self.distrusted.remove(id);
         let is_leaving = self.servers.get(id).is_none_or(|server| server.is_leaving);
         match doubtful_until {
             Some(until) if !is_leaving => {
@@ -103,16 +138,27 @@
             }
             _ => {
                 self.missing.remove(id);
-                self.servers.remove(id);
+                if self.servers.remove(id).is_some() {
+                    self.left.insert(id.into(), now);
+                }
             }
         }
     }
 
-    /// Drops servers that did not come back in time; whether there were any.
+    /// Drops servers that did not come back in time, and takes in those that the store still lists though they
+    /// were seen to leave before it came back from a copy; whether there were any.
     pub(crate) fn expire(&mut self, now: Duration) -> bool {
         let before = self.servers.len();
         self.servers.retain(|id, _| self.missing.get(id).is_none_or(|until| now < *until));
         self.missing.retain(|_, until| now < *until);
-        self.servers.len() != before
+        let is_any_gone = self.servers.len() != before;
+        let trusted = self.distrusted.extract_if(|_, (_, until)| *until <= now);
+        let trusted: Vec<BackendServer> = trusted.map(|(_, (server, _))| server).collect();
+        let is_any_back = !trusted.is_empty();
+        for server in trusted {
+            self.left.remove(&server.id);
+            self.servers.insert(server.id.clone(), server);
+        }
+        is_any_gone || is_any_back
     }
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod release;
 mod reports;
+mod restore;
 mod roll_out;
 mod run;
 mod serve;
--- a/src/router/packed_rows.rs
+++ b/src/router/packed_rows.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::Revision,
-    platform::store::{Row, Table},
+    ids::{Era, Revision, StoreVersion},
+    platform::store::{Row, Table, is_first},
     protocol::{Result, decode, encode},
     router::views::TableUpdate,
 };
@@ -27,6 +27,12 @@
     version: Revision,
     store_now: Duration,
     is_whole: bool,
+    /// Not told where the store never came back from a copy.
+    #[serde(default, skip_serializing_if = "is_first")]
+    era: Era,
+    /// Whether the store's rows lack some of these.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_amended: bool,
     rows: Arc<Packed>,
 }
 
@@ -41,9 +47,11 @@
         let rows = rows.expect("writing to memory can't fail");
         Self {
             table: update.table,
-            version: update.version,
+            version: update.version.revision,
             store_now: update.store_now,
             is_whole: update.is_whole,
+            era: update.version.era,
+            is_amended: update.is_amended,
             rows: Arc::new(Packed(rows)),
         }
     }
@@ -58,9 +66,10 @@
         decoder.read_to_end(&mut unpacked)?;
         Ok(TableUpdate {
             table: self.table,
-            version: self.version,
+            version: StoreVersion { era: self.era, revision: self.version },
             store_now: self.store_now,
             is_whole: self.is_whole,
+            is_amended: self.is_amended,
             rows: decode::<Vec<Row>>(&unpacked)?,
         })
     }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -22,7 +22,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
 
 use crate::{
-    ids::Revision,
+    ids::{Era, Revision, StoreVersion},
     platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
     router::{
@@ -56,6 +56,9 @@
     Follow {
         /// Newest rows it has, by the store's count.
         version: Revision,
+        /// Era of the store that these are of.
+        #[serde(default)]
+        era: Era,
         /// AvailabilityZone that the other one has to be in; any where there is none. Without it a link that
         /// is left at once brought all rows first.
         #[serde(default)]
@@ -158,7 +161,8 @@
     stream.set_nodelay(true)?;
     let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
     match timeout(OPENING, hear(&mut socket)).await.map_err(|_| silent())?? {
-        Asked::Follow { version, only_in, host } => {
+        Asked::Follow { version, era, only_in, host } => {
+            let version = StoreVersion { era, revision: version };
             serve_follower(router, socket, version, only_in.as_deref(), &host).await
         }
         Asked::Report { host, report } => take_reports(router, socket, &host, report).await,
@@ -188,7 +192,7 @@
 async fn serve_follower(
     router: &Router,
     mut socket: Socket,
-    version: Revision,
+    version: StoreVersion,
     only_in: Option<&str>,
     host: &str,
 ) -> Result<()> {
--- a/src/router/quarantine_row.rs
+++ b/src/router/quarantine_row.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    ids::Revision,
+    ids::{Era, Revision},
     platform::store::{Put, Row, Rows, StoreClient, Table, WriteOutcome},
     policy::quarantine::{Case, LifeHash, Standing},
     router::Router,
@@ -69,6 +69,8 @@
 /// The row as it was last seen.
 struct Kept {
     version: Revision,
+    /// Era of the store that it was read in.
+    era: Era,
     cases: Vec<Case>,
     clocks: Clocks,
 }
@@ -160,6 +162,12 @@
     inform(router).await;
     let mut kept = None;
     loop {
+        let is_restored = kept.as_ref().is_some_and(|kept: &Kept| kept.era < router.views.era());
+        if is_restored {
+            // The row may lack what was refused since the copy; who is named first writes it again.
+            kept = None;
+            sleep(time_for_others(router)).await;
+        }
         let is_needed = !router.quarantine.is_informed()
             || router.is_alone()
             || router.quarantine.take_row_stale();
@@ -221,14 +229,14 @@
     if rows.is_err() {
         router.metrics.count_store_error("quarantine");
     }
-    let Rows { rows, now, .. } = rows?;
+    let Rows { rows, now, version } = rows?;
     let clocks =
         Clocks { store: now, own: router.now(), error: router.now().saturating_sub(asked) };
     // A call that took long compares the clocks badly; the one before is as good.
     let before = kept.as_ref().map(|kept| kept.clocks);
     let clocks = before.filter(|before| before.error < clocks.error).unwrap_or(clocks);
     let row = rows.iter().find(|row| &*row.key == ROW && !row.is_removed);
-    kept.insert(Kept { version: 0, cases: Vec::new(), clocks }).take(router, row);
+    kept.insert(Kept { version: 0, era: version.era, cases: Vec::new(), clocks }).take(router, row);
     if router.quarantine.note_informed() {
         router.tell_news();
     }
@@ -279,7 +287,7 @@
     let value = serde_json::to_vec(&doc).expect("a document of texts and numbers can be written");
     let put = Put { table: Table::Own, key: ROW.into(), expected: kept.version, value };
     router.metrics.count_store_call("quarantine");
-    let outcome = store.write(&[put]).await;
+    let outcome = store.write(&[put], kept.era).await;
     if outcome.is_err() {
         router.metrics.count_store_error("quarantine");
     }
@@ -290,7 +298,7 @@
             kept.cases = cases;
             Ok(true)
         }
-        WriteOutcome::Conflict(_) => Ok(false),
+        WriteOutcome::Conflict | WriteOutcome::OtherEra => Ok(false),
     }
 }
 
--- /dev/null
+++ b/src/router/restore.rs
@@ -0,0 +1,78 @@
+//! What is kept of orders when the store comes back from an older copy.
+//!
+//! What the operator wrote since the copy is written again, but not at once. Until then the newest that is known
+//! here holds, and is passed on to entries that start: an older configuration would bring back keys that were
+//! taken away.
+
+use crate::{
+    ids::Era,
+    platform::{
+        documents::{OperatorChange, is_configuration, read_operator_row},
+        store::{Row, Rows, Table},
+    },
+    router::Router,
+};
+
+/// How much of a table was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Extent {
+    /// What changed.
+    Changes,
+    /// All rows.
+    Whole,
+    /// All rows, the first since the store came back from an older copy.
+    Restored,
+}
+
+impl Extent {
+    /// That of rows of an era, after rows of another one.
+    pub(crate) fn of(is_whole: bool, before: Option<Era>, now: Era) -> Self {
+        match is_whole {
+            false => Self::Changes,
+            true if before.is_some_and(|before| before < now) => Self::Restored,
+            true => Self::Whole,
+        }
+    }
+
+    /// Whether these are all rows.
+    pub(crate) fn is_whole(self) -> bool {
+        self != Self::Changes
+    }
+}
+
+/// Puts the operator's rows that the store lost back among all that it has; whether there were any.
+pub(crate) fn amend(router: &Router, table: Table, rows: &mut Rows) -> bool {
+    if table != Table::Orders {
+        return false;
+    }
+    let mut is_amended = false;
+    for known in router.views.rows(table) {
+        let shown = rows.rows.iter().position(|row| row.key == known.key);
+        let is_lost = match shown {
+            Some(shown) => is_older_configuration(&rows.rows[shown], &known),
+            None => true,
+        };
+        if !is_lost {
+            continue;
+        }
+        is_amended = true;
+        match shown {
+            Some(shown) => rows.rows[shown] = known,
+            None => rows.rows.push(known),
+        }
+    }
+    is_amended
+}
+
+/// Whether a row holds an older configuration than another one.
+fn is_older_configuration(shown: &Row, known: &Row) -> bool {
+    is_configuration(&shown.key) && configuration_version(shown) < configuration_version(known)
+}
+
+fn configuration_version(row: &Row) -> Option<u64> {
+    match read_operator_row(row) {
+        Ok(Some(OperatorChange::Configuration(table))) => Some(table.version),
+        // One that can't be read is told of where it is applied.
+        _ => None,
+    }
+}
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    ids::Revision,
+    ids::StoreVersion,
     policy::exposure::ExposureTerms,
     router::{
         trial::{RollOut, Verdict, VersionEvidence},
@@ -44,6 +44,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     roll_outs: HashMap<Box<str>, RollOut>,
+    /// Orders that were withdrawn, by service: a store that comes back from a copy may still have them.
+    withdrawn: HashMap<Box<str>, RollOutOrder>,
     /// When a server's silence was last counted.
     silences: HashMap<Box<str>, Duration>,
 }
@@ -70,9 +72,14 @@
     /// evidence. Whether it is new.
     pub(crate) fn order(&self, order: RollOutOrder, now: Duration, is_found: bool) -> bool {
         let mut inner = self.lock();
-        let known = inner.roll_outs.get(&order.service);
-        if known.is_some_and(|known| known.order.revision >= order.revision) {
-            return false;
+        if let Some(known) = inner.roll_outs.get_mut(&order.service) {
+            if known.order.revision >= order.revision {
+                return false;
+            }
+            if order.is_again(&known.order) {
+                known.order = order;
+                return false;
+            }
         }
         let service = order.service.clone();
         inner.roll_outs.insert(service, RollOut::begun_now(order, now, is_found));
@@ -107,14 +114,37 @@
 
     /// Forgets the roll-out of a service.
     pub(crate) fn withdraw(&self, service: &str) {
-        self.lock().roll_outs.remove(service);
+        let mut inner = self.lock();
+        if let Some(roll_out) = inner.roll_outs.remove(service) {
+            inner.withdrawn.insert(service.into(), roll_out.order);
+        }
+    }
+
+    /// Whether this order is one that was withdrawn in an earlier era.
+    pub(crate) fn was_withdrawn(&self, order: &RollOutOrder) -> bool {
+        let inner = self.lock();
+        inner.withdrawn.get(&order.service).is_some_and(|known| order.is_again(known))
+    }
+
+    /// Roll-outs that have ended, and how.
+    pub(crate) fn ended(&self) -> Vec<(RollOutOrder, Progress)> {
+        let inner = self.lock();
+        let ended = inner.roll_outs.values().filter(|r| r.progress != Progress::Running);
+        ended.map(|r| (r.order.clone(), r.progress)).collect()
+    }
+
+    /// Time since a roll-out began, where the store told when.
+    pub(crate) fn begun_for(&self, order: &RollOutOrder, now: Duration) -> Option<Duration> {
+        let inner = self.lock();
+        let roll_out = inner.roll_outs.get(&order.service).filter(|r| r.is_begun)?;
+        Some(roll_out.age(now))
     }
 
     /// Takes in what the store says about an order: when it began and how far it got.
     pub(crate) fn adopt(
         &self,
         service: &str,
-        revision: Revision,
+        revision: StoreVersion,
         began: Option<Duration>,
         progress: Progress,
     ) {
@@ -226,7 +256,7 @@
             let Some(roll_out) = inner.roll_outs.get_mut(&evidence.service) else {
                 continue;
             };
-            if roll_out.order.revision == evidence.revision {
+            if roll_out.order.revision == evidence.order() {
                 roll_out.others.insert(host.into(), evidence);
                 roll_out.judge_pooled();
             }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -402,6 +402,7 @@
             "entries": self.entries(),
             "follows_another_entry": self.follows_link(),
             "quarantine": self.quarantine.dump(self.now()),
+            "era": self.views.era(),
             "place": self.place().map(|place| json!([place.rank, place.entries])),
             "evacuated": self.evacuations.dump(self.now()),
             "roll_outs": self.roll_outs.dump(),
--- a/src/router/trial.rs
+++ b/src/router/trial.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::Revision,
+    ids::{Era, Revision, StoreVersion},
+    platform::store::is_first,
     policy::{
         exposure::{
             ExposureTerms, is_beyond_trial, may_complete, request_share_at, session_share_at,
@@ -33,10 +34,20 @@
     pub(super) service: Box<str>,
     /// Order it is about.
     pub(super) revision: Revision,
+    /// Era of the order; not told where the store never came back from a copy.
+    #[serde(default, skip_serializing_if = "is_first")]
+    pub(super) era: Era,
     pub(super) old: Evidence,
     pub(super) new: Evidence,
 }
 
+impl VersionEvidence {
+    /// The order it is about.
+    pub(super) fn order(&self) -> StoreVersion {
+        StoreVersion { era: self.era, revision: self.revision }
+    }
+}
+
 /// What the driver should tell the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Verdict {
@@ -170,7 +181,8 @@
     pub(super) fn evidence(&self) -> VersionEvidence {
         VersionEvidence {
             service: self.order.service.clone(),
-            revision: self.order.revision,
+            revision: self.order.revision.revision,
+            era: self.order.revision.era,
             old: self.old,
             new: self.new,
         }
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -9,7 +9,7 @@
 use tokio::sync::broadcast;
 
 use crate::{
-    ids::Revision,
+    ids::{Era, StoreVersion},
     platform::store::{Row, Rows, Table},
     router::packed_rows::PackedUpdate,
 };
@@ -20,11 +20,19 @@
 impl Seen {
     /// All rows, packed once for all that begin to follow before something changes.
     fn packed(&mut self, table: Table) -> PackedUpdate {
-        let Self { version, store_now, rows, packed, .. } = self;
+        let Self { version, store_now, rows, packed, is_amended, .. } = self;
         let pack = || {
             let rows = rows.values().cloned().collect();
-            let (version, store_now) = (*version, *store_now);
-            PackedUpdate::pack(&TableUpdate { table, version, store_now, is_whole: true, rows })
+            let (version, store_now, is_amended) = (*version, *store_now, *is_amended);
+            let is_whole = true;
+            PackedUpdate::pack(&TableUpdate {
+                table,
+                version,
+                store_now,
+                is_whole,
+                is_amended,
+                rows,
+            })
         };
         packed.get_or_insert_with(pack).clone()
     }
@@ -35,11 +43,13 @@
 pub(crate) struct TableUpdate {
     pub(crate) table: Table,
     /// Newest transaction they cover.
-    pub(crate) version: Revision,
+    pub(crate) version: StoreVersion,
     /// The store's clock when it gave them.
     pub(crate) store_now: Duration,
     /// Whether these are all rows, not only those that changed.
     pub(crate) is_whole: bool,
+    /// Whether rows are among them that the store lost as it came back from a copy.
+    pub(crate) is_amended: bool,
     pub(crate) rows: Vec<Row>,
 }
 
@@ -52,7 +62,9 @@
 
 #[derive(Debug, Default)]
 struct Seen {
-    version: Revision,
+    version: StoreVersion,
+    /// Whether it has rows that the store lost, until all rows are read again.
+    is_amended: bool,
     store_now: Duration,
     rows: BTreeMap<Box<str>, Row>,
     /// All rows packed, until something changes.
@@ -83,6 +95,11 @@
 impl Views {
     /// Takes in what the store or another entry said of a table, and tells the subscribers.
     pub(crate) fn note(&self, table: Table, rows: &Rows, is_whole: bool) {
+        self.note_amended(table, rows, is_whole, false);
+    }
+
+    /// The same of rows some of which the store may have lost.
+    pub(crate) fn note_amended(&self, table: Table, rows: &Rows, is_whole: bool, is_amended: bool) {
         let mut all = self.seen.lock().expect("no panics under the lock");
         let seen = all.entry(table).or_default();
         seen.version = rows.version;
@@ -90,6 +107,7 @@
         seen.packed = None;
         if is_whole {
             seen.rows.clear();
+            seen.is_amended = is_amended;
         }
         for row in &rows.rows {
             if row.is_removed {
@@ -107,6 +125,7 @@
             version: rows.version,
             store_now: rows.now,
             is_whole,
+            is_amended,
             rows: rows.rows.clone(),
         };
         // Under the lock, so that a subscriber's first view and its updates fit together. An error
@@ -119,11 +138,12 @@
     /// them, whatever it has read of orders and servers.
     pub(crate) fn subscribe(
         &self,
-        version: Revision,
+        version: StoreVersion,
     ) -> (Vec<PackedUpdate>, broadcast::Receiver<PackedUpdate>) {
         let mut all = self.seen.lock().expect("no panics under the lock");
         let is_wanted = |(table, seen): &(&Table, &mut Seen)| {
-            matches!(table, Table::Own | Table::Status) || seen.version > version
+            let is_short = matches!(table, Table::Own | Table::Status);
+            is_short || seen.is_amended || seen.version > version
         };
         let wanted = all.iter_mut().filter(is_wanted);
         let views = wanted.map(|(table, seen)| seen.packed(*table)).collect();
@@ -178,8 +198,20 @@
     }
 
     /// Newest transaction seen of the table that is furthest behind.
-    pub(crate) fn oldest_version(&self) -> Revision {
+    pub(crate) fn oldest_version(&self) -> StoreVersion {
+        let seen = self.seen.lock().expect("no panics under the lock");
+        seen.values().map(|seen| seen.version).min().unwrap_or_default()
+    }
+
+    /// Newest era that was heard of.
+    pub(crate) fn era(&self) -> Era {
+        let seen = self.seen.lock().expect("no panics under the lock");
+        seen.values().map(|seen| seen.version.era).max().unwrap_or_default()
+    }
+
+    /// The rows of a table as they were last seen.
+    pub(crate) fn rows(&self, table: Table) -> Vec<Row> {
         let seen = self.seen.lock().expect("no panics under the lock");
-        seen.values().map(|seen| seen.version).min().unwrap_or(0)
+        seen.get(&table).map(|seen| seen.rows.values().cloned().collect()).unwrap_or_default()
     }
 }
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::ids::Revision;
+use crate::ids::StoreVersion;
 
 /// Start of a server's life, milliseconds since the Unix epoch by the server's own clock.
 pub type BornAt = u64;
@@ -31,8 +31,10 @@
     pub is_leaving: bool,
     /// How much longer it was cold when it wrote its row.
     pub cold_for: Duration,
-    /// Version of its row, so that two rows that say the same are told apart.
-    pub revision: Revision,
+    /// Counts what it wrote or accepted in this life.
+    pub sequence: u64,
+    /// When its row was written, so that two rows that say the same are told apart.
+    pub written_at: StoreVersion,
     /// Models it has loaded; empty where it is no model engine.
     pub models: Vec<Box<str>>,
 }
--- a/src/routing/roll_out.rs
+++ b/src/routing/roll_out.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{ids::Revision, routing::ServerVersion};
+use crate::{ids::StoreVersion, routing::ServerVersion};
 
 /// An order to move a service's traffic to a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,8 +13,16 @@
     pub to: ServerVersion,
     /// Time in which it is to be done.
     pub within: Duration,
-    /// Version of the store's row, which tells one order from the next.
-    pub revision: Revision,
+    /// When the store's row was written, which tells one order from the next.
+    pub revision: StoreVersion,
+}
+
+impl RollOutOrder {
+    /// Whether this one is the other, written again after the store came back from a copy without it.
+    pub fn is_again(&self, other: &Self) -> bool {
+        let is_same = (&self.to, self.within) == (&other.to, other.within);
+        is_same && self.revision.era != other.revision.era
+    }
 }
 
 /// How far a roll-out got.
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -70,6 +70,7 @@
     STORE_UNREACHABLE = 400, Warn, "The table or object service gives no answer; what depends on it waits or is refused.";
     STORE_BACK = 401, Info, "The table or object service answers again.";
     CLAIM_LOST_REPLY = 402, Info, "The reply to a claim was lost and is settled by reading back.";
+    STORE_RESTORED = 403, Error, "The store came back from an older copy; what is known to be newer holds until it is written again.";
     ATTEMPT_RETRIED = 500, Info, "An attempt failed and another was sent.";
     ANSWER_DROPPED = 501, Warn, "A frame of another attempt, or one out of order, was dropped.";
     ANSWER_INCOMPLETE = 502, Warn, "An answer ended without its end frame or with the wrong digest.";
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -178,12 +178,12 @@
     let put =
         |expected| Put { table: Table::Own, key: "k".into(), expected, value: b"{}".to_vec() };
 
-    let first = client.write(&[put(0)]).await.unwrap();
-    let second = client.write(&[put(0)]).await.unwrap();
+    let first = client.write(&[put(0)], 0).await.unwrap();
+    let second = client.write(&[put(0)], 0).await.unwrap();
 
     let WriteOutcome::Written(version) = first else { panic!("{first:?}") };
-    assert!(matches!(second, WriteOutcome::Conflict(_)), "{second:?}");
-    assert!(matches!(client.write(&[put(version)]).await.unwrap(), WriteOutcome::Written(_)));
+    assert!(matches!(second, WriteOutcome::Conflict), "{second:?}");
+    assert!(matches!(client.write(&[put(version)], 0).await.unwrap(), WriteOutcome::Written(_)));
 }
 
 #[tokio::test]
@@ -195,10 +195,10 @@
 
     for fault in [Fault::Down, Fault::TooMany] {
         store.set_fault(fault);
-        assert!(matches!(client.write(&put).await, Err(Error::Refused(_))));
+        assert!(matches!(client.write(&put, 0).await, Err(Error::Refused(_))));
     }
     store.set_fault(Fault::RepliesLost);
-    assert!(matches!(client.write(&put).await, Err(Error::Unknown(_))));
+    assert!(matches!(client.write(&put, 0).await, Err(Error::Unknown(_))));
     assert!(store.read("mintmoor", "k").is_some(), "it did take effect");
 }
 
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -265,6 +265,21 @@
     until("the store keeps it", || pool.store.read("mintmoor", "quarantine").is_some()).await;
 }
 
+/// The store comes back from a copy that lacks it: who knows it writes it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_comes_back_without_it_is_told_again() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.entries(2).await;
+    let copy = pool.store.copy();
+    until_refused(&sites[0], "/chat/a").await;
+    let in_store = || pool.store.read("mintmoor", "quarantine").is_some();
+    until("the store keeps it", in_store).await;
+
+    pool.store.restore(&copy);
+
+    until("the store keeps it again", in_store).await;
+}
+
 /// A seed hears of the ends and is killed; others have heard of them as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_seed_that_is_killed_takes_no_end_with_it() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod pool;
 mod requests;
+mod restores;
 mod roll_outs;
 mod rows;
 mod server;
--- /dev/null
+++ b/tests/platform/restores.rs
@@ -0,0 +1,283 @@
+//! The store comes back from a copy some seconds old: what it had acknowledged since is gone, and its versions are
+//! given out again. What is known to be newer holds until it is written again.
+
+use std::time::Duration;
+
+use mintmoor::platform::{
+    HttpClient,
+    store::{Put, StoreClient, Table, WriteOutcome},
+};
+use serde_json::{Value, json};
+
+use crate::{
+    server::{Act, Server},
+    site::{Site, always, configuration, list, server_row, until},
+    store::Store,
+};
+
+const GOOD: Act = Act::Answer { status: 200, body: "good" };
+const FAILS: Act = Act::Answer { status: 500, body: "bad" };
+
+fn version(site: &Site) -> u64 {
+    site.entry.router.table.load().as_ref().as_ref().map_or(0, |table| table.version)
+}
+
+fn in_view(site: &Site, id: &str) -> bool {
+    let servers = site.entry.router.dump()["servers"].clone();
+    servers.as_array().unwrap().iter().any(|row| row["id"] == id)
+}
+
+fn is_leaving(site: &Site, id: &str) -> bool {
+    let servers = site.entry.router.dump()["servers"].clone();
+    servers.as_array().unwrap().iter().any(|row| row["id"] == id && row["leaving"] == true)
+}
+
+fn zones(site: &Site) -> usize {
+    site.entry.router.dump()["evacuated"].as_array().unwrap().len()
+}
+
+/// A server's row that it wrote as its `sequence`th.
+fn list_as(store: &Store, server: &Server, state: &str, sequence: u64) {
+    let mut row = server_row(server.address, "app", "v1", state);
+    row["sequence"] = json!(sequence);
+    store.put("servers", &server.id, &row);
+}
+
+/// A configuration that allows the second key alone.
+fn without_first_key(version: u64) -> Value {
+    let mut changed = configuration(version);
+    changed["tenants"] = json!([{"name": "org", "api-keys": ["key-2"]}]);
+    changed
+}
+
+/// Others have written past what the entry knows, so no feed of it is refused: the header alone tells.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_table_is_read_anew_though_its_versions_were_given_out_again() {
+    let (lost, new) = (always("i-lost", GOOD).await, always("i-new", GOOD).await);
+    let stays = always("i-stays", GOOD).await;
+    let site = Site::start(&[(&stays, "app", "v1")]).await;
+    let copy = site.store.copy();
+    list(&site.store, &lost, "app", "v1", "ready");
+    until("it is in view", || in_view(&site, "i-lost")).await;
+
+    site.store.restore(&copy);
+    for number in 0..5 {
+        site.store.put("other", &format!("row-{number}"), &json!({}));
+    }
+    list(&site.store, &new, "app", "v1", "ready");
+
+    until("what came since is in view", || in_view(&site, "i-new")).await;
+    until("what was not written again is gone", || !in_view(&site, "i-lost")).await;
+    assert!(in_view(&site, "i-stays"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn it_may_come_back_twice_in_a_row() {
+    let (stays, new) = (always("i-stays", GOOD).await, always("i-new", GOOD).await);
+    let site = Site::start(&[(&stays, "app", "v1")]).await;
+    let copy = site.store.copy();
+
+    site.store.restore(&copy);
+    site.store.put("op", "config", &configuration(3));
+    site.store.restore(&copy);
+    site.store.put("op", "config", &configuration(5));
+    list(&site.store, &new, "app", "v1", "ready");
+
+    until("the newest is in force", || version(&site) == 5).await;
+    until("the new one is in view", || in_view(&site, "i-new")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_was_taken_away_stays_so_also_for_an_entry_that_starts() {
+    let server = always("i-1", GOOD).await;
+    let first = Site::seed(crate::site::store_with(&[(&server, "app", "v1")]).await, None).await;
+    first.until_in_view(1).await;
+    let copy = first.store.copy();
+    first.store.put("op", "config", &without_first_key(4));
+    until("the key is gone", || version(&first) == 4).await;
+
+    first.store.restore(&copy);
+    list(&first.store, &server, "app", "v1", "ready");
+    until("it noticed", || first.entry.router.dump()["era"] == 1).await;
+    let second = Site::following(first.store.clone(), &first).await;
+    until("it heard of the newest", || version(&second) == 4).await;
+
+    assert_eq!(first.ask("GET", "/safe/a", "").await.status, 401);
+    assert_eq!(second.ask("GET", "/safe/a", "").await.status, 401);
+    first.store.put("op", "config", &configuration(6));
+    until("what the operator writes next holds", || version(&second) == 6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_leaves_is_not_taken_back() {
+    let (stays, leaves) = (always("i-stays", GOOD).await, always("i-leaves", GOOD).await);
+    let site = Site::start(&[(&stays, "app", "v1")]).await;
+    list_as(&site.store, &leaves, "ready", 5);
+    until("it is in view", || in_view(&site, "i-leaves")).await;
+    let copy = site.store.copy();
+    list_as(&site.store, &leaves, "draining", 6);
+    until("it leaves", || is_leaving(&site, "i-leaves")).await;
+
+    site.store.restore(&copy);
+    until("it noticed", || site.entry.router.dump()["era"] == 1).await;
+
+    assert!(is_leaving(&site, "i-leaves"));
+    list_as(&site.store, &leaves, "draining", 7);
+    site.store.remove("servers", "i-leaves");
+    until("it is gone", || !in_view(&site, "i-leaves")).await;
+}
+
+/// Its row is back for a while, until the store drops it once more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_is_gone_is_not_used_because_its_row_is_back() {
+    let (stays, gone) = (always("i-stays", GOOD).await, always("i-gone", GOOD).await);
+    let site = Site::start(&[(&stays, "app", "v1"), (&gone, "app", "v1")]).await;
+    let copy = site.store.copy();
+    site.store.remove("servers", "i-gone");
+    until("it is gone", || !in_view(&site, "i-gone")).await;
+
+    site.store.restore(&copy);
+    until("it noticed", || site.entry.router.dump()["era"] == 1).await;
+    let was_back = in_view(&site, "i-gone");
+    site.store.remove("servers", "i-gone");
+    list(&site.store, &stays, "app", "v2", "ready");
+    until("the feed went on", || {
+        site.entry.router.fleet.load().of_service("app").iter().any(|m| &*m.server.version == "v2")
+    })
+    .await;
+
+    assert!(!was_back && !in_view(&site, "i-gone"));
+}
+
+/// It had only lapsed, and lives: its row stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_whose_row_stays_is_used_again() {
+    let server = always("i-1", GOOD).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+    let copy = site.store.copy();
+    site.store.remove("servers", "i-1");
+    until("it is gone", || !in_view(&site, "i-1")).await;
+
+    site.store.restore(&copy);
+
+    until("it is back", || in_view(&site, "i-1")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_zone_stays_so_until_the_operator_takes_it_back() {
+    let server = always("i-1", GOOD).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+    let copy = site.store.copy();
+    site.store.put("op", "evacuate/zone-a", &json!({}));
+    until("it is in force", || zones(&site) == 1).await;
+
+    site.store.restore(&copy);
+    until("it noticed", || site.entry.router.dump()["era"] == 1).await;
+
+    assert_eq!(zones(&site), 1);
+    assert_eq!(site.ask("GET", "/safe/a", "").await.status, 503);
+    site.store.put("op", "evacuate/zone-a", &json!({}));
+    site.store.remove("op", "evacuate/zone-a");
+    until("it is taken back", || zones(&site) == 0).await;
+}
+
+fn state(site: &Site) -> String {
+    let status = site.store.read("status", "rollout/app");
+    status.and_then(|s| Some(s["state"].as_str()?.to_owned())).unwrap_or_default()
+}
+
+/// The verdict is lost, and so are the order and what was written of its begin. The operator writes the order
+/// again under a version that was given out before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_was_rolled_back_stays_so_and_the_store_is_told_again() {
+    let order = json!({"service": "app", "to": "v2", "duration-s": 600.0});
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", FAILS).await);
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    let copy = site.store.copy();
+    site.store.put("op", "rollout/app", &order);
+    until("it is under way", || state(&site) == "in_progress").await;
+    for number in 0..4_000 {
+        if state(&site) == "rolled_back" {
+            break;
+        }
+        site.ask("GET", &format!("/safe/{number}"), "").await;
+    }
+    assert_eq!(state(&site), "rolled_back");
+
+    site.store.restore(&copy);
+    site.store.put("op", "rollout/app", &order);
+    until("the store is told again", || state(&site) == "rolled_back").await;
+
+    let before = new.seen().len();
+    for number in 0..60 {
+        site.ask("GET", &format!("/safe/b{number}"), "").await;
+    }
+    assert_eq!(new.seen().len(), before);
+}
+
+/// Another order, under a version that is no greater than the one of the lost order.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_order_is_followed_though_its_version_was_given_out_before() {
+    let old = always("i-1", GOOD).await;
+    let site = Site::start(&[(&old, "app", "v1")]).await;
+    let copy = site.store.copy();
+    for number in 0..5 {
+        site.store.put("other", &format!("row-{number}"), &json!({}));
+    }
+    let order = |to: &str| json!({"service": "app", "to": to, "duration-s": 600.0});
+    site.store.put("op", "rollout/app", &order("v2"));
+    let to = || site.entry.router.dump()["roll_outs"][0]["to"].clone();
+    until("it is known", || to() == "v2").await;
+
+    site.store.restore(&copy);
+    site.store.put("op", "rollout/app", &order("v3"));
+
+    until("the other one is known", || to() == "v3").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_that_crosses_it_is_known_to_prove_nothing() {
+    let store = Store::start().await;
+    let client = StoreClient::new(HttpClient::default(), &store.address.to_string());
+    let put = |expected: u64, text: &str| Put {
+        table: Table::Own,
+        key: "row".into(),
+        expected,
+        value: serde_json::to_vec(text).unwrap(),
+    };
+    let copy = store.copy();
+    let WriteOutcome::Written(read) = client.write(&[put(0, "first")], 0).await.unwrap() else {
+        panic!("nothing was there");
+    };
+    store.restore(&copy);
+    store.put("mintmoor", "row", &json!("another's, under the same version"));
+
+    let outcome = client.write(&[put(read, "second")], 0).await.unwrap();
+
+    assert_eq!(outcome, WriteOutcome::OtherEra);
+}
+
+/// An entry that starts while the store comes back hears the same as the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_start_meanwhile_agree_with_the_others() {
+    let (one, two) = (always("i-1", GOOD).await, always("i-2", GOOD).await);
+    let store = crate::site::store_with(&[(&one, "app", "v1")]).await;
+    let first = Site::seed(store, None).await;
+    first.until_in_view(1).await;
+    let copy = first.store.copy();
+    first.store.put("op", "config", &without_first_key(7));
+    until("it is in force", || version(&first) == 7).await;
+
+    let starting = Site::following(first.store.clone(), &first);
+    let restoring = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        first.store.restore(&copy);
+        list(&first.store, &two, "app", "v1", "ready");
+    };
+    let (second, ()) = tokio::join!(starting, restoring);
+
+    for site in [&first, &second] {
+        until("the new server is in view", || in_view(site, "i-2")).await;
+        until("the newest is in force", || version(site) == 7).await;
+    }
+}
--- a/tests/platform/rows.rs
+++ b/tests/platform/rows.rs
@@ -29,7 +29,7 @@
 fn read(document: &Value) -> mintmoor::platform::Result<mintmoor::routing::BackendServer> {
     let value = serde_json::to_vec(document).unwrap();
     let key = "i-1".into();
-    read_server(&Row { table: Table::Servers, key, value, version: 1, is_removed: false })
+    read_server(&Row { table: Table::Servers, key, value, version: 1, era: 0, is_removed: false })
 }
 
 /// Documents that no server writes, with what is wrong about each.
@@ -89,7 +89,7 @@
     #[test]
     fn any_bytes_are_a_server_or_an_error(value in proptest::collection::vec(any::<u8>(), 0..512)) {
         let key = "i-1".into();
-        let _ = read_server(&Row { table: Table::Servers, key, value, version: 1, is_removed: false });
+        let _ = read_server(&Row { table: Table::Servers, key, value, version: 1, era: 0, is_removed: false });
     }
 }
 
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -97,7 +97,8 @@
         slots: 8,
         is_leaving: false,
         cold_for: Duration::ZERO,
-        revision: 1,
+        sequence: 1,
+        written_at: mintmoor::ids::StoreVersion::default(),
         models: Vec::new(),
     }
 }
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -11,6 +11,7 @@
     Json, Router,
     extract::{Query, State},
     http::StatusCode,
+    middleware::map_response_with_state,
     response::{IntoResponse, Response},
     routing::{get, post},
 };
@@ -31,6 +32,13 @@
     RepliesLost,
 }
 
+/// What the store held at a moment.
+pub struct Copy {
+    rows: BTreeMap<(String, String), (Document, u64)>,
+    changes: Vec<(u64, String, String, bool)>,
+    version: u64,
+}
+
 /// What a row holds.
 #[derive(Clone)]
 enum Document {
@@ -59,6 +67,8 @@
     fault: Fault,
     page: usize,
     calls: usize,
+    /// Times it came back from a copy; told in all answers.
+    era: u64,
 }
 
 /// The stand-in; clones share it.
@@ -85,6 +95,7 @@
             .route("/-/rows-get", get(read))
             .route("/-/rows-feed", get(feed))
             .route("/-/rows-tx", post(write))
+            .layer(map_response_with_state(store.clone(), tell_era))
             .with_state(store.clone());
         tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
         store
@@ -136,6 +147,24 @@
         rows.forgotten = rows.version;
     }
 
+    /// What it holds now, to come back to.
+    pub fn copy(&self) -> Copy {
+        let rows = self.rows.lock().unwrap();
+        let (version, changes) = (rows.version, rows.changes.clone());
+        Copy { rows: rows.rows.clone(), changes, version }
+    }
+
+    /// Comes back from a copy: what was written since is lost, and its versions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.rows.clone_from(&copy.rows);
+        rows.changes.clone_from(&copy.changes);
+        rows.version = copy.version;
+        rows.era += 1;
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
     pub fn set_page(&self, page: usize) {
         self.rows.lock().unwrap().page = page;
     }
@@ -160,6 +189,12 @@
     }
 }
 
+async fn tell_era(State(store): State<Store>, mut res: Response) -> Response {
+    let era = store.rows.lock().unwrap().era;
+    res.headers_mut().insert("store-era", era.into());
+    res
+}
+
 fn row_doc(table: &str, key: &str, document: &Document, version: u64) -> Value {
     json!({"table": table, "part": "", "key": key, "value": document.shown(), "ver": version})
 }
@@ -201,7 +236,7 @@
 impl Store {
     fn changes(&self, table: &str, after: u64, is_over: bool) -> Option<Response> {
         let rows = self.rows.lock().unwrap();
-        if after < rows.forgotten {
+        if after < rows.forgotten || after > rows.version {
             return Some(StatusCode::GONE.into_response());
         }
         let new = rows.changes.iter().filter(|(v, t, ..)| *v > after && t == table);
