--- a/src/router/quarantine_row.rs
+++ b/src/router/quarantine_row.rs
@@ -88,7 +88,7 @@
     /// This entry's time of a moment on the store's clock.
     fn to_own(&self, ms: u64) -> Duration {
         let Clocks { store, own, .. } = self.clocks;
-        own.saturating_sub(store.saturating_sub(Duration::from_millis(ms)))
+        (own + Duration::from_millis(ms)).saturating_sub(store)
     }
 
     /// The store's time of a moment on this entry's clock.
