--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -15,7 +15,7 @@
     record::{Barred, CRASHING, Disturbance, IN_FORCE, What},
     site::configuration,
     store::Fault,
-    system::System,
+    system::{OTHER_ZONE, System},
 };
 
 /// One thing that can be done.
@@ -26,12 +26,16 @@
     ChangeSettingsFile,
     ChangeConfiguration,
     Drain,
+    /// Nothing may be sent to half of the servers for a while.
+    Evacuate,
     Kill,
     KillInStop,
     Pause,
     PauseInStop,
     StoreFault(Fault),
     ForgetHistory,
+    /// The store comes back from a copy; operator and servers write again what they had written since.
+    Restore,
     CutFromStore(Way),
     /// Another writer's row stands where a server's was.
     MangleRow,
@@ -44,9 +48,16 @@
 /// How much longer than other deeds a caller insists: the bound holds from 3 s after the third end on.
 const INSISTS: u32 = 6;
 
-const PLANNED: [Deed; 5] =
-    [Deed::Stop, Deed::Reload, Deed::ChangeSettingsFile, Deed::ChangeConfiguration, Deed::Drain];
-const STORE: [Deed; 9] = [
+const PLANNED: [Deed; 6] = [
+    Deed::Stop,
+    Deed::Reload,
+    Deed::ChangeSettingsFile,
+    Deed::ChangeConfiguration,
+    Deed::Drain,
+    Deed::Evacuate,
+];
+const STORE: [Deed; 10] = [
+    Deed::Restore,
     Deed::StoreFault(Fault::Down),
     Deed::StoreFault(Fault::TooMany),
     Deed::StoreFault(Fault::RepliesLost),
@@ -116,6 +127,8 @@
         match self {
             Self::ChangeConfiguration => change_configuration(system),
             Self::Drain => drain(system, server, lasts).await,
+            Self::Evacuate => evacuate(system, lasts).await,
+            Self::Restore => restore(system, lasts).await,
             Self::StoreFault(fault) => {
                 system.store.set_fault(fault);
                 sleep(lasts).await;
@@ -172,13 +185,54 @@
 /// Puts a newer configuration in the store; the second one takes a key away.
 fn change_configuration(system: &System) {
     let version = system.version.fetch_add(3, Ordering::SeqCst) + 3;
-    let mut changed: Value = configuration(version);
-    if version > 4 {
-        changed["tenants"] = json!([{"name": "org", "api-keys": ["key-1"]}]);
+    if version >= KEY_WITHDRAWN_FROM {
         let mut withdrawn = system.record.key_withdrawn.lock().unwrap();
         withdrawn.get_or_insert_with(Instant::now);
     }
-    system.store.put("op", "config", &changed);
+    system.store.put("op", "config", &configuration_of(version));
+}
+
+/// Version of the configuration from which on the second key is gone.
+const KEY_WITHDRAWN_FROM: u64 = 5;
+
+fn configuration_of(version: u64) -> Value {
+    let mut changed = configuration(version);
+    if version >= KEY_WITHDRAWN_FROM {
+        changed["tenants"] = json!([{"name": "org", "api-keys": ["key-1"]}]);
+    }
+    changed
+}
+
+/// Lets the store come back from a copy. No server's row is in between two states meanwhile.
+async fn restore(system: &System, lasts: Duration) {
+    let rows: Vec<_> = system.servers.iter().map(|server| server.row.try_lock()).collect();
+    if rows.iter().any(Result::is_err) {
+        return;
+    }
+    let copy = system.store.copy();
+    sleep(lasts).await;
+    system.store.restore(&copy);
+    let version = system.version.load(Ordering::SeqCst);
+    if version > 1 {
+        system.store.put("op", "config", &configuration_of(version));
+    }
+    system.servers.iter().for_each(|server| server.list(&system.store, "ready"));
+}
+
+/// Orders a zone evacuated for a while.
+async fn evacuate(system: &System, lasts: Duration) {
+    let key = format!("evacuate/{OTHER_ZONE}");
+    if system.store.read("op", &key).is_some() {
+        return;
+    }
+    system.store.put("op", &key, &json!({}));
+    let told = Instant::now();
+    sleep(IN_FORCE + lasts).await;
+    let to = Instant::now();
+    let in_zone = system.servers.iter().filter(|server| server.zone() == OTHER_ZONE);
+    let barred = in_zone.map(|server| Barred { server: server.id().into(), told, to });
+    system.record.barred.lock().unwrap().extend(barred);
+    system.store.remove("op", &key);
 }
 
 /// Lists a server as leaving for a while.
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -46,6 +46,9 @@
 const BALANCER_ASKS: Duration = Duration::from_millis(500);
 const MISSES: u32 = 2;
 
+/// AvailabilityZone of every second server, which no entry stands in.
+pub const OTHER_ZONE: &str = "zone-b";
+
 /// A server behind its way.
 pub struct Backend {
     listed: Server,
@@ -53,6 +56,8 @@
     server: Server,
     service: &'static str,
     version: &'static str,
+    /// Among those of its service and version.
+    number: usize,
     pub way: Proxy,
     /// Start of its present life.
     born: AtomicU64,
@@ -65,8 +70,14 @@
         &self.listed.id
     }
 
+    /// Every second server stands in another zone than the entries.
+    pub fn zone(&self) -> &'static str {
+        if self.number.is_multiple_of(2) { "zone-a" } else { OTHER_ZONE }
+    }
+
     pub fn list(&self, store: &Store, state: &str) {
         let mut row = server_row(self.listed.address, self.service, self.version, state);
+        row["zone"] = json!(self.zone());
         row["born"] = json!(self.born.load(Ordering::SeqCst));
         store.put("servers", self.id(), &row);
     }
@@ -210,7 +221,7 @@
     let server = listed.clone();
     listed.address = way.address;
     let (born, row) = (AtomicU64::new(1_000), Mutex::default());
-    Backend { listed, server, service, version, way, born, row }
+    Backend { listed, server, service, version, number, way, born, row }
 }
 
 /// What a server does with a request: mostly what it should.
