--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -66,7 +66,7 @@
     let mut breaks = member.breaks();
     if breaks.has_ended(now) && parting == Parting::Broken {
         drop(breaks);
-        return router.quarantine.note_ends(&[(fingerprint, now)], member.life_hash(), now);
+        return router.quarantine.note_ends(&[fingerprint], member.life_hash(), now);
     }
     breaks.lost.retain(|lost| now < lost.at + PROVED_AFTER);
     if breaks.lost.len() < MOST_LOST {
@@ -148,7 +148,7 @@
 /// Notes that a server's life ended: all that was at work there is suspected.
 pub(super) fn note_end(router: &Router, member: &Member, proof: Proof) {
     let now = router.now();
-    let lost = {
+    let (lost, ended_at) = {
         let heard_at = member.heard_at();
         let mut breaks = member.breaks();
         if proof != Proof::Refused && breaks.ended_at.is_some() {
@@ -159,13 +159,16 @@
             breaks.ended_at = Some(now);
         }
         let lost = std::mem::take(&mut breaks.lost);
+        let ended_at = first_break(&lost, heard_at).unwrap_or(now);
         // Whoever was left before the server last spoke was no longer at work there.
-        lost.into_iter()
+        let lost = lost
+            .into_iter()
             .filter(|lost| now < lost.at + PROVED_AFTER && heard_at < lost.at + READ_LATE)
             // What was left for the news of a next life may have been at work in that one.
             .filter(|lost| lost.parting == Parting::Broken || lost.at + READ_LATE < now)
-            .map(|lost| (lost.fingerprint, lost.at))
-            .collect::<Vec<_>>()
+            .map(|lost| lost.fingerprint)
+            .collect::<Vec<_>>();
+        (lost, ended_at)
     };
     member.note_unreachable(now);
     if lost.is_empty() {
@@ -177,5 +180,12 @@
         lost.len()
     ));
     router.metrics.server_ends.inc();
-    router.quarantine.note_ends(&lost, member.life_hash(), now);
+    router.quarantine.note_ends(&lost, member.life_hash(), ended_at);
+}
+
+/// When the first connection broke after the server last spoke: then it ended. The proof may come a second
+/// later, and then of several servers in one moment, which would count as one event.
+fn first_break(lost: &[Lost], heard_at: Duration) -> Option<Duration> {
+    let broken = lost.iter().filter(|lost| lost.parting == Parting::Broken);
+    broken.map(|lost| lost.at).filter(|at| heard_at < *at + READ_LATE).min()
 }
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -119,16 +119,11 @@
         self.own_changes.subscribe()
     }
 
-    /// Notes that a server's life ended while these requests were at work there; each ended with it when its
-    /// connection broke. The proof may come a second later, and then of several servers in one moment, which
-    /// would count as one event.
-    pub(crate) fn note_ends(&self, all: &[(Fingerprint, Duration)], life: LifeHash, now: Duration) {
-        let Some(ended_at) = all.iter().map(|(_, at)| *at).max() else {
-            return;
-        };
-        let life = self.lock().quarantine.name_of_end(life, ended_at);
-        let note = |(f, at): &(Fingerprint, Duration)| Note::End { fingerprint: *f, life, at: *at };
-        self.take_in(all.iter().map(note), true, now);
+    /// Notes that a server's life ended at a time while these requests were at work there.
+    pub(crate) fn note_ends(&self, all: &[Fingerprint], life: LifeHash, at: Duration) {
+        let life = self.lock().quarantine.name_of_end(life, at);
+        let note = |f: &Fingerprint| Note::End { fingerprint: *f, life, at };
+        self.take_in(all.iter().map(note), true, at);
     }
 
     /// Notes that a server answered a request whole, or that an operator lets it go; whether it was
