What is taken in of a table is a decision of its own, and a model of a store that comes back

The comparison of eras and versions lay in the feed; it is a pure function now (policy/catch_up.rs), the same for rows of the store and of a link.

--- /dev/null
+++ b/src/policy/catch_up.rs
@@ -0,0 +1,63 @@
+//! What is taken in of a table that the store or another entry shows.
+//!
+//! The store may come back from an older copy and give its versions out again, so the era goes before the version.
+
+use crate::ids::{Era, StoreVersion};
+
+/// How far a table was followed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Position {
+    /// None until all rows were read, and when they have to be read again.
+    pub at: Option<StoreVersion>,
+    /// Era of the last rows; none until there were any.
+    pub era: Option<Era>,
+}
+
+/// Rows that are shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// Newest transaction they cover.
+    pub version: StoreVersion,
+    /// Whether these are all rows, not only those that changed.
+    pub is_whole: bool,
+    /// Whether rows are among them that the store lost as it came back from a copy.
+    pub is_amended: bool,
+}
+
+/// What is taken in of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taking {
+    /// Nothing: they are known, or follow on rows that are not.
+    Nothing,
+    /// The configuration, where it is newer than the one in force: the store that was read has lost it.
+    Configuration,
+    /// What changed.
+    Changes,
+    /// All rows.
+    Whole,
+    /// All rows, the first since the store came back from an older copy.
+    Restored,
+}
+
+impl Position {
+    /// What to take in of rows that are shown here.
+    pub fn taking(&self, offer: &Offer) -> Taking {
+        let is_of_known_era = self.era.is_none_or(|era| era == offer.version.era);
+        if Some(offer.version) <= self.at || Some(offer.version.era) < self.era {
+            let is_lost = offer.is_amended && is_of_known_era;
+            return if is_lost { Taking::Configuration } else { Taking::Nothing };
+        }
+        match (offer.is_whole, is_of_known_era) {
+            (false, true) => Taking::Changes,
+            (true, true) => Taking::Whole,
+            (true, false) => Taking::Restored,
+            // Changes follow on rows of their own era.
+            (false, false) => Taking::Nothing,
+        }
+    }
+
+    /// Notes that all that is shown up to a version is taken in.
+    pub fn advance(&mut self, to: StoreVersion) {
+        *self = Self { at: Some(to), era: Some(to.era) };
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod cascade;
+pub mod catch_up;
 pub mod charge;
 pub mod choice;
 pub mod claim;
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -12,7 +12,10 @@
         },
         store::{Feed, Rows, StoreClient, Table},
     },
-    policy::lifecycle::LifecycleEvent,
+    policy::{
+        catch_up::{Offer, Position, Taking},
+        lifecycle::LifecycleEvent,
+    },
     router::{
         Fleet, Router,
         breaks::{self, Proof},
@@ -97,35 +100,48 @@
     }
 }
 
-/// How far a table was followed.
+/// A table that is followed.
 struct Followed {
     table: Table,
-    /// None until all rows were read, and when they have to be read again.
-    at: Option<StoreVersion>,
-    /// Era of the last rows; none until there were any.
-    era: Option<Era>,
+    position: Position,
     contact: Contact,
 }
 
 impl Followed {
-    /// Takes in rows, and hands them on to what they are for.
+    /// Takes in rows that are shown, as far as they are newer than what is known, and hands them on to what they
+    /// are for; false where they are older than what another entry told.
     fn take(
         &mut self,
         router: &Router,
         mut rows: Rows,
-        is_whole: bool,
+        offer: Offer,
         apply: &mut impl FnMut(Rows, Extent, &Contact),
-    ) {
-        let era = rows.version.era;
-        let extent = Extent::of(is_whole, self.era, era);
-        (self.at, self.era) = (Some(rows.version), Some(era));
+    ) -> bool {
+        let known = self.position.at;
+        let extent = match self.position.taking(&offer) {
+            Taking::Nothing => return Some(offer.version.era) >= self.position.era,
+            Taking::Configuration => {
+                rows.rows.retain(|row| is_configuration(&row.key));
+                apply(rows, Extent::Changes, &self.contact);
+                return true;
+            }
+            Taking::Changes => Extent::Changes,
+            Taking::Whole => Extent::Whole,
+            Taking::Restored => Extent::Restored,
+        };
+        self.position.advance(offer.version);
+        if extent == Extent::Changes {
+            // A removal may carry no version of its own.
+            rows.rows.retain(|row| row.version == 0 || Some(row.written_at()) > known);
+        }
         let is_restored = extent == Extent::Restored;
         if is_restored {
-            self.contact.note_restored(self.table, era, router.now());
+            self.contact.note_restored(self.table, offer.version.era, router.now());
         }
         let is_amended = is_restored && restore::amend(router, self.table, &mut rows);
-        router.views.note_amended(self.table, &rows, is_whole, is_amended);
+        router.views.note_amended(self.table, &rows, offer.is_whole, is_amended);
         apply(rows, extent, &self.contact);
+        true
     }
 
     /// Takes in all that another entry has passed on so far.
@@ -159,7 +175,8 @@
     table: Table,
     mut apply: impl FnMut(Rows, Extent, &Contact),
 ) {
-    let mut followed = Followed { table, at: None, era: None, contact: Contact::default() };
+    let (position, contact) = (Position::default(), Contact::default());
+    let mut followed = Followed { table, position, contact };
     wait_for_first_link(router).await;
     loop {
         if router.follows_link() {
@@ -173,7 +190,7 @@
             biased;
             // What the call was to wait for is long over.
             _ = wakes.changed() => continue,
-            news = ask_store(router, store, table, followed.at, is_urgent) => news,
+            news = ask_store(router, store, table, followed.position.at, is_urgent) => news,
         };
         if router.notice_suspension() {
             continue;
@@ -184,7 +201,7 @@
                 (rows, is_whole)
             }
             Ok(News::HistoryGone) => {
-                followed.at = None;
+                followed.position.at = None;
                 continue;
             }
             Err(e) => {
@@ -194,14 +211,14 @@
                 continue;
             }
         };
-        if Some(rows.version.era) < followed.era {
+        let is_first = followed.position.at.is_none();
+        let has_news = !rows.rows.is_empty();
+        let offer = Offer { version: rows.version, is_whole, is_amended: false };
+        if !followed.take(router, rows, offer, &mut apply) {
             // An answer from before the store came back, which another entry told of meanwhile.
             sleep(PAUSE).await;
             continue;
         }
-        let is_first = followed.at.is_none();
-        let has_news = !rows.rows.is_empty();
-        followed.take(router, rows, is_whole, &mut apply);
         note_applied(router, table);
         if is_first {
             wait_for_link(router, LINK_WAIT).await;
@@ -260,34 +277,15 @@
     followed: &mut Followed,
     apply: &mut impl FnMut(Rows, Extent, &Contact),
 ) {
-    let known = followed.at.unwrap_or_default();
-    let is_of_known_era = followed.era.is_none_or(|era| era == update.version.era);
-    if update.version <= known {
-        if update.is_amended && is_of_known_era {
-            // The store has lost a configuration that is newer than the one read from it.
-            let mut rows = update.into_rows();
-            rows.rows.retain(|row| is_configuration(&row.key));
-            apply(rows, Extent::Changes, &followed.contact);
-        }
-        return;
-    }
-    if !update.is_whole && !is_of_known_era {
-        // Changes follow on rows of their own era; a link begins with all of them.
-        return;
-    }
-    if followed.contact.is_lost {
-        event::PEER_VIEW_TAKEN.log(format_args!(
-            "table={:?} version={:?} before={known:?}",
-            update.table, update.version
-        ));
-    }
-    let is_whole = update.is_whole;
-    let mut rows = update.into_rows();
-    if !is_whole {
-        // A removal may carry no version of its own.
-        rows.rows.retain(|row| row.version == 0 || row.written_at() > known);
+    let TableUpdate { version, is_whole, is_amended, .. } = update;
+    let known = followed.position.at;
+    if followed.contact.is_lost && Some(version) > known {
+        let table = update.table;
+        event::PEER_VIEW_TAKEN
+            .log(format_args!("table={table:?} version={version:?} before={known:?}"));
     }
-    followed.take(router, rows, is_whole, apply);
+    // What is older than what the store told is left; the entry that is followed hears of that, too.
+    followed.take(router, update.into_rows(), Offer { version, is_whole, is_amended }, apply);
 }
 
 /// What is new about a table.
--- a/src/router/restore.rs
+++ b/src/router/restore.rs
@@ -5,7 +5,6 @@
 //! taken away.
 
 use crate::{
-    ids::Era,
     platform::{
         documents::{OperatorChange, is_configuration, read_operator_row},
         store::{Row, Rows, Table},
@@ -25,15 +24,6 @@
 }
 
 impl Extent {
-    /// That of rows of an era, after rows of another one.
-    pub(crate) fn of(is_whole: bool, before: Option<Era>, now: Era) -> Self {
-        match is_whole {
-            false => Self::Changes,
-            true if before.is_some_and(|before| before < now) => Self::Restored,
-            true => Self::Whole,
-        }
-    }
-
     /// Whether these are all rows.
     pub(crate) fn is_whole(self) -> bool {
         self != Self::Changes
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -9,3 +9,4 @@
 mod explore;
 mod lease;
 mod quarantine;
+mod restore;
