--- a/src/clock.rs
+++ b/src/clock.rs
@@ -40,8 +40,9 @@
 /// One process's clock.
 #[derive(Debug)]
 pub struct Clock {
-    /// What it shows when the process starts, less the time since boot.
+    /// Time since the Host started when this clock was made.
     started: Duration,
+    /// What it showed then.
     origin: Duration,
     compared: Mutex<Compared>,
     /// Suspensions noticed.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -38,6 +38,7 @@
 mod roll_out;
 mod run;
 mod serve;
+mod sight;
 mod silence;
 mod stages;
 mod state;
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -248,13 +248,16 @@
 /// written to it, and what was reported would reach nobody.
 pub(crate) async fn until_alive(socket: &mut Socket) -> Result<()> {
     socket.send(Message::Ping(Bytes::new())).await?;
-    loop {
-        let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
-        match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
-            Message::Pong(_) => return Ok(()),
-            Message::Close(_) => return Err(Error::Broken("the link ended".into())),
-            _ => {}
-        }
+    while !matches!(next_message(socket).await?, Message::Pong(_)) {}
+    Ok(())
+}
+
+/// The next message, unless the link ends or is silent for too long.
+async fn next_message(socket: &mut Socket) -> Result<Message> {
+    let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
+    match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
+        Message::Close(_) => Err(Error::Broken("the link ended".into())),
+        message => Ok(message),
     }
 }
 
@@ -267,11 +270,8 @@
 
 pub(crate) async fn hear<T: DeserializeOwned>(socket: &mut Socket) -> Result<T> {
     loop {
-        let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
-        match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
-            Message::Binary(data) => return decode(&data),
-            Message::Close(_) => return Err(Error::Broken("the link ended".into())),
-            _ => {}
+        if let Message::Binary(data) = next_message(socket).await? {
+            return decode(&data);
         }
     }
 }
--- /dev/null
+++ b/src/router/sight.rs
@@ -0,0 +1,68 @@
+//! What an entry shows of its state: metrics that are read on demand, and the dump.
+
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+
+use crate::{
+    router::Router,
+    telemetry::{admin::Admin, log::dropped_lines, metrics::ServiceLabels},
+};
+
+impl Router {
+    /// Brings the gauges up to date that nothing else keeps so.
+    fn refresh_gauges(&self) {
+        let now = self.now();
+        let age = now.saturating_sub(self.views.answered_at()).as_millis();
+        self.metrics.feed_age.set(i64::try_from(age).unwrap_or(i64::MAX));
+        let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
+        self.metrics.log_lines_dropped.set(dropped);
+        self.metrics.entries.set(self.entries().into());
+        let lost = i64::try_from(self.kept.lost()).unwrap_or(i64::MAX);
+        self.metrics.kept_notes_lost.set(lost);
+        let lost = i64::try_from(self.quarantine.lost()).unwrap_or(i64::MAX);
+        self.metrics.quarantine_notes_lost.set(lost);
+        let quarantined = self.quarantine.cases(true, now).len();
+        self.metrics.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+        let terms = self.send_terms();
+        let mut budgets = self.budgets.lock().expect("no panics under the lock");
+        for (service, budget) in budgets.iter_mut() {
+            let labels = ServiceLabels { service: service.to_string() };
+            self.metrics.repeats_left.get_or_create(&labels).set(budget.left(&terms, now) as i64);
+        }
+        let evacuated = self.evacuations.zones().len();
+        self.metrics.evacuated_zones.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
+        self.roll_outs.report(&self.metrics);
+    }
+
+    /// What the admin address serves.
+    pub(crate) fn admin(self: &Arc<Self>) -> Admin {
+        let (ready, dumped, shown) = (self.clone(), self.clone(), self.clone());
+        Admin {
+            render: Arc::new(move || {
+                shown.refresh_gauges();
+                shown.metrics.render()
+            }),
+            is_ready: Arc::new(move || ready.is_ready()),
+            dump: Arc::new(move || dumped.dump()),
+        }
+    }
+
+    /// The state dump; it holds no keys.
+    pub fn dump(&self) -> Value {
+        let table = self.table.load();
+        json!({
+            "host": self.settings.load().host,
+            "configuration": table.as_ref().as_ref().map(|t| t.version),
+            "in_flight": self.in_flight(),
+            "entries": self.entries(),
+            "follows_another_entry": self.follows_link(),
+            "quarantine": self.quarantine.dump(self.now()),
+            "era": self.views.era(),
+            "place": self.place().map(|place| json!([place.rank, place.entries])),
+            "evacuated": self.evacuations.dump(self.now()),
+            "roll_outs": self.roll_outs.dump(),
+            "servers": self.fleet.load().dump(self.now()),
+        })
+    }
+}
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -10,7 +10,6 @@
 };
 
 use arc_swap::ArcSwap;
-use serde_json::{Value, json};
 use tokio::{
     sync::{Notify, mpsc},
     time::timeout,
@@ -34,7 +33,7 @@
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
-    telemetry::{Metrics, admin::Admin, event, log::dropped_lines, metrics::ServiceLabels},
+    telemetry::{Metrics, event},
 };
 
 /// Time the balancer needs to see that this entry is no longer ready: two questions, a second
@@ -92,7 +91,7 @@
     pub(crate) link: Link,
     /// Metrics.
     pub metrics: Metrics,
-    budgets: Mutex<HashMap<Box<str>, SendBudget>>,
+    pub(super) budgets: Mutex<HashMap<Box<str>, SendBudget>>,
     extra_share: Mutex<ExtraShare>,
     overloads: Mutex<HashMap<Box<str>, Overload>>,
     lifecycle: Mutex<Lifecycle>,
@@ -342,73 +341,17 @@
     }
 
     /// Entries that this one knows of.
-    fn entries(&self) -> u32 {
+    pub(super) fn entries(&self) -> u32 {
         self.extra_share.lock().expect("no panics under the lock").entries()
     }
 
-    fn send_terms(&self) -> SendTerms {
+    pub(super) fn send_terms(&self) -> SendTerms {
         let settings = self.settings.load();
         let window = settings.retry_window;
         let share = self.extra_share.lock().expect("no panics under the lock");
         let extra = settings.retry_extra * share.part(window, self.now());
         SendTerms { ratio: settings.retry_ratio, extra, window }
     }
-
-    /// Brings the gauges up to date that nothing else keeps so.
-    fn refresh_gauges(&self) {
-        let now = self.now();
-        let age = now.saturating_sub(self.views.answered_at()).as_millis();
-        self.metrics.feed_age.set(i64::try_from(age).unwrap_or(i64::MAX));
-        let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
-        self.metrics.log_lines_dropped.set(dropped);
-        self.metrics.entries.set(self.entries().into());
-        let lost = i64::try_from(self.kept.lost()).unwrap_or(i64::MAX);
-        self.metrics.kept_notes_lost.set(lost);
-        let lost = i64::try_from(self.quarantine.lost()).unwrap_or(i64::MAX);
-        self.metrics.quarantine_notes_lost.set(lost);
-        let quarantined = self.quarantine.cases(true, now).len();
-        self.metrics.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
-        let terms = self.send_terms();
-        let mut budgets = self.budgets.lock().expect("no panics under the lock");
-        for (service, budget) in budgets.iter_mut() {
-            let labels = ServiceLabels { service: service.to_string() };
-            self.metrics.repeats_left.get_or_create(&labels).set(budget.left(&terms, now) as i64);
-        }
-        let evacuated = self.evacuations.zones().len();
-        self.metrics.evacuated_zones.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
-        self.roll_outs.report(&self.metrics);
-    }
-
-    /// What the admin address serves.
-    pub(crate) fn admin(self: &Arc<Self>) -> Admin {
-        let (ready, dumped, shown) = (self.clone(), self.clone(), self.clone());
-        Admin {
-            render: Arc::new(move || {
-                shown.refresh_gauges();
-                shown.metrics.render()
-            }),
-            is_ready: Arc::new(move || ready.is_ready()),
-            dump: Arc::new(move || dumped.dump()),
-        }
-    }
-
-    /// The state dump; it holds no keys.
-    pub fn dump(&self) -> Value {
-        let table = self.table.load();
-        json!({
-            "host": self.settings.load().host,
-            "configuration": table.as_ref().as_ref().map(|t| t.version),
-            "in_flight": self.in_flight(),
-            "entries": self.entries(),
-            "follows_another_entry": self.follows_link(),
-            "quarantine": self.quarantine.dump(self.now()),
-            "era": self.views.era(),
-            "place": self.place().map(|place| json!([place.rank, place.entries])),
-            "evacuated": self.evacuations.dump(self.now()),
-            "roll_outs": self.roll_outs.dump(),
-            "servers": self.fleet.load().dump(self.now()),
-        })
-    }
 }
 
 impl std::fmt::Debug for Router {
