--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -1,4 +1,4 @@
-//! Following the platform's store: the operator's orders and the servers.
+//! Following a table of the platform's store, by its own answers or by those that another entry passes on.
 
 use std::time::Duration;
 
@@ -7,23 +7,15 @@
 use crate::{
     ids::{Era, StoreVersion},
     platform::{
-        documents::{
-            OperatorChange, evacuated_zone, is_configuration, read_operator_row, status_key,
-        },
+        documents::is_configuration,
         store::{Feed, Rows, StoreClient, Table},
     },
-    policy::{
-        catch_up::{Offer, Position, Taking},
-        lifecycle::LifecycleEvent,
-    },
+    policy::catch_up::{Offer, Position, Taking},
     router::{
-        Fleet, Router,
-        breaks::{self, Proof},
-        listing::Listing,
+        Router,
         restore::{self, Extent},
         views::TableUpdate,
     },
-    routing::RoutingTable,
     telemetry::event,
 };
 
@@ -40,7 +32,7 @@
 /// them to ask the store themselves while a new configuration still has time.
 const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
 /// Pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(250);
+pub(super) const PAUSE: Duration = Duration::from_millis(250);
 /// The same for an entry that follows another one, which tells it of the store's return: in an outage
 /// of several seconds, 32 entries that asked four times a second made a third of a day's calls.
 const PAUSE_OF_FOLLOWERS: Duration = Duration::from_millis(2_000);
@@ -64,7 +56,7 @@
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
 /// Whether the store answers, for events and for judging removals.
 #[derive(Debug, Default)]
-struct Contact {
+pub(super) struct Contact {
     is_lost: bool,
     back_at: Option<Duration>,
 }
@@ -95,7 +87,7 @@
 
     /// Until when a server that is removed now may come back: its row may only have lapsed while
     /// the store was away. None when removals are sure.
-    fn doubtful_until(&self, now: Duration) -> Option<Duration> {
+    pub(super) fn doubtful_until(&self, now: Duration) -> Option<Duration> {
         self.back_at.map(|back| back + RETURN_TIME).filter(|until| now < *until)
     }
 }
@@ -169,7 +161,7 @@
 }
 
 /// Follows a table for ever; `apply` gets all rows first and then what changed.
-async fn follow(
+pub(super) async fn follow(
     router: &Router,
     store: &StoreClient,
     table: Table,
@@ -318,147 +310,3 @@
         Feed::HistoryGone => News::HistoryGone,
     })
 }
-
-/// Follows the operator's orders.
-pub(crate) async fn follow_orders(router: &Router, store: &StoreClient) {
-    follow(router, store, Table::Orders, |rows, extent, _| {
-        if extent.is_whole() {
-            withdraw_missing(router, &rows);
-        }
-        let is_start = router.table.load().is_none();
-        // The first configuration lets requests in: whatever bars servers is in force before.
-        let (configuration, others): (Vec<_>, Vec<_>) =
-            read_changes(&rows).partition(|c| matches!(c, OperatorChange::Configuration(_)));
-        for change in others.into_iter().chain(configuration) {
-            if extent == Extent::Restored && is_withdrawn(router, &change) {
-                continue;
-            }
-            apply_change(router, change, is_start);
-        }
-    })
-    .await;
-}
-
-/// Whether a change is a roll-out that was withdrawn before the store came back from a copy that still has it.
-fn is_withdrawn(router: &Router, change: &OperatorChange) -> bool {
-    matches!(change, OperatorChange::RollOut(order) if router.roll_outs.was_withdrawn(order))
-}
-
-fn read_changes(rows: &Rows) -> impl Iterator<Item = OperatorChange> {
-    rows.rows.iter().filter_map(|row| match read_operator_row(row) {
-        Ok(change) => change,
-        Err(e) => {
-            event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\""));
-            None
-        }
-    })
-}
-
-/// Withdraws the orders that are not among all rows.
-fn withdraw_missing(router: &Router, rows: &Rows) {
-    for zone in router.evacuations.zones() {
-        if !rows.rows.iter().any(|row| evacuated_zone(&row.key) == Some(&zone)) {
-            router.evacuations.end(&zone, router.now());
-        }
-    }
-    for order in router.roll_outs.orders() {
-        let key = status_key(&order.service);
-        if !rows.rows.iter().any(|row| row.key == key) {
-            router.roll_outs.withdraw(&order.service);
-        }
-    }
-}
-
-fn apply_change(router: &Router, change: OperatorChange, is_start: bool) {
-    match change {
-        OperatorChange::Configuration(table) => put_in_force(router, *table),
-        OperatorChange::RollOut(order) => {
-            let told =
-                format!("service={} to={} within={:?}", order.service, order.to, order.within);
-            if router.roll_outs.order(order, router.now(), is_start) {
-                event::ROLL_OUT_ORDERED.log(format_args!("{told}"));
-                note_versions(router);
-            }
-        }
-        OperatorChange::RollOutWithdrawn(service) => router.roll_outs.withdraw(&service),
-        OperatorChange::ZoneEvacuated(zone) => router.evacuations.begin(&zone, router.now()),
-        OperatorChange::ZoneTakenBack(zone) => router.evacuations.end(&zone, router.now()),
-    }
-}
-
-/// Puts a configuration in force if it is newer than the one that is.
-pub(crate) fn put_in_force(router: &Router, table: RoutingTable) {
-    let current = router.table.load().as_ref().as_ref().map_or(0, |t| t.version);
-    let version = table.version;
-    if version < current {
-        event::CONFIG_OLDER_SHOWN.log(format_args!("shown={version} in_force={current}"));
-        return;
-    }
-    if version == current {
-        return;
-    }
-    router.metrics.revision.set(i64::try_from(version).unwrap_or(i64::MAX));
-    router.put_table(table);
-    event::CONFIG_ADVANCED.log(format_args!("version={version} before={current}"));
-    if current == 0 {
-        router.advance(LifecycleEvent::Ready);
-        event::PROCESS_READY.log(format_args!("version={version}"));
-    }
-}
-
-/// Follows the list of servers.
-pub(crate) async fn follow_servers(router: &Router, store: &StoreClient) {
-    let listing = std::sync::Mutex::new(Listing::default());
-    let apply = |rows: Rows, extent: Extent, contact: &Contact| {
-        let mut listing = listing.lock().expect("no panics under the lock");
-        listing.apply(&rows, extent, contact.doubtful_until(router.now()), router.now());
-        if extent.is_whole() || !rows.rows.is_empty() {
-            publish(router, &listing);
-        }
-    };
-    let expire = async {
-        loop {
-            sleep(PAUSE).await;
-            router.notice_suspension();
-            let mut listing = listing.lock().expect("no panics under the lock");
-            if listing.expire(router.now()) {
-                publish(router, &listing);
-            }
-        }
-    };
-    tokio::join!(follow(router, store, Table::Servers, apply), expire);
-}
-
-fn publish(router: &Router, listing: &Listing) {
-    let before = router.fleet.load_full();
-    let next = before.with(listing.usable().cloned(), router.now());
-    let unreadable = listing.unreadable();
-    let cold = next.members().filter(|member| router.now() < member.cold_until()).count();
-    event::SERVERS_CHANGED
-        .log(format_args!("servers={} cold={cold} unreadable={unreadable}", next.len()));
-    router.metrics.rows_unreadable.set(i64::try_from(unreadable).unwrap_or(i64::MAX));
-    note_ends(router, listing, &before, &next);
-    router.put_fleet(next);
-    note_versions(router);
-}
-
-/// Takes servers that have started again, or are gone without having said so, as ended.
-fn note_ends(router: &Router, listing: &Listing, before: &Fleet, next: &Fleet) {
-    for member in before.gone_in(next).filter(|member| !member.server.is_leaving) {
-        let id = &member.server.id;
-        if next.has_id(id) {
-            breaks::note_end(router, member, Proof::StartedAgain);
-        } else if !listing.is_unreadable(id) {
-            breaks::note_end(router, member, Proof::Dropped);
-        }
-    }
-}
-
-fn note_versions(router: &Router) {
-    let fleet = router.fleet.load();
-    for order in router.roll_outs.running() {
-        for member in fleet.of_service(&order.service) {
-            router.roll_outs.note_servers(&order.service, &member.server.version);
-        }
-    }
-}
--- /dev/null
+++ b/src/router/orders.rs
@@ -0,0 +1,99 @@
+//! The operator's orders as the store has them: the configuration, roll-outs and evacuations.
+
+use crate::{
+    platform::{
+        documents::{OperatorChange, evacuated_zone, read_operator_row, status_key},
+        store::{Rows, StoreClient, Table},
+    },
+    policy::lifecycle::LifecycleEvent,
+    router::{Router, feed::follow, restore::Extent, servers::note_versions},
+    routing::RoutingTable,
+    telemetry::event,
+};
+
+/// Follows the operator's orders.
+pub(crate) async fn follow_orders(router: &Router, store: &StoreClient) {
+    follow(router, store, Table::Orders, |rows, extent, _| {
+        if extent.is_whole() {
+            withdraw_missing(router, &rows);
+        }
+        let is_start = router.table.load().is_none();
+        // The first configuration lets requests in: whatever bars servers is in force before.
+        let (configuration, others): (Vec<_>, Vec<_>) =
+            read_changes(&rows).partition(|c| matches!(c, OperatorChange::Configuration(_)));
+        for change in others.into_iter().chain(configuration) {
+            if extent == Extent::Restored && is_withdrawn(router, &change) {
+                continue;
+            }
+            apply_change(router, change, is_start);
+        }
+    })
+    .await;
+}
+
+/// Whether a change is a roll-out that was withdrawn before the store came back from a copy that still has it.
+fn is_withdrawn(router: &Router, change: &OperatorChange) -> bool {
+    matches!(change, OperatorChange::RollOut(order) if router.roll_outs.was_withdrawn(order))
+}
+
+fn read_changes(rows: &Rows) -> impl Iterator<Item = OperatorChange> {
+    rows.rows.iter().filter_map(|row| match read_operator_row(row) {
+        Ok(change) => change,
+        Err(e) => {
+            event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{e}\""));
+            None
+        }
+    })
+}
+
+/// Withdraws the orders that are not among all rows.
+fn withdraw_missing(router: &Router, rows: &Rows) {
+    for zone in router.evacuations.zones() {
+        if !rows.rows.iter().any(|row| evacuated_zone(&row.key) == Some(&zone)) {
+            router.evacuations.end(&zone, router.now());
+        }
+    }
+    for order in router.roll_outs.orders() {
+        let key = status_key(&order.service);
+        if !rows.rows.iter().any(|row| row.key == key) {
+            router.roll_outs.withdraw(&order.service);
+        }
+    }
+}
+
+fn apply_change(router: &Router, change: OperatorChange, is_start: bool) {
+    match change {
+        OperatorChange::Configuration(table) => put_in_force(router, *table),
+        OperatorChange::RollOut(order) => {
+            let told =
+                format!("service={} to={} within={:?}", order.service, order.to, order.within);
+            if router.roll_outs.order(order, router.now(), is_start) {
+                event::ROLL_OUT_ORDERED.log(format_args!("{told}"));
+                note_versions(router);
+            }
+        }
+        OperatorChange::RollOutWithdrawn(service) => router.roll_outs.withdraw(&service),
+        OperatorChange::ZoneEvacuated(zone) => router.evacuations.begin(&zone, router.now()),
+        OperatorChange::ZoneTakenBack(zone) => router.evacuations.end(&zone, router.now()),
+    }
+}
+
+/// Puts a configuration in force if it is newer than the one that is.
+pub(crate) fn put_in_force(router: &Router, table: RoutingTable) {
+    let current = router.table.load().as_ref().as_ref().map_or(0, |t| t.version);
+    let version = table.version;
+    if version < current {
+        event::CONFIG_OLDER_SHOWN.log(format_args!("shown={version} in_force={current}"));
+        return;
+    }
+    if version == current {
+        return;
+    }
+    router.metrics.revision.set(i64::try_from(version).unwrap_or(i64::MAX));
+    router.put_table(table);
+    event::CONFIG_ADVANCED.log(format_args!("version={version} before={current}"));
+    if current == 0 {
+        router.advance(LifecycleEvent::Ready);
+        event::PROCESS_READY.log(format_args!("version={version}"));
+    }
+}
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,7 +12,7 @@
         store::StoreClient,
     },
     router::{
-        Router, driver, feed, follow, listen, peers, quarantine_row, release, reports,
+        Router, driver, follow, listen, orders, peers, quarantine_row, release, reports, servers,
         state::{BALANCER, BEFORE_KILL},
     },
     settings::RouteSettings,
@@ -118,8 +118,8 @@
 ) {
     let work = async {
         tokio::join!(
-            feed::follow_orders(&router, &store),
-            feed::follow_servers(&router, &store),
+            orders::follow_orders(&router, &store),
+            servers::follow_servers(&router, &store),
             driver::drive_roll_outs(&router, &store),
             answer_peers(router.clone(), peers),
             follow::follow(&router),
