--- a/tests/platform/pool.rs
+++ b/tests/platform/pool.rs
@@ -141,9 +141,13 @@
     }
 }
 
-/// An address that nobody listens at, for an entry that others have to know before it starts.
+/// An address that nobody listens at, for an entry that others have to know before it starts. It is on a host
+/// address of its own: on the usual one, a connection that is opened meanwhile may be given its port.
 pub fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static GIVEN: AtomicUsize = AtomicUsize::new(0);
+    let [.., high, low] = GIVEN.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let host = std::net::Ipv4Addr::new(127, 1, high, low.max(1));
+    std::net::TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
 }
 
 /// Lists a server's next life a while after each end.
