Sight: a server's limit is read from its answers, told when it changes, and what is sent to it counted

Nothing decides by it yet. The header is decoded once, in src/platform/; several values on one answer: the smallest that can be read.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 
 use crate::{
-    policy::load::ReportedLoad,
+    policy::{load::ReportedLoad, rate_limit::SaidLimit},
     routing::{AnswerHead, AnswerKind, Organisation, PromptPart, RequestHead},
 };
 
@@ -32,6 +32,8 @@
 const NOT_RUN: &str = "x-not-executed";
 /// `running,waiting,slots` of the server.
 const LOAD: &str = "x-instance-load";
+/// Requests a second, a decimal number; only in the answers of a server in need.
+const RATE_LIMIT: &str = "server-limit";
 const CONFIDENCE: &str = "x-confidence";
 const AUTH_SCHEME: &str = "Bearer ";
 
@@ -172,6 +174,7 @@
         headers: without_hop_by_hop(headers),
         confidence: number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
         load: text(headers, LOAD).and_then(read_load),
+        rate_limit: read_rate_limit(headers),
         closes,
     }
 }
@@ -227,6 +230,13 @@
     value.split(',').filter_map(part).collect()
 }
 
+/// The limit that an answer names. Where it names several, the smallest is what the server surely takes.
+fn read_rate_limit(headers: &HeaderMap) -> SaidLimit {
+    let lines = headers.get_all(RATE_LIMIT).iter().map(|value| value.to_str().unwrap_or_default());
+    let said = lines.flat_map(|line| line.split(',')).map(SaidLimit::read);
+    said.reduce(SaidLimit::smaller).unwrap_or(SaidLimit::Nothing)
+}
+
 fn read_load(value: &str) -> Option<ReportedLoad> {
     let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
     let running = numbers.next()??;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,6 +26,7 @@
 pub mod patience;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod reading;
 pub mod retry;
 pub mod roll_out;
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     platform::headers::{AttemptHeaders, read_answer, write_attempt},
-    policy::{kept::PromptMark, patience::Patience},
+    policy::{kept::PromptMark, patience::Patience, rate_limit::SaidLimit},
     router::{
         Member, Router,
         connection::{self, Checkout, ConnectError, Connection},
@@ -19,6 +19,7 @@
         silence::{Wait, bear},
     },
     routing::{AnswerHead, AnswerKind, Request},
+    telemetry::event,
 };
 
 /// Counts a request as being at a server until it is dropped.
@@ -212,6 +213,23 @@
     } else {
         member.note_answer(router.now());
     }
+    if !is_foreign && head.kind != AnswerKind::OtherServer {
+        note_rate_limit(member, head.rate_limit);
+    }
+}
+
+/// Notes what a server says of its limit, and tells of each change.
+fn note_rate_limit(member: &Member, said: SaidLimit) {
+    let before = std::mem::replace(&mut member.record().rate_limit, said);
+    let server = &member.server.id;
+    match said {
+        _ if said == before => {}
+        SaidLimit::Rate(rate) => {
+            event::RATE_LIMIT_NAMED.log(format_args!("server={server} rate={rate}"));
+        }
+        SaidLimit::Nothing => event::RATE_LIMIT_ENDED.log(format_args!("server={server}")),
+        SaidLimit::Unreadable => event::RATE_LIMIT_UNREADABLE.log(format_args!("server={server}")),
+    }
 }
 
 fn note_error(router: &Router, member: &Member, e: &AttemptError) {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -10,6 +10,7 @@
     policy::{
         attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
         patience::head_patience,
+        rate_limit::SaidLimit,
     },
     router::{
         Member, Router,
@@ -193,6 +194,9 @@
             // Another request took what the server may get: the choice is made anew.
             continue;
         }
+        if matches!(member.record().rate_limit, SaidLimit::Rate(_)) {
+            router.metrics.count_limited(if job.attempts.is_empty() { "first" } else { "further" });
+        }
         match try_at(router, job, &member, ask).await {
             Ok(answer) if answer.head.kind == AnswerKind::Success => return Ok(answer),
             Ok(answer) => failed = Some(answer),
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -19,6 +19,7 @@
         outlier::{Outlier, OutlierRules},
         placement::{Candidate, hash_id},
         quarantine::LifeHash,
+        rate_limit::SaidLimit,
     },
     router::{breaks::Breaks, connection::IdleConnection},
     routing::{BackendServer, ServerVersion},
@@ -56,6 +57,8 @@
     pub(crate) is_replaced: bool,
     /// Sends of this entry while it was cold.
     cold_sends: ColdSends,
+    /// Limit that its last answer named.
+    pub(crate) rate_limit: SaidLimit,
     /// When nobody last listened at its address.
     unreachable_at: Option<Duration>,
 }
--- a/src/routing/answer.rs
+++ b/src/routing/answer.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, StatusCode};
 
-use crate::policy::load::ReportedLoad;
+use crate::policy::{load::ReportedLoad, rate_limit::SaidLimit};
 
 /// What an answer proves about its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -34,6 +34,8 @@
     pub confidence: Option<u8>,
     /// How loaded the server says it is.
     pub load: Option<ReportedLoad>,
+    /// How many requests it says it takes.
+    pub rate_limit: SaidLimit,
     /// Whether the server asks that the connection not be used again.
     pub closes: bool,
 }
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -87,6 +87,9 @@
     QUARANTINE_TRIAL = 513, Warn, "A refused request is sent to one server to see whether it still ends it.";
     QUARANTINE_KEPT = 514, Info, "Requests that are refused were written to the store.";
     QUARANTINE_RELEASED = 515, Warn, "An operator let a request go that was refused or suspected.";
+    RATE_LIMIT_NAMED = 516, Warn, "A BackendServer names in its answers how many requests a second it takes.";
+    RATE_LIMIT_ENDED = 517, Info, "A BackendServer names no limit any more.";
+    RATE_LIMIT_UNREADABLE = 518, Error, "A BackendServer names a limit that is no number of requests; it is passed over.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; it takes no new sessions here.";
     ROLL_OUT_MOVED = 601, Info, "The guard wrote a roll-out's next step.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write met a newer one by someone else and was dropped.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -63,6 +63,13 @@
     pub outcome: String,
 }
 
+/// Labels of what was done with sends to servers that name a limit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitedLabels {
+    /// `first` or `further` where it was sent.
+    pub outcome: String,
+}
+
 /// Labels of the evidence on a version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EvidenceLabels {
@@ -110,6 +117,8 @@
     pub repeats_left: Family<ServiceLabels, Gauge>,
     /// Repeated sends asked of the budget, by service: taken or denied.
     pub repeats: Family<RepeatLabels, Counter>,
+    /// Sends to servers that name a limit.
+    pub limited_sends: Family<LimitedLabels, Counter>,
     /// Evidence on versions under roll-out.
     pub evidence: Family<EvidenceLabels, Gauge>,
     /// Requests or attempts in flight.
@@ -152,6 +161,7 @@
             server_ends: Counter::default(),
             repeats_left: Family::default(),
             repeats: Family::default(),
+            limited_sends: Family::default(),
             evidence: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -198,6 +208,8 @@
         registry.register("repeats_left", "Repeated sends still allowed", left);
         let repeats = self.repeats.clone();
         registry.register("repeats", "Repeated sends taken and denied", repeats);
+        let limited = self.limited_sends.clone();
+        registry.register("limited_sends", "Sends to servers that name a limit", limited);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("queued", "Attempts queued", self.queued.clone());
@@ -238,6 +250,11 @@
         self.repeats.get_or_create(&labels).inc();
     }
 
+    /// Counts a send to a server that names a limit.
+    pub fn count_limited(&self, outcome: &str) {
+        self.limited_sends.get_or_create(&LimitedLabels { outcome: outcome.into() }).inc();
+    }
+
     /// Counts one call to the table service.
     pub fn count_store_call(&self, cause: &str) {
         self.store_calls.get_or_create(&StoreLabels { cause: cause.into() }).inc();
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -57,6 +57,7 @@
     metrics.attempts.get_or_create(&attempts).inc();
     let stages = StageLabels { model: "m".into(), outcome: "passed".into() };
     metrics.stages.get_or_create(&stages).inc();
+    metrics.count_limited("first");
     metrics.repeats_left.get_or_create(&ServiceLabels { service: "s".into() }).set(1);
     let (service, version, count) = ("s".into(), "new".into(), "answers".into());
     metrics.evidence.get_or_create(&EvidenceLabels { service, version, count }).set(1);
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -10,6 +10,7 @@
         host_settings,
         store::{Put, StoreClient, Table, WriteOutcome},
     },
+    policy::rate_limit::SaidLimit,
     routing::{AnswerKind, Organisation},
 };
 
@@ -133,6 +134,30 @@
     }
 }
 
+#[test]
+fn the_limit_that_an_answer_names_is_read() {
+    let cases: [(&[&str], SaidLimit); 11] = [
+        (&[], SaidLimit::Nothing),
+        (&["1.9"], SaidLimit::Rate(1.9)),
+        (&[" 0 "], SaidLimit::Rate(0.0)),
+        (&["1e9"], SaidLimit::Rate(1e9)),
+        (&["2.4", "1.9"], SaidLimit::Rate(1.9)),
+        (&["2.4, 1.9"], SaidLimit::Rate(1.9)),
+        (&["few", "1.9"], SaidLimit::Rate(1.9)),
+        (&["few"], SaidLimit::Unreadable),
+        (&["-1"], SaidLimit::Unreadable),
+        (&["NaN"], SaidLimit::Unreadable),
+        (&["inf"], SaidLimit::Unreadable),
+    ];
+    for (lines, wanted) in cases {
+        let mut named = HeaderMap::new();
+        lines.iter().for_each(|line| {
+            named.append("server-limit", line.parse().unwrap());
+        });
+        assert_eq!(read_answer(StatusCode::OK, &named, "r").rate_limit, wanted, "{lines:?}");
+    }
+}
+
 const SETTINGS: &str = r#"
 node-name: "edge-a-1"
 zone: "a"
