--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -7,7 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -18,8 +18,9 @@
 };
 
 /// A request as it reached the server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Seen {
+    pub at: Instant,
     pub line: String,
     pub headers: HashMap<String, String>,
     pub body: Vec<u8>,
@@ -95,6 +96,8 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     open: Arc<AtomicUsize>,
+    /// Requests a second that it names in its answers, as it writes them; none where it is not in need.
+    limit: Arc<Mutex<Vec<String>>>,
     /// Number of its present life, from 0, and how far that got.
     life: Arc<watch::Sender<(usize, Life)>>,
 }
@@ -107,6 +110,7 @@
             address: listener.local_addr().unwrap(),
             seen: Arc::default(),
             open: Arc::default(),
+            limit: Arc::default(),
             life: Arc::new(watch::Sender::new((0, Life::Alive))),
         };
         let script: Script = Arc::new(script);
@@ -154,6 +158,11 @@
         lives.wait_for(holds).await.expect("the server is still here");
     }
 
+    /// Names a limit in its answers from now on, on a line for each of these; none ends it.
+    pub fn name_limit(&self, lines: &[&str]) {
+        *self.limit.lock().unwrap() = lines.iter().map(|line| (*line).to_owned()).collect();
+    }
+
     /// Ends its life at once, with all its connections.
     pub fn crash(&self) {
         self.life.send_modify(|state| state.1 = Life::Ending);
@@ -181,7 +190,8 @@
             self.open.fetch_add(1, Ordering::SeqCst);
             let act = script(&seen);
             let ends = matches!(act, Act::Crash { .. });
-            let goes_on = answer(&mut stream, &seen, act).await;
+            let limit = self.limit.lock().unwrap().clone();
+            let goes_on = answer(&mut stream, &seen, act, &limit).await;
             if ends {
                 let life = self.life.borrow().0;
                 self.crash();
@@ -219,13 +229,14 @@
         let n = stream.read(&mut chunk).await.ok().filter(|n| *n > 0)?;
         body.extend_from_slice(&chunk[..n]);
     }
-    Some(Seen { line, headers, body })
+    Some(Seen { at: Instant::now(), line, headers, body })
 }
 
 /// Does it; whether the connection goes on.
-async fn answer(stream: &mut TcpStream, seen: &Seen, act: Act) -> bool {
+async fn answer(stream: &mut TcpStream, seen: &Seen, act: Act, limit: &[String]) -> bool {
     let id = seen.header("x-request-id");
-    let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n");
+    let limit: String = limit.iter().map(|line| format!("Server-Limit: {line}\r\n")).collect();
+    let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n{limit}");
     let whole = |status: u16, headers: &str, body: &str| {
         format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
     };
@@ -239,7 +250,7 @@
         Act::CutAnswer => {
             (format!("HTTP/1.1 200 X\r\n{signed}Content-Length: 100\r\n\r\nhalf"), false)
         }
-        Act::Shed => (whole(503, "X-Not-Executed: 1\r\n", ""), true),
+        Act::Shed => (whole(503, &format!("X-Not-Executed: 1\r\n{limit}"), ""), true),
         Act::OtherServer => (whole(421, "X-Instance-Id: i-other\r\n", ""), true),
         Act::WrongId => (whole(200, "X-Request-Id: other\r\nX-Instance-Stamp: s\r\n", "no"), true),
         Act::Unsigned => (whole(200, &format!("X-Request-Id: {id}\r\n"), "no"), true),
