A limit that a server names holds for all entries together

What callers saw: nothing; a server in need got 56 requests in 4 s where all entries together may send 16.

Ruled out by its counters: a limit that each entry keeps for itself, and a second way round the first sends.

Change: what a cold server bears and what a server names are both sends a second over all entries, so one gate serves both, the smaller one counts, and every send passes it (policy/rate_limit.rs, router/send_rules.rs in place of cold_limit.rs). What one entry hears is told to the seeds at once and by them to all (policy/limit_news.rs, router/limit_board.rs); each change that is heard from the server itself has the next number, so no clocks are compared, an answer that was overtaken ends nothing, and news does not go round. A new life of a server has no limit. The rate is no longer floored: 1.9 a second gave one entry one a second.

Why it holds: at the moment of sending each entry has at most its share of the server's word, and all shares add up to it.

--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -1,4 +1,25 @@
 //! How many requests a second a server takes, over all entries, where it takes few.
+//!
+//! A server that has just started bears a number of sends a second, and a server in need names one in its
+//! answers. Entries don't ask each other before they send. So each server has a few entries of its own: the
+//! entries are in one order, by the names of their Hosts, and each server's begin at a place that its hash
+//! gives. These share what it takes; all others pass it over.
+//!
+//! Two views of how many entries there are differ by the entries that have just come or gone, and move each
+//! server's first place by as many at most: views that differ by `d` let `2 d` entries more send. With equal
+//! parts for all entries, each part is rounded up to one, and a hundred entries send a hundred at once.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::policy::place::Place;
+
+/// Requests a second, over all entries.
+pub type Rate = f64;
+
+/// Least that a limit counts for, whatever its server names: only its answers tell that its need is over.
+pub const LEAST_NAMED: Rate = 0.05;
+/// Least rate that is told apart from none, so that no window is without end.
+const LEAST_RATE: Rate = 1e-3;
 
 /// What the head of an answer says of its server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -6,8 +27,8 @@
     /// Nothing: the server takes what it has places for.
     #[default]
     Nothing,
-    /// Requests a second, over all entries.
-    Rate(f64),
+    /// So many requests a second.
+    Rate(Rate),
     /// Something that is no number of requests, so nothing is known.
     Unreadable,
 }
@@ -15,13 +36,14 @@
 impl SaidLimit {
     /// Reads what a server names.
     pub fn read(text: &str) -> Self {
-        match text.trim().parse::<f64>() {
+        match text.trim().parse::<Rate>() {
             Ok(rate) if rate.is_finite() && rate >= 0.0 => Self::Rate(rate),
             _ => Self::Unreadable,
         }
     }
 
     /// The smaller of two limits that one answer names; one that can be read goes before one that can't.
+    #[must_use]
     pub fn smaller(self, other: Self) -> Self {
         match (self, other) {
             (Self::Rate(a), Self::Rate(b)) => Self::Rate(a.min(b)),
@@ -30,3 +52,72 @@
         }
     }
 }
+
+/// What one entry may send to one server under a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowance {
+    /// Sends in any window of this length.
+    pub sends: u32,
+    /// A second or longer, so that no second has more sends than that.
+    pub window: Duration,
+}
+
+impl Allowance {
+    /// The least: what an entry may send that does not know its place, and only where nobody else can serve.
+    pub fn least(rate: Rate) -> Self {
+        Self { sends: 1, window: window(1, rate).max(Duration::from_secs(1)) }
+    }
+}
+
+/// Time for which a server takes so many requests.
+fn window(sends: u32, rate: Rate) -> Duration {
+    Duration::from_secs_f64(f64::from(sends) / rate.max(LEAST_RATE))
+}
+
+/// What an entry may send to the server with this hash, which takes `rate` from all entries; none where other
+/// entries send to it.
+///
+/// All senders together may send the next whole number of requests in the time, a second or more, for which the
+/// server takes as many: so nothing of a fraction is lost, and no second has more than that number.
+pub fn allowance(rate: Rate, place: Place, server: u64) -> Option<Allowance> {
+    let whole = (rate.ceil() as u32).max(1);
+    let entries = place.entries.max(1);
+    let senders = entries.min(whole);
+    // Scaled, not taken modulo: one entry more moves the first place by one at most.
+    let first = ((u128::from(server) * u128::from(entries)) >> 64) as u32;
+    let turn = (place.rank + entries - first) % entries;
+    if turn >= senders {
+        return None;
+    }
+    let sends = whole / senders + u32::from(turn < whole % senders);
+    Some(Allowance { sends, window: window(whole, rate) })
+}
+
+/// Sends of this entry to one server under a limit, those of the last window.
+#[derive(Clone, Debug, Default)]
+pub struct LimitedSends {
+    at: VecDeque<Duration>,
+}
+
+impl LimitedSends {
+    /// Whether one more may be made now.
+    pub fn may_send(&self, allowance: &Allowance, now: Duration) -> bool {
+        self.next_at(allowance, now) <= now
+    }
+
+    /// When the next one may be made.
+    pub fn next_at(&self, allowance: &Allowance, now: Duration) -> Duration {
+        let Some(first) = self.at.len().checked_sub(allowance.sends.max(1) as usize) else {
+            return now;
+        };
+        self.at[first] + allowance.window
+    }
+
+    /// Notes one that is made now.
+    pub fn note(&mut self, allowance: &Allowance, now: Duration) {
+        while self.at.front().is_some_and(|at| *at + allowance.window <= now) {
+            self.at.pop_front();
+        }
+        self.at.push_back(now);
+    }
+}
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     platform::headers::{AttemptHeaders, read_answer, write_attempt},
-    policy::{kept::PromptMark, patience::Patience, rate_limit::SaidLimit},
+    policy::{kept::PromptMark, patience::Patience},
     router::{
         Member, Router,
         connection::{self, Checkout, ConnectError, Connection},
@@ -19,7 +19,6 @@
         silence::{Wait, bear},
     },
     routing::{AnswerHead, AnswerKind, Request},
-    telemetry::event,
 };
 
 /// Counts a request as being at a server until it is dropped.
@@ -147,6 +146,7 @@
     let reading = router.readings.get(plan.reading_key).reading_time(plan.unread_tokens);
     let ahead = plan.member.backlog(router.now());
     let mut at_server = AtServer::enter(plan.member, reading);
+    let sent_at = router.now();
     note_sent(router, plan);
     // By the runtime's clock: a suspension says nothing about the server's pace.
     let began = Instant::now();
@@ -160,7 +160,7 @@
     plan.member.note_heard(router.now());
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &job.req.head.id);
-    note_head(router, plan.member, &head);
+    note_head(router, plan.member, &head, sent_at);
     let (tokens, took) = (plan.unread_tokens, began.elapsed());
     let is_slow = router.readings.get(plan.reading_key).is_slow(tokens, took);
     if head.kind == AnswerKind::Success {
@@ -206,7 +206,7 @@
     }
 }
 
-fn note_head(router: &Router, member: &Member, head: &AnswerHead) {
+fn note_head(router: &Router, member: &Member, head: &AnswerHead, sent_at: Duration) {
     let is_foreign = matches!(head.kind, AnswerKind::Misplaced | AnswerKind::Unsigned);
     if is_foreign || head.status.is_server_error() {
         member.note_failure(router.now());
@@ -214,21 +214,7 @@
         member.note_answer(router.now());
     }
     if !is_foreign && head.kind != AnswerKind::OtherServer {
-        note_rate_limit(member, head.rate_limit);
-    }
-}
-
-/// Notes what a server says of its limit, and tells of each change.
-fn note_rate_limit(member: &Member, said: SaidLimit) {
-    let before = std::mem::replace(&mut member.record().rate_limit, said);
-    let server = &member.server.id;
-    match said {
-        _ if said == before => {}
-        SaidLimit::Rate(rate) => {
-            event::RATE_LIMIT_NAMED.log(format_args!("server={server} rate={rate}"));
-        }
-        SaidLimit::Nothing => event::RATE_LIMIT_ENDED.log(format_args!("server={server}")),
-        SaidLimit::Unreadable => event::RATE_LIMIT_UNREADABLE.log(format_args!("server={server}")),
+        router.note_said_limit(member, head, sent_at);
     }
 }
 
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -49,7 +49,7 @@
             && may_be(&server.id)
     };
     let mut members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
-    spare_cold(router, &job.service, &mut members);
+    spare_limited(router, &job.service, &mut members);
     if members.iter().any(|m| !m.is_unannounced(now)) {
         members.retain(|m| !m.is_unannounced(now));
     }
@@ -63,16 +63,16 @@
     Some(members[chosen].clone())
 }
 
-/// Leaves out servers that have just started and can't be sent more from here now.
-fn spare_cold(router: &Router, service: &str, members: &mut Vec<&Arc<Member>>) {
-    let Some(terms) = router.cold_terms(service) else {
+/// Leaves out servers that take few requests and can't be sent more from here now.
+fn spare_limited(router: &Router, service: &str, members: &mut Vec<&Arc<Member>>) {
+    let Some(rules) = router.send_rules(service) else {
         return;
     };
     let (open, spared): (Vec<_>, Vec<_>) =
-        members.iter().copied().partition(|member| router.may_send(member, &terms));
+        members.iter().copied().partition(|member| rules.may_send(member));
     *members = open;
     if members.is_empty() {
-        members.extend(spared.into_iter().filter(|member| router.may_send_at_least(member)));
+        members.extend(spared.into_iter().filter(|member| rules.may_send_at_least(member)));
     }
 }
 
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -10,7 +10,6 @@
     policy::{
         attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
         patience::head_patience,
-        rate_limit::SaidLimit,
     },
     router::{
         Member, Router,
@@ -19,6 +18,7 @@
         choice::{marks, pick, reading_key},
         refusal::Refusal,
         roll_out::RunOutcome,
+        send_rules::Taken,
         serve::InFlight,
     },
     routing::{AnswerKind, Fingerprint, Organisation, Request, Route, RouteKind},
@@ -142,6 +142,11 @@
         self.unreachable.iter().any(|unreachable| **unreachable == *server)
     }
 
+    /// The next send in metrics.
+    fn kind_of_send(&self) -> &'static str {
+        if self.attempts.is_empty() { "first" } else { "further" }
+    }
+
     fn has_tried(&self, server: &str) -> bool {
         self.tried.iter().any(|tried| **tried == *server)
     }
@@ -190,12 +195,11 @@
         if job.arrivals > 0 && !job.take_repeat(router) {
             return failed.ok_or_else(|| job.refusal(router));
         }
-        if !router.take_send(&member) {
-            // Another request took what the server may get: the choice is made anew.
-            continue;
-        }
-        if matches!(member.record().rate_limit, SaidLimit::Rate(_)) {
-            router.metrics.count_limited(if job.attempts.is_empty() { "first" } else { "further" });
+        match router.take_send(&member) {
+            Taken::Free => {}
+            Taken::Limited => router.metrics.count_limited(job.kind_of_send()),
+            // The choice is made anew.
+            Taken::Denied => continue,
         }
         match try_at(router, job, &member, ask).await {
             Ok(answer) if answer.head.kind == AnswerKind::Success => return Ok(answer),
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -12,14 +12,13 @@
 
 use crate::{
     policy::{
-        cold::{Allowance, ColdSends},
         failure_rate::FailureRate,
         kept::{KeptParts, PromptMark},
         load::LoadBelief,
         outlier::{Outlier, OutlierRules},
         placement::{Candidate, hash_id},
         quarantine::LifeHash,
-        rate_limit::SaidLimit,
+        rate_limit::{Allowance, LimitedSends},
     },
     router::{breaks::Breaks, connection::IdleConnection},
     routing::{BackendServer, ServerVersion},
@@ -36,6 +35,9 @@
     most_out: 0.7,
 };
 
+/// Time after which it is told again that a server's limit can't be read: each answer may name it.
+const TOLD_AGAIN: Duration = Duration::from_secs(60);
+
 /// What this entry has learned about one life of a server.
 #[derive(Debug, Default)]
 pub(crate) struct Record {
@@ -55,10 +57,10 @@
     pub(crate) heard_at: Duration,
     /// Whether another server answered at its address.
     pub(crate) is_replaced: bool,
-    /// Sends of this entry while it was cold.
-    cold_sends: ColdSends,
-    /// Limit that its last answer named.
-    pub(crate) rate_limit: SaidLimit,
+    /// Sends of this entry while it took few.
+    limited_sends: LimitedSends,
+    /// When it last named a limit that could not be read.
+    limit_unreadable_at: Option<Duration>,
     /// When nobody last listened at its address.
     unreachable_at: Option<Duration>,
 }
@@ -111,21 +113,31 @@
         self.record().unreachable_at
     }
 
-    /// Whether this entry may send to it while it is cold.
-    pub(crate) fn may_send_cold(&self, allowance: &Allowance, now: Duration) -> bool {
-        self.record().cold_sends.may_send(allowance, now)
+    /// Whether this entry may send to it while it takes few.
+    pub(crate) fn may_send_limited(&self, allowance: &Allowance, now: Duration) -> bool {
+        self.record().limited_sends.may_send(allowance, now)
     }
 
-    /// Takes a send to it from what this entry may send while it is cold; whether there was one.
-    pub(crate) fn take_cold_send(&self, allowance: &Allowance, now: Duration) -> bool {
+    /// Takes a send to it from what this entry may send while it takes few; whether there was one.
+    pub(crate) fn take_limited_send(&self, allowance: &Allowance, now: Duration) -> bool {
         let mut record = self.record();
-        let may = record.cold_sends.may_send(allowance, now);
+        let may = record.limited_sends.may_send(allowance, now);
         if may {
-            record.cold_sends.note(allowance, now);
+            record.limited_sends.note(allowance, now);
         }
         may
     }
 
+    /// Notes that it named a limit that can't be read; whether that is to be told.
+    pub(crate) fn note_unreadable_limit(&self, now: Duration) -> bool {
+        let mut record = self.record();
+        let is_due = record.limit_unreadable_at.is_none_or(|at| now >= at + TOLD_AGAIN);
+        if is_due {
+            record.limit_unreadable_at = Some(now);
+        }
+        is_due
+    }
+
     pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
         self.life.record.lock().expect("no panics under the lock")
     }
@@ -322,6 +334,16 @@
         listed.is_some_and(|listed| Arc::ptr_eq(&listed.life, &member.life))
     }
 
+    /// Whether a server's life with this hash is in view.
+    pub(crate) fn has_life_hash(&self, life: LifeHash) -> bool {
+        self.by_life(life).is_some()
+    }
+
+    /// The server whose life has this hash.
+    pub(crate) fn by_life(&self, life: LifeHash) -> Option<&Arc<Member>> {
+        self.by_short_hash(life as u32).filter(|member| member.life_hash() == life)
+    }
+
     /// Whether a server of this id is in view.
     pub(crate) fn has_id(&self, id: &str) -> bool {
         self.members.contains_key(id)
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -7,7 +7,7 @@
 use crate::{
     ids::StoreVersion,
     platform::host_settings::HostSettings,
-    policy::cold::Place,
+    policy::place::Place,
     protocol::{Error, Result},
     router::{
         Router,
@@ -154,7 +154,8 @@
 
 /// Takes in a heartbeat; whether the store answers the entry that sent it.
 fn take_beat(router: &Router, told: Told) -> Result<bool> {
-    let Told::Beat { is_current, updates, entries, rank, loads, kept, ends, is_informed } = told
+    let Told::Beat { is_current, updates, entries, rank, loads, kept, ends, is_informed, limits } =
+        told
     else {
         return Err(Error::Broken("a second welcome".into()));
     };
@@ -169,12 +170,13 @@
     }
     let entries = u32::try_from(entries).unwrap_or(u32::MAX);
     if let Some(rank) = rank.filter(|rank| *rank < entries) {
-        router.cold.hear_place(Place { rank, entries }, router.now());
+        router.heard_place.hear(Place { rank, entries }, router.now());
     }
     let fleet = router.fleet.load_full();
     router.loads.apply(&loads, &fleet, router.now());
     router.kept.apply(&kept, &fleet);
     router.quarantine.take_told(&ends, router.now());
+    router.take_told_limits(&limits);
     if is_informed && router.quarantine.note_informed() {
         router.tell_news();
     }
--- /dev/null
+++ b/src/router/limit_board.rs
@@ -0,0 +1,287 @@
+//! What entries tell each other about servers that name a limit.
+//!
+//! An answer tells one entry, and the limit is for all of them: a hundred that each learn it by a send of their own
+//! are a hundred sends. So each entry tells the seeds what it heard from a server itself, and the seeds tell all
+//! that follow them: at once where others send too much meanwhile, and with the next heartbeat otherwise.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::{
+    policy::{
+        limit_news::{Change, LimitBelief, LimitNews},
+        quarantine::LifeHash,
+        rate_limit::{Rate, SaidLimit},
+    },
+    router::{Fleet, Member, Router},
+    routing::{AnswerHead, AnswerKind},
+    telemetry::event,
+};
+
+/// Servers told of in one message at most, 1.4 KB; the others follow with the next ones.
+const MOST_TOLD: usize = 64;
+/// Time for which a server that is out of view is remembered: news of it may be under way, or the list be late.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// A server's limit on its way: its life, the counts of the news, and the rate, none where it has ended. Numbers
+/// without names take 22 bytes instead of 60.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ToldLimit(LifeHash, u32, u32, Option<Rate>);
+
+impl ToldLimit {
+    fn new(life: LifeHash, news: LimitNews) -> Self {
+        Self(life, news.change, news.again, news.rate)
+    }
+
+    fn read(self) -> (LifeHash, LimitNews) {
+        let Self(life, change, again, rate) = self;
+        let rate = rate.filter(|rate| rate.is_finite() && *rate > 0.0);
+        (life, LimitNews { change, again, rate })
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    belief: LimitBelief,
+    /// Number of the last news.
+    number: u64,
+    /// Whether this entry had them from the server itself.
+    is_own: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    servers: HashMap<LifeHash, Known>,
+    /// Number of the next news.
+    next: u64,
+}
+
+/// A change of what is known of a server's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Changed {
+    pub(crate) life: LifeHash,
+    pub(crate) before: Option<Rate>,
+    pub(crate) rate: Option<Rate>,
+}
+
+/// The limits that an entry knows of.
+#[derive(Debug)]
+pub(crate) struct LimitBoard {
+    inner: Mutex<Inner>,
+    /// Whether no server ever named one; then nothing is locked.
+    is_idle: AtomicBool,
+    /// Counts changes that others have to know at once.
+    urgent: watch::Sender<u64>,
+    /// Counts those of them that this entry heard from a server itself.
+    own_urgent: watch::Sender<u64>,
+}
+
+impl Default for LimitBoard {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            is_idle: AtomicBool::new(true),
+            urgent: watch::Sender::new(0),
+            own_urgent: watch::Sender::new(0),
+        }
+    }
+}
+
+impl LimitBoard {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panics under the lock")
+    }
+
+    /// Whether no server ever named a limit.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.is_idle.load(Ordering::Acquire)
+    }
+
+    /// What is known of the limit of one life of a server.
+    pub(crate) fn belief(&self, life: LifeHash) -> LimitBelief {
+        if self.is_idle() {
+            return LimitBelief::default();
+        }
+        self.lock().servers.get(&life).map(|known| known.belief).unwrap_or_default()
+    }
+
+    /// Tells of each change that others have to know at once, from now on.
+    pub(crate) fn urgent(&self) -> watch::Receiver<u64> {
+        self.urgent.subscribe()
+    }
+
+    /// The same of those that this entry heard from a server itself.
+    pub(crate) fn own_urgent(&self) -> watch::Receiver<u64> {
+        self.own_urgent.subscribe()
+    }
+
+    /// Takes in what a server's answer says to a request that was sent at `sent_at`; what changed by it.
+    pub(crate) fn hear(
+        &self,
+        life: LifeHash,
+        said: SaidLimit,
+        sent_at: Duration,
+        now: Duration,
+    ) -> Option<Changed> {
+        if self.is_idle() && !matches!(said, SaidLimit::Rate(_)) {
+            return None;
+        }
+        self.change(life, true, |belief| belief.hear(said, sent_at, now))
+    }
+
+    /// Takes in what another entry tells; what changed by it.
+    pub(crate) fn take_told(&self, told: &[ToldLimit], now: Duration) -> Vec<Changed> {
+        let take = |told: &ToldLimit| {
+            let (life, news) = told.read();
+            self.change(life, false, |belief| belief.take_told(news, now))
+        };
+        told.iter().filter_map(take).collect()
+    }
+
+    /// Lets a belief change, and makes it known if it did.
+    fn change(
+        &self,
+        life: LifeHash,
+        is_own: bool,
+        take_in: impl FnOnce(&mut LimitBelief) -> Option<Change>,
+    ) -> Option<Changed> {
+        let mut inner = self.lock();
+        let mut known = inner.servers.get(&life).copied().unwrap_or_default();
+        let before = known.belief.rate();
+        let change = take_in(&mut known.belief)?;
+        let rate = known.belief.rate();
+        (known.number, known.is_own) = (inner.next, is_own);
+        inner.next += 1;
+        inner.servers.insert(life, known);
+        drop(inner);
+        self.is_idle.store(false, Ordering::Release);
+        if change == Change::Urgent {
+            self.urgent.send_modify(|changes| *changes += 1);
+            if is_own {
+                self.own_urgent.send_modify(|changes| *changes += 1);
+            }
+        }
+        (before != rate).then_some(Changed { life, before, rate })
+    }
+
+    /// News from a number on that this entry heard from servers itself, and the number to go on with. A reader
+    /// that begins, with none, gets all that is known.
+    pub(crate) fn own_from(&self, number: Option<u64>) -> (Vec<ToldLimit>, u64) {
+        let is_all = number.is_none();
+        self.from(number.unwrap_or_default(), |known| is_all || known.is_own)
+    }
+
+    /// The same of what it heard from servers or from other entries.
+    pub(crate) fn all_from(&self, number: u64) -> (Vec<ToldLimit>, u64) {
+        self.from(number, |_| true)
+    }
+
+    fn from(&self, number: u64, is_told: impl Fn(&Known) -> bool) -> (Vec<ToldLimit>, u64) {
+        let inner = self.lock();
+        if number >= inner.next {
+            return (Vec::new(), inner.next);
+        }
+        let news = inner.servers.iter().filter(|(_, known)| known.number >= number);
+        let mut news: Vec<_> = news.filter(|(_, known)| is_told(known)).collect();
+        news.sort_unstable_by_key(|(_, known)| known.number);
+        let next = news.get(MOST_TOLD).map_or(inner.next, |(_, known)| known.number);
+        news.truncate(MOST_TOLD);
+        let told =
+            |(life, known): (&LifeHash, &Known)| Some(ToldLimit::new(*life, known.belief.news()?));
+        (news.into_iter().filter_map(told).collect(), next)
+    }
+
+    /// Servers that name a limit now.
+    pub(crate) fn in_need(&self) -> usize {
+        self.lock().servers.values().filter(|known| known.belief.rate().is_some()).count()
+    }
+
+    /// Part of the state dump.
+    pub(crate) fn dump(&self, fleet: &Fleet, now: Duration) -> Value {
+        let inner = self.lock();
+        let one = |(life, known): (&LifeHash, &Known)| {
+            let member = fleet.by_life(*life)?;
+            let heard_ms = now.saturating_sub(known.belief.heard_at()).as_millis() as u64;
+            Some(json!({
+                "server": member.server.id,
+                "rate": known.belief.rate()?,
+                "heard_ms": heard_ms,
+                "heard_here": known.is_own,
+            }))
+        };
+        Value::Array(inner.servers.iter().filter_map(one).collect())
+    }
+
+    /// Forgets servers that are long out of view.
+    pub(crate) fn forget_gone(&self, fleet: &Fleet, now: Duration) {
+        if self.is_idle() {
+            return;
+        }
+        let is_kept = |life: &LifeHash, known: &mut Known| {
+            fleet.has_life_hash(*life) || now < known.belief.heard_at() + REMEMBERED
+        };
+        self.lock().servers.retain(is_kept);
+    }
+}
+
+/// Where the news of a limit came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Answer,
+    Entry,
+}
+
+impl Router {
+    /// Notes what a server's answer says of its limit, to a request that was sent at `sent_at`.
+    pub(crate) fn note_said_limit(&self, member: &Member, head: &AnswerHead, sent_at: Duration) {
+        let now = self.now();
+        if head.rate_limit == SaidLimit::Unreadable && member.note_unreadable_limit(now) {
+            event::RATE_LIMIT_UNREADABLE.log(format_args!("server={}", member.server.id));
+        }
+        // A refusal that names no limit says that the server is full, not that its need is over.
+        if head.kind == AnswerKind::NotRun && head.rate_limit == SaidLimit::Nothing {
+            return;
+        }
+        let changed = self.limits.hear(member.life_hash(), head.rate_limit, sent_at, now);
+        if let Some(changed) = changed {
+            self.tell_limit(changed, Source::Answer);
+        }
+    }
+
+    /// Takes in what another entry tells of limits.
+    pub(crate) fn take_told_limits(&self, told: &[ToldLimit]) {
+        for changed in self.limits.take_told(told, self.now()) {
+            self.tell_limit(changed, Source::Entry);
+        }
+    }
+
+    /// Limits of servers in view, as part of the state dump.
+    pub(crate) fn dump_limits(&self) -> Value {
+        self.limits.dump(&self.fleet.load(), self.now())
+    }
+
+    fn tell_limit(&self, changed: Changed, source: Source) {
+        let Changed { life, before, rate } = changed;
+        let fleet = self.fleet.load();
+        let server = fleet.by_life(life).map_or("not in view", |member| &member.server.id);
+        let Some(rate) = rate else {
+            event::RATE_LIMIT_ENDED
+                .log(format_args!("server={server} before={before:?} source={source:?}"));
+            return;
+        };
+        let place = self.place().map(|place| (place.rank, place.entries));
+        event::RATE_LIMIT_NAMED.log(format_args!(
+            "server={server} rate={rate} before={before:?} source={source:?} place={place:?}"
+        ));
+    }
+}
--- a/src/router/load_board.rs
+++ b/src/router/load_board.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{policy::cold::Place, router::Fleet};
+use crate::{policy::place::Place, router::Fleet};
 
 /// Age at which a report counts no more: three reports missed.
 const REPORT_LASTS: Duration = Duration::from_millis(1_200);
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -26,8 +26,8 @@
     platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
     router::{
-        Router, kept_board::KeptNote, load_board::ServerLoad, packed_rows::PackedUpdate,
-        quarantine_board::ToldNote, trial::VersionEvidence,
+        Router, kept_board::KeptNote, limit_board::ToldLimit, load_board::ServerLoad,
+        packed_rows::PackedUpdate, quarantine_board::ToldNote, trial::VersionEvidence,
     },
     telemetry::event,
 };
@@ -50,7 +50,7 @@
 const MOST_LINKS: usize = 800;
 
 /// What an entry says on a link that it opened.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Asked {
     /// It wants to hear what the store says.
     Follow {
@@ -72,7 +72,7 @@
 }
 
 /// What one entry lets the others know.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Report {
     pub(crate) loads: Vec<ServerLoad>,
     pub(crate) evidence: Vec<VersionEvidence>,
@@ -81,10 +81,13 @@
     /// Ends of servers since its last report; absent from entries that tell of none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) ends: Vec<ToldNote>,
+    /// Limits of servers that changed since its last report.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) limits: Vec<ToldLimit>,
 }
 
 /// What the entry that is followed says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Told {
     /// Its first word.
     Welcome {
@@ -113,6 +116,9 @@
         /// Whether these are all, with what was known before it started; not so with one that does not tell.
         #[serde(default)]
         is_informed: bool,
+        /// Limits of servers that changed since the last heartbeat, or all that are known in the first ones.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        limits: Vec<ToldLimit>,
     },
 }
 
@@ -181,6 +187,7 @@
         router.roll_outs.take_evidence(host, report.evidence);
         router.kept.take_report(&report.kept, &router.fleet.load(), router.now());
         router.quarantine.take_told(&report.ends, router.now());
+        router.take_told_limits(&report.limits);
         report = match hear(&mut socket).await? {
             Asked::Report { report, .. } => report,
             Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
@@ -204,8 +211,9 @@
         return Ok(());
     }
     let (mut updates, mut news) = router.views.subscribe(version);
-    let (mut next_kept, mut next_end) = (0, None);
+    let (mut next_kept, mut next_end, mut next_limit) = (0, None, 0);
     let mut suspicions = router.quarantine.changes();
+    let mut urgent_limits = router.limits.urgent();
     loop {
         let is_current = router.is_current();
         let loads = router.loads.sums(router.now());
@@ -214,11 +222,23 @@
         suspicions.mark_unchanged();
         let (ends, next) = router.quarantine.all_from(next_end, router.now());
         next_end = Some(next);
+        urgent_limits.mark_unchanged();
+        let (limits, next) = router.limits.all_from(next_limit);
+        next_limit = next;
         let entries = router.loads.entries(router.now());
         let rank = router.loads.place(host, &own_host, router.now()).map(|place| place.rank);
         let is_informed = router.quarantine.is_informed();
-        let beat =
-            Told::Beat { is_current, updates, entries, rank, loads, kept, ends, is_informed };
+        let beat = Told::Beat {
+            is_current,
+            updates,
+            entries,
+            rank,
+            loads,
+            kept,
+            ends,
+            is_informed,
+            limits,
+        };
         tell(&mut socket, &beat).await?;
         updates = tokio::select! {
             update = news.recv() => match update {
@@ -230,6 +250,10 @@
                 sleep(GATHER).await;
                 Vec::new()
             }
+            _ = urgent_limits.changed() => {
+                sleep(GATHER).await;
+                Vec::new()
+            }
             message = socket.next() => match message {
                 Some(Ok(Message::Close(_))) | None => return Ok(()),
                 Some(message) => { message?; Vec::new() }
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -28,10 +28,10 @@
     let mut reported: Vec<SocketAddr> = Vec::new();
     let (reports, _) = watch::channel(Report::default());
     // A seed tells the others what it hears, too: some entries may not reach them.
-    let mut suspicions = if router.is_seed() {
-        router.quarantine.changes()
+    let (mut suspicions, mut urgent_limits) = if router.is_seed() {
+        (router.quarantine.changes(), router.limits.urgent())
     } else {
-        router.quarantine.own_changes()
+        (router.quarantine.own_changes(), router.limits.own_urgent())
     };
     loop {
         let settings = router.settings.load_full();
@@ -52,12 +52,18 @@
             let now = router.now();
             router.hear_entries(router.loads.entries(now));
             if let Some(place) = router.loads.place(&settings.host, &settings.host, now) {
-                router.cold.hear_place(place, now);
+                router.heard_place.hear(place, now);
             }
             router.loads.apply(&router.loads.sums(now), &fleet, now);
         }
         drop(fleet);
-        let is_news = timeout(REPORT_EVERY, suspicions.changed()).await.is_ok();
+        let news = async {
+            tokio::select! {
+                _ = suspicions.changed() => {}
+                _ = urgent_limits.changed() => {}
+            }
+        };
+        let is_news = timeout(REPORT_EVERY, news).await.is_ok();
         // What an entry saw itself is told at once: it may be killed next.
         if is_news && router.is_seed() {
             sleep(GATHER).await;
@@ -88,7 +94,7 @@
 ) -> Result<()> {
     let mut wakes = router.clock.wakes();
     let mut socket = timeout(OPENING, open(seed)).await.map_err(|_| silent())??;
-    let (mut next_kept, mut next_end) = (0, None);
+    let (mut next_kept, mut next_end, mut next_limit) = (0, None, None);
     loop {
         let mut report = reports.borrow_and_update().clone();
         (report.kept, next_kept) = router.kept.own_from(next_kept, router.now());
@@ -98,6 +104,12 @@
             router.quarantine.own_from(next_end, router.now())
         };
         (report.ends, next_end) = (ends, Some(next));
+        let (limits, next) = if router.is_seed() {
+            router.limits.all_from(next_limit.unwrap_or_default())
+        } else {
+            router.limits.own_from(next_limit)
+        };
+        (report.limits, next_limit) = (limits, Some(next));
         tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
         until_alive(&mut socket).await?;
         tokio::select! {
--- a/src/router/sight.rs
+++ b/src/router/sight.rs
@@ -32,6 +32,8 @@
         }
         let evacuated = self.evacuations.zones().len();
         self.metrics.evacuated_zones.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
+        let in_need = i64::try_from(self.limits.in_need()).unwrap_or(i64::MAX);
+        self.metrics.servers_in_need.set(in_need);
         self.roll_outs.report(&self.metrics);
     }
 
@@ -61,6 +63,7 @@
             "era": self.views.era(),
             "place": self.place().map(|place| json!([place.rank, place.entries])),
             "evacuated": self.evacuations.dump(self.now()),
+            "limits": self.dump_limits(),
             "roll_outs": self.roll_outs.dump(),
             "servers": self.fleet.load().dump(self.now()),
         })
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -27,9 +27,10 @@
         stopping::still_fits,
     },
     router::{
-        Fleet, cold_limit::ColdLimit, evacuations::Evacuations, kept_board::KeptBoard, link::Link,
-        load_board::LoadBoard, quarantine_board::QuarantineBoard, quarantine_row::TrialRequest,
-        readings::Readings, roll_out::RollOuts, views::Views,
+        Fleet, evacuations::Evacuations, kept_board::KeptBoard, limit_board::LimitBoard,
+        link::Link, load_board::LoadBoard, quarantine_board::QuarantineBoard,
+        quarantine_row::TrialRequest, readings::Readings, roll_out::RollOuts,
+        send_rules::HeardPlace, views::Views,
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
@@ -71,8 +72,10 @@
     pub fleet: ArcSwap<Fleet>,
     /// AvailabilityZones that the operator wants nothing sent to.
     pub(crate) evacuations: Evacuations,
-    /// What this entry may send to servers that have just started.
-    pub(crate) cold: ColdLimit,
+    /// This entry's place among all.
+    pub(crate) heard_place: HeardPlace,
+    /// Servers that name a limit in their answers.
+    pub(crate) limits: LimitBoard,
     /// Roll-outs and the evidence on their versions.
     pub roll_outs: RollOuts,
     /// What the operator settled about decisions.
@@ -114,7 +117,8 @@
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
             evacuations: Evacuations::default(),
-            cold: ColdLimit::default(),
+            heard_place: HeardPlace::default(),
+            limits: LimitBoard::default(),
             roll_outs: RollOuts::new(policy.exposure),
             policy,
             views: Views::default(),
@@ -184,6 +188,7 @@
             fleet.set_memories(&table.memories);
         }
         self.kept.apply(&[], &fleet);
+        self.limits.forget_gone(&fleet, self.now());
         self.fleet.store(Arc::new(fleet));
         self.news.notify_waiters();
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -63,10 +63,10 @@
     pub outcome: String,
 }
 
-/// Labels of what was done with sends to servers that name a limit.
+/// Labels of sends to servers that take few, cold ones or those that name a limit.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitedLabels {
-    /// `first` or `further` where it was sent.
+    /// `first` or `further` of its request.
     pub outcome: String,
 }
 
@@ -117,7 +117,9 @@
     pub repeats_left: Family<ServiceLabels, Gauge>,
     /// Repeated sends asked of the budget, by service: taken or denied.
     pub repeats: Family<RepeatLabels, Counter>,
-    /// Sends to servers that name a limit.
+    /// Servers that name a limit now.
+    pub servers_in_need: Gauge,
+    /// Sends to servers that take few.
     pub limited_sends: Family<LimitedLabels, Counter>,
     /// Evidence on versions under roll-out.
     pub evidence: Family<EvidenceLabels, Gauge>,
@@ -161,6 +163,7 @@
             server_ends: Counter::default(),
             repeats_left: Family::default(),
             repeats: Family::default(),
+            servers_in_need: Gauge::default(),
             limited_sends: Family::default(),
             evidence: Family::default(),
             in_flight: Gauge::default(),
@@ -208,8 +211,10 @@
         registry.register("repeats_left", "Repeated sends still allowed", left);
         let repeats = self.repeats.clone();
         registry.register("repeats", "Repeated sends taken and denied", repeats);
+        let in_need = self.servers_in_need.clone();
+        registry.register("servers_in_need", "Servers that name a limit", in_need);
         let limited = self.limited_sends.clone();
-        registry.register("limited_sends", "Sends to servers that name a limit", limited);
+        registry.register("limited_sends", "Sends to servers that take few", limited);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("queued", "Attempts queued", self.queued.clone());
@@ -250,7 +255,7 @@
         self.repeats.get_or_create(&labels).inc();
     }
 
-    /// Counts a send to a server that names a limit.
+    /// Counts a send to a server that takes few.
     pub fn count_limited(&self, outcome: &str) {
         self.limited_sends.get_or_create(&LimitedLabels { outcome: outcome.into() }).inc();
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use mintmoor::policy::cold::{ColdSends, ColdTerms, Place, PlaceBelief, allowance};
+use mintmoor::policy::{
+    cold::ColdTerms,
+    place::{Place, PlaceBelief},
+    rate_limit::{LimitedSends, allowance},
+};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,7 +27,7 @@
     lag: Duration,
     hears_at: Duration,
     belief: PlaceBelief,
-    sends: ColdSends,
+    sends: LimitedSends,
 }
 
 impl Entry {
@@ -34,7 +38,7 @@
             lag: Duration::from_millis(rng.random_range(200..2_000)),
             hears_at: Duration::ZERO,
             belief: PlaceBelief::default(),
-            sends: ColdSends::default(),
+            sends: LimitedSends::default(),
         }
     }
 }
@@ -79,7 +83,9 @@
                 }
             }
             let Some(place) = entry.belief.get(now) else { continue };
-            let Some(allowance) = allowance(&TERMS, place, server) else { continue };
+            let Some(allowance) = allowance(TERMS.sends_per_second, place, server) else {
+                continue;
+            };
             if entry.sends.may_send(&allowance, now) {
                 entry.sends.note(&allowance, now);
                 arrivals.push(now);
--- /dev/null
+++ b/tests/rate_limits.rs
@@ -0,0 +1,142 @@
+//! What entries know of servers that name a limit, and what they send there together: the decisions alone, with time
+//! handed in.
+
+use std::time::Duration;
+
+use mintmoor::policy::{
+    limit_news::{Change, LimitBelief, LimitNews},
+    place::Place,
+    rate_limit::{LEAST_NAMED, LimitedSends, SaidLimit, allowance},
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn named(rate: f64) -> SaidLimit {
+    SaidLimit::Rate(rate)
+}
+
+/// A belief that heard this limit from the server itself at one second.
+fn heard(rate: f64) -> LimitBelief {
+    let mut belief = LimitBelief::default();
+    belief.hear(named(rate), ms(900), ms(1_000));
+    belief
+}
+
+#[test]
+fn a_limit_holds_until_an_answer_to_a_later_request_names_none() {
+    let mut belief = heard(1.9);
+
+    assert_eq!(belief.hear(SaidLimit::Nothing, ms(950), ms(1_050)), None, "it was overtaken");
+    assert_eq!(belief.rate(), Some(1.9));
+    assert_eq!(belief.hear(SaidLimit::Unreadable, ms(1_100), ms(1_200)), None);
+    assert_eq!(belief.rate(), Some(1.9));
+    assert_eq!(belief.hear(SaidLimit::Nothing, ms(1_100), ms(1_200)), Some(Change::Calm));
+    assert_eq!(belief.rate(), None);
+}
+
+#[test]
+fn a_limit_that_falls_is_told_at_once_and_one_that_rises_later() {
+    let mut belief = LimitBelief::default();
+
+    assert_eq!(belief.hear(named(5.0), ms(0), ms(10)), Some(Change::Urgent));
+    assert_eq!(belief.hear(named(4.9), ms(20), ms(30)), Some(Change::Calm));
+    assert_eq!(belief.hear(named(1.0), ms(40), ms(50)), Some(Change::Urgent));
+    assert_eq!(belief.hear(named(3.0), ms(60), ms(70)), Some(Change::Calm));
+    assert_eq!(belief.rate(), Some(3.0));
+}
+
+#[test]
+fn a_limit_that_is_named_over_and_over_is_told_once_a_second() {
+    let mut belief = heard(1.9);
+
+    let told = (1..=40).filter(|n| belief.hear(named(1.9), ms(0), ms(1_000 + 100 * n)).is_some());
+
+    assert_eq!(told.count(), 4);
+}
+
+/// A server that takes nothing is asked now and then whether it still does.
+#[test]
+fn no_limit_rests_a_server_for_good() {
+    assert_eq!(heard(0.0).rate(), Some(LEAST_NAMED));
+}
+
+#[test]
+fn what_another_entry_heard_later_holds_in_whatever_order_it_is_told() {
+    let first = heard(1.9);
+    let mut second = first;
+    second.hear(SaidLimit::Nothing, ms(2_000), ms(2_100));
+    let news = [first.news().unwrap(), second.news().unwrap()];
+
+    for order in [[0, 1], [1, 0]] {
+        let mut other = LimitBelief::default();
+        for i in order {
+            other.take_told(news[i], ms(5_000));
+        }
+        assert_eq!(other.rate(), None, "{order:?}");
+    }
+}
+
+#[test]
+fn of_two_limits_heard_at_once_the_smaller_holds_everywhere() {
+    let (mut one, mut other) = (heard(1.9), heard(2.4));
+    let (from_one, from_other) = (one.news().unwrap(), other.news().unwrap());
+
+    one.take_told(from_other, ms(1_100));
+    other.take_told(from_one, ms(1_100));
+
+    assert_eq!((one.rate(), other.rate()), (Some(1.9), Some(1.9)));
+}
+
+/// Seeds pass on what they are told, also to each other.
+#[test]
+fn news_does_not_go_round() {
+    let mut beliefs = [heard(1.9), LimitBelief::default()];
+    let mut passed_on = 0;
+
+    for turn in 0..20 {
+        let (from, to) = (turn % 2, (turn + 1) % 2);
+        let news: LimitNews = beliefs[from].news().unwrap();
+        let now = ms(2_000 + turn as u64);
+        passed_on += usize::from(beliefs[to].take_told(news, now).is_some());
+    }
+
+    assert_eq!(passed_on, 1);
+}
+
+/// The most of these within any window of this length.
+fn most_within(sends: &[Duration], window: Duration) -> usize {
+    let within = |i: usize| sends[i..].iter().take_while(|at| **at < sends[i] + window).count();
+    (0..sends.len()).map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn what_a_server_takes_is_used_and_no_second_has_more() {
+    let step = ms(5);
+    for entries in [1, 3, 4, 21, 103, 360] {
+        for rate in [0.05, 0.3, 1.0, 1.9, 2.4, 7.3, 17.5, 18.0] {
+            let lasts = Duration::from_secs_f64(30.0 + 10.0 / rate);
+            let places = (0..entries).map(|rank| Place { rank, entries });
+            let allowances: Vec<_> = places.filter_map(|p| allowance(rate, p, 1 << 60)).collect();
+            let mut logs = vec![LimitedSends::default(); allowances.len()];
+            let mut sends = Vec::new();
+
+            let mut now = Duration::ZERO;
+            while now < lasts {
+                for (log, allowance) in logs.iter_mut().zip(&allowances) {
+                    if log.may_send(allowance, now) {
+                        log.note(allowance, now);
+                        sends.push(now);
+                    }
+                }
+                now += step;
+            }
+
+            let used = sends.len() as f64 / lasts.as_secs_f64();
+            assert!(used >= 0.9 * rate, "{entries} entries use {used} of {rate}");
+            let most = most_within(&sends, Duration::from_secs(1));
+            assert!(most <= rate.ceil() as usize, "{entries} entries, {most} of {rate}");
+        }
+    }
+}
