A server whose senders died is used again; processes that have just started have no turn

What callers saw: a server that takes few requests from a few entries stood idle for up to ten minutes once these had died, since the largest number of entries that was heard counted for that long.

Cause: fewer entries may mean a death or a cut, and after a cut each side would take the whole. So fewer never counted.

Change: fewer count once they have been told of for a second (six, where more than a quarter is gone at once: those are back by then), by a seed that has been up for 3 s, and only where they are more than half of all: two sides can't both be that. A report is forgotten when its link ends, and a process that has no place of its own yet has no turn.

--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -7,7 +7,6 @@
 use crate::{
     ids::StoreVersion,
     platform::host_settings::HostSettings,
-    policy::place::Place,
     protocol::{Error, Result},
     router::{
         Router,
@@ -154,7 +153,7 @@
 
 /// Takes in a heartbeat; whether the store answers the entry that sent it.
 fn take_beat(router: &Router, told: Told) -> Result<bool> {
-    let Told::Beat { is_current, updates, entries, rank, loads, kept, ends, is_informed, limits } =
+    let Told::Beat { is_current, updates, entries, place, loads, kept, ends, is_informed, limits } =
         told
     else {
         return Err(Error::Broken("a second welcome".into()));
@@ -168,9 +167,8 @@
     if entries > 0 {
         router.hear_entries(entries);
     }
-    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    if let Some(rank) = rank.filter(|rank| *rank < entries) {
-        router.heard_place.hear(Place { rank, entries }, router.now());
+    if let Some(place) = place.filter(|place| place.rank < place.entries) {
+        router.heard_place.hear(place, router.now());
     }
     let fleet = router.fleet.load_full();
     router.loads.apply(&loads, &fleet, router.now());
--- a/src/router/load_board.rs
+++ b/src/router/load_board.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{policy::place::Place, router::Fleet};
+use crate::{
+    policy::place::{Place, Sharer, place_among},
+    router::Fleet,
+};
 
 /// Age at which a report counts no more: three reports missed.
 const REPORT_LASTS: Duration = Duration::from_millis(1_200);
@@ -40,10 +43,28 @@
     }
 }
 
+/// The last report of one entry.
+#[derive(Debug)]
+struct HeardReport {
+    at: Duration,
+    /// The link it came over.
+    link: u64,
+    is_settled: bool,
+    loads: Vec<ServerLoad>,
+}
+
+impl HeardReport {
+    fn is_fresh(&self, now: Duration) -> bool {
+        now < self.at + REPORT_LASTS
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    /// Reports by the Host they came from, and when they came.
-    reports: HashMap<Box<str>, (Duration, Vec<ServerLoad>)>,
+    /// Reports by the Host they came from.
+    reports: HashMap<Box<str>, HeardReport>,
+    /// Number of the next link that brings reports.
+    next_link: u64,
     /// What was last reported of this entry.
     own: Vec<ServerLoad>,
 }
@@ -81,38 +102,57 @@
         own
     }
 
+    /// A number for a link that brings reports.
+    pub(crate) fn number_link(&self) -> u64 {
+        let mut inner = self.lock();
+        inner.next_link += 1;
+        inner.next_link
+    }
+
     /// Takes in another entry's report.
-    pub(crate) fn take_report(&self, host: &str, loads: Vec<ServerLoad>, now: Duration) {
+    pub(crate) fn take_report(
+        &self,
+        host: &str,
+        link: u64,
+        loads: Vec<ServerLoad>,
+        is_settled: bool,
+        now: Duration,
+    ) {
+        let mut inner = self.lock();
+        inner.reports.retain(|_, report| report.is_fresh(now));
+        inner.reports.insert(host.into(), HeardReport { at: now, link, is_settled, loads });
+    }
+
+    /// Forgets the entry whose link has ended, unless it has reported over another one since: its process is
+    /// gone, which its silence would show a second later.
+    pub(crate) fn forget_report(&self, host: &str, link: u64) {
         let mut inner = self.lock();
-        inner.reports.retain(|_, (at, _)| now < *at + REPORT_LASTS);
-        inner.reports.insert(host.into(), (now, loads));
+        if inner.reports.get(host).is_some_and(|report| report.link == link) {
+            inner.reports.remove(host);
+        }
     }
 
     /// Entries that report here, and this one.
     pub(crate) fn entries(&self, now: Duration) -> usize {
         let inner = self.lock();
-        inner.reports.values().filter(|(at, _)| now < *at + REPORT_LASTS).count() + 1
+        inner.reports.values().filter(|report| report.is_fresh(now)).count() + 1
     }
 
-    /// The place of an entry that reports here, or of this one, among all by their Hosts' names.
-    pub(crate) fn place(&self, host: &str, own_host: &str, now: Duration) -> Option<Place> {
+    /// The place of an entry that reports here, or of this one, among all.
+    pub(crate) fn place(&self, host: &str, own: Sharer<'_>, now: Duration) -> Option<Place> {
         let inner = self.lock();
-        let fresh = inner.reports.iter().filter(|(_, (at, _))| now < *at + REPORT_LASTS);
-        let mut hosts: Vec<&str> = fresh.map(|(host, _)| &**host).collect();
-        hosts.push(own_host);
-        let is_known = hosts.contains(&host);
-        let rank = hosts.iter().filter(|other| **other < host).count();
-        let place =
-            Place { rank: u32::try_from(rank).ok()?, entries: u32::try_from(hosts.len()).ok()? };
-        is_known.then_some(place)
+        let fresh = inner.reports.iter().filter(|(_, report)| report.is_fresh(now));
+        let others = fresh.map(|(host, report)| Sharer { host, is_settled: report.is_settled });
+        let seen: Vec<_> = others.chain([own]).collect();
+        place_among(host, &seen)
     }
 
     /// The sums of all reports, this entry's own included.
     pub(crate) fn sums(&self, now: Duration) -> Vec<ServerLoad> {
         let inner = self.lock();
-        let fresh = inner.reports.values().filter(|(at, _)| now < *at + REPORT_LASTS);
+        let fresh = inner.reports.values().filter(|report| report.is_fresh(now));
         let mut sums: HashMap<u32, ServerLoad> = HashMap::new();
-        for load in fresh.flat_map(|(_, loads)| loads).chain(&inner.own) {
+        for load in fresh.flat_map(|report| &report.loads).chain(&inner.own) {
             let sum = sums.entry(load.server).or_insert(ServerLoad {
                 server: load.server,
                 requests: 0,
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -84,6 +84,18 @@
     /// Limits of servers that changed since its last report.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) limits: Vec<ToldLimit>,
+    /// Whether it has just started, and does not know its place among all yet.
+    #[serde(default)]
+    pub(crate) is_new: bool,
+}
+
+/// A follower's place among those that share, as a seed tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ToldPlace {
+    pub(crate) rank: u32,
+    pub(crate) entries: u32,
+    /// Whether the seed has been up for long enough to hear from all.
+    pub(crate) sees_all: bool,
 }
 
 /// What the entry that is followed says.
@@ -102,9 +114,9 @@
         /// How many entries report to it, itself included; 0 from one that does not tell.
         #[serde(default)]
         entries: usize,
-        /// How many of them come before the follower by their Hosts' names; none where it does not report yet.
+        /// The follower's place; none where it does not report yet.
         #[serde(default)]
-        rank: Option<u32>,
+        place: Option<ToldPlace>,
         /// What all entries together have at the servers.
         loads: Vec<ServerLoad>,
         /// Prompt parts that entries sent since the last heartbeat.
@@ -175,6 +187,19 @@
     }
 }
 
+/// Forgets what an entry reported over a link when that ends, in whatever way.
+struct ForgetsReport<'a> {
+    router: &'a Router,
+    host: &'a str,
+    link: u64,
+}
+
+impl Drop for ForgetsReport<'_> {
+    fn drop(&mut self) {
+        self.router.loads.forget_report(self.host, self.link);
+    }
+}
+
 /// Takes in an entry's reports until it leaves.
 async fn take_reports(
     router: &Router,
@@ -182,8 +207,11 @@
     host: &str,
     mut report: Report,
 ) -> Result<()> {
+    let link = router.loads.number_link();
+    let _forgets = ForgetsReport { router, host, link };
     loop {
-        router.loads.take_report(host, report.loads, router.now());
+        let (loads, now) = (report.loads, router.now());
+        router.loads.take_report(host, link, loads, !report.is_new, now);
         router.roll_outs.take_evidence(host, report.evidence);
         router.kept.take_report(&report.kept, &router.fleet.load(), router.now());
         router.quarantine.take_told(&report.ends, router.now());
@@ -204,7 +232,6 @@
     host: &str,
 ) -> Result<()> {
     let zone = router.settings.load().zone.clone();
-    let own_host = router.settings.load().host.clone();
     let is_wanted = only_in.is_none_or(|wanted| *wanted == *zone);
     tell(&mut socket, &Told::Welcome { zone }).await?;
     if !is_wanted {
@@ -226,13 +253,13 @@
         let (limits, next) = router.limits.all_from(next_limit);
         next_limit = next;
         let entries = router.loads.entries(router.now());
-        let rank = router.loads.place(host, &own_host, router.now()).map(|place| place.rank);
+        let place = router.place_of(host);
         let is_informed = router.quarantine.is_informed();
         let beat = Told::Beat {
             is_current,
             updates,
             entries,
-            rank,
+            place,
             loads,
             kept,
             ends,
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -47,11 +47,12 @@
         let fleet = router.fleet.load();
         let evidence = router.roll_outs.evidence();
         let loads = router.loads.report(&fleet);
-        reports.send_replace(Report { loads, evidence, ..Report::default() });
+        let is_new = router.place().is_none();
+        reports.send_replace(Report { loads, evidence, is_new, ..Report::default() });
         if router.is_seed() {
             let now = router.now();
             router.hear_entries(router.loads.entries(now));
-            if let Some(place) = router.loads.place(&settings.host, &settings.host, now) {
+            if let Some(place) = router.place_of(&settings.host) {
                 router.heard_place.hear(place, now);
             }
             router.loads.apply(&router.loads.sums(now), &fleet, now);
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -6,16 +6,19 @@
 use crate::{
     policy::{
         cold::ColdTerms,
-        place::{Place, PlaceBelief},
+        place::{Place, PlaceBelief, Sharer},
         rate_limit::{Allowance, Rate, allowance},
     },
-    router::{Member, Router},
+    router::{Member, Router, peers::ToldPlace},
 };
 
 /// Time for which a server that nobody answered for is taken as cold once it answers, beyond the time that a
 /// start takes: it is asked again after 4 s at most, and its row tells a heartbeat later.
 const ASKED_AGAIN: Duration = Duration::from_secs(4);
 
+/// Time after which a seed that has started hears from all entries: they try it again after 2 s.
+const SEES_ALL_AFTER: Duration = Duration::from_secs(3);
+
 /// This entry's place among all, as the seeds tell it.
 #[derive(Debug, Default)]
 pub(crate) struct HeardPlace {
@@ -24,8 +27,10 @@
 
 impl HeardPlace {
     /// Takes in this entry's place among all.
-    pub(crate) fn hear(&self, place: Place, now: Duration) {
-        self.belief.lock().expect("no panics under the lock").hear(place, now);
+    pub(crate) fn hear(&self, told: ToldPlace, now: Duration) {
+        let ToldPlace { rank, entries, sees_all } = told;
+        let mut belief = self.belief.lock().expect("no panics under the lock");
+        belief.hear(Place { rank, entries }, sees_all, now);
     }
 
     /// This entry's place; none until it is settled.
@@ -85,6 +90,18 @@
         place.or_else(|| (is_alone && !self.is_seed()).then_some(Place::ALONE))
     }
 
+    /// The place of an entry that reports to this one, or of this one itself.
+    pub(crate) fn place_of(&self, host: &str) -> Option<ToldPlace> {
+        let settings = self.settings.load();
+        let own = Sharer { host: &settings.host, is_settled: self.place().is_some() };
+        let Place { rank, entries } = self.loads.place(host, own, self.now())?;
+        Some(ToldPlace {
+            rank,
+            entries,
+            sees_all: self.now() >= self.started_at() + SEES_ALL_AFTER,
+        })
+    }
+
     /// Takes a send to a server from what it may get from here.
     pub(crate) fn take_send(&self, member: &Member) -> Taken {
         let rules = self.send_rules(&member.server.service);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -145,6 +145,11 @@
         self.clock.now()
     }
 
+    /// When the process started, on the entry's clock.
+    pub(crate) fn started_at(&self) -> Duration {
+        CLOCK_ORIGIN
+    }
+
     /// Looks whether the Host was suspended; then what was heard before is taken as old, and whoever waits
     /// looks again.
     pub(crate) fn notice_suspension(&self) -> bool {
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -12,11 +12,14 @@
 //! first answer and sent 27 to 33 requests in 9 s where all four together might send 17. All but one of 119 were first
 //! sends, so the field is not heeded by any of them, and no second way round is needed to pass the bound.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::{
-    need::{CONTACT, assert_borne, load, pool_of, poor, sound},
-    site::Site,
+    need::{CONTACT, arrivals, assert_borne, load, pool_of, poor, sound},
+    site::{Site, until},
 };
 
 /// How many sends to servers in need an entry counts, by what they were.
@@ -42,3 +45,38 @@
     assert_borne(&needy, from, 1.9);
     assert!(served * 10 >= asked * 9, "{served} of {asked} served");
 }
+
+fn knows_limit(site: &Site) -> bool {
+    !site.entry.router.dump()["limits"].as_array().unwrap().is_empty()
+}
+
+/// Which entry made the sends that count since these counts were taken.
+fn senders(sites: &[Arc<Site>], before: &[Vec<String>]) -> Vec<usize> {
+    (0..sites.len()).filter(|i| limited_sends(&sites[*i]) != before[*i]).collect()
+}
+
+/// One entry in five may send to it, and is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_whose_only_sender_died_is_used_again_soon() {
+    let (needy, other) = (sound("i-needy").await, sound("i-1").await);
+    let pool = pool_of(&[&needy, &other]).await;
+    let mut sites = pool.entries(5).await;
+    needy.name_limit(&["1"]);
+    load(&sites, Duration::from_millis(300)).await;
+    for site in &sites {
+        until("it knows the limit", || knows_limit(site)).await;
+        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
+    }
+    let before: Vec<_> = sites.iter().map(|site| limited_sends(site)).collect();
+    load(&sites, Duration::from_secs(3)).await;
+    let senders = senders(&sites, &before);
+    assert_eq!(senders.len(), 1, "{senders:?}");
+
+    drop(sites.remove(senders[0]));
+    let killed = Instant::now();
+    load(&sites, Duration::from_secs(4)).await;
+
+    let soon = arrivals(&needy, killed + Duration::from_secs(2));
+    assert!(!soon.is_empty(), "nobody sends there any more");
+    assert_borne(&needy, killed, 1.0);
+}
