Others ask a server in need that its senders leave alone

What callers saw: a server whose need is over went on being passed over by all but one entry, as long as that one had no work for it, since only an answer tells the end.

Cause: entries without a share never send to a server under a limit, and the ones that have it may have no callers.

Change: what is heard of a server is told once a second; where nobody has heard of it for 4 s and the time of two sends, the others ask it, one at a time in turn, 0.7 s each. An answer without a limit ends it only where its request was sent after the limit was last heard here, also where that was not told.

At most one of 2 to 360 entries stands in at any time, never before 5 s at 1.9 a second, and each gets its turn.

--- a/src/policy/limit_news.rs
+++ b/src/policy/limit_news.rs
@@ -52,6 +52,8 @@
 pub struct LimitBelief {
     news: Option<LimitNews>,
     heard_at: Duration,
+    /// When there was last something to tell.
+    told_at: Duration,
 }
 
 impl LimitBelief {
@@ -85,7 +87,8 @@
             let news = LimitNews { change: known.change.saturating_add(1), again: 0, rate };
             return Some(self.put(news, now));
         }
-        if now < self.heard_at + SAID_AGAIN {
+        self.heard_at = now;
+        if now < self.told_at + SAID_AGAIN {
             return None;
         }
         let again = known.again.saturating_add(1);
@@ -100,7 +103,7 @@
 
     fn put(&mut self, news: LimitNews, now: Duration) -> Change {
         let before = self.rate().unwrap_or(Rate::INFINITY);
-        (self.news, self.heard_at) = (Some(news), now);
+        (self.news, self.heard_at, self.told_at) = (Some(news), now, now);
         match news.rate {
             Some(rate) if rate < before * FALLS_BELOW => Change::Urgent,
             rate if rate.unwrap_or(Rate::INFINITY) == before => Change::Again,
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -21,6 +21,12 @@
 /// Least rate that is told apart from none, so that no window is without end.
 const LEAST_RATE: Rate = 1e-3;
 
+/// Time without a word of a server, beyond that of two sends, after which others than its senders may ask it: news is
+/// told each second, and arrives with the next report and heartbeat, while an answer may take two seconds to begin.
+const UNHEARD: Duration = Duration::from_secs(4);
+/// Time for which one entry may do so before it is the next one's turn: a report and a heartbeat.
+const STANDS_IN_FOR: Duration = Duration::from_millis(700);
+
 /// What the head of an answer says of its server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum SaidLimit {
@@ -80,12 +86,9 @@
 /// All senders together may send the next whole number of requests in the time, a second or more, for which the
 /// server takes as many: so nothing of a fraction is lost, and no second has more than that number.
 pub fn allowance(rate: Rate, place: Place, server: u64) -> Option<Allowance> {
-    let whole = (rate.ceil() as u32).max(1);
-    let entries = place.entries.max(1);
-    let senders = entries.min(whole);
-    // Scaled, not taken modulo: one entry more moves the first place by one at most.
-    let first = ((u128::from(server) * u128::from(entries)) >> 64) as u32;
-    let turn = (place.rank + entries - first) % entries;
+    let whole = whole(rate);
+    let senders = place.entries.clamp(1, whole);
+    let turn = turn(place, server);
     if turn >= senders {
         return None;
     }
@@ -93,6 +96,32 @@
     Some(Allowance { sends, window: window(whole, rate) })
 }
 
+/// What an entry without a share may send to a server that nobody has heard of for a while: its senders have no
+/// work for it, or are gone, and only an answer tells that its need is over. One such entry at a time, one after
+/// the other, so that they don't all come at once; none where it is another one's turn.
+pub fn stand_in(rate: Rate, place: Place, server: u64, unheard: Duration) -> Option<Allowance> {
+    let quiet = UNHEARD + window(2, rate);
+    let waited = unheard.checked_sub(quiet)?;
+    let senders = place.entries.clamp(1, whole(rate));
+    let order = turn(place, server).checked_sub(senders)?;
+    let others = u128::from(place.entries - senders);
+    let at_turn = waited.as_millis() / STANDS_IN_FOR.as_millis() % others;
+    (at_turn == u128::from(order)).then_some(Allowance { sends: 1, window: quiet })
+}
+
+/// The next whole number of requests.
+fn whole(rate: Rate) -> u32 {
+    (rate.ceil() as u32).max(1)
+}
+
+/// This entry's turn at a server, from 0.
+fn turn(place: Place, server: u64) -> u32 {
+    let entries = place.entries.max(1);
+    // Scaled, not taken modulo: one entry more moves the first place by one at most.
+    let first = ((u128::from(server) * u128::from(entries)) >> 64) as u32;
+    (place.rank + entries - first) % entries
+}
+
 /// Sends of this entry to one server under a limit, those of the last window.
 #[derive(Clone, Debug, Default)]
 pub struct LimitedSends {
--- a/src/router/limit_board.rs
+++ b/src/router/limit_board.rs
@@ -158,7 +158,14 @@
         let mut inner = self.lock();
         let mut known = inner.servers.get(&life).copied().unwrap_or_default();
         let before = known.belief.rate();
-        let change = take_in(&mut known.belief)?;
+        let change = take_in(&mut known.belief);
+        let Some(change) = change else {
+            // It may have been heard of all the same.
+            if let Some(kept) = inner.servers.get_mut(&life) {
+                kept.belief = known.belief;
+            }
+            return None;
+        };
         let rate = known.belief.rate();
         (known.number, known.is_own) = (inner.next, is_own);
         inner.next += 1;
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -6,8 +6,9 @@
 use crate::{
     policy::{
         cold::ColdTerms,
+        limit_news::LimitBelief,
         place::{Place, PlaceBelief, Sharer},
-        rate_limit::{Allowance, Rate, allowance},
+        rate_limit::{Allowance, Rate, allowance, stand_in},
     },
     router::{Member, Router, peers::ToldPlace},
 };
@@ -41,13 +42,15 @@
 
 /// What a send to a server has to keep to.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum SendRule {
+enum SendRule {
     /// Nothing: it takes what it has places for.
     Free,
     /// It may get so much from here.
     Limited(Allowance),
     /// It is sent to by other entries.
     Others,
+    /// It may get so much where nobody else can serve: this entry does not know its place.
+    Unplaced(Allowance),
 }
 
 /// Whether a send may be made.
@@ -121,19 +124,25 @@
 
     /// Requests a second that a server takes from all entries; none where it takes what it has places for. What
     /// it bears while it is cold and what it names count alike, the smaller of both.
-    pub(crate) fn rate(&self, member: &Member) -> Option<Rate> {
+    fn rate(&self, member: &Member, named: &LimitBelief) -> Option<Rate> {
         let cold = self.cold.filter(|terms| self.is_cold(member, terms));
         let cold = cold.map(|terms| terms.sends_per_second);
-        let named = self.router.limits.belief(member.life_hash()).rate();
-        cold.into_iter().chain(named).reduce(Rate::min)
+        cold.into_iter().chain(named.rate()).reduce(Rate::min)
     }
 
     /// What a send to a server has to keep to.
-    pub(crate) fn rule(&self, member: &Member) -> SendRule {
-        let Some(rate) = self.rate(member) else {
+    fn rule(&self, member: &Member) -> SendRule {
+        let named = self.router.limits.belief(member.life_hash());
+        let Some(rate) = self.rate(member, &named) else {
             return SendRule::Free;
         };
-        let share = self.place.and_then(|place| allowance(rate, place, member.id_hash()));
+        let Some(place) = self.place else {
+            return SendRule::Unplaced(Allowance::least(rate));
+        };
+        let unheard = self.now.saturating_sub(named.heard_at());
+        let server = member.id_hash();
+        let share = allowance(rate, place, server)
+            .or_else(|| named.rate().and_then(|_| stand_in(rate, place, server, unheard)));
         share.map_or(SendRule::Others, SendRule::Limited)
     }
 
@@ -142,31 +151,28 @@
         match self.rule(member) {
             SendRule::Free => true,
             SendRule::Limited(allowance) => member.may_send_limited(&allowance, self.now),
-            SendRule::Others => false,
+            SendRule::Others | SendRule::Unplaced(_) => false,
         }
     }
 
-    /// What may be sent to a server where nobody else can serve and this entry does not know its place: then the
-    /// hash of the request spreads the load over all servers, and the least allowance guards each.
-    fn least(&self, member: &Member) -> Option<Allowance> {
-        let rate = self.rate(member).filter(|_| self.place.is_none())?;
-        Some(Allowance::least(rate))
-    }
-
-    /// Whether a server may be sent a request now where nobody else can serve.
+    /// Whether a server may be sent a request now where nobody else can serve: the hash of the request spreads the
+    /// load over all servers, and the least allowance guards each.
     pub(crate) fn may_send_at_least(&self, member: &Member) -> bool {
-        let least = self.least(member);
-        least.is_some_and(|allowance| member.may_send_limited(&allowance, self.now))
+        match self.rule(member) {
+            SendRule::Unplaced(allowance) => member.may_send_limited(&allowance, self.now),
+            _ => false,
+        }
     }
 
     fn take_send(&self, member: &Member) -> Taken {
-        let allowance = match self.rule(member) {
-            SendRule::Free => return Taken::Free,
-            SendRule::Limited(allowance) => Some(allowance),
-            SendRule::Others => self.least(member),
-        };
-        let is_taken =
-            allowance.is_some_and(|allowance| member.take_limited_send(&allowance, self.now));
-        if is_taken { Taken::Limited } else { Taken::Denied }
+        match self.rule(member) {
+            SendRule::Free => Taken::Free,
+            SendRule::Limited(allowance) | SendRule::Unplaced(allowance)
+                if member.take_limited_send(&allowance, self.now) =>
+            {
+                Taken::Limited
+            }
+            _ => Taken::Denied,
+        }
     }
 }
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -80,3 +80,30 @@
     assert!(!soon.is_empty(), "nobody sends there any more");
     assert_borne(&needy, killed, 1.0);
 }
+
+/// Until then nobody sends to it but one entry, which has no callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_end_of_a_need_is_heard_though_its_only_sender_has_no_work() {
+    let (needy, other) = (sound("i-needy").await, sound("i-1").await);
+    let pool = pool_of(&[&needy, &other]).await;
+    let mut sites = pool.entries(4).await;
+    needy.name_limit(&["1"]);
+    load(&sites, Duration::from_millis(300)).await;
+    for site in &sites {
+        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
+    }
+    let before: Vec<_> = sites.iter().map(|site| limited_sends(site)).collect();
+    load(&sites, Duration::from_secs(3)).await;
+    let senders = senders(&sites, &before);
+    assert_eq!(senders.len(), 1, "{senders:?}");
+    let idle = sites.remove(senders[0]);
+
+    needy.name_limit(&[]);
+    let deadline = Instant::now() + Duration::from_secs(12);
+    while sites.iter().any(|site| knows_limit(site)) && Instant::now() < deadline {
+        load(&sites, Duration::from_millis(100)).await;
+    }
+
+    assert!(!sites.iter().any(|site| knows_limit(site)), "the end is not heard");
+    until("the idle one is told, too", || !knows_limit(&idle)).await;
+}
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -6,7 +6,7 @@
 use mintmoor::policy::{
     limit_news::{Change, LimitBelief, LimitNews},
     place::Place,
-    rate_limit::{LEAST_NAMED, LimitedSends, SaidLimit, allowance},
+    rate_limit::{LEAST_NAMED, LimitedSends, SaidLimit, allowance, stand_in},
 };
 
 fn ms(ms: u64) -> Duration {
@@ -140,3 +140,24 @@
         }
     }
 }
+
+/// Its senders are never among them.
+#[test]
+fn one_entry_at_a_time_stands_in_at_a_server_that_nobody_hears_of() {
+    let (rate, server) = (1.9, 1 << 60);
+    for entries in [2, 3, 4, 21, 360] {
+        let places: Vec<_> = (0..entries).map(|rank| Place { rank, entries }).collect();
+        let senders = places.iter().filter(|p| allowance(rate, **p, server).is_some()).count();
+        let mut stood_in = vec![false; places.len()];
+        for tenth in 0..5_000 {
+            let unheard = ms(100 * tenth);
+            let stand_ins = |p: &Place| stand_in(rate, *p, server, unheard).is_some();
+            let now: Vec<usize> = (0..places.len()).filter(|i| stand_ins(&places[*i])).collect();
+            let is_quiet = unheard >= ms(5_000);
+            assert!(now.len() <= usize::from(is_quiet), "{now:?} of {entries} after {unheard:?}");
+            now.iter().for_each(|i| stood_in[*i] = true);
+        }
+        let all = stood_in.iter().filter(|stood_in| **stood_in).count();
+        assert_eq!(all, places.len() - senders, "{entries} entries");
+    }
+}
