A request that no server takes since all take few is refused with that cause and a true time

What callers saw: "no server can take it", and a time to come back that knew nothing of when a server takes one.

Change: where only the servers' limits keep a request from all of them it is refused at once as such, not before the next of them takes one from here (router/choice.rs limited_for). The choice of the able servers is a function of its own.

Test: three servers of 2.2 a second, four entries, 66 requests a second: 0.9 of what the servers take is served, every other caller is told within a second, no server gets more than is borne. With the text before, it fails on the cause.

--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -11,7 +11,7 @@
         quarantine::Standing,
     },
     router::{
-        Member, Router,
+        Fleet, Member, Router,
         dispatch::{Ask, Job},
     },
     routing::is_home,
@@ -27,12 +27,31 @@
     let fleet = router.fleet.load();
     let settings = router.settings.load();
     let now = router.now();
+    let mut members = able(router, job, ask, &fleet);
+    members.retain(|member| may_be(&member.server.id));
+    spare_limited(router, &job.service, &mut members);
+    if members.iter().any(|m| !m.is_unannounced(now)) {
+        members.retain(|m| !m.is_unannounced(now));
+    }
+    if router.standing(job) != Standing::Free {
+        return place_suspect(job, &members, now).cloned();
+    }
+    let marks = marks(job, ask);
+    let candidate = |m: &&Arc<Member>| m.candidate(&settings.zone, &marks, now);
+    let candidates: Vec<_> = members.iter().map(candidate).collect();
+    let chosen = place(&candidates, &work(router, job, ask), &router.policy.placement)?;
+    Some(members[chosen].clone())
+}
+
+/// The servers that may run a request and take requests at all, however few.
+fn able<'a>(router: &Router, job: &Job, ask: Ask<'_>, fleet: &'a Fleet) -> Vec<&'a Arc<Member>> {
+    let settings = router.settings.load();
     // Asked anew for each attempt: a roll-out may have begun since the last one.
-    let versions = router.roll_outs.rule(&job.service, &job.req.head, now);
+    let versions = router.roll_outs.rule(&job.service, &job.req.head, router.now());
     let members = fleet.of_service(&job.service);
     let versions = versions.or_any_if_missing(members.iter().map(|m| &*m.server.version));
     let is_any_evacuated = router.evacuations.is_any();
-    let usable = |member: &&Arc<Member>| {
+    let is_able = |member: &&Arc<Member>| {
         let server = &member.server;
         let has_model = ask.model.is_none_or(|model| {
             server.models.is_empty() || server.models.iter().any(|m| **m == *model)
@@ -46,21 +65,17 @@
             )
             && has_model
             && versions.allows(&server.version)
-            && may_be(&server.id)
     };
-    let mut members: Vec<&Arc<Member>> = members.iter().filter(usable).collect();
-    spare_limited(router, &job.service, &mut members);
-    if members.iter().any(|m| !m.is_unannounced(now)) {
-        members.retain(|m| !m.is_unannounced(now));
-    }
-    if router.standing(job) != Standing::Free {
-        return place_suspect(job, &members, now).cloned();
-    }
-    let marks = marks(job, ask);
-    let candidate = |m: &&Arc<Member>| m.candidate(&settings.zone, &marks, now);
-    let candidates: Vec<_> = members.iter().map(candidate).collect();
-    let chosen = place(&candidates, &work(router, job, ask), &router.policy.placement)?;
-    Some(members[chosen].clone())
+    members.iter().filter(is_able).collect()
+}
+
+/// Time until one of the servers that may run a request takes one from here; none where it is not the servers'
+/// limits that keep it from all of them.
+pub(crate) fn limited_for(router: &Router, job: &Job, ask: Ask<'_>) -> Option<Duration> {
+    let rules = router.send_rules(&job.service)?;
+    let fleet = router.fleet.load();
+    let waits = able(router, job, ask, &fleet).into_iter().map(|member| rules.wait(member));
+    waits.min().filter(|wait| !wait.is_zero())
 }
 
 /// Leaves out servers that take few requests and can't be sent more from here now.
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -15,7 +15,7 @@
         Member, Router,
         attempt::{AttemptError, OpenAnswer, Plan, send},
         breaks::{Parting, note_break, note_unanswered},
-        choice::{marks, pick, reading_key},
+        choice::{limited_for, marks, pick, reading_key},
         refusal::Refusal,
         roll_out::RunOutcome,
         send_rules::Taken,
@@ -122,14 +122,18 @@
     }
 
     /// What the caller is told when nothing more is tried.
-    fn refusal(&self, router: &Router) -> Refusal {
+    fn refusal(&self, router: &Router, ask: Ask<'_>) -> Refusal {
         match judge(&self.attempts) {
             Verdict::NotRun if router.is_refused(self) => {
                 Refusal::EndsServers { retry_after: router.refused_for(self) }
             }
             Verdict::NotRun => {
                 let retry_after = router.note_refusal(&self.service, &self.req.head.id);
-                Refusal::NotRun { retry_after }
+                let Some(wait) = limited_for(router, self, ask) else {
+                    return Refusal::NotRun { retry_after };
+                };
+                router.metrics.count_limited("refused");
+                Refusal::Limited { retry_after: retry_after.max(wait) }
             }
             _ if self.time_left(router) < LEAST_TIME => Refusal::TimedOut,
             _ => Refusal::Lost,
@@ -190,10 +194,10 @@
             router.wait_for_view().await;
         }
         let Some(member) = next_server(router, job, ask) else {
-            return failed.ok_or_else(|| job.refusal(router));
+            return failed.ok_or_else(|| job.refusal(router, ask));
         };
         if job.arrivals > 0 && !job.take_repeat(router) {
-            return failed.ok_or_else(|| job.refusal(router));
+            return failed.ok_or_else(|| job.refusal(router, ask));
         }
         match router.take_send(&member) {
             Taken::Free => {}
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -118,6 +118,11 @@
         self.record().limited_sends.may_send(allowance, now)
     }
 
+    /// When this entry may send to it next while it takes few.
+    pub(crate) fn next_limited_at(&self, allowance: &Allowance, now: Duration) -> Duration {
+        self.record().limited_sends.next_at(allowance, now)
+    }
+
     /// Takes a send to it from what this entry may send while it takes few; whether there was one.
     pub(crate) fn take_limited_send(&self, allowance: &Allowance, now: Duration) -> bool {
         let mut record = self.record();
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -34,6 +34,12 @@
         /// When a server can be expected to take it.
         retry_after: Duration,
     },
+    /// Did not run and never will.
+    #[error("its servers take no more requests now, back in {retry_after:?}")]
+    Limited {
+        /// When one of them can be expected to take it.
+        retry_after: Duration,
+    },
     /// Did not run in this try.
     #[error("servers ended under this request, which is refused for {retry_after:?}")]
     EndsServers {
@@ -63,6 +69,7 @@
             Self::NoConfiguration
             | Self::Leaving { .. }
             | Self::NotRun { .. }
+            | Self::Limited { .. }
             | Self::EndsServers { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -80,6 +87,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Leaving { .. } => "leaving",
             Self::NotRun { .. } => "not_run",
+            Self::Limited { .. } => "limited",
             Self::EndsServers { .. } => "ends_servers",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -90,6 +98,7 @@
         match self {
             Self::Leaving { retry_after }
             | Self::NotRun { retry_after }
+            | Self::Limited { retry_after }
             | Self::EndsServers { retry_after } => retry_after,
             _ => RETRY_AFTER,
         }
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -155,6 +155,18 @@
         }
     }
 
+    /// Time until a server takes a request from here, or from whoever sends to it.
+    pub(crate) fn wait(&self, member: &Member) -> Duration {
+        let named = self.router.limits.belief(member.life_hash());
+        match (self.rule(member), self.rate(member, &named)) {
+            (SendRule::Limited(allowance) | SendRule::Unplaced(allowance), _) => {
+                member.next_limited_at(&allowance, self.now).saturating_sub(self.now)
+            }
+            (SendRule::Others, Some(rate)) => Allowance::least(rate).window,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Whether a server may be sent a request now where nobody else can serve: the hash of the request spreads the
     /// load over all servers, and the least allowance guards each.
     pub(crate) fn may_send_at_least(&self, member: &Member) -> bool {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -66,7 +66,7 @@
 /// Labels of sends to servers that take few, cold ones or those that name a limit.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitedLabels {
-    /// `first` or `further` of its request.
+    /// `first` or `further` of its request, or `refused` where no server took it.
     pub outcome: String,
 }
 
--- a/tests/platform/need.rs
+++ b/tests/platform/need.rs
@@ -10,7 +10,7 @@
 use crate::{
     pool::Pool,
     server::{Act, Seen, Server},
-    site::{Site, always, list_life, request_with_id, store_with},
+    site::{Answer, Site, always, list_life, request_with_id, store_with},
 };
 
 /// Events of a whole answer.
@@ -51,6 +51,13 @@
 
 /// Asks all entries in turn for so long; how many were asked and how many served whole.
 pub async fn load(sites: &[Arc<Site>], lasts: Duration) -> (usize, usize) {
+    let answers = answers_under_load(sites, lasts).await;
+    let served = answers.iter().filter(|(answer, _)| answer.status == 200 && answer.is_whole);
+    (answers.len(), served.count())
+}
+
+/// Asks all entries in turn for so long; the answers, and how long each took.
+pub async fn answers_under_load(sites: &[Arc<Site>], lasts: Duration) -> Vec<(Answer, Duration)> {
     let mut asking = JoinSet::new();
     let until = Instant::now() + lasts;
     for (number, site) in sites.iter().cycle().enumerate() {
@@ -60,14 +67,13 @@
         let site = site.clone();
         asking.spawn(async move {
             let id = format!("load-{number}");
-            let answer =
-                site.send(&request_with_id(&id, "POST", "/chat/load", ANY_MODEL, &id)).await;
-            answer.status == 200 && answer.is_whole
+            let asked = Instant::now();
+            let req = request_with_id(&id, "POST", "/chat/load", ANY_MODEL, &id);
+            (site.send(&req).await, asked.elapsed())
         });
         sleep(ASK_EVERY).await;
     }
-    let answers = asking.join_all().await;
-    (answers.len(), answers.iter().filter(|is_whole| **is_whole).count())
+    asking.join_all().await
 }
 
 /// When requests reached a server from a time on.
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    need::{CONTACT, arrivals, assert_borne, load, pool_of, poor, sound},
+    need::{CONTACT, answers_under_load, arrivals, assert_borne, load, pool_of, poor, sound},
     site::{Site, until},
 };
 
@@ -107,3 +107,32 @@
     assert!(!sites.iter().any(|site| knows_limit(site)), "the end is not heard");
     until("the idle one is told, too", || !knows_limit(&idle)).await;
 }
+
+/// Three servers take 6.6 requests a second, and callers ask 66.
+#[tokio::test(flavor = "multi_thread")]
+async fn where_all_servers_are_in_need_they_are_used_and_the_rest_is_refused_at_once() {
+    let servers = [sound("i-1").await, sound("i-2").await, sound("i-3").await];
+    let pool = pool_of(&[&servers[0], &servers[1], &servers[2]]).await;
+    let sites = pool.entries(4).await;
+    servers.iter().for_each(|server| server.name_limit(&["2.2"]));
+    load(&sites, Duration::from_millis(500)).await;
+    for site in &sites {
+        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
+    }
+
+    let from = Instant::now();
+    let answers = answers_under_load(&sites, Duration::from_secs(8)).await;
+
+    servers.iter().for_each(|server| assert_borne(server, from, 2.2));
+    let served = answers.iter().filter(|(answer, _)| answer.status == 200).count();
+    let taken = 3.0 * 2.2 * 8.0;
+    assert!(served as f64 >= 0.9 * taken, "{served} served, {taken} are taken");
+    for (answer, took) in &answers {
+        assert!(*took < Duration::from_secs(1), "{answer:?} after {took:?}");
+        let is_told = answer.status == 200
+            || (answer.status == 503
+                && answer.body.contains("take no more requests now")
+                && answer.head.contains("retry-after: "));
+        assert!(is_told, "{answer:?}");
+    }
+}
