--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     need::{CONTACT, answers_under_load, arrivals, assert_borne, load, pool_of, poor, sound},
-    site::{Site, until},
+    site::{Site, list_life, until},
 };
 
 /// How many sends to servers in need an entry counts, by what they were.
@@ -136,3 +136,73 @@
         assert!(is_told, "{answer:?}");
     }
 }
+
+/// Nearly all that reaches it are resumed streams and larger models, after another server that serves few of them whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn further_sends_of_a_request_keep_to_the_limit_as_first_ones_do() {
+    let (needy, poor) = (sound("i-needy").await, poor("i-poor").await);
+    let pool = pool_of(&[&needy, &poor]).await;
+    let sites = pool.entries(4).await;
+    needy.name_limit(&["1.9"]);
+    load(&sites, Duration::from_millis(500)).await;
+    let from = Instant::now() + CONTACT;
+
+    load(&sites, Duration::from_secs(8)).await;
+
+    let further =
+        |site: &Arc<Site>| limited_sends(site).iter().any(|line| line.contains("further"));
+    assert!(sites.iter().any(further), "no further send was made");
+    assert_borne(&needy, from, 1.9);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_knows_the_limit_before_it_serves() {
+    let (needy, other) = (sound("i-needy").await, sound("i-1").await);
+    let pool = pool_of(&[&needy, &other]).await;
+    let sites = pool.entries(3).await;
+    needy.name_limit(&["1.9"]);
+    load(&sites, Duration::from_millis(300)).await;
+    until("it is known", || sites.iter().all(|site| knows_limit(site))).await;
+    needy.name_limit(&[]);
+
+    let seed = sites[0].entry.addresses.peer.unwrap();
+    let late = Arc::new(pool.entry(&[seed], None).await);
+    let before = needy.seen().len();
+    for _ in 0..10 {
+        assert_eq!(late.ask("POST", "/chat/late", "X-Model: small\r\n").await.status, 200);
+    }
+
+    assert_eq!(needy.seen().len(), before, "it has no place yet, and another server is free");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_life_of_a_server_has_no_limit() {
+    let needy = sound("i-needy").await;
+    let pool = pool_of(&[&needy]).await;
+    let sites = pool.entries(2).await;
+    needy.name_limit(&["1.9"]);
+    load(&sites, Duration::from_millis(300)).await;
+    until("it is known", || sites.iter().all(|site| knows_limit(site))).await;
+
+    needy.name_limit(&[]);
+    list_life(&pool.store, &needy, "llm", 2_000);
+
+    until("the new life has none", || !sites.iter().any(|site| knows_limit(site))).await;
+    let (asked, served) = load(&sites, Duration::from_secs(1)).await;
+    assert_eq!(served, asked);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_cant_be_read_changes_nothing() {
+    let needy = sound("i-needy").await;
+    let pool = pool_of(&[&needy]).await;
+    let sites = pool.entries(2).await;
+
+    for lines in [["NaN"], ["-3"], ["few"], ["inf"]] {
+        needy.name_limit(&lines);
+        let (asked, served) = load(&sites, Duration::from_millis(300)).await;
+        assert_eq!(served, asked, "{lines:?}");
+    }
+
+    assert!(!sites.iter().any(|site| knows_limit(site)));
+}
