--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -9,4 +9,5 @@
 mod explore;
 mod lease;
 mod quarantine;
+mod rate_limit;
 mod restore;
