--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -101,6 +101,21 @@
 /// Sends after that which are borne.
 const BORNE: usize = 3;
 
+/// A span in which a server named a limit in its answers.
+#[derive(Clone, Debug)]
+pub struct Need {
+    pub server: String,
+    /// Requests a second.
+    pub rate: f64,
+    pub from: Instant,
+    pub to: Instant,
+}
+
+/// Length of the windows in which arrivals at a server in need are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time for which a way that was spoiled may still deliver what it held up.
+const HELD_UP: Duration = Duration::from_secs(1);
+
 /// A server that was listed as leaving.
 #[derive(Clone, Debug)]
 pub struct Barred {
@@ -134,6 +149,11 @@
     pub runs: Mutex<Vec<Run>>,
     pub disturbances: Mutex<Vec<Disturbance>>,
     pub barred: Mutex<Vec<Barred>>,
+    /// What reached servers, whatever they did with it.
+    pub arrivals: Mutex<Vec<(String, Instant)>>,
+    pub needs: Mutex<Vec<Need>>,
+    /// Servers whose way was spoiled, from when to when.
+    pub spoiled: Mutex<Vec<(String, Instant, Instant)>>,
     pub ordered: Mutex<Option<Ordered>>,
     /// From when a withdrawn key must not be taken.
     pub key_withdrawn: Mutex<Option<Instant>>,
@@ -177,6 +197,7 @@
         found.extend(runs.iter().filter_map(|run| self.check_first_half(run)));
         found.extend(self.check_moved_back(&runs));
         found.extend(self.check_crashing(&runs, &exchanges));
+        found.extend(self.needs.lock().unwrap().iter().filter_map(|need| self.check_need(need)));
         found
     }
 
@@ -233,6 +254,30 @@
         found
     }
 
+    /// A server in need gets no more than is borne in any window, from all entries together, once all have had
+    /// time to know: those that were killed, paused or cut meanwhile as well.
+    fn check_need(&self, need: &Need) -> Option<String> {
+        let arrivals = self.arrivals.lock().unwrap();
+        let known = need.from + CONTACT;
+        let counted = |at: &Instant| known <= *at && *at < need.to && !self.is_held_up(need, *at);
+        let of_server = arrivals.iter().filter(|(server, _)| *server == need.server);
+        let at: Vec<Instant> = of_server.map(|(_, at)| *at).filter(counted).collect();
+        let within =
+            |from: &Instant| at.iter().filter(|a| *from <= **a && **a < *from + WINDOW).count();
+        let most = at.iter().map(within).max().unwrap_or(0);
+        let borne = (1.5 * need.rate * WINDOW.as_secs_f64() + 5.0) as usize;
+        let Need { server, rate, .. } = need;
+        println!("{server} names {rate} a second: at most {most} in 4 s, {borne} are borne");
+        (most > borne).then(|| format!("{server} names {rate} a second and got {most} in 4 s"))
+    }
+
+    /// Whether what arrived at a server then may have been held up on its way.
+    fn is_held_up(&self, need: &Need, at: Instant) -> bool {
+        let spoiled = self.spoiled.lock().unwrap();
+        let is_hit = |from: Instant, to: Instant| from <= at && at < to + HELD_UP;
+        spoiled.iter().any(|(server, from, to)| *server == need.server && is_hit(*from, *to))
+    }
+
     /// Whether nothing was done to an entry or the store for long enough before.
     fn is_in_touch(&self, entry: usize, at: Instant) -> bool {
         let all = self.disturbances.lock().unwrap();
