An end that the list tells of keeps its listed name

Cause: entries that could not look whether a server listens date its end by their own first broken connection. One whose connection broke over 0.4 s after the others' took the end for that of a next life, so the request's ends counted as one event there.

Change: an end that the list proves is named by the list, whoever saw it when. Only an end that the server's address shows may be that of a life the list has not told of yet.

Test: two entries, one end, 0.7 s apart: two ends counted before, one after.

--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -180,7 +180,12 @@
         lost.len()
     ));
     router.metrics.server_ends.inc();
-    router.quarantine.note_ends(&lost, member.life_hash(), ended_at);
+    match proof {
+        Proof::Refused => router.quarantine.note_ends(&lost, member.life_hash(), ended_at),
+        Proof::StartedAgain | Proof::Dropped => {
+            router.quarantine.note_listed_ends(&lost, member.life_hash(), ended_at);
+        }
+    }
 }
 
 /// When the first connection broke after the server last spoke: then it ended. The proof may come a second
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -119,9 +119,16 @@
         self.own_changes.subscribe()
     }
 
-    /// Notes that a server's life ended at a time while these requests were at work there.
-    pub(crate) fn note_ends(&self, all: &[Fingerprint], life: LifeHash, at: Duration) {
-        let life = self.lock().quarantine.name_of_end(life, at);
+    /// Notes that a server ended at a time while these requests were at work there, as its address shows; the
+    /// life that ended may be one that the list has not told of yet.
+    pub(crate) fn note_ends(&self, all: &[Fingerprint], listed: LifeHash, at: Duration) {
+        let life = self.lock().quarantine.name_of_end(listed, at);
+        self.note_listed_ends(all, life, at);
+    }
+
+    /// Notes that this life of a server ended at a time while these requests were at work there, as the list
+    /// tells. It is the same life for every entry, whenever each of them saw its own connections break.
+    pub(crate) fn note_listed_ends(&self, all: &[Fingerprint], life: LifeHash, at: Duration) {
         let note = |f: &Fingerprint| Note::End { fingerprint: *f, life, at };
         self.take_in(all.iter().map(note), true, at);
     }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -18,14 +18,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use mintmoor::router::Released;
+use mintmoor::{platform::host_settings::HostSettings, router::Released};
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
 };
 
 use crate::{
-    pool::{CRASHING, DOWN, EVENTS, Pool, ask, ask_others, insist},
+    pool::{CRASHING, DOWN, EVENTS, Pool, ask, ask_others, free_address, insist},
     server::{Act, Server},
     site::{Answer, Site, always, list, list_life, store_with, until},
     store::Fault,
@@ -410,3 +410,40 @@
     assert!(is_quarantined(&site));
     assert_eq!(server.seen().len(), 3);
 }
+
+/// Two entries lose their connections to one end of a server at different times, and the list tells each of it later:
+/// it is one end, though the second entry's own date for it is more than half a second later.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_that_the_list_tells_of_is_one_whoever_saw_it_when() {
+    let server = always("i-1", Act::Close).await;
+    let seeds = [free_address(), free_address()];
+    let mut sites = Vec::new();
+    for seed in seeds {
+        let store = store_with(&[]).await;
+        list_life(&store, &server, "app", 1_000);
+        let change = |host: &mut HostSettings| {
+            (host.seeds, host.peer) = (seeds.to_vec(), Some(seed));
+        };
+        let site = Arc::new(Site::with(store, change).await);
+        site.until_in_view(1).await;
+        sites.push(site);
+    }
+    for site in &sites {
+        until("all report", || site.entry.router.dump()["entries"] == 2).await;
+    }
+    let ends = |site: &Site| site.entry.router.dump()["quarantine"][0]["ends"].clone();
+    ask(&sites[0], "/once/a", CRASHING).await;
+    sleep(Duration::from_millis(700)).await;
+    ask(&sites[1], "/once/a", CRASHING).await;
+
+    list_life(&sites[0].store, &server, "app", 2_000);
+    until("the second one is told", || ends(&sites[1]) == 1).await;
+    list_life(&sites[1].store, &server, "app", 2_000);
+    let is_reborn = || {
+        let fleet = sites[1].entry.router.fleet.load();
+        fleet.of_service("app").iter().any(|member| member.server.born == Some(2_000))
+    };
+    until("the list tells it, too", is_reborn).await;
+
+    assert_eq!(ends(&sites[1]), 1);
+}
