An end that the store lost is told again until the store has it

What callers saw: none; an entry that started after a store came back from a copy could take a version that was rolled back as under way.

Cause: an end is told again by a write under conditions, and one that met newer rows was taken as done. Ruled out: the restored order taken as a new one (no second order is logged, and the entry kept to its verdict).

The stand-in tells both under one lock now.

Change: told again each second until the store shows it.

Test: a write that meets newer rows first: never told again before, told now.

--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -19,8 +19,8 @@
 
 /// Time between looks at what this entry can say about roll-outs.
 const DRIVE_EVERY: Duration = Duration::from_millis(200);
-/// Rest after a verdict that could not be written: each call is paid for, and this entry already
-/// keeps to its verdict.
+/// Rest after a verdict or an end that could not be written: each call is paid for, and this entry already
+/// keeps to it.
 const VERDICT_REST: Duration = Duration::from_secs(1);
 /// Such looks between reads of what other entries said: a bad version may get requests for 5 s
 /// after its fiftieth bad answer, and each entry finds it on its own, too.
@@ -112,7 +112,7 @@
     let mut era = Era::default();
     let mut are_ends_lost = false;
     let mut drives = 0;
-    let mut rest_until = Duration::ZERO;
+    let (mut rest_until, mut ends_rest_until) = (Duration::ZERO, Duration::ZERO);
     loop {
         // What an entry that starts finds has to be known before requests are answered by it.
         let _ = timeout(DRIVE_EVERY, router.roll_outs.until_found()).await;
@@ -123,10 +123,11 @@
             era = now_era;
             told.enter(era);
             seen.clear();
-            are_ends_lost = true;
+            (are_ends_lost, ends_rest_until) = (true, Duration::ZERO);
         }
-        if are_ends_lost {
-            are_ends_lost = tell_ends_again(router, store, &mut told).await.is_err();
+        if are_ends_lost && router.now() >= ends_rest_until {
+            are_ends_lost = !tell_ends_again(router, store, &mut told).await.unwrap_or(false);
+            ends_rest_until = router.now() + VERDICT_REST;
         }
         let follows = router.follows_link();
         if drives % DRIVES_PER_LOOK == 0 && !follows {
@@ -257,26 +258,28 @@
 }
 
 /// Writes how far the roll-outs got that have ended, where the store lost that as it came back from a copy: an
-/// entry that starts would take them as under way.
+/// entry that starts would take them as under way. Whether the store has all of them; not where another write came
+/// first, which may have said something else.
 async fn tell_ends_again(
     router: &Router,
     store: &StoreClient,
     told: &mut Told,
-) -> crate::platform::Result<()> {
+) -> crate::platform::Result<bool> {
     let ended = router.roll_outs.ended();
     if ended.is_empty() {
-        return Ok(());
+        return Ok(true);
     }
     let now = look(router, store, told).await?;
+    let mut are_all_told = true;
     for (order, progress) in ended {
         if told.progress(&order).map(|(progress, _)| progress) != Some(progress) {
-            write_begin(router, store, told, &order, now, progress).await?;
+            are_all_told &= write_begin(router, store, told, &order, now, progress).await?;
         }
     }
-    Ok(())
+    Ok(are_all_told)
 }
 
-/// Writes when a roll-out began and how far it got, unless another entry did.
+/// Writes when a roll-out began and how far it got, unless another entry did; whether it was written.
 async fn write_begin(
     router: &Router,
     store: &StoreClient,
@@ -284,7 +287,7 @@
     order: &RollOutOrder,
     store_now: Duration,
     progress: Progress,
-) -> crate::platform::Result<()> {
+) -> crate::platform::Result<bool> {
     // One that is known to have begun before goes on where it was.
     let age = router.roll_outs.begun_for(order, router.now()).unwrap_or_default();
     let StoreVersion { era, revision } = order.revision;
@@ -309,7 +312,7 @@
     let outcome = store.write(&puts, told.era).await?;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_BEGUN.log(format_args!("service={} written={is_written}", order.service));
-    Ok(())
+    Ok(is_written)
 }
 
 /// Reads what the store has about roll-outs; its clock.
--- a/tests/platform/restores.rs
+++ b/tests/platform/restores.rs
@@ -12,7 +12,7 @@
 use crate::{
     server::{Act, Server},
     site::{Site, always, configuration, list, server_row, until},
-    store::Store,
+    store::{Fault, Store},
 };
 
 const GOOD: Act = Act::Answer { status: 200, body: "good" };
@@ -215,6 +215,32 @@
     assert_eq!(new.seen().len(), before);
 }
 
+/// What was to be told again meets what somebody else wrote meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_told_again_of_an_end_though_another_write_came_first() {
+    let order = json!({"service": "app", "to": "v2", "duration-s": 600.0});
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", FAILS).await);
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    let copy = site.store.copy();
+    site.store.put("op", "rollout/app", &order);
+    until("it is under way", || state(&site) == "in_progress").await;
+    for number in 0..4_000 {
+        if state(&site) == "rolled_back" {
+            break;
+        }
+        site.ask("GET", &format!("/safe/{number}"), "").await;
+    }
+
+    site.store.set_fault(Fault::Contended);
+    site.store.restore(&copy);
+    site.store.put("op", "rollout/app", &order);
+    let before = site.store.conflicts();
+    until("it tried to tell", || site.store.conflicts() > before).await;
+    site.store.set_fault(Fault::None);
+
+    until("the store is told again", || state(&site) == "rolled_back").await;
+}
+
 /// Another order, under a version that is no greater than the one of the lost order.
 #[tokio::test(flavor = "multi_thread")]
 async fn another_order_is_followed_though_its_version_was_given_out_before() {
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -30,6 +30,8 @@
     TooMany,
     /// The connection ends without an answer; writes take effect.
     RepliesLost,
+    /// Somebody else always writes first.
+    Contended,
 }
 
 /// What the store held at a moment.
@@ -67,10 +69,26 @@
     fault: Fault,
     page: usize,
     calls: usize,
+    /// Transactions that met newer rows.
+    conflicts: usize,
     /// Times it came back from a copy; told in all answers.
     era: u64,
 }
 
+impl Rows {
+    fn put(&mut self, table: &str, key: &str, document: Document) {
+        self.version += 1;
+        let version = self.version;
+        self.rows.insert((table.into(), key.into()), (document, version));
+        self.changes.push((version, table.into(), key.into(), false));
+    }
+
+    /// An answer of the era that its body is of.
+    fn answer(&self, body: Value) -> Response {
+        ([(ERA, self.era.to_string())], Json(body)).into_response()
+    }
+}
+
 /// The stand-in; clones share it.
 #[derive(Clone)]
 pub struct Store {
@@ -80,6 +98,9 @@
     pub address: SocketAddr,
 }
 
+/// Header that tells how often it came back from a copy.
+const ERA: &str = "store-era";
+
 type Params = Query<HashMap<String, String>>;
 
 impl Store {
@@ -111,11 +132,7 @@
     }
 
     fn put_document(&self, table: &str, key: &str, document: Document) {
-        let mut rows = self.rows.lock().unwrap();
-        rows.version += 1;
-        let version = rows.version;
-        rows.rows.insert((table.into(), key.into()), (document, version));
-        rows.changes.push((version, table.into(), key.into(), false));
+        self.rows.lock().unwrap().put(table, key, document);
         self.changed.notify_waiters();
     }
 
@@ -169,6 +186,11 @@
         self.rows.lock().unwrap().page = page;
     }
 
+    /// Transactions so far that met newer rows.
+    pub fn conflicts(&self) -> usize {
+        self.rows.lock().unwrap().conflicts
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> usize {
         self.rows.lock().unwrap().calls
@@ -180,7 +202,7 @@
         match rows.fault {
             Fault::Down => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
             Fault::TooMany => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
-            Fault::None | Fault::RepliesLost => None,
+            Fault::None | Fault::RepliesLost | Fault::Contended => None,
         }
     }
 
@@ -189,9 +211,12 @@
     }
 }
 
+/// Adds the era to answers that say nothing of rows.
 async fn tell_era(State(store): State<Store>, mut res: Response) -> Response {
-    let era = store.rows.lock().unwrap().era;
-    res.headers_mut().insert("store-era", era.into());
+    if !res.headers().contains_key(ERA) {
+        let era = store.rows.lock().unwrap().era;
+        res.headers_mut().insert(ERA, era.into());
+    }
     res
 }
 
@@ -213,7 +238,7 @@
     let body = json!({
         "rows": found, "truncated": truncated, "ver": rows.version, "now-ms": store.now_ms()
     });
-    Json(body).into_response()
+    rows.answer(body)
 }
 
 async fn feed(State(store): State<Store>, Query(params): Params) -> Response {
@@ -254,7 +279,7 @@
             return None;
         }
         let body = json!({"rows": docs, "ver": rows.version, "now-ms": self.now_ms()});
-        Some(Json(body).into_response())
+        Some(rows.answer(body))
     }
 }
 
@@ -262,27 +287,25 @@
     if let Some(fault) = store.fault() {
         return fault;
     }
-    let conflicts = {
-        let rows = store.rows.lock().unwrap();
-        let wanted = body["expected-rev"].as_array().unwrap();
-        let is_met = |e: &Value| {
-            let key = (e["table"].as_str().unwrap().into(), e["key"].as_str().unwrap().into());
-            rows.rows.get(&key).map_or(0, |(_, version)| *version) == e["ver"].as_u64().unwrap()
-        };
-        !wanted.iter().all(is_met)
+    let mut rows = store.rows.lock().unwrap();
+    let is_met = |e: &Value| {
+        let key = (e["table"].as_str().unwrap().into(), e["key"].as_str().unwrap().into());
+        rows.rows.get(&key).map_or(0, |(_, version)| *version) == e["ver"].as_u64().unwrap()
     };
-    if conflicts {
+    let all_met = body["expected-rev"].as_array().unwrap().iter().all(is_met);
+    if !all_met || rows.fault == Fault::Contended {
+        rows.conflicts += 1;
         let body = json!({"rows": [], "ver": 0, "now-ms": store.now_ms()});
-        return (StatusCode::PRECONDITION_FAILED, Json(body)).into_response();
+        return (StatusCode::PRECONDITION_FAILED, rows.answer(body)).into_response();
     }
     for put in body["puts"].as_array().unwrap() {
         let value = STANDARD.decode(put["value"].as_str().unwrap()).unwrap();
-        let value: Value = serde_json::from_slice(&value).unwrap();
-        store.put(put["table"].as_str().unwrap(), put["key"].as_str().unwrap(), &value);
+        let (table, key) = (put["table"].as_str().unwrap(), put["key"].as_str().unwrap());
+        rows.put(table, key, Document::Bytes(value));
     }
-    if store.rows.lock().unwrap().fault == Fault::RepliesLost {
+    store.changed.notify_waiters();
+    if rows.fault == Fault::RepliesLost {
         return (StatusCode::INTERNAL_SERVER_ERROR, "lost").into_response();
     }
-    let version = store.rows.lock().unwrap().version;
-    Json(json!({"ver": version, "now-ms": store.now_ms()})).into_response()
+    rows.answer(json!({"ver": rows.version, "now-ms": store.now_ms()}))
 }
