While no server names a limit a send locks nothing for it; bench of the shares

The tombstones of limits that have ended kept each choice looking them up, one lock a server. Now one lock a choice, and none while no server is in need.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -7,7 +7,9 @@
     load::slopes::decide_once,
     policy::{
         choice::Pool,
+        place::Place,
         placement::{PlacementTerms, Work, place},
+        rate_limit::{LimitedSends, allowance},
         roll_out::takes_new_version,
     },
     resources::{Guard, RollOut, RollOutState},
@@ -75,6 +77,23 @@
     });
 }
 
+/// Which of the servers that take few requests may be sent one from here, before one is placed.
+#[divan::bench(args = [20, 200, 2_100])]
+fn open_limited_servers(bencher: Bencher, servers: usize) {
+    let place = Place { rank: 17, entries: 360 };
+    let hashes: Vec<u64> =
+        (0..servers as u64).map(|i| i.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
+    let logs = vec![LimitedSends::default(); servers];
+    let now = Duration::from_secs(60);
+    bencher.bench(|| {
+        let allowed = hashes.iter().zip(&logs).filter(|(server, log)| {
+            let allowance = allowance(black_box(1.9), place, **server);
+            allowance.is_some_and(|allowance| log.may_send(&allowance, now))
+        });
+        allowed.count()
+    });
+}
+
 fn backend_server(i: usize) -> BackendServer {
     BackendServer {
         id: format!("i-{i}").into(),
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -339,11 +339,6 @@
         listed.is_some_and(|listed| Arc::ptr_eq(&listed.life, &member.life))
     }
 
-    /// Whether a server's life with this hash is in view.
-    pub(crate) fn has_life_hash(&self, life: LifeHash) -> bool {
-        self.by_life(life).is_some()
-    }
-
     /// The server whose life has this hash.
     pub(crate) fn by_life(&self, life: LifeHash) -> Option<&Arc<Member>> {
         self.by_short_hash(life as u32).filter(|member| member.life_hash() == life)
--- a/src/router/limit_board.rs
+++ b/src/router/limit_board.rs
@@ -8,7 +8,7 @@
     collections::HashMap,
     sync::{
         Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -66,6 +66,12 @@
     next: u64,
 }
 
+impl Inner {
+    fn in_need(&self) -> usize {
+        self.servers.values().filter(|known| known.belief.rate().is_some()).count()
+    }
+}
+
 /// A change of what is known of a server's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Changed {
@@ -78,8 +84,8 @@
 #[derive(Debug)]
 pub(crate) struct LimitBoard {
     inner: Mutex<Inner>,
-    /// Whether no server ever named one; then nothing is locked.
-    is_idle: AtomicBool,
+    /// Servers that name a limit now; while there are none, no send locks anything.
+    in_need: AtomicUsize,
     /// Counts changes that others have to know at once.
     urgent: watch::Sender<u64>,
     /// Counts those of them that this entry heard from a server itself.
@@ -90,7 +96,7 @@
     fn default() -> Self {
         Self {
             inner: Mutex::default(),
-            is_idle: AtomicBool::new(true),
+            in_need: AtomicUsize::new(0),
             urgent: watch::Sender::new(0),
             own_urgent: watch::Sender::new(0),
         }
@@ -102,17 +108,14 @@
         self.inner.lock().expect("no panics under the lock")
     }
 
-    /// Whether no server ever named a limit.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.is_idle.load(Ordering::Acquire)
+    /// Servers that name a limit now.
+    pub(crate) fn in_need(&self) -> usize {
+        self.in_need.load(Ordering::Acquire)
     }
 
-    /// What is known of the limit of one life of a server.
-    pub(crate) fn belief(&self, life: LifeHash) -> LimitBelief {
-        if self.is_idle() {
-            return LimitBelief::default();
-        }
-        self.lock().servers.get(&life).map(|known| known.belief).unwrap_or_default()
+    /// The limits as they are; none while no server names one.
+    pub(crate) fn view(&self) -> Option<LimitView<'_>> {
+        (self.in_need() > 0).then(|| LimitView { inner: self.lock() })
     }
 
     /// Tells of each change that others have to know at once, from now on.
@@ -133,7 +136,7 @@
         sent_at: Duration,
         now: Duration,
     ) -> Option<Changed> {
-        if self.is_idle() && !matches!(said, SaidLimit::Rate(_)) {
+        if self.in_need() == 0 && !matches!(said, SaidLimit::Rate(_)) {
             return None;
         }
         self.change(life, true, |belief| belief.hear(said, sent_at, now))
@@ -170,8 +173,8 @@
         (known.number, known.is_own) = (inner.next, is_own);
         inner.next += 1;
         inner.servers.insert(life, known);
+        self.in_need.store(inner.in_need(), Ordering::Release);
         drop(inner);
-        self.is_idle.store(false, Ordering::Release);
         if change == Change::Urgent {
             self.urgent.send_modify(|changes| *changes += 1);
             if is_own {
@@ -208,11 +211,6 @@
         (news.into_iter().filter_map(told).collect(), next)
     }
 
-    /// Servers that name a limit now.
-    pub(crate) fn in_need(&self) -> usize {
-        self.lock().servers.values().filter(|known| known.belief.rate().is_some()).count()
-    }
-
     /// Part of the state dump.
     pub(crate) fn dump(&self, fleet: &Fleet, now: Duration) -> Value {
         let inner = self.lock();
@@ -231,13 +229,25 @@
 
     /// Forgets servers that are long out of view.
     pub(crate) fn forget_gone(&self, fleet: &Fleet, now: Duration) {
-        if self.is_idle() {
-            return;
-        }
         let is_kept = |life: &LifeHash, known: &mut Known| {
-            fleet.has_life_hash(*life) || now < known.belief.heard_at() + REMEMBERED
+            fleet.by_life(*life).is_some() || now < known.belief.heard_at() + REMEMBERED
         };
-        self.lock().servers.retain(is_kept);
+        let mut inner = self.lock();
+        inner.servers.retain(is_kept);
+        self.in_need.store(inner.in_need(), Ordering::Release);
+    }
+}
+
+/// The limits as they are while it is held.
+#[derive(Debug)]
+pub(crate) struct LimitView<'a> {
+    inner: MutexGuard<'a, Inner>,
+}
+
+impl LimitView<'_> {
+    /// What is known of the limit of one life of a server.
+    pub(crate) fn belief(&self, life: LifeHash) -> LimitBelief {
+        self.inner.servers.get(&life).map(|known| known.belief).unwrap_or_default()
     }
 }
 
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -10,7 +10,7 @@
         place::{Place, PlaceBelief, Sharer},
         rate_limit::{Allowance, Rate, allowance, stand_in},
     },
-    router::{Member, Router, peers::ToldPlace},
+    router::{Member, Router, limit_board::LimitView, peers::ToldPlace},
 };
 
 /// Time for which a server that nobody answered for is taken as cold once it answers, beyond the time that a
@@ -47,8 +47,8 @@
     Free,
     /// It may get so much from here.
     Limited(Allowance),
-    /// It is sent to by other entries.
-    Others,
+    /// It is sent to by other entries, which send it so much together.
+    Others(Rate),
     /// It may get so much where nobody else can serve: this entry does not know its place.
     Unplaced(Allowance),
 }
@@ -69,6 +69,7 @@
 pub(crate) struct SendRules<'a> {
     router: &'a Router,
     cold: Option<ColdTerms>,
+    named: Option<LimitView<'a>>,
     place: Option<Place>,
     now: Duration,
 }
@@ -79,10 +80,15 @@
     pub(crate) fn send_rules(&self, service: &str) -> Option<SendRules<'_>> {
         let table = self.table.load();
         let cold = table.as_ref().as_ref().and_then(|table| table.cold.get(service)).copied();
-        if cold.is_none() && self.limits.is_idle() {
-            return None;
-        }
-        Some(SendRules { router: self, cold, place: self.place(), now: self.now() })
+        let named = self.limits.view();
+        let is_any = cold.is_some() || named.is_some();
+        is_any.then(|| SendRules {
+            router: self,
+            cold,
+            named,
+            place: self.place(),
+            now: self.now(),
+        })
     }
 
     /// This entry's place among all; that of one that is alone where no other one is named.
@@ -122,6 +128,12 @@
             || member.unreachable_at().is_some_and(|at| self.now < at + terms.lasts + ASKED_AGAIN)
     }
 
+    /// What is known of the limit that a server names.
+    fn named(&self, member: &Member) -> LimitBelief {
+        let view = self.named.as_ref();
+        view.map(|view| view.belief(member.life_hash())).unwrap_or_default()
+    }
+
     /// Requests a second that a server takes from all entries; none where it takes what it has places for. What
     /// it bears while it is cold and what it names count alike, the smaller of both.
     fn rate(&self, member: &Member, named: &LimitBelief) -> Option<Rate> {
@@ -132,7 +144,7 @@
 
     /// What a send to a server has to keep to.
     fn rule(&self, member: &Member) -> SendRule {
-        let named = self.router.limits.belief(member.life_hash());
+        let named = self.named(member);
         let Some(rate) = self.rate(member, &named) else {
             return SendRule::Free;
         };
@@ -143,7 +155,7 @@
         let server = member.id_hash();
         let share = allowance(rate, place, server)
             .or_else(|| named.rate().and_then(|_| stand_in(rate, place, server, unheard)));
-        share.map_or(SendRule::Others, SendRule::Limited)
+        share.map_or(SendRule::Others(rate), SendRule::Limited)
     }
 
     /// Whether a server may be sent a request now.
@@ -151,19 +163,18 @@
         match self.rule(member) {
             SendRule::Free => true,
             SendRule::Limited(allowance) => member.may_send_limited(&allowance, self.now),
-            SendRule::Others | SendRule::Unplaced(_) => false,
+            SendRule::Others(_) | SendRule::Unplaced(_) => false,
         }
     }
 
     /// Time until a server takes a request from here, or from whoever sends to it.
     pub(crate) fn wait(&self, member: &Member) -> Duration {
-        let named = self.router.limits.belief(member.life_hash());
-        match (self.rule(member), self.rate(member, &named)) {
-            (SendRule::Limited(allowance) | SendRule::Unplaced(allowance), _) => {
+        match self.rule(member) {
+            SendRule::Free => Duration::ZERO,
+            SendRule::Limited(allowance) | SendRule::Unplaced(allowance) => {
                 member.next_limited_at(&allowance, self.now).saturating_sub(self.now)
             }
-            (SendRule::Others, Some(rate)) => Allowance::least(rate).window,
-            _ => Duration::ZERO,
+            SendRule::Others(rate) => Allowance::least(rate).window,
         }
     }
 
