--- a/src/policy/limit_news.rs
+++ b/src/policy/limit_news.rs
@@ -11,8 +11,10 @@
 /// Time after which it is told once more that a server still names its limit: where nobody says so, others see
 /// that nobody asks it.
 const SAID_AGAIN: Duration = Duration::from_secs(1);
-/// Part of a limit below which a new one is told at once: with more, what was under way is more than the difference.
-const FALLS_BELOW: f64 = 0.9;
+/// Part of a limit below which a new one is told at once. A limit may waver with each answer, and each such message
+/// tells the load as well; a smaller fall waits for the next heartbeat, and until then the server gets at most one
+/// and a half times what it names.
+const FALLS_BELOW: f64 = 0.7;
 
 /// What is known of one server, as entries tell it.
 #[derive(Clone, Copy, Debug, PartialEq)]
