Urgent news comes from every seed, not from the one that is followed alone

What callers saw: with 40 % of the entries suspended, seeds among them, one request ended 36 of 160 servers in 2.4 s; the news of a limit goes the same way.

Cause: an entry reports to every seed, and hears from one. If that one is suspended or cut off it takes 0.9 s to be left, and a second for each further one that does not answer.

Change: a seed tells urgent news on the links over which it is reported to as well: limits that are new or fell, and the ends of requests that two servers or more ended under (a zone's loss brings one end for thousands, which stay on the one link).

--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -233,6 +233,13 @@
         names[place]
     }
 
+    /// The ends that count against a request.
+    pub fn ends(&self, request: &Fingerprint) -> Vec<Note> {
+        let fingerprint = *request;
+        let counted = self.known.get(request).into_iter().flat_map(Known::counted);
+        counted.map(|(life, at)| Note::End { fingerprint, life, at }).collect()
+    }
+
     /// What annuls all that is known against a request.
     pub fn acquittal(&self, fingerprint: Fingerprint) -> Vec<Note> {
         let counted = self.known.get(&fingerprint).into_iter().flat_map(Known::counted);
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, broadcast::error::RecvError},
+    sync::{Semaphore, broadcast::error::RecvError, watch},
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -98,7 +98,7 @@
     pub(crate) sees_all: bool,
 }
 
-/// What the entry that is followed says.
+/// What the entry that is followed says, or one that is reported to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Told {
     /// Its first word.
@@ -132,6 +132,16 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         limits: Vec<ToldLimit>,
     },
+    /// Urgent news for an entry that reports here, whatever it hears from the one that it follows: that one may be
+    /// suspended, or cut off, and it takes a second or two to be left for another one.
+    News {
+        /// Ends of servers under requests that several have ended under.
+        #[serde(default)]
+        ends: Vec<ToldNote>,
+        /// Limits of servers that changed.
+        #[serde(default)]
+        limits: Vec<ToldLimit>,
+    },
 }
 
 pub(crate) type Socket = WebSocketStream<TcpStream>;
@@ -187,6 +197,47 @@
     }
 }
 
+/// Urgent news for one link, as it comes.
+struct UrgentNews<'a> {
+    router: &'a Router,
+    suspicions: watch::Receiver<u64>,
+    limits: watch::Receiver<u64>,
+    next_end: u64,
+    next_limit: u64,
+    /// Whether there was a change since it was last told of.
+    is_due: bool,
+}
+
+impl<'a> UrgentNews<'a> {
+    fn of(router: &'a Router) -> Self {
+        let (suspicions, limits) = (router.quarantine.changes(), router.limits.urgent());
+        // What is known already is told at once.
+        Self { router, suspicions, limits, next_end: 0, next_limit: 0, is_due: true }
+    }
+
+    /// Waits for the next urgent news. It may be dropped while it waits, and loses nothing by it.
+    async fn next(&mut self) -> Told {
+        loop {
+            if !self.is_due {
+                tokio::select! {
+                    _ = self.suspicions.changed() => {}
+                    _ = self.limits.changed() => {}
+                }
+                self.is_due = true;
+            }
+            sleep(GATHER).await;
+            self.is_due = false;
+            let router = self.router;
+            let (ends, next_end) = router.quarantine.grave_from(self.next_end, router.now());
+            let (limits, next_limit) = router.limits.all_from(self.next_limit);
+            (self.next_end, self.next_limit) = (next_end, next_limit);
+            if !ends.is_empty() || !limits.is_empty() {
+                return Told::News { ends, limits };
+            }
+        }
+    }
+}
+
 /// Forgets what an entry reported over a link when that ends, in whatever way.
 struct ForgetsReport<'a> {
     router: &'a Router,
@@ -209,6 +260,7 @@
 ) -> Result<()> {
     let link = router.loads.number_link();
     let _forgets = ForgetsReport { router, host, link };
+    let mut news = UrgentNews::of(router);
     loop {
         let (loads, now) = (report.loads, router.now());
         router.loads.take_report(host, link, loads, !report.is_new, now);
@@ -216,9 +268,18 @@
         router.kept.take_report(&report.kept, &router.fleet.load(), router.now());
         router.quarantine.take_told(&report.ends, router.now());
         router.take_told_limits(&report.limits);
-        report = match hear(&mut socket).await? {
-            Asked::Report { report, .. } => report,
-            Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
+        report = loop {
+            let asked = tokio::select! {
+                asked = hear(&mut socket) => asked?,
+                told = news.next() => {
+                    tell(&mut socket, &told).await?;
+                    continue;
+                }
+            };
+            match asked {
+                Asked::Report { report, .. } => break report,
+                Asked::Follow { .. } => return Err(Error::Broken("reports were expected".into())),
+            }
         };
     }
 }
@@ -295,16 +356,15 @@
     Ok(())
 }
 
-/// Waits until the other end has shown that it lives. A link that has gone silent for good takes what is
-/// written to it, and what was reported would reach nobody.
-pub(crate) async fn until_alive(socket: &mut Socket) -> Result<()> {
+/// Asks the other end to show that it lives. A link that has gone silent for good takes what is written to it, and
+/// what was reported would reach nobody.
+pub(crate) async fn ask_if_alive(socket: &mut Socket) -> Result<()> {
     socket.send(Message::Ping(Bytes::new())).await?;
-    while !matches!(next_message(socket).await?, Message::Pong(_)) {}
     Ok(())
 }
 
 /// The next message, unless the link ends or is silent for too long.
-async fn next_message(socket: &mut Socket) -> Result<Message> {
+pub(crate) async fn next_message(socket: &mut Socket) -> Result<Message> {
     let message = timeout(SILENT_AFTER, socket.next()).await.map_err(|_| silent())?;
     match message.ok_or_else(|| Error::Broken("the link ended".into()))?? {
         Message::Close(_) => Err(Error::Broken("the link ended".into())),
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -27,6 +27,9 @@
 /// at most, 16 KB; what is told of later is told to new links as a whole.
 const LIMITS: NoteLimits = NoteLimits { kept: 4_096, told: 512, told_for: Duration::from_secs(60) };
 
+/// Ends under a request from which on news of it is urgent: one more and it is refused.
+const GRAVE_FROM: usize = 2;
+
 /// A note on its way: fingerprint in two halves, the life, and the age in milliseconds, none where the end is
 /// annulled. Four numbers without names take 32 bytes instead of 70.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -254,6 +257,20 @@
         self.from(number, now, |inner| &mut inner.all)
     }
 
+    /// What this entry saw or was told since the note with this number, of requests that may be refused next: all
+    /// ends under those that two or more count against. One end alone says little, and a zone's loss brings
+    /// thousands of these.
+    pub(crate) fn grave_from(&self, number: u64, now: Duration) -> (Vec<ToldNote>, u64) {
+        let mut inner = self.lock();
+        let (notes, next) = inner.all.from(number, now);
+        let mut requests: Vec<Fingerprint> = notes.iter().map(Note::fingerprint).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        let ends = requests.iter().map(|request| inner.quarantine.ends(request));
+        let grave = ends.filter(|ends| ends.len() >= GRAVE_FROM).flatten();
+        (grave.map(|note| ToldNote::new(&note, now)).collect(), next)
+    }
+
     fn from(
         &self,
         number: Option<u64>,
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -7,12 +7,16 @@
     task::JoinSet,
     time::{sleep, timeout},
 };
+use tokio_tungstenite::tungstenite::Message;
 
 use crate::{
-    protocol::Result,
+    protocol::{Error, Result, decode},
     router::{
         Router,
-        peers::{Asked, GATHER, OPENING, Report, open, other_seeds, silent, tell, until_alive},
+        peers::{
+            Asked, GATHER, OPENING, Report, Told, ask_if_alive, next_message, open, other_seeds,
+            silent, tell,
+        },
     },
     telemetry::event,
 };
@@ -112,15 +116,32 @@
         };
         (report.limits, next_limit) = (limits, Some(next));
         tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
-        until_alive(&mut socket).await?;
-        tokio::select! {
-            changed = reports.changed() => {
-                if changed.is_err() {
-                    return Ok(());
-                }
+        ask_if_alive(&mut socket).await?;
+        let mut is_alive = false;
+        loop {
+            tokio::select! {
+                message = next_message(&mut socket) => match message? {
+                    Message::Pong(_) => is_alive = true,
+                    Message::Binary(data) => take_news(router, decode(&data)?)?,
+                    _ => {}
+                },
+                changed = reports.changed(), if is_alive => match changed {
+                    Ok(()) => break,
+                    Err(_) => return Ok(()),
+                },
+                // The seed has given the link up meanwhile.
+                _ = wakes.changed() => return Err(silent()),
             }
-            // The seed has given the link up meanwhile.
-            _ = wakes.changed() => return Err(silent()),
         }
     }
 }
+
+/// Takes in urgent news of an entry that is reported to.
+fn take_news(router: &Router, told: Told) -> Result<()> {
+    let Told::News { ends, limits } = told else {
+        return Err(Error::Broken("news were expected".into()));
+    };
+    router.quarantine.take_told(&ends, router.now());
+    router.take_told_limits(&limits);
+    Ok(())
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod homes;
 mod lives;
 mod need;
+mod news;
 mod peers;
 mod pool;
 mod rate_limits;
--- /dev/null
+++ b/tests/platform/news.rs
@@ -0,0 +1,128 @@
+//! Urgent news reaches an entry also where the seed that it follows does not pass it on: each entry reports to every
+//! seed, and any of them may be the one that is still well.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use ciborium::Value;
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
+
+use crate::{
+    need::{load, pool_of, sound},
+    pool::{CRASHING, Pool, ask},
+    site::{Site, until},
+};
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// What a seed that is not well leaves out of what it tells.
+const URGENT: [&str; 2] = ["ends", "limits"];
+
+fn read(message: &Message) -> Option<Value> {
+    let Message::Binary(data) = message else {
+        return None;
+    };
+    ciborium::from_reader(&data[..]).ok()
+}
+
+fn write(value: &Value) -> Message {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).unwrap();
+    Message::binary(bytes)
+}
+
+/// Takes these fields out of what is told, however deep they stand.
+fn strip(value: &mut Value) {
+    match value {
+        Value::Map(fields) => {
+            fields.retain(|(name, _)| !name.as_text().is_some_and(|name| URGENT.contains(&name)));
+            fields.iter_mut().for_each(|(_, field)| strip(field));
+        }
+        Value::Array(all) => all.iter_mut().for_each(strip),
+        _ => {}
+    }
+}
+
+/// Serves one link: what a follower is told comes from the sound seed, without urgent news; reports are taken and
+/// lost.
+async fn mute(mut socket: Socket, sound: SocketAddr) -> Option<()> {
+    let asked = loop {
+        let message = socket.next().await?.ok()?;
+        if let Some(asked) = read(&message) {
+            break asked;
+        }
+    };
+    let is_follower = asked.as_map()?.iter().any(|(name, _)| name.as_text() == Some("Follow"));
+    if !is_follower {
+        while socket.next().await?.is_ok() {}
+        return None;
+    }
+    let stream = TcpStream::connect(sound).await.ok()?;
+    let (mut seed, _) = client_async(format!("ws://{sound}/"), stream).await.ok()?;
+    seed.send(write(&asked)).await.ok()?;
+    loop {
+        let mut told = read(&seed.next().await?.ok()?)?;
+        strip(&mut told);
+        socket.send(write(&told)).await.ok()?;
+    }
+}
+
+/// A seed that passes on everything but urgent news; its address.
+async fn muted_seed(sound: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                if let Ok(socket) = accept_async(stream).await {
+                    mute(socket, sound).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A sound seed, and an entry that follows a muted one and reports to both.
+async fn beside_a_muted_seed(pool: &Pool) -> [Arc<Site>; 2] {
+    let sound = Site::seed(pool.store.clone(), None).await;
+    sound.until_in_view(pool.servers.len()).await;
+    let sound_peer = sound.entry.addresses.peer.unwrap();
+    let muted = muted_seed(sound_peer).await;
+    let entry = pool.entry(&[muted, sound_peer], None).await;
+    entry.until_in_view(pool.servers.len()).await;
+    let follows = || entry.entry.router.dump()["follows_another_entry"] == true;
+    until("it follows", follows).await;
+    until("it reports", || sound.entry.router.dump()["entries"] == 2).await;
+    [Arc::new(sound), Arc::new(entry)]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_is_heard_though_the_seed_that_is_followed_does_not_tell_it() {
+    let needy = sound("i-needy").await;
+    let pool = pool_of(&[&needy]).await;
+    let [seed, entry] = beside_a_muted_seed(&pool).await;
+
+    needy.name_limit(&["1.9"]);
+    load(std::slice::from_ref(&seed), Duration::from_millis(100)).await;
+
+    let limits = || entry.entry.router.dump()["limits"].clone();
+    until("it knows the limit", || limits()[0]["rate"] == 1.9).await;
+    assert_eq!(limits()[0]["heard_here"], false);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn so_is_a_request_under_which_servers_ended() {
+    let pool = Pool::start("app", 6, false).await;
+    let [seed, entry] = beside_a_muted_seed(&pool).await;
+
+    for _ in 0..3 {
+        // One send a try.
+        ask(&seed, "/once/a", CRASHING).await;
+    }
+
+    assert_eq!(pool.witness.ends(), 3);
+    let refused = || entry.entry.router.dump()["quarantine"][0]["refused"] == true;
+    until("it refuses the request", refused).await;
+}
