--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -10,7 +10,8 @@
     protocol::{Error, Result},
     router::{
         Router,
-        peers::{Asked, OPENING, Told, hear, open, other_seeds, silent, tell},
+        messages::{Asked, Told},
+        peers::{OPENING, hear, open, other_seeds, silent, tell},
     },
     telemetry::event,
 };
--- /dev/null
+++ b/src/router/member.rs
@@ -0,0 +1,295 @@
+//! One BackendServer in view, and what this entry has learned about it.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    policy::{
+        failure_rate::FailureRate,
+        kept::{KeptParts, PromptMark},
+        load::LoadBelief,
+        outlier::{Outlier, OutlierRules},
+        placement::{Candidate, hash_id},
+        quarantine::LifeHash,
+        rate_limit::{Allowance, LimitedSends},
+    },
+    router::{breaks::Breaks, connection::IdleConnection},
+    routing::BackendServer,
+};
+
+/// Rules by which a server is passed over. Out after two failures in a row: one lost answer is
+/// common here, and a third of a second request's time is too much to wait for a third.
+const OUTLIER_RULES: OutlierRules = OutlierRules {
+    out_after: 2,
+    first_out: Duration::from_millis(500),
+    longest_out: Duration::from_secs(4),
+    back_after: 6,
+    most_out: 0.7,
+};
+
+/// Time after which it is told again that a server's limit can't be read: each answer may name it.
+const TOLD_AGAIN: Duration = Duration::from_secs(60);
+
+/// What this entry has learned about one life of a server.
+#[derive(Debug, Default)]
+pub(crate) struct Record {
+    /// Belief about its load.
+    pub(crate) load: LoadBelief,
+    /// Its failures in a row.
+    pub(crate) outlier: Outlier,
+    /// Its failures of late.
+    pub(crate) failures: FailureRate,
+    /// Connections that wait for use, the longest idle first.
+    pub(crate) idle: Vec<IdleConnection>,
+    /// Time for the prompts it was sent and has not answered yet.
+    pub(crate) backlog: Duration,
+    /// Prompt parts it is believed to keep.
+    pub(crate) kept: KeptParts,
+    /// When anything last came from it, on the entry's clock.
+    pub(crate) heard_at: Duration,
+    /// Whether another server answered at its address.
+    pub(crate) is_replaced: bool,
+    /// Sends of this entry while it took few.
+    limited_sends: LimitedSends,
+    /// When it last named a limit that could not be read.
+    limit_unreadable_at: Option<Duration>,
+    /// When nobody last listened at its address.
+    unreachable_at: Option<Duration>,
+}
+
+/// A server in view.
+#[derive(Debug)]
+pub struct Member {
+    /// As the platform lists it.
+    pub server: BackendServer,
+    id_hash: u64,
+    waits_until: Duration,
+    /// Until when its row tells it to be cold; later than it is by the row's age.
+    cold_until: Duration,
+    life: Arc<Life>,
+}
+
+/// One life of a server, whatever is listed of it meanwhile.
+#[derive(Debug, Default)]
+struct Life {
+    record: Mutex<Record>,
+    breaks: Mutex<Breaks>,
+    /// Held by whoever looks whether the server listens.
+    look: tokio::sync::Mutex<()>,
+    /// Turns true when the server has started again.
+    has_ended: watch::Sender<bool>,
+}
+
+impl Member {
+    /// A server seen for the first time, which gets nothing until then if others can serve.
+    pub fn new(server: BackendServer, waits_until: Duration, now: Duration) -> Self {
+        let id_hash = hash_id(&server.id);
+        let cold_until = now + server.cold_for;
+        Self { server, id_hash, waits_until, cold_until, life: Arc::default() }
+    }
+
+    /// The same life of the server with a newer listing.
+    pub(super) fn renewed(&self, server: BackendServer, now: Duration) -> Self {
+        let (id_hash, waits_until) = (self.id_hash, self.waits_until);
+        let cold_until = now + server.cold_for;
+        Self { server, id_hash, waits_until, cold_until, life: self.life.clone() }
+    }
+
+    /// Until when its row tells it to be cold.
+    pub(crate) fn cold_until(&self) -> Duration {
+        self.cold_until
+    }
+
+    /// When nobody last listened at its address; none where somebody always did.
+    pub(crate) fn unreachable_at(&self) -> Option<Duration> {
+        self.record().unreachable_at
+    }
+
+    /// Whether this entry may send to it while it takes few.
+    pub(crate) fn may_send_limited(&self, allowance: &Allowance, now: Duration) -> bool {
+        self.record().limited_sends.may_send(allowance, now)
+    }
+
+    /// When this entry may send to it next while it takes few.
+    pub(crate) fn next_limited_at(&self, allowance: &Allowance, now: Duration) -> Duration {
+        self.record().limited_sends.next_at(allowance, now)
+    }
+
+    /// Takes a send to it from what this entry may send while it takes few; whether there was one.
+    pub(crate) fn take_limited_send(&self, allowance: &Allowance, now: Duration) -> bool {
+        let mut record = self.record();
+        let may = record.limited_sends.may_send(allowance, now);
+        if may {
+            record.limited_sends.note(allowance, now);
+        }
+        may
+    }
+
+    /// Notes that it named a limit that can't be read; whether that is to be told.
+    pub(crate) fn note_unreadable_limit(&self, now: Duration) -> bool {
+        let mut record = self.record();
+        let is_due = record.limit_unreadable_at.is_none_or(|at| now >= at + TOLD_AGAIN);
+        if is_due {
+            record.limit_unreadable_at = Some(now);
+        }
+        is_due
+    }
+
+    pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
+        self.life.record.lock().expect("no panics under the lock")
+    }
+
+    /// Requests whose connection to it broke.
+    pub(super) fn breaks(&self) -> MutexGuard<'_, Breaks> {
+        self.life.breaks.lock().expect("no panics under the lock")
+    }
+
+    /// Waits for the turn to look whether the server listens.
+    pub(super) async fn look(&self) -> tokio::sync::MutexGuard<'_, ()> {
+        self.life.look.lock().await
+    }
+
+    /// Waits until the list tells that the server has started again: what it ran is lost, though its
+    /// connections may never say so, and a caller would wait for that until its deadline. For a server that
+    /// was taken off the list in between, probes of its connections have to tell.
+    pub(crate) async fn until_ended(&self) {
+        let mut has_ended = self.life.has_ended.subscribe();
+        if has_ended.wait_for(|ended| *ended).await.is_err() {
+            // Without a sender nobody can tell any more.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Notes that this life has ended.
+    pub(super) fn end(&self) {
+        self.life.has_ended.send_replace(true);
+    }
+
+    /// Notes an answer that shows the server as sound.
+    pub(crate) fn note_answer(&self, now: Duration) {
+        let mut record = self.record();
+        record.outlier.note_answer(&OUTLIER_RULES);
+        record.failures.note(false, now);
+    }
+
+    /// Notes a failure of the server.
+    pub(crate) fn note_failure(&self, now: Duration) {
+        let mut record = self.record();
+        record.outlier.note_failure(&OUTLIER_RULES, now);
+        record.failures.note(true, now);
+    }
+
+    /// Notes that nobody listens at the server's address, which one refusal shows.
+    pub(crate) fn note_unreachable(&self, now: Duration) {
+        let mut record = self.record();
+        record.unreachable_at = Some(now);
+        record.outlier.note_unreachable(&OUTLIER_RULES, now);
+        record.failures.note(true, now);
+    }
+
+    /// Notes that something came from the server.
+    pub(crate) fn note_heard(&self, now: Duration) {
+        self.record().heard_at = now;
+    }
+
+    /// Time for prompts sent to it that are not read yet, of all entries.
+    pub(crate) fn backlog(&self, now: Duration) -> Duration {
+        let record = self.record();
+        record.backlog + record.load.others_backlog(now)
+    }
+
+    /// The same as far as it counts in the choice of a server.
+    pub(crate) fn backlog_for_choice(&self, now: Duration) -> Duration {
+        let record = self.record();
+        record.backlog + record.load.others_backlog_for_choice(now)
+    }
+
+    /// Hash of the server's life, cut to four bytes for the messages between entries: rarely two
+    /// servers share it, and then both are believed to have what either has. What entries tell of a
+    /// former life finds no server.
+    pub(crate) fn short_hash(&self) -> u32 {
+        self.life_hash() as u32
+    }
+
+    /// Hash of the server's life.
+    pub(crate) fn life_hash(&self) -> LifeHash {
+        match self.server.born {
+            Some(born) => xxh3_64_with_seed(&born.to_le_bytes(), self.id_hash),
+            None => self.id_hash,
+        }
+    }
+
+    /// Hash of its id.
+    pub(crate) fn id_hash(&self) -> u64 {
+        self.id_hash
+    }
+
+    /// Whether it should be passed over while others can serve.
+    pub(crate) fn is_passed_over(&self, now: Duration) -> bool {
+        self.record().outlier.is_passed_over(now)
+    }
+
+    /// Answers of this entry that are awaited there.
+    pub(crate) fn awaited(&self) -> u32 {
+        self.record().load.own
+    }
+
+    /// When anything last came from it.
+    pub(crate) fn heard_at(&self) -> Duration {
+        self.record().heard_at
+    }
+
+    /// Whether a new request may be sent to it.
+    pub fn takes_requests(&self) -> bool {
+        !self.server.is_leaving && !self.record().is_replaced
+    }
+
+    /// Whether the order of a roll-out to its version may not have been read yet.
+    pub fn is_unannounced(&self, now: Duration) -> bool {
+        now < self.waits_until
+    }
+
+    /// The server as the choice sees it for a prompt with these shared parts.
+    pub fn candidate(&self, zone: &str, marks: &[PromptMark], now: Duration) -> Candidate {
+        let record = self.record();
+        Candidate {
+            id_hash: self.id_hash,
+            load: record.load.estimate(now),
+            slots: self.server.slots,
+            backlog: record.backlog + record.load.others_backlog_for_choice(now),
+            kept_tokens: record.kept.kept_tokens(marks),
+            failure_rate: record.failures.get(now),
+            is_near: &*self.server.zone == zone,
+            is_suspect: record.outlier.is_passed_over(now),
+        }
+    }
+
+    /// Whether two listings are of the same life of a server.
+    pub(super) fn is_same_life(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.life, &other.life)
+    }
+
+    /// Part of the state dump.
+    pub(super) fn dump(&self, now: Duration) -> Value {
+        let record = self.record();
+        json!({
+            "id": self.server.id,
+            "service": self.server.service,
+            "version": self.server.version,
+            "zone": self.server.zone,
+            "leaving": self.server.is_leaving,
+            "load": record.load.estimate(now),
+            "cold_ms": self.cold_until.saturating_sub(now).as_millis() as u64,
+            "failure_rate": record.failures.get(now),
+            "out": record.outlier.is_out(now),
+            "idle_connections": record.idle.len(),
+            "kept_tokens": record.kept.total_tokens(),
+        })
+    }
+}
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -1,4 +1,4 @@
-//! Links between entries: what is said on them, and serving those that follow or report.
+//! Links between entries: opening them, and serving those that follow or report.
 //!
 //! An entry follows another one instead of the store ([`follow`](super::follow)) and reports to the seeds
 //! ([`reports`](super::reports)).
@@ -12,22 +12,23 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, broadcast::error::RecvError, watch},
+    sync::{Semaphore, broadcast::error::RecvError},
     task::JoinSet,
     time::{sleep, timeout},
 };
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
 
 use crate::{
-    ids::{Era, Revision, StoreVersion},
+    ids::StoreVersion,
     platform::host_settings::HostSettings,
     protocol::{Error, Result, decode, encode},
     router::{
-        Router, kept_board::KeptNote, limit_board::ToldLimit, load_board::ServerLoad,
-        packed_rows::PackedUpdate, quarantine_board::ToldNote, trial::VersionEvidence,
+        Router,
+        messages::{Asked, Report, Told},
+        urgent_news::UrgentNews,
     },
     telemetry::event,
 };
@@ -49,101 +50,6 @@
 /// one that is left; with 400 the last of them had no link.
 const MOST_LINKS: usize = 800;
 
-/// What an entry says on a link that it opened.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Asked {
-    /// It wants to hear what the store says.
-    Follow {
-        /// Newest rows it has, by the store's count.
-        version: Revision,
-        /// Era of the store that these are of.
-        #[serde(default)]
-        era: Era,
-        /// AvailabilityZone that the other one has to be in; any where there is none. Without it a link that
-        /// is left at once brought all rows first.
-        #[serde(default)]
-        only_in: Option<Box<str>>,
-        /// Name of its Host, which it reports under.
-        #[serde(default)]
-        host: Box<str>,
-    },
-    /// What it has at the servers and has seen of versions; over and over on a link of its own.
-    Report { host: Box<str>, report: Report },
-}
-
-/// What one entry lets the others know.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Report {
-    pub(crate) loads: Vec<ServerLoad>,
-    pub(crate) evidence: Vec<VersionEvidence>,
-    /// Prompt parts that it sent since its last report.
-    pub(crate) kept: Vec<KeptNote>,
-    /// Ends of servers since its last report; absent from entries that tell of none.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub(crate) ends: Vec<ToldNote>,
-    /// Limits of servers that changed since its last report.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub(crate) limits: Vec<ToldLimit>,
-    /// Whether it has just started, and does not know its place among all yet.
-    #[serde(default)]
-    pub(crate) is_new: bool,
-}
-
-/// A follower's place among those that share, as a seed tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ToldPlace {
-    pub(crate) rank: u32,
-    pub(crate) entries: u32,
-    /// Whether the seed has been up for long enough to hear from all.
-    pub(crate) sees_all: bool,
-}
-
-/// What the entry that is followed says, or one that is reported to.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Told {
-    /// Its first word.
-    Welcome {
-        /// Its AvailabilityZone.
-        zone: Box<str>,
-    },
-    /// A heartbeat, and what has come since the last one.
-    Beat {
-        /// Whether the store answers it.
-        is_current: bool,
-        updates: Vec<PackedUpdate>,
-        /// How many entries report to it, itself included; 0 from one that does not tell.
-        #[serde(default)]
-        entries: usize,
-        /// The follower's place; none where it does not report yet.
-        #[serde(default)]
-        place: Option<ToldPlace>,
-        /// What all entries together have at the servers.
-        loads: Vec<ServerLoad>,
-        /// Prompt parts that entries sent since the last heartbeat.
-        kept: Vec<KeptNote>,
-        /// Ends of servers since the last heartbeat, or all that are known in the first one; absent from
-        /// entries that tell of none.
-        #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        ends: Vec<ToldNote>,
-        /// Whether these are all, with what was known before it started; not so with one that does not tell.
-        #[serde(default)]
-        is_informed: bool,
-        /// Limits of servers that changed since the last heartbeat, or all that are known in the first ones.
-        #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        limits: Vec<ToldLimit>,
-    },
-    /// Urgent news for an entry that reports here, whatever it hears from the one that it follows: that one may be
-    /// suspended, or cut off, and it takes a second or two to be left for another one.
-    News {
-        /// Ends of servers under requests that several have ended under.
-        #[serde(default)]
-        ends: Vec<ToldNote>,
-        /// Limits of servers that changed.
-        #[serde(default)]
-        limits: Vec<ToldLimit>,
-    },
-}
-
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
 pub(crate) fn silent() -> Error {
@@ -197,47 +103,6 @@
     }
 }
 
-/// Urgent news for one link, as it comes.
-struct UrgentNews<'a> {
-    router: &'a Router,
-    suspicions: watch::Receiver<u64>,
-    limits: watch::Receiver<u64>,
-    next_end: u64,
-    next_limit: u64,
-    /// Whether there was a change since it was last told of.
-    is_due: bool,
-}
-
-impl<'a> UrgentNews<'a> {
-    fn of(router: &'a Router) -> Self {
-        let (suspicions, limits) = (router.quarantine.changes(), router.limits.urgent());
-        // What is known already is told at once.
-        Self { router, suspicions, limits, next_end: 0, next_limit: 0, is_due: true }
-    }
-
-    /// Waits for the next urgent news. It may be dropped while it waits, and loses nothing by it.
-    async fn next(&mut self) -> Told {
-        loop {
-            if !self.is_due {
-                tokio::select! {
-                    _ = self.suspicions.changed() => {}
-                    _ = self.limits.changed() => {}
-                }
-                self.is_due = true;
-            }
-            sleep(GATHER).await;
-            self.is_due = false;
-            let router = self.router;
-            let (ends, next_end) = router.quarantine.grave_from(self.next_end, router.now());
-            let (limits, next_limit) = router.limits.all_from(self.next_limit);
-            (self.next_end, self.next_limit) = (next_end, next_limit);
-            if !ends.is_empty() || !limits.is_empty() {
-                return Told::News { ends, limits };
-            }
-        }
-    }
-}
-
 /// Forgets what an entry reported over a link when that ends, in whatever way.
 struct ForgetsReport<'a> {
     router: &'a Router,
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -13,10 +13,8 @@
     protocol::{Error, Result, decode},
     router::{
         Router,
-        peers::{
-            Asked, GATHER, OPENING, Report, Told, ask_if_alive, next_message, open, other_seeds,
-            silent, tell,
-        },
+        messages::{Asked, Report, Told},
+        peers::{GATHER, OPENING, ask_if_alive, next_message, open, other_seeds, silent, tell},
     },
     telemetry::event,
 };
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -10,7 +10,7 @@
         place::{Place, PlaceBelief, Sharer},
         rate_limit::{Allowance, Rate, allowance, stand_in},
     },
-    router::{Member, Router, limit_board::LimitView, peers::ToldPlace},
+    router::{Member, Router, limit_board::LimitView, messages::ToldPlace},
 };
 
 /// Time for which a server that nobody answered for is taken as cold once it answers, beyond the time that a
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -50,9 +50,24 @@
     !site.entry.router.dump()["limits"].as_array().unwrap().is_empty()
 }
 
-/// Which entry made the sends that count since these counts were taken.
-fn senders(sites: &[Arc<Site>], before: &[Vec<String>]) -> Vec<usize> {
-    (0..sites.len()).filter(|i| limited_sends(&sites[*i]) != before[*i]).collect()
+/// Waits until all know the only limit that is named, and their places.
+async fn until_settled(sites: &[Arc<Site>]) {
+    load(sites, Duration::from_millis(300)).await;
+    for site in sites {
+        until("it knows the limit", || knows_limit(site)).await;
+        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
+    }
+}
+
+/// The only entry that sends to a server that names one request a second.
+async fn only_sender(sites: &[Arc<Site>]) -> usize {
+    until_settled(sites).await;
+    let before: Vec<_> = sites.iter().map(|site| limited_sends(site)).collect();
+    load(sites, Duration::from_secs(3)).await;
+    let has_sent = |i: &usize| limited_sends(&sites[*i]) != before[*i];
+    let senders: Vec<usize> = (0..sites.len()).filter(has_sent).collect();
+    assert_eq!(senders.len(), 1, "{senders:?}");
+    senders[0]
 }
 
 /// One entry in five may send to it, and is killed.
@@ -62,17 +77,9 @@
     let pool = pool_of(&[&needy, &other]).await;
     let mut sites = pool.entries(5).await;
     needy.name_limit(&["1"]);
-    load(&sites, Duration::from_millis(300)).await;
-    for site in &sites {
-        until("it knows the limit", || knows_limit(site)).await;
-        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
-    }
-    let before: Vec<_> = sites.iter().map(|site| limited_sends(site)).collect();
-    load(&sites, Duration::from_secs(3)).await;
-    let senders = senders(&sites, &before);
-    assert_eq!(senders.len(), 1, "{senders:?}");
+    let sender = only_sender(&sites).await;
 
-    drop(sites.remove(senders[0]));
+    drop(sites.remove(sender));
     let killed = Instant::now();
     load(&sites, Duration::from_secs(4)).await;
 
@@ -88,15 +95,8 @@
     let pool = pool_of(&[&needy, &other]).await;
     let mut sites = pool.entries(4).await;
     needy.name_limit(&["1"]);
-    load(&sites, Duration::from_millis(300)).await;
-    for site in &sites {
-        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
-    }
-    let before: Vec<_> = sites.iter().map(|site| limited_sends(site)).collect();
-    load(&sites, Duration::from_secs(3)).await;
-    let senders = senders(&sites, &before);
-    assert_eq!(senders.len(), 1, "{senders:?}");
-    let idle = sites.remove(senders[0]);
+    let sender = only_sender(&sites).await;
+    let idle = sites.remove(sender);
 
     needy.name_limit(&[]);
     let deadline = Instant::now() + Duration::from_secs(12);
@@ -115,10 +115,7 @@
     let pool = pool_of(&[&servers[0], &servers[1], &servers[2]]).await;
     let sites = pool.entries(4).await;
     servers.iter().for_each(|server| server.name_limit(&["2.2"]));
-    load(&sites, Duration::from_millis(500)).await;
-    for site in &sites {
-        until("it knows its place", || !site.entry.router.dump()["place"].is_null()).await;
-    }
+    until_settled(&sites).await;
 
     let from = Instant::now();
     let answers = answers_under_load(&sites, Duration::from_secs(8)).await;
--- a/tests/platform/restores.rs
+++ b/tests/platform/restores.rs
@@ -186,23 +186,29 @@
     status.and_then(|s| Some(s["state"].as_str()?.to_owned())).unwrap_or_default()
 }
 
-/// The verdict is lost, and so are the order and what was written of its begin. The operator writes the order
-/// again under a version that was given out before.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_version_that_was_rolled_back_stays_so_and_the_store_is_told_again() {
+/// Orders a version that fails, and asks until it is rolled back; the order.
+async fn roll_back(site: &Site) -> Value {
     let order = json!({"service": "app", "to": "v2", "duration-s": 600.0});
-    let (old, new) = (always("i-1", GOOD).await, always("i-2", FAILS).await);
-    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
-    let copy = site.store.copy();
     site.store.put("op", "rollout/app", &order);
-    until("it is under way", || state(&site) == "in_progress").await;
+    until("it is under way", || state(site) == "in_progress").await;
     for number in 0..4_000 {
-        if state(&site) == "rolled_back" {
+        if state(site) == "rolled_back" {
             break;
         }
         site.ask("GET", &format!("/safe/{number}"), "").await;
     }
-    assert_eq!(state(&site), "rolled_back");
+    assert_eq!(state(site), "rolled_back");
+    order
+}
+
+/// The verdict is lost, and so are the order and what was written of its begin. The operator writes the order
+/// again under a version that was given out before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_was_rolled_back_stays_so_and_the_store_is_told_again() {
+    let (old, new) = (always("i-1", GOOD).await, always("i-2", FAILS).await);
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    let copy = site.store.copy();
+    let order = roll_back(&site).await;
 
     site.store.restore(&copy);
     site.store.put("op", "rollout/app", &order);
@@ -218,18 +224,10 @@
 /// What was to be told again meets what somebody else wrote meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_store_is_told_again_of_an_end_though_another_write_came_first() {
-    let order = json!({"service": "app", "to": "v2", "duration-s": 600.0});
     let (old, new) = (always("i-1", GOOD).await, always("i-2", FAILS).await);
     let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
     let copy = site.store.copy();
-    site.store.put("op", "rollout/app", &order);
-    until("it is under way", || state(&site) == "in_progress").await;
-    for number in 0..4_000 {
-        if state(&site) == "rolled_back" {
-            break;
-        }
-        site.ask("GET", &format!("/safe/{number}"), "").await;
-    }
+    let order = roll_back(&site).await;
 
     site.store.set_fault(Fault::Contended);
     site.store.restore(&copy);
