Entries that do not know their places share by number what a server takes

What callers saw: nothing yet; after a loss of all entries, with every server of a service cold or in need, each entry sent one request a second to each of them until it knew its place: 360 a second in the worst case, where 18 are borne.

Cause: the least allowance of such an entry did not know of the others.

Change: one request in the time for which the server takes as many as there are entries, as far as that was heard; a second at least. Test: the sum stays within the rate at 1 to 360 entries; with one a second each it is 360 of 18 and of 1.9.

--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// How many share, as far as it was heard; also before the place is settled.
+    pub fn entries(&self) -> Option<u32> {
+        self.place.map(|place| place.entries)
+    }
+
     /// The place to go by; none until it is settled.
     pub fn get(&self, now: Duration) -> Option<Place> {
         self.place.filter(|_| now >= self.since + SETTLES)
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -69,9 +69,10 @@
 }
 
 impl Allowance {
-    /// The least: what an entry may send that does not know its place, and only where nobody else can serve.
-    pub fn least(rate: Rate) -> Self {
-        Self { sends: 1, window: window(1, rate).max(Duration::from_secs(1)) }
+    /// The least: what an entry may send that does not know its place among so many, and only where nobody else can
+    /// serve. Where all of them have just started, that adds up to what the server takes.
+    pub fn least(rate: Rate, entries: u32) -> Self {
+        Self { sends: 1, window: window(entries.max(1), rate).max(Duration::from_secs(1)) }
     }
 }
 
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -34,6 +34,11 @@
         belief.hear(Place { rank, entries }, sees_all, now);
     }
 
+    /// How many share, as far as it was heard.
+    fn entries(&self) -> Option<u32> {
+        self.belief.lock().expect("no panics under the lock").entries()
+    }
+
     /// This entry's place; none until it is settled.
     fn get(&self, now: Duration) -> Option<Place> {
         self.belief.lock().expect("no panics under the lock").get(now)
@@ -128,6 +133,13 @@
             || member.unreachable_at().is_some_and(|at| self.now < at + terms.lasts + ASKED_AGAIN)
     }
 
+    /// Entries that share, where this one does not know its place: as many as it heard of, or as the settings name.
+    fn entries(&self) -> u32 {
+        let named = self.router.settings.load().seeds.len();
+        let heard = self.router.heard_place.entries().unwrap_or_default();
+        heard.max(u32::try_from(named).unwrap_or(u32::MAX))
+    }
+
     /// What is known of the limit that a server names.
     fn named(&self, member: &Member) -> LimitBelief {
         let view = self.named.as_ref();
@@ -149,7 +161,7 @@
             return SendRule::Free;
         };
         let Some(place) = self.place else {
-            return SendRule::Unplaced(Allowance::least(rate));
+            return SendRule::Unplaced(Allowance::least(rate, self.entries()));
         };
         let unheard = self.now.saturating_sub(named.heard_at());
         let server = member.id_hash();
@@ -174,7 +186,7 @@
             SendRule::Limited(allowance) | SendRule::Unplaced(allowance) => {
                 member.next_limited_at(&allowance, self.now).saturating_sub(self.now)
             }
-            SendRule::Others(rate) => Allowance::least(rate).window,
+            SendRule::Others(rate) => Allowance::least(rate, 1).window,
         }
     }
 
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -6,7 +6,7 @@
 use mintmoor::policy::{
     limit_news::{Change, LimitBelief, LimitNews},
     place::Place,
-    rate_limit::{LEAST_NAMED, LimitedSends, SaidLimit, allowance, stand_in},
+    rate_limit::{Allowance, LEAST_NAMED, LimitedSends, SaidLimit, allowance, stand_in},
 };
 
 fn ms(ms: u64) -> Duration {
@@ -162,3 +162,16 @@
         assert_eq!(all, places.len() - senders, "{entries} entries");
     }
 }
+
+/// All entries have just started, and no server takes what it has places for.
+#[test]
+fn entries_that_do_not_know_their_places_send_no_more_together_than_a_server_takes() {
+    for entries in [1, 4, 21, 360] {
+        for rate in [0.05, 0.3, 1.9, 18.0] {
+            let least = Allowance::least(rate, entries);
+            let all = f64::from(entries * least.sends) / least.window.as_secs_f64();
+            assert!(all <= rate * 1.001, "{entries} entries send {all} of {rate}");
+            assert!(least.window >= Duration::from_secs(1));
+        }
+    }
+}
