A refused request that servers have answered whole is tried again soon

Cause, from the logs: servers ended again under a request that ends them before the list told of the lives in which they did; proxies hid that nobody listened. What broke there since counted as at work, so a popular request was at four ends at which nobody else was, though servers had answered it whole half a second before.

Change: doubt is also due to a request that was answered whole; its first trial comes 1 to 2.5 s later. The bound of three sends after the third end holds as before.

Test: trial in 300 s before, in 2.5 s at most now.

--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -43,8 +43,8 @@
 /// Time from the last end or trial to the next trial. A version that was repaired is rolled out in minutes.
 const FIRST_REST: Duration = Duration::from_secs(5 * 60);
 const LAST_REST: Duration = Duration::from_secs(40 * 60);
-/// Time to one more trial before these, where another request was at all the same ends and either of them may
-/// be innocent: one that many callers send was refused for minutes after it had been at three ends beside a
+/// Time to one more trial before these, where the request may be innocent, as another one was at all the same ends or
+/// a server answered it whole before: one that many callers send was refused for minutes after it had been at three ends beside a
 /// guilty one, half of an entry's requests in the soak.
 const DOUBTFUL_REST: Duration = Duration::from_secs(1);
 /// Time over which such trials are spread by fingerprint: two that ran beside each other would tell nothing.
@@ -133,6 +133,11 @@
         self.ends.iter().filter(|end| !end.is_annulled).map(|end| (end.life, end.at))
     }
 
+    /// Whether an end was annulled: a server answered it whole, or an operator let it go.
+    fn was_cleared(&self) -> bool {
+        self.ends.iter().any(|end| end.is_annulled)
+    }
+
     fn last(&self) -> Duration {
         self.ends.last().map_or(Duration::ZERO, |end| end.at).max(self.tried_at)
     }
@@ -291,8 +296,12 @@
         Some(last_end.max(known.tried_at) + rests.nth(known.trials as usize)?)
     }
 
-    /// Whether another request was at all the ends that count against this one.
+    /// Whether it may be innocent: a server answered it whole before, or another request was at all the ends that
+    /// count against it. One that many callers send is at most servers, also at those that ended unseen before.
     fn is_doubtful(&self, fingerprint: &Fingerprint, known: &Known) -> bool {
+        if known.was_cleared() {
+            return true;
+        }
         let was_there = |other: &Known| known.counted().all(|(life, _)| other.was_at(life));
         self.known.iter().any(|(other, ends)| other != fingerprint && was_there(ends))
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -163,6 +163,27 @@
     assert!(trial_in(&quarantine, tried_at) > Duration::from_secs(60));
 }
 
+/// It was answered whole a moment ago, and its connections broke at servers that had ended before, which nobody could
+/// see: no other request was at those ends.
+#[test]
+fn so_is_one_that_servers_have_answered_whole() {
+    let popular = Fingerprint(2);
+    let mut quarantine = with([end(popular, 1, 0)]);
+    for note in quarantine.acquittal(popular) {
+        quarantine.note(note, START + ms(500));
+    }
+
+    for (life, at_ms) in [(2, 1_000), (3, 1_400), (4, 1_800)] {
+        quarantine.note(end(popular, life, at_ms), START + ms(at_ms));
+    }
+
+    let standing = quarantine.standing(&popular, START + ms(1_800));
+    let Standing::Refused { trial_in: Some(trial_in) } = standing else {
+        panic!("{standing:?}");
+    };
+    assert!(trial_in <= ms(2_500), "{trial_in:?}");
+}
+
 #[test]
 fn a_trial_that_another_entry_made_is_known_from_the_store() {
     let mut here = with((0..3).map(|i| end(GUILTY, i, i)));
