--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -167,7 +167,7 @@
     }
 }
 
-/// Over 3,000 simulated seconds in all.
+/// 2,700 simulated seconds in all.
 #[test]
 fn no_window_has_too_many_while_entries_come_and_go() {
     let lasts = Duration::from_secs(60);
