Observability: drain notices, pauses and unread headers of answers are recorded

Each answer's head is decoded once in platform/answers.rs, which now also reads both headers and names those that nothing reads. Events 519 to 522, counters mintmoor_unavailable_sends and mintmoor_unread_headers, two gauges, and two fields of the state dump. No decision reads any of it yet.

--- /dev/null
+++ b/src/platform/answers.rs
@@ -0,0 +1,125 @@
+//! Heads of answers, each header decoded once into our types.
+
+use std::time::SystemTime;
+
+use http::{HeaderMap, HeaderName, StatusCode, header};
+
+use crate::{
+    platform::headers::{KEEP_ALIVE, REQUEST_ID, number, text, without_hop_by_hop},
+    policy::{load::ReportedLoad, rate_limit::SaidLimit, retry_after::RetryAfter},
+    routing::{AnswerHead, AnswerKind},
+};
+
+/// Signature of the server that answered.
+const SIGNATURE: &str = "x-instance-stamp";
+/// Present when the server did not run the request.
+const NOT_RUN: &str = "x-not-executed";
+/// `running,waiting,slots` of the server.
+const LOAD: &str = "x-instance-load";
+/// Requests a second, a decimal number; only in the answers of a rate-limited server.
+const RATE_LIMIT: &str = "server-limit";
+/// Present and other than `0` while the server drains.
+const DRAINING: &str = "server-leaving";
+const CONFIDENCE: &str = "x-confidence";
+
+/// Headers of answers that are read here.
+const READ: [&str; 11] = [
+    SIGNATURE,
+    NOT_RUN,
+    LOAD,
+    RATE_LIMIT,
+    DRAINING,
+    CONFIDENCE,
+    REQUEST_ID,
+    "retry-after",
+    "connection",
+    "content-encoding",
+    "transfer-encoding",
+];
+/// Headers of answers that are for the caller, or that nothing here needs (docs/incidents/0013).
+const PASSED_ON: [&str; 18] = [
+    "allow",
+    "cache-control",
+    "content-language",
+    "content-length",
+    "content-type",
+    "date",
+    "etag",
+    "expires",
+    "last-modified",
+    "location",
+    "server",
+    "set-cookie",
+    "vary",
+    "www-authenticate",
+    KEEP_ALIVE,
+    "x-cold-ms",
+    "x-instance-id",
+    "x-weight-versions",
+];
+
+/// Reads the head of an answer to the request with this id.
+pub fn read_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerHead {
+    let closes = text(headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    AnswerHead {
+        kind: kind_of_answer(status, headers, request_id),
+        status,
+        headers: without_hop_by_hop(headers),
+        confidence: number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
+        load: text(headers, LOAD).and_then(read_load),
+        rate_limit: read_rate_limit(headers),
+        is_draining: headers.get_all(DRAINING).iter().any(|value| value != "0"),
+        retry_after: read_retry_after(headers),
+        unread: unread(headers),
+        closes,
+    }
+}
+
+fn kind_of_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerKind {
+    if text(headers, REQUEST_ID).is_some_and(|id| id != request_id) {
+        return AnswerKind::Misplaced;
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return AnswerKind::OtherServer;
+    }
+    if headers.contains_key(NOT_RUN) {
+        return AnswerKind::NotRun;
+    }
+    if !headers.contains_key(SIGNATURE) || headers.contains_key(header::CONTENT_ENCODING) {
+        return AnswerKind::Unsigned;
+    }
+    if status.is_success() { AnswerKind::Success } else { AnswerKind::Failure }
+}
+
+/// The limit that an answer names. Where it names several, the smallest is what the server surely takes.
+fn read_rate_limit(headers: &HeaderMap) -> SaidLimit {
+    let lines = headers.get_all(RATE_LIMIT).iter().map(|value| value.to_str().unwrap_or_default());
+    let said = lines.flat_map(|line| line.split(',')).map(SaidLimit::read);
+    said.reduce(SaidLimit::smaller).unwrap_or(SaidLimit::Nothing)
+}
+
+fn read_load(value: &str) -> Option<ReportedLoad> {
+    let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
+    let running = numbers.next()??;
+    let waiting = numbers.next()??;
+    let slots = numbers.next()??;
+    Some(ReportedLoad { running, waiting, slots })
+}
+
+/// The pause that an answer asks for; the longest where it names several.
+fn read_retry_after(headers: &HeaderMap) -> RetryAfter {
+    let lines = headers.get_all(header::RETRY_AFTER).iter();
+    let lines = lines.map(|value| value.to_str().unwrap_or_default());
+    let pauses = lines.map(|line| RetryAfter::read(line, SystemTime::now()));
+    pauses.reduce(RetryAfter::longer).unwrap_or_default()
+}
+
+/// Headers that nothing reads and that are not known to concern the caller alone.
+fn unread(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers.keys().filter(|name| !is_known(name.as_str())).cloned().collect()
+}
+
+/// Whether the adapter knows a header of answers.
+pub fn is_known(name: &str) -> bool {
+    READ.contains(&name) || PASSED_ON.contains(&name)
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,16 +1,13 @@
-//! HTTP headers of callers and BackendServers, read into and written from our types.
+//! HTTP headers of requests, read into and written from our types; those of answers are in [`super::answers`].
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
 
-use crate::{
-    policy::{load::ReportedLoad, rate_limit::SaidLimit},
-    routing::{AnswerHead, AnswerKind, Organisation, PromptPart, RequestHead},
-};
+use crate::routing::{Organisation, PromptPart, RequestHead};
 
 /// Id of one try of a caller, echoed in its answer.
-const REQUEST_ID: &str = "x-request-id";
+pub(super) const REQUEST_ID: &str = "x-request-id";
 /// Milliseconds: for callers the time they wait, for servers the time left.
 const TIME_LEFT: &str = "x-deadline-ms";
 /// `prompt,answer` tokens; the second is the most the answer may have.
@@ -26,15 +23,6 @@
 const EXPECTED_SERVER: &str = "x-expect-instance";
 const ORGANISATION: &str = "x-tenant";
 const PRIORITY: &str = "x-request-priority";
-/// Signature of the server that answered.
-const SIGNATURE: &str = "x-instance-stamp";
-/// Present when the server did not run the request.
-const NOT_RUN: &str = "x-not-executed";
-/// `running,waiting,slots` of the server.
-const LOAD: &str = "x-instance-load";
-/// Requests a second, a decimal number; only in the answers of a server in need.
-const RATE_LIMIT: &str = "server-limit";
-const CONFIDENCE: &str = "x-confidence";
 const AUTH_SCHEME: &str = "Bearer ";
 
 /// Headers that concern one connection only.
@@ -47,7 +35,7 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
 ];
-const KEEP_ALIVE: &str = "keep-alive";
+pub(super) const KEEP_ALIVE: &str = "keep-alive";
 /// Headers that only this system may set towards a server.
 const OURS: [&str; 11] = [
     EXPECTED_SERVER,
@@ -165,45 +153,15 @@
     headers
 }
 
-/// Reads the head of an answer to the request with this id.
-pub fn read_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerHead {
-    let closes = text(headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
-    AnswerHead {
-        kind: kind_of_answer(status, headers, request_id),
-        status,
-        headers: without_hop_by_hop(headers),
-        confidence: number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
-        load: text(headers, LOAD).and_then(read_load),
-        rate_limit: read_rate_limit(headers),
-        closes,
-    }
-}
-
-fn kind_of_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> AnswerKind {
-    if text(headers, REQUEST_ID).is_some_and(|id| id != request_id) {
-        return AnswerKind::Misplaced;
-    }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return AnswerKind::OtherServer;
-    }
-    if headers.contains_key(NOT_RUN) {
-        return AnswerKind::NotRun;
-    }
-    if !headers.contains_key(SIGNATURE) || headers.contains_key(header::CONTENT_ENCODING) {
-        return AnswerKind::Unsigned;
-    }
-    if status.is_success() { AnswerKind::Success } else { AnswerKind::Failure }
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
-fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+pub(super) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     text(headers, name)?.trim().parse().ok()
 }
 
-fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
+pub(super) fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
     for name in named.flat_map(|value| value.split(',')) {
@@ -229,18 +187,3 @@
     };
     value.split(',').filter_map(part).collect()
 }
-
-/// The limit that an answer names. Where it names several, the smallest is what the server surely takes.
-fn read_rate_limit(headers: &HeaderMap) -> SaidLimit {
-    let lines = headers.get_all(RATE_LIMIT).iter().map(|value| value.to_str().unwrap_or_default());
-    let said = lines.flat_map(|line| line.split(',')).map(SaidLimit::read);
-    said.reduce(SaidLimit::smaller).unwrap_or(SaidLimit::Nothing)
-}
-
-fn read_load(value: &str) -> Option<ReportedLoad> {
-    let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
-    let running = numbers.next()??;
-    let waiting = numbers.next()??;
-    let slots = numbers.next()??;
-    Some(ReportedLoad { running, waiting, slots })
-}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A site puts an adapter to its own services here; the shapes are in `docs/PLATFORM.md`.
 
+pub mod answers;
 pub mod documents;
 mod engine;
 mod error;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or draws randomness of its own, so that the model
 //! checks in `tests/model/`, the property tests and the measurements drive what production runs.
 
+pub mod announced;
 pub mod attempt;
 pub mod cascade;
 pub mod catch_up;
@@ -31,6 +32,7 @@
 pub mod rate_limit;
 pub mod reading;
 pub mod retry;
+pub mod retry_after;
 pub mod roll_out;
 pub mod send_budget;
 pub mod session;
--- /dev/null
+++ b/src/policy/retry_after.rs
@@ -0,0 +1,59 @@
+//! The pause that a server asks for when it rejects a request (RFC 9110, section 10.2.3).
+
+use std::time::{Duration, SystemTime};
+
+/// Longest pause that is honoured, so that a wrong value doesn't take a server out for good.
+pub const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+
+/// What the head of an answer says of a pause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// Nothing.
+    #[default]
+    None,
+    /// The pause, at most [`LONGEST_PAUSE`].
+    After(Duration),
+    /// Neither a number of seconds nor a date.
+    Unreadable,
+}
+
+impl RetryAfter {
+    /// Reads a number of seconds, which may have a fraction, or an HTTP date.
+    pub fn read(text: &str, now: SystemTime) -> Self {
+        let text = text.trim();
+        match text.parse::<f64>() {
+            Ok(seconds) if seconds.is_finite() && seconds >= 0.0 => {
+                let seconds = seconds.min(LONGEST_PAUSE.as_secs_f64());
+                Self::After(Duration::from_secs_f64(seconds))
+            }
+            Ok(_) => Self::Unreadable,
+            Err(_) => Self::read_date(text, now),
+        }
+    }
+
+    fn read_date(text: &str, now: SystemTime) -> Self {
+        let Ok(date) = httpdate::parse_http_date(text) else {
+            return Self::Unreadable;
+        };
+        let pause = date.duration_since(now).unwrap_or_default();
+        Self::After(pause.min(LONGEST_PAUSE))
+    }
+
+    /// The longer of two pauses that one answer asks for.
+    #[must_use]
+    pub fn longer(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::After(a), Self::After(b)) => Self::After(a.max(b)),
+            (Self::After(_), _) => self,
+            _ => other,
+        }
+    }
+
+    /// The pause; none where there is nothing to wait for.
+    pub fn pause(self) -> Option<Duration> {
+        match self {
+            Self::After(pause) if !pause.is_zero() => Some(pause),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/router/announcements.rs
@@ -0,0 +1,54 @@
+//! What this entry records of the drain notices and pauses in answers of servers.
+
+use crate::{
+    policy::retry_after::RetryAfter,
+    router::{Member, Router},
+    routing::AnswerHead,
+    telemetry::event,
+};
+
+impl Router {
+    /// Records what the head of a server's own answer announces.
+    pub(crate) fn note_announced(&self, member: &Member, head: &AnswerHead, request_id: &str) {
+        let (now, id) = (self.now(), &member.server.id);
+        if head.is_draining && member.record().announced.note_draining(now) {
+            event::SERVER_DRAINING.log(format_args!("server={id} request={request_id}"));
+        }
+        if !head.is_rejection() {
+            return;
+        }
+        if head.retry_after == RetryAfter::Unreadable && member.note_unreadable_retry_after(now) {
+            event::RETRY_AFTER_UNREADABLE.log(format_args!("server={id} request={request_id}"));
+        }
+        let Some(pause) = head.retry_after.pause() else {
+            return;
+        };
+        if member.record().announced.note_pause(pause, now) {
+            event::PAUSE_REQUESTED.log(format_args!(
+                "server={id} request={request_id} status={} pause_ms={}",
+                head.status.as_u16(),
+                pause.as_millis()
+            ));
+        }
+    }
+
+    /// Counts headers of an answer that nothing reads, and logs each name once.
+    pub(crate) fn note_unread_headers(&self, member: &Member, head: &AnswerHead) {
+        for name in &head.unread {
+            if self.metrics.count_unread_header(name.as_str()) {
+                event::HEADER_UNREAD.log(format_args!("header={name} server={}", member.server.id));
+            }
+        }
+    }
+
+    /// Counts a send to a server that has announced that it should get none.
+    pub(crate) fn count_unavailable_send(&self, member: &Member, send: &str) {
+        let announced = member.record().announced;
+        if announced.draining_since().is_some() {
+            self.metrics.count_unavailable_send("draining", send);
+        }
+        if announced.is_paused(self.now()) {
+            self.metrics.count_unavailable_send("paused", send);
+        }
+    }
+}
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -9,7 +9,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    platform::headers::{AttemptHeaders, read_answer, write_attempt},
+    platform::{
+        answers::read_answer,
+        headers::{AttemptHeaders, write_attempt},
+    },
     policy::{kept::PromptMark, patience::Patience},
     router::{
         Member, Router,
@@ -148,6 +151,7 @@
     let mut at_server = AtServer::enter(plan.member, reading);
     let sent_at = router.now();
     note_sent(router, plan);
+    router.count_unavailable_send(plan.member, job.kind_of_send());
     // By the runtime's clock: a suspension says nothing about the server's pace.
     let began = Instant::now();
     let outcome = exchange(router, job, plan, may_leave).await;
@@ -160,7 +164,7 @@
     plan.member.note_heard(router.now());
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &job.req.head.id);
-    note_head(router, plan.member, &head, sent_at);
+    note_head(router, plan.member, &head, &job.req.head.id, sent_at);
     let (tokens, took) = (plan.unread_tokens, began.elapsed());
     let is_slow = router.readings.get(plan.reading_key).is_slow(tokens, took);
     if head.kind == AnswerKind::Success {
@@ -206,15 +210,23 @@
     }
 }
 
-fn note_head(router: &Router, member: &Member, head: &AnswerHead, sent_at: Duration) {
+fn note_head(
+    router: &Router,
+    member: &Member,
+    head: &AnswerHead,
+    request_id: &str,
+    sent_at: Duration,
+) {
     let is_foreign = matches!(head.kind, AnswerKind::Misplaced | AnswerKind::Unsigned);
     if is_foreign || head.status.is_server_error() {
         member.note_failure(router.now());
     } else {
         member.note_answer(router.now());
     }
-    if !is_foreign && head.kind != AnswerKind::OtherServer {
+    if head.kind.is_authentic() {
         router.note_said_limit(member, head, sent_at);
+        router.note_announced(member, head, request_id);
+        router.note_unread_headers(member, head);
     }
 }
 
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -147,7 +147,7 @@
     }
 
     /// The next send in metrics.
-    fn kind_of_send(&self) -> &'static str {
+    pub(crate) fn kind_of_send(&self) -> &'static str {
         if self.attempts.is_empty() { "first" } else { "further" }
     }
 
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     policy::{
+        announced::Announced,
         failure_rate::FailureRate,
         kept::{KeptParts, PromptMark},
         load::LoadBelief,
@@ -33,8 +34,21 @@
     most_out: 0.7,
 };
 
-/// Time after which it is told again that a server's limit can't be read: each answer may name it.
-const TOLD_AGAIN: Duration = Duration::from_secs(60);
+/// Least time between log lines on a header of one server that can't be read: each answer may have it.
+const LOGGED_AGAIN: Duration = Duration::from_secs(60);
+
+/// Whether something is to be logged again; then it is noted as logged.
+fn is_due(logged_at: &mut Option<Duration>, now: Duration) -> bool {
+    let is_due = logged_at.is_none_or(|at| now >= at + LOGGED_AGAIN);
+    if is_due {
+        *logged_at = Some(now);
+    }
+    is_due
+}
+
+fn age_ms(since: Duration, now: Duration) -> u64 {
+    now.saturating_sub(since).as_millis() as u64
+}
 
 /// What this entry has learned about one life of a server.
 #[derive(Debug, Default)]
@@ -59,6 +73,10 @@
     limited_sends: LimitedSends,
     /// When it last named a limit that could not be read.
     limit_unreadable_at: Option<Duration>,
+    /// When it last asked for a pause that could not be read.
+    retry_after_unreadable_at: Option<Duration>,
+    /// What it has announced in its answers.
+    pub(crate) announced: Announced,
     /// When nobody last listened at its address.
     unreachable_at: Option<Duration>,
 }
@@ -131,14 +149,14 @@
         may
     }
 
-    /// Notes that it named a limit that can't be read; whether that is to be told.
+    /// Notes that it named a limit that can't be read; whether that is to be logged.
     pub(crate) fn note_unreadable_limit(&self, now: Duration) -> bool {
-        let mut record = self.record();
-        let is_due = record.limit_unreadable_at.is_none_or(|at| now >= at + TOLD_AGAIN);
-        if is_due {
-            record.limit_unreadable_at = Some(now);
-        }
-        is_due
+        is_due(&mut self.record().limit_unreadable_at, now)
+    }
+
+    /// Notes that it asked for a pause that can't be read; whether that is to be logged.
+    pub(crate) fn note_unreadable_retry_after(&self, now: Duration) -> bool {
+        is_due(&mut self.record().retry_after_unreadable_at, now)
     }
 
     pub(crate) fn record(&self) -> MutexGuard<'_, Record> {
@@ -288,6 +306,8 @@
             "cold_ms": self.cold_until.saturating_sub(now).as_millis() as u64,
             "failure_rate": record.failures.get(now),
             "out": record.outlier.is_out(now),
+            "draining_ms": record.announced.draining_since().map(|since| age_ms(since, now)),
+            "paused_ms": record.announced.paused_until().saturating_sub(now).as_millis() as u64,
             "idle_connections": record.idle.len(),
             "kept_tokens": record.kept.total_tokens(),
         })
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,6 +5,7 @@
 //! ([`relay`]). What the platform's store says is followed on the control thread ([`feed`], [`driver`]),
 //! or learned from another entry ([`follow`], [`peers`]). The design is in docs/decisions/0008.
 
+mod announcements;
 mod attempt;
 mod body;
 mod breaks;
--- a/src/router/sight.rs
+++ b/src/router/sight.rs
@@ -34,6 +34,12 @@
         self.metrics.evacuated_zones.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
         let in_need = i64::try_from(self.limits.in_need()).unwrap_or(i64::MAX);
         self.metrics.servers_in_need.set(in_need);
+        let fleet = self.fleet.load();
+        let announced: Vec<_> = fleet.members().map(|m| m.record().announced).collect();
+        let draining = announced.iter().filter(|a| a.draining_since().is_some()).count();
+        let paused = announced.iter().filter(|a| a.is_paused(now)).count();
+        self.metrics.servers_draining.set(i64::try_from(draining).unwrap_or(i64::MAX));
+        self.metrics.servers_paused.set(i64::try_from(paused).unwrap_or(i64::MAX));
         self.roll_outs.report(&self.metrics);
     }
 
--- a/src/routing/answer.rs
+++ b/src/routing/answer.rs
@@ -1,8 +1,8 @@
 //! What the head of a BackendServer's answer says.
 
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 
-use crate::policy::{load::ReportedLoad, rate_limit::SaidLimit};
+use crate::policy::{load::ReportedLoad, rate_limit::SaidLimit, retry_after::RetryAfter};
 
 /// What an answer proves about its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -21,6 +21,13 @@
     Unsigned,
 }
 
+impl AnswerKind {
+    /// Whether the answer is its server's own, so that what its head announces is true of that server.
+    pub fn is_authentic(self) -> bool {
+        matches!(self, Self::Success | Self::Failure | Self::NotRun)
+    }
+}
+
 /// The head of an answer.
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
@@ -36,6 +43,20 @@
     pub load: Option<ReportedLoad>,
     /// How many requests it says it takes.
     pub rate_limit: SaidLimit,
+    /// Whether the server announces that it is draining.
+    pub is_draining: bool,
+    /// How long it asks to be sent nothing.
+    pub retry_after: RetryAfter,
+    /// Headers that nothing here reads.
+    pub unread: Vec<HeaderName>,
     /// Whether the server asks that the connection not be used again.
     pub closes: bool,
 }
+
+impl AnswerHead {
+    /// Whether the server rejected the request for want of capacity.
+    pub fn is_rejection(&self) -> bool {
+        let statuses = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+        self.kind.is_authentic() && statuses.contains(&self.status)
+    }
+}
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -90,6 +90,10 @@
     RATE_LIMIT_NAMED = 516, Warn, "A BackendServer names in its answers how many requests a second it takes.";
     RATE_LIMIT_ENDED = 517, Info, "A BackendServer names no limit any more.";
     RATE_LIMIT_UNREADABLE = 518, Error, "A BackendServer names a limit that is no number of requests; it is passed over.";
+    SERVER_DRAINING = 519, Warn, "A BackendServer announced in an answer that it is draining.";
+    PAUSE_REQUESTED = 520, Warn, "A BackendServer rejected a request and asked for a pause.";
+    RETRY_AFTER_UNREADABLE = 521, Error, "A BackendServer asked for a pause that is neither seconds nor a date; it is ignored.";
+    HEADER_UNREAD = 522, Warn, "An answer has a header that nothing reads; logged once for each name.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; it takes no new sessions here.";
     ROLL_OUT_MOVED = 601, Info, "The guard wrote a roll-out's next step.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write met a newer one by someone else and was dropped.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of one process; the stable names are in `docs/METRICS.md`.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex},
+};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -70,6 +73,25 @@
     pub outcome: String,
 }
 
+/// Labels of sends to servers that have announced that they should get none.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnavailableLabels {
+    /// `draining` or `paused`.
+    pub cause: String,
+    /// `first` or `further` of its request.
+    pub send: String,
+}
+
+/// Labels of headers that nothing reads.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HeaderLabels {
+    /// Name of the header.
+    pub name: String,
+}
+
+/// Most names of unread headers that are told apart.
+const MOST_UNREAD: usize = 32;
+
 /// Labels of the evidence on a version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EvidenceLabels {
@@ -121,6 +143,15 @@
     pub servers_in_need: Gauge,
     /// Sends to servers that take few.
     pub limited_sends: Family<LimitedLabels, Counter>,
+    /// Servers in view that have announced that they are draining.
+    pub servers_draining: Gauge,
+    /// Servers in view that have asked for a pause that has not ended.
+    pub servers_paused: Gauge,
+    /// Sends to servers that have announced that they should get none.
+    pub unavailable_sends: Family<UnavailableLabels, Counter>,
+    /// Answers with a header that nothing reads.
+    pub unread_headers: Family<HeaderLabels, Counter>,
+    unread_names: Arc<Mutex<BTreeSet<String>>>,
     /// Evidence on versions under roll-out.
     pub evidence: Family<EvidenceLabels, Gauge>,
     /// Requests or attempts in flight.
@@ -165,6 +196,11 @@
             repeats: Family::default(),
             servers_in_need: Gauge::default(),
             limited_sends: Family::default(),
+            servers_draining: Gauge::default(),
+            servers_paused: Gauge::default(),
+            unavailable_sends: Family::default(),
+            unread_headers: Family::default(),
+            unread_names: Arc::default(),
             evidence: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -215,6 +251,14 @@
         registry.register("servers_in_need", "Servers that name a limit", in_need);
         let limited = self.limited_sends.clone();
         registry.register("limited_sends", "Sends to servers that take few", limited);
+        let draining = self.servers_draining.clone();
+        registry.register("servers_draining", "Servers that announced draining", draining);
+        let paused = self.servers_paused.clone();
+        registry.register("servers_paused", "Servers that asked for a pause", paused);
+        let sends = self.unavailable_sends.clone();
+        registry.register("unavailable_sends", "Sends to unavailable servers", sends);
+        let unread = self.unread_headers.clone();
+        registry.register("unread_headers", "Answers with a header nothing reads", unread);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("queued", "Attempts queued", self.queued.clone());
@@ -260,6 +304,24 @@
         self.limited_sends.get_or_create(&LimitedLabels { outcome: outcome.into() }).inc();
     }
 
+    /// Counts a send to a server that has announced that it should get none.
+    pub fn count_unavailable_send(&self, cause: &str, send: &str) {
+        let labels = UnavailableLabels { cause: cause.into(), send: send.into() };
+        self.unavailable_sends.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer with a header that nothing reads; whether the name is new.
+    pub fn count_unread_header(&self, name: &str) -> bool {
+        let mut names = self.unread_names.lock().expect("no panics under the lock");
+        let is_new = !names.contains(name) && names.len() < MOST_UNREAD;
+        if is_new {
+            names.insert(name.into());
+        }
+        let name = if names.contains(name) { name } else { "other" };
+        self.unread_headers.get_or_create(&HeaderLabels { name: name.into() }).inc();
+        is_new
+    }
+
     /// Counts one call to the table service.
     pub fn count_store_call(&self, cause: &str) {
         self.store_calls.get_or_create(&StoreLabels { cause: cause.into() }).inc();
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -62,6 +62,8 @@
     let (service, version, count) = ("s".into(), "new".into(), "answers".into());
     metrics.evidence.get_or_create(&EvidenceLabels { service, version, count }).set(1);
     metrics.count_repeat("s", true);
+    metrics.count_unavailable_send("draining", "first");
+    metrics.count_unread_header("x-new");
     metrics.count_store_call("c");
     metrics.count_store_error("c");
 }
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -6,7 +6,8 @@
 use mintmoor::{
     platform::{
         HttpClient,
-        headers::{AttemptHeaders, HeadError, read_answer, read_request, write_attempt},
+        answers::read_answer,
+        headers::{AttemptHeaders, HeadError, read_request, write_attempt},
         host_settings,
         store::{Put, StoreClient, Table, WriteOutcome},
     },
