--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,3 +22,4 @@
 mod store;
 mod streams;
 mod suspended;
+mod unavailable;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -45,6 +45,8 @@
     CutAnswer,
     /// Says that it did not run it.
     Shed,
+    /// Says that it did not run it, and asks for a pause.
+    Pause { retry_after: String },
     /// Says that another server is meant.
     OtherServer,
     /// Answers another request.
@@ -98,6 +100,10 @@
     open: Arc<AtomicUsize>,
     /// Requests a second that it names in its answers, as it writes them; none where it is not in need.
     limit: Arc<Mutex<Vec<String>>>,
+    /// Header lines that all its answers have now.
+    announced: Arc<Mutex<Vec<String>>>,
+    /// `Retry-After` of its rejections; it rejects everything while there is one.
+    pause: Arc<Mutex<Option<String>>>,
     /// Number of its present life, from 0, and how far that got.
     life: Arc<watch::Sender<(usize, Life)>>,
 }
@@ -111,6 +117,8 @@
             seen: Arc::default(),
             open: Arc::default(),
             limit: Arc::default(),
+            announced: Arc::default(),
+            pause: Arc::default(),
             life: Arc::new(watch::Sender::new((0, Life::Alive))),
         };
         let script: Script = Arc::new(script);
@@ -163,6 +171,29 @@
         *self.limit.lock().unwrap() = lines.iter().map(|line| (*line).to_owned()).collect();
     }
 
+    /// Has these header lines in all its answers from now on.
+    pub fn announce(&self, lines: &[&str]) {
+        *self.announced.lock().unwrap() = lines.iter().map(|line| (*line).to_owned()).collect();
+    }
+
+    /// Announces in its answers that it is draining; its row stays as it is.
+    pub fn drain(&self) {
+        self.announce(&["Server-Leaving: 1"]);
+    }
+
+    /// Rejects all requests with this `Retry-After`, or none any more.
+    pub fn ask_for_pause(&self, retry_after: Option<&str>) {
+        *self.pause.lock().unwrap() = retry_after.map(Into::into);
+    }
+
+    /// Header lines of an answer that it writes now.
+    fn lines(&self) -> String {
+        let limit = self.limit.lock().unwrap();
+        let limit = limit.iter().map(|line| format!("Server-Limit: {line}\r\n"));
+        let announced = self.announced.lock().unwrap();
+        limit.chain(announced.iter().map(|line| format!("{line}\r\n"))).collect()
+    }
+
     /// Ends its life at once, with all its connections.
     pub fn crash(&self) {
         self.life.send_modify(|state| state.1 = Life::Ending);
@@ -188,10 +219,13 @@
         while let Some(seen) = read_request(&mut stream).await {
             self.seen.lock().unwrap().push(seen.clone());
             self.open.fetch_add(1, Ordering::SeqCst);
-            let act = script(&seen);
+            let pause = self.pause.lock().unwrap().clone();
+            let act = match pause {
+                Some(retry_after) => Act::Pause { retry_after },
+                None => script(&seen),
+            };
             let ends = matches!(act, Act::Crash { .. });
-            let limit = self.limit.lock().unwrap().clone();
-            let goes_on = answer(&mut stream, &seen, act, &limit).await;
+            let goes_on = answer(&mut stream, &seen, act, &self.lines()).await;
             if ends {
                 let life = self.life.borrow().0;
                 self.crash();
@@ -233,10 +267,9 @@
 }
 
 /// Does it; whether the connection goes on.
-async fn answer(stream: &mut TcpStream, seen: &Seen, act: Act, limit: &[String]) -> bool {
+async fn answer(stream: &mut TcpStream, seen: &Seen, act: Act, lines: &str) -> bool {
     let id = seen.header("x-request-id");
-    let limit: String = limit.iter().map(|line| format!("Server-Limit: {line}\r\n")).collect();
-    let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n{limit}");
+    let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n{lines}");
     let whole = |status: u16, headers: &str, body: &str| {
         format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
     };
@@ -250,7 +283,11 @@
         Act::CutAnswer => {
             (format!("HTTP/1.1 200 X\r\n{signed}Content-Length: 100\r\n\r\nhalf"), false)
         }
-        Act::Shed => (whole(503, &format!("X-Not-Executed: 1\r\n{limit}"), ""), true),
+        Act::Shed => (whole(503, &format!("X-Not-Executed: 1\r\n{lines}"), ""), true),
+        Act::Pause { retry_after } => {
+            let head = format!("X-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n{lines}");
+            (whole(503, &head, ""), true)
+        }
         Act::OtherServer => (whole(421, "X-Instance-Id: i-other\r\n", ""), true),
         Act::WrongId => (whole(200, "X-Request-Id: other\r\nX-Instance-Stamp: s\r\n", "no"), true),
         Act::Unsigned => (whole(200, &format!("X-Request-Id: {id}\r\n"), "no"), true),
