A server that announces draining in an answer gets no further request

What callers saw: nothing; the server went on to serve. It would have exited with their requests at work.

Cause: only the server's row kept requests away. While the store was away the row said ready for 12 s, and the notice in the server's answers was read by nothing.

The notice is checked where every choice of a server and every send asks what it has to keep to (send_rules), so no path is left out.

--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -72,17 +72,15 @@
 /// Time until one of the servers that may run a request takes one from here; none where it is not the servers'
 /// limits that keep it from all of them.
 pub(crate) fn limited_for(router: &Router, job: &Job, ask: Ask<'_>) -> Option<Duration> {
-    let rules = router.send_rules(&job.service)?;
+    let rules = router.send_rules(&job.service);
     let fleet = router.fleet.load();
-    let waits = able(router, job, ask, &fleet).into_iter().map(|member| rules.wait(member));
+    let waits = able(router, job, ask, &fleet).into_iter().filter_map(|member| rules.wait(member));
     waits.min().filter(|wait| !wait.is_zero())
 }
 
 /// Leaves out servers that take few requests and can't be sent more from here now.
 fn spare_limited(router: &Router, service: &str, members: &mut Vec<&Arc<Member>>) {
-    let Some(rules) = router.send_rules(service) else {
-        return;
-    };
+    let rules = router.send_rules(service);
     let (open, spared): (Vec<_>, Vec<_>) =
         members.iter().copied().partition(|member| rules.may_send(member));
     *members = open;
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -48,6 +48,8 @@
 /// What a send to a server has to keep to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum SendRule {
+    /// It gets nothing: it has announced that it is draining.
+    Draining,
     /// Nothing: it takes what it has places for.
     Free,
     /// It may get so much from here.
@@ -80,20 +82,19 @@
 }
 
 impl Router {
-    /// What the sends for a service have to keep to now; none where all its servers take what they have places
-    /// for.
-    pub(crate) fn send_rules(&self, service: &str) -> Option<SendRules<'_>> {
+    /// What the sends for a service have to keep to now.
+    pub(crate) fn send_rules(&self, service: &str) -> SendRules<'_> {
         let table = self.table.load();
         let cold = table.as_ref().as_ref().and_then(|table| table.cold.get(service)).copied();
         let named = self.limits.view();
-        let is_any = cold.is_some() || named.is_some();
-        is_any.then(|| SendRules {
+        let is_any_limited = cold.is_some() || named.is_some();
+        SendRules {
             router: self,
             cold,
             named,
-            place: self.place(),
+            place: is_any_limited.then(|| self.place()).flatten(),
             now: self.now(),
-        })
+        }
     }
 
     /// This entry's place among all; that of one that is alone where no other one is named.
@@ -118,8 +119,7 @@
 
     /// Takes a send to a server from what it may get from here.
     pub(crate) fn take_send(&self, member: &Member) -> Taken {
-        let rules = self.send_rules(&member.server.service);
-        rules.map_or(Taken::Free, |rules| rules.take_send(member))
+        self.send_rules(&member.server.service).take_send(member)
     }
 }
 
@@ -156,6 +156,9 @@
 
     /// What a send to a server has to keep to.
     fn rule(&self, member: &Member) -> SendRule {
+        if member.record().announced.draining_since().is_some() {
+            return SendRule::Draining;
+        }
         let named = self.named(member);
         let Some(rate) = self.rate(member, &named) else {
             return SendRule::Free;
@@ -175,18 +178,19 @@
         match self.rule(member) {
             SendRule::Free => true,
             SendRule::Limited(allowance) => member.may_send_limited(&allowance, self.now),
-            SendRule::Others(_) | SendRule::Unplaced(_) => false,
+            SendRule::Draining | SendRule::Others(_) | SendRule::Unplaced(_) => false,
         }
     }
 
-    /// Time until a server takes a request from here, or from whoever sends to it.
-    pub(crate) fn wait(&self, member: &Member) -> Duration {
+    /// Time until a server takes a request from here, or from whoever sends to it; none where it never does.
+    pub(crate) fn wait(&self, member: &Member) -> Option<Duration> {
         match self.rule(member) {
-            SendRule::Free => Duration::ZERO,
+            SendRule::Draining => None,
+            SendRule::Free => Some(Duration::ZERO),
             SendRule::Limited(allowance) | SendRule::Unplaced(allowance) => {
-                member.next_limited_at(&allowance, self.now).saturating_sub(self.now)
+                Some(member.next_limited_at(&allowance, self.now).saturating_sub(self.now))
             }
-            SendRule::Others(rate) => Allowance::least(rate, 1).window,
+            SendRule::Others(rate) => Some(Allowance::least(rate, 1).window),
         }
     }
 
