A server that asked for a pause is sent nothing until it ends

What callers saw: requests answered a few ms later, after a rejection; where all servers of a service paused, up to four rejections each and then a refusal.

Cause: Retry-After of a rejection was read by nothing. Outlier ejection stood in for it, 0.5 to 4 s whatever was asked for, and let several requests through at once when it ended; and where all servers are ejected, ejection keeps none away.

A rejection with a pause is no failure any more: the server's failure rate and ejection are left alone.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -218,9 +218,11 @@
     sent_at: Duration,
 ) {
     let is_foreign = matches!(head.kind, AnswerKind::Misplaced | AnswerKind::Unsigned);
-    if is_foreign || head.status.is_server_error() {
+    // A server that asks for a pause has not failed, and the pause alone keeps requests away.
+    let asks_for_pause = head.is_rejection() && head.retry_after.pause().is_some();
+    if is_foreign || (head.status.is_server_error() && !asks_for_pause) {
         member.note_failure(router.now());
-    } else {
+    } else if !asks_for_pause {
         member.note_answer(router.now());
     }
     if head.kind.is_authentic() {
--- a/src/router/send_rules.rs
+++ b/src/router/send_rules.rs
@@ -50,6 +50,8 @@
 enum SendRule {
     /// It gets nothing: it has announced that it is draining.
     Draining,
+    /// It gets nothing until then: it has asked for a pause.
+    Paused(Duration),
     /// Nothing: it takes what it has places for.
     Free,
     /// It may get so much from here.
@@ -156,9 +158,13 @@
 
     /// What a send to a server has to keep to.
     fn rule(&self, member: &Member) -> SendRule {
-        if member.record().announced.draining_since().is_some() {
+        let announced = member.record().announced;
+        if announced.draining_since().is_some() {
             return SendRule::Draining;
         }
+        if announced.is_paused(self.now) {
+            return SendRule::Paused(announced.paused_until());
+        }
         let named = self.named(member);
         let Some(rate) = self.rate(member, &named) else {
             return SendRule::Free;
@@ -178,7 +184,10 @@
         match self.rule(member) {
             SendRule::Free => true,
             SendRule::Limited(allowance) => member.may_send_limited(&allowance, self.now),
-            SendRule::Draining | SendRule::Others(_) | SendRule::Unplaced(_) => false,
+            SendRule::Draining
+            | SendRule::Paused(_)
+            | SendRule::Others(_)
+            | SendRule::Unplaced(_) => false,
         }
     }
 
@@ -186,6 +195,7 @@
     pub(crate) fn wait(&self, member: &Member) -> Option<Duration> {
         match self.rule(member) {
             SendRule::Draining => None,
+            SendRule::Paused(until) => Some(until.saturating_sub(self.now)),
             SendRule::Free => Some(Duration::ZERO),
             SendRule::Limited(allowance) | SendRule::Unplaced(allowance) => {
                 Some(member.next_limited_at(&allowance, self.now).saturating_sub(self.now))
