--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -103,7 +103,7 @@
         zone: format!("zone-{}", i % 16).into(),
         version: "v1".into(),
         slots: 32,
-        is_leaving: false,
+        is_draining: false,
         cold_for: Duration::ZERO,
         sequence: 1,
         written_at: mintmoor::ids::StoreVersion::default(),
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -259,7 +259,7 @@
         zone: doc.zone,
         version: doc.version,
         slots: doc.slots.get(),
-        is_leaving: doc.state == StateDoc::Draining,
+        is_draining: doc.state == StateDoc::Draining,
         cold_for: milliseconds(doc.cold_remaining_ms.min(MOST_COLD_MS)),
         sequence: doc.sequence,
         written_at: row.written_at(),
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -30,6 +30,8 @@
     pub store: Box<str>,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
+    /// Time for which a server that announces draining goes on serving.
+    pub drain: Duration,
     /// Time after trouble in which a host has to have caught up.
     pub catch_up: Duration,
     /// Sends beyond the first of each request that are allowed per request.
@@ -85,6 +87,7 @@
 #[serde(rename_all = "kebab-case")]
 struct BoundsDoc {
     grace_s: Option<f64>,
+    drain_ms: Option<f64>,
     /// Time after trouble from which the host is held to all bounds.
     contact_ms: Option<f64>,
     retry_ratio: Option<f64>,
@@ -100,6 +103,7 @@
 
 /// Defaults of bounds that a deployment leaves out; those of both first deployments.
 const DEFAULT_GRACE_S: f64 = 8.0;
+const DEFAULT_DRAIN_MS: f64 = 2_000.0;
 const DEFAULT_CONTACT_MS: f64 = 3_000.0;
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 20.0;
@@ -133,6 +137,7 @@
         seeds: doc.seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
         store,
         grace: Duration::from_secs_f64(bounds.grace_s.unwrap_or(DEFAULT_GRACE_S)),
+        drain: Duration::from_secs_f64(bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS) / 1e3),
         catch_up: Duration::from_secs_f64(bounds.contact_ms.unwrap_or(DEFAULT_CONTACT_MS) / 1e3),
         retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
         retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
--- a/src/policy/announced.rs
+++ b/src/policy/announced.rs
@@ -1,12 +1,20 @@
-//! What one life of a BackendServer has announced in its answers.
+//! What one life of a BackendServer has announced: that it is draining, or a pause.
 
 use std::time::Duration;
 
+/// Answers after a pause from which on a server is used as before: the sends that it may have waiting double
+/// with each of its answers, so sixteen are four round trips.
+const RECOVERED_AFTER: u32 = 16;
+/// Longest time for which that counts, so that answers that never come don't keep a server from being used.
+const RECOVERS_WITHIN: Duration = Duration::from_secs(5);
+
 /// Drain notice and pause; times are on the entry's clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Announced {
     draining_since: Option<Duration>,
-    paused_until: Duration,
+    paused_until: Option<Duration>,
+    /// Answers since the last pause.
+    answered: u32,
 }
 
 impl Announced {
@@ -17,25 +25,46 @@
         is_first
     }
 
-    /// Notes a pause; whether it is a new one. The later end holds.
+    /// Notes a pause; whether none was under way. The later end holds.
     pub fn note_pause(&mut self, pause: Duration, now: Duration) -> bool {
         let is_new = !self.is_paused(now);
-        self.paused_until = self.paused_until.max(now + pause);
+        self.paused_until = self.paused_until.max(Some(now + pause));
+        self.answered = 0;
         is_new
     }
 
+    /// Notes an answer that is no rejection.
+    pub fn note_answer(&mut self, now: Duration) {
+        if !self.is_paused(now) {
+            self.answered = self.answered.saturating_add(1);
+        }
+    }
+
     /// When it first announced that it is draining.
     pub fn draining_since(&self) -> Option<Duration> {
         self.draining_since
     }
 
-    /// When the last pause ends or ended.
+    /// When the last pause ends or ended; zero where there was none.
     pub fn paused_until(&self) -> Duration {
-        self.paused_until
+        self.paused_until.unwrap_or_default()
     }
 
-    /// Whether it is to be sent nothing now by its own request.
+    /// Whether a pause is under way.
     pub fn is_paused(&self, now: Duration) -> bool {
-        now < self.paused_until
+        now < self.paused_until()
+    }
+
+    /// Whether its last pause ended so lately that it gets few requests at once.
+    pub fn is_recovering(&self, now: Duration) -> bool {
+        self.answered < RECOVERED_AFTER
+            && self
+                .paused_until
+                .is_some_and(|until| (until..until + RECOVERS_WITHIN).contains(&now))
+    }
+
+    /// Answers since the last pause, so many of which may be waited for at once and one more.
+    pub fn answered(&self) -> u32 {
+        self.answered
     }
 }
--- /dev/null
+++ b/src/policy/availability.rs
@@ -0,0 +1,179 @@
+//! Whether a BackendServer may be sent a request now, and why not.
+//!
+//! This is the one decision that every send asks for, when its server is chosen and again at the moment of the
+//! send (docs/decisions/0017).
+
+use std::{fmt, time::Duration};
+
+use crate::policy::announced::Announced;
+
+/// Part of the time for which a draining server goes on serving in which it still gets requests that no
+/// other server can take. The rest covers requests on their way and late updates of its row.
+const LAST_RESORT_SHARE: u32 = 2;
+
+/// Why a server should get no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// Another server answers at its address.
+    Replaced,
+    /// The operator has evacuated its AvailabilityZone.
+    Evacuated,
+    /// It is about to exit.
+    Draining,
+    /// It asked for a pause.
+    Paused,
+    /// Its pause has just ended, and enough requests wait for its answers.
+    Recovering,
+    /// It takes few requests, and this entry's share is spent or none.
+    RateLimited,
+    /// It failed several times in a row.
+    Ejected,
+}
+
+impl Cause {
+    /// The word for logs, metrics and the state dump.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Replaced => "replaced",
+            Self::Evacuated => "evacuated",
+            Self::Draining => "draining",
+            Self::Paused => "paused",
+            Self::Recovering => "recovering",
+            Self::RateLimited => "rate_limited",
+            Self::Ejected => "ejected",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Whether a server may be sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Availability {
+    /// It may.
+    Open,
+    /// Only where no other server can serve.
+    LastResort(Cause),
+    /// It may not.
+    Closed {
+        /// Why not.
+        cause: Cause,
+        /// When that ends; none where nobody knows.
+        until: Option<Duration>,
+    },
+}
+
+/// What limits the rate of this entry's sends to a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RateSignal {
+    /// Nothing.
+    #[default]
+    Unlimited,
+    /// This entry may send the next request at this time.
+    Share(Duration),
+    /// The same where no other server can serve: this entry does not know its share.
+    LastResort(Duration),
+    /// Other entries share what the server takes, the next of them at about this time.
+    OfOthers(Duration),
+}
+
+/// All that speaks for or against a send to a server; times are on the entry's clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Signals {
+    /// Whether another server answered at its address.
+    pub is_replaced: bool,
+    /// Whether its AvailabilityZone is evacuated.
+    pub is_evacuated: bool,
+    /// What it announced.
+    pub announced: Announced,
+    /// For how long a draining server goes on serving.
+    pub drain: Duration,
+    /// Requests of this entry that it has not begun to answer.
+    pub unanswered: u32,
+    /// Limit on the rate of sends.
+    pub rate: RateSignal,
+    /// Whether it is ejected as an outlier.
+    pub is_ejected: bool,
+}
+
+/// Decides whether a server may be sent a request.
+pub fn decide(signals: &Signals, now: Duration) -> Availability {
+    let Signals { announced, .. } = signals;
+    let closed = |cause, until| Availability::Closed { cause, until };
+    if signals.is_replaced {
+        return closed(Cause::Replaced, None);
+    }
+    if signals.is_evacuated {
+        return closed(Cause::Evacuated, None);
+    }
+    let draining = announced.draining_since();
+    if draining.is_some_and(|since| now >= since + signals.drain / LAST_RESORT_SHARE) {
+        return closed(Cause::Draining, None);
+    }
+    if announced.is_paused(now) {
+        return closed(Cause::Paused, Some(announced.paused_until()));
+    }
+    if announced.is_recovering(now) && signals.unanswered > announced.answered() {
+        return closed(Cause::Recovering, None);
+    }
+    match signals.rate {
+        RateSignal::Share(next) | RateSignal::LastResort(next) | RateSignal::OfOthers(next)
+            if now < next =>
+        {
+            return closed(Cause::RateLimited, Some(next));
+        }
+        RateSignal::OfOthers(next) => return closed(Cause::RateLimited, Some(next)),
+        _ => {}
+    }
+    if draining.is_some() {
+        return Availability::LastResort(Cause::Draining);
+    }
+    if matches!(signals.rate, RateSignal::LastResort(_)) {
+        return Availability::LastResort(Cause::RateLimited);
+    }
+    if signals.is_ejected {
+        return Availability::LastResort(Cause::Ejected);
+    }
+    Availability::Open
+}
+
+impl Availability {
+    /// Whether a request that was about to be sent must not be sent any more. Its own place in a rate limit or
+    /// among the first ones after a pause is taken already.
+    pub fn stops_send(self) -> Option<Cause> {
+        match self {
+            Self::Closed { cause: Cause::RateLimited | Cause::Recovering, .. } => None,
+            Self::Closed { cause, .. } => Some(cause),
+            Self::Open | Self::LastResort(_) => None,
+        }
+    }
+
+    /// Time until it may be sent a request; none where nobody knows.
+    pub fn wait(self, now: Duration) -> Option<Duration> {
+        match self {
+            Self::Open | Self::LastResort(_) => Some(Duration::ZERO),
+            Self::Closed { until, .. } => until.map(|until| until.saturating_sub(now)),
+        }
+    }
+
+    /// Order in which servers are used; none where they are not. An ejected server may answer, and one that
+    /// drains or whose rate limit is not shared yet is spared if that can be.
+    fn tier(self) -> Option<u8> {
+        match self {
+            Self::Open => Some(0),
+            Self::LastResort(Cause::Ejected) => Some(1),
+            Self::LastResort(_) => Some(2),
+            Self::Closed { .. } => None,
+        }
+    }
+}
+
+/// Keeps the servers of the first tier that has any.
+pub fn retain_first_tier<T>(servers: &mut Vec<(T, Availability)>) {
+    let first = servers.iter().filter_map(|(_, availability)| availability.tier()).min();
+    servers.retain(|(_, availability)| availability.tier().is_some_and(|tier| Some(tier) == first));
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod announced;
 pub mod attempt;
+pub mod availability;
 pub mod cascade;
 pub mod catch_up;
 pub mod charge;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -31,8 +31,6 @@
     pub failure_rate: f64,
     /// Whether it stands in the entry's own zone.
     pub is_near: bool,
-    /// Whether it failed lately and should be passed over while others can serve.
-    pub is_suspect: bool,
 }
 
 /// What is to be placed.
@@ -108,9 +106,7 @@
 
 /// Chooses among candidates.
 pub fn place(candidates: &[Candidate], work: &Work, terms: &PlacementTerms) -> Option<usize> {
-    let any_sound = candidates.iter().any(|c| !c.is_suspect);
-    let usable = |i: &usize| !any_sound || !candidates[*i].is_suspect;
-    let crowding = crowding(candidates, terms.spare_backlog, &usable);
+    let crowding = crowding(candidates, terms.spare_backlog);
     let token = (terms.reread_token + work.token_time).as_secs_f64();
     let kilobytes = work.bytes as f64 / 1024.0;
     let far = terms.far.as_secs_f64() + kilobytes * terms.far_kilobyte.as_secs_f64();
@@ -122,7 +118,7 @@
     let ranks: Vec<u64> = candidates.iter().map(rank).collect();
     let is_known = candidates.iter().any(|c| c.kept_tokens > 0);
     let has_home = work.affinity.is_some() && !is_known;
-    let home = if has_home { home(candidates, &ranks, reading < far, &usable) } else { None };
+    let home = if has_home { home(candidates, &ranks, reading < far) } else { None };
     let cost = |i: usize| {
         let candidate = &candidates[i];
         let kept = if home == Some(i) { work.shared_tokens } else { candidate.kept_tokens };
@@ -133,19 +129,14 @@
     // Servers as free as each other differ by rank; by their ids, one of them would get everything.
     let order =
         |a: &usize, b: &usize| cost(*a).total_cmp(&cost(*b)).then(ranks[*b].cmp(&ranks[*a]));
-    choices(candidates, &ranks, terms.choices, &usable).into_iter().min_by(order)
+    choices(candidates, &ranks, terms.choices).into_iter().min_by(order)
 }
 
 /// The servers that are weighed: the first by rank in the zone and outside, and those that keep some of
 /// the shared parts.
-fn choices(
-    candidates: &[Candidate],
-    ranks: &[u64],
-    most: usize,
-    usable: &impl Fn(&usize) -> bool,
-) -> Vec<usize> {
+fn choices(candidates: &[Candidate], ranks: &[u64], most: usize) -> Vec<usize> {
     let (mut near, mut far): (Vec<usize>, Vec<usize>) =
-        (0..candidates.len()).filter(usable).partition(|i| candidates[*i].is_near);
+        (0..candidates.len()).partition(|i| candidates[*i].is_near);
     let keepers = near.iter().chain(&far).filter(|i| candidates[**i].kept_tokens > 0);
     let mut chosen: Vec<usize> = keepers.copied().collect();
     for side in [&mut near, &mut far] {
@@ -160,8 +151,8 @@
 
 /// How far the servers' mean backlog lies beyond what they read with time to spare, in multiples of
 /// that: a shorter wait is then worth more bytes between zones.
-fn crowding(candidates: &[Candidate], spare: Duration, usable: &impl Fn(&usize) -> bool) -> f64 {
-    let backlogs = (0..candidates.len()).filter(usable).map(|i| candidates[i].backlog);
+fn crowding(candidates: &[Candidate], spare: Duration) -> f64 {
+    let backlogs = candidates.iter().map(|candidate| candidate.backlog);
     let mean = backlogs.clone().sum::<Duration>().as_secs_f64() / backlogs.count().max(1) as f64;
     let spare = spare.as_secs_f64().max(1e-3);
     (mean - spare).max(0.0) / spare
@@ -169,17 +160,9 @@
 
 /// The server that keeps the shared parts: one for all zones where reading them takes longer than
 /// leaving the zone costs, one in each zone otherwise.
-fn home(
-    candidates: &[Candidate],
-    ranks: &[u64],
-    is_cheap: bool,
-    usable: &impl Fn(&usize) -> bool,
-) -> Option<usize> {
+fn home(candidates: &[Candidate], ranks: &[u64], is_cheap: bool) -> Option<usize> {
     let is_zonal = is_cheap && candidates.iter().any(|c| c.is_near);
-    (0..candidates.len())
-        .filter(usable)
-        .filter(|i| !is_zonal || candidates[*i].is_near)
-        .max_by_key(|i| ranks[*i])
+    (0..candidates.len()).filter(|i| !is_zonal || candidates[*i].is_near).max_by_key(|i| ranks[*i])
 }
 
 fn wait(candidate: &Candidate, terms: &PlacementTerms) -> f64 {
--- a/src/router/announcements.rs
+++ b/src/router/announcements.rs
@@ -1,7 +1,9 @@
 //! What this entry records of the drain notices and pauses in answers of servers.
 
+use std::sync::Arc;
+
 use crate::{
-    policy::retry_after::RetryAfter,
+    policy::{availability::Availability, retry_after::RetryAfter},
     router::{Member, Router},
     routing::AnswerHead,
     telemetry::event,
@@ -41,6 +43,15 @@
         }
     }
 
+    /// Counts servers that were left out of a choice since they are unavailable.
+    pub(crate) fn count_avoided(&self, closed: &[(&Arc<Member>, Availability)]) {
+        for (_, availability) in closed {
+            if let Availability::Closed { cause, .. } = availability {
+                self.metrics.count_avoided(cause.as_str());
+            }
+        }
+    }
+
     /// Counts a send to a server that has announced that it should get none.
     pub(crate) fn count_unavailable_send(&self, member: &Member, send: &str) {
         let announced = member.record().announced;
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -13,7 +13,7 @@
         answers::read_answer,
         headers::{AttemptHeaders, write_attempt},
     },
-    policy::{kept::PromptMark, patience::Patience},
+    policy::{availability::Cause, kept::PromptMark, patience::Patience},
     router::{
         Member, Router,
         connection::{self, Checkout, ConnectError, Connection},
@@ -28,30 +28,36 @@
 #[derive(Debug)]
 pub(crate) struct AtServer {
     member: Arc<Member>,
-    /// Time for its prompt, until the answer has begun.
+    /// Time for its prompt.
     reading: Duration,
+    /// Whether its answer has begun.
+    is_answered: bool,
 }
 
 impl AtServer {
     fn enter(member: &Arc<Member>, reading: Duration) -> Self {
         let mut record = member.record();
         record.load.own += 1;
+        record.unanswered += 1;
         record.backlog += reading;
         drop(record);
-        Self { member: member.clone(), reading }
+        Self { member: member.clone(), reading, is_answered: false }
     }
 
-    /// Notes that the prompt has been read.
-    fn note_read(&mut self) {
+    /// Notes that an answer has begun, or that none is waited for any more.
+    fn note_begun(&mut self) {
+        if std::mem::replace(&mut self.is_answered, true) {
+            return;
+        }
         let mut record = self.member.record();
+        record.unanswered -= 1;
         record.backlog = record.backlog.saturating_sub(self.reading);
-        self.reading = Duration::ZERO;
     }
 }
 
 impl Drop for AtServer {
     fn drop(&mut self) {
-        self.note_read();
+        self.note_begun();
         self.member.record().load.own -= 1;
     }
 }
@@ -85,6 +91,9 @@
     /// Nothing was sent.
     #[error("not sent: {0}")]
     NotSent(#[from] ConnectError),
+    /// Nothing was sent: the server became unavailable while it was connected to.
+    #[error("not sent: the server is {0}")]
+    Unavailable(Cause),
     /// The server says that it did not run it.
     #[error("the server refused it with status {0}")]
     Refused(http::StatusCode),
@@ -108,7 +117,10 @@
 impl AttemptError {
     /// Whether this proves that the request did not run and never will.
     pub(crate) fn proves_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Refused(_) | Self::OtherServer)
+        matches!(
+            self,
+            Self::NotSent(_) | Self::Unavailable(_) | Self::Refused(_) | Self::OtherServer
+        )
     }
 }
 
@@ -160,7 +172,7 @@
         plan.member.record().kept.forget(plan.new_marks());
     }
     let (connection, res) = outcome?;
-    at_server.note_read();
+    at_server.note_begun();
     plan.member.note_heard(router.now());
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &job.req.head.id);
@@ -218,11 +230,9 @@
     sent_at: Duration,
 ) {
     let is_foreign = matches!(head.kind, AnswerKind::Misplaced | AnswerKind::Unsigned);
-    // A server that asks for a pause has not failed, and the pause alone keeps requests away.
-    let asks_for_pause = head.is_rejection() && head.retry_after.pause().is_some();
-    if is_foreign || (head.status.is_server_error() && !asks_for_pause) {
+    if is_foreign || (head.status.is_server_error() && !head.announces_rejection()) {
         member.note_failure(router.now());
-    } else if !asks_for_pause {
+    } else if !head.announces_rejection() {
         member.note_answer(router.now());
     }
     if head.kind.is_authentic() {
@@ -234,7 +244,10 @@
 
 fn note_error(router: &Router, member: &Member, e: &AttemptError) {
     match e {
-        AttemptError::Refused(_) | AttemptError::OtherServer | AttemptError::Quarantined => {}
+        AttemptError::Unavailable(_)
+        | AttemptError::Refused(_)
+        | AttemptError::OtherServer
+        | AttemptError::Quarantined => {}
         // Judged once it is known whether the server ended.
         AttemptError::Lost(_) => {}
         AttemptError::NotSent(ConnectError::Refused(_)) => member.note_unreachable(router.now()),
@@ -261,6 +274,10 @@
     let mut checkout = connection::check_out(plan.member, router.now(), plan.is_once_only).await?;
     loop {
         let Checkout { mut connection, is_used } = checkout;
+        // Connecting takes time.
+        if let Some(cause) = router.stops_send(plan.member) {
+            return Err(AttemptError::Unavailable(cause));
+        }
         let send = pin!(connection.try_send_request(message));
         let sent = bear(router, &wait, send, &mut may_leave).await;
         let given_up = || {
--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -46,8 +46,11 @@
 pub(super) async fn note_break(router: &Router, job: &Job, member: &Arc<Member>) {
     let now = router.now();
     member.note_failure(now);
-    let is_listed = router.fleet.load().has_life(member) && !member.server.is_leaving;
-    if !is_listed {
+    if member.is_draining() {
+        // An announced exit is neither a crash nor a failure of the version.
+        return;
+    }
+    if !router.fleet.load().has_life(member) {
         router.roll_outs.note_outcome(&member.server, RunOutcome::Failed);
         return;
     }
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     policy::{
+        availability::{Availability, Cause, retain_first_tier},
         kept::{PromptMark, shared_marks},
         placement::{Work, hash_id, place},
         quarantine::Standing,
@@ -29,12 +30,9 @@
     let now = router.now();
     let mut members = able(router, job, ask, &fleet);
     members.retain(|member| may_be(&member.server.id));
-    spare_limited(router, &job.service, &mut members);
-    if members.iter().any(|m| !m.is_unannounced(now)) {
-        members.retain(|m| !m.is_unannounced(now));
-    }
+    let members = available(router, &job.service, members);
     if router.standing(job) != Standing::Free {
-        return place_suspect(job, &members, now).cloned();
+        return place_suspect(job, &members).cloned();
     }
     let marks = marks(job, ask);
     let candidate = |m: &&Arc<Member>| m.candidate(&settings.zone, &marks, now);
@@ -43,66 +41,74 @@
     Some(members[chosen].clone())
 }
 
-/// The servers that may run a request and take requests at all, however few.
+/// The servers that may run a request, whether they are available or not.
 fn able<'a>(router: &Router, job: &Job, ask: Ask<'_>, fleet: &'a Fleet) -> Vec<&'a Arc<Member>> {
     let settings = router.settings.load();
     // Asked anew for each attempt: a roll-out may have begun since the last one.
     let versions = router.roll_outs.rule(&job.service, &job.req.head, router.now());
     let members = fleet.of_service(&job.service);
     let versions = versions.or_any_if_missing(members.iter().map(|m| &*m.server.version));
-    let is_any_evacuated = router.evacuations.is_any();
     let is_able = |member: &&Arc<Member>| {
         let server = &member.server;
         let has_model = ask.model.is_none_or(|model| {
             server.models.is_empty() || server.models.iter().any(|m| **m == *model)
         });
-        member.takes_requests()
-            && !(is_any_evacuated && router.evacuations.is_evacuated(&server.zone))
+        has_model
             && is_home(
                 &job.route,
                 job.organisation.as_deref(),
                 settings.regions.get(&server.zone).map(|region| &**region),
             )
-            && has_model
             && versions.allows(&server.version)
     };
     members.iter().filter(is_able).collect()
 }
 
-/// Time until one of the servers that may run a request takes one from here; none where it is not the servers'
-/// limits that keep it from all of them.
-pub(crate) fn limited_for(router: &Router, job: &Job, ask: Ask<'_>) -> Option<Duration> {
-    let rules = router.send_rules(&job.service);
+/// Why none of the servers that may run a request is available, and the time until one is; none where one is, or
+/// where nobody knows when.
+pub(crate) fn unavailable_for(
+    router: &Router,
+    job: &Job,
+    ask: Ask<'_>,
+) -> Option<(Cause, Duration)> {
+    let check = router.check_service(&job.service);
     let fleet = router.fleet.load();
-    let waits = able(router, job, ask, &fleet).into_iter().filter_map(|member| rules.wait(member));
-    waits.min().filter(|wait| !wait.is_zero())
+    let members = able(router, job, ask, &fleet).into_iter();
+    let waits = members.filter_map(|member| {
+        let availability = check.availability(member);
+        Some((availability.wait(check.now())?, availability))
+    });
+    match waits.min_by_key(|(wait, _)| *wait)? {
+        (wait, Availability::Closed { cause, .. }) => Some((cause, wait)),
+        _ => None,
+    }
 }
 
-/// Leaves out servers that take few requests and can't be sent more from here now.
-fn spare_limited(router: &Router, service: &str, members: &mut Vec<&Arc<Member>>) {
-    let rules = router.send_rules(service);
-    let (open, spared): (Vec<_>, Vec<_>) =
-        members.iter().copied().partition(|member| rules.may_send(member));
-    *members = open;
-    if members.is_empty() {
-        members.extend(spared.into_iter().filter(|member| rules.may_send_at_least(member)));
+/// Those of the servers that are sent requests now.
+fn available<'a>(
+    router: &Router,
+    service: &str,
+    members: Vec<&'a Arc<Member>>,
+) -> Vec<&'a Arc<Member>> {
+    let check = router.check_service(service);
+    let checked = members.into_iter().map(|member| (member, check.availability(member)));
+    let (mut usable, closed): (Vec<_>, Vec<_>) =
+        checked.partition(|(_, availability)| !matches!(availability, Availability::Closed { .. }));
+    router.count_avoided(&closed);
+    if usable.iter().any(|(member, _)| !member.is_unannounced(check.now())) {
+        usable.retain(|(member, _)| !member.is_unannounced(check.now()));
     }
+    retain_first_tier(&mut usable);
+    usable.into_iter().map(|(member, _)| member).collect()
 }
 
-/// The server for a request under which servers ended, by rendezvous hashing among those that answer: all
-/// entries send it to the same one, so that it ends one server at a time, and send what else was there to
-/// others, so that the next end tells them apart.
-fn place_suspect<'a>(
-    job: &Job,
-    members: &[&'a Arc<Member>],
-    now: Duration,
-) -> Option<&'a Arc<Member>> {
+/// The server for a request under which servers crashed, by rendezvous hashing: all entries send it to the same
+/// one, so that it crashes one server at a time, and send what else was there to others, so that the next crash
+/// tells them apart.
+fn place_suspect<'a>(job: &Job, members: &[&'a Arc<Member>]) -> Option<&'a Arc<Member>> {
     let seed = job.fingerprint().0 as u64;
-    let rank = |member: &&&Arc<Member>| {
-        let hash = xxh3_64_with_seed(&member.id_hash().to_le_bytes(), seed);
-        (!member.is_passed_over(now), hash)
-    };
-    members.iter().max_by_key(rank).copied()
+    let hash = |member: &&&Arc<Member>| xxh3_64_with_seed(&member.id_hash().to_le_bytes(), seed);
+    members.iter().max_by_key(hash).copied()
 }
 
 /// What is expected of a request at the server that would be chosen for it.
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -9,16 +9,17 @@
     platform::headers::AttemptHeaders,
     policy::{
         attempt::{self, AttemptEvent, AttemptState, Verdict, judge, may_send_again},
+        availability::Cause,
         patience::head_patience,
     },
     router::{
         Member, Router,
         attempt::{AttemptError, OpenAnswer, Plan, send},
+        availability::Taken,
         breaks::{Parting, note_break, note_unanswered},
-        choice::{limited_for, marks, pick, reading_key},
+        choice::{marks, pick, reading_key, unavailable_for},
         refusal::Refusal,
         roll_out::RunOutcome,
-        send_rules::Taken,
         serve::InFlight,
     },
     routing::{AnswerKind, Fingerprint, Organisation, Request, Route, RouteKind},
@@ -129,11 +130,15 @@
             }
             Verdict::NotRun => {
                 let retry_after = router.note_refusal(&self.service, &self.req.head.id);
-                let Some(wait) = limited_for(router, self, ask) else {
+                let Some((cause, wait)) = unavailable_for(router, self, ask) else {
                     return Refusal::NotRun { retry_after };
                 };
-                router.metrics.count_limited("refused");
-                Refusal::Limited { retry_after: retry_after.max(wait) }
+                if cause == Cause::RateLimited {
+                    router.metrics.count_limited("refused");
+                    return Refusal::Limited { retry_after: retry_after.max(wait) };
+                }
+                // Spread, so that callers don't come back together when the first pause ends.
+                Refusal::Unavailable { cause, retry_after: wait + retry_after }
             }
             _ if self.time_left(router) < LEAST_TIME => Refusal::TimedOut,
             _ => Refusal::Lost,
@@ -200,7 +205,7 @@
             return failed.ok_or_else(|| job.refusal(router, ask));
         }
         match router.take_send(&member) {
-            Taken::Free => {}
+            Taken::Unlimited => {}
             Taken::Limited => router.metrics.count_limited(job.kind_of_send()),
             // The choice is made anew.
             Taken::Denied => continue,
@@ -292,11 +297,13 @@
     router.metrics.count_attempt(&member.server.version, outcome);
     job.attempts.push(state);
     job.tried.push(member.server.id.clone());
-    if matches!(result, Err(AttemptError::NotSent(_))) {
-        job.unreachable.push(member.server.id.clone());
-    } else {
-        job.arrivals += 1;
-        job.has_repeat = has_repeat;
+    match result {
+        Err(AttemptError::NotSent(_)) => job.unreachable.push(member.server.id.clone()),
+        Err(AttemptError::Unavailable(_)) => {}
+        _ => {
+            job.arrivals += 1;
+            job.has_repeat = has_repeat;
+        }
     }
     if !matches!(&result, Err(e) if e.proves_not_run()) {
         job.runs += 1;
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -169,7 +169,7 @@
         router.hear_entries(entries);
     }
     if let Some(place) = place.filter(|place| place.rank < place.entries) {
-        router.heard_place.hear(place, router.now());
+        router.own_place.note(place, router.now());
     }
     let fleet = router.fleet.load_full();
     router.loads.apply(&loads, &fleet, router.now());
--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -131,9 +131,9 @@
     fn remove(&mut self, id: &str, doubtful_until: Option<Duration>, now: Duration) {
         self.unreadable.remove(id);
         self.distrusted.remove(id);
-        let is_leaving = self.servers.get(id).is_none_or(|server| server.is_leaving);
+        let is_draining = self.servers.get(id).is_none_or(|server| server.is_draining);
         match doubtful_until {
-            Some(until) if !is_leaving => {
+            Some(until) if !is_draining => {
                 self.missing.entry(id.into()).or_insert(until);
             }
             _ => {
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -12,6 +12,7 @@
 use crate::{
     policy::{
         announced::Announced,
+        availability::Signals,
         failure_rate::FailureRate,
         kept::{KeptParts, PromptMark},
         load::LoadBelief,
@@ -61,6 +62,8 @@
     pub(crate) failures: FailureRate,
     /// Connections that wait for use, the longest idle first.
     pub(crate) idle: Vec<IdleConnection>,
+    /// Requests of this entry that it has not begun to answer.
+    pub(crate) unanswered: u32,
     /// Time for the prompts it was sent and has not answered yet.
     pub(crate) backlog: Duration,
     /// Prompt parts it is believed to keep.
@@ -108,15 +111,27 @@
     /// A server seen for the first time, which gets nothing until then if others can serve.
     pub fn new(server: BackendServer, waits_until: Duration, now: Duration) -> Self {
         let id_hash = hash_id(&server.id);
-        let cold_until = now + server.cold_for;
-        Self { server, id_hash, waits_until, cold_until, life: Arc::default() }
+        Self::of_life(server, id_hash, waits_until, Arc::default(), now)
     }
 
     /// The same life of the server with a newer listing.
     pub(super) fn renewed(&self, server: BackendServer, now: Duration) -> Self {
-        let (id_hash, waits_until) = (self.id_hash, self.waits_until);
+        Self::of_life(server, self.id_hash, self.waits_until, self.life.clone(), now)
+    }
+
+    fn of_life(
+        server: BackendServer,
+        id_hash: u64,
+        waits_until: Duration,
+        life: Arc<Life>,
+        now: Duration,
+    ) -> Self {
         let cold_until = now + server.cold_for;
-        Self { server, id_hash, waits_until, cold_until, life: self.life.clone() }
+        let member = Self { server, id_hash, waits_until, cold_until, life };
+        if member.server.is_draining {
+            member.record().announced.note_draining(now);
+        }
+        member
     }
 
     /// Until when its row tells it to be cold.
@@ -129,11 +144,6 @@
         self.record().unreachable_at
     }
 
-    /// Whether this entry may send to it while it takes few.
-    pub(crate) fn may_send_limited(&self, allowance: &Allowance, now: Duration) -> bool {
-        self.record().limited_sends.may_send(allowance, now)
-    }
-
     /// When this entry may send to it next while it takes few.
     pub(crate) fn next_limited_at(&self, allowance: &Allowance, now: Duration) -> Duration {
         self.record().limited_sends.next_at(allowance, now)
@@ -193,6 +203,7 @@
     pub(crate) fn note_answer(&self, now: Duration) {
         let mut record = self.record();
         record.outlier.note_answer(&OUTLIER_RULES);
+        record.announced.note_answer(now);
         record.failures.note(false, now);
     }
 
@@ -248,11 +259,6 @@
         self.id_hash
     }
 
-    /// Whether it should be passed over while others can serve.
-    pub(crate) fn is_passed_over(&self, now: Duration) -> bool {
-        self.record().outlier.is_passed_over(now)
-    }
-
     /// Answers of this entry that are awaited there.
     pub(crate) fn awaited(&self) -> u32 {
         self.record().load.own
@@ -263,9 +269,21 @@
         self.record().heard_at
     }
 
-    /// Whether a new request may be sent to it.
-    pub fn takes_requests(&self) -> bool {
-        !self.server.is_leaving && !self.record().is_replaced
+    /// Whether it has announced that it is draining, in its row or in an answer.
+    pub fn is_draining(&self) -> bool {
+        self.record().announced.draining_since().is_some()
+    }
+
+    /// What this entry knows of it that speaks for or against a send.
+    pub(super) fn signals(&self, now: Duration) -> Signals {
+        let record = self.record();
+        Signals {
+            is_replaced: record.is_replaced,
+            announced: record.announced,
+            unanswered: record.unanswered,
+            is_ejected: record.outlier.is_passed_over(now),
+            ..Signals::default()
+        }
     }
 
     /// Whether the order of a roll-out to its version may not have been read yet.
@@ -284,7 +302,6 @@
             kept_tokens: record.kept.kept_tokens(marks),
             failure_rate: record.failures.get(now),
             is_near: &*self.server.zone == zone,
-            is_suspect: record.outlier.is_passed_over(now),
         }
     }
 
@@ -301,7 +318,7 @@
             "service": self.server.service,
             "version": self.server.version,
             "zone": self.server.zone,
-            "leaving": self.server.is_leaving,
+            "draining_row": self.server.is_draining,
             "load": record.load.estimate(now),
             "cold_ms": self.cold_until.saturating_sub(now).as_millis() as u64,
             "failure_rate": record.failures.get(now),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -7,6 +7,7 @@
 
 mod announcements;
 mod attempt;
+mod availability;
 mod body;
 mod breaks;
 mod choice;
@@ -29,6 +30,7 @@
 mod named_limits;
 mod note_log;
 mod orders;
+mod own_place;
 mod packed_rows;
 mod peers;
 mod quarantine;
@@ -42,7 +44,6 @@
 mod restore;
 mod roll_out;
 mod run;
-mod send_rules;
 mod serve;
 mod servers;
 mod sight;
--- /dev/null
+++ b/src/router/own_place.rs
@@ -0,0 +1,58 @@
+//! This entry's place among all, by which entries share what servers take that take few requests.
+
+use std::{sync::Mutex, time::Duration};
+
+use crate::{
+    policy::place::{Place, PlaceBelief, Sharer},
+    router::{Router, messages::ToldPlace},
+};
+
+/// Time after which a seed that has started has reports of all entries: they try it again after 2 s.
+const SEES_ALL_AFTER: Duration = Duration::from_secs(3);
+
+/// This entry's place among all, as the seeds report it.
+#[derive(Debug, Default)]
+pub(crate) struct OwnPlace {
+    belief: Mutex<PlaceBelief>,
+}
+
+impl OwnPlace {
+    /// Takes in this entry's place among all.
+    pub(crate) fn note(&self, reported: ToldPlace, now: Duration) {
+        let ToldPlace { rank, entries, sees_all } = reported;
+        let mut belief = self.belief.lock().expect("no panics under the lock");
+        belief.hear(Place { rank, entries }, sees_all, now);
+    }
+
+    /// How many share, as far as it was reported.
+    pub(crate) fn entries(&self) -> Option<u32> {
+        self.belief.lock().expect("no panics under the lock").entries()
+    }
+
+    /// This entry's place; none until it is settled.
+    fn get(&self, now: Duration) -> Option<Place> {
+        self.belief.lock().expect("no panics under the lock").get(now)
+    }
+}
+
+impl Router {
+    /// This entry's place among all; that of one that is alone where no other one is named.
+    pub(crate) fn place(&self) -> Option<Place> {
+        let settings = self.settings.load();
+        let is_alone = settings.seeds.iter().all(|seed| Some(*seed) == settings.peer);
+        let place = self.own_place.get(self.now());
+        place.or_else(|| (is_alone && !self.is_seed()).then_some(Place::ALONE))
+    }
+
+    /// The place of an entry that reports to this one, or of this one itself.
+    pub(crate) fn place_of(&self, host: &str) -> Option<ToldPlace> {
+        let settings = self.settings.load();
+        let own = Sharer { host: &settings.host, is_settled: self.place().is_some() };
+        let Place { rank, entries } = self.loads.place(host, own, self.now())?;
+        Some(ToldPlace {
+            rank,
+            entries,
+            sees_all: self.now() >= self.started_at() + SEES_ALL_AFTER,
+        })
+    }
+}
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, Response, StatusCode, header};
 
-use crate::router::body::AnswerBody;
+use crate::{policy::availability::Cause, router::body::AnswerBody};
 
 /// Why a request gets no server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
@@ -40,6 +40,14 @@
         /// When one of them can be expected to take it.
         retry_after: Duration,
     },
+    /// Did not run and never will.
+    #[error("all its servers are {cause}, back in {retry_after:?}")]
+    Unavailable {
+        /// Why the first of them that is back is away.
+        cause: Cause,
+        /// When it can be expected to take it.
+        retry_after: Duration,
+    },
     /// Did not run in this try.
     #[error("servers ended under this request, which is refused for {retry_after:?}")]
     EndsServers {
@@ -70,6 +78,7 @@
             | Self::Leaving { .. }
             | Self::NotRun { .. }
             | Self::Limited { .. }
+            | Self::Unavailable { .. }
             | Self::EndsServers { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -88,6 +97,7 @@
             Self::Leaving { .. } => "leaving",
             Self::NotRun { .. } => "not_run",
             Self::Limited { .. } => "limited",
+            Self::Unavailable { .. } => "unavailable",
             Self::EndsServers { .. } => "ends_servers",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -99,6 +109,7 @@
             Self::Leaving { retry_after }
             | Self::NotRun { retry_after }
             | Self::Limited { retry_after }
+            | Self::Unavailable { retry_after, .. }
             | Self::EndsServers { retry_after } => retry_after,
             _ => RETRY_AFTER,
         }
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -55,7 +55,7 @@
             let now = router.now();
             router.hear_entries(router.loads.entries(now));
             if let Some(place) = router.place_of(&settings.host) {
-                router.heard_place.hear(place, now);
+                router.own_place.note(place, now);
             }
             router.loads.apply(&router.loads.sums(now), &fleet, now);
         }
--- a/src/router/servers.rs
+++ b/src/router/servers.rs
@@ -52,7 +52,7 @@
 
 /// Takes servers that have started again, or are gone without having said so, as ended.
 fn note_ends(router: &Router, listing: &Listing, before: &Fleet, next: &Fleet) {
-    for member in before.gone_in(next).filter(|member| !member.server.is_leaving) {
+    for member in before.gone_in(next).filter(|member| !member.is_draining()) {
         let id = &member.server.id;
         if next.has_id(id) {
             breaks::note_end(router, member, Proof::StartedAgain);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -28,9 +28,8 @@
     },
     router::{
         Fleet, evacuations::Evacuations, kept_board::KeptBoard, limit_board::LimitBoard,
-        link::Link, load_board::LoadBoard, quarantine_board::QuarantineBoard,
-        quarantine_row::TrialRequest, readings::Readings, roll_out::RollOuts,
-        send_rules::HeardPlace, views::Views,
+        link::Link, load_board::LoadBoard, own_place::OwnPlace, quarantine_board::QuarantineBoard,
+        quarantine_row::TrialRequest, readings::Readings, roll_out::RollOuts, views::Views,
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
@@ -73,7 +72,7 @@
     /// AvailabilityZones that the operator wants nothing sent to.
     pub(crate) evacuations: Evacuations,
     /// This entry's place among all.
-    pub(crate) heard_place: HeardPlace,
+    pub(crate) own_place: OwnPlace,
     /// Servers that name a limit in their answers.
     pub(crate) limits: LimitBoard,
     /// Roll-outs and the evidence on their versions.
@@ -117,7 +116,7 @@
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
             evacuations: Evacuations::default(),
-            heard_place: HeardPlace::default(),
+            own_place: OwnPlace::default(),
             limits: LimitBoard::default(),
             roll_outs: RollOuts::new(policy.exposure),
             policy,
--- a/src/routing/answer.rs
+++ b/src/routing/answer.rs
@@ -54,6 +54,13 @@
 }
 
 impl AnswerHead {
+    /// Whether the server rejected the request and announced why or for how long: that is no failure of it, and what
+    /// it announced keeps further requests away.
+    pub fn announces_rejection(&self) -> bool {
+        let is_draining = self.is_draining && self.kind == AnswerKind::NotRun;
+        is_draining || (self.is_rejection() && self.retry_after.pause().is_some())
+    }
+
     /// Whether the server rejected the request for want of capacity.
     pub fn is_rejection(&self) -> bool {
         let statuses = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -27,8 +27,8 @@
     pub version: ServerVersion,
     /// Requests it runs at a time.
     pub slots: u32,
-    /// Whether it is about to leave and must get no more requests.
-    pub is_leaving: bool,
+    /// Whether its row says that it is draining.
+    pub is_draining: bool,
     /// How much longer it was cold when it wrote its row.
     pub cold_for: Duration,
     /// Counts what it wrote or accepted in this life.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -82,6 +82,13 @@
     pub send: String,
 }
 
+/// Labels of servers that are left out of a choice.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CauseLabels {
+    /// Why the server is unavailable.
+    pub cause: String,
+}
+
 /// Labels of headers that nothing reads.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct HeaderLabels {
@@ -149,6 +156,8 @@
     pub servers_paused: Gauge,
     /// Sends to servers that have announced that they should get none.
     pub unavailable_sends: Family<UnavailableLabels, Counter>,
+    /// Servers left out of a choice since they are unavailable.
+    pub avoided: Family<CauseLabels, Counter>,
     /// Answers with a header that nothing reads.
     pub unread_headers: Family<HeaderLabels, Counter>,
     unread_names: Arc<Mutex<BTreeSet<String>>>,
@@ -199,6 +208,7 @@
             servers_draining: Gauge::default(),
             servers_paused: Gauge::default(),
             unavailable_sends: Family::default(),
+            avoided: Family::default(),
             unread_headers: Family::default(),
             unread_names: Arc::default(),
             evidence: Family::default(),
@@ -257,6 +267,8 @@
         registry.register("servers_paused", "Servers that asked for a pause", paused);
         let sends = self.unavailable_sends.clone();
         registry.register("unavailable_sends", "Sends to unavailable servers", sends);
+        let avoided = self.avoided.clone();
+        registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
@@ -310,6 +322,11 @@
         self.unavailable_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a server that was left out of a choice.
+    pub fn count_avoided(&self, cause: &str) {
+        self.avoided.get_or_create(&CauseLabels { cause: cause.into() }).inc();
+    }
+
     /// Counts an answer with a header that nothing reads; whether the name is new.
     pub fn count_unread_header(&self, name: &str) -> bool {
         let mut names = self.unread_names.lock().expect("no panics under the lock");
--- /dev/null
+++ b/tests/availability.rs
@@ -0,0 +1,216 @@
+//! The decision whether a server may be sent a request.
+
+use std::time::{Duration, SystemTime};
+
+use mintmoor::policy::{
+    announced::Announced,
+    availability::{Availability, Cause, RateSignal, Signals, decide, retain_first_tier},
+    retry_after::{LONGEST_PAUSE, RetryAfter},
+};
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(100);
+const DRAIN: Duration = Duration::from_secs(2);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn signals() -> Signals {
+    Signals { drain: DRAIN, ..Signals::default() }
+}
+
+fn paused(at: Duration, pause: Duration) -> Signals {
+    let mut signals = signals();
+    signals.announced.note_pause(pause, at);
+    signals
+}
+
+fn draining(at: Duration) -> Signals {
+    let mut signals = signals();
+    signals.announced.note_draining(at);
+    signals
+}
+
+#[test]
+fn a_server_that_announced_nothing_is_open() {
+    assert_eq!(decide(&signals(), NOW), Availability::Open);
+}
+
+#[test]
+fn a_draining_server_is_a_last_resort_for_half_of_its_drain_time() {
+    let signals = draining(NOW);
+
+    let at = |after: Duration| decide(&signals, NOW + after);
+
+    assert_eq!(at(Duration::ZERO), Availability::LastResort(Cause::Draining));
+    assert_eq!(at(DRAIN / 2 - Duration::from_millis(1)), Availability::LastResort(Cause::Draining));
+    assert_eq!(at(DRAIN / 2), Availability::Closed { cause: Cause::Draining, until: None });
+    assert_eq!(at(60 * DRAIN), Availability::Closed { cause: Cause::Draining, until: None });
+}
+
+#[test]
+fn a_paused_server_is_closed_until_the_later_end() {
+    let mut signals = paused(NOW, 3 * SECOND);
+    signals.announced.note_pause(SECOND, NOW + SECOND);
+
+    let until = Some(NOW + 3 * SECOND);
+    assert_eq!(decide(&signals, NOW), Availability::Closed { cause: Cause::Paused, until });
+    let last = NOW + 3 * SECOND - Duration::from_millis(1);
+    assert_eq!(decide(&signals, last), Availability::Closed { cause: Cause::Paused, until });
+    assert_eq!(decide(&signals, NOW + 3 * SECOND), Availability::Open);
+}
+
+#[test]
+fn after_a_pause_the_sends_that_wait_grow_with_the_answers() {
+    let mut signals = paused(NOW, SECOND);
+    let now = NOW + SECOND;
+    let recovering = Availability::Closed { cause: Cause::Recovering, until: None };
+
+    signals.unanswered = 1;
+    assert_eq!(decide(&signals, now), recovering);
+    signals.announced.note_answer(now);
+    assert_eq!(decide(&signals, now), Availability::Open);
+    signals.unanswered = 2;
+    assert_eq!(decide(&signals, now), recovering);
+
+    (0..15).for_each(|_| signals.announced.note_answer(now));
+    signals.unanswered = 100;
+    assert_eq!(decide(&signals, now), Availability::Open);
+}
+
+#[test]
+fn a_server_whose_answers_never_come_is_not_kept_out_after_its_pause() {
+    let mut signals = paused(NOW, SECOND);
+    signals.unanswered = 1;
+
+    assert_eq!(decide(&signals, NOW + 6 * SECOND), Availability::Open);
+}
+
+#[test]
+fn what_closes_a_server_goes_before_what_makes_it_a_last_resort() {
+    let mut signals = draining(NOW);
+    signals.announced.note_pause(SECOND, NOW);
+    signals.is_ejected = true;
+
+    let until = Some(NOW + SECOND);
+    assert_eq!(decide(&signals, NOW), Availability::Closed { cause: Cause::Paused, until });
+    signals.is_evacuated = true;
+    assert_eq!(
+        decide(&signals, NOW),
+        Availability::Closed { cause: Cause::Evacuated, until: None }
+    );
+    signals.is_replaced = true;
+    assert_eq!(decide(&signals, NOW), Availability::Closed { cause: Cause::Replaced, until: None });
+}
+
+#[test]
+fn a_rate_limit_closes_a_server_until_its_next_send() {
+    let with = |rate| decide(&Signals { rate, ..signals() }, NOW);
+    let until = |until| Availability::Closed { cause: Cause::RateLimited, until: Some(until) };
+
+    assert_eq!(with(RateSignal::Share(NOW)), Availability::Open);
+    assert_eq!(with(RateSignal::Share(NOW + SECOND)), until(NOW + SECOND));
+    assert_eq!(with(RateSignal::LastResort(NOW)), Availability::LastResort(Cause::RateLimited));
+    assert_eq!(with(RateSignal::LastResort(NOW + SECOND)), until(NOW + SECOND));
+    assert_eq!(with(RateSignal::OfOthers(NOW)), until(NOW));
+    assert_eq!(with(RateSignal::OfOthers(NOW + SECOND)), until(NOW + SECOND));
+}
+
+/// The servers that are used, by their numbers.
+fn used(availabilities: &[Availability]) -> Vec<usize> {
+    let mut servers: Vec<_> = availabilities.iter().copied().enumerate().collect();
+    retain_first_tier(&mut servers);
+    servers.into_iter().map(|(number, _)| number).collect()
+}
+
+#[test]
+fn an_ejected_server_is_left_out_unless_all_are() {
+    let ejected = Availability::LastResort(Cause::Ejected);
+
+    assert_eq!(used(&[ejected, Availability::Open, ejected]), [1]);
+    assert_eq!(used(&[ejected, ejected]), [0, 1]);
+}
+
+#[test]
+fn a_draining_server_is_used_after_ejected_ones_and_a_closed_one_never() {
+    let draining = Availability::LastResort(Cause::Draining);
+    let ejected = Availability::LastResort(Cause::Ejected);
+    let closed = Availability::Closed { cause: Cause::Paused, until: None };
+
+    assert_eq!(used(&[draining, ejected, closed]), [1]);
+    assert_eq!(used(&[closed, draining]), [1]);
+    assert!(used(&[closed, closed]).is_empty());
+}
+
+#[test]
+fn a_pause_is_read_as_seconds_or_as_a_date() {
+    let now = SystemTime::UNIX_EPOCH + Duration::from_secs(784_111_777);
+    let read = |text| RetryAfter::read(text, now);
+
+    assert_eq!(read("3"), RetryAfter::After(3 * SECOND));
+    assert_eq!(read(" 0.25 "), RetryAfter::After(SECOND / 4));
+    assert_eq!(read("0"), RetryAfter::After(Duration::ZERO));
+    assert_eq!(read("1e300"), RetryAfter::After(LONGEST_PAUSE));
+    assert_eq!(read("Sun, 06 Nov 1994 08:49:40 GMT"), RetryAfter::After(3 * SECOND));
+    assert_eq!(read("Sun, 06 Nov 1994 08:49:30 GMT"), RetryAfter::After(Duration::ZERO));
+    assert_eq!(read("Sat, 06 Nov 2094 08:49:30 GMT"), RetryAfter::After(LONGEST_PAUSE));
+    for junk in ["", "-1", "NaN", "inf", "-inf", "soon", "3 s", "Sun, 99 Nov 1994"] {
+        assert_eq!(read(junk), RetryAfter::Unreadable, "{junk}");
+    }
+}
+
+#[test]
+fn of_two_pauses_in_one_answer_the_longer_holds() {
+    let (one, two) = (RetryAfter::After(SECOND), RetryAfter::After(2 * SECOND));
+
+    assert_eq!(one.longer(two), two);
+    assert_eq!(two.longer(one), two);
+    assert_eq!(RetryAfter::Unreadable.longer(one), one);
+    assert_eq!(one.longer(RetryAfter::Unreadable), one);
+}
+
+/// What an answer of a server may say.
+#[derive(Clone, Copy, Debug)]
+enum Said {
+    Nothing,
+    Draining,
+    Pause(u64),
+}
+
+fn answers() -> impl Strategy<Value = Vec<(u64, Said)>> {
+    let said = prop_oneof![
+        4 => Just(Said::Nothing),
+        1 => Just(Said::Draining),
+        2 => (1u64..5_000).prop_map(Said::Pause),
+    ];
+    prop::collection::vec((0u64..1_000, said), 0..60)
+}
+
+proptest! {
+    #[test]
+    fn nothing_is_sent_while_a_server_drains_or_pauses(answers in answers()) {
+        let (mut announced, mut now) = (Announced::default(), NOW);
+        let (mut drains_since, mut pause_ends) = (None, Duration::ZERO);
+        for (after, said) in answers {
+            now += Duration::from_millis(after);
+            let before = announced.paused_until();
+            match said {
+                Said::Nothing => announced.note_answer(now),
+                Said::Draining => {
+                    announced.note_draining(now);
+                    drains_since.get_or_insert(now);
+                }
+                Said::Pause(ms) => {
+                    announced.note_pause(Duration::from_millis(ms), now);
+                    pause_ends = pause_ends.max(now + Duration::from_millis(ms));
+                }
+            }
+            prop_assert!(announced.paused_until() >= before, "a deadline moved back");
+            let availability = decide(&Signals { announced, ..signals() }, now);
+            let is_paused = now < pause_ends;
+            let is_leaving = drains_since.is_some_and(|since| now >= since + DRAIN / 2);
+            let is_closed = matches!(availability, Availability::Closed { .. });
+            // Without requests that wait, nothing else keeps a server out.
+            prop_assert_eq!(is_closed, is_paused || is_leaving);
+            prop_assert_eq!(availability == Availability::Open, !is_paused && drains_since.is_none());
+        }
+    }
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -33,7 +33,6 @@
         kept_tokens: 0,
         failure_rate: 0.0,
         is_near,
-        is_suspect: false,
     }
 }
 
@@ -210,13 +209,8 @@
 }
 
 #[test]
-fn a_suspect_is_passed_over_unless_all_are() {
-    let mut pool = pool();
-    pool[..3].iter_mut().for_each(|c| c.is_suspect = true);
-    assert!(chosen(&pool, &Work::default()).unwrap() >= 3);
-
-    pool.iter_mut().for_each(|c| c.is_suspect = true);
-    assert!(chosen(&pool, &Work::default()).is_some());
+fn nothing_is_chosen_where_there_is_no_server() {
+    assert!(chosen(&pool(), &Work::default()).is_some());
     assert_eq!(chosen(&[], &Work::default()), None);
 }
 
--- a/tests/platform/lives.rs
+++ b/tests/platform/lives.rs
@@ -72,7 +72,7 @@
     leaving["born"] = json!(1_000);
     site.store.put("servers", "i-1", &leaving);
 
-    until("it leaves", || dumped(&site)["leaving"] == true).await;
+    until("it leaves", || dumped(&site)["draining_row"] == true).await;
     assert_eq!(dumped(&site)["kept_tokens"], 1_500);
 }
 
--- a/tests/platform/restores.rs
+++ b/tests/platform/restores.rs
@@ -29,7 +29,7 @@
 
 fn is_leaving(site: &Site, id: &str) -> bool {
     let servers = site.entry.router.dump()["servers"].clone();
-    servers.as_array().unwrap().iter().any(|row| row["id"] == id && row["leaving"] == true)
+    servers.as_array().unwrap().iter().any(|row| row["id"] == id && row["draining_row"] == true)
 }
 
 fn zones(site: &Site) -> usize {
--- a/tests/platform/rows.rs
+++ b/tests/platform/rows.rs
@@ -62,7 +62,7 @@
 fn a_whole_row_is_read() {
     let server = read(&whole_row()).unwrap();
 
-    assert_eq!((&*server.service, server.slots, server.is_leaving), ("llm", 8, false));
+    assert_eq!((&*server.service, server.slots, server.is_draining), ("llm", 8, false));
     assert_eq!(server.born, Some(1_764_720_000_000));
 }
 
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -288,9 +288,12 @@
             let head = format!("X-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n{lines}");
             (whole(503, &head, ""), true)
         }
-        Act::OtherServer => (whole(421, "X-Instance-Id: i-other\r\n", ""), true),
-        Act::WrongId => (whole(200, "X-Request-Id: other\r\nX-Instance-Stamp: s\r\n", "no"), true),
-        Act::Unsigned => (whole(200, &format!("X-Request-Id: {id}\r\n"), "no"), true),
+        Act::OtherServer => (whole(421, &format!("X-Instance-Id: i-other\r\n{lines}"), ""), true),
+        Act::WrongId => {
+            let head = format!("X-Request-Id: other\r\nX-Instance-Stamp: s\r\n{lines}");
+            (whole(200, &head, "no"), true)
+        }
+        Act::Unsigned => (whole(200, &format!("X-Request-Id: {id}\r\n{lines}"), "no"), true),
         Act::Encoded => (whole(200, &format!("{signed}Content-Encoding: gzip\r\n"), "no"), true),
         Act::Close | Act::Crash { has_begun: false } => (String::new(), false),
         Act::Crash { has_begun: true } => {
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -95,7 +95,7 @@
         zone: "zone-a".into(),
         version: version.into(),
         slots: 8,
-        is_leaving: false,
+        is_draining: false,
         cold_for: Duration::ZERO,
         sequence: 1,
         written_at: mintmoor::ids::StoreVersion::default(),
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -50,6 +50,7 @@
         seeds: Vec::new(),
         store: store.address.to_string().into(),
         grace: Duration::from_secs(4),
+        drain: Duration::from_secs(2),
         catch_up: Duration::from_secs(3),
         // More than deployments allow: an entry that has just started has no part of the extra yet,
         // and the budget has tests of its own.
--- a/tests/platform/state.rs
+++ b/tests/platform/state.rs
@@ -84,7 +84,7 @@
     list(&site.store, &leaves, "app", "v1", "draining");
     let takes = || {
         let fleet = site.entry.router.fleet.load();
-        fleet.of_service("app").iter().filter(|member| member.takes_requests()).count()
+        fleet.of_service("app").iter().filter(|member| !member.is_draining()).count()
     };
     until("one takes requests", || takes() == 1).await;
     let before = leaves.seen().len();
--- a/tests/platform/unavailable.rs
+++ b/tests/platform/unavailable.rs
@@ -9,10 +9,10 @@
 use tokio::time::sleep;
 
 use crate::{
-    need::{answers_under_load, arrivals, load, pool_of},
+    need::{answers_under_load, arrivals, load, pool_of, poor},
     pool::Pool,
-    server::{Act, Server},
-    site::{Site, always, until},
+    server::{Act, Seen, Server},
+    site::{Site, always, list_life, until},
 };
 
 /// Time after a rejection in which requests may arrive that were on their way.
@@ -88,6 +88,147 @@
     assert!(!arrivals(&paused, from).is_empty(), "it is not used again");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn where_all_servers_drain_they_serve_for_half_of_the_drain_time_and_get_nothing_later() {
+    let (_pool, sites, servers) = three_servers().await;
+    servers.iter().for_each(Server::drain);
+    let (asked, served) = load(&sites, Duration::from_millis(700)).await;
+    assert_eq!(served, asked);
+
+    sleep(Duration::from_millis(500)).await;
+    let from = Instant::now();
+    let answers = answers_under_load(&sites, Duration::from_secs(1)).await;
+
+    let later: usize = servers.iter().map(|server| arrivals(server, from).len()).sum();
+    assert_eq!(later, 0, "of {} requests", answers.len());
+    for (answer, took) in &answers {
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(*took < Duration::from_secs(1), "{answer:?} after {took:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_life_of_a_server_neither_drains_nor_pauses() {
+    let (pool, sites, [draining, paused, _]) = three_servers().await;
+    draining.drain();
+    paused.ask_for_pause(Some("60"));
+    load(&sites, Duration::from_millis(300)).await;
+    draining.announce(&[]);
+    paused.ask_for_pause(None);
+
+    list_life(&pool.store, &draining, "llm", 2_000);
+    list_life(&pool.store, &paused, "llm", 2_000);
+    until("both are new", || {
+        let is_new = |server| dump_of(&sites[0], server)["paused_ms"] == 0;
+        is_new(&paused) && dump_of(&sites[0], &draining)["draining_ms"].is_null()
+    })
+    .await;
+
+    let from = Instant::now();
+    load(&sites, Duration::from_secs(1)).await;
+    assert!(!arrivals(&draining, from).is_empty());
+    assert!(!arrivals(&paused, from).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_ends_while_the_host_is_suspended() {
+    let (_pool, sites, [paused, ..]) = three_servers().await;
+    paused.ask_for_pause(Some("60"));
+    load(&sites, Duration::from_millis(300)).await;
+    paused.ask_for_pause(None);
+    assert_ne!(dump_of(&sites[0], &paused)["paused_ms"], 0);
+
+    sites[0].entry.router.clock.suspend_for(Duration::from_secs(60));
+
+    let from = Instant::now();
+    load(&sites, Duration::from_secs(1)).await;
+    assert!(!arrivals(&paused, from).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_resumed_streams_and_larger_models_keep_away_from_such_servers() {
+    let (draining, paused, flaky) = (busy("i-0").await, busy("i-1").await, poor("i-2").await);
+    let pool = pool_of(&[&draining, &paused, &flaky]).await;
+    let sites = pool.entries_apart(1).await;
+    load(&sites, Duration::from_millis(300)).await;
+    draining.drain();
+    paused.ask_for_pause(Some("60"));
+    load(&sites, Duration::from_millis(300)).await;
+    let known = || {
+        let is_draining = !dump_of(&sites[0], &draining)["draining_ms"].is_null();
+        is_draining && dump_of(&sites[0], &paused)["paused_ms"] != 0
+    };
+    until("both are known", known).await;
+
+    sleep(ON_THEIR_WAY).await;
+    let from = Instant::now();
+    load(&sites, Duration::from_secs(2)).await;
+
+    let is_resumed = |seen: &Seen| !seen.header("last-event-id").is_empty();
+    assert!(flaky.seen().iter().any(is_resumed), "no stream was resumed");
+    assert_eq!(arrivals(&draining, from).len(), 0);
+    assert_eq!(arrivals(&paused, from).len(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_announced_in_an_answer_of_another_server_is_not_believed() {
+    for act in [Act::Unsigned, Act::WrongId, Act::Encoded, Act::OtherServer] {
+        let (other, healthy) = (always("i-0", act.clone()).await, busy("i-1").await);
+        let pool = pool_of(&[&other, &healthy]).await;
+        let sites = pool.entries_apart(1).await;
+        other.announce(&["Server-Leaving: 1", "Retry-After: 60"]);
+
+        load(&sites, Duration::from_millis(500)).await;
+
+        assert!(!other.seen().is_empty());
+        let dumped = dump_of(&sites[0], &other);
+        assert!(dumped["draining_ms"].is_null(), "{act:?}");
+        assert_eq!(dumped["paused_ms"], 0, "{act:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_that_cant_be_read_changes_nothing() {
+    let (_pool, sites, [server, ..]) = three_servers().await;
+    for junk in ["soon", "-3", "NaN", ""] {
+        server.ask_for_pause(Some(junk));
+        let (asked, served) = load(&sites, Duration::from_millis(300)).await;
+        assert_eq!(served, asked, "{junk}");
+        assert_eq!(dump_of(&sites[0], &server)["paused_ms"], 0, "{junk}");
+    }
+}
+
+/// Its connections end and nobody listens any more, with streams at work.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_exits_after_a_drain_notice_in_an_answer_is_not_taken_for_crashed() {
+    let (leaving, other) = (busy("i-0").await, busy("i-1").await);
+    let pool = pool_of(&[&leaving, &other]).await;
+    let sites = pool.entries_apart(1).await;
+    leaving.drain();
+    let work = load(&sites, Duration::from_millis(600));
+    let exit = async {
+        sleep(Duration::from_millis(400)).await;
+        assert!(leaving.at_work() > 0);
+        leaving.crash();
+    };
+
+    tokio::join!(work, exit);
+
+    let text = sites[0].entry.router.metrics.render();
+    assert!(text.contains("mintmoor_server_ends_total 0"), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_header_that_nothing_reads_shows_in_the_metrics() {
+    let (_pool, sites, [server, ..]) = three_servers().await;
+    server.announce(&["Server-Mood: grim"]);
+
+    load(&sites, Duration::from_millis(300)).await;
+
+    let text = sites[0].entry.router.metrics.render();
+    assert!(text.contains("mintmoor_unread_headers_total{name=\"server-mood\"}"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn where_all_servers_asked_for_a_pause_requests_are_rejected_without_sending_them() {
     let (_pool, sites, servers) = three_servers().await;
--- a/tests/play/system.rs
+++ b/tests/play/system.rs
@@ -368,10 +368,12 @@
             kept_tokens: known(&views[engine]),
             failure_rate: 0.0,
             is_near: self.is_near(engine, arrival.entry),
-            is_suspect: self.is_lost(engine, now),
         };
-        let candidates: Vec<Candidate> = (0..self.engines.len()).map(candidate).collect();
-        let engine = place(&candidates, &work, &self.setup.terms).expect("there are engines");
+        let engines: Vec<usize> =
+            (0..self.engines.len()).filter(|engine| !self.is_lost(*engine, now)).collect();
+        let candidates: Vec<Candidate> = engines.iter().copied().map(candidate).collect();
+        let chosen = place(&candidates, &work, &self.setup.terms).expect("there are engines");
+        let engine = engines[chosen];
         (engine, arrival.prompt_tokens() - known(&views[engine]))
     }
 
