What is known of a server's life survives a row that lapses and returns

What callers saw: nothing yet. A draining or paused server whose row lapsed, as rows do while the store is away, was sent requests again once the row was back.

Cause: what an entry knows of a life hung on the row, and a row that returned for the same life made a new record. With the notices went ejection, the count of limited sends, breaks and the mark that another server has the address.

A dropped row alone no longer counts as an unreachable server: it had no effect while the record went with the row, and a row that returns proves it wrong.

--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -173,7 +173,9 @@
             .collect::<Vec<_>>();
         (lost, ended_at)
     };
-    member.note_unreachable(now);
+    if proof != Proof::Dropped {
+        member.note_unreachable(now);
+    }
     if lost.is_empty() {
         return;
     }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     policy::quarantine::LifeHash,
-    router::Member,
+    router::{Member, departed::Departed},
     routing::{BackendServer, ServerVersion},
     telemetry::event,
 };
@@ -23,6 +23,7 @@
     members: HashMap<Box<str>, Arc<Member>>,
     by_service: HashMap<Box<str>, Vec<Arc<Member>>>,
     by_short_hash: HashMap<u32, Arc<Member>>,
+    departed: Departed,
     /// Until when versions wait that came into view beside others, by service and version.
     waiting: HashMap<(Box<str>, ServerVersion), Duration>,
 }
@@ -35,7 +36,8 @@
         let waiting = waiting.map(|(version, until)| (version.clone(), *until)).collect();
         let mut next = Self { waiting, ..Self::default() };
         for server in servers {
-            let member = match self.members.get(&server.id) {
+            let known = self.members.get(&server.id).or_else(|| self.departed.get(&server.id));
+            let member = match known {
                 Some(known) if known.server == server => known.clone(),
                 Some(known) if known.server.born == server.born => {
                     Arc::new(known.renewed(server, now))
@@ -55,9 +57,20 @@
             next.by_service.entry(service).or_default().push(member.clone());
             next.members.insert(member.server.id.clone(), member);
         }
+        next.note_departed(self, now);
         next
     }
 
+    /// Remembers the lives of a fleet `before` this one that are out of view.
+    fn note_departed(&mut self, before: &Self, now: Duration) {
+        self.departed.take_over(&before.departed, |id| self.members.contains_key(id), now);
+        for (id, member) in &before.members {
+            if !self.members.contains_key(id) {
+                self.departed.add(member, now);
+            }
+        }
+    }
+
     /// Until when a server waits that has come into view after this fleet's `before`.
     fn note_version(&mut self, before: &Self, server: &BackendServer, now: Duration) -> Duration {
         let version = (server.service.clone(), server.version.clone());
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -116,6 +116,9 @@
 
     /// The same life of the server with a newer listing.
     pub(super) fn renewed(&self, server: BackendServer, now: Duration) -> Self {
+        if server.address != self.server.address {
+            self.record().is_replaced = false;
+        }
         Self::of_life(server, self.id_hash, self.waits_until, self.life.clone(), now)
     }
 
@@ -199,6 +202,14 @@
         self.life.has_ended.send_replace(true);
     }
 
+    /// Drops what takes much memory and does not outlast a server that is out of view: its connections and what it
+    /// is believed to keep.
+    pub(super) fn release_memory(&self) {
+        let mut record = self.record();
+        record.idle = Vec::new();
+        record.kept = KeptParts::default();
+    }
+
     /// Notes an answer that shows the server as sound.
     pub(crate) fn note_answer(&self, now: Duration) {
         let mut record = self.record();
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod breaks;
 mod choice;
 mod connection;
+mod departed;
 mod dispatch;
 mod driver;
 mod evacuations;
--- a/tests/platform/unavailable.rs
+++ b/tests/platform/unavailable.rs
@@ -26,6 +26,12 @@
     servers.iter().find(|s| s["id"] == *server.id).cloned().unwrap_or_default()
 }
 
+/// Whether an entry knows that one server drains and another one asked for a pause.
+fn knows_both(site: &Site, draining: &Server, paused: &Server) -> bool {
+    let is_draining = !dump_of(site, draining)["draining_ms"].is_null();
+    is_draining && dump_of(site, paused)["paused_ms"] != 0
+}
+
 /// A server whose answers take half a second, so that load builds up on all servers.
 async fn busy(id: &str) -> Server {
     always(id, Act::Paced { to: 5, pause: Duration::from_millis(100) }).await
@@ -107,6 +113,49 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_row_that_lapses_and_returns_for_the_same_life_ends_neither_draining_nor_a_pause() {
+    let (pool, sites, [draining, paused, _]) = three_servers().await;
+    draining.drain();
+    paused.ask_for_pause(Some("60"));
+    load(&sites, Duration::from_millis(300)).await;
+    until("both are known", || knows_both(&sites[0], &draining, &paused)).await;
+
+    for server in [&draining, &paused] {
+        pool.store.remove("servers", &server.id);
+    }
+    sites[0].until_in_view(1).await;
+    for server in [&draining, &paused] {
+        list_life(&pool.store, server, "llm", 1_000);
+    }
+    sites[0].until_in_view(3).await;
+    sleep(ON_THEIR_WAY).await;
+    let from = Instant::now();
+    let (asked, served) = load(&sites, Duration::from_secs(2)).await;
+
+    assert_eq!(arrivals(&draining, from).len(), 0, "of {asked} requests");
+    assert_eq!(arrivals(&paused, from).len(), 0, "of {asked} requests");
+    assert_eq!(served, asked);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_whose_address_another_one_has_is_not_asked_again_when_its_row_returns() {
+    let (replaced, healthy) = (always("i-0", Act::OtherServer).await, busy("i-1").await);
+    let pool = pool_of(&[&replaced, &healthy]).await;
+    let sites = pool.entries_apart(1).await;
+    load(&sites, Duration::from_millis(300)).await;
+    assert!(!replaced.seen().is_empty());
+
+    pool.store.remove("servers", &replaced.id);
+    sites[0].until_in_view(1).await;
+    list_life(&pool.store, &replaced, "llm", 1_000);
+    sites[0].until_in_view(2).await;
+    let from = Instant::now();
+    load(&sites, Duration::from_secs(1)).await;
+
+    assert_eq!(arrivals(&replaced, from).len(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_life_of_a_server_neither_drains_nor_pauses() {
     let (pool, sites, [draining, paused, _]) = three_servers().await;
@@ -154,11 +203,7 @@
     draining.drain();
     paused.ask_for_pause(Some("60"));
     load(&sites, Duration::from_millis(300)).await;
-    let known = || {
-        let is_draining = !dump_of(&sites[0], &draining)["draining_ms"].is_null();
-        is_draining && dump_of(&sites[0], &paused)["paused_ms"] != 0
-    };
-    until("both are known", known).await;
+    until("both are known", || knows_both(&sites[0], &draining, &paused)).await;
 
     sleep(ON_THEIR_WAY).await;
     let from = Instant::now();
