Soak: one server drains by its answers alone and exits, two ask for pauses

From what callers and servers saw: no request that was sent two seconds after its entry had passed on a drain notice reaches the server, and in a pause no more than two requests reach it from the entry that it rejected. Only a stop, restart or suspension of the entry excuses either.

With it: idle connections to a server that announced draining are closed, and the state of its row is kept apart from the notice in an answer, so that a row that goes back to ready counts where no answer said otherwise (the soak does that).

--- a/src/policy/announced.rs
+++ b/src/policy/announced.rs
@@ -1,4 +1,4 @@
-//! What one life of a BackendServer has announced: that it is draining, or a pause.
+//! What one life of a BackendServer has announced in its answers: that it is draining, or a pause.
 
 use std::time::Duration;
 
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -88,7 +88,9 @@
     pub is_replaced: bool,
     /// Whether its AvailabilityZone is evacuated.
     pub is_evacuated: bool,
-    /// What it announced.
+    /// Since when its row says that it is draining.
+    pub row_draining_since: Option<Duration>,
+    /// What it announced in its answers.
     pub announced: Announced,
     /// For how long a draining server goes on serving.
     pub drain: Duration,
@@ -110,7 +112,8 @@
     if signals.is_evacuated {
         return closed(Cause::Evacuated, None);
     }
-    let draining = announced.draining_since();
+    let announcements = [signals.row_draining_since, announced.draining_since()];
+    let draining = announcements.into_iter().flatten().min();
     if draining.is_some_and(|since| now >= since + signals.drain / LAST_RESORT_SHARE) {
         return closed(Cause::Draining, None);
     }
--- a/src/router/announcements.rs
+++ b/src/router/announcements.rs
@@ -13,7 +13,7 @@
     /// Records what the head of a server's own answer announces.
     pub(crate) fn note_announced(&self, member: &Member, head: &AnswerHead, request_id: &str) {
         let (now, id) = (self.now(), &member.server.id);
-        if head.is_draining && member.record().announced.note_draining(now) {
+        if head.is_draining && member.note_draining(now) {
             event::SERVER_DRAINING.log(format_args!("server={id} request={request_id}"));
         }
         if !head.is_rejection() {
--- a/src/router/connection.rs
+++ b/src/router/connection.rs
@@ -93,7 +93,8 @@
 /// Keeps a connection whose answer was read to its end.
 pub(crate) fn check_in(member: &Arc<Member>, connection: Connection, now: Duration) {
     let mut record = member.record();
-    if record.idle.len() < MOST_IDLE {
+    let is_draining = record.announced.draining_since().is_some();
+    if !is_draining && record.idle.len() < MOST_IDLE {
         record.idle.push(IdleConnection { connection, since: now });
     }
 }
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -93,6 +93,8 @@
     waits_until: Duration,
     /// Until when its row tells it to be cold; later than it is by the row's age.
     cold_until: Duration,
+    /// Since when its row says that it is draining.
+    draining_since: Option<Duration>,
     life: Arc<Life>,
 }
 
@@ -111,7 +113,9 @@
     /// A server seen for the first time, which gets nothing until then if others can serve.
     pub fn new(server: BackendServer, waits_until: Duration, now: Duration) -> Self {
         let id_hash = hash_id(&server.id);
-        Self::of_life(server, id_hash, waits_until, Arc::default(), now)
+        let draining_since = server.is_draining.then_some(now);
+        let cold_until = now + server.cold_for;
+        Self { server, id_hash, waits_until, cold_until, draining_since, life: Arc::default() }
     }
 
     /// The same life of the server with a newer listing.
@@ -119,22 +123,15 @@
         if server.address != self.server.address {
             self.record().is_replaced = false;
         }
-        Self::of_life(server, self.id_hash, self.waits_until, self.life.clone(), now)
-    }
-
-    fn of_life(
-        server: BackendServer,
-        id_hash: u64,
-        waits_until: Duration,
-        life: Arc<Life>,
-        now: Duration,
-    ) -> Self {
-        let cold_until = now + server.cold_for;
-        let member = Self { server, id_hash, waits_until, cold_until, life };
-        if member.server.is_draining {
-            member.record().announced.note_draining(now);
+        let since = self.draining_since.unwrap_or(now);
+        Self {
+            id_hash: self.id_hash,
+            waits_until: self.waits_until,
+            cold_until: now + server.cold_for,
+            draining_since: server.is_draining.then_some(since),
+            life: self.life.clone(),
+            server,
         }
-        member
     }
 
     /// Until when its row tells it to be cold.
@@ -282,7 +279,14 @@
 
     /// Whether it has announced that it is draining, in its row or in an answer.
     pub fn is_draining(&self) -> bool {
-        self.record().announced.draining_since().is_some()
+        self.draining_since.is_some() || self.record().announced.draining_since().is_some()
+    }
+
+    /// Notes a drain notice in an answer; whether it is the first one. Idle connections to it are closed.
+    pub(super) fn note_draining(&self, now: Duration) -> bool {
+        let mut record = self.record();
+        record.idle.clear();
+        record.announced.note_draining(now)
     }
 
     /// What this entry knows of it that speaks for or against a send.
@@ -290,6 +294,7 @@
         let record = self.record();
         Signals {
             is_replaced: record.is_replaced,
+            row_draining_since: self.draining_since,
             announced: record.announced,
             unanswered: record.unanswered,
             is_ejected: record.outlier.is_passed_over(now),
--- a/tests/platform/unavailable.rs
+++ b/tests/platform/unavailable.rs
@@ -74,6 +74,7 @@
     println!("{:?}", unavailable_sends(&sites[0]));
     assert_eq!(arrivals(&draining, from).len(), 0, "of {asked} requests");
     assert_eq!(served, asked);
+    assert_eq!(dump_of(&sites[0], &draining)["idle_connections"], 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -106,15 +106,19 @@
 
     /// Does it and mends it again; tells the record when.
     pub async fn done(self, system: Arc<System>, entry: usize, server: usize, lasts: Duration) {
+        let interrupts = matches!(
+            self,
+            Self::Stop | Self::Kill | Self::KillInStop | Self::Pause | Self::PauseInStop
+        );
         let concerns = match self {
-            Self::Stop | Self::Reload | Self::ChangeSettingsFile | Self::Kill => Some(entry),
-            Self::KillInStop | Self::Pause | Self::PauseInStop => Some(entry),
-            Self::CutFromStore(_) => Some(entry),
+            _ if interrupts => Some(entry),
+            Self::Reload | Self::ChangeSettingsFile | Self::CutFromStore(_) => Some(entry),
             _ => None,
         };
         let disturbance = Disturbance {
             entry: concerns,
             what: self.what(),
+            interrupts,
             from: Instant::now(),
             to: Instant::now() + Duration::from_secs(3_600),
         };
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,7 @@
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod store;
 mod system;
+mod unavailable;
 
 use std::time::Duration;
 
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use crate::site::events;
+use crate::{
+    site::events,
+    unavailable::{self, Draining, Rejection},
+};
 
 /// What a caller got.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,6 +69,8 @@
     /// None: all entries.
     pub entry: Option<usize>,
     pub what: What,
+    /// Whether it stops, restarts or suspends the entry's process.
+    pub interrupts: bool,
     pub from: Instant,
     pub to: Instant,
 }
@@ -152,6 +157,8 @@
     /// What reached servers, whatever they did with it.
     pub arrivals: Mutex<Vec<(String, Instant)>>,
     pub needs: Mutex<Vec<Need>>,
+    pub draining: Mutex<Vec<Draining>>,
+    pub rejections: Mutex<Vec<Rejection>>,
     /// Servers whose way was spoiled, from when to when.
     pub spoiled: Mutex<Vec<(String, Instant, Instant)>>,
     pub ordered: Mutex<Option<Ordered>>,
@@ -178,7 +185,7 @@
     /// All broken promises, in words.
     pub fn findings(&self) -> Vec<String> {
         let exchanges = self.exchanges.lock().unwrap();
-        let runs = self.runs.lock().unwrap();
+        let runs = self.runs.lock().unwrap().clone();
         let mut by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
         runs.iter().for_each(|run| by_id.entry(&run.id).or_default().push(run));
         let mut found = Vec::new();
@@ -198,6 +205,7 @@
         found.extend(self.check_moved_back(&runs));
         found.extend(self.check_crashing(&runs, &exchanges));
         found.extend(self.needs.lock().unwrap().iter().filter_map(|need| self.check_need(need)));
+        found.extend(unavailable::findings(self, &exchanges));
         found
     }
 
@@ -273,9 +281,20 @@
 
     /// Whether what arrived at a server then may have been held up on its way.
     fn is_held_up(&self, need: &Need, at: Instant) -> bool {
+        self.is_spoiled(&need.server, at)
+    }
+
+    /// Whether the way to a server was spoiled then or shortly before.
+    pub fn is_spoiled(&self, server: &str, at: Instant) -> bool {
         let spoiled = self.spoiled.lock().unwrap();
         let is_hit = |from: Instant, to: Instant| from <= at && at < to + HELD_UP;
-        spoiled.iter().any(|(server, from, to)| *server == need.server && is_hit(*from, *to))
+        spoiled.iter().any(|(spoiled, from, to)| *spoiled == server && is_hit(*from, *to))
+    }
+
+    /// Whether an entry's process was stopped, restarted or suspended between two times.
+    pub fn is_interrupted(&self, entry: usize, from: Instant, to: Instant) -> bool {
+        let all = self.disturbances.lock().unwrap();
+        all.iter().any(|d| d.interrupts && d.entry == Some(entry) && d.from < to && from < d.to)
     }
 
     /// Whether nothing was done to an entry or the store for long enough before.
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -29,6 +29,7 @@
     server::{Act, Seen, Server},
     site::{configuration, server_row},
     store::Store,
+    unavailable::{RETRY_AFTER, Rejection, be_unavailable},
 };
 
 const ENTRIES: u8 = 4;
@@ -63,6 +64,10 @@
     born: AtomicU64,
     /// Whether it names a limit.
     is_in_need: AtomicBool,
+    /// Whether it rejects everything and asks for a pause.
+    pub rejects: Arc<AtomicBool>,
+    /// When its present life began.
+    started: std::sync::Mutex<Instant>,
     /// Held while its row is not as it would be at rest.
     pub row: Mutex<()>,
 }
@@ -114,9 +119,26 @@
         self.is_in_need.store(false, Ordering::SeqCst);
     }
 
-    /// Starts again under its id: what it ran is lost, and a need is over.
+    /// Announces in its answers that it is draining.
+    pub fn drain(&self) {
+        self.server.drain();
+    }
+
+    /// Ends its life after it has drained.
+    pub fn exit(&self) {
+        self.server.crash();
+    }
+
+    /// Whether its present life began after a time.
+    pub fn has_started_since(&self, at: Instant) -> bool {
+        *self.started.lock().unwrap() > at
+    }
+
+    /// Starts again under its id: what it ran is lost, a need is over, and it no longer drains.
     pub fn start_again(&self, store: &Store) {
         self.end_need();
+        self.server.announce(&[]);
+        *self.started.lock().unwrap() = Instant::now();
         self.born.fetch_add(1_000, Ordering::SeqCst);
         self.list(store, "ready");
     }
@@ -214,8 +236,16 @@
     let id = format!("i-{service}-{version}-{number}");
     let (record, server_id) = (record.clone(), id.clone());
     let rng = std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ number as u64));
+    let rejects = Arc::new(AtomicBool::default());
+    let is_rejecting = rejects.clone();
     let script = move |seen: &Seen| {
         record.arrivals.lock().unwrap().push((server_id.clone(), seen.at));
+        if is_rejecting.load(Ordering::SeqCst) {
+            let id = seen.header("x-request-id").into();
+            let rejection = Rejection { server: server_id.clone(), id, at: seen.at };
+            record.rejections.lock().unwrap().push(rejection);
+            return Act::Pause { retry_after: RETRY_AFTER.into() };
+        }
         let body = String::from_utf8_lossy(&seen.body);
         let crashing = body.starts_with(CRASHING).then(|| body.into_owned());
         let act = match crashing {
@@ -243,7 +273,20 @@
     let server = listed.clone();
     listed.address = way.address;
     let (born, is_in_need, row) = (AtomicU64::new(1_000), AtomicBool::default(), Mutex::default());
-    Backend { listed, server, service, version, number, way, born, is_in_need, row }
+    let started = std::sync::Mutex::new(Instant::now());
+    Backend {
+        listed,
+        server,
+        service,
+        version,
+        number,
+        way,
+        born,
+        is_in_need,
+        rejects,
+        started,
+        row,
+    }
 }
 
 /// Time that a server of the version that is rolled out takes. It never fails: three of its first eighteen answers
@@ -292,7 +335,11 @@
     }
     let balancer = tokio::spawn(balance(system.clone(), callers.clone()));
     system.order_roll_out(lasts);
-    tokio::join!(disturb(&system, seed, lasts), be_in_need(&system, seed));
+    tokio::join!(
+        disturb(&system, seed, lasts),
+        be_in_need(&system, seed),
+        be_unavailable(&system, seed)
+    );
     let mut findings = recover(&system, &callers).await;
     insist_again(&system, &callers).await;
     callers.is_over.store(true, Ordering::SeqCst);
