A window of requests per server is learned from rejections with a pause

Cause: a server that rejects what is too much for it stands idle for the rest of the pause that it asked for.

Ruled out: slow start alone (it is part of both runs by its effect on bursts, and does not keep the entry from filling the server again), shorter pauses (the rule).

Change: a server gets a tenth fewer requests at once from this entry than it had taken as it rejected, and one more each sixteen rounds of answers; after 30 s without a rejection nothing limits it.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -6,6 +6,7 @@
 use mintmoor::{
     load::slopes::decide_once,
     policy::{
+        availability::{self, Availability},
         choice::Pool,
         place::Place,
         placement::{PlacementTerms, Work, place},
@@ -77,6 +78,21 @@
     });
 }
 
+/// Which of the servers are available, before one is placed.
+#[divan::bench(args = [20, 200, 2_100])]
+fn check_availability(bencher: Bencher, servers: usize) {
+    let members: Vec<Member> = (0..servers)
+        .map(|i| Member::new(backend_server(i), Duration::ZERO, Duration::ZERO))
+        .collect();
+    let now = Duration::from_secs(60);
+    bencher.bench(|| {
+        let open = members
+            .iter()
+            .filter(|m| availability::decide(&m.signals(now), now) == Availability::Open);
+        open.count()
+    });
+}
+
 /// Which of the servers that take few requests may be sent one from here, before one is placed.
 #[divan::bench(args = [20, 200, 2_100])]
 fn open_limited_servers(bencher: Bencher, servers: usize) {
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -5,7 +5,7 @@
 
 use std::{fmt, time::Duration};
 
-use crate::policy::announced::Announced;
+use crate::policy::{announced::Announced, send_window::SendWindow};
 
 /// Part of the time for which a draining server goes on serving in which it still gets requests that no
 /// other server can take. The rest covers requests on their way and late updates of its row.
@@ -24,6 +24,8 @@
     Paused,
     /// Its pause has just ended, and enough requests wait for its answers.
     Recovering,
+    /// It has as many requests of this entry as it took when it last rejected one.
+    Full,
     /// It takes few requests, and this entry's share is spent or none.
     RateLimited,
     /// It failed several times in a row.
@@ -39,6 +41,7 @@
             Self::Draining => "draining",
             Self::Paused => "paused",
             Self::Recovering => "recovering",
+            Self::Full => "full",
             Self::RateLimited => "rate_limited",
             Self::Ejected => "ejected",
         }
@@ -96,6 +99,10 @@
     pub drain: Duration,
     /// Requests of this entry that it has not begun to answer.
     pub unanswered: u32,
+    /// Requests of this entry that it has.
+    pub at_server: u32,
+    /// How many it may have.
+    pub window: SendWindow,
     /// Limit on the rate of sends.
     pub rate: RateSignal,
     /// Whether it is ejected as an outlier.
@@ -123,6 +130,9 @@
     if announced.is_recovering(now) && signals.unanswered > announced.answered() {
         return closed(Cause::Recovering, None);
     }
+    if !signals.window.allows_one_beside(signals.at_server, now) {
+        return closed(Cause::Full, None);
+    }
     match signals.rate {
         RateSignal::Share(next) | RateSignal::LastResort(next) | RateSignal::OfOthers(next)
             if now < next =>
@@ -145,11 +155,13 @@
 }
 
 impl Availability {
-    /// Whether a request that was about to be sent must not be sent any more. Its own place in a rate limit or
-    /// among the first ones after a pause is taken already.
+    /// Whether a request that was about to be sent must not be sent any more. What it counts towards itself does not
+    /// stop it.
     pub fn stops_send(self) -> Option<Cause> {
         match self {
-            Self::Closed { cause: Cause::RateLimited | Cause::Recovering, .. } => None,
+            Self::Closed {
+                cause: Cause::RateLimited | Cause::Recovering | Cause::Full, ..
+            } => None,
             Self::Closed { cause, .. } => Some(cause),
             Self::Open | Self::LastResort(_) => None,
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -36,5 +36,6 @@
 pub mod retry_after;
 pub mod roll_out;
 pub mod send_budget;
+pub mod send_window;
 pub mod session;
 pub mod stopping;
--- a/src/router/announcements.rs
+++ b/src/router/announcements.rs
@@ -25,7 +25,7 @@
         let Some(pause) = head.retry_after.pause() else {
             return;
         };
-        if member.record().announced.note_pause(pause, now) {
+        if member.note_pause(pause, now) {
             event::PAUSE_REQUESTED.log(format_args!(
                 "server={id} request={request_id} status={} pause_ms={}",
                 head.status.as_u16(),
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -20,6 +20,7 @@
         placement::{Candidate, hash_id},
         quarantine::LifeHash,
         rate_limit::{Allowance, LimitedSends},
+        send_window::SendWindow,
     },
     router::{breaks::Breaks, connection::IdleConnection},
     routing::BackendServer,
@@ -80,6 +81,8 @@
     retry_after_unreadable_at: Option<Duration>,
     /// What it has announced in its answers.
     pub(crate) announced: Announced,
+    /// How many requests of this entry it may have at once.
+    window: SendWindow,
     /// When nobody last listened at its address.
     unreachable_at: Option<Duration>,
 }
@@ -212,6 +215,7 @@
         let mut record = self.record();
         record.outlier.note_answer(&OUTLIER_RULES);
         record.announced.note_answer(now);
+        record.window.note_answer();
         record.failures.note(false, now);
     }
 
@@ -282,6 +286,14 @@
         self.draining_since.is_some() || self.record().announced.draining_since().is_some()
     }
 
+    /// Notes a pause that it asked for as it rejected a request; whether none was under way.
+    pub(super) fn note_pause(&self, pause: Duration, now: Duration) -> bool {
+        let mut record = self.record();
+        let others = record.load.own.saturating_sub(1);
+        record.window.note_rejection(others, now);
+        record.announced.note_pause(pause, now)
+    }
+
     /// Notes a drain notice in an answer; whether it is the first one. Idle connections to it are closed.
     pub(super) fn note_draining(&self, now: Duration) -> bool {
         let mut record = self.record();
@@ -290,13 +302,15 @@
     }
 
     /// What this entry knows of it that speaks for or against a send.
-    pub(super) fn signals(&self, now: Duration) -> Signals {
+    pub fn signals(&self, now: Duration) -> Signals {
         let record = self.record();
         Signals {
             is_replaced: record.is_replaced,
             row_draining_since: self.draining_since,
             announced: record.announced,
             unanswered: record.unanswered,
+            at_server: record.load.own,
+            window: record.window,
             is_ejected: record.outlier.is_passed_over(now),
             ..Signals::default()
         }
--- /dev/null
+++ b/tests/model/availability.rs
@@ -0,0 +1,165 @@
+//! An entry, a server that drains, asks for pauses and starts again, and its row, which lapses and returns.
+//!
+//! Answers are under way for any time and overtake each other. However that went, nothing is sent to a life that drains or
+//! pauses, no deadline moves back, and a life that announced nothing is not left out.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use mintmoor::policy::{
+    announced::Announced,
+    availability::{Availability, Signals, decide},
+};
+
+use crate::explore::{Found, Step, assert_found, assert_holds, explore};
+
+const TICK: Duration = Duration::from_secs(1);
+/// Ticks for which a draining server serves on, the first half of them as a last resort.
+const DRAIN: u32 = 2;
+const MOST_TICKS: u32 = 5;
+const MOST_ANSWERS: u8 = 3;
+const MOST_LAPSES: u8 = 1;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mutation {
+    None,
+    StateIsLostWithTheRow,
+    ShorterPauseWins,
+    LifeIsIgnored,
+    DrainingEnds,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Notice {
+    Draining,
+    Pause(u32),
+}
+
+/// Notices that an entry got from one life: what they were, and when.
+type Received = Vec<(Notice, u32)>;
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct State {
+    now: u32,
+    life: u8,
+    /// Answers on their way, with the life that gave them.
+    under_way: BTreeSet<(u8, Notice)>,
+    /// Whether the row of the present life is in view.
+    is_listed: bool,
+    /// What the entry remembers of lives.
+    remembered: BTreeMap<u8, Received>,
+    /// All that it ever got.
+    received: BTreeMap<u8, Received>,
+    answers: u8,
+    lapses: u8,
+}
+
+fn start() -> State {
+    State { is_listed: true, ..State::default() }
+}
+
+/// Production's state of a life from the notices that are remembered of it.
+fn announced(state: &State, mutation: Mutation) -> Announced {
+    let mut announced = Announced::default();
+    let is_about = |life: u8| life == state.life || mutation == Mutation::LifeIsIgnored;
+    let remembered = state.remembered.iter().filter(|(life, _)| is_about(**life));
+    for (notice, at) in remembered.flat_map(|(_, received)| received) {
+        match notice {
+            Notice::Draining if mutation == Mutation::DrainingEnds => {}
+            Notice::Draining => {
+                announced.note_draining(*at * TICK);
+            }
+            Notice::Pause(ticks) => {
+                if mutation == Mutation::ShorterPauseWins {
+                    announced = Announced::default();
+                }
+                announced.note_pause(*ticks * TICK, *at * TICK);
+            }
+        }
+    }
+    announced
+}
+
+/// Whether the entry would send a request to the server now.
+fn is_sent(state: &State, mutation: Mutation) -> bool {
+    let announced = announced(state, mutation);
+    let signals = Signals { announced, drain: DRAIN * TICK, ..Signals::default() };
+    !matches!(decide(&signals, state.now * TICK), Availability::Closed { .. })
+}
+
+fn judge(state: &State, mutation: Mutation) -> Option<&'static str> {
+    if !state.is_listed {
+        return None;
+    }
+    let received = state.received.get(&state.life).map_or(&[][..], Vec::as_slice);
+    let is_closed_by = |(notice, at): &(Notice, u32)| match notice {
+        Notice::Draining => state.now >= at + DRAIN / 2,
+        Notice::Pause(ticks) => state.now < at + ticks,
+    };
+    match (received.iter().any(is_closed_by), is_sent(state, mutation)) {
+        (true, true) => Some("a request is sent to a server that drains or pauses"),
+        (false, false) => Some("a server is left out that neither drains nor pauses"),
+        _ => None,
+    }
+}
+
+fn next(state: &State, mutation: Mutation) -> Vec<Step<State>> {
+    let mut steps = Vec::new();
+    if state.now < MOST_TICKS {
+        steps.push(("time passes", State { now: state.now + 1, ..state.clone() }));
+    }
+    for notice in [Notice::Draining, Notice::Pause(1), Notice::Pause(3)] {
+        let mut answered = state.clone();
+        if state.answers < MOST_ANSWERS && answered.under_way.insert((state.life, notice)) {
+            answered.answers += 1;
+            steps.push(("the server answers", answered));
+        }
+    }
+    for (life, notice) in &state.under_way {
+        let mut taken = state.clone();
+        taken.under_way.remove(&(*life, *notice));
+        for of in [&mut taken.remembered, &mut taken.received] {
+            of.entry(*life).or_default().push((*notice, state.now));
+        }
+        steps.push(("an answer arrives", taken));
+    }
+    if state.is_listed && state.lapses < MOST_LAPSES {
+        let mut lapsed = state.clone();
+        (lapsed.is_listed, lapsed.lapses) = (false, state.lapses + 1);
+        if mutation == Mutation::StateIsLostWithTheRow {
+            lapsed.remembered.clear();
+        }
+        steps.push(("the row lapses", lapsed));
+    }
+    if !state.is_listed {
+        steps.push(("the row returns", State { is_listed: true, ..state.clone() }));
+    }
+    if state.life == 0 {
+        steps
+            .push(("the server starts again", State { life: 1, is_listed: true, ..state.clone() }));
+    }
+    steps
+}
+
+fn run(mutation: Mutation) -> Found {
+    explore(&start(), |state| next(state, mutation), |state| judge(state, mutation))
+}
+
+#[test]
+fn a_life_that_drains_or_pauses_gets_nothing_and_another_one_is_not_left_out() {
+    assert_holds("availability", &run(Mutation::None), 1_000);
+}
+
+#[test]
+fn every_mutation_of_availability_is_found() {
+    for mutation in [
+        Mutation::StateIsLostWithTheRow,
+        Mutation::ShorterPauseWins,
+        Mutation::LifeIsIgnored,
+        Mutation::DrainingEnds,
+    ] {
+        assert_found("availability", &format!("{mutation:?}"), &run(mutation));
+    }
+}
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -3,6 +3,7 @@
 //! Each model also runs with seeded mutations; a mutation that is not found would mean that the
 //! model checks nothing. See docs/PROMISES.md.
 
+mod availability;
 mod charge;
 mod claim;
 mod config;
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -8,5 +8,6 @@
 mod fleet;
 mod mix;
 mod overload;
+mod pauses;
 mod placing;
 mod system;
--- /dev/null
+++ b/tests/play/pauses.rs
@@ -0,0 +1,191 @@
+//! A pool under one and a half times its load whose servers reject what is too much and ask for a pause.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use mintmoor::policy::{
+    announced::Announced,
+    availability::{Availability, Signals, decide, retain_first_tier},
+    outlier::{Outlier, OutlierRules},
+    send_window::SendWindow,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVERS: usize = 6;
+const SLOTS: usize = 16;
+/// Time that a request takes at a server.
+const TAKES: Duration = Duration::from_millis(400);
+const PAUSE: Duration = Duration::from_secs(1);
+const LASTS: Duration = Duration::from_secs(1_000);
+/// Load, as a multiple of what all servers take.
+const OVERLOAD: f64 = 1.5;
+const ENTRIES: usize = 4;
+/// Sends of one request at most.
+const MOST_SENDS: usize = 5;
+/// Time after a rejection in which requests may arrive that were on their way.
+const ON_THEIR_WAY: Duration = Duration::from_millis(500);
+
+/// Rules by which the entry ejects servers.
+const OUTLIER_RULES: OutlierRules = OutlierRules {
+    out_after: 2,
+    first_out: Duration::from_millis(500),
+    longest_out: Duration::from_secs(4),
+    back_after: 6,
+    most_out: 0.7,
+};
+
+/// What keeps an entry's requests from a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Policy {
+    /// Ejection after failures in a row, as which rejections count.
+    Ejection,
+    /// The pauses that servers ask for.
+    Pauses,
+    /// The same, and a window that is learned from rejections.
+    Windows,
+}
+
+/// A server as one entry knows it.
+#[derive(Default)]
+struct View {
+    announced: Announced,
+    outlier: Outlier,
+    window: SendWindow,
+    /// When the entry's requests there end.
+    own: BinaryHeap<Reverse<Duration>>,
+    /// Rejections within the last pause.
+    rejected: VecDeque<Duration>,
+}
+
+impl View {
+    fn availability(&mut self, policy: Policy, now: Duration) -> Availability {
+        end_work(&mut self.own, now);
+        let mut signals = Signals::default();
+        match policy {
+            Policy::Ejection => signals.is_ejected = self.outlier.is_passed_over(now),
+            Policy::Pauses => signals.announced = self.announced,
+            Policy::Windows => {
+                signals.announced = self.announced;
+                signals.at_server = self.own.len() as u32;
+                signals.window = self.window;
+            }
+        }
+        decide(&signals, now)
+    }
+
+    fn note_answer(&mut self, now: Duration) {
+        self.own.push(Reverse(now + TAKES));
+        self.outlier.note_answer(&OUTLIER_RULES);
+        self.announced.note_answer(now);
+        self.window.note_answer();
+    }
+
+    fn note_rejection(&mut self, now: Duration) {
+        self.outlier.note_failure(&OUTLIER_RULES, now);
+        self.announced.note_pause(PAUSE, now);
+        self.window.note_rejection(self.own.len() as u32, now);
+        self.rejected.push_back(now);
+    }
+
+    /// Whether a send now falls into a pause, later than half a second after the rejection that began it.
+    fn is_late(&mut self, now: Duration) -> bool {
+        while self.rejected.front().is_some_and(|at| *at + PAUSE <= now) {
+            self.rejected.pop_front();
+        }
+        self.rejected.front().is_some_and(|at| *at + ON_THEIR_WAY < now)
+    }
+}
+
+fn end_work(work: &mut BinaryHeap<Reverse<Duration>>, now: Duration) {
+    while work.peek().is_some_and(|end| end.0 <= now) {
+        work.pop();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    asked: usize,
+    served: usize,
+    sends: usize,
+    /// Sends to a server within its pause.
+    late: usize,
+}
+
+impl Outcome {
+    /// Served part of what all servers take.
+    fn used(&self) -> f64 {
+        self.served as f64 * OVERLOAD / self.asked as f64
+    }
+}
+
+fn simulate(policy: Policy) -> Outcome {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut views: Vec<Vec<View>> =
+        (0..ENTRIES).map(|_| (0..SERVERS).map(|_| View::default()).collect()).collect();
+    let mut work = vec![BinaryHeap::new(); SERVERS];
+    let mut outcome = Outcome::default();
+    let mut now = Duration::from_secs(1);
+    while now < LASTS {
+        let load = OVERLOAD * (SERVERS * SLOTS) as f64 / TAKES.as_secs_f64();
+        now += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / load);
+        outcome.asked += 1;
+        let views = &mut views[rng.random_range(0..ENTRIES)];
+        for _ in 0..MOST_SENDS {
+            let check = |(i, view): (usize, &mut View)| (i, view.availability(policy, now));
+            let mut usable: Vec<_> = views.iter_mut().enumerate().map(check).collect();
+            retain_first_tier(&mut usable);
+            if usable.is_empty() {
+                break;
+            }
+            let (chosen, _) = usable[rng.random_range(0..usable.len())];
+            let (view, work) = (&mut views[chosen], &mut work[chosen]);
+            outcome.sends += 1;
+            outcome.late += usize::from(view.is_late(now));
+            end_work(work, now);
+            if work.len() < SLOTS {
+                work.push(Reverse(now + TAKES));
+                view.note_answer(now);
+                outcome.served += 1;
+                break;
+            }
+            view.note_rejection(now);
+        }
+    }
+    outcome
+}
+
+#[test]
+fn a_pool_under_overload_whose_servers_ask_for_pauses_is_used_without_retry_amplification() {
+    let ejection = simulate(Policy::Ejection);
+    let pauses = simulate(Policy::Pauses);
+    let windows = simulate(Policy::Windows);
+
+    for (name, outcome) in [("ejection", &ejection), ("pauses", &pauses), ("windows", &windows)] {
+        println!("{name}: {outcome:?}, {:.3} of what all servers take", outcome.used());
+    }
+    assert!(ejection.late > 0);
+    assert_eq!((pauses.late, windows.late), (0, 0));
+    assert!(windows.sends < windows.asked, "more sends than requests");
+    assert!(windows.used() > 0.8, "{windows:?}");
+    assert!(windows.used() > 2.0 * pauses.used(), "{pauses:?}");
+}
+
+#[test]
+fn a_window_is_forgotten_half_a_minute_after_the_last_rejection() {
+    let mut window = SendWindow::default();
+    let now = Duration::from_secs(1);
+    assert!(window.allows_one_beside(1_000, now));
+
+    window.note_rejection(10, now);
+
+    assert!(window.allows_one_beside(8, now));
+    assert!(!window.allows_one_beside(9, now));
+    (0..160).for_each(|_| window.note_answer());
+    assert!(window.allows_one_beside(9, now), "it grows with the answers");
+    assert!(!window.allows_one_beside(100, now + Duration::from_secs(29)));
+    assert!(window.allows_one_beside(100, now + Duration::from_secs(30)));
+}
