--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,7 @@
 //! The clock by which processes decide: it goes on while the Host is suspended.
 //!
 //! The clocks of the standard library and of the runtime stand still while a Host is suspended, so that
-//! after it everything looks as fresh as before: deadlines, leases, what was heard of others. This one
+//! after it everything looks as fresh as before: deadlines, leases, what was received from others. This one
 //! counts that time (`CLOCK_BOOTTIME`) and never goes back; the time of day does, and is not used.
 //!
 //! Timers of the runtime do not fire by it. Whoever waits for a moment on this clock is woken as soon as the
@@ -104,7 +104,7 @@
         Duration::from_millis(self.woke_at_ms.load(Ordering::Acquire))
     }
 
-    /// Tells of each suspension from now on.
+    /// Notifies of each suspension from now on.
     pub fn wakes(&self) -> watch::Receiver<u64> {
         self.wakes.subscribe()
     }
--- a/src/platform/answers.rs
+++ b/src/platform/answers.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     platform::headers::{KEEP_ALIVE, REQUEST_ID, number, text, without_hop_by_hop},
-    policy::{load::ReportedLoad, rate_limit::SaidLimit, retry_after::RetryAfter},
+    policy::{load::ReportedLoad, rate_limit::AdvertisedLimit, retry_after::RetryAfter},
     routing::{AnswerHead, AnswerKind},
 };
 
@@ -92,10 +92,10 @@
 }
 
 /// The limit that an answer names. Where it names several, the smallest is what the server surely takes.
-fn read_rate_limit(headers: &HeaderMap) -> SaidLimit {
+fn read_rate_limit(headers: &HeaderMap) -> AdvertisedLimit {
     let lines = headers.get_all(RATE_LIMIT).iter().map(|value| value.to_str().unwrap_or_default());
-    let said = lines.flat_map(|line| line.split(',')).map(SaidLimit::read);
-    said.reduce(SaidLimit::smaller).unwrap_or(SaidLimit::Nothing)
+    let said = lines.flat_map(|line| line.split(',')).map(AdvertisedLimit::read);
+    said.reduce(AdvertisedLimit::smaller).unwrap_or(AdvertisedLimit::Nothing)
 }
 
 fn read_load(value: &str) -> Option<ReportedLoad> {
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -55,7 +55,7 @@
     name: Box<str>,
     /// Missing where no model runs.
     engine: Option<EngineDoc>,
-    /// Requests a second that a cold server bears; 0 or missing where they start warm.
+    /// Requests a second that a cold server takes; 0 or missing where they start warm.
     #[serde(default)]
     cold_per_s: f64,
     /// How long a server is cold after its start.
@@ -242,7 +242,7 @@
 /// Reads the row of a BackendServer.
 ///
 /// # Errors
-/// When the document can't be read, or tells what no server tells of itself.
+/// When the document can't be read, or has what no server reports of itself.
 pub fn read_server(row: &Row) -> Result<BackendServer> {
     let doc: ServerDoc = parse(row)?;
     if doc.address.ip().is_unspecified()
@@ -267,7 +267,7 @@
     })
 }
 
-/// Reads what was last told about a roll-out.
+/// Reads what was last reported about a roll-out.
 ///
 /// # Errors
 /// When the document can't be read.
@@ -281,7 +281,7 @@
     Ok(RollOutStatus { to: doc.to, progress })
 }
 
-/// Key of the row that tells about a service's roll-out.
+/// Key of the row about a service's roll-out.
 pub fn status_key(service: &str) -> Box<str> {
     format!("{ROLL_OUT_PREFIX}{service}").into()
 }
@@ -291,7 +291,7 @@
     key.strip_prefix(ROLL_OUT_PREFIX)
 }
 
-/// The document that tells about a roll-out.
+/// The document about a roll-out.
 pub fn write_status(status: &RollOutStatus) -> Vec<u8> {
     let state = match status.progress {
         Progress::Running => "in_progress",
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -60,7 +60,7 @@
     /// No host to route by.
     #[error("the request names no host")]
     NoHost,
-    /// Two ways to tell where the body ends, which two readers may take differently.
+    /// Two ways to find where the body ends, which two readers may take differently.
     #[error("the request gives its length twice")]
     AmbiguousLength,
 }
@@ -68,7 +68,7 @@
 /// Reads a caller's request head.
 ///
 /// # Errors
-/// When the request can't be told from others or its end is ambiguous.
+/// When the request can't be distinguished from others or its end is ambiguous.
 pub fn read_request(
     method: &Method,
     uri: &Uri,
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -9,7 +9,7 @@
 /// Environment variable that holds the path of the file.
 pub const SETTINGS_VARIABLE: &str = "MINTMOOR_CONFIG";
 
-/// What the platform tells a process about its Host, in our words.
+/// What the platform's file says of a Host, in our words.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
     /// Name of the Host.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -21,7 +21,7 @@
     /// The BackendServers that are alive.
     #[serde(rename = "servers")]
     Servers,
-    /// What this system tells the operator.
+    /// What this system reports to the operator.
     #[serde(rename = "status")]
     Status,
     /// This system's own rows.
@@ -56,7 +56,7 @@
     pub value: Vec<u8>,
     /// Transaction that last wrote it.
     pub version: Revision,
-    /// Era of the store when it was read; not told on links where the store never came back from a copy.
+    /// Era of the store when it was read; not reported on links where the store never came back from a copy.
     #[serde(default, skip_serializing_if = "is_first")]
     pub era: Era,
     /// Whether it is gone.
@@ -307,10 +307,10 @@
         .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))
 }
 
-/// The era that an answer tells; the first one where the store does not tell any.
+/// The era that an answer reports; the first one where the store does not report any.
 fn read_era(reply: &HttpReply) -> Era {
-    let told = reply.headers.get(ERA).and_then(|value| value.to_str().ok());
-    told.and_then(|text| text.trim().parse().ok()).unwrap_or_default()
+    let reported = reply.headers.get(ERA).and_then(|value| value.to_str().ok());
+    reported.and_then(|text| text.trim().parse().ok()).unwrap_or_default()
 }
 
 /// Reads a row. One whose bytes can't be decoded has an empty document: whoever reads that document finds
--- a/src/policy/attempt.rs
+++ b/src/policy/attempt.rs
@@ -1,6 +1,6 @@
 //! The life of one attempt as the entry sees it.
 //!
-//! What a caller may be told follows from these states alone: see `docs/PROMISES.md`.
+//! What a caller may be answered follows from these states alone: see `docs/PROMISES.md`.
 
 // The state macro documents nothing it generates.
 #![allow(missing_docs)]
--- a/src/policy/claim.rs
+++ b/src/policy/claim.rs
@@ -36,7 +36,7 @@
     pub request: Box<str>,
     /// Process that may send it, in hex.
     pub holder: Box<str>,
-    /// Hash of method, path and body, to tell a retry from a reused key.
+    /// Hash of method, path and body, to distinguish a retry from a reused key.
     pub fingerprint: u64,
     /// Seconds since 1970 after which a held claim counts as abandoned.
     pub held_until: u64,
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// What a cold server of a service bears.
+/// What a cold server of a service takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdTerms {
     /// Sends a second, over all entries.
--- a/src/policy/exposure.rs
+++ b/src/policy/exposure.rs
@@ -3,7 +3,7 @@
 //! The share of a session follows from a hash of its key, so all entries agree without talking,
 //! and the share only grows, so no session moves back. In the first half, in which its operator
 //! forbids to move a running session, no session is on trial, only requests without one: an entry
-//! can't tell a session that has just begun from one that others have served. It stays small until
+//! can't distinguish a session that has just begun from one that others have served. It stays small until
 //! shortly before the end, so that a bad version is found on few requests. docs/decisions/0008.
 
 use std::time::Duration;
--- a/src/policy/extra_share.rs
+++ b/src/policy/extra_share.rs
@@ -2,13 +2,13 @@
 //!
 //! The extra is one sum for the whole fleet, so an entry may use a part of it only as long as the
 //! parts of all entries, also of those that it does not see and of the processes that ran before on
-//! the same Hosts, add up to no more. The number of entries is heard over the links between them.
+//! the same Hosts, add up to no more. The number of entries is received over the links between them.
 
 use std::time::Duration;
 
-/// Age at which what was heard of the number of entries counts no more: a link that falls silent is
+/// Age at which a reported number of entries counts no more: a link that falls silent is
 /// given up after 0.9 s, and another one is there within 2 s.
-const HEARD_LASTS: Duration = Duration::from_secs(3);
+const REPORT_LASTS: Duration = Duration::from_secs(3);
 /// Time for which the largest number is kept: where entries lose each other, each side sees fewer, and
 /// their parts must not grow meanwhile. Parts that are too small for a while cost few repeats.
 const LARGEST_LASTS: Duration = Duration::from_secs(600);
@@ -21,8 +21,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ExtraShare {
     started: Duration,
-    heard_at: Option<Duration>,
-    /// Largest number heard in this span of [`LARGEST_LASTS`] and in the one before.
+    received_at: Option<Duration>,
+    /// Largest number received in this span of [`LARGEST_LASTS`] and in the one before.
     largest: [u32; 2],
     span: u128,
 }
@@ -30,11 +30,11 @@
 impl ExtraShare {
     /// That of a process that starts now.
     pub fn started_at(now: Duration) -> Self {
-        Self { started: now, heard_at: None, largest: [0; 2], span: span_of(now) }
+        Self { started: now, received_at: None, largest: [0; 2], span: span_of(now) }
     }
 
-    /// Takes in how many entries there are, as far as somebody knows who hears from all of them.
-    pub fn hear(&mut self, entries: u32, now: Duration) {
+    /// Takes in how many entries there are, as far as somebody knows who gets updates from all of them.
+    pub fn note(&mut self, entries: u32, now: Duration) {
         let span = span_of(now);
         if span > self.span {
             let before = if span == self.span + 1 { self.largest[0] } else { 0 };
@@ -42,10 +42,10 @@
             self.span = span;
         }
         self.largest[0] = self.largest[0].max(entries);
-        self.heard_at = Some(now);
+        self.received_at = Some(now);
     }
 
-    /// Largest number of entries heard of lately; none where nothing was heard.
+    /// Largest number of entries reported lately; none where none was.
     pub fn entries(&self) -> u32 {
         self.largest[0].max(self.largest[1])
     }
@@ -53,8 +53,8 @@
     /// The part of the extra that this entry may use, 0 to 1; `window` is what the extra is counted in.
     pub fn part(&self, window: Duration, now: Duration) -> f64 {
         // An entry that lost touch before this process started uses its larger part for a while still.
-        let is_new = now < self.started + window + HEARD_LASTS;
-        let is_current = self.heard_at.is_some_and(|at| now < at + HEARD_LASTS);
+        let is_new = now < self.started + window + REPORT_LASTS;
+        let is_current = self.received_at.is_some_and(|at| now < at + REPORT_LASTS);
         if is_new || !is_current || self.entries() == 0 {
             return 0.0;
         }
--- a/src/policy/kept.rs
+++ b/src/policy/kept.rs
@@ -15,17 +15,17 @@
 /// Running requests take their room, too, and what other entries read there is known in part. With 0.5,
 /// 0.6 and 0.75 as many answers were in time in tests/play; the parts read again differ by a tenth.
 const LASTS_FOR: f64 = 0.6;
-/// Memory of a server in tokens where the configuration tells none; the least of the first sites.
+/// Memory of a server in tokens where the configuration has none; the least of the first sites.
 const MEMORY_ASSUMED: u64 = 470_000;
 /// Parts remembered for one server; 25 KB. Prompts here bring one or two shared parts of 140 to 13,000
 /// tokens each, so a server's memory is full before the record is.
 const MOST_PARTS: usize = 512;
-/// Time after which other entries are told again of a part that is still in use. They take a part as
-/// used when they are told of it; in this time a busy server reads a tenth of what it keeps.
+/// Time after which other entries are informed again of a part that is still in use. They take a part as
+/// used when they are informed of it; in this time a busy server reads a tenth of what it keeps.
 const TELL_AGAIN: Duration = Duration::from_secs(4);
-/// Tokens of a prompt's shared parts from which on other entries are told. A note takes 14 bytes to each of
+/// Tokens of a prompt's shared parts from which on other entries are informed. A note takes 14 bytes to each of
 /// them: with a hundred entries, two in five in another AvailabilityZone, the users pay for that as much as
-/// for reading 220 tokens again. Seven in ten of their requests to models share less than this, and told of
+/// for reading 220 tokens again. Seven in ten of their requests to models share less than this, and reported
 /// all of them seeds had no room for the rest (docs/decisions/0013).
 const LEAST_TOLD: u64 = 1_000;
 
@@ -58,8 +58,8 @@
     tokens: u64,
     /// Tokens the server had read when the part was last used.
     used_at: u64,
-    /// When other entries were last told of it by this one.
-    told_at: Option<Duration>,
+    /// When other entries were last informed of it by this one.
+    reported_at: Option<Duration>,
 }
 
 /// What one life of a server is believed to keep.
@@ -107,31 +107,31 @@
     pub fn note_sent(&mut self, marks: &[PromptMark], unread_tokens: u64) {
         self.read += unread_tokens;
         for mark in marks {
-            let told_at = self.parts.get(&mark.hash).and_then(|part| part.told_at);
-            self.put(mark.hash, KeptPart { tokens: mark.tokens, used_at: self.read, told_at });
+            let reported_at = self.parts.get(&mark.hash).and_then(|part| part.reported_at);
+            self.put(mark.hash, KeptPart { tokens: mark.tokens, used_at: self.read, reported_at });
         }
     }
 
-    /// What other entries should be told of a prompt that was sent: its last shared part, which stands for
-    /// those before it, with the tokens of all; nothing where they were told of late or it is short.
-    pub fn to_tell(&mut self, marks: &[PromptMark], now: Duration) -> Option<PromptMark> {
+    /// What other entries should be informed of a prompt that was sent: its last shared part, which stands for
+    /// those before it, with the tokens of all; nothing where they were informed lately or it is short.
+    pub fn to_report(&mut self, marks: &[PromptMark], now: Duration) -> Option<PromptMark> {
         let tokens: u64 = marks.iter().map(|mark| mark.tokens).sum();
         let last = marks.last().filter(|_| tokens >= LEAST_TOLD)?;
         let part = self.parts.get_mut(&last.hash)?;
-        if part.told_at.is_some_and(|at| now < at + TELL_AGAIN) {
+        if part.reported_at.is_some_and(|at| now < at + TELL_AGAIN) {
             return None;
         }
-        part.told_at = Some(now);
+        part.reported_at = Some(now);
         Some(PromptMark { hash: last.hash, tokens })
     }
 
     /// Takes in that another entry sent a part.
-    pub fn note_told(&mut self, hash: u32, tokens: u64) {
+    pub fn note_reported(&mut self, hash: u32, tokens: u64) {
         if !self.is_kept(hash) {
             self.read += tokens;
         }
-        let told_at = self.parts.get(&hash).and_then(|part| part.told_at);
-        self.put(hash, KeptPart { tokens, used_at: self.read, told_at });
+        let reported_at = self.parts.get(&hash).and_then(|part| part.reported_at);
+        self.put(hash, KeptPart { tokens, used_at: self.read, reported_at });
     }
 
     fn put(&mut self, hash: u32, part: KeptPart) {
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -1,4 +1,4 @@
-//! How loaded a BackendServer is believed to be, from its own word and what was sent since.
+//! How loaded a BackendServer is believed to be, from its own reports and what was sent since.
 
 use std::time::Duration;
 
@@ -30,7 +30,7 @@
     others: f64,
     /// When that was, on the entry's monotonic clock.
     reported_at: Duration,
-    /// Time for the prompts of other entries that were not read yet, when they told of them.
+    /// Time for the prompts of other entries that were not read yet, when they reported them.
     others_backlog: Duration,
     /// When that was.
     backlog_at: Duration,
@@ -52,7 +52,7 @@
         self.backlog_at = now;
     }
 
-    /// Time for the prompts of other entries that are not read yet: what they told of, less the
+    /// Time for the prompts of other entries that are not read yet: what they reported, less the
     /// time since.
     pub fn others_backlog(&self, now: Duration) -> Duration {
         self.others_backlog.saturating_sub(now.saturating_sub(self.backlog_at))
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -1,4 +1,4 @@
-//! How long a server's silence is borne before another one is tried.
+//! How long a server's silence is tolerated before another one is tried.
 //!
 //! A server that still answers others is slow, and leaving it only makes more work; one from
 //! which nothing at all has come is taken as dark, and sooner.
@@ -8,12 +8,12 @@
 use crate::routing::RouteKind;
 
 /// Silence of a server on all its connections after which it is taken as dark, where many answers are
-/// awaited there. Reading a long prompt holds the events of a sound engine back by up to 0.8 s.
+/// awaited there. Reading a long prompt holds the events of a healthy engine back by up to 0.8 s.
 const DARK_AFTER: Duration = Duration::from_millis(1_100);
-/// What is borne beyond that, shared by the answers that are awaited there: the silence of one says
+/// What is tolerated beyond that, shared by the answers that are awaited there: the silence of one says
 /// little, as an engine that reads a prompt of 60,000 tokens makes fifteen tokens, an event, in 1.8 s. With
 /// 103 entries before 160 engines an entry awaits one or two at each, and of 46,000 attempts 1,469 were left
-/// at sound engines, their prompts read anew.
+/// at healthy engines, their prompts read anew.
 const DARK_ALONE: Duration = Duration::from_millis(1_300);
 /// Wait for a head as a multiple of the mean wait for such heads.
 const MEAN_WAITS: u32 = 4;
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -1,6 +1,6 @@
 //! This entry's place among all, by which entries share what a server takes without asking each other.
 //!
-//! The seeds know who reports to them, and tell each entry its rank by the names of the Hosts. Views differ while
+//! The seeds know who reports to them, and report to each entry its rank by the names of the Hosts. Views differ while
 //! entries come and go, so a place is changed with care: too many senders for one server would end it, and a server
 //! whose senders are all gone would stand idle.
 
@@ -51,37 +51,37 @@
     (entries / 4).max(1)
 }
 
-/// Time from the first word on an entry's place until it is used: a seed that has just started hears of some
+/// Time from the first report of an entry's place until it is used: a seed that has just started learns of some
 /// entries only after 2 s, when they try it again, and what the process before sent on this Host is more than a
 /// second old.
 const SETTLES: Duration = Duration::from_secs(3);
-/// Time for which a few entries less have to be told of before that counts: a report may be late.
+/// Time for which a few entries less have to be reported before that counts: a report may be late.
 const FEW_GONE_AFTER: Duration = Duration::from_secs(1);
 /// The same for more of them: processes that were killed together are back and settled by then.
 const MANY_GONE_AFTER: Duration = Duration::from_secs(6);
 /// Time for which the largest number of entries counts in the question who the most are.
 const LARGEST_LASTS: Duration = Duration::from_secs(600);
 
-/// What an entry heard of its place among all.
+/// What is reported to an entry of its place among all.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlaceBelief {
     place: Option<Place>,
     since: Duration,
-    /// Largest number of entries, and when it was last heard.
+    /// Largest number of entries, and when it was last received.
     largest: (u32, Duration),
-    /// Since when fewer entries than before have been told of.
+    /// Since when fewer entries than before have been reported.
     fewer_since: Option<Duration>,
 }
 
 impl PlaceBelief {
-    /// Takes in a place that was heard; `sees_all` where whoever tells it has been up for long enough to hear from
+    /// Takes in a place that was received; `sees_all` where whoever reports it has been up for long enough to get updates from
     /// all entries.
     ///
     /// Where entries lose each other, each side sees fewer, and would take the whole of what a server takes for
     /// itself. So fewer count only where they are most of all: two sides can't both be that.
-    pub fn hear(&mut self, place: Place, sees_all: bool, now: Duration) {
-        let (largest, heard_at) = self.largest;
-        if place.entries >= largest || now >= heard_at + LARGEST_LASTS {
+    pub fn note(&mut self, place: Place, sees_all: bool, now: Duration) {
+        let (largest, received_at) = self.largest;
+        if place.entries >= largest || now >= received_at + LARGEST_LASTS {
             self.largest = (place.entries, now);
         }
         let Some(known) = self.place else {
@@ -102,7 +102,7 @@
         }
     }
 
-    /// How many share, as far as it was heard; also before the place is settled.
+    /// How many share, as far as it was received; also before the place is settled.
     pub fn entries(&self) -> Option<u32> {
         self.place.map(|place| place.entries)
     }
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -3,7 +3,7 @@
 //! What ends a server may be a property of the work: a request whose prompt crashes whoever runs it comes
 //! again under other ids, at any entry, and would end one server after the other (a "query of death" in
 //! Beyer et al., Site Reliability Engineering, 2016, chapter 22; message queues set such "poison messages"
-//! aside). So ends of servers are counted by what was at work there. One end tells little, since all that
+//! aside). So ends of servers are counted by what was at work there. One end shows little, since all that
 //! ran there looks alike; what was there at three ends is refused. What a server answers whole is cleared.
 //!
 //! The notes of all entries are merged: in whatever order they come, and however often, the outcome is the
@@ -47,10 +47,10 @@
 /// a server answered it whole before: one that many callers send was refused for minutes after it had been at three ends beside a
 /// guilty one, half of an entry's requests in the soak.
 const DOUBTFUL_REST: Duration = Duration::from_secs(1);
-/// Time over which such trials are spread by fingerprint: two that ran beside each other would tell nothing.
+/// Time over which such trials are spread by fingerprint: two that ran beside each other would show nothing.
 const DOUBTFUL_SPREAD: Duration = Duration::from_millis(1_500);
 
-/// What is known of one request, as entries tell it.
+/// What is known of one request, as entries report it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Note {
     /// A server's life ended while the request was at work there.
@@ -152,7 +152,7 @@
     }
 }
 
-/// The name of the life after this one where the list tells of neither.
+/// The name of the life after this one where the list shows neither.
 fn next_name(name: LifeHash, listed: LifeHash) -> LifeHash {
     xxh3_64_with_seed(&name.to_le_bytes(), listed)
 }
@@ -201,7 +201,7 @@
         }
     }
 
-    /// The name of a life that ended now. A server may be back, and end again, before the list tells of its next
+    /// The name of a life that ended now. A server may be back, and end again, before the list shows its next
     /// life: an end that comes later than the one known is that of another life.
     pub fn name_of_end(&self, listed: LifeHash, now: Duration) -> LifeHash {
         let mut name = listed;
@@ -212,8 +212,8 @@
     }
 
     /// The name of a life that ended at a time under this listing. The earliest has the listed name, whoever
-    /// tells of it first: those known that ended later move on to the next names.
-    fn tell_apart(&mut self, listed: LifeHash, at: Duration) -> LifeHash {
+    /// shows it first: those known that ended later move on to the next names.
+    fn distinguish(&mut self, listed: LifeHash, at: Duration) -> LifeHash {
         let mut names = vec![listed];
         let mut times = Vec::new();
         while let Some(ended_at) = self.lives.get(&names[times.len()]) {
@@ -252,13 +252,13 @@
     }
 
     /// Takes in what the store keeps of a request, its times `error` off at most; whether that says something
-    /// new. Two entries that hear of each other through the store alone may each have seen a server end under
-    /// the same listing: the times tell the two lives apart, which counted as one end before.
+    /// new. Two entries that learn of each other through the store alone may each have seen a server end under
+    /// the same listing: the times distinguish the two lives, which counted as one end before.
     pub fn take_case(&mut self, case: &Case, error: Duration, now: Duration) -> bool {
         let fingerprint = case.fingerprint;
         let mut is_new = false;
         for (life, at) in &case.ends {
-            let life = if error < SAME_END / 2 { self.tell_apart(*life, *at) } else { *life };
+            let life = if error < SAME_END / 2 { self.distinguish(*life, *at) } else { *life };
             is_new |= self.note(Note::End { fingerprint, life, at: *at }, now);
         }
         let Some(known) = self.known.get_mut(&fingerprint) else {
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -1,6 +1,6 @@
 //! How many requests a second a server takes, over all entries, where it takes few.
 //!
-//! A server that has just started bears a number of sends a second, and a server in need names one in its
+//! A server that has just started takes a number of sends a second, and a rate-limited server advertises one in its
 //! answers. Entries don't ask each other before they send. So each server has a few entries of its own: the
 //! entries are in one order, by the names of their Hosts, and each server's begin at a place that its hash
 //! gives. These share what it takes; all others pass it over.
@@ -16,20 +16,20 @@
 /// Requests a second, over all entries.
 pub type Rate = f64;
 
-/// Least that a limit counts for, whatever its server names: only its answers tell that its need is over.
+/// Least that a limit counts for, whatever its server advertises: only its answers show that its limit is over.
 pub const LEAST_NAMED: Rate = 0.05;
-/// Least rate that is told apart from none, so that no window is without end.
+/// Least rate that is distinguished from none, so that no window is without end.
 const LEAST_RATE: Rate = 1e-3;
 
-/// Time without a word of a server, beyond that of two sends, after which others than its senders may ask it: news is
-/// told each second, and arrives with the next report and heartbeat, while an answer may take two seconds to begin.
-const UNHEARD: Duration = Duration::from_secs(4);
+/// Time without an answer of a server, beyond that of two sends, after which others than its senders may ask it: news is
+/// reported each second, and arrives with the next report and heartbeat, while an answer may take two seconds to begin.
+const SILENT_AFTER_SENDS: Duration = Duration::from_secs(4);
 /// Time for which one entry may do so before it is the next one's turn: a report and a heartbeat.
 const STANDS_IN_FOR: Duration = Duration::from_millis(700);
 
 /// What the head of an answer says of its server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum SaidLimit {
+pub enum AdvertisedLimit {
     /// Nothing: the server takes what it has places for.
     #[default]
     Nothing,
@@ -39,7 +39,7 @@
     Unreadable,
 }
 
-impl SaidLimit {
+impl AdvertisedLimit {
     /// Reads what a server names.
     pub fn read(text: &str) -> Self {
         match text.trim().parse::<Rate>() {
@@ -97,12 +97,12 @@
     Some(Allowance { sends, window: window(whole, rate) })
 }
 
-/// What an entry without a share may send to a server that nobody has heard of for a while: its senders have no
-/// work for it, or are gone, and only an answer tells that its need is over. One such entry at a time, one after
+/// What an entry without a share may send to a server that has answered nobody for a while: its senders have no
+/// work for it, or are gone, and only an answer shows that its limit is over. One such entry at a time, one after
 /// the other, so that they don't all come at once; none where it is another one's turn.
-pub fn stand_in(rate: Rate, place: Place, server: u64, unheard: Duration) -> Option<Allowance> {
-    let quiet = UNHEARD + window(2, rate);
-    let waited = unheard.checked_sub(quiet)?;
+pub fn stand_in(rate: Rate, place: Place, server: u64, silent_for: Duration) -> Option<Allowance> {
+    let quiet = SILENT_AFTER_SENDS + window(2, rate);
+    let waited = silent_for.checked_sub(quiet)?;
     let senders = place.entries.clamp(1, whole(rate));
     let order = turn(place, server).checked_sub(senders)?;
     let others = u128::from(place.entries - senders);
--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -4,7 +4,7 @@
 
 /// Time a token takes until answers have shown it: the largest model on the first engines.
 const FIRST_GUESS: f64 = 27e-6;
-/// Prompts shorter than this tell more about the rest of the way than about reading.
+/// Prompts shorter than this say more about the rest of the way than about reading.
 const LEAST_TOKENS: u64 = 1_000;
 /// Part of the time to the first event that does not depend on the prompt, seconds.
 const FIXED: f64 = 0.050;
@@ -14,7 +14,7 @@
 const SLOWER: f64 = 0.005;
 /// Stretch until answers have shown it.
 const FIRST_STRETCH: f64 = 1.2;
-/// Stretches are taken from this range: a lost server or a part that was kept after all tells nothing
+/// Stretches are taken from this range: a lost server or a part that was kept after all shows nothing
 /// about how busy servers are.
 const STRETCH_RANGE: (f64, f64) = (0.3, 5.0);
 /// Step of the mean time to an answer's head.
--- a/src/policy/roll_out.rs
+++ b/src/policy/roll_out.rs
@@ -73,7 +73,7 @@
 pub enum Finding {
     /// Not enough yet.
     Undecided,
-    /// No worse, as far as this step can tell.
+    /// No worse, as far as this step can show.
     NoWorse,
     /// Worse.
     Worse,
--- a/src/policy/send_window.rs
+++ b/src/policy/send_window.rs
@@ -1,6 +1,6 @@
 //! How many requests this entry has at a server at once, learned from the server's rejections.
 //!
-//! A server that rejects what is too much for it and asks for a pause stands idle for the rest of the pause, so
+//! A server that rejects what is too much for it and asks for a pause is idle for the rest of the pause, so
 //! the next rejection costs more than a request that is placed elsewhere. The window is a tenth smaller than what the server
 //! took when it rejected, and grows by one in sixteen rounds of answers: additive increase, multiplicative
 //! decrease (Chiu and Jain, 1989), which also shares a server among entries that don't know of each other.
--- a/src/router/named_limits.rs
+++ b/src/router/advertised_limits.rs
@@ -1,14 +1,14 @@
-//! What this entry does with a server's word on how many requests it takes.
+//! What this entry does with the limits that servers advertise.
 
 use std::time::Duration;
 
 use serde_json::Value;
 
 use crate::{
-    policy::rate_limit::SaidLimit,
+    policy::rate_limit::AdvertisedLimit,
     router::{
         Member, Router,
-        limit_board::{Changed, ToldLimit},
+        limit_board::{Changed, LimitUpdate},
     },
     routing::{AnswerHead, AnswerKind},
     telemetry::event,
@@ -23,25 +23,30 @@
 
 impl Router {
     /// Notes what a server's answer says of its limit, to a request that was sent at `sent_at`.
-    pub(crate) fn note_said_limit(&self, member: &Member, head: &AnswerHead, sent_at: Duration) {
+    pub(crate) fn note_advertised_limit(
+        &self,
+        member: &Member,
+        head: &AnswerHead,
+        sent_at: Duration,
+    ) {
         let now = self.now();
-        if head.rate_limit == SaidLimit::Unreadable && member.note_unreadable_limit(now) {
+        if head.rate_limit == AdvertisedLimit::Unreadable && member.note_unreadable_limit(now) {
             event::RATE_LIMIT_UNREADABLE.log(format_args!("server={}", member.server.id));
         }
-        // A refusal that names no limit says that the server is full, not that its need is over.
-        if head.kind == AnswerKind::NotRun && head.rate_limit == SaidLimit::Nothing {
+        // A refusal that advertises no limit says that the server is full, not that its limit is over.
+        if head.kind == AnswerKind::NotRun && head.rate_limit == AdvertisedLimit::Nothing {
             return;
         }
-        let changed = self.limits.hear(member.life_hash(), head.rate_limit, sent_at, now);
+        let changed = self.limits.note(member.life_hash(), head.rate_limit, sent_at, now);
         if let Some(changed) = changed {
-            self.tell_limit(changed, Source::Answer);
+            self.log_limit(changed, Source::Answer);
         }
     }
 
-    /// Takes in what another entry tells of limits.
-    pub(crate) fn take_told_limits(&self, told: &[ToldLimit]) {
-        for changed in self.limits.take_told(told, self.now()) {
-            self.tell_limit(changed, Source::Entry);
+    /// Takes in the limits that another entry reports.
+    pub(crate) fn take_limit_updates(&self, reported: &[LimitUpdate]) {
+        for changed in self.limits.take_update(reported, self.now()) {
+            self.log_limit(changed, Source::Entry);
         }
     }
 
@@ -50,7 +55,7 @@
         self.limits.dump(&self.fleet.load(), self.now())
     }
 
-    fn tell_limit(&self, changed: Changed, source: Source) {
+    fn log_limit(&self, changed: Changed, source: Source) {
         let Changed { life, before, rate } = changed;
         let fleet = self.fleet.load();
         let server = fleet.by_life(life).map_or("not in view", |member| &member.server.id);
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -19,7 +19,7 @@
         connection::{self, Checkout, ConnectError, Connection},
         dispatch::Job,
         kept_board::KeptNote,
-        silence::{Wait, bear},
+        silence::{Wait, wait_for_answer},
     },
     routing::{AnswerHead, AnswerKind, Request},
 };
@@ -138,7 +138,7 @@
     pub(crate) kept_marks: usize,
     /// Tokens of the prompt that the server has to read.
     pub(crate) unread_tokens: u64,
-    /// How long its silence is borne; none where no other server may be tried after.
+    /// How long its silence is tolerated; none where no other server may be tried after.
     pub(crate) patience: Option<Patience>,
     /// When the request is given up in any case.
     pub(crate) deadline: Duration,
@@ -173,7 +173,7 @@
     }
     let (connection, res) = outcome?;
     at_server.note_begun();
-    plan.member.note_heard(router.now());
+    plan.member.note_received(router.now());
     let (parts, body) = res.into_parts();
     let head = read_answer(parts.status, &parts.headers, &job.req.head.id);
     note_head(router, plan.member, &head, &job.req.head.id, sent_at);
@@ -198,9 +198,9 @@
     let now = router.now();
     let mut record = plan.member.record();
     record.kept.note_sent(plan.marks, plan.unread_tokens);
-    let to_tell = record.kept.to_tell(plan.marks, now);
+    let to_report = record.kept.to_report(plan.marks, now);
     drop(record);
-    if let Some(mark) = to_tell {
+    if let Some(mark) = to_report {
         let tokens = u32::try_from(mark.tokens).unwrap_or(u32::MAX);
         router.kept.note_own(KeptNote(plan.member.short_hash(), mark.hash, tokens), now);
     }
@@ -236,7 +236,7 @@
         member.note_answer(router.now());
     }
     if head.kind.is_authentic() {
-        router.note_said_limit(member, head, sent_at);
+        router.note_advertised_limit(member, head, sent_at);
         router.note_announced(member, head, request_id);
         router.note_unread_headers(member, head);
     }
@@ -279,7 +279,7 @@
             return Err(AttemptError::Unavailable(cause));
         }
         let send = pin!(connection.try_send_request(message));
-        let sent = bear(router, &wait, send, &mut may_leave).await;
+        let sent = wait_for_answer(router, &wait, send, &mut may_leave).await;
         let given_up = || {
             if router.is_refused(job) { AttemptError::Quarantined } else { AttemptError::Timeout }
         };
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -161,10 +161,10 @@
         let Some(place) = self.place else {
             return Some(Limit::LastResort(Allowance::least(rate, self.entries())));
         };
-        let unheard = self.now.saturating_sub(advertised.heard_at());
+        let silent_for = self.now.saturating_sub(advertised.received_at());
         let server = member.id_hash();
         let share = allowance(rate, place, server)
-            .or_else(|| advertised.rate().and_then(|_| stand_in(rate, place, server, unheard)));
+            .or_else(|| advertised.rate().and_then(|_| stand_in(rate, place, server, silent_for)));
         Some(share.map_or(Limit::OfOthers(rate), Limit::Share))
     }
 }
--- a/src/router/body.rs
+++ b/src/router/body.rs
@@ -39,7 +39,7 @@
         Self { parts, filler, has_yielded: false }
     }
 
-    /// The next part; a break is told one turn late, since the connection drops what it has not
+    /// The next part; a break is reported one turn late, since the connection drops what it has not
     /// written when it learns of one, and events that are ready are the caller's.
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match ready!(self.parts.poll_recv(cx)) {
--- a/src/router/breaks.rs
+++ b/src/router/breaks.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that was at work on a server whose life ended may be what ended it. A broken answer, a reset
 //! or silence is no proof of that: the server may live. Proof is that nobody listens at its address right
-//! after, that the list tells of its next life, or that the list drops it unannounced.
+//! after, that the list shows its next life, or that the list drops it unannounced.
 
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,7 +15,7 @@
 };
 
 /// Time to wait for a refusal; zones are 1.4 ms apart, and a request that waits for it goes on after. A
-/// server that is silent refuses nothing: then the list has to tell.
+/// server that is silent refuses nothing: then the list has to show it.
 const REFUSED_WITHIN: Duration = Duration::from_millis(100);
 /// Time in which a process that is ending closes what it holds, one thing after the other.
 const RESET_WITHIN: Duration = Duration::from_millis(5);
@@ -35,7 +35,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Breaks {
     lost: Vec<Lost>,
-    /// When its end was proved; a server may be back before the list tells of its next life.
+    /// When its end was proved; a server may be back before the list shows its next life.
     ended_at: Option<Duration>,
     /// When it was last looked whether the server listens.
     looked_at: Option<Duration>,
@@ -141,7 +141,7 @@
 pub(super) enum Proof {
     /// Nobody listens at its address.
     Refused,
-    /// The list tells of its next life.
+    /// The list shows its next life.
     StartedAgain,
     /// The list dropped it though it had not said that it leaves. Some servers leave so, and serve on for a
     /// while: it speaks only against what broke before.
@@ -152,7 +152,7 @@
 pub(super) fn note_end(router: &Router, member: &Member, proof: Proof) {
     let now = router.now();
     let (lost, ended_at) = {
-        let heard_at = member.heard_at();
+        let received_at = member.received_at();
         let mut breaks = member.breaks();
         if proof != Proof::Refused && breaks.ended_at.is_some() {
             // The list is behind: this end is known, and what was sent since is at work in the next life.
@@ -162,11 +162,11 @@
             breaks.ended_at = Some(now);
         }
         let lost = std::mem::take(&mut breaks.lost);
-        let ended_at = first_break(&lost, heard_at).unwrap_or(now);
+        let ended_at = first_break(&lost, received_at).unwrap_or(now);
         // Whoever was left before the server last spoke was no longer at work there.
         let lost = lost
             .into_iter()
-            .filter(|lost| now < lost.at + PROVED_AFTER && heard_at < lost.at + READ_LATE)
+            .filter(|lost| now < lost.at + PROVED_AFTER && received_at < lost.at + READ_LATE)
             // What was left for the news of a next life may have been at work in that one.
             .filter(|lost| lost.parting == Parting::Broken || lost.at + READ_LATE < now)
             .map(|lost| lost.fingerprint)
@@ -195,7 +195,7 @@
 
 /// When the first connection broke after the server last spoke: then it ended. The proof may come a second
 /// later, and then of several servers in one moment, which would count as one event.
-fn first_break(lost: &[Lost], heard_at: Duration) -> Option<Duration> {
+fn first_break(lost: &[Lost], received_at: Duration) -> Option<Duration> {
     let broken = lost.iter().filter(|lost| lost.parting == Parting::Broken);
-    broken.map(|lost| lost.at).filter(|at| heard_at < *at + READ_LATE).min()
+    broken.map(|lost| lost.at).filter(|at| received_at < *at + READ_LATE).min()
 }
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -104,7 +104,7 @@
 
 /// The server for a request under which servers crashed, by rendezvous hashing: all entries send it to the same
 /// one, so that it crashes one server at a time, and send what else was there to others, so that the next crash
-/// tells them apart.
+/// distinguishes them.
 fn place_suspect<'a>(job: &Job, members: &[&'a Arc<Member>]) -> Option<&'a Arc<Member>> {
     let seed = job.fingerprint().0 as u64;
     let hash = |member: &&&Arc<Member>| xxh3_64_with_seed(&member.id_hash().to_le_bytes(), seed);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -122,7 +122,7 @@
         self.has_repeat
     }
 
-    /// What the caller is told when nothing more is tried.
+    /// What the caller gets when nothing more is tried.
     fn refusal(&self, router: &Router, ask: Ask<'_>) -> Refusal {
         match judge(&self.attempts) {
             Verdict::NotRun if router.is_refused(self) => {
@@ -146,7 +146,7 @@
     }
 
     /// Whether a server could not be reached for this request. With the last one of a service gone, each request
-    /// asked it 10 to 12 times within 40 ms, and told of each time, before it was refused.
+    /// asked it 10 to 12 times within 40 ms, and logged each time, before it was refused.
     fn is_unreachable(&self, server: &str) -> bool {
         self.unreachable.iter().any(|unreachable| **unreachable == *server)
     }
@@ -262,7 +262,7 @@
     let kept_marks = member.record().kept.kept_marks(&marks);
     let kept_tokens: u64 = marks[..kept_marks].iter().map(|mark| mark.tokens).sum();
     let unread_tokens = prompt_tokens.saturating_sub(kept_tokens);
-    // What is believed to be kept may be gone: the whole prompt's time is borne.
+    // What is believed to be kept may be gone: the time for the whole prompt is allowed.
     let reading = belief.reading_time(prompt_tokens);
     let (kind, objective) = (job.route.kind, job.route.objective);
     // This one is awaited there, too.
@@ -291,7 +291,7 @@
         has_repeat = may_go_on(router, job, ask, &member.server.id);
         has_repeat
     };
-    router.roll_outs.tell_trial(&member.server, &job.req.head, router.now());
+    router.roll_outs.log_trial(&member.server, &job.req.head, router.now());
     let result = send(router, job, &plan, may_leave).await;
     let (state, outcome) = sum_up(&result);
     router.metrics.count_attempt(&member.server.version, outcome);
--- a/src/router/driver.rs
+++ b/src/router/driver.rs
@@ -44,7 +44,7 @@
 
 /// What is known of the store's rows about roll-outs.
 #[derive(Debug, Default)]
-struct Told {
+struct KnownRows {
     /// Era that all of this is of: versions are given out again in the next one.
     era: Era,
     /// Versions of the rows, 0 where there is none.
@@ -52,7 +52,7 @@
     own: HashMap<Box<str>, (Revision, RollOutRow)>,
 }
 
-impl Told {
+impl KnownRows {
     fn note(&mut self, row: &Row) {
         let Some(service) = service_of_status(&row.key) else {
             return;
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Progress the store tells of an order; none when it has not been begun.
+    /// Progress that the store has of an order; none when it has not been begun.
     fn progress(&self, order: &RollOutOrder) -> Option<(Progress, u64)> {
         let (_, own) = self.own.get(&order.service)?;
         if (StoreVersion { era: own.era, revision: own.revision }) != order.revision {
@@ -107,7 +107,7 @@
 
 /// Drives roll-outs: notes their begin in the store, gives verdicts and learns of others'.
 pub(crate) async fn drive_roll_outs(router: &Router, store: &StoreClient) {
-    let mut told = Told::default();
+    let mut known = KnownRows::default();
     let mut seen: HashMap<Box<str>, StoreVersion> = HashMap::new();
     let mut era = Era::default();
     let mut are_ends_lost = false;
@@ -117,23 +117,23 @@
         // What an entry that starts finds has to be known before requests are answered by it.
         let _ = timeout(DRIVE_EVERY, router.roll_outs.until_found()).await;
         drives += 1;
-        take_from_link(router, &mut told);
-        let now_era = told.era.max(router.views.era());
+        take_from_link(router, &mut known);
+        let now_era = known.era.max(router.views.era());
         if now_era > era {
             era = now_era;
-            told.enter(era);
+            known.enter(era);
             seen.clear();
             (are_ends_lost, ends_rest_until) = (true, Duration::ZERO);
         }
         if are_ends_lost && router.now() >= ends_rest_until {
-            are_ends_lost = !tell_ends_again(router, store, &mut told).await.unwrap_or(false);
+            are_ends_lost = !report_ends_again(router, store, &mut known).await.unwrap_or(false);
             ends_rest_until = router.now() + VERDICT_REST;
         }
         let follows = router.follows_link();
         if drives % DRIVES_PER_LOOK == 0 && !follows {
-            learn_verdicts(router, store, &mut told, &seen).await;
+            learn_verdicts(router, store, &mut known, &seen).await;
         }
-        settle_begins(router, store, &mut told, &mut seen).await;
+        settle_begins(router, store, &mut known, &mut seen).await;
         if router.now() < rest_until {
             continue;
         }
@@ -142,7 +142,7 @@
             continue;
         }
         for verdict in router.roll_outs.verdicts(router.now()) {
-            if let Err(e) = give(router, store, &mut told, &verdict).await {
+            if let Err(e) = give(router, store, &mut known, &verdict).await {
                 rest_until = router.now() + VERDICT_REST;
                 event::VERDICT_WAITS
                     .log(format_args!("service={} cause=\"{e}\"", verdict.order.service));
@@ -156,7 +156,7 @@
 async fn settle_begins(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
     seen: &mut HashMap<Box<str>, StoreVersion>,
 ) {
     let follows = router.follows_link();
@@ -167,19 +167,19 @@
         if seen.get(&order.service) == Some(&order.revision) || waits {
             continue;
         }
-        let progress = told.progress(&order).map(|(progress, _)| progress);
-        let (is_told, has_ended) =
+        let progress = known.progress(&order).map(|(progress, _)| progress);
+        let (is_reported, has_ended) =
             (progress.is_some(), progress.is_some_and(|p| p != Progress::Running));
-        // What another entry tells may be older than the end, so an entry that starts asks the store
-        // unless it is told of the end, and makes do with what it is told only where the store is away.
-        let is_known = is_told && (has_ended || !is_unknown);
-        let is_settled = is_known || try_begin(router, store, told, &order).await;
+        // What another entry reports may be older than the end, so an entry that starts asks the store
+        // unless it is informed of the end, and makes do with what is reported only where the store is away.
+        let is_known = is_reported && (has_ended || !is_unknown);
+        let is_settled = is_known || try_begin(router, store, known, &order).await;
         if is_settled {
             seen.insert(order.service.clone(), order.revision);
         }
-        if is_unknown && (is_settled || is_told) {
+        if is_unknown && (is_settled || is_reported) {
             router.roll_outs.note_known(&order);
-            router.tell_news();
+            router.wake_waiters();
         }
     }
 }
@@ -188,10 +188,10 @@
 async fn try_begin(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
     order: &RollOutOrder,
 ) -> bool {
-    let begun = begin(router, store, told, order).await;
+    let begun = begin(router, store, known, order).await;
     if begun.is_err() {
         // The feeds log that the store is away.
         router.metrics.count_store_error("roll_out");
@@ -200,18 +200,18 @@
 }
 
 /// Learns what the entry that is followed passed on about roll-outs.
-fn take_from_link(router: &Router, told: &mut Told) {
+fn take_from_link(router: &Router, known: &mut KnownRows) {
     for table in [Table::Own, Table::Status] {
         while let Some(update) = router.link.take(table) {
             if update.version.era < router.views.era() {
                 continue;
             }
             let rows = update.into_rows();
-            told.enter(rows.version.era);
-            rows.rows.iter().for_each(|row| told.note(row));
+            known.enter(rows.version.era);
+            rows.rows.iter().for_each(|row| known.note(row));
             router.views.note(table, &rows, true);
             let running = router.roll_outs.running();
-            running.iter().for_each(|order| take_over(router, told, order, rows.now));
+            running.iter().for_each(|order| take_over(router, known, order, rows.now));
         }
     }
 }
@@ -220,7 +220,7 @@
 async fn learn_verdicts(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
     seen: &HashMap<Box<str>, StoreVersion>,
 ) {
     let mut running = router.roll_outs.running();
@@ -231,12 +231,12 @@
     router.metrics.count_store_call("status");
     match store.read(Table::Status).await {
         Ok(rows) => {
-            told.enter(rows.version.era);
-            rows.rows.iter().for_each(|row| told.note(row));
+            known.enter(rows.version.era);
+            rows.rows.iter().for_each(|row| known.note(row));
             router.views.note(Table::Status, &rows, true);
-            running.iter().for_each(|order| take_over(router, told, order, rows.now));
+            running.iter().for_each(|order| take_over(router, known, order, rows.now));
         }
-        // The feeds tell of a store that is away; the next look comes soon.
+        // The feeds report a store that is away; the next look comes soon.
         Err(_) => router.metrics.count_store_error("status"),
     }
 }
@@ -245,45 +245,45 @@
 async fn begin(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
     order: &RollOutOrder,
 ) -> crate::platform::Result<()> {
-    let now = look(router, store, told).await?;
-    if told.progress(order).is_none() {
-        write_begin(router, store, told, order, now, Progress::Running).await?;
-        look(router, store, told).await?;
+    let now = look(router, store, known).await?;
+    if known.progress(order).is_none() {
+        write_begin(router, store, known, order, now, Progress::Running).await?;
+        look(router, store, known).await?;
     }
-    take_over(router, told, order, now);
+    take_over(router, known, order, now);
     Ok(())
 }
 
 /// Writes how far the roll-outs got that have ended, where the store lost that as it came back from a copy: an
 /// entry that starts would take them as under way. Whether the store has all of them; not where another write came
 /// first, which may have said something else.
-async fn tell_ends_again(
+async fn report_ends_again(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
 ) -> crate::platform::Result<bool> {
     let ended = router.roll_outs.ended();
     if ended.is_empty() {
         return Ok(true);
     }
-    let now = look(router, store, told).await?;
-    let mut are_all_told = true;
+    let now = look(router, store, known).await?;
+    let mut are_all_reported = true;
     for (order, progress) in ended {
-        if told.progress(&order).map(|(progress, _)| progress) != Some(progress) {
-            are_all_told &= write_begin(router, store, told, &order, now, progress).await?;
+        if known.progress(&order).map(|(progress, _)| progress) != Some(progress) {
+            are_all_reported &= write_begin(router, store, known, &order, now, progress).await?;
         }
     }
-    Ok(are_all_told)
+    Ok(are_all_reported)
 }
 
 /// Writes when a roll-out began and how far it got, unless another entry did; whether it was written.
 async fn write_begin(
     router: &Router,
     store: &StoreClient,
-    told: &Told,
+    known: &KnownRows,
     order: &RollOutOrder,
     store_now: Duration,
     progress: Progress,
@@ -299,17 +299,17 @@
         Put {
             table: Table::Own,
             key: key.clone(),
-            expected: told.own_version(&order.service),
+            expected: known.own_version(&order.service),
             value: serde_json::to_vec(&row).expect("a row of numbers can be written"),
         },
         Put {
             table: Table::Status,
             key,
-            expected: told.status_version(&order.service),
+            expected: known.status_version(&order.service),
             value: write_status(&status),
         },
     ];
-    let outcome = store.write(&puts, told.era).await?;
+    let outcome = store.write(&puts, known.era).await?;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_BEGUN.log(format_args!("service={} written={is_written}", order.service));
     Ok(is_written)
@@ -319,28 +319,28 @@
 async fn look(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
 ) -> crate::platform::Result<Duration> {
     router.metrics.count_store_call("roll_out");
     let own = store.read(Table::Own).await?;
     let status = store.read(Table::Status).await?;
-    if told.era > own.version.era.min(status.version.era) {
+    if known.era > own.version.era.min(status.version.era) {
         return Err(Error::Unreadable("the store came back from a copy".into()));
     }
-    told.enter(own.version.era);
-    if told.enter(status.version.era) {
+    known.enter(own.version.era);
+    if known.enter(status.version.era) {
         // Read in two eras: what was read first holds no more.
         return Err(Error::Unreadable("the store came back from a copy".into()));
     }
-    own.rows.iter().chain(&status.rows).for_each(|row| told.note(row));
+    own.rows.iter().chain(&status.rows).for_each(|row| known.note(row));
     router.views.note(Table::Own, &own, true);
     router.views.note(Table::Status, &status, true);
     Ok(status.now)
 }
 
-/// Takes over what the store tells of an order.
-fn take_over(router: &Router, told: &Told, order: &RollOutOrder, store_now: Duration) {
-    let Some((progress, began_ms)) = told.progress(order) else {
+/// Takes over what the store has of an order.
+fn take_over(router: &Router, known: &KnownRows, order: &RollOutOrder, store_now: Duration) {
+    let Some((progress, began_ms)) = known.progress(order) else {
         return;
     };
     let age = store_now.saturating_sub(Duration::from_millis(began_ms));
@@ -352,17 +352,17 @@
 async fn give(
     router: &Router,
     store: &StoreClient,
-    told: &mut Told,
+    known: &mut KnownRows,
     verdict: &Verdict,
 ) -> crate::platform::Result<()> {
     let order = &verdict.order;
     let put = Put {
         table: Table::Status,
         key: status_key(&order.service),
-        expected: told.status_version(&order.service),
+        expected: known.status_version(&order.service),
         value: write_status(&verdict.status),
     };
-    let outcome = store.write(&[put], told.era).await?;
+    let outcome = store.write(&[put], known.era).await?;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_MOVED.log(format_args!(
         "service={} progress={:?} written={is_written}",
@@ -373,13 +373,13 @@
             let progress = verdict.status.progress;
             router.roll_outs.adopt(&order.service, order.revision, None, progress);
             if router.is_seed() || router.views.has_subscribers() {
-                // Those that follow this entry, now or later, hear of the verdict.
-                look(router, store, told).await?;
+                // Those that follow this entry, now or later, learn of the verdict.
+                look(router, store, known).await?;
             }
         }
         WriteOutcome::Conflict | WriteOutcome::OtherEra => {
-            let now = look(router, store, told).await?;
-            take_over(router, told, order, now);
+            let now = look(router, store, known).await?;
+            take_over(router, known, order, now);
         }
     }
     Ok(())
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -33,13 +33,13 @@
 const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
 /// Pause after a call that failed.
 pub(super) const PAUSE: Duration = Duration::from_millis(250);
-/// The same for an entry that follows another one, which tells it of the store's return: in an outage
+/// The same for an entry that follows another one, which reports the store's return: in an outage
 /// of several seconds, 32 entries that asked four times a second made a third of a day's calls.
 const PAUSE_OF_FOLLOWERS: Duration = Duration::from_millis(2_000);
 /// Time an entry that has read all rows waits for a link before it asks the store for changes; a
 /// link to a running seed takes a few round trips, one to a seed that starts too under a second.
 const LINK_WAIT: Duration = Duration::from_millis(1_000);
-/// Time an entry that starts waits for another one to tell it what the store says, before it asks the
+/// Time an entry that starts waits for another one to report what the store says, before it asks the
 /// store itself, while callers wait: a link to a running seed takes a few round trips, and callers wait
 /// half a second at most.
 const LINK_FIRST: Duration = Duration::from_millis(250);
@@ -101,7 +101,7 @@
 
 impl Followed {
     /// Takes in rows that are shown, as far as they are newer than what is known, and hands them on to what they
-    /// are for; false where they are older than what another entry told.
+    /// are for; false where they are older than what another entry reported.
     fn take(
         &mut self,
         router: &Router,
@@ -207,7 +207,7 @@
         let has_news = !rows.rows.is_empty();
         let offer = Offer { version: rows.version, is_whole, is_amended: false };
         if !followed.take(router, rows, offer, &mut apply) {
-            // An answer from before the store came back, which another entry told of meanwhile.
+            // An answer from before the store came back, which another entry reported meanwhile.
             sleep(PAUSE).await;
             continue;
         }
@@ -221,12 +221,12 @@
     }
 }
 
-/// Notes that all that was heard of a table is in force; requests may wait for that after a suspension.
+/// Notes that all that was received of a table is in force; requests may wait for that after a suspension.
 fn note_applied(router: &Router, table: Table) {
     let was_fresh = router.is_view_fresh();
     router.views.note_answer(table, router.now());
     if !was_fresh {
-        router.tell_news();
+        router.wake_waiters();
     }
 }
 
@@ -251,7 +251,7 @@
     }
 }
 
-/// Pauses after a call that failed; a follower hears of the store's return from the entry it follows.
+/// Pauses after a call that failed; a follower learns of the store's return from the entry it follows.
 async fn rest(router: &Router, table: Table) {
     sleep(PAUSE).await;
     if router.is_seed() || router.table.load().is_none() {
@@ -276,7 +276,7 @@
         event::PEER_VIEW_TAKEN
             .log(format_args!("table={table:?} version={version:?} before={known:?}"));
     }
-    // What is older than what the store told is left; the entry that is followed hears of that, too.
+    // What is older than what the store reported is left; the entry that is followed learns of that, too.
     followed.take(router, update.into_rows(), Offer { version, is_whole, is_amended }, apply);
 }
 
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -10,8 +10,8 @@
     protocol::{Error, Result},
     router::{
         Router,
-        messages::{Asked, Told},
-        peers::{OPENING, hear, open, other_seeds, silent, tell},
+        messages::{Asked, PeerMessage},
+        peers::{OPENING, open, other_seeds, receive, send_message, silent},
     },
     telemetry::event,
 };
@@ -94,7 +94,7 @@
         event::PEER_LEFT.log(format_args!("peer={peer}"));
     }
     router.link.reset();
-    // The next seed may have what this one no longer tells.
+    // The next seed may have what this one no longer reports.
     let is_round_over = seeds.turn.is_multiple_of(others.len());
     others.len() > 1 && (was_followed || !is_round_over)
 }
@@ -115,8 +115,8 @@
     let own_zone = router.settings.load().zone.clone();
     let only_in = wants_zone.then(|| own_zone.clone());
     let host = router.settings.load().host.clone();
-    tell(&mut socket, &Asked::Follow { version, era, only_in, host }).await?;
-    let Told::Welcome { zone } = hear(&mut socket).await? else {
+    send_message(&mut socket, &Asked::Follow { version, era, only_in, host }).await?;
+    let PeerMessage::Welcome { zone } = receive(&mut socket).await? else {
         return Err(Error::Broken("no welcome".into()));
     };
     let is_near = zone == own_zone;
@@ -129,7 +129,7 @@
         let beat = tokio::select! {
             biased;
             _ = wakes.changed() => return Err(resumed()),
-            beat = hear(&mut socket) => beat?,
+            beat = receive(&mut socket) => beat?,
         };
         // What waited to be read while the Host was suspended is old.
         if router.notice_suspension() {
@@ -153,9 +153,18 @@
 }
 
 /// Takes in a heartbeat; whether the store answers the entry that sent it.
-fn take_beat(router: &Router, told: Told) -> Result<bool> {
-    let Told::Beat { is_current, updates, entries, place, loads, kept, ends, is_informed, limits } =
-        told
+fn take_beat(router: &Router, message: PeerMessage) -> Result<bool> {
+    let PeerMessage::Beat {
+        is_current,
+        updates,
+        entries,
+        place,
+        loads,
+        kept,
+        ends,
+        is_informed,
+        limits,
+    } = message
     else {
         return Err(Error::Broken("a second welcome".into()));
     };
@@ -164,9 +173,9 @@
             return Err(Error::Broken("its updates are not taken".into()));
         }
     }
-    router.views.note_heard(router.now());
+    router.views.note_received(router.now());
     if entries > 0 {
-        router.hear_entries(entries);
+        router.note_entries(entries);
     }
     if let Some(place) = place.filter(|place| place.rank < place.entries) {
         router.own_place.note(place, router.now());
@@ -174,10 +183,10 @@
     let fleet = router.fleet.load_full();
     router.loads.apply(&loads, &fleet, router.now());
     router.kept.apply(&kept, &fleet);
-    router.quarantine.take_told(&ends, router.now());
-    router.take_told_limits(&limits);
+    router.quarantine.take_update(&ends, router.now());
+    router.take_limit_updates(&limits);
     if is_informed && router.quarantine.note_informed() {
-        router.tell_news();
+        router.wake_waiters();
     }
     Ok(is_current)
 }
--- a/src/router/kept_board.rs
+++ b/src/router/kept_board.rs
@@ -1,7 +1,7 @@
-//! What entries tell each other about the prompt parts that BackendServers keep.
+//! What entries report to each other about the prompt parts that BackendServers keep.
 //!
 //! Each entry knows which parts it sent where. With many entries most of what a server keeps was sent
-//! there by others, and an entry that has just started knows nothing; so each entry tells the seeds
+//! there by others, and an entry that has just started knows nothing; so each entry reports to the seeds
 //! what it sent, and the seeds pass it on with their heartbeats (docs/decisions/0011).
 
 use std::{sync::Mutex, time::Duration};
@@ -16,12 +16,12 @@
 /// Notes kept for links that are behind or new; 40 KB. At 1,000 requests a second, of which one in four
 /// has long shared parts, the seeds take in 300 to 400 in a second.
 const MOST_NOTES: usize = 2_048;
-/// Notes told in one message at most, so that a message stays under 10 KB.
-const MOST_TOLD: usize = 512;
-/// Age at which a note is passed on no more: a part that is still in use was told of again by then.
-const TOLD_FOR: Duration = Duration::from_secs(8);
+/// Notes reported in one message at most, so that a message stays under 10 KB.
+const MOST_REPORTED: usize = 512;
+/// Age at which a note is passed on no more: a part that is still in use was reported again by then.
+const REPORTED_FOR: Duration = Duration::from_secs(8);
 
-/// A part of a prompt that a server was sent, as entries tell of it.
+/// A part of a prompt that a server was sent, as entries report it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct KeptNote(
     /// Short hash of the server's id.
@@ -32,7 +32,8 @@
     pub(crate) u32,
 );
 
-const LIMITS: NoteLimits = NoteLimits { kept: MOST_NOTES, told: MOST_TOLD, told_for: TOLD_FOR };
+const LIMITS: NoteLimits =
+    NoteLimits { kept: MOST_NOTES, reported: MOST_REPORTED, reported_for: REPORTED_FOR };
 
 #[derive(Debug)]
 struct Inner {
@@ -40,7 +41,7 @@
     own: NoteLog<KeptNote>,
     /// Of all entries, where others follow this one.
     all: NoteLog<KeptNote>,
-    /// Notes about servers that are not in view yet, at most [`MOST_TOLD`]: an entry that starts is told
+    /// Notes about servers that are not in view yet, at most [`MOST_REPORTED`]: an entry that starts is informed
     /// of parts before it has read the list of servers.
     unplaced: Vec<KeptNote>,
 }
@@ -69,7 +70,7 @@
         inner.all.push(note, now);
     }
 
-    /// Takes in what another entry reports that it sent; those that follow this one are told, too.
+    /// Takes in what another entry reports that it sent; those that follow this one are informed, too.
     pub(crate) fn take_report(&self, notes: &[KeptNote], fleet: &Fleet, now: Duration) {
         let mut inner = self.lock();
         for note in notes {
@@ -86,11 +87,11 @@
         for note in earlier.iter().chain(notes) {
             let KeptNote(server, hash, tokens) = *note;
             match fleet.by_short_hash(server) {
-                Some(member) => member.record().kept.note_told(hash, u64::from(tokens)),
+                Some(member) => member.record().kept.note_reported(hash, u64::from(tokens)),
                 None => inner.unplaced.push(*note),
             }
         }
-        let too_many = inner.unplaced.len().saturating_sub(MOST_TOLD);
+        let too_many = inner.unplaced.len().saturating_sub(MOST_REPORTED);
         inner.unplaced.drain(..too_many);
     }
 
--- a/src/router/limit_board.rs
+++ b/src/router/limit_board.rs
@@ -1,7 +1,7 @@
-//! What entries tell each other about servers that name a limit.
+//! What entries report to each other about servers that advertise a limit.
 //!
-//! An answer tells one entry, and the limit is for all of them: a hundred that each learn it by a send of their own
-//! are a hundred sends. So each entry tells the seeds what it heard from a server itself, and the seeds tell all
+//! An answer reaches one entry, and the limit is for all of them: a hundred that each learn it by a send of their own
+//! are a hundred sends. So each entry reports to the seeds what it received from a server itself, and the seeds report to all
 //! that follow them: at once where others send too much meanwhile, and with the next heartbeat otherwise.
 
 use std::{
@@ -21,22 +21,22 @@
     policy::{
         limit_news::{Change, LimitBelief, LimitNews},
         quarantine::LifeHash,
-        rate_limit::{Rate, SaidLimit},
+        rate_limit::{AdvertisedLimit, Rate},
     },
     router::Fleet,
 };
 
-/// Servers told of in one message at most, 1.4 KB; the others follow with the next ones.
-const MOST_TOLD: usize = 64;
+/// Servers reported in one message at most, 1.4 KB; the others follow with the next ones.
+const MOST_REPORTED: usize = 64;
 /// Time for which a server that is out of view is remembered: news of it may be under way, or the list be late.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
 /// A server's limit on its way: its life, the counts of the news, and the rate, none where it has ended. Numbers
 /// without names take 22 bytes instead of 60.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ToldLimit(LifeHash, u32, u32, Option<Rate>);
+pub(crate) struct LimitUpdate(LifeHash, u32, u32, Option<Rate>);
 
-impl ToldLimit {
+impl LimitUpdate {
     fn new(life: LifeHash, news: LimitNews) -> Self {
         Self(life, news.change, news.again, news.rate)
     }
@@ -65,7 +65,7 @@
 }
 
 impl Inner {
-    fn in_need(&self) -> usize {
+    fn rate_limited(&self) -> usize {
         self.servers.values().filter(|known| known.belief.rate().is_some()).count()
     }
 }
@@ -82,11 +82,11 @@
 #[derive(Debug)]
 pub(crate) struct LimitBoard {
     inner: Mutex<Inner>,
-    /// Servers that name a limit now; while there are none, no send locks anything.
-    in_need: AtomicUsize,
+    /// Servers that advertise a limit now; while there are none, no send locks anything.
+    rate_limited: AtomicUsize,
     /// Counts changes that others have to know at once.
     urgent: watch::Sender<u64>,
-    /// Counts those of them that this entry heard from a server itself.
+    /// Counts those of them that this entry received from a server itself.
     own_urgent: watch::Sender<u64>,
 }
 
@@ -94,7 +94,7 @@
     fn default() -> Self {
         Self {
             inner: Mutex::default(),
-            in_need: AtomicUsize::new(0),
+            rate_limited: AtomicUsize::new(0),
             urgent: watch::Sender::new(0),
             own_urgent: watch::Sender::new(0),
         }
@@ -106,47 +106,47 @@
         self.inner.lock().expect("no panics under the lock")
     }
 
-    /// Servers that name a limit now.
-    pub(crate) fn in_need(&self) -> usize {
-        self.in_need.load(Ordering::Acquire)
+    /// Servers that advertise a limit now.
+    pub(crate) fn rate_limited(&self) -> usize {
+        self.rate_limited.load(Ordering::Acquire)
     }
 
     /// The limits as they are; none while no server names one.
     pub(crate) fn view(&self) -> Option<LimitView<'_>> {
-        (self.in_need() > 0).then(|| LimitView { inner: self.lock() })
+        (self.rate_limited() > 0).then(|| LimitView { inner: self.lock() })
     }
 
-    /// Tells of each change that others have to know at once, from now on.
+    /// Notifies of each change that others have to know at once, from now on.
     pub(crate) fn urgent(&self) -> watch::Receiver<u64> {
         self.urgent.subscribe()
     }
 
-    /// The same of those that this entry heard from a server itself.
+    /// The same of those that this entry received from a server itself.
     pub(crate) fn own_urgent(&self) -> watch::Receiver<u64> {
         self.own_urgent.subscribe()
     }
 
     /// Takes in what a server's answer says to a request that was sent at `sent_at`; what changed by it.
-    pub(crate) fn hear(
+    pub(crate) fn note(
         &self,
         life: LifeHash,
-        said: SaidLimit,
+        said: AdvertisedLimit,
         sent_at: Duration,
         now: Duration,
     ) -> Option<Changed> {
-        if self.in_need() == 0 && !matches!(said, SaidLimit::Rate(_)) {
+        if self.rate_limited() == 0 && !matches!(said, AdvertisedLimit::Rate(_)) {
             return None;
         }
-        self.change(life, true, |belief| belief.hear(said, sent_at, now))
+        self.change(life, true, |belief| belief.note(said, sent_at, now))
     }
 
-    /// Takes in what another entry tells; what changed by it.
-    pub(crate) fn take_told(&self, told: &[ToldLimit], now: Duration) -> Vec<Changed> {
-        let take = |told: &ToldLimit| {
-            let (life, news) = told.read();
-            self.change(life, false, |belief| belief.take_told(news, now))
+    /// Takes in what another entry reports; what changed by it.
+    pub(crate) fn take_update(&self, reported: &[LimitUpdate], now: Duration) -> Vec<Changed> {
+        let take = |reported: &LimitUpdate| {
+            let (life, news) = reported.read();
+            self.change(life, false, |belief| belief.take_update(news, now))
         };
-        told.iter().filter_map(take).collect()
+        reported.iter().filter_map(take).collect()
     }
 
     /// Lets a belief change, and makes it known if it did.
@@ -161,7 +161,7 @@
         let before = known.belief.rate();
         let change = take_in(&mut known.belief);
         let Some(change) = change else {
-            // It may have been heard of all the same.
+            // It may have been received all the same.
             if let Some(kept) = inner.servers.get_mut(&life) {
                 kept.belief = known.belief;
             }
@@ -171,7 +171,7 @@
         (known.number, known.is_own) = (inner.next, is_own);
         inner.next += 1;
         inner.servers.insert(life, known);
-        self.in_need.store(inner.in_need(), Ordering::Release);
+        self.rate_limited.store(inner.rate_limited(), Ordering::Release);
         drop(inner);
         if change == Change::Urgent {
             self.urgent.send_modify(|changes| *changes += 1);
@@ -182,31 +182,32 @@
         (before != rate).then_some(Changed { life, before, rate })
     }
 
-    /// News from a number on that this entry heard from servers itself, and the number to go on with. A reader
+    /// News from a number on that this entry received from servers itself, and the number to go on with. A reader
     /// that begins, with none, gets all that is known.
-    pub(crate) fn own_from(&self, number: Option<u64>) -> (Vec<ToldLimit>, u64) {
+    pub(crate) fn own_from(&self, number: Option<u64>) -> (Vec<LimitUpdate>, u64) {
         let is_all = number.is_none();
         self.from(number.unwrap_or_default(), |known| is_all || known.is_own)
     }
 
-    /// The same of what it heard from servers or from other entries.
-    pub(crate) fn all_from(&self, number: u64) -> (Vec<ToldLimit>, u64) {
+    /// The same of what it received from servers or from other entries.
+    pub(crate) fn all_from(&self, number: u64) -> (Vec<LimitUpdate>, u64) {
         self.from(number, |_| true)
     }
 
-    fn from(&self, number: u64, is_told: impl Fn(&Known) -> bool) -> (Vec<ToldLimit>, u64) {
+    fn from(&self, number: u64, is_reported: impl Fn(&Known) -> bool) -> (Vec<LimitUpdate>, u64) {
         let inner = self.lock();
         if number >= inner.next {
             return (Vec::new(), inner.next);
         }
         let news = inner.servers.iter().filter(|(_, known)| known.number >= number);
-        let mut news: Vec<_> = news.filter(|(_, known)| is_told(known)).collect();
+        let mut news: Vec<_> = news.filter(|(_, known)| is_reported(known)).collect();
         news.sort_unstable_by_key(|(_, known)| known.number);
-        let next = news.get(MOST_TOLD).map_or(inner.next, |(_, known)| known.number);
-        news.truncate(MOST_TOLD);
-        let told =
-            |(life, known): (&LifeHash, &Known)| Some(ToldLimit::new(*life, known.belief.news()?));
-        (news.into_iter().filter_map(told).collect(), next)
+        let next = news.get(MOST_REPORTED).map_or(inner.next, |(_, known)| known.number);
+        news.truncate(MOST_REPORTED);
+        let reported = |(life, known): (&LifeHash, &Known)| {
+            Some(LimitUpdate::new(*life, known.belief.news()?))
+        };
+        (news.into_iter().filter_map(reported).collect(), next)
     }
 
     /// Part of the state dump.
@@ -214,12 +215,12 @@
         let inner = self.lock();
         let one = |(life, known): (&LifeHash, &Known)| {
             let member = fleet.by_life(*life)?;
-            let heard_ms = now.saturating_sub(known.belief.heard_at()).as_millis() as u64;
+            let received_ms = now.saturating_sub(known.belief.received_at()).as_millis() as u64;
             Some(json!({
                 "server": member.server.id,
                 "rate": known.belief.rate()?,
-                "heard_ms": heard_ms,
-                "heard_here": known.is_own,
+                "received_ms": received_ms,
+                "received_here": known.is_own,
             }))
         };
         Value::Array(inner.servers.iter().filter_map(one).collect())
@@ -228,11 +229,11 @@
     /// Forgets servers that are long out of view.
     pub(crate) fn forget_gone(&self, fleet: &Fleet, now: Duration) {
         let is_kept = |life: &LifeHash, known: &mut Known| {
-            fleet.by_life(*life).is_some() || now < known.belief.heard_at() + REMEMBERED
+            fleet.by_life(*life).is_some() || now < known.belief.received_at() + REMEMBERED
         };
         let mut inner = self.lock();
         inner.servers.retain(is_kept);
-        self.in_need.store(inner.in_need(), Ordering::Release);
+        self.rate_limited.store(inner.rate_limited(), Ordering::Release);
     }
 }
 
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -21,7 +21,7 @@
 
 /// The link to another entry, as those who follow a table see it.
 ///
-/// While it is current it stands in for the store: the other entry hears the store's answers and
+/// While it is current it stands in for the store: the other entry receives the store's answers and
 /// passes on what they say (docs/decisions/0009).
 #[derive(Debug, Default)]
 pub(crate) struct Link {
--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -25,7 +25,7 @@
 const LEAST_BUFFER: usize = 8 << 10;
 /// Time an accept that failed is left alone, for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Time that callers may use a connection beyond the limit told to them.
+/// Time that callers may use a connection beyond the limit that they were given.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
 /// Takes callers' connections until `closing` says so, then closes those that are idle and waits
--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -32,7 +32,7 @@
     left: HashMap<Box<str>, Duration>,
     /// Such servers, until when the store would have dropped them if they are gone.
     distrusted: HashMap<Box<str>, (BackendServer, Duration)>,
-    /// Rows that could not be read, by key, at this revision: each is told of once.
+    /// Rows that could not be read, by key, at this revision: each is logged once.
     unreadable: HashMap<Box<str>, Revision>,
 }
 
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Whether a row that the store came back with tells less than is known: the server wrote on since, or left.
+    /// Whether a row that the store came back with shows less than is known: the server wrote on since, or left.
     fn is_outdated(&mut self, server: &BackendServer, now: Duration) -> bool {
         if let Some(known) = self.servers.get(&server.id) {
             return known.born == server.born && server.sequence < known.sequence;
@@ -81,9 +81,9 @@
         let known = self.servers.get(&row.key).and_then(|server| server.born);
         match read_server(row) {
             Ok(server) if known.is_some() && server.born.is_none() => {
-                self.pass_over(row, "it does not tell its start, as it did before");
+                self.pass_over(row, "it does not have its start, as it did before");
             }
-            // What a former life said, and what reached the store after the present one's first word.
+            // What a former life said, and what reached the store after the present one's first report.
             Ok(server) if server.born < known => {
                 event::FORMER_LIFE_SHOWN.log(format_args!(
                     "server={} shown={:?} known={known:?}",
@@ -111,11 +111,11 @@
         }
     }
 
-    /// Servers that may be used. Where most tell their start, all do: a row without it has another writer.
+    /// Servers that may be used. Where most report their start, all do: a row without it has another writer.
     pub(crate) fn usable(&self) -> impl Iterator<Item = &BackendServer> {
-        let tell = self.servers.values().filter(|server| server.born.is_some()).count();
-        let is_told = tell * 2 > self.servers.len();
-        self.servers.values().filter(move |server| !is_told || server.born.is_some())
+        let reporting = self.servers.values().filter(|server| server.born.is_some()).count();
+        let is_reported = reporting * 2 > self.servers.len();
+        self.servers.values().filter(move |server| !is_reported || server.born.is_some())
     }
 
     /// Rows that can't be read.
--- a/src/router/load_board.rs
+++ b/src/router/load_board.rs
@@ -1,6 +1,6 @@
-//! What entries tell each other about the load they put on BackendServers.
+//! What entries report to each other about the load they put on BackendServers.
 //!
-//! A server's answers tell its load, but with many entries each of them hears from one server only
+//! A server's answers report its load, but with many entries each of them gets answers of one server only
 //! every few seconds. So each entry reports what it has at each server to the seeds, and these
 //! add the reports up and pass the sums on (docs/decisions/0010).
 
@@ -15,11 +15,11 @@
 
 /// Age at which a report counts no more: three reports missed.
 const REPORT_LASTS: Duration = Duration::from_millis(1_200);
-/// Servers told of at most, the busiest first: 3 KB at 2,100 servers. Servers that are not told of look
+/// Servers reported at most, the busiest first: 3 KB at 2,100 servers. Servers that are not reported look
 /// free, so there is room for all that a pool of some hundred has.
-const MOST_TOLD: usize = 256;
+const MOST_REPORTED: usize = 256;
 
-/// Load that one entry, or all of them, have put on a server. It is told as three numbers without names,
+/// Load that one entry, or all of them, have put on a server. It is reported as three numbers without names,
 /// 11 bytes instead of 40.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
@@ -76,9 +76,9 @@
 }
 
 fn busiest(mut loads: Vec<ServerLoad>) -> Vec<ServerLoad> {
-    if loads.len() > MOST_TOLD {
+    if loads.len() > MOST_REPORTED {
         loads.sort_by_key(|load| std::cmp::Reverse((load.backlog_ms, load.requests)));
-        loads.truncate(MOST_TOLD);
+        loads.truncate(MOST_REPORTED);
     }
     loads
 }
@@ -171,11 +171,11 @@
         let all: HashMap<u32, &ServerLoad> = sums.iter().map(|l| (l.server, l)).collect();
         for member in fleet.members() {
             let server = member.short_hash();
-            let told = |of: &HashMap<u32, &ServerLoad>| {
+            let reported = |of: &HashMap<u32, &ServerLoad>| {
                 of.get(&server).map_or((0, 0), |load| (load.requests, load.backlog_ms))
             };
-            let (requests, backlog_ms) = told(&all);
-            let (own_requests, own_backlog_ms) = told(&own);
+            let (requests, backlog_ms) = reported(&all);
+            let (own_requests, own_backlog_ms) = reported(&own);
             let backlog = Duration::from_millis(backlog_ms.saturating_sub(own_backlog_ms).into());
             let requests = requests.saturating_sub(own_requests);
             member.record().load.note_others(requests, backlog, now);
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -70,12 +70,12 @@
     /// Prompt parts it is believed to keep.
     pub(crate) kept: KeptParts,
     /// When anything last came from it, on the entry's clock.
-    pub(crate) heard_at: Duration,
+    pub(crate) received_at: Duration,
     /// Whether another server answered at its address.
     pub(crate) is_replaced: bool,
     /// Sends of this entry while it took few.
     limited_sends: LimitedSends,
-    /// When it last named a limit that could not be read.
+    /// When it last advertised a limit that could not be read.
     limit_unreadable_at: Option<Duration>,
     /// When it last asked for a pause that could not be read.
     retry_after_unreadable_at: Option<Duration>,
@@ -94,7 +94,7 @@
     pub server: BackendServer,
     id_hash: u64,
     waits_until: Duration,
-    /// Until when its row tells it to be cold; later than it is by the row's age.
+    /// Until when its row says that it is cold; later than it is by the row's age.
     cold_until: Duration,
     /// Since when its row says that it is draining.
     draining_since: Option<Duration>,
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Until when its row tells it to be cold.
+    /// Until when its row says that it is cold.
     pub(crate) fn cold_until(&self) -> Duration {
         self.cold_until
     }
@@ -162,7 +162,7 @@
         may
     }
 
-    /// Notes that it named a limit that can't be read; whether that is to be logged.
+    /// Notes that it advertised a limit that can't be read; whether that is to be logged.
     pub(crate) fn note_unreadable_limit(&self, now: Duration) -> bool {
         is_due(&mut self.record().limit_unreadable_at, now)
     }
@@ -186,13 +186,13 @@
         self.life.look.lock().await
     }
 
-    /// Waits until the list tells that the server has started again: what it ran is lost, though its
+    /// Waits until the list shows that the server has started again: what it ran is lost, though its
     /// connections may never say so, and a caller would wait for that until its deadline. For a server that
-    /// was taken off the list in between, probes of its connections have to tell.
+    /// was taken off the list in between, probes of its connections have to find out.
     pub(crate) async fn until_ended(&self) {
         let mut has_ended = self.life.has_ended.subscribe();
         if has_ended.wait_for(|ended| *ended).await.is_err() {
-            // Without a sender nobody can tell any more.
+            // Without a sender nobody can report it any more.
             std::future::pending::<()>().await;
         }
     }
@@ -210,7 +210,7 @@
         record.kept = KeptParts::default();
     }
 
-    /// Notes an answer that shows the server as sound.
+    /// Notes an answer that shows the server as healthy.
     pub(crate) fn note_answer(&self, now: Duration) {
         let mut record = self.record();
         record.outlier.note_answer(&OUTLIER_RULES);
@@ -235,8 +235,8 @@
     }
 
     /// Notes that something came from the server.
-    pub(crate) fn note_heard(&self, now: Duration) {
-        self.record().heard_at = now;
+    pub(crate) fn note_received(&self, now: Duration) {
+        self.record().received_at = now;
     }
 
     /// Time for prompts sent to it that are not read yet, of all entries.
@@ -252,7 +252,7 @@
     }
 
     /// Hash of the server's life, cut to four bytes for the messages between entries: rarely two
-    /// servers share it, and then both are believed to have what either has. What entries tell of a
+    /// servers share it, and then both are believed to have what either has. What entries report of a
     /// former life finds no server.
     pub(crate) fn short_hash(&self) -> u32 {
         self.life_hash() as u32
@@ -277,8 +277,8 @@
     }
 
     /// When anything last came from it.
-    pub(crate) fn heard_at(&self) -> Duration {
-        self.record().heard_at
+    pub(crate) fn received_at(&self) -> Duration {
+        self.record().received_at
     }
 
     /// Whether it has announced that it is draining, in its row or in an answer.
--- a/src/router/messages.rs
+++ b/src/router/messages.rs
@@ -8,15 +8,15 @@
 use crate::{
     ids::{Era, Revision},
     router::{
-        kept_board::KeptNote, limit_board::ToldLimit, load_board::ServerLoad,
-        packed_rows::PackedUpdate, quarantine_board::ToldNote, trial::VersionEvidence,
+        kept_board::KeptNote, limit_board::LimitUpdate, load_board::ServerLoad,
+        packed_rows::PackedUpdate, quarantine_board::NoteUpdate, trial::VersionEvidence,
     },
 };
 
 /// What an entry says on a link that it opened.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Asked {
-    /// It wants to hear what the store says.
+    /// It wants to receive what the store says.
     Follow {
         /// Newest rows it has, by the store's count.
         version: Revision,
@@ -42,30 +42,30 @@
     pub(crate) evidence: Vec<VersionEvidence>,
     /// Prompt parts that it sent since its last report.
     pub(crate) kept: Vec<KeptNote>,
-    /// Ends of servers since its last report; absent from entries that tell of none.
+    /// Ends of servers since its last report; absent from entries that report none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub(crate) ends: Vec<ToldNote>,
+    pub(crate) ends: Vec<NoteUpdate>,
     /// Limits of servers that changed since its last report.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub(crate) limits: Vec<ToldLimit>,
+    pub(crate) limits: Vec<LimitUpdate>,
     /// Whether it has just started, and does not know its place among all yet.
     #[serde(default)]
     pub(crate) is_new: bool,
 }
 
-/// A follower's place among those that share, as a seed tells it.
+/// A follower's place among those that share, as a seed reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ToldPlace {
+pub(crate) struct ReportedPlace {
     pub(crate) rank: u32,
     pub(crate) entries: u32,
-    /// Whether the seed has been up for long enough to hear from all.
+    /// Whether the seed has been up for long enough to get updates from all.
     pub(crate) sees_all: bool,
 }
 
 /// What the entry that is followed says, or one that is reported to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Told {
-    /// Its first word.
+pub(crate) enum PeerMessage {
+    /// Its first message.
     Welcome {
         /// Its AvailabilityZone.
         zone: Box<str>,
@@ -75,35 +75,35 @@
         /// Whether the store answers it.
         is_current: bool,
         updates: Vec<PackedUpdate>,
-        /// How many entries report to it, itself included; 0 from one that does not tell.
+        /// How many entries report to it, itself included; 0 from one that does not say.
         #[serde(default)]
         entries: usize,
         /// The follower's place; none where it does not report yet.
         #[serde(default)]
-        place: Option<ToldPlace>,
+        place: Option<ReportedPlace>,
         /// What all entries together have at the servers.
         loads: Vec<ServerLoad>,
         /// Prompt parts that entries sent since the last heartbeat.
         kept: Vec<KeptNote>,
         /// Ends of servers since the last heartbeat, or all that are known in the first one; absent from
-        /// entries that tell of none.
+        /// entries that report none.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        ends: Vec<ToldNote>,
-        /// Whether these are all, with what was known before it started; not so with one that does not tell.
+        ends: Vec<NoteUpdate>,
+        /// Whether these are all, with what was known before it started; not so with one that does not say.
         #[serde(default)]
         is_informed: bool,
         /// Limits of servers that changed since the last heartbeat, or all that are known in the first ones.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        limits: Vec<ToldLimit>,
+        limits: Vec<LimitUpdate>,
     },
-    /// Urgent news for an entry that reports here, whatever it hears from the one that it follows: that one may be
+    /// Urgent news for an entry that reports here, whatever it receives from the one that it follows: that one may be
     /// suspended, or cut off, and it takes a second or two to be left for another one.
     News {
         /// Ends of servers under requests that several have ended under.
         #[serde(default)]
-        ends: Vec<ToldNote>,
+        ends: Vec<NoteUpdate>,
         /// Limits of servers that changed.
         #[serde(default)]
-        limits: Vec<ToldLimit>,
+        limits: Vec<LimitUpdate>,
     },
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,6 +5,7 @@
 //! ([`relay`]). What the platform's store says is followed on the control thread ([`feed`], [`driver`]),
 //! or learned from another entry ([`follow`], [`peers`]). The design is in docs/decisions/0008.
 
+mod advertised_limits;
 mod announcements;
 mod attempt;
 mod availability;
@@ -28,8 +29,9 @@
 mod load_board;
 mod member;
 mod messages;
-mod named_limits;
+
 mod note_log;
+mod observability;
 mod orders;
 mod own_place;
 mod packed_rows;
@@ -47,7 +49,7 @@
 mod run;
 mod serve;
 mod servers;
-mod sight;
+
 mod silence;
 mod stages;
 mod state;
--- a/src/router/note_log.rs
+++ b/src/router/note_log.rs
@@ -1,16 +1,16 @@
-//! Notes that entries tell each other, in the order in which they came.
+//! Notes that entries send each other, in the order in which they came.
 
 use std::{collections::VecDeque, time::Duration};
 
-/// How much is kept and told.
+/// How much is kept and reported.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NoteLimits {
     /// Notes kept for links that are behind or new.
     pub(crate) kept: usize,
-    /// Notes told in one message.
-    pub(crate) told: usize,
+    /// Notes reported in one message.
+    pub(crate) reported: usize,
     /// Age at which a note is passed on no more.
-    pub(crate) told_for: Duration,
+    pub(crate) reported_for: Duration,
 }
 
 /// Notes in the order in which they came; readers keep the number of the next one they want.
@@ -46,10 +46,11 @@
     pub(crate) fn from(&mut self, number: u64, now: Duration) -> (Vec<T>, u64) {
         let skipped = usize::try_from(number.saturating_sub(self.first)).unwrap_or(usize::MAX);
         let after = self.notes.iter().skip(skipped);
-        let fresh = after.filter(|(at, _)| now < *at + self.limits.told_for).map(|(_, note)| *note);
+        let fresh =
+            after.filter(|(at, _)| now < *at + self.limits.reported_for).map(|(_, note)| *note);
         let fresh: Vec<T> = fresh.collect();
-        // The newest count: what is left out was told earlier.
-        let left_out = fresh.len().saturating_sub(self.limits.told);
+        // The newest count: what is left out was reported earlier.
+        let left_out = fresh.len().saturating_sub(self.limits.reported);
         // A reader that begins has nothing to lose.
         if number > 0 {
             self.lost += self.first.saturating_sub(number) + left_out as u64;
--- a/src/router/sight.rs
+++ b/src/router/observability.rs
@@ -32,8 +32,8 @@
         }
         let evacuated = self.evacuations.zones().len();
         self.metrics.evacuated_zones.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
-        let in_need = i64::try_from(self.limits.in_need()).unwrap_or(i64::MAX);
-        self.metrics.servers_in_need.set(in_need);
+        let rate_limited = i64::try_from(self.limits.rate_limited()).unwrap_or(i64::MAX);
+        self.metrics.servers_rate_limited.set(rate_limited);
         let fleet = self.fleet.load();
         let announced: Vec<_> = fleet.members().map(|m| m.record().announced).collect();
         let draining = announced.iter().filter(|a| a.draining_since().is_some()).count();
--- a/src/router/orders.rs
+++ b/src/router/orders.rs
@@ -65,10 +65,10 @@
     match change {
         OperatorChange::Configuration(table) => put_in_force(router, *table),
         OperatorChange::RollOut(order) => {
-            let told =
+            let reported =
                 format!("service={} to={} within={:?}", order.service, order.to, order.within);
             if router.roll_outs.order(order, router.now(), is_start) {
-                event::ROLL_OUT_ORDERED.log(format_args!("{told}"));
+                event::ROLL_OUT_ORDERED.log(format_args!("{reported}"));
                 note_versions(router);
             }
         }
--- a/src/router/own_place.rs
+++ b/src/router/own_place.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     policy::place::{Place, PlaceBelief, Sharer},
-    router::{Router, messages::ToldPlace},
+    router::{Router, messages::ReportedPlace},
 };
 
 /// Time after which a seed that has started has reports of all entries: they try it again after 2 s.
@@ -18,10 +18,10 @@
 
 impl OwnPlace {
     /// Takes in this entry's place among all.
-    pub(crate) fn note(&self, reported: ToldPlace, now: Duration) {
-        let ToldPlace { rank, entries, sees_all } = reported;
+    pub(crate) fn note(&self, reported: ReportedPlace, now: Duration) {
+        let ReportedPlace { rank, entries, sees_all } = reported;
         let mut belief = self.belief.lock().expect("no panics under the lock");
-        belief.hear(Place { rank, entries }, sees_all, now);
+        belief.note(Place { rank, entries }, sees_all, now);
     }
 
     /// How many share, as far as it was reported.
@@ -45,11 +45,11 @@
     }
 
     /// The place of an entry that reports to this one, or of this one itself.
-    pub(crate) fn place_of(&self, host: &str) -> Option<ToldPlace> {
+    pub(crate) fn place_of(&self, host: &str) -> Option<ReportedPlace> {
         let settings = self.settings.load();
         let own = Sharer { host: &settings.host, is_settled: self.place().is_some() };
         let Place { rank, entries } = self.loads.place(host, own, self.now())?;
-        Some(ToldPlace {
+        Some(ReportedPlace {
             rank,
             entries,
             sees_all: self.now() >= self.started_at() + SEES_ALL_AFTER,
--- a/src/router/packed_rows.rs
+++ b/src/router/packed_rows.rs
@@ -27,7 +27,7 @@
     version: Revision,
     store_now: Duration,
     is_whole: bool,
-    /// Not told where the store never came back from a copy.
+    /// Not sent where the store never came back from a copy.
     #[serde(default, skip_serializing_if = "is_first")]
     era: Era,
     /// Whether the store's rows lack some of these.
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -27,7 +27,7 @@
     protocol::{Error, Result, decode, encode},
     router::{
         Router,
-        messages::{Asked, Report, Told},
+        messages::{Asked, PeerMessage, Report},
         urgent_news::UrgentNews,
     },
     telemetry::event,
@@ -37,8 +37,8 @@
 pub(crate) const OPENING: Duration = Duration::from_secs(1);
 /// Time between heartbeats on a link.
 const BEAT_EVERY: Duration = Duration::from_millis(300);
-/// Time for which news of a server's end is gathered before it is told: dozens of entries see one end within
-/// 10 ms, and each message tells the load as well, 3 KB. A request that ends servers may come to any entry
+/// Time for which news of a server's end is gathered before it is reported: dozens of entries see one end within
+/// 10 ms, and each message reports the load as well, 3 KB. A request that ends servers may come to any entry
 /// within a tenth of a second.
 pub(crate) const GATHER: Duration = Duration::from_millis(30);
 /// Silence after which a link is given up: three heartbeats. The store is asked at once after
@@ -94,7 +94,7 @@
 async fn serve(router: &Router, stream: TcpStream) -> Result<()> {
     stream.set_nodelay(true)?;
     let mut socket = timeout(OPENING, accept_async(stream)).await.map_err(|_| silent())??;
-    match timeout(OPENING, hear(&mut socket)).await.map_err(|_| silent())?? {
+    match timeout(OPENING, receive(&mut socket)).await.map_err(|_| silent())?? {
         Asked::Follow { version, era, only_in, host } => {
             let version = StoreVersion { era, revision: version };
             serve_follower(router, socket, version, only_in.as_deref(), &host).await
@@ -131,13 +131,13 @@
         router.loads.take_report(host, link, loads, !report.is_new, now);
         router.roll_outs.take_evidence(host, report.evidence);
         router.kept.take_report(&report.kept, &router.fleet.load(), router.now());
-        router.quarantine.take_told(&report.ends, router.now());
-        router.take_told_limits(&report.limits);
+        router.quarantine.take_update(&report.ends, router.now());
+        router.take_limit_updates(&report.limits);
         report = loop {
             let asked = tokio::select! {
-                asked = hear(&mut socket) => asked?,
-                told = news.next() => {
-                    tell(&mut socket, &told).await?;
+                asked = receive(&mut socket) => asked?,
+                message = news.next() => {
+                    send_message(&mut socket, &message).await?;
                     continue;
                 }
             };
@@ -149,7 +149,7 @@
     }
 }
 
-/// Tells a follower what the store says until it leaves.
+/// Passes on to a follower what the store says until it leaves.
 async fn serve_follower(
     router: &Router,
     mut socket: Socket,
@@ -159,7 +159,7 @@
 ) -> Result<()> {
     let zone = router.settings.load().zone.clone();
     let is_wanted = only_in.is_none_or(|wanted| *wanted == *zone);
-    tell(&mut socket, &Told::Welcome { zone }).await?;
+    send_message(&mut socket, &PeerMessage::Welcome { zone }).await?;
     if !is_wanted {
         return Ok(());
     }
@@ -181,7 +181,7 @@
         let entries = router.loads.entries(router.now());
         let place = router.place_of(host);
         let is_informed = router.quarantine.is_informed();
-        let beat = Told::Beat {
+        let beat = PeerMessage::Beat {
             is_current,
             updates,
             entries,
@@ -192,7 +192,7 @@
             is_informed,
             limits,
         };
-        tell(&mut socket, &beat).await?;
+        send_message(&mut socket, &beat).await?;
         updates = tokio::select! {
             update = news.recv() => match update {
                 Ok(update) => vec![update],
@@ -215,8 +215,8 @@
     }
 }
 
-pub(crate) async fn tell<T: Serialize>(socket: &mut Socket, told: &T) -> Result<()> {
-    let message = Message::binary(encode(told));
+pub(crate) async fn send_message<T: Serialize>(socket: &mut Socket, message: &T) -> Result<()> {
+    let message = Message::binary(encode(message));
     timeout(SILENT_AFTER, socket.send(message)).await.map_err(|_| silent())??;
     Ok(())
 }
@@ -244,7 +244,7 @@
     Ok(socket)
 }
 
-pub(crate) async fn hear<T: DeserializeOwned>(socket: &mut Socket) -> Result<T> {
+pub(crate) async fn receive<T: DeserializeOwned>(socket: &mut Socket) -> Result<T> {
     loop {
         if let Message::Binary(data) = next_message(socket).await? {
             return decode(&data);
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -14,13 +14,13 @@
     telemetry::event,
 };
 
-/// Longest wait for the store's word on a trial: two calls of 5 ms each, ten times over.
+/// Longest wait for the store's answer about a trial: two calls of 5 ms each, ten times over.
 const TRIAL_WAIT: Duration = Duration::from_millis(100);
 /// Age at which what another entry said counts no more: four heartbeats.
-const HEARD_LASTS: Duration = Duration::from_millis(1_200);
-/// What a caller is told whose request only an operator can let go: as long as it is remembered.
+const REPORT_LASTS: Duration = Duration::from_millis(1_200);
+/// `Retry-After` for a request that only an operator can release: as long as it is remembered.
 const REFUSED_FOR_GOOD: Duration = Duration::from_secs(24 * 60 * 60);
-/// Least that a caller is told: where a trial is due and can't be made now, it is under way at another entry, or
+/// Least `Retry-After`: where a trial is due and can't be made now, it is under way at another entry, or
 /// the store is away.
 const LEAST_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -56,11 +56,11 @@
         self.trials.1.lock().expect("no panics under the lock").take()
     }
 
-    /// Whether this entry hears from no other one.
+    /// Whether this entry gets updates from no other one.
     pub(crate) fn is_alone(&self) -> bool {
         let now = self.now();
-        let is_told = now < self.views.heard_at() + HEARD_LASTS;
-        !is_told && self.loads.entries(now) <= 1
+        let is_reported = now < self.views.received_at() + REPORT_LASTS;
+        !is_reported && self.loads.entries(now) <= 1
     }
 
     /// Waits until a request reaches no more servers.
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Lets a request go by its fingerprint, as the state dump shows it; all other entries are told.
+    /// Lets a request go by its fingerprint, as the state dump shows it; all other entries are informed.
     pub fn release(&self, fingerprint: &str) -> Released {
         let Ok(number) = u128::from_str_radix(fingerprint, 16) else {
             return Released::Unreadable;
--- a/src/router/quarantine_board.rs
+++ b/src/router/quarantine_board.rs
@@ -1,7 +1,7 @@
-//! What entries tell each other about requests under which servers ended.
+//! What entries report to each other about requests under which servers ended.
 //!
 //! Each entry knows what it had at a server when that ended, and the same work comes again at any entry.
-//! So each end is told to every seed at once, and the seeds tell all that follow them
+//! So each end is reported to every seed at once, and the seeds report to all that follow them
 //! (docs/decisions/0015).
 
 use std::{
@@ -24,8 +24,9 @@
 };
 
 /// Notes kept for links that are behind: those of a zone's loss, and 0.4 MB at most. A message has 512
-/// at most, 16 KB; what is told of later is told to new links as a whole.
-const LIMITS: NoteLimits = NoteLimits { kept: 4_096, told: 512, told_for: Duration::from_secs(60) };
+/// at most, 16 KB; what comes later is sent to new links as a whole.
+const LIMITS: NoteLimits =
+    NoteLimits { kept: 4_096, reported: 512, reported_for: Duration::from_secs(60) };
 
 /// Ends under a request from which on news of it is urgent: one more and it is refused.
 const GRAVE_FROM: usize = 2;
@@ -33,9 +34,9 @@
 /// A note on its way: fingerprint in two halves, the life, and the age in milliseconds, none where the end is
 /// annulled. Four numbers without names take 32 bytes instead of 70.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ToldNote(u64, u64, LifeHash, Option<u32>);
+pub(crate) struct NoteUpdate(u64, u64, LifeHash, Option<u32>);
 
-impl ToldNote {
+impl NoteUpdate {
     fn new(note: &Note, now: Duration) -> Self {
         let age_ms =
             |at: &Duration| u32::try_from(now.saturating_sub(*at).as_millis()).unwrap_or(u32::MAX);
@@ -62,7 +63,7 @@
     quarantine: Quarantine,
     /// What this entry saw itself.
     own: NoteLog<Note>,
-    /// What it saw or was told.
+    /// What it saw or received.
     all: NoteLog<Note>,
 }
 
@@ -112,25 +113,25 @@
         self.lock().quarantine.standing(fingerprint, now)
     }
 
-    /// Tells of each change from now on.
+    /// Notifies of each change from now on.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
     }
 
-    /// Tells of each change that this entry saw itself, from now on.
+    /// Notifies of each change that this entry saw itself, from now on.
     pub(crate) fn own_changes(&self) -> watch::Receiver<u64> {
         self.own_changes.subscribe()
     }
 
     /// Notes that a server ended at a time while these requests were at work there, as its address shows; the
-    /// life that ended may be one that the list has not told of yet.
+    /// life that ended may be one that the list has not shown yet.
     pub(crate) fn note_ends(&self, all: &[Fingerprint], listed: LifeHash, at: Duration) {
         let life = self.lock().quarantine.name_of_end(listed, at);
         self.note_listed_ends(all, life, at);
     }
 
     /// Notes that this life of a server ended at a time while these requests were at work there, as the list
-    /// tells. It is the same life for every entry, whenever each of them saw its own connections break.
+    /// reports. It is the same life for every entry, whenever each of them saw its own connections break.
     pub(crate) fn note_listed_ends(&self, all: &[Fingerprint], life: LifeHash, at: Duration) {
         let note = |f: &Fingerprint| Note::End { fingerprint: *f, life, at };
         self.take_in(all.iter().map(note), true, at);
@@ -152,10 +153,10 @@
         true
     }
 
-    /// Takes in what another entry tells.
-    pub(crate) fn take_told(&self, told: &[ToldNote], now: Duration) {
-        if !told.is_empty() {
-            self.take_in(told.iter().map(|note| note.read(now)), false, now);
+    /// Takes in what another entry reports.
+    pub(crate) fn take_update(&self, reported: &[NoteUpdate], now: Duration) {
+        if !reported.is_empty() {
+            self.take_in(reported.iter().map(|note| note.read(now)), false, now);
         }
     }
 
@@ -172,7 +173,7 @@
             for (life, at) in &case.ends {
                 let note = Note::End { fingerprint, life: *life, at: *at };
                 inner.all.push(note, now);
-                // Others may not have been told by who wrote it.
+                // Whoever wrote it may not have informed the others.
                 inner.own.push(note, now);
             }
         }
@@ -248,19 +249,19 @@
 
     /// What this entry saw since the note with this number, and the number to go on with. A reader that
     /// begins gets all that is known.
-    pub(crate) fn own_from(&self, number: Option<u64>, now: Duration) -> (Vec<ToldNote>, u64) {
+    pub(crate) fn own_from(&self, number: Option<u64>, now: Duration) -> (Vec<NoteUpdate>, u64) {
         self.from(number, now, |inner| &mut inner.own)
     }
 
-    /// The same of what this entry saw or was told.
-    pub(crate) fn all_from(&self, number: Option<u64>, now: Duration) -> (Vec<ToldNote>, u64) {
+    /// The same of what this entry saw or received.
+    pub(crate) fn all_from(&self, number: Option<u64>, now: Duration) -> (Vec<NoteUpdate>, u64) {
         self.from(number, now, |inner| &mut inner.all)
     }
 
-    /// What this entry saw or was told since the note with this number, of requests that may be refused next: all
+    /// What this entry saw or received since the note with this number, of requests that may be refused next: all
     /// ends under those that two or more count against. One end alone says little, and a zone's loss brings
     /// thousands of these.
-    pub(crate) fn grave_from(&self, number: u64, now: Duration) -> (Vec<ToldNote>, u64) {
+    pub(crate) fn grave_from(&self, number: u64, now: Duration) -> (Vec<NoteUpdate>, u64) {
         let mut inner = self.lock();
         let (notes, next) = inner.all.from(number, now);
         let mut requests: Vec<Fingerprint> = notes.iter().map(Note::fingerprint).collect();
@@ -268,7 +269,7 @@
         requests.dedup();
         let ends = requests.iter().map(|request| inner.quarantine.ends(request));
         let grave = ends.filter(|ends| ends.len() >= GRAVE_FROM).flatten();
-        (grave.map(|note| ToldNote::new(&note, now)).collect(), next)
+        (grave.map(|note| NoteUpdate::new(&note, now)).collect(), next)
     }
 
     fn from(
@@ -276,13 +277,13 @@
         number: Option<u64>,
         now: Duration,
         log: impl Fn(&mut Inner) -> &mut NoteLog<Note>,
-    ) -> (Vec<ToldNote>, u64) {
+    ) -> (Vec<NoteUpdate>, u64) {
         let mut inner = self.lock();
         let (notes, next) = match number {
             Some(number) => log(&mut inner).from(number, now),
             None => (inner.known_notes(now), log(&mut inner).next()),
         };
-        (notes.iter().map(|note| ToldNote::new(note, now)).collect(), next)
+        (notes.iter().map(|note| NoteUpdate::new(note, now)).collect(), next)
     }
 
     /// Notes that a link did not get because too many came.
@@ -330,7 +331,7 @@
             let fingerprint = case.fingerprint;
             case.ends.iter().map(move |(life, at)| Note::End { fingerprint, life: *life, at: *at })
         });
-        notes.take(LIMITS.told).collect()
+        notes.take(LIMITS.reported).collect()
     }
 }
 
--- a/src/router/quarantine_row.rs
+++ b/src/router/quarantine_row.rs
@@ -2,7 +2,7 @@
 //!
 //! All of them may be killed at once while the caller goes on asking; to learn again would cost three more
 //! servers each time. One row holds all cases: it is read as an entry starts, and written under a condition,
-//! so that no entry's word is lost (docs/decisions/0015).
+//! so that no entry's update is lost (docs/decisions/0015).
 
 use std::{sync::Arc, time::Duration};
 
@@ -27,13 +27,13 @@
 const MOST_CASES: usize = 256;
 /// Ends written of each case: what refuses it, and no more.
 const MOST_ENDS: usize = 4;
-/// Time an entry waits for another one to tell it what is refused, before it reads the row: a link to a
+/// Time an entry waits for another one to report what is refused, before it reads the row: a link to a
 /// running seed takes a few round trips, and callers wait half a second at most.
 const LINK_FIRST: Duration = Duration::from_millis(250);
-/// Pause after a call that failed, and between looks of an entry that hears from no other while something is
+/// Pause after a call that failed, and between looks of an entry that gets updates from no other while something is
 /// suspected.
 const PAUSE: Duration = Duration::from_millis(500);
-/// Time between looks of an entry that hears from no other while nothing is suspected: what the others find
+/// Time between looks of an entry that gets updates from no other while nothing is suspected: what the others find
 /// has to be known within 3 s.
 const LOOK_ALONE: Duration = Duration::from_millis(2_000);
 /// Time between looks at whether something has to be written.
@@ -201,7 +201,7 @@
     }
 }
 
-/// Waits a moment for another entry to tell what is refused.
+/// Waits a moment for another entry to report what is refused.
 async fn inform(router: &Router) {
     if router.may_follow() {
         let _ = timeout(LINK_FIRST, router.link.until_current()).await;
@@ -238,12 +238,12 @@
     let row = rows.iter().find(|row| &*row.key == ROW && !row.is_removed);
     kept.insert(Kept { version: 0, era: version.era, cases: Vec::new(), clocks }).take(router, row);
     if router.quarantine.note_informed() {
-        router.tell_news();
+        router.wake_waiters();
     }
     Ok(())
 }
 
-/// Writes what the row does not say yet: what is refused, and all that is suspected where nobody else hears of
+/// Writes what the row does not say yet: what is refused, and all that is suspected where nobody else learns of
 /// it.
 async fn write_news(
     router: &Router,
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -9,7 +9,7 @@
 /// Why a request gets no server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
 pub(crate) enum Refusal {
-    #[error("the request can't be told from others")]
+    #[error("the request can't be distinguished from others")]
     Malformed,
     #[error("no route")]
     NoRoute,
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -20,7 +20,7 @@
         dispatch::{Ask, Job, may_go_on, next_answer},
         refusal::Refusal,
         roll_out::RunOutcome,
-        silence::{Wait, bear},
+        silence::{Wait, wait_for_answer},
         stages::{self, StageEnd},
     },
     routing::{AnswerHead, AnswerKind, RouteKind},
@@ -86,7 +86,7 @@
     let wait =
         Wait { job, member: &server, patience: None, deadline: job.deadline, has_begun: true };
     let read = pin!(read_whole(router, job, answer));
-    bear(router, &wait, read, || false).await
+    wait_for_answer(router, &wait, read, || false).await
 }
 
 fn head_of(head: &AnswerHead) -> Response<AnswerBody> {
@@ -207,7 +207,7 @@
                 // A caller that has left no longer minds whether the end arrives.
                 let _ = self.tx.send(Part::End).await;
                 self.router.note_answered_whole(&self.job);
-                self.tell_if_late(&server);
+                self.log_if_late(&server);
                 return;
             };
             if matches!(e, StreamError::CallerGone) {
@@ -277,7 +277,7 @@
             };
             let has_begun = run.first.is_some();
             let wait = Wait { job, member: server, patience, deadline, has_begun };
-            let frame = bear(router, &wait, next, may_leave).await;
+            let frame = wait_for_answer(router, &wait, next, may_leave).await;
             if has_repeat {
                 self.job.note_repeat();
             }
@@ -295,7 +295,7 @@
             let Ok(data) = frame?.into_data() else {
                 continue;
             };
-            answer.member.note_heard(self.router.now());
+            answer.member.note_received(self.router.now());
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
@@ -342,8 +342,8 @@
         reading_key(&self.job, Ask { model: self.model.as_deref(), last_event: None })
     }
 
-    /// Tells of a stream that ended whole but came later than its route aims at.
-    fn tell_if_late(&self, server: &Member) {
+    /// Logs a stream that ended whole but came later than its route aims at.
+    fn log_if_late(&self, server: &Member) {
         let (first, pause) = (self.timing.first_after, self.timing.longest_pause);
         self.router.metrics.first_token.observe(first.as_secs_f64());
         let total = self.router.now().saturating_sub(self.job.arrived);
@@ -373,7 +373,7 @@
         }
     }
 
-    /// How long the server's silence is borne; without end where nothing else could be done.
+    /// How long the server's silence is tolerated; without end where nothing else could be done.
     fn patience(&self, server: &Member) -> Option<Patience> {
         let may_resume = self.job.route.is_resumable && self.job.runs_left() > 0;
         may_resume.then(|| event_patience(self.job.route.event_gap, server.awaited()))
--- a/src/router/reports.rs
+++ b/src/router/reports.rs
@@ -13,8 +13,10 @@
     protocol::{Error, Result, decode},
     router::{
         Router,
-        messages::{Asked, Report, Told},
-        peers::{GATHER, OPENING, ask_if_alive, next_message, open, other_seeds, silent, tell},
+        messages::{Asked, PeerMessage, Report},
+        peers::{
+            GATHER, OPENING, ask_if_alive, next_message, open, other_seeds, send_message, silent,
+        },
     },
     telemetry::event,
 };
@@ -29,7 +31,7 @@
     let mut links: JoinSet<()> = JoinSet::new();
     let mut reported: Vec<SocketAddr> = Vec::new();
     let (reports, _) = watch::channel(Report::default());
-    // A seed tells the others what it hears, too: some entries may not reach them.
+    // A seed passes on what it receives, too: some entries may not reach them.
     let (mut suspicions, mut urgent_limits) = if router.is_seed() {
         (router.quarantine.changes(), router.limits.urgent())
     } else {
@@ -53,7 +55,7 @@
         reports.send_replace(Report { loads, evidence, is_new, ..Report::default() });
         if router.is_seed() {
             let now = router.now();
-            router.hear_entries(router.loads.entries(now));
+            router.note_entries(router.loads.entries(now));
             if let Some(place) = router.place_of(&settings.host) {
                 router.own_place.note(place, now);
             }
@@ -67,7 +69,7 @@
             }
         };
         let is_news = timeout(REPORT_EVERY, news).await.is_ok();
-        // What an entry saw itself is told at once: it may be killed next.
+        // What an entry saw itself is reported at once: it may be killed next.
         if is_news && router.is_seed() {
             sleep(GATHER).await;
         }
@@ -113,7 +115,7 @@
             router.limits.own_from(next_limit)
         };
         (report.limits, next_limit) = (limits, Some(next));
-        tell(&mut socket, &Asked::Report { host: host.into(), report }).await?;
+        send_message(&mut socket, &Asked::Report { host: host.into(), report }).await?;
         ask_if_alive(&mut socket).await?;
         let mut is_alive = false;
         loop {
@@ -135,11 +137,11 @@
 }
 
 /// Takes in urgent news of an entry that is reported to.
-fn take_news(router: &Router, told: Told) -> Result<()> {
-    let Told::News { ends, limits } = told else {
+fn take_news(router: &Router, message: PeerMessage) -> Result<()> {
+    let PeerMessage::News { ends, limits } = message else {
         return Err(Error::Broken("news were expected".into()));
     };
-    router.quarantine.take_told(&ends, router.now());
-    router.take_told_limits(&limits);
+    router.quarantine.take_update(&ends, router.now());
+    router.take_limit_updates(&limits);
     Ok(())
 }
--- a/src/router/restore.rs
+++ b/src/router/restore.rs
@@ -62,7 +62,7 @@
 fn configuration_version(row: &Row) -> Option<u64> {
     match read_operator_row(row) {
         Ok(Some(OperatorChange::Configuration(table))) => Some(table.version),
-        // One that can't be read is told of where it is applied.
+        // One that can't be read is logged where it is applied.
         _ => None,
     }
 }
--- a/src/router/roll_out.rs
+++ b/src/router/roll_out.rs
@@ -30,7 +30,7 @@
 const MOST_SILENCES: usize = 4_096;
 
 /// What became of a run, as evidence on its version. Failures and slowness are tested apart:
-/// sound servers are slow now and then beside long prompts, and seldom fail.
+/// healthy servers are slow now and then beside long prompts, and seldom fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunOutcome {
     /// Whole and not slow.
@@ -89,7 +89,7 @@
         true
     }
 
-    /// Waits until an order is found whose state has to be heard.
+    /// Waits until an order is found whose state has to be learned.
     pub(crate) async fn until_found(&self) {
         self.found.notified().await;
     }
@@ -105,7 +105,7 @@
         self.lock().roll_outs.get(&order.service).is_some_and(RollOut::is_unknown)
     }
 
-    /// Notes that it was heard how far an order's roll-out got.
+    /// Notes that it is known how far an order's roll-out got.
     pub(crate) fn note_known(&self, order: &RollOutOrder) {
         if let Some(roll_out) = self.lock().roll_outs.get_mut(&order.service) {
             roll_out.found_at = None;
@@ -133,7 +133,7 @@
         ended.map(|r| (r.order.clone(), r.progress)).collect()
     }
 
-    /// Time since a roll-out began, where the store told when.
+    /// Time since a roll-out began, where the store reported when.
     pub(crate) fn begun_for(&self, order: &RollOutOrder, now: Duration) -> Option<Duration> {
         let inner = self.lock();
         let roll_out = inner.roll_outs.get(&order.service).filter(|r| r.is_begun)?;
@@ -189,9 +189,9 @@
         roll_out.map_or(VersionRule::Any, |roll_out| roll_out.rule(head, now, &self.terms))
     }
 
-    /// Tells of a session's request that is sent to a version on trial, so that the lines of all
+    /// Logs a session's request that is sent to a version on trial, so that the lines of all
     /// entries show when a session came to it.
-    pub(crate) fn tell_trial(&self, server: &BackendServer, head: &RequestHead, now: Duration) {
+    pub(crate) fn log_trial(&self, server: &BackendServer, head: &RequestHead, now: Duration) {
         let Some(session) = &head.session else {
             return;
         };
@@ -229,14 +229,14 @@
     pub(crate) fn note_silence(&self, server: &BackendServer, now: Duration) {
         {
             let mut inner = self.lock();
-            let told = inner.silences.entry(server.id.clone()).or_default();
-            let is_same = *told > Duration::ZERO && now < *told + SAME_SILENCE;
+            let reported = inner.silences.entry(server.id.clone()).or_default();
+            let is_same = *reported > Duration::ZERO && now < *reported + SAME_SILENCE;
             if is_same {
                 return;
             }
-            *told = now;
+            *reported = now;
             if inner.silences.len() > MOST_SILENCES {
-                inner.silences.retain(|_, told| now < *told + SAME_SILENCE);
+                inner.silences.retain(|_, reported| now < *reported + SAME_SILENCE);
             }
         }
         self.note_outcome(server, RunOutcome::Failed);
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -129,7 +129,7 @@
     };
     tokio::select! {
         _ = work => {}
-        // An entry that was dropped without a word has ended, too.
+        // An entry that was dropped without being stopped has ended, too.
         _ = has_ended.wait_for(|ended| *ended) => {}
     }
 }
--- a/src/router/servers.rs
+++ b/src/router/servers.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Tells the roll-outs under way which versions have servers.
+/// Notes for the roll-outs under way which versions have servers.
 pub(super) fn note_versions(router: &Router) {
     let fleet = router.fleet.load();
     for order in router.roll_outs.running() {
--- a/src/router/silence.rs
+++ b/src/router/silence.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Wait<'a> {
     pub(crate) job: &'a Job,
     pub(crate) member: &'a Member,
-    /// How long silence is borne; none where nothing else could be done.
+    /// How long silence is tolerated; none where nothing else could be done.
     pub(crate) patience: Option<Patience>,
     /// On the entry's clock.
     pub(crate) deadline: Duration,
@@ -25,9 +25,9 @@
 
 /// Waits for `work`; gives up at the deadline, when the server's life has ended, when the request is found to
 /// end servers, when the patience with a slow server is over, or when the server has been silent on all its
-/// connections for longer than a sound one is. A server that lives is left only if `may_leave` says that the
+/// connections for longer than a healthy one is. A server that lives is left only if `may_leave` says that the
 /// request can go on elsewhere: a slow answer is better than none.
-pub(crate) async fn bear<F: Future>(
+pub(crate) async fn wait_for_answer<F: Future>(
     router: &Router,
     wait: &Wait<'_>,
     work: Pin<&mut F>,
@@ -42,14 +42,14 @@
     tokio::select! {
         // What has come is taken, also from a life that has ended since.
         biased;
-        output = bear_living(router, wait, work, may_leave) => output,
+        output = wait_while_alive(router, wait, work, may_leave) => output,
         () = wait.member.until_ended() => None,
         // What waits at a server that has not begun to run it is taken back, and the server lives on.
         () = withdrawn => None,
     }
 }
 
-async fn bear_living<F: Future>(
+async fn wait_while_alive<F: Future>(
     router: &Router,
     wait: &Wait<'_>,
     mut work: Pin<&mut F>,
@@ -70,7 +70,7 @@
         if now >= deadline {
             return None;
         }
-        let silent_since = member.heard_at().max(began);
+        let silent_since = member.received_at().max(began);
         // A server that reads a long prompt says nothing meanwhile.
         let dark_at = silent_since + patience.dark + member.backlog_for_choice(now);
         if (now >= slow_at || now >= dark_at) && may_leave() {
--- a/src/router/stages.rs
+++ b/src/router/stages.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// Tells of an answer that is passed on because the larger model gave none in time.
+/// Logs an answer that is passed on because the larger model gave none in time.
 fn note_kept(router: &Router, job: &Job, earlier: &StageEnd) {
     let StageEnd { answer, model } = earlier;
     let model = model.as_deref().unwrap_or("-");
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -55,7 +55,7 @@
 /// all hosts lost power, and half a second leaves most of a stream's time to its first event.
 const VIEW_WAIT: Duration = Duration::from_millis(500);
 
-/// Time in which a process that starts or resumes is told what holds now: a read of the store takes 10 ms and
+/// Time in which a process that starts or resumes learns what holds now: a read of the store takes 10 ms and
 /// a link 0.3 s. Later, requests are no longer held for it.
 const FRESH_WITHIN: Duration = Duration::from_secs(2);
 /// Trials that may be asked for at once; a caller beyond them is refused, and the next one asks.
@@ -73,7 +73,7 @@
     pub(crate) evacuations: Evacuations,
     /// This entry's place among all.
     pub(crate) own_place: OwnPlace,
-    /// Servers that name a limit in their answers.
+    /// Servers that advertise a limit in their answers.
     pub(crate) limits: LimitBoard,
     /// Roll-outs and the evidence on their versions.
     pub roll_outs: RollOuts,
@@ -81,11 +81,11 @@
     pub policy: RouteSettings,
     /// The store's rows as last seen.
     pub(crate) views: Views,
-    /// What entries tell each other about the servers' load.
+    /// What entries report to each other about the servers' load.
     pub(crate) loads: LoadBoard,
-    /// What entries tell each other about prompt parts that servers keep.
+    /// What entries report to each other about prompt parts that servers keep.
     pub(crate) kept: KeptBoard,
-    /// What entries tell each other about requests under which servers ended.
+    /// What entries report to each other about requests under which servers ended.
     pub(crate) quarantine: QuarantineBoard,
     /// What was learned of the models' pace.
     pub(crate) readings: Readings,
@@ -98,7 +98,7 @@
     overloads: Mutex<HashMap<Box<str>, Overload>>,
     lifecycle: Mutex<Lifecycle>,
     in_flight: AtomicUsize,
-    /// Tells waiting requests that a configuration or servers came into view.
+    /// Wakes waiting requests when a configuration or servers come into view.
     news: Notify,
     stop_began: OnceLock<Duration>,
     /// The entry's clock.
@@ -149,7 +149,7 @@
         CLOCK_ORIGIN
     }
 
-    /// Looks whether the Host was suspended; then what was heard before is taken as old, and whoever waits
+    /// Looks whether the Host was suspended; then what was received before is taken as old, and whoever waits
     /// looks again.
     pub(crate) fn notice_suspension(&self) -> bool {
         let Some(suspended) = self.clock.notice_suspension() else {
@@ -162,14 +162,14 @@
         true
     }
 
-    /// Whether configuration and servers were heard of since the Host last resumed. Where nobody tells of them
+    /// Whether configuration and servers were received since the Host last resumed. Where nobody reports them
     /// in time, what was known before has to do, as where the store is away.
     pub(crate) fn is_view_fresh(&self) -> bool {
         let woke_at = self.clock.woke_at();
         self.views.applied_at() >= woke_at || self.now() >= woke_at + FRESH_WITHIN
     }
 
-    /// Whether this entry knows what is refused, or nobody told it in time.
+    /// Whether this entry knows what is refused, or nobody reported it in time.
     fn is_informed(&self) -> bool {
         self.quarantine.is_informed() || self.now() >= CLOCK_ORIGIN + FRESH_WITHIN
     }
@@ -219,13 +219,13 @@
         !self.is_seed() && self.link.is_current()
     }
 
-    /// Whether those that follow this entry hear what the store says.
+    /// Whether those that follow this entry receive what the store says.
     pub(crate) fn is_current(&self) -> bool {
         self.table.load().is_some() && !self.views.is_cut_off()
     }
 
-    /// Tells those who wait that something they may wait for is known.
-    pub(crate) fn tell_news(&self) {
+    /// Wakes those who wait, since something they may wait for is known.
+    pub(crate) fn wake_waiters(&self) {
         self.news.notify_waiters();
     }
 
@@ -241,15 +241,15 @@
                 // Where the store is away this can't be known, and requests are not held for it.
                 let lately = self.now().saturating_sub(VIEW_WAIT);
                 let is_known = !self.roll_outs.is_any_unknown(lately);
-                let is_heard = self.is_view_fresh() && self.is_informed();
-                if has_view && is_known && is_heard {
+                let is_received = self.is_view_fresh() && self.is_informed();
+                if has_view && is_known && is_received {
                     return;
                 }
                 news.await;
             }
         };
         // Without a view the request is refused by the checks that follow. A view from before a suspension is
-        // used where nobody tells a newer one in time.
+        // used where nobody reports a newer one in time.
         let _ = timeout(VIEW_WAIT, work).await;
     }
 
@@ -273,7 +273,7 @@
         still_fits(route, end.saturating_sub(self.now()))
     }
 
-    /// When a caller that is turned away by a leaving entry should come back. The balancer sends
+    /// When a caller that is rejected by a leaving entry should come back. The balancer sends
     /// new connections here only as long as it does not know, or when no other entry takes any:
     /// then there is nothing before the next process on this Host.
     pub(crate) fn leaving_retry_after(&self, connected_at: Duration) -> Duration {
@@ -342,11 +342,11 @@
 
     /// Takes in how many entries there are, as far as one knows that all report to. There are as many
     /// as the settings name at least, also where a seed is cut off from the others.
-    pub(crate) fn hear_entries(&self, entries: usize) {
+    pub(crate) fn note_entries(&self, entries: usize) {
         let named = self.settings.load().seeds.len();
         let entries = u32::try_from(entries.max(named)).unwrap_or(u32::MAX);
         let mut share = self.extra_share.lock().expect("no panics under the lock");
-        share.hear(entries, self.now());
+        share.note(entries, self.now());
     }
 
     /// Entries that this one knows of.
--- a/src/router/trial.rs
+++ b/src/router/trial.rs
@@ -34,7 +34,7 @@
     pub(super) service: Box<str>,
     /// Order it is about.
     pub(super) revision: Revision,
-    /// Era of the order; not told where the store never came back from a copy.
+    /// Era of the order; not reported where the store never came back from a copy.
     #[serde(default, skip_serializing_if = "is_first")]
     pub(super) era: Era,
     pub(super) old: Evidence,
@@ -48,7 +48,7 @@
     }
 }
 
-/// What the driver should tell the store.
+/// What the driver should write to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Verdict {
     pub(crate) order: RollOutOrder,
@@ -61,9 +61,9 @@
     pub(super) order: RollOutOrder,
     /// When it began, on the entry's clock.
     pub(super) began: Duration,
-    /// Whether the store told when it began.
+    /// Whether the store reported when it began.
     pub(super) is_begun: bool,
-    /// When this entry found it as it started, until it has heard how far it got.
+    /// When this entry found it as it started, until it has learned how far it got.
     pub(super) found_at: Option<Duration>,
     pub(super) progress: Progress,
     /// Whether the evidence, our own or that of all entries, says that the version is bad.
@@ -71,7 +71,7 @@
     pub(super) old: Evidence,
     pub(super) new: Evidence,
     pub(super) test: VersionTest,
-    /// The test on the evidence of all entries, where this one is told of it.
+    /// The test on the evidence of all entries, where this one is informed of it.
     pub(super) pooled_test: VersionTest,
     /// Evidence of the other entries, by Host.
     pub(super) others: HashMap<Box<str>, VersionEvidence>,
@@ -121,7 +121,7 @@
         if takes_new(head.session_key(), &self.order.to, share) { new } else { old }
     }
 
-    /// Whether nothing was heard yet of how far it got; an end that was heard stands.
+    /// Whether it is not known yet how far it got; an end that is known stands.
     pub(super) fn is_unknown(&self) -> bool {
         self.found_at.is_some() && self.progress == Progress::Running
     }
--- a/src/router/urgent_news.rs
+++ b/src/router/urgent_news.rs
@@ -2,7 +2,7 @@
 
 use tokio::{sync::watch, time::sleep};
 
-use crate::router::{Router, messages::Told, peers::GATHER};
+use crate::router::{Router, messages::PeerMessage, peers::GATHER};
 
 /// Urgent news for one link, as it comes.
 pub(super) struct UrgentNews<'a> {
@@ -11,19 +11,19 @@
     limits: watch::Receiver<u64>,
     next_end: u64,
     next_limit: u64,
-    /// Whether there was a change since it was last told of.
+    /// Whether there was a change since the last message.
     is_due: bool,
 }
 
 impl<'a> UrgentNews<'a> {
     pub(super) fn of(router: &'a Router) -> Self {
         let (suspicions, limits) = (router.quarantine.changes(), router.limits.urgent());
-        // What is known already is told at once.
+        // What is known already is reported at once.
         Self { router, suspicions, limits, next_end: 0, next_limit: 0, is_due: true }
     }
 
     /// Waits for the next urgent news. It may be dropped while it waits, and loses nothing by it.
-    pub(super) async fn next(&mut self) -> Told {
+    pub(super) async fn next(&mut self) -> PeerMessage {
         loop {
             if !self.is_due {
                 tokio::select! {
@@ -39,7 +39,7 @@
             let (limits, next_limit) = router.limits.all_from(self.next_limit);
             (self.next_end, self.next_limit) = (next_end, next_limit);
             if !ends.is_empty() || !limits.is_empty() {
-                return Told::News { ends, limits };
+                return PeerMessage::News { ends, limits };
             }
         }
     }
--- a/src/router/views.rs
+++ b/src/router/views.rs
@@ -79,7 +79,7 @@
     seen: Mutex<HashMap<Table, Seen>>,
     updates: broadcast::Sender<PackedUpdate>,
     /// When an entry that is followed last spoke.
-    heard_at: Mutex<Duration>,
+    received_at: Mutex<Duration>,
 }
 
 impl Default for Views {
@@ -87,13 +87,13 @@
         Self {
             seen: Mutex::default(),
             updates: broadcast::Sender::new(MOST_BEHIND),
-            heard_at: Mutex::default(),
+            received_at: Mutex::default(),
         }
     }
 }
 
 impl Views {
-    /// Takes in what the store or another entry said of a table, and tells the subscribers.
+    /// Takes in what the store or another entry said of a table, and informs the subscribers.
     pub(crate) fn note(&self, table: Table, rows: &Rows, is_whole: bool) {
         self.note_amended(table, rows, is_whole, false);
     }
@@ -134,7 +134,7 @@
     }
 
     /// All rows of the tables of which something newer than this has been seen, and what comes
-    /// after them. Rows about roll-outs are few and always told: an entry that starts has not read
+    /// after them. Rows about roll-outs are few and always sent: an entry that starts has not read
     /// them, whatever it has read of orders and servers.
     pub(crate) fn subscribe(
         &self,
@@ -176,18 +176,18 @@
     }
 
     /// Notes that an entry that is followed spoke.
-    pub(crate) fn note_heard(&self, now: Duration) {
-        *self.heard_at.lock().expect("no panics under the lock") = now;
+    pub(crate) fn note_received(&self, now: Duration) {
+        *self.received_at.lock().expect("no panics under the lock") = now;
     }
 
     /// When an entry that is followed last spoke.
-    pub(crate) fn heard_at(&self) -> Duration {
-        *self.heard_at.lock().expect("no panics under the lock")
+    pub(crate) fn received_at(&self) -> Duration {
+        *self.received_at.lock().expect("no panics under the lock")
     }
 
     /// When the store last answered about every table that is followed, or another entry spoke.
     pub(crate) fn answered_at(&self) -> Duration {
-        self.applied_at().max(self.heard_at())
+        self.applied_at().max(self.received_at())
     }
 
     /// Until when all that was said of every table that is followed has been taken in.
@@ -203,7 +203,7 @@
         seen.values().map(|seen| seen.version).min().unwrap_or_default()
     }
 
-    /// Newest era that was heard of.
+    /// Newest era that is known.
     pub(crate) fn era(&self) -> Era {
         let seen = self.seen.lock().expect("no panics under the lock");
         seen.values().map(|seen| seen.version.era).max().unwrap_or_default()
--- a/src/routing/answer.rs
+++ b/src/routing/answer.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, HeaderName, StatusCode};
 
-use crate::policy::{load::ReportedLoad, rate_limit::SaidLimit, retry_after::RetryAfter};
+use crate::policy::{load::ReportedLoad, rate_limit::AdvertisedLimit, retry_after::RetryAfter};
 
 /// What an answer proves about its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -42,7 +42,7 @@
     /// How loaded the server says it is.
     pub load: Option<ReportedLoad>,
     /// How many requests it says it takes.
-    pub rate_limit: SaidLimit,
+    pub rate_limit: AdvertisedLimit,
     /// Whether the server announces that it is draining.
     pub is_draining: bool,
     /// How long it asks to be sent nothing.
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -15,7 +15,7 @@
 pub struct BackendServer {
     /// Id, which requests name so that no other server runs them.
     pub id: Box<str>,
-    /// When this life began; none where the platform does not tell.
+    /// When this life began; none where the platform does not report it.
     pub born: Option<BornAt>,
     /// Service it belongs to.
     pub service: Box<str>,
@@ -33,7 +33,7 @@
     pub cold_for: Duration,
     /// Counts what it wrote or accepted in this life.
     pub sequence: u64,
-    /// When its row was written, so that two rows that say the same are told apart.
+    /// When its row was written, so that two rows that say the same are distinguished.
     pub written_at: StoreVersion,
     /// Models it has loaded; empty where it is no model engine.
     pub models: Vec<Box<str>>,
--- a/src/routing/roll_out.rs
+++ b/src/routing/roll_out.rs
@@ -13,7 +13,7 @@
     pub to: ServerVersion,
     /// Time in which it is to be done.
     pub within: Duration,
-    /// When the store's row was written, which tells one order from the next.
+    /// When the store's row was written, which distinguishes one order from the next.
     pub revision: StoreVersion,
 }
 
@@ -36,7 +36,7 @@
     RolledBack,
 }
 
-/// What this system tells the operator about a roll-out.
+/// What this system reports to the operator about a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RollOutStatus {
     /// The version it moves to.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -85,7 +85,7 @@
 /// An Organisation as the operator declares it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Organisation {
-    /// Name, which servers are told.
+    /// Name, which servers receive.
     pub name: Box<str>,
     /// Rank that replaces the route's, if it has one.
     pub priority: Option<u8>,
@@ -115,7 +115,7 @@
     pub routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     /// Tokens that one BackendServer of a service has memory for; none where no model runs.
     pub memories: HashMap<Box<str>, u64>,
-    /// What a cold BackendServer of a service bears; none where they start warm.
+    /// What a cold BackendServer of a service takes; none where they start warm.
     pub cold: HashMap<Box<str>, ColdTerms>,
     /// Organisations by key; none where requests need no keys at all.
     pub keys: Option<HashMap<Box<str>, Arc<Organisation>>>,
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -50,7 +50,7 @@
     ACCEPT_FAILED = 105, Warn, "A connection could not be taken.";
     SETTINGS_RELOADED = 106, Info, "The settings file was read again.";
     SETTINGS_UNREADABLE = 107, Error, "The settings file can't be read again; the old settings stay in force.";
-    HOST_RESUMED = 108, Warn, "The Host was suspended; what was heard before is taken as old.";
+    HOST_RESUMED = 108, Warn, "The Host was suspended; what was received before is taken as old.";
     LINK_UP = 200, Info, "A link to a peer is authenticated.";
     LINK_DOWN = 201, Warn, "A link went away; its attempts are settled as lost.";
     LINK_REFUSED = 202, Warn, "A peer did not prove itself or sent frames that can't be read.";
@@ -63,7 +63,7 @@
     CONFIG_CHANGED = 302, Info, "An operator's or a leased job's change was accepted.";
     DOCUMENT_UNREADABLE = 303, Error, "A document in the store can't be read; it is passed over.";
     SERVERS_CHANGED = 304, Info, "The list of BackendServers changed.";
-    FORMER_LIFE_SHOWN = 305, Warn, "A BackendServer's row tells of a life before the one in view; it is passed over.";
+    FORMER_LIFE_SHOWN = 305, Warn, "A BackendServer's row shows a life before the one in view; it is passed over.";
     SERVER_REBORN = 306, Info, "A BackendServer started again under its id; what was known of it is forgotten.";
     ZONE_EVACUATED = 307, Warn, "The operator ordered an AvailabilityZone evacuated; nothing more is sent to its servers.";
     ZONE_TAKEN_BACK = 308, Info, "The order to evacuate an AvailabilityZone is gone; its servers are used again.";
@@ -87,9 +87,9 @@
     QUARANTINE_TRIAL = 513, Warn, "A refused request is sent to one server to see whether it still ends it.";
     QUARANTINE_KEPT = 514, Info, "Requests that are refused were written to the store.";
     QUARANTINE_RELEASED = 515, Warn, "An operator let a request go that was refused or suspected.";
-    RATE_LIMIT_NAMED = 516, Warn, "A BackendServer names in its answers how many requests a second it takes.";
-    RATE_LIMIT_ENDED = 517, Info, "A BackendServer names no limit any more.";
-    RATE_LIMIT_UNREADABLE = 518, Error, "A BackendServer names a limit that is no number of requests; it is passed over.";
+    RATE_LIMIT_NAMED = 516, Warn, "A BackendServer advertises in its answers how many requests a second it takes.";
+    RATE_LIMIT_ENDED = 517, Info, "A BackendServer advertises no limit any more.";
+    RATE_LIMIT_UNREADABLE = 518, Error, "A BackendServer advertises a limit that is no number of requests; it is passed over.";
     SERVER_DRAINING = 519, Warn, "A BackendServer announced in an answer that it is draining.";
     PAUSE_REQUESTED = 520, Warn, "A BackendServer rejected a request and asked for a pause.";
     RETRY_AFTER_UNREADABLE = 521, Error, "A BackendServer asked for a pause that is neither seconds nor a date; it is ignored.";
@@ -100,7 +100,7 @@
     ROLL_OUT_ORDERED = 603, Info, "The operator ordered a roll-out.";
     ROLL_OUT_BEGUN = 604, Info, "The begin of a roll-out was written to the store.";
     VERSION_SUSPECT = 605, Warn, "The evidence of this entry, or of all that report to it, says that a version is bad; it gets no more requests here.";
-    VERDICT_SEEN = 606, Info, "The store tells how a roll-out ended.";
+    VERDICT_SEEN = 606, Info, "The store shows how a roll-out ended.";
     VERDICT_WAITS = 607, Warn, "The end of a roll-out could not be written; it is tried again.";
     SESSION_ON_TRIAL = 608, Info, "A request of a session goes to a version that is on trial in a roll-out.";
     LEASE_TAKEN = 700, Info, "This process holds a lease.";
@@ -109,7 +109,7 @@
     CHARGES_WAITING = 703, Warn, "Charge records wait in memory because the object store gives no answer.";
     ENGINE_ORDERED = 800, Info, "The agent ordered its engine to load or drop versions.";
     ENGINE_ORDER_FAILED = 801, Warn, "The engine gave no answer to an order or refused it.";
-    ENGINE_UNHEALTHY = 802, Warn, "The BackendServer fails its requests; entries are told.";
+    ENGINE_UNHEALTHY = 802, Warn, "The BackendServer fails its requests; entries are informed.";
     ENGINE_HEALTHY = 803, Info, "The BackendServer answers again.";
     CERTIFICATE_RELOADED = 900, Info, "The certificate was read again from its file.";
     CERTIFICATE_UNREADABLE = 901, Error, "The certificate file can't be read; the old one stays in use.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -66,7 +66,7 @@
     pub outcome: String,
 }
 
-/// Labels of sends to servers that take few, cold ones or those that name a limit.
+/// Labels of sends to servers that take few, cold ones or those that advertise a limit.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitedLabels {
     /// `first` or `further` of its request, or `refused` where no server took it.
@@ -96,7 +96,7 @@
     pub name: String,
 }
 
-/// Most names of unread headers that are told apart.
+/// Most names of unread headers that are distinguished.
 const MOST_UNREAD: usize = 32;
 
 /// Labels of the evidence on a version.
@@ -146,8 +146,8 @@
     pub repeats_left: Family<ServiceLabels, Gauge>,
     /// Repeated sends asked of the budget, by service: taken or denied.
     pub repeats: Family<RepeatLabels, Counter>,
-    /// Servers that name a limit now.
-    pub servers_in_need: Gauge,
+    /// Servers that advertise a limit now.
+    pub servers_rate_limited: Gauge,
     /// Sends to servers that take few.
     pub limited_sends: Family<LimitedLabels, Counter>,
     /// Servers in view that have announced that they are draining.
@@ -203,7 +203,7 @@
             server_ends: Counter::default(),
             repeats_left: Family::default(),
             repeats: Family::default(),
-            servers_in_need: Gauge::default(),
+            servers_rate_limited: Gauge::default(),
             limited_sends: Family::default(),
             servers_draining: Gauge::default(),
             servers_paused: Gauge::default(),
@@ -257,8 +257,8 @@
         registry.register("repeats_left", "Repeated sends still allowed", left);
         let repeats = self.repeats.clone();
         registry.register("repeats", "Repeated sends taken and denied", repeats);
-        let in_need = self.servers_in_need.clone();
-        registry.register("servers_in_need", "Servers that name a limit", in_need);
+        let rate_limited = self.servers_rate_limited.clone();
+        registry.register("servers_rate_limited", "Servers that advertise a limit", rate_limited);
         let limited = self.limited_sends.clone();
         registry.register("limited_sends", "Sends to servers that take few", limited);
         let draining = self.servers_draining.clone();
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,4 +1,4 @@
-//! What a process tells about itself: numbered events, metrics and its state dump.
+//! What a process reports about itself: numbered events, metrics and its state dump.
 
 pub mod admin;
 pub mod event;
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -24,8 +24,8 @@
     }
 
     /// Lets it know how many entries there are.
-    fn hear(&mut self, entries: u32, now: Duration) {
-        self.share.hear(entries, now);
+    fn note(&mut self, entries: u32, now: Duration) {
+        self.share.note(entries, now);
     }
 
     fn terms(&self, now: Duration) -> SendTerms {
@@ -82,7 +82,7 @@
             }
         }
         for process in &mut fleet {
-            process.hear(entries, now);
+            process.note(entries, now);
         }
         if now >= lead {
             owed += rate * ROUND.as_secs_f64();
@@ -147,7 +147,7 @@
 
 fn heard(entries: u32, at: Duration) -> ExtraShare {
     let mut share = ExtraShare::started_at(Duration::ZERO);
-    share.hear(entries, at);
+    share.note(entries, at);
     share
 }
 
@@ -168,7 +168,7 @@
 fn a_new_process_has_no_part_while_the_one_before_counts() {
     let mut share = ExtraShare::started_at(SECOND * 5);
     let mut part_at = |now: Duration| {
-        share.hear(4, now);
+        share.note(4, now);
         share.part(TERMS.window, now)
     };
 
@@ -193,9 +193,9 @@
     let mut share = heard(8, SECOND * 20);
     let together = share.part(TERMS.window, SECOND * 20);
 
-    share.hear(4, SECOND * 60);
+    share.note(4, SECOND * 60);
     let apart = share.part(TERMS.window, SECOND * 60);
-    share.hear(4, SECOND * 3_000);
+    share.note(4, SECOND * 3_000);
     let long_after = share.part(TERMS.window, SECOND * 3_000);
 
     assert_eq!(apart, together);
@@ -217,7 +217,7 @@
         for (i, process) in old.iter_mut().chain(&mut new).enumerate() {
             let is_cut_off = i < 4 && now >= SECOND * 20;
             if !is_cut_off {
-                process.hear(entries, now);
+                process.note(entries, now);
             }
             while process.try_repeat(now) {
                 played.repeats.push(now);
--- a/tests/model/quarantine.rs
+++ b/tests/model/quarantine.rs
@@ -101,7 +101,7 @@
     }
     for i in 0..ENTRIES {
         ask(state, i, mutation, &mut steps);
-        tell(state, i, mutation, &mut steps);
+        send_message(state, i, mutation, &mut steps);
         keep(state, i, mutation, &mut steps);
         kill(state, i, mutation, &mut steps);
     }
@@ -144,7 +144,7 @@
 }
 
 /// What an entry has not told arrives at the other one.
-fn tell(state: &State, i: usize, mutation: Mutation, steps: &mut Vec<Step<State>>) {
+fn send_message(state: &State, i: usize, mutation: Mutation, steps: &mut Vec<Step<State>>) {
     if state.entries[i].untold.is_empty() || mutation == Mutation::CountsOwnOnly {
         return;
     }
--- a/tests/model/rate_limit.rs
+++ b/tests/model/rate_limit.rs
@@ -10,7 +10,7 @@
 use mintmoor::policy::{
     limit_news::{LimitBelief, LimitNews},
     place::Place,
-    rate_limit::{SaidLimit, allowance},
+    rate_limit::{AdvertisedLimit, allowance},
 };
 
 use crate::explore::{Found, Step, assert_found, assert_holds, explore};
@@ -77,7 +77,7 @@
     for (of, change, rate) in &entry.known {
         if is_about(*of) {
             let news = LimitNews { change: *change, again: 0, rate: rate.map(f64::from) };
-            belief.take_told(news, Duration::ZERO);
+            belief.take_update(news, Duration::ZERO);
         }
     }
     belief
@@ -95,9 +95,10 @@
 
 /// An answer reaches an entry.
 fn answer(state: &mut State, i: usize, mutation: Mutation) {
-    let said = state.says.map_or(SaidLimit::Nothing, |rate| SaidLimit::Rate(f64::from(rate)));
+    let said =
+        state.says.map_or(AdvertisedLimit::Nothing, |rate| AdvertisedLimit::Rate(f64::from(rate)));
     let mut belief = belief(&state.entries[i], state.life, mutation);
-    let change = belief.hear(said, Duration::ZERO, Duration::ZERO);
+    let change = belief.note(said, Duration::ZERO, Duration::ZERO);
     let (Some(_), Some(news)) = (change, belief.news()) else {
         return;
     };
@@ -112,7 +113,7 @@
 fn learn(entry: &mut Entry, (life, change, rate): Word, mutation: Mutation) {
     let news = LimitNews { change, again: 0, rate: rate.map(f64::from) };
     let mut known = belief(entry, life, Mutation::None);
-    let is_new = known.take_told(news, Duration::ZERO).is_some();
+    let is_new = known.take_update(news, Duration::ZERO).is_some();
     if is_new || mutation == Mutation::OldWordWins {
         put(entry, (life, change, rate));
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -150,7 +150,7 @@
     let parts = marks(&[1]);
     let mut tell_at = |now: Duration| {
         kept.note_sent(&parts, 10);
-        kept.to_tell(&parts, now)
+        kept.to_report(&parts, now)
     };
 
     assert_eq!(tell_at(MS), Some(parts[0]));
@@ -166,13 +166,13 @@
     sender.note_sent(&long, 2_010);
     sender.note_sent(&short, 510);
 
-    let note = sender.to_tell(&long, MS).unwrap();
-    told.note_told(note.hash, note.tokens);
+    let note = sender.to_report(&long, MS).unwrap();
+    told.note_reported(note.hash, note.tokens);
 
     assert_eq!(note.tokens, 2_000);
     assert_eq!(told.kept_tokens(&long), 2_000);
     assert_eq!(told.kept_tokens(&marks(&[1, 2, 3])), 2_000);
-    assert_eq!(sender.to_tell(&short, MS), None);
+    assert_eq!(sender.to_report(&short, MS), None);
 }
 
 #[test]
@@ -180,7 +180,7 @@
     let mut kept = KeptParts::default();
 
     for id in 0..10_000 {
-        kept.note_told(id, 100);
+        kept.note_reported(id, 100);
     }
 
     assert!(kept.len() <= 512);
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -11,7 +11,7 @@
         host_settings,
         store::{Put, StoreClient, Table, WriteOutcome},
     },
-    policy::rate_limit::SaidLimit,
+    policy::rate_limit::AdvertisedLimit,
     routing::{AnswerKind, Organisation},
 };
 
@@ -137,18 +137,18 @@
 
 #[test]
 fn the_limit_that_an_answer_names_is_read() {
-    let cases: [(&[&str], SaidLimit); 11] = [
-        (&[], SaidLimit::Nothing),
-        (&["1.9"], SaidLimit::Rate(1.9)),
-        (&[" 0 "], SaidLimit::Rate(0.0)),
-        (&["1e9"], SaidLimit::Rate(1e9)),
-        (&["2.4", "1.9"], SaidLimit::Rate(1.9)),
-        (&["2.4, 1.9"], SaidLimit::Rate(1.9)),
-        (&["few", "1.9"], SaidLimit::Rate(1.9)),
-        (&["few"], SaidLimit::Unreadable),
-        (&["-1"], SaidLimit::Unreadable),
-        (&["NaN"], SaidLimit::Unreadable),
-        (&["inf"], SaidLimit::Unreadable),
+    let cases: [(&[&str], AdvertisedLimit); 11] = [
+        (&[], AdvertisedLimit::Nothing),
+        (&["1.9"], AdvertisedLimit::Rate(1.9)),
+        (&[" 0 "], AdvertisedLimit::Rate(0.0)),
+        (&["1e9"], AdvertisedLimit::Rate(1e9)),
+        (&["2.4", "1.9"], AdvertisedLimit::Rate(1.9)),
+        (&["2.4, 1.9"], AdvertisedLimit::Rate(1.9)),
+        (&["few", "1.9"], AdvertisedLimit::Rate(1.9)),
+        (&["few"], AdvertisedLimit::Unreadable),
+        (&["-1"], AdvertisedLimit::Unreadable),
+        (&["NaN"], AdvertisedLimit::Unreadable),
+        (&["inf"], AdvertisedLimit::Unreadable),
     ];
     for (lines, wanted) in cases {
         let mut named = HeaderMap::new();
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -33,7 +33,7 @@
 
 /// Time that the news of a server's end may take to all entries, a busy machine included.
 const NEWS: Duration = Duration::from_millis(1_000);
-/// Sends after the third end that are borne over all entries, beside those that cross the news.
+/// Sends after the third end that are allowed over all entries, beside those that cross the news.
 const BORNE: usize = 3;
 
 /// Three servers ended, and hardly anything was sent after all had to know of it.
--- a/tests/platform/need.rs
+++ b/tests/platform/limited_pool.rs
@@ -1,4 +1,4 @@
-//! A pool with a server in need behind several entries, and the load on it.
+//! A pool with a rate-limited server behind several entries, and the load on it.
 
 use std::{sync::Arc, time::Duration};
 
@@ -25,13 +25,13 @@
 const WINDOW: Duration = Duration::from_secs(4);
 
 /// A server whose answers every entry is content with.
-pub async fn sound(id: &str) -> Server {
+pub async fn healthy(id: &str) -> Server {
     always(id, Act::Stream { to: EVENTS, is_whole: true, confidence: 90 }).await
 }
 
 /// A server from which more work goes on elsewhere: streams that break off, and answers of a small model that
 /// is not sure.
-pub async fn poor(id: &str) -> Server {
+pub async fn flaky(id: &str) -> Server {
     let script = |seen: &Seen| match seen.at.elapsed().subsec_nanos() % 2 {
         _ if !seen.header("last-event-id").is_empty() => {
             Act::Stream { to: EVENTS, is_whole: true, confidence: 90 }
@@ -88,15 +88,15 @@
     (0..arrivals.len()).map(within).max().unwrap_or(0)
 }
 
-/// The most that the platform bears in a window of four seconds: one and a half times the limit, and five.
+/// The most that the platform allows in a window of four seconds: one and a half times the limit, and five.
 pub fn bound(rate: f64) -> usize {
     (1.5 * rate * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
-/// No window had more than the platform bears.
-pub fn assert_borne(server: &Server, from: std::time::Instant, rate: f64) {
+/// No window had more than the platform allows.
+pub fn assert_within_limit(server: &Server, from: std::time::Instant, rate: f64) {
     let most = most_within(&arrivals(server, from), WINDOW);
     let bound = bound(rate);
-    println!("{}: at most {most} in 4 s, {bound} are borne", server.id);
-    assert!(most <= bound, "{} got {most} in 4 s, {bound} are borne", server.id);
+    println!("{}: at most {most} in 4 s, {bound} are allowed", server.id);
+    assert!(most <= bound, "{} got {most} in 4 s, {bound} are allowed", server.id);
 }
--- a/tests/platform/news.rs
+++ b/tests/platform/news.rs
@@ -9,7 +9,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
 
 use crate::{
-    need::{load, pool_of, sound},
+    limited_pool::{healthy, load, pool_of},
     pool::{CRASHING, Pool, ask},
     site::{Site, until},
 };
@@ -44,9 +44,9 @@
     }
 }
 
-/// Serves one link: what a follower is told comes from the sound seed, without urgent news; reports are taken and
+/// Serves one link: what a follower is told comes from the healthy seed, without urgent news; reports are taken and
 /// lost.
-async fn mute(mut socket: Socket, sound: SocketAddr) -> Option<()> {
+async fn mute(mut socket: Socket, healthy: SocketAddr) -> Option<()> {
     let asked = loop {
         let message = socket.next().await?.ok()?;
         if let Some(asked) = read(&message) {
@@ -58,8 +58,8 @@
         while socket.next().await?.is_ok() {}
         return None;
     }
-    let stream = TcpStream::connect(sound).await.ok()?;
-    let (mut seed, _) = client_async(format!("ws://{sound}/"), stream).await.ok()?;
+    let stream = TcpStream::connect(healthy).await.ok()?;
+    let (mut seed, _) = client_async(format!("ws://{healthy}/"), stream).await.ok()?;
     seed.send(write(&asked)).await.ok()?;
     loop {
         let mut told = read(&seed.next().await?.ok()?)?;
@@ -69,14 +69,14 @@
 }
 
 /// A seed that passes on everything but urgent news; its address.
-async fn muted_seed(sound: SocketAddr) -> SocketAddr {
+async fn muted_seed(healthy: SocketAddr) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(async move {
                 if let Ok(socket) = accept_async(stream).await {
-                    mute(socket, sound).await;
+                    mute(socket, healthy).await;
                 }
             });
         }
@@ -84,32 +84,32 @@
     address
 }
 
-/// A sound seed, and an entry that follows a muted one and reports to both.
+/// A healthy seed, and an entry that follows a muted one and reports to both.
 async fn beside_a_muted_seed(pool: &Pool) -> [Arc<Site>; 2] {
-    let sound = Site::seed(pool.store.clone(), None).await;
-    sound.until_in_view(pool.servers.len()).await;
-    let sound_peer = sound.entry.addresses.peer.unwrap();
+    let healthy = Site::seed(pool.store.clone(), None).await;
+    healthy.until_in_view(pool.servers.len()).await;
+    let sound_peer = healthy.entry.addresses.peer.unwrap();
     let muted = muted_seed(sound_peer).await;
     let entry = pool.entry(&[muted, sound_peer], None).await;
     entry.until_in_view(pool.servers.len()).await;
     let follows = || entry.entry.router.dump()["follows_another_entry"] == true;
     until("it follows", follows).await;
-    until("it reports", || sound.entry.router.dump()["entries"] == 2).await;
-    [Arc::new(sound), Arc::new(entry)]
+    until("it reports", || healthy.entry.router.dump()["entries"] == 2).await;
+    [Arc::new(healthy), Arc::new(entry)]
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_is_heard_though_the_seed_that_is_followed_does_not_tell_it() {
-    let needy = sound("i-needy").await;
-    let pool = pool_of(&[&needy]).await;
+    let limited = healthy("i-limited").await;
+    let pool = pool_of(&[&limited]).await;
     let [seed, entry] = beside_a_muted_seed(&pool).await;
 
-    needy.name_limit(&["1.9"]);
+    limited.advertise_limit(&["1.9"]);
     load(std::slice::from_ref(&seed), Duration::from_millis(100)).await;
 
     let limits = || entry.entry.router.dump()["limits"].clone();
     until("it knows the limit", || limits()[0]["rate"] == 1.9).await;
-    assert_eq!(limits()[0]["heard_here"], false);
+    assert_eq!(limits()[0]["received_here"], false);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -98,7 +98,7 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     open: Arc<AtomicUsize>,
-    /// Requests a second that it names in its answers, as it writes them; none where it is not in need.
+    /// Requests a second that it advertises in its answers, as it writes them.
     limit: Arc<Mutex<Vec<String>>>,
     /// Header lines that all its answers have now.
     announced: Arc<Mutex<Vec<String>>>,
@@ -167,7 +167,7 @@
     }
 
     /// Names a limit in its answers from now on, on a line for each of these; none ends it.
-    pub fn name_limit(&self, lines: &[&str]) {
+    pub fn advertise_limit(&self, lines: &[&str]) {
         *self.limit.lock().unwrap() = lines.iter().map(|line| (*line).to_owned()).collect();
     }
 
--- a/tests/platform/unavailable.rs
+++ b/tests/platform/unavailable.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    need::{answers_under_load, arrivals, load, pool_of, poor},
+    limited_pool::{answers_under_load, arrivals, flaky, load, pool_of},
     pool::Pool,
     server::{Act, Seen, Server},
     site::{Site, always, list_life, until},
@@ -197,7 +197,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn retries_resumed_streams_and_larger_models_keep_away_from_such_servers() {
-    let (draining, paused, flaky) = (busy("i-0").await, busy("i-1").await, poor("i-2").await);
+    let (draining, paused, flaky) = (busy("i-0").await, busy("i-1").await, flaky("i-2").await);
     let pool = pool_of(&[&draining, &paused, &flaky]).await;
     let sites = pool.entries_apart(1).await;
     load(&sites, Duration::from_millis(300)).await;
--- a/tests/play/system.rs
+++ b/tests/play/system.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time after which entries know what others sent: reports and heartbeats between them.
-const TOLD_AFTER: f64 = 0.5;
+const REPORTED_AFTER: f64 = 0.5;
 
 /// Time between two reports of the load that entries put on engines.
 const SHARE_EVERY: f64 = 0.4;
@@ -233,7 +233,7 @@
                 self.take_in(told, arrivals);
             }
         }
-        let due = |note: &Note| note.at + TOLD_AFTER <= now;
+        let due = |note: &Note| note.at + REPORTED_AFTER <= now;
         if now >= self.next_share {
             self.next_share = now + SHARE_EVERY;
             self.share_loads(Duration::from_secs_f64(now));
@@ -261,7 +261,7 @@
 
     fn pass_on(&mut self, note: &Note) {
         for entry in (0..self.setup.entries).filter(|entry| *entry != note.from) {
-            self.views[entry][note.engine].kept.note_told(note.mark.hash, note.mark.tokens);
+            self.views[entry][note.engine].kept.note_reported(note.mark.hash, note.mark.tokens);
         }
     }
 
@@ -390,7 +390,7 @@
         view.load.own += 1;
         view.backlog += sent.reading;
         view.kept.note_sent(&marks, unread);
-        if let Some(mark) = view.kept.to_tell(&marks, Duration::from_secs_f64(now)) {
+        if let Some(mark) = view.kept.to_report(&marks, Duration::from_secs_f64(now)) {
             self.notes.push(Note { at: now, from: arrival.entry, engine, mark });
         }
         let id = self.sent.len();
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -277,7 +277,7 @@
     }
 
     /// Everybody tells what is new; whether anybody had something.
-    fn tell(&mut self, rng: &mut ChaCha8Rng) -> bool {
+    fn exchange_notes(&mut self, rng: &mut ChaCha8Rng) -> bool {
         let news: Vec<Vec<Note>> = self.news.iter_mut().map(std::mem::take).collect();
         for (from, notes) in news.iter().enumerate() {
             let listeners = if from < SEEDS { self.entries.len() } else { SEEDS };
@@ -310,14 +310,14 @@
             let entry = rng.random_range(0..entries);
             fleet.see(entry, end(Fingerprint(u128::from(i % 3)), i, 2_000 * i));
         }
-        while fleet.tell(&mut rng) {}
+        while fleet.exchange_notes(&mut rng) {}
         let clearing = rng.random_range(0..entries);
         for note in fleet.entries[clearing].acquittal(Fingerprint(0)) {
             fleet.see(clearing, note);
         }
 
         let mut rounds = 0;
-        while fleet.tell(&mut rng) {
+        while fleet.exchange_notes(&mut rng) {
             rounds += 1;
             assert!(rounds < 5, "it never comes to rest");
         }
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -6,21 +6,21 @@
 use mintmoor::policy::{
     limit_news::{Change, LimitBelief, LimitNews},
     place::Place,
-    rate_limit::{Allowance, LEAST_NAMED, LimitedSends, SaidLimit, allowance, stand_in},
+    rate_limit::{AdvertisedLimit, Allowance, LEAST_NAMED, LimitedSends, allowance, stand_in},
 };
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn named(rate: f64) -> SaidLimit {
-    SaidLimit::Rate(rate)
+fn named(rate: f64) -> AdvertisedLimit {
+    AdvertisedLimit::Rate(rate)
 }
 
 /// A belief that heard this limit from the server itself at one second.
 fn heard(rate: f64) -> LimitBelief {
     let mut belief = LimitBelief::default();
-    belief.hear(named(rate), ms(900), ms(1_000));
+    belief.note(named(rate), ms(900), ms(1_000));
     belief
 }
 
@@ -28,11 +28,11 @@
 fn a_limit_holds_until_an_answer_to_a_later_request_names_none() {
     let mut belief = heard(1.9);
 
-    assert_eq!(belief.hear(SaidLimit::Nothing, ms(950), ms(1_050)), None, "it was overtaken");
+    assert_eq!(belief.note(AdvertisedLimit::Nothing, ms(950), ms(1_050)), None, "it was overtaken");
     assert_eq!(belief.rate(), Some(1.9));
-    assert_eq!(belief.hear(SaidLimit::Unreadable, ms(1_100), ms(1_200)), None);
+    assert_eq!(belief.note(AdvertisedLimit::Unreadable, ms(1_100), ms(1_200)), None);
     assert_eq!(belief.rate(), Some(1.9));
-    assert_eq!(belief.hear(SaidLimit::Nothing, ms(1_100), ms(1_200)), Some(Change::Calm));
+    assert_eq!(belief.note(AdvertisedLimit::Nothing, ms(1_100), ms(1_200)), Some(Change::Calm));
     assert_eq!(belief.rate(), None);
 }
 
@@ -40,11 +40,11 @@
 fn a_limit_that_falls_is_told_at_once_and_one_that_wavers_or_rises_later() {
     let mut belief = LimitBelief::default();
 
-    assert_eq!(belief.hear(named(5.0), ms(0), ms(10)), Some(Change::Urgent));
-    assert_eq!(belief.hear(named(4.9), ms(20), ms(30)), Some(Change::Calm));
-    assert_eq!(belief.hear(named(3.5), ms(32), ms(34)), Some(Change::Calm));
-    assert_eq!(belief.hear(named(1.0), ms(40), ms(50)), Some(Change::Urgent));
-    assert_eq!(belief.hear(named(3.0), ms(60), ms(70)), Some(Change::Calm));
+    assert_eq!(belief.note(named(5.0), ms(0), ms(10)), Some(Change::Urgent));
+    assert_eq!(belief.note(named(4.9), ms(20), ms(30)), Some(Change::Calm));
+    assert_eq!(belief.note(named(3.5), ms(32), ms(34)), Some(Change::Calm));
+    assert_eq!(belief.note(named(1.0), ms(40), ms(50)), Some(Change::Urgent));
+    assert_eq!(belief.note(named(3.0), ms(60), ms(70)), Some(Change::Calm));
     assert_eq!(belief.rate(), Some(3.0));
 }
 
@@ -52,7 +52,7 @@
 fn a_limit_that_is_named_over_and_over_is_told_once_a_second() {
     let mut belief = heard(1.9);
 
-    let told = (1..=40).filter(|n| belief.hear(named(1.9), ms(0), ms(1_000 + 100 * n)).is_some());
+    let told = (1..=40).filter(|n| belief.note(named(1.9), ms(0), ms(1_000 + 100 * n)).is_some());
 
     assert_eq!(told.count(), 4);
 }
@@ -67,13 +67,13 @@
 fn what_another_entry_heard_later_holds_in_whatever_order_it_is_told() {
     let first = heard(1.9);
     let mut second = first;
-    second.hear(SaidLimit::Nothing, ms(2_000), ms(2_100));
+    second.note(AdvertisedLimit::Nothing, ms(2_000), ms(2_100));
     let news = [first.news().unwrap(), second.news().unwrap()];
 
     for order in [[0, 1], [1, 0]] {
         let mut other = LimitBelief::default();
         for i in order {
-            other.take_told(news[i], ms(5_000));
+            other.take_update(news[i], ms(5_000));
         }
         assert_eq!(other.rate(), None, "{order:?}");
     }
@@ -84,8 +84,8 @@
     let (mut one, mut other) = (heard(1.9), heard(2.4));
     let (from_one, from_other) = (one.news().unwrap(), other.news().unwrap());
 
-    one.take_told(from_other, ms(1_100));
-    other.take_told(from_one, ms(1_100));
+    one.take_update(from_other, ms(1_100));
+    other.take_update(from_one, ms(1_100));
 
     assert_eq!((one.rate(), other.rate()), (Some(1.9), Some(1.9)));
 }
@@ -100,7 +100,7 @@
         let (from, to) = (turn % 2, (turn + 1) % 2);
         let news: LimitNews = beliefs[from].news().unwrap();
         let now = ms(2_000 + turn as u64);
-        passed_on += usize::from(beliefs[to].take_told(news, now).is_some());
+        passed_on += usize::from(beliefs[to].take_update(news, now).is_some());
     }
 
     assert_eq!(passed_on, 1);
@@ -151,11 +151,14 @@
         let senders = places.iter().filter(|p| allowance(rate, **p, server).is_some()).count();
         let mut stood_in = vec![false; places.len()];
         for tenth in 0..5_000 {
-            let unheard = ms(100 * tenth);
-            let stand_ins = |p: &Place| stand_in(rate, *p, server, unheard).is_some();
+            let silent_for = ms(100 * tenth);
+            let stand_ins = |p: &Place| stand_in(rate, *p, server, silent_for).is_some();
             let now: Vec<usize> = (0..places.len()).filter(|i| stand_ins(&places[*i])).collect();
-            let is_quiet = unheard >= ms(5_000);
-            assert!(now.len() <= usize::from(is_quiet), "{now:?} of {entries} after {unheard:?}");
+            let is_quiet = silent_for >= ms(5_000);
+            assert!(
+                now.len() <= usize::from(is_quiet),
+                "{now:?} of {entries} after {silent_for:?}"
+            );
             now.iter().for_each(|i| stood_in[*i] = true);
         }
         let all = stood_in.iter().filter(|stood_in| **stood_in).count();
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -11,7 +11,7 @@
 
 /// What a cold server takes.
 const COLD: Rate = 18.0;
-/// What servers in need name.
+/// What rate-limited servers advertise.
 const NAMED: [Rate; 3] = [0.3, 1.9, 7.3];
 /// Time between two looks of an entry at whether it may send; work always waits.
 const STEP: Duration = Duration::from_millis(10);
@@ -103,7 +103,7 @@
                 entry.hears_at = now + HEARS_EVERY;
                 let seen = history.iter().find(|(at, _)| *at + entry.lag <= now);
                 if let Some(place) = seen.and_then(|(_, seen)| place_of(&entry.host, seen)) {
-                    entry.belief.hear(place, true, now);
+                    entry.belief.note(place, true, now);
                 }
             }
             let Some(place) = entry.belief.get(now) else { continue };
@@ -219,9 +219,9 @@
 #[test]
 fn sides_that_lose_each_other_do_not_each_take_all() {
     let mut belief = PlaceBelief::default();
-    belief.hear(Place { rank: 2, entries: 21 }, true, Duration::ZERO);
-    belief.hear(Place { rank: 0, entries: 1 }, true, SECOND);
-    belief.hear(Place { rank: 0, entries: 1 }, true, SECOND * 50);
+    belief.note(Place { rank: 2, entries: 21 }, true, Duration::ZERO);
+    belief.note(Place { rank: 0, entries: 1 }, true, SECOND);
+    belief.note(Place { rank: 0, entries: 1 }, true, SECOND * 50);
 
     let after = belief.get(Duration::from_secs(60));
 
@@ -232,15 +232,15 @@
 fn fewer_count_once_most_of_all_have_been_told_of_for_a_second() {
     let mut belief = PlaceBelief::default();
     let all = Place { rank: 2, entries: 5 };
-    belief.hear(all, true, Duration::ZERO);
+    belief.note(all, true, Duration::ZERO);
     let fewer = Place { rank: 1, entries: 4 };
 
-    belief.hear(fewer, true, SECOND * 10);
+    belief.note(fewer, true, SECOND * 10);
     assert_eq!(belief.get(SECOND * 10), Some(all), "a report may be late");
-    belief.hear(fewer, true, SECOND * 11);
+    belief.note(fewer, true, SECOND * 11);
     assert_eq!(belief.get(SECOND * 11), Some(fewer));
-    belief.hear(Place { rank: 0, entries: 2 }, true, SECOND * 12);
-    belief.hear(Place { rank: 0, entries: 2 }, true, SECOND * 20);
+    belief.note(Place { rank: 0, entries: 2 }, true, SECOND * 12);
+    belief.note(Place { rank: 0, entries: 2 }, true, SECOND * 20);
     assert_eq!(belief.get(SECOND * 20), Some(fewer), "others may share on the other side");
 }
 
@@ -249,10 +249,10 @@
 fn a_seed_that_has_just_started_takes_nobody_away() {
     let mut belief = PlaceBelief::default();
     let all = Place { rank: 2, entries: 5 };
-    belief.hear(all, true, Duration::ZERO);
+    belief.note(all, true, Duration::ZERO);
 
     for tenth in 100..130 {
-        belief.hear(Place { rank: 1, entries: 4 }, false, SECOND / 10 * tenth);
+        belief.note(Place { rank: 1, entries: 4 }, false, SECOND / 10 * tenth);
     }
 
     assert_eq!(belief.get(SECOND * 13), Some(all));
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Does it and mends it again; tells the record when.
+    /// Does it and undoes it; notes in the record when.
     pub async fn done(self, system: Arc<System>, entry: usize, server: usize, lasts: Duration) {
         let interrupts = matches!(
             self,
@@ -237,11 +237,11 @@
         return;
     }
     system.store.put("op", &key, &json!({}));
-    let told = Instant::now();
+    let acknowledged = Instant::now();
     sleep(IN_FORCE + lasts).await;
     let to = Instant::now();
     let in_zone = system.servers.iter().filter(|server| server.zone() == OTHER_ZONE);
-    let barred = in_zone.map(|server| Barred { server: server.id().into(), told, to });
+    let barred = in_zone.map(|server| Barred { server: server.id().into(), acknowledged, to });
     system.record.barred.lock().unwrap().extend(barred);
     system.store.remove("op", &key);
 }
@@ -255,7 +255,7 @@
     drained.list(&system.store, "draining");
     let from = Instant::now();
     sleep(IN_FORCE + lasts).await;
-    let barred = Barred { server: drained.id().into(), told: from, to: Instant::now() };
+    let barred = Barred { server: drained.id().into(), acknowledged: from, to: Instant::now() };
     system.record.barred.lock().unwrap().push(barred);
     drained.list(&system.store, "ready");
 }
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -103,12 +103,12 @@
 pub const CRASHING: &str = "ends whoever runs it";
 /// Time after the third end in which all entries have to know; the deployments' least.
 pub const CONTACT: Duration = Duration::from_secs(3);
-/// Sends after that which are borne.
-const BORNE: usize = 3;
+/// Sends after that which are allowed.
+const ALLOWED: usize = 3;
 
 /// A span in which a server named a limit in its answers.
 #[derive(Clone, Debug)]
-pub struct Need {
+pub struct RateLimited {
     pub server: String,
     /// Requests a second.
     pub rate: f64,
@@ -116,7 +116,7 @@
     pub to: Instant,
 }
 
-/// Length of the windows in which arrivals at a server in need are counted.
+/// Length of the windows in which arrivals at a rate-limited server are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time for which a way that was spoiled may still deliver what it held up.
 const HELD_UP: Duration = Duration::from_secs(1);
@@ -125,8 +125,8 @@
 #[derive(Clone, Debug)]
 pub struct Barred {
     pub server: String,
-    /// When the store was told.
-    pub told: Instant,
+    /// When the store was acknowledged.
+    pub acknowledged: Instant,
     /// Until when it was so.
     pub to: Instant,
 }
@@ -156,7 +156,7 @@
     pub barred: Mutex<Vec<Barred>>,
     /// What reached servers, whatever they did with it.
     pub arrivals: Mutex<Vec<(String, Instant)>>,
-    pub needs: Mutex<Vec<Need>>,
+    pub rate_limited: Mutex<Vec<RateLimited>>,
     pub draining: Mutex<Vec<Draining>>,
     pub rejections: Mutex<Vec<Rejection>>,
     /// Servers whose way was spoiled, from when to when.
@@ -204,7 +204,13 @@
         found.extend(runs.iter().filter_map(|run| self.check_first_half(run)));
         found.extend(self.check_moved_back(&runs));
         found.extend(self.check_crashing(&runs, &exchanges));
-        found.extend(self.needs.lock().unwrap().iter().filter_map(|need| self.check_need(need)));
+        found.extend(
+            self.rate_limited
+                .lock()
+                .unwrap()
+                .iter()
+                .filter_map(|limited| self.check_rate_limit(limited)),
+        );
         found.extend(unavailable::findings(self, &exchanges));
         found
     }
@@ -233,8 +239,8 @@
                 && since.is_some_and(|since| *since + AGREED < run.at)
                 && self.is_calm(ordered.at, run.at)
         };
-        let tell = |run: &Run| format!("{}: its session was moved back", run.id);
-        runs.iter().filter(is_back).map(tell).collect()
+        let describe = |run: &Run| format!("{}: its session was moved back", run.id);
+        runs.iter().filter(is_back).map(describe).collect()
     }
 
     /// A request under which three servers ended reaches three more at most, from entries at rest.
@@ -255,33 +261,37 @@
         for (body, runs) in of_body {
             let Some(third) = runs.get(2) else { continue };
             let late = runs.iter().filter(|run| is_late(run, third)).count();
-            if late > BORNE {
+            if late > ALLOWED {
                 found.push(format!("{body}: {late} sends late, {} in all", runs.len()));
             }
         }
         found
     }
 
-    /// A server in need gets no more than is borne in any window, from all entries together, once all have had
+    /// A rate-limited server gets no more than is allowed in any window, from all entries together, once all have had
     /// time to know: those that were killed, paused or cut meanwhile as well.
-    fn check_need(&self, need: &Need) -> Option<String> {
+    fn check_rate_limit(&self, limited: &RateLimited) -> Option<String> {
         let arrivals = self.arrivals.lock().unwrap();
-        let known = need.from + CONTACT;
-        let counted = |at: &Instant| known <= *at && *at < need.to && !self.is_held_up(need, *at);
-        let of_server = arrivals.iter().filter(|(server, _)| *server == need.server);
+        let known = limited.from + CONTACT;
+        let counted =
+            |at: &Instant| known <= *at && *at < limited.to && !self.is_held_up(limited, *at);
+        let of_server = arrivals.iter().filter(|(server, _)| *server == limited.server);
         let at: Vec<Instant> = of_server.map(|(_, at)| *at).filter(counted).collect();
         let within =
             |from: &Instant| at.iter().filter(|a| *from <= **a && **a < *from + WINDOW).count();
         let most = at.iter().map(within).max().unwrap_or(0);
-        let borne = (1.5 * need.rate * WINDOW.as_secs_f64() + 5.0) as usize;
-        let Need { server, rate, .. } = need;
-        println!("{server} names {rate} a second: at most {most} in 4 s, {borne} are borne");
-        (most > borne).then(|| format!("{server} names {rate} a second and got {most} in 4 s"))
+        let allowed = (1.5 * limited.rate * WINDOW.as_secs_f64() + 5.0) as usize;
+        let RateLimited { server, rate, .. } = limited;
+        println!(
+            "{server} advertises {rate} a second: at most {most} in 4 s, {allowed} are allowed"
+        );
+        (most > allowed)
+            .then(|| format!("{server} advertises {rate} a second and got {most} in 4 s"))
     }
 
     /// Whether what arrived at a server then may have been held up on its way.
-    fn is_held_up(&self, need: &Need, at: Instant) -> bool {
-        self.is_spoiled(&need.server, at)
+    fn is_held_up(&self, limited: &RateLimited, at: Instant) -> bool {
+        self.is_spoiled(&limited.server, at)
     }
 
     /// Whether the way to a server was spoiled then or shortly before.
@@ -309,10 +319,11 @@
     /// A server that leaves gets nothing once that must be known.
     fn check_leaving(&self, run: &Run) -> Option<String> {
         let barred = self.barred.lock().unwrap();
-        let is_hit =
-            |b: &&Barred| b.server == run.server && b.told + IN_FORCE < run.at && run.at < b.to;
+        let is_hit = |b: &&Barred| {
+            b.server == run.server && b.acknowledged + IN_FORCE < run.at && run.at < b.to
+        };
         let hit = barred.iter().find(is_hit)?;
-        self.is_calm(hit.told, run.at)
+        self.is_calm(hit.acknowledged, run.at)
             .then(|| format!("{}: reached {} though it leaves", run.id, run.server))
     }
 
@@ -397,7 +408,7 @@
         Outcome::Answered { status: 408 | 421 | 429 | 503, .. }
             if exchange.kind == Kind::OnceOnly && ran > 0 =>
         {
-            found.push(format!("{id}: told that it had not run, and it ran"));
+            found.push(format!("{id}: acknowledged that it had not run, and it ran"));
         }
         Outcome::Broken { body }
             if exchange.kind == Kind::Stream && !events(EVENTS).starts_with(body.as_str()) =>
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -25,7 +25,7 @@
     faults::{Deed, draw},
     fleet::{Entry, host_of},
     proxy::Proxy,
-    record::{CONTACT, CRASHING, EVENTS, NEW, Need, OLD, Ordered, ROLLED_OUT, Record, Run},
+    record::{CONTACT, CRASHING, EVENTS, NEW, OLD, Ordered, ROLLED_OUT, RateLimited, Record, Run},
     server::{Act, Seen, Server},
     site::{configuration, server_row},
     store::Store,
@@ -63,7 +63,7 @@
     /// Start of its present life.
     born: AtomicU64,
     /// Whether it names a limit.
-    is_in_need: AtomicBool,
+    is_rate_limited: AtomicBool,
     /// Whether it rejects everything and asks for a pause.
     pub rejects: Arc<AtomicBool>,
     /// When its present life began.
@@ -94,7 +94,7 @@
         let mut life = 0;
         loop {
             self.server.until_ended(life).await;
-            self.end_need();
+            self.end_limit();
             sleep(DOWN).await;
             life = self.server.start_again();
             // Whatever else is done to its row comes after.
@@ -103,20 +103,20 @@
         }
     }
 
-    /// Names a limit until its life or its need ends, whichever is first.
-    async fn be_in_need(&self, rate: &str, lasts: Duration) {
-        self.server.name_limit(&[rate]);
-        self.is_in_need.store(true, Ordering::SeqCst);
+    /// Advertises a limit for a while, or until its life ends.
+    async fn be_rate_limited(&self, rate: &str, lasts: Duration) {
+        self.server.advertise_limit(&[rate]);
+        self.is_rate_limited.store(true, Ordering::SeqCst);
         let from = Instant::now();
-        while self.is_in_need.load(Ordering::SeqCst) && from.elapsed() < lasts {
+        while self.is_rate_limited.load(Ordering::SeqCst) && from.elapsed() < lasts {
             sleep(Duration::from_millis(20)).await;
         }
-        self.end_need();
+        self.end_limit();
     }
 
-    fn end_need(&self) {
-        self.server.name_limit(&[]);
-        self.is_in_need.store(false, Ordering::SeqCst);
+    fn end_limit(&self) {
+        self.server.advertise_limit(&[]);
+        self.is_rate_limited.store(false, Ordering::SeqCst);
     }
 
     /// Announces in its answers that it is draining.
@@ -134,9 +134,9 @@
         *self.started.lock().unwrap() > at
     }
 
-    /// Starts again under its id: what it ran is lost, a need is over, and it no longer drains.
+    /// Starts again under its id: what it ran is lost, and it neither advertises a limit nor drains.
     pub fn start_again(&self, store: &Store) {
-        self.end_need();
+        self.end_limit();
         self.server.announce(&[]);
         *self.started.lock().unwrap() = Instant::now();
         self.born.fetch_add(1_000, Ordering::SeqCst);
@@ -272,7 +272,8 @@
     let way = Proxy::start(listed.address).await;
     let server = listed.clone();
     listed.address = way.address;
-    let (born, is_in_need, row) = (AtomicU64::new(1_000), AtomicBool::default(), Mutex::default());
+    let (born, is_rate_limited, row) =
+        (AtomicU64::new(1_000), AtomicBool::default(), Mutex::default());
     let started = std::sync::Mutex::new(Instant::now());
     Backend {
         listed,
@@ -282,7 +283,7 @@
         number,
         way,
         born,
-        is_in_need,
+        is_rate_limited,
         rejects,
         started,
         row,
@@ -337,7 +338,7 @@
     system.order_roll_out(lasts);
     tokio::join!(
         disturb(&system, seed, lasts),
-        be_in_need(&system, seed),
+        be_rate_limited(&system, seed),
         be_unavailable(&system, seed)
     );
     let mut findings = recover(&system, &callers).await;
@@ -368,7 +369,7 @@
     }
 }
 
-/// Does one thing after the other, some at once, and waits until all is mended.
+/// Does one thing after the other, some at once, and waits until all is undone.
 async fn disturb(system: &Arc<System>, seed: u64, lasts: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let deeds = Deed::all_of(seed);
@@ -385,34 +386,34 @@
     while under_way.join_next().await.is_some() {}
 }
 
-/// Servers that are in need under a seed.
-const IN_NEED: usize = 2;
+/// Servers that are rate-limited under a seed.
+const RATE_LIMITED: usize = 2;
 /// What they name, requests a second.
 const RATES: [&str; 4] = ["0.5", "1.9", "2.4", "6"];
-/// Time for which they are in need: a window beyond the time in which all entries have to know.
-const NEED_LASTS: Duration = Duration::from_secs(8);
+/// Time for which they are rate-limited: a window beyond the time in which all entries have to know.
+const LIMIT_LASTS: Duration = Duration::from_secs(8);
 
 /// Lets some servers name a limit for a while, drawn apart from the deeds, so that these stay what they are.
-async fn be_in_need(system: &System, seed: u64) {
+async fn be_rate_limited(system: &System, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(!seed);
     let first = rng.random_range(0..system.servers.len());
-    let needs = (0..IN_NEED).map(|number| {
+    let rate_limited = (0..RATE_LIMITED).map(|number| {
         let server = &system.servers[(first + number) % system.servers.len()];
         let rate = RATES[rng.random_range(0..RATES.len())];
         let begins = Duration::from_millis(rng.random_range(100..1_500));
-        need(system, server, rate, begins)
+        limit(system, server, rate, begins)
     });
-    futures_util::future::join_all(needs.collect::<Vec<_>>()).await;
+    futures_util::future::join_all(rate_limited.collect::<Vec<_>>()).await;
 }
 
-/// Lets a server name a limit; its need ends with its life.
-async fn need(system: &System, server: &Backend, rate: &str, begins: Duration) {
+/// Lets a server advertise a limit, which ends with its life.
+async fn limit(system: &System, server: &Backend, rate: &str, begins: Duration) {
     sleep(begins).await;
     let from = Instant::now();
-    server.be_in_need(rate, NEED_LASTS).await;
+    server.be_rate_limited(rate, LIMIT_LASTS).await;
     let (to, rate) = (Instant::now(), rate.parse().unwrap());
-    let need = Need { server: server.id().into(), rate, from, to };
-    system.record.needs.lock().unwrap().push(need);
+    let limited = RateLimited { server: server.id().into(), rate, from, to };
+    system.record.rate_limited.lock().unwrap().push(limited);
 }
 
 /// Time for which each request that ended servers comes again once all is calm.
--- a/tests/soak/unavailable.rs
+++ b/tests/soak/unavailable.rs
@@ -106,10 +106,10 @@
         })
     };
     println!("{} drains: {} reached it", drain.server, reached.len());
-    let tell = |(exchange, _): &(&Exchange, Instant)| {
+    let describe = |(exchange, _): &(&Exchange, Instant)| {
         format!("{}: reached {}, which had announced draining", exchange.id, drain.server)
     };
-    reached.iter().filter(is_late).map(tell).collect()
+    reached.iter().filter(is_late).map(describe).collect()
 }
 
 /// Pauses in which more requests reached their server from the entry that it had rejected than are tolerated.
