A server that is first seen draining gets no request

Cause: the time in which a draining server is a last resort ran from when the entry first saw its row. Two entries were restarted 2 s after the drain began, while all other servers of the old version were evacuated or paused.

Where nobody knows since when a server drains, it is closed.

--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -116,7 +116,8 @@
     /// A server seen for the first time, which gets nothing until then if others can serve.
     pub fn new(server: BackendServer, waits_until: Duration, now: Duration) -> Self {
         let id_hash = hash_id(&server.id);
-        let draining_since = server.is_draining.then_some(now);
+        // Nobody knows since when.
+        let draining_since = server.is_draining.then_some(Duration::ZERO);
         let cold_until = now + server.cold_for;
         Self { server, id_hash, waits_until, cold_until, draining_since, life: Arc::default() }
     }
--- a/tests/platform/unavailable.rs
+++ b/tests/platform/unavailable.rs
@@ -12,7 +12,7 @@
     limited_pool::{answers_under_load, arrivals, flaky, load, pool_of},
     pool::Pool,
     server::{Act, Seen, Server},
-    site::{Site, always, list_life, until},
+    site::{Site, always, list, list_life, store_with, until},
 };
 
 /// Time after a rejection in which requests may arrive that were on their way.
@@ -292,3 +292,17 @@
         assert!(*took < Duration::from_secs(1), "{answer:?} after {took:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_drained_before_the_entry_started_gets_nothing() {
+    let draining = busy("i-0").await;
+    let store = store_with(&[]).await;
+    list(&store, &draining, "llm", "v1", "draining");
+    let site = Site::beside(store).await;
+    site.until_in_view(1).await;
+
+    let answer = site.ask("POST", "/chat/a", "X-Model: small\r\n").await;
+
+    assert_eq!(answer.status, 503);
+    assert!(draining.seen().is_empty());
+}
