An answer after a pause is logged, and servers left out are counted by cause at once

Event 523 says that a pause is over, with the server. mintmoor_servers_avoided takes one count a cause and choice instead of one a server: with 2,100 servers closed that was a lookup of a label each.

--- a/src/policy/announced.rs
+++ b/src/policy/announced.rs
@@ -33,11 +33,13 @@
         is_new
     }
 
-    /// Notes an answer that is no rejection.
-    pub fn note_answer(&mut self, now: Duration) {
-        if !self.is_paused(now) {
-            self.answered = self.answered.saturating_add(1);
+    /// Notes an answer that is no rejection; whether it is the first one after a pause.
+    pub fn note_answer(&mut self, now: Duration) -> bool {
+        if self.is_paused(now) {
+            return false;
         }
+        self.answered = self.answered.saturating_add(1);
+        self.answered == 1 && self.paused_until.is_some()
     }
 
     /// When it first announced that it is draining.
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -33,6 +33,18 @@
 }
 
 impl Cause {
+    /// All causes.
+    pub const ALL: [Self; 8] = [
+        Self::Replaced,
+        Self::Evacuated,
+        Self::Draining,
+        Self::Paused,
+        Self::Recovering,
+        Self::Full,
+        Self::RateLimited,
+        Self::Ejected,
+    ];
+
     /// The word for logs, metrics and the state dump.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -167,6 +179,11 @@
         }
     }
 
+    /// Whether it is closed for this cause.
+    pub fn is_closed_by(self, by: Cause) -> bool {
+        matches!(self, Self::Closed { cause, .. } if cause == by)
+    }
+
     /// Time until it may be sent a request; none where nobody knows.
     pub fn wait(self, now: Duration) -> Option<Duration> {
         match self {
--- a/src/router/announcements.rs
+++ b/src/router/announcements.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use crate::{
-    policy::{availability::Availability, retry_after::RetryAfter},
+    policy::{
+        availability::{Availability, Cause},
+        retry_after::RetryAfter,
+    },
     router::{Member, Router},
     routing::AnswerHead,
     telemetry::event,
@@ -34,6 +37,13 @@
         }
     }
 
+    /// Records an answer that shows a server as healthy.
+    pub(crate) fn note_answer(&self, member: &Member) {
+        if member.note_answer(self.now()) {
+            event::PAUSE_ENDED.log(format_args!("server={}", member.server.id));
+        }
+    }
+
     /// Counts headers of an answer that nothing reads, and logs each name once.
     pub(crate) fn note_unread_headers(&self, member: &Member, head: &AnswerHead) {
         for name in &head.unread {
@@ -45,9 +55,10 @@
 
     /// Counts servers that were left out of a choice since they are unavailable.
     pub(crate) fn count_avoided(&self, closed: &[(&Arc<Member>, Availability)]) {
-        for (_, availability) in closed {
-            if let Availability::Closed { cause, .. } = availability {
-                self.metrics.count_avoided(cause.as_str());
+        for cause in Cause::ALL {
+            let servers = closed.iter().filter(|(_, a)| a.is_closed_by(cause)).count() as u64;
+            if servers > 0 {
+                self.metrics.count_avoided(cause.as_str(), servers);
             }
         }
     }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -233,7 +233,7 @@
     if is_foreign || (head.status.is_server_error() && !head.announces_rejection()) {
         member.note_failure(router.now());
     } else if !head.announces_rejection() {
-        member.note_answer(router.now());
+        router.note_answer(member);
     }
     if head.kind.is_authentic() {
         router.note_advertised_limit(member, head, sent_at);
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -211,13 +211,13 @@
         record.kept = KeptParts::default();
     }
 
-    /// Notes an answer that shows the server as healthy.
-    pub(crate) fn note_answer(&self, now: Duration) {
+    /// Notes an answer that shows the server as healthy; whether it is the first one after a pause.
+    pub(crate) fn note_answer(&self, now: Duration) -> bool {
         let mut record = self.record();
         record.outlier.note_answer(&OUTLIER_RULES);
-        record.announced.note_answer(now);
         record.window.note_answer();
         record.failures.note(false, now);
+        record.announced.note_answer(now)
     }
 
     /// Notes a failure of the server.
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -94,6 +94,7 @@
     PAUSE_REQUESTED = 520, Warn, "A BackendServer rejected a request and asked for a pause.";
     RETRY_AFTER_UNREADABLE = 521, Error, "A BackendServer asked for a pause that is neither seconds nor a date; it is ignored.";
     HEADER_UNREAD = 522, Warn, "An answer has a header that nothing reads; logged once for each name.";
+    PAUSE_ENDED = 523, Info, "A BackendServer answers again after a pause that it asked for.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; it takes no new sessions here.";
     ROLL_OUT_MOVED = 601, Info, "The guard wrote a roll-out's next step.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write met a newer one by someone else and was dropped.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -322,9 +322,9 @@
         self.unavailable_sends.get_or_create(&labels).inc();
     }
 
-    /// Counts a server that was left out of a choice.
-    pub fn count_avoided(&self, cause: &str) {
-        self.avoided.get_or_create(&CauseLabels { cause: cause.into() }).inc();
+    /// Counts servers that were left out of a choice.
+    pub fn count_avoided(&self, cause: &str, servers: u64) {
+        self.avoided.get_or_create(&CauseLabels { cause: cause.into() }).inc_by(servers);
     }
 
     /// Counts an answer with a header that nothing reads; whether the name is new.
--- a/tests/availability.rs
+++ b/tests/availability.rs
@@ -71,7 +71,9 @@
     signals.unanswered = 2;
     assert_eq!(decide(&signals, now), recovering);
 
-    (0..15).for_each(|_| signals.announced.note_answer(now));
+    for _ in 0..15 {
+        signals.announced.note_answer(now);
+    }
     signals.unanswered = 100;
     assert_eq!(decide(&signals, now), Availability::Open);
 }
@@ -193,7 +195,9 @@
             now += Duration::from_millis(after);
             let before = announced.paused_until();
             match said {
-                Said::Nothing => announced.note_answer(now),
+                Said::Nothing => {
+                    announced.note_answer(now);
+                }
                 Said::Draining => {
                     announced.note_draining(now);
                     drains_since.get_or_insert(now);
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -63,7 +63,7 @@
     metrics.evidence.get_or_create(&EvidenceLabels { service, version, count }).set(1);
     metrics.count_repeat("s", true);
     metrics.count_unavailable_send("draining", "first");
-    metrics.count_avoided("paused");
+    metrics.count_avoided("paused", 1);
     metrics.count_unread_header("x-new");
     metrics.count_store_call("c");
     metrics.count_store_error("c");
