Job and Ask leave dispatch.rs for a file of their own

Moves only; what a refused request is answered stays in dispatch.rs as a function, since it asks the choice of servers.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -17,7 +17,7 @@
     router::{
         Member, Router,
         connection::{self, Checkout, ConnectError, Connection},
-        dispatch::Job,
+        job::Job,
         kept_board::KeptNote,
         silence::{Wait, wait_for_answer},
     },
--- a/src/router/choice.rs
+++ b/src/router/choice.rs
@@ -13,7 +13,7 @@
     },
     router::{
         Fleet, Member, Router,
-        dispatch::{Ask, Job},
+        job::{Ask, Job},
     },
     routing::is_home,
 };
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -1,9 +1,6 @@
 //! Which server a request is tried at next, until one answers or nothing more may be tried.
 
-use std::{
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     platform::headers::AttemptHeaders,
@@ -18,11 +15,11 @@
         availability::Taken,
         breaks::{Parting, note_break, note_unanswered},
         choice::{marks, pick, reading_key, unavailable_for},
+        job::{Ask, Job},
         refusal::Refusal,
         roll_out::RunOutcome,
-        serve::InFlight,
     },
-    routing::{AnswerKind, Fingerprint, Organisation, Request, Route, RouteKind},
+    routing::{AnswerKind, RouteKind},
     telemetry::event,
 };
 
@@ -35,158 +32,6 @@
 /// Least time left with which a server is still asked.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 
-/// A request on its way through this entry.
-#[derive(Debug)]
-pub(crate) struct Job {
-    pub(crate) req: Request,
-    pub(crate) route: Arc<Route>,
-    /// Service that runs it.
-    pub(crate) service: Box<str>,
-    pub(crate) organisation: Option<Arc<Organisation>>,
-    /// When the caller or the route gives up, on the entry's clock as all times here.
-    pub(crate) deadline: Duration,
-    /// When the next answer has to begin, while an earlier stage's answer is in hand.
-    pub(crate) begin_by: Option<Duration>,
-    /// When it arrived.
-    pub(crate) arrived: Duration,
-    /// Counts it as in flight, also while its stream is passed on.
-    _in_flight: InFlight,
-    pub(crate) attempts: Vec<AttemptState>,
-    /// Attempts that may have run.
-    pub(crate) runs: u32,
-    /// Attempts that reached a server.
-    arrivals: u32,
-    /// Whether a repeated send was taken from the budget and not used yet.
-    has_repeat: bool,
-    tried: Vec<Box<str>>,
-    /// Servers that could not be reached.
-    unreachable: Vec<Box<str>>,
-    /// Whether it is sent once to see whether it still ends servers.
-    pub(crate) is_trial: bool,
-    /// Computed when it is first asked for: most requests never need it.
-    fingerprint: OnceLock<Fingerprint>,
-}
-
-impl Job {
-    pub(crate) fn new(
-        req: Request,
-        route: Arc<Route>,
-        service: Box<str>,
-        organisation: Option<Arc<Organisation>>,
-        wait: Duration,
-        in_flight: InFlight,
-    ) -> Self {
-        let (attempts, tried) = (Vec::new(), Vec::new());
-        Self {
-            req,
-            route,
-            service,
-            organisation,
-            deadline: in_flight.arrived + wait,
-            begin_by: None,
-            arrived: in_flight.arrived,
-            _in_flight: in_flight,
-            attempts,
-            runs: 0,
-            arrivals: 0,
-            has_repeat: false,
-            tried,
-            unreachable: Vec::new(),
-            is_trial: false,
-            fingerprint: OnceLock::new(),
-        }
-    }
-
-    /// What it is known by when it comes again.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| Fingerprint::of(&self.req, self.organisation.as_deref()))
-    }
-
-    /// Runs that it may still cause.
-    pub(crate) fn runs_left(&self) -> u32 {
-        self.route.max_attempts.saturating_sub(self.runs)
-    }
-
-    pub(crate) fn time_left(&self, router: &Router) -> Duration {
-        self.deadline.saturating_sub(router.now())
-    }
-
-    /// When servers are waited for no longer.
-    fn wait_ends(&self) -> Duration {
-        self.begin_by.unwrap_or(self.deadline)
-    }
-
-    /// Takes a repeated send from the budget, unless one is in hand; false when there is none.
-    fn take_repeat(&mut self, router: &Router) -> bool {
-        self.has_repeat = self.has_repeat || router.try_repeat(&self.service);
-        self.has_repeat
-    }
-
-    /// What the caller gets when nothing more is tried.
-    fn refusal(&self, router: &Router, ask: Ask<'_>) -> Refusal {
-        match judge(&self.attempts) {
-            Verdict::NotRun if router.is_refused(self) => {
-                Refusal::EndsServers { retry_after: router.refused_for(self) }
-            }
-            Verdict::NotRun => {
-                let retry_after = router.note_refusal(&self.service, &self.req.head.id);
-                let Some((cause, wait)) = unavailable_for(router, self, ask) else {
-                    return Refusal::NotRun { retry_after };
-                };
-                if cause == Cause::RateLimited {
-                    router.metrics.count_limited("refused");
-                    return Refusal::Limited { retry_after: retry_after.max(wait) };
-                }
-                // Spread, so that callers don't come back together when the first pause ends.
-                Refusal::Unavailable { cause, retry_after: wait + retry_after }
-            }
-            _ if self.time_left(router) < LEAST_TIME => Refusal::TimedOut,
-            _ => Refusal::Lost,
-        }
-    }
-
-    /// Whether a server could not be reached for this request. With the last one of a service gone, each request
-    /// asked it 10 to 12 times within 40 ms, and logged each time, before it was refused.
-    fn is_unreachable(&self, server: &str) -> bool {
-        self.unreachable.iter().any(|unreachable| **unreachable == *server)
-    }
-
-    /// The next send in metrics.
-    pub(crate) fn kind_of_send(&self) -> &'static str {
-        if self.attempts.is_empty() { "first" } else { "further" }
-    }
-
-    fn has_tried(&self, server: &str) -> bool {
-        self.tried.iter().any(|tried| **tried == *server)
-    }
-
-    /// Notes that a repeated send was taken from the budget for what comes next.
-    pub(crate) fn note_repeat(&mut self) {
-        self.has_repeat = true;
-    }
-
-    /// Notes that an attempt which had been sent came to nothing.
-    pub(crate) fn note_lost(&mut self) {
-        if let Some(last) = self.attempts.last_mut() {
-            *last = attempt::advance(*last, AttemptEvent::LinkLost);
-        }
-    }
-
-    pub(crate) fn priority(&self) -> u8 {
-        let of_organisation = self.organisation.as_ref().and_then(|o| o.priority);
-        of_organisation.unwrap_or(self.route.priority)
-    }
-}
-
-/// What an attempt is to ask for.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Ask<'a> {
-    /// Model that we chose.
-    pub(crate) model: Option<&'a str>,
-    /// Last event the caller has.
-    pub(crate) last_event: Option<u64>,
-}
-
 /// Tries servers until one answers; the answer may be the server's own failure.
 pub(crate) async fn next_answer(
     router: &Router,
@@ -199,10 +44,10 @@
             router.wait_for_view().await;
         }
         let Some(member) = next_server(router, job, ask) else {
-            return failed.ok_or_else(|| job.refusal(router, ask));
+            return failed.ok_or_else(|| refusal(router, job, ask));
         };
         if job.arrivals > 0 && !job.take_repeat(router) {
-            return failed.ok_or_else(|| job.refusal(router, ask));
+            return failed.ok_or_else(|| refusal(router, job, ask));
         }
         match router.take_send(&member) {
             Taken::Unlimited => {}
@@ -225,6 +70,29 @@
     }
 }
 
+/// What the caller gets when nothing more is tried.
+fn refusal(router: &Router, job: &Job, ask: Ask<'_>) -> Refusal {
+    match judge(&job.attempts) {
+        Verdict::NotRun if router.is_refused(job) => {
+            Refusal::EndsServers { retry_after: router.refused_for(job) }
+        }
+        Verdict::NotRun => {
+            let retry_after = router.note_refusal(&job.service, &job.req.head.id);
+            let Some((cause, wait)) = unavailable_for(router, job, ask) else {
+                return Refusal::NotRun { retry_after };
+            };
+            if cause == Cause::RateLimited {
+                router.metrics.count_limited("refused");
+                return Refusal::Limited { retry_after: retry_after.max(wait) };
+            }
+            // Spread, so that callers don't come back together when the first pause ends.
+            Refusal::Unavailable { cause, retry_after: wait + retry_after }
+        }
+        _ if job.time_left(router) < LEAST_TIME => Refusal::TimedOut,
+        _ => Refusal::Lost,
+    }
+}
+
 /// The next server, if another attempt may be made.
 fn next_server(router: &Router, job: &Job, ask: Ask<'_>) -> Option<Arc<Member>> {
     let may = may_send_again(&job.attempts, job.route.is_idempotent())
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -21,6 +21,7 @@
 mod feed;
 mod fleet;
 mod follow;
+mod job;
 mod kept_board;
 mod limit_board;
 mod link;
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     policy::quarantine::Standing,
-    router::{Released, Router, dispatch::Job, quarantine_row::TrialRequest},
+    router::{Released, Router, job::Job, quarantine_row::TrialRequest},
     routing::Fingerprint,
     telemetry::event,
 };
