Orders of a kind that nothing reads are logged; tests of the adapter's headers

Event 309 names each kind once. A test lists every header of answers that the adapter knows. The time after which a place is settled and a seed sees all entries is one constant.

--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -229,6 +229,14 @@
     Ok(Some(OperatorChange::Configuration(Box::new(read_config(doc)))))
 }
 
+/// The kind of an operator's row that nothing here reads: what its key begins with.
+pub fn unknown_kind(key: &str) -> Option<&str> {
+    let is_known = is_configuration(key)
+        || key.starts_with(ROLL_OUT_PREFIX)
+        || key.starts_with(EVACUATION_PREFIX);
+    (!is_known).then(|| key.split('/').next().unwrap_or(key))
+}
+
 /// Whether a row of the operator's holds the configuration.
 pub fn is_configuration(key: &str) -> bool {
     key == CONFIGURATION
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -54,7 +54,7 @@
 /// Time from the first report of an entry's place until it is used: a seed that has just started learns of some
 /// entries only after 2 s, when they try it again, and what the process before sent on this Host is more than a
 /// second old.
-const SETTLES: Duration = Duration::from_secs(3);
+pub const SETTLES: Duration = Duration::from_secs(3);
 /// Time for which a few entries less have to be reported before that counts: a report may be late.
 const FEW_GONE_AFTER: Duration = Duration::from_secs(1);
 /// The same for more of them: processes that were killed together are back and settled by then.
--- a/src/router/orders.rs
+++ b/src/router/orders.rs
@@ -1,8 +1,10 @@
 //! The operator's orders as the store has them: the configuration, roll-outs and evacuations.
 
+use std::collections::BTreeSet;
+
 use crate::{
     platform::{
-        documents::{OperatorChange, evacuated_zone, read_operator_row, status_key},
+        documents::{OperatorChange, evacuated_zone, read_operator_row, status_key, unknown_kind},
         store::{Rows, StoreClient, Table},
     },
     policy::lifecycle::LifecycleEvent,
@@ -11,9 +13,14 @@
     telemetry::event,
 };
 
+/// Most kinds of orders that nothing reads and that are logged.
+const MOST_UNREAD: usize = 32;
+
 /// Follows the operator's orders.
 pub(crate) async fn follow_orders(router: &Router, store: &StoreClient) {
+    let mut unread = BTreeSet::new();
     follow(router, store, Table::Orders, |rows, extent, _| {
+        note_unread_kinds(&rows, &mut unread);
         if extent.is_whole() {
             withdraw_missing(router, &rows);
         }
@@ -31,6 +38,15 @@
     .await;
 }
 
+/// Logs each kind of orders once that nothing here reads.
+fn note_unread_kinds(rows: &Rows, logged: &mut BTreeSet<Box<str>>) {
+    for kind in rows.rows.iter().filter_map(|row| unknown_kind(&row.key)) {
+        if logged.len() < MOST_UNREAD && logged.insert(kind.into()) {
+            event::ORDER_UNREAD.log(format_args!("kind={kind}"));
+        }
+    }
+}
+
 /// Whether a change is a roll-out that was withdrawn before the store came back from a copy that still has it.
 fn is_withdrawn(router: &Router, change: &OperatorChange) -> bool {
     matches!(change, OperatorChange::RollOut(order) if router.roll_outs.was_withdrawn(order))
--- a/src/router/own_place.rs
+++ b/src/router/own_place.rs
@@ -3,13 +3,10 @@
 use std::{sync::Mutex, time::Duration};
 
 use crate::{
-    policy::place::{Place, PlaceBelief, Sharer},
+    policy::place::{Place, PlaceBelief, SETTLES, Sharer},
     router::{Router, messages::ReportedPlace},
 };
 
-/// Time after which a seed that has started has reports of all entries: they try it again after 2 s.
-const SEES_ALL_AFTER: Duration = Duration::from_secs(3);
-
 /// This entry's place among all, as the seeds report it.
 #[derive(Debug, Default)]
 pub(crate) struct OwnPlace {
@@ -49,10 +46,6 @@
         let settings = self.settings.load();
         let own = Sharer { host: &settings.host, is_settled: self.place().is_some() };
         let Place { rank, entries } = self.loads.place(host, own, self.now())?;
-        Some(ReportedPlace {
-            rank,
-            entries,
-            sees_all: self.now() >= self.started_at() + SEES_ALL_AFTER,
-        })
+        Some(ReportedPlace { rank, entries, sees_all: self.now() >= self.started_at() + SETTLES })
     }
 }
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -67,6 +67,7 @@
     SERVER_REBORN = 306, Info, "A BackendServer started again under its id; what was known of it is forgotten.";
     ZONE_EVACUATED = 307, Warn, "The operator ordered an AvailabilityZone evacuated; nothing more is sent to its servers.";
     ZONE_TAKEN_BACK = 308, Info, "The order to evacuate an AvailabilityZone is gone; its servers are used again.";
+    ORDER_UNREAD = 309, Warn, "The operator wrote an order of a kind that nothing reads; logged once for each kind.";
     STORE_UNREACHABLE = 400, Warn, "The table or object service gives no answer; what depends on it waits or is refused.";
     STORE_BACK = 401, Info, "The table or object service answers again.";
     CLAIM_LOST_REPLY = 402, Info, "The reply to a claim was lost and is settled by reading back.";
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -7,11 +7,12 @@
     platform::{
         HttpClient,
         answers::read_answer,
+        documents::unknown_kind,
         headers::{AttemptHeaders, HeadError, read_request, write_attempt},
         host_settings,
         store::{Put, StoreClient, Table, WriteOutcome},
     },
-    policy::rate_limit::AdvertisedLimit,
+    policy::{rate_limit::AdvertisedLimit, retry_after::RetryAfter},
     routing::{AnswerKind, Organisation},
 };
 
@@ -135,6 +136,57 @@
     }
 }
 
+#[test]
+fn a_header_that_the_adapter_does_not_know_is_named() {
+    let known = headers(&[
+        ("x-request-id", "r"),
+        ("x-instance-stamp", "s"),
+        ("x-not-executed", "1"),
+        ("x-instance-load", "1,0,8"),
+        ("server-limit", "3"),
+        ("server-leaving", "1"),
+        ("x-confidence", "50"),
+        ("retry-after", "1"),
+        ("connection", "close"),
+        ("content-type", "text/plain"),
+        ("content-length", "0"),
+        ("keep-alive", "timeout=5"),
+        ("x-weight-versions", "3"),
+        ("x-cold-ms", "0"),
+        ("x-instance-id", "i"),
+    ]);
+    assert!(read_answer(StatusCode::OK, &known, "r").unread.is_empty());
+
+    let unknown = headers(&[("x-request-id", "r"), ("server-mood", "grim")]);
+    assert_eq!(read_answer(StatusCode::OK, &unknown, "r").unread, ["server-mood"]);
+}
+
+#[test]
+fn a_drain_notice_and_a_pause_are_read() {
+    let read = |pairs| read_answer(StatusCode::SERVICE_UNAVAILABLE, &headers(pairs), "r");
+    let draining = |pairs| read(pairs).is_draining;
+    assert!(!draining(&[]));
+    assert!(draining(&[("server-leaving", "1")]));
+    assert!(draining(&[("server-leaving", "0"), ("server-leaving", "1")]));
+    assert!(!draining(&[("server-leaving", "0")]));
+
+    let pause = |pairs| read(pairs).retry_after;
+    assert_eq!(pause(&[]), RetryAfter::None);
+    let seconds = |seconds| RetryAfter::After(Duration::from_secs(seconds));
+    assert_eq!(pause(&[("retry-after", "2"), ("retry-after", "5")]), seconds(5));
+    assert_eq!(pause(&[("retry-after", "soon"), ("retry-after", "5")]), seconds(5));
+    assert_eq!(pause(&[("retry-after", "soon")]), RetryAfter::Unreadable);
+}
+
+#[test]
+fn only_known_kinds_of_orders_are_read() {
+    for known in ["config", "rollout/app", "evacuate/zone-a"] {
+        assert_eq!(unknown_kind(known), None);
+    }
+    assert_eq!(unknown_kind("quota/org"), Some("quota"));
+    assert_eq!(unknown_kind("pause"), Some("pause"));
+}
+
 #[test]
 fn the_limit_that_an_answer_names_is_read() {
     let cases: [(&[&str], AdvertisedLimit); 11] = [
@@ -172,7 +224,7 @@
 limits: {max-fds: 4200, cores: 1}
 data-dir: null
 a-new-field: {x: [1, 2]}
-bounds: {grace-s: 8, retry-ratio: 0.9, retry-extra: 52, retry-window-s: 10, session-s: 5}
+bounds: {grace-s: 8, drain-ms: 2500, retry-ratio: 0.9, retry-extra: 52, retry-window-s: 10, session-s: 5}
 platform: {address: "10.200.1.7:8223", form: "table"}
 "#;
 
@@ -184,6 +236,7 @@
     assert_eq!(settings.caller.port(), 8_227);
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(settings.drain, Duration::from_millis(2_500));
     assert_eq!(&*settings.store, "10.200.1.7:8223");
 }
 
