--- a/tests/model/availability.rs
+++ b/tests/model/availability.rs
@@ -1,7 +1,4 @@
-//! An entry, a server that drains, asks for pauses and starts again, and its row, which lapses and returns.
-//!
-//! Answers are under way for any time and overtake each other. However that went, nothing is sent to a life that drains or
-//! pauses, no deadline moves back, and a life that announced nothing is not left out.
+//! A server that drains, asks for pauses and starts again, and its row, which lapses and returns.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/tests/model/rate_limit.rs
+++ b/tests/model/rate_limit.rs
@@ -1,9 +1,4 @@
-//! A server that names a limit: two entries that hear it from its answers and tell each other.
-//!
-//! The server names limits, ends them and starts again at any time; news is on its way for any time and in any order,
-//! a link is lost with what was on it, an entry is killed and starts again. However that went, one answer settles
-//! what both believe, neither believes a limit that this life of the server never named, and what both may send
-//! adds up to what the server takes.
+//! A server that advertises a limit: two entries that learn it from its answers and inform each other.
 
 use std::{collections::BTreeSet, time::Duration};
 
--- a/tests/platform/cold.rs
+++ b/tests/platform/cold.rs
@@ -1,4 +1,4 @@
-//! Servers that have just started get no more than they bear, from all entries together. The one here bears a
+//! Servers that have just started get no more than they take, from all entries together. The one here takes a
 //! request in 100 s, so that no test depends on the pace of its machine.
 
 use std::sync::Arc;
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -1,20 +1,4 @@
-//! A request that ends every server that begins to run it.
-//!
-//! What users saw: for ten to twenty seconds at a time, most summaries, notices and tags of a pool of nine
-//! servers failed; 43 servers ended under one request, which nobody missed.
-//!
-//! Order of events: a caller sent it, and the server that began to run it ended. Its entry saw a broken
-//! connection, as after any fault, and sent it to the next server, and to one more. The caller sent the same
-//! work again under a new id, to another entry, and again. Each server ended within a tenth of a second of
-//! beginning to run it, with up to 31 requests of all entries at work there; it came back some seconds later
-//! and met the request again.
-//!
-//! Cause: what ends a server is a property of the work, and every entry remembered only what it had seen of
-//! servers. A request was known by its id alone, so each try was new to everybody.
-//!
-//! Evidence: of 84 arrivals in the first test here, on the code that remembered nothing, 66 came more than a
-//! second after the third end, so they were not under way when it came; they belong to 28 tries of three
-//! arrivals each, so a try's own retries multiply it by three, and without them it comes all the same.
+//! A request that crashes every server that begins to run it (docs/incidents/0011).
 
 use std::{sync::Arc, time::Duration};
 
--- a/tests/platform/news.rs
+++ b/tests/platform/news.rs
@@ -32,7 +32,7 @@
     Message::binary(bytes)
 }
 
-/// Takes these fields out of what is told, however deep they stand.
+/// Takes these fields out of a message, however deep they stand.
 fn strip(value: &mut Value) {
     match value {
         Value::Map(fields) => {
@@ -44,7 +44,7 @@
     }
 }
 
-/// Serves one link: what a follower is told comes from the healthy seed, without urgent news; reports are taken and
+/// Serves one link: what a follower receives comes from the healthy seed, without urgent news; reports are taken and
 /// lost.
 async fn mute(mut socket: Socket, healthy: SocketAddr) -> Option<()> {
     let asked = loop {
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -1,16 +1,4 @@
-//! A rate-limited server names how many requests a second it takes from all entries together.
-//!
-//! What users saw: nothing, but a server that had asked for 1.8 requests a second got 24 in four seconds.
-//!
-//! Order of events: two of nine servers named a limit in their answers. Their four entries passed the answers on and
-//! went on as before, 6 and 7 requests a second to each of the two, for as long as it was looked at.
-//!
-//! Cause: an answer says more than its body, and what no decision read of it was passed on and forgotten. A limit on
-//! a server is a promise of all entries together, and each answer tells one of them alone.
-//!
-//! Evidence: in the first test here, on the code that only counts, each of four entries heard the limit from its own
-//! first answer and sent 27 to 33 requests in 9 s where all four together might send 17. All but one of 119 were first
-//! sends, so the field is not heeded by any of them, and no second way round is needed to pass the bound.
+//! A server that advertises how many requests a second it takes from all entries together (docs/incidents/0012).
 
 use std::{
     sync::Arc,
