Test of drain notices and pauses while the store is away

One entry, three servers, the store refusing every call: none of the requests of 2 s reaches the server that drains or the one that asked for a pause, and all are served. No source changed.

--- a/tests/platform/unavailable.rs
+++ b/tests/platform/unavailable.rs
@@ -13,6 +13,7 @@
     pool::Pool,
     server::{Act, Seen, Server},
     site::{Site, always, list, list_life, store_with, until},
+    store::Fault,
 };
 
 /// Time after a rejection in which requests may arrive that were on their way.
@@ -163,6 +164,23 @@
     assert_eq!(arrivals(&replaced, from).len(), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_servers_announce_holds_while_the_store_is_away() {
+    let (pool, sites, [draining, paused, _]) = three_servers().await;
+    pool.store.set_fault(Fault::Down);
+    draining.drain();
+    paused.ask_for_pause(Some("60"));
+    load(&sites, Duration::from_millis(300)).await;
+    until("both are known", || knows_both(&sites[0], &draining, &paused)).await;
+
+    let from = Instant::now();
+    let (asked, served) = load(&sites, Duration::from_secs(2)).await;
+
+    assert_eq!(arrivals(&draining, from).len(), 0, "of {asked} requests");
+    assert_eq!(arrivals(&paused, from).len(), 0, "of {asked} requests");
+    assert_eq!(served, asked);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_life_of_a_server_neither_drains_nor_pauses() {
     let (pool, sites, [draining, paused, _]) = three_servers().await;
