Sort the files of router/ into folders by concern

Cause: 52 files in one folder. Moves only: request/, servers/, peers/, store/, roll_outs/ and quarantine/. Three files that would repeat the name of their folder are renamed: peers/links, servers/server_table and quarantine/suspected_requests. `pub(super)` becomes `pub(crate)` where the neighbour is now in another folder.

--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -16,7 +16,7 @@
 use crate::{
     router::{
         Router,
-        serve::{DEFAULT_LIMITS, serve},
+        request::serve::{DEFAULT_LIMITS, serve},
     },
     telemetry::{admin, event},
 };
--- a/src/router/peers.rs
+++ b/src/router/peers/links.rs
@@ -28,8 +28,10 @@
     protocol::{Error, Result, decode, encode},
     router::{
         Router,
-        messages::{PeerMessage, PeerRequest, Report},
-        urgent_updates::UrgentUpdates,
+        peers::{
+            messages::{PeerMessage, PeerRequest, Report},
+            urgent_updates::UrgentUpdates,
+        },
     },
     telemetry::event,
 };
--- a/src/router/messages.rs
+++ b/src/router/peers/messages.rs
@@ -8,9 +8,12 @@
 use crate::{
     ids::{Era, Revision},
     router::{
-        compressed_rows::CompressedUpdate, load_reports::ServerLoad,
-        prefix_reports::ReportedPrefix, roll_out_state::VersionEvidence,
-        shared_limits::LimitUpdate, shared_quarantine::QuarantineUpdate,
+        peers::{
+            load_reports::ServerLoad, prefix_reports::ReportedPrefix, shared_limits::LimitUpdate,
+            shared_quarantine::QuarantineUpdate,
+        },
+        roll_outs::roll_out_state::VersionEvidence,
+        store::compressed_rows::CompressedUpdate,
     },
 };
 
--- a/src/router/own_place.rs
+++ b/src/router/peers/own_place.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     policy::place::{ObservedEntry, Place, PlaceTracker, SETTLE_TIME},
-    router::{Router, messages::ReportedPlace},
+    router::{Router, peers::messages::ReportedPlace},
 };
 
 /// This entry's rank as reported by the seeds.
--- a/src/router/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -10,8 +10,10 @@
     protocol::{Error, Result},
     router::{
         Router,
-        messages::{PeerMessage, PeerRequest},
-        peers::{OPEN_TIMEOUT, connect, other_seeds, receive_message, send_message, timed_out},
+        peers::{
+            links::{OPEN_TIMEOUT, connect, other_seeds, receive_message, send_message, timed_out},
+            messages::{PeerMessage, PeerRequest},
+        },
     },
     telemetry::event,
 };
--- a/src/router/peer_link.rs
+++ b/src/router/peers/peer_link.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::Notify;
 
-use crate::{platform::store::Table, router::table_views::TableUpdate};
+use crate::{platform::store::Table, router::store::table_views::TableUpdate};
 
 /// Maximum number of pending updates of a table. A full queue means that its reader has stopped,
 /// and a new link starts with all rows anyway.
--- a/src/router/prefix_reports.rs
+++ b/src/router/peers/prefix_reports.rs
@@ -11,7 +11,7 @@
 
 use crate::router::{
     Fleet,
-    update_log::{UpdateLog, UpdateLogLimits},
+    peers::update_log::{UpdateLog, UpdateLogLimits},
 };
 
 /// Prefixes stored for links that are new or behind; 40 KB. At 1,000 requests per second, a quarter
--- a/src/router/seed_reporter.rs
+++ b/src/router/peers/seed_reporter.rs
@@ -13,10 +13,12 @@
     protocol::{Error, Result, decode},
     router::{
         Router,
-        messages::{PeerMessage, PeerRequest, Report},
         peers::{
-            BATCH_DELAY, OPEN_TIMEOUT, connect, next_message, other_seeds, send_message, send_ping,
-            timed_out,
+            links::{
+                BATCH_DELAY, OPEN_TIMEOUT, connect, next_message, other_seeds, send_message,
+                send_ping, timed_out,
+            },
+            messages::{PeerMessage, PeerRequest, Report},
         },
     },
     telemetry::event,
--- a/src/router/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     policy::quarantine::{Case, IncarnationHash, Note, Quarantine, QuarantineStatus},
-    router::update_log::{UpdateLog, UpdateLogLimits},
+    router::peers::update_log::{UpdateLog, UpdateLogLimits},
     routing::Fingerprint,
     telemetry::event,
 };
--- a/src/router/urgent_updates.rs
+++ b/src/router/peers/urgent_updates.rs
@@ -2,10 +2,13 @@
 
 use tokio::{sync::watch, time::sleep};
 
-use crate::router::{Router, messages::PeerMessage, peers::BATCH_DELAY};
+use crate::router::{
+    Router,
+    peers::{links::BATCH_DELAY, messages::PeerMessage},
+};
 
 /// Urgent updates for one link.
-pub(super) struct UrgentUpdates<'a> {
+pub(crate) struct UrgentUpdates<'a> {
     router: &'a Router,
     quarantine_changes: watch::Receiver<u64>,
     limit_changes: watch::Receiver<u64>,
@@ -16,7 +19,7 @@
 }
 
 impl<'a> UrgentUpdates<'a> {
-    pub(super) fn new(router: &'a Router) -> Self {
+    pub(crate) fn new(router: &'a Router) -> Self {
         let (quarantine_changes, limit_changes) =
             (router.quarantine.changes(), router.shared_limits.urgent_changes());
         // What is already known is sent immediately.
@@ -32,7 +35,7 @@
 
     /// Waits for the next urgent updates. It is cancel safe: no update is lost when the future is
     /// dropped.
-    pub(super) async fn next(&mut self) -> PeerMessage {
+    pub(crate) async fn next(&mut self) -> PeerMessage {
         loop {
             if !self.has_changes {
                 tokio::select! {
--- /dev/null
+++ b/src/router/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Requests during which servers crashed.
+
+pub(crate) mod quarantine_release;
+pub(crate) mod quarantine_row;
+pub(crate) mod suspected_requests;
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     policy::quarantine::QuarantineStatus,
-    router::{Released, Router, quarantine_row::TrialRequest, request_context::RequestContext},
+    router::{
+        Released, Router, quarantine::quarantine_row::TrialRequest,
+        request::request_context::RequestContext,
+    },
     routing::Fingerprint,
     telemetry::event,
 };
--- a/src/router/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -18,10 +18,12 @@
     },
     router::{
         Member, Router,
-        connection::{self, Checkout, ConnectError, Connection},
-        prefix_reports::ReportedPrefix,
-        request_context::RequestContext,
-        response_wait::{ResponseWait, wait_for_response},
+        peers::prefix_reports::ReportedPrefix,
+        request::{
+            request_context::RequestContext,
+            response_wait::{ResponseWait, wait_for_response},
+        },
+        servers::connection::{self, Checkout, ConnectError, Connection},
     },
     routing::{Request, ResponseHead, ResponseKind},
 };
--- /dev/null
+++ b/src/router/request/mod.rs
@@ -0,0 +1,13 @@
+//! The way of one request, from its arrival to the end of its response.
+
+pub(crate) mod attempt;
+pub(crate) mod body;
+pub(crate) mod dispatch;
+pub(crate) mod event_stream;
+pub(crate) mod refusal;
+pub(crate) mod relay;
+pub(crate) mod request_context;
+pub(crate) mod response_wait;
+pub(crate) mod selection;
+pub(crate) mod serve;
+pub(crate) mod stages;
--- a/src/router/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, Response, StatusCode, header};
 
-use crate::{policy::availability::UnavailableCause, router::body::ResponseBody};
+use crate::{policy::availability::UnavailableCause, router::request::body::ResponseBody};
 
 /// Why a request gets a response from the entry instead of from a server.
 ///
--- a/src/router/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     policy::attempt::{self, AttemptEvent, AttemptState},
-    router::{Router, serve::InFlightGuard},
+    router::{Router, request::serve::InFlightGuard},
     routing::{Fingerprint, Organisation, Request, Route},
 };
 
@@ -32,12 +32,12 @@
     /// Attempts that may have run on a server.
     pub(crate) runs: u32,
     /// Attempts that reached a server.
-    pub(super) deliveries: u32,
+    pub(crate) deliveries: u32,
     /// Whether a retry was taken from the budget and not used yet.
-    pub(super) has_retry: bool,
-    pub(super) tried_servers: Vec<Box<str>>,
+    pub(crate) has_retry: bool,
+    pub(crate) tried_servers: Vec<Box<str>>,
     /// Servers that could not be reached.
-    pub(super) unreachable_servers: Vec<Box<str>>,
+    pub(crate) unreachable_servers: Vec<Box<str>>,
     /// Whether this is a trial of a quarantined request: it is run once to see whether it still crashes servers.
     pub(crate) is_quarantine_trial: bool,
     /// Computed on first use, since most requests never need it.
@@ -90,12 +90,12 @@
     }
 
     /// When the next attempt has to have begun to respond.
-    pub(super) fn attempt_deadline(&self) -> Duration {
+    pub(crate) fn attempt_deadline(&self) -> Duration {
         self.head_deadline.unwrap_or(self.deadline)
     }
 
     /// Takes a retry from the budget unless an unused one is held; false if the budget is exhausted.
-    pub(super) fn take_retry(&mut self, router: &Router) -> bool {
+    pub(crate) fn take_retry(&mut self, router: &Router) -> bool {
         self.has_retry = self.has_retry || router.take_retry(&self.service);
         self.has_retry
     }
@@ -103,7 +103,7 @@
     /// Whether a server could not be reached for this request. Without this check, when the last server of a
     /// service was gone, each request tried it 10 to 12 times within 40 ms, with a log line each, before the
     /// request was refused.
-    pub(super) fn is_unreachable(&self, server: &str) -> bool {
+    pub(crate) fn is_unreachable(&self, server: &str) -> bool {
         self.unreachable_servers.iter().any(|id| **id == *server)
     }
 
@@ -113,7 +113,7 @@
     }
 
     /// Whether an attempt was made at this server.
-    pub(super) fn has_tried(&self, server: &str) -> bool {
+    pub(crate) fn has_tried(&self, server: &str) -> bool {
         self.tried_servers.iter().any(|id| **id == *server)
     }
 
--- a/src/router/response_wait.rs
+++ b/src/router/request/response_wait.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     policy::answer_timeout::AnswerTimeouts,
-    router::{Member, Router, request_context::RequestContext},
+    router::{Member, Router, request::request_context::RequestContext},
 };
 
 /// Interval at which a silent server is checked again.
--- a/src/router/selection.rs
+++ b/src/router/request/selection.rs
@@ -13,7 +13,7 @@
     },
     router::{
         Fleet, Member, Router,
-        request_context::{AttemptParams, RequestContext},
+        request::request_context::{AttemptParams, RequestContext},
     },
     routing::is_permitted_region,
 };
--- a/src/router/serve.rs
+++ b/src/router/request/serve.rs
@@ -12,7 +12,8 @@
     platform::request_headers::{parse_request_head, request_id},
     policy::exposure::hash_fraction,
     router::{
-        Router, body::ResponseBody, refusal::Refusal, relay, request_context::RequestContext,
+        Router,
+        request::{body::ResponseBody, refusal::Refusal, relay, request_context::RequestContext},
     },
     routing::{CallerLimits, Organisation, Request, RequestHead, Route, RoutingTable},
     telemetry::event,
--- a/src/router/stages.rs
+++ b/src/router/request/stages.rs
@@ -6,11 +6,13 @@
     policy::escalation::{StageAnswer, escalate, escalation_timeout},
     router::{
         Router,
-        attempt::OpenResponse,
-        dispatch::send_with_failover,
-        refusal::Refusal,
-        request_context::{AttemptParams, RequestContext},
-        selection::estimate_latency,
+        request::{
+            attempt::OpenResponse,
+            dispatch::send_with_failover,
+            refusal::Refusal,
+            request_context::{AttemptParams, RequestContext},
+            selection::estimate_latency,
+        },
     },
     routing::ResponseKind,
     telemetry::event,
--- a/src/router/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -16,7 +16,7 @@
 use crate::{
     ids::StoreVersion,
     policy::exposure::ExposureConfig,
-    router::{
+    router::roll_outs::{
         roll_out_state::{RollOut, Verdict, VersionEvidence},
         version_rule::VersionRule,
     },
--- a/src/router/roll_out_driver.rs
+++ b/src/router/roll_outs/roll_out_driver.rs
@@ -13,7 +13,7 @@
         documents::{encode_status, parse_status_row, roll_out_status_key, service_of_status_key},
         store::{Put, Row, StoreClient, Table, WriteOutcome},
     },
-    router::{Router, roll_out_state::Verdict},
+    router::{Router, roll_outs::roll_out_state::Verdict},
     routing::{RollOutOrder, RollOutProgress, RollOutStatus},
     telemetry::event,
 };
--- a/src/router/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -15,7 +15,7 @@
         roll_out::{Evidence, Finding, VersionTest},
     },
     resources::Guard,
-    router::version_rule::VersionRule,
+    router::roll_outs::version_rule::VersionRule,
     routing::{RequestHead, RollOutOrder, RollOutProgress, RollOutStatus},
     telemetry::event,
 };
@@ -31,19 +31,19 @@
 /// Evidence of one entry on both versions of a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct VersionEvidence {
-    pub(super) service: Box<str>,
+    pub(crate) service: Box<str>,
     /// Revision of the roll-out's order.
-    pub(super) revision: Revision,
+    pub(crate) revision: Revision,
     /// Era of the order; omitted while the store has never been restored from a backup.
     #[serde(default, skip_serializing_if = "is_first")]
-    pub(super) era: Era,
-    pub(super) old: Evidence,
-    pub(super) new: Evidence,
+    pub(crate) era: Era,
+    pub(crate) old: Evidence,
+    pub(crate) new: Evidence,
 }
 
 impl VersionEvidence {
     /// Version of the roll-out's order.
-    pub(super) fn order(&self) -> StoreVersion {
+    pub(crate) fn order(&self) -> StoreVersion {
         StoreVersion { era: self.era, revision: self.revision }
     }
 }
@@ -57,31 +57,31 @@
 
 /// State of one roll-out.
 #[derive(Debug)]
-pub(super) struct RollOut {
-    pub(super) order: RollOutOrder,
+pub(crate) struct RollOut {
+    pub(crate) order: RollOutOrder,
     /// When it began, on this entry's clock.
-    pub(super) began: Duration,
+    pub(crate) began: Duration,
     /// Whether the store reported when it began.
-    pub(super) is_start_reported: bool,
+    pub(crate) is_start_reported: bool,
     /// When this entry found the order while starting; none once the progress is known.
-    pub(super) found_at: Option<Duration>,
-    pub(super) progress: RollOutProgress,
+    pub(crate) found_at: Option<Duration>,
+    pub(crate) progress: RollOutProgress,
     /// Whether the evidence of this entry or of all entries shows that the version is bad.
-    pub(super) is_held: bool,
-    pub(super) old: Evidence,
-    pub(super) new: Evidence,
-    pub(super) test: VersionTest,
+    pub(crate) is_held: bool,
+    pub(crate) old: Evidence,
+    pub(crate) new: Evidence,
+    pub(crate) test: VersionTest,
     /// Test on the evidence of all entries, as far as it was reported to this one.
-    pub(super) pooled_test: VersionTest,
+    pub(crate) pooled_test: VersionTest,
     /// Evidence of other entries by Host.
-    pub(super) others: HashMap<Box<str>, VersionEvidence>,
+    pub(crate) others: HashMap<Box<str>, VersionEvidence>,
     /// Whether the fleet has had servers of the new version.
-    pub(super) has_servers: bool,
+    pub(crate) has_servers: bool,
 }
 
 impl RollOut {
     /// A roll-out that begins now. `is_found` marks an order that was there when the entry started.
-    pub(super) fn new(order: RollOutOrder, now: Duration, is_found: bool) -> Self {
+    pub(crate) fn new(order: RollOutOrder, now: Duration, is_found: bool) -> Self {
         Self {
             order,
             began: now,
@@ -99,7 +99,7 @@
     }
 
     /// Rule for the versions that may run a request now.
-    pub(super) fn version_rule(
+    pub(crate) fn version_rule(
         &self,
         head: &RequestHead,
         now: Duration,
@@ -122,24 +122,24 @@
     }
 
     /// Whether the progress is still unknown; a known end is final.
-    pub(super) fn is_unknown(&self) -> bool {
+    pub(crate) fn is_unknown(&self) -> bool {
         self.found_at.is_some() && self.progress == RollOutProgress::Running
     }
 
     /// Time since it began, as far as this entry knows.
-    pub(super) fn age(&self, now: Duration) -> Duration {
+    pub(crate) fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.began)
     }
 
     /// Whether it is in the trial phase, in which only a small share of the requests runs on the
     /// new version.
-    pub(super) fn is_on_trial(&self, now: Duration, config: &ExposureConfig) -> bool {
+    pub(crate) fn is_on_trial(&self, now: Duration, config: &ExposureConfig) -> bool {
         let is_running = self.progress == RollOutProgress::Running;
         is_running && !is_past_trial(self.age(now), self.order.duration, config)
     }
 
     /// Tests this entry's evidence and holds back the version if it is bad.
-    pub(super) fn evaluate(&mut self) {
+    pub(crate) fn evaluate(&mut self) {
         self.test.observe(self.old, self.new, &GUARD);
         if self.test.finding(&GUARD) == Finding::Worse {
             self.hold(1, self.old, self.new);
@@ -147,7 +147,7 @@
     }
 
     /// Evidence of all entries on the old and on the new version, as far as it was reported here.
-    pub(super) fn pooled(&self) -> (Evidence, Evidence) {
+    pub(crate) fn pooled(&self) -> (Evidence, Evidence) {
         let sum = |(old, new): (Evidence, Evidence), other: &VersionEvidence| {
             (old.plus(other.old), new.plus(other.new))
         };
@@ -155,7 +155,7 @@
     }
 
     /// Tests the evidence of all entries and holds back the version if it is bad.
-    pub(super) fn evaluate_pooled(&mut self) {
+    pub(crate) fn evaluate_pooled(&mut self) {
         let (old, new) = self.pooled();
         self.pooled_test.observe(old, new, &GUARD);
         if self.pooled_test.finding(&GUARD) == Finding::Worse {
@@ -182,7 +182,7 @@
     }
 
     /// This entry's evidence, for its next report.
-    pub(super) fn evidence(&self) -> VersionEvidence {
+    pub(crate) fn evidence(&self) -> VersionEvidence {
         VersionEvidence {
             service: self.order.service.clone(),
             revision: self.order.written_at.revision,
@@ -200,7 +200,7 @@
     }
 
     /// The verdict that this entry can give now, if any.
-    pub(super) fn verdict(&self, now: Duration, config: &ExposureConfig) -> Option<Verdict> {
+    pub(crate) fn verdict(&self, now: Duration, config: &ExposureConfig) -> Option<Verdict> {
         if self.progress != RollOutProgress::Running {
             return None;
         }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,9 +12,13 @@
         store::StoreClient,
     },
     router::{
-        Router, listen, orders, peer_follower, peers, quarantine_release, quarantine_row,
-        roll_out_driver, seed_reporter, servers,
+        Router, listen,
+        peers::{links, peer_follower, seed_reporter},
+        quarantine::{quarantine_release, quarantine_row},
+        roll_outs::roll_out_driver,
+        servers::server_table,
         state::{KILL_MARGIN, READINESS_LAG},
+        store::orders,
     },
     settings::RouteSettings,
     telemetry::{admin, event},
@@ -120,7 +124,7 @@
     let work = async {
         tokio::join!(
             orders::follow_orders(&router, &store),
-            servers::follow_servers(&router, &store),
+            server_table::follow_servers(&router, &store),
             roll_out_driver::drive_roll_outs(&router, &store),
             serve_peers(router.clone(), peers),
             peer_follower::follow_peers(&router),
@@ -147,7 +151,7 @@
     };
     let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
     match listener {
-        Ok(listener) => peers::serve_peers(router, listener).await,
+        Ok(listener) => links::serve_peers(router, listener).await,
         Err(e) => event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\"")),
     }
 }
--- a/src/router/advertised_limits.rs
+++ b/src/router/servers/advertised_limits.rs
@@ -8,7 +8,7 @@
     policy::rate_limit::AdvertisedLimit,
     router::{
         Member, Router,
-        shared_limits::{LimitUpdate, RateChange},
+        peers::shared_limits::{LimitUpdate, RateChange},
     },
     routing::{ResponseHead, ResponseKind},
     telemetry::event,
--- a/src/router/availability.rs
+++ b/src/router/servers/availability.rs
@@ -11,7 +11,7 @@
         place::Place,
         rate_limit::{Allowance, Rate, allowance, probe_allowance},
     },
-    router::{Member, Router, shared_limits::LimitView},
+    router::{Member, Router, peers::shared_limits::LimitView},
 };
 
 /// Added to the duration of a cold start when a server counts as cold after its address refused a connection: the
--- a/src/router/departed_servers.rs
+++ b/src/router/servers/departed_servers.rs
@@ -15,18 +15,18 @@
 
 /// Servers that left the fleet, by id, and when each left.
 #[derive(Debug, Default)]
-pub(super) struct DepartedServers {
+pub(crate) struct DepartedServers {
     servers: HashMap<Box<str>, (Arc<Member>, Duration)>,
 }
 
 impl DepartedServers {
     /// The last known incarnation of the server with this id.
-    pub(super) fn get(&self, id: &str) -> Option<&Arc<Member>> {
+    pub(crate) fn get(&self, id: &str) -> Option<&Arc<Member>> {
         self.servers.get(id).map(|(member, _)| member)
     }
 
     /// Copies the servers that `other` keeps, without those that are in the fleet again.
-    pub(super) fn inherit(
+    pub(crate) fn inherit(
         &mut self,
         other: &Self,
         is_in_view: impl Fn(&str) -> bool,
@@ -40,7 +40,7 @@
     }
 
     /// Keeps a server that left the fleet; drops the oldest one if there are too many.
-    pub(super) fn insert(&mut self, member: &Arc<Member>, now: Duration) {
+    pub(crate) fn insert(&mut self, member: &Arc<Member>, now: Duration) {
         member.release_memory();
         self.servers.insert(member.server.id.clone(), (member.clone(), now));
         if self.servers.len() <= MAX_SERVERS {
--- a/src/router/fleet.rs
+++ b/src/router/servers/fleet.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     policy::quarantine::IncarnationHash,
-    router::{Member, departed_servers::DepartedServers},
+    router::{Member, servers::departed_servers::DepartedServers},
     routing::{BackendServer, ServerVersion},
     telemetry::event,
 };
--- a/src/router/listing.rs
+++ b/src/router/servers/listing.rs
@@ -15,7 +15,7 @@
         documents::parse_server_row,
         store::{Row, Rows},
     },
-    router::restore::Extent,
+    router::store::restore::Extent,
     routing::BackendServer,
     telemetry::event,
 };
--- a/src/router/member.rs
+++ b/src/router/servers/member.rs
@@ -22,7 +22,7 @@
         rate_limit::{Allowance, SlidingWindowLog},
         send_window::SendWindow,
     },
-    router::{connection::IdleConnection, server_ends::LostRequests},
+    router::servers::{connection::IdleConnection, server_ends::LostRequests},
     routing::BackendServer,
 };
 
@@ -130,7 +130,7 @@
     }
 
     /// The same incarnation with a newer listing.
-    pub(super) fn with_listing(&self, server: BackendServer, now: Duration) -> Self {
+    pub(crate) fn with_listing(&self, server: BackendServer, now: Duration) -> Self {
         if server.address != self.server.address {
             self.state().is_replaced = false;
         }
@@ -186,12 +186,12 @@
     }
 
     /// Locks the list of requests that got no response from it.
-    pub(super) fn lost_requests(&self) -> MutexGuard<'_, LostRequests> {
+    pub(crate) fn lost_requests(&self) -> MutexGuard<'_, LostRequests> {
         self.incarnation.lost_requests.lock().expect("no panics under the lock")
     }
 
     /// Acquires the right to check whether the server listens, so that one task checks at a time.
-    pub(super) async fn lock_probe(&self) -> tokio::sync::MutexGuard<'_, ()> {
+    pub(crate) async fn lock_probe(&self) -> tokio::sync::MutexGuard<'_, ()> {
         self.incarnation.probe_lock.lock().await
     }
 
@@ -207,13 +207,13 @@
     }
 
     /// Records that this incarnation has ended.
-    pub(super) fn mark_ended(&self) {
+    pub(crate) fn mark_ended(&self) {
         self.incarnation.has_ended.send_replace(true);
     }
 
     /// Drops the idle connections and the record of cached prompts, which take much memory and are of no use for
     /// a server that is no longer listed.
-    pub(super) fn release_memory(&self) {
+    pub(crate) fn release_memory(&self) {
         let mut state = self.state();
         state.idle_connections = Vec::new();
         state.prefixes = CachedPrefixes::default();
@@ -295,7 +295,7 @@
     }
 
     /// Records a pause that it requested when it rejected a request; returns whether no pause was in effect.
-    pub(super) fn record_pause(&self, pause: Duration, now: Duration) -> bool {
+    pub(crate) fn record_pause(&self, pause: Duration, now: Duration) -> bool {
         let mut state = self.state();
         let others = state.load.own_requests.saturating_sub(1);
         state.send_window.record_rejection(others, now);
@@ -303,7 +303,7 @@
     }
 
     /// Records a drain notice in a response and closes the idle connections; returns whether it is the first notice.
-    pub(super) fn record_draining(&self, now: Duration) -> bool {
+    pub(crate) fn record_draining(&self, now: Duration) -> bool {
         let mut state = self.state();
         state.idle_connections.clear();
         state.announced.record_draining(now)
@@ -344,12 +344,12 @@
     }
 
     /// Whether two listings belong to the same incarnation of a server.
-    pub(super) fn is_same_incarnation(&self, other: &Self) -> bool {
+    pub(crate) fn is_same_incarnation(&self, other: &Self) -> bool {
         Arc::ptr_eq(&self.incarnation, &other.incarnation)
     }
 
     /// Part of the state dump.
-    pub(super) fn dump(&self, now: Duration) -> Value {
+    pub(crate) fn dump(&self, now: Duration) -> Value {
         let state = self.state();
         json!({
             "id": self.server.id,
--- /dev/null
+++ b/src/router/servers/mod.rs
@@ -0,0 +1,14 @@
+//! What is known of BackendServers: their list, state, limits and connections.
+
+pub(crate) mod advertised_limits;
+pub(crate) mod announcements;
+pub(crate) mod availability;
+pub(crate) mod connection;
+pub(crate) mod departed_servers;
+pub(crate) mod evacuations;
+pub(crate) mod fleet;
+pub(crate) mod listing;
+pub(crate) mod member;
+pub(crate) mod server_ends;
+pub(crate) mod server_table;
+pub(crate) mod timing_estimates;
--- a/src/router/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -10,7 +10,9 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
-    router::{Member, Router, request_context::RequestContext, roll_out::RunOutcome},
+    router::{
+        Member, Router, request::request_context::RequestContext, roll_outs::roll_out::RunOutcome,
+    },
     routing::Fingerprint,
     telemetry::event,
 };
@@ -34,7 +36,7 @@
 
 /// Requests that got no response from a server, and what is known about the server's end.
 #[derive(Debug, Default)]
-pub(super) struct LostRequests {
+pub(crate) struct LostRequests {
     lost: Vec<LostRequest>,
     /// When the end of the server was proved. The server may be back before the list shows its next incarnation.
     ended_at: Option<Duration>,
@@ -44,7 +46,7 @@
 
 /// Records that the connection to a server broke before a response was complete, checks whether the server has ended,
 /// and records the failure as evidence about its version.
-pub(super) async fn record_broken_connection(
+pub(crate) async fn record_broken_connection(
     router: &Router,
     ctx: &RequestContext,
     member: &Arc<Member>,
@@ -70,7 +72,7 @@
 }
 
 /// Records that a request got no response from a server, which may have ended or may be about to.
-pub(super) fn record_lost(
+pub(crate) fn record_lost(
     router: &Router,
     ctx: &RequestContext,
     member: &Member,
@@ -125,7 +127,7 @@
 
 /// Why a request got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LossCause {
+pub(crate) enum LossCause {
     /// The connection broke, or the request was cancelled while the server may have begun to run it.
     Disconnected,
     /// The entry stopped waiting: the server was silent, or its next incarnation was listed.
@@ -149,7 +151,7 @@
 
 /// What proves that a server has ended. The names are written to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Proof {
+pub(crate) enum Proof {
     /// Its address refuses connections.
     Refused,
     /// The list shows its next incarnation.
@@ -160,7 +162,7 @@
 }
 
 /// Records that a server has ended. All requests that it was running become suspects.
-pub(super) fn record_server_end(router: &Router, member: &Member, proof: Proof) {
+pub(crate) fn record_server_end(router: &Router, member: &Member, proof: Proof) {
     let now = router.now();
     let (lost, ended_at) = {
         let received_at = member.received_at();
--- a/src/router/servers.rs
+++ b/src/router/servers/server_table.rs
@@ -6,10 +6,14 @@
     platform::store::{Rows, StoreClient, Table},
     router::{
         Fleet, Router,
-        feed::{RETRY_PAUSE, StoreReachability, follow_table},
-        listing::Listing,
-        restore::Extent,
-        server_ends::{self, Proof},
+        servers::{
+            listing::Listing,
+            server_ends::{self, Proof},
+        },
+        store::{
+            feed::{RETRY_PAUSE, StoreReachability, follow_table},
+            restore::Extent,
+        },
     },
     telemetry::event,
 };
@@ -70,7 +74,7 @@
 }
 
 /// Records, for each roll-out in progress, which versions have servers.
-pub(super) fn record_versions(router: &Router) {
+pub(crate) fn record_versions(router: &Router) {
     let fleet = router.fleet.load();
     for order in router.roll_outs.running() {
         for member in fleet.of_service(&order.service) {
--- a/src/router/compressed_rows.rs
+++ b/src/router/store/compressed_rows.rs
@@ -13,7 +13,7 @@
     ids::{Era, Revision, StoreVersion},
     platform::store::{Row, Table, is_first},
     protocol::{Result, decode, encode},
-    router::table_views::TableUpdate,
+    router::store::table_views::TableUpdate,
 };
 
 /// Maximum size of decompressed rows in bytes: ten times the rows of 2,100 servers.
--- a/src/router/feed.rs
+++ b/src/router/store/feed.rs
@@ -14,8 +14,10 @@
     policy::replication::{TablePosition, UpdateAction, UpdateHeader},
     router::{
         Router,
-        restore::{self, Extent},
-        table_views::TableUpdate,
+        store::{
+            restore::{self, Extent},
+            table_views::TableUpdate,
+        },
     },
     telemetry::event,
 };
@@ -34,7 +36,7 @@
 /// time.
 const WAIT_WITH_FOLLOWERS: Duration = Duration::from_millis(1_000);
 /// Pause after a failed call.
-pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(250);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause of a follower after a failed call; the entry it follows reports when the store is back. In
 /// an outage of several seconds, 32 entries that retried four times a second made a third of a
 /// day's calls.
@@ -62,7 +64,7 @@
 /// Whether the store answers this feed; decides which events are logged and whether removals are
 /// certain.
 #[derive(Debug, Default)]
-pub(super) struct StoreReachability {
+pub(crate) struct StoreReachability {
     is_lost: bool,
     reachable_since: Option<Duration>,
 }
@@ -94,7 +96,7 @@
 
     /// Time until which a removed server may return, because its row may have expired while the
     /// store was unreachable. None if removals are certain.
-    pub(super) fn removals_uncertain_until(&self, now: Duration) -> Option<Duration> {
+    pub(crate) fn removals_uncertain_until(&self, now: Duration) -> Option<Duration> {
         self.reachable_since.map(|back| back + RETURN_WINDOW).filter(|until| now < *until)
     }
 }
@@ -173,7 +175,7 @@
 }
 
 /// Follows a table forever; `apply` receives all rows first and changes afterwards.
-pub(super) async fn follow_table(
+pub(crate) async fn follow_table(
     router: &Router,
     store: &StoreClient,
     table: Table,
--- a/src/router/orders.rs
+++ b/src/router/store/orders.rs
@@ -11,7 +11,11 @@
         store::{Rows, StoreClient, Table},
     },
     policy::lifecycle::LifecycleEvent,
-    router::{Router, feed::follow_table, restore::Extent, servers::record_versions},
+    router::{
+        Router,
+        servers::server_table::record_versions,
+        store::{feed::follow_table, restore::Extent},
+    },
     routing::RoutingTable,
     telemetry::event,
 };
--- a/src/router/table_views.rs
+++ b/src/router/store/table_views.rs
@@ -11,7 +11,7 @@
 use crate::{
     ids::{Era, StoreVersion},
     platform::store::{Row, Rows, Table},
-    router::compressed_rows::CompressedUpdate,
+    router::store::compressed_rows::CompressedUpdate,
 };
 
 /// Updates buffered for a slow subscriber; one that falls further behind has to reconnect.
