--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod body;
 pub(crate) mod dispatch;
 pub(crate) mod event_stream;
+pub(crate) mod in_flight;
 pub(crate) mod refusal;
 pub(crate) mod relay;
 pub(crate) mod request_context;
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     policy::attempt::{self, AttemptEvent, AttemptState},
-    router::{Router, request::serve::InFlightGuard},
+    router::{Router, request::in_flight::InFlightGuard},
     routing::{Fingerprint, Organisation, Request, Route},
 };
 
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -13,7 +13,10 @@
     policy::exposure::hash_fraction,
     router::{
         Router,
-        request::{body::ResponseBody, refusal::Refusal, relay, request_context::RequestContext},
+        request::{
+            body::ResponseBody, in_flight::InFlightGuard, refusal::Refusal, relay,
+            request_context::RequestContext,
+        },
     },
     routing::{CallerLimits, Organisation, Request, RequestHead, Route, RoutingTable},
     telemetry::event,
@@ -27,27 +30,6 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// Counts a request as in flight until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlightGuard {
-    router: Arc<Router>,
-    /// When the request arrived, on the entry's clock.
-    pub(crate) arrived_at: Duration,
-}
-
-impl InFlightGuard {
-    fn new(router: &Arc<Router>) -> Self {
-        router.record_request_started();
-        Self { router: router.clone(), arrived_at: router.now() }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.router.record_request_finished();
-    }
-}
-
 /// Serves one request. Refusals become responses, so this never fails.
 pub(crate) async fn serve(
     router: Arc<Router>,
