--- a/src/bin/mintmoor/app.rs
+++ b/src/bin/mintmoor/app.rs
@@ -1,30 +1,15 @@
 //! From arguments to a running command.
 
-use eyre::{Result, WrapErr};
-use mintmoor::telemetry::log::{self, LogFormat, LogLevel};
+use eyre::Result;
 
 use crate::{
     apply,
     args::{Args, Command},
-    check, completions, load, local, process, remote, standin,
+    check, completions,
+    ending::Ending,
+    load, local, process, remote, standin,
 };
 
-/// How a command that ran ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ending {
-    /// All is well.
-    Good,
-    /// Something is wrong, and has been printed.
-    Bad,
-}
-
-impl Ending {
-    /// Good when `right`.
-    pub(crate) fn of(right: bool) -> Self {
-        if right { Self::Good } else { Self::Bad }
-    }
-}
-
 /// Runs the command the arguments name.
 pub(crate) fn run() -> Result<Ending> {
     let args: Args = argh::from_env();
@@ -67,9 +52,3 @@
         Command::Completions(_) => completions::run(),
     }
 }
-
-/// Sends log lines of at least `level` to standard error.
-pub(crate) fn install_log(level: &str) -> Result<()> {
-    let level: LogLevel = level.parse().wrap_err("--log")?;
-    log::init_stderr(level, LogFormat::Text).wrap_err("log")
-}
--- a/src/bin/mintmoor/apply.rs
+++ b/src/bin/mintmoor/apply.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::{app::Ending, args::ApplyArgs, remote::Remote};
+use crate::{args::ApplyArgs, ending::Ending, remote::Remote};
 
 /// A file of objects.
 #[derive(Debug, Deserialize)]
--- a/src/bin/mintmoor/check.rs
+++ b/src/bin/mintmoor/check.rs
@@ -7,7 +7,7 @@
     settings::{load_agent, load_entry, load_route},
 };
 
-use crate::{app::Ending, apply::read_objects, args::CheckArgs};
+use crate::{apply::read_objects, args::CheckArgs, ending::Ending};
 
 /// Checks a file.
 pub(crate) fn run(args: &CheckArgs) -> Result<Ending> {
--- a/src/bin/mintmoor/completions.rs
+++ b/src/bin/mintmoor/completions.rs
@@ -3,7 +3,7 @@
 use eyre::Result;
 use mintmoor::resources::Kind;
 
-use crate::app::Ending;
+use crate::ending::Ending;
 
 const COMMANDS: [&str; 15] = [
     "entry",
--- a/src/bin/mintmoor/load.rs
+++ b/src/bin/mintmoor/load.rs
@@ -5,10 +5,7 @@
 use eyre::{Result, WrapErr, eyre};
 use mintmoor::load::{self, Baseline, Report, Scenario, plot_reports, slopes};
 
-use crate::{
-    app::{Ending, install_log},
-    args::LoadArgs,
-};
+use crate::{args::LoadArgs, ending::Ending, logging::install_log};
 
 /// Runs each policy with each seed, one after the other.
 pub(crate) async fn run(args: LoadArgs) -> Result<Ending> {
--- a/src/bin/mintmoor/local.rs
+++ b/src/bin/mintmoor/local.rs
@@ -9,8 +9,9 @@
 use serde_json::json;
 
 use crate::{
-    app::{Ending, install_log},
     args::LocalArgs,
+    ending::Ending,
+    logging::install_log,
     process::{announce, wait_for_stop},
 };
 
--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::{app::Ending, args::RouteArgs};
+use crate::{args::RouteArgs, ending::Ending};
 
 /// The signals that ask for a planned stop; a second one ends the grace.
 struct StopSignals {
--- a/src/bin/mintmoor/remote.rs
+++ b/src/bin/mintmoor/remote.rs
@@ -13,9 +13,9 @@
 };
 
 use crate::{
-    app::Ending,
     apply::describe,
     args::{DeleteArgs, DumpArgs, ExplainArgs, GetArgs, ReleaseArgs, WatchArgs},
+    ending::Ending,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(20);
--- a/src/bin/mintmoor/standin.rs
+++ b/src/bin/mintmoor/standin.rs
@@ -14,8 +14,8 @@
 use serde_json::json;
 
 use crate::{
-    app::Ending,
     args::StandinArgs,
+    ending::Ending,
     process::{announce, wait_for_stop},
 };
 
