Report usage to the platform, by one entry at a time

The model found a holder that took its progress from a row that its own delayed write had left; a test of the lease covers it.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -8,7 +8,7 @@
     control::store_health::StoreHealth,
     ids::{Incarnation, format_id},
     platform::{Error, Result, TableClient, Transaction},
-    policy::lease::{LeaseAction, LeaseRow, LeaseTiming, LeaseView},
+    policy::lease::{Claimant, LeaseAction, LeaseRow, LeaseTiming, LeaseView},
     telemetry::event,
 };
 
@@ -83,8 +83,10 @@
             None => None,
         };
         self.view.observe(row, self.now());
+        // The store checks the row's version at each write under the lease, so tokens need not outlive it.
+        let claimant = Claimant { holder: &self.me, min_fencing: 1, store_now_ms: 0 };
         let LeaseAction::Write { row, expected } =
-            self.view.plan(&self.me, self.now(), self.timing)
+            self.view.plan(claimant, self.now(), self.timing)
         else {
             return Ok(());
         };
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -40,6 +40,24 @@
     pub retry_extra: f64,
     /// Window over which both are counted.
     pub retry_window: Duration,
+    /// The duty that one entry at a time performs for the platform; `None` if there is none.
+    pub duties: Option<DutySettings>,
+}
+
+/// The duty to report the usage of Organisations, which one entry at a time performs by calls to the platform's duty
+/// service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DutySettings {
+    /// Address of the duty service.
+    pub address: SocketAddr,
+    /// Calls per second that the service accepts from all entries together.
+    pub calls_per_second: f64,
+    /// Time within which calls of two holders must not alternate.
+    pub lease: Duration,
+    /// Length of the windows by which usage is reported.
+    pub usage_window: Duration,
+    /// Time after the end of a window within which its report is due.
+    pub usage_delay: Duration,
 }
 
 /// Why the settings file is rejected.
@@ -71,6 +89,8 @@
     bounds: BoundsDoc,
     #[serde(default)]
     platform: PlatformDoc,
+    /// The duty service; missing if the deployment has no duties.
+    cloud: Option<DutiesDoc>,
 }
 
 #[derive(Default, Deserialize)]
@@ -93,6 +113,20 @@
     retry_ratio: Option<f64>,
     retry_extra: Option<f64>,
     retry_window_s: Option<f64>,
+    lease_ms: Option<f64>,
+    /// Length of a usage window.
+    report_window_s: Option<f64>,
+    usage_delay_s: Option<f64>,
+}
+
+/// The duty service.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct DutiesDoc {
+    address: Option<Box<str>>,
+    #[serde(default)]
+    duties: Vec<Box<str>>,
+    duty_per_s: Option<f64>,
 }
 
 #[derive(Default, Deserialize)]
@@ -108,6 +142,15 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 20.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+const DEFAULT_LEASE_MS: f64 = 3_000.0;
+const DEFAULT_USAGE_WINDOW_S: f64 = 5.0;
+const DEFAULT_USAGE_DELAY_S: f64 = 10.0;
+const DEFAULT_DUTY_CALLS_PER_S: f64 = 50.0;
+
+/// Name of the duty to report the usage of Organisations.
+const USAGE_DUTY: &str = "usage";
+/// Longest duration of a duty setting; larger numbers are mistakes.
+const MAX_DUTY_SECONDS: f64 = 86_400.0;
 
 /// Parses the text of the settings file.
 ///
@@ -124,11 +167,15 @@
     if doc.platform.address.is_none() {
         problems.push("platform.address is missing".into());
     }
+    let duties = parse_duties(doc.cloud, &doc.bounds, &mut problems);
     let (Some(caller_address), Some(readiness_address), Some(store_address)) =
         (caller_address, readiness_address, doc.platform.address)
     else {
         return Err(HostSettingsError::Values(problems));
     };
+    if !problems.is_empty() {
+        return Err(HostSettingsError::Values(problems));
+    }
     let bounds = doc.bounds;
     Ok(HostSettings {
         host: doc.node_name,
@@ -149,6 +196,39 @@
         retry_window: Duration::from_secs_f64(
             bounds.retry_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S),
         ),
+        duties,
+    })
+}
+
+/// Settings of the duties, if the file names a duty service and a duty that is known here.
+fn parse_duties(
+    doc: Option<DutiesDoc>,
+    bounds: &BoundsDoc,
+    problems: &mut Vec<String>,
+) -> Option<DutySettings> {
+    let doc = doc.filter(|doc| doc.duties.iter().any(|duty| **duty == *USAGE_DUTY))?;
+    let address = parse_address("cloud.address", doc.address.as_deref(), problems)?;
+    let mut positive = |key: &str, value: Option<f64>, default: f64, max: f64| {
+        let value = value.unwrap_or(default);
+        if value > 0.0 && value <= max {
+            return value;
+        }
+        problems.push(format!("{key} is {value}; expected a number above 0, at most {max}"));
+        default
+    };
+    let max = MAX_DUTY_SECONDS;
+    let window =
+        positive("bounds.report-window-s", bounds.report_window_s, DEFAULT_USAGE_WINDOW_S, max);
+    let delay = positive("bounds.usage-delay-s", bounds.usage_delay_s, DEFAULT_USAGE_DELAY_S, max);
+    let lease = positive("bounds.lease-ms", bounds.lease_ms, DEFAULT_LEASE_MS, max * 1e3) / 1e3;
+    let calls_per_second =
+        positive("cloud.duty-per-s", doc.duty_per_s, DEFAULT_DUTY_CALLS_PER_S, f64::MAX);
+    Some(DutySettings {
+        address,
+        calls_per_second,
+        lease: Duration::from_secs_f64(lease),
+        usage_window: Duration::from_secs_f64(window),
+        usage_delay: Duration::from_secs_f64(delay),
     })
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 //! [`documents`], the [`host_settings`] and the header modules instead.
 
 pub mod documents;
+pub mod duties;
 mod engine;
 mod error;
 pub mod host_settings;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -27,6 +27,9 @@
     /// Private rows of this system.
     #[serde(rename = "mintmoor")]
     Own,
+    /// Private rows about the duties of one entry at a time.
+    #[serde(rename = "mintmoor-duties")]
+    Duties,
     /// A table that this system does not use.
     #[serde(other)]
     Other,
@@ -39,6 +42,7 @@
             Table::Servers => "servers",
             Table::Status => "status",
             Table::Own => "mintmoor",
+            Table::Duties => "mintmoor-duties",
             Table::Other => "",
         }
     }
@@ -200,11 +204,28 @@
     /// # Errors
     /// When a call fails or the store is restored during the read.
     pub async fn read_table(&self, table: Table) -> Result<Rows> {
+        self.read_rows(table, "&from=").await
+    }
+
+    /// Reads one row of a table; `rows` is empty if it does not exist.
+    ///
+    /// # Errors
+    /// When the call fails.
+    pub async fn read_row(&self, table: Table, key: &str) -> Result<Rows> {
+        // The range ends before the smallest key that sorts after this one.
+        let mut rows = self.read_rows(table, &format!("&from={key}&to={key}%00")).await?;
+        rows.rows.retain(|row| *row.key == *key && !row.is_removed);
+        Ok(rows)
+    }
+
+    /// Reads the rows of a table in a range, given as query parameters.
+    async fn read_rows(&self, table: Table, range: &str) -> Result<Rows> {
         let mut all =
             Rows { rows: Vec::new(), version: StoreVersion::default(), now: Duration::ZERO };
         let mut from = String::new();
         loop {
-            let path = format!("rows-get?table={}&part=&from={from}", table.name());
+            let page = if from.is_empty() { range } else { &from };
+            let path = format!("rows-get?table={}&part={page}", table.name());
             let reply = self.get(&path, CALL_TIMEOUT).await?;
             let doc = parse_rows(&path, &reply)?;
             let era = parse_era(&reply);
@@ -224,7 +245,7 @@
                 return Ok(all);
             };
             // The smallest key that sorts after the last one read.
-            from = format!("{}%00", last.key);
+            from = format!("&from={}%00", last.key);
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -38,4 +38,6 @@
 pub mod session;
 pub mod shutdown;
 pub mod timing;
+pub mod true_time;
+pub mod usage;
 pub mod windowed_retry_budget;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! A request is admitted and sent to BackendServers until one responds (`request`), chosen by what is known of them
 //! (`servers`). The control thread follows the platform's store (`store`, `roll_outs`, `quarantine`) or another entry
-//! (`peers`). The design is in docs/decisions/0008.
+//! (`peers`), and reports usage to the platform (`duties`). The design is in docs/decisions/0008.
 
+mod duties;
 mod listen;
 mod observability;
 mod peers;
--- a/src/router/peers/links.rs
+++ b/src/router/peers/links.rs
@@ -144,6 +144,9 @@
         router.prefix_reports.apply_report(&report.kept, &router.fleet.load(), router.now());
         router.quarantine.apply_updates(&report.ends, router.now());
         router.apply_limit_updates(&report.limits);
+        if let Some(usage) = &report.usage {
+            router.usage.apply_report(host, usage, router.now());
+        }
         report = loop {
             let request = tokio::select! {
                 request = receive_message(&mut socket) => request?,
@@ -204,6 +207,7 @@
             ends,
             is_informed,
             limits,
+            true_time: router.shared_true_time(),
         };
         send_message(&mut socket, &heartbeat).await?;
         updates = tokio::select! {
--- a/src/router/peers/messages.rs
+++ b/src/router/peers/messages.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ids::{Era, Revision},
+    policy::usage::{TrueMs, UsageReport},
     router::{
         peers::{
             load_reports::ServerLoad, prefix_reports::ReportedPrefix, shared_limits::LimitUpdate,
@@ -55,6 +56,9 @@
     /// Whether it has just started and does not know its rank among the entries yet.
     #[serde(default)]
     pub(crate) is_new: bool,
+    /// Usage of Organisations; absent if nobody reports it to the platform.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) usage: Option<UsageReport>,
 }
 
 /// A follower's rank among the entries that share the servers' limits, as a seed reports it.
@@ -102,6 +106,9 @@
         /// first heartbeats.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         limits: Vec<LimitUpdate>,
+        /// The sender's estimate of true time; absent if nobody reports usage.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        true_time: Option<TrueMs>,
     },
     /// Urgent updates for a reporting entry, in addition to the heartbeats of the entry that it
     /// follows: that one may be suspended or cut off, and switching to another one takes a second
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -169,6 +169,7 @@
         ends,
         is_informed,
         limits,
+        true_time,
     } = message
     else {
         return Err(Error::ConnectionFailed("expected a heartbeat".into()));
@@ -190,6 +191,10 @@
     router.prefix_reports.apply(&kept, &fleet);
     router.quarantine.apply_updates(&ends, router.now());
     router.apply_limit_updates(&limits);
+    // A seed estimates true time from the clocks of all entries.
+    if let Some(true_time) = true_time.filter(|_| !router.is_seed()) {
+        router.usage.adopt_true_time(true_time, router.now());
+    }
     if is_informed && router.quarantine.mark_informed() {
         router.wake_waiters();
     }
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -25,7 +25,7 @@
         },
         servers::connection::{self, Checkout, ConnectError, Connection},
     },
-    routing::{Request, ResponseHead, ResponseKind},
+    routing::{Request, ResponseHead, ResponseKind, RouteKind},
 };
 
 /// Counts a request in the load of its server until it is dropped.
@@ -184,6 +184,7 @@
     let (parts, body) = res.into_parts();
     let head = parse_response_head(parts.status, &parts.headers, &ctx.req.head.id);
     record_response_head(router, plan.member, &head, &ctx.req.head.id, sent_at);
+    record_usage(router, ctx, &head, sent_at);
     let (tokens, elapsed) = (plan.uncached_tokens, started_at.elapsed());
     let is_slow = router.speed_estimates.get(plan.latency_key).is_slow_head(tokens, elapsed);
     if head.kind == ResponseKind::Success {
@@ -216,6 +217,18 @@
     }
 }
 
+/// Counts a request as usage of its Organisation when its first run begins. The head of a stream arrives with its first event; other responses
+/// arrive when the run has ended, and servers rarely queue those requests.
+fn record_usage(router: &Router, ctx: &RequestContext, head: &ResponseHead, sent_at: Duration) {
+    if !matches!(head.kind, ResponseKind::Success | ResponseKind::Failure) {
+        return;
+    }
+    let began_at = if ctx.route.kind == RouteKind::Stream { router.now() } else { sent_at };
+    if ctx.record_run_start(began_at) {
+        router.record_usage(ctx.organisation.as_deref(), began_at);
+    }
+}
+
 /// Turns responses that are not the server's result for this request into errors.
 fn check_response(response: OpenResponse) -> Result<OpenResponse, AttemptError> {
     match response.head.kind {
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -42,6 +42,8 @@
     pub(crate) is_quarantine_trial: bool,
     /// Computed on first use, since most requests never need it.
     fingerprint: OnceLock<Fingerprint>,
+    /// When the first run began that a server has confirmed; usage counts requests, not runs.
+    first_run_at: OnceLock<Duration>,
 }
 
 impl RequestContext {
@@ -71,6 +73,7 @@
             unreachable_servers: Vec::new(),
             is_quarantine_trial: false,
             fingerprint: OnceLock::new(),
+            first_run_at: OnceLock::new(),
         }
     }
 
@@ -79,6 +82,11 @@
         *self.fingerprint.get_or_init(|| Fingerprint::of(&self.req, self.organisation.as_deref()))
     }
 
+    /// Records when a run began; returns whether it is the first one of the request.
+    pub(crate) fn record_run_start(&self, began_at: Duration) -> bool {
+        self.first_run_at.set(began_at).is_ok()
+    }
+
     /// Number of further runs that the route allows.
     pub(crate) fn runs_left(&self) -> u32 {
         self.route.max_attempts.saturating_sub(self.runs)
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,7 +12,9 @@
         store::StoreClient,
     },
     router::{
-        Router, listen,
+        Router,
+        duties::usage_reporter,
+        listen,
         peers::{links, peer_follower, seed_reporter},
         quarantine::{quarantine_release, quarantine_row},
         roll_outs::roll_out_driver,
@@ -130,6 +132,7 @@
             peer_follower::follow_peers(&router),
             seed_reporter::report_to_seeds(&router),
             follow_quarantine(&router, &store),
+            usage_reporter::report_usage(&router, &store),
         )
     };
     tokio::select! {
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -28,6 +28,7 @@
     },
     router::{
         Fleet,
+        duties::usage_meter::UsageMeter,
         peers::{
             load_reports::LoadReports, own_place::OwnPlace, peer_link::PeerLink,
             prefix_reports::PrefixReports, shared_limits::SharedLimits,
@@ -96,6 +97,8 @@
     pub(crate) prefix_reports: PrefixReports,
     /// Requests during which servers crashed, as entries report them to each other.
     pub(crate) quarantine: SharedQuarantine,
+    /// Counts of the requests that begin to run, for the report of usage.
+    pub(crate) usage: UsageMeter,
     /// Measured speed of the models.
     pub(crate) speed_estimates: TimingEstimates,
     /// The link to another entry that this one follows instead of the store.
@@ -137,6 +140,7 @@
             load_reports: LoadReports::default(),
             prefix_reports: PrefixReports::default(),
             quarantine: SharedQuarantine::default(),
+            usage: UsageMeter::new(CLOCK_ORIGIN),
             peer_link: PeerLink::default(),
             metrics: Metrics::default(),
             retry_budgets: Mutex::default(),
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -89,6 +89,13 @@
     pub cause: String,
 }
 
+/// Labels of usage reports sent to the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UsageReportLabels {
+    /// `accepted`, `busy`, `rejected` or `lost`.
+    pub outcome: String,
+}
+
 /// Labels of unknown response headers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct UnreadHeaderLabels {
@@ -162,6 +169,12 @@
     pub unread_headers: Family<UnreadHeaderLabels, Counter>,
     /// Names of unknown headers that have a label value of their own.
     unread_header_names: Arc<Mutex<BTreeSet<String>>>,
+    /// Whether this entry holds the lease of the usage duty: 1 or 0.
+    pub duty_held: Gauge,
+    /// Usage reports sent to the platform.
+    pub usage_reports: Family<UsageReportLabels, Counter>,
+    /// Windows whose usage was not reported.
+    pub usage_windows_lost: Counter,
     /// Evidence about versions under roll-out.
     pub evidence: Family<EvidenceLabels, Gauge>,
     /// Requests in flight at an entry, or attempts in flight at an agent.
@@ -212,6 +225,9 @@
             servers_avoided: Family::default(),
             unread_headers: Family::default(),
             unread_header_names: Arc::default(),
+            duty_held: Gauge::default(),
+            usage_reports: Family::default(),
+            usage_windows_lost: Counter::default(),
             evidence: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -272,6 +288,7 @@
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
+        self.register_usage(&mut registry);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("queued", "Attempts queued", self.queued.clone());
@@ -287,6 +304,14 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    fn register_usage(&self, registry: &mut Registry) {
+        let held = self.duty_held.clone();
+        registry.register("duty_held", "Whether this entry holds the usage duty", held);
+        registry.register("usage_reports", "Usage reports sent", self.usage_reports.clone());
+        let lost = self.usage_windows_lost.clone();
+        registry.register("usage_windows_lost", "Windows whose usage was not reported", lost);
+    }
+
     /// Counts an answered request.
     pub fn count_request(&self, organisation: &str, code: &str) {
         let labels = RequestLabels { organisation: organisation.into(), code: code.into() };
@@ -343,6 +368,11 @@
         is_new
     }
 
+    /// Counts a usage report that was sent.
+    pub fn count_usage_report(&self, outcome: &str) {
+        self.usage_reports.get_or_create(&UsageReportLabels { outcome: outcome.into() }).inc();
+    }
+
     /// Counts a call to the table service.
     pub fn count_store_call(&self, cause: &str) {
         self.store_calls.get_or_create(&PlatformCallLabels { cause: cause.into() }).inc();
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -65,6 +65,7 @@
     metrics.count_unavailable_send("draining", "first");
     metrics.count_avoided_servers("paused", 1);
     metrics.count_unread_header("x-new");
+    metrics.count_usage_report("accepted");
     metrics.count_store_call("c");
     metrics.count_store_error("c");
 }
--- a/tests/model/lease.rs
+++ b/tests/model/lease.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use mintmoor::policy::lease::{LeaseAction, LeaseRow, LeaseTiming, LeaseView};
+use mintmoor::policy::lease::{Claimant, LeaseAction, LeaseRow, LeaseTiming, LeaseView};
 
 use crate::explore::{Exploration, Step, assert_detected, assert_holds, explore};
 
@@ -50,7 +50,11 @@
 
 fn timing(mutation: Mutation) -> LeaseTiming {
     let margin = if mutation == Mutation::NoMargin { 0 } else { 1 };
-    LeaseTiming { duration: Duration::from_secs(3), margin: Duration::from_secs(margin) }
+    LeaseTiming {
+        duration: Duration::from_secs(3),
+        margin: Duration::from_secs(margin),
+        claims_absent_row: true,
+    }
 }
 
 fn at(tick: u64) -> Duration {
@@ -126,9 +130,10 @@
         let now = at(state.now);
         let view = &mut next.processes[i].view;
         view.observe(state.row.clone(), now);
-        let mut plan = view.plan(name(i), now, timing(mutation));
+        let claimant = Claimant { holder: name(i), min_fencing: 1, store_now_ms: 0 };
+        let mut plan = view.plan(claimant, now, timing(mutation));
         if mutation == Mutation::TakesOverImmediately {
-            plan = view.plan(name(i), now + at(100), timing(mutation));
+            plan = view.plan(claimant, now + at(100), timing(mutation));
         }
         if let LeaseAction::Write { row, expected } = plan
             && state.last_version < LAST_VERSION
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -8,6 +8,7 @@
 mod charge;
 mod claim;
 mod config;
+mod duty;
 mod explore;
 mod lease;
 mod quarantine;
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -266,6 +266,65 @@
     assert!(error.contains("platform.address is missing"), "{error}");
 }
 
+const DUTY_SETTINGS: &str = r#"
+cloud: {address: "10.200.0.113:8424", duties: ["usage", "scaling"], duty-per-s: 40.0}
+"#;
+
+#[test]
+fn the_usage_duty_is_read_from_host_settings() {
+    let bounds = "session-s: 5, lease-ms: 2400, report-window-s: 4, usage-delay-s: 8}";
+    let text = SETTINGS.replace("session-s: 5}", bounds) + DUTY_SETTINGS;
+
+    let duties = host_settings::parse(&text).unwrap().duties.unwrap();
+
+    assert_eq!(duties.address, "10.200.0.113:8424".parse().unwrap());
+    assert_eq!(duties.calls_per_second, 40.0);
+    assert_eq!(duties.lease, Duration::from_millis(2_400));
+    assert_eq!(duties.usage_window, Duration::from_secs(4));
+    assert_eq!(duties.usage_delay, Duration::from_secs(8));
+}
+
+#[test]
+fn host_settings_without_the_usage_duty_have_no_duty() {
+    let others = DUTY_SETTINGS.replace("\"usage\", ", "");
+
+    assert_eq!(host_settings::parse(SETTINGS).unwrap().duties, None);
+    assert_eq!(host_settings::parse(&(SETTINGS.to_owned() + &others)).unwrap().duties, None);
+}
+
+#[test]
+fn problems_in_duty_settings_are_reported() {
+    for (bounds, duties, problem) in [
+        ("session-s: 5}", "10.200.0.113", "cloud.address `10.200.0.113`"),
+        ("lease-ms: -1}", "10.200.0.113:1", "bounds.lease-ms is -1"),
+        ("report-window-s: 0}", "10.200.0.113:1", "bounds.report-window-s is 0"),
+        ("usage-delay-s: 1e300}", "10.200.0.113:1", "bounds.usage-delay-s is 1"),
+        ("usage-delay-s: .nan}", "10.200.0.113:1", "bounds.usage-delay-s is NaN"),
+    ] {
+        let text = SETTINGS.replace("session-s: 5}", bounds)
+            + &DUTY_SETTINGS.replace("10.200.0.113:8424", duties);
+
+        let error = host_settings::parse(&text).unwrap_err().to_string();
+
+        assert!(error.contains(problem), "{error}");
+    }
+}
+
+#[tokio::test]
+async fn one_row_is_read_by_its_key() {
+    let store = Store::start().await;
+    for key in ["a", "k", "k1", "z"] {
+        store.put("mintmoor-duties", key, &serde_json::json!({}));
+    }
+    let client = StoreClient::new(HttpClient::default(), &store.address.to_string());
+
+    let read = client.read_row(Table::Duties, "k").await.unwrap();
+    let missing = client.read_row(Table::Duties, "b").await.unwrap();
+
+    assert_eq!(read.rows.iter().map(|row| &*row.key).collect::<Vec<_>>(), ["k"]);
+    assert!(missing.rows.is_empty());
+}
+
 #[tokio::test]
 async fn a_write_succeeds_only_if_the_row_has_the_expected_version() {
     let store = Store::start().await;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,8 @@
 mod allowed_regions;
 mod cold;
 mod crashes;
+mod duties;
+mod duty_service;
 mod evacuations;
 mod host_suspension;
 mod limited_pool;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -57,6 +57,7 @@
         retry_ratio: 4.0,
         retry_extra: 52.0,
         retry_window: Duration::from_secs(10),
+        duties: None,
     }
 }
 
