Bound what slow callers hold up, by request, connection and process

Cause: a caller that stopped reading kept its request, its server's slot and the unread response for good; a server cuts such a response off, which counted as its failure and ran again elsewhere. Bodies were bounded one by one only.

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -40,6 +40,8 @@
     pub retry_extra: f64,
     /// Window over which both are counted.
     pub retry_window: Duration,
+    /// Memory that the process may use, in bytes.
+    pub memory_limit: u64,
     /// The duty that one entry at a time performs for the platform; `None` if there is none.
     pub duties: Option<DutySettings>,
 }
@@ -86,6 +88,8 @@
     #[serde(default)]
     seeds: Vec<Box<str>>,
     #[serde(default)]
+    limits: LimitsDoc,
+    #[serde(default)]
     bounds: BoundsDoc,
     #[serde(default)]
     platform: PlatformDoc,
@@ -129,6 +133,13 @@
     duty_per_s: Option<f64>,
 }
 
+/// Limits of the process.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsDoc {
+    memory_mb: Option<u64>,
+}
+
 #[derive(Default, Deserialize)]
 struct PlatformDoc {
     /// Address of the store.
@@ -142,6 +153,7 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 20.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+const DEFAULT_MEMORY_MB: u64 = 256;
 const DEFAULT_LEASE_MS: f64 = 3_000.0;
 const DEFAULT_USAGE_WINDOW_S: f64 = 5.0;
 const DEFAULT_USAGE_DELAY_S: f64 = 10.0;
@@ -196,6 +208,7 @@
         retry_window: Duration::from_secs_f64(
             bounds.retry_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S),
         ),
+        memory_limit: doc.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
         duties,
     })
 }
--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -1,6 +1,6 @@
 //! Listeners of an entry: one for callers and one for the load balancer's readiness check.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::{Router as HttpRouter, http::StatusCode, routing::get};
 use hyper::{server::conn::http1, service::service_fn};
@@ -12,6 +12,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
 };
+use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     router::{
@@ -25,6 +26,9 @@
 const MIN_READ_BUFFER: usize = 8 << 10;
 /// Pause after a failed accept: when file descriptors have run out, an immediate retry fails again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time after which a caller that takes nothing of its response is cut off: longer than an interrupted link is borne,
+/// shorter than most callers wait for an answer.
+const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a connection stays usable beyond the idle timeout that callers are told.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
@@ -42,7 +46,7 @@
             _ = closing.wait_for(|closing| *closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(&router, stream, &connections),
+            Ok((stream, caller)) => serve_connection(&router, stream, caller, &connections),
             Err(e) => {
                 event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -54,27 +58,49 @@
 }
 
 /// Serves the requests of one connection in a task of its own.
-fn serve_connection(router: &Arc<Router>, stream: TcpStream, connections: &GracefulShutdown) {
+fn serve_connection(
+    router: &Arc<Router>,
+    stream: TcpStream,
+    caller: SocketAddr,
+    connections: &GracefulShutdown,
+) {
     // Nagle's algorithm would hold back a small event until the caller has acknowledged the previous one.
     if let Err(e) = stream.set_nodelay(true) {
         event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
         return;
     }
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(CALLER_STALL_TIMEOUT));
     let table = router.table.load();
     let limits = table.as_ref().as_ref().and_then(|t| t.limits).unwrap_or(DEFAULT_LIMITS);
-    let (router, connected_at) = (router.clone(), router.now());
+    let (serving, router, connected_at) = (router.clone(), router.clone(), router.now());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper also applies this timeout to the time between requests, so it has to be the longer of the two.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_SLACK)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
         .serve_connection(
-            TokioIo::new(stream),
-            service_fn(move |req| serve(router.clone(), req, connected_at)),
+            TokioIo::new(Box::pin(stream)),
+            service_fn(move |req| serve(serving.clone(), req, connected_at)),
         );
     let connection = connections.watch(connection);
-    // Connection errors can be ignored: if a request was in flight, its handling fails as well.
-    tokio::spawn(async move { drop(connection.await) });
+    // Other connection errors can be ignored: if a request was in flight, its handling fails as well.
+    tokio::spawn(async move {
+        if let Err(e) = connection.await
+            && is_stalled(&e)
+        {
+            router.metrics.callers_stalled.inc();
+            event::CALLER_STALLED.log(format_args!("caller={caller}"));
+        }
+    });
+}
+
+/// Whether a connection ended because its caller took nothing for [`CALLER_STALL_TIMEOUT`].
+fn is_stalled(e: &hyper::Error) -> bool {
+    let source = std::error::Error::source(e);
+    source
+        .and_then(|source| source.downcast_ref::<std::io::Error>())
+        .is_some_and(|e| e.kind() == std::io::ErrorKind::TimedOut)
 }
 
 /// Serves the load balancer's readiness check, and metrics and the state dump on the same address.
--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -43,6 +43,7 @@
         let paused = announced.iter().filter(|a| a.is_paused(now)).count();
         self.metrics.servers_draining.set(i64::try_from(draining).unwrap_or(i64::MAX));
         self.metrics.servers_paused.set(i64::try_from(paused).unwrap_or(i64::MAX));
+        self.metrics.held_bytes.set(i64::try_from(self.held_bytes()).unwrap_or(i64::MAX));
         self.roll_outs.update_metrics(&self.metrics);
     }
 
--- a/src/router/request/body.rs
+++ b/src/router/request/body.rs
@@ -11,14 +11,7 @@
 use http_body_util::Full;
 use tokio::{sync::mpsc, task::JoinHandle};
 
-/// Part of a streamed response.
-#[derive(Debug)]
-pub(crate) enum StreamPart {
-    /// One or more complete server-sent events.
-    Events(Bytes),
-    /// The stream is complete.
-    End,
-}
+use crate::router::request::stream_queue::StreamPart;
 
 /// The stream can't be completed, so the caller's connection must be closed without the terminating chunk.
 #[derive(Debug, thiserror::Error)]
@@ -29,14 +22,17 @@
 /// connection to the server and so cancels the server's work.
 #[derive(Debug)]
 pub(crate) struct StreamBody {
-    parts: mpsc::Receiver<StreamPart>,
+    parts: mpsc::UnboundedReceiver<StreamPart>,
     relay_task: JoinHandle<()>,
     /// Whether the connection has been given one poll to write the events before an interruption.
     has_yielded: bool,
 }
 
 impl StreamBody {
-    pub(crate) fn new(parts: mpsc::Receiver<StreamPart>, relay_task: JoinHandle<()>) -> Self {
+    pub(crate) fn new(
+        parts: mpsc::UnboundedReceiver<StreamPart>,
+        relay_task: JoinHandle<()>,
+    ) -> Self {
         Self { parts, relay_task, has_yielded: false }
     }
 
@@ -47,7 +43,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
         match ready!(self.parts.poll_recv(cx)) {
-            Some(StreamPart::Events(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Some(StreamPart::Events(events)) => Poll::Ready(Some(Ok(Frame::data(events.bytes)))),
             Some(StreamPart::End) => Poll::Ready(None),
             None if self.has_yielded => Poll::Ready(Some(Err(StreamInterrupted))),
             None => {
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -21,6 +21,9 @@
     BodyTooLarge,
     #[error("the body did not arrive in time")]
     BodyTimeout,
+    /// Slow callers hold too much memory; no server ran the request or will run it.
+    #[error("no memory for its body now")]
+    OutOfMemory,
     /// No server ran the request or will run it.
     #[error("no configuration yet")]
     NoConfiguration,
@@ -76,7 +79,8 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration
+            Self::OutOfMemory
+            | Self::NoConfiguration
             | Self::Leaving { .. }
             | Self::NotRun { .. }
             | Self::RateLimited { .. }
@@ -95,6 +99,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "too_large",
             Self::BodyTimeout => "slow_body",
+            Self::OutOfMemory => "out_of_memory",
             Self::NoConfiguration => "no_configuration",
             Self::Leaving { .. } => "leaving",
             Self::NotRun { .. } => "not_run",
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -5,7 +5,7 @@
 
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
 
 use crate::{
     policy::{
@@ -16,13 +16,14 @@
         EventSplitter, Member, Router,
         request::{
             attempt::OpenResponse,
-            body::{ResponseBody, StreamBody, StreamPart},
+            body::{ResponseBody, StreamBody},
             dispatch::{reserve_failover, send_with_failover},
             refusal::Refusal,
             request_context::{AttemptParams, RequestContext},
             response_wait::{ResponseWait, wait_for_response},
             selection::latency_key,
             stages::{self, StageResponse},
+            stream_queue::{CallerGone, StreamQueue, stream_queue},
         },
         roll_outs::roll_out::RunOutcome,
         servers::server_ends::{LossCause, record_broken_connection, record_lost},
@@ -35,8 +36,6 @@
 const MAX_BUFFERED_BODY: usize = 4 << 20;
 /// Maximum size of one event of a stream, in bytes.
 const MAX_EVENT: usize = 1 << 20;
-/// Number of stream parts buffered for a slow caller before reading from the server pauses.
-const RELAY_QUEUE: usize = 8;
 
 /// Runs a request and returns the response for its caller.
 pub(crate) async fn respond(
@@ -52,9 +51,9 @@
         return read_to_end(router, &ctx, response).await.map_err(|()| Refusal::Lost);
     }
     let mut res = response_with_head(&response.head);
-    let (tx, rx) = mpsc::channel(RELAY_QUEUE);
+    let (queue, rx) = stream_queue();
     let timing = StreamTiming::new(ctx.arrived_at);
-    let relay = Relay { router: router.clone(), ctx, model, tx, last_event_id: None, timing };
+    let relay = Relay { router: router.clone(), ctx, model, queue, last_event_id: None, timing };
     let relay_task = tokio::spawn(relay.run(response));
     *res.body_mut() = ResponseBody::Stream(StreamBody::new(rx, relay_task));
     Ok(res)
@@ -205,7 +204,7 @@
     router: Arc<Router>,
     ctx: RequestContext,
     model: Option<Box<str>>,
-    tx: mpsc::Sender<StreamPart>,
+    queue: StreamQueue,
     /// Id of the last event that was relayed.
     last_event_id: Option<u64>,
     timing: StreamTiming,
@@ -219,8 +218,7 @@
         loop {
             let server = response.member.clone();
             let Err(e) = self.relay_events(response).await else {
-                // A failed send means that the caller is gone, which no longer matters.
-                let _ = self.tx.send(StreamPart::End).await;
+                self.queue.end();
                 self.router.record_complete_answer(&self.ctx);
                 self.record_latency(&server);
                 return;
@@ -314,8 +312,8 @@
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
-                let sent = self.tx.send(StreamPart::Events(event.bytes)).await;
-                sent.map_err(|_| StreamError::CallerGone)?;
+                let queued = self.queue.push(event.bytes, &self.router.memory).await;
+                queued.map_err(|CallerGone| StreamError::CallerGone)?;
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.timing.record_event(self.router.now());
                 self.check_pace(&response, &mut run);
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -2,9 +2,9 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request as HttpRequest, Response, header::CONNECTION};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -61,7 +61,7 @@
     connected_at: Duration,
 ) -> Result<Response<ResponseBody>, Refusal> {
     router.notice_suspension();
-    let in_flight = InFlightGuard::new(router);
+    let mut in_flight = InFlightGuard::new(router);
     let (parts, body) = req.into_parts();
     let head = parse_request_head(&parts.method, &parts.uri, &parts.headers)
         .map_err(|_| Refusal::Malformed)?;
@@ -75,7 +75,7 @@
         let retry_after = router.leaving_retry_after(connected_at);
         return Err(Refusal::Leaving { retry_after });
     }
-    let body = read_body(body, &table.limits.unwrap_or(DEFAULT_LIMITS)).await?;
+    let body = read_body(&mut in_flight, body, &table.limits.unwrap_or(DEFAULT_LIMITS)).await?;
     let max_wait = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let service = choose_service(&route, &head);
     router.record_request(&service);
@@ -101,14 +101,33 @@
 }
 
 /// Reads the request's body within the size and time limits.
-async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
-    let read = Limited::new(body, limits.body_bytes).collect();
-    match timeout(limits.idle_timeout, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
-        Err(_) => Err(Refusal::BodyTimeout),
+async fn read_body(
+    in_flight: &mut InFlightGuard,
+    body: Incoming,
+    limits: &CallerLimits,
+) -> Result<Bytes, Refusal> {
+    let read = collect_body(in_flight, body, limits.body_bytes);
+    timeout(limits.idle_timeout, read).await.map_err(|_| Refusal::BodyTimeout)?
+}
+
+/// Collects the parts of a body as they arrive. Each counts as held memory, also while the rest is awaited.
+async fn collect_body(
+    in_flight: &mut InFlightGuard,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Refusal::Malformed)?.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > max_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        in_flight.hold_body(data.len()).ok_or(Refusal::OutOfMemory)?;
+        collected.extend_from_slice(&data);
     }
+    Ok(collected.freeze())
 }
 
 /// Chooses the route's target service by weight. All requests of a session get the same service.
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -35,6 +35,7 @@
             shared_quarantine::SharedQuarantine,
         },
         quarantine::quarantine_row::TrialRequest,
+        request::memory_budget::MemoryBudget,
         roll_outs::roll_out::RollOuts,
         servers::{evacuations::Evacuations, timing_estimates::TimingEstimates},
         store::table_views::TableViews,
@@ -97,6 +98,8 @@
     pub(crate) prefix_reports: PrefixReports,
     /// Requests during which servers crashed, as entries report them to each other.
     pub(crate) quarantine: SharedQuarantine,
+    /// Memory that requests and responses may use while they are held.
+    pub(crate) memory: MemoryBudget,
     /// Counts of the requests that begin to run, for the report of usage.
     pub(crate) usage: UsageMeter,
     /// Measured speed of the models.
@@ -128,6 +131,7 @@
     pub fn new(settings: HostSettings, policy: RouteSettings) -> Self {
         let (tx, rx) = mpsc::channel(TRIAL_QUEUE);
         Self {
+            memory: MemoryBudget::new(settings.memory_limit),
             settings: ArcSwap::from_pointee(settings),
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
@@ -312,6 +316,11 @@
         *self.lifecycle.lock().expect("no panics under the lock").state() == state
     }
 
+    /// Bytes of requests and responses that are held for slow callers and servers.
+    pub fn held_bytes(&self) -> usize {
+        self.memory.held()
+    }
+
     /// Number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -169,6 +169,10 @@
     pub unread_headers: Family<UnreadHeaderLabels, Counter>,
     /// Names of unknown headers that have a label value of their own.
     unread_header_names: Arc<Mutex<BTreeSet<String>>>,
+    /// Bytes of requests and responses held for slow callers and servers.
+    pub held_bytes: Gauge,
+    /// Connections of callers that were closed because the caller took nothing of its response.
+    pub callers_stalled: Counter,
     /// Whether this entry holds the lease of the usage duty: 1 or 0.
     pub duty_held: Gauge,
     /// Usage reports sent to the platform.
@@ -225,6 +229,8 @@
             servers_avoided: Family::default(),
             unread_headers: Family::default(),
             unread_header_names: Arc::default(),
+            held_bytes: Gauge::default(),
+            callers_stalled: Counter::default(),
             duty_held: Gauge::default(),
             usage_reports: Family::default(),
             usage_windows_lost: Counter::default(),
@@ -288,6 +294,7 @@
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
+        self.register_memory(&mut registry);
         self.register_usage(&mut registry);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
@@ -304,6 +311,13 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    fn register_memory(&self, registry: &mut Registry) {
+        let held = self.held_bytes.clone();
+        registry.register("held_bytes", "Bytes held for slow callers and servers", held);
+        let stalled = self.callers_stalled.clone();
+        registry.register("callers_stalled", "Callers cut off since they read nothing", stalled);
+    }
+
     fn register_usage(&self, registry: &mut Registry) {
         let held = self.duty_held.clone();
         registry.register("duty_held", "Whether this entry holds the usage duty", held);
--- a/tests/platform/duty_service.rs
+++ b/tests/platform/duty_service.rs
@@ -83,10 +83,15 @@
         state.calls.last().map(|(holder, token, _)| (holder.clone(), *token))
     }
 
+    /// Rules of the duty that calls have broken.
+    pub fn violations(&self) -> Vec<String> {
+        self.state.lock().unwrap().violations.clone()
+    }
+
     /// Panics if any call broke a rule of the duty.
     pub fn assert_rules_kept(&self) {
-        let state = self.state.lock().unwrap();
-        assert!(state.violations.is_empty(), "{:?}", state.violations);
+        let violations = self.violations();
+        assert!(violations.is_empty(), "{violations:?}");
     }
 }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod server_restarts;
 mod sessions;
 mod site;
+mod slow_readers;
 mod store;
 mod store_updates;
 mod streams;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -66,6 +66,8 @@
     Stream { last_event: u64, is_complete: bool, confidence: u8 },
     /// Sends a complete stream, with a pause after each event.
     PacedStream { last_event: u64, interval: Duration },
+    /// Sends a complete stream of large events as fast as they are taken.
+    LargeStream { last_event: u64, event_bytes: usize },
     /// Sends events, with a pause after each, until the connection is closed.
     EndlessStream,
     /// Like `EndlessStream`, with this value of `X-Confidence`.
@@ -283,6 +285,13 @@
     Some(ReceivedRequest { received_at: Instant::now(), request_line, headers, body })
 }
 
+/// Waits as long as an action delays its response.
+async fn delay_response(action: &Action) {
+    if let Action::RespondAfter { delay, .. } | Action::EchoIdAfter { delay } = action {
+        sleep(*delay).await;
+    }
+}
+
 /// Carries out an action; returns whether the connection stays open for further requests.
 async fn respond(
     stream: &mut TcpStream,
@@ -295,9 +304,7 @@
     let reply = |status: u16, headers: &str, body: &str| {
         format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
     };
-    if let Action::RespondAfter { delay, .. } | Action::EchoIdAfter { delay } = &action {
-        sleep(*delay).await;
-    }
+    delay_response(&action).await;
     let (bytes, keeps_connection) = match action {
         Action::RespondAfter { body, .. } => (reply(200, &signed, body), true),
         Action::EchoIdAfter { .. } => (reply(200, &signed, id), true),
@@ -341,6 +348,9 @@
         Action::PacedStream { last_event, interval } => {
             return send_paced(stream, &signed, last_event, interval, CONFIDENT).await;
         }
+        Action::LargeStream { last_event, event_bytes } => {
+            return send_large(stream, &signed, last_event, event_bytes).await;
+        }
         Action::EndlessStream => {
             return send_paced(stream, &signed, u64::MAX, EVENT_INTERVAL, CONFIDENT).await;
         }
@@ -383,6 +393,26 @@
     stream.write_all(out.as_bytes()).await.is_ok() && is_complete
 }
 
+/// Sends events of this size up to `last_event`, and the end of the stream.
+async fn send_large(
+    stream: &mut TcpStream,
+    signed: &str,
+    last_event: u64,
+    event_bytes: usize,
+) -> bool {
+    if stream.write_all(stream_head(signed, CONFIDENT).as_bytes()).await.is_err() {
+        return false;
+    }
+    let data = "x".repeat(event_bytes);
+    for event in 1..=last_event {
+        let text = chunk(&format!("id: {event}\ndata: {data}\n\n"));
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return false;
+        }
+    }
+    stream.write_all(b"0\r\n\r\n").await.is_ok()
+}
+
 /// Sends the events up to `last_event` with a pause after each, and the end of the stream.
 async fn send_paced(
     stream: &mut TcpStream,
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -58,6 +58,7 @@
         retry_extra: 52.0,
         retry_window: Duration::from_secs(10),
         duties: None,
+        memory_limit: 256 << 20,
     }
 }
 
@@ -118,6 +119,14 @@
         site
     }
 
+    /// Like [`Site::start`], for a process that may use this many bytes of memory.
+    pub async fn start_with_memory(servers: &[(&Server, &str, &str)], bytes: u64) -> Self {
+        let store = store_with_servers(servers).await;
+        let site = Self::start_with_settings(store, |host| host.memory_limit = bytes).await;
+        site.wait_for_servers(servers.len()).await;
+        site
+    }
+
     /// Starts an entry on an existing store; it may not be ready yet.
     pub async fn start_with_store(store: Store) -> Self {
         Self::start_seed(store, None).await
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,6 +3,9 @@
 //! run it by hand.
 
 mod callers;
+#[path = "../platform/duty_service.rs"]
+#[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
+mod duty_service;
 mod faults;
 mod process;
 mod proxy;
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -24,12 +24,17 @@
 /// Seconds between the request to stop and the kill of the process.
 pub const GRACE_S: f64 = 3.0;
 
+/// Milliseconds within which calls of two holders of the usage duty must not alternate.
+pub const DUTY_LEASE_MS: u64 = 1_200;
+
 /// An entry: its files, and its process while it runs.
 pub struct Entry {
     pub name: String,
     pub host: IpAddr,
     /// Proxy between the entry and the store.
     pub store_proxy: Proxy,
+    /// The service to which usage is reported.
+    duties: SocketAddr,
     dir: PathBuf,
     child: Option<Child>,
 }
@@ -43,10 +48,10 @@
 
 impl Entry {
     /// Writes the settings of an entry and starts it. The first two entries are the seeds that others connect to.
-    pub fn start(number: u8, store_proxy: Proxy, dir: &Path) -> Self {
+    pub fn start(number: u8, store_proxy: Proxy, duties: SocketAddr, dir: &Path) -> Self {
         let host = loopback_host(number);
         let name = format!("edge-{number}");
-        let mut entry = Self { name, host, store_proxy, dir: dir.into(), child: None };
+        let mut entry = Self { name, host, store_proxy, duties, dir: dir.into(), child: None };
         entry.write_settings();
         entry.spawn();
         entry
@@ -68,10 +73,11 @@
     pub fn write_settings(&self) {
         let (host, store_address) = (self.host, self.store_proxy.address);
         let text = format!(
-            "node-name: \"{name}\"\nzone: \"zone-a\"\nlisten:\n  frontend: \"{host}:{CALLER_PORT}\"\n  readiness: \"{host}:{READINESS_PORT}\"\n  control-plane: \"{host}:{PEER_PORT}\"\nseeds:\n  - \"{}:{PEER_PORT}\"\n  - \"{}:{PEER_PORT}\"\nbounds:\n  grace-s: {GRACE_S}\n  contact-ms: 3000\n  retry-ratio: 0.9\n  retry-extra: 52\n  retry-window-s: 10\n  session-s: 5\nplatform:\n  address: \"{store_address}\"\n",
+            "node-name: \"{name}\"\nzone: \"zone-a\"\nlisten:\n  frontend: \"{host}:{CALLER_PORT}\"\n  readiness: \"{host}:{READINESS_PORT}\"\n  control-plane: \"{host}:{PEER_PORT}\"\nseeds:\n  - \"{}:{PEER_PORT}\"\n  - \"{}:{PEER_PORT}\"\nbounds:\n  grace-s: {GRACE_S}\n  contact-ms: 3000\n  retry-ratio: 0.9\n  retry-extra: 52\n  retry-window-s: 10\n  session-s: 5\n  lease-ms: {DUTY_LEASE_MS}\n  report-window-s: 1\n  usage-delay-s: 4\nplatform:\n  address: \"{store_address}\"\ncloud:\n  address: \"{duties}\"\n  duties: [\"usage\"]\n",
             loopback_host(0),
             loopback_host(1),
             name = self.name,
+            duties = self.duties,
         );
         std::fs::write(self.settings_path(), text).unwrap();
     }
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -22,8 +22,9 @@
 
 use crate::{
     callers::Callers,
+    duty_service::DutyService,
     faults::{Disruption, draw_disruption},
-    process::{Entry, loopback_host},
+    process::{DUTY_LEASE_MS, Entry, loopback_host},
     proxy::Proxy,
     record::{
         CONTACT_BOUND, CRASHING_BODY_PREFIX, EVENTS_PER_STREAM, Execution, NEW_VERSION,
@@ -160,6 +161,7 @@
 /// The store, servers, entries and callers of a soak, and the record of what they observe.
 pub struct System {
     pub store: Store,
+    duties: DutyService,
     pub entries: Vec<Mutex<Entry>>,
     pub servers: Vec<Backend>,
     /// Servers of the new version.
@@ -194,16 +196,18 @@
         }
         servers.iter().for_each(|server| server.list(&store, "ready"));
         let mut entries = Vec::new();
+        let duties = DutyService::start(Duration::from_millis(DUTY_LEASE_MS)).await;
         let number_of_entries =
             std::env::var(ENTRIES_VARIABLE).map_or(ENTRIES, |text| text.parse().unwrap());
         for number in 0..number_of_entries {
             let store_proxy = Proxy::start(store.address).await;
-            entries.push(Mutex::new(Entry::start(number, store_proxy, &dir)));
+            entries.push(Mutex::new(Entry::start(number, store_proxy, duties.address, &dir)));
         }
         let config_version = AtomicU64::new(1);
         let (callers, crashing_requests) = (OnceLock::new(), AtomicU64::new(0));
         Self {
             store,
+            duties,
             entries,
             servers,
             new_servers,
@@ -393,6 +397,10 @@
         entry.kill().await;
     }
     violations.extend(system.record.violations());
+    violations.extend(system.duties.violations());
+    if system.duties.reported_windows() == 0 {
+        violations.push("no usage was reported".into());
+    }
     println!("seed {seed}: {}", system.record.summary());
     (violations, system.dir.clone())
 }
