--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -64,6 +64,8 @@
     cold_start_s: f64,
 }
 
+/// Upper bound for durations in documents, in seconds: a day.
+const MAX_SECONDS: f64 = 86_400.0;
 /// Upper bound for cold times, which are seconds in practice. A row may come from another writer, and an
 /// unbounded number can't be converted to a duration.
 const MAX_COLD_MS: f64 = 3_600_000.0;
@@ -213,7 +215,7 @@
         return Ok(Some(OperatorChange::RollOut(RollOutOrder {
             service: doc.service,
             to: doc.to,
-            duration: Duration::from_secs_f64(doc.duration_s.max(0.0)),
+            duration: milliseconds(doc.duration_s * 1e3),
             written_at: row.written_at(),
         })));
     }
@@ -397,6 +399,8 @@
     }
 }
 
+/// A duration of a document. Numbers below 0 and above a day are cut to that range: no such time is meant, and a
+/// larger one would overflow when it is added to a clock.
 fn milliseconds(ms: f64) -> Duration {
-    Duration::from_secs_f64((ms / 1e3).max(0.0))
+    Duration::from_secs_f64((ms / 1e3).clamp(0.0, MAX_SECONDS))
 }
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -161,8 +161,8 @@
 
 /// Name of the duty to report the usage of Organisations.
 const USAGE_DUTY: &str = "usage";
-/// Longest duration of a duty setting; larger numbers are mistakes.
-const MAX_DUTY_SECONDS: f64 = 86_400.0;
+/// Longest duration in the file, in seconds; larger numbers are mistakes.
+const MAX_SECONDS: f64 = 86_400.0;
 
 /// Parses the text of the settings file.
 ///
@@ -185,10 +185,23 @@
     else {
         return Err(HostSettingsError::Values(problems));
     };
+    let bounds = doc.bounds;
+    let mut seconds = |key: &str, value: Option<f64>, default: f64, unit: f64| {
+        let value = value.unwrap_or(default);
+        if (0.0..=MAX_SECONDS / unit).contains(&value) {
+            return Duration::from_secs_f64(value * unit);
+        }
+        problems.push(format!("bounds.{key} is {value}; expected a time of at most a day"));
+        Duration::ZERO
+    };
+    let shutdown_grace = seconds("grace-s", bounds.grace_s, DEFAULT_GRACE_S, 1.0);
+    let drain_time = seconds("drain-ms", bounds.drain_ms, DEFAULT_DRAIN_MS, 1e-3);
+    let catch_up_time = seconds("contact-ms", bounds.contact_ms, DEFAULT_CONTACT_MS, 1e-3);
+    let retry_window =
+        seconds("retry-window-s", bounds.retry_window_s, DEFAULT_RETRY_WINDOW_S, 1.0);
     if !problems.is_empty() {
         return Err(HostSettingsError::Values(problems));
     }
-    let bounds = doc.bounds;
     Ok(HostSettings {
         host: doc.node_name,
         zone: doc.zone,
@@ -198,16 +211,12 @@
         peer_address: doc.listen.control_plane.and_then(|text| text.parse().ok()),
         seed_peers: doc.seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
         store_address,
-        shutdown_grace: Duration::from_secs_f64(bounds.grace_s.unwrap_or(DEFAULT_GRACE_S)),
-        drain_time: Duration::from_secs_f64(bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS) / 1e3),
-        catch_up_time: Duration::from_secs_f64(
-            bounds.contact_ms.unwrap_or(DEFAULT_CONTACT_MS) / 1e3,
-        ),
+        shutdown_grace,
+        drain_time,
+        catch_up_time,
         retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
         retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
-        retry_window: Duration::from_secs_f64(
-            bounds.retry_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S),
-        ),
+        retry_window,
         memory_limit: doc.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
         duties,
     })
@@ -229,7 +238,7 @@
         problems.push(format!("{key} is {value}; expected a number above 0, at most {max}"));
         default
     };
-    let max = MAX_DUTY_SECONDS;
+    let max = MAX_SECONDS;
     let window =
         positive("bounds.report-window-s", bounds.report_window_s, DEFAULT_USAGE_WINDOW_S, max);
     let delay = positive("bounds.usage-delay-s", bounds.usage_delay_s, DEFAULT_USAGE_DELAY_S, max);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -232,7 +232,7 @@
             if from.is_empty() {
                 // Later pages may be newer; the feed then repeats those changes.
                 all.version = StoreVersion { era, revision: doc.ver };
-                all.now = Duration::from_secs_f64(doc.now_ms / 1e3);
+                all.now = parse_clock(doc.now_ms);
             }
             if era != all.version.era {
                 return Err(Error::Unreadable(
@@ -276,7 +276,7 @@
         }
         let rows = doc.rows.into_iter().map(|row| decode_row(row, era)).collect();
         let version = StoreVersion { era, revision: doc.ver.max(after) };
-        let now = Duration::from_secs_f64(doc.now_ms / 1e3);
+        let now = parse_clock(doc.now_ms);
         Ok(FeedReply::Changes(Rows { rows, version, now }))
     }
 
@@ -338,6 +338,11 @@
         .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))
 }
 
+/// Reading of the store's clock; zero if it is no time.
+fn parse_clock(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
+}
+
 /// Era reported by a response; 0 if it reports none.
 fn parse_era(reply: &HttpReply) -> Era {
     let reported = reply.headers.get(ERA_HEADER).and_then(|value| value.to_str().ok());
--- a/src/policy/usage.rs
+++ b/src/policy/usage.rs
@@ -94,6 +94,12 @@
     pub totals: Vec<UsageTotal>,
 }
 
+fn add_totals(sums: &mut UsageTotals, totals: &UsageTotals) {
+    for (organisation, count) in totals {
+        *sums.entry(organisation.clone()).or_default() += count;
+    }
+}
+
 /// What is known of one reporter.
 #[derive(Clone, Debug, Default)]
 struct KnownReporter {
@@ -101,7 +107,7 @@
     counts_until: TrueMs,
     /// When it was last heard, on the clock of this process.
     heard_at: Duration,
-    totals: BTreeMap<Window, BTreeMap<Box<str>, u64>>,
+    totals: BTreeMap<Window, UsageTotals>,
 }
 
 /// How complete the counts of a window are.
@@ -111,7 +117,7 @@
     Complete,
     /// This number of reporters have not.
     Awaiting(usize),
-    /// Too few reporters were running when it began: what earlier ones counted is lost.
+    /// Too few reporters were running when it began: earlier ones may have counted more.
     Unknown,
 }
 
@@ -122,6 +128,18 @@
 /// Time without a report after which a reporter no longer counts as running: ten reports.
 const REPORTER_LIFETIME: Duration = Duration::from_secs(4);
 
+/// Totals by Organisation.
+pub type UsageTotals = BTreeMap<Box<str>, u64>;
+
+/// What a holder knew of the windows that it had not reported, kept where it outlives all processes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageCheckpoint {
+    /// Processes that started later are not included.
+    pub at: TrueMs,
+    /// Totals by window.
+    pub windows: BTreeMap<Window, UsageTotals>,
+}
+
 /// Reports of all entries, as one of them has received them.
 #[derive(Clone, Debug, Default)]
 pub struct UsageLedger {
@@ -171,13 +189,29 @@
         }
     }
 
-    /// Requests of each Organisation that began in a window.
-    pub fn totals(&self, window: Window) -> BTreeMap<Box<str>, u64> {
-        let mut sums = BTreeMap::new();
-        for totals in self.reporters.values().filter_map(|known| known.totals.get(&window)) {
-            for (organisation, count) in totals {
-                *sums.entry(organisation.clone()).or_default() += count;
-            }
+    /// Requests of each Organisation that began in a window, as far as they were reported here.
+    pub fn totals(&self, window: Window) -> UsageTotals {
+        self.sum(window, 0)
+    }
+
+    /// The same by the reports or by an earlier holder's checkpoint and the processes that started after it, whichever
+    /// is more: neither counts a request twice.
+    pub fn totals_since(&self, window: Window, checkpoint: &UsageCheckpoint) -> UsageTotals {
+        let mut totals = checkpoint.windows.get(&window).cloned().unwrap_or_default();
+        add_totals(&mut totals, &self.sum(window, checkpoint.at));
+        for (organisation, count) in self.totals(window) {
+            let total = totals.entry(organisation).or_default();
+            *total = (*total).max(count);
+        }
+        totals
+    }
+
+    /// Sum of the totals of the processes that started at `from` or later.
+    fn sum(&self, window: Window, from: TrueMs) -> UsageTotals {
+        let mut sums = UsageTotals::new();
+        let reporters = self.reporters.values().filter(|known| known.counts_from >= from);
+        for totals in reporters.filter_map(|known| known.totals.get(&window)) {
+            add_totals(&mut sums, totals);
         }
         sums
     }
--- a/src/router/duties/usage_meter.rs
+++ b/src/router/duties/usage_meter.rs
@@ -11,7 +11,8 @@
     policy::{
         true_time::TrueTime,
         usage::{
-            TrueMs, UsageCounter, UsageLedger, UsageReport, Window, WindowCoverage, window_at,
+            TrueMs, UsageCheckpoint, UsageCounter, UsageLedger, UsageReport, UsageTotals, Window,
+            WindowCoverage, window_at,
         },
     },
     router::Router,
@@ -33,7 +34,8 @@
 #[derive(Debug)]
 struct Inner {
     true_time: TrueTime,
-    counts_from: TrueMs,
+    /// When the process started, on the entry's clock.
+    started_at: Duration,
     counter: UsageCounter,
     ledger: UsageLedger,
 }
@@ -49,8 +51,8 @@
     pub(crate) fn new(now: Duration) -> Self {
         let true_time = TrueTime::new(wall_clock(), now);
         let inner = Inner {
-            counts_from: true_time.at(now),
             true_time,
+            started_at: now,
             counter: UsageCounter::default(),
             ledger: UsageLedger::default(),
         };
@@ -89,7 +91,7 @@
         let (totals, next) = inner.counter.since(revision);
         let report = UsageReport {
             process: self.process,
-            counts_from: inner.counts_from,
+            counts_from: inner.true_time.at(inner.started_at),
             counts_until: inner.true_time.at(now.saturating_sub(RECORDING_LAG)),
             wall_clock: wall_clock(),
             totals,
@@ -121,9 +123,9 @@
         self.lock().ledger.coverage(window, length, now)
     }
 
-    /// Requests of each Organisation that began in a window.
-    pub(crate) fn totals(&self, window: Window) -> std::collections::BTreeMap<Box<str>, u64> {
-        self.lock().ledger.totals(window)
+    /// Requests of each Organisation that began in a window, by the reports and an earlier holder's checkpoint.
+    pub(crate) fn totals_since(&self, window: Window, checkpoint: &UsageCheckpoint) -> UsageTotals {
+        self.lock().ledger.totals_since(window, checkpoint)
     }
 
     /// Drops the reports of windows before `oldest`.
--- a/src/router/duties/usage_reporter.rs
+++ b/src/router/duties/usage_reporter.rs
@@ -21,7 +21,7 @@
     },
     policy::{
         lease::{Claimant, LeaseAction, LeaseRow, LeaseView},
-        usage::{Window, WindowCoverage, window_at, window_start},
+        usage::{UsageCheckpoint, UsageTotals, Window, WindowCoverage, window_at, window_start},
     },
     router::{
         Router,
@@ -45,6 +45,10 @@
 /// Pause after the duty service did not accept a report; doubles up to the maximum.
 const MIN_SEND_PAUSE: Duration = Duration::from_millis(250);
 const MAX_SEND_PAUSE: Duration = Duration::from_secs(2);
+/// Windows in a checkpoint: the one at work, and those whose reports are awaited.
+const MAX_CHECKPOINT_WINDOWS: usize = 3;
+/// Totals in a checkpoint: 30 KB of the 64 KB that a row can hold.
+const MAX_CHECKPOINT_TOTALS: usize = 1_000;
 /// Part of the time until a report is due for which the counts of silent entries are awaited. The rest is left for
 /// another entry to take over and send the report.
 const AWAITED_PART: u32 = 3;
@@ -90,6 +94,8 @@
     next_check: Duration,
     was_holder: bool,
     progress: UsageProgress,
+    /// What the former holder knew.
+    inherited: UsageCheckpoint,
     /// Stored reports by window, and the version of each row; `None` until they have been read under the lease.
     reports: Option<BTreeMap<Window, UsageReportDoc>>,
     report_versions: BTreeMap<Box<str>, Revision>,
@@ -113,6 +119,7 @@
             next_check: Duration::ZERO,
             was_holder: false,
             progress: UsageProgress::default(),
+            inherited: UsageCheckpoint::default(),
             reports: None,
             report_versions: BTreeMap::new(),
             accepted: BTreeSet::new(),
@@ -262,10 +269,12 @@
         let current = window_at(now, duties.usage_window);
         self.reports = None;
         self.accepted.clear();
-        self.progress = match known {
-            Some(doc) if doc.era == self.era => doc.progress.since(current),
+        let in_era = known.filter(|doc| doc.era == self.era);
+        self.inherited = in_era.map(|doc| doc.checkpoint.clone()).unwrap_or_default();
+        self.progress = match in_era {
+            Some(doc) => doc.progress.since(current),
             // Reports stored after the copy was made may have been sent, and can't be repeated exactly.
-            _ => UsageProgress { next_window: current, unsent: Vec::new() },
+            None => UsageProgress { next_window: current, unsent: Vec::new() },
         };
         if let Some(doc) = known {
             let (first, end) = (doc.progress.next_window, self.progress.next_window);
@@ -319,15 +328,11 @@
         let coverage = router.usage.coverage(window, duties.usage_window, router.now());
         match coverage {
             WindowCoverage::Complete => {}
-            WindowCoverage::Unknown if is_overdue => {
-                self.progress.next_window += 1;
-                log_lost_windows(router, window, window + 1, "too few entries counted it");
-                return Ok(());
-            }
-            WindowCoverage::Awaiting(_) if is_overdue => {}
+            _ if is_overdue => {}
             _ => return Ok(()),
         }
-        let doc = UsageReportDoc { window, counts: router.usage.totals(window) };
+        let counts = router.usage.totals_since(window, &self.inherited);
+        let doc = UsageReportDoc { window, counts };
         let Some(row) = self.row.as_ref().and_then(|row| row.doc.as_ref()) else {
             self.must_read = true;
             return Ok(());
@@ -368,7 +373,8 @@
     ) -> platform::Result<bool> {
         let mut progress = self.progress.clone();
         progress.unsent.retain(|window| !self.accepted.contains(window));
-        let doc = UsageLeaseDoc { lease: lease.clone(), era: self.era, progress };
+        let checkpoint = self.checkpoint(router);
+        let doc = UsageLeaseDoc { lease: lease.clone(), era: self.era, progress, checkpoint };
         let mut puts = vec![put(LEASE_KEY.into(), self.version(), &doc)];
         if let Some(report) = report {
             let key = report_key(report.window);
@@ -400,6 +406,22 @@
         }
     }
 
+    /// Counts of the windows that are not stored yet. Too many Organisations for the row are left out.
+    fn checkpoint(&self, router: &Router) -> UsageCheckpoint {
+        let duties = router.settings.load().duties;
+        let at = router.usage.true_time(router.now());
+        let current = duties.map_or(0, |duties| window_at(at, duties.usage_window));
+        let open = self.progress.next_window..=current;
+        let windows: BTreeMap<_, _> = open
+            .take(MAX_CHECKPOINT_WINDOWS)
+            .map(|window| (window, router.usage.totals_since(window, &self.inherited)))
+            .collect();
+        if windows.values().map(UsageTotals::len).sum::<usize>() > MAX_CHECKPOINT_TOTALS {
+            return UsageCheckpoint::default();
+        }
+        UsageCheckpoint { at, windows }
+    }
+
     fn version(&self) -> Revision {
         self.row.as_ref().map_or(0, |row| row.version)
     }
--- a/src/router/duties/usage_rows.rs
+++ b/src/router/duties/usage_rows.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     ids::Era,
-    policy::{lease::LeaseRow, usage::Window},
+    policy::{
+        lease::LeaseRow,
+        usage::{UsageCheckpoint, Window},
+    },
 };
 
 /// Key of the row with the lease and the progress.
@@ -26,6 +29,9 @@
     pub(crate) era: Era,
     #[serde(flatten)]
     pub(crate) progress: UsageProgress,
+    /// Counts of the windows that are not stored yet, for a holder that starts after all processes have ended.
+    #[serde(default)]
+    pub(crate) checkpoint: UsageCheckpoint,
 }
 
 /// Progress of the reports.
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -113,7 +113,7 @@
     USAGE_STORED = 704, Info, "The usage of a window was stored; it is sent to the platform next.";
     USAGE_REPORTED = 705, Info, "The platform accepted the usage report of a window.";
     USAGE_REPORT_FAILED = 706, Warn, "A usage report was not accepted; unless it was rejected for good, it is sent again.";
-    USAGE_LOST = 707, Error, "Windows of usage are not reported, since their counts or reports are lost.";
+    USAGE_LOST = 707, Error, "Windows of usage are not reported, since their reports may have been sent and are lost.";
     ENGINE_ORDERED = 800, Info, "The agent ordered its engine to load or unload versions.";
     ENGINE_ORDER_FAILED = 801, Warn, "The engine rejected an order or did not respond to it.";
     ENGINE_UNHEALTHY = 802, Warn, "The BackendServer is failing its requests; the entries are informed.";
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -7,11 +7,11 @@
 use mintmoor::{
     platform::{
         HttpClient,
-        documents::unknown_row_kind,
+        documents::{OperatorChange, parse_operator_row, unknown_row_kind},
         host_settings,
         request_headers::{AttemptHeaders, HeadError, build_attempt_headers, parse_request_head},
         response_headers::parse_response_head,
-        store::{Put, StoreClient, Table, WriteOutcome},
+        store::{Put, Row, StoreClient, Table, WriteOutcome},
     },
     policy::{rate_limit::AdvertisedLimit, retry_after::RetryAfter},
     routing::{Organisation, ResponseKind},
@@ -310,6 +310,42 @@
     }
 }
 
+#[test]
+fn times_that_are_none_are_reported_and_do_not_end_the_process() {
+    for (bounds, problem) in [
+        ("grace-s: -1}", "bounds.grace-s is -1"),
+        ("drain-ms: 1e300}", "bounds.drain-ms is 1"),
+        ("contact-ms: .nan}", "bounds.contact-ms is NaN"),
+    ] {
+        let text =
+            SETTINGS.replace("grace-s: 8, drain-ms: 2500, ", "").replace("session-s: 5}", bounds);
+
+        let error = host_settings::parse(&text).unwrap_err().to_string();
+
+        assert!(error.contains(problem), "{error}");
+    }
+}
+
+#[test]
+fn huge_times_in_orders_are_cut_to_a_day() {
+    let order = |duration: &str| Row {
+        table: Table::Orders,
+        key: "rollout/llm".into(),
+        value: format!(r#"{{"service": "llm", "to": "v2", "duration-s": {duration}}}"#).into(),
+        version: 1,
+        era: 0,
+        is_removed: false,
+    };
+    let duration = |text: &str| match parse_operator_row(&order(text)).unwrap() {
+        Some(OperatorChange::RollOut(order)) => order.duration,
+        other => panic!("{other:?}"),
+    };
+
+    assert_eq!(duration("1e300"), Duration::from_secs(86_400));
+    assert_eq!(duration("-4"), Duration::ZERO);
+    assert_eq!(duration("12.5"), Duration::from_millis(12_500));
+}
+
 #[tokio::test]
 async fn one_row_is_read_by_its_key() {
     let store = Store::start().await;
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -6,7 +6,10 @@
 use mintmoor::policy::{
     lease::{Claimant, LeaseAction, LeaseRow, LeaseTiming, LeaseView},
     true_time::TrueTime,
-    usage::{UsageCounter, UsageLedger, UsageReport, UsageTotal, WindowCoverage, window_at},
+    usage::{
+        UsageCheckpoint, UsageCounter, UsageLedger, UsageReport, UsageTotal, WindowCoverage,
+        window_at,
+    },
 };
 use proptest::prelude::*;
 
@@ -123,6 +126,21 @@
     assert_eq!(ledger.coverage(2, LENGTH, at(15.6)), WindowCoverage::Unknown, "nobody is left");
 }
 
+/// Everything that a holder had counted until a checkpoint, and what new processes counted after it.
+#[test]
+fn a_checkpoint_stands_in_for_processes_that_are_all_gone() {
+    let before = ledger_of(3);
+    let checkpoint = UsageCheckpoint { at: 8_000, windows: [(1, before.totals(1))].into() };
+    let mut after = UsageLedger::default();
+    let mut late = report(2, 10_500, vec![total(1, "org-a", 4)]);
+    late.counts_from = 8_500;
+    after.apply("edge-0", &late, at(10.6));
+
+    assert_eq!(after.totals_since(1, &checkpoint)["org-a"], 3 + 4);
+    assert_eq!(after.totals_since(1, &checkpoint).values().sum::<u64>(), 6 + 4);
+    assert_eq!(before.totals_since(1, &checkpoint), before.totals(1), "nothing counts twice");
+}
+
 #[test]
 fn an_empty_ledger_knows_nothing() {
     assert_eq!(UsageLedger::default().coverage(1, LENGTH, at(1.0)), WindowCoverage::Unknown);
