--- a/src/router/duties/usage_reporter.rs
+++ b/src/router/duties/usage_reporter.rs
@@ -250,7 +250,12 @@
             return Err(Error::Unreadable("the row is from an earlier era".into()));
         }
         let row = rows.rows.first();
-        self.row = row.map(|row| KnownRow { version: row.version, doc: parse_lease(row) });
+        let known = self.row.take();
+        self.row = row.map(|row| match known {
+            // Already parsed, or already logged as unreadable.
+            Some(known) if known.version == row.version => known,
+            _ => KnownRow { version: row.version, doc: parse_lease(row) },
+        });
         self.view.observe(row.map(|row| (observed_lease(&self.row), row.version)), router.now());
         if let Some(doc) = self.row.as_ref().and_then(|row| row.doc.as_ref())
             && self.view.is_own(&doc.lease, &self.id)
