--- a/src/router/duties/mod.rs
+++ b/src/router/duties/mod.rs
@@ -2,6 +2,7 @@
 //! sent. The design is in docs/decisions/0018.
 
 pub(crate) mod duty_lease;
+pub(crate) mod usage_lease;
 pub(crate) mod usage_meter;
 pub(crate) mod usage_reporter;
 pub(crate) mod usage_rows;
