--- a/tests/platform/duties.rs
+++ b/tests/platform/duties.rs
@@ -4,6 +4,7 @@
 
 use mintmoor::platform::host_settings::{DutySettings, HostSettings};
 use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpListener};
 
 use crate::{
     duty_service::{DutyFault, DutyService},
@@ -275,3 +276,33 @@
     deployment.wait_for_reports(2).await;
     assert_eq!(deployment.duties.reported_requests(), 2);
 }
+
+/// Answers every connection with bytes that are no HTTP.
+async fn start_junk_service() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            // The entry may have closed the connection already.
+            let _ = stream.write_all(b"200 thanks\r\n\r\n").await;
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_none_counts_as_lost_and_the_report_is_repeated() {
+    let mut deployment = Deployment::new(1).await;
+    deployment.duties.address = start_junk_service().await;
+    let site = deployment.start_entry(Some(deployment.seeds[0])).await;
+
+    let lost = || {
+        let metrics = site.entry.router.metrics.render();
+        let line =
+            metrics.lines().find(|line| line.contains(r#"usage_reports_total{outcome="lost"}"#));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).unwrap_or(0)
+    };
+    wait_until("reports are repeated", || lost() >= 3).await;
+
+    assert_eq!(site.request("GET", "/safe/a", "").await.status, 200);
+}
