--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -2,7 +2,8 @@
 //!
 //! Clocks are not compared across processes. A holder counts the validity of its lease from before it sent
 //! the renewal, less a margin; others take over only after they have seen an unchanged row for the
-//! whole lease duration on their own clock.
+//! whole lease duration on their own clock. Jobs whose writes the store checks and duties whose calls nobody
+//! checks use the same lease with other terms ([`LeaseTiming`], docs/decisions/0018).
 
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 pub struct LeaseRow {
     /// Incarnation of the holder, in hex.
     pub holder: Box<str>,
-    /// Fencing token: grows by one with each new holder; every write under the lease is conditional on it.
+    /// Fencing token: grows with each new holder. Writes to the store under the lease are conditional on it.
     pub fencing: u64,
     /// Grows with each renewal, so that other processes see that the holder is alive.
     pub renewals: u64,
