A usage report whose answers are lost does not hold up the others

Cause: one pause for all reports, and the oldest one still in time first: with a duty service that takes reports and never answers, windows passed untried.

Change: each report has a pause of its own.

--- a/src/router/duties/usage_reporter.rs
+++ b/src/router/duties/usage_reporter.rs
@@ -69,6 +69,13 @@
     router.is_seed() || router.settings.load().seed_peers.is_empty()
 }
 
+/// When a report that was not accepted may be sent again.
+#[derive(Clone, Copy, Debug)]
+struct Retry {
+    at: Duration,
+    pause: Duration,
+}
+
 #[derive(Debug)]
 struct UsageReporter {
     lease: UsageLease,
@@ -84,8 +91,9 @@
     reports: Option<BTreeMap<Window, UsageReportDoc>>,
     /// Windows whose reports were accepted; removed from the progress at the next renewal.
     accepted: BTreeSet<Window>,
+    /// Pauses of reports that were not accepted, by window.
+    retries: BTreeMap<Window, Retry>,
     next_send: Duration,
-    send_pause: Duration,
     /// Revision of the own counts up to which the ledger has them.
     own_revision: u64,
 }
@@ -101,8 +109,8 @@
             inherited: UsageCheckpoint::default(),
             reports: None,
             accepted: BTreeSet::new(),
+            retries: BTreeMap::new(),
             next_send: Duration::ZERO,
-            send_pause: MIN_SEND_PAUSE,
             own_revision: 0,
         }
     }
@@ -345,21 +353,34 @@
         }
         if is_done {
             self.accepted.insert(window);
-            self.send_pause = MIN_SEND_PAUSE;
+            self.retries.remove(&window);
         } else {
-            self.send_pause = (self.send_pause * 2).min(MAX_SEND_PAUSE);
+            self.delay_retry(window, router.now());
         }
         let spacing = Duration::try_from_secs_f64(1.0 / duties.calls_per_second);
-        self.next_send = router.now()
-            + if is_done { spacing.unwrap_or(MAX_SEND_PAUSE) } else { self.send_pause };
+        self.next_send = router.now() + spacing.unwrap_or(MAX_SEND_PAUSE);
     }
 
+    /// Delays the next try of a report. Each report has a pause of its own, so that one whose answers are lost does
+    /// not keep others from being sent in time.
+    fn delay_retry(&mut self, window: Window, now: Duration) {
+        let last = self.retries.get(&window).map(|retry| retry.pause * 2);
+        let pause = last.unwrap_or(MIN_SEND_PAUSE).min(MAX_SEND_PAUSE);
+        self.retries.insert(window, Retry { at: now + pause, pause });
+        self.retries.retain(|retried, _| *retried + REPORT_SLOTS > window);
+    }
+
+    /// The window whose report is sent next.
     fn next_unsent(&self, router: &Router, duties: &DutySettings) -> Option<Window> {
         let now = router.usage.true_time(router.now());
         let delay = u64::try_from(duties.usage_delay.as_millis()).unwrap_or(u64::MAX);
         let is_late = |window: Window| now > window_start(window + 1, duties.usage_window) + delay;
-        let unsent = self.progress.unsent.iter().copied();
-        unsent.filter(|window| !self.accepted.contains(window)).min_by_key(|w| (is_late(*w), *w))
+        let is_due = |window: &Window| {
+            let retry = self.retries.get(window);
+            !self.accepted.contains(window) && retry.is_none_or(|retry| retry.at <= router.now())
+        };
+        let due = self.progress.unsent.iter().copied().filter(is_due);
+        due.min_by_key(|window| (is_late(*window), *window))
     }
 }
 
