--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -261,6 +261,11 @@
         counted.map(|(incarnation, at)| Note::End { fingerprint, incarnation, at }).collect()
     }
 
+    /// Number of separate events among the ends that count against a request.
+    pub fn event_count(&self, request: &Fingerprint) -> usize {
+        self.requests.get(request).map_or(0, |record| self.count_events(record))
+    }
+
     /// Notes that clear all ends that count against a request.
     pub fn clearing_notes(&self, fingerprint: Fingerprint) -> Vec<Note> {
         let counted =
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -206,9 +206,14 @@
             if is_own {
                 inner.own.push(note, now);
             }
-            if !was_refused && is_refused(&inner.quarantine, &fingerprint, now) {
+            if was_refused {
+                continue;
+            }
+            if is_refused(&inner.quarantine, &fingerprint, now) {
                 event::REQUEST_QUARANTINED
                     .log(format_args!("fingerprint={fingerprint} seen_here={is_own}"));
+            } else {
+                log_suspect(&inner.quarantine, &fingerprint, now);
             }
         }
         drop(inner);
@@ -363,6 +368,22 @@
     }
 }
 
+/// Logs the ends that count against a request if there are enough for a mistake to matter.
+fn log_suspect(quarantine: &Quarantine, fingerprint: &Fingerprint, now: Duration) {
+    let ends = quarantine.ends(fingerprint);
+    if ends.len() < URGENT_FROM {
+        return;
+    }
+    let age_ms = |note: &Note| match note {
+        Note::End { at, .. } => Some(now.saturating_sub(*at).as_millis()),
+        Note::Cleared { .. } => None,
+    };
+    let ages: Vec<u128> = ends.iter().filter_map(age_ms).collect();
+    let events = quarantine.event_count(fingerprint);
+    event::SUSPECT_COUNTED
+        .log(format_args!("fingerprint={fingerprint} ends_ms={ages:?} events={events}"));
+}
+
 fn is_refused(quarantine: &Quarantine, fingerprint: &Fingerprint, now: Duration) -> bool {
     matches!(quarantine.status(fingerprint, now), QuarantineStatus::Refused { .. })
 }
