Keep lost requests by outage, so that an end that only the list shows is counted and dated

Cause: what was lost at a server was one list, of which only the requests lost after the server's last data counted at its end. A server that is back before the list shows its new start has sent data: the requests that it had been running were dropped, the end was dated just before that data, and a second end was not counted. Servers that end up to 1 s apart are back and listed together, so the dates fell into the 250 ms in which ends count as one event.

Fix: requests lost without data in between form an outage; the list's news of a next start takes the earliest one, with its own date, and later ones pass to the next incarnation. Data soon after a single broken connection still shows that it was no end.

--- a/src/router/servers/fleet.rs
+++ b/src/router/servers/fleet.rs
@@ -107,9 +107,9 @@
         self.by_short_hash(hash as u32).filter(|member| member.incarnation_hash() == hash)
     }
 
-    /// Whether a server with this id is listed.
-    pub(crate) fn has_id(&self, id: &str) -> bool {
-        self.members.contains_key(id)
+    /// The server with this id, if it is listed.
+    pub(crate) fn member(&self, id: &str) -> Option<&Arc<Member>> {
+        self.members.get(id)
     }
 
     /// Servers whose incarnation is not listed in a later fleet.
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -71,6 +71,8 @@
     pub(crate) prefixes: CachedPrefixes,
     /// When data was last received from it, on the entry's clock.
     pub(crate) received_at: Duration,
+    /// Whether requests were lost and no data was received since.
+    awaits_recovery: bool,
     /// Whether another server responded at its address.
     pub(crate) is_replaced: bool,
     /// Recent sends of this entry while the server was rate-limited.
@@ -245,7 +247,18 @@
 
     /// Records that data was received from the server.
     pub(crate) fn record_received(&self, now: Duration) {
-        self.state().received_at = now;
+        let mut state = self.state();
+        state.received_at = now;
+        let awaits_recovery = state.awaits_recovery;
+        drop(state);
+        if awaits_recovery && self.lost_requests().record_received(now) {
+            self.state().awaits_recovery = false;
+        }
+    }
+
+    /// Records that requests were lost, so that the next data shows that the server runs again.
+    pub(crate) fn await_recovery(&self) {
+        self.state().awaits_recovery = true;
     }
 
     /// Prefill time of the prompts that all entries have sent to it and that it has not processed.
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -37,13 +37,53 @@
 /// Requests that got no response from a server, and what is known about the server's end.
 #[derive(Debug, Default)]
 pub(crate) struct LostRequests {
-    lost: Vec<LostRequest>,
+    /// The earliest first.
+    outages: Vec<Outage>,
     /// When the end of the server was proved. The server may be back before the list shows its next incarnation.
     ended_at: Option<Duration>,
     /// When the server's address was last probed.
     probed_at: Option<Duration>,
 }
 
+/// Requests that were lost while no data arrived from the server. Behind a proxy a server may be back, and end again,
+/// before the list shows its next incarnation; each end is then an outage of its own.
+#[derive(Debug)]
+struct Outage {
+    /// The earliest first; never empty.
+    lost: Vec<LostRequest>,
+    /// Whether the server has sent data since.
+    is_over: bool,
+}
+
+impl Outage {
+    /// When the first request was lost.
+    fn since(&self) -> Duration {
+        self.lost[0].at
+    }
+
+    /// Whether requests were lost for longer than data that the server sent before its end may be read. A single broken
+    /// connection is not taken for an end once the server sends data again.
+    fn has_lasted(&self) -> bool {
+        self.since() + LATE_READ_MARGIN < self.lost[self.lost.len() - 1].at
+    }
+
+    /// When the server ended: when the first connection broke. The proof may arrive a second later, and for several
+    /// servers at once, so that by its time they would count as one event.
+    fn ended_at(&self) -> Option<Duration> {
+        let broken = self.lost.iter().find(|lost| lost.loss_cause == LossCause::Disconnected);
+        broken.map(|lost| lost.at)
+    }
+
+    /// The requests that may have been running when the server ended, given that this is proved now.
+    fn suspects(&self, now: Duration) -> Vec<Fingerprint> {
+        // Requests abandoned because the next incarnation was listed may have been running in that one.
+        let may_have_run = |lost: &&LostRequest| {
+            lost.loss_cause == LossCause::Disconnected || lost.at + LATE_READ_MARGIN < now
+        };
+        self.lost.iter().filter(may_have_run).map(|lost| lost.fingerprint).collect()
+    }
+}
+
 /// Records that the connection to a server broke before a response was complete, checks whether the server has ended,
 /// and records the failure as evidence about its version.
 pub(crate) async fn record_broken_connection(
@@ -84,10 +124,9 @@
         drop(lost_requests);
         return router.quarantine.record_ends(&[fingerprint], member.incarnation_hash(), now);
     }
-    lost_requests.lost.retain(|lost| now < lost.at + SUSPECT_WINDOW);
-    if lost_requests.lost.len() < MAX_LOST {
-        lost_requests.lost.push(LostRequest { fingerprint, at: now, loss_cause });
-    }
+    lost_requests.record(LostRequest { fingerprint, at: now, loss_cause }, now);
+    drop(lost_requests);
+    member.await_recovery();
 }
 
 /// Whether the server has ended. One probe serves all requests whose connections broke together.
@@ -147,6 +186,58 @@
     fn has_ended(&self, now: Duration) -> bool {
         self.ended_at.is_some_and(|at| now < at + PROBE_VALID_FOR)
     }
+
+    /// Removes requests that were lost too long ago.
+    fn expire(&mut self, now: Duration) {
+        for outage in &mut self.outages {
+            outage.lost.retain(|lost| now < lost.at + SUSPECT_WINDOW);
+        }
+        self.outages.retain(|outage| !outage.lost.is_empty());
+    }
+
+    fn record(&mut self, lost: LostRequest, now: Duration) {
+        self.expire(now);
+        let count: usize = self.outages.iter().map(|outage| outage.lost.len()).sum();
+        if count >= MAX_LOST {
+            return;
+        }
+        match self.outages.last_mut() {
+            Some(outage) if !outage.is_over => outage.lost.push(lost),
+            _ => self.outages.push(Outage { lost: vec![lost], is_over: false }),
+        }
+    }
+
+    /// Records that data was received from the server. Returns whether no outage goes on.
+    pub(crate) fn record_received(&mut self, now: Duration) -> bool {
+        let Some(outage) = self.outages.last_mut().filter(|outage| !outage.is_over) else {
+            return true;
+        };
+        if now <= outage.since() + LATE_READ_MARGIN {
+            return false;
+        }
+        if outage.has_lasted() {
+            outage.is_over = true;
+        } else {
+            self.outages.pop();
+        }
+        true
+    }
+
+    /// Takes the outage in which the server ended according to this proof.
+    fn take_end(&mut self, proof: Proof, now: Duration) -> Option<Outage> {
+        self.expire(now);
+        match proof {
+            Proof::Refused | Proof::Dropped => {
+                // Data received under the same listing came from the same incarnation, so earlier outages were none
+                // of its end.
+                let outages = std::mem::take(&mut self.outages);
+                outages.into_iter().next_back().filter(|outage| !outage.is_over)
+            }
+            // Later outages belong to the incarnations that followed.
+            Proof::StartedAgain if self.outages.is_empty() => None,
+            Proof::StartedAgain => Some(self.outages.remove(0)),
+        }
+    }
 }
 
 /// What proves that a server has ended. The names are written to the log.
@@ -164,55 +255,48 @@
 /// Records that a server has ended. All requests that it was running become suspects.
 pub(crate) fn record_server_end(router: &Router, member: &Member, proof: Proof) {
     let now = router.now();
-    let (lost, ended_at) = {
-        let received_at = member.received_at();
+    let outage = {
         let mut lost_requests = member.lost_requests();
         if proof != Proof::Refused && lost_requests.ended_at.is_some() {
             // This end is already known, and requests sent since then run in the next incarnation.
             return;
         }
-        if proof != Proof::Dropped {
+        if proof == Proof::Refused {
             lost_requests.ended_at = Some(now);
         }
-        let lost = std::mem::take(&mut lost_requests.lost);
-        let ended_at = first_broken_at(&lost, received_at).unwrap_or(now);
-        // Requests that were lost before the server last sent data were no longer running when it ended.
-        let lost = lost
-            .into_iter()
-            .filter(|lost| {
-                now < lost.at + SUSPECT_WINDOW && received_at < lost.at + LATE_READ_MARGIN
-            })
-            // Requests abandoned because the next incarnation was listed may have been running in that one.
-            .filter(|lost| {
-                lost.loss_cause == LossCause::Disconnected || lost.at + LATE_READ_MARGIN < now
-            })
-            .map(|lost| lost.fingerprint)
-            .collect::<Vec<_>>();
-        (lost, ended_at)
+        lost_requests.take_end(proof, now)
     };
     if proof != Proof::Dropped {
         member.record_unreachable(now);
     }
-    if lost.is_empty() {
+    let Some(outage) = outage else {
+        return;
+    };
+    let (suspects, ended_at) = (outage.suspects(now), outage.ended_at().unwrap_or(now));
+    if suspects.is_empty() {
         return;
     }
     event::SERVER_ENDED.log(format_args!(
         "server={} requests={} proof={proof:?}",
         member.server.id,
-        lost.len()
+        suspects.len()
     ));
     router.metrics.server_ends.inc();
+    let incarnation = member.incarnation_hash();
     match proof {
-        Proof::Refused => router.quarantine.record_ends(&lost, member.incarnation_hash(), ended_at),
+        Proof::Refused => router.quarantine.record_ends(&suspects, incarnation, ended_at),
         Proof::StartedAgain | Proof::Dropped => {
-            router.quarantine.record_listed_ends(&lost, member.incarnation_hash(), ended_at);
+            router.quarantine.record_listed_ends(&suspects, incarnation, ended_at);
         }
     }
 }
 
-/// The time at which the server ended: when the first connection broke after the server last sent data. The proof may
-/// arrive a second later, and for several servers at once, so that by its time they would count as one event.
-fn first_broken_at(lost: &[LostRequest], received_at: Duration) -> Option<Duration> {
-    let broken = lost.iter().filter(|lost| lost.loss_cause == LossCause::Disconnected);
-    broken.map(|lost| lost.at).filter(|at| received_at < *at + LATE_READ_MARGIN).min()
+/// Moves the outages that followed a server's end to its next incarnation, which they belong to.
+pub(crate) fn hand_over_outages(ended: &Member, next: &Member) {
+    let outages = std::mem::take(&mut ended.lost_requests().outages);
+    if outages.is_empty() {
+        return;
+    }
+    next.lost_requests().outages = outages;
+    next.await_recovery();
 }
--- a/src/router/servers/server_table.rs
+++ b/src/router/servers/server_table.rs
@@ -65,8 +65,9 @@
 fn record_ended_servers(router: &Router, listing: &Listing, before: &Fleet, next: &Fleet) {
     for member in before.missing_from(next).filter(|member| !member.is_draining()) {
         let id = &member.server.id;
-        if next.has_id(id) {
+        if let Some(successor) = next.member(id) {
             server_ends::record_server_end(router, member, Proof::StartedAgain);
+            server_ends::hand_over_outages(member, successor);
         } else if !listing.is_unreadable(id) {
             server_ends::record_server_end(router, member, Proof::Dropped);
         }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -1,6 +1,12 @@
 //! Quarantine of a request that crashes every server that begins to run it (docs/incidents/0011).
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use mintmoor::{platform::host_settings::HostSettings, router::Released};
 use tokio::{
@@ -13,7 +19,7 @@
         CRASHING_BODY, EVENT_COUNT, Pool, RESTART_DELAY, free_address, post,
         send_crashing_requests, send_other_requests,
     },
-    server::{Action, Server},
+    server::{Action, ReceivedRequest, Server},
     site::{
         Answer, Site, list_server, list_server_with_start_time, start_server, store_with_servers,
         wait_until,
@@ -255,6 +261,49 @@
     wait_until("the request is refused", || is_quarantined(&site)).await;
 }
 
+/// Sends a request to a server that closes its connections until it has lasted longer than data may be read late.
+async fn send_while_down(site: &Arc<Site>, body: &str) {
+    for _ in 0..2 {
+        let _ = post(site, "/once/a", body).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// A server behind a proxy, which accepts connections also while the server is down.
+async fn start_proxied_server(id: &str, is_down: &Arc<AtomicBool>) -> Server {
+    let is_down = is_down.clone();
+    let script = move |_: &ReceivedRequest| match is_down.load(Ordering::SeqCst) {
+        true => Action::CloseConnection,
+        false => Action::Respond { status: 200, body: "served" },
+    };
+    Server::start(id, script).await
+}
+
+/// Guards against ends of a crashing request that are not counted (soak seed 836): the server answers other requests
+/// again, and ends again, before its row shows the new starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_counts_when_the_server_answers_again_before_its_row_shows_it() {
+    let is_down = Arc::<AtomicBool>::default();
+    let server = start_proxied_server("i-1", &is_down).await;
+    let site = Arc::new(Site::start(&[(&server, "app", "v1")]).await);
+    let ends = || site.entry.router.dump()["quarantine"][0]["ends"].clone();
+    for _ in 0..2 {
+        is_down.store(true, Ordering::SeqCst);
+        send_while_down(&site, CRASHING_BODY).await;
+        is_down.store(false, Ordering::SeqCst);
+        let is_up = async || post(&site, "/once/a", "harmless").await.status == 200;
+        while !is_up().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    list_server_with_start_time(&site.store, &server, "app", 2_000);
+    wait_until("the first end counts", || ends() == 1).await;
+    list_server_with_start_time(&site.store, &server, "app", 3_000);
+
+    wait_until("the second end counts", || ends() == 2).await;
+}
+
 /// The store is unreachable while servers end: entries inform each other and write the quarantine later.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_quarantine_is_written_once_the_store_is_back() {
