The mock server listens before its restart returns

What was seen: server_ends_that_the_server_list_does_not_show_are_combined_in_the_store hung, 1 in 13 to 17 runs, with one entry's request answered "not run".

Cause: the fixture. restart() only told the mock server's task to bind the port again; a request sent at once found it closed. The entry's answer was right: its only server refused the connection, so the request had not run. The wait for the server's end had no limit.

Change: restart() binds the port itself; waits for a server's end fail after 20 s. No check changes.

--- a/tests/platform/pool.rs
+++ b/tests/platform/pool.rs
@@ -166,7 +166,7 @@
 async fn restart_after_crashes(store: Store, server: Server, service: &'static str) {
     let mut incarnation = 0;
     loop {
-        server.wait_until_terminated(incarnation).await;
+        server.terminated(incarnation).await;
         sleep(RESTART_DELAY).await;
         incarnation = server.restart();
         list_server_with_start_time(&store, &server, service, 1_000 + incarnation as u64);
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -86,6 +86,9 @@
 /// Pause between the events of a stream without an end.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Longest wait for the end of a server. It only stops tests that hang: no test measures time by it.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Chooses the reaction to each request.
 type Script = Arc<dyn Fn(&ReceivedRequest) -> Action + Send + Sync>;
 
@@ -115,6 +118,8 @@
     retry_after: Arc<Mutex<Option<String>>>,
     /// Number of the current incarnation, from 0, and its state.
     process: Arc<watch::Sender<(usize, ProcessState)>>,
+    /// Listener of the incarnation that is being started.
+    next_listener: Arc<Mutex<Option<std::net::TcpListener>>>,
 }
 
 impl Server {
@@ -133,6 +138,7 @@
             extra_headers: Arc::default(),
             retry_after: Arc::default(),
             process: Arc::new(watch::Sender::new((0, ProcessState::Running))),
+            next_listener: Arc::default(),
         };
         let script: Script = Arc::new(script);
         tokio::spawn(server.clone().serve(listener, script));
@@ -149,7 +155,7 @@
                     tokio::spawn(async move {
                         tokio::select! {
                             () = server.serve_connection(stream, script) => {}
-                            () = server.wait_until_terminated(incarnation) => {}
+                            () = server.terminated(incarnation) => {}
                         }
                     });
                 }
@@ -165,12 +171,19 @@
             if states.wait_for(|state| state.1 == ProcessState::Running).await.is_err() {
                 return;
             }
-            listener = TcpListener::bind(self.address).await.unwrap();
+            let next = self.next_listener.lock().unwrap().take().expect("`restart` has bound it");
+            listener = TcpListener::from_std(next).unwrap();
         }
     }
 
-    /// Waits until this incarnation has terminated.
+    /// Waits until this incarnation has terminated; panics if it does not within [`CRASH_TIMEOUT`].
     pub async fn wait_until_terminated(&self, incarnation: usize) {
+        let terminated = tokio::time::timeout(CRASH_TIMEOUT, self.terminated(incarnation)).await;
+        assert!(terminated.is_ok(), "{} did not end in incarnation {incarnation}", self.id);
+    }
+
+    /// Waits until this incarnation has terminated, however long it runs.
+    pub async fn terminated(&self, incarnation: usize) {
         self.wait_until(|state| state.0 > incarnation || state.1 == ProcessState::Terminated).await;
     }
 
@@ -215,8 +228,11 @@
         self.process.send_modify(|state| state.1 = ProcessState::Terminating);
     }
 
-    /// Starts the next incarnation and returns its number.
+    /// Starts the next incarnation, which listens from now on, and returns its number.
     pub fn restart(&self) -> usize {
+        let listener = std::net::TcpListener::bind(self.address).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        *self.next_listener.lock().unwrap() = Some(listener);
         self.process.send_modify(|state| *state = (state.0 + 1, ProcessState::Running));
         self.process.borrow().0
     }
@@ -247,7 +263,7 @@
             if crashes {
                 let incarnation = self.process.borrow().0;
                 self.crash();
-                self.wait_until_terminated(incarnation).await;
+                self.terminated(incarnation).await;
             }
             self.active_requests.fetch_sub(1, Ordering::SeqCst);
             if !keeps_connection {
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -106,7 +106,7 @@
     async fn restart_after_crashes(&self, store: &Store) {
         let mut incarnation = 0;
         loop {
-            self.server.wait_until_terminated(incarnation).await;
+            self.server.terminated(incarnation).await;
             self.stop_rate_limit();
             sleep(RESTART_DELAY).await;
             incarnation = self.server.restart();
