A granted trial of a quarantined request is kept until it is made

What callers saw: a harmless request that ran beside a crashing one was refused for five minutes instead of 1 to 2.5 s.

Cause: a trial counted when it was claimed. If the store answered after the 100 ms that a caller waits, or no server took the request, the trial was used up; a failed write of the row counted at the entry as well.

Change: a granted trial stays with the entry until a request with that fingerprint was sent; the next one makes it. The count advances once the row is written. The bound on sends is the store's count, as before.

--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -5,6 +5,7 @@
 //! the seeds report it to all their followers (docs/decisions/0015).
 
 use std::{
+    collections::HashSet,
     sync::{
         Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -67,6 +68,8 @@
     own: UpdateLog<Note>,
     /// Records that this entry observed or received.
     all: UpdateLog<Note>,
+    /// Refused requests whose trial the store has granted to this entry and that were not sent yet.
+    granted_trials: HashSet<Fingerprint>,
 }
 
 /// Quarantined and suspected requests, shared by the threads of this entry.
@@ -91,7 +94,7 @@
         let quarantine = Quarantine::default();
         let (own, all) = (UpdateLog::new(LIMITS), UpdateLog::new(LIMITS));
         Self {
-            inner: Mutex::new(Inner { quarantine, own, all }),
+            inner: Mutex::new(Inner { quarantine, own, all, granted_trials: HashSet::new() }),
             is_idle: AtomicBool::new(true),
             changes: watch::Sender::new(0),
             own_changes: watch::Sender::new(0),
@@ -156,7 +159,10 @@
         if matches!(status, QuarantineStatus::Refused { .. }) {
             self.is_row_stale.store(true, Ordering::Release);
         }
-        let clearing_notes = self.lock().quarantine.clearing_notes(fingerprint);
+        let mut inner = self.lock();
+        inner.granted_trials.remove(&fingerprint);
+        let clearing_notes = inner.quarantine.clearing_notes(fingerprint);
+        drop(inner);
         self.apply(clearing_notes.into_iter(), true, now);
         event::REQUEST_CLEARED.log(format_args!("fingerprint={fingerprint}"));
         true
@@ -241,20 +247,40 @@
         }
         let mut inner = self.lock();
         inner.quarantine.expire(now);
+        let Inner { quarantine, granted_trials, .. } = &mut *inner;
+        granted_trials.retain(|fingerprint| is_refused(quarantine, fingerprint, now));
         if inner.quarantine.is_empty() {
             self.is_idle.store(true, Ordering::Release);
         }
     }
 
-    /// Starts the trial of a refused request, if it is due. Returns the case to be stored.
-    pub(crate) fn begin_trial(&self, fingerprint: &Fingerprint, now: Duration) -> Option<Case> {
+    /// Whether the trial of a refused request is due.
+    pub(crate) fn is_trial_due(&self, fingerprint: &Fingerprint, now: Duration) -> bool {
+        self.status(fingerprint, now)
+            == QuarantineStatus::Refused { trial_in: Some(Duration::ZERO) }
+    }
+
+    /// Records that the store has granted the trial of a refused request to this entry.
+    pub(crate) fn grant_trial(&self, fingerprint: &Fingerprint, now: Duration) {
         let mut inner = self.lock();
-        let status = inner.quarantine.status(fingerprint, now);
-        let is_due = status == QuarantineStatus::Refused { trial_in: Some(Duration::ZERO) };
-        if !is_due {
-            return None;
+        if inner.quarantine.begin_trial(fingerprint, now).is_some() {
+            inner.granted_trials.insert(*fingerprint);
         }
-        inner.quarantine.begin_trial(fingerprint, now)
+    }
+
+    /// Takes a granted trial that has not been made. Returns whether there was one.
+    pub(crate) fn take_trial(&self, fingerprint: &Fingerprint) -> bool {
+        self.lock().granted_trials.remove(fingerprint)
+    }
+
+    /// Whether a granted trial has not been made yet.
+    pub(crate) fn has_trial(&self, fingerprint: &Fingerprint) -> bool {
+        self.lock().granted_trials.contains(fingerprint)
+    }
+
+    /// Returns a trial that was taken and not made, for the next request with this fingerprint.
+    pub(crate) fn return_trial(&self, fingerprint: Fingerprint) {
+        self.lock().granted_trials.insert(fingerprint);
     }
 
     /// Refused requests or, unless `only_refused`, all suspected requests.
--- a/src/router/quarantine/mod.rs
+++ b/src/router/quarantine/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod quarantine_release;
 pub(crate) mod quarantine_row;
+pub(crate) mod quarantine_trial;
 pub(crate) mod suspected_requests;
--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -272,24 +272,34 @@
         }
         // Another entry may have written the row in the meantime.
         read_row(router, store, stored).await?;
-        if stored.as_ref().is_some_and(is_current) || write_row(router, store, stored).await? {
+        if stored.as_ref().is_some_and(is_current) || write_row(router, store, stored, None).await?
+        {
             return Ok(());
         }
     }
     Ok(())
 }
 
-/// Replaces the row with all known cases. Returns false if it has changed since it was read.
+/// Replaces the row with all known cases, counting a trial that begins now. Returns false if it has changed since it
+/// was read.
 async fn write_row(
     router: &Router,
     store: &StoreClient,
     stored: &mut Option<StoredRow>,
+    trial: Option<&Fingerprint>,
 ) -> crate::platform::Result<bool> {
     let Some(stored) = stored else {
         return Ok(false);
     };
     let mut cases = router.quarantine.cases(!router.is_isolated(), router.now());
     cases.truncate(MAX_CASES);
+    let tried = cases.iter_mut().find(|case| Some(&case.fingerprint) == trial);
+    match (trial, tried) {
+        (_, Some(tried)) => (tried.trials, tried.tried_at) = (tried.trials + 1, router.now()),
+        // Cleared in the meantime, or among too many cases.
+        (Some(_), None) => return Ok(false),
+        (None, None) => {}
+    }
     let doc = RowDoc { cases: cases.iter().map(|case| stored.encode(case)).collect() };
     let value = serde_json::to_vec(&doc).expect("strings and numbers serialize to JSON");
     let put = Put { table: Table::Own, key: ROW_KEY.into(), expected: stored.version, value };
@@ -317,13 +327,21 @@
     stored: &mut Option<StoredRow>,
     fingerprint: &Fingerprint,
 ) -> bool {
-    if read_row(router, store, stored).await.is_err() {
+    // Concurrent requests claim the same trial; the first one of them is served.
+    let is_due = || router.quarantine.is_trial_due(fingerprint, router.now());
+    if !is_due() || read_row(router, store, stored).await.is_err() || !is_due() {
         return false;
     }
-    if router.quarantine.begin_trial(fingerprint, router.now()).is_none() {
-        return false;
+    let is_taken = match write_row(router, store, stored, Some(fingerprint)).await {
+        Ok(is_written) => is_written,
+        Err(e) => {
+            event::STORE_UNREACHABLE.log(format_args!("table=Own cause=\"{e}\""));
+            false
+        }
+    };
+    if is_taken {
+        router.quarantine.grant_trial(fingerprint, router.now());
     }
-    let is_taken = matches!(write_row(router, store, stored).await, Ok(true));
     event::QUARANTINE_TRIAL.log(format_args!("fingerprint={fingerprint} taken={is_taken}"));
     is_taken
 }
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -1,6 +1,6 @@
 //! Handling of requests during which servers crashed.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use tokio::{
     sync::{mpsc, oneshot},
@@ -10,7 +10,8 @@
 use crate::{
     policy::quarantine::QuarantineStatus,
     router::{
-        Released, Router, quarantine::quarantine_row::TrialRequest,
+        Released, Router,
+        quarantine::{quarantine_row::TrialRequest, quarantine_trial::QuarantineTrial},
         request::request_context::RequestContext,
     },
     routing::Fingerprint,
@@ -39,22 +40,28 @@
 
     /// Whether a request is refused because of the servers that crashed during it.
     pub(crate) fn is_refused(&self, ctx: &RequestContext) -> bool {
-        !ctx.is_quarantine_trial
+        !ctx.is_quarantine_trial()
             && matches!(self.quarantine_status(ctx), QuarantineStatus::Refused { .. })
     }
 
     /// Claims the trial of a refused request, which is made by a single entry. The store is asked
     /// only if a trial is due.
-    pub(crate) async fn claim_trial(&self, ctx: &RequestContext) -> bool {
-        let is_due = self.quarantine_status(ctx)
-            == QuarantineStatus::Refused { trial_in: Some(Duration::ZERO) };
-        if !is_due {
-            return false;
+    pub(crate) async fn claim_trial(
+        self: &Arc<Self>,
+        ctx: &RequestContext,
+    ) -> Option<QuarantineTrial> {
+        if !self.is_refused(ctx) {
+            return None;
         }
-        let (answer, answered) = oneshot::channel();
-        let request = self.trials.0.try_send((ctx.fingerprint(), answer));
-        // A slow store must not delay the caller.
-        request.is_ok() && matches!(timeout(TRIAL_CLAIM_TIMEOUT, answered).await, Ok(Ok(true)))
+        let fingerprint = ctx.fingerprint();
+        if self.quarantine.is_trial_due(&fingerprint, self.now()) {
+            let (answer, answered) = oneshot::channel();
+            if self.trials.0.try_send((fingerprint, answer)).is_ok() {
+                // A slow store must not delay the caller. A trial that it grants later waits for the next request.
+                let _ = timeout(TRIAL_CLAIM_TIMEOUT, answered).await;
+            }
+        }
+        QuarantineTrial::take(self, fingerprint)
     }
 
     /// The receiver of trial requests for the control thread; none after the first call.
@@ -88,6 +95,9 @@
 
     /// When the caller of a refused request may retry.
     pub(crate) fn refusal_retry_after(&self, ctx: &RequestContext) -> Duration {
+        if self.quarantine.has_trial(&ctx.fingerprint()) {
+            return MIN_RETRY_AFTER;
+        }
         match self.quarantine_status(ctx) {
             QuarantineStatus::Refused { trial_in: Some(trial_in) } => trial_in.max(MIN_RETRY_AFTER),
             _ => PERMANENT_RETRY_AFTER,
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -115,7 +115,7 @@
         && ctx.attempts.len() < MAX_ATTEMPTS
         && router.now() + MIN_TIME_LEFT < ctx.attempt_deadline()
         && !router.is_refused(ctx)
-        && !(ctx.is_quarantine_trial && ctx.runs > 0);
+        && !(ctx.is_quarantine_trial() && ctx.runs > 0);
     if !is_allowed {
         return None;
     }
@@ -183,6 +183,9 @@
         has_retry
     };
     router.roll_outs.log_trial_session(&member.server, &ctx.req.head, router.now());
+    if let Some(trial) = &ctx.quarantine_trial {
+        trial.set_sent(true);
+    }
     let result = send(router, ctx, &plan, can_fail_over).await;
     let (state, outcome) = classify_result(&result);
     router.metrics.count_attempt(&member.server.version, outcome);
@@ -196,7 +199,12 @@
             ctx.has_retry = has_retry;
         }
     }
-    if !matches!(&result, Err(e) if e.proves_not_run()) {
+    let has_not_run = matches!(&result, Err(e) if e.proves_not_run());
+    if has_not_run {
+        if let Some(trial) = &ctx.quarantine_trial {
+            trial.set_sent(false);
+        }
+    } else {
         ctx.runs += 1;
         record_run_outcome(router, ctx, member, &result).await;
     }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -42,7 +42,7 @@
     router: &Arc<Router>,
     mut ctx: RequestContext,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    ctx.is_quarantine_trial = router.claim_trial(&ctx).await;
+    ctx.quarantine_trial = router.claim_trial(&ctx).await;
     if ctx.route.kind != RouteKind::Stream {
         return respond_buffered(router, &mut ctx).await;
     }
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     policy::attempt::{self, AttemptEvent, AttemptState},
-    router::{Router, request::in_flight::InFlightGuard},
+    router::{
+        Router, quarantine::quarantine_trial::QuarantineTrial, request::in_flight::InFlightGuard,
+    },
     routing::{Fingerprint, Organisation, Request, Route},
 };
 
@@ -38,8 +40,8 @@
     pub(crate) tried_servers: Vec<Box<str>>,
     /// Servers that could not be reached.
     pub(crate) unreachable_servers: Vec<Box<str>>,
-    /// Whether this is a trial of a quarantined request: it is run once to see whether it still crashes servers.
-    pub(crate) is_quarantine_trial: bool,
+    /// Set if this is a trial of a quarantined request: it is run once to see whether it still crashes servers.
+    pub(crate) quarantine_trial: Option<QuarantineTrial>,
     /// Computed on first use, since most requests never need it.
     fingerprint: OnceLock<Fingerprint>,
     /// When the first run began that a server has confirmed; usage counts requests, not runs.
@@ -71,7 +73,7 @@
             has_retry: false,
             tried_servers,
             unreachable_servers: Vec::new(),
-            is_quarantine_trial: false,
+            quarantine_trial: None,
             fingerprint: OnceLock::new(),
             first_run_at: OnceLock::new(),
         }
@@ -87,6 +89,11 @@
         self.first_run_at.set(began_at).is_ok()
     }
 
+    /// Whether this is a trial of a quarantined request.
+    pub(crate) fn is_quarantine_trial(&self) -> bool {
+        self.quarantine_trial.is_some()
+    }
+
     /// Number of further runs that the route allows.
     pub(crate) fn runs_left(&self) -> u32 {
         self.route.max_attempts.saturating_sub(self.runs)
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -423,6 +423,88 @@
     );
 }
 
+/// A server that crashes on the crashing request and answers a popular one only once it has crashed three times.
+async fn start_server_that_crashes_thrice() -> Server {
+    let crashes = AtomicUsize::new(0);
+    let script = move |request: &ReceivedRequest| {
+        if request.body == CRASHING_BODY.as_bytes() {
+            crashes.fetch_add(1, Ordering::SeqCst);
+            return Action::Crash { after_head: false };
+        }
+        match crashes.load(Ordering::SeqCst) {
+            3.. => Action::Respond { status: 200, body: "served" },
+            _ => Action::Hang,
+        }
+    };
+    Server::start("i-1", script).await
+}
+
+/// Has the popular request running at three ends of the server, so that it is refused together with the crashing one.
+/// The server is down afterwards.
+async fn quarantine_popular_request(server: &Server, site: &Arc<Site>) {
+    for life in 0..3 {
+        if life > 0 {
+            sleep(RESTART_DELAY).await;
+            server.restart();
+        }
+        let (asking, arrived) = (site.clone(), server.requests().len());
+        let popular = tokio::spawn(async move { post(&asking, "/once/a", "popular").await });
+        wait_until("the popular request runs", || server.requests().len() > arrived).await;
+        let _ = post(site, "/once/a", CRASHING_BODY).await;
+        server.wait_until_terminated(life).await;
+        popular.await.unwrap();
+    }
+    let is_refused = || {
+        let dump = site.entry.router.dump();
+        dump["quarantine"].as_array().unwrap().iter().filter(|case| case["refused"] == true).count()
+            == 2
+    };
+    wait_until("both requests are refused", is_refused).await;
+}
+
+/// Sends the popular request until it is served, for ten seconds at most.
+async fn is_served_again_soon(site: &Site) -> bool {
+    for _ in 0..100 {
+        if post(site, "/once/a", "popular").await.status == 200 {
+            return true;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    false
+}
+
+/// Guards against trials that are used up without having been made: the store grants the trial only after the request
+/// that asked for it was refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_that_a_slow_store_grants_late_is_made_by_the_next_request() {
+    let server = start_server_that_crashes_thrice().await;
+    let site = Arc::new(Site::start(&[(&server, "app", "v1")]).await);
+    quarantine_popular_request(&server, &site).await;
+    sleep(RESTART_DELAY).await;
+    server.restart();
+
+    site.store.set_fault(Fault::Slow);
+
+    assert!(is_served_again_soon(&site).await, "refused for ten seconds");
+}
+
+/// Guards against trials that are used up without having been made: no server takes the request when it is granted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_that_reaches_no_server_is_made_later() {
+    let server = start_server_that_crashes_thrice().await;
+    let site = Arc::new(Site::start(&[(&server, "app", "v1")]).await);
+    quarantine_popular_request(&server, &site).await;
+    let is_granted = || site.entry.router.dump()["quarantine"].to_string().contains("\"trials\":1");
+    while !is_granted() {
+        assert_eq!(post(&site, "/once/a", "popular").await.status, 503);
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    server.restart();
+
+    assert!(is_served_again_soon(&site).await, "refused for ten seconds");
+}
+
 /// A server that breaks off answers but keeps running is no evidence against a request.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_answers_of_running_servers_quarantine_nothing() {
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -33,6 +33,8 @@
     RepliesLost,
     /// Every transaction fails as if another writer had changed its rows first.
     Contended,
+    /// All calls are answered late.
+    Slow,
 }
 
 /// Contents of the store at one moment, for [`Store::restore`].
@@ -128,6 +130,7 @@
             .route("/-/rows-feed", get(feed))
             .route("/-/rows-tx", post(write))
             .layer(map_response_with_state(store.clone(), add_era_header))
+            .layer(map_response_with_state(store.clone(), delay_if_slow))
             .with_state(store.clone());
         tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
         store
@@ -227,7 +230,7 @@
         match rows.fault {
             Fault::Down => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
             Fault::RateLimited => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
-            Fault::None | Fault::RepliesLost | Fault::Contended => None,
+            Fault::None | Fault::RepliesLost | Fault::Contended | Fault::Slow => None,
         }
     }
 
@@ -245,6 +248,17 @@
     res
 }
 
+/// Delay of each answer of a slow store.
+const SLOW_DELAY: Duration = Duration::from_millis(80);
+
+async fn delay_if_slow(State(store): State<Store>, res: Response) -> Response {
+    let is_slow = store.rows.lock().unwrap().fault == Fault::Slow;
+    if is_slow {
+        tokio::time::sleep(SLOW_DELAY).await;
+    }
+    res
+}
+
 fn row_doc(table: &str, key: &str, document: &RowValue, version: u64) -> Value {
     json!({"table": table, "part": "", "key": key, "value": document.to_json(), "ver": version})
 }
