A request sent to a restarted server is not given up when its row is read

Cause: the list's news of a next start gave up all requests under the former one and ignored their connections from then on, also requests that were sent after the server listened again. So an end right after the news was noted against some of its requests only, and the harmless one looked guilty alone.

Fix: where the former incarnation is known to have ended before the request was sent, the request belongs to the next one.

--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -74,6 +74,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) body: Incoming,
     pub(crate) member: Arc<Member>,
+    /// When the request was sent.
+    pub(crate) sent_at: Duration,
     /// Whether its head took several times longer than usual.
     pub(crate) is_slow: bool,
     connection: Connection,
@@ -173,7 +175,7 @@
     router.count_unavailable_send(plan.member, ctx.send_kind());
     // The runtime's clock stops during a suspension of the Host, which says nothing about the server's speed.
     let started_at = Instant::now();
-    let outcome = send_request(router, ctx, plan, can_fail_over).await;
+    let outcome = send_request(router, ctx, plan, sent_at, can_fail_over).await;
     if let Err(e) = &outcome {
         record_error(router, plan.member, e);
         plan.member.state().prefixes.forget(plan.new_prefixes());
@@ -197,8 +199,15 @@
     if !matches!(head.kind, ResponseKind::Success) {
         member.state().prefixes.forget(plan.new_prefixes());
     }
-    let response =
-        OpenResponse { head, body, member, is_slow, connection, _outstanding: outstanding };
+    let response = OpenResponse {
+        head,
+        body,
+        member,
+        sent_at,
+        is_slow,
+        connection,
+        _outstanding: outstanding,
+    };
     check_response(response)
 }
 
@@ -289,12 +298,14 @@
     router: &Router,
     ctx: &RequestContext,
     plan: &AttemptPlan<'_>,
+    sent_at: Duration,
     mut can_fail_over: impl FnMut() -> bool,
 ) -> Result<ConnectionAndHead, AttemptError> {
     let mut message = build_request(&ctx.req, plan);
     let wait = ResponseWait {
         ctx,
         member: plan.member,
+        sent_at,
         timeouts: plan.timeouts,
         deadline: plan.deadline,
         has_begun: false,
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -186,6 +186,7 @@
     if let Some(trial) = &ctx.quarantine_trial {
         trial.set_sent(true);
     }
+    let sent_at = router.now();
     let result = send(router, ctx, &plan, can_fail_over).await;
     let (state, outcome) = classify_result(&result);
     router.metrics.count_attempt(&member.server.version, outcome);
@@ -206,7 +207,7 @@
         }
     } else {
         ctx.runs += 1;
-        record_run_outcome(router, ctx, member, &result).await;
+        record_run_outcome(router, ctx, member, sent_at, &result).await;
     }
     result
 }
@@ -230,16 +231,19 @@
     router: &Router,
     ctx: &RequestContext,
     member: &Arc<Member>,
+    sent_at: Duration,
     result: &Result<OpenResponse, AttemptError>,
 ) {
     let outcome = match result {
         // The server may have begun to run the request and may still crash.
         Err(AttemptError::Quarantined) => {
-            return record_lost(router, ctx, member, LossCause::Disconnected);
+            return record_lost(router, ctx, member, sent_at, LossCause::Disconnected);
+        }
+        Err(AttemptError::Lost(_)) => {
+            return record_broken_connection(router, ctx, member, sent_at).await;
         }
-        Err(AttemptError::Lost(_)) => return record_broken_connection(router, ctx, member).await,
         Err(AttemptError::Timeout) => {
-            record_lost(router, ctx, member, LossCause::Abandoned);
+            record_lost(router, ctx, member, sent_at, LossCause::Abandoned);
             return router.roll_outs.record_timeout(&member.server, router.now());
         }
         Ok(response) if response.head.kind == ResponseKind::Success => {
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -66,13 +66,13 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     loop {
         let response = send_with_failover(router, ctx, AttemptParams::default()).await?;
-        let server = response.member.clone();
+        let (server, sent_at) = (response.member.clone(), response.sent_at);
         match read_until_deadline(router, ctx, response).await {
             Some(Ok(res)) => return Ok(res),
             Some(Err(())) => {}
             // The deadline has passed, or the server has restarted. In the latter case another server may be tried.
             None => {
-                record_lost(router, ctx, &server, LossCause::Abandoned);
+                record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
                 router.roll_outs.record_timeout(&server.server, router.now());
             }
         }
@@ -90,6 +90,7 @@
     let wait = ResponseWait {
         ctx,
         member: &server,
+        sent_at: response.sent_at,
         timeouts: None,
         deadline: ctx.deadline,
         has_begun: true,
@@ -115,7 +116,7 @@
     let mut res = response_with_head(&response.head);
     let body = Limited::new(&mut response.body, MAX_BUFFERED_BODY).collect().await;
     let Ok(body) = body else {
-        record_broken_connection(router, ctx, &response.member).await;
+        record_broken_connection(router, ctx, &response.member, response.sent_at).await;
         return Err(());
     };
     if response.head.kind == ResponseKind::Success {
@@ -216,7 +217,7 @@
     async fn run(mut self, first: OpenResponse) {
         let mut response = first;
         loop {
-            let server = response.member.clone();
+            let (server, sent_at) = (response.member.clone(), response.sent_at);
             let Err(e) = self.relay_events(response).await else {
                 self.queue.end();
                 self.router.record_complete_answer(&self.ctx);
@@ -226,7 +227,7 @@
             if matches!(e, StreamError::CallerGone) {
                 return;
             }
-            self.record_stream_error(&server, &e).await;
+            self.record_stream_error(&server, sent_at, &e).await;
             let (id, events) = (&self.ctx.req.head.id, self.last_event_id);
             event::STREAM_BROKEN.log(format_args!(
                 "request={id} fingerprint={} server={} last_event={events:?} cause=\"{e}\"",
@@ -242,17 +243,19 @@
     }
 
     /// Records a stream that broke off, as evidence about its server, its version and the request itself.
-    async fn record_stream_error(&self, server: &Arc<Member>, e: &StreamError) {
+    async fn record_stream_error(&self, server: &Arc<Member>, sent_at: Duration, e: &StreamError) {
         let (router, ctx) = (&self.router, &self.ctx);
         match e {
             // The server may have begun to run the request and may still crash.
-            StreamError::Quarantined => record_lost(router, ctx, server, LossCause::Disconnected),
+            StreamError::Quarantined => {
+                record_lost(router, ctx, server, sent_at, LossCause::Disconnected);
+            }
             StreamError::Silent => {
                 server.record_failure(router.now());
-                record_lost(router, ctx, server, LossCause::Abandoned);
+                record_lost(router, ctx, server, sent_at, LossCause::Abandoned);
                 router.roll_outs.record_timeout(&server.server, router.now());
             }
-            _ => record_broken_connection(router, ctx, server).await,
+            _ => record_broken_connection(router, ctx, server, sent_at).await,
         }
     }
 
@@ -289,7 +292,8 @@
                 has_retry
             };
             let has_begun = run.first.is_some();
-            let wait = ResponseWait { ctx, member: server, timeouts, deadline, has_begun };
+            let sent_at = response.sent_at;
+            let wait = ResponseWait { ctx, member: server, sent_at, timeouts, deadline, has_begun };
             let frame = wait_for_response(router, &wait, next, can_fail_over).await;
             if has_retry {
                 self.ctx.mark_retry_taken();
--- a/src/router/request/response_wait.rs
+++ b/src/router/request/response_wait.rs
@@ -17,6 +17,8 @@
     pub(crate) ctx: &'a RequestContext,
     /// The server that runs it.
     pub(crate) member: &'a Member,
+    /// When it was sent.
+    pub(crate) sent_at: Duration,
     /// How long the server may be silent; `None` if no other server may be tried.
     pub(crate) timeouts: Option<AnswerTimeouts>,
     /// When to give up in any case, on the entry's clock.
@@ -45,7 +47,7 @@
         // `work` is polled first: data that has arrived is used even if the server has restarted since.
         biased;
         output = wait_with_timeouts(router, wait, work, can_fail_over) => output,
-        () = wait.member.wait_until_ended() => None,
+        () = wait.member.wait_until_ended(wait.sent_at) => None,
         // Cancelling a quarantined request that the server has not begun to run spares the server.
         () = quarantined => None,
     }
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -197,17 +197,24 @@
         self.incarnation.probe_lock.lock().await
     }
 
-    /// Waits until the list shows that the server has restarted. The requests it ran are lost then, but its
-    /// connections may never report an error, and callers would wait until their deadlines. If the server was
-    /// removed from the list in between, this never completes, and TCP keepalive has to detect the loss.
-    pub(crate) async fn wait_until_ended(&self) {
+    /// Waits until the list shows that the server has restarted since a request was sent to it. The requests it ran are
+    /// lost then, but its connections may never report an error, and callers would wait until their deadlines. If the
+    /// server was removed from the list in between, this never completes, and TCP keepalive has to detect the loss.
+    pub(crate) async fn wait_until_ended(&self, sent_at: Duration) {
         let mut has_ended = self.incarnation.has_ended.subscribe();
-        if has_ended.wait_for(|ended| *ended).await.is_err() {
-            // The sender is gone, so the end can no longer be reported.
+        let is_ended = has_ended.wait_for(|ended| *ended).await.is_ok();
+        // If the sender is gone, the end can no longer be reported.
+        if !is_ended || self.ended_before(sent_at) {
             std::future::pending::<()>().await;
         }
     }
 
+    /// Whether this incarnation is known to have ended before a request was sent to its address. A later one runs the
+    /// request then, which the list may not show yet.
+    pub(crate) fn ended_before(&self, sent_at: Duration) -> bool {
+        self.lost_requests().ended_before(sent_at)
+    }
+
     /// Records that this incarnation has ended.
     pub(crate) fn mark_ended(&self) {
         self.incarnation.has_ended.send_replace(true);
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -61,10 +61,15 @@
         self.lost[0].at
     }
 
+    /// When the last request was lost.
+    fn until(&self) -> Duration {
+        self.lost[self.lost.len() - 1].at
+    }
+
     /// Whether requests were lost for longer than data that the server sent before its end may be read. A single broken
     /// connection is not taken for an end once the server sends data again.
     fn has_lasted(&self) -> bool {
-        self.since() + LATE_READ_MARGIN < self.lost[self.lost.len() - 1].at
+        self.since() + LATE_READ_MARGIN < self.until()
     }
 
     /// When the server ended: when the first connection broke. The proof may arrive a second later, and for several
@@ -90,18 +95,20 @@
     router: &Router,
     ctx: &RequestContext,
     member: &Arc<Member>,
+    sent_at: Duration,
 ) {
-    let now = router.now();
-    member.record_failure(now);
+    let running = running_incarnation(router, member, sent_at);
+    let member = running.as_ref().unwrap_or(member);
+    member.record_failure(router.now());
     if member.is_draining() {
         // An announced exit is neither a crash nor a failure of the version.
         return;
     }
-    if !router.fleet.load().has_incarnation(member) {
+    if running.is_none() {
         router.roll_outs.record_outcome(&member.server, RunOutcome::Failed);
         return;
     }
-    record_lost(router, ctx, member, LossCause::Disconnected);
+    record_lost(router, ctx, member, sent_at, LossCause::Disconnected);
     if has_ended(router, member).await {
         // All requests on the server failed together, which is one failure of the version rather than one per
         // request.
@@ -111,13 +118,30 @@
     }
 }
 
+/// The listed incarnation of a server that runs a request sent to this one; `None` if it has ended. A request that was
+/// sent after a known end runs in the next incarnation, even if the list showed that one only later.
+fn running_incarnation(
+    router: &Router,
+    member: &Arc<Member>,
+    sent_at: Duration,
+) -> Option<Arc<Member>> {
+    let fleet = router.fleet.load();
+    if fleet.has_incarnation(member) {
+        return Some(member.clone());
+    }
+    fleet.member(&member.server.id).filter(|_| member.ended_before(sent_at)).cloned()
+}
+
 /// Records that a request got no response from a server, which may have ended or may be about to.
 pub(crate) fn record_lost(
     router: &Router,
     ctx: &RequestContext,
-    member: &Member,
+    member: &Arc<Member>,
+    sent_at: Duration,
     loss_cause: LossCause,
 ) {
+    let running = running_incarnation(router, member, sent_at);
+    let member = running.as_ref().unwrap_or(member);
     let (fingerprint, now) = (ctx.fingerprint(), router.now());
     let mut lost_requests = member.lost_requests();
     if lost_requests.has_ended(now) && loss_cause == LossCause::Disconnected {
@@ -187,6 +211,13 @@
         self.ended_at.is_some_and(|at| now < at + PROBE_VALID_FOR)
     }
 
+    /// Whether the server is known to have ended before a time: its address refused connections, or an outage is over.
+    pub(crate) fn ended_before(&self, at: Duration) -> bool {
+        let first = self.outages.first().filter(|outage| outage.is_over);
+        let ended_at = self.ended_at.or_else(|| first.map(Outage::until));
+        ended_at.is_some_and(|ended_at| ended_at < at)
+    }
+
     /// Removes requests that were lost too long ago.
     fn expire(&mut self, now: Duration) {
         for outage in &mut self.outages {
@@ -235,7 +266,11 @@
             }
             // Later outages belong to the incarnations that followed.
             Proof::StartedAgain if self.outages.is_empty() => None,
-            Proof::StartedAgain => Some(self.outages.remove(0)),
+            Proof::StartedAgain => {
+                let outage = self.outages.remove(0);
+                self.ended_at = outage.is_over.then(|| outage.until());
+                Some(outage)
+            }
         }
     }
 }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -304,6 +304,66 @@
     wait_until("the second end counts", || ends() == 2).await;
 }
 
+/// Waits until the entry has read the row with a server's new start.
+async fn wait_for_start(site: &Site, started_at: u64) {
+    let is_listed = || {
+        let fleet = site.entry.router.fleet.load();
+        fleet.of_service("app").iter().any(|m| m.server.started_at == Some(started_at))
+    };
+    wait_until("the server list shows the new start", is_listed).await;
+}
+
+/// A server that has crashed and runs again, while its row still shows the former start; it answers other requests
+/// after `delay`.
+async fn start_restarted_server(delay: Duration) -> (Server, Arc<Site>) {
+    let script = move |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
+        true => Action::Crash { after_head: false },
+        false => Action::RespondAfter { delay, body: "served" },
+    };
+    let server = Server::start("i-1", script).await;
+    let store = store_with_servers(&[]).await;
+    list_server_with_start_time(&store, &server, "app", 1_000);
+    let site = Arc::new(Site::start_with_settings(store, |_| {}).await);
+    site.wait_for_servers(1).await;
+    let _ = post(&site, "/once/a", CRASHING_BODY).await;
+    server.wait_until_terminated(0).await;
+    server.restart();
+    (server, site)
+}
+
+/// Guards against answers that are given up when the row of the server that is working on them is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_sent_before_the_row_shows_the_new_start_is_answered() {
+    let (server, site) = start_restarted_server(Duration::from_millis(600)).await;
+    let asking = site.clone();
+    let answer = tokio::spawn(async move { post(&asking, "/once/a", "harmless").await });
+    wait_until("the request has arrived", || server.requests().len() == 2).await;
+
+    list_server_with_start_time(&site.store, &server, "app", 2_000);
+    wait_for_start(&site, 2_000).await;
+
+    let answer = answer.await.unwrap();
+    assert_eq!((answer.status, &*answer.body), (200, "served"));
+}
+
+/// Guards against ends that count for nothing: the server ends just after the row with its new start was read, so that a
+/// harmless request beside the crashing one looked guilty and was refused for five minutes.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_counts_for_requests_sent_before_the_row_shows_the_new_start() {
+    let (server, site) = start_restarted_server(Duration::from_secs(60)).await;
+    let asking = site.clone();
+    let answer = tokio::spawn(async move { post(&asking, "/once/a", "running").await });
+    wait_until("the request has arrived", || server.requests().len() == 2).await;
+    list_server_with_start_time(&site.store, &server, "app", 2_000);
+    wait_for_start(&site, 2_000).await;
+
+    server.crash();
+    answer.await.unwrap();
+
+    let suspects = || site.entry.router.dump()["quarantine"].as_array().unwrap().len();
+    wait_until("both requests are suspected", || suspects() == 2).await;
+}
+
 /// The store is unreachable while servers end: entries inform each other and write the quarantine later.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_quarantine_is_written_once_the_store_is_back() {
@@ -598,11 +658,7 @@
     list_server_with_start_time(&sites[0].store, &server, "app", 2_000);
     wait_until("the second entry knows of the end", || ends(&sites[1]) == 1).await;
     list_server_with_start_time(&sites[1].store, &server, "app", 2_000);
-    let is_reborn = || {
-        let fleet = sites[1].entry.router.fleet.load();
-        fleet.of_service("app").iter().any(|member| member.server.started_at == Some(2_000))
-    };
-    wait_until("the server list shows the new start to the second entry", is_reborn).await;
+    wait_for_start(&sites[1], 2_000).await;
 
     assert_eq!(ends(&sites[1]), 1);
 }
