A pause that a restarted server asks for outlives the reading of its row

Cause: a row with a new start replaces all that is known of a server, also what the restarted process had announced before its row was read.

Fix: announcements made after the latest interruption that the entry saw pass to the next incarnation.

Measured: the new test failed before (a request reached the paused server) and passes; tests/platform/unavailable_servers.rs passes (14).

--- a/src/policy/announcements.rs
+++ b/src/policy/announcements.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Announcements {
     draining_since: Option<Duration>,
+    /// When the latest pause was announced.
+    paused_at: Option<Duration>,
     paused_until: Option<Duration>,
     /// Answers since the last pause, rejections not counted.
     answers_since_pause: u32,
@@ -31,11 +33,21 @@
     /// the later end applies.
     pub fn record_pause(&mut self, pause: Duration, now: Duration) -> bool {
         let is_new = !self.is_paused(now);
+        self.paused_at = Some(now);
         self.paused_until = self.paused_until.max(Some(now + pause));
         self.answers_since_pause = 0;
         is_new
     }
 
+    /// What was announced after a time, for a server that has restarted by then.
+    pub fn since(self, at: Duration) -> Self {
+        let draining_since = self.draining_since.filter(|since| at < *since);
+        if self.paused_at.is_some_and(|paused_at| at < paused_at) {
+            return Self { draining_since, ..self };
+        }
+        Self { draining_since, ..Self::default() }
+    }
+
     /// Records an answer other than a rejection and returns whether it is the first one after a
     /// pause.
     pub fn record_answer(&mut self, now: Duration) -> bool {
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -329,6 +329,12 @@
         state.announced.record_draining(now)
     }
 
+    /// Takes over what was announced at its address after the former incarnation's end, before its row was read.
+    pub(crate) fn adopt_announcements(&self, former: &Self, ended_at: Duration) {
+        let announced = former.state().announced.since(ended_at);
+        self.state().announced = announced;
+    }
+
     /// What this entry knows about it that decides its availability.
     pub fn signals(&self, now: Duration) -> Signals {
         let state = self.state();
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -43,6 +43,8 @@
     ended_at: Option<Duration>,
     /// When the server's address was last probed.
     probed_at: Option<Duration>,
+    /// Begin of the latest outage, or when a later end was proved.
+    interrupted_at: Option<Duration>,
 }
 
 /// Requests that were lost while no data arrived from the server. Behind a proxy a server may be back, and end again,
@@ -234,7 +236,10 @@
         }
         match self.outages.last_mut() {
             Some(outage) if !outage.is_over => outage.lost.push(lost),
-            _ => self.outages.push(Outage { lost: vec![lost], is_over: false }),
+            _ => {
+                self.interrupted_at = Some(lost.at);
+                self.outages.push(Outage { lost: vec![lost], is_over: false });
+            }
         }
     }
 
@@ -298,6 +303,7 @@
         }
         if proof == Proof::Refused {
             lost_requests.ended_at = Some(now);
+            lost_requests.interrupted_at = Some(now);
         }
         lost_requests.take_end(proof, now)
     };
@@ -326,12 +332,17 @@
     }
 }
 
-/// Moves the outages that followed a server's end to its next incarnation, which they belong to.
-pub(crate) fn hand_over_outages(ended: &Member, next: &Member) {
-    let outages = std::mem::take(&mut ended.lost_requests().outages);
-    if outages.is_empty() {
-        return;
+/// Moves what followed a server's end to its next incarnation: later outages, and what was announced since the last one.
+pub(crate) fn hand_over(ended: &Member, next: &Member, now: Duration) {
+    let (outages, interrupted_at) = {
+        let mut lost_requests = ended.lost_requests();
+        (std::mem::take(&mut lost_requests.outages), lost_requests.interrupted_at)
+    };
+    if let Some(at) = interrupted_at.filter(|at| now < *at + SUSPECT_WINDOW) {
+        next.adopt_announcements(ended, at);
+    }
+    if !outages.is_empty() {
+        next.lost_requests().outages = outages;
+        next.await_recovery();
     }
-    next.lost_requests().outages = outages;
-    next.await_recovery();
 }
--- a/src/router/servers/server_table.rs
+++ b/src/router/servers/server_table.rs
@@ -63,13 +63,15 @@
 /// Records the end of servers that have restarted, or whose rows are gone though they had not announced that they
 /// are draining. A row that can't be read says nothing about its server.
 fn record_ended_servers(router: &Router, listing: &Listing, before: &Fleet, next: &Fleet) {
-    for member in before.missing_from(next).filter(|member| !member.is_draining()) {
+    for member in before.missing_from(next) {
         let id = &member.server.id;
-        if let Some(successor) = next.member(id) {
-            server_ends::record_server_end(router, member, Proof::StartedAgain);
-            server_ends::hand_over_outages(member, successor);
-        } else if !listing.is_unreadable(id) {
-            server_ends::record_server_end(router, member, Proof::Dropped);
+        let successor = next.member(id);
+        let proof = if successor.is_some() { Proof::StartedAgain } else { Proof::Dropped };
+        if !member.is_draining() && (successor.is_some() || !listing.is_unreadable(id)) {
+            server_ends::record_server_end(router, member, proof);
+        }
+        if let Some(successor) = successor {
+            server_ends::hand_over(member, successor, router.now());
         }
     }
 }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -364,6 +364,23 @@
     wait_until("both requests are suspected", || suspects() == 2).await;
 }
 
+/// Guards against pauses that are forgotten (soak seed 836): the restarted server asks for one before its row is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_asked_for_before_the_row_shows_the_new_start_is_kept() {
+    let (server, site) = start_restarted_server(Duration::ZERO).await;
+    server.set_retry_after(Some("30"));
+    assert_eq!(post(&site, "/once/a", "harmless").await.status, 503);
+    let arrived = server.requests().len();
+
+    list_server_with_start_time(&site.store, &server, "app", 2_000);
+    wait_for_start(&site, 2_000).await;
+
+    for _ in 0..3 {
+        assert_eq!(post(&site, "/once/a", "harmless").await.status, 503);
+    }
+    assert_eq!(server.requests().len(), arrived, "requests reached a paused server");
+}
+
 /// The store is unreachable while servers end: entries inform each other and write the quarantine later.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_quarantine_is_written_once_the_store_is_back() {
