--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -183,12 +183,28 @@
         has_retry
     };
     router.roll_outs.log_trial_session(&member.server, &ctx.req.head, router.now());
-    if let Some(trial) = &ctx.quarantine_trial {
-        trial.set_sent(true);
-    }
+    ctx.mark_trial_sent(true);
     let sent_at = router.now();
     let result = send(router, ctx, &plan, can_fail_over).await;
-    let (state, outcome) = classify_result(&result);
+    record_attempt(router, ctx, member, &result, has_retry);
+    let may_have_run = !matches!(&result, Err(e) if e.proves_not_run());
+    ctx.mark_trial_sent(may_have_run);
+    if may_have_run {
+        ctx.runs += 1;
+        record_run_outcome(router, ctx, member, sent_at, &result).await;
+    }
+    result
+}
+
+/// Records the result of an attempt in the state of its request.
+fn record_attempt(
+    router: &Router,
+    ctx: &mut RequestContext,
+    member: &Member,
+    result: &Result<OpenResponse, AttemptError>,
+    has_retry: bool,
+) {
+    let (state, outcome) = classify_result(result);
     router.metrics.count_attempt(&member.server.version, outcome);
     ctx.attempts.push(state);
     ctx.tried_servers.push(member.server.id.clone());
@@ -200,16 +216,6 @@
             ctx.has_retry = has_retry;
         }
     }
-    let has_not_run = matches!(&result, Err(e) if e.proves_not_run());
-    if has_not_run {
-        if let Some(trial) = &ctx.quarantine_trial {
-            trial.set_sent(false);
-        }
-    } else {
-        ctx.runs += 1;
-        record_run_outcome(router, ctx, member, sent_at, &result).await;
-    }
-    result
 }
 
 /// The state of an attempt after its result, and the value of the `outcome` label in metrics.
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -94,6 +94,13 @@
         self.quarantine_trial.is_some()
     }
 
+    /// Records whether a server may run or have run the trial, if this is one.
+    pub(crate) fn mark_trial_sent(&self, is_sent: bool) {
+        if let Some(trial) = &self.quarantine_trial {
+            trial.set_sent(is_sent);
+        }
+    }
+
     /// Number of further runs that the route allows.
     pub(crate) fn runs_left(&self) -> u32 {
         self.route.max_attempts.saturating_sub(self.runs)
