Deliver an answer only once the copy of its charge has left the process

What operators saw: charges of delivered answers missing after an entry was killed (a_killed_entry_loses_no_charge_of_a_delivered_answer: "once the totals never complete").

Cause: the last part of an answer was delivered once the copy for the agent was queued for the link's writer, which is a task of its own; a killed process loses that queue.

--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -9,7 +9,7 @@
 };
 
 use futures_util::StreamExt;
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::net::TcpListener;
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::{
@@ -19,8 +19,8 @@
     },
     platform::InsertOutcome,
     protocol::{
-        self, AgentHeartbeat, AgentLinkStream, EntryHeartbeat, RowWrite, ToAgent, ToEntry,
-        VersionEvidence, decode, encode,
+        self, AgentHeartbeat, AgentLinkStream, EntryHeartbeat, FrameSender, RowWrite, ToAgent,
+        ToEntry, VersionEvidence, decode, encode,
     },
     telemetry::event,
 };
@@ -47,7 +47,7 @@
 
 async fn serve(agent: Arc<Agent>, ws: AgentLinkStream, peer: protocol::Peer) {
     let (sink, mut stream) = ws.split();
-    let (tx, rx) = mpsc::channel(OUTGOING);
+    let (tx, rx) = FrameSender::channel(OUTGOING);
     let id = agent.next_link.fetch_add(1, Ordering::Relaxed);
     let handle = Arc::new(LinkHandle {
         peer: peer.clone(),
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -9,12 +9,8 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use serde_json::json;
-use tokio::{
-    sync::{mpsc, watch},
-    task::AbortHandle,
-};
+use tokio::{sync::watch, task::AbortHandle};
 
 use crate::{
     agent::{
@@ -32,7 +28,7 @@
         gate::Gate,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
     },
-    protocol::{AgentLoad, Peer, StartAttempt, ToEntry, encode},
+    protocol::{AgentLoad, FrameSender, Peer, StartAttempt, ToEntry, encode},
     settings::AgentSettings,
     telemetry::{Metrics, admin::AdminHandlers},
 };
@@ -70,7 +66,7 @@
 #[derive(Debug)]
 pub(crate) struct LinkHandle {
     pub(crate) peer: Peer,
-    pub(crate) tx: mpsc::Sender<Bytes>,
+    pub(crate) tx: FrameSender,
     pub(crate) starts_seen: AtomicU64,
     pub(crate) sent: Mutex<SentOnLink>,
 }
--- a/src/entry/charges.rs
+++ b/src/entry/charges.rs
@@ -45,11 +45,15 @@
     }
 }
 
-/// Charges a request; must be called before the last part of its answer is delivered.
+/// Charges a request; must be called before the last part of its answer is delivered. Waits until the agent's copy has
+/// left this process, since a killed process loses what is queued in it. A stalled link holds up the answer no longer than
+/// it takes until the record is written to the store.
 pub(crate) async fn charge(entry: &Entry, record: ChargeRecord, winner: Option<&Arc<Link>>) {
     if let Some(link) = winner.filter(|_| entry.policy.charge_copies) {
         let frame = ToAgent::Charge(Box::new(record.clone()));
-        if link.is_up() && link.send(&frame).await {
+        let sent = tokio::time::timeout(FLUSH_EVERY, link.send_written(&frame));
+        // A copy that is late may still arrive and is confirmed like the others.
+        if link.is_up() && sent.await.unwrap_or(true) {
             let mut copies = entry.charges.copies.lock().expect("no panics under the lock");
             copies.insert(record.request, link.clone());
         }
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -23,8 +23,8 @@
         outlier::{OutlierConfig, OutlierDetector},
     },
     protocol::{
-        AgentHeartbeat, AgentLoad, Peer, RowWrite, StartAttempt, ToAgent, Usage, VersionEvidence,
-        encode,
+        AgentHeartbeat, AgentLoad, FrameSender, Peer, RowWrite, StartAttempt, ToAgent, Usage,
+        VersionEvidence, encode,
     },
 };
 
@@ -66,7 +66,7 @@
     pub(crate) server: ServerId,
     pub(crate) peer: Peer,
     distance: Duration,
-    tx: mpsc::Sender<Bytes>,
+    tx: FrameSender,
     up: AtomicBool,
     waiters: Mutex<HashMap<AttemptKey, mpsc::UnboundedSender<AttemptFrame>>>,
     questions: Mutex<HashMap<u64, oneshot::Sender<Option<VersionId>>>>,
@@ -76,7 +76,7 @@
 }
 
 impl Link {
-    pub(crate) fn new(host: Host, class: u8, peer: Peer, tx: mpsc::Sender<Bytes>) -> Self {
+    pub(crate) fn new(host: Host, class: u8, peer: Peer, tx: FrameSender) -> Self {
         Self {
             server: peer.server.clone(),
             host,
@@ -251,12 +251,17 @@
 
     /// Sends a frame; false when the link is down.
     pub(crate) async fn send(&self, frame: &ToAgent) -> bool {
-        self.tx.send(encode(frame)).await.is_ok()
+        self.tx.send(encode(frame)).await
+    }
+
+    /// Sends a frame and waits until it has left this process; false when the link is down.
+    pub(crate) async fn send_written(&self, frame: &ToAgent) -> bool {
+        self.tx.send_written(encode(frame)).await
     }
 
     /// Sends an encoded control frame.
     pub(crate) async fn send_encoded(&self, buf: Bytes) -> bool {
-        self.tx.send(buf).await.is_ok()
+        self.tx.send(buf).await
     }
 
     /// Asks the agent which version it remembers for a session.
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -7,10 +7,7 @@
 };
 
 use futures_util::StreamExt;
-use tokio::{
-    runtime::Handle,
-    sync::{mpsc, watch},
-};
+use tokio::{runtime::Handle, sync::watch};
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::{
@@ -20,7 +17,9 @@
         link::{AttemptFrame, Link},
     },
     platform::{Host, HostState},
-    protocol::{self, EntryHeartbeat, EntryLinkStream, ToAgent, ToEntry, decode, encode},
+    protocol::{
+        self, EntryHeartbeat, EntryLinkStream, FrameSender, ToAgent, ToEntry, decode, encode,
+    },
     telemetry::event,
 };
 
@@ -130,7 +129,7 @@
     stopped: watch::Receiver<bool>,
 ) {
     let (sink, mut stream) = ws.split();
-    let (tx, rx) = mpsc::channel(OUTGOING);
+    let (tx, rx) = FrameSender::channel(OUTGOING);
     let class = distance_class(&entry.as_host(), host);
     let link = Arc::new(Link::new(host.clone(), class, peer, tx));
     entry.links.lock().expect("no panics under the lock").insert(host.name.clone(), link.clone());
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,12 +5,14 @@
 
 mod codec;
 mod error;
+mod frame_sender;
 mod handshake;
 mod message;
 mod writer;
 
 pub use codec::{decode, encode};
 pub use error::{Error, Result};
+pub use frame_sender::{FrameSender, OutgoingFrame};
 pub use handshake::{AgentLinkStream, EntryLinkStream, Peer, accept, connect};
 pub use message::{
     AgentHeartbeat, AgentLoad, BackendCall, ConfigUpdate, EntryHeartbeat, HeldVersion, RowWrite,
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use mintmoor::{
     agent::{self, RunningAgent},
     local::Platform,
-    protocol::{self, Peer},
+    protocol::{self, FrameSender, Peer},
     settings::AgentSettings,
     telemetry::log::{LogFormat, LogLevel},
 };
@@ -91,6 +91,32 @@
     assert!(matches!(impostor.await.unwrap(), Err(protocol::Error::NotAuthenticated)));
 }
 
+/// Guards against charges that are lost with a killed entry: the copy for the agent was still queued in the process when the
+/// answer was delivered.
+#[tokio::test]
+async fn a_frame_counts_as_written_only_once_it_has_left_the_process() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = tokio::spawn(async move {
+        let (tcp, _) = listener.accept().await.unwrap();
+        protocol::accept(tcp, &entry_peer(), KEY.as_bytes()).await.unwrap().0
+    });
+    let (ws, _) = protocol::connect(address, &entry_peer(), KEY.as_bytes()).await.unwrap();
+    let mut received = accepted.await.unwrap();
+    let (tx, rx) = FrameSender::channel(4);
+    let mut written = std::pin::pin!(tx.send_written(Bytes::from_static(b"copy")));
+
+    assert!(written.as_mut().now_or_never().is_none(), "queued only");
+    let writer = tokio::spawn(protocol::write_frames(rx, ws.split().0));
+    assert!(written.await);
+
+    writer.abort();
+    let _ = writer.await;
+    let frame = received.next().await.unwrap().unwrap();
+    assert_eq!(frame, Message::Binary(Bytes::from_static(b"copy")));
+    assert!(!tx.send_written(Bytes::from_static(b"late")).await, "the link is gone");
+}
+
 #[tokio::test]
 async fn invalid_bytes_during_the_handshake_end_only_their_connection() {
     let (_platform, agent) = start_agent().await;
