Select again when a server has become available before the refusal

What callers saw: "no server can take it, back in 5.16 s" while a rate-limited server was about to take its next request (when_all_servers_are_rate_limited_excess_requests_are_refused_at_once, once, beside four loops of tests).

Cause: selection and the reason for the refusal looked at the servers at two moments; in between one became available.

Fix: one look decides whether to select again, three times at most, and names the reason.

--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -7,7 +7,7 @@
     policy::{
         answer_timeout::head_timeouts,
         attempt::{self, AttemptEvent, AttemptState, RequestOutcome, may_retry, request_outcome},
-        availability::UnavailableCause,
+        availability::{Availability, UnavailableCause},
     },
     router::{
         Member, Router,
@@ -15,7 +15,7 @@
             attempt::{AttemptError, AttemptPlan, OpenResponse, send},
             refusal::Refusal,
             request_context::{AttemptParams, RequestContext},
-            selection::{latency_key, prefixes, select_server, unavailability},
+            selection::{first_available, latency_key, prefixes, select_server},
         },
         roll_outs::roll_out::RunOutcome,
         servers::{
@@ -33,6 +33,9 @@
 /// Maximum number of attempts of one request, including those at unreachable servers. An unreachable server costs one
 /// round trip, and half of a pool may be gone before the list shows it.
 const MAX_ATTEMPTS: usize = 12;
+/// Maximum number of times that servers are selected again because one became available in the meantime. Other requests
+/// may take its place each time.
+const MAX_RECHECKS: u32 = 3;
 /// Minimum time before the deadline with which another attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -44,15 +47,23 @@
     params: AttemptParams<'_>,
 ) -> Result<OpenResponse, Refusal> {
     let mut failed = None;
+    let mut rechecks = 0;
     loop {
         if router.notice_suspension() || !router.is_view_fresh() {
             router.wait_for_view().await;
         }
         let Some(member) = next_server(router, ctx, params) else {
-            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, params));
+            let first = first_available(router, ctx, params);
+            let is_available = matches!(first, Some((wait, _)) if wait.is_zero());
+            if is_available && rechecks < MAX_RECHECKS && is_attempt_allowed(router, ctx) {
+                rechecks += 1;
+                continue;
+            }
+            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, first));
         };
         if ctx.deliveries > 0 && !ctx.take_retry(router) {
-            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, params));
+            let first = first_available(router, ctx, params);
+            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, first));
         }
         match router.acquire_send(&member) {
             SendPermit::Unlimited => {}
@@ -75,11 +86,11 @@
     }
 }
 
-/// The refusal for the caller when no further attempt is made.
+/// The refusal for the caller when no further attempt is made, given when the first server is available.
 fn refusal_after_attempts(
     router: &Router,
     ctx: &RequestContext,
-    params: AttemptParams<'_>,
+    first: Option<(Duration, Availability)>,
 ) -> Refusal {
     match request_outcome(&ctx.attempts) {
         RequestOutcome::NotRun if router.is_refused(ctx) => {
@@ -87,7 +98,7 @@
         }
         RequestOutcome::NotRun => {
             let retry_after = router.record_overload(&ctx.service, &ctx.req.head.id);
-            let Some((cause, wait)) = unavailability(router, ctx, params) else {
+            let Some((wait, Availability::Closed { cause, .. })) = first else {
                 return Refusal::NotRun { retry_after };
             };
             if cause == UnavailableCause::RateLimited {
@@ -103,20 +114,24 @@
     }
 }
 
+/// Whether the state of a request allows another attempt.
+fn is_attempt_allowed(router: &Router, ctx: &RequestContext) -> bool {
+    may_retry(&ctx.attempts, ctx.route.is_idempotent())
+        && ctx.runs_left() > 0
+        && ctx.deliveries < MAX_DELIVERIES
+        && ctx.attempts.len() < MAX_ATTEMPTS
+        && router.now() + MIN_TIME_LEFT < ctx.attempt_deadline()
+        && !router.is_refused(ctx)
+        && !(ctx.is_quarantine_trial() && ctx.runs > 0)
+}
+
 /// The server for the next attempt, if one is allowed. Servers that were not tried yet are preferred.
 fn next_server(
     router: &Router,
     ctx: &RequestContext,
     params: AttemptParams<'_>,
 ) -> Option<Arc<Member>> {
-    let is_allowed = may_retry(&ctx.attempts, ctx.route.is_idempotent())
-        && ctx.runs_left() > 0
-        && ctx.deliveries < MAX_DELIVERIES
-        && ctx.attempts.len() < MAX_ATTEMPTS
-        && router.now() + MIN_TIME_LEFT < ctx.attempt_deadline()
-        && !router.is_refused(ctx)
-        && !(ctx.is_quarantine_trial() && ctx.runs > 0);
-    if !is_allowed {
+    if !is_attempt_allowed(router, ctx) {
         return None;
     }
     let untried = select_server(router, ctx, params, |server| !ctx.has_tried(server));
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     policy::{
-        availability::{Availability, UnavailableCause, retain_first_tier},
+        availability::{Availability, retain_first_tier},
         placement::{PlacementRequest, hash_id, place},
         prefix_cache::{PromptPrefix, shared_prefixes},
         quarantine::QuarantineStatus,
@@ -70,24 +70,22 @@
     members.iter().filter(is_eligible).collect()
 }
 
-/// Why none of the eligible servers is available, and the time until the first one is. `None` if a server is
-/// available or if it is unknown when one will be.
-pub(crate) fn unavailability(
+/// The time until the first eligible server that can be reached is available, and its availability. `None` if that is
+/// not known.
+pub(crate) fn first_available(
     router: &Router,
     ctx: &RequestContext,
     params: AttemptParams<'_>,
-) -> Option<(UnavailableCause, Duration)> {
+) -> Option<(Duration, Availability)> {
     let check = router.availability_check(&ctx.service);
     let fleet = router.fleet.load();
     let members = eligible_servers(router, ctx, params, &fleet).into_iter();
-    let waits = members.filter_map(|member| {
-        let availability = check.availability(member);
-        Some((availability.wait(check.now())?, availability))
-    });
-    match waits.min_by_key(|(wait, _)| *wait)? {
-        (wait, Availability::Closed { cause, .. }) => Some((cause, wait)),
-        _ => None,
-    }
+    let waits =
+        members.filter(|member| !ctx.is_unreachable(&member.server.id)).filter_map(|member| {
+            let availability = check.availability(member);
+            Some((availability.wait(check.now())?, availability))
+        });
+    waits.min_by_key(|(wait, _)| *wait)
 }
 
 /// The servers that may be sent requests now, reduced to the best tier of availability. Servers whose roll-out order
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -109,6 +109,7 @@
 }
 
 /// Three servers accept 6.6 requests per second in total, and callers send 66.
+/// Also guards against refusals without a cause: a server becomes available between its selection and the refusal.
 #[tokio::test(flavor = "multi_thread")]
 async fn when_all_servers_are_rate_limited_excess_requests_are_refused_at_once() {
     let servers =
