--- a/src/router/peers/messages.rs
+++ b/src/router/peers/messages.rs
@@ -10,8 +10,8 @@
     policy::usage::{TrueMs, UsageReport},
     router::{
         peers::{
-            load_reports::ServerLoad, prefix_reports::ReportedPrefix, shared_limits::LimitUpdate,
-            shared_quarantine::QuarantineUpdate,
+            load_reports::ServerLoad, prefix_reports::ReportedPrefix,
+            quarantine_update::QuarantineUpdate, shared_limits::LimitUpdate,
         },
         roll_outs::roll_out_state::VersionEvidence,
         store::compressed_rows::CompressedUpdate,
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -20,7 +20,8 @@
         roll_outs::roll_out::RunOutcome,
         servers::{
             availability::SendPermit,
-            server_ends::{LossCause, record_broken_connection, record_lost},
+            lost_requests::LossCause,
+            server_ends::{record_broken_connection, record_lost},
         },
     },
     routing::{ResponseKind, RouteKind},
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -26,7 +26,10 @@
             stream_queue::{CallerGone, StreamQueue, stream_queue},
         },
         roll_outs::roll_out::RunOutcome,
-        servers::server_ends::{LossCause, record_broken_connection, record_lost},
+        servers::{
+            lost_requests::LossCause,
+            server_ends::{record_broken_connection, record_lost},
+        },
     },
     routing::{ResponseHead, ResponseKind, RouteKind},
     telemetry::event,
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -22,7 +22,7 @@
         rate_limit::{Allowance, SlidingWindowLog},
         send_window::SendWindow,
     },
-    router::servers::{connection::IdleConnection, server_ends::LostRequests},
+    router::servers::{connection::IdleConnection, lost_requests::LostRequests},
     routing::BackendServer,
 };
 
--- a/src/router/servers/mod.rs
+++ b/src/router/servers/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod evacuations;
 pub(crate) mod fleet;
 pub(crate) mod listing;
+pub(crate) mod lost_requests;
 pub(crate) mod member;
 pub(crate) mod server_ends;
 pub(crate) mod server_table;
