--- a/tests/platform/duties.rs
+++ b/tests/platform/duties.rs
@@ -269,6 +269,7 @@
     let seeds = deployment.start_seeds().await;
     send(&seeds[0], 2).await;
     deployment.server.crash();
+    deployment.server.wait_until_terminated(0).await;
 
     assert_ne!(seeds[0].request("GET", "/safe/a", "").await.status, 200);
 
