Place requests by the speed of the servers' machines, and a switch for overload control

Cause: on the uneven deployment one server in four takes 0.55 of the usual time and three take 1.2, and neighbours slow them 2.5 times for moments; none of our estimates knew that. Change: the fourth figure of the load header is read; the smallest figure of the last 10 s is a server's lasting time factor. It scales the cost of work in placement, ranks servers by weighted rendezvous hashing, and normalizes what is learned of models' times, timeouts and the test for slow answers. Without the figure every factor is 1 and decisions are as before. Overload control gets its switch (setting overload.control, the platform's settings, shared machines); nothing uses it yet.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -70,6 +70,7 @@
         prefill_token_time: Duration::from_micros(3),
         bytes: 12_000,
         request_hash: 0,
+        unshared_tokens: 6_000,
     };
     let now = Duration::from_secs(60);
     bencher.bench(|| {
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -44,6 +44,8 @@
     pub memory_limit: u64,
     /// The duty that one entry at a time performs for the platform; `None` if there is none.
     pub duties: Option<DutySettings>,
+    /// Whether callers are expected to compete for too little capacity, so that overload control is needed.
+    pub expects_overload: bool,
 }
 
 /// The duty to report the usage of Organisations, which one entry at a time performs by calls to the platform's duty
@@ -87,6 +89,9 @@
     listen: ListenDoc,
     #[serde(default)]
     seeds: Vec<Box<str>>,
+    /// Parts of the platform's rules that are in force.
+    #[serde(default)]
+    contracts: Vec<Box<str>>,
     #[serde(default)]
     limits: LimitsDoc,
     #[serde(default)]
@@ -161,6 +166,8 @@
 
 /// Name of the duty to report the usage of Organisations.
 const USAGE_DUTY: &str = "usage";
+/// Part of the rules under which callers compete for capacity.
+const PRESSURE_CONTRACT: &str = "pressure";
 /// Longest duration in the file, in seconds; larger numbers are mistakes.
 const MAX_SECONDS: f64 = 86_400.0;
 
@@ -217,6 +224,7 @@
         retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
         retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
         retry_window,
+        expects_overload: doc.contracts.iter().any(|contract| **contract == *PRESSURE_CONTRACT),
         memory_limit: doc.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
         duties,
     })
--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -8,7 +8,11 @@
     platform::request_headers::{
         KEEP_ALIVE, REQUEST_ID, header_number, header_text, without_hop_by_hop,
     },
-    policy::{load::ReportedLoad, rate_limit::AdvertisedLimit, retry_after::RetryAfter},
+    policy::{
+        load::{ReportedLoad, ReportedPace},
+        rate_limit::AdvertisedLimit,
+        retry_after::RetryAfter,
+    },
     routing::{ResponseHead, ResponseKind},
 };
 
@@ -16,7 +20,7 @@
 const SIGNATURE: &str = "x-instance-stamp";
 /// Present when the server did not run the request.
 const NOT_EXECUTED: &str = "x-not-executed";
-/// Load of the server: `running,waiting,slots`.
+/// Load of the server: `running,waiting,slots`, and on shared machines the time that work takes in percent.
 const LOAD: &str = "x-instance-load";
 /// Requests per second, as a decimal number; sent only by a rate-limited server.
 const RATE_LIMIT: &str = "server-limit";
@@ -112,7 +116,12 @@
     let running = numbers.next()??;
     let waiting = numbers.next()??;
     let slots = numbers.next()??;
-    Some(ReportedLoad { running, waiting, slots })
+    let pace = match (numbers.next(), numbers.next()) {
+        (None, _) => ReportedPace::Absent,
+        (Some(Some(percent)), None) if percent > 0 => ReportedPace::Percent(percent),
+        _ => ReportedPace::Unreadable,
+    };
+    Some(ReportedLoad { running, waiting, slots, pace })
 }
 
 /// Pause requested by a response; the longest if there are several.
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -11,6 +11,20 @@
     pub waiting: u32,
     /// Number of requests that it can run at the same time.
     pub slots: u32,
+    /// How long work takes on its machine.
+    pub pace: ReportedPace,
+}
+
+/// How long work takes on a server's machine, as the server reports it with its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReportedPace {
+    /// The report has no such figure.
+    #[default]
+    Absent,
+    /// Time that work takes, in percent of the usual time.
+    Percent(u32),
+    /// The figure is not a positive number, or there are too many figures.
+    Unreadable,
 }
 
 /// Time in which the weight of a report halves; streams last from one to a few seconds.
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -15,6 +15,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::policy::server_speed::TimeFactor;
+
 /// A server that may be chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -32,6 +34,8 @@
     pub failure_rate: f64,
     /// Whether it is in the entry's own AvailabilityZone.
     pub is_same_zone: bool,
+    /// How long work takes there, as a multiple of the usual time.
+    pub time_factor: TimeFactor,
 }
 
 /// The attempt to be placed.
@@ -41,7 +45,9 @@
     pub affinity: Option<u64>,
     /// Tokens of those parts.
     pub shared_tokens: u64,
-    /// Prefill time of one token.
+    /// Tokens of the prompt that no other request shares, which any server has to prefill.
+    pub unshared_tokens: u64,
+    /// Prefill time of one token on a machine of the usual speed.
     pub prefill_token_time: Duration,
     /// Size of the request body.
     pub bytes: usize,
@@ -120,7 +126,9 @@
     let prefill_cost = request.shared_tokens as f64 * request.prefill_token_time.as_secs_f64();
     let key = request.affinity.unwrap_or(request.request_hash);
     // Rendezvous hashing: the server with the highest rank owns the key.
-    let rank = |c: &Candidate| xxh3_64_with_seed(&key.to_le_bytes(), c.id_hash);
+    let rank = |c: &Candidate| {
+        weighted_rank(xxh3_64_with_seed(&key.to_le_bytes(), c.id_hash), c.time_factor)
+    };
     let ranks: Vec<u64> = candidates.iter().map(rank).collect();
     let is_cached_anywhere = candidates.iter().any(|c| c.cached_tokens > 0);
     let needs_owner = request.affinity.is_some() && !is_cached_anywhere;
@@ -132,9 +140,14 @@
     let cost = |i: usize| {
         let candidate = &candidates[i];
         let cached = if owner == Some(i) { request.shared_tokens } else { candidate.cached_tokens };
-        let prefill = request.shared_tokens.saturating_sub(cached) as f64 * token_cost;
+        let missing_tokens = request.shared_tokens.saturating_sub(cached);
+        let prefill = missing_tokens as f64 * token_cost;
         let cross_zone_cost = if candidate.is_same_zone { 0.0 } else { cross_zone_cost };
-        expected_wait(candidate, config) + prefill + cross_zone_cost
+        // On a machine of another speed, all tokens to be prefilled take longer or shorter.
+        let tokens = (missing_tokens + request.unshared_tokens) as f64;
+        let extra_prefill =
+            (candidate.time_factor - 1.0) * tokens * request.prefill_token_time.as_secs_f64();
+        expected_wait(candidate, config) + prefill + extra_prefill + cross_zone_cost
     };
     // Ties are broken by rank, which differs between requests; a fixed order would overload one server.
     let order =
@@ -187,8 +200,18 @@
     let slots = f64::from(candidate.slots.max(1));
     let waiting = (candidate.load + 1.0 - slots).max(0.0);
     let running = candidate.load.min(slots);
-    candidate.backlog.as_secs_f64()
-        + candidate.failure_rate * config.failure.as_secs_f64()
+    let work = candidate.backlog.as_secs_f64()
         + running * config.running.as_secs_f64()
-        + waiting * config.waiting.as_secs_f64()
+        + waiting * config.waiting.as_secs_f64();
+    work * candidate.time_factor + candidate.failure_rate * config.failure.as_secs_f64()
+}
+
+/// Rank of a server in weighted rendezvous hashing: servers rank first in proportion to their speed
+/// (Schindelhauer and Schomaker, Weighted distributed hash tables, 2005).
+fn weighted_rank(hash: u64, time_factor: TimeFactor) -> u64 {
+    const HASHES: f64 = 18_446_744_073_709_551_616.0;
+    if time_factor == 1.0 {
+        return hash;
+    }
+    ((hash as f64 / HASHES).powf(time_factor) * HASHES) as u64
 }
--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -68,6 +68,7 @@
             "configuration": table.as_ref().as_ref().map(|t| t.version),
             "in_flight": self.in_flight(),
             "entries": self.entries(),
+            "controls_overload": self.controls_overload(),
             "follows_another_entry": self.follows_link(),
             "quarantine": self.quarantine.dump(self.now()),
             "era": self.table_views.era(),
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -187,13 +187,18 @@
     let head = parse_response_head(parts.status, &parts.headers, &ctx.req.head.id);
     record_response_head(router, plan.member, &head, &ctx.req.head.id, sent_at);
     record_usage(router, ctx, &head, sent_at);
+    if let Some(load) = head.load {
+        router.record_load(plan.member, load);
+    }
     let (tokens, elapsed) = (plan.uncached_tokens, started_at.elapsed());
-    let is_slow = router.speed_estimates.get(plan.latency_key).is_slow_head(tokens, elapsed);
+    let speed = plan.member.state().speed;
+    let is_slow = router
+        .speed_estimates
+        .get(plan.latency_key)
+        .is_slow_head(tokens, elapsed.div_f64(speed.present(router.now())));
     if head.kind == ResponseKind::Success {
-        router.speed_estimates.record_head_time(plan.latency_key, tokens, ahead, elapsed);
-    }
-    if let Some(load) = head.load {
-        plan.member.state().load.record_report(load, router.now());
+        let at_usual_speed = elapsed.div_f64(speed.lasting());
+        router.speed_estimates.record_head_time(plan.latency_key, tokens, ahead, at_usual_speed);
     }
     let member = plan.member.clone();
     if !matches!(head.kind, ResponseKind::Success) {
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -169,12 +169,13 @@
         prefixes[..cached_prefix_count].iter().map(|prefix| prefix.tokens).sum();
     let uncached_tokens = prompt_tokens.saturating_sub(cached_tokens);
     // Cached prefixes may have been evicted, so the timeout allows for processing the whole prompt.
-    let prefill_time = timing.prefill_time(prompt_tokens);
+    let time_factor = member.time_factor();
+    let prefill_time = timing.prefill_time(prompt_tokens).mul_f64(time_factor);
+    let mean_head_time = timing.mean_head_time().map(|mean| mean.mul_f64(time_factor));
     let (kind, objective) = (ctx.route.kind, ctx.route.objective);
     // Includes this request.
     let outstanding = member.outstanding() + 1;
-    let timeouts =
-        head_timeouts(kind, objective, timing.mean_head_time(), prefill_time, outstanding);
+    let timeouts = head_timeouts(kind, objective, mean_head_time, prefill_time, outstanding);
     let plan = AttemptPlan {
         member,
         headers: AttemptHeaders {
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -334,7 +334,8 @@
     /// Counts a run as slow against its version as soon as its events arrive far too slowly.
     fn check_pace(&self, response: &OpenResponse, run: &mut RunTiming) {
         run.record_event(Instant::now());
-        if run.is_counted || !self.timing().is_slow_stream(run.gaps, run.elapsed()) {
+        let elapsed = run.elapsed().div_f64(response.member.time_factor());
+        if run.is_counted || !self.timing().is_slow_stream(run.gaps, elapsed) {
             return;
         }
         run.is_counted = true;
@@ -347,9 +348,8 @@
         // Slow runs are included in the mean: without them it would fall, and more runs would count as slow. A
         // version that is being rolled out must not influence the mean that it is measured by.
         if run.gaps > 0 && !roll_outs.is_on_trial(server) {
-            self.router
-                .speed_estimates
-                .record_event_interval(self.latency_key(), run.elapsed() / run.gaps);
+            let interval = (run.elapsed() / run.gaps).div_f64(response.member.time_factor());
+            self.router.speed_estimates.record_event_interval(self.latency_key(), interval);
         }
         if !run.is_counted {
             roll_outs.record_outcome(server, RunOutcome::Good);
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -137,17 +137,19 @@
 ) -> ExpectedLatency {
     let timing = router.speed_estimates.get(latency_key(ctx, params));
     let prompt_tokens = ctx.req.head.prompt_tokens;
-    let (ahead, cached_tokens) = match select_server(router, ctx, params, |_| true) {
+    let (ahead, cached_tokens, time_factor) = match select_server(router, ctx, params, |_| true) {
         Some(member) => {
             let cached_tokens = member.state().prefixes.cached_tokens(&prefixes(ctx, params));
-            (member.backlog(router.now()), cached_tokens)
+            (member.backlog(router.now()), cached_tokens, member.time_factor())
         }
-        None => (Duration::ZERO, 0),
+        None => (Duration::ZERO, 0, 1.0),
     };
     let uncached_tokens = prompt_tokens.saturating_sub(cached_tokens);
+    let time_to_head =
+        |ahead| timing.expected_head_time(uncached_tokens, ahead).mul_f64(time_factor);
     ExpectedLatency {
-        time_to_head: timing.expected_head_time(uncached_tokens, ahead),
-        unloaded_time_to_head: timing.expected_head_time(uncached_tokens, Duration::ZERO),
+        time_to_head: time_to_head(ahead),
+        unloaded_time_to_head: time_to_head(Duration::ZERO),
     }
 }
 
@@ -168,19 +170,23 @@
     let key = latency_key(ctx, params);
     let prefill_token_time = router.speed_estimates.get(key).prefill_token_time();
     let bytes = ctx.req.body.len();
+    let prompt_tokens = ctx.req.head.prompt_tokens;
     let parts = &ctx.req.head.prompt_parts;
     let request_hash = hash_id(&ctx.req.head.id);
     let Some(last_shared) = ctx.req.head.last_shared_part().filter(|_| ctx.route.is_sticky) else {
         return PlacementRequest {
+            unshared_tokens: prompt_tokens,
             prefill_token_time,
             bytes,
             request_hash,
             ..PlacementRequest::default()
         };
     };
+    let shared_tokens = parts[..parts.len() - 1].iter().map(|part| part.tokens).sum();
     PlacementRequest {
         affinity: Some(xxh3_64_with_seed(key.as_bytes(), last_shared.id)),
-        shared_tokens: parts[..parts.len() - 1].iter().map(|part| part.tokens).sum(),
+        shared_tokens,
+        unshared_tokens: prompt_tokens.saturating_sub(shared_tokens),
         prefill_token_time,
         bytes,
         request_hash,
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -21,6 +21,7 @@
         quarantine::IncarnationHash,
         rate_limit::{Allowance, SlidingWindowLog},
         send_window::SendWindow,
+        server_speed::{ServerSpeed, TimeFactor},
     },
     router::servers::{connection::IdleConnection, lost_requests::LostRequests},
     routing::BackendServer,
@@ -57,6 +58,8 @@
 pub(crate) struct ServerState {
     /// Estimated load.
     pub(crate) load: LoadEstimate,
+    /// Speed of its machine.
+    pub(crate) speed: ServerSpeed,
     /// Consecutive failures, for outlier ejection.
     pub(crate) outlier: OutlierDetector,
     /// Recent rate of failures.
@@ -81,6 +84,8 @@
     unreadable_limit_logged_at: Option<Duration>,
     /// When an unreadable `Retry-After` of it was last logged.
     unreadable_retry_after_logged_at: Option<Duration>,
+    /// When an unreadable speed of it was last logged.
+    unreadable_pace_logged_at: Option<Duration>,
     /// Drain notice and pause that it announced in its responses.
     pub(crate) announced: Announcements,
     /// How many requests of this entry it may have in flight.
@@ -177,6 +182,11 @@
         should_log(&mut self.state().unreadable_limit_logged_at, now)
     }
 
+    /// Records that it reported an unreadable speed; returns whether to log that.
+    pub(crate) fn record_unreadable_pace(&self, now: Duration) -> bool {
+        should_log(&mut self.state().unreadable_pace_logged_at, now)
+    }
+
     /// Records that it sent an unreadable `Retry-After`; returns whether to log that.
     pub(crate) fn record_unreadable_retry_after(&self, now: Duration) -> bool {
         should_log(&mut self.state().unreadable_retry_after_logged_at, now)
@@ -268,6 +278,11 @@
         self.state().awaits_recovery = true;
     }
 
+    /// How long work takes on its machine, as a multiple of the usual time; 1 if it never reported that.
+    pub(crate) fn time_factor(&self) -> TimeFactor {
+        self.state().speed.lasting()
+    }
+
     /// Prefill time of the prompts that all entries have sent to it and that it has not processed.
     pub(crate) fn backlog(&self, now: Duration) -> Duration {
         let state = self.state();
@@ -366,6 +381,7 @@
             cached_tokens: state.prefixes.cached_tokens(prefixes),
             failure_rate: state.failure_rate.get(now),
             is_same_zone: &*self.server.zone == zone,
+            time_factor: state.speed.lasting(),
         }
     }
 
@@ -384,6 +400,7 @@
             "zone": self.server.zone,
             "draining_row": self.server.is_draining,
             "load": state.load.estimated_requests(now),
+            "time_factor": state.speed.is_known().then(|| state.speed.lasting()),
             "cold_ms": self.cold_until.saturating_sub(now).as_millis() as u64,
             "failure_rate": state.failure_rate.get(now),
             "out": state.outlier.is_ejected(now),
--- a/src/router/servers/mod.rs
+++ b/src/router/servers/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod listing;
 pub(crate) mod lost_requests;
 pub(crate) mod member;
+pub(crate) mod reported_load;
 pub(crate) mod server_ends;
 pub(crate) mod server_table;
 pub(crate) mod timing_estimates;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, OnceLock,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -102,6 +102,8 @@
     pub(crate) memory: MemoryBudget,
     /// Counts of the requests that begin to run, for the report of usage.
     pub(crate) usage: UsageMeter,
+    /// Whether a server has reported that it shares its machine.
+    pub(super) has_shared_machines: AtomicBool,
     /// Measured speed of the models.
     pub(crate) speed_estimates: TimingEstimates,
     /// The link to another entry that this one follows instead of the store.
@@ -150,6 +152,7 @@
             retry_budgets: Mutex::default(),
             extra_share: Mutex::new(ExtraShare::new(CLOCK_ORIGIN)),
             overloads: Mutex::default(),
+            has_shared_machines: AtomicBool::new(false),
             speed_estimates: TimingEstimates::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use crate::{
-    policy::{escalation::EscalationConfig, exposure::ExposureConfig, placement::PlacementConfig},
+    policy::{
+        escalation::EscalationConfig, exposure::ExposureConfig, overload_control::OverloadControl,
+        placement::PlacementConfig,
+    },
     settings::{SettingsError, reader::Reader},
     telemetry::log::LogLevel,
 };
@@ -18,6 +21,8 @@
     pub exposure: ExposureConfig,
     /// Placement costs of a server besides its backlog.
     pub placement: PlacementConfig,
+    /// When overload control is in force.
+    pub overload_control: OverloadControl,
     /// Port on the Host's address that serves metrics and the state dump, in addition to the readiness
     /// address.
     pub metrics_port: Option<u16>,
@@ -69,6 +74,9 @@
         reread_token: get_micros(&mut r, "placement.reread_token_us", costs.reread_token),
         choices: get_positive(&mut r, "placement.choices", costs.choices),
     };
+    let expected = "requested, always or never";
+    let overload_control =
+        r.get("overload.control", expected, Some(defaults.overload_control)).unwrap_or_default();
     let metrics_port = r.get_optional("listen.metrics_port", "a port number");
     let expected = "error, warn, info or debug";
     let log_level = r.get("log.level", expected, Some(defaults.log_level)).unwrap_or_default();
@@ -82,7 +90,7 @@
         r.add_problem_at_key("roll_out", problem);
     }
     r.finish()?;
-    Ok(RouteSettings { escalation, exposure, placement, metrics_port, log_level })
+    Ok(RouteSettings { escalation, exposure, placement, overload_control, metrics_port, log_level })
 }
 
 fn get_number(r: &mut Reader<'_>, key: &str, default: f64, max: f64) -> f64 {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -98,6 +98,7 @@
     PAUSE_ENDED = 523, Info, "A BackendServer answers again after a pause that it had asked for.";
     CALLER_STALLED = 524, Warn, "A caller took nothing of its response for ten seconds and was cut off.";
     SUSPECT_COUNTED = 525, Info, "Another server end counts against a request that was present at two or more; it is not refused yet.";
+    SERVER_PACE_UNREADABLE = 526, Error, "A BackendServer reports how long work takes on its machine as something that can't be right; it is ignored.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; this entry sends it no new sessions.";
     ROLL_OUT_MOVED = 601, Info, "The next step of a roll-out was written to the store.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write of a roll-out step conflicted with a newer write and was dropped.";
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -33,6 +33,7 @@
         cached_tokens: 0,
         failure_rate: 0.0,
         is_same_zone,
+        time_factor: 1.0,
     }
 }
 
@@ -49,6 +50,7 @@
         prefill_token_time: Duration::from_micros(27),
         bytes: 1_024,
         request_hash: 0,
+        unshared_tokens: 0,
     }
 }
 
@@ -250,7 +252,10 @@
 fn reported_load_decays_and_own_requests_do_not() {
     let mut estimate = LoadEstimate::default();
     estimate.own_requests = 2;
-    estimate.record_report(ReportedLoad { running: 9, waiting: 1, slots: 32 }, MS);
+    estimate.record_report(
+        ReportedLoad { running: 9, waiting: 1, slots: 32, ..ReportedLoad::default() },
+        MS,
+    );
 
     assert!((estimate.estimated_requests(MS) - 10.0).abs() < 1e-9);
     let later = estimate.estimated_requests(Duration::from_secs(30));
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -58,6 +58,7 @@
         retry_extra: 52.0,
         retry_window: Duration::from_secs(10),
         duties: None,
+        expects_overload: false,
         memory_limit: 256 << 20,
     }
 }
--- a/tests/play/simulator.rs
+++ b/tests/play/simulator.rs
@@ -396,6 +396,7 @@
             // The simulation counts one byte per token.
             bytes: arrival.prompt_tokens() as usize,
             request_hash: 0,
+            unshared_tokens: 0,
         };
         let views = &self.views[arrival.entry];
         let at = Duration::from_secs_f64(now);
@@ -412,6 +413,7 @@
             cached_tokens: known_cached_tokens(&views[engine]),
             failure_rate: 0.0,
             is_same_zone: self.is_same_zone_as_entry(engine, arrival.entry),
+            time_factor: 1.0,
         };
         let engines: Vec<usize> =
             (0..self.engines.len()).filter(|engine| !self.is_lost(*engine, now)).collect();
