--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -39,24 +39,7 @@
 pub fn load_route(file: &str, text: &str) -> Result<RouteSettings, SettingsError> {
     let mut r = Reader::parse(file, text)?;
     let defaults = RouteSettings::default();
-    let cascade = defaults.escalation;
-    let escalation = EscalationConfig {
-        confident: get_number(&mut r, "cascade.confident", cascade.confident, 100.0),
-        confident_under_pressure: get_number(
-            &mut r,
-            "cascade.confident_under_pressure",
-            cascade.confident_under_pressure,
-            100.0,
-        ),
-        confident_if_late: get_number(
-            &mut r,
-            "cascade.confident_if_late",
-            cascade.confident_if_late,
-            100.0,
-        ),
-        pressure_from: get_number(&mut r, "cascade.pressure_from", cascade.pressure_from, 10.0),
-        pressure_full: get_number(&mut r, "cascade.pressure_full", cascade.pressure_full, 10.0),
-    };
+    let escalation = get_escalation(&mut r, &defaults.escalation);
     let shares = defaults.exposure;
     let exposure = ExposureConfig {
         trial_share: get_number(&mut r, "roll_out.trial_share", shares.trial_share, 1.0),
@@ -111,6 +94,26 @@
     })
 }
 
+fn get_escalation(r: &mut Reader<'_>, cascade: &EscalationConfig) -> EscalationConfig {
+    EscalationConfig {
+        confident: get_number(r, "cascade.confident", cascade.confident, 100.0),
+        confident_under_pressure: get_number(
+            r,
+            "cascade.confident_under_pressure",
+            cascade.confident_under_pressure,
+            100.0,
+        ),
+        confident_if_late: get_number(
+            r,
+            "cascade.confident_if_late",
+            cascade.confident_if_late,
+            100.0,
+        ),
+        pressure_from: get_number(r, "cascade.pressure_from", cascade.pressure_from, 10.0),
+        pressure_full: get_number(r, "cascade.pressure_full", cascade.pressure_full, 10.0),
+    }
+}
+
 fn get_number(r: &mut Reader<'_>, key: &str, default: f64, max: f64) -> f64 {
     let value = r.get(key, "a number", Some(default)).unwrap_or(default);
     if !(0.0..=max).contains(&value) {
--- a/tests/play/queue.rs
+++ b/tests/play/queue.rs
@@ -29,6 +29,68 @@
     pub admitted: [f64; 3],
 }
 
+/// The queue, and what the entries know of it.
+struct Queue {
+    /// Entry and remaining work of each request.
+    requests: VecDeque<(usize, f64)>,
+    /// Work in the queue, by entry.
+    own_work: Vec<f64>,
+    /// Reports that are under way, with the time at which they arrive.
+    reports: VecDeque<(f64, Vec<f64>)>,
+    loads: Vec<LoadEstimate>,
+}
+
+impl Queue {
+    fn new(entries: usize) -> Self {
+        Self {
+            requests: VecDeque::new(),
+            own_work: vec![0.0; entries],
+            reports: VecDeque::new(),
+            loads: vec![LoadEstimate::default(); entries],
+        }
+    }
+
+    /// Does the work of one step.
+    fn work(&mut self) {
+        let mut time_left = STEP;
+        while let Some((entry, work)) = self.requests.front_mut().filter(|_| time_left > 0.0) {
+            let done = work.min(time_left);
+            (*work, time_left) = (*work - done, time_left - done);
+            self.own_work[*entry] = (self.own_work[*entry] - done).max(0.0);
+            if *work <= 0.0 {
+                self.requests.pop_front();
+            }
+        }
+    }
+
+    /// Sends the reports of this step and delivers those that are due.
+    fn report(&mut self, step: usize) {
+        let at = step as f64 * STEP;
+        if step.is_multiple_of((REPORT_INTERVAL / STEP) as usize) {
+            self.reports.push_back((at + REPORT_DELAY, self.own_work.clone()));
+        }
+        if self.reports.front().is_none_or(|(due, _)| *due > at) {
+            return;
+        }
+        let (_, report) = self.reports.pop_front().expect("there is a report");
+        let total: f64 = report.iter().sum();
+        for (load, own) in self.loads.iter_mut().zip(report) {
+            let others = Duration::from_secs_f64((total - own).max(0.0));
+            load.record_peer_load(0, others, Duration::from_secs_f64(at));
+        }
+    }
+
+    /// Expected wait of a request of an entry, as the entry knows it.
+    fn expected_wait(&self, entry: usize, now: Duration) -> Duration {
+        Duration::from_secs_f64(self.own_work[entry]) + self.loads[entry].peer_backlog(now)
+    }
+
+    fn admit(&mut self, entry: usize) {
+        self.requests.push_back((entry, WORK));
+        self.own_work[entry] += WORK;
+    }
+}
+
 /// Plays requests with the given demand, by priority as a multiple of the server's capacity. All requests need the
 /// largest model; their confidence is spread evenly below the usual threshold.
 pub fn play_queue(
@@ -39,70 +101,50 @@
 ) -> QueueOutcome {
     let reservation =
         Reservation { config: ReservationConfig::default(), shortest_objective: objective };
+    let reservation = is_reserved.then_some(&reservation);
     let config = EscalationConfig::default();
     let mut rng = StdRng::seed_from_u64(7);
-    // Entry and remaining work of each request.
-    let mut queue: VecDeque<(usize, f64)> = VecDeque::new();
-    let mut own_work = vec![0.0f64; entries];
-    let mut loads = vec![LoadEstimate::default(); entries];
-    let mut reports: VecDeque<(f64, Vec<f64>)> = VecDeque::new();
+    let mut queue = Queue::new(entries);
     let (mut max_queue, mut busy) = (0.0f64, 0.0);
     let (mut asked, mut admitted) = ([0.0; 3], [0.0; 3]);
     for step in 0..(LENGTH / STEP) as usize {
         let at = step as f64 * STEP;
-        let now = Duration::from_secs_f64(at);
-        let is_counted = at >= WARM_UP;
-        busy += if is_counted && !queue.is_empty() { STEP } else { 0.0 };
-        let mut time_left = STEP;
-        while let Some((entry, work)) = queue.front_mut().filter(|_| time_left > 0.0) {
-            let done = work.min(time_left);
-            (*work, time_left) = (*work - done, time_left - done);
-            own_work[*entry] = (own_work[*entry] - done).max(0.0);
-            if *work <= 0.0 {
-                queue.pop_front();
-            }
-        }
-        if step % (REPORT_INTERVAL / STEP) as usize == 0 {
-            reports.push_back((at + REPORT_DELAY, own_work.clone()));
-        }
-        if let Some((_, report)) = reports.pop_front_if(|(due, _)| *due <= at) {
-            let total: f64 = report.iter().sum();
-            for (load, own) in loads.iter_mut().zip(report) {
-                load.record_peer_load(0, Duration::from_secs_f64((total - own).max(0.0)), now);
-            }
-        }
+        let counted = if at >= WARM_UP { 1.0 } else { 0.0 };
+        busy += if queue.requests.is_empty() { 0.0 } else { STEP * counted };
+        queue.work();
+        queue.report(step);
         for priority in 0..3 {
             if rng.random::<f64>() >= demand[priority] / WORK * STEP {
                 continue;
             }
             let entry = rng.random_range(0..entries);
-            let prefill = Duration::from_secs_f64(WORK);
-            let own = Duration::from_secs_f64(own_work[entry]);
-            let answer = StageAnswer {
-                stage: 0,
-                stages: 2,
-                confidence: Some(rng.random_range(0..config.confident as u8)),
-                attempts_left: 2,
-                time_left: objective * 4,
-                objective,
-                expected_first_event: prefill + own + loads[entry].peer_backlog(now),
-                expected_idle_first_event: prefill,
-                elapsed: Duration::ZERO,
-                priority: priority as u8,
-            };
-            let decision = decide(&answer, &config, is_reserved.then_some(&reservation));
-            let is_admitted = matches!(decision, StageDecision::Escalate(_));
-            if is_admitted {
-                queue.push_back((entry, WORK));
-                own_work[entry] += WORK;
+            let confidence = rng.random_range(0..config.confident as u8);
+            let wait = queue.expected_wait(entry, Duration::from_secs_f64(at));
+            let answer = answer(confidence, wait, objective, priority as u8);
+            asked[priority] += counted;
+            if matches!(decide(&answer, &config, reservation), StageDecision::Escalate(_)) {
+                queue.admit(entry);
+                admitted[priority] += counted;
             }
-            asked[priority] += f64::from(u8::from(is_counted));
-            admitted[priority] += f64::from(u8::from(is_counted && is_admitted));
-        }
-        if is_counted {
-            max_queue = max_queue.max(own_work.iter().sum());
         }
+        max_queue = max_queue.max(queue.own_work.iter().sum::<f64>() * counted);
     }
     let admitted = [0, 1, 2].map(|priority| admitted[priority] / asked[priority]);
     QueueOutcome { max_queue, busy: busy / (LENGTH - WARM_UP), admitted }
 }
+
+fn answer(confidence: u8, wait: Duration, objective: Duration, priority: u8) -> StageAnswer {
+    let prefill = Duration::from_secs_f64(WORK);
+    StageAnswer {
+        stage: 0,
+        stages: 2,
+        confidence: Some(confidence),
+        attempts_left: 2,
+        time_left: objective * 4,
+        objective,
+        expected_first_event: prefill + wait,
+        expected_idle_first_event: prefill,
+        elapsed: Duration::ZERO,
+        priority,
+    }
+}
