Exchange the speed of servers' machines between entries

Cause: an entry hears from a given server once in some 8 s, and one answer in seven comes while neighbours slow the machine, so that an entry that has just started knew no speeds and others knew some wrong ones. Change: figures that are news (the first in a window of 10 s, or 5 % smaller) go to the seeds with the load reports and to all entries with the heartbeats, 9 bytes each, 512 in a message. Reports name the incarnation; an answer from before or after the listed one counts for none, and reports ahead of the row are kept for a minute. Absurd ones are counted (mintmoor_speed_reports), with event 207 once a minute. Where servers report no speed, nothing is sent.

--- a/src/policy/server_speed.rs
+++ b/src/policy/server_speed.rs
@@ -5,20 +5,29 @@
 //! each server every few seconds, and a slowdown is over before another entry learns of it. Since
 //! neighbours only ever add time, the lasting factor is the smallest one of the recent figures.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 /// Time that work takes on a machine, as a multiple of the usual time.
 pub type TimeFactor = f64;
 
 /// Factors outside this range are not believed: work that takes a tenth or thirty times the usual
 /// time is a defect of the report, not a property of a machine.
-const BELIEVED_RANGE: std::ops::RangeInclusive<TimeFactor> = 0.1..=30.0;
+const BELIEVED_RANGE: RangeInclusive<TimeFactor> = 0.1..=30.0;
 /// Time after which the smallest figure is replaced by the smallest one since. A slowdown by
 /// neighbours lasts for a fraction of this.
 const WINDOW: Duration = Duration::from_secs(10);
 /// Time for which the last figure counts as the present one; neighbours change many times a second.
 const PRESENT_FOR: Duration = Duration::from_millis(300);
 
+/// Smallest relative fall of a factor that other entries are told of. Less moves too little work to
+/// be worth a message to hundreds of entries.
+const MIN_TOLD_FALL: f64 = 0.05;
+
+/// Whether a factor can be that of a machine.
+pub fn is_believed(factor: TimeFactor) -> bool {
+    BELIEVED_RANGE.contains(&factor)
+}
+
 /// A figure and the time at which it was received, on the entry's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Figure {
@@ -49,7 +58,7 @@
 
     /// Records a lasting factor that another entry reports; false if it is not believed.
     pub fn record_reported(&mut self, factor: TimeFactor, now: Duration) -> bool {
-        if !BELIEVED_RANGE.contains(&factor) {
+        if !is_believed(factor) {
             return false;
         }
         match &mut self.window {
@@ -81,3 +90,22 @@
         fresh.map_or(self.lasting(), |last| last.factor.max(self.lasting()))
     }
 }
+
+/// The smallest factor of a server that entries have told each other in the running window.
+///
+/// Hundreds of entries hear from each server, so only what changes the lasting factor of the others
+/// is told: the first figure of each window, and figures that are considerably smaller.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharedSpeed {
+    /// The smallest factor told.
+    pub factor: TimeFactor,
+    /// When it was told or heard, on the entry's clock.
+    pub told_at: Duration,
+}
+
+impl SharedSpeed {
+    /// Whether a factor is worth telling to entries that know this one.
+    pub fn is_news(&self, factor: TimeFactor, now: Duration) -> bool {
+        now >= self.told_at + WINDOW || factor < self.factor * (1.0 - MIN_TOLD_FALL)
+    }
+}
--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::{
+    policy::server_speed::ServerSpeed,
     router::Router,
     telemetry::{admin::AdminHandlers, log::dropped_lines, metrics::ServiceLabels},
 };
@@ -43,6 +44,9 @@
         let paused = announced.iter().filter(|a| a.is_paused(now)).count();
         self.metrics.servers_draining.set(i64::try_from(draining).unwrap_or(i64::MAX));
         self.metrics.servers_paused.set(i64::try_from(paused).unwrap_or(i64::MAX));
+        let speeds = fleet.members().map(|m| m.state().speed);
+        let factors: Vec<f64> = speeds.filter(ServerSpeed::is_known).map(|s| s.lasting()).collect();
+        self.metrics.set_server_speeds(&factors);
         self.metrics.held_bytes.set(i64::try_from(self.held_bytes()).unwrap_or(i64::MAX));
         self.roll_outs.update_metrics(&self.metrics);
     }
--- a/src/router/peers/links.rs
+++ b/src/router/peers/links.rs
@@ -144,6 +144,7 @@
         router.prefix_reports.apply_report(&report.kept, &router.fleet.load(), router.now());
         router.quarantine.apply_updates(&report.ends, router.now());
         router.apply_limit_updates(&report.limits);
+        router.apply_speed_reports(&report.speeds, host);
         if let Some(usage) = &report.usage {
             router.usage.apply_report(host, usage, router.now());
         }
@@ -180,7 +181,7 @@
         return Ok(());
     }
     let (mut updates, mut changes) = router.table_views.subscribe(version);
-    let (mut next_kept, mut next_end, mut next_limit) = (0, None, 0);
+    let (mut next_kept, mut next_end, mut next_limit, mut next_speed) = (0, None, 0, 0);
     let mut quarantine_changes = router.quarantine.changes();
     let mut limit_changes = router.shared_limits.urgent_changes();
     loop {
@@ -194,19 +195,20 @@
         limit_changes.mark_unchanged();
         let (limits, next) = router.shared_limits.all_since(next_limit);
         next_limit = next;
+        let (speeds, next) = router.speed_reports.all_since(next_speed);
+        next_speed = next;
         let entries = router.load_reports.entry_count(router.now());
-        let place = router.place_of(host);
-        let is_informed = router.quarantine.is_informed();
         let heartbeat = PeerMessage::Beat {
             is_current,
             updates,
             entries,
-            place,
+            place: router.place_of(host),
             loads,
             kept,
             ends,
-            is_informed,
+            is_informed: router.quarantine.is_informed(),
             limits,
+            speeds,
             true_time: router.shared_true_time(),
         };
         send_message(&mut socket, &heartbeat).await?;
--- a/src/router/peers/messages.rs
+++ b/src/router/peers/messages.rs
@@ -12,6 +12,7 @@
         peers::{
             load_reports::ServerLoad, prefix_reports::ReportedPrefix,
             quarantine_update::QuarantineUpdate, shared_limits::LimitUpdate,
+            speed_reports::SpeedReport,
         },
         roll_outs::roll_out_state::VersionEvidence,
         store::compressed_rows::CompressedUpdate,
@@ -53,6 +54,9 @@
     /// Limits of servers that changed since its last report.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) limits: Vec<LimitUpdate>,
+    /// Speeds of servers that are news to the other entries; absent where servers report none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) speeds: Vec<SpeedReport>,
     /// Whether it has just started and does not know its rank among the entries yet.
     #[serde(default)]
     pub(crate) is_new: bool,
@@ -106,6 +110,10 @@
         /// first heartbeats.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         limits: Vec<LimitUpdate>,
+        /// Speeds of servers that were told since the last heartbeat, or all known speeds in the
+        /// first heartbeats; absent where servers report none.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        speeds: Vec<SpeedReport>,
         /// The sender's estimate of true time; absent if nobody reports usage.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         true_time: Option<TrueMs>,
--- a/src/router/peers/mod.rs
+++ b/src/router/peers/mod.rs
@@ -11,5 +11,6 @@
 pub(crate) mod seed_reporter;
 pub(crate) mod shared_limits;
 pub(crate) mod shared_quarantine;
+pub(crate) mod speed_reports;
 pub(crate) mod update_log;
 pub(crate) mod urgent_updates;
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -169,6 +169,7 @@
         ends,
         is_informed,
         limits,
+        speeds,
         true_time,
     } = message
     else {
@@ -191,6 +192,7 @@
     router.prefix_reports.apply(&kept, &fleet);
     router.quarantine.apply_updates(&ends, router.now());
     router.apply_limit_updates(&limits);
+    router.apply_speed_reports(&speeds, "followed entry");
     // A seed estimates true time from the clocks of all entries.
     if let Some(true_time) = true_time.filter(|_| !router.is_seed()) {
         router.usage.adopt_true_time(true_time, router.now());
--- a/src/router/peers/seed_reporter.rs
+++ b/src/router/peers/seed_reporter.rs
@@ -103,7 +103,8 @@
 ) -> Result<()> {
     let mut wakes = router.clock.subscribe_suspensions();
     let mut socket = timeout(OPEN_TIMEOUT, connect(seed)).await.map_err(|_| timed_out())??;
-    let (mut next_kept, mut next_end, mut next_limit, mut next_usage) = (0, None, None, 0);
+    let (mut next_kept, mut next_end, mut next_limit) = (0, None, None);
+    let (mut next_speed, mut next_usage) = (0, 0);
     loop {
         let mut report = reports.borrow_and_update().clone();
         (report.kept, next_kept) = router.prefix_reports.own_since(next_kept, router.now());
@@ -119,6 +120,7 @@
             router.shared_limits.own_since(next_limit)
         };
         (report.limits, next_limit) = (limits, Some(next));
+        (report.speeds, next_speed) = router.speed_reports.own_since(next_speed);
         if router.settings.load().duties.is_some() {
             let (usage, next) = router.usage.report_since(next_usage, router.now());
             (report.usage, next_usage) = (Some(usage), next);
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -188,7 +188,7 @@
     record_response_head(router, plan.member, &head, &ctx.req.head.id, sent_at);
     record_usage(router, ctx, &head, sent_at);
     if let Some(load) = head.load {
-        router.record_load(plan.member, load);
+        router.record_load(plan.member, load, sent_at);
     }
     let (tokens, elapsed) = (plan.uncached_tokens, started_at.elapsed());
     let speed = plan.member.state().speed;
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -41,7 +41,7 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Whether an event is due to be logged again; if so, records it as logged now.
-fn should_log(logged_at: &mut Option<Duration>, now: Duration) -> bool {
+pub(crate) fn should_log(logged_at: &mut Option<Duration>, now: Duration) -> bool {
     let should_log = logged_at.is_none_or(|at| now >= at + LOG_INTERVAL);
     if should_log {
         *logged_at = Some(now);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -32,7 +32,7 @@
         peers::{
             load_reports::LoadReports, own_place::OwnPlace, peer_link::PeerLink,
             prefix_reports::PrefixReports, shared_limits::SharedLimits,
-            shared_quarantine::SharedQuarantine,
+            shared_quarantine::SharedQuarantine, speed_reports::SpeedReports,
         },
         quarantine::quarantine_row::TrialRequest,
         request::memory_budget::MemoryBudget,
@@ -96,6 +96,8 @@
     pub(crate) load_reports: LoadReports,
     /// Prompt prefixes in the servers' caches, as entries report them to each other.
     pub(crate) prefix_reports: PrefixReports,
+    /// Speed of the servers' machines, as entries report it to each other.
+    pub(crate) speed_reports: SpeedReports,
     /// Requests during which servers crashed, as entries report them to each other.
     pub(crate) quarantine: SharedQuarantine,
     /// Memory that requests and responses may use while they are held.
@@ -145,6 +147,7 @@
             table_views: TableViews::default(),
             load_reports: LoadReports::default(),
             prefix_reports: PrefixReports::default(),
+            speed_reports: SpeedReports::default(),
             quarantine: SharedQuarantine::default(),
             usage: UsageMeter::new(CLOCK_ORIGIN),
             peer_link: PeerLink::default(),
@@ -218,6 +221,8 @@
         self.prefix_reports.apply(&[], &fleet);
         self.shared_limits.forget_departed(&fleet, self.now());
         self.fleet.store(Arc::new(fleet));
+        // Reports that are applied at the same time either see the new fleet or are applied here.
+        self.speed_reports.apply_to_new_servers(&self.fleet, self.now());
         self.view_changed.notify_waiters();
     }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicU64},
 };
 
 use prometheus_client::{
@@ -96,6 +96,20 @@
     pub outcome: String,
 }
 
+/// Labels of reports on the speed of servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SpeedReportLabels {
+    /// `own`, `news`, `known`, `dropped` or `disbelieved`.
+    pub outcome: String,
+}
+
+/// Labels of bounds of the servers' speeds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SpeedBoundLabels {
+    /// `smallest` or `largest`.
+    pub bound: String,
+}
+
 /// Labels of unknown response headers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct UnreadHeaderLabels {
@@ -165,6 +179,12 @@
     pub unavailable_sends: Family<UnavailableSendLabels, Counter>,
     /// Servers excluded from a selection because they are unavailable.
     pub servers_avoided: Family<AvoidedServerLabels, Counter>,
+    /// Known servers that have reported how long work takes on their machines.
+    pub servers_of_known_speed: Gauge,
+    /// Smallest and largest time factor of these servers.
+    pub server_time_factor: Family<SpeedBoundLabels, Gauge<f64, AtomicU64>>,
+    /// Reports on the speed of servers, by what became of them.
+    pub speed_reports: Family<SpeedReportLabels, Counter>,
     /// Answers with an unknown header.
     pub unread_headers: Family<UnreadHeaderLabels, Counter>,
     /// Names of unknown headers that have a label value of their own.
@@ -227,6 +247,9 @@
             servers_paused: Gauge::default(),
             unavailable_sends: Family::default(),
             servers_avoided: Family::default(),
+            servers_of_known_speed: Gauge::default(),
+            server_time_factor: Family::default(),
+            speed_reports: Family::default(),
             unread_headers: Family::default(),
             unread_header_names: Arc::default(),
             held_bytes: Gauge::default(),
@@ -294,6 +317,7 @@
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
+        self.register_speeds(&mut registry);
         self.register_memory(&mut registry);
         self.register_usage(&mut registry);
         registry.register("evidence", "Answers of versions under roll-out", self.evidence.clone());
@@ -311,6 +335,18 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    fn register_speeds(&self, registry: &mut Registry) {
+        let known = self.servers_of_known_speed.clone();
+        registry.register("servers_of_known_speed", "Servers that report their speed", known);
+        let factor = self.server_time_factor.clone();
+        registry.register("server_time_factor", "Bounds of the servers' time factors", factor);
+        registry.register(
+            "speed_reports",
+            "Reports on servers' speeds",
+            self.speed_reports.clone(),
+        );
+    }
+
     fn register_memory(&self, registry: &mut Registry) {
         let held = self.held_bytes.clone();
         registry.register("held_bytes", "Bytes held for slow callers and servers", held);
@@ -369,6 +405,34 @@
             .inc_by(servers);
     }
 
+    /// Counts reports on the speed of servers.
+    pub fn count_speed_reports(&self, outcome: &str, reports: u64) {
+        if reports > 0 {
+            let labels = SpeedReportLabels { outcome: outcome.into() };
+            self.speed_reports.get_or_create(&labels).inc_by(reports);
+        }
+    }
+
+    /// Sets the number of servers of known speed, and the bounds of their time factors.
+    pub fn set_server_speeds(&self, time_factors: &[f64]) {
+        self.servers_of_known_speed.set(i64::try_from(time_factors.len()).unwrap_or(i64::MAX));
+        let bounds = [
+            ("smallest", time_factors.iter().copied().reduce(f64::min)),
+            ("largest", time_factors.iter().copied().reduce(f64::max)),
+        ];
+        for (bound, factor) in bounds {
+            let labels = SpeedBoundLabels { bound: bound.into() };
+            match factor {
+                Some(factor) => {
+                    self.server_time_factor.get_or_create(&labels).set(factor);
+                }
+                None => {
+                    self.server_time_factor.remove(&labels);
+                }
+            }
+        }
+    }
+
     /// Counts an answer with an unknown header. Returns true for the first answer with this name, as long
     /// as the maximum number of names is not reached.
     pub fn count_unread_header(&self, name: &str) -> bool {
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -13,7 +13,11 @@
         response_headers::parse_response_head,
         store::{Put, Row, StoreClient, Table, WriteOutcome},
     },
-    policy::{rate_limit::AdvertisedLimit, retry_after::RetryAfter},
+    policy::{
+        load::{ReportedLoad, ReportedPace},
+        rate_limit::AdvertisedLimit,
+        retry_after::RetryAfter,
+    },
     routing::{Organisation, ResponseKind},
 };
 
@@ -173,6 +177,33 @@
     assert_eq!(parse_response_head(StatusCode::OK, &unknown, "r").unknown_headers, ["server-mood"]);
 }
 
+#[test]
+fn the_time_that_work_takes_is_parsed_from_the_load() {
+    let load = |value| {
+        let pairs = [("x-instance-load", value)];
+        parse_response_head(StatusCode::OK, &headers(&pairs), "r").load
+    };
+    let cases = [
+        ("1,2,8", ReportedPace::Absent),
+        ("1,2,8,55", ReportedPace::Percent(55)),
+        ("1,2,8, 300", ReportedPace::Percent(300)),
+        ("1,2,8,1000000000", ReportedPace::Percent(1_000_000_000)),
+        ("1,2,8,0", ReportedPace::Unreadable),
+        ("1,2,8,-55", ReportedPace::Unreadable),
+        ("1,2,8,", ReportedPace::Unreadable),
+        ("1,2,8,fast", ReportedPace::Unreadable),
+        ("1,2,8,0.55", ReportedPace::Unreadable),
+        ("1,2,8,NaN", ReportedPace::Unreadable),
+        ("1,2,8,99999999999", ReportedPace::Unreadable),
+        ("1,2,8,55,7", ReportedPace::Unreadable),
+    ];
+    for (value, pace) in cases {
+        let expected = ReportedLoad { running: 1, waiting: 2, slots: 8, pace };
+        assert_eq!(load(value), Some(expected), "{value}");
+    }
+    assert_eq!(load("1,2"), None);
+}
+
 #[test]
 fn a_draining_notice_and_retry_after_are_parsed() {
     let read = |pairs| parse_response_head(StatusCode::SERVICE_UNAVAILABLE, &headers(pairs), "r");
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -305,7 +305,7 @@
 }
 
 /// Waits until the entry has read the row with a server's new start.
-async fn wait_for_start(site: &Site, started_at: u64) {
+pub async fn wait_for_start(site: &Site, started_at: u64) {
     let is_listed = || {
         let fleet = site.entry.router.fleet.load();
         fleet.of_service("app").iter().any(|m| m.server.started_at == Some(started_at))
@@ -315,7 +315,7 @@
 
 /// A server that has crashed and runs again, while its row still shows the former start; it answers other requests
 /// after `delay`.
-async fn start_restarted_server(delay: Duration) -> (Server, Arc<Site>) {
+pub async fn start_restarted_server(delay: Duration) -> (Server, Arc<Site>) {
     let script = move |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
         true => Action::Crash { after_head: false },
         false => Action::RespondAfter { delay, body: "served" },
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -19,6 +19,7 @@
 mod rows;
 mod server;
 mod server_restarts;
+mod server_speeds;
 mod sessions;
 mod site;
 mod slow_readers;
