--- a/tests/play/engine.rs
+++ b/tests/play/engine.rs
@@ -83,12 +83,22 @@
     step_ends_at: f64,
     /// Number of shared tokens read so far.
     pub shared_tokens_read: u64,
+    /// Time that its requests have added to its steps so far.
+    pub work_seconds: f64,
 }
 
 impl Engine {
     pub fn new(profile: EngineProfile) -> Self {
         let (running, cached) = (Vec::new(), HashMap::new());
-        Self { profile, running, cached, use_counter: 0, step_ends_at: 0.0, shared_tokens_read: 0 }
+        Self {
+            profile,
+            running,
+            cached,
+            use_counter: 0,
+            step_ends_at: 0.0,
+            shared_tokens_read: 0,
+            work_seconds: 0.0,
+        }
     }
 
     /// Starts a request; cached prefixes are not read again, unique tokens always are.
@@ -157,9 +167,10 @@
         let running_count = self.running.len() as f64;
         let time_factor =
             self.running.iter().map(|request| request.time_factor).sum::<f64>() / running_count;
-        self.step_ends_at += prefill_time
-            + time_factor
-                * (self.profile.step_time + self.profile.step_time_per_request * running_count);
+        let request_time =
+            prefill_time + time_factor * self.profile.step_time_per_request * running_count;
+        self.step_ends_at += request_time + time_factor * self.profile.step_time;
+        self.work_seconds += request_time;
         for request in self.running.iter_mut().filter(|request| request.unread_tokens <= 0.0) {
             if request.first_token_at.is_none() {
                 request.first_token_at = Some(self.step_ends_at);
--- a/tests/play/fleet.rs
+++ b/tests/play/fleet.rs
@@ -20,6 +20,7 @@
         zones: 5.min(entries),
         escalation: EscalationRule::ExpectedWait,
         placement: PlacementConfig { choices, ..PlacementConfig::default() },
+        reports_speeds: false,
         engine_loss: None,
     };
     let all = arrivals(&scenario.classes, entries, 8.0, 1, |_| load_factor);
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -10,5 +10,6 @@
 mod pauses;
 mod placement;
 mod quarantine;
+mod server_speeds;
 mod simulator;
 mod workload;
--- a/tests/play/overload.rs
+++ b/tests/play/overload.rs
@@ -25,6 +25,7 @@
         zones: 3,
         escalation,
         placement,
+        reports_speeds: false,
         engine_loss: None,
     };
     let rate = |at: f64| if (8.0..20.0).contains(&at) { 3.0 } else { 1.0 };
--- a/tests/play/placement.rs
+++ b/tests/play/placement.rs
@@ -22,6 +22,7 @@
         zones: 3,
         escalation,
         placement,
+        reports_speeds: false,
         engine_loss: None,
     }
 }
--- a/tests/play/simulator.rs
+++ b/tests/play/simulator.rs
@@ -51,6 +51,8 @@
     pub zones: usize,
     pub escalation: EscalationRule,
     pub placement: PlacementConfig,
+    /// Whether the engines report how long work takes on their machines.
+    pub reports_speeds: bool,
     /// Index of the engine that is lost, and the time of the loss in seconds.
     pub engine_loss: Option<(usize, f64)>,
 }
@@ -98,6 +100,10 @@
     pub cross_zone_bytes: u64,
     /// Requests sent to each engine.
     pub requests_by_engine: Vec<u32>,
+    /// Seconds from arrival to the first token of the answers, summed.
+    pub first_token_seconds: f64,
+    /// Seconds that the requests of each engine have added to its steps.
+    pub work_by_engine: Vec<f64>,
     /// Shared tokens of all prompts sent, except the first occurrence of each prefix.
     pub reused_shared_tokens: u64,
 }
@@ -212,6 +218,8 @@
             reread_tokens: 0,
             cross_zone_bytes: 0,
             requests_by_engine: vec![0; scenario.engine_profiles.len()],
+            first_token_seconds: 0.0,
+            work_by_engine: Vec::new(),
             reused_shared_tokens: 0,
         },
         next_load_report: 0.0,
@@ -224,6 +232,8 @@
     }
     let end = arrivals.last().map_or(0.0, |arrival| arrival.at) + 60.0;
     simulator.advance_to(end, arrivals);
+    simulator.outcome.work_by_engine =
+        simulator.engines.iter().map(|engine| engine.work_seconds).collect();
     let read: u64 = simulator.engines.iter().map(|engine| engine.shared_tokens_read).sum();
     let first: u64 = simulator.distinct_shared_tokens.values().sum();
     simulator.outcome.reread_tokens = read - first;
@@ -321,13 +331,14 @@
             return;
         }
         let class = &self.scenario.classes[arrival.class];
-        let is_late =
-            attempt.first_token_at.unwrap_or(f64::MAX) - arrival.at > class.first_token_objective;
+        let first_token_seconds = attempt.first_token_at.unwrap_or(f64::MAX) - arrival.at;
+        let is_late = first_token_seconds > class.first_token_objective;
         let is_good =
             arrival.small_model_suffices || attempt.model.time_factor == LARGE.time_factor;
         let value =
             class.value * if is_late { 0.3 } else { 1.0 } * if is_good { 1.0 } else { 0.05 };
         let outcome = &mut self.outcome;
+        outcome.first_token_seconds += first_token_seconds;
         let counts = if is_late { &mut outcome.late } else { &mut outcome.on_time };
         counts[arrival.class] += 1;
         outcome.value += value;
@@ -350,6 +361,7 @@
                 class.first_token_objective,
             );
         }
+        let time_factor = self.known_time_factor(engine);
         let answer = StageAnswer {
             stage: 0,
             stages: 2,
@@ -357,8 +369,8 @@
             attempts_left: 2,
             time_left: Duration::from_secs(5),
             objective: Duration::from_secs_f64(class.first_token_objective),
-            expected_first_event: Duration::from_secs_f64(prefill_time + backlog),
-            expected_idle_first_event: Duration::from_secs_f64(prefill_time),
+            expected_first_event: Duration::from_secs_f64((prefill_time + backlog) * time_factor),
+            expected_idle_first_event: Duration::from_secs_f64(prefill_time * time_factor),
             elapsed: Duration::from_secs_f64(now - arrival.at),
             priority: 1,
         };
@@ -369,6 +381,15 @@
         model.time_factor / self.scenario.engine_profiles[0].prefill_rate
     }
 
+    /// How long work takes at an engine compared with the first one, as far as entries know it.
+    fn known_time_factor(&self, engine: usize) -> f64 {
+        let profiles = &self.scenario.engine_profiles;
+        if !self.scenario.reports_speeds {
+            return 1.0;
+        }
+        profiles[engine].step_time / profiles[0].step_time
+    }
+
     /// Chooses an engine for a request and sends it there.
     fn place(&mut self, i: usize, arrival: &Arrival, model: Model, now: f64) {
         let (engine, unread_tokens) = self.choose_engine(arrival, &model, now);
@@ -396,7 +417,7 @@
             // The simulation counts one byte per token.
             bytes: arrival.prompt_tokens() as usize,
             request_hash: 0,
-            unshared_tokens: 0,
+            unshared_tokens: arrival.unique_tokens,
         };
         let views = &self.views[arrival.entry];
         let at = Duration::from_secs_f64(now);
@@ -413,7 +434,7 @@
             cached_tokens: known_cached_tokens(&views[engine]),
             failure_rate: 0.0,
             is_same_zone: self.is_same_zone_as_entry(engine, arrival.entry),
-            time_factor: 1.0,
+            time_factor: self.known_time_factor(engine),
         };
         let engines: Vec<usize> =
             (0..self.engines.len()).filter(|engine| !self.is_lost(*engine, now)).collect();
