Catalogue test: create the labelled metrics of servers' speeds

Cause: the page's test renders labelled metrics only after they were recorded once; the new ones were not. Change: its fixture records them. metrics_page_lists_every_metric: red on, green now.

--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -64,6 +64,8 @@
     metrics.count_retry("s", true);
     metrics.count_unavailable_send("draining", "first");
     metrics.count_avoided_servers("paused", 1);
+    metrics.set_server_speeds(&[0.55]);
+    metrics.count_speed_reports("own", 1);
     metrics.count_unread_header("x-new");
     metrics.count_usage_report("accepted");
     metrics.count_store_call("c");
