An end counts right after another connection to the server broke

Cause: whether a server has ended is probed when a connection breaks, and the result was used for 300 ms. Where another connection had just broken for its own reasons, the server was alive at that time, and its end within 300 ms was not noticed here. Others noticed it for their requests, so that it counted as an end where the guilty request was not, and that request's ends became one event.

Change: a probe serves only the connections that broke before it began. Connections that break together still share one.

--- a/src/router/servers/lost_requests.rs
+++ b/src/router/servers/lost_requests.rs
@@ -11,8 +11,9 @@
 const MAX_LOST: usize = 256;
 /// Time after a broken connection within which data that the server sent before its end may still be read.
 const LATE_READ_MARGIN: Duration = Duration::from_millis(250);
-/// Time for which the result of a probe is used. All connections to a server that ends break within 10 ms.
-pub(super) const PROBE_VALID_FOR: Duration = Duration::from_millis(300);
+/// Time for which a connection that breaks belongs to the end that was proved last. All connections to a server that
+/// ends break within 10 ms.
+const SAME_END_WINDOW: Duration = Duration::from_millis(300);
 
 /// Requests that got no response from a server, and what is known about the server's end.
 #[derive(Debug, Default)]
@@ -21,7 +22,7 @@
     pub(super) outages: Vec<Outage>,
     /// When the end of the server was proved. The server may be back before the list shows its next incarnation.
     pub(super) ended_at: Option<Duration>,
-    /// When the server's address was last probed.
+    /// When the last probe of the server's address began.
     pub(super) probed_at: Option<Duration>,
     /// Begin of the latest outage, or when a later end was proved.
     pub(super) interrupted_at: Option<Duration>,
@@ -91,7 +92,7 @@
 impl LostRequests {
     /// Whether a connection that breaks now belongs to the end that was proved.
     pub(super) fn has_ended(&self, now: Duration) -> bool {
-        self.ended_at.is_some_and(|at| now < at + PROBE_VALID_FOR)
+        self.ended_at.is_some_and(|at| now < at + SAME_END_WINDOW)
     }
 
     /// Whether the server is known to have ended before a time: its address refused connections, or an outage is over.
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -14,7 +14,7 @@
         Member, Router,
         request::request_context::RequestContext,
         roll_outs::roll_out::RunOutcome,
-        servers::lost_requests::{LossCause, LostRequest, PROBE_VALID_FOR, SUSPECT_WINDOW},
+        servers::lost_requests::{LossCause, LostRequest, SUSPECT_WINDOW},
     },
     telemetry::event,
 };
@@ -91,14 +91,16 @@
     member.await_recovery();
 }
 
-/// Whether the server has ended. One probe serves all requests whose connections broke together.
+/// Whether the server has ended, asked when a connection to it has just broken. One probe serves all requests whose
+/// connections broke before it began. An earlier one proves nothing: the server may have ended since.
 async fn has_ended(router: &Router, member: &Member) -> bool {
+    let broken_at = router.now();
     let _guard = member.lock_probe().await;
     {
         let mut lost_requests = member.lost_requests();
         let now = router.now();
-        let is_fresh = lost_requests.probed_at.is_some_and(|at| now < at + PROBE_VALID_FOR);
-        if lost_requests.has_ended(now) || is_fresh {
+        let is_probed = lost_requests.probed_at.is_some_and(|at| broken_at <= at);
+        if lost_requests.has_ended(now) || is_probed {
             return lost_requests.has_ended(now);
         }
         lost_requests.probed_at = Some(now);
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -304,6 +304,24 @@
     wait_until("the second end counts", || ends() == 2).await;
 }
 
+/// Guards against ends that are not noticed: the address was probed when another connection broke, just before the
+/// server ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_counts_right_after_another_connection_broke() {
+    let script = |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
+        true => Action::Crash { after_head: false },
+        false => Action::CloseConnection,
+    };
+    let server = Server::start("i-1", script).await;
+    let site = Arc::new(Site::start(&[(&server, "app", "v1")]).await);
+
+    let _ = post(&site, "/once/a", "harmless").await;
+    let _ = post(&site, "/once/a", CRASHING_BODY).await;
+
+    let ends = || site.entry.router.dump()["quarantine"][0]["ends"].clone();
+    wait_until("the end counts", || ends() == 1).await;
+}
+
 /// Waits until the entry has read the row with a server's new start.
 async fn wait_for_start(site: &Site, started_at: u64) {
     let is_listed = || {
