Links to the seeds are opened again at once

What was seen: after a stop of one second all entries are without their report links for two seconds, and each learns of the ends under a crashing request by itself: 15 servers ended instead of three, 306 of 370 other requests served (the_other_requests_are_served_while_one_request_ends_servers, KNOWN-RED).

Cause: an entry whose link to a seed breaks waited 2 s before it opened the next one, also where the link had lasted for hours. What an entry observes reaches the others only over these links, and ends have to be known within a tenth of a second.

Change: two attempts are at least 0.5 s apart, as for a link that is followed, and a link that lasted longer is opened again at once. A seed that is gone is now asked twice a second instead of once in two to three, and event 203 logged as often.

--- a/src/router/peers/seed_reporter.rs
+++ b/src/router/peers/seed_reporter.rs
@@ -5,7 +5,7 @@
 use tokio::{
     sync::watch,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use tokio_tungstenite::tungstenite::Message;
 
@@ -26,8 +26,10 @@
 
 /// Interval between load reports to the seeds; streams last one second to a few seconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Pause before reconnecting to a seed after an error.
-const RECONNECT_PAUSE: Duration = Duration::from_secs(2);
+/// Minimum time between two attempts to connect to the same seed, as for a link that is followed. A link that lasted
+/// longer is opened again at once: what an entry observes reaches the others only over these links, and has to within a
+/// tenth of a second.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Reports to every seed. A seed also applies the sums of all reports to its own fleet.
 pub(crate) async fn report_to_seeds(router: &Arc<Router>) {
@@ -88,10 +90,11 @@
     mut reports: watch::Receiver<Report>,
 ) {
     loop {
+        let opened_at = Instant::now();
         if let Err(e) = report_to_seed(&router, seed, &host, &mut reports).await {
             event::PEER_FAILED.log(format_args!("peer={seed} cause=\"{e}\""));
         }
-        sleep(RECONNECT_PAUSE).await;
+        sleep_until(opened_at + RECONNECT_INTERVAL).await;
     }
 }
 
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -33,6 +33,9 @@
 /// server's end.
 const MAX_LATE_ARRIVALS: usize = 3;
 
+/// Age from which a link that breaks is opened again at once.
+const LINK_AGE: Duration = Duration::from_millis(1_000);
+
 /// Asserts that three servers ended and that hardly any sends followed once all entries had to know of it.
 fn assert_few_late_arrivals(pool: &Pool) {
     assert!(pool.crash_record.crash_count() >= 3, "fewer than three servers ended");
@@ -456,6 +459,26 @@
     assert_eq!(pool.crash_record.crash_count(), 3);
 }
 
+/// Guards against links to the seeds that stay closed for two seconds after a moment's silence: meanwhile nobody learns
+/// of the ends that the entry sees, and the other entries send the request on.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_seen_just_after_a_suspension_are_known_to_all_entries() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.start_entries(4).await;
+    let resumed = &sites[3];
+    sleep(LINK_AGE).await;
+    resumed.entry.router.clock.simulate_suspension(Duration::from_secs(2));
+    until_refused(resumed, "/chat/a").await;
+    sleep(PROPAGATION_TIME).await;
+    let crash_count = pool.crash_record.crash_count();
+
+    for site in &sites {
+        assert_eq!(post(site, "/chat/a", CRASHING_BODY).await.status, 503);
+    }
+
+    assert_eq!(pool.crash_record.crash_count(), crash_count, "the request was sent on");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operators_release_applies_to_all_entries() {
     let pool = Pool::start("llm", 6, true).await;
