An end that another entry saw counts for the requests lost here

Cause: a request that is refused while a server begins to run it is cancelled there, and nothing probes that server. If it ends after all, entries with other requests there tell of the end, but nobody names the guilty one: it looks like an end elsewhere, three ends within 250 ms count as one event, and the refusal is undone on all entries until the list shows the restart.

--- a/src/router/peers/links.rs
+++ b/src/router/peers/links.rs
@@ -142,7 +142,7 @@
         router.load_reports.apply_report(host, link, loads, !report.is_new, now);
         router.roll_outs.apply_evidence(host, report.evidence);
         router.prefix_reports.apply_report(&report.kept, &router.fleet.load(), router.now());
-        router.quarantine.apply_updates(&report.ends, router.now());
+        router.apply_quarantine_updates(&report.ends);
         router.apply_limit_updates(&report.limits);
         if let Some(usage) = &report.usage {
             router.usage.apply_report(host, usage, router.now());
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -189,7 +189,7 @@
     let fleet = router.fleet.load_full();
     router.load_reports.apply(&loads, &fleet, router.now());
     router.prefix_reports.apply(&kept, &fleet);
-    router.quarantine.apply_updates(&ends, router.now());
+    router.apply_quarantine_updates(&ends);
     router.apply_limit_updates(&limits);
     // A seed estimates true time from the clocks of all entries.
     if let Some(true_time) = true_time.filter(|_| !router.is_seed()) {
--- a/src/router/peers/quarantine_update.rs
+++ b/src/router/peers/quarantine_update.rs
@@ -27,7 +27,7 @@
         Self((fingerprint >> 64) as u64, fingerprint as u64, incarnation, age_ms)
     }
 
-    pub(super) fn decode(self, now: Duration) -> Note {
+    pub(crate) fn decode(self, now: Duration) -> Note {
         let Self(high, low, incarnation, age_ms) = self;
         let fingerprint = Fingerprint(u128::from(high) << 64 | u128::from(low));
         match age_ms.map(u64::from).map(Duration::from_millis) {
--- a/src/router/peers/seed_reporter.rs
+++ b/src/router/peers/seed_reporter.rs
@@ -152,7 +152,7 @@
     let PeerMessage::News { ends, limits } = message else {
         return Err(Error::ConnectionFailed("expected urgent updates".into()));
     };
-    router.quarantine.apply_updates(&ends, router.now());
+    router.apply_quarantine_updates(&ends);
     router.apply_limit_updates(&limits);
     Ok(())
 }
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -144,9 +144,7 @@
 
     /// Applies another entry's updates.
     pub(crate) fn apply_updates(&self, reported: &[QuarantineUpdate], now: Duration) {
-        if !reported.is_empty() {
-            self.apply(reported.iter().map(|note| note.decode(now)), false, now);
-        }
+        self.apply(reported.iter().map(|note| note.decode(now)), false, now);
     }
 
     /// Applies the cases from the store, whose times are accurate to `error`.
--- a/src/router/servers/lost_requests.rs
+++ b/src/router/servers/lost_requests.rs
@@ -145,7 +145,7 @@
     pub(super) fn take_end(&mut self, proof: Proof, now: Duration) -> Option<Outage> {
         self.expire(now);
         match proof {
-            Proof::Refused | Proof::Dropped => {
+            Proof::Refused | Proof::Dropped | Proof::Reported => {
                 // Data received under the same listing came from the same incarnation, so earlier outages were none
                 // of its end.
                 let outages = std::mem::take(&mut self.outages);
@@ -160,4 +160,21 @@
             }
         }
     }
+
+    /// Takes the outage in which the server ended at this time according to another entry. Not if it has sent data
+    /// since: it is back by now, or only disappeared from the list.
+    pub(super) fn take_reported_end(
+        &mut self,
+        at: Duration,
+        received_at: Duration,
+        now: Duration,
+    ) -> Option<Outage> {
+        let is_old = at + SUSPECT_WINDOW <= now || at + LATE_READ_MARGIN < received_at;
+        if is_old || self.ended_at.is_some() {
+            return None;
+        }
+        self.ended_at = Some(at);
+        self.interrupted_at = self.interrupted_at.max(Some(at));
+        self.take_end(Proof::Reported, now)
+    }
 }
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -2,19 +2,21 @@
 //!
 //! A request that a server was running when its process ended may have crashed it. A connection that breaks or stays
 //! silent does not prove that the process ended; the network may be at fault. Proof is that nothing listens at the
-//! server's address right afterwards, that the list of servers shows its next incarnation, or that the server
-//! disappears from the list without having announced that it is draining.
+//! server's address right afterwards, that the list of servers shows its next incarnation, that the server disappears
+//! from the list without having announced that it is draining, or that another entry has such proof.
 
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
+    policy::quarantine::Note,
     router::{
         Member, Router,
+        peers::quarantine_update::QuarantineUpdate,
         request::request_context::RequestContext,
         roll_outs::roll_out::RunOutcome,
-        servers::lost_requests::{LossCause, LostRequest, SUSPECT_WINDOW},
+        servers::lost_requests::{LossCause, LostRequest, Outage, SUSPECT_WINDOW},
     },
     telemetry::event,
 };
@@ -138,6 +140,8 @@
     /// It disappeared from the list without a drain notice. Some servers leave this way and keep serving for a
     /// while, so only requests that were lost earlier count as running at its end.
     Dropped,
+    /// Another entry has proof, and nothing was received from the server since.
+    Reported,
 }
 
 /// Records that a server has ended. All requests that it was running become suspects.
@@ -158,10 +162,20 @@
     if proof != Proof::Dropped {
         member.record_unreachable(now);
     }
-    let Some(outage) = outage else {
-        return;
-    };
-    let (suspects, ended_at) = (outage.suspects(now), outage.ended_at().unwrap_or(now));
+    if let Some(outage) = outage {
+        record_outage(router, member, &outage, outage.ended_at().unwrap_or(now), proof);
+    }
+}
+
+/// Records that a server ended at this time in an outage.
+fn record_outage(
+    router: &Router,
+    member: &Member,
+    outage: &Outage,
+    ended_at: Duration,
+    proof: Proof,
+) {
+    let suspects = outage.suspects(router.now());
     if suspects.is_empty() {
         return;
     }
@@ -174,12 +188,37 @@
     let incarnation = member.incarnation_hash();
     match proof {
         Proof::Refused => router.quarantine.record_ends(&suspects, incarnation, ended_at),
-        Proof::StartedAgain | Proof::Dropped => {
+        Proof::StartedAgain | Proof::Dropped | Proof::Reported => {
             router.quarantine.record_listed_ends(&suspects, incarnation, ended_at);
         }
     }
 }
 
+impl Router {
+    /// Applies other entries' quarantine updates. A server that ended according to them has ended for the requests that
+    /// this entry lost there as well. These come first: a request that is not known to have been running at an end
+    /// beside its own looks innocent.
+    pub(crate) fn apply_quarantine_updates(&self, reported: &[QuarantineUpdate]) {
+        if reported.is_empty() {
+            return;
+        }
+        let (fleet, now) = (self.fleet.load(), self.now());
+        for update in reported {
+            let Note::End { incarnation, at, .. } = update.decode(now) else {
+                continue;
+            };
+            if let Some(member) = fleet.by_incarnation(incarnation) {
+                let received_at = member.received_at();
+                let outage = member.lost_requests().take_reported_end(at, received_at, now);
+                if let Some(outage) = outage {
+                    record_outage(self, member, &outage, at, Proof::Reported);
+                }
+            }
+        }
+        self.quarantine.apply_updates(reported, now);
+    }
+}
+
 /// Moves what followed a server's end to its next incarnation: later outages, and what was announced since the last one.
 pub(crate) fn hand_over(ended: &Member, next: &Member, now: Duration) {
     let (outages, interrupted_at) = {
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -325,6 +325,32 @@
     wait_until("the end counts", || ends() == 1).await;
 }
 
+/// Guards against requests that look innocent: the end of a server where this entry had lost one was seen only by
+/// another entry, so that it counted as an end elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_seen_by_another_entry_counts_for_requests_lost_here() {
+    let script = |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
+        true => Action::CloseConnection,
+        false => Action::Hang,
+    };
+    let server = Server::start("i-1", script).await;
+    let store = store_with_servers(&[(&server, "app", "v1")]).await;
+    let pool = Pool::with_servers(store, vec![server.clone()]);
+    let sites = pool.start_entries(2).await;
+    let beside = sites[0].clone();
+    let beside = tokio::spawn(async move { post(&beside, "/once/a", "beside").await });
+    wait_until("the other request has arrived", || server.requests().len() == 1).await;
+    let _ = post(&sites[1], "/once/a", CRASHING_BODY).await;
+
+    server.crash();
+    beside.await.unwrap();
+
+    for site in &sites {
+        let suspects = || site.entry.router.dump()["quarantine"].as_array().unwrap().len();
+        wait_until("both requests are suspected", || suspects() == 2).await;
+    }
+}
+
 /// Waits until the entry has read the row with a server's new start.
 async fn wait_for_start(site: &Site, started_at: u64) {
     let is_listed = || {
