--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -169,6 +169,7 @@
         ends,
         is_informed,
         limits,
+        speeds,
         true_time,
     } = message
     else {
@@ -189,8 +190,9 @@
     let fleet = router.fleet.load_full();
     router.load_reports.apply(&loads, &fleet, router.now());
     router.prefix_reports.apply(&kept, &fleet);
-    router.quarantine.apply_updates(&ends, router.now());
+    router.apply_quarantine_updates(&ends);
     router.apply_limit_updates(&limits);
+    router.apply_speed_reports(&speeds, "followed entry");
     // A seed estimates true time from the clocks of all entries.
     if let Some(true_time) = true_time.filter(|_| !router.is_seed()) {
         router.usage.adopt_true_time(true_time, router.now());
--- a/src/router/peers/seed_reporter.rs
+++ b/src/router/peers/seed_reporter.rs
@@ -5,7 +5,7 @@
 use tokio::{
     sync::watch,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use tokio_tungstenite::tungstenite::Message;
 
@@ -26,8 +26,10 @@
 
 /// Interval between load reports to the seeds; streams last one second to a few seconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Pause before reconnecting to a seed after an error.
-const RECONNECT_PAUSE: Duration = Duration::from_secs(2);
+/// Minimum time between two attempts to connect to the same seed, as for a link that is followed. A link that lasted
+/// longer is opened again at once: what an entry observes reaches the others only over these links, and has to within a
+/// tenth of a second.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Reports to every seed. A seed also applies the sums of all reports to its own fleet.
 pub(crate) async fn report_to_seeds(router: &Arc<Router>) {
@@ -88,10 +90,11 @@
     mut reports: watch::Receiver<Report>,
 ) {
     loop {
+        let opened_at = Instant::now();
         if let Err(e) = report_to_seed(&router, seed, &host, &mut reports).await {
             event::PEER_FAILED.log(format_args!("peer={seed} cause=\"{e}\""));
         }
-        sleep(RECONNECT_PAUSE).await;
+        sleep_until(opened_at + RECONNECT_INTERVAL).await;
     }
 }
 
@@ -103,7 +106,8 @@
 ) -> Result<()> {
     let mut wakes = router.clock.subscribe_suspensions();
     let mut socket = timeout(OPEN_TIMEOUT, connect(seed)).await.map_err(|_| timed_out())??;
-    let (mut next_kept, mut next_end, mut next_limit, mut next_usage) = (0, None, None, 0);
+    let (mut next_kept, mut next_end, mut next_limit) = (0, None, None);
+    let (mut next_speed, mut next_usage) = (0, 0);
     loop {
         let mut report = reports.borrow_and_update().clone();
         (report.kept, next_kept) = router.prefix_reports.own_since(next_kept, router.now());
@@ -119,6 +123,7 @@
             router.shared_limits.own_since(next_limit)
         };
         (report.limits, next_limit) = (limits, Some(next));
+        (report.speeds, next_speed) = router.speed_reports.own_since(next_speed);
         if router.settings.load().duties.is_some() {
             let (usage, next) = router.usage.report_since(next_usage, router.now());
             (report.usage, next_usage) = (Some(usage), next);
@@ -149,7 +154,7 @@
     let PeerMessage::News { ends, limits } = message else {
         return Err(Error::ConnectionFailed("expected urgent updates".into()));
     };
-    router.quarantine.apply_updates(&ends, router.now());
+    router.apply_quarantine_updates(&ends);
     router.apply_limit_updates(&limits);
     Ok(())
 }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -33,6 +33,9 @@
 /// server's end.
 const MAX_LATE_ARRIVALS: usize = 3;
 
+/// Age from which a link that breaks is opened again at once.
+const LINK_AGE: Duration = Duration::from_millis(1_000);
+
 /// Asserts that three servers ended and that hardly any sends followed once all entries had to know of it.
 fn assert_few_late_arrivals(pool: &Pool) {
     assert!(pool.crash_record.crash_count() >= 3, "fewer than three servers ended");
@@ -304,8 +307,52 @@
     wait_until("the second end counts", || ends() == 2).await;
 }
 
+/// Guards against ends that are not noticed: the address was probed when another connection broke, just before the
+/// server ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_counts_right_after_another_connection_broke() {
+    let script = |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
+        true => Action::Crash { after_head: false },
+        false => Action::CloseConnection,
+    };
+    let server = Server::start("i-1", script).await;
+    let site = Arc::new(Site::start(&[(&server, "app", "v1")]).await);
+
+    let _ = post(&site, "/once/a", "harmless").await;
+    let _ = post(&site, "/once/a", CRASHING_BODY).await;
+
+    let ends = || site.entry.router.dump()["quarantine"][0]["ends"].clone();
+    wait_until("the end counts", || ends() == 1).await;
+}
+
+/// Guards against requests that look innocent: the end of a server where this entry had lost one was seen only by
+/// another entry, so that it counted as an end elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_seen_by_another_entry_counts_for_requests_lost_here() {
+    let script = |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
+        true => Action::CloseConnection,
+        false => Action::Hang,
+    };
+    let server = Server::start("i-1", script).await;
+    let store = store_with_servers(&[(&server, "app", "v1")]).await;
+    let pool = Pool::with_servers(store, vec![server.clone()]);
+    let sites = pool.start_entries(2).await;
+    let beside = sites[0].clone();
+    let beside = tokio::spawn(async move { post(&beside, "/once/a", "beside").await });
+    wait_until("the other request has arrived", || server.requests().len() == 1).await;
+    let _ = post(&sites[1], "/once/a", CRASHING_BODY).await;
+
+    server.crash();
+    beside.await.unwrap();
+
+    for site in &sites {
+        let suspects = || site.entry.router.dump()["quarantine"].as_array().unwrap().len();
+        wait_until("both requests are suspected", || suspects() == 2).await;
+    }
+}
+
 /// Waits until the entry has read the row with a server's new start.
-async fn wait_for_start(site: &Site, started_at: u64) {
+pub async fn wait_for_start(site: &Site, started_at: u64) {
     let is_listed = || {
         let fleet = site.entry.router.fleet.load();
         fleet.of_service("app").iter().any(|m| m.server.started_at == Some(started_at))
@@ -315,7 +362,7 @@
 
 /// A server that has crashed and runs again, while its row still shows the former start; it answers other requests
 /// after `delay`.
-async fn start_restarted_server(delay: Duration) -> (Server, Arc<Site>) {
+pub async fn start_restarted_server(delay: Duration) -> (Server, Arc<Site>) {
     let script = move |request: &ReceivedRequest| match request.body == CRASHING_BODY.as_bytes() {
         true => Action::Crash { after_head: false },
         false => Action::RespondAfter { delay, body: "served" },
@@ -438,6 +485,26 @@
     assert_eq!(pool.crash_record.crash_count(), 3);
 }
 
+/// Guards against links to the seeds that stay closed for two seconds after a moment's silence: meanwhile nobody learns
+/// of the ends that the entry sees, and the other entries send the request on.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_seen_just_after_a_suspension_are_known_to_all_entries() {
+    let pool = Pool::start("llm", 6, true).await;
+    let sites = pool.start_entries(4).await;
+    let resumed = &sites[3];
+    sleep(LINK_AGE).await;
+    resumed.entry.router.clock.simulate_suspension(Duration::from_secs(2));
+    until_refused(resumed, "/chat/a").await;
+    sleep(PROPAGATION_TIME).await;
+    let crash_count = pool.crash_record.crash_count();
+
+    for site in &sites {
+        assert_eq!(post(site, "/chat/a", CRASHING_BODY).await.status, 503);
+    }
+
+    assert_eq!(pool.crash_record.crash_count(), crash_count, "the request was sent on");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operators_release_applies_to_all_entries() {
     let pool = Pool::start("llm", 6, true).await;
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -12,5 +12,6 @@
 mod quarantine;
 mod queue;
 mod reservation;
+mod server_speeds;
 mod simulator;
 mod workload;
--- a/tests/play/reservation.rs
+++ b/tests/play/reservation.rs
@@ -29,6 +29,7 @@
         zones: 3,
         escalation,
         placement: PlacementConfig::default(),
+        reports_speeds: false,
         engine_loss: Some((0..8, 10.0..PEAK.end)),
     };
     let play = |seed| {
