Overload control where the platform's settings expect overload, not where machines are shared

The queue at the best of a few servers doesn't tell an overload from a wave in the demand. Change: the default of overload.control is the platform's settings alone.

--- a/src/policy/overload_control.rs
+++ b/src/policy/overload_control.rs
@@ -5,8 +5,7 @@
 /// Setting `overload.control`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum OverloadControl {
-    /// Where the platform's settings expect overload, or servers report that they share their machines: the capacity
-    /// of such servers can fall at any moment.
+    /// Where the platform's settings expect overload.
     #[default]
     Requested,
     /// Always.
@@ -34,11 +33,10 @@
 }
 
 impl OverloadControl {
-    /// Whether overload control is in force in a deployment that expects overload, or whose servers share their
-    /// machines.
-    pub fn is_in_force(self, expects_overload: bool, has_shared_machines: bool) -> bool {
+    /// Whether overload control is in force in a deployment that expects overload or does not.
+    pub fn is_in_force(self, expects_overload: bool) -> bool {
         match self {
-            Self::Requested => expects_overload || has_shared_machines,
+            Self::Requested => expects_overload,
             Self::Always => true,
             Self::Never => false,
         }
--- a/src/router/servers/reported_load.rs
+++ b/src/router/servers/reported_load.rs
@@ -1,10 +1,7 @@
 //! Records the load and the speed that servers report with their responses, and the speeds that
 //! other entries report.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     policy::load::{ReportedLoad, ReportedPace},
@@ -13,13 +10,6 @@
 };
 
 impl Router {
-    /// Whether overload control is in force.
-    pub(crate) fn controls_overload(&self) -> bool {
-        let expects_overload = self.settings.load().expects_overload;
-        let has_shared_machines = self.has_shared_machines.load(Ordering::Relaxed);
-        self.policy.overload_control.is_in_force(expects_overload, has_shared_machines)
-    }
-
     /// Records the load in a server's response to a request that was sent at `sent_at`, and the
     /// speed of its machine if the report has it.
     pub(crate) fn record_load(&self, member: &Member, load: ReportedLoad, sent_at: Duration) {
@@ -39,7 +29,6 @@
     /// Records the time that work takes on a server's machine, in percent of the usual time; false
     /// if it is not believed.
     fn record_pace(&self, member: &Member, percent: u32, sent_at: Duration, now: Duration) -> bool {
-        self.has_shared_machines.store(true, Ordering::Relaxed);
         let factor = f64::from(percent) / 100.0;
         let Some(running) = self.listed_sender(member, sent_at) else {
             return true;
@@ -66,9 +55,6 @@
     /// Applies the speeds of servers that another entry reports.
     pub(crate) fn apply_speed_reports(&self, reports: &[SpeedReport], peer: &str) {
         let applied = self.speed_reports.apply(reports, &self.fleet, self.now());
-        if applied.news > 0 {
-            self.has_shared_machines.store(true, Ordering::Relaxed);
-        }
         let outcomes = [
             ("news", applied.news),
             ("known", applied.known),
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, OnceLock,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -104,8 +104,6 @@
     pub(crate) memory: MemoryBudget,
     /// Counts of the requests that begin to run, for the report of usage.
     pub(crate) usage: UsageMeter,
-    /// Whether a server has reported that it shares its machine.
-    pub(super) has_shared_machines: AtomicBool,
     /// Measured speed of the models.
     pub(crate) speed_estimates: TimingEstimates,
     /// The link to another entry that this one follows instead of the store.
@@ -155,7 +153,6 @@
             retry_budgets: Mutex::default(),
             extra_share: Mutex::new(ExtraShare::new(CLOCK_ORIGIN)),
             overloads: Mutex::default(),
-            has_shared_machines: AtomicBool::new(false),
             speed_estimates: TimingEstimates::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
@@ -377,6 +374,11 @@
         retry_budgets.entry(service.into()).or_default().remaining(&terms, self.now()) >= 1.0
     }
 
+    /// Whether overload control is in force.
+    pub(crate) fn controls_overload(&self) -> bool {
+        self.policy.overload_control.is_in_force(self.settings.load().expects_overload)
+    }
+
     /// Records the number of entries, as counted by a seed that all of them report to. The settings give a lower
     /// bound, since a seed that is cut off from the others counts too few.
     pub(crate) fn record_entries(&self, entries: usize) {
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -15,6 +15,7 @@
     },
     policy::{
         load::{ReportedLoad, ReportedPace},
+        overload_control::OverloadControl,
         rate_limit::AdvertisedLimit,
         retry_after::RetryAfter,
     },
@@ -287,6 +288,20 @@
     assert_eq!(&*settings.store_address, "10.200.1.7:8223");
 }
 
+#[test]
+fn overload_control_is_in_force_where_the_platform_expects_overload() {
+    let expecting = SETTINGS.to_owned() + "contracts: [base, pressure]\n";
+
+    let [usual, expecting] =
+        [SETTINGS, &expecting].map(|text| host_settings::parse(text).unwrap().expects_overload);
+
+    assert!(!usual && expecting);
+    assert!(OverloadControl::Requested.is_in_force(expecting));
+    assert!(!OverloadControl::Requested.is_in_force(usual));
+    assert!(OverloadControl::Always.is_in_force(usual));
+    assert!(!OverloadControl::Never.is_in_force(expecting));
+}
+
 #[test]
 fn all_problems_in_host_settings_are_reported_together() {
     let text = SETTINGS.replace("10.1.0.40:8227", "nowhere").replace("address", "adress");
