--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -10,6 +10,8 @@
 mod pauses;
 mod placement;
 mod quarantine;
+mod queue;
+mod reservation;
 mod server_speeds;
 mod simulator;
 mod workload;
--- a/tests/play/simulator.rs
+++ b/tests/play/simulator.rs
@@ -1,12 +1,13 @@
 //! Simulates entries that place requests on engines, with the production code for placement and escalation.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, ops::Range, time::Duration};
 
 use mintmoor::policy::{
-    escalation::{EscalationConfig, StageAnswer, escalate},
+    escalation::{EscalationConfig, StageAnswer},
     load::LoadEstimate,
     placement::{Candidate, PlacementConfig, PlacementRequest, hash_id, place},
     prefix_cache::{CachedPrefixes, PromptPrefix},
+    reservation::{Reservation, ReservationConfig, StageDecision, decide},
 };
 
 use crate::{
@@ -53,8 +54,8 @@
     pub placement: PlacementConfig,
     /// Whether the engines report how long work takes on their machines.
     pub reports_speeds: bool,
-    /// Index of the engine that is lost, and the time of the loss in seconds.
-    pub engine_loss: Option<(usize, f64)>,
+    /// Indices of the engines that are lost, and the time of the loss in seconds.
+    pub engine_loss: Option<(Range<usize>, Range<f64>)>,
 }
 
 /// Placement costs of the previous policy: a fixed cost for leaving the zone, which depends neither on the size of
@@ -84,6 +85,8 @@
     MeanWait,
     /// By the currently expected wait.
     ExpectedWait,
+    /// By the currently expected wait, with the large model reserved for urgent classes.
+    Reserved,
 }
 
 /// Result of a simulation run; `requests`, `on_time` and `late` are counted by request class.
@@ -106,6 +109,8 @@
     pub work_by_engine: Vec<f64>,
     /// Shared tokens of all prompts sent, except the first occurrence of each prefix.
     pub reused_shared_tokens: u64,
+    /// Class, arrival time and part of the full value of each answer.
+    pub answers: Vec<(usize, f64, f64)>,
 }
 
 impl Outcome {
@@ -221,6 +226,7 @@
             first_token_seconds: 0.0,
             work_by_engine: Vec::new(),
             reused_shared_tokens: 0,
+            answers: Vec::new(),
         },
         next_load_report: 0.0,
         mean_wait: vec![INITIAL_MEAN_WAIT; scenario.entries],
@@ -245,7 +251,8 @@
     fn is_lost(&self, engine: usize, now: f64) -> bool {
         self.scenario
             .engine_loss
-            .is_some_and(|(lost_engine, at)| lost_engine == engine && now >= at)
+            .as_ref()
+            .is_some_and(|(lost, time)| lost.contains(&engine) && time.contains(&now))
     }
 
     fn is_same_zone_as_entry(&self, engine: usize, entry: usize) -> bool {
@@ -335,13 +342,13 @@
         let is_late = first_token_seconds > class.first_token_objective;
         let is_good =
             arrival.small_model_suffices || attempt.model.time_factor == LARGE.time_factor;
-        let value =
-            class.value * if is_late { 0.3 } else { 1.0 } * if is_good { 1.0 } else { 0.05 };
+        let part = if is_late { 0.3 } else { 1.0 } * if is_good { 1.0 } else { 0.05 };
         let outcome = &mut self.outcome;
         outcome.first_token_seconds += first_token_seconds;
         let counts = if is_late { &mut outcome.late } else { &mut outcome.on_time };
         counts[arrival.class] += 1;
-        outcome.value += value;
+        outcome.value += class.value * part;
+        outcome.answers.push((arrival.class, arrival.at, part));
     }
 
     /// Returns whether a request that the small model answers is escalated to the large model.
@@ -372,9 +379,17 @@
             expected_first_event: Duration::from_secs_f64((prefill_time + backlog) * time_factor),
             expected_idle_first_event: Duration::from_secs_f64(prefill_time * time_factor),
             elapsed: Duration::from_secs_f64(now - arrival.at),
-            priority: 1,
+            priority: class.priority,
         };
-        escalate(&answer, &EscalationConfig::default()).is_some()
+        let objectives = self.scenario.classes.iter().map(|class| class.first_token_objective);
+        let reservation = Reservation {
+            config: ReservationConfig::default(),
+            shortest_objective: Duration::from_secs_f64(objectives.fold(f64::MAX, f64::min)),
+        };
+        let is_reserved = self.scenario.escalation == EscalationRule::Reserved;
+        let reservation = is_reserved.then_some(&reservation);
+        let decision = decide(&answer, &EscalationConfig::default(), reservation);
+        matches!(decision, StageDecision::Escalate(_))
     }
 
     fn prefill_token_time(&self, model: &Model) -> f64 {
