--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -9,7 +9,7 @@
         availability::{self, Availability},
         choice::Pool,
         place::Place,
-        placement::{PlacementConfig, PlacementRequest, place},
+        placement::{Candidate, PlacementConfig, PlacementRequest, place},
         rate_limit::{SlidingWindowLog, allowance},
         roll_out::takes_new_version,
     },
@@ -60,6 +60,16 @@
 /// Places an attempt on the users' platform: builds the candidates from the servers' records and chooses one.
 #[divan::bench(args = [20, 200, 2_100])]
 fn place_an_attempt(bencher: Bencher, servers: usize) {
+    bench_placement(bencher, servers, |_| 1.0);
+}
+
+/// The same where one server in four takes half of the usual time.
+#[divan::bench(args = [20, 200, 2_100])]
+fn place_on_uneven_servers(bencher: Bencher, servers: usize) {
+    bench_placement(bencher, servers, |i| if i % 4 == 0 { 0.55 } else { 1.2 });
+}
+
+fn bench_placement(bencher: Bencher, servers: usize, time_factor: impl Fn(usize) -> f64 + Sync) {
     let members: Vec<Member> = (0..servers)
         .map(|i| Member::new(backend_server(i), Duration::ZERO, Duration::ZERO))
         .collect();
@@ -73,8 +83,12 @@
         unshared_tokens: 6_000,
     };
     let now = Duration::from_secs(60);
+    let candidate = |(i, member): (usize, &Member)| Candidate {
+        time_factor: time_factor(i),
+        ..member.candidate("zone-3", &[], now)
+    };
     bencher.bench(|| {
-        let candidates: Vec<_> = members.iter().map(|m| m.candidate("zone-3", &[], now)).collect();
+        let candidates: Vec<_> = members.iter().enumerate().map(candidate).collect();
         place(&candidates, &request, &config)
     });
 }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -5,6 +5,9 @@
 //! prompts that entries sent to it (docs/decisions/0011). Parts that no server has cached go to the server
 //! that rendezvous hashing selects, so that entries which send them at the same time agree.
 //!
+//! Where servers report the speed of their machines, work counts in the time that it takes there
+//! ([`server_speed`](crate::policy::server_speed), docs/design/0003).
+//!
 //! Only a shortlist of servers is compared for each request: those that rank highest by rendezvous hashing in
 //! the zone and in other zones, and those that have its parts cached. Load information is half a second old;
 //! if every entry compared all servers, all would choose the one that was idle then. With a few candidates
