Log the shared prompt parts of failed attempts and broken streams

On-call can't tell from events 505 and 506 whether requests that crash servers have something in common: they name a fingerprint of the whole request. Both lines list the parts that other requests may share (hexadecimal ids, at most eight). RequestHead::shared_parts takes the place of two computations of it.

--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -79,8 +79,9 @@
                 let id = &ctx.req.head.id;
                 let (route, server, number) = (&ctx.route.name, &member.server.id, ctx.runs);
                 event::ATTEMPT_FAILED.log(format_args!(
-                    "request={id} fingerprint={} route={route} server={server} runs={number} cause=\"{e}\"",
-                    ctx.fingerprint()
+                    "request={id} fingerprint={} parts={} route={route} server={server} runs={number} cause=\"{e}\"",
+                    ctx.fingerprint(),
+                    ctx.log_shared_parts()
                 ));
             }
         }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -233,8 +233,9 @@
             self.record_stream_error(&server, sent_at, &e).await;
             let (id, events) = (&self.ctx.req.head.id, self.last_event_id);
             event::STREAM_BROKEN.log(format_args!(
-                "request={id} fingerprint={} server={} last_event={events:?} cause=\"{e}\"",
+                "request={id} fingerprint={} parts={} server={} last_event={events:?} cause=\"{e}\"",
                 self.ctx.fingerprint(),
+                self.ctx.log_shared_parts(),
                 server.server.id
             ));
             self.ctx.mark_last_attempt_lost();
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -13,6 +13,9 @@
     routing::{Fingerprint, Organisation, Request, Route},
 };
 
+/// Maximum number of prompt parts in a log line; prompts have two to five.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// A request that is being handled, with the record of its attempts.
 #[derive(Debug)]
 pub(crate) struct RequestContext {
@@ -84,6 +87,13 @@
         *self.fingerprint.get_or_init(|| Fingerprint::of(&self.req, self.organisation.as_deref()))
     }
 
+    /// The prompt parts that other requests may share, for log lines: hexadecimal ids separated by commas.
+    pub(crate) fn log_shared_parts(&self) -> String {
+        let parts = self.req.head.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Records when a run began; returns whether it is the first one of the request.
     pub(crate) fn record_run_start(&self, began_at: Duration) -> bool {
         self.first_run_at.set(began_at).is_ok()
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -171,7 +171,6 @@
     let prefill_token_time = router.speed_estimates.get(key).prefill_token_time();
     let bytes = ctx.req.body.len();
     let prompt_tokens = ctx.req.head.prompt_tokens;
-    let parts = &ctx.req.head.prompt_parts;
     let request_hash = hash_id(&ctx.req.head.id);
     let Some(last_shared) = ctx.req.head.last_shared_part().filter(|_| ctx.route.is_sticky) else {
         return PlacementRequest {
@@ -182,7 +181,7 @@
             ..PlacementRequest::default()
         };
     };
-    let shared_tokens = parts[..parts.len() - 1].iter().map(|part| part.tokens).sum();
+    let shared_tokens = ctx.req.head.shared_parts().iter().map(|part| part.tokens).sum();
     PlacementRequest {
         affinity: Some(xxh3_64_with_seed(key.as_bytes(), last_shared.id)),
         shared_tokens,
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -51,10 +51,14 @@
         self.session.as_deref().unwrap_or(&self.id)
     }
 
+    /// Parts of the prompt that other requests may have as well: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Last part of the prompt's longest prefix that other requests may share.
     pub fn last_shared_part(&self) -> Option<&PromptPart> {
-        let index = self.prompt_parts.len().checked_sub(2)?;
-        self.prompt_parts.get(index)
+        self.shared_parts().last()
     }
 }
 
