--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine/mod.rs
@@ -19,7 +19,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::routing::Fingerprint;
+use crate::{policy::quarantine::request_record::RequestRecord, routing::Fingerprint};
+
+pub use note::Note;
+
+mod note;
+mod request_record;
 
 /// Hash that identifies one incarnation of a server, that is one run of its process.
 pub type IncarnationHash = u64;
@@ -38,8 +43,6 @@
 /// Maximum number of remembered requests, 0.5 MB. This suffices for the loss of a zone with 700
 /// servers that run four requests each.
 const MAX_REQUESTS: usize = 4_096;
-/// Maximum number of remembered ends per request; earlier ones no longer matter.
-const MAX_ENDS_PER_REQUEST: usize = 16;
 /// Time for which a request that is not refused is remembered after its last end. This is enough to
 /// detect a crashing request that is sent every few minutes.
 const SUSPECT_TTL: Duration = Duration::from_secs(60 * 60);
@@ -57,38 +60,6 @@
 /// time would not show which request crashed it.
 const EARLY_TRIAL_SPREAD: Duration = Duration::from_millis(1_500);
 
-/// A fact about one request, as exchanged between entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Note {
-    /// A server incarnation ended while it was running the request.
-    End {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// The incarnation that ended.
-        incarnation: IncarnationHash,
-        /// Time of the end, on the clock of the entry that holds the note.
-        at: Duration,
-    },
-    /// The end no longer counts against the request, since a server has answered the request
-    /// completely or an operator has released it. The note identifies the end rather than a time:
-    /// each entry would compute a slightly later time than the sender and forward it as new,
-    /// indefinitely.
-    Cleared {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// The incarnation that ended.
-        incarnation: IncarnationHash,
-    },
-}
-
-impl Note {
-    /// The request that the note is about.
-    pub fn fingerprint(&self) -> Fingerprint {
-        let (Self::End { fingerprint, .. } | Self::Cleared { fingerprint, .. }) = self;
-        *fingerprint
-    }
-}
-
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
@@ -103,63 +74,6 @@
     },
 }
 
-/// The end of a server incarnation that was running a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct End {
-    incarnation: IncarnationHash,
-    at: Duration,
-    is_cleared: bool,
-}
-
-/// All known ends and trials of one request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct RequestRecord {
-    /// Ordered by time, the earliest first.
-    ends: Vec<End>,
-    trials: u32,
-    tried_at: Duration,
-}
-
-impl RequestRecord {
-    /// Adds or clears an end and returns whether that is new.
-    fn add_end(&mut self, incarnation: IncarnationHash, at: Duration, is_cleared: bool) -> bool {
-        if let Some(end) = self.ends.iter_mut().find(|end| end.incarnation == incarnation) {
-            let is_new = is_cleared && !end.is_cleared;
-            end.is_cleared |= is_cleared;
-            return is_new;
-        }
-        let place = self.ends.partition_point(|end| (end.at, end.incarnation) < (at, incarnation));
-        self.ends.insert(place, End { incarnation, at, is_cleared });
-        if self.ends.len() > MAX_ENDS_PER_REQUEST {
-            self.ends.remove(0);
-        }
-        true
-    }
-
-    /// The ends that count against the request.
-    fn counted_ends(&self) -> impl Iterator<Item = (IncarnationHash, Duration)> {
-        self.ends.iter().filter(|end| !end.is_cleared).map(|end| (end.incarnation, end.at))
-    }
-
-    /// Whether an end was cleared by a complete answer or by an operator.
-    fn has_cleared_end(&self) -> bool {
-        self.ends.iter().any(|end| end.is_cleared)
-    }
-
-    fn last_activity(&self) -> Duration {
-        self.ends.last().map_or(Duration::ZERO, |end| end.at).max(self.tried_at)
-    }
-
-    fn was_running_on(&self, incarnation: IncarnationHash) -> bool {
-        self.ends.iter().any(|end| end.incarnation == incarnation)
-    }
-
-    /// Whether there are enough ends to refuse the request. Other requests are evicted first.
-    fn is_refusable(&self) -> bool {
-        self.counted_ends().count() >= REFUSED_AFTER
-    }
-}
-
 /// Generates the identity of an incarnation that the server list has not shown, from the identity
 /// of the previous one and of the one listed.
 fn next_incarnation(previous: IncarnationHash, listed: IncarnationHash) -> IncarnationHash {
