--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -39,7 +39,7 @@
 /// Asserts that three servers ended and that hardly any sends followed once all entries had to know of it.
 fn assert_few_late_arrivals(pool: &Pool) {
     assert!(pool.crash_record.crash_count() >= 3, "fewer than three servers ended");
-    let late = pool.crash_record.arrivals_after_third_crash(PROPAGATION_TIME);
+    let late = pool.crash_record.arrivals_after_crash(3, PROPAGATION_TIME);
     let (ends, tries) = (pool.crash_record.crash_count(), pool.crash_record.distinct_requests());
     println!("{late} late arrivals, {ends} server ends in total, {tries} requests");
     assert!(
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod allowed_regions;
 mod cold;
 mod crashes;
+mod crashing_parts;
 mod duties;
 mod duty_service;
 mod evacuations;
--- a/tests/platform/pool.rs
+++ b/tests/platform/pool.rs
@@ -42,14 +42,14 @@
 }
 
 impl CrashRecord {
-    /// Number of arrivals of the crashing request more than `tolerance` after the third crash.
-    pub fn arrivals_after_third_crash(&self, tolerance: Duration) -> usize {
+    /// Number of arrivals of crashing requests more than `tolerance` after the crash with this number.
+    pub fn arrivals_after_crash(&self, number: usize, tolerance: Duration) -> usize {
         let crashed_at = self.crashed_at.lock().unwrap();
-        let Some(third) = crashed_at.get(2) else {
+        let Some(crash) = crashed_at.get(number - 1) else {
             return 0;
         };
         let arrivals = self.arrivals.lock().unwrap();
-        arrivals.iter().filter(|(at, _)| *at > *third + tolerance).count()
+        arrivals.iter().filter(|(at, _)| *at > *crash + tolerance).count()
     }
 
     /// Number of distinct caller requests among the arrivals.
@@ -76,13 +76,25 @@
 impl Pool {
     /// Starts servers of a service that respond with streams and crash on the crashing request.
     pub async fn start(service: &'static str, number: usize, after_head: bool) -> Self {
+        let has_crashing_body =
+            |request: &ReceivedRequest| request.body == CRASHING_BODY.as_bytes();
+        Self::start_crashing_on(service, number, after_head, has_crashing_body).await
+    }
+
+    /// Like [`Pool::start`], with servers that crash on all requests for which `crashes` is true.
+    pub async fn start_crashing_on(
+        service: &'static str,
+        number: usize,
+        after_head: bool,
+        crashes: impl Fn(&ReceivedRequest) -> bool + Clone + Send + Sync + 'static,
+    ) -> Self {
         let crash_record = Arc::new(CrashRecord::default());
         let store = store_with_servers(&[]).await;
         let (mut servers, mut restarts) = (Vec::new(), JoinSet::new());
         for i in 0..number {
-            let record = crash_record.clone();
+            let (record, crashes) = (crash_record.clone(), crashes.clone());
             let script = move |request: &ReceivedRequest| {
-                if request.body != CRASHING_BODY.as_bytes() {
+                if !crashes(request) {
                     return Action::PacedStream {
                         last_event: EVENT_COUNT,
                         interval: Duration::from_millis(15),
@@ -175,9 +187,15 @@
 
 /// Sends a POST request with a new id.
 pub async fn post(site: &Site, path: &str, body: &str) -> Answer {
+    post_with_headers(site, path, "", body).await
+}
+
+/// Like [`post`], with further header lines.
+pub async fn post_with_headers(site: &Site, path: &str, headers: &str, body: &str) -> Answer {
     static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
     let id = format!("p-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
-    site.send(&request_bytes_with_id(&id, "POST", path, "X-Model: small\r\n", body)).await
+    let headers = format!("X-Model: small\r\n{headers}");
+    site.send(&request_bytes_with_id(&id, "POST", path, &headers, body)).await
 }
 
 /// Sends the crashing request to the entries in turn, every 60 ms for this duration, without
