--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -1,16 +1,18 @@
-//! Quarantine for requests that crash servers.
+//! Quarantine for requests and prompt parts that crash servers.
 //!
 //! A server's crash may be caused by a request: one whose prompt crashes every server that runs it
 //! is sent again under other ids, by any entry, and would end one server after another. Beyer et
 //! al. (Site Reliability Engineering, 2016, chapter 22) call this a "query of death"; message
-//! queues have dead-letter queues for such "poison messages". So the ends of server incarnations
-//! are counted for each request that was running there. One end proves little, since it counts
-//! against every request on that server; a request that was present at three ends is refused. A
-//! complete answer to a request clears it. A refused request is sent again in a few trials, in case
-//! it is harmless or the fault has been repaired.
+//! queues have dead-letter queues for such "poison messages". The harm may also lie in one part of
+//! the prompt, which requests have that are otherwise all different. So the ends of server
+//! incarnations are counted for each request that was running there, and for each part of its
+//! prompt that other requests may have. One end proves little, since it counts against everything
+//! on that server; what was present at several ends is refused (`verdict`). A complete answer
+//! clears a suspect. A refused one is sent again in a few trials, in case it is harmless or the
+//! fault has been repaired.
 //!
 //! The notes of all entries are merged. The result does not depend on the order in which they
-//! arrive or on duplicates (docs/decisions/0015).
+//! arrive or on duplicates (docs/decisions/0015 and 0020).
 
 use std::{
     collections::{HashMap, HashSet},
@@ -19,12 +21,20 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{policy::quarantine::request_record::RequestRecord, routing::Fingerprint};
+use crate::policy::quarantine::suspect_record::SuspectRecord;
 
+pub use answered_parts::AnsweredParts;
+pub use case::Case;
 pub use note::Note;
+pub use suspect::Suspect;
+pub use verdict::PART_REFUSED_AFTER;
 
+mod answered_parts;
+mod case;
 mod note;
-mod request_record;
+mod suspect;
+mod suspect_record;
+mod verdict;
 
 /// Hash that identifies one incarnation of a server, that is one run of its process.
 pub type IncarnationHash = u64;
@@ -40,23 +50,30 @@
 /// Time within which all entries, even on a busy Host, notice that the connections to an ended
 /// server are broken. Servers take a second or more to restart.
 const DETECTION_WINDOW: Duration = Duration::from_millis(400);
-/// Maximum number of remembered requests, 0.5 MB. This suffices for the loss of a zone with 700
-/// servers that run four requests each.
-const MAX_REQUESTS: usize = 4_096;
-/// Time for which a request that is not refused is remembered after its last end. This is enough to
+/// Maximum number of remembered suspects, 0.5 MB. This suffices for the loss of a zone with 700
+/// servers that run four requests each, and for the prompt parts that these share.
+const MAX_SUSPECTS: usize = 4_096;
+/// Time for which a suspect that is not refused is remembered after its last end. This is enough to
 /// detect a crashing request that is sent every few minutes.
 const SUSPECT_TTL: Duration = Duration::from_secs(60 * 60);
-/// The same for a refused request.
+/// The same for a refused suspect.
 const REFUSED_TTL: Duration = Duration::from_secs(24 * 60 * 60);
 /// Time from the last end or trial to the next trial: a repaired version is rolled out in minutes.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5 * 60);
 const LAST_TRIAL_DELAY: Duration = Duration::from_secs(40 * 60);
-/// Delay of an additional earlier trial of a request that may be harmless, because another request
+/// Delay of an additional earlier trial of a suspect that may be harmless, because another one
 /// was present at the same ends or a server has answered it completely before. In the soak test, a
 /// request sent by many callers was refused for minutes after it had been present at three ends
 /// beside a crashing one; it made up half of an entry's requests.
 const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(1);
-/// Time over which early trials are spread by fingerprint. Two trials on one server at the same
+/// Delay of the second trial of a part that was answered before, which many callers may need.
+const ANSWERED_TRIAL_DELAY: Duration = Duration::from_secs(10);
+/// Maximum number of trials over all entries after which only an operator releases a suspect. The platform tolerates
+/// three sends of what crashes servers.
+const MAX_TRIALS: usize = 3;
+/// Number of ends from which requests with a part are placed together.
+const MIN_PART_ENDS_FOR_PLACING: usize = 2;
+/// Time over which early trials are spread by suspect. Two trials on one server at the same
 /// time would not show which request crashed it.
 const EARLY_TRIAL_SPREAD: Duration = Duration::from_millis(1_500);
 
@@ -80,51 +97,55 @@
     xxh3_64_with_seed(&previous.to_le_bytes(), listed)
 }
 
-/// A refused or suspected request, as persisted in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Case {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Incarnations that ended while running the request, and when.
-    pub ends: Vec<(IncarnationHash, Duration)>,
-    /// Trials made since.
-    pub trials: u32,
-    /// When the last trial began.
-    pub tried_at: Duration,
-}
-
-/// All known requests that were running when a server ended.
+/// All known requests and prompt parts that were running when a server ended.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    requests: HashMap<Fingerprint, RequestRecord>,
+    records: HashMap<Suspect, SuspectRecord>,
     /// When each incarnation ended.
     ended_at: HashMap<IncarnationHash, Duration>,
+    /// Suspects that are refused, kept up to date with the records.
+    refused: HashSet<Suspect>,
 }
 
 impl Quarantine {
-    /// Whether no requests are known.
+    /// Whether no suspects are known.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.records.is_empty()
     }
 
     /// Merges a note and returns whether it was new.
     pub fn add(&mut self, note: Note, now: Duration) -> bool {
+        !self.add_all([note], now).is_empty()
+    }
+
+    /// Merges notes and returns those that were new.
+    pub fn add_all(&mut self, notes: impl IntoIterator<Item = Note>, now: Duration) -> Vec<Note> {
+        let new: Vec<Note> = notes.into_iter().filter(|note| self.merge(*note, now)).collect();
+        if !new.is_empty() {
+            self.judge();
+        }
+        new
+    }
+
+    fn merge(&mut self, note: Note, now: Duration) -> bool {
+        let suspect = note.suspect();
+        self.evict_if_full(&suspect);
+        let record = self.records.entry(suspect).or_default();
         match note {
-            Note::End { fingerprint, incarnation, at } => {
-                self.evict_if_full(&fingerprint);
-                let is_new =
-                    self.requests.entry(fingerprint).or_default().add_end(incarnation, at, false);
+            Note::End { incarnation, at, .. } => {
                 let ended_at = self.ended_at.entry(incarnation).or_insert(at);
                 *ended_at = (*ended_at).min(at);
-                is_new
-            }
-            Note::Cleared { fingerprint, incarnation } => {
-                self.evict_if_full(&fingerprint);
-                self.requests.entry(fingerprint).or_default().add_end(incarnation, now, true)
+                record.add_end(incarnation, at)
             }
+            Note::Cleared { incarnation, .. } => record.clear_end(incarnation, now),
+            Note::Answered { .. } => record.mark_answered(now),
         }
     }
 
+    fn judge(&mut self) {
+        self.refused = verdict::refused_suspects(&self.records, &self.ended_at);
+    }
+
     /// The identity of an incarnation that ended now. A server may restart and end again before the
     /// server list shows its next incarnation, so an end considerably later than the known one
     /// belongs to another incarnation.
@@ -152,7 +173,7 @@
             return candidates[same];
         }
         let place = times.partition_point(|ended_at| *ended_at < at);
-        for record in self.requests.values_mut() {
+        for record in self.records.values_mut() {
             for end in &mut record.ends {
                 if let Some(i) =
                     candidates[place..times.len()].iter().position(|n| *n == end.incarnation)
@@ -168,23 +189,28 @@
         candidates[place]
     }
 
-    /// The ends that count against a request.
-    pub fn ends(&self, request: &Fingerprint) -> Vec<Note> {
-        let fingerprint = *request;
-        let counted = self.requests.get(request).into_iter().flat_map(RequestRecord::counted_ends);
-        counted.map(|(incarnation, at)| Note::End { fingerprint, incarnation, at }).collect()
+    /// The ends that count against a suspect.
+    pub fn ends(&self, suspect: &Suspect) -> Vec<Note> {
+        let suspect = *suspect;
+        let counted = self.records.get(&suspect).into_iter().flat_map(SuspectRecord::counted_ends);
+        counted.map(|(incarnation, at)| Note::End { suspect, incarnation, at }).collect()
     }
 
     /// Number of separate events among the ends that count against a request.
-    pub fn event_count(&self, request: &Fingerprint) -> usize {
-        self.requests.get(request).map_or(0, |record| self.count_events(record))
+    pub fn event_count(&self, request: &Suspect) -> usize {
+        let count = |record| verdict::count_request_events(record, &self.ended_at);
+        self.records.get(request).map_or(0, count)
+    }
+
+    /// Whether a server has answered the suspect completely or an operator has released it.
+    pub fn was_answered(&self, suspect: &Suspect) -> bool {
+        self.records.get(suspect).is_some_and(SuspectRecord::was_answered)
     }
 
-    /// Notes that clear all ends that count against a request.
-    pub fn clearing_notes(&self, fingerprint: Fingerprint) -> Vec<Note> {
-        let counted =
-            self.requests.get(&fingerprint).into_iter().flat_map(RequestRecord::counted_ends);
-        counted.map(|(incarnation, _)| Note::Cleared { fingerprint, incarnation }).collect()
+    /// Notes that clear all ends that count against a suspect.
+    pub fn clearing_notes(&self, suspect: Suspect) -> Vec<Note> {
+        let counted = self.records.get(&suspect).into_iter().flat_map(SuspectRecord::counted_ends);
+        counted.map(|(incarnation, _)| Note::Cleared { suspect, incarnation }).collect()
     }
 
     /// Merges a case from the store, whose times are accurate to `error`, and returns whether it
@@ -194,7 +220,7 @@
     /// the list showed the same incarnation. The times distinguish the two incarnations, whose ends
     /// counted as one before.
     pub fn merge_case(&mut self, case: &Case, error: Duration, now: Duration) -> bool {
-        let fingerprint = case.fingerprint;
+        let suspect = case.suspect;
         let mut is_new = false;
         for (incarnation, at) in &case.ends {
             let incarnation = if error < DETECTION_WINDOW / 2 {
@@ -202,9 +228,10 @@
             } else {
                 *incarnation
             };
-            is_new |= self.add(Note::End { fingerprint, incarnation, at: *at }, now);
+            is_new |= self.merge(Note::End { suspect, incarnation, at: *at }, now);
         }
-        let Some(record) = self.requests.get_mut(&fingerprint) else {
+        self.judge();
+        let Some(record) = self.records.get_mut(&suspect) else {
             return false;
         };
         let has_more_trials = case.trials > record.trials;
@@ -214,133 +241,162 @@
         is_new || has_more_trials
     }
 
-    /// Whether a request may be sent.
-    pub fn status(&self, fingerprint: &Fingerprint, now: Duration) -> QuarantineStatus {
-        let Some(record) = self.requests.get(fingerprint) else {
+    /// Whether a suspect may be sent.
+    pub fn status(&self, suspect: &Suspect, now: Duration) -> QuarantineStatus {
+        let Some(record) = self.records.get(suspect) else {
             return QuarantineStatus::Free;
         };
-        match self.count_events(record) {
-            0 => QuarantineStatus::Free,
-            count if count < REFUSED_AFTER => QuarantineStatus::Suspect,
-            _ => {
-                let trial_at = self.trial_at(fingerprint, record);
-                QuarantineStatus::Refused { trial_in: trial_at.map(|at| at.saturating_sub(now)) }
-            }
+        if self.refused.contains(suspect) {
+            let trial_at = self.trial_at(suspect, record);
+            return QuarantineStatus::Refused {
+                trial_in: trial_at.map(|at| at.saturating_sub(now)),
+            };
         }
+        match record.counted_ends().next() {
+            Some(_) => QuarantineStatus::Suspect,
+            None => QuarantineStatus::Free,
+        }
+    }
+
+    /// Whether a suspect is refused.
+    pub fn is_refused(&self, suspect: &Suspect) -> bool {
+        self.refused.contains(suspect)
+    }
+
+    /// The one of a request's suspects by which the request is placed, so that its next end, if it comes, is one
+    /// server's and tells the suspect apart from others. A part that many requests have is left alone until two ends
+    /// count against it, and as soon as it was answered.
+    pub fn placing_suspect(&self, suspects: &[Suspect]) -> Option<Suspect> {
+        let strength = |suspect: &Suspect| {
+            let record = self.records.get(suspect)?;
+            let count = record.counted_ends().count();
+            let is_placed = match suspect {
+                Suspect::Request(_) => count > 0,
+                Suspect::Part(_) => count >= MIN_PART_ENDS_FOR_PLACING && !record.was_answered(),
+            };
+            is_placed.then_some((matches!(suspect, Suspect::Part(_)), count, *suspect))
+        };
+        suspects.iter().filter_map(strength).max().map(|(.., suspect)| suspect)
+    }
+
+    /// Whether a trial by a request with these suspects would show something: a part that is only left out because a
+    /// refused one explains its ends may crash the server instead. Each suspect is best tested alone (Dorfman, The
+    /// detection of defective members of large populations, 1943).
+    pub fn is_trial_conclusive(&self, suspects: &[Suspect]) -> bool {
+        let is_open = |suspect: &&Suspect| {
+            matches!(suspect, Suspect::Part(_)) && !self.refused.contains(suspect)
+        };
+        let mut open = suspects.iter().filter(is_open).filter_map(|s| self.records.get(s));
+        !open.any(|record| {
+            !record.was_answered() && record.counted_ends().count() >= PART_REFUSED_AFTER
+        })
     }
 
-    /// When a refused request may be tried again; `None` after the last trial. After the third end,
-    /// all entries together may send the request three more times at most.
-    fn trial_at(&self, fingerprint: &Fingerprint, record: &RequestRecord) -> Option<Duration> {
+    /// When a refused suspect may be tried again; `None` after the last trial. After the end for which it is refused,
+    /// all entries together may send it three more times at most.
+    fn trial_at(&self, suspect: &Suspect, record: &SuspectRecord) -> Option<Duration> {
         let spread =
-            EARLY_TRIAL_SPREAD.mul_f64(f64::from(fingerprint.0 as u8) / f64::from(u8::MAX));
-        let early = self.may_be_harmless(fingerprint, record).then_some(EARLY_TRIAL_DELAY + spread);
-        let mut delays = early.into_iter().chain([FIRST_TRIAL_DELAY, LAST_TRIAL_DELAY]);
+            EARLY_TRIAL_SPREAD.mul_f64(f64::from(suspect.to_bits() as u8) / f64::from(u8::MAX));
+        let early = self.may_be_harmless(suspect, record).then_some(EARLY_TRIAL_DELAY + spread);
+        let is_answered_part = matches!(suspect, Suspect::Part(_)) && record.was_answered();
+        let second = is_answered_part.then_some(ANSWERED_TRIAL_DELAY);
+        let later = [FIRST_TRIAL_DELAY, LAST_TRIAL_DELAY];
+        let mut delays = early.into_iter().chain(second).chain(later).take(MAX_TRIALS);
         let last_end = record.counted_ends().last().map_or(Duration::ZERO, |(_, at)| at);
         Some(last_end.max(record.tried_at) + delays.nth(record.trials as usize)?)
     }
 
-    /// Whether the request may be harmless: a server has answered it completely before, or another
-    /// request was present at all ends that count against it. A request that many callers send runs
-    /// on most servers, including those that ended before without being noticed.
-    fn may_be_harmless(&self, fingerprint: &Fingerprint, record: &RequestRecord) -> bool {
-        if record.has_cleared_end() {
+    /// Whether a refused suspect may be harmless: a server has answered it completely before, or other suspects
+    /// explain the ends that count against it. A request that many callers send runs on most servers, including those
+    /// that ended before without being noticed.
+    fn may_be_harmless(&self, suspect: &Suspect, record: &SuspectRecord) -> bool {
+        if record.was_answered() {
             return true;
         }
-        let was_present = |other: &RequestRecord| {
+        let was_present = |other: &SuspectRecord| {
             record.counted_ends().all(|(incarnation, _)| other.was_running_on(incarnation))
         };
-        self.requests.iter().any(|(other, ends)| other != fingerprint && was_present(ends))
-    }
-
-    /// Number of ends that count against a request. Ends that may have a common cause with the end
-    /// of a server that was not running it count once.
-    fn count_events(&self, record: &RequestRecord) -> usize {
-        let mut counted = 0;
-        let mut first_at: Option<Duration> = None;
-        for (_, at) in record.counted_ends() {
-            let is_correlated = first_at.is_some_and(|first_at| {
-                at <= first_at + CORRELATION_WINDOW && self.ended_elsewhere(record, first_at, at)
-            });
-            if !is_correlated {
-                counted += 1;
-                first_at = Some(at);
-            }
+        match suspect {
+            // The parts of a request were present wherever it was.
+            Suspect::Request(_) => self.records.iter().any(|(other, ends)| {
+                matches!(other, Suspect::Request(_)) && other != suspect && was_present(ends)
+            }),
+            Suspect::Part(_) => record.counted_ends().all(|(incarnation, _)| {
+                let others = self.refused.iter().filter(|other| *other != suspect);
+                let mut records = others.filter_map(|other| self.records.get(other));
+                records.any(|other| other.was_running_on(incarnation))
+            }),
         }
-        counted
     }
 
-    /// Whether a server that was not running the request ended at about this time.
-    fn ended_elsewhere(&self, record: &RequestRecord, from: Duration, to: Duration) -> bool {
-        let (from, to) = (from.saturating_sub(CORRELATION_WINDOW), to + CORRELATION_WINDOW);
-        let mut incarnations = self.ended_at.iter();
-        incarnations.any(|(incarnation, at)| {
-            from <= *at && *at <= to && !record.was_running_on(*incarnation)
-        })
-    }
-
-    /// Records that a trial of a request begins and returns the case to persist.
-    pub fn begin_trial(&mut self, fingerprint: &Fingerprint, now: Duration) -> Option<Case> {
-        let record = self.requests.get_mut(fingerprint)?;
+    /// Records that a trial of a suspect begins and returns the case to persist.
+    pub fn begin_trial(&mut self, suspect: &Suspect, now: Duration) -> Option<Case> {
+        let record = self.records.get_mut(suspect)?;
         (record.trials, record.tried_at) = (record.trials + 1, now);
-        self.case(fingerprint)
+        self.case(suspect)
     }
 
-    /// Refused requests, and suspected ones unless `only_refused`; those with the latest end first.
+    /// Refused suspects, and all others unless `only_refused`; those with the latest end first.
     pub fn cases(&self, only_refused: bool, now: Duration) -> Vec<Case> {
-        let is_wanted = |fingerprint: &&Fingerprint| match self.status(fingerprint, now) {
+        let is_wanted = |suspect: &&Suspect| match self.status(suspect, now) {
             QuarantineStatus::Free => false,
             QuarantineStatus::Suspect => !only_refused,
             QuarantineStatus::Refused { .. } => true,
         };
-        let wanted = self.requests.keys().filter(is_wanted);
-        let mut cases: Vec<Case> = wanted.filter_map(|f| self.case(f)).collect();
+        let wanted = self.records.keys().filter(is_wanted);
+        let mut cases: Vec<Case> = wanted.filter_map(|suspect| self.case(suspect)).collect();
         let last = |case: &Case| case.ends.last().map_or(Duration::ZERO, |(_, at)| *at);
-        cases.sort_by_key(|case| std::cmp::Reverse((last(case), case.fingerprint)));
+        cases.sort_by_key(|case| std::cmp::Reverse((last(case), case.suspect)));
         cases
     }
 
-    fn case(&self, fingerprint: &Fingerprint) -> Option<Case> {
-        let record = self.requests.get(fingerprint)?;
+    fn case(&self, suspect: &Suspect) -> Option<Case> {
+        let record = self.records.get(suspect)?;
         Some(Case {
-            fingerprint: *fingerprint,
+            suspect: *suspect,
             ends: record.counted_ends().collect(),
             trials: record.trials,
             tried_at: record.tried_at,
         })
     }
 
-    /// Makes room for another request if necessary. Evicts requests that are not refused first, in
+    /// Makes room for another suspect if necessary. Evicts suspects that are not refused first, in
     /// the order of their age, and an eighth of all at once, since each time requires a full scan.
-    fn evict_if_full(&mut self, wanted: &Fingerprint) {
-        if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(wanted) {
+    fn evict_if_full(&mut self, wanted: &Suspect) {
+        if self.records.len() < MAX_SUSPECTS || self.records.contains_key(wanted) {
             return;
         }
-        let rank = |record: &RequestRecord| (record.is_refusable(), record.last_activity());
-        let mut all: Vec<_> = self.requests.iter().map(|(f, record)| (rank(record), *f)).collect();
+        // The verdict may be older than the records while notes are being merged.
+        self.judge();
+        let rank = |(suspect, record): (&Suspect, &SuspectRecord)| {
+            (self.refused.contains(suspect), record.last_activity(), *suspect)
+        };
+        let mut all: Vec<_> = self.records.iter().map(rank).collect();
         all.sort_unstable();
-        for (_, fingerprint) in &all[..MAX_REQUESTS / 8] {
-            self.requests.remove(fingerprint);
+        for (.., suspect) in &all[..MAX_SUSPECTS / 8] {
+            self.records.remove(suspect);
         }
         self.prune_incarnations();
     }
 
-    /// Removes expired requests and returns whether there were any.
+    /// Removes expired suspects and returns whether there were any.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let before = self.requests.len();
-        self.requests.retain(|_, record| {
-            now < record.last_activity()
-                + if record.is_refusable() { REFUSED_TTL } else { SUSPECT_TTL }
+        let before = self.records.len();
+        let refused = &self.refused;
+        self.records.retain(|suspect, record| {
+            let ttl = if refused.contains(suspect) { REFUSED_TTL } else { SUSPECT_TTL };
+            now < record.last_activity() + ttl
         });
-        if self.requests.len() == before {
+        if self.records.len() == before {
             return false;
         }
         self.prune_incarnations();
+        self.judge();
         true
     }
 
     fn prune_incarnations(&mut self) {
-        let ends = self.requests.values().flat_map(|record| &record.ends);
+        let ends = self.records.values().flat_map(|record| &record.ends);
         let needed: HashSet<IncarnationHash> = ends.map(|end| end.incarnation).collect();
         self.ended_at.retain(|incarnation, _| needed.contains(incarnation));
     }
--- /dev/null
+++ b/src/policy/quarantine/verdict.rs
@@ -0,0 +1,128 @@
+//! Decides which suspects are refused.
+//!
+//! Many requests and parts run on a server that ends, and most are there by chance. So a part is judged by how many
+//! ends it explains beside how often it was answered, as statistical debugging ranks parts of a program by the failed
+//! and passed runs that contain them (Jones and Harrold, Tarantula, ASE 2005; Abreu et al., Ochiai, PRDC 2006). Ends
+//! that a refused part explains no longer count against what else was there (docs/decisions/0020).
+
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use crate::policy::quarantine::{
+    CORRELATION_WINDOW, IncarnationHash, REFUSED_AFTER, Suspect, suspect_record::SuspectRecord,
+};
+
+/// Number of ends at which a part must have been present to be refused. One more than for a request: a request that
+/// crashes servers by itself is refused before its parts, which other requests need. The platform tolerates five.
+pub const PART_REFUSED_AFTER: usize = 4;
+/// Number of these ends that no other refused part explains.
+const MIN_UNEXPLAINED: usize = 2;
+/// Number of separate events among these ends: a rack that fails ends all its servers in one.
+const MIN_EVENTS: usize = 2;
+/// Ends of servers within this time may be one event. All entries notice them sooner, and a crashing part is sent to
+/// further servers after that.
+const PART_CORRELATION_WINDOW: Duration = Duration::from_millis(100);
+/// Time over which a part that was answered before must have had ends and no answer to be refused. Its answers are
+/// more frequent unless hardly any server is up. The platform tolerates 3 s after the fifth end.
+const MIN_SILENCE: Duration = Duration::from_secs(2);
+
+pub(super) type Records = HashMap<Suspect, SuspectRecord>;
+type Ends = HashSet<IncarnationHash>;
+
+/// The suspects that are refused, given when each incarnation ended.
+pub(super) fn refused_suspects(
+    records: &Records,
+    ended_at: &HashMap<IncarnationHash, Duration>,
+) -> HashSet<Suspect> {
+    let mut refused = HashSet::new();
+    let explained = refuse_parts(records, &mut refused);
+    let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
+        matches!(suspect, Suspect::Request(_))
+            && count_request_events(record, ended_at) >= REFUSED_AFTER
+            && unexplained(record, &explained).next().is_some()
+    };
+    refused.extend(records.iter().filter(is_refused).map(|(suspect, _)| *suspect));
+    refused
+}
+
+/// Refuses parts, starting with the most suspicious, and returns the ends that they explain.
+fn refuse_parts(records: &Records, refused: &mut HashSet<Suspect>) -> Ends {
+    let strength = |record: &SuspectRecord| (!record.was_answered(), record.counted_ends().count());
+    let parts = records.iter().filter(|(suspect, record)| {
+        matches!(suspect, Suspect::Part(_)) && strength(record).1 >= PART_REFUSED_AFTER
+    });
+    let mut parts: Vec<_> = parts.collect();
+    parts.sort_unstable_by_key(|(suspect, record)| Reverse((strength(record), **suspect)));
+    let mut explained = Ends::new();
+    // Parts of the same strength can't be told apart, so none of them explains the ends of another.
+    for equals in parts.chunk_by(|(_, a), (_, b)| strength(a) == strength(b)) {
+        let refusable: Vec<_> =
+            equals.iter().filter(|(_, record)| is_part_refusable(record, &explained)).collect();
+        refused.extend(refusable.iter().map(|(suspect, _)| **suspect));
+        let present = refusable.iter().flat_map(|(_, record)| &record.ends);
+        explained.extend(present.map(|end| end.incarnation));
+    }
+    explained
+}
+
+/// Whether the ends that count against a part, [`PART_REFUSED_AFTER`] or more, suffice to refuse it, given those that
+/// more suspicious parts explain.
+fn is_part_refusable(record: &SuspectRecord, explained: &Ends) -> bool {
+    let remaining: Vec<Duration> = unexplained(record, explained).collect();
+    if !record.was_answered() {
+        let is_same_event = |from, at| at <= from + PART_CORRELATION_WINDOW;
+        let times = record.counted_ends().map(|(_, at)| at);
+        return remaining.len() >= MIN_UNEXPLAINED
+            && count_events(times, is_same_event) >= MIN_EVENTS;
+    }
+    let silence = match (remaining.first(), remaining.last()) {
+        (Some(first), Some(last)) => *last - *first,
+        _ => Duration::ZERO,
+    };
+    let is_same_event = |from, at| at <= from + CORRELATION_WINDOW;
+    silence >= MIN_SILENCE
+        && count_events(remaining.into_iter(), is_same_event) >= PART_REFUSED_AFTER
+}
+
+/// Times of the ends that count against a suspect and that no refused part explains.
+fn unexplained(record: &SuspectRecord, explained: &Ends) -> impl Iterator<Item = Duration> {
+    let ends = record.counted_ends();
+    ends.filter(|(incarnation, _)| !explained.contains(incarnation)).map(|(_, at)| at)
+}
+
+/// Number of separate events among ends in the order of time, of which those for which `is_same_event` is true of the
+/// first one's time and their own are the same.
+fn count_events(
+    ends: impl Iterator<Item = Duration>,
+    is_same_event: impl Fn(Duration, Duration) -> bool,
+) -> usize {
+    let mut counted = 0;
+    let mut first_at: Option<Duration> = None;
+    for at in ends {
+        if !first_at.is_some_and(|first_at| is_same_event(first_at, at)) {
+            counted += 1;
+            first_at = Some(at);
+        }
+    }
+    counted
+}
+
+/// Number of events among the ends that count against a request. Ends that may have a common cause with the end of a
+/// server that was not running it count once.
+pub(super) fn count_request_events(
+    record: &SuspectRecord,
+    ended_at: &HashMap<IncarnationHash, Duration>,
+) -> usize {
+    let ended_elsewhere = |from: Duration, to: Duration| {
+        let (from, to) = (from.saturating_sub(CORRELATION_WINDOW), to + CORRELATION_WINDOW);
+        ended_at.iter().any(|(incarnation, at)| {
+            from <= *at && *at <= to && !record.was_running_on(*incarnation)
+        })
+    };
+    count_events(record.counted_ends().map(|(_, at)| at), |from, at| {
+        at <= from + CORRELATION_WINDOW && ended_elsewhere(from, at)
+    })
+}
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine state of this entry and its exchange with other entries.
 //!
 //! Each entry knows which requests it had running on a server when that server crashed, and the
-//! same request may arrive next at any entry. So each crash is reported to every seed at once, and
+//! same request, or another one with the same prompt part, may arrive next at any entry. So each crash is reported to every seed at once, and
 //! the seeds report it to all their followers (docs/decisions/0015).
 
 use std::{
@@ -17,12 +17,14 @@
 use tokio::sync::watch;
 
 use crate::{
-    policy::quarantine::{Case, IncarnationHash, Note, Quarantine, QuarantineStatus},
+    policy::quarantine::{
+        AnsweredParts, Case, IncarnationHash, Note, Quarantine, QuarantineStatus, Suspect,
+    },
     router::peers::{
         quarantine_update::QuarantineUpdate,
         update_log::{UpdateLog, UpdateLogLimits},
     },
-    routing::Fingerprint,
+    routing::PartId,
     telemetry::event,
 };
 
@@ -31,8 +33,7 @@
 const LIMITS: UpdateLogLimits =
     UpdateLogLimits { capacity: 4_096, per_message: 512, max_age: Duration::from_secs(60) };
 
-/// Number of crashes from which a request's records are urgent: one more crash and the request is
-/// refused.
+/// Number of crashes from which a suspect's records are urgent: one or two more and it is refused.
 const URGENT_FROM: usize = 2;
 
 #[derive(Debug)]
@@ -42,15 +43,17 @@
     own: UpdateLog<Note>,
     /// Records that this entry observed or received.
     all: UpdateLog<Note>,
-    /// Refused requests whose trial the store has granted to this entry and that were not sent yet.
-    granted_trials: HashSet<Fingerprint>,
+    /// Refused suspects whose trial the store has granted to this entry and that were not sent yet.
+    granted_trials: HashSet<Suspect>,
+    /// Prompt parts to which this entry has received complete answers, suspected or not.
+    answered_parts: AnsweredParts,
 }
 
-/// Quarantined and suspected requests, shared by the threads of this entry.
+/// Quarantined and suspected requests and prompt parts, shared by the threads of this entry.
 #[derive(Debug)]
 pub(crate) struct SharedQuarantine {
     inner: Mutex<Inner>,
-    /// Whether no request is suspected. Requests are then neither hashed nor checked under the
+    /// Whether nothing is suspected. Requests are then neither hashed nor checked under the
     /// lock.
     is_idle: AtomicBool,
     /// Number of changes.
@@ -59,7 +62,7 @@
     own_changes: watch::Sender<u64>,
     /// Whether this entry has learned what the fleet knew before this process started.
     is_informed: AtomicBool,
-    /// Whether the store may still list a request that this entry has cleared.
+    /// Whether the store may still list a suspect that this entry has cleared.
     is_row_stale: AtomicBool,
 }
 
@@ -68,7 +71,13 @@
         let quarantine = Quarantine::default();
         let (own, all) = (UpdateLog::new(LIMITS), UpdateLog::new(LIMITS));
         Self {
-            inner: Mutex::new(Inner { quarantine, own, all, granted_trials: HashSet::new() }),
+            inner: Mutex::new(Inner {
+                quarantine,
+                own,
+                all,
+                granted_trials: HashSet::new(),
+                answered_parts: AnsweredParts::default(),
+            }),
             is_idle: AtomicBool::new(true),
             changes: watch::Sender::new(0),
             own_changes: watch::Sender::new(0),
@@ -83,14 +92,39 @@
         self.inner.lock().expect("no code panics while holding this lock")
     }
 
-    /// Whether no request is suspected.
+    /// Whether nothing is suspected.
     pub(crate) fn is_idle(&self) -> bool {
         self.is_idle.load(Ordering::Acquire)
     }
 
-    /// Whether a request may be sent, is suspected or is refused.
-    pub(crate) fn status(&self, fingerprint: &Fingerprint, now: Duration) -> QuarantineStatus {
-        self.lock().quarantine.status(fingerprint, now)
+    /// Whether a suspect may be sent, is suspected or is refused.
+    pub(crate) fn status(&self, suspect: &Suspect, now: Duration) -> QuarantineStatus {
+        self.lock().quarantine.status(suspect, now)
+    }
+
+    /// Those of a request's suspects that are refused, each with the time until its next trial.
+    pub(crate) fn refused_among(
+        &self,
+        suspects: &[Suspect],
+        now: Duration,
+    ) -> Vec<(Suspect, Option<Duration>)> {
+        let inner = self.lock();
+        let refused =
+            suspects.iter().filter_map(|suspect| match inner.quarantine.status(suspect, now) {
+                QuarantineStatus::Refused { trial_in } => Some((*suspect, trial_in)),
+                _ => None,
+            });
+        refused.collect()
+    }
+
+    /// Whether a trial by a request with these suspects would show something.
+    pub(crate) fn is_trial_conclusive(&self, suspects: &[Suspect]) -> bool {
+        self.lock().quarantine.is_trial_conclusive(suspects)
+    }
+
+    /// The one of a request's suspects by which it is placed, if any.
+    pub(crate) fn placing_suspect(&self, suspects: &[Suspect]) -> Option<Suspect> {
+        self.lock().quarantine.placing_suspect(suspects)
     }
 
     /// Notifies of every later change.
@@ -103,42 +137,71 @@
         self.own_changes.subscribe()
     }
 
-    /// Records that a server crashed while these requests ran on it, as connections to its address
+    /// Records that a server crashed while these suspects ran on it, as connections to its address
     /// show. `listed` is the incarnation in the server list; the one that crashed may be newer.
-    pub(crate) fn record_ends(&self, all: &[Fingerprint], listed: IncarnationHash, at: Duration) {
+    pub(crate) fn record_ends(&self, all: &[Suspect], listed: IncarnationHash, at: Duration) {
         let incarnation = self.lock().quarantine.incarnation_of_end(listed, at);
         self.record_listed_ends(all, incarnation, at);
     }
 
-    /// Records that this incarnation of a server crashed while these requests ran on it, as the
+    /// Records that this incarnation of a server crashed while these suspects ran on it, as the
     /// server list shows. All entries record the same incarnation, whenever each of them saw its
     /// own connections break.
     pub(crate) fn record_listed_ends(
         &self,
-        all: &[Fingerprint],
+        all: &[Suspect],
         incarnation: IncarnationHash,
         at: Duration,
     ) {
-        let note = |f: &Fingerprint| Note::End { fingerprint: *f, incarnation, at };
+        let note = |suspect: &Suspect| Note::End { suspect: *suspect, incarnation, at };
         self.apply(all.iter().map(note), true, at);
     }
 
-    /// Clears a request, because a server answered it completely or an operator released it.
+    /// Records that a server answered a request with these prompt parts completely, which clears them.
+    pub(crate) fn record_answered_parts(
+        &self,
+        parts: impl Iterator<Item = PartId> + Clone,
+        now: Duration,
+    ) {
+        let mut inner = self.lock();
+        for part in parts.clone() {
+            inner.answered_parts.record(part, now);
+        }
+        drop(inner);
+        if self.is_idle() {
+            return;
+        }
+        for part in parts {
+            self.clear(Suspect::Part(part), now);
+        }
+    }
+
+    /// Clears a suspect, because a server answered it completely or an operator released it.
     /// Returns whether it was suspected.
-    pub(crate) fn clear(&self, fingerprint: Fingerprint, now: Duration) -> bool {
-        let status = self.status(&fingerprint, now);
+    pub(crate) fn clear(&self, suspect: Suspect, now: Duration) -> bool {
+        let mut inner = self.lock();
+        let status = inner.quarantine.status(&suspect, now);
         if status == QuarantineStatus::Free {
             return false;
         }
-        if matches!(status, QuarantineStatus::Refused { .. }) {
+        let is_refused = matches!(status, QuarantineStatus::Refused { .. });
+        if is_refused {
             self.is_row_stale.store(true, Ordering::Release);
         }
-        let mut inner = self.lock();
-        inner.granted_trials.remove(&fingerprint);
-        let clearing_notes = inner.quarantine.clearing_notes(fingerprint);
+        inner.granted_trials.remove(&suspect);
+        let clearing_notes = inner.quarantine.clearing_notes(suspect);
+        let is_urgent = is_refused || clearing_notes.len() >= URGENT_FROM;
+        inner.merge(clearing_notes, true, now);
         drop(inner);
-        self.apply(clearing_notes.into_iter(), true, now);
-        event::REQUEST_CLEARED.log(format_args!("fingerprint={fingerprint}"));
+        if is_urgent {
+            self.publish(true);
+            self.publish_own(true);
+        }
+        // A part that many requests have is cleared after every crash.
+        if is_refused || matches!(suspect, Suspect::Request(_)) {
+            event::REQUEST_CLEARED
+                .log(format_args!("fingerprint={suspect} kind={}", suspect.kind()));
+        }
         true
     }
 
@@ -156,47 +219,30 @@
                 continue;
             }
             is_new = true;
-            let fingerprint = case.fingerprint;
+            let suspect = case.suspect;
             for (incarnation, at) in &case.ends {
-                let note = Note::End { fingerprint, incarnation: *incarnation, at: *at };
+                let note = Note::End { suspect, incarnation: *incarnation, at: *at };
                 inner.all.push(note, now);
                 // The entry that wrote the row may not have informed the others.
                 inner.own.push(note, now);
             }
         }
+        let suspects: Vec<Suspect> = cases.iter().map(|case| case.suspect).collect();
+        inner.report_answers(&suspects, false, now);
         drop(inner);
         self.publish(is_new);
         self.publish_own(is_new);
     }
 
-    /// Applies records, logs newly refused requests and notifies the readers.
+    /// Applies records, logs newly refused suspects and notifies the readers.
     fn apply(&self, notes: impl Iterator<Item = Note>, is_own: bool, now: Duration) {
         let mut inner = self.lock();
-        let mut is_new = false;
-        for note in notes {
-            let fingerprint = note.fingerprint();
-            let was_refused = is_refused(&inner.quarantine, &fingerprint, now);
-            if !inner.quarantine.add(note, now) {
-                continue;
-            }
-            is_new = true;
-            inner.all.push(note, now);
-            if is_own {
-                inner.own.push(note, now);
-            }
-            if was_refused {
-                continue;
-            }
-            if is_refused(&inner.quarantine, &fingerprint, now) {
-                event::REQUEST_QUARANTINED
-                    .log(format_args!("fingerprint={fingerprint} seen_here={is_own}"));
-            } else {
-                log_suspect(&inner.quarantine, &fingerprint, now);
-            }
-        }
+        let new = inner.merge(notes, is_own, now);
+        let suspects: Vec<Suspect> = new.iter().map(Note::suspect).collect();
+        let has_answers = inner.report_answers(&suspects, is_own, now);
         drop(inner);
-        self.publish(is_new);
-        self.publish_own(is_new && is_own);
+        self.publish(!new.is_empty());
+        self.publish_own(has_answers || (is_own && !new.is_empty()));
     }
 
     fn publish_own(&self, is_new: bool) {
@@ -220,42 +266,48 @@
         let mut inner = self.lock();
         inner.quarantine.expire(now);
         let Inner { quarantine, granted_trials, .. } = &mut *inner;
-        granted_trials.retain(|fingerprint| is_refused(quarantine, fingerprint, now));
+        granted_trials.retain(|suspect| quarantine.is_refused(suspect));
         if inner.quarantine.is_empty() {
             self.is_idle.store(true, Ordering::Release);
         }
     }
 
-    /// Whether the trial of a refused request is due.
-    pub(crate) fn is_trial_due(&self, fingerprint: &Fingerprint, now: Duration) -> bool {
-        self.status(fingerprint, now)
-            == QuarantineStatus::Refused { trial_in: Some(Duration::ZERO) }
+    /// Whether the trial of a refused suspect is due.
+    pub(crate) fn is_trial_due(&self, suspect: &Suspect, now: Duration) -> bool {
+        self.status(suspect, now) == QuarantineStatus::Refused { trial_in: Some(Duration::ZERO) }
     }
 
-    /// Records that the store has granted the trial of a refused request to this entry.
-    pub(crate) fn grant_trial(&self, fingerprint: &Fingerprint, now: Duration) {
+    /// Records that the store has granted the trial of refused suspects to this entry.
+    pub(crate) fn grant_trial(&self, suspects: &[Suspect], now: Duration) {
         let mut inner = self.lock();
-        if inner.quarantine.begin_trial(fingerprint, now).is_some() {
-            inner.granted_trials.insert(*fingerprint);
+        for suspect in suspects {
+            if inner.quarantine.begin_trial(suspect, now).is_some() {
+                inner.granted_trials.insert(*suspect);
+            }
         }
     }
 
-    /// Takes a granted trial that has not been made. Returns whether there was one.
-    pub(crate) fn take_trial(&self, fingerprint: &Fingerprint) -> bool {
-        self.lock().granted_trials.remove(fingerprint)
+    /// Takes the granted trials of these suspects that have not been made. Returns whether there was one of each.
+    pub(crate) fn take_trial(&self, suspects: &[Suspect]) -> bool {
+        let mut inner = self.lock();
+        let is_granted = suspects.iter().all(|suspect| inner.granted_trials.contains(suspect));
+        if is_granted {
+            inner.granted_trials.retain(|suspect| !suspects.contains(suspect));
+        }
+        is_granted
     }
 
     /// Whether a granted trial has not been made yet.
-    pub(crate) fn has_trial(&self, fingerprint: &Fingerprint) -> bool {
-        self.lock().granted_trials.contains(fingerprint)
+    pub(crate) fn has_trial(&self, suspect: &Suspect) -> bool {
+        self.lock().granted_trials.contains(suspect)
     }
 
-    /// Returns a trial that was taken and not made, for the next request with this fingerprint.
-    pub(crate) fn return_trial(&self, fingerprint: Fingerprint) {
-        self.lock().granted_trials.insert(fingerprint);
+    /// Returns trials that were taken and not made, for the next request with these suspects.
+    pub(crate) fn return_trial(&self, suspects: &[Suspect]) {
+        self.lock().granted_trials.extend(suspects);
     }
 
-    /// Refused requests or, unless `only_refused`, all suspected requests.
+    /// Refused suspects or, unless `only_refused`, all of them.
     pub(crate) fn cases(&self, only_refused: bool, now: Duration) -> Vec<Case> {
         self.lock().quarantine.cases(only_refused, now)
     }
@@ -279,9 +331,10 @@
         self.since(position, now, |inner| &mut inner.all)
     }
 
-    /// Records of requests that are close to refusal and were updated at `position` of the log or
-    /// later, and the position to continue from: all crashes of requests with [`URGENT_FROM`] or
-    /// more. A single crash proves little, and a zone outage brings thousands of them.
+    /// Records of suspects that are close to refusal and were updated at `position` of the log or
+    /// later, and the position to continue from: all crashes of suspects with [`URGENT_FROM`] or
+    /// more, and what clears them. A single crash proves little, and a zone outage brings thousands
+    /// of them.
     pub(crate) fn urgent_since(
         &self,
         position: u64,
@@ -289,11 +342,13 @@
     ) -> (Vec<QuarantineUpdate>, u64) {
         let mut inner = self.lock();
         let (notes, next) = inner.all.since(position, now);
-        let mut requests: Vec<Fingerprint> = notes.iter().map(Note::fingerprint).collect();
-        requests.sort_unstable();
-        requests.dedup();
-        let ends = requests.iter().map(|request| inner.quarantine.ends(request));
-        let urgent = ends.filter(|ends| ends.len() >= URGENT_FROM).flatten();
+        let mut suspects: Vec<Suspect> = notes.iter().map(Note::suspect).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        let ends = suspects.iter().map(|suspect| inner.quarantine.ends(suspect));
+        let crashes = ends.filter(|ends| ends.len() >= URGENT_FROM).flatten();
+        let answers = notes.iter().filter(|note| !matches!(note, Note::End { .. })).copied();
+        let urgent = crashes.chain(answers);
         (urgent.map(|note| QuarantineUpdate::encode(&note, now)).collect(), next)
     }
 
@@ -339,9 +394,11 @@
         let inner = self.lock();
         let describe = |case: &Case| {
             json!({
-                "fingerprint": case.fingerprint.to_string(),
+                "fingerprint": case.suspect.to_string(),
+                "kind": case.suspect.kind(),
                 "ends": case.ends.len(),
-                "refused": is_refused(&inner.quarantine, &case.fingerprint, now),
+                "answered": inner.quarantine.was_answered(&case.suspect),
+                "refused": inner.quarantine.is_refused(&case.suspect),
                 "trials": case.trials,
             })
         };
@@ -350,38 +407,115 @@
 }
 
 impl Inner {
-    /// All known crashes that fit into one message, those of refused requests first.
+    /// Merges records, logs what is newly refused or suspected and returns the new ones.
+    fn merge(
+        &mut self,
+        notes: impl IntoIterator<Item = Note>,
+        is_own: bool,
+        now: Duration,
+    ) -> Vec<Note> {
+        let notes: Vec<Note> = notes.into_iter().collect();
+        let is_refused = |note: &Note| self.quarantine.is_refused(&note.suspect());
+        let refused_before: HashSet<Suspect> =
+            notes.iter().filter(|note| is_refused(note)).map(Note::suspect).collect();
+        let new = self.quarantine.add_all(notes, now);
+        let mut logged = HashSet::new();
+        for note in &new {
+            self.all.push(*note, now);
+            if is_own {
+                self.own.push(*note, now);
+            }
+            let suspect = note.suspect();
+            if !refused_before.contains(&suspect) && logged.insert(suspect) {
+                self.log_suspicion(suspect, is_own, now);
+            }
+        }
+        new
+    }
+
+    /// Logs that a suspect is refused now, or the ends that count against it if there are enough for a mistake to
+    /// matter.
+    fn log_suspicion(&self, suspect: Suspect, is_own: bool, now: Duration) {
+        let ends = self.quarantine.ends(&suspect);
+        let is_refused = self.quarantine.is_refused(&suspect);
+        match suspect {
+            Suspect::Request(_) if is_refused => {
+                event::REQUEST_QUARANTINED
+                    .log(format_args!("fingerprint={suspect} seen_here={is_own}"));
+            }
+            Suspect::Part(part) if is_refused => {
+                event::PART_QUARANTINED.log(format_args!(
+                    "part={part:x} fingerprint={suspect} ends={} answered={} seen_here={is_own}",
+                    ends.len(),
+                    self.quarantine.was_answered(&suspect)
+                ));
+            }
+            // A part that was answered is present at most ends.
+            Suspect::Part(_) if self.quarantine.was_answered(&suspect) => {}
+            _ => log_suspect(&self.quarantine, suspect, &ends, now),
+        }
+    }
+
+    /// Reports which of these suspected parts this entry has received complete answers to, which the other entries
+    /// may not know of; where it did not observe their ends itself, only once several count. Returns whether that is
+    /// new.
+    fn report_answers(&mut self, suspects: &[Suspect], is_own: bool, now: Duration) -> bool {
+        let mut notes = Vec::new();
+        for suspect in suspects {
+            let Suspect::Part(part) = suspect else {
+                continue;
+            };
+            let Some(answered_at) = self.answered_parts.last(*part, now) else {
+                continue;
+            };
+            let ends = self.quarantine.ends(suspect);
+            if !is_own && ends.len() < URGENT_FROM {
+                continue;
+            }
+            notes.push(Note::Answered { suspect: *suspect });
+            // Ends before the answer no longer count.
+            notes.extend(ends.iter().filter_map(|end| match end {
+                Note::End { suspect, incarnation, at } if *at <= answered_at => {
+                    Some(Note::Cleared { suspect: *suspect, incarnation: *incarnation })
+                }
+                _ => None,
+            }));
+        }
+        !notes.is_empty() && !self.merge(notes, true, now).is_empty()
+    }
+
+    /// All known crashes that fit into one message, those of refused suspects first, and which suspects were answered.
     fn all_notes(&self, now: Duration) -> Vec<Note> {
         let mut cases = self.quarantine.cases(false, now);
-        cases.sort_by_key(|case| !is_refused(&self.quarantine, &case.fingerprint, now));
+        cases.sort_by_key(|case| !self.quarantine.is_refused(&case.suspect));
         let notes = cases.iter().flat_map(|case| {
-            let fingerprint = case.fingerprint;
-            case.ends.iter().map(move |(incarnation, at)| Note::End {
-                fingerprint,
+            let suspect = case.suspect;
+            let answered =
+                self.quarantine.was_answered(&suspect).then_some(Note::Answered { suspect });
+            let end = move |(incarnation, at): &(IncarnationHash, Duration)| Note::End {
+                suspect,
                 incarnation: *incarnation,
                 at: *at,
-            })
+            };
+            answered.into_iter().chain(case.ends.iter().map(end))
         });
         notes.take(LIMITS.per_message).collect()
     }
 }
 
-/// Logs the ends that count against a request if there are enough for a mistake to matter.
-fn log_suspect(quarantine: &Quarantine, fingerprint: &Fingerprint, now: Duration) {
-    let ends = quarantine.ends(fingerprint);
+/// Logs the ends that count against a suspect if there are enough for a mistake to matter.
+fn log_suspect(quarantine: &Quarantine, suspect: Suspect, ends: &[Note], now: Duration) {
     if ends.len() < URGENT_FROM {
         return;
     }
     let age_ms = |note: &Note| match note {
         Note::End { at, .. } => Some(now.saturating_sub(*at).as_millis()),
-        Note::Cleared { .. } => None,
+        Note::Cleared { .. } | Note::Answered { .. } => None,
     };
     let ages: Vec<u128> = ends.iter().filter_map(age_ms).collect();
-    let events = quarantine.event_count(fingerprint);
-    event::SUSPECT_COUNTED
-        .log(format_args!("fingerprint={fingerprint} ends_ms={ages:?} events={events}"));
-}
-
-fn is_refused(quarantine: &Quarantine, fingerprint: &Fingerprint, now: Duration) -> bool {
-    matches!(quarantine.status(fingerprint, now), QuarantineStatus::Refused { .. })
+    let events = quarantine.event_count(&suspect);
+    event::SUSPECT_COUNTED.log(format_args!(
+        "fingerprint={suspect} kind={} ends_ms={ages:?} events={events}",
+        suspect.kind()
+    ));
 }
--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -15,18 +15,17 @@
 use crate::{
     ids::{Era, Revision},
     platform::store::{Put, Row, Rows, StoreClient, Table, WriteOutcome},
-    policy::quarantine::{Case, IncarnationHash, QuarantineStatus},
+    policy::quarantine::{Case, IncarnationHash, QuarantineStatus, Suspect},
     router::Router,
-    routing::Fingerprint,
     telemetry::event,
 };
 
 /// Key of the row in this system's own table.
 const ROW_KEY: &str = "quarantine";
-/// Maximum number of cases in the row: 50 KB of the 64 KB that a row can hold.
-const MAX_CASES: usize = 256;
-/// Maximum number of crashes stored per case: enough to refuse it.
-const MAX_ENDS: usize = 4;
+/// Maximum number of cases in the row: 55 KB of the 64 KB that a row can hold.
+const MAX_CASES: usize = 192;
+/// Maximum number of crashes stored per case: enough to refuse it, also where two of them count as one.
+const MAX_ENDS: usize = 6;
 /// Time that a starting entry waits for another one to report refused requests before it reads the
 /// row. A link to a running seed takes a few round trips, and callers wait at most half a second.
 const FIRST_LINK_WAIT: Duration = Duration::from_millis(250);
@@ -47,7 +46,7 @@
 /// Stored form of a case; times are on the store's clock.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct CaseDoc {
-    /// Hexadecimal.
+    /// Number of the suspect, hexadecimal.
     fingerprint: Box<str>,
     /// Incarnations that crashed, as hexadecimal hashes, and when, in milliseconds.
     ends: Vec<(Box<str>, u64)>,
@@ -63,8 +62,8 @@
     cases: Vec<CaseDoc>,
 }
 
-/// Request for the trial of a refused request; the reply tells whether it was granted.
-pub(crate) type TrialRequest = (Fingerprint, oneshot::Sender<bool>);
+/// Request for a trial of all these refused suspects at once; the reply tells whether it was granted.
+pub(crate) type TrialRequest = (Box<[Suspect]>, oneshot::Sender<bool>);
 
 /// The row as last read or written.
 struct StoredRow {
@@ -102,7 +101,7 @@
             Some((IncarnationHash::from_str_radix(incarnation, 16).ok()?, self.to_own(*ms)))
         };
         Some(Case {
-            fingerprint: Fingerprint(u128::from_str_radix(&doc.fingerprint, 16).ok()?),
+            suspect: Suspect::from_bits(u128::from_str_radix(&doc.fingerprint, 16).ok()?),
             ends: doc.ends.iter().filter_map(parse_end).collect(),
             trials: doc.trials,
             tried_at: if doc.trials > 0 { self.to_own(doc.tried_ms) } else { Duration::ZERO },
@@ -113,7 +112,7 @@
         let first = case.ends.len().saturating_sub(MAX_ENDS);
         let ends = case.ends[first..].iter();
         CaseDoc {
-            fingerprint: case.fingerprint.to_string().into(),
+            fingerprint: case.suspect.to_string().into(),
             ends: ends.map(|(life, at)| (format!("{life:x}").into(), self.to_store(*at))).collect(),
             trials: case.trials,
             tried_ms: self.to_store(case.tried_at),
@@ -122,7 +121,7 @@
 
     /// Whether the row has everything that is known of a case.
     fn covers(&self, case: &Case) -> bool {
-        let same_case = self.cases.iter().find(|stored| stored.fingerprint == case.fingerprint);
+        let same_case = self.cases.iter().find(|stored| stored.suspect == case.suspect);
         same_case.is_some_and(|stored| {
             let is_stored = |incarnation: &IncarnationHash| {
                 stored.ends.iter().any(|(known, _)| known == incarnation)
@@ -135,7 +134,7 @@
 
     /// Whether the row has a case that was cleared since.
     fn has_cleared(&self, router: &Router) -> bool {
-        let status = |case: &Case| router.quarantine.status(&case.fingerprint, router.now());
+        let status = |case: &Case| router.quarantine.status(&case.suspect, router.now());
         self.cases.iter().any(|case| status(case) == QuarantineStatus::Free)
     }
 
@@ -197,8 +196,8 @@
                     sleep(write_delay(router)).await;
                 }
             }
-            Some((fingerprint, answer)) = trials.recv() => {
-                let is_granted = claim_trial(router, store, &mut stored, &fingerprint).await;
+            Some((suspects, answer)) = trials.recv() => {
+                let is_granted = claim_trial(router, store, &mut stored, &suspects).await;
                 // The caller may have left in the meantime.
                 let _ = answer.send(is_granted);
             }
@@ -272,33 +271,32 @@
         }
         // Another entry may have written the row in the meantime.
         read_row(router, store, stored).await?;
-        if stored.as_ref().is_some_and(is_current) || write_row(router, store, stored, None).await?
-        {
+        if stored.as_ref().is_some_and(is_current) || write_row(router, store, stored, &[]).await? {
             return Ok(());
         }
     }
     Ok(())
 }
 
-/// Replaces the row with all known cases, counting a trial that begins now. Returns false if it has changed since it
-/// was read.
+/// Replaces the row with all known cases, counting a trial of these suspects that begins now. Returns false if the row
+/// has changed since it was read.
 async fn write_row(
     router: &Router,
     store: &StoreClient,
     stored: &mut Option<StoredRow>,
-    trial: Option<&Fingerprint>,
+    trial: &[Suspect],
 ) -> crate::platform::Result<bool> {
     let Some(stored) = stored else {
         return Ok(false);
     };
     let mut cases = router.quarantine.cases(!router.is_isolated(), router.now());
     cases.truncate(MAX_CASES);
-    let tried = cases.iter_mut().find(|case| Some(&case.fingerprint) == trial);
-    match (trial, tried) {
-        (_, Some(tried)) => (tried.trials, tried.tried_at) = (tried.trials + 1, router.now()),
-        // Cleared in the meantime, or among too many cases.
-        (Some(_), None) => return Ok(false),
-        (None, None) => {}
+    for suspect in trial {
+        let Some(tried) = cases.iter_mut().find(|case| case.suspect == *suspect) else {
+            // Cleared in the meantime, or among too many cases.
+            return Ok(false);
+        };
+        (tried.trials, tried.tried_at) = (tried.trials + 1, router.now());
     }
     let doc = RowDoc { cases: cases.iter().map(|case| stored.encode(case)).collect() };
     let value = serde_json::to_vec(&doc).expect("strings and numbers serialize to JSON");
@@ -319,20 +317,20 @@
     }
 }
 
-/// Claims the trial of a refused request for this entry if it is due and not yet claimed. The row
-/// is read first and written conditionally, so only one entry makes the trial.
+/// Claims the trial of refused suspects for this entry if it is due for all and not yet claimed. The
+/// row is read first and written conditionally, so only one entry makes the trial.
 async fn claim_trial(
     router: &Router,
     store: &StoreClient,
     stored: &mut Option<StoredRow>,
-    fingerprint: &Fingerprint,
+    suspects: &[Suspect],
 ) -> bool {
     // Concurrent requests claim the same trial; the first one of them is served.
-    let is_due = || router.quarantine.is_trial_due(fingerprint, router.now());
+    let is_due = || suspects.iter().all(|s| router.quarantine.is_trial_due(s, router.now()));
     if !is_due() || read_row(router, store, stored).await.is_err() || !is_due() {
         return false;
     }
-    let is_taken = match write_row(router, store, stored, Some(fingerprint)).await {
+    let is_taken = match write_row(router, store, stored, suspects).await {
         Ok(is_written) => is_written,
         Err(e) => {
             event::STORE_UNREACHABLE.log(format_args!("table=Own cause=\"{e}\""));
@@ -340,8 +338,10 @@
         }
     };
     if is_taken {
-        router.quarantine.grant_trial(fingerprint, router.now());
+        router.quarantine.grant_trial(suspects, router.now());
+    }
+    for suspect in suspects {
+        event::QUARANTINE_TRIAL.log(format_args!("fingerprint={suspect} taken={is_taken}"));
     }
-    event::QUARANTINE_TRIAL.log(format_args!("fingerprint={fingerprint} taken={is_taken}"));
     is_taken
 }
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -1,4 +1,4 @@
-//! Handling of requests during which servers crashed.
+//! Handling of requests during which servers crashed, or others with a part of the same prompt.
 
 use std::{sync::Arc, time::Duration};
 
@@ -8,13 +8,12 @@
 };
 
 use crate::{
-    policy::quarantine::QuarantineStatus,
+    policy::quarantine::Suspect,
     router::{
         Released, Router,
         quarantine::{quarantine_row::TrialRequest, quarantine_trial::QuarantineTrial},
-        request::request_context::RequestContext,
+        request::{refusal::Refusal, request_context::RequestContext},
     },
-    routing::Fingerprint,
     telemetry::event,
 };
 
@@ -29,39 +28,51 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 impl Router {
-    /// Whether a request may be sent, is suspected or is refused, based on the servers that crashed
-    /// during it.
-    pub(crate) fn quarantine_status(&self, ctx: &RequestContext) -> QuarantineStatus {
+    /// Those of a request's suspects that are refused and that it is not a trial of, each with the time until its
+    /// next trial.
+    fn refused_suspects(&self, ctx: &RequestContext) -> Vec<(Suspect, Option<Duration>)> {
         if self.quarantine.is_idle() {
-            return QuarantineStatus::Free;
+            return Vec::new();
         }
-        self.quarantine.status(&ctx.fingerprint(), self.now())
+        let mut refused = self.quarantine.refused_among(ctx.suspects(), self.now());
+        refused.retain(|(suspect, _)| !ctx.is_trial_of(suspect));
+        refused
     }
 
-    /// Whether a request is refused because of the servers that crashed during it.
+    /// Whether a request is refused because of the servers that crashed during it or during others with a part of its
+    /// prompt.
     pub(crate) fn is_refused(&self, ctx: &RequestContext) -> bool {
-        !ctx.is_quarantine_trial()
-            && matches!(self.quarantine_status(ctx), QuarantineStatus::Refused { .. })
+        !self.refused_suspects(ctx).is_empty()
+    }
+
+    /// The request or the part of its prompt by which it is placed because servers crashed during it.
+    pub(crate) fn placing_suspect(&self, ctx: &RequestContext) -> Option<Suspect> {
+        if self.quarantine.is_idle() {
+            return None;
+        }
+        self.quarantine.placing_suspect(ctx.suspects())
     }
 
     /// Claims the trial of a refused request, which is made by a single entry. The store is asked
-    /// only if a trial is due.
+    /// only if a trial of all its refused suspects is due.
     pub(crate) async fn claim_trial(
         self: &Arc<Self>,
         ctx: &RequestContext,
     ) -> Option<QuarantineTrial> {
-        if !self.is_refused(ctx) {
+        let refused = self.refused_suspects(ctx);
+        if refused.is_empty() || !self.quarantine.is_trial_conclusive(ctx.suspects()) {
             return None;
         }
-        let fingerprint = ctx.fingerprint();
-        if self.quarantine.is_trial_due(&fingerprint, self.now()) {
+        let is_due = refused.iter().all(|(_, trial_in)| *trial_in == Some(Duration::ZERO));
+        let suspects: Box<[Suspect]> = refused.into_iter().map(|(suspect, _)| suspect).collect();
+        if is_due {
             let (answer, answered) = oneshot::channel();
-            if self.trials.0.try_send((fingerprint, answer)).is_ok() {
+            if self.trials.0.try_send((suspects.clone(), answer)).is_ok() {
                 // A slow store must not delay the caller. A trial that it grants later waits for the next request.
                 let _ = timeout(TRIAL_CLAIM_TIMEOUT, answered).await;
             }
         }
-        QuarantineTrial::take(self, fingerprint)
+        QuarantineTrial::take(self, suspects)
     }
 
     /// The receiver of trial requests for the control thread; none after the first call.
@@ -88,28 +99,45 @@
 
     /// Records that a server answered a request completely, so the request does not crash servers.
     pub(crate) fn record_complete_answer(&self, ctx: &RequestContext) {
-        if self.quarantine_status(ctx) != QuarantineStatus::Free {
-            self.quarantine.clear(ctx.fingerprint(), self.now());
+        if !self.quarantine.is_idle() {
+            self.quarantine.clear(ctx.suspects()[0], self.now());
         }
     }
 
-    /// When the caller of a refused request may retry.
-    pub(crate) fn refusal_retry_after(&self, ctx: &RequestContext) -> Duration {
-        if self.quarantine.has_trial(&ctx.fingerprint()) {
-            return MIN_RETRY_AFTER;
-        }
-        match self.quarantine_status(ctx) {
-            QuarantineStatus::Refused { trial_in: Some(trial_in) } => trial_in.max(MIN_RETRY_AFTER),
-            _ => PERMANENT_RETRY_AFTER,
+    /// Records that a server answered a request completely and successfully, so the parts of its prompt do not crash
+    /// servers. An answer pieced together from several servers shows nothing: each may have crashed after its piece.
+    pub(crate) fn record_answered_parts(&self, ctx: &RequestContext) {
+        if !ctx.has_lost_attempt() && !ctx.req.head.shared_parts().is_empty() {
+            self.quarantine.record_answered_parts(ctx.shared_parts(), self.now());
         }
     }
 
-    /// Clears a request by its fingerprint as shown in the state dump. Other entries are informed.
+    /// The refusal of a request that is in quarantine and was not run.
+    pub(crate) fn quarantine_refusal(&self, ctx: &RequestContext) -> Option<Refusal> {
+        let refused = self.refused_suspects(ctx);
+        let retry_after = refused.iter().map(|(suspect, trial_in)| {
+            if self.quarantine.has_trial(suspect) {
+                return MIN_RETRY_AFTER;
+            }
+            trial_in.map_or(PERMANENT_RETRY_AFTER, |trial_in| trial_in.max(MIN_RETRY_AFTER))
+        });
+        let retry_after = retry_after.max()?;
+        let part = refused.iter().find_map(|(suspect, _)| match suspect {
+            Suspect::Part(part) => Some(*part),
+            Suspect::Request(_) => None,
+        });
+        Some(match part {
+            Some(part) => Refusal::PartQuarantined { part, retry_after },
+            None => Refusal::Quarantined { retry_after },
+        })
+    }
+
+    /// Clears a request or prompt part by its fingerprint as shown in the state dump. Other entries are informed.
     pub fn release(&self, fingerprint: &str) -> Released {
         let Ok(number) = u128::from_str_radix(fingerprint, 16) else {
             return Released::Unreadable;
         };
-        if !self.quarantine.clear(Fingerprint(number), self.now()) {
+        if !self.quarantine.clear(Suspect::from_bits(number), self.now()) {
             return Released::Unknown;
         }
         event::QUARANTINE_RELEASED.log(format_args!("fingerprint={fingerprint}"));
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -80,7 +80,7 @@
                 let (route, server, number) = (&ctx.route.name, &member.server.id, ctx.runs);
                 event::ATTEMPT_FAILED.log(format_args!(
                     "request={id} fingerprint={} parts={} route={route} server={server} runs={number} cause=\"{e}\"",
-                    ctx.fingerprint(),
+                    ctx.suspects()[0],
                     ctx.log_shared_parts()
                 ));
             }
@@ -95,10 +95,10 @@
     first: Option<(Duration, Availability)>,
 ) -> Refusal {
     match request_outcome(&ctx.attempts) {
-        RequestOutcome::NotRun if router.is_refused(ctx) => {
-            Refusal::Quarantined { retry_after: router.refusal_retry_after(ctx) }
-        }
         RequestOutcome::NotRun => {
+            if let Some(refusal) = router.quarantine_refusal(ctx) {
+                return refusal;
+            }
             let retry_after = router.record_overload(&ctx.service, &ctx.req.head.id);
             let Some((wait, Availability::Closed { cause, .. })) = first else {
                 return Refusal::NotRun { retry_after };
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -4,7 +4,9 @@
 
 use http::{HeaderValue, Response, StatusCode, header};
 
-use crate::{policy::availability::UnavailableCause, router::request::body::ResponseBody};
+use crate::{
+    policy::availability::UnavailableCause, router::request::body::ResponseBody, routing::PartId,
+};
 
 /// Why a request gets a response from the entry instead of from a server.
 ///
@@ -59,6 +61,16 @@
         /// Time until the request may be sent again.
         retry_after: Duration,
     },
+    /// Servers crashed while running other requests with this prompt part; the request was not run.
+    #[error(
+        "servers ended under requests with part {part:x} of its prompt, which are refused for {retry_after:?}"
+    )]
+    PartQuarantined {
+        /// The part.
+        part: PartId,
+        /// Time until a request with it may be sent again.
+        retry_after: Duration,
+    },
     /// A server may have run the request.
     #[error("it was sent and its answer is lost")]
     Lost,
@@ -85,7 +97,8 @@
             | Self::NotRun { .. }
             | Self::RateLimited { .. }
             | Self::Unavailable { .. }
-            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined { .. }
+            | Self::PartQuarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -106,6 +119,7 @@
             Self::RateLimited { .. } => "limited",
             Self::Unavailable { .. } => "unavailable",
             Self::Quarantined { .. } => "ends_servers",
+            Self::PartQuarantined { .. } => "part_ends_servers",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -117,7 +131,8 @@
             | Self::NotRun { retry_after }
             | Self::RateLimited { retry_after }
             | Self::Unavailable { retry_after, .. }
-            | Self::Quarantined { retry_after } => retry_after,
+            | Self::Quarantined { retry_after }
+            | Self::PartQuarantined { retry_after, .. } => retry_after,
             _ => DEFAULT_RETRY_AFTER,
         }
     }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -125,6 +125,7 @@
     if response.head.kind == ResponseKind::Success {
         let outcome = if response.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
         router.roll_outs.record_outcome(&response.member.server, outcome);
+        router.record_answered_parts(ctx);
     }
     router.record_complete_answer(ctx);
     *res.body_mut() = ResponseBody::buffered(body.to_bytes());
@@ -224,6 +225,7 @@
             let Err(e) = self.relay_events(response).await else {
                 self.queue.end();
                 self.router.record_complete_answer(&self.ctx);
+                self.router.record_answered_parts(&self.ctx);
                 self.record_latency(&server);
                 return;
             };
@@ -234,7 +236,7 @@
             let (id, events) = (&self.ctx.req.head.id, self.last_event_id);
             event::STREAM_BROKEN.log(format_args!(
                 "request={id} fingerprint={} parts={} server={} last_event={events:?} cause=\"{e}\"",
-                self.ctx.fingerprint(),
+                self.ctx.suspects()[0],
                 self.ctx.log_shared_parts(),
                 server.server.id
             ));
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -6,15 +6,20 @@
 };
 
 use crate::{
-    policy::attempt::{self, AttemptEvent, AttemptState},
+    policy::{
+        attempt::{self, AttemptEvent, AttemptState},
+        quarantine::Suspect,
+    },
     router::{
         Router, quarantine::quarantine_trial::QuarantineTrial, request::in_flight::InFlightGuard,
     },
-    routing::{Fingerprint, Organisation, Request, Route},
+    routing::{Fingerprint, Organisation, PartId, Request, Route},
 };
 
 /// Maximum number of prompt parts in a log line; prompts have two to five.
 const MAX_LOGGED_PARTS: usize = 8;
+/// Maximum number of prompt parts of one request that are suspected, so that the caller can't exhaust the memory.
+const MAX_SUSPECT_PARTS: usize = 32;
 
 /// A request that is being handled, with the record of its attempts.
 #[derive(Debug)]
@@ -45,8 +50,8 @@
     pub(crate) unreachable_servers: Vec<Box<str>>,
     /// Set if this is a trial of a quarantined request: it is run once to see whether it still crashes servers.
     pub(crate) quarantine_trial: Option<QuarantineTrial>,
-    /// Computed on first use, since most requests never need it.
-    fingerprint: OnceLock<Fingerprint>,
+    /// Computed on first use, since most requests never need them.
+    suspects: OnceLock<Arc<[Suspect]>>,
     /// When the first run began that a server has confirmed; usage counts requests, not runs.
     first_run_at: OnceLock<Duration>,
 }
@@ -77,20 +82,38 @@
             tried_servers,
             unreachable_servers: Vec::new(),
             quarantine_trial: None,
-            fingerprint: OnceLock::new(),
+            suspects: OnceLock::new(),
             first_run_at: OnceLock::new(),
         }
     }
 
     /// Identifies the request when it is sent again under another id.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| Fingerprint::of(&self.req, self.organisation.as_deref()))
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&self.req, self.organisation.as_deref())
+    }
+
+    /// The request and the shared parts of its prompt, each of which may crash servers; the request is the first.
+    pub(crate) fn suspects(&self) -> &Arc<[Suspect]> {
+        self.suspects.get_or_init(|| {
+            let request = Suspect::Request(self.fingerprint());
+            std::iter::once(request).chain(self.shared_parts().map(Suspect::Part)).collect()
+        })
+    }
+
+    /// The prompt parts that other requests may share.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = PartId> + Clone {
+        self.req.head.shared_parts().iter().take(MAX_SUSPECT_PARTS).map(|part| part.id)
+    }
+
+    /// Whether an attempt that a server may have run got no complete response.
+    pub(crate) fn has_lost_attempt(&self) -> bool {
+        self.attempts.contains(&AttemptState::Unknown {})
     }
 
     /// The prompt parts that other requests may share, for log lines: hexadecimal ids separated by commas.
     pub(crate) fn log_shared_parts(&self) -> String {
-        let parts = self.req.head.shared_parts().iter().take(MAX_LOGGED_PARTS);
-        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        let parts = self.shared_parts().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
         ids.join(",")
     }
 
@@ -104,6 +127,11 @@
         self.quarantine_trial.is_some()
     }
 
+    /// Whether this is a trial of this suspect.
+    pub(crate) fn is_trial_of(&self, suspect: &Suspect) -> bool {
+        self.quarantine_trial.as_ref().is_some_and(|trial| trial.covers(suspect))
+    }
+
     /// Records whether a server may run or have run the trial, if this is one.
     pub(crate) fn mark_trial_sent(&self, is_sent: bool) {
         if let Some(trial) = &self.quarantine_trial {
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -9,7 +9,7 @@
         availability::{Availability, retain_first_tier},
         placement::{PlacementRequest, hash_id, place},
         prefix_cache::{PromptPrefix, shared_prefixes},
-        quarantine::QuarantineStatus,
+        quarantine::Suspect,
     },
     router::{
         Fleet, Member, Router,
@@ -31,8 +31,8 @@
     let mut members = eligible_servers(router, ctx, params, &fleet);
     members.retain(|member| is_allowed(&member.server.id));
     let members = available_servers(router, &ctx.service, members);
-    if router.quarantine_status(ctx) != QuarantineStatus::Free {
-        return select_for_suspect(ctx, &members).cloned();
+    if let Some(suspect) = router.placing_suspect(ctx) {
+        return select_for_suspect(suspect, &members).cloned();
     }
     let prefixes = prefixes(ctx, params);
     let candidate = |m: &&Arc<Member>| m.candidate(&settings.zone, &prefixes, now);
@@ -107,14 +107,15 @@
     usable.into_iter().map(|(member, _)| member).collect()
 }
 
-/// Selects the server for a request that was running when servers crashed, by rendezvous hashing on its
-/// fingerprint. All entries send the request to the same server, so that it crashes one server at a time. Other
-/// suspects of the same crash go to other servers, so that the next crash tells them apart.
+/// Selects the server for a request that was running when servers crashed, or that has a part of its prompt in common
+/// with such requests, by rendezvous hashing on the suspect. All entries send the requests with it to the same server,
+/// so that it crashes one server at a time. Other suspects of the same crash go to other servers, so that the next
+/// crash tells them apart.
 fn select_for_suspect<'a>(
-    ctx: &RequestContext,
+    suspect: Suspect,
     members: &[&'a Arc<Member>],
 ) -> Option<&'a Arc<Member>> {
-    let seed = ctx.fingerprint().0 as u64;
+    let seed = suspect.to_bits() as u64;
     let hash = |member: &&&Arc<Member>| xxh3_64_with_seed(&member.id_hash().to_le_bytes(), seed);
     members.iter().max_by_key(hash).copied()
 }
--- a/src/router/servers/lost_requests.rs
+++ b/src/router/servers/lost_requests.rs
@@ -1,8 +1,8 @@
 //! Requests that got no response from a server, kept until it is known whether the server ended.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use crate::{router::servers::server_ends::Proof, routing::Fingerprint};
+use crate::{policy::quarantine::Suspect, router::servers::server_ends::Proof};
 
 /// Age of a lost request up to which it counts as running when the server ended. A silent server is dropped from the
 /// list after three heartbeats of 1.2 s, and the list is read at most 0.8 s later.
@@ -62,13 +62,18 @@
         broken.map(|lost| lost.at)
     }
 
-    /// The requests that may have been running when the server ended, given that this is proved now.
-    pub(super) fn suspects(&self, now: Duration) -> Vec<Fingerprint> {
+    /// The requests that may have been running when the server ended, given that this is proved now, and the parts
+    /// of their prompts.
+    pub(super) fn suspects(&self, now: Duration) -> Vec<Suspect> {
         // Requests abandoned because the next incarnation was listed may have been running in that one.
         let may_have_run = |lost: &&LostRequest| {
             lost.loss_cause == LossCause::Disconnected || lost.at + LATE_READ_MARGIN < now
         };
-        self.lost.iter().filter(may_have_run).map(|lost| lost.fingerprint).collect()
+        let lost = self.lost.iter().filter(may_have_run);
+        let mut suspects: Vec<Suspect> = lost.flat_map(|lost| &*lost.suspects).copied().collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects
     }
 }
 
@@ -82,9 +87,10 @@
 }
 
 /// A request that got no response.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LostRequest {
-    pub(super) fingerprint: Fingerprint,
+    /// The request and the parts of its prompt.
+    pub(super) suspects: Arc<[Suspect]>,
     pub(super) at: Duration,
     pub(super) loss_cause: LossCause,
 }
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -10,7 +10,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
-    policy::quarantine::Note,
+    policy::quarantine::{Note, Suspect},
     router::{
         Member, Router,
         peers::quarantine_update::QuarantineUpdate,
@@ -82,13 +82,14 @@
 ) {
     let running = running_incarnation(router, member, sent_at);
     let member = running.as_ref().unwrap_or(member);
-    let (fingerprint, now) = (ctx.fingerprint(), router.now());
+    let (suspects, now) = (ctx.suspects(), router.now());
     let mut lost_requests = member.lost_requests();
     if lost_requests.has_ended(now) && loss_cause == LossCause::Disconnected {
         drop(lost_requests);
-        return router.quarantine.record_ends(&[fingerprint], member.incarnation_hash(), now);
+        return router.quarantine.record_ends(suspects, member.incarnation_hash(), now);
     }
-    lost_requests.record(LostRequest { fingerprint, at: now, loss_cause }, now);
+    let lost = LostRequest { suspects: suspects.clone(), at: now, loss_cause };
+    lost_requests.record(lost, now);
     drop(lost_requests);
     member.await_recovery();
 }
@@ -179,10 +180,11 @@
     if suspects.is_empty() {
         return;
     }
+    let parts = suspects.iter().filter(|suspect| matches!(suspect, Suspect::Part(_))).count();
     event::SERVER_ENDED.log(format_args!(
-        "server={} requests={} proof={proof:?}",
+        "server={} requests={} parts={parts} proof={proof:?}",
         member.server.id,
-        suspects.len()
+        suspects.len() - parts
     ));
     router.metrics.server_ends.inc();
     let incarnation = member.incarnation_hash();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,7 +10,7 @@
 
 pub use backend_server::{BackendServer, ServerVersion, StartTime};
 pub use fingerprint::Fingerprint;
-pub use request::{PromptPart, Request, RequestHead};
+pub use request::{PartId, PromptPart, Request, RequestHead};
 pub use response::{ResponseHead, ResponseKind};
 pub use roll_out::{RollOutOrder, RollOutProgress, RollOutStatus};
 pub use table::{
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -5,11 +5,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
+/// Hash of a prompt part's content, as callers send it.
+pub type PartId = u64;
+
 /// Part of a prompt. Requests that begin with the same parts can share KV cache entries on a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptPart {
     /// Hash of the part.
-    pub id: u64,
+    pub id: PartId,
     /// Length in tokens.
     pub tokens: u64,
 }
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -85,10 +85,10 @@
     EARLIER_ANSWER_KEPT = 509, Info, "The larger model of a cascade did not answer in time; the answer of the earlier stage was sent.";
     SERVER_ENDED = 510, Warn, "A server ended while requests were running on it; each of them is suspected of causing it.";
     REQUEST_QUARANTINED = 511, Error, "Three servers ended while running the same request; it is sent to no more servers.";
-    REQUEST_CLEARED = 512, Info, "A request under suspicion of ending servers was answered completely or released by an operator.";
-    QUARANTINE_TRIAL = 513, Warn, "A quarantined request is sent to one server to test whether it still ends the server.";
-    QUARANTINE_KEPT = 514, Info, "Quarantined requests were written to the store.";
-    QUARANTINE_RELEASED = 515, Warn, "An operator released a quarantined or suspected request.";
+    REQUEST_CLEARED = 512, Info, "A request or prompt part under suspicion of ending servers was answered completely or released by an operator.";
+    QUARANTINE_TRIAL = 513, Warn, "A quarantined request, or one with a quarantined part, is sent to one server to test whether it still ends the server.";
+    QUARANTINE_KEPT = 514, Info, "Quarantined requests and prompt parts were written to the store.";
+    QUARANTINE_RELEASED = 515, Warn, "An operator released a quarantined or suspected request or prompt part.";
     RATE_LIMIT_NAMED = 516, Warn, "A BackendServer advertises in its answers how many requests per second it accepts.";
     RATE_LIMIT_ENDED = 517, Info, "A BackendServer no longer advertises a rate limit.";
     RATE_LIMIT_UNREADABLE = 518, Error, "A BackendServer advertises a rate limit that is not a number of requests; it is ignored.";
@@ -98,8 +98,9 @@
     HEADER_UNREAD = 522, Warn, "An answer has an unknown header; logged once per name.";
     PAUSE_ENDED = 523, Info, "A BackendServer answers again after a pause that it had asked for.";
     CALLER_STALLED = 524, Warn, "A caller took nothing of its response for ten seconds and was cut off.";
-    SUSPECT_COUNTED = 525, Info, "Another server end counts against a request that was present at two or more; it is not refused yet.";
+    SUSPECT_COUNTED = 525, Info, "Another server end counts against a request or prompt part that was present at two or more; it is not refused yet.";
     SERVER_PACE_UNREADABLE = 526, Error, "A BackendServer reports how long work takes on its machine as something that can't be right; it is ignored.";
+    PART_QUARANTINED = 527, Error, "Servers ended while running different requests with the same part of the prompt; requests with it are sent to no more servers.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; this entry sends it no new sessions.";
     ROLL_OUT_MOVED = 601, Info, "The next step of a roll-out was written to the store.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write of a roll-out step conflicted with a newer write and was dropped.";
--- a/tests/model/quarantine.rs
+++ b/tests/model/quarantine.rs
@@ -8,13 +8,13 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use mintmoor::{
-    policy::quarantine::{IncarnationHash, Note, Quarantine, QuarantineStatus},
+    policy::quarantine::{IncarnationHash, Note, Quarantine, QuarantineStatus, Suspect},
     routing::Fingerprint,
 };
 
 use crate::explore::{Exploration, Step, assert_detected, assert_holds, explore};
 
-const CRASHING: Fingerprint = Fingerprint(1);
+const CRASHING: Suspect = Suspect::Request(Fingerprint(1));
 const ENTRIES: usize = 2;
 /// Number of ends after which the request no longer arrives: three, three more after all entries
 /// were restarted, and one that occurs while notes are in transit.
@@ -89,7 +89,7 @@
     let mut quarantine = Quarantine::default();
     for incarnation in incarnations {
         let note = Note::End {
-            fingerprint: CRASHING,
+            suspect: CRASHING,
             incarnation: *incarnation,
             at: Duration::from_secs(*incarnation),
         };
--- a/tests/play/quarantine.rs
+++ b/tests/play/quarantine.rs
@@ -3,14 +3,19 @@
 use std::{collections::HashSet, time::Duration};
 
 use mintmoor::{
-    policy::quarantine::{Note, Quarantine, QuarantineStatus},
+    policy::quarantine::{Note, Quarantine, QuarantineStatus, Suspect},
     routing::Fingerprint,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// The request that crashes servers.
-const CRASHING: Fingerprint = Fingerprint(0);
+/// The request with this fingerprint.
+const fn request(number: u128) -> Suspect {
+    Suspect::Request(Fingerprint(number))
+}
+
+const CRASHING: Suspect = request(0);
 /// Time step of the simulation.
 const STEP_MS: u64 = 10;
 const SIMULATED_MS: u64 = 30_000;
@@ -28,7 +33,7 @@
 
 /// A request at a server.
 struct RunningRequest {
-    fingerprint: Fingerprint,
+    suspect: Suspect,
     server: usize,
     /// When it completes or crashes its server.
     ends_at: u64,
@@ -76,17 +81,17 @@
 }
 
 impl Pool {
-    fn status(&self, fingerprint: Fingerprint, now: u64) -> QuarantineStatus {
+    fn status(&self, suspect: Suspect, now: u64) -> QuarantineStatus {
         if !self.has_quarantine {
             return QuarantineStatus::Free;
         }
-        self.quarantine.status(&fingerprint, at(now))
+        self.quarantine.status(&suspect, at(now))
     }
 
     /// Sends a request to a server, unless it is refused, has used up its sends, or no server is up.
-    fn send(&mut self, fingerprint: Fingerprint, sends: u32, now: u64) {
-        if matches!(self.status(fingerprint, now), QuarantineStatus::Refused { .. }) {
-            self.outcome.refused_innocent += usize::from(fingerprint != CRASHING);
+    fn send(&mut self, suspect: Suspect, sends: u32, now: u64) {
+        if matches!(self.status(suspect, now), QuarantineStatus::Refused { .. }) {
+            self.outcome.refused_innocent += usize::from(suspect != CRASHING);
             return;
         }
         let up: Vec<usize> =
@@ -94,16 +99,16 @@
         if up.is_empty() || sends == MAX_SENDS {
             return;
         }
-        let server = match self.status(fingerprint, now) {
+        let server = match self.status(suspect, now) {
             // Suspects are placed by a hash of their own. Any hash does for the simulation.
             QuarantineStatus::Suspect => {
-                up[(fingerprint.0 as usize * 7 + sends as usize) % up.len()]
+                up[(suspect.to_bits() as usize * 7 + sends as usize) % up.len()]
             }
             _ => up[self.rng.random_range(0..up.len())],
         };
-        let duration = if fingerprint == CRASHING { QUEUE_MS + CRASH_AFTER_MS } else { 1_000 };
+        let duration = if suspect == CRASHING { QUEUE_MS + CRASH_AFTER_MS } else { 1_000 };
         self.running.push(RunningRequest {
-            fingerprint,
+            suspect,
             server,
             ends_at: now + duration,
             sends: sends + 1,
@@ -118,13 +123,13 @@
             .into_iter()
             .partition::<Vec<_>, _>(|running| running.server == server);
         self.running = elsewhere;
-        for RunningRequest { fingerprint, .. } in &interrupted {
-            let note = Note::End { fingerprint: *fingerprint, incarnation, at: at(now) };
+        for RunningRequest { suspect, .. } in &interrupted {
+            let note = Note::End { suspect: *suspect, incarnation, at: at(now) };
             self.reports.push((now + REPORT_DELAY_MS, note));
         }
         self.servers[server] = Server { incarnation: incarnation + 1_000, up_at: now + RESTART_MS };
-        for RunningRequest { fingerprint, sends, .. } in interrupted {
-            self.send(fingerprint, sends, now);
+        for RunningRequest { suspect, sends, .. } in interrupted {
+            self.send(suspect, sends, now);
         }
     }
 
@@ -137,7 +142,7 @@
         for (_, note) in due {
             self.quarantine.add(note, at(now));
         }
-        let is_crashing_now = |r: &&RunningRequest| r.fingerprint == CRASHING && r.ends_at <= now;
+        let is_crashing_now = |r: &&RunningRequest| r.suspect == CRASHING && r.ends_at <= now;
         let crashing_servers: HashSet<usize> =
             self.running.iter().filter(is_crashing_now).map(|r| r.server).collect();
         crashing_servers.into_iter().for_each(|server| self.crash(server, now));
@@ -164,7 +169,7 @@
         // Seven new requests per second and server.
         if pool.rng.random_range(0.0..1.0) < servers as f64 * 0.07 && now < SIMULATED_MS - 5_000 {
             pool.outcome.requests += 1;
-            pool.send(Fingerprint(next), 0, now);
+            pool.send(request(next), 0, now);
             next += 1;
         }
         let (from, to, every) = CRASHING_ARRIVALS_MS;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,22 +3,29 @@
 use std::{collections::HashSet, time::Duration};
 
 use mintmoor::{
-    policy::quarantine::{IncarnationHash, Note, Quarantine, QuarantineStatus, REFUSED_AFTER},
+    policy::quarantine::{
+        IncarnationHash, Note, Quarantine, QuarantineStatus, REFUSED_AFTER, Suspect,
+    },
     routing::Fingerprint,
 };
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
-const CRASHING: Fingerprint = Fingerprint(1);
+/// The request with this fingerprint.
+const fn request(number: u128) -> Suspect {
+    Suspect::Request(Fingerprint(number))
+}
+
+const CRASHING: Suspect = request(1);
 const START: Duration = Duration::from_secs(1_000);
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn end(fingerprint: Fingerprint, incarnation: IncarnationHash, at_ms: u64) -> Note {
-    Note::End { fingerprint, incarnation, at: START + ms(at_ms) }
+fn end(suspect: Suspect, incarnation: IncarnationHash, at_ms: u64) -> Note {
+    Note::End { suspect, incarnation, at: START + ms(at_ms) }
 }
 
 fn quarantine_of(notes: impl IntoIterator<Item = Note>) -> Quarantine {
@@ -29,8 +36,8 @@
     quarantine
 }
 
-fn is_refused(quarantine: &Quarantine, fingerprint: Fingerprint) -> bool {
-    let status = quarantine.status(&fingerprint, START + ms(60_000));
+fn is_refused(quarantine: &Quarantine, suspect: Suspect) -> bool {
+    let status = quarantine.status(&suspect, START + ms(60_000));
     matches!(status, QuarantineStatus::Refused { .. })
 }
 
@@ -95,12 +102,12 @@
 /// them.
 #[test]
 fn a_rack_failure_counts_once_for_a_request_on_some_of_its_servers() {
-    let popular = (0..4).map(|incarnation| end(Fingerprint(2), incarnation, incarnation * 20));
-    let other = end(Fingerprint(3), 4, 50);
+    let popular = (0..4).map(|incarnation| end(request(2), incarnation, incarnation * 20));
+    let other = end(request(3), 4, 50);
 
     let quarantine = quarantine_of(popular.chain([other]));
 
-    assert_eq!(quarantine.status(&Fingerprint(2), START), QuarantineStatus::Suspect);
+    assert_eq!(quarantine.status(&request(2), START), QuarantineStatus::Suspect);
 }
 
 /// Three concurrent copies of a request end three servers at once, and no other server ends.
@@ -119,10 +126,10 @@
     let mut quarantine = Quarantine::default();
     let mut ends = 0;
     for incarnation in 0.. {
-        let fingerprint = Fingerprint(u128::from(incarnation % 2));
-        quarantine.add(end(fingerprint, incarnation, incarnation * 100), START);
+        let suspect = request(u128::from(incarnation % 2));
+        quarantine.add(end(suspect, incarnation, incarnation * 100), START);
         ends += 1;
-        if is_refused(&quarantine, Fingerprint(0)) && is_refused(&quarantine, Fingerprint(1)) {
+        if is_refused(&quarantine, request(0)) && is_refused(&quarantine, request(1)) {
             break;
         }
         assert!(incarnation < 20, "never");
@@ -154,7 +161,7 @@
 /// trial distinguishes the two.
 #[test]
 fn a_request_that_may_be_harmless_is_tried_early() {
-    let popular = Fingerprint(2);
+    let popular = request(2);
     let both = (0..3).flat_map(|i| [end(CRASHING, i, i * 400), end(popular, i, i * 400)]);
     let mut quarantine = quarantine_of(both);
     let trial_in = |quarantine: &Quarantine, now| match quarantine.status(&popular, now) {
@@ -174,7 +181,7 @@
 /// that had already ended unnoticed, so no other request was present at those ends.
 #[test]
 fn a_request_with_a_complete_answer_is_tried_early() {
-    let popular = Fingerprint(2);
+    let popular = request(2);
     let mut quarantine = quarantine_of([end(popular, 1, 0)]);
     for note in quarantine.clearing_notes(popular) {
         quarantine.add(note, START + ms(500));
@@ -209,7 +216,7 @@
     let mut quarantine = quarantine_of((0..3).map(|i| end(CRASHING, i, i)));
 
     for i in 0..10_000u64 {
-        let harmless = Fingerprint(u128::from(i) + 100);
+        let harmless = request(u128::from(i) + 100);
         quarantine.add(end(harmless, 1_000 + i, 10_000 + i), START + ms(10_000 + i));
     }
 
@@ -232,14 +239,14 @@
     prop_oneof![
         4 => about
             .clone()
-            .prop_map(|(f, incarnation)| end(Fingerprint(f), incarnation, incarnation * 150)),
+            .prop_map(|(f, incarnation)| end(request(f), incarnation, incarnation * 150)),
         1 => about
-            .prop_map(|(f, incarnation)| Note::Cleared { fingerprint: Fingerprint(f), incarnation }),
+            .prop_map(|(f, incarnation)| Note::Cleared { suspect: request(f), incarnation }),
     ]
 }
 
 fn statuses(quarantine: &Quarantine) -> Vec<QuarantineStatus> {
-    (0..4).map(|f| quarantine.status(&Fingerprint(f), START + ms(60_000))).collect()
+    (0..4).map(|f| quarantine.status(&request(f), START + ms(60_000))).collect()
 }
 
 proptest! {
@@ -305,8 +312,8 @@
 
 fn delayed(note: Note, by_ms: u64) -> Note {
     match note {
-        Note::End { fingerprint, incarnation, at } => {
-            Note::End { fingerprint, incarnation, at: at + ms(by_ms) }
+        Note::End { suspect, incarnation, at } => {
+            Note::End { suspect, incarnation, at: at + ms(by_ms) }
         }
         annulled => annulled,
     }
@@ -321,11 +328,11 @@
         let mut fleet = Fleet::of(entries);
         for i in 0..12 {
             let entry = rng.random_range(0..entries);
-            fleet.observe(entry, end(Fingerprint(u128::from(i % 3)), i, 2_000 * i));
+            fleet.observe(entry, end(request(u128::from(i % 3)), i, 2_000 * i));
         }
         while fleet.exchange_notes(&mut rng) {}
         let clearing = rng.random_range(0..entries);
-        for note in fleet.entries[clearing].clearing_notes(Fingerprint(0)) {
+        for note in fleet.entries[clearing].clearing_notes(request(0)) {
             fleet.observe(clearing, note);
         }
 
@@ -335,8 +342,8 @@
             assert!(rounds < 5, "the exchange does not end");
         }
 
-        let free = |q: &Quarantine| q.status(&Fingerprint(0), START) == QuarantineStatus::Free;
-        let refused = |q: &Quarantine| (1..3).all(|f| is_refused(q, Fingerprint(f)));
+        let free = |q: &Quarantine| q.status(&request(0), START) == QuarantineStatus::Free;
+        let refused = |q: &Quarantine| (1..3).all(|f| is_refused(q, request(f)));
         assert!(fleet.entries.iter().all(|q| free(q) && refused(q)), "{entries} entries");
         // Each note crosses each link between a seed and an entry twice at most.
         assert!(fleet.sent <= 2 * 16 * SEEDS * entries, "{} sent", fleet.sent);
@@ -355,7 +362,7 @@
         let ends = rng.random_range(0..servers);
         quarantine.add(end(CRASHING, incarnation, now), START);
         for (i, server) in at.iter_mut().enumerate().filter(|(_, server)| **server == ends) {
-            let harmless = Fingerprint(100 + i as u128);
+            let harmless = request(100 + i as u128);
             quarantine.add(end(harmless, incarnation, now), START);
             // The server of a suspect is chosen by a hash of the suspect itself.
             *server = (ends + rng.random_range(1..servers)) % servers;
@@ -363,7 +370,7 @@
         (incarnation, sent, now) = (incarnation + 1, sent + 1, now + 400);
     }
     let harmless = 100..100 + at.len() as u128;
-    let refused = harmless.filter(|f| is_refused(&quarantine, Fingerprint(*f))).count();
+    let refused = harmless.filter(|f| is_refused(&quarantine, request(*f))).count();
     (sent, refused)
 }
 
