A response that ends with its connection is incomplete if its server has ended

Callers could get half of an answer as a whole one: a response with neither a length nor chunks ends when its connection closes, and a process that crashes closes its connections too. Such a cut answer also cleared the prompt parts and the request that had crashed the server.

The address is probed at the end of each such response, as for a broken connection; a server that announced its exit is excepted. A stream that closes without a single event is broken off as well.

--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -84,6 +84,8 @@
         retry_after: parse_retry_after(headers),
         unknown_headers: collect_unknown_headers(headers),
         closes_connection,
+        is_close_delimited: !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING),
     }
 }
 
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -28,7 +28,7 @@
         roll_outs::roll_out::RunOutcome,
         servers::{
             lost_requests::LossCause,
-            server_ends::{record_broken_connection, record_lost},
+            server_ends::{may_be_cut_off, record_broken_connection, record_lost},
         },
     },
     routing::{ResponseHead, ResponseKind, RouteKind},
@@ -118,9 +118,13 @@
 ) -> Result<Response<ResponseBody>, ()> {
     let mut res = response_with_head(&response.head);
     let body = Limited::new(&mut response.body, MAX_BUFFERED_BODY).collect().await;
-    let Ok(body) = body else {
-        record_broken_connection(router, ctx, &response.member, response.sent_at).await;
-        return Err(());
+    let is_cut_off = || may_be_cut_off(router, &response.member, &response.head);
+    let body = match body {
+        Ok(body) if !is_cut_off().await => body,
+        _ => {
+            record_broken_connection(router, ctx, &response.member, response.sent_at).await;
+            return Err(());
+        }
     };
     if response.head.kind == ResponseKind::Success {
         let outcome = if response.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
@@ -140,6 +144,8 @@
     Lost(#[from] hyper::Error),
     #[error("the stream ended within an event")]
     TruncatedEvent,
+    #[error("the connection ended, and with it the server or a stream without events")]
+    CutOff,
     #[error("no event in time")]
     Silent,
     #[error("an event is missing")]
@@ -311,6 +317,10 @@
                 if splitter.is_inside_event() {
                     return Err(StreamError::TruncatedEvent);
                 }
+                let is_empty = response.head.is_close_delimited && !has_begun;
+                if is_empty || may_be_cut_off(router, server, &response.head).await {
+                    return Err(StreamError::CutOff);
+                }
                 self.record_complete_run(&response, &run);
                 response.finish(self.router.now());
                 return Ok(());
--- a/src/routing/response.rs
+++ b/src/routing/response.rs
@@ -53,6 +53,8 @@
     pub unknown_headers: Vec<HeaderName>,
     /// Whether the server closes the connection after this response.
     pub closes_connection: bool,
+    /// Whether the body has neither a length nor chunks and ends with its connection.
+    pub is_close_delimited: bool,
 }
 
 impl ResponseHead {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod adapter;
 mod allowed_regions;
+mod close_delimited;
 mod cold;
 mod crashes;
 mod crashing_parts;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -74,6 +74,9 @@
     EndlessStreamWithConfidence { confidence: u8 },
     /// Sends a response without a length, which ends when the connection is closed.
     CloseDelimited,
+    /// Like `CloseDelimited`, with this HTTP version, these header lines and this body. The connection ends because
+    /// the server closes it, or because the whole process terminates.
+    CloseDelimitedBody { version: &'static str, headers: &'static str, body: String, crashes: bool },
     /// Sends the same complete response twice.
     Duplicate,
     /// Terminates the whole process, either after it has sent the response head of a stream or
@@ -257,7 +260,10 @@
                 Some(retry_after) => Action::NotExecutedRetryAfter { retry_after },
                 None => script(&request),
             };
-            let crashes = matches!(action, Action::Crash { .. });
+            let crashes = matches!(
+                action,
+                Action::Crash { .. } | Action::CloseDelimitedBody { crashes: true, .. }
+            );
             let keeps_connection =
                 respond(&mut stream, &request, action, &self.header_lines()).await;
             if crashes {
@@ -354,6 +360,9 @@
             return false;
         }
         Action::CloseDelimited => (format!("HTTP/1.1 200 X\r\n{signed}\r\nall of it"), false),
+        Action::CloseDelimitedBody { version, headers, body, .. } => {
+            (format!("HTTP/{version} 200 X\r\n{signed}{headers}\r\n{body}"), false)
+        }
         Action::Duplicate => {
             let once = reply(200, &signed, "once");
             (format!("{once}{once}"), true)
