Close new connections unread while the process lacks processor time

A balancer may hand most new connections of a zone to one entry.

The delay with which ready tasks run is measured every 30 ms. Above a target new connections are closed unread, so that their callers turn to other entries; afterwards the rate at which they are served grows from less than it was. Readiness stays as it is: out of rotation, the next entry would get all of it.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or generates random numbers, so that the model checks
 //! in `tests/model/`, the property tests and the benchmarks run the same code as production.
 
+pub mod accept_control;
 pub mod announcements;
 pub mod answer_timeout;
 pub mod attempt;
--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -11,12 +11,14 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::Instant,
 };
 use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     router::{
         Router,
+        accept_gate::AcceptGate,
         request::serve::{DEFAULT_LIMITS, serve},
     },
     telemetry::{admin, event},
@@ -40,13 +42,17 @@
     mut closing: watch::Receiver<bool>,
 ) {
     let connections = GracefulShutdown::new();
+    let gate = Arc::new(AcceptGate::new(router.clone()));
+    let _measuring = gate.spawn_measuring();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|closing| *closing) => break,
         };
         match accepted {
-            Ok((stream, caller)) => serve_connection(&router, stream, caller, &connections),
+            // Dropping the connection closes it unread.
+            Ok(_) if !gate.admits() => {}
+            Ok((stream, caller)) => serve_connection(&router, &gate, stream, caller, &connections),
             Err(e) => {
                 event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -60,10 +66,12 @@
 /// Serves the requests of one connection in a task of its own.
 fn serve_connection(
     router: &Arc<Router>,
+    gate: &Arc<AcceptGate>,
     stream: TcpStream,
     caller: SocketAddr,
     connections: &GracefulShutdown,
 ) {
+    let accepted_at = Instant::now();
     // Nagle's algorithm would hold back a small event until the caller has acknowledged the previous one.
     if let Err(e) = stream.set_nodelay(true) {
         event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
@@ -74,6 +82,7 @@
     let table = router.table.load();
     let limits = table.as_ref().as_ref().and_then(|t| t.limits).unwrap_or(DEFAULT_LIMITS);
     let (serving, router, connected_at) = (router.clone(), router.clone(), router.now());
+    let gate = gate.clone();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper also applies this timeout to the time between requests, so it has to be the longer of the two.
@@ -86,6 +95,9 @@
     let connection = connections.watch(connection);
     // Other connection errors can be ignored: if a request was in flight, its handling fails as well.
     tokio::spawn(async move {
+        if gate.is_too_late(accepted_at) {
+            return;
+        }
         if let Err(e) = connection.await
             && is_stalled(&e)
         {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! (`servers`). The control thread follows the platform's store (`store`, `roll_outs`, `quarantine`) or another entry
 //! (`peers`), and reports usage to the platform (`duties`). The design is in docs/decisions/0008.
 
+mod accept_gate;
 mod duties;
 mod listen;
 mod observability;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -204,6 +204,8 @@
     pub held_bytes: Gauge,
     /// Connections of callers that were closed because the caller took nothing of its response.
     pub callers_stalled: Counter,
+    /// New connections of callers that were closed unread.
+    pub connections_unread: Counter,
     /// Whether this entry holds the lease of the usage duty: 1 or 0.
     pub duty_held: Gauge,
     /// Usage reports sent to the platform.
@@ -266,6 +268,7 @@
             unread_header_names: Arc::default(),
             held_bytes: Gauge::default(),
             callers_stalled: Counter::default(),
+            connections_unread: Counter::default(),
             duty_held: Gauge::default(),
             usage_reports: Family::default(),
             usage_windows_lost: Counter::default(),
@@ -366,6 +369,8 @@
         registry.register("held_bytes", "Bytes held for slow callers and servers", held);
         let stalled = self.callers_stalled.clone();
         registry.register("callers_stalled", "Callers cut off since they read nothing", stalled);
+        let unread = self.connections_unread.clone();
+        registry.register("connections_unread", "New connections closed unread", unread);
     }
 
     fn register_usage(&self, registry: &mut Registry) {
