Keep shared parts in service while servers crash for another reason

A part that was answered before is refused only if it is present at 0.9 of all ends over 8 s, in 8 events. Trials of parts wait until no server ends, and a part that may be harmless has its second after 3 s.

The verdict is also brought up to date when a note that is not new moves an end's time (found by the_order_of_the_notes_does_not_matter).

--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -66,8 +66,8 @@
 /// request sent by many callers was refused for minutes after it had been present at three ends
 /// beside a crashing one; it made up half of an entry's requests.
 const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(1);
-/// Delay of the second trial of a part that was answered before, which many callers may need.
-const ANSWERED_TRIAL_DELAY: Duration = Duration::from_secs(10);
+/// Delay of the second trial of a part that may be harmless, which many callers may need.
+const SECOND_TRIAL_DELAY: Duration = Duration::from_secs(3);
 /// Maximum number of trials over all entries after which only an operator releases a suspect. The platform tolerates
 /// three sends of what crashes servers.
 const MAX_TRIALS: usize = 3;
@@ -120,8 +120,15 @@
 
     /// Merges notes and returns those that were new.
     pub fn add_all(&mut self, notes: impl IntoIterator<Item = Note>, now: Duration) -> Vec<Note> {
-        let new: Vec<Note> = notes.into_iter().filter(|note| self.merge(*note, now)).collect();
-        if !new.is_empty() {
+        let (mut new, mut has_changed) = (Vec::new(), false);
+        for note in notes {
+            // A note that is not new may still change when an incarnation ended.
+            has_changed |= self.advance_end(&note);
+            if self.merge(note, now) {
+                new.push(note);
+            }
+        }
+        if has_changed || !new.is_empty() {
             self.judge();
         }
         new
@@ -132,16 +139,25 @@
         self.evict_if_full(&suspect);
         let record = self.records.entry(suspect).or_default();
         match note {
-            Note::End { incarnation, at, .. } => {
-                let ended_at = self.ended_at.entry(incarnation).or_insert(at);
-                *ended_at = (*ended_at).min(at);
-                record.add_end(incarnation, at)
-            }
+            Note::End { incarnation, at, .. } => record.add_end(incarnation, at),
             Note::Cleared { incarnation, .. } => record.clear_end(incarnation, now),
             Note::Answered { .. } => record.mark_answered(now),
         }
     }
 
+    /// Records when an incarnation ended, the earliest time that is known. Returns whether that is new.
+    fn advance_end(&mut self, note: &Note) -> bool {
+        let Note::End { incarnation, at, .. } = note else {
+            return false;
+        };
+        let known = self.ended_at.get(incarnation).is_some_and(|known| known <= at);
+        if !known {
+            self.ended_at.insert(*incarnation, *at);
+        }
+        !known
+    }
+
+    /// Brings the verdict up to date.
     fn judge(&mut self) {
         self.refused = verdict::refused_suspects(&self.records, &self.ended_at);
     }
@@ -228,7 +244,9 @@
             } else {
                 *incarnation
             };
-            is_new |= self.merge(Note::End { suspect, incarnation, at: *at }, now);
+            let note = Note::End { suspect, incarnation, at: *at };
+            self.advance_end(&note);
+            is_new |= self.merge(note, now);
         }
         self.judge();
         let Some(record) = self.records.get_mut(&suspect) else {
@@ -298,12 +316,17 @@
         let spread =
             EARLY_TRIAL_SPREAD.mul_f64(f64::from(suspect.to_bits() as u8) / f64::from(u8::MAX));
         let early = self.may_be_harmless(suspect, record).then_some(EARLY_TRIAL_DELAY + spread);
-        let is_answered_part = matches!(suspect, Suspect::Part(_)) && record.was_answered();
-        let second = is_answered_part.then_some(ANSWERED_TRIAL_DELAY);
+        let is_part = matches!(suspect, Suspect::Part(_));
+        let second = early.filter(|_| is_part).map(|_| SECOND_TRIAL_DELAY);
         let later = [FIRST_TRIAL_DELAY, LAST_TRIAL_DELAY];
         let mut delays = early.into_iter().chain(second).chain(later).take(MAX_TRIALS);
-        let last_end = record.counted_ends().last().map_or(Duration::ZERO, |(_, at)| at);
-        Some(last_end.max(record.tried_at) + delays.nth(record.trials as usize)?)
+        let last_end = match suspect {
+            Suspect::Request(_) => record.counted_ends().last().map(|(_, at)| at),
+            // While servers end for whatever reason, the trial's may be one of them.
+            Suspect::Part(_) => self.ended_at.values().max().copied(),
+        };
+        let since = last_end.unwrap_or_default().max(record.tried_at);
+        Some(since + delays.nth(record.trials as usize)?)
     }
 
     /// Whether a refused suspect may be harmless: a server has answered it completely before, or other suspects
@@ -321,14 +344,26 @@
             Suspect::Request(_) => self.records.iter().any(|(other, ends)| {
                 matches!(other, Suspect::Request(_)) && other != suspect && was_present(ends)
             }),
-            Suspect::Part(_) => record.counted_ends().all(|(incarnation, _)| {
+            Suspect::Part(_) => {
                 let others = self.refused.iter().filter(|other| *other != suspect);
-                let mut records = others.filter_map(|other| self.records.get(other));
-                records.any(|other| other.was_running_on(incarnation))
-            }),
+                let others: Vec<_> = others.filter_map(|other| self.records.get(other)).collect();
+                let is_explained =
+                    |incarnation| others.iter().any(|r| r.was_running_on(incarnation));
+                self.ended_without_it(record)
+                    || record.counted_ends().all(|(incarnation, _)| is_explained(incarnation))
+            }
         }
     }
 
+    /// Whether a server has ended without running the suspect since the last end that counts against it, so that
+    /// something else crashes servers.
+    fn ended_without_it(&self, record: &SuspectRecord) -> bool {
+        let last_end = record.counted_ends().last().map_or(Duration::ZERO, |(_, at)| at);
+        self.ended_at.iter().any(|(incarnation, at)| {
+            last_end + CORRELATION_WINDOW < *at && !record.was_running_on(*incarnation)
+        })
+    }
+
     /// Records that a trial of a suspect begins and returns the case to persist.
     pub fn begin_trial(&mut self, suspect: &Suspect, now: Duration) -> Option<Case> {
         let record = self.records.get_mut(suspect)?;
--- a/src/policy/quarantine/verdict.rs
+++ b/src/policy/quarantine/verdict.rs
@@ -26,8 +26,13 @@
 /// further servers after that.
 const PART_CORRELATION_WINDOW: Duration = Duration::from_millis(100);
 /// Time over which a part that was answered before must have had ends and no answer to be refused. Its answers are
-/// more frequent unless hardly any server is up. The platform tolerates 3 s after the fifth end.
-const MIN_SILENCE: Duration = Duration::from_secs(2);
+/// more frequent unless hardly any server is up.
+const MIN_SILENCE: Duration = Duration::from_secs(8);
+/// Number of separate events that count against such a part.
+const MIN_EVENTS_AFTER_ANSWERS: usize = 8;
+/// Share of all ends during that time at which such a part must have been present. A part that many requests have is
+/// present at most ends of a busy pool, whatever their cause; one that crashes servers is present at all.
+const MIN_COVERAGE: f64 = 0.9;
 
 pub(super) type Records = HashMap<Suspect, SuspectRecord>;
 type Ends = HashSet<IncarnationHash>;
@@ -38,7 +43,7 @@
     ended_at: &HashMap<IncarnationHash, Duration>,
 ) -> HashSet<Suspect> {
     let mut refused = HashSet::new();
-    let explained = refuse_parts(records, &mut refused);
+    let explained = refuse_parts(records, ended_at, &mut refused);
     let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
         matches!(suspect, Suspect::Request(_))
             && count_request_events(record, ended_at) >= REFUSED_AFTER
@@ -49,7 +54,11 @@
 }
 
 /// Refuses parts, starting with the most suspicious, and returns the ends that they explain.
-fn refuse_parts(records: &Records, refused: &mut HashSet<Suspect>) -> Ends {
+fn refuse_parts(
+    records: &Records,
+    ended_at: &HashMap<IncarnationHash, Duration>,
+    refused: &mut HashSet<Suspect>,
+) -> Ends {
     let strength = |record: &SuspectRecord| (!record.was_answered(), record.counted_ends().count());
     let parts = records.iter().filter(|(suspect, record)| {
         matches!(suspect, Suspect::Part(_)) && strength(record).1 >= PART_REFUSED_AFTER
@@ -59,8 +68,10 @@
     let mut explained = Ends::new();
     // Parts of the same strength can't be told apart, so none of them explains the ends of another.
     for equals in parts.chunk_by(|(_, a), (_, b)| strength(a) == strength(b)) {
-        let refusable: Vec<_> =
-            equals.iter().filter(|(_, record)| is_part_refusable(record, &explained)).collect();
+        let refusable: Vec<_> = equals
+            .iter()
+            .filter(|(_, record)| is_part_refusable(record, ended_at, &explained))
+            .collect();
         refused.extend(refusable.iter().map(|(suspect, _)| **suspect));
         let present = refusable.iter().flat_map(|(_, record)| &record.ends);
         explained.extend(present.map(|end| end.incarnation));
@@ -70,7 +81,11 @@
 
 /// Whether the ends that count against a part, [`PART_REFUSED_AFTER`] or more, suffice to refuse it, given those that
 /// more suspicious parts explain.
-fn is_part_refusable(record: &SuspectRecord, explained: &Ends) -> bool {
+fn is_part_refusable(
+    record: &SuspectRecord,
+    ended_at: &HashMap<IncarnationHash, Duration>,
+    explained: &Ends,
+) -> bool {
     let remaining: Vec<Duration> = unexplained(record, explained).collect();
     if !record.was_answered() {
         let is_same_event = |from, at| at <= from + PART_CORRELATION_WINDOW;
@@ -78,13 +93,17 @@
         return remaining.len() >= MIN_UNEXPLAINED
             && count_events(times, is_same_event) >= MIN_EVENTS;
     }
-    let silence = match (remaining.first(), remaining.last()) {
-        (Some(first), Some(last)) => *last - *first,
-        _ => Duration::ZERO,
+    let (Some(first), Some(last)) = (remaining.first().copied(), remaining.last().copied()) else {
+        return false;
     };
     let is_same_event = |from, at| at <= from + CORRELATION_WINDOW;
-    silence >= MIN_SILENCE
-        && count_events(remaining.into_iter(), is_same_event) >= PART_REFUSED_AFTER
+    let is_candidate = |(incarnation, at): &(&IncarnationHash, &Duration)| {
+        first <= **at && **at <= last && !explained.contains(*incarnation)
+    };
+    let all = ended_at.iter().filter(is_candidate).count();
+    last - first >= MIN_SILENCE
+        && remaining.len() as f64 >= MIN_COVERAGE * all as f64
+        && count_events(remaining.into_iter(), is_same_event) >= MIN_EVENTS_AFTER_ANSWERS
 }
 
 /// Times of the ends that count against a suspect and that no refused part explains.
