--- a/src/policy/quarantine/suspect_record.rs
+++ b/src/policy/quarantine/suspect_record.rs
@@ -32,13 +32,18 @@
         !self.was_running_on(incarnation) && self.insert(End { incarnation, at, is_cleared: false })
     }
 
-    /// Clears an end, which may not be known yet, and returns whether that is new.
+    /// Clears an end, which may not be known yet, and returns whether that is new. A suspect that is cleared of all
+    /// ends gets new trials, should it be refused again.
     pub(super) fn clear_end(&mut self, incarnation: IncarnationHash, now: Duration) -> bool {
         self.mark_answered(now);
-        match self.ends.iter_mut().find(|end| end.incarnation == incarnation) {
+        let is_new = match self.ends.iter_mut().find(|end| end.incarnation == incarnation) {
             Some(end) => !std::mem::replace(&mut end.is_cleared, true),
             None => self.insert(End { incarnation, at: now, is_cleared: true }),
+        };
+        if is_new && self.counted_ends().next().is_none() {
+            self.trials = 0;
         }
+        is_new
     }
 
     /// Inserts an end in the order of time. Returns false if it is older than all that are remembered: reported as
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -198,6 +198,19 @@
     assert!(trial_in <= ms(2_500), "{trial_in:?}");
 }
 
+/// Guards against a harmless request that stays refused: its early trial was used up by an earlier refusal.
+#[test]
+fn a_request_that_is_refused_again_after_an_answer_is_tried_early_again() {
+    let mut quarantine = quarantine_of((0..3).map(|i| end(CRASHING, i, i * 1_000)));
+    quarantine.begin_trial(&CRASHING, START + ms(4_000)).unwrap();
+    quarantine.add_all(quarantine.clearing_notes(CRASHING), START + ms(4_500));
+
+    quarantine.add_all((10..13).map(|i| end(CRASHING, i, i * 1_000)), START);
+
+    let status = quarantine.status(&CRASHING, START + ms(15_000));
+    assert_eq!(status, QuarantineStatus::Refused { trial_in: Some(Duration::ZERO) });
+}
+
 #[test]
 fn a_trial_by_another_entry_is_learned_from_the_store() {
     let mut here = quarantine_of((0..3).map(|i| end(CRASHING, i, i)));
