A prompt part that can't be read keeps its place

Entries of the prompt's parts that were no 64-bit number, or had no readable length, were dropped without a trace. Dropping the last one made the part before it the request's own, so that it was neither placed by nor suspected. An unreadable id is hashed, an unreadable length is 0.

--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::routing::{Organisation, PromptPart, RequestHead};
 
@@ -184,11 +185,14 @@
     (numbers.next().unwrap_or(0), numbers.next().unwrap_or(0))
 }
 
+/// Parses the parts of a prompt. An entry that can't be read keeps its place, since the last one has a meaning of its
+/// own: it gets the hash of its text as its id.
 fn parse_prompt_parts(value: &str) -> Vec<PromptPart> {
     let part = |entry: &str| {
-        let (id, tokens) = entry.trim().split_once(':')?;
-        let id = u64::from_str_radix(id, 16).ok()?;
-        Some(PromptPart { id, tokens: tokens.parse().ok()? })
+        let (id, tokens) = entry.split_once(':').unwrap_or((entry, ""));
+        let id = u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes()));
+        PromptPart { id, tokens: tokens.parse().unwrap_or_default() }
     };
-    value.split(',').filter_map(part).collect()
+    let entries = value.split(',').map(str::trim).filter(|entry| !entry.is_empty());
+    entries.map(part).collect()
 }
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -63,6 +63,23 @@
     assert_eq!(head.session_key(), "s");
 }
 
+/// An entry that can't be read must not shift the last part, which no other request has.
+#[test]
+fn unreadable_prompt_parts_keep_their_places() {
+    let ids = |value: &str| {
+        let headers = [("host", "h.example"), ("x-request-id", "r1"), ("x-prefix-hash", value)];
+        let head = parse_get(&headers).unwrap();
+        head.shared_parts().iter().map(|part| part.id).collect::<Vec<_>>()
+    };
+
+    assert_eq!(ids("5c:800, 91BD:410,e4:250"), [0x5c, 0x91bd]);
+    assert_eq!(ids("5c:800,91bd:410,not hexadecimal"), [0x5c, 0x91bd]);
+    assert_eq!(ids("5c:many,e4:250"), [0x5c]);
+    let long = "5c0000000000000000000000e4:800";
+    assert_eq!(ids(&format!("{long},e4:1")), ids(&format!("{long},e5:1")));
+    assert_eq!(ids("5c:800").len(), 0);
+}
+
 #[test]
 fn headers_reserved_for_the_router_are_removed_from_requests() {
     let reserved = [
