--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    policy::server_speed::ServerSpeed,
+    policy::{quarantine::Suspect, server_speed::ServerSpeed},
     router::Router,
     telemetry::{admin::AdminHandlers, log::dropped_lines, metrics::ServiceLabels},
 };
@@ -23,8 +23,11 @@
         self.metrics.kept_notes_lost.set(lost);
         let lost = i64::try_from(self.quarantine.lost()).unwrap_or(i64::MAX);
         self.metrics.quarantine_notes_lost.set(lost);
-        let quarantined = self.quarantine.cases(true, now).len();
-        self.metrics.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+        let refused = self.quarantine.cases(true, now);
+        let parts = refused.iter().filter(|case| matches!(case.suspect, Suspect::Part(_))).count();
+        let requests = refused.len() - parts;
+        self.metrics.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
+        self.metrics.quarantined_parts.set(i64::try_from(parts).unwrap_or(i64::MAX));
         let terms = self.retry_limits();
         let mut retry_budgets = self.retry_budgets.lock().expect("no panics under the lock");
         for (service, budget) in retry_budgets.iter_mut() {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -170,6 +170,8 @@
     pub quarantine_notes_lost: Gauge,
     /// Requests in quarantine because servers ended while running them.
     pub quarantined: Gauge,
+    /// Prompt parts with which requests are refused because servers ended.
+    pub quarantined_parts: Gauge,
     /// AvailabilityZones under an evacuation order.
     pub evacuated_zones: Gauge,
     /// Servers that ended while running requests of this entry.
@@ -251,6 +253,7 @@
             kept_notes_lost: Gauge::default(),
             quarantine_notes_lost: Gauge::default(),
             quarantined: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             evacuated_zones: Gauge::default(),
             server_ends: Counter::default(),
             repeats_left: Family::default(),
@@ -314,6 +317,8 @@
         let zones = self.evacuated_zones.clone();
         registry.register("evacuated_zones", "AvailabilityZones that are evacuated", zones);
         registry.register("quarantined", "Requests refused because servers ended", quarantined);
+        let parts = self.quarantined_parts.clone();
+        registry.register("quarantined_parts", "Prompt parts refused because servers ended", parts);
         let ends = self.server_ends.clone();
         registry.register("server_ends", "Servers seen to end with requests at work", ends);
         let left = self.repeats_left.clone();
