--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -311,16 +311,8 @@
         registry.register("entries", "Entries known of", self.entries.clone());
         let lost = self.kept_notes_lost.clone();
         registry.register("kept_notes_lost", "Notes on kept parts that were lost", lost);
-        let lost = self.quarantine_notes_lost.clone();
-        registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
-        let quarantined = self.quarantined.clone();
         let zones = self.evacuated_zones.clone();
         registry.register("evacuated_zones", "AvailabilityZones that are evacuated", zones);
-        registry.register("quarantined", "Requests refused because servers ended", quarantined);
-        let parts = self.quarantined_parts.clone();
-        registry.register("quarantined_parts", "Prompt parts refused because servers ended", parts);
-        let ends = self.server_ends.clone();
-        registry.register("server_ends", "Servers seen to end with requests at work", ends);
         let left = self.repeats_left.clone();
         registry.register("repeats_left", "Repeated sends still allowed", left);
         let repeats = self.repeats.clone();
@@ -339,6 +331,7 @@
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
+        self.register_quarantine(&mut registry);
         self.register_speeds(&mut registry);
         self.register_memory(&mut registry);
         self.register_usage(&mut registry);
@@ -357,6 +350,17 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    fn register_quarantine(&self, registry: &mut Registry) {
+        let lost = self.quarantine_notes_lost.clone();
+        registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
+        let quarantined = self.quarantined.clone();
+        registry.register("quarantined", "Requests refused because servers ended", quarantined);
+        let parts = self.quarantined_parts.clone();
+        registry.register("quarantined_parts", "Prompt parts refused because servers ended", parts);
+        let ends = self.server_ends.clone();
+        registry.register("server_ends", "Servers seen to end with requests at work", ends);
+    }
+
     fn register_speeds(&self, registry: &mut Registry) {
         let known = self.servers_of_known_speed.clone();
         registry.register("servers_of_known_speed", "Servers that report their speed", known);
