--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -353,12 +353,7 @@
             sleep(EVENT_INTERVAL).await;
             return sent;
         }
-        Action::Hang => {
-            // Returns when the entry closes the connection.
-            let mut rest = [0; 16];
-            let _ = stream.read(&mut rest).await;
-            return false;
-        }
+        Action::Hang => return hang(stream).await,
         Action::CloseDelimited => (format!("HTTP/1.1 200 X\r\n{signed}\r\nall of it"), false),
         Action::CloseDelimitedBody { version, headers, body, .. } => {
             (format!("HTTP/{version} 200 X\r\n{signed}{headers}\r\n{body}"), false)
@@ -386,6 +381,13 @@
     stream.write_all(bytes.as_bytes()).await.is_ok() && keeps_connection
 }
 
+/// Waits until the entry closes the connection.
+async fn hang(stream: &mut TcpStream) -> bool {
+    let mut rest = [0; 16];
+    let _ = stream.read(&mut rest).await;
+    false
+}
+
 /// Response head of an event stream.
 fn stream_head(signed: &str, confidence: u8) -> String {
     format!(
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -267,107 +267,142 @@
     true
 }
 
-/// Simulates nine servers behind entries that know of each note a moment later.
-fn simulate(cause: Cause, seed: u64) -> Outcome {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut quarantine = Quarantine::default();
-    let mut answered = AnsweredParts::default();
-    let mut up_at = [0_u64; 9];
-    let mut incarnation: [IncarnationHash; 9] = std::array::from_fn(|i| i as u64);
-    let mut running: Vec<Running> = Vec::new();
-    let mut reports: Vec<(u64, Note)> = Vec::new();
-    let mut outcome = Outcome::default();
-    let mut number = 0;
-    for now in (0..SIMULATED_MS).step_by(STEP_MS as usize) {
-        let (due, later) = reports.into_iter().partition(|(at, _): &(u64, Note)| *at <= now);
-        reports = later;
-        let due: Vec<(u64, Note)> = due;
-        quarantine.add_all(due.into_iter().map(|(_, note)| note), ms(now));
-
-        // Forty sound requests a second: a common part, one of thirty subjects, and a last part of their own.
-        let mut arrivals: Vec<(Vec<Suspect>, bool)> = Vec::new();
-        number += 1;
-        let subject = Suspect::Part(100 + rng.random_range(0..30) * rng.random_range(0..30) / 29);
-        let is_crashing = CRASHING_MS.contains(&now) && cause != Cause::Rack && now % 600 == 0;
-        match (is_crashing, cause) {
-            (true, Cause::Part) => {
-                arrivals.push((vec![request(number), COMMON, CRASHING, subject], true));
-            }
-            (true, _) => arrivals.push((vec![request(number), COMMON, subject], true)),
-            _ if rng.random_range(0..10) < 4 => {
-                outcome.sound += 1;
-                arrivals.push((vec![request(number), COMMON, subject], false));
+/// Nine servers behind entries that know of each note a moment later.
+struct Pool {
+    cause: Cause,
+    rng: ChaCha8Rng,
+    quarantine: Quarantine,
+    answered: AnsweredParts,
+    up_at: [u64; 9],
+    incarnation: [IncarnationHash; 9],
+    running: Vec<Running>,
+    /// Notes that are not known yet, each with the time when it will be.
+    reports: Vec<(u64, Note)>,
+    outcome: Outcome,
+    arrived: u128,
+}
+
+impl Pool {
+    fn new(cause: Cause, seed: u64) -> Self {
+        Self {
+            cause,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            quarantine: Quarantine::default(),
+            answered: AnsweredParts::default(),
+            up_at: [0; 9],
+            incarnation: std::array::from_fn(|i| i as u64),
+            running: Vec::new(),
+            reports: Vec::new(),
+            outcome: Outcome::default(),
+            arrived: 0,
+        }
+    }
+
+    /// The request that arrives now, if any, and whether it crashes servers. Sound ones arrive forty times a second,
+    /// with a common part and one of thirty subjects.
+    fn arrival(&mut self, now: u64) -> Option<(Vec<Suspect>, bool)> {
+        self.arrived += 1;
+        let own = request(self.arrived);
+        let (a, b) = (self.rng.random_range(0..30), self.rng.random_range(0..30));
+        let subject = Suspect::Part(100 + a * b / 29);
+        let is_crashing =
+            CRASHING_MS.contains(&now) && self.cause != Cause::Rack && now.is_multiple_of(600);
+        match (is_crashing, self.cause) {
+            (true, Cause::Part) => Some((vec![own, COMMON, CRASHING, subject], true)),
+            (true, _) => Some((vec![own, COMMON, subject], true)),
+            _ if self.rng.random_range(0..10) < 4 => {
+                self.outcome.sound += 1;
+                Some((vec![own, COMMON, subject], false))
             }
-            _ => {}
+            _ => None,
         }
+    }
 
-        let mut sends: Vec<(Vec<Suspect>, bool, u32)> = arrivals
-            .into_iter()
-            .map(|(suspects, is_crashing)| (suspects, is_crashing, 0))
-            .collect();
-        let is_rack_lost = cause == Cause::Rack && CRASHING_MS.contains(&now) && now % 5_000 == 0;
-        let crashed: Vec<usize> = (0..9)
-            .filter(|server| {
-                let crashes =
-                    |r: &Running| r.server == *server && r.is_crashing && r.ends_at <= now;
-                running.iter().any(crashes)
-                    || (is_rack_lost && *server < 6 && up_at[*server] <= now)
-            })
-            .collect();
-        for server in crashed {
-            outcome.crashes += 1;
-            up_at[server] = now + RESTART_MS;
-            let (lost, rest) = running.into_iter().partition(|r| r.server == server);
-            running = rest;
-            let lost: Vec<Running> = lost;
-            for request in lost {
-                for suspect in &request.suspects {
-                    let note = Note::End {
-                        suspect: *suspect,
-                        incarnation: incarnation[server],
-                        at: ms(now),
-                    };
-                    reports.push((now + REPORT_MS, note));
-                    if let Suspect::Part(part) = suspect
-                        && answered.last(*part, ms(now)).is_some()
-                    {
-                        reports.push((now + REPORT_MS, Note::Answered { suspect: *suspect }));
-                    }
-                }
-                sends.push((request.suspects, request.is_crashing, request.sends));
+    /// The servers that crash now.
+    fn crashing_servers(&self, now: u64) -> Vec<usize> {
+        let loses_rack =
+            self.cause == Cause::Rack && CRASHING_MS.contains(&now) && now.is_multiple_of(5_000);
+        let crashes = |server: &usize| {
+            let runs = |r: &Running| r.server == *server && r.is_crashing && r.ends_at <= now;
+            self.running.iter().any(runs)
+                || (loses_rack && *server < 6 && self.up_at[*server] <= now)
+        };
+        (0..9).filter(crashes).collect()
+    }
+
+    /// Crashes a server and returns what was running there.
+    fn crash(&mut self, server: usize, now: u64) -> Vec<Running> {
+        self.outcome.crashes += 1;
+        self.up_at[server] = now + RESTART_MS;
+        let incarnation = std::mem::replace(&mut self.incarnation[server], 0);
+        self.incarnation[server] = incarnation + 100;
+        let lost: Vec<Running> = self.running.extract_if(.., |r| r.server == server).collect();
+        for suspect in lost.iter().flat_map(|request| &request.suspects).copied() {
+            self.reports.push((now + REPORT_MS, Note::End { suspect, incarnation, at: ms(now) }));
+            if let Suspect::Part(part) = suspect
+                && self.answered.last(part, ms(now)).is_some()
+            {
+                self.reports.push((now + REPORT_MS, Note::Answered { suspect }));
             }
-            incarnation[server] += 100;
         }
-        for request in running.extract_if(.., |r| r.ends_at <= now) {
+        lost
+    }
+
+    /// Completes the requests whose time has come.
+    fn complete(&mut self, now: u64) {
+        for request in self.running.extract_if(.., |r| r.ends_at <= now) {
             for suspect in request.suspects.iter().filter(|_| request.sends == 1) {
                 if let Suspect::Part(part) = suspect {
-                    answered.record(*part, ms(now));
+                    self.answered.record(*part, ms(now));
                 }
-                let notes = quarantine.clearing_notes(*suspect).into_iter();
-                reports.extend(notes.map(|note| (now + REPORT_MS, note)));
+                let notes = self.quarantine.clearing_notes(*suspect).into_iter();
+                self.reports.extend(notes.map(|note| (now + REPORT_MS, note)));
             }
         }
-        for (suspects, is_crashing, sent) in sends {
-            let is_trial = begin_trial(&mut quarantine, &suspects, ms(now));
-            if !is_trial && suspects.iter().any(|suspect| quarantine.is_refused(suspect)) {
-                outcome.refused += usize::from(!is_crashing);
-                outcome.refused_late += usize::from(!is_crashing && now > CRASHING_MS.end + 3_000);
-                continue;
-            }
-            let up: Vec<usize> = (0..9).filter(|server| up_at[*server] <= now).collect();
-            if up.is_empty() || sent == 3 {
-                continue;
-            }
-            let server = match quarantine.placing_suspect(&suspects) {
-                Some(suspect) => up[suspect.to_bits() as usize % up.len()],
-                None => up[rng.random_range(0..up.len())],
-            };
-            let duration = if is_crashing { 150 } else { rng.random_range(300..4_000) };
-            let ends_at = now + duration;
-            running.push(Running { suspects, server, ends_at, sends: sent + 1, is_crashing });
+    }
+
+    /// Sends a request to a server, unless it is refused, has used up its sends, or no server is up.
+    fn send(&mut self, suspects: Vec<Suspect>, is_crashing: bool, sent: u32, now: u64) {
+        let is_trial = begin_trial(&mut self.quarantine, &suspects, ms(now));
+        if !is_trial && suspects.iter().any(|suspect| self.quarantine.is_refused(suspect)) {
+            let is_late = now > CRASHING_MS.end + 3_000;
+            self.outcome.refused += usize::from(!is_crashing);
+            self.outcome.refused_late += usize::from(!is_crashing && is_late);
+            return;
+        }
+        let up: Vec<usize> = (0..9).filter(|server| self.up_at[*server] <= now).collect();
+        if up.is_empty() || sent == 3 {
+            return;
         }
+        let server = match self.quarantine.placing_suspect(&suspects) {
+            Some(suspect) => up[suspect.to_bits() as usize % up.len()],
+            None => up[self.rng.random_range(0..up.len())],
+        };
+        let duration = if is_crashing { 150 } else { self.rng.random_range(300..4_000) };
+        let ends_at = now + duration;
+        self.running.push(Running { suspects, server, ends_at, sends: sent + 1, is_crashing });
     }
-    outcome
+
+    fn step(&mut self, now: u64) {
+        let due = self.reports.extract_if(.., |(at, _)| *at <= now).map(|(_, note)| note);
+        self.quarantine.add_all(due, ms(now));
+        let arrival = self.arrival(now);
+        let servers = self.crashing_servers(now);
+        let lost: Vec<Running> = servers.into_iter().flat_map(|s| self.crash(s, now)).collect();
+        self.complete(now);
+        if let Some((suspects, is_crashing)) = arrival {
+            self.send(suspects, is_crashing, 0, now);
+        }
+        for Running { suspects, is_crashing, sends, .. } in lost {
+            self.send(suspects, is_crashing, sends, now);
+        }
+    }
+}
+
+fn simulate(cause: Cause, seed: u64) -> Outcome {
+    let mut pool = Pool::new(cause, seed);
+    (0..SIMULATED_MS).step_by(STEP_MS as usize).for_each(|now| pool.step(now));
+    pool.outcome
 }
 
 #[test]
