--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -59,13 +59,30 @@
 impl Callers {
     /// Sends requests with the same body to random entries, without waiting for the answers.
     pub async fn repeat_request(self: &Arc<Self>, body: String, seed: u64, duration: Duration) {
+        self.send_repeatedly(|_| body.clone(), None, seed, duration).await;
+    }
+
+    /// Sends requests that have a prompt part in common, no two alike, to random entries.
+    pub async fn repeat_part(self: &Arc<Self>, part: &str, seed: u64, duration: Duration) {
+        let body = |id: &str| format!("with a part {id}");
+        self.send_repeatedly(body, Some(part), seed, duration).await;
+    }
+
+    /// Sends requests with this prompt part, whose body depends on their id.
+    async fn send_repeatedly(
+        self: &Arc<Self>,
+        body: impl Fn(&str) -> String,
+        part: Option<&str>,
+        seed: u64,
+        duration: Duration,
+    ) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut sends = JoinSet::new();
         let until = Instant::now() + duration;
         while Instant::now() < until {
             let entry = self.choose_entry(&mut rng);
             let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
-            let req = build_request(&id, RequestKind::Stream, "key-1", 0, &body);
+            let req = build_request(&id, RequestKind::Stream, "key-1", 0, &body(&id), part);
             let info = RequestInfo { id, kind: RequestKind::Stream, entry, key: "key-1" };
             let callers = self.clone();
             sends.spawn(async move { callers.send_on_new_connection(info, req).await });
@@ -143,7 +160,7 @@
             [rng.random_range(0..3)];
         let key = if rng.random_range(0..10) == 0 { WITHDRAWN_KEY } else { "key-1" };
         let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
-        let req = build_request(&id, kind, key, rng.random_range(0..SESSION_COUNT), "asked");
+        let req = build_request(&id, kind, key, rng.random_range(0..SESSION_COUNT), "asked", None);
         self.send_recorded(sender, RequestInfo { id, kind, entry, key }, req).await
     }
 
@@ -175,6 +192,7 @@
     key: &str,
     session: u32,
     body: &str,
+    part: Option<&str>,
 ) -> Request<Full<Bytes>> {
     let (method, path) = match kind {
         RequestKind::Idempotent => ("GET", "/safe/a"),
@@ -191,6 +209,7 @@
         .header("authorization", format!("Bearer {key}"))
         .header("x-deadline-ms", "4000")
         .header("x-model", "*")
+        .header("x-prefix-hash", format!("c0:100,{}:50,{id}:10", part.unwrap_or("5b")))
         .header("session", format!("s-{session}"))
         .body(Full::new(body))
         .unwrap()
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -49,12 +49,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_randomized_disruptions() {
+    run_seeds(&seeds(), false).await;
+}
+
+/// All entries refuse a prompt part that crashes servers, whatever else is disrupted.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_beside_a_prompt_part_that_crashes_servers() {
+    let seeds = if std::env::var(SEEDS_VARIABLE).is_ok() { seeds() } else { vec![5] };
+    run_seeds(&seeds, true).await;
+}
+
+async fn run_seeds(seeds: &[u64], has_crashing_part: bool) {
     let _lock = SOAK_LOCK.lock().await;
     let duration =
         std::env::var(DURATION_VARIABLE).map_or(DEFAULT_DURATION_S, |text| text.parse().unwrap());
+    let duration = Duration::from_secs(duration);
     let mut failed_seeds = Vec::new();
-    for seed in seeds() {
-        let (violations, logs) = system::run_soak(seed, Duration::from_secs(duration)).await;
+    for seed in seeds.iter().copied() {
+        let (violations, logs) = system::run_soak(seed, duration, has_crashing_part).await;
         if violations.is_empty() {
             std::fs::remove_dir_all(logs).unwrap();
             continue;
@@ -72,7 +84,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn two_that_end_servers_are_refused_by_all_under_seed_836() {
     let _lock = SOAK_LOCK.lock().await;
-    let (violations, logs) = system::run_soak(836, Duration::from_secs(5)).await;
+    let (violations, logs) = system::run_soak(836, Duration::from_secs(5), false).await;
 
     assert!(violations.is_empty(), "{violations:?}, logs in {}", logs.display());
 }
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -96,8 +96,8 @@
     pub at: Instant,
     /// Whether the server breaks off its answer.
     pub breaks_answer: bool,
-    /// Body of the request if it crashes servers.
-    pub crashing_body: Option<String>,
+    /// What crashes servers if the request does: its body or a part of its prompt.
+    pub crash_cause: Option<String>,
 }
 
 /// Prefix of the bodies of requests that crash servers.
@@ -105,6 +105,8 @@
 /// Time after the third crash until all entries must know the crashing request: the smallest value of the
 /// deployments.
 pub const CONTACT_BOUND: Duration = Duration::from_secs(3);
+/// Prefix of prompt parts that crash servers.
+pub const CRASHING_PART_PREFIX: &str = "bad";
 /// Number of later sends of a crashing request that are allowed.
 const MAX_LATE_SENDS: usize = 3;
 
@@ -253,31 +255,33 @@
         executions.iter().filter(is_back).map(describe).collect()
     }
 
-    /// Checks that a request that has crashed three servers is sent at most three more times by entries that are in
-    /// contact with the others.
+    /// Checks that a request that has crashed three servers, and requests with a part that has crashed five, are sent
+    /// at most three more times by entries that are in contact with the others.
     fn check_crashing_requests(
         &self,
         executions: &[Execution],
         exchanges: &[Exchange],
     ) -> Vec<String> {
         let entry_of: HashMap<&str, usize> = exchanges.iter().map(|e| (&*e.id, e.entry)).collect();
-        let mut by_body: HashMap<&str, Vec<&Execution>> = HashMap::new();
+        let mut by_cause: HashMap<&str, Vec<&Execution>> = HashMap::new();
         for execution in executions {
-            if let Some(body) = &execution.crashing_body {
-                by_body.entry(body).or_default().push(execution);
+            if let Some(cause) = &execution.crash_cause {
+                by_cause.entry(cause).or_default().push(execution);
             }
         }
-        let is_late = |execution: &&&Execution, third: &Execution| {
+        let is_late = |execution: &&&Execution, last: &Execution| {
             let entry = entry_of.get(&*execution.id);
-            execution.at > third.at + CONTACT_BOUND
+            execution.at > last.at + CONTACT_BOUND
                 && entry.is_some_and(|entry| self.is_in_contact(*entry, execution.at))
         };
         let mut violations = Vec::new();
-        for (body, executions) in by_body {
-            let Some(third) = executions.get(2) else { continue };
-            let late = executions.iter().filter(|execution| is_late(execution, third)).count();
+        for (cause, executions) in by_cause {
+            let allowed = if cause.starts_with(CRASHING_PART_PREFIX) { 5 } else { 3 };
+            println!("{cause}: {} crashes", executions.len());
+            let Some(last) = executions.get(allowed - 1) else { continue };
+            let late = executions.iter().filter(|execution| is_late(execution, last)).count();
             if late > MAX_LATE_SENDS {
-                violations.push(format!("{body}: {late} sends late, {} in all", executions.len()));
+                violations.push(format!("{cause}: {late} sends late, {} in all", executions.len()));
             }
         }
         violations
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -27,8 +27,8 @@
     process::{DUTY_LEASE_MS, Entry, loopback_host},
     proxy::Proxy,
     record::{
-        CONTACT_BOUND, CRASHING_BODY_PREFIX, EVENTS_PER_STREAM, Execution, NEW_VERSION,
-        OLD_VERSION, OrderedRollOut, ROLLED_OUT_SERVICE, RateLimitSpan, Record,
+        CONTACT_BOUND, CRASHING_BODY_PREFIX, CRASHING_PART_PREFIX, EVENTS_PER_STREAM, Execution,
+        NEW_VERSION, OLD_VERSION, OrderedRollOut, ROLLED_OUT_SERVICE, RateLimitSpan, Record,
     },
     server::{Action, ReceivedRequest, Server},
     site::{configuration, server_row},
@@ -280,9 +280,8 @@
             record.rejections.lock().unwrap().push(rejection);
             return Action::NotExecutedRetryAfter { retry_after: RETRY_AFTER.into() };
         }
-        let body = String::from_utf8_lossy(&request.body);
-        let crashing_body = body.starts_with(CRASHING_BODY_PREFIX).then(|| body.into_owned());
-        let act = match crashing_body {
+        let crash_cause = crash_cause(request);
+        let act = match crash_cause {
             Some(_) => Action::Crash { after_head: true },
             None if version == NEW_VERSION => Action::EchoIdAfter { delay: NEW_VERSION_DELAY },
             None => draw_act(&mut rng.lock().unwrap(), service),
@@ -299,7 +298,7 @@
                     act,
                     Action::Stream { is_complete: false, .. } | Action::Crash { .. }
                 ),
-                crashing_body,
+                crash_cause,
             };
             record.executions.lock().unwrap().push(execution);
         }
@@ -331,6 +330,16 @@
 /// answers as in the old version, three of its first eighteen failed, and the roll-out was rightly rolled back.
 const NEW_VERSION_DELAY: Duration = Duration::from_millis(20);
 
+/// What makes a request crash servers, if it does: its body or a part of its prompt.
+fn crash_cause(request: &ReceivedRequest) -> Option<String> {
+    let body = String::from_utf8_lossy(&request.body);
+    if body.starts_with(CRASHING_BODY_PREFIX) {
+        return Some(body.into_owned());
+    }
+    let mut parts = request.header("x-prefix-hash").split(',');
+    parts.find(|part| part.starts_with(CRASHING_PART_PREFIX)).map(str::to_owned)
+}
+
 /// Draws what a server of the old version does with a request; in most cases it answers correctly.
 fn draw_act(rng: &mut ChaCha8Rng, service: &str) -> Action {
     let draw = rng.random_range(0..100);
@@ -350,8 +359,13 @@
     }
 }
 
-/// Runs the soak under one seed; returns the broken promises and the directory of the logs.
-pub async fn run_soak(seed: u64, duration: Duration) -> (Vec<String>, PathBuf) {
+/// Runs the soak under one seed, with or without requests whose prompts have a part that crashes servers; returns the
+/// broken promises and the directory of the logs.
+pub async fn run_soak(
+    seed: u64,
+    duration: Duration,
+    has_crashing_part: bool,
+) -> (Vec<String>, PathBuf) {
     let system = Arc::new(System::start(seed).await);
     assert!(system.wait_until_ready().await, "the entries were not ready in time");
     let mut addresses = Vec::new();
@@ -382,10 +396,12 @@
     tokio::join!(
         run_disruptions(&system, seed, duration),
         run_rate_limits(&system, seed),
-        run_unavailability(&system, seed)
+        run_unavailability(&system, seed),
+        run_crashing_part(&callers, seed, duration * u32::from(has_crashing_part))
     );
     let mut violations = check_recovery(&system, &callers).await;
     repeat_crashing_requests(&system, &callers).await;
+    run_crashing_part(&callers, seed, FINAL_REPEAT_DURATION * u32::from(has_crashing_part)).await;
     callers.is_stopped.store(true, Ordering::SeqCst);
     while caller_tasks.join_next().await.is_some() {}
     balancer.abort();
@@ -466,6 +482,11 @@
     system.record.rate_limit_spans.lock().unwrap().push(span);
 }
 
+/// Sends requests with a prompt part that crashes every server that begins to answer them.
+async fn run_crashing_part(callers: &Arc<Callers>, seed: u64, duration: Duration) {
+    callers.repeat_part(&format!("{CRASHING_PART_PREFIX}{seed:x}"), seed, duration).await;
+}
+
 /// Time for which each crashing request is repeated after the last disruption.
 const FINAL_REPEAT_DURATION: Duration = Duration::from_secs(1);
 
