A request that was answered before is refused only for ends that no other explains

Ends at which a refused part or a refused request without answers was present no longer count against requests that were answered, as long as they explain all of its ends.

--- a/src/policy/quarantine/verdict.rs
+++ b/src/policy/quarantine/verdict.rs
@@ -43,13 +43,20 @@
     ended_at: &HashMap<IncarnationHash, Duration>,
 ) -> HashSet<Suspect> {
     let mut refused = HashSet::new();
-    let explained = refuse_parts(records, ended_at, &mut refused);
-    let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
-        matches!(suspect, Suspect::Request(_))
-            && count_request_events(record, ended_at) >= REFUSED_AFTER
-            && unexplained(record, &explained).next().is_some()
-    };
-    refused.extend(records.iter().filter(is_refused).map(|(suspect, _)| *suspect));
+    let mut explained = refuse_parts(records, ended_at, &mut refused);
+    // A request that was answered before is a weaker explanation than one that never was.
+    for was_answered in [false, true] {
+        let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
+            matches!(suspect, Suspect::Request(_))
+                && record.was_answered() == was_answered
+                && count_request_events(record, ended_at) >= REFUSED_AFTER
+                && unexplained(record, &explained).next().is_some()
+        };
+        let requests: Vec<_> = records.iter().filter(is_refused).collect();
+        refused.extend(requests.iter().map(|(suspect, _)| **suspect));
+        let present = requests.iter().flat_map(|(_, record)| &record.ends);
+        explained.extend(present.map(|end| end.incarnation));
+    }
     refused
 }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -198,6 +198,23 @@
     assert!(trial_in <= ms(2_500), "{trial_in:?}");
 }
 
+/// Guards against a popular request that is refused beside several crashing ones (soak seed 5000).
+#[test]
+fn a_request_that_was_answered_before_is_refused_only_for_ends_that_no_other_explains() {
+    let popular = request(2);
+    let of = |f, first: u64| (first..first + 3).map(move |i| end(f, i, i * 1_000));
+    let mut quarantine =
+        quarantine_of(of(CRASHING, 0).chain(of(request(3), 3)).chain(of(popular, 1)));
+    assert!(is_refused(&quarantine, popular), "it was never answered");
+
+    quarantine.add(Note::Answered { suspect: popular }, START);
+    assert!(!is_refused(&quarantine, popular));
+    assert!(is_refused(&quarantine, CRASHING) && is_refused(&quarantine, request(3)));
+
+    quarantine.add(end(popular, 10, 10_000), START);
+    assert!(is_refused(&quarantine, popular), "a server ended under it alone");
+}
+
 /// Guards against a harmless request that stays refused: its early trial was used up by an earlier refusal.
 #[test]
 fn a_request_that_is_refused_again_after_an_answer_is_tried_early_again() {
