--- a/tests/platform/crashing_parts.rs
+++ b/tests/platform/crashing_parts.rs
@@ -12,6 +12,7 @@
     pool::{Pool, post_with_headers},
     server::ReceivedRequest,
     site::{Site, wait_until},
+    store::Fault,
 };
 use mintmoor::router::Released;
 
@@ -297,3 +298,78 @@
     assert_few_late_arrivals(&pool);
     assert!(served >= 0.9, "{served} of the sound requests served");
 }
+
+fn refuses_part(site: &Site) -> bool {
+    let dump = site.entry.router.dump()["quarantine"].clone();
+    let is_it = |case: &serde_json::Value| case["kind"] == "part" && case["refused"] == true;
+    dump.as_array().unwrap().iter().any(is_it)
+}
+
+/// No seed is running, so the entries share nothing but the store; each sees some of the crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_without_a_seed_learn_of_a_part_from_the_store() {
+    let pool = start_pool(true).await;
+    let sites = pool.start_isolated_entries(3).await;
+    let answers = send_each(&sites, (SOUND_INTERVAL, Duration::from_millis(500)), sound_prompt);
+    assert!(answers.await.iter().all(|(_, is_served)| *is_served));
+
+    until_refused(&sites[0]).await;
+
+    for site in &sites {
+        wait_until("the entry refuses the part", || refuses_part(site)).await;
+    }
+    assert_refused_unsent(&pool, &sites).await;
+}
+
+/// The store is unreachable, and a seed and the entry that saw the crashes stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_is_refused_without_the_store_and_the_entry_that_saw_the_crashes() {
+    let pool = start_pool(true).await;
+    let mut sites = start_warm_entries(&pool, 4).await;
+    pool.store.set_fault(Fault::Down);
+    until_refused(&sites[3]).await;
+    wait_until("a seed refuses the part", || sites[..2].iter().any(|site| refuses_part(site)))
+        .await;
+
+    drop(sites.pop());
+    let informed = sites.iter().position(|site| refuses_part(site)).unwrap();
+    drop(sites.remove(usize::from(informed == 0)));
+
+    for site in &sites {
+        wait_until("the entry refuses the part", || refuses_part(site)).await;
+    }
+    assert_refused_unsent(&pool, &sites).await;
+}
+
+/// Only the entry that has not lost a request knows that a server answered the common part.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_one_entry_knows_of_clears_a_part_at_all_entries() {
+    let pool = start_pool(true).await;
+    let sites = pool.start_entries(3).await;
+    for i in 0..100 {
+        if sites.iter().any(|site| refuses_part(site)) {
+            break;
+        }
+        let headers = prompt(&[COMMON_PART, CRASHING_PART], i);
+        post_with_headers(&sites[0], "/chat/a", &headers, &format!("request {i}")).await;
+        sleep(Duration::from_millis(30)).await;
+    }
+    assert!(refuses_part(&sites[0]));
+
+    let is_served = async || {
+        let answer = post_with_headers(&sites[2], "/chat/a", &sound_prompt(7), "sound").await;
+        answer.status == 200 && answer.is_whole
+    };
+    let until = Instant::now() + Duration::from_secs(15);
+    while !is_served().await {
+        assert!(Instant::now() < until, "a sound request was not served within 15 s");
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    let is_clear = |site: &Arc<Site>| {
+        let dump = site.entry.router.dump()["quarantine"].to_string();
+        !dump.contains("\"fingerprint\":\"000000000000000000000000000000c0\"")
+    };
+    wait_until("all entries have cleared the common part", || sites.iter().all(is_clear)).await;
+    assert!(sites.iter().all(|site| refuses_part(site)), "the crashing part is not refused");
+}
