A released part that still crashes servers is refused at its fourth end again

An operator's release counted as an answer, after which a part is refused only when servers have ended under it for 8 s. It clears the ends and nothing else. The new test fails before.

--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -218,11 +218,18 @@
         self.records.get(request).map_or(0, count)
     }
 
-    /// Whether a server has answered the suspect completely or an operator has released it.
+    /// Whether a server has answered the suspect completely.
     pub fn was_answered(&self, suspect: &Suspect) -> bool {
         self.records.get(suspect).is_some_and(SuspectRecord::was_answered)
     }
 
+    /// Notes that a server has answered a suspect completely, which clears all ends that count against it.
+    pub fn answer_notes(&self, suspect: Suspect) -> Vec<Note> {
+        let mut notes = self.clearing_notes(suspect);
+        notes.push(Note::Answered { suspect });
+        notes
+    }
+
     /// Notes that clear all ends that count against a suspect.
     pub fn clearing_notes(&self, suspect: Suspect) -> Vec<Note> {
         let counted = self.records.get(&suspect).into_iter().flat_map(SuspectRecord::counted_ends);
@@ -333,7 +340,7 @@
     /// explain the ends that count against it. A request that many callers send runs on most servers, including those
     /// that ended before without being noticed.
     fn may_be_harmless(&self, suspect: &Suspect, record: &SuspectRecord) -> bool {
-        if record.was_answered() {
+        if record.was_cleared() {
             return true;
         }
         let was_present = |other: &SuspectRecord| {
--- a/src/policy/quarantine/suspect_record.rs
+++ b/src/policy/quarantine/suspect_record.rs
@@ -20,7 +20,7 @@
 pub(super) struct SuspectRecord {
     /// Ordered by time, the earliest first.
     pub(super) ends: Vec<End>,
-    /// When it became known that a server had answered it completely, or that an operator had released it.
+    /// When it became known that a server had answered it completely.
     answered_at: Option<Duration>,
     pub(super) trials: u32,
     pub(super) tried_at: Duration,
@@ -35,7 +35,6 @@
     /// Clears an end, which may not be known yet, and returns whether that is new. A suspect that is cleared of all
     /// ends gets new trials, should it be refused again.
     pub(super) fn clear_end(&mut self, incarnation: IncarnationHash, now: Duration) -> bool {
-        self.mark_answered(now);
         let is_new = match self.ends.iter_mut().find(|end| end.incarnation == incarnation) {
             Some(end) => !std::mem::replace(&mut end.is_cleared, true),
             None => self.insert(End { incarnation, at: now, is_cleared: true }),
@@ -68,11 +67,16 @@
         self.answered_at.replace(now).is_none()
     }
 
-    /// Whether a server has answered it completely or an operator has released it.
+    /// Whether a server has answered it completely.
     pub(super) fn was_answered(&self) -> bool {
         self.answered_at.is_some()
     }
 
+    /// Whether it was answered, or an end was cleared by an answer or by an operator, who may be wrong.
+    pub(super) fn was_cleared(&self) -> bool {
+        self.was_answered() || self.ends.iter().any(|end| end.is_cleared)
+    }
+
     /// The ends that count against the suspect.
     pub(super) fn counted_ends(&self) -> impl Iterator<Item = (IncarnationHash, Duration)> {
         self.ends.iter().filter(|end| !end.is_cleared).map(|end| (end.incarnation, end.at))
--- a/src/policy/quarantine/verdict.rs
+++ b/src/policy/quarantine/verdict.rs
@@ -45,10 +45,10 @@
     let mut refused = HashSet::new();
     let mut explained = refuse_parts(records, ended_at, &mut refused);
     // A request that was answered before is a weaker explanation than one that never was.
-    for was_answered in [false, true] {
+    for was_cleared in [false, true] {
         let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
             matches!(suspect, Suspect::Request(_))
-                && record.was_answered() == was_answered
+                && record.was_cleared() == was_cleared
                 && count_request_events(record, ended_at) >= REFUSED_AFTER
                 && unexplained(record, &explained).next().is_some()
         };
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -172,13 +172,26 @@
             return;
         }
         for part in parts {
-            self.clear(Suspect::Part(part), now);
+            self.record_answer(Suspect::Part(part), now);
         }
     }
 
-    /// Clears a suspect, because a server answered it completely or an operator released it.
-    /// Returns whether it was suspected.
-    pub(crate) fn clear(&self, suspect: Suspect, now: Duration) -> bool {
+    /// Clears a suspect, because a server answered it completely.
+    pub(crate) fn record_answer(&self, suspect: Suspect, now: Duration) {
+        self.clear(suspect, now, Quarantine::answer_notes);
+    }
+
+    /// Clears a suspect on an operator's order. Returns whether it was suspected.
+    pub(crate) fn release(&self, suspect: Suspect, now: Duration) -> bool {
+        self.clear(suspect, now, Quarantine::clearing_notes)
+    }
+
+    fn clear(
+        &self,
+        suspect: Suspect,
+        now: Duration,
+        notes: impl Fn(&Quarantine, Suspect) -> Vec<Note>,
+    ) -> bool {
         let mut inner = self.lock();
         let status = inner.quarantine.status(&suspect, now);
         if status == QuarantineStatus::Free {
@@ -189,9 +202,9 @@
             self.is_row_stale.store(true, Ordering::Release);
         }
         inner.granted_trials.remove(&suspect);
-        let clearing_notes = inner.quarantine.clearing_notes(suspect);
-        let is_urgent = is_refused || clearing_notes.len() >= URGENT_FROM;
-        inner.merge(clearing_notes, true, now);
+        let is_urgent = is_refused || inner.quarantine.ends(&suspect).len() >= URGENT_FROM;
+        let notes = notes(&inner.quarantine, suspect);
+        inner.merge(notes, true, now);
         drop(inner);
         if is_urgent {
             self.publish(true);
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -100,7 +100,7 @@
     /// Records that a server answered a request completely, so the request does not crash servers.
     pub(crate) fn record_complete_answer(&self, ctx: &RequestContext) {
         if !self.quarantine.is_idle() {
-            self.quarantine.clear(ctx.suspects()[0], self.now());
+            self.quarantine.record_answer(ctx.suspects()[0], self.now());
         }
     }
 
@@ -137,7 +137,7 @@
         let Ok(number) = u128::from_str_radix(fingerprint, 16) else {
             return Released::Unreadable;
         };
-        if !self.quarantine.clear(Suspect::from_bits(number), self.now()) {
+        if !self.quarantine.release(Suspect::from_bits(number), self.now()) {
             return Released::Unknown;
         }
         event::QUARANTINE_RELEASED.log(format_args!("fingerprint={fingerprint}"));
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -123,6 +123,18 @@
     assert!(quarantine.is_refused(&request(1)) && !quarantine.is_refused(&RARE));
 }
 
+/// The operator may be wrong: servers end under the part again.
+#[test]
+fn a_released_part_that_still_crashes_servers_is_refused_at_the_fourth_end_again() {
+    let mut quarantine = quarantine_of(ends(&[CRASHING], 0, ENOUGH));
+    quarantine.add_all(quarantine.clearing_notes(CRASHING), ms(5_000));
+    assert!(!quarantine.is_refused(&CRASHING));
+
+    quarantine.add_all(ends(&[CRASHING], 20, ENOUGH), ms(10_000));
+
+    assert!(quarantine.is_refused(&CRASHING));
+}
+
 /// A trial by a request that has another strong suspect would be used up for nothing.
 #[test]
 fn a_trial_is_made_without_other_strong_suspects() {
@@ -355,7 +367,7 @@
                 if let Suspect::Part(part) = suspect {
                     self.answered.record(*part, ms(now));
                 }
-                let notes = self.quarantine.clearing_notes(*suspect).into_iter();
+                let notes = self.quarantine.answer_notes(*suspect).into_iter();
                 self.reports.extend(notes.map(|note| (now + REPORT_MS, note)));
             }
         }
