--- a/src/router/peers/mod.rs
+++ b/src/router/peers/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod peer_follower;
 pub(crate) mod peer_link;
 pub(crate) mod prefix_reports;
+mod quarantine_records;
 pub(crate) mod quarantine_update;
 pub(crate) mod seed_reporter;
 pub(crate) mod shared_limits;
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -1,11 +1,11 @@
 //! Quarantine state of this entry and its exchange with other entries.
 //!
 //! Each entry knows which requests it had running on a server when that server crashed, and the
-//! same request, or another one with the same prompt part, may arrive next at any entry. So each crash is reported to every seed at once, and
-//! the seeds report it to all their followers (docs/decisions/0015).
+//! same request, or another one with the same prompt part, may arrive next at any entry. So each
+//! crash is reported to every seed at once, and the seeds report it to all their followers
+//! (docs/decisions/0015 and 0020).
 
 use std::{
-    collections::HashSet,
     sync::{
         Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -17,42 +17,20 @@
 use tokio::sync::watch;
 
 use crate::{
-    policy::quarantine::{
-        AnsweredParts, Case, IncarnationHash, Note, Quarantine, QuarantineStatus, Suspect,
-    },
+    policy::quarantine::{Case, IncarnationHash, Note, Quarantine, QuarantineStatus, Suspect},
     router::peers::{
+        quarantine_records::{QuarantineRecords, URGENT_FROM},
         quarantine_update::QuarantineUpdate,
-        update_log::{UpdateLog, UpdateLogLimits},
+        update_log::UpdateLog,
     },
     routing::PartId,
     telemetry::event,
 };
 
-/// The log holds the records of a zone outage in at most 0.4 MB. A message holds at most 512
-/// records, 16 KB; new links receive the complete state instead of the log.
-const LIMITS: UpdateLogLimits =
-    UpdateLogLimits { capacity: 4_096, per_message: 512, max_age: Duration::from_secs(60) };
-
-/// Number of crashes from which a suspect's records are urgent: one or two more and it is refused.
-const URGENT_FROM: usize = 2;
-
-#[derive(Debug)]
-struct Inner {
-    quarantine: Quarantine,
-    /// Records of crashes that this entry observed.
-    own: UpdateLog<Note>,
-    /// Records that this entry observed or received.
-    all: UpdateLog<Note>,
-    /// Refused suspects whose trial the store has granted to this entry and that were not sent yet.
-    granted_trials: HashSet<Suspect>,
-    /// Prompt parts to which this entry has received complete answers, suspected or not.
-    answered_parts: AnsweredParts,
-}
-
 /// Quarantined and suspected requests and prompt parts, shared by the threads of this entry.
 #[derive(Debug)]
 pub(crate) struct SharedQuarantine {
-    inner: Mutex<Inner>,
+    inner: Mutex<QuarantineRecords>,
     /// Whether nothing is suspected. Requests are then neither hashed nor checked under the
     /// lock.
     is_idle: AtomicBool,
@@ -68,16 +46,8 @@
 
 impl Default for SharedQuarantine {
     fn default() -> Self {
-        let quarantine = Quarantine::default();
-        let (own, all) = (UpdateLog::new(LIMITS), UpdateLog::new(LIMITS));
         Self {
-            inner: Mutex::new(Inner {
-                quarantine,
-                own,
-                all,
-                granted_trials: HashSet::new(),
-                answered_parts: AnsweredParts::default(),
-            }),
+            inner: Mutex::default(),
             is_idle: AtomicBool::new(true),
             changes: watch::Sender::new(0),
             own_changes: watch::Sender::new(0),
@@ -88,7 +58,7 @@
 }
 
 impl SharedQuarantine {
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, QuarantineRecords> {
         self.inner.lock().expect("no code panics while holding this lock")
     }
 
@@ -278,7 +248,7 @@
         }
         let mut inner = self.lock();
         inner.quarantine.expire(now);
-        let Inner { quarantine, granted_trials, .. } = &mut *inner;
+        let QuarantineRecords { quarantine, granted_trials, .. } = &mut *inner;
         granted_trials.retain(|suspect| quarantine.is_refused(suspect));
         if inner.quarantine.is_empty() {
             self.is_idle.store(true, Ordering::Release);
@@ -369,7 +339,7 @@
         &self,
         position: Option<u64>,
         now: Duration,
-        log: impl Fn(&mut Inner) -> &mut UpdateLog<Note>,
+        log: impl Fn(&mut QuarantineRecords) -> &mut UpdateLog<Note>,
     ) -> (Vec<QuarantineUpdate>, u64) {
         let mut inner = self.lock();
         let (notes, next) = match position {
@@ -418,117 +388,3 @@
         Value::Array(inner.quarantine.cases(false, now).iter().map(describe).collect())
     }
 }
-
-impl Inner {
-    /// Merges records, logs what is newly refused or suspected and returns the new ones.
-    fn merge(
-        &mut self,
-        notes: impl IntoIterator<Item = Note>,
-        is_own: bool,
-        now: Duration,
-    ) -> Vec<Note> {
-        let notes: Vec<Note> = notes.into_iter().collect();
-        let is_refused = |note: &Note| self.quarantine.is_refused(&note.suspect());
-        let refused_before: HashSet<Suspect> =
-            notes.iter().filter(|note| is_refused(note)).map(Note::suspect).collect();
-        let new = self.quarantine.add_all(notes, now);
-        let mut logged = HashSet::new();
-        for note in &new {
-            self.all.push(*note, now);
-            if is_own {
-                self.own.push(*note, now);
-            }
-            let suspect = note.suspect();
-            if !refused_before.contains(&suspect) && logged.insert(suspect) {
-                self.log_suspicion(suspect, is_own, now);
-            }
-        }
-        new
-    }
-
-    /// Logs that a suspect is refused now, or the ends that count against it if there are enough for a mistake to
-    /// matter.
-    fn log_suspicion(&self, suspect: Suspect, is_own: bool, now: Duration) {
-        let ends = self.quarantine.ends(&suspect);
-        let is_refused = self.quarantine.is_refused(&suspect);
-        match suspect {
-            Suspect::Request(_) if is_refused => {
-                event::REQUEST_QUARANTINED
-                    .log(format_args!("fingerprint={suspect} seen_here={is_own}"));
-            }
-            Suspect::Part(part) if is_refused => {
-                event::PART_QUARANTINED.log(format_args!(
-                    "part={part:x} fingerprint={suspect} ends={} answered={} seen_here={is_own}",
-                    ends.len(),
-                    self.quarantine.was_answered(&suspect)
-                ));
-            }
-            // A part that was answered is present at most ends.
-            Suspect::Part(_) if self.quarantine.was_answered(&suspect) => {}
-            _ => log_suspect(&self.quarantine, suspect, &ends, now),
-        }
-    }
-
-    /// Reports which of these suspected parts this entry has received complete answers to, which the other entries
-    /// may not know of; where it did not observe their ends itself, only once several count. Returns whether that is
-    /// new.
-    fn report_answers(&mut self, suspects: &[Suspect], is_own: bool, now: Duration) -> bool {
-        let mut notes = Vec::new();
-        for suspect in suspects {
-            let Suspect::Part(part) = suspect else {
-                continue;
-            };
-            let Some(answered_at) = self.answered_parts.last(*part, now) else {
-                continue;
-            };
-            let ends = self.quarantine.ends(suspect);
-            if !is_own && ends.len() < URGENT_FROM {
-                continue;
-            }
-            notes.push(Note::Answered { suspect: *suspect });
-            // Ends before the answer no longer count.
-            notes.extend(ends.iter().filter_map(|end| match end {
-                Note::End { suspect, incarnation, at } if *at <= answered_at => {
-                    Some(Note::Cleared { suspect: *suspect, incarnation: *incarnation })
-                }
-                _ => None,
-            }));
-        }
-        !notes.is_empty() && !self.merge(notes, true, now).is_empty()
-    }
-
-    /// All known crashes that fit into one message, those of refused suspects first, and which suspects were answered.
-    fn all_notes(&self, now: Duration) -> Vec<Note> {
-        let mut cases = self.quarantine.cases(false, now);
-        cases.sort_by_key(|case| !self.quarantine.is_refused(&case.suspect));
-        let notes = cases.iter().flat_map(|case| {
-            let suspect = case.suspect;
-            let answered =
-                self.quarantine.was_answered(&suspect).then_some(Note::Answered { suspect });
-            let end = move |(incarnation, at): &(IncarnationHash, Duration)| Note::End {
-                suspect,
-                incarnation: *incarnation,
-                at: *at,
-            };
-            answered.into_iter().chain(case.ends.iter().map(end))
-        });
-        notes.take(LIMITS.per_message).collect()
-    }
-}
-
-/// Logs the ends that count against a suspect if there are enough for a mistake to matter.
-fn log_suspect(quarantine: &Quarantine, suspect: Suspect, ends: &[Note], now: Duration) {
-    if ends.len() < URGENT_FROM {
-        return;
-    }
-    let age_ms = |note: &Note| match note {
-        Note::End { at, .. } => Some(now.saturating_sub(*at).as_millis()),
-        Note::Cleared { .. } | Note::Answered { .. } => None,
-    };
-    let ages: Vec<u128> = ends.iter().filter_map(age_ms).collect();
-    let events = quarantine.event_count(&suspect);
-    event::SUSPECT_COUNTED.log(format_args!(
-        "fingerprint={suspect} kind={} ends_ms={ages:?} events={events}",
-        suspect.kind()
-    ));
-}
