The store's row keeps ends that are two events apart

Ends were written in whole milliseconds, so that two events could become one, and a row with six ends was taken for complete, also when the later end that refused the part was missing. The first end is kept beside the last five, later ones are rounded up, and a row is complete when it has them or its ends span a second.

--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -26,6 +26,8 @@
 const MAX_CASES: usize = 192;
 /// Maximum number of crashes stored per case: enough to refuse it, also where two of them count as one.
 const MAX_ENDS: usize = 6;
+/// Time from the first to the last stored crash from which further ones add nothing.
+const ENOUGH_SPAN: Duration = Duration::from_secs(1);
 /// Time that a starting entry waits for another one to report refused requests before it reads the
 /// row. A link to a running seed takes a few round trips, and callers wait at most half a second.
 const FIRST_LINK_WAIT: Duration = Duration::from_millis(250);
@@ -109,26 +111,33 @@
     }
 
     fn encode(&self, case: &Case) -> CaseDoc {
-        let first = case.ends.len().saturating_sub(MAX_ENDS);
-        let ends = case.ends[first..].iter();
+        let ends = kept_ends(case).enumerate().map(|(i, (incarnation, at))| {
+            // Rounded so that ends that are two events stay two.
+            let ms = self.to_store(*at) + u64::from(i > 0);
+            (format!("{incarnation:x}").into(), ms)
+        });
         CaseDoc {
             fingerprint: case.suspect.to_string().into(),
-            ends: ends.map(|(life, at)| (format!("{life:x}").into(), self.to_store(*at))).collect(),
+            ends: ends.collect(),
             trials: case.trials,
             tried_ms: self.to_store(case.tried_at),
         }
     }
 
-    /// Whether the row has everything that is known of a case.
+    /// Whether the row has what is needed of a case.
     fn covers(&self, case: &Case) -> bool {
         let same_case = self.cases.iter().find(|stored| stored.suspect == case.suspect);
         same_case.is_some_and(|stored| {
             let is_stored = |incarnation: &IncarnationHash| {
                 stored.ends.iter().any(|(known, _)| known == incarnation)
             };
-            let is_enough = stored.ends.len() >= MAX_ENDS;
+            let span = |ends: &[(IncarnationHash, Duration)]| match ends {
+                [(_, first), .., (_, last)] => *last - *first,
+                _ => Duration::ZERO,
+            };
+            let is_enough = stored.ends.len() >= MAX_ENDS && span(&stored.ends) >= ENOUGH_SPAN;
             stored.trials >= case.trials
-                && (is_enough || case.ends.iter().all(|(l, _)| is_stored(l)))
+                && (is_enough || kept_ends(case).all(|(incarnation, _)| is_stored(incarnation)))
         })
     }
 
@@ -154,6 +163,14 @@
     }
 }
 
+/// The ends of a case that the row holds: the first one, which shows how long they have lasted, and the last ones, which
+/// may be a single event.
+fn kept_ends(case: &Case) -> impl Iterator<Item = &(IncarnationHash, Duration)> {
+    let skipped = case.ends.len().saturating_sub(MAX_ENDS);
+    let first = case.ends.iter().take(1);
+    first.chain(case.ends.iter().skip(skipped + 1))
+}
+
 /// Keeps the store's row and this entry's quarantine in sync, forever.
 pub(crate) async fn sync_row(
     router: &Arc<Router>,
