Log a lack of processor time once, not for each connection

Under a limited rate, connections are served and closed in turn, and each turn logged that accepting had paused or resumed. One line at the begin and one when all are served again.

--- a/src/policy/accept_control.rs
+++ b/src/policy/accept_control.rs
@@ -93,6 +93,11 @@
         true
     }
 
+    /// Whether there are delays, or were a moment ago, so that connections may be closed.
+    pub fn is_limiting(&self) -> bool {
+        self.above_since.is_some() || self.limit.is_some()
+    }
+
     /// Lowers the limit, or sets it, unless that was done a moment ago.
     fn reduce(&mut self, now: Duration) {
         if self.limit.is_some_and(|limit| now < limit.reduced_at + INTERVAL) {
--- a/src/router/accept_gate.rs
+++ b/src/router/accept_gate.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Default)]
 struct State {
     control: AcceptControl,
-    /// Connections closed unread since the last one that was served.
+    /// Connections closed unread since the process began to lack processor time.
     closed: u64,
 }
 
@@ -56,22 +56,18 @@
         self.state.lock().expect("no code panics while holding this lock")
     }
 
-    /// Whether a connection that was just accepted is served; otherwise it is to be closed.
-    pub(crate) fn admits(&self) -> bool {
+    /// Admits a connection that was just accepted, or returns false if it is to be closed.
+    pub(crate) fn admit(&self) -> bool {
         let mut state = self.lock();
         let is_served = state.control.admit(self.started_at.elapsed());
-        match (is_served, state.closed) {
-            (true, 0) => {}
-            (true, closed) => {
-                event::ACCEPT_RESUMED.log(format_args!("closed={closed}"));
-                state.closed = 0;
-            }
-            (false, 0) => {
-                event::ACCEPT_PAUSED.log(format_args!("in_flight={}", self.router.in_flight()));
-            }
-            (false, _) => {}
+        if is_served && state.closed > 0 && !state.control.is_limiting() {
+            event::ACCEPT_RESUMED.log(format_args!("closed={}", state.closed));
+            state.closed = 0;
         }
         if !is_served {
+            if state.closed == 0 {
+                event::ACCEPT_PAUSED.log(format_args!("in_flight={}", self.router.in_flight()));
+            }
             state.closed += 1;
             self.router.metrics.connections_unread.inc();
         }
--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -51,7 +51,7 @@
         };
         match accepted {
             // Dropping the connection closes it unread.
-            Ok(_) if !gate.admits() => {}
+            Ok(_) if !gate.admit() => {}
             Ok((stream, caller)) => serve_connection(&router, &gate, stream, caller, &connections),
             Err(e) => {
                 event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -52,7 +52,7 @@
     SETTINGS_UNREADABLE = 107, Error, "The settings file could not be reloaded; the previous settings stay in force.";
     HOST_RESUMED = 108, Warn, "The Host was suspended; data received before the suspension counts as stale.";
     ACCEPT_PAUSED = 109, Warn, "The process lacks processor time; new connections are closed unread, so that their callers turn to another entry.";
-    ACCEPT_RESUMED = 110, Info, "New connections are served again.";
+    ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
     LINK_UP = 200, Info, "A link to a peer was established and authenticated.";
     LINK_DOWN = 201, Warn, "A link was lost; its attempts count as lost.";
     LINK_REFUSED = 202, Warn, "A peer failed to authenticate or sent invalid frames.";
