--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -100,7 +100,7 @@
     /// Records that a server answered a request completely, so the request does not crash servers.
     pub(crate) fn record_complete_answer(&self, ctx: &RequestContext) {
         if !self.quarantine.is_idle() {
-            self.quarantine.record_answer(ctx.suspects()[0], self.now());
+            self.quarantine.record_answer(ctx.own_suspect(), self.now());
         }
     }
 
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -80,7 +80,7 @@
                 let (route, server, number) = (&ctx.route.name, &member.server.id, ctx.runs);
                 event::ATTEMPT_FAILED.log(format_args!(
                     "request={id} fingerprint={} parts={} route={route} server={server} runs={number} cause=\"{e}\"",
-                    ctx.suspects()[0],
+                    ctx.own_suspect(),
                     ctx.log_shared_parts()
                 ));
             }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -242,7 +242,7 @@
             let (id, events) = (&self.ctx.req.head.id, self.last_event_id);
             event::STREAM_BROKEN.log(format_args!(
                 "request={id} fingerprint={} parts={} server={} last_event={events:?} cause=\"{e}\"",
-                self.ctx.suspects()[0],
+                self.ctx.own_suspect(),
                 self.ctx.log_shared_parts(),
                 server.server.id
             ));
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -100,6 +100,11 @@
         })
     }
 
+    /// The request itself as a suspect.
+    pub(crate) fn own_suspect(&self) -> Suspect {
+        self.suspects()[0]
+    }
+
     /// The prompt parts that other requests may share.
     pub(crate) fn shared_parts(&self) -> impl Iterator<Item = PartId> + Clone {
         self.req.head.shared_parts().iter().take(MAX_SUSPECT_PARTS).map(|part| part.id)
