--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -170,6 +170,8 @@
     pub quarantine_notes_lost: Gauge,
     /// Requests in quarantine because servers ended while running them.
     pub quarantined: Gauge,
+    /// Prompt parts with which requests are refused because servers ended.
+    pub quarantined_parts: Gauge,
     /// AvailabilityZones under an evacuation order.
     pub evacuated_zones: Gauge,
     /// Servers that ended while running requests of this entry.
@@ -251,6 +253,7 @@
             kept_notes_lost: Gauge::default(),
             quarantine_notes_lost: Gauge::default(),
             quarantined: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             evacuated_zones: Gauge::default(),
             server_ends: Counter::default(),
             repeats_left: Family::default(),
@@ -308,14 +311,8 @@
         registry.register("entries", "Entries known of", self.entries.clone());
         let lost = self.kept_notes_lost.clone();
         registry.register("kept_notes_lost", "Notes on kept parts that were lost", lost);
-        let lost = self.quarantine_notes_lost.clone();
-        registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
-        let quarantined = self.quarantined.clone();
         let zones = self.evacuated_zones.clone();
         registry.register("evacuated_zones", "AvailabilityZones that are evacuated", zones);
-        registry.register("quarantined", "Requests refused because servers ended", quarantined);
-        let ends = self.server_ends.clone();
-        registry.register("server_ends", "Servers seen to end with requests at work", ends);
         let left = self.repeats_left.clone();
         registry.register("repeats_left", "Repeated sends still allowed", left);
         let repeats = self.repeats.clone();
@@ -334,6 +331,7 @@
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
+        self.register_quarantine(&mut registry);
         self.register_speeds(&mut registry);
         self.register_memory(&mut registry);
         self.register_usage(&mut registry);
@@ -352,6 +350,17 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    fn register_quarantine(&self, registry: &mut Registry) {
+        let lost = self.quarantine_notes_lost.clone();
+        registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
+        let quarantined = self.quarantined.clone();
+        registry.register("quarantined", "Requests refused because servers ended", quarantined);
+        let parts = self.quarantined_parts.clone();
+        registry.register("quarantined_parts", "Prompt parts refused because servers ended", parts);
+        let ends = self.server_ends.clone();
+        registry.register("server_ends", "Servers seen to end with requests at work", ends);
+    }
+
     fn register_speeds(&self, registry: &mut Registry) {
         let known = self.servers_of_known_speed.clone();
         registry.register("servers_of_known_speed", "Servers that report their speed", known);
