Quarantine: refusing in one place, and no trial times where only refusal counts

Refusing parts and requests repeated what a refused suspect explains; refuse() serves both. Whether a request is refused is asked before each send and by each waiting request after each change, and worked out when each suspect's next trial is due, with scans of all records, to look at whether there were any: it asks the verdict alone now. Inserting an end has one path. No change of behaviour.

--- a/src/policy/quarantine/suspect_record.rs
+++ b/src/policy/quarantine/suspect_record.rs
@@ -50,15 +50,14 @@
     fn insert(&mut self, end: End) -> bool {
         let place =
             self.ends.partition_point(|e| (e.at, e.incarnation) < (end.at, end.incarnation));
-        if self.ends.len() < MAX_ENDS_PER_SUSPECT {
-            self.ends.insert(place, end);
-            return true;
-        }
-        if place == 0 {
+        let is_full = self.ends.len() >= MAX_ENDS_PER_SUSPECT;
+        if is_full && place == 0 {
             return false;
         }
         self.ends.insert(place, end);
-        self.ends.remove(0);
+        if is_full {
+            self.ends.remove(0);
+        }
         true
     }
 
--- a/src/policy/quarantine/verdict.rs
+++ b/src/policy/quarantine/verdict.rs
@@ -53,13 +53,23 @@
                 && unexplained(record, &explained).next().is_some()
         };
         let requests: Vec<_> = records.iter().filter(is_refused).collect();
-        refused.extend(requests.iter().map(|(suspect, _)| **suspect));
-        let present = requests.iter().flat_map(|(_, record)| &record.ends);
-        explained.extend(present.map(|end| end.incarnation));
+        refuse(&requests, &mut refused, &mut explained);
     }
     refused
 }
 
+/// Refuses suspects, which then explain the ends at which they were present.
+fn refuse(
+    suspects: &[(&Suspect, &SuspectRecord)],
+    refused: &mut HashSet<Suspect>,
+    explained: &mut Ends,
+) {
+    for (suspect, record) in suspects {
+        refused.insert(**suspect);
+        explained.extend(record.ends.iter().map(|end| end.incarnation));
+    }
+}
+
 /// Refuses parts, starting with the most suspicious, and returns the ends that they explain.
 fn refuse_parts(
     records: &Records,
@@ -78,10 +88,9 @@
         let refusable: Vec<_> = equals
             .iter()
             .filter(|(_, record)| is_part_refusable(record, ended_at, &explained))
+            .copied()
             .collect();
-        refused.extend(refusable.iter().map(|(suspect, _)| **suspect));
-        let present = refusable.iter().flat_map(|(_, record)| &record.ends);
-        explained.extend(present.map(|end| end.incarnation));
+        refuse(&refusable, refused, &mut explained);
     }
     explained
 }
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -72,6 +72,15 @@
         self.lock().quarantine.status(suspect, now)
     }
 
+    /// Whether one of these suspects is refused. Unlike [`Self::refused_among`], it computes no trials.
+    pub(crate) fn is_any_refused<'a>(
+        &self,
+        mut suspects: impl Iterator<Item = &'a Suspect>,
+    ) -> bool {
+        let inner = self.lock();
+        suspects.any(|suspect| inner.quarantine.is_refused(suspect))
+    }
+
     /// Those of a request's suspects that are refused, each with the time until its next trial.
     pub(crate) fn refused_among(
         &self,
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -42,7 +42,9 @@
     /// Whether a request is refused because of the servers that crashed during it or during others with a part of its
     /// prompt.
     pub(crate) fn is_refused(&self, ctx: &RequestContext) -> bool {
-        !self.refused_suspects(ctx).is_empty()
+        let is_untried = |suspect: &&Suspect| !ctx.is_trial_of(suspect);
+        !self.quarantine.is_idle()
+            && self.quarantine.is_any_refused(ctx.suspects().iter().filter(is_untried))
     }
 
     /// The request or the part of its prompt by which it is placed because servers crashed during it.
