--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -27,9 +27,11 @@
 const PRIORITY: &str = "x-request-priority";
 const AUTH_SCHEME: &str = "Bearer ";
 
-/// Headers that apply to a single connection (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] = [
+/// Headers that apply to a message on a single connection: those of RFC 9110, section 7.6.1, and the length, which
+/// the sender of each message sets anew.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
+    header::CONTENT_LENGTH,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -87,11 +89,10 @@
     let host = host.split(':').next().unwrap_or(host);
     let (prompt_tokens, max_answer_tokens) =
         header_text(headers, TOKEN_COUNTS).map_or((0, 0), parse_token_counts);
-    let mut passed_on = without_hop_by_hop(headers);
+    let mut passed_on = without_connection_headers(headers);
     for name in ROUTER_ONLY {
         passed_on.remove(name);
     }
-    passed_on.remove(header::CONTENT_LENGTH);
     passed_on.remove(header::EXPECT);
     Ok(RequestHead {
         method: method.clone(),
@@ -167,13 +168,13 @@
     header_text(headers, name)?.trim().parse().ok()
 }
 
-pub(super) fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
+pub(super) fn without_connection_headers(headers: &HeaderMap) -> HeaderMap {
     let mut remaining = headers.clone();
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
     for name in named.flat_map(|value| value.split(',')) {
         remaining.remove(name.trim());
     }
-    for name in &HOP_BY_HOP {
+    for name in &CONNECTION_HEADERS {
         remaining.remove(name);
     }
     remaining.remove(KEEP_ALIVE);
--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     platform::request_headers::{
-        KEEP_ALIVE, REQUEST_ID, header_number, header_text, without_hop_by_hop,
+        KEEP_ALIVE, REQUEST_ID, header_number, header_text, without_connection_headers,
     },
     policy::{
         load::{ReportedLoad, ReportedPace},
@@ -76,7 +76,7 @@
     ResponseHead {
         kind: classify_response(status, headers, request_id),
         status,
-        headers: without_hop_by_hop(headers),
+        headers: without_connection_headers(headers),
         confidence: header_number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
         load: header_text(headers, LOAD).and_then(parse_load),
         rate_limit: parse_rate_limit(headers),
@@ -84,8 +84,6 @@
         retry_after: parse_retry_after(headers),
         unknown_headers: collect_unknown_headers(headers),
         closes_connection,
-        is_close_delimited: !headers.contains_key(header::CONTENT_LENGTH)
-            && !headers.contains_key(header::TRANSFER_ENCODING),
     }
 }
 
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -25,7 +25,8 @@
         },
         servers::connection::{self, Checkout, ConnectError, Connection},
     },
-    routing::{Request, ResponseHead, ResponseKind, RouteKind},
+    routing::{BodyFraming, Request, ResponseHead, ResponseKind, RouteKind},
+    telemetry::event,
 };
 
 /// Counts a request in the load of its server until it is dropped.
@@ -72,6 +73,7 @@
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
     pub(crate) head: ResponseHead,
+    pub(crate) framing: BodyFraming,
     pub(crate) body: Incoming,
     pub(crate) member: Arc<Member>,
     /// When the request was sent.
@@ -85,7 +87,7 @@
 impl OpenResponse {
     /// Returns the connection to the pool after the body was read to the end.
     pub(crate) fn finish(self, now: Duration) {
-        if !self.head.closes_connection {
+        if !self.head.closes_connection && self.framing.allows_reuse() {
             connection::check_in(&self.member, self.connection, now);
         }
     }
@@ -185,7 +187,9 @@
     plan.member.record_received(router.now());
     let (parts, body) = res.into_parts();
     let head = parse_response_head(parts.status, &parts.headers, &ctx.req.head.id);
+    let framing = BodyFraming::of_response(&ctx.req.head.method, parts.status, &parts.headers);
     record_response_head(router, plan.member, &head, &ctx.req.head.id, sent_at);
+    record_framing(router, plan.member, framing, &ctx.req.head.id);
     record_usage(router, ctx, &head, sent_at);
     if let Some(load) = head.load {
         router.record_load(plan.member, load, sent_at);
@@ -206,6 +210,7 @@
     }
     let response = OpenResponse {
         head,
+        framing,
         body,
         member,
         sent_at,
@@ -281,6 +286,15 @@
     }
 }
 
+/// Counts a response whose length is ignored because its body is chunked.
+fn record_framing(router: &Router, member: &Member, framing: BodyFraming, request_id: &str) {
+    if framing == (BodyFraming::Chunked { has_length: true }) {
+        router.metrics.lengths_ignored.inc();
+        let id = &member.server.id;
+        event::LENGTH_IGNORED.log(format_args!("server={id} request={request_id}"));
+    }
+}
+
 /// Counts an error against the server, if it is the server's fault.
 fn record_error(router: &Router, member: &Member, e: &AttemptError) {
     match e {
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -3,7 +3,7 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
-use http::Response;
+use http::{Response, header::CONTENT_LENGTH};
 use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 
@@ -31,7 +31,7 @@
             server_ends::{may_be_cut_off, record_broken_connection, record_lost},
         },
     },
-    routing::{ResponseHead, ResponseKind, RouteKind},
+    routing::{BodyFraming, ResponseKind, RouteKind},
     telemetry::event,
 };
 
@@ -53,7 +53,7 @@
     if response.head.kind != ResponseKind::Success {
         return read_to_end(router, &ctx, response).await.map_err(|()| Refusal::Lost);
     }
-    let mut res = response_with_head(&response.head);
+    let mut res = response_with_head(&response);
     let (queue, rx) = stream_queue();
     let timing = StreamTiming::new(ctx.arrived_at);
     let relay = Relay { router: router.clone(), ctx, model, queue, last_event_id: None, timing };
@@ -102,11 +102,15 @@
     wait_for_response(router, &wait, read, || false).await
 }
 
-/// A response with the status and headers of a server's response and an empty body.
-fn response_with_head(head: &ResponseHead) -> Response<ResponseBody> {
+/// A response with the status and headers of a server's response and an empty body. The body that replaces it
+/// determines the framing: its length if that is known, else chunks.
+fn response_with_head(response: &OpenResponse) -> Response<ResponseBody> {
     let mut res = Response::new(ResponseBody::buffered(""));
-    *res.status_mut() = head.status;
-    *res.headers_mut() = head.headers.clone();
+    *res.status_mut() = response.head.status;
+    *res.headers_mut() = response.head.headers.clone();
+    if let BodyFraming::NoBody { described_length: Some(length) } = response.framing {
+        res.headers_mut().insert(CONTENT_LENGTH, length.into());
+    }
     res
 }
 
@@ -116,9 +120,9 @@
     ctx: &RequestContext,
     mut response: OpenResponse,
 ) -> Result<Response<ResponseBody>, ()> {
-    let mut res = response_with_head(&response.head);
+    let mut res = response_with_head(&response);
     let body = Limited::new(&mut response.body, MAX_BUFFERED_BODY).collect().await;
-    let is_cut_off = || may_be_cut_off(router, &response.member, &response.head);
+    let is_cut_off = || may_be_cut_off(router, &response.member, response.framing);
     let body = match body {
         Ok(body) if !is_cut_off().await => body,
         _ => {
@@ -317,8 +321,8 @@
                 if splitter.is_inside_event() {
                     return Err(StreamError::TruncatedEvent);
                 }
-                let is_empty = response.head.is_close_delimited && !has_begun;
-                if is_empty || may_be_cut_off(router, server, &response.head).await {
+                let is_empty = response.framing == BodyFraming::CloseDelimited && !has_begun;
+                if is_empty || may_be_cut_off(router, server, response.framing).await {
                     return Err(StreamError::CutOff);
                 }
                 self.record_complete_run(&response, &run);
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -18,7 +18,7 @@
         roll_outs::roll_out::RunOutcome,
         servers::lost_requests::{LossCause, LostRequest, Outage, SUSPECT_WINDOW},
     },
-    routing::ResponseHead,
+    routing::BodyFraming,
     telemetry::event,
 };
 
@@ -61,9 +61,11 @@
 
 /// Whether a response whose body ends with its connection may be incomplete, because the server has ended: a process
 /// that crashes closes its connections like one that has sent everything.
-pub(crate) async fn may_be_cut_off(router: &Router, member: &Member, head: &ResponseHead) -> bool {
+pub(crate) async fn may_be_cut_off(router: &Router, member: &Member, framing: BodyFraming) -> bool {
     // A server that has announced its exit may finish its last response and go.
-    head.is_close_delimited && !member.is_draining() && has_ended(router, member).await
+    framing == BodyFraming::CloseDelimited
+        && !member.is_draining()
+        && has_ended(router, member).await
 }
 
 /// The listed incarnation of a server that runs a request sent to this one; `None` if it has ended. A request that was
--- /dev/null
+++ b/src/routing/body_framing.rs
@@ -0,0 +1,66 @@
+//! How the end of a response's body is found.
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+
+/// How the end of a response's body is found (RFC 9112, section 6.3). It describes a message on the server's connection
+/// only: the message to the caller is framed by what is sent to the caller (docs/decisions/0021).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The method or status excludes a body.
+    NoBody {
+        /// Bytes of the body that a GET request would get, if the response to a HEAD request states them.
+        described_length: Option<u64>,
+    },
+    /// `Content-Length`.
+    Length,
+    /// The chunked transfer coding.
+    Chunked {
+        /// Whether there is a `Content-Length` as well. The chunks take precedence, but the server and what lies
+        /// between may disagree on where the body ends, so the connection must not be reused.
+        has_length: bool,
+    },
+    /// The body ends with its connection.
+    CloseDelimited,
+}
+
+impl BodyFraming {
+    /// Determines the framing of a response to a request with this method. hyper has already rejected responses whose
+    /// lengths differ or can't be read.
+    pub fn of_response(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+        let has_length = headers.contains_key(header::CONTENT_LENGTH);
+        let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
+        if method == Method::HEAD {
+            let described_length = if is_chunked { None } else { read_length(headers) };
+            return Self::NoBody { described_length };
+        }
+        if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+            return Self::NoBody { described_length: None };
+        }
+        match (is_chunked, has_length) {
+            (true, has_length) => Self::Chunked { has_length },
+            (false, true) => Self::Length,
+            (false, false) => Self::CloseDelimited,
+        }
+    }
+
+    /// Whether the connection may be used for another request after the body.
+    pub fn allows_reuse(self) -> bool {
+        !matches!(self, Self::Chunked { has_length: true } | Self::CloseDelimited)
+    }
+}
+
+/// The length that all `Content-Length` values agree on.
+fn read_length(headers: &HeaderMap) -> Option<u64> {
+    let lines: Result<Vec<&str>, _> =
+        headers.get_all(header::CONTENT_LENGTH).iter().map(HeaderValue::to_str).collect();
+    let lines = lines.ok()?;
+    let mut lengths = lines.iter().flat_map(|line| line.split(',')).map(read_digits);
+    let first = lengths.next()??;
+    lengths.all(|length| length == Some(first)).then_some(first)
+}
+
+/// Reads digits only: `u64::from_str` would also accept a sign.
+fn read_digits(text: &str) -> Option<u64> {
+    let text = text.trim();
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok())?
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! responses. Decisions based on them are in [`crate::policy`].
 
 mod backend_server;
+mod body_framing;
 mod fingerprint;
 mod request;
 mod response;
@@ -9,6 +10,7 @@
 mod table;
 
 pub use backend_server::{BackendServer, ServerVersion, StartTime};
+pub use body_framing::BodyFraming;
 pub use fingerprint::Fingerprint;
 pub use request::{PartId, PromptPart, Request, RequestHead};
 pub use response::{ResponseHead, ResponseKind};
--- a/src/routing/response.rs
+++ b/src/routing/response.rs
@@ -37,7 +37,7 @@
     pub kind: ResponseKind,
     /// Status, passed on to the caller unchanged.
     pub status: StatusCode,
-    /// Headers to pass on: all except hop-by-hop headers.
+    /// Headers to pass on: all except those that concern only the server's connection.
     pub headers: HeaderMap,
     /// Confidence of the model in its answer, 0 to 100.
     pub confidence: Option<u8>,
@@ -53,8 +53,6 @@
     pub unknown_headers: Vec<HeaderName>,
     /// Whether the server closes the connection after this response.
     pub closes_connection: bool,
-    /// Whether the body has neither a length nor chunks and ends with its connection.
-    pub is_close_delimited: bool,
 }
 
 impl ResponseHead {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -202,6 +202,8 @@
     pub unread_headers: Family<UnreadHeaderLabels, Counter>,
     /// Names of unknown headers that have a label value of their own.
     unread_header_names: Arc<Mutex<BTreeSet<String>>>,
+    /// Responses with a length beside their chunks.
+    pub lengths_ignored: Counter,
     /// Bytes of requests and responses held for slow callers and servers.
     pub held_bytes: Gauge,
     /// Connections of callers that were closed because the caller took nothing of its response.
@@ -270,6 +272,7 @@
             unread_headers: Family::default(),
             unread_header_names: Arc::default(),
             held_bytes: Gauge::default(),
+            lengths_ignored: Counter::default(),
             callers_stalled: Counter::default(),
             connections_unread: Counter::default(),
             duty_held: Gauge::default(),
@@ -331,6 +334,8 @@
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
+        let ignored = self.lengths_ignored.clone();
+        registry.register("lengths_ignored", "Responses with a length beside chunks", ignored);
         self.register_quarantine(&mut registry);
         self.register_speeds(&mut registry);
         self.register_memory(&mut registry);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod duties;
 mod duty_service;
 mod evacuations;
+mod framing;
 mod host_suspension;
 mod limited_pool;
 mod peers;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -77,6 +77,8 @@
     /// Like `CloseDelimited`, with this HTTP version, these header lines and this body. The connection ends because
     /// the server closes it, or because the whole process terminates.
     CloseDelimitedBody { version: &'static str, headers: &'static str, body: String, crashes: bool },
+    /// Sends this status line, the headers that identify the response, these header lines and this body as they are.
+    Raw { status_line: &'static str, headers: String, body: String, keeps_connection: bool },
     /// Sends the same complete response twice.
     Duplicate,
     /// Terminates the whole process, either after it has sent the response head of a stream or
@@ -347,17 +349,15 @@
         Action::Unsigned => (reply(200, &format!("X-Request-Id: {id}\r\n{lines}"), "no"), true),
         Action::Gzip => (reply(200, &format!("{signed}Content-Encoding: gzip\r\n"), "no"), true),
         Action::CloseConnection | Action::Crash { after_head: false } => (String::new(), false),
-        Action::Crash { after_head: true } => {
-            let sent = stream.write_all(stream_head(&signed, CONFIDENT).as_bytes()).await.is_ok();
-            // Time for the head to reach the entry before the process terminates.
-            sleep(EVENT_INTERVAL).await;
-            return sent;
-        }
+        Action::Crash { after_head: true } => return send_stream_head(stream, &signed).await,
         Action::Hang => return hang(stream).await,
         Action::CloseDelimited => (format!("HTTP/1.1 200 X\r\n{signed}\r\nall of it"), false),
         Action::CloseDelimitedBody { version, headers, body, .. } => {
             (format!("HTTP/{version} 200 X\r\n{signed}{headers}\r\n{body}"), false)
         }
+        Action::Raw { status_line, headers, body, keeps_connection } => {
+            (format!("{status_line}\r\n{signed}{headers}\r\n{body}"), keeps_connection)
+        }
         Action::Duplicate => {
             let once = reply(200, &signed, "once");
             (format!("{once}{once}"), true)
@@ -381,6 +381,13 @@
     stream.write_all(bytes.as_bytes()).await.is_ok() && keeps_connection
 }
 
+/// Sends the head of a stream, and waits until it has reached the entry.
+async fn send_stream_head(stream: &mut TcpStream, signed: &str) -> bool {
+    let sent = stream.write_all(stream_head(signed, CONFIDENT).as_bytes()).await.is_ok();
+    sleep(EVENT_INTERVAL).await;
+    sent
+}
+
 /// Waits until the entry closes the connection.
 async fn hang(stream: &mut TcpStream) -> bool {
     let mut rest = [0; 16];
@@ -396,7 +403,7 @@
 }
 
 /// One chunk in chunked transfer encoding.
-fn chunk(text: &str) -> String {
+pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
