A body in a transfer coding other than chunked is rejected

What callers saw: a success whose body is not the server's body. Under `Transfer-Encoding: gzip, chunked` the chunks were decoded, the header was dropped and the compressed bytes were passed on as the body; under `chunked, chunked` the inner chunk sizes were part of it. Under `gzip` or `chunked, gzip` the body ends with its connection, without the check whether the server has ended.

What is dropped from the head has to be decoded first, and hyper decodes the last coding only.

Evidence: a_body_in_a_coding_other_than_chunked_is_rejected before the fix: 200 with the coded bytes where 502 is due. The other forms of the table (lengths that differ or can't be read, HTTP/1.0, interim responses, trailers, bytes after the end, bodies that end early) held before.

Fix: only one `chunked` is accepted (RFC 9112, section 6.1: no other coding may be sent to a recipient that has not asked for it).

--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -25,7 +25,7 @@
         },
         servers::connection::{self, Checkout, ConnectError, Connection},
     },
-    routing::{BodyFraming, Request, ResponseHead, ResponseKind, RouteKind},
+    routing::{BodyFraming, FramingError, Request, ResponseHead, ResponseKind, RouteKind},
     telemetry::event,
 };
 
@@ -120,6 +120,9 @@
     /// The response is not the server's response to this request; the request may have run.
     #[error("the response comes from another server or belongs to another request")]
     WrongResponse,
+    /// The response can't be read as the server meant it; the request may have run.
+    #[error("the response can't be read: {0}")]
+    Framing(#[from] FramingError),
 }
 
 impl AttemptError {
@@ -188,8 +191,8 @@
     let (parts, body) = res.into_parts();
     let head = parse_response_head(parts.status, &parts.headers, &ctx.req.head.id);
     let framing = BodyFraming::of_response(&ctx.req.head.method, parts.status, &parts.headers);
-    record_response_head(router, plan.member, &head, &ctx.req.head.id, sent_at);
     record_framing(router, plan.member, framing, &ctx.req.head.id);
+    record_response_head(router, plan.member, &head, framing.is_ok(), &ctx.req.head.id, sent_at);
     record_usage(router, ctx, &head, sent_at);
     if let Some(load) = head.load {
         router.record_load(plan.member, load, sent_at);
@@ -205,20 +208,20 @@
         router.speed_estimates.record_head_time(plan.latency_key, tokens, ahead, at_usual_speed);
     }
     let member = plan.member.clone();
-    if !matches!(head.kind, ResponseKind::Success) {
+    if head.kind != ResponseKind::Success || framing.is_err() {
         member.state().prefixes.forget(plan.new_prefixes());
     }
-    let response = OpenResponse {
+    check_kind(&head, &member)?;
+    Ok(OpenResponse {
         head,
-        framing,
+        framing: framing?,
         body,
         member,
         sent_at,
         is_slow,
         connection,
         _outstanding: outstanding,
-    };
-    check_response(response)
+    })
 }
 
 /// Records which prefixes of the prompt the server will have cached, and reports them to the other entries.
@@ -249,15 +252,12 @@
 }
 
 /// Turns responses that are not the server's result for this request into errors.
-fn check_response(response: OpenResponse) -> Result<OpenResponse, AttemptError> {
-    match response.head.kind {
-        ResponseKind::Success | ResponseKind::Failure => Ok(response),
-        ResponseKind::NotRun => {
-            let status = response.head.status;
-            Err(AttemptError::Refused(status))
-        }
+fn check_kind(head: &ResponseHead, member: &Member) -> Result<(), AttemptError> {
+    match head.kind {
+        ResponseKind::Success | ResponseKind::Failure => Ok(()),
+        ResponseKind::NotRun => Err(AttemptError::Refused(head.status)),
         ResponseKind::WrongServer => {
-            response.member.state().is_replaced = true;
+            member.state().is_replaced = true;
             Err(AttemptError::OtherServer)
         }
         ResponseKind::WrongRequest | ResponseKind::Unsigned => Err(AttemptError::WrongResponse),
@@ -269,11 +269,12 @@
     router: &Router,
     member: &Member,
     head: &ResponseHead,
+    is_framed: bool,
     request_id: &str,
     sent_at: Duration,
 ) {
     let is_wrong_response =
-        matches!(head.kind, ResponseKind::WrongRequest | ResponseKind::Unsigned);
+        matches!(head.kind, ResponseKind::WrongRequest | ResponseKind::Unsigned) || !is_framed;
     if is_wrong_response || (head.status.is_server_error() && !head.announces_rejection()) {
         member.record_failure(router.now());
     } else if !head.announces_rejection() {
@@ -287,8 +288,13 @@
 }
 
 /// Counts a response whose length is ignored because its body is chunked.
-fn record_framing(router: &Router, member: &Member, framing: BodyFraming, request_id: &str) {
-    if framing == (BodyFraming::Chunked { has_length: true }) {
+fn record_framing(
+    router: &Router,
+    member: &Member,
+    framing: Result<BodyFraming, FramingError>,
+    request_id: &str,
+) {
+    if framing == Ok(BodyFraming::Chunked { has_length: true }) {
         router.metrics.lengths_ignored.inc();
         let id = &member.server.id;
         event::LENGTH_IGNORED.log(format_args!("server={id} request={request_id}"));
--- a/src/routing/body_framing.rs
+++ b/src/routing/body_framing.rs
@@ -2,6 +2,14 @@
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
+/// Why the body of a response can't be passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FramingError {
+    /// Only `chunked` is decoded. Other codings were not requested, and the caller would not know of them.
+    #[error("the body has a transfer coding other than chunked")]
+    UnsupportedCoding,
+}
+
 /// How the end of a response's body is found (RFC 9112, section 6.3). It describes a message on the server's connection
 /// only: the message to the caller is framed by what is sent to the caller (docs/decisions/0021).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,21 +33,29 @@
 
 impl BodyFraming {
     /// Determines the framing of a response to a request with this method. hyper has already rejected responses whose
-    /// lengths differ or can't be read.
-    pub fn of_response(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+    /// lengths differ or can't be read, and HTTP/1.0 responses with transfer codings.
+    ///
+    /// # Errors
+    /// When the body has transfer codings other than one `chunked`.
+    pub fn of_response(
+        method: &Method,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Self, FramingError> {
         let has_length = headers.contains_key(header::CONTENT_LENGTH);
-        let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
+        let has_codings = headers.contains_key(header::TRANSFER_ENCODING);
         if method == Method::HEAD {
-            let described_length = if is_chunked { None } else { read_length(headers) };
-            return Self::NoBody { described_length };
+            let described_length = if has_codings { None } else { read_length(headers) };
+            return Ok(Self::NoBody { described_length });
         }
         if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
-            return Self::NoBody { described_length: None };
+            return Ok(Self::NoBody { described_length: None });
         }
-        match (is_chunked, has_length) {
-            (true, has_length) => Self::Chunked { has_length },
-            (false, true) => Self::Length,
-            (false, false) => Self::CloseDelimited,
+        match (has_codings, has_length) {
+            (true, has_length) if is_chunked_once(headers) => Ok(Self::Chunked { has_length }),
+            (true, _) => Err(FramingError::UnsupportedCoding),
+            (false, true) => Ok(Self::Length),
+            (false, false) => Ok(Self::CloseDelimited),
         }
     }
 
@@ -49,6 +65,13 @@
     }
 }
 
+/// Whether `chunked` is the only transfer coding.
+fn is_chunked_once(headers: &HeaderMap) -> bool {
+    let mut lines = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let first = lines.next().is_some_and(|line| line.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    first && lines.next().is_none()
+}
+
 /// The length that all `Content-Length` values agree on.
 fn read_length(headers: &HeaderMap) -> Option<u64> {
     let lines: Result<Vec<&str>, _> =
--- a/tests/platform/framing.rs
+++ b/tests/platform/framing.rs
@@ -323,3 +323,155 @@
         }
     }
 }
+
+/// What the caller must get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expected {
+    /// The response with the whole body.
+    Whole,
+    /// A failure of the entry's own: the response can't be read, or isn't one to the request.
+    Failure,
+}
+
+/// A form of response: its status line, header lines and body, and what the caller must get.
+type Form = (&'static str, String, String, Expected);
+
+async fn check_forms(forms: &[Form]) {
+    for (status_line, headers, text, expected) in forms {
+        for route in ROUTES {
+            for keeps_connection in [true, false] {
+                // A server that closes the connection unannounced may lose the next request.
+                let close = if keeps_connection { "" } else { "Connection: close\r\n" };
+                let headers = format!("{headers}{close}");
+                let action = raw(status_line, &headers, text.clone(), keeps_connection);
+                let response = exchange_with_next(action, "POST", route).await;
+
+                let what =
+                    format!("{route} {status_line} {headers} {keeps_connection}: {response:?}");
+                match expected {
+                    Expected::Whole => {
+                        assert_eq!((response.status, response.body), (200, body()), "{what}")
+                    }
+                    Expected::Failure => assert_eq!(response.status, 502, "{what}"),
+                }
+            }
+        }
+    }
+}
+
+/// A response in each of these transfer codings, with a body that is chunked as the last one says.
+fn in_codings(codings: &[&str], expected: Expected) -> Vec<Form> {
+    let form = |lines: &&str| {
+        let headers =
+            lines.split('|').map(|line| format!("Transfer-Encoding: {line}\r\n")).collect();
+        (OK, headers, chunked_body(), expected)
+    };
+    codings.iter().map(form).collect()
+}
+
+/// Guards against a body in a coding that the caller isn't told of: gzip under the chunks, or chunks in chunks. A body
+/// whose last coding isn't chunked ends with its connection, and a crash would look like its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_in_a_coding_other_than_chunked_is_rejected() {
+    let codings = [
+        "gzip, chunked",
+        "gzip|chunked",
+        "chunked, chunked",
+        "chunked|chunked",
+        "gzip",
+        "chunked, gzip",
+        "identity",
+        "x, chunked",
+    ];
+    check_forms(&in_codings(&codings, Expected::Failure)).await;
+    check_forms(&in_codings(&["chunked", "Chunked", " chunked "], Expected::Whole)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_length_that_differs_or_is_unreadable_is_rejected() {
+    let length = body().len();
+    for value in ["+64", "-64", "0x40", "64, 65", "64;", "", "99999999999999999999", "6 4"] {
+        let headers = format!("Content-Length: {value}\r\n");
+        check_forms(&[(OK, headers, body(), Expected::Failure)]).await;
+    }
+    let differing = length_header(length) + &length_header(length - 1);
+    check_forms(&[(OK, differing, body(), Expected::Failure)]).await;
+    for same in [
+        length_header(length) + &length_header(length),
+        format!("Content-Length: {length}, {length}\r\n"),
+        format!("Content-Length: 0{length}\r\n"),
+    ] {
+        check_forms(&[(OK, same, body(), Expected::Whole)]).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_responses_are_not_passed_on() {
+    let length = length_header(body().len());
+    for status_lines in [
+        "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 X",
+        "HTTP/1.1 103 X\r\nLink: </a>\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 X",
+        "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 199 X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 X",
+    ] {
+        check_forms(&[
+            (status_lines, length.clone(), body(), Expected::Whole),
+            (status_lines, CHUNKED.into(), chunked_body(), Expected::Whole),
+        ])
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_of_the_former_protocol_version_are_framed_anew() {
+    let (old, length) = ("HTTP/1.0 200 X", body().len());
+    check_forms(&[
+        (old, length_header(length), body(), Expected::Whole),
+        (old, length_header(length) + "Connection: keep-alive\r\n", body(), Expected::Whole),
+        (old, CHUNKED.into(), chunked_body(), Expected::Failure),
+        (old, CHUNKED.to_owned() + &length_header(length), body(), Expected::Failure),
+    ])
+    .await;
+}
+
+/// Trailers describe the message on the server's connection; the caller has not asked for any.
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_are_not_passed_on() {
+    let text = chunk(&body()) + "0\r\nContent-Length: 5\r\nX-Sum: 1\r\n\r\n";
+    let headers = format!("{CHUNKED}Trailer: Content-Length, X-Sum\r\n");
+    check_forms(&[(OK, headers, text, Expected::Whole)]).await;
+}
+
+/// Bytes after the end of a response belong to no request.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_after_a_response_reach_nobody() {
+    let length = length_header(body().len());
+    let second =
+        format!("HTTP/1.1 200 X\r\nX-Instance-Stamp: s\r\n{length}\r\n{}", body().to_uppercase());
+    for extra in ["x", "\r\n", "0\r\n\r\n", &body(), &second] {
+        check_forms(&[
+            (OK, length.clone(), body() + extra, Expected::Whole),
+            (OK, CHUNKED.into(), chunked_body() + extra, Expected::Whole),
+        ])
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_ends_early_is_rejected() {
+    let short = &body()[..20];
+    for (headers, text) in [
+        (length_header(body().len()), short.to_owned()),
+        (CHUNKED.into(), chunk(short)),
+        (CHUNKED.into(), format!("40\r\n{short}")),
+        (CHUNKED.into(), chunk(short) + "0\r\n"),
+        (CHUNKED.into(), chunk(short) + "zz\r\n"),
+        (CHUNKED.into(), chunk(short) + "-1\r\n\r\n0\r\n\r\n"),
+        (CHUNKED.into(), format!("5\r\n{short}\r\n0\r\n\r\n")),
+    ] {
+        for route in ["/safe/", "/once/"] {
+            let action = raw(OK, &headers, text.clone(), false);
+            let response = exchange_with_next(action, "POST", route).await;
+            assert_eq!(response.status, 502, "{route} {headers} {text:?}");
+        }
+    }
+}
