A protocol switch that nobody asked for is rejected

What callers saw: a 101 of a server, signed as a failure of the request, after which hyper no longer reads requests on the caller's connection.

Cause: the status was passed on like any other failure. A 101 does not answer the request: it says what follows on the server's connection (RFC 9110, section 15.2.2), and no Upgrade is ever sent there (section 7.8).

Evidence: a_protocol_switch_that_nobody_asked_for_is_rejected before the fix: the caller reads a 101.

Fix: such a response can't be read; the attempt is handled like one in an unsupported coding.

--- a/src/routing/body_framing.rs
+++ b/src/routing/body_framing.rs
@@ -8,6 +8,9 @@
     /// Only `chunked` is decoded. Other codings were not requested, and the caller would not know of them.
     #[error("the body has a transfer coding other than chunked")]
     UnsupportedCoding,
+    /// Status 101: the connection would no longer carry HTTP.
+    #[error("the server switches to a protocol that was not requested")]
+    UnrequestedUpgrade,
 }
 
 /// How the end of a response's body is found (RFC 9112, section 6.3). It describes a message on the server's connection
@@ -36,12 +39,15 @@
     /// lengths differ or can't be read, and HTTP/1.0 responses with transfer codings.
     ///
     /// # Errors
-    /// When the body has transfer codings other than one `chunked`.
+    /// When the body has transfer codings other than one `chunked`, or the server switches to another protocol.
     pub fn of_response(
         method: &Method,
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<Self, FramingError> {
+        if status == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(FramingError::UnrequestedUpgrade);
+        }
         let has_length = headers.contains_key(header::CONTENT_LENGTH);
         let has_codings = headers.contains_key(header::TRANSFER_ENCODING);
         if method == Method::HEAD {
--- a/tests/platform/framing.rs
+++ b/tests/platform/framing.rs
@@ -475,3 +475,14 @@
         }
     }
 }
+
+/// Guards against a caller whose connection changes to another protocol.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_protocol_switch_that_nobody_asked_for_is_rejected() {
+    let switch = "HTTP/1.1 101 X";
+    for headers in
+        ["", "Upgrade: websocket\r\nConnection: upgrade\r\n", CHUNKED, "Content-Length: 64\r\n"]
+    {
+        check_forms(&[(switch, headers.into(), body(), Expected::Failure)]).await;
+    }
+}
