A response whose signature ends at this hop is rejected

What callers saw: a success without the server's signature, where the server's response named X-Instance-Stamp in its Connection header.

Cause: responses were classified by the received headers and passed on without those that Connection names (RFC 9110, section 7.6.1). Such an option is never right for a header that is meant for the caller.

Evidence: a_response_whose_signature_concerns_only_the_connection_is_rejected before the fix: 200 without a signature.

Fix: the signature counts only if it is among the headers that are passed on. Otherwise the response is an unsigned one, as before: another server where the route allows it, else 502.

--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -73,10 +73,13 @@
 ) -> ResponseHead {
     let closes_connection =
         header_text(headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    let passed_on = without_connection_headers(headers);
+    // A signature that `Connection` names ends at this hop, so that the caller's response would have none.
+    let is_signed = passed_on.contains_key(SIGNATURE);
     ResponseHead {
-        kind: classify_response(status, headers, request_id),
+        kind: classify_response(status, headers, is_signed, request_id),
         status,
-        headers: without_connection_headers(headers),
+        headers: passed_on,
         confidence: header_number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
         load: header_text(headers, LOAD).and_then(parse_load),
         rate_limit: parse_rate_limit(headers),
@@ -87,7 +90,12 @@
     }
 }
 
-fn classify_response(status: StatusCode, headers: &HeaderMap, request_id: &str) -> ResponseKind {
+fn classify_response(
+    status: StatusCode,
+    headers: &HeaderMap,
+    is_signed: bool,
+    request_id: &str,
+) -> ResponseKind {
     if header_text(headers, REQUEST_ID).is_some_and(|id| id != request_id) {
         return ResponseKind::WrongRequest;
     }
@@ -97,7 +105,7 @@
     if headers.contains_key(NOT_EXECUTED) {
         return ResponseKind::NotRun;
     }
-    if !headers.contains_key(SIGNATURE) || headers.contains_key(header::CONTENT_ENCODING) {
+    if !is_signed || headers.contains_key(header::CONTENT_ENCODING) {
         return ResponseKind::Unsigned;
     }
     if status.is_success() { ResponseKind::Success } else { ResponseKind::Failure }
--- a/tests/platform/framing.rs
+++ b/tests/platform/framing.rs
@@ -486,3 +486,17 @@
         check_forms(&[(switch, headers.into(), body(), Expected::Failure)]).await;
     }
 }
+
+/// Guards against a success without its signature: `Connection` names headers that end at the next hop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_whose_signature_concerns_only_the_connection_is_rejected() {
+    let length = length_header(body().len());
+    for named in ["X-Instance-Stamp", "close, x-instance-stamp", "x-request-id,X-INSTANCE-STAMP"] {
+        let headers = format!("Connection: {named}\r\n{length}");
+        check_forms(&[(OK, headers, body(), Expected::Failure)]).await;
+    }
+    for named in ["X-Other", "content-length", "Keep-Alive"] {
+        let headers = format!("Connection: {named}\r\nX-Other: 1\r\n{length}");
+        check_forms(&[(OK, headers, body(), Expected::Whole)]).await;
+    }
+}
