A request in a transfer coding other than chunked is rejected

What callers saw: a caller who sends `Transfer-Encoding: gzip, chunked` had the compressed bytes run as if they were the body: the chunks were decoded and the header was dropped, so that the server had no way to know.

Evidence: a_request_in_a_coding_other_than_chunked_is_rejected before the fix: 200, the server ran the coded body.

Fix: 501 at once (RFC 9112, section 6.1); nothing is sent. The same function checks responses.

--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::routing::{Organisation, PromptPart, RequestHead};
+use crate::routing::{Organisation, PromptPart, RequestHead, has_unsupported_coding};
 
 /// Id of one attempt by a caller, echoed in the response.
 pub(super) const REQUEST_ID: &str = "x-request-id";
@@ -68,12 +68,15 @@
     /// ends (request smuggling).
     #[error("the request has both Transfer-Encoding and Content-Length")]
     AmbiguousLength,
+    /// The body has a transfer coding other than `chunked`, which the server would not know of.
+    #[error("the request has a transfer coding other than chunked")]
+    UnsupportedCoding,
 }
 
 /// Parses a caller's request head.
 ///
 /// # Errors
-/// When the id or host is missing or the length of the body is ambiguous.
+/// When the id or host is missing, or the length of the body is ambiguous or its transfer coding unsupported.
 pub fn parse_request_head(
     method: &Method,
     uri: &Uri,
@@ -84,6 +87,9 @@
     {
         return Err(HeadError::AmbiguousLength);
     }
+    if has_unsupported_coding(headers) {
+        return Err(HeadError::UnsupportedCoding);
+    }
     let id = header_text(headers, REQUEST_ID).ok_or(HeadError::MissingId)?;
     let host = header_text(headers, "host").or_else(|| uri.host()).ok_or(HeadError::MissingHost)?;
     let host = host.split(':').next().unwrap_or(host);
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -5,7 +5,8 @@
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::{
-    policy::availability::UnavailableCause, router::request::body::ResponseBody, routing::PartId,
+    platform::request_headers::HeadError, policy::availability::UnavailableCause,
+    router::request::body::ResponseBody, routing::PartId,
 };
 
 /// Why a request gets a response from the entry instead of from a server.
@@ -15,6 +16,8 @@
 pub(crate) enum Refusal {
     #[error("the request can't be distinguished from others")]
     Malformed,
+    #[error("the body has a transfer coding other than chunked")]
+    UnsupportedCoding,
     #[error("no route")]
     NoRoute,
     #[error("no key, or one that no organisation has")]
@@ -79,6 +82,17 @@
     TimedOut,
 }
 
+impl From<HeadError> for Refusal {
+    fn from(e: HeadError) -> Self {
+        match e {
+            HeadError::UnsupportedCoding => Self::UnsupportedCoding,
+            HeadError::MissingId | HeadError::MissingHost | HeadError::AmbiguousLength => {
+                Self::Malformed
+            }
+        }
+    }
+}
+
 /// `Retry-After` of refusals that do not carry their own, such as [`Refusal::NoConfiguration`].
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -87,6 +101,7 @@
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::UnsupportedCoding => StatusCode::NOT_IMPLEMENTED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -108,6 +123,7 @@
     pub(crate) fn code(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::UnsupportedCoding => "unsupported_coding",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "too_large",
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -63,8 +63,7 @@
     router.notice_suspension();
     let mut in_flight = InFlightGuard::new(router);
     let (parts, body) = req.into_parts();
-    let head = parse_request_head(&parts.method, &parts.uri, &parts.headers)
-        .map_err(|_| Refusal::Malformed)?;
+    let head = parse_request_head(&parts.method, &parts.uri, &parts.headers)?;
     router.wait_for_view().await;
     let table = router.table.load_full();
     let Some(table) = table.as_ref() else {
--- a/src/routing/body_framing.rs
+++ b/src/routing/body_framing.rs
@@ -58,8 +58,8 @@
             return Ok(Self::NoBody { described_length: None });
         }
         match (has_codings, has_length) {
-            (true, has_length) if is_chunked_once(headers) => Ok(Self::Chunked { has_length }),
-            (true, _) => Err(FramingError::UnsupportedCoding),
+            (true, _) if has_unsupported_coding(headers) => Err(FramingError::UnsupportedCoding),
+            (true, has_length) => Ok(Self::Chunked { has_length }),
             (false, true) => Ok(Self::Length),
             (false, false) => Ok(Self::CloseDelimited),
         }
@@ -71,11 +71,14 @@
     }
 }
 
-/// Whether `chunked` is the only transfer coding.
-fn is_chunked_once(headers: &HeaderMap) -> bool {
-    let mut lines = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let first = lines.next().is_some_and(|line| line.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    first && lines.next().is_none()
+/// Whether a message has transfer codings other than one `chunked`, the only one that is decoded.
+pub fn has_unsupported_coding(headers: &HeaderMap) -> bool {
+    let lines: Vec<_> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    match lines[..] {
+        [] => false,
+        [line] => !line.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        _ => true,
+    }
 }
 
 /// The length that all `Content-Length` values agree on.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,7 +10,7 @@
 mod table;
 
 pub use backend_server::{BackendServer, ServerVersion, StartTime};
-pub use body_framing::{BodyFraming, FramingError};
+pub use body_framing::{BodyFraming, FramingError, has_unsupported_coding};
 pub use fingerprint::Fingerprint;
 pub use request::{PartId, PromptPart, Request, RequestHead};
 pub use response::{ResponseHead, ResponseKind};
--- a/tests/platform/framing.rs
+++ b/tests/platform/framing.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     server::{Action, ReceivedRequest, Server, chunk},
-    site::{Site, events},
+    site::{Answer, Site, events},
 };
 
 /// Longest wait for a response. It only stops tests that hang: no test measures time by it.
@@ -500,3 +500,51 @@
         check_forms(&[(OK, headers, body(), Expected::Whole)]).await;
     }
 }
+
+/// Sends a request with these header lines and this body on a connection of its own.
+async fn send_request(site: &Site, headers: &str, body: &str) -> Answer {
+    let request = format!(
+        "POST /once/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-1\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n{headers}\r\n{body}"
+    );
+    site.send(&request).await
+}
+
+/// Guards against a coded body that reaches a server as a plain one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_a_coding_other_than_chunked_is_rejected() {
+    let server = start_server("i-1", kept(&length_header(0), "")).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+
+    for coding in ["gzip, chunked", "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked"] {
+        let headers = format!("Transfer-Encoding: {coding}\r\n");
+        let answer = send_request(&site, &headers, &(chunk("coded") + "0\r\n\r\n")).await;
+        assert_eq!(answer.status, 501, "{coding}");
+    }
+
+    assert!(server.requests().is_empty());
+}
+
+/// The request to the server is framed by the body that was read, without the caller's trailers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_chunks_reaches_its_server_with_a_length() {
+    let server = start_server("i-1", kept(&length_header(0), "")).await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+
+    for headers in [
+        CHUNKED,
+        "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\nTE: trailers\r\nExpect: 100-continue\r\n",
+    ] {
+        let body = chunk("two ") + &chunk("chunks") + "0\r\nX-Sum: 1\r\n\r\n";
+        let answer = send_request(&site, headers, &body).await;
+        assert!(answer.head.contains(" 200 ") || answer.head.contains(" 100 "), "{answer:?}");
+    }
+
+    for request in server.requests() {
+        assert_eq!(request.body, b"two chunks");
+        assert_eq!(request.header("content-length"), "10");
+        for name in ["transfer-encoding", "trailer", "te", "expect", "x-sum"] {
+            assert_eq!(request.header(name), "", "{name}");
+        }
+    }
+    assert_eq!(server.requests().len(), 2);
+}
