A request keeps its id and host whatever Connection names

What callers saw: a request whose Connection header names X-Request-Id or Host reached its server without them, which rejects it; the caller got 503 although servers were free.

Cause: headers that Connection names are removed (RFC 9110, section 7.6.1) after they were parsed, and the router relied on the caller's copies of these two.

Evidence: a_request_keeps_its_id_and_host_whatever_connection_names before the fix: neither header left.

Fix: both are kept.

--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -96,6 +96,12 @@
     let (prompt_tokens, max_answer_tokens) =
         header_text(headers, TOKEN_COUNTS).map_or((0, 0), parse_token_counts);
     let mut passed_on = without_connection_headers(headers);
+    // `Connection` may name any header, but no server can run the request without these.
+    for name in [header::HOST, HeaderName::from_static(REQUEST_ID)] {
+        if let Some(value) = headers.get(&name) {
+            passed_on.insert(name, value.clone());
+        }
+    }
     for name in ROUTER_ONLY {
         passed_on.remove(name);
     }
--- a/tests/platform/adapter.rs
+++ b/tests/platform/adapter.rs
@@ -108,6 +108,20 @@
     assert_eq!(forwarded, ["host", "x-request-id", "x-kept"]);
 }
 
+/// Guards against requests that reach a server without their id or host: a caller's `Connection` may name any header.
+#[test]
+fn a_request_keeps_its_id_and_host_whatever_connection_names() {
+    let head = parse_get(&[
+        ("host", "h.example:80"),
+        ("x-request-id", "r1"),
+        ("x-other", "1"),
+        ("connection", "X-Request-Id, host, x-other"),
+    ])
+    .unwrap();
+
+    assert_eq!(head.headers, headers(&[("host", "h.example:80"), ("x-request-id", "r1")]));
+}
+
 #[test]
 fn attempt_headers_carry_server_deadline_and_organisation() {
     let head = parse_get(&[("host", "h"), ("x-request-id", "r"), ("x-model", "*")]).unwrap();
