A stream to an HTTP/1.0 caller has a length

What callers saw: an interrupted stream as a 200 with neither length nor chunks, whose end can't be told from a whole one.

Cause: HTTP/1.0 has no chunks, so the body of a stream ends with the caller's connection there. Framing that is right for the version of the server's message was taken for right on the caller's.

Evidence: a_caller_without_chunks_gets_the_whole_stream_with_a_length_or_a_failure before the fix: 200 without a length for a stream that its server broke off, where a failure is due.

Fix: the stream is read to its end first, as on buffered routes, and sent with its length, or 502 if it was interrupted.

--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -36,7 +36,7 @@
 };
 
 /// Maximum size of a buffered response, in bytes.
-const MAX_BUFFERED_BODY: usize = 4 << 20;
+pub(crate) const MAX_BUFFERED_BODY: usize = 4 << 20;
 /// Maximum size of one event of a stream, in bytes.
 const MAX_EVENT: usize = 1 << 20;
 
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -3,8 +3,8 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Request as HttpRequest, Response, header::CONNECTION};
-use http_body_util::BodyExt;
+use http::{HeaderValue, Request as HttpRequest, Response, Version, header::CONNECTION};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -14,7 +14,10 @@
     router::{
         Router,
         request::{
-            body::ResponseBody, in_flight::InFlightGuard, refusal::Refusal, relay,
+            body::ResponseBody,
+            in_flight::InFlightGuard,
+            refusal::Refusal,
+            relay::{self, MAX_BUFFERED_BODY},
             request_context::RequestContext,
         },
     },
@@ -80,7 +83,16 @@
     router.record_request(&service);
     let req = Request { head, body };
     let ctx = RequestContext::new(req, route, service, organisation, max_wait, in_flight);
-    relay::respond(router, ctx).await
+    let res = relay::respond(router, ctx).await?;
+    if parts.version < Version::HTTP_11 { buffer_stream(res).await } else { Ok(res) }
+}
+
+/// Reads a response to its end. HTTP/1.0 has no chunks, so that an interrupted stream would look complete to its caller.
+async fn buffer_stream(res: Response<ResponseBody>) -> Result<Response<ResponseBody>, Refusal> {
+    let (parts, body) = res.into_parts();
+    let body = Limited::new(body, MAX_BUFFERED_BODY).collect().await;
+    let body = body.map_err(|_| Refusal::Lost)?;
+    Ok(Response::from_parts(parts, ResponseBody::buffered(body.to_bytes())))
 }
 
 /// Finds the request's route and authenticates its Organisation.
--- a/tests/platform/framing.rs
+++ b/tests/platform/framing.rs
@@ -548,3 +548,19 @@
     }
     assert_eq!(server.requests().len(), 2);
 }
+
+/// Guards against an interrupted stream that looks complete to a caller whose protocol version has no chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_without_chunks_gets_the_whole_stream_with_a_length_or_a_failure() {
+    for (is_complete, status) in [(false, 502), (true, 200)] {
+        let action = Action::Stream { last_event: 4, is_complete, confidence: 90 };
+        let server = crate::site::start_server("i-1", action).await;
+        let site = Site::start(&[(&server, "llm", "v1")]).await;
+        let request = "POST /plain/a HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: r-1\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+
+        let answer = site.send(request).await;
+
+        assert_eq!((answer.status, answer.is_whole), (status, true), "{answer:?}");
+        assert!(!is_complete || answer.body == body(), "{answer:?}");
+    }
+}
