--- a/tests/platform/framing.rs
+++ b/tests/platform/framing.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::TcpStream,
@@ -10,7 +11,7 @@
 };
 
 use crate::{
-    server::{Action, ReceivedRequest, Server, chunk},
+    server::{Action, CHUNKED, ReceivedRequest, Server, chunk},
     site::{Answer, Site, events},
 };
 
@@ -19,13 +20,12 @@
 
 const OK: &str = "HTTP/1.1 200 X";
 const STREAM_HEADERS: &str = "Content-Type: text/event-stream\r\nX-Confidence: 90\r\n";
-const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 
 /// Prefixes of the routes: idempotent, once-only, stream and resumable stream.
 const ROUTES: [&str; 4] = ["/safe/", "/once/", "/plain/", "/chat/"];
 
 /// A body of four events, which buffered routes pass on as well.
-fn body() -> String {
+pub fn body() -> String {
     events(4)
 }
 
@@ -40,17 +40,22 @@
 }
 
 /// A response with these header lines and this body, after which the connection stays open.
-fn kept(headers: &str, body: impl Into<String>) -> Action {
+pub fn kept(headers: &str, body: impl Into<String>) -> Action {
     raw(OK, headers, body.into(), true)
 }
 
-fn raw(status_line: &'static str, headers: &str, body: String, keeps_connection: bool) -> Action {
+pub fn raw(
+    status_line: &'static str,
+    headers: &str,
+    body: String,
+    keeps_connection: bool,
+) -> Action {
     let headers = format!("{STREAM_HEADERS}{headers}");
     Action::Raw { status_line, headers, body, keeps_connection }
 }
 
 /// A caller that keeps its connection and reads responses strictly by RFC 9112.
-struct KeptCaller {
+pub struct KeptCaller {
     stream: BufReader<TcpStream>,
     /// Number of requests sent.
     sent: usize,
@@ -58,11 +63,11 @@
 
 /// A response as a strict reader takes it.
 #[derive(Debug)]
-struct StrictResponse {
-    status: u16,
+pub struct StrictResponse {
+    pub status: u16,
     /// Header lines, with their names in lower case.
     headers: Vec<(String, String)>,
-    body: String,
+    pub body: String,
 }
 
 impl StrictResponse {
@@ -73,13 +78,13 @@
 }
 
 impl KeptCaller {
-    async fn connect(site: &Site) -> Self {
+    pub async fn connect(site: &Site) -> Self {
         let stream = BufReader::new(TcpStream::connect(site.caller).await.unwrap());
         Self { stream, sent: 0 }
     }
 
     /// Sends a request and reads its response; the error says what a strict reader objects to.
-    async fn exchange(&mut self, method: &str, path: &str) -> Result<StrictResponse, String> {
+    pub async fn exchange(&mut self, method: &str, path: &str) -> Result<StrictResponse, String> {
         self.sent += 1;
         let number = self.sent;
         let request = format!(
@@ -564,3 +569,29 @@
         assert!(!is_complete || answer.body == body(), "{answer:?}");
     }
 }
+
+/// Many callers at once, some of whose responses have a wrong length: each gets its own whole responses, one after the
+/// other.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_with_a_wrong_length_reach_many_kept_connections_whole() {
+    let with = |lines, action| Action::WithHeaders { lines, action: Box::new(action) };
+    let server = Server::start("i-1", move |request: &ReceivedRequest| {
+        let echo = Action::EchoIdAfter { delay: Duration::from_millis(1) };
+        let id = request.header("x-request-id");
+        if id.ends_with('0') {
+            return with("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", echo);
+        }
+        echo
+    })
+    .await;
+    let site = Site::start(&[(&server, "app", "v1")]).await;
+    let send_all = || async {
+        let mut caller = KeptCaller::connect(&site).await;
+        for number in 1..=30 {
+            let response = caller.exchange("POST", "/once/a").await.unwrap();
+            assert_eq!((response.status, response.body), (200, format!("r-{number}")));
+        }
+    };
+
+    join_all((0..8).map(|_| send_all())).await;
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod duty_service;
 mod evacuations;
 mod framing;
+mod framing_properties;
 mod host_suspension;
 mod limited_pool;
 mod peers;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -79,6 +79,9 @@
     CloseDelimitedBody { version: &'static str, headers: &'static str, body: String, crashes: bool },
     /// Sends this status line, the headers that identify the response, these header lines and this body as they are.
     Raw { status_line: &'static str, headers: String, body: String, keeps_connection: bool },
+    /// Sends the response of another action with these header lines. A body with a length is sent in chunks instead if
+    /// one of them is [`CHUNKED`].
+    WithHeaders { lines: &'static str, action: Box<Action> },
     /// Sends the same complete response twice.
     Duplicate,
     /// Terminates the whole process, either after it has sent the response head of a stream or
@@ -86,6 +89,8 @@
     Crash { after_head: bool },
 }
 
+/// Header line of a body in chunks.
+pub const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 /// Value of `X-Confidence` at which an answer is not escalated to a larger model.
 const CONFIDENT: u8 = 90;
 /// Pause between the events of a stream without an end.
@@ -316,6 +321,14 @@
     }
 }
 
+/// A complete response, with a length unless the headers say that the body is chunked.
+fn reply(status: u16, headers: &str, body: &str) -> String {
+    if headers.contains(CHUNKED) {
+        return format!("HTTP/1.1 {status} X\r\n{headers}\r\n{}0\r\n\r\n", chunk(body));
+    }
+    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
 /// Carries out an action; returns whether the connection stays open for further requests.
 async fn respond(
     stream: &mut TcpStream,
@@ -325,13 +338,13 @@
 ) -> bool {
     let id = request.header("x-request-id");
     let signed = format!("X-Request-Id: {id}\r\nX-Instance-Stamp: s\r\n{lines}");
-    let reply = |status: u16, headers: &str, body: &str| {
-        format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
-    };
     delay_response(&action).await;
     let (bytes, keeps_connection) = match action {
         Action::RespondAfter { body, .. } => (reply(200, &signed, body), true),
         Action::EchoIdAfter { .. } => (reply(200, &signed, id), true),
+        Action::WithHeaders { lines: more, action } => {
+            return Box::pin(respond(stream, request, *action, &format!("{lines}{more}"))).await;
+        }
         Action::Respond { status, body } => (reply(status, &signed, body), true),
         Action::Truncated => {
             (format!("HTTP/1.1 200 X\r\n{signed}Content-Length: 100\r\n\r\nhalf"), false)
