--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -57,6 +57,11 @@
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_FAILED_HEALTH_CHECKS: u32 = 2;
 
+/// A length beside the chunks of some streams, which it doesn't describe.
+const WRONG_LENGTH: &str = "Content-Length: 5\r\n";
+/// The same for bodies that otherwise have a length instead of chunks.
+const WRONG_LENGTH_AND_CHUNKS: &str = "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n";
+
 /// AvailabilityZone of every second server; no entry is in it.
 pub const OTHER_ZONE: &str = "zone-b";
 
@@ -348,17 +353,34 @@
     }
     match service {
         "app" if draw < 6 => Action::Respond { status: 500, body: "failed" },
-        "app" => Action::EchoIdAfter { delay: Duration::from_millis(rng.random_range(1..60)) },
+        "app" => {
+            let delay = Duration::from_millis(rng.random_range(1..60));
+            match draw {
+                6..10 => with_headers(WRONG_LENGTH_AND_CHUNKS, Action::EchoIdAfter { delay }),
+                _ => Action::EchoIdAfter { delay },
+            }
+        }
         _ if draw < 6 => {
             Action::Stream { last_event: EVENTS_PER_STREAM / 2, is_complete: false, confidence: 90 }
         }
         _ if draw < 20 => {
             Action::Stream { last_event: EVENTS_PER_STREAM, is_complete: true, confidence: 10 }
         }
-        _ => Action::Stream { last_event: EVENTS_PER_STREAM, is_complete: true, confidence: 90 },
+        _ => {
+            let stream =
+                Action::Stream { last_event: EVENTS_PER_STREAM, is_complete: true, confidence: 90 };
+            match draw {
+                20..24 => with_headers(WRONG_LENGTH, stream),
+                _ => stream,
+            }
+        }
     }
 }
 
+fn with_headers(lines: &'static str, action: Action) -> Action {
+    Action::WithHeaders { lines, action: Box::new(action) }
+}
+
 /// Runs the soak under one seed, with or without requests whose prompts have a part that crashes servers; returns the
 /// broken promises and the directory of the logs.
 pub async fn run_soak(
