--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -111,11 +111,15 @@
             // available.
             Refusal::Unavailable { cause, retry_after: wait + retry_after }
         }
-        _ if ctx.time_left(router) < MIN_TIME_LEFT => Refusal::TimedOut,
-        _ => Refusal::Lost,
+        _ => lost_refusal(router, ctx),
     }
 }
 
+/// The refusal for a request that a server may have run, and whose response is lost.
+pub(crate) fn lost_refusal(router: &Router, ctx: &RequestContext) -> Refusal {
+    if ctx.time_left(router) < MIN_TIME_LEFT { Refusal::TimedOut } else { Refusal::Lost }
+}
+
 /// Whether the state of a request allows another attempt.
 fn is_attempt_allowed(router: &Router, ctx: &RequestContext) -> bool {
     may_retry(&ctx.attempts, ctx.route.is_idempotent())
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -17,7 +17,7 @@
         request::{
             attempt::OpenResponse,
             body::{ResponseBody, StreamBody},
-            dispatch::{reserve_failover, send_with_failover},
+            dispatch::{lost_refusal, reserve_failover, send_with_failover},
             refusal::Refusal,
             request_context::{AttemptParams, RequestContext},
             response_wait::{ResponseWait, wait_for_response},
@@ -51,7 +51,8 @@
     }
     let StageResponse { response, model } = stages::run_cascade(router, &mut ctx).await?;
     if response.head.kind != ResponseKind::Success {
-        return read_to_end(router, &ctx, response).await.map_err(|()| Refusal::Lost);
+        let read = read_until_deadline(router, &ctx, response).await;
+        return read.map_err(|()| lost_refusal(router, &ctx));
     }
     let mut res = response_with_head(&response);
     let (queue, rx) = stream_queue();
@@ -69,37 +70,38 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     loop {
         let response = send_with_failover(router, ctx, AttemptParams::default()).await?;
-        let (server, sent_at) = (response.member.clone(), response.sent_at);
-        match read_until_deadline(router, ctx, response).await {
-            Some(Ok(res)) => return Ok(res),
-            Some(Err(())) => {}
-            // The deadline has passed, or the server has restarted. In the latter case another server may be tried.
-            None => {
-                record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
-                router.roll_outs.record_timeout(&server.server, router.now());
-            }
+        if let Ok(res) = read_until_deadline(router, ctx, response).await {
+            return Ok(res);
         }
+        // Another server may be tried if there is time left.
         ctx.mark_last_attempt_lost();
     }
 }
 
-/// Reads a response to its end; `None` if the deadline passes or the server restarts.
+/// Reads a response to its end, until the request's deadline at the latest. All bodies that are read as a whole are
+/// read here: a server may hang within any of them (docs/incidents/0024).
 async fn read_until_deadline(
     router: &Router,
     ctx: &RequestContext,
     response: OpenResponse,
-) -> Option<Result<Response<ResponseBody>, ()>> {
-    let server = response.member.clone();
+) -> Result<Response<ResponseBody>, ()> {
+    let (server, sent_at) = (response.member.clone(), response.sent_at);
     let wait = ResponseWait {
         ctx,
         member: &server,
-        sent_at: response.sent_at,
+        sent_at,
         timeouts: None,
         deadline: ctx.deadline,
         has_begun: true,
     };
     let read = pin!(read_to_end(router, ctx, response));
-    wait_for_response(router, &wait, read, || false).await
+    let Some(read) = wait_for_response(router, &wait, read, || false).await else {
+        // The deadline has passed, or the server has restarted.
+        record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
+        router.roll_outs.record_timeout(&server.server, router.now());
+        return Err(());
+    };
+    read
 }
 
 /// A response with the status and headers of a server's response and an empty body. The body that replaces it
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod evacuations;
 mod framing;
 mod framing_properties;
+mod hanging_servers;
 mod host_suspension;
 mod limited_pool;
 mod peers;
