Quarantine: a verdict looks only at suspects with enough ends

What callers saw: while engines crash and for long after it, requests held past their time-outs and connections closed unread, as the entries' time goes into verdicts.

Cause, of the part that changes here: each note, answer and case of the store's row judged all suspects again; a request was checked for separate events, over all ends of all servers, before it was known whether it has three ends at all; a case that was listed under a known incarnation went over all records without a change to make.

Change, without one in who is refused: a verdict begins with the suspects that have enough ends, looks up ends around a moment in the order of time (EndTimes), and is made once for each row and only where the notes can change it.

--- /dev/null
+++ b/src/policy/quarantine/end_times.rs
@@ -0,0 +1,56 @@
+//! When server incarnations ended, by incarnation and in the order of time.
+
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    ops::RangeBounds,
+    time::Duration,
+};
+
+use crate::policy::quarantine::IncarnationHash;
+
+/// When each incarnation ended. The order of time lets a verdict look at the ends around one moment without going over
+/// all that are known.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EndTimes {
+    by_incarnation: HashMap<IncarnationHash, Duration>,
+    by_time: BTreeSet<(Duration, IncarnationHash)>,
+}
+
+impl EndTimes {
+    pub(super) fn get(&self, incarnation: IncarnationHash) -> Option<Duration> {
+        self.by_incarnation.get(&incarnation).copied()
+    }
+
+    pub(super) fn insert(&mut self, incarnation: IncarnationHash, at: Duration) {
+        self.remove(incarnation);
+        self.by_incarnation.insert(incarnation, at);
+        self.by_time.insert((at, incarnation));
+    }
+
+    pub(super) fn remove(&mut self, incarnation: IncarnationHash) {
+        if let Some(at) = self.by_incarnation.remove(&incarnation) {
+            self.by_time.remove(&(at, incarnation));
+        }
+    }
+
+    /// Keeps the ends of these incarnations only.
+    pub(super) fn retain(&mut self, needed: &HashSet<IncarnationHash>) {
+        self.by_incarnation.retain(|incarnation, _| needed.contains(incarnation));
+        self.by_time.retain(|(_, incarnation)| needed.contains(incarnation));
+    }
+
+    /// Incarnations that ended in this period.
+    pub(super) fn within(
+        &self,
+        period: impl RangeBounds<Duration>,
+    ) -> impl Iterator<Item = IncarnationHash> {
+        let from = period.start_bound().map(|at| (*at, IncarnationHash::MIN));
+        let to = period.end_bound().map(|at| (*at, IncarnationHash::MAX));
+        self.by_time.range((from, to)).map(|(_, incarnation)| *incarnation)
+    }
+
+    /// When the last incarnation ended.
+    pub(super) fn last(&self) -> Option<Duration> {
+        self.by_time.last().map(|(at, _)| *at)
+    }
+}
--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -16,12 +16,13 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    ops::Bound,
     time::Duration,
 };
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::policy::quarantine::suspect_record::SuspectRecord;
+use crate::policy::quarantine::{end_times::EndTimes, suspect_record::SuspectRecord};
 
 pub use answered_parts::AnsweredParts;
 pub use case::Case;
@@ -31,6 +32,7 @@
 
 mod answered_parts;
 mod case;
+mod end_times;
 mod note;
 mod suspect;
 mod suspect_record;
@@ -102,9 +104,11 @@
 pub struct Quarantine {
     records: HashMap<Suspect, SuspectRecord>,
     /// When each incarnation ended.
-    ended_at: HashMap<IncarnationHash, Duration>,
+    ended_at: EndTimes,
     /// Suspects that are refused, kept up to date with the records.
     refused: HashSet<Suspect>,
+    /// Whether the records have changed in a way that may change who is refused.
+    is_verdict_stale: bool,
 }
 
 impl Quarantine {
@@ -120,17 +124,15 @@
 
     /// Merges notes and returns those that were new.
     pub fn add_all(&mut self, notes: impl IntoIterator<Item = Note>, now: Duration) -> Vec<Note> {
-        let (mut new, mut has_changed) = (Vec::new(), false);
+        let mut new = Vec::new();
         for note in notes {
             // A note that is not new may still change when an incarnation ended.
-            has_changed |= self.advance_end(&note);
+            self.advance_end(&note);
             if self.merge(note, now) {
                 new.push(note);
             }
         }
-        if has_changed || !new.is_empty() {
-            self.judge();
-        }
+        self.judge_if_stale();
         new
     }
 
@@ -138,23 +140,34 @@
         let suspect = note.suspect();
         self.evict_if_full(&suspect);
         let record = self.records.entry(suspect).or_default();
-        match note {
+        let was_strong = verdict::is_strong(&suspect, record);
+        let is_new = match note {
             Note::End { incarnation, at, .. } => record.add_end(incarnation, at),
             Note::Cleared { incarnation, .. } => record.clear_end(incarnation, now),
             Note::Answered { .. } => record.mark_answered(now),
-        }
+        };
+        // The verdict stays if too few ends count against the suspect, before and after.
+        let is_strong = verdict::is_strong(&suspect, record);
+        self.is_verdict_stale |= is_new && (was_strong || is_strong);
+        is_new
     }
 
-    /// Records when an incarnation ended, the earliest time that is known. Returns whether that is new.
-    fn advance_end(&mut self, note: &Note) -> bool {
+    /// Records when an incarnation ended, the earliest time that is known.
+    fn advance_end(&mut self, note: &Note) {
         let Note::End { incarnation, at, .. } = note else {
-            return false;
+            return;
         };
-        let known = self.ended_at.get(incarnation).is_some_and(|known| known <= at);
-        if !known {
+        if self.ended_at.get(*incarnation).is_none_or(|known| known > *at) {
             self.ended_at.insert(*incarnation, *at);
+            // An end elsewhere tells which ends of the others are separate events.
+            self.is_verdict_stale = true;
+        }
+    }
+
+    fn judge_if_stale(&mut self) {
+        if std::mem::take(&mut self.is_verdict_stale) {
+            self.judge();
         }
-        !known
     }
 
     /// Brings the verdict up to date.
@@ -167,7 +180,7 @@
     /// belongs to another incarnation.
     pub fn incarnation_of_end(&self, listed: IncarnationHash, now: Duration) -> IncarnationHash {
         let mut incarnation = listed;
-        while self.ended_at.get(&incarnation).is_some_and(|at| *at + DETECTION_WINDOW < now) {
+        while self.ended_at.get(incarnation).is_some_and(|at| at + DETECTION_WINDOW < now) {
             incarnation = next_incarnation(incarnation, listed);
         }
         incarnation
@@ -179,8 +192,8 @@
     fn resolve_incarnation(&mut self, listed: IncarnationHash, at: Duration) -> IncarnationHash {
         let mut candidates = vec![listed];
         let mut times = Vec::new();
-        while let Some(ended_at) = self.ended_at.get(&candidates[times.len()]) {
-            times.push(*ended_at);
+        while let Some(ended_at) = self.ended_at.get(candidates[times.len()]) {
+            times.push(ended_at);
             candidates.push(next_incarnation(candidates[candidates.len() - 1], listed));
         }
         if let Some(same) =
@@ -189,6 +202,10 @@
             return candidates[same];
         }
         let place = times.partition_point(|ended_at| *ended_at < at);
+        if place == times.len() {
+            return candidates[place];
+        }
+        self.is_verdict_stale = true;
         for record in self.records.values_mut() {
             for end in &mut record.ends {
                 if let Some(i) =
@@ -201,7 +218,7 @@
         for i in (place..times.len()).rev() {
             self.ended_at.insert(candidates[i + 1], times[i]);
         }
-        self.ended_at.remove(&candidates[place]);
+        self.ended_at.remove(candidates[place]);
         candidates[place]
     }
 
@@ -243,6 +260,24 @@
     /// the list showed the same incarnation. The times distinguish the two incarnations, whose ends
     /// counted as one before.
     pub fn merge_case(&mut self, case: &Case, error: Duration, now: Duration) -> bool {
+        let is_new = self.merge_case_unjudged(case, error, now);
+        self.judge_if_stale();
+        is_new
+    }
+
+    /// Merges cases like [`Self::merge_case`], with one verdict on all of them, and returns those that were new.
+    pub fn merge_cases<'a>(
+        &mut self,
+        cases: &'a [Case],
+        error: Duration,
+        now: Duration,
+    ) -> Vec<&'a Case> {
+        let new = cases.iter().filter(|case| self.merge_case_unjudged(case, error, now)).collect();
+        self.judge_if_stale();
+        new
+    }
+
+    fn merge_case_unjudged(&mut self, case: &Case, error: Duration, now: Duration) -> bool {
         let suspect = case.suspect;
         let mut is_new = false;
         for (incarnation, at) in &case.ends {
@@ -255,7 +290,6 @@
             self.advance_end(&note);
             is_new |= self.merge(note, now);
         }
-        self.judge();
         let Some(record) = self.records.get_mut(&suspect) else {
             return false;
         };
@@ -330,7 +364,7 @@
         let last_end = match suspect {
             Suspect::Request(_) => record.counted_ends().last().map(|(_, at)| at),
             // While servers end for whatever reason, the trial's may be one of them.
-            Suspect::Part(_) => self.ended_at.values().max().copied(),
+            Suspect::Part(_) => self.ended_at.last(),
         };
         let since = last_end.unwrap_or_default().max(record.tried_at);
         Some(since + delays.nth(record.trials as usize)?)
@@ -366,9 +400,8 @@
     /// something else crashes servers.
     fn ended_without_it(&self, record: &SuspectRecord) -> bool {
         let last_end = record.counted_ends().last().map_or(Duration::ZERO, |(_, at)| at);
-        self.ended_at.iter().any(|(incarnation, at)| {
-            last_end + CORRELATION_WINDOW < *at && !record.was_running_on(*incarnation)
-        })
+        let later = (Bound::Excluded(last_end + CORRELATION_WINDOW), Bound::Unbounded);
+        self.ended_at.within(later).any(|incarnation| !record.was_running_on(incarnation))
     }
 
     /// Records that a trial of a suspect begins and returns the case to persist.
@@ -380,10 +413,10 @@
 
     /// Refused suspects, and all others unless `only_refused`; those with the latest end first.
     pub fn cases(&self, only_refused: bool, now: Duration) -> Vec<Case> {
-        let is_wanted = |suspect: &&Suspect| match self.status(suspect, now) {
-            QuarantineStatus::Free => false,
-            QuarantineStatus::Suspect => !only_refused,
-            QuarantineStatus::Refused { .. } => true,
+        // The status of a refused suspect includes its next trial, which takes a look at all records.
+        let is_wanted = |suspect: &&Suspect| {
+            let is_refused = self.refused.contains(suspect);
+            is_refused || (!only_refused && self.status(suspect, now) == QuarantineStatus::Suspect)
         };
         let wanted = self.records.keys().filter(is_wanted);
         let mut cases: Vec<Case> = wanted.filter_map(|suspect| self.case(suspect)).collect();
@@ -418,6 +451,7 @@
         for (.., suspect) in &all[..MAX_SUSPECTS / 8] {
             self.records.remove(suspect);
         }
+        self.is_verdict_stale = true;
         self.prune_incarnations();
     }
 
@@ -440,6 +474,6 @@
     fn prune_incarnations(&mut self) {
         let ends = self.records.values().flat_map(|record| &record.ends);
         let needed: HashSet<IncarnationHash> = ends.map(|end| end.incarnation).collect();
-        self.ended_at.retain(|incarnation, _| needed.contains(incarnation));
+        self.ended_at.retain(&needed);
     }
 }
--- a/src/policy/quarantine/verdict.rs
+++ b/src/policy/quarantine/verdict.rs
@@ -12,7 +12,8 @@
 };
 
 use crate::policy::quarantine::{
-    CORRELATION_WINDOW, IncarnationHash, REFUSED_AFTER, Suspect, suspect_record::SuspectRecord,
+    CORRELATION_WINDOW, IncarnationHash, REFUSED_AFTER, Suspect, end_times::EndTimes,
+    suspect_record::SuspectRecord,
 };
 
 /// Number of ends at which a part must have been present to be refused. One more than for a request: a request that
@@ -34,16 +35,26 @@
 /// present at most ends of a busy pool, whatever their cause; one that crashes servers is present at all.
 const MIN_COVERAGE: f64 = 0.9;
 
-pub(super) type Records = HashMap<Suspect, SuspectRecord>;
 type Ends = HashSet<IncarnationHash>;
 
+/// Whether enough ends count against a suspect to refuse it, whatever else was present at them.
+pub(super) fn is_strong(suspect: &Suspect, record: &SuspectRecord) -> bool {
+    let count = record.counted_ends().count();
+    match suspect {
+        Suspect::Request(_) => count >= REFUSED_AFTER,
+        Suspect::Part(_) => count >= PART_REFUSED_AFTER,
+    }
+}
+
 /// The suspects that are refused, given when each incarnation ended.
 pub(super) fn refused_suspects(
-    records: &Records,
-    ended_at: &HashMap<IncarnationHash, Duration>,
+    records: &HashMap<Suspect, SuspectRecord>,
+    ended_at: &EndTimes,
 ) -> HashSet<Suspect> {
+    let strong = records.iter().filter(|(suspect, record)| is_strong(suspect, record));
+    let strong: Vec<_> = strong.collect();
     let mut refused = HashSet::new();
-    let mut explained = refuse_parts(records, ended_at, &mut refused);
+    let mut explained = refuse_parts(&strong, ended_at, &mut refused);
     // A request that was answered before is a weaker explanation than one that never was.
     for was_cleared in [false, true] {
         let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
@@ -52,7 +63,7 @@
                 && count_request_events(record, ended_at) >= REFUSED_AFTER
                 && unexplained(record, &explained).next().is_some()
         };
-        let requests: Vec<_> = records.iter().filter(is_refused).collect();
+        let requests: Vec<_> = strong.iter().copied().filter(is_refused).collect();
         refuse(&requests, &mut refused, &mut explained);
     }
     refused
@@ -72,14 +83,12 @@
 
 /// Refuses parts, starting with the most suspicious, and returns the ends that they explain.
 fn refuse_parts(
-    records: &Records,
-    ended_at: &HashMap<IncarnationHash, Duration>,
+    strong: &[(&Suspect, &SuspectRecord)],
+    ended_at: &EndTimes,
     refused: &mut HashSet<Suspect>,
 ) -> Ends {
     let strength = |record: &SuspectRecord| (!record.was_answered(), record.counted_ends().count());
-    let parts = records.iter().filter(|(suspect, record)| {
-        matches!(suspect, Suspect::Part(_)) && strength(record).1 >= PART_REFUSED_AFTER
-    });
+    let parts = strong.iter().copied().filter(|(suspect, _)| matches!(suspect, Suspect::Part(_)));
     let mut parts: Vec<_> = parts.collect();
     parts.sort_unstable_by_key(|(suspect, record)| Reverse((strength(record), **suspect)));
     let mut explained = Ends::new();
@@ -97,11 +106,7 @@
 
 /// Whether the ends that count against a part, [`PART_REFUSED_AFTER`] or more, suffice to refuse it, given those that
 /// more suspicious parts explain.
-fn is_part_refusable(
-    record: &SuspectRecord,
-    ended_at: &HashMap<IncarnationHash, Duration>,
-    explained: &Ends,
-) -> bool {
+fn is_part_refusable(record: &SuspectRecord, ended_at: &EndTimes, explained: &Ends) -> bool {
     let remaining: Vec<Duration> = unexplained(record, explained).collect();
     if !record.was_answered() {
         let is_same_event = |from, at| at <= from + PART_CORRELATION_WINDOW;
@@ -113,10 +118,7 @@
         return false;
     };
     let is_same_event = |from, at| at <= from + CORRELATION_WINDOW;
-    let is_candidate = |(incarnation, at): &(&IncarnationHash, &Duration)| {
-        first <= **at && **at <= last && !explained.contains(*incarnation)
-    };
-    let all = ended_at.iter().filter(is_candidate).count();
+    let all = ended_at.within(first..=last).filter(|end| !explained.contains(end)).count();
     last - first >= MIN_SILENCE
         && remaining.len() as f64 >= MIN_COVERAGE * all as f64
         && count_events(remaining.into_iter(), is_same_event) >= MIN_EVENTS_AFTER_ANSWERS
@@ -147,15 +149,10 @@
 
 /// Number of events among the ends that count against a request. Ends that may have a common cause with the end of a
 /// server that was not running it count once.
-pub(super) fn count_request_events(
-    record: &SuspectRecord,
-    ended_at: &HashMap<IncarnationHash, Duration>,
-) -> usize {
+pub(super) fn count_request_events(record: &SuspectRecord, ended_at: &EndTimes) -> usize {
     let ended_elsewhere = |from: Duration, to: Duration| {
         let (from, to) = (from.saturating_sub(CORRELATION_WINDOW), to + CORRELATION_WINDOW);
-        ended_at.iter().any(|(incarnation, at)| {
-            from <= *at && *at <= to && !record.was_running_on(*incarnation)
-        })
+        ended_at.within(from..=to).any(|incarnation| !record.was_running_on(incarnation))
     };
     count_events(record.counted_ends().map(|(_, at)| at), |from, at| {
         at <= from + CORRELATION_WINDOW && ended_elsewhere(from, at)
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -205,12 +205,9 @@
     /// Applies the cases from the store, whose times are accurate to `error`.
     pub(crate) fn apply_cases(&self, cases: &[Case], error: Duration, now: Duration) {
         let mut inner = self.lock();
-        let mut is_new = false;
-        for case in cases {
-            if !inner.quarantine.merge_case(case, error, now) {
-                continue;
-            }
-            is_new = true;
+        let new = inner.quarantine.merge_cases(cases, error, now);
+        let is_new = !new.is_empty();
+        for case in new {
             let suspect = case.suspect;
             for (incarnation, at) in &case.ends {
                 let note = Note::End { suspect, incarnation: *incarnation, at: *at };
