Quarantine: an end at the very limit of the window is not a later one

Read in the diff: EndTimes::within took an excluded start as if it were included, so that an end exactly CORRELATION_WINDOW after the last one would have counted as a later one.

--- a/src/policy/quarantine/end_times.rs
+++ b/src/policy/quarantine/end_times.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
-    ops::RangeBounds,
+    ops::{Bound, RangeInclusive},
     time::Duration,
 };
 
@@ -42,11 +42,17 @@
     /// Incarnations that ended in this period.
     pub(super) fn within(
         &self,
-        period: impl RangeBounds<Duration>,
+        period: RangeInclusive<Duration>,
     ) -> impl Iterator<Item = IncarnationHash> {
-        let from = period.start_bound().map(|at| (*at, IncarnationHash::MIN));
-        let to = period.end_bound().map(|at| (*at, IncarnationHash::MAX));
-        self.by_time.range((from, to)).map(|(_, incarnation)| *incarnation)
+        let from = (*period.start(), IncarnationHash::MIN);
+        let to = (*period.end(), IncarnationHash::MAX);
+        self.by_time.range(from..=to).map(|(_, incarnation)| *incarnation)
+    }
+
+    /// Incarnations that ended later than at this time.
+    pub(super) fn after(&self, at: Duration) -> impl Iterator<Item = IncarnationHash> {
+        let later = (Bound::Excluded((at, IncarnationHash::MAX)), Bound::Unbounded);
+        self.by_time.range(later).map(|(_, incarnation)| *incarnation)
     }
 
     /// When the last incarnation ended.
--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -16,7 +16,6 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    ops::Bound,
     time::Duration,
 };
 
@@ -164,13 +163,14 @@
         }
     }
 
+    /// Brings the verdict up to date if notes may have changed it.
     fn judge_if_stale(&mut self) {
         if std::mem::take(&mut self.is_verdict_stale) {
             self.judge();
         }
     }
 
-    /// Brings the verdict up to date.
+    /// Decides again who is refused.
     fn judge(&mut self) {
         self.refused = verdict::refused_suspects(&self.records, &self.ended_at);
     }
@@ -277,6 +277,7 @@
         new
     }
 
+    /// Merges a case without a verdict.
     fn merge_case_unjudged(&mut self, case: &Case, error: Duration, now: Duration) -> bool {
         let suspect = case.suspect;
         let mut is_new = false;
@@ -400,8 +401,8 @@
     /// something else crashes servers.
     fn ended_without_it(&self, record: &SuspectRecord) -> bool {
         let last_end = record.counted_ends().last().map_or(Duration::ZERO, |(_, at)| at);
-        let later = (Bound::Excluded(last_end + CORRELATION_WINDOW), Bound::Unbounded);
-        self.ended_at.within(later).any(|incarnation| !record.was_running_on(incarnation))
+        let mut later = self.ended_at.after(last_end + CORRELATION_WINDOW);
+        later.any(|incarnation| !record.was_running_on(incarnation))
     }
 
     /// Records that a trial of a suspect begins and returns the case to persist.
@@ -413,7 +414,7 @@
 
     /// Refused suspects, and all others unless `only_refused`; those with the latest end first.
     pub fn cases(&self, only_refused: bool, now: Duration) -> Vec<Case> {
-        // The status of a refused suspect includes its next trial, which takes a look at all records.
+        // The status of a refused suspect includes its next trial, for which all records are searched.
         let is_wanted = |suspect: &&Suspect| {
             let is_refused = self.refused.contains(suspect);
             is_refused || (!only_refused && self.status(suspect, now) == QuarantineStatus::Suspect)
