--- a/tests/platform/framing_properties.rs
+++ b/tests/platform/framing_properties.rs
@@ -13,7 +13,8 @@
 };
 
 use crate::{
-    framing::{KeptCaller, StrictResponse, body, kept, raw},
+    framing::{body, kept, raw},
+    kept_caller::{KeptCaller, StrictResponse},
     server::{ReceivedRequest, Server, chunk},
     site::Site,
 };
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod framing_properties;
 mod hanging_servers;
 mod host_suspension;
+mod kept_caller;
 mod limited_pool;
 mod peers;
 mod pool;
