--- a/benches/quarantine.rs
+++ b/benches/quarantine.rs
@@ -45,14 +45,19 @@
     quarantine
 }
 
+/// Merges notes into a quarantine that doesn't know them.
+fn bench_notes(bencher: Bencher, quarantine: &Quarantine, notes: &[Note]) {
+    bencher
+        .with_inputs(|| quarantine.clone())
+        .bench_local_refs(|quarantine| quarantine.add_all(notes.to_vec(), NOW));
+}
+
 /// A complete answer clears a suspect that many requests have.
 #[divan::bench(args = SIZES)]
 fn clear_by_answer(bencher: Bencher, size: (usize, u64)) {
     let quarantine = quarantine(size);
     let notes = quarantine.answer_notes(suspect(4));
-    bencher
-        .with_inputs(|| quarantine.clone())
-        .bench_local_refs(|quarantine| quarantine.add_all(notes.clone(), NOW));
+    bench_notes(bencher, &quarantine, &notes);
 }
 
 /// A server ends on which eight suspects ran.
@@ -60,9 +65,7 @@
 fn record_end(bencher: Bencher, size: (usize, u64)) {
     let quarantine = quarantine(size);
     let notes: Vec<Note> = (0..8).map(|number| end(number, size.1 + 8)).collect();
-    bencher
-        .with_inputs(|| quarantine.clone())
-        .bench_local_refs(|quarantine| quarantine.add_all(notes.clone(), NOW));
+    bench_notes(bencher, &quarantine, &notes);
 }
 
 /// A row of the store with cases that are all new.
