Quarantine: measure the lock and the records that are examined

While engines crash, logs and metrics did not tell whether requests wait for the quarantine's lock, or what is done under it.

--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -15,6 +15,7 @@
 //! arrive or on duplicates (docs/decisions/0015 and 0020).
 
 use std::{
+    cell::Cell,
     collections::{HashMap, HashSet},
     time::Duration,
 };
@@ -108,9 +109,20 @@
     refused: HashSet<Suspect>,
     /// Whether the records have changed in a way that may change who is refused.
     is_verdict_stale: bool,
+    /// Number of records examined, a measure of the work that depends on how many there are.
+    examined: Cell<u64>,
 }
 
 impl Quarantine {
+    /// Number of records that were examined so far.
+    pub fn records_examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    fn count_examined(&self, records: usize) {
+        self.examined.set(self.examined.get() + records as u64);
+    }
+
     /// Whether no suspects are known.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -172,6 +184,7 @@
 
     /// Decides again who is refused.
     fn judge(&mut self) {
+        self.count_examined(self.records.len());
         self.refused = verdict::refused_suspects(&self.records, &self.ended_at);
     }
 
@@ -206,6 +219,7 @@
             return candidates[place];
         }
         self.is_verdict_stale = true;
+        self.count_examined(self.records.len());
         for record in self.records.values_mut() {
             for end in &mut record.ends {
                 if let Some(i) =
@@ -384,11 +398,13 @@
         match suspect {
             // The parts of a request were present wherever it was.
             Suspect::Request(_) => self.records.iter().any(|(other, ends)| {
+                self.count_examined(1);
                 matches!(other, Suspect::Request(_)) && other != suspect && was_present(ends)
             }),
             Suspect::Part(_) => {
                 let others = self.refused.iter().filter(|other| *other != suspect);
                 let others: Vec<_> = others.filter_map(|other| self.records.get(other)).collect();
+                self.count_examined(others.len());
                 let is_explained =
                     |incarnation| others.iter().any(|r| r.was_running_on(incarnation));
                 self.ended_without_it(record)
@@ -414,6 +430,7 @@
 
     /// Refused suspects, and all others unless `only_refused`; those with the latest end first.
     pub fn cases(&self, only_refused: bool, now: Duration) -> Vec<Case> {
+        self.count_examined(self.records.len());
         // The status of a refused suspect includes its next trial, for which all records are searched.
         let is_wanted = |suspect: &&Suspect| {
             let is_refused = self.refused.contains(suspect);
@@ -442,6 +459,7 @@
         if self.records.len() < MAX_SUSPECTS || self.records.contains_key(wanted) {
             return;
         }
+        self.count_examined(self.records.len());
         // The verdict may be older than the records while notes are being merged.
         self.judge();
         let rank = |(suspect, record): (&Suspect, &SuspectRecord)| {
@@ -458,6 +476,7 @@
 
     /// Removes expired suspects and returns whether there were any.
     pub fn expire(&mut self, now: Duration) -> bool {
+        self.count_examined(self.records.len());
         let before = self.records.len();
         let refused = &self.refused;
         self.records.retain(|suspect, record| {
--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -23,6 +23,7 @@
         self.metrics.kept_notes_lost.set(lost);
         let lost = i64::try_from(self.quarantine.lost()).unwrap_or(i64::MAX);
         self.metrics.quarantine_notes_lost.set(lost);
+        self.refresh_quarantine_cost();
         let refused = self.quarantine.cases(true, now);
         let parts = refused.iter().filter(|case| matches!(case.suspect, Suspect::Part(_))).count();
         let requests = refused.len() - parts;
@@ -54,6 +55,19 @@
         self.roll_outs.update_metrics(&self.metrics);
     }
 
+    fn refresh_quarantine_cost(&self) {
+        let usage = self.quarantine.lock_usage();
+        let gauges = [
+            (&self.metrics.quarantine_lock_acquired, usage.acquired.into()),
+            (&self.metrics.quarantine_lock_waited_us, usage.waited.as_micros()),
+            (&self.metrics.quarantine_lock_held_us, usage.held.as_micros()),
+            (&self.metrics.quarantine_records_examined, self.quarantine.records_examined().into()),
+        ];
+        for (gauge, value) in gauges {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Handlers for the admin address.
     pub(crate) fn admin(self: &Arc<Self>) -> AdminHandlers {
         let (readiness, dump_state, metrics_state) = (self.clone(), self.clone(), self.clone());
--- a/src/router/peers/mod.rs
+++ b/src/router/peers/mod.rs
@@ -13,5 +13,6 @@
 pub(crate) mod shared_limits;
 pub(crate) mod shared_quarantine;
 pub(crate) mod speed_reports;
+mod timed_mutex;
 pub(crate) mod update_log;
 pub(crate) mod urgent_updates;
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -6,10 +6,7 @@
 //! (docs/decisions/0015 and 0020).
 
 use std::{
-    sync::{
-        Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
 
@@ -21,16 +18,21 @@
     router::peers::{
         quarantine_records::{QuarantineRecords, URGENT_FROM},
         quarantine_update::QuarantineUpdate,
+        timed_mutex::{LockUsage, TimedGuard, TimedMutex},
         update_log::UpdateLog,
     },
     routing::PartId,
     telemetry::event,
 };
 
+/// Time for which the lock may be held before that is logged: a row of the store merges in half of it, and a caller
+/// notices a tenth of a second.
+const MAX_LOCK_HOLD: Duration = Duration::from_millis(10);
+
 /// Quarantined and suspected requests and prompt parts, shared by the threads of this entry.
 #[derive(Debug)]
 pub(crate) struct SharedQuarantine {
-    inner: Mutex<QuarantineRecords>,
+    inner: TimedMutex<QuarantineRecords>,
     /// Whether nothing is suspected. Requests are then neither hashed nor checked under the
     /// lock.
     is_idle: AtomicBool,
@@ -47,7 +49,7 @@
 impl Default for SharedQuarantine {
     fn default() -> Self {
         Self {
-            inner: Mutex::default(),
+            inner: TimedMutex::default(),
             is_idle: AtomicBool::new(true),
             changes: watch::Sender::new(0),
             own_changes: watch::Sender::new(0),
@@ -58,8 +60,26 @@
 }
 
 impl SharedQuarantine {
-    fn lock(&self) -> MutexGuard<'_, QuarantineRecords> {
-        self.inner.lock().expect("no code panics while holding this lock")
+    fn lock(&self) -> TimedGuard<'_, QuarantineRecords> {
+        self.inner.lock()
+    }
+
+    /// How the lock was used since the start of the process.
+    pub(crate) fn lock_usage(&self) -> LockUsage {
+        self.inner.usage()
+    }
+
+    /// Number of records that were examined since the start of the process.
+    pub(crate) fn records_examined(&self) -> u64 {
+        self.lock().quarantine.records_examined()
+    }
+
+    /// Logs if the lock was held for too long since the last call.
+    pub(crate) fn log_long_hold(&self) {
+        let longest = self.inner.take_longest();
+        if longest > MAX_LOCK_HOLD {
+            event::QUARANTINE_LOCK_HELD.log(format_args!("longest_ms={}", longest.as_millis()));
+        }
     }
 
     /// Whether nothing is suspected.
--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -197,6 +197,7 @@
             continue;
         }
         router.quarantine.expire(router.now());
+        router.quarantine.log_long_hold();
         if let Err(e) = write_changes(router, store, &mut stored).await {
             event::STORE_UNREACHABLE.log(format_args!("table=Own cause=\"{e}\""));
             sleep(RETRY_PAUSE).await;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -168,6 +168,14 @@
     pub kept_notes_lost: Gauge,
     /// Notes about ended servers that other entries did not receive.
     pub quarantine_notes_lost: Gauge,
+    /// How often the lock of the quarantine was acquired.
+    pub quarantine_lock_acquired: Gauge,
+    /// Time for which threads waited for it, in microseconds.
+    pub quarantine_lock_waited_us: Gauge,
+    /// Time for which it was held, in microseconds.
+    pub quarantine_lock_held_us: Gauge,
+    /// Records of the quarantine that were examined.
+    pub quarantine_records_examined: Gauge,
     /// Requests in quarantine because servers ended while running them.
     pub quarantined: Gauge,
     /// Prompt parts with which requests are refused because servers ended.
@@ -254,6 +262,10 @@
             entries: Gauge::default(),
             kept_notes_lost: Gauge::default(),
             quarantine_notes_lost: Gauge::default(),
+            quarantine_lock_acquired: Gauge::default(),
+            quarantine_lock_waited_us: Gauge::default(),
+            quarantine_lock_held_us: Gauge::default(),
+            quarantine_records_examined: Gauge::default(),
             quarantined: Gauge::default(),
             quarantined_parts: Gauge::default(),
             evacuated_zones: Gauge::default(),
@@ -358,6 +370,14 @@
     fn register_quarantine(&self, registry: &mut Registry) {
         let lost = self.quarantine_notes_lost.clone();
         registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
+        let acquired = self.quarantine_lock_acquired.clone();
+        registry.register("quarantine_lock_acquired", "Acquisitions of the lock", acquired);
+        let waited = self.quarantine_lock_waited_us.clone();
+        registry.register("quarantine_lock_waited_us", "Time waited for the lock", waited);
+        let held = self.quarantine_lock_held_us.clone();
+        registry.register("quarantine_lock_held_us", "Time for which the lock was held", held);
+        let examined = self.quarantine_records_examined.clone();
+        registry.register("quarantine_records_examined", "Records examined", examined);
         let quarantined = self.quarantined.clone();
         registry.register("quarantined", "Requests refused because servers ended", quarantined);
         let parts = self.quarantined_parts.clone();
