Quarantine: a refusal wakes only the requests that it concerns

What callers saw: as before, requests held past their time-outs while engines crash.

Cause: each request at work waited for any change of the quarantine. Every end, every answer that clears a suspect and every merged note woke all of them, and each ran its whole connection task and took the lock to learn that nothing concerns it: notes times requests at work.

Change: a request waits until anything is suspected at all, then as one of the waiters of its own suspects (RefusalWaiters). A verdict hands over who is newly refused, and only their waiters are woken. Before each send the request is still looked up.

Regression test: a_crash_wakes_no_requests_that_it_does_not_concern (tests/platform/crash_cost.rs).

--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -106,6 +106,8 @@
     ended_at: EndTimes,
     /// Suspects that are refused, kept up to date with the records.
     refused: HashSet<Suspect>,
+    /// Those of them that are refused since [`Self::take_newly_refused`] was last called.
+    newly_refused: HashSet<Suspect>,
     /// Whether the records have changed in a way that may change who is refused.
     is_verdict_stale: bool,
     /// Number of records examined, a measure of the work that depends on how many there are.
@@ -182,7 +184,15 @@
     /// Decides again who is refused.
     fn judge(&mut self) {
         self.count_examined(self.records.strong_count());
-        self.refused = verdict::refused_suspects(&self.records, &self.ended_at);
+        let refused = verdict::refused_suspects(&self.records, &self.ended_at);
+        self.newly_refused.retain(|suspect| refused.contains(suspect));
+        self.newly_refused.extend(refused.difference(&self.refused));
+        self.refused = refused;
+    }
+
+    /// The suspects that are refused and were not when this was last called.
+    pub fn take_newly_refused(&mut self) -> Vec<Suspect> {
+        self.newly_refused.drain().collect()
     }
 
     /// The identity of an incarnation that ended now. A server may restart and end again before the
--- a/src/router/peers/shared_quarantine.rs
+++ b/src/router/peers/shared_quarantine.rs
@@ -11,15 +11,18 @@
 };
 
 use serde_json::{Value, json};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     policy::quarantine::{Case, IncarnationHash, Note, Quarantine, QuarantineStatus, Suspect},
-    router::peers::{
-        quarantine_records::{QuarantineRecords, URGENT_FROM},
-        quarantine_update::QuarantineUpdate,
-        timed_mutex::{LockUsage, TimedGuard, TimedMutex},
-        update_log::UpdateLog,
+    router::{
+        peers::{
+            quarantine_records::{QuarantineRecords, URGENT_FROM},
+            quarantine_update::QuarantineUpdate,
+            timed_mutex::{LockUsage, TimedGuard, TimedMutex},
+            update_log::UpdateLog,
+        },
+        quarantine::refusal_waiters::{RefusalWaiter, RefusalWaiters},
     },
     routing::PartId,
     telemetry::event,
@@ -36,6 +39,10 @@
     /// Whether nothing is suspected. Requests are then neither hashed nor checked under the
     /// lock.
     is_idle: AtomicBool,
+    /// Notifies of the first suspect.
+    activated: Notify,
+    /// Requests at work, woken when they are refused.
+    waiters: RefusalWaiters,
     /// Number of changes.
     changes: watch::Sender<u64>,
     /// Number of changes that this entry observed itself.
@@ -51,6 +58,8 @@
         Self {
             inner: TimedMutex::default(),
             is_idle: AtomicBool::new(true),
+            activated: Notify::new(),
+            waiters: RefusalWaiters::default(),
             changes: watch::Sender::new(0),
             own_changes: watch::Sender::new(0),
             is_informed: AtomicBool::new(false),
@@ -82,6 +91,35 @@
         }
     }
 
+    /// Changes the records and wakes the requests that are refused since.
+    fn change<T>(&self, change: impl FnOnce(&mut QuarantineRecords) -> T) -> T {
+        let mut inner = self.lock();
+        let result = change(&mut inner);
+        let newly_refused = inner.quarantine.take_newly_refused();
+        let is_idle = inner.quarantine.is_empty();
+        let was_idle = self.is_idle.swap(is_idle, Ordering::AcqRel);
+        drop(inner);
+        if was_idle && !is_idle {
+            self.activated.notify_waiters();
+        }
+        // The requests look only at a quarantine that is not idle.
+        self.waiters.wake(&newly_refused);
+        result
+    }
+
+    /// Waits until something is suspected.
+    pub(crate) async fn wait_until_active(&self) {
+        let activated = self.activated.notified();
+        if self.is_idle() {
+            activated.await;
+        }
+    }
+
+    /// Registers a request at work with these suspects, to be woken when one of them is refused.
+    pub(crate) fn register_waiter(&self, suspects: Vec<Suspect>) -> RefusalWaiter<'_> {
+        self.waiters.register(suspects)
+    }
+
     /// Whether nothing is suspected.
     pub(crate) fn is_idle(&self) -> bool {
         self.is_idle.load(Ordering::Acquire)
@@ -200,19 +238,23 @@
         now: Duration,
         notes: impl Fn(&Quarantine, Suspect) -> Vec<Note>,
     ) -> bool {
-        let mut inner = self.lock();
-        if !inner.quarantine.is_suspected(&suspect) {
+        let cleared = self.change(|inner| {
+            if !inner.quarantine.is_suspected(&suspect) {
+                return None;
+            }
+            let is_refused = inner.quarantine.is_refused(&suspect);
+            inner.granted_trials.remove(&suspect);
+            let is_urgent = is_refused || inner.quarantine.ends(&suspect).len() >= URGENT_FROM;
+            let notes = notes(&inner.quarantine, suspect);
+            inner.merge(notes, true, now);
+            Some((is_refused, is_urgent))
+        });
+        let Some((is_refused, is_urgent)) = cleared else {
             return false;
-        }
-        let is_refused = inner.quarantine.is_refused(&suspect);
+        };
         if is_refused {
             self.is_row_stale.store(true, Ordering::Release);
         }
-        inner.granted_trials.remove(&suspect);
-        let is_urgent = is_refused || inner.quarantine.ends(&suspect).len() >= URGENT_FROM;
-        let notes = notes(&inner.quarantine, suspect);
-        inner.merge(notes, true, now);
-        drop(inner);
         if is_urgent {
             self.publish(true);
             self.publish_own(true);
@@ -232,34 +274,35 @@
 
     /// Applies the cases from the store, whose times are accurate to `error`.
     pub(crate) fn apply_cases(&self, cases: &[Case], error: Duration, now: Duration) {
-        let mut inner = self.lock();
-        let new = inner.quarantine.merge_cases(cases, error, now);
-        let is_new = !new.is_empty();
-        for case in new {
-            let suspect = case.suspect;
-            for (incarnation, at) in &case.ends {
-                let note = Note::End { suspect, incarnation: *incarnation, at: *at };
-                inner.all.push(note, now);
-                // The entry that wrote the row may not have informed the others.
-                inner.own.push(note, now);
+        let is_new = self.change(|inner| {
+            let new = inner.quarantine.merge_cases(cases, error, now);
+            let is_new = !new.is_empty();
+            for case in new {
+                let suspect = case.suspect;
+                for (incarnation, at) in &case.ends {
+                    let note = Note::End { suspect, incarnation: *incarnation, at: *at };
+                    inner.all.push(note, now);
+                    // The entry that wrote the row may not have informed the others.
+                    inner.own.push(note, now);
+                }
             }
-        }
-        let suspects: Vec<Suspect> = cases.iter().map(|case| case.suspect).collect();
-        inner.report_answers(&suspects, false, now);
-        drop(inner);
+            let suspects: Vec<Suspect> = cases.iter().map(|case| case.suspect).collect();
+            inner.report_answers(&suspects, false, now);
+            is_new
+        });
         self.publish(is_new);
         self.publish_own(is_new);
     }
 
     /// Applies records, logs newly refused suspects and notifies the readers.
     fn apply(&self, notes: impl Iterator<Item = Note>, is_own: bool, now: Duration) {
-        let mut inner = self.lock();
-        let new = inner.merge(notes, is_own, now);
-        let suspects: Vec<Suspect> = new.iter().map(Note::suspect).collect();
-        let has_answers = inner.report_answers(&suspects, is_own, now);
-        drop(inner);
-        self.publish(!new.is_empty());
-        self.publish_own(has_answers || (is_own && !new.is_empty()));
+        let (is_new, has_answers) = self.change(|inner| {
+            let new = inner.merge(notes, is_own, now);
+            let suspects: Vec<Suspect> = new.iter().map(Note::suspect).collect();
+            (!new.is_empty(), inner.report_answers(&suspects, is_own, now))
+        });
+        self.publish(is_new);
+        self.publish_own(has_answers || (is_own && is_new));
     }
 
     fn publish_own(&self, is_new: bool) {
@@ -270,7 +313,6 @@
 
     fn publish(&self, is_new: bool) {
         if is_new {
-            self.is_idle.store(false, Ordering::Release);
             self.changes.send_modify(|changes| *changes += 1);
         }
     }
@@ -280,13 +322,11 @@
         if self.is_idle() {
             return;
         }
-        let mut inner = self.lock();
-        inner.quarantine.expire(now);
-        let QuarantineRecords { quarantine, granted_trials, .. } = &mut *inner;
-        granted_trials.retain(|suspect| quarantine.is_refused(suspect));
-        if inner.quarantine.is_empty() {
-            self.is_idle.store(true, Ordering::Release);
-        }
+        self.change(|inner| {
+            inner.quarantine.expire(now);
+            let QuarantineRecords { quarantine, granted_trials, .. } = inner;
+            granted_trials.retain(|suspect| quarantine.is_refused(suspect));
+        });
     }
 
     /// Whether the trial of a refused suspect is due.
--- a/src/router/quarantine/mod.rs
+++ b/src/router/quarantine/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod quarantine_release;
 pub(crate) mod quarantine_row;
 pub(crate) mod quarantine_trial;
+pub(crate) mod refusal_waiters;
 pub(crate) mod suspected_requests;
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -91,11 +91,12 @@
 
     /// Waits until a request is refused.
     pub(crate) async fn wait_until_refused(&self, ctx: &RequestContext) {
-        let mut changes = self.quarantine.changes();
+        // Most requests are over before anything is suspected, and their suspects need not be computed.
+        self.quarantine.wait_until_active().await;
+        let untried = ctx.suspects().iter().filter(|suspect| !ctx.is_trial_of(suspect));
+        let waiter = self.quarantine.register_waiter(untried.copied().collect());
         while !self.is_refused(ctx) {
-            if changes.changed().await.is_err() {
-                return std::future::pending().await;
-            }
+            waiter.wait().await;
         }
     }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod allowed_regions;
 mod close_delimited;
 mod cold;
+mod crash_cost;
 mod crashes;
 mod crashing_parts;
 mod duties;
