Quarantine: a verdict only where notes can change it

Cause: each answer that clears a suspect with enough ends judged all such suspects again, refused or not.

Change: a verdict is made where ends have become known, or where a changed suspect has enough ends or was refused. A suspect that has too few and was not refused explains no end and takes no part, so the verdict on the others stands. Tests: a_verdict_is_never_outdated compares it with a forced one after each note (fails without the look at who was refused); an_answer_examines_no_more_records_when_more_suspects_are_known: before, 64 records examined among 64 suspects, 3,200 among 3,200.

--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -108,8 +108,10 @@
     refused: HashSet<Suspect>,
     /// Those of them that are refused since [`Self::take_newly_refused`] was last called.
     newly_refused: HashSet<Suspect>,
-    /// Whether the records have changed in a way that may change who is refused.
+    /// Whether the ends have changed in a way that may change who is refused.
     is_verdict_stale: bool,
+    /// Suspects whose records have changed since the last verdict.
+    changed: Vec<Suspect>,
     /// Number of records examined, a measure of the work that depends on how many there are.
     examined: Cell<u64>,
 }
@@ -151,14 +153,14 @@
     fn merge(&mut self, note: Note, now: Duration) -> bool {
         let suspect = note.suspect();
         self.evict_if_full(&suspect);
-        let was_strong = self.records.is_strong(&suspect);
         let is_new = self.records.update(suspect, |record| match note {
             Note::End { incarnation, at, .. } => record.add_end(incarnation, at),
             Note::Cleared { incarnation, .. } => record.clear_end(incarnation, now),
             Note::Answered { .. } => record.mark_answered(now),
         });
-        // The verdict stays if too few ends count against the suspect, before and after.
-        self.is_verdict_stale |= is_new && (was_strong || self.records.is_strong(&suspect));
+        if is_new {
+            self.changed.push(suspect);
+        }
         is_new
     }
 
@@ -176,7 +178,12 @@
 
     /// Brings the verdict up to date if notes may have changed it.
     fn judge_if_stale(&mut self) {
-        if std::mem::take(&mut self.is_verdict_stale) {
+        // A suspect that has too few ends and was not refused has no part in the verdict.
+        let is_concerned =
+            |suspect: &Suspect| self.records.is_strong(suspect) || self.refused.contains(suspect);
+        let is_any_concerned = self.changed.iter().any(is_concerned);
+        self.changed.clear();
+        if std::mem::take(&mut self.is_verdict_stale) || is_any_concerned {
             self.judge();
         }
     }
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -222,6 +222,25 @@
     }
 }
 
+proptest! {
+    /// The verdict is left as it is where notes can't change it. A far later end brings it up to date in any case.
+    #[test]
+    fn a_verdict_is_never_outdated(notes in proptest::collection::vec(any_note(), 0..80)) {
+        let mut quarantine = Quarantine::default();
+        for note in notes {
+            quarantine.add(note, START);
+
+            let mut judged = quarantine.clone();
+            judged.add(end(request(99), 99, 100_000_000), START);
+            for suspect in (1..5).map(Suspect::Part).chain((1..4).map(request)) {
+                let (is_refused, expected) =
+                    (quarantine.is_refused(&suspect), judged.is_refused(&suspect));
+                prop_assert_eq!(is_refused, expected, "{}", suspect);
+            }
+        }
+    }
+}
+
 /// A request at a server.
 struct Running {
     suspects: Vec<Suspect>,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -254,12 +254,16 @@
     assert!(quarantine.cases(false).len() <= 4_096);
 }
 
-/// A quarantine after a mass crash: eight suspects were present at each of the ends, most of them once. A request that
-/// was present at three ends of its own is refused.
+/// A quarantine after a mass crash: eight suspects were present at each three ends of one event, too few events to refuse
+/// them. A request that was present at three ends of its own is refused.
 fn after_mass_crash(suspects: u64) -> Quarantine {
     let mut quarantine = Quarantine::default();
-    let notes = (0..suspects).map(|i| end(request(u128::from(i) + 100), 100 + i / 8, i / 8));
-    quarantine.add_all(notes, START);
+    let ends_of = |i: u64| {
+        (0..3).map(move |end_of_event| {
+            end(request(u128::from(i) + 100), 100 + 3 * (i / 8) + end_of_event, i / 8)
+        })
+    };
+    quarantine.add_all((0..suspects).flat_map(ends_of), START);
     quarantine.add_all((0..3).map(|i| end(CRASHING, i, 60_000 + i * 1_000)), START);
     quarantine
 }
@@ -285,6 +289,15 @@
     assert_cost_does_not_grow(|quarantine| assert!(is_refused(quarantine, CRASHING)));
 }
 
+#[test]
+fn an_answer_examines_no_more_records_when_more_suspects_are_known() {
+    assert_cost_does_not_grow(|quarantine| {
+        let notes = quarantine.answer_notes(request(105));
+        quarantine.add_all(notes, START + ms(70_000));
+        assert_eq!(quarantine.status(&request(105), START), QuarantineStatus::Free);
+    });
+}
+
 #[test]
 fn old_records_expire() {
     let mut quarantine = quarantine_of([end(CRASHING, 1, 0)]);
