Quarantine: changes are joined before the row is checked, and trials are claimed meanwhile

The first seed compared the store's row with its records after each single change, hundreds of times a second while engines crash. Every other entry slept for 0.4 s or more after a change, as it leaves the write to the seeds before it, and claimed no trial meanwhile: a trial's caller waits 0.1 s and is refused then.

Change: a check follows 0.1 s (and the entry's stagger as before) after the first change since the last one, and trials are claimed while it is awaited.

--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -8,8 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::{
-    sync::{mpsc, oneshot},
-    time::{sleep, timeout},
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -39,8 +39,8 @@
 const ISOLATED_POLL_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Interval between checks whether the row has to be written.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time for which changes are joined before the row is checked: a tenth of the time in which the whole fleet is to know
-/// of a refusal, and no more than the time between the first loss of a server and the next.
+/// Time for which changes are joined before the row is checked, short beside the 3 s in which all entries have to know
+/// of a refusal.
 const JOIN_DELAY: Duration = Duration::from_millis(100);
 /// Time that an entry leaves to each seed listed before it for writing a case. A call takes 10 ms,
 /// and the resulting update arrives with the next heartbeat.
@@ -209,15 +209,31 @@
             (true, false) => RETRY_PAUSE,
             (false, _) => CHECK_INTERVAL,
         };
+        wait_for_check(router, store, &mut stored, pause, &mut changes, &mut trials).await;
+    }
+}
+
+/// Waits until the row has to be checked: for `pause`, or for as long as this entry leaves the write to others after a
+/// change. Trials are claimed in the meantime, since their callers wait.
+async fn wait_for_check(
+    router: &Arc<Router>,
+    store: &StoreClient,
+    stored: &mut Option<StoredRow>,
+    pause: Duration,
+    changes: &mut watch::Receiver<u64>,
+    trials: &mut mpsc::Receiver<TrialRequest>,
+) {
+    let mut check_at = Instant::now() + pause;
+    let mut has_changed = false;
+    loop {
         tokio::select! {
-            () = sleep(pause) => {}
-            changed = changes.changed() => {
-                if changed.is_ok() {
-                    sleep(write_delay(router)).await;
-                }
+            () = sleep_until(check_at) => return,
+            _ = changes.changed(), if !has_changed => {
+                has_changed = true;
+                check_at = Instant::now() + JOIN_DELAY + write_delay(router);
             }
             Some((suspects, answer)) = trials.recv() => {
-                let is_granted = claim_trial(router, store, &mut stored, &suspects).await;
+                let is_granted = claim_trial(router, store, stored, &suspects).await;
                 // The caller may have left in the meantime.
                 let _ = answer.send(is_granted);
             }
