Quarantine: an unanswered request at four events is tried first, though a part explains them

What callers saw: a request that crashes every server was sent to four servers long after its third end, while others were served less. When it comes again, proxies hide that nobody listens at a crashed server, so its end is known only from the list 0.9 s later, and the request is sent on meanwhile.

Change: a request that no server has ever answered is refused from four separate events on, whatever explains them, and is tried early (1 to 2.5 s later, by one request of the fleet), since it may be harmless. One that was answered is treated as before. Decisions on three ends are unchanged, as is every test on crashing requests and parts.

Regression test: a_request_without_an_answer_is_tried_first_though_a_part_explains_its_four_ends; before, its status is Suspect.

--- a/src/policy/quarantine/mod.rs
+++ b/src/policy/quarantine/mod.rs
@@ -435,13 +435,10 @@
         }
         match suspect {
             // The parts of a request were present wherever it was.
-            Suspect::Request(_) => self.was_request_beside(suspect, record),
-            Suspect::Part(_) => {
-                self.ended_without_it(record)
-                    || record
-                        .counted_ends()
-                        .all(|(incarnation, _)| self.is_explained_by_another(suspect, incarnation))
+            Suspect::Request(_) => {
+                self.was_request_beside(suspect, record) || self.is_explained(suspect, record)
             }
+            Suspect::Part(_) => self.ended_without_it(record) || self.is_explained(suspect, record),
         }
     }
 
@@ -463,6 +460,13 @@
         })
     }
 
+    /// Whether refused suspects other than this one were present at all ends that count against it.
+    fn is_explained(&self, suspect: &Suspect, record: &SuspectRecord) -> bool {
+        record
+            .counted_ends()
+            .all(|(incarnation, _)| self.is_explained_by_another(suspect, incarnation))
+    }
+
     /// Whether a refused suspect other than this one was present at an end.
     fn is_explained_by_another(&self, suspect: &Suspect, incarnation: IncarnationHash) -> bool {
         self.records.present_at(incarnation).iter().any(|other| {
--- a/src/policy/quarantine/verdict.rs
+++ b/src/policy/quarantine/verdict.rs
@@ -31,6 +31,10 @@
 /// present at most ends of a busy pool, whatever their cause; one that crashes servers is present at all.
 const MIN_COVERAGE: f64 = 0.9;
 
+/// Number of separate events among the ends of a request that was never answered at which it is refused, though refused
+/// suspects explain them all: it may crash servers beside them. More than a request and its retries reach by themselves.
+const REFUSED_THOUGH_EXPLAINED_AFTER: usize = REFUSED_AFTER + 1;
+
 type Ends = HashSet<IncarnationHash>;
 
 /// Whether enough ends count against a suspect to refuse it, whatever else was present at them.
@@ -52,8 +56,7 @@
         let is_refused = |(suspect, record): &(&Suspect, &SuspectRecord)| {
             matches!(suspect, Suspect::Request(_))
                 && record.was_cleared() == was_cleared
-                && count_request_events(record, ended_at) >= REFUSED_AFTER
-                && unexplained(record, &explained).next().is_some()
+                && is_request_refusable(record, ended_at, &explained)
         };
         let requests: Vec<_> = strong.iter().copied().filter(is_refused).collect();
         refuse(&requests, &mut refused, &mut explained);
@@ -61,6 +64,14 @@
     refused
 }
 
+/// Whether the ends that count against a request suffice to refuse it, given those that refused suspects explain.
+fn is_request_refusable(record: &SuspectRecord, ended_at: &EndTimes, explained: &Ends) -> bool {
+    let events = count_request_events(record, ended_at);
+    let is_explained = unexplained(record, explained).next().is_none();
+    events >= if is_explained { REFUSED_THOUGH_EXPLAINED_AFTER } else { REFUSED_AFTER }
+        && !(is_explained && record.was_cleared())
+}
+
 /// Refuses suspects, which then explain the ends at which they were present.
 fn refuse(
     suspects: &[(&Suspect, &SuspectRecord)],
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -116,6 +116,24 @@
     assert!(quarantine.is_refused(&request(1)), "it was at an end without the part as well");
 }
 
+/// Guards against a crashing request that goes on beside a crashing part, which explains all of its ends (soak seed
+/// 6101): without an answer it is tried before it is sent to everyone's servers again.
+#[test]
+fn a_request_without_an_answer_is_tried_first_though_a_part_explains_its_four_ends() {
+    let mut quarantine = quarantine_of(ends(&[CRASHING], 0, 6));
+    quarantine.add_all(ends(&[request(1)], 1, 4), START);
+    let last_end = ms(4 * 300);
+
+    let status = quarantine.status(&request(1), last_end);
+    let QuarantineStatus::Refused { trial_in: Some(trial_in) } = status else {
+        panic!("{status:?}");
+    };
+    assert!(trial_in <= Duration::from_millis(2_500), "{trial_in:?}");
+
+    quarantine.add(Note::Answered { suspect: request(1) }, last_end);
+    assert!(!quarantine.is_refused(&request(1)));
+}
+
 #[test]
 fn a_request_that_crashes_servers_by_itself_is_refused_before_its_parts() {
     let quarantine = quarantine_of(ends(&[request(1), RARE], 0, 3));
