Connections to servers are reset when they are closed

What callers saw: a request that was given up on a connection cut by a partition was sent elsewhere and answered; seconds later the first server got and ran the old bytes, after it had said that it leaves.

Cause: what is given up was closed in order, and the kernel goes on delivering what is held up. The duty service's client resets its connections for this reason; connections to servers did not.

Change: ServerStream sets a linger of zero and leaves out the orderly end that hyper sends before it closes, so that closing resets and discards. With the linger alone the test still fails: the end of the stream arrives first.

Regression test: a_request_that_is_given_up_is_not_delivered_later (tests/platform/abandoned.rs): four kinds of route, time-out and caller gone, behind a proxy that holds bytes up and delivers them after an orderly end.

--- a/src/router/servers/connection.rs
+++ b/src/router/servers/connection.rs
@@ -9,7 +9,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::router::Member;
+use crate::router::{Member, servers::server_stream::ServerStream};
 
 /// Timeout for opening a TCP connection. The round trip between zones takes about a millisecond, so after a lost
 /// packet it is faster to try the next server than to wait for the retransmission.
@@ -90,7 +90,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(1);
     socket.set_tcp_keepalive(&probes)?;
-    let (connection, work) = http1::handshake(TokioIo::new(stream)).await?;
+    let (connection, work) = http1::handshake(TokioIo::new(ServerStream::new(stream)?)).await?;
     // Errors of the connection task can be ignored: the request that is waiting on the connection fails as well.
     tokio::spawn(async move { drop(work.await) });
     Ok(connection)
--- a/src/router/servers/mod.rs
+++ b/src/router/servers/mod.rs
@@ -12,5 +12,6 @@
 pub(crate) mod member;
 pub(crate) mod reported_load;
 pub(crate) mod server_ends;
+mod server_stream;
 pub(crate) mod server_table;
 pub(crate) mod timing_estimates;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of an entry against scripted mock implementations of the platform's store and
 //! of its BackendServers.
 
+mod abandoned;
 mod accept_overload;
 mod adapter;
 mod allowed_regions;
