--- a/src/router/quarantine/refusal_waiters.rs
+++ b/src/router/quarantine/refusal_waiters.rs
@@ -9,8 +9,8 @@
 
 use crate::policy::quarantine::Suspect;
 
-/// Requests at work by their suspects, so that a refusal wakes those that it concerns. Woken by every note, hundreds of
-/// requests at work would cost more than the notes of a mass crash, which are as many again (docs/incidents/0025).
+/// Requests at work by their suspects, so that a refusal wakes those that it concerns. Waking all of them for each note
+/// would cost notes times requests at work, and a mass crash has many of both (docs/incidents/0025).
 #[derive(Debug, Default)]
 pub(crate) struct RefusalWaiters {
     by_suspect: Mutex<HashMap<Suspect, Vec<Arc<Notify>>>>,
--- a/src/router/servers/server_stream.rs
+++ b/src/router/servers/server_stream.rs
@@ -63,7 +63,7 @@
         self.inner().poll_flush(cx)
     }
 
-    /// Sends nothing: an orderly end would precede the reset, and tell the server that the request is whole.
+    /// Sends nothing: a receiver that reads an orderly end before the reset takes the bytes before it as sent for good.
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
         Poll::Ready(Ok(()))
     }
