--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -8,6 +8,7 @@
         answer_timeout::head_timeouts,
         attempt::{self, AttemptEvent, AttemptState, RequestOutcome, may_retry, request_outcome},
         availability::{Availability, UnavailableCause},
+        run_outcome::RunOutcome,
     },
     router::{
         Member, Router,
@@ -17,7 +18,6 @@
             request_context::{AttemptParams, RequestContext},
             selection::{first_available, latency_key, prefixes, select_server},
         },
-        roll_outs::roll_out::RunOutcome,
         servers::{
             availability::SendPermit,
             lost_requests::LossCause,
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -10,6 +10,7 @@
 use crate::{
     policy::{
         answer_timeout::{AnswerTimeouts, event_timeouts},
+        run_outcome::RunOutcome,
         timing::TimingEstimate,
     },
     router::{
@@ -25,7 +26,6 @@
             stages::{self, StageResponse},
             stream_queue::{CallerGone, StreamQueue, stream_queue},
         },
-        roll_outs::roll_out::RunOutcome,
         servers::{
             lost_requests::LossCause,
             server_ends::{may_be_cut_off, record_broken_connection, record_lost},
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     ids::StoreVersion,
-    policy::exposure::ExposureConfig,
+    policy::{exposure::ExposureConfig, run_outcome::RunOutcome},
     router::roll_outs::{
         roll_out_state::{RollOut, Verdict, VersionEvidence},
         version_rule::VersionRule,
@@ -29,18 +29,6 @@
 /// Number of servers with recorded timeouts from which expired ones are removed.
 const MAX_TIMEOUTS: usize = 4_096;
 
-/// Outcome of an attempt that ran, as evidence on its version. Failures and slowness are tested
-/// separately: healthy servers are occasionally slow next to long prompts, but rarely fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunOutcome {
-    /// Complete and not slow.
-    Good,
-    /// Failed or interrupted.
-    Failed,
-    /// Several times slower than usual.
-    Slow,
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     roll_outs: HashMap<Box<str>, RollOut>,
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -10,12 +10,14 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
-    policy::quarantine::{Note, Suspect},
+    policy::{
+        quarantine::{Note, Suspect},
+        run_outcome::RunOutcome,
+    },
     router::{
         Member, Router,
         peers::quarantine_update::QuarantineUpdate,
         request::request_context::RequestContext,
-        roll_outs::roll_out::RunOutcome,
         servers::lost_requests::{LossCause, LostRequest, Outage, SUSPECT_WINDOW},
     },
     routing::BodyFraming,
