Roll-outs: evidence by route in logs, metrics and dump

Events 601 and 605 carry the pooled evidence of both versions, in all and by route; the metric mintmoor_evidence has a route, the state dump routes_of_all.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -37,6 +37,7 @@
 pub mod retry;
 pub mod retry_after;
 pub mod roll_out;
+pub mod route_evidence;
 pub mod run_outcome;
 pub mod send_window;
 pub mod server_speed;
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -272,7 +272,7 @@
         }
         Err(AttemptError::Timeout) => {
             record_lost(router, ctx, member, sent_at, LossCause::Abandoned);
-            return router.roll_outs.record_timeout(&member.server, router.now());
+            return router.roll_outs.record_timeout(&member.server, &ctx.route.name, router.now());
         }
         Ok(response) if response.head.kind == ResponseKind::Success => {
             // Recorded at the end of the body, except for a stream whose head was already slow.
@@ -283,5 +283,5 @@
         }
         _ => RunOutcome::Failed,
     };
-    router.roll_outs.record_outcome(&member.server, outcome);
+    router.roll_outs.record_outcome(&member.server, &ctx.route.name, outcome);
 }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -98,7 +98,7 @@
     let Some(read) = wait_for_response(router, &wait, read, || false).await else {
         // The deadline has passed, or the server has restarted.
         record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
-        router.roll_outs.record_timeout(&server.server, router.now());
+        router.roll_outs.record_timeout(&server.server, &ctx.route.name, router.now());
         return Err(());
     };
     read
@@ -134,7 +134,7 @@
     };
     if response.head.kind == ResponseKind::Success {
         let outcome = if response.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
-        router.roll_outs.record_outcome(&response.member.server, outcome);
+        router.roll_outs.record_outcome(&response.member.server, &ctx.route.name, outcome);
         router.record_answered_parts(ctx);
     }
     router.record_complete_answer(ctx);
@@ -271,7 +271,7 @@
             StreamError::Silent => {
                 server.record_failure(router.now());
                 record_lost(router, ctx, server, sent_at, LossCause::Abandoned);
-                router.roll_outs.record_timeout(&server.server, router.now());
+                router.roll_outs.record_timeout(&server.server, &ctx.route.name, router.now());
             }
             _ => record_broken_connection(router, ctx, server, sent_at).await,
         }
@@ -358,7 +358,8 @@
             return;
         }
         run.is_counted = true;
-        self.router.roll_outs.record_outcome(&response.member.server, RunOutcome::Slow);
+        let route = &self.ctx.route.name;
+        self.router.roll_outs.record_outcome(&response.member.server, route, RunOutcome::Slow);
     }
 
     /// Records a complete run as evidence for its version, and learns the time between its events.
@@ -371,7 +372,7 @@
             self.router.speed_estimates.record_event_interval(self.latency_key(), interval);
         }
         if !run.is_counted {
-            roll_outs.record_outcome(server, RunOutcome::Good);
+            roll_outs.record_outcome(server, &self.ctx.route.name, RunOutcome::Good);
         }
     }
 
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -21,7 +21,7 @@
         version_rule::VersionRule,
     },
     routing::{BackendServer, RequestHead, RollOutOrder, RollOutProgress},
-    telemetry::{Metrics, event, metrics::EvidenceLabels},
+    telemetry::{Metrics, event},
 };
 
 /// Time in which several timeouts of one server count once: one long prompt may delay many streams.
@@ -208,24 +208,16 @@
         ));
     }
 
-    /// Records the outcome of an attempt that ran.
-    pub(crate) fn record_outcome(&self, server: &BackendServer, outcome: RunOutcome) {
-        let mut inner = self.lock();
-        let Some(roll_out) = inner.roll_outs.get_mut(&server.service) else {
-            return;
-        };
-        let is_new = roll_out.order.to == server.version;
-        let evidence = if is_new { &mut roll_out.new } else { &mut roll_out.old };
-        evidence.answers += 1;
-        evidence.failures += u64::from(outcome == RunOutcome::Failed);
-        evidence.rated += u64::from(outcome != RunOutcome::Failed);
-        evidence.poor += u64::from(outcome == RunOutcome::Slow);
-        roll_out.evaluate();
+    /// Records the outcome of an attempt of a request on this route.
+    pub(crate) fn record_outcome(&self, server: &BackendServer, route: &str, outcome: RunOutcome) {
+        if let Some(roll_out) = self.lock().roll_outs.get_mut(&server.service) {
+            roll_out.record(route, &server.version, outcome);
+        }
     }
 
     /// Records that a server did not answer in time. All requests that wait for a server time out
     /// together, so its timeouts within [`TIMEOUT_DEDUP_WINDOW`] count as one failure.
-    pub(crate) fn record_timeout(&self, server: &BackendServer, now: Duration) {
+    pub(crate) fn record_timeout(&self, server: &BackendServer, route: &str, now: Duration) {
         {
             let mut inner = self.lock();
             let counted_at = inner.timeouts.entry(server.id.clone()).or_default();
@@ -239,7 +231,7 @@
                 inner.timeouts.retain(|_, counted_at| now < *counted_at + TIMEOUT_DEDUP_WINDOW);
             }
         }
-        self.record_outcome(server, RunOutcome::Failed);
+        self.record_outcome(server, route, RunOutcome::Failed);
     }
 
     /// This entry's evidence on the roll-outs in progress, for its next report.
@@ -280,22 +272,16 @@
 
     /// Updates the metrics of the evidence.
     pub(crate) fn update_metrics(&self, metrics: &Metrics) {
-        let inner = self.lock();
-        for roll_out in inner.roll_outs.values() {
-            for (version, evidence) in [("old", roll_out.old), ("new", roll_out.new)] {
-                let counts = [
-                    ("answers", evidence.answers),
-                    ("failures", evidence.failures),
-                    ("slow", evidence.poor),
-                ];
-                for (count, value) in counts {
-                    let labels = EvidenceLabels {
-                        service: roll_out.order.service.to_string(),
-                        version: version.into(),
-                        count: count.into(),
-                    };
-                    let value = i64::try_from(value).unwrap_or(i64::MAX);
-                    metrics.evidence.get_or_create(&labels).set(value);
+        for roll_out in self.lock().roll_outs.values() {
+            for (key, counts) in roll_out.own.iter() {
+                let route = roll_out.route_name(key);
+                for (version, evidence) in [("old", counts.old), ("new", counts.new)] {
+                    let counts = [
+                        ("answers", evidence.answers),
+                        ("failures", evidence.failures),
+                        ("slow", evidence.poor),
+                    ];
+                    metrics.set_evidence(&roll_out.order.service, &route, version, counts);
                 }
             }
         }
@@ -305,19 +291,29 @@
     pub(crate) fn dump(&self) -> Value {
         let inner = self.lock();
         let describe = |r: &RollOut| {
+            let (own, pooled) = (r.own.total(), r.pooled());
+            let routes = pooled.iter().map(|(key, counts)| {
+                let (old, new) = (counts.old, counts.new);
+                json!({
+                    "route": r.route_name(key),
+                    "answers": new.answers, "failures": new.failures, "slow": new.poor,
+                    "old_answers": old.answers, "old_failures": old.failures, "old_slow": old.poor,
+                })
+            });
             json!({
                 "service": r.order.service,
                 "to": r.order.to,
                 "progress": format!("{:?}", r.progress),
                 "began": r.is_start_reported,
                 "held": r.is_held,
-                "answers": r.new.answers,
-                "answers_of_all": r.pooled().1.answers,
-                "failures": r.new.failures,
-                "slow": r.new.poor,
-                "old_answers": r.old.answers,
-                "old_failures": r.old.failures,
-                "old_slow": r.old.poor,
+                "answers": own.new.answers,
+                "answers_of_all": pooled.total().new.answers,
+                "failures": own.new.failures,
+                "slow": own.new.poor,
+                "old_answers": own.old.answers,
+                "old_failures": own.old.failures,
+                "old_slow": own.old.poor,
+                "routes_of_all": routes.collect::<Vec<_>>(),
             })
         };
         Value::Array(inner.roll_outs.values().map(describe).collect())
--- a/src/router/roll_outs/roll_out_driver.rs
+++ b/src/router/roll_outs/roll_out_driver.rs
@@ -370,8 +370,8 @@
     let outcome = store.write(&[put], known.era).await?;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_MOVED.log(format_args!(
-        "service={} progress={:?} written={is_written}",
-        order.service, verdict.status.progress
+        "service={} progress={:?} written={is_written} {}",
+        order.service, verdict.status.progress, verdict.evidence
     ));
     match outcome {
         WriteOutcome::Written(_) => {
--- a/src/router/roll_outs/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -1,7 +1,10 @@
 //! State of one roll-out on an entry: which requests the new version runs, the evidence, and the
 //! verdict.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +16,10 @@
             ExposureConfig, is_in_share, is_past_trial, may_complete, request_share, session_share,
         },
         roll_out::{Evidence, Finding, VersionTest},
+        route_evidence::{
+            MAX_ROUTES, OTHER_ROUTES, RouteEvidence, RouteKey, VersionCounts, route_key,
+        },
+        run_outcome::RunOutcome,
     },
     resources::Guard,
     router::roll_outs::version_rule::VersionRule,
@@ -39,9 +46,43 @@
     pub(crate) era: Era,
     pub(crate) old: Evidence,
     pub(crate) new: Evidence,
+    /// The same by route; empty from entries that do not report it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) routes: Vec<ReportedRoute>,
+}
+
+/// Evidence on one route: answers, failures, rated and slow answers of the old and of the new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReportedRoute(RouteKey, [u64; 4], [u64; 4]);
+
+impl ReportedRoute {
+    fn new(route: RouteKey, counts: VersionCounts) -> Self {
+        let fields = |e: Evidence| [e.answers, e.failures, e.rated, e.poor];
+        Self(route, fields(counts.old), fields(counts.new))
+    }
+
+    fn counts(&self) -> VersionCounts {
+        let evidence = |[answers, failures, rated, poor]: [u64; 4]| Evidence {
+            answers,
+            failures,
+            rated,
+            poor,
+        };
+        VersionCounts { old: evidence(self.1), new: evidence(self.2) }
+    }
 }
 
 impl VersionEvidence {
+    /// The evidence by route.
+    pub(crate) fn by_route(&self) -> RouteEvidence {
+        let mut evidence = RouteEvidence::default();
+        if self.routes.is_empty() {
+            evidence.add(OTHER_ROUTES, VersionCounts { old: self.old, new: self.new });
+        }
+        self.routes.iter().for_each(|route| evidence.add(route.0, route.counts()));
+        evidence
+    }
+
     /// Version of the roll-out's order.
     pub(crate) fn order(&self) -> StoreVersion {
         StoreVersion { era: self.era, revision: self.revision }
@@ -53,6 +94,8 @@
 pub(crate) struct Verdict {
     pub(crate) order: RollOutOrder,
     pub(crate) status: RollOutStatus,
+    /// What it is based on, as fields of a log line.
+    pub(crate) evidence: Box<str>,
 }
 
 /// State of one roll-out.
@@ -68,8 +111,10 @@
     pub(crate) progress: RollOutProgress,
     /// Whether the evidence of this entry or of all entries shows that the version is bad.
     pub(crate) is_held: bool,
-    pub(crate) old: Evidence,
-    pub(crate) new: Evidence,
+    /// Evidence of this entry.
+    pub(crate) own: RouteEvidence,
+    /// Names of the routes of which this entry has evidence.
+    route_names: BTreeMap<RouteKey, Box<str>>,
     pub(crate) test: VersionTest,
     /// Test on the evidence of all entries, as far as it was reported to this one.
     pub(crate) pooled_test: VersionTest,
@@ -89,8 +134,8 @@
             found_at: is_found.then_some(now),
             progress: RollOutProgress::Running,
             is_held: false,
-            old: Evidence::default(),
-            new: Evidence::default(),
+            own: RouteEvidence::default(),
+            route_names: BTreeMap::new(),
             test: VersionTest::default(),
             pooled_test: VersionTest::default(),
             others: HashMap::new(),
@@ -138,65 +183,101 @@
         is_running && !is_past_trial(self.age(now), self.order.duration, config)
     }
 
+    /// Adds the outcome of an attempt and tests this entry's evidence.
+    pub(crate) fn record(&mut self, route: &str, version: &str, outcome: RunOutcome) {
+        let key = route_key(route);
+        if self.route_names.len() < MAX_ROUTES {
+            self.route_names.entry(key).or_insert_with(|| route.into());
+        }
+        self.own.record(key, *self.order.to == *version, outcome);
+        self.evaluate();
+    }
+
     /// Tests this entry's evidence and holds back the version if it is bad.
-    pub(crate) fn evaluate(&mut self) {
-        self.test.observe(self.old, self.new, &GUARD);
+    fn evaluate(&mut self) {
+        let VersionCounts { old, new } = self.own.total();
+        self.test.observe(old, new, &GUARD);
         if self.test.finding(&GUARD) == Finding::Worse {
-            self.hold(1, self.old, self.new);
+            self.hold(1, &self.own.clone());
         }
     }
 
-    /// Evidence of all entries on the old and on the new version, as far as it was reported here.
-    pub(crate) fn pooled(&self) -> (Evidence, Evidence) {
-        let sum = |(old, new): (Evidence, Evidence), other: &VersionEvidence| {
-            (old.plus(other.old), new.plus(other.new))
-        };
-        self.others.values().fold((self.old, self.new), sum)
+    /// Evidence of all entries, as far as it was reported here.
+    pub(crate) fn pooled(&self) -> RouteEvidence {
+        let mut pooled = self.own.clone();
+        self.others.values().for_each(|other| pooled.add_all(&other.by_route()));
+        pooled
     }
 
     /// Tests the evidence of all entries and holds back the version if it is bad.
     pub(crate) fn evaluate_pooled(&mut self) {
-        let (old, new) = self.pooled();
+        let pooled = self.pooled();
+        let VersionCounts { old, new } = pooled.total();
         self.pooled_test.observe(old, new, &GUARD);
         if self.pooled_test.finding(&GUARD) == Finding::Worse {
-            self.hold(self.others.len() + 1, old, new);
+            self.hold(self.others.len() + 1, &pooled);
         }
     }
 
     /// Stops sending requests to the new version, based on the evidence of this number of entries.
-    fn hold(&mut self, entries: usize, old: Evidence, new: Evidence) {
+    fn hold(&mut self, entries: usize, evidence: &RouteEvidence) {
         if std::mem::replace(&mut self.is_held, true) {
             return;
         }
         event::VERSION_SUSPECT.log(format_args!(
-            "service={} version={} entries={entries} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={}",
+            "service={} version={} entries={entries} {}",
             self.order.service,
             self.order.to,
+            self.describe(evidence)
+        ));
+    }
+
+    /// The evidence as fields of a log line.
+    fn describe(&self, evidence: &RouteEvidence) -> String {
+        let counts = |e: Evidence| format!("{}/{}/{}", e.answers, e.failures, e.poor);
+        let describe_route = |(key, VersionCounts { old, new })| {
+            format!("{} new {} old {}", self.route_name(key), counts(new), counts(old))
+        };
+        let routes: Vec<String> = evidence.iter().map(describe_route).collect();
+        let VersionCounts { old, new } = evidence.total();
+        format!(
+            "answers={} failures={} slow={} old_answers={} old_failures={} old_slow={} routes=\"{}\"",
             new.answers,
             new.failures,
             new.poor,
             old.answers,
             old.failures,
-            old.poor
-        ));
+            old.poor,
+            routes.join(", ")
+        )
+    }
+
+    /// Name of a route; its key if only other entries have evidence on it.
+    pub(crate) fn route_name(&self, key: RouteKey) -> Box<str> {
+        let name = self.route_names.get(&key).cloned();
+        name.unwrap_or_else(|| {
+            if key == OTHER_ROUTES { "others".into() } else { key.to_string().into() }
+        })
     }
 
     /// This entry's evidence, for its next report.
     pub(crate) fn evidence(&self) -> VersionEvidence {
+        let VersionCounts { old, new } = self.own.total();
         VersionEvidence {
             service: self.order.service.clone(),
             revision: self.order.written_at.revision,
             era: self.order.written_at.era,
-            old: self.old,
-            new: self.new,
+            old,
+            new,
+            routes: self.own.iter().map(|(key, counts)| ReportedRoute::new(key, counts)).collect(),
         }
     }
 
     /// Whether there is enough evidence that the version is good.
     fn is_proven_good(&self) -> bool {
         let tests = [&self.test, &self.pooled_test];
-        let (_, new) = self.pooled();
-        new.answers >= MIN_ANSWERS && !tests.iter().any(|t| t.is_suspicious(&GUARD))
+        self.pooled().total().new.answers >= MIN_ANSWERS
+            && !tests.iter().any(|t| t.is_suspicious(&GUARD))
     }
 
     /// The verdict that this entry can give now, if any.
@@ -213,6 +294,7 @@
             return None;
         };
         let status = RollOutStatus { to: self.order.to.clone(), progress };
-        Some(Verdict { order: self.order.clone(), status })
+        let evidence = self.describe(&self.pooled()).into();
+        Some(Verdict { order: self.order.clone(), status, evidence })
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -134,6 +134,8 @@
 pub struct EvidenceLabels {
     /// Service.
     pub service: String,
+    /// Route, or `others` beyond the maximum number of routes.
+    pub route: String,
     /// `old` or `new`.
     pub version: String,
     /// `answers`, `failures` or `slow`.
@@ -505,6 +507,26 @@
         is_new
     }
 
+    /// Sets the evidence of this entry on one version and route.
+    pub fn set_evidence(
+        &self,
+        service: &str,
+        route: &str,
+        version: &str,
+        counts: [(&str, u64); 3],
+    ) {
+        for (count, value) in counts {
+            let labels = EvidenceLabels {
+                service: service.into(),
+                route: route.into(),
+                version: version.into(),
+                count: count.into(),
+            };
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.evidence.get_or_create(&labels).set(value);
+        }
+    }
+
     /// Counts a usage report that was sent.
     pub fn count_usage_report(&self, outcome: &str) {
         self.usage_reports.get_or_create(&UsageReportLabels { outcome: outcome.into() }).inc();
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -5,7 +5,7 @@
 use mintmoor::telemetry::{
     Metrics,
     event::CATALOGUE,
-    metrics::{AttemptLabels, EvidenceLabels, RequestLabels, ServiceLabels, StageLabels},
+    metrics::{AttemptLabels, RequestLabels, ServiceLabels, StageLabels},
 };
 
 #[test]
@@ -59,8 +59,7 @@
     metrics.stages.get_or_create(&stages).inc();
     metrics.count_limited_send("first");
     metrics.repeats_left.get_or_create(&ServiceLabels { service: "s".into() }).set(1);
-    let (service, version, count) = ("s".into(), "new".into(), "answers".into());
-    metrics.evidence.get_or_create(&EvidenceLabels { service, version, count }).set(1);
+    metrics.set_evidence("s", "r", "new", [("answers", 1), ("failures", 0), ("slow", 0)]);
     metrics.count_retry("s", true);
     metrics.count_unavailable_send("draining", "first");
     metrics.count_avoided_servers("paused", 1);
