Known red: a version that fails on one route only is completed (EXPOSURE)

Real router, two stand-in servers: a route that fails each seventh request on both versions, and one that fails each second request on the new version only. Seen: completed; on the failing route 5 of 10 answers of the new version failed and 0 of 56 of the old one, pooled 10 of 48 against 37 of 320.

--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -1,12 +1,16 @@
 //! Roll-outs: a bad version is detected and rolled back, a good one is completed, and entries accept a verdict that
 //! another entry wrote first.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 use serde_json::json;
+use tokio::time::sleep;
 
 use crate::{
-    server::{Action, Server},
+    server::{Action, ReceivedRequest, Server},
     site::{Site, start_server, wait_until},
     store::Fault,
 };
@@ -258,3 +262,41 @@
     })
     .await;
 }
+
+/// Starts a server whose answers on the route `safe` fail each seventh time, as they do on both versions. On the route
+/// `once`, each second answer is `bad_once`.
+async fn start_server_of_two_routes(id: &str, bad_once: Action) -> Server {
+    let (safe, once) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let script = move |req: &ReceivedRequest| {
+        if req.request_line.contains("/safe/") {
+            return if safe.fetch_add(1, Ordering::Relaxed) % 7 == 6 { FAILS } else { GOOD };
+        }
+        if once.fetch_add(1, Ordering::Relaxed) % 2 == 1 { bad_once.clone() } else { GOOD }
+    };
+    Server::start(id, script).await
+}
+
+/// Sends requests, one in five on the route `once`, until the roll-out has ended; returns its final state.
+async fn send_on_two_routes_until_ended(site: &Site) -> String {
+    for i in 0..2_000 {
+        if !["", "in_progress"].contains(&state(site).as_str()) {
+            break;
+        }
+        let (method, route) = if i % 5 == 0 { ("POST", "once") } else { ("GET", "safe") };
+        site.request(method, &format!("/{route}/{i}"), "").await;
+        sleep(Duration::from_millis(5)).await;
+    }
+    state(site)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_fails_on_one_route_only_is_not_completed() {
+    let old = start_server_of_two_routes("i-1", GOOD).await;
+    let new = start_server_of_two_routes("i-2", FAILS).await;
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    site.store.put("op", "rollout/app", &order("v2", 3.0));
+
+    let ended = send_on_two_routes_until_ended(&site).await;
+
+    assert_eq!(ended, "rolled_back", "{}", site.entry.router.dump()["roll_outs"]);
+}
