Roll-outs: a version is completed only if each route shows that it is no worse

What callers saw: a bad version of the plain service was completed, and all its requests went to it (EXPOSURE).

Now each route is compared with its own rates, and two sequential tests decide: one finds the version worse (as before, in all and by route, with the false findings divided among them), the other one shows that its rates have not risen. Without the second one the version is not completed. The evidence of all processes is added up, so that a restarted entry neither takes back nor masks what was reported.

a_version_that_fails_on_one_route_only_is_not_completed was red before (completed) and is green; the tests on roll-outs, sessions and restores are green. Few good versions of small services are completed at this commit, since the trial is too small for them.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -46,4 +46,5 @@
 pub mod timing;
 pub mod true_time;
 pub mod usage;
+pub mod version_verdict;
 pub mod windowed_retry_budget;
--- a/src/policy/roll_out.rs
+++ b/src/policy/roll_out.rs
@@ -88,7 +88,7 @@
 
 /// Fraction of the decision bound from which a version is suspicious. A completed roll-out can't be reverted,
 /// while not completing one costs little.
-const SUSPICION_FRACTION: f64 = 0.4;
+pub(crate) const SUSPICION_FRACTION: f64 = 0.4;
 
 /// Cumulative-sum (CUSUM) test of a new version against the old one.
 ///
@@ -121,10 +121,14 @@
         }
     }
 
+    /// Largest of the sums.
+    pub fn max_sum(&self) -> f64 {
+        self.failure_sums.iter().chain(&self.poor_sums).fold(0.0, |a: f64, b| a.max(*b))
+    }
+
     /// Whether the evidence suggests that the version is worse, even if it does not prove it.
     pub fn is_suspicious(&self, guard: &Guard) -> bool {
-        let max = self.failure_sums.iter().chain(&self.poor_sums).fold(0.0, |a: f64, b| a.max(*b));
-        self.is_worse || max >= decision_bound(guard) * SUSPICION_FRACTION
+        self.is_worse || self.max_sum() >= decision_bound(guard) * SUSPICION_FRACTION
     }
 
     /// Result of the test so far.
@@ -138,7 +142,7 @@
 }
 
 /// Sum from which a version counts as worse.
-fn decision_bound(guard: &Guard) -> f64 {
+pub(crate) fn decision_bound(guard: &Guard) -> f64 {
     (FALSE_HOLD_CHANCES / guard.false_hold.max(1e-9)).ln()
 }
 
--- a/src/policy/route_evidence.rs
+++ b/src/policy/route_evidence.rs
@@ -67,6 +67,17 @@
         other.iter().for_each(|(route, counts)| self.add(route, counts));
     }
 
+    /// The counts beyond those of an earlier reading, which must not be greater.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let added = |(route, counts): (RouteKey, VersionCounts)| {
+            let before = earlier.routes.get(&route).copied().unwrap_or_default();
+            let (old, new) = (counts.old.since(before.old), counts.new.since(before.new));
+            (route, VersionCounts { old, new })
+        };
+        Self { routes: self.iter().map(added).collect() }
+    }
+
     /// The counts of all routes together.
     pub fn total(&self) -> VersionCounts {
         self.routes.values().fold(VersionCounts::default(), |sum, counts| sum.plus(*counts))
--- a/src/resources/roll_out.rs
+++ b/src/resources/roll_out.rs
@@ -20,7 +20,7 @@
 }
 
 /// Settings of the sequential test that guards a roll-out.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Guard {
     /// Number of answers from the new version that are required before the next step.
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -245,12 +245,9 @@
     pub(crate) fn apply_evidence(&self, host: &str, all: Vec<VersionEvidence>) {
         let mut inner = self.lock();
         for evidence in all {
-            let Some(roll_out) = inner.roll_outs.get_mut(&evidence.service) else {
-                continue;
-            };
-            if roll_out.order.written_at == evidence.order() {
-                roll_out.others.insert(host.into(), evidence);
-                roll_out.evaluate_pooled();
+            let roll_out = inner.roll_outs.get_mut(&evidence.service);
+            if let Some(roll_out) = roll_out.filter(|r| r.order.written_at == evidence.order()) {
+                roll_out.apply_report(host, &evidence);
             }
         }
     }
@@ -291,7 +288,7 @@
     pub(crate) fn dump(&self) -> Value {
         let inner = self.lock();
         let describe = |r: &RollOut| {
-            let (own, pooled) = (r.own.total(), r.pooled());
+            let (own, pooled) = (r.own.total(), &r.pooled);
             let routes = pooled.iter().map(|(key, counts)| {
                 let (old, new) = (counts.old, counts.new);
                 json!({
--- a/src/router/roll_outs/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -15,25 +16,20 @@
         exposure::{
             ExposureConfig, is_in_share, is_past_trial, may_complete, request_share, session_share,
         },
-        roll_out::{Evidence, Finding, VersionTest},
+        roll_out::Evidence,
         route_evidence::{
             MAX_ROUTES, OTHER_ROUTES, RouteEvidence, RouteKey, VersionCounts, route_key,
         },
         run_outcome::RunOutcome,
+        version_verdict::{VerdictConfig, VersionVerdict},
     },
-    resources::Guard,
     router::roll_outs::version_rule::VersionRule,
     routing::{RequestHead, RollOutOrder, RollOutProgress, RollOutStatus},
     telemetry::event,
 };
 
-/// Rise of the failure rate that makes a version bad, and the probability of a false verdict. Bad
-/// versions fail a third of their requests or more. Rolling back a good version costs a roll-out,
-/// while finding a bad one late breaks a service promise, so the probability is not set very low.
-const GUARD: Guard = Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 };
-/// Answers of the new version, over all entries, that are required to complete a roll-out. Waiting
-/// for that many answers on a single entry completed good versions one or two seconds late.
-const MIN_ANSWERS: u64 = 20;
+/// Settings of the verdict.
+const VERDICT: VerdictConfig = VerdictConfig::DEFAULT;
 
 /// Evidence of one entry on both versions of a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +40,9 @@
     /// Era of the order; omitted while the store has never been restored from a backup.
     #[serde(default, skip_serializing_if = "is_first")]
     pub(crate) era: Era,
+    /// Identifies the process that counts: one that was restarted counts from zero.
+    #[serde(default)]
+    pub(crate) process: u32,
     pub(crate) old: Evidence,
     pub(crate) new: Evidence,
     /// The same by route; empty from entries that do not report it.
@@ -109,17 +108,18 @@
     /// When this entry found the order while starting; none once the progress is known.
     pub(crate) found_at: Option<Duration>,
     pub(crate) progress: RollOutProgress,
-    /// Whether the evidence of this entry or of all entries shows that the version is bad.
+    /// Whether the evidence shows that the version is bad.
     pub(crate) is_held: bool,
-    /// Evidence of this entry.
+    /// Evidence of this entry, and the number under which it reports it.
     pub(crate) own: RouteEvidence,
+    process: u32,
+    /// Evidence of all entries, as far as it was reported here; also that of processes that have ended.
+    pub(crate) pooled: RouteEvidence,
+    /// Last reported evidence of other entries by Host, with the number of their process.
+    reported: HashMap<Box<str>, (u32, RouteEvidence)>,
     /// Names of the routes of which this entry has evidence.
     route_names: BTreeMap<RouteKey, Box<str>>,
-    pub(crate) test: VersionTest,
-    /// Test on the evidence of all entries, as far as it was reported to this one.
-    pub(crate) pooled_test: VersionTest,
-    /// Evidence of other entries by Host.
-    pub(crate) others: HashMap<Box<str>, VersionEvidence>,
+    pub(crate) verdict: VersionVerdict,
     /// Whether the fleet has had servers of the new version.
     pub(crate) has_servers: bool,
 }
@@ -135,10 +135,11 @@
             progress: RollOutProgress::Running,
             is_held: false,
             own: RouteEvidence::default(),
+            process: rand::rng().random(),
+            pooled: RouteEvidence::default(),
+            reported: HashMap::new(),
             route_names: BTreeMap::new(),
-            test: VersionTest::default(),
-            pooled_test: VersionTest::default(),
-            others: HashMap::new(),
+            verdict: VersionVerdict::default(),
             has_servers: false,
         }
     }
@@ -183,65 +184,62 @@
         is_running && !is_past_trial(self.age(now), self.order.duration, config)
     }
 
-    /// Adds the outcome of an attempt and tests this entry's evidence.
+    /// Adds the outcome of an attempt and tests the evidence.
     pub(crate) fn record(&mut self, route: &str, version: &str, outcome: RunOutcome) {
         let key = route_key(route);
         if self.route_names.len() < MAX_ROUTES {
             self.route_names.entry(key).or_insert_with(|| route.into());
         }
-        self.own.record(key, *self.order.to == *version, outcome);
+        let is_new = *self.order.to == *version;
+        self.own.record(key, is_new, outcome);
+        self.pooled.record(key, is_new, outcome);
         self.evaluate();
     }
 
-    /// Tests this entry's evidence and holds back the version if it is bad.
-    fn evaluate(&mut self) {
-        let VersionCounts { old, new } = self.own.total();
-        self.test.observe(old, new, &GUARD);
-        if self.test.finding(&GUARD) == Finding::Worse {
-            self.hold(1, &self.own.clone());
-        }
-    }
-
-    /// Evidence of all entries, as far as it was reported here.
-    pub(crate) fn pooled(&self) -> RouteEvidence {
-        let mut pooled = self.own.clone();
-        self.others.values().for_each(|other| pooled.add_all(&other.by_route()));
-        pooled
+    /// Adds what another entry has reported since its last report, and tests the evidence.
+    pub(crate) fn apply_report(&mut self, host: &str, report: &VersionEvidence) {
+        let evidence = report.by_route();
+        let last = self.reported.get(host).filter(|(process, _)| *process == report.process);
+        let added = last.map_or_else(|| evidence.clone(), |(_, last)| evidence.since(last));
+        self.pooled.add_all(&added);
+        self.reported.insert(host.into(), (report.process, evidence));
+        self.evaluate();
     }
 
     /// Tests the evidence of all entries and holds back the version if it is bad.
-    pub(crate) fn evaluate_pooled(&mut self) {
-        let pooled = self.pooled();
-        let VersionCounts { old, new } = pooled.total();
-        self.pooled_test.observe(old, new, &GUARD);
-        if self.pooled_test.finding(&GUARD) == Finding::Worse {
-            self.hold(self.others.len() + 1, &pooled);
+    fn evaluate(&mut self) {
+        self.verdict.observe(&self.pooled, &VERDICT);
+        if self.verdict.is_worse() {
+            self.hold();
         }
     }
 
-    /// Stops sending requests to the new version, based on the evidence of this number of entries.
-    fn hold(&mut self, entries: usize, evidence: &RouteEvidence) {
+    /// Stops sending requests to the new version.
+    fn hold(&mut self) {
         if std::mem::replace(&mut self.is_held, true) {
             return;
         }
         event::VERSION_SUSPECT.log(format_args!(
-            "service={} version={} entries={entries} {}",
+            "service={} version={} entries={} {}",
             self.order.service,
             self.order.to,
-            self.describe(evidence)
+            self.reported.len() + 1,
+            self.describe()
         ));
     }
 
     /// The evidence as fields of a log line.
-    fn describe(&self, evidence: &RouteEvidence) -> String {
+    fn describe(&self) -> String {
         let counts = |e: Evidence| format!("{}/{}/{}", e.answers, e.failures, e.poor);
         let describe_route = |(key, VersionCounts { old, new })| {
             format!("{} new {} old {}", self.route_name(key), counts(new), counts(old))
         };
-        let routes: Vec<String> = evidence.iter().map(describe_route).collect();
-        let VersionCounts { old, new } = evidence.total();
+        let routes: Vec<String> = self.pooled.iter().map(describe_route).collect();
+        let VersionCounts { old, new } = self.pooled.total();
         format!(
-            "answers={} failures={} slow={} old_answers={} old_failures={} old_slow={} routes=\"{}\"",
+            "risk={:.4} strength={:.2} answers={} failures={} slow={} old_answers={} old_failures={} old_slow={} routes=\"{}\"",
+            self.verdict.risk(),
+            self.verdict.strength(&VERDICT),
             new.answers,
             new.failures,
             new.poor,
@@ -267,19 +265,13 @@
             service: self.order.service.clone(),
             revision: self.order.written_at.revision,
             era: self.order.written_at.era,
+            process: self.process,
             old,
             new,
             routes: self.own.iter().map(|(key, counts)| ReportedRoute::new(key, counts)).collect(),
         }
     }
 
-    /// Whether there is enough evidence that the version is good.
-    fn is_proven_good(&self) -> bool {
-        let tests = [&self.test, &self.pooled_test];
-        self.pooled().total().new.answers >= MIN_ANSWERS
-            && !tests.iter().any(|t| t.is_suspicious(&GUARD))
-    }
-
     /// The verdict that this entry can give now, if any.
     pub(crate) fn verdict(&self, now: Duration, config: &ExposureConfig) -> Option<Verdict> {
         if self.progress != RollOutProgress::Running {
@@ -288,13 +280,15 @@
         let elapsed = self.age(now);
         let progress = if self.is_held {
             RollOutProgress::RolledBack
-        } else if may_complete(elapsed, self.order.duration, config) && self.is_proven_good() {
+        } else if may_complete(elapsed, self.order.duration, config)
+            && self.verdict.is_no_worse(&VERDICT)
+        {
             RollOutProgress::Completed
         } else {
             return None;
         };
         let status = RollOutStatus { to: self.order.to.clone(), progress };
-        let evidence = self.describe(&self.pooled()).into();
+        let evidence = self.describe().into();
         Some(Verdict { order: self.order.clone(), status, evidence })
     }
 }
