Roll-outs: an undecided version is rolled back at its deadline

What callers saw: past the deadline of a roll-out without a verdict, all requests ran on the new version for as long as nobody decided, so that a bad one had no limit at all (EXPOSURE).

An entry that collects the evidence of all rolls the version back at the deadline, the others a second later; two seconds after it, an entry that knows no verdict uses the old servers as long as one of them can be reached. Rolled back rather than left in progress: the order allows no more time, sessions may return to the old version, and the operator is told.

Two of the three new tests were red before; the third one guards the way back where the old servers are gone.

--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -53,7 +53,8 @@
     // Evaluated for each attempt, since a roll-out may have begun since the last one.
     let versions = router.roll_outs.version_rule(&ctx.service, &ctx.req.head, router.now());
     let members = fleet.of_service(&ctx.service);
-    let versions = versions.or_any_if_missing(members.iter().map(|m| &*m.server.version));
+    let reachable = members.iter().filter(|m| !ctx.is_unreachable(&m.server.id));
+    let versions = versions.or_any_if_missing(reachable.map(|m| &*m.server.version));
     let is_eligible = |member: &&Arc<Member>| {
         let server = &member.server;
         let has_model = params.model.is_none_or(|model| {
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -316,13 +316,13 @@
         Value::Array(inner.roll_outs.values().map(describe).collect())
     }
 
-    /// Verdicts that this entry can give now.
-    pub(crate) fn verdicts(&self, now: Duration) -> Vec<Verdict> {
+    /// Verdicts that this entry can give now. `collects_all` tells whether the evidence of all entries is reported to it.
+    pub(crate) fn verdicts(&self, now: Duration, collects_all: bool) -> Vec<Verdict> {
         let inner = self.lock();
         inner
             .roll_outs
             .values()
-            .filter_map(|roll_out| roll_out.verdict(now, &self.config))
+            .filter_map(|roll_out| roll_out.verdict(now, &self.config, collects_all))
             .collect()
     }
 }
--- a/src/router/roll_outs/roll_out_driver.rs
+++ b/src/router/roll_outs/roll_out_driver.rs
@@ -13,6 +13,7 @@
         documents::{encode_status, parse_status_row, roll_out_status_key, service_of_status_key},
         store::{Put, Row, StoreClient, Table, WriteOutcome},
     },
+    policy::place::{Place, SETTLE_TIME},
     router::{Router, roll_outs::roll_out_state::Verdict},
     routing::{RollOutOrder, RollOutProgress, RollOutStatus},
     telemetry::event,
@@ -106,6 +107,14 @@
     }
 }
 
+impl Router {
+    /// Whether all entries report their evidence to this one, and have had the time to.
+    fn collects_all_evidence(&self) -> bool {
+        let has_settled = self.now() >= self.started_at() + SETTLE_TIME;
+        has_settled && (self.is_seed() || self.place() == Some(Place::ALONE))
+    }
+}
+
 /// Drives roll-outs: writes their start to the store, gives verdicts and reads those of others.
 pub(crate) async fn drive_roll_outs(router: &Router, store: &StoreClient) {
     let mut known = KnownRows::default();
@@ -143,7 +152,8 @@
         if !router.is_view_fresh() {
             continue;
         }
-        for verdict in router.roll_outs.verdicts(router.now()) {
+        let collects_all = router.collects_all_evidence();
+        for verdict in router.roll_outs.verdicts(router.now(), collects_all) {
             if let Err(e) = write_verdict(router, store, &mut known, &verdict).await {
                 verdict_pause_until = router.now() + WRITE_RETRY_PAUSE;
                 event::VERDICT_WAITS
--- a/src/router/roll_outs/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -28,6 +28,12 @@
     telemetry::event,
 };
 
+/// Time after the deadline at which an entry that does not collect the evidence of all gives up a version that nobody has
+/// decided on. Those that collect it do so at the deadline and write their verdict within this time.
+const UNDECIDED_DELAY: Duration = Duration::from_secs(1);
+/// Time after the deadline from which a version without a known verdict gets no requests. A verdict reaches the other
+/// entries within this time.
+const UNKNOWN_VERDICT_DELAY: Duration = Duration::from_secs(2);
 /// Settings of the verdict.
 const VERDICT: VerdictConfig = VerdictConfig::DEFAULT;
 
@@ -160,6 +166,9 @@
             RollOutProgress::Running => {}
         }
         let (elapsed, duration) = (self.age(now), self.order.duration);
+        if elapsed >= duration + UNKNOWN_VERDICT_DELAY {
+            return VersionRule::Avoid(self.order.to.clone());
+        }
         let share = match head.session {
             Some(_) => session_share(elapsed, duration, config),
             None => request_share(elapsed, duration, config),
@@ -272,23 +281,33 @@
         }
     }
 
-    /// The verdict that this entry can give now, if any.
-    pub(crate) fn verdict(&self, now: Duration, config: &ExposureConfig) -> Option<Verdict> {
+    /// The verdict that this entry can give now, if any. A version that is undecided at the deadline is rolled back: the
+    /// order allows it no more time, and it may be bad. `collects_all` tells whether the evidence of all entries is
+    /// reported to this one.
+    pub(crate) fn verdict(
+        &self,
+        now: Duration,
+        config: &ExposureConfig,
+        collects_all: bool,
+    ) -> Option<Verdict> {
         if self.progress != RollOutProgress::Running {
             return None;
         }
-        let elapsed = self.age(now);
-        let progress = if self.is_held {
-            RollOutProgress::RolledBack
-        } else if may_complete(elapsed, self.order.duration, config)
-            && self.verdict.is_no_worse(&VERDICT)
-        {
-            RollOutProgress::Completed
+        let (elapsed, duration) = (self.age(now), self.order.duration);
+        let undecided_at = duration + if collects_all { Duration::ZERO } else { UNDECIDED_DELAY };
+        let is_complete =
+            may_complete(elapsed, duration, config) && self.verdict.is_no_worse(&VERDICT);
+        let (progress, reason) = if self.is_held {
+            (RollOutProgress::RolledBack, "worse")
+        } else if is_complete {
+            (RollOutProgress::Completed, "no_worse")
+        } else if elapsed >= undecided_at {
+            (RollOutProgress::RolledBack, "undecided")
         } else {
             return None;
         };
         let status = RollOutStatus { to: self.order.to.clone(), progress };
-        let evidence = self.describe().into();
+        let evidence = format!("reason={reason} {}", self.describe()).into();
         Some(Verdict { order: self.order.clone(), status, evidence })
     }
 }
--- a/src/router/roll_outs/version_rule.rs
+++ b/src/router/roll_outs/version_rule.rs
@@ -12,6 +12,8 @@
     Only(ServerVersion),
     /// All versions but this one.
     Except(ServerVersion),
+    /// All versions but this one, as long as others can be reached: whether it was completed is not known.
+    Avoid(ServerVersion),
 }
 
 impl VersionRule {
@@ -20,16 +22,17 @@
         match self {
             Self::Any => true,
             Self::Only(only) => **only == *version,
-            Self::Except(not) => **not != *version,
+            Self::Except(not) | Self::Avoid(not) => **not != *version,
         }
     }
 
-    /// The rule, or [`Any`](Self::Any) if it requires a version that none of the known servers runs. The servers of a
+    /// The rule, or [`Any`](Self::Any) if it requires a version that none of the reachable servers runs. The servers of a
     /// version may be removed before this entry learns that its roll-out has ended.
     pub(crate) fn or_any_if_missing<'a>(self, mut versions: impl Iterator<Item = &'a str>) -> Self {
-        match &self {
-            Self::Only(only) if !versions.any(|version| *version == **only) => Self::Any,
-            _ => self,
-        }
+        let is_missing = match &self {
+            Self::Any | Self::Except(_) => false,
+            Self::Only(_) | Self::Avoid(_) => !versions.any(|version| self.allows(version)),
+        };
+        if is_missing { Self::Any } else { self }
     }
 }
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -300,3 +300,55 @@
 
     assert_eq!(ended, "rolled_back", "{}", site.entry.router.dump()["roll_outs"]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_with_too_few_answers_is_rolled_back_at_the_deadline() {
+    let (_old, new, site) = start_with_two_versions(GOOD).await;
+    site.store.put("op", "rollout/app", &order("v2", 1.0));
+    wait_until("the roll-out is in progress", || state(&site) == "in_progress").await;
+    for i in 0..10 {
+        site.request("GET", &format!("/safe/{i}"), "").await;
+    }
+
+    wait_until("the version is rolled back", || state(&site) == "rolled_back").await;
+
+    let before = new.requests().len();
+    for i in 0..20 {
+        assert_eq!(site.request("GET", &format!("/safe/b{i}"), "").await.status, 200);
+    }
+    assert_eq!(new.requests().len(), before);
+}
+
+/// Starts a roll-out whose verdict can't be written, and waits until its deadline has long passed.
+async fn start_without_verdict() -> (Server, Server, Site) {
+    let (old, new, site) = start_with_two_versions(GOOD).await;
+    site.store.put("op", "rollout/app", &order("v2", 0.5));
+    wait_until("the roll-out is in progress", || state(&site) == "in_progress").await;
+    site.store.set_fault(Fault::Down);
+    sleep(Duration::from_secs(3)).await;
+    (old, new, site)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_undecided_version_gets_no_requests_after_its_deadline_while_the_store_is_unreachable() {
+    let (_old, new, site) = start_without_verdict().await;
+    let before = new.requests().len();
+
+    for i in 0..40 {
+        assert_eq!(site.request("GET", &format!("/safe/{i}"), "").await.status, 200);
+    }
+
+    assert_eq!(new.requests().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_use_the_new_version_after_an_unknown_verdict_if_the_old_servers_are_gone() {
+    let (old, new, site) = start_without_verdict().await;
+    old.crash();
+    old.wait_until_terminated(0).await;
+
+    let answer = site.request("GET", "/safe/1", "").await;
+
+    assert_eq!(answer.status, 200);
+    assert!(!new.requests().is_empty());
+}
