Roll-outs: the trial of a small service uses the requests that are tolerated beside the share

Cause: 0.06 of the requests of a service with 13 requests a second are about six in 8 s, of two routes, on which no test can decide.

Deployments allow a bad version a share of all requests and a number beside it (bounds.exposure-tolerance, read now). Two thirds of the number go to the trial, evenly over its time, divided among the entries; requests without a session only, and more on routes that need more answers.

--- a/src/bin/mintmoor/args.rs
+++ b/src/bin/mintmoor/args.rs
@@ -216,6 +216,9 @@
     /// print the guard's trade-off between false holds and exposure instead of a scenario
     #[argh(switch)]
     pub(crate) guard_curve: bool,
+    /// simulate this number of roll-outs of each kind instead of a scenario and print their outcomes
+    #[argh(option)]
+    pub(crate) roll_out_curve: Option<u64>,
     /// measure what the path through entry and agent adds instead of a scenario
     #[argh(switch)]
     pub(crate) overhead: bool,
--- a/src/bin/mintmoor/load.rs
+++ b/src/bin/mintmoor/load.rs
@@ -3,7 +3,10 @@
 use std::path::Path;
 
 use eyre::{Result, WrapErr, eyre};
-use mintmoor::load::{self, Baseline, Report, Scenario, plot_reports, slopes};
+use mintmoor::{
+    load::{self, Baseline, Report, Scenario, plot_reports, slopes},
+    policy::version_verdict::VerdictConfig,
+};
 
 use crate::{args::LoadArgs, ending::Ending, logging::install_log};
 
@@ -19,6 +22,10 @@
         }
         return Ok(Ending::Good);
     }
+    if let Some(roll_outs) = args.roll_out_curve {
+        load::roll_out_curve(&VerdictConfig::DEFAULT, roll_outs, |line| println!("{line}"));
+        return Ok(Ending::Good);
+    }
     if args.overhead {
         for overhead in slopes::measure_overhead().await? {
             println!("{overhead}");
--- a/src/policy/exposure.rs
+++ b/src/policy/exposure.rs
@@ -10,6 +10,9 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Maximum share of the requests that take part in a trial while its budget lasts, so that they are a random sample.
+pub const MAX_SAMPLE_SHARE: f64 = 0.5;
+
 /// How the share of the new version grows over a roll-out; settings under `roll_out`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExposureConfig {
@@ -88,6 +91,11 @@
     progress_at(elapsed, duration) >= config.complete_from
 }
 
+/// Progress of the trial, 1 at its end.
+pub fn trial_progress(elapsed: Duration, duration: Duration, config: &ExposureConfig) -> f64 {
+    progress_at(elapsed, duration) / config.grows_from.max(1e-3)
+}
+
 /// Whether the trial is over, so that the share grows towards all requests.
 pub fn is_past_trial(elapsed: Duration, duration: Duration, config: &ExposureConfig) -> bool {
     progress_at(elapsed, duration) >= config.grows_from
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -44,6 +44,7 @@
 pub mod session;
 pub mod shutdown;
 pub mod timing;
+pub mod trial_budget;
 pub mod true_time;
 pub mod usage;
 pub mod version_verdict;
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -204,7 +204,7 @@
         has_retry = reserve_failover(router, ctx, params, &member.server.id);
         has_retry
     };
-    router.roll_outs.log_trial_session(&member.server, &ctx.req.head, router.now());
+    router.roll_outs.record_send(&member.server, &ctx.req.head, router.now());
     ctx.mark_trial_sent(true);
     let sent_at = router.now();
     let result = send(router, ctx, &plan, can_fail_over).await;
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -51,7 +51,9 @@
 ) -> Vec<&'a Arc<Member>> {
     let settings = router.settings.load();
     // Evaluated for each attempt, since a roll-out may have begun since the last one.
-    let versions = router.roll_outs.version_rule(&ctx.service, &ctx.req.head, router.now());
+    let (route, head, now) = (&ctx.route.name, &ctx.req.head, router.now());
+    let part = || router.trial_part();
+    let versions = router.roll_outs.version_rule(&ctx.service, route, head, now, part);
     let members = fleet.of_service(&ctx.service);
     let reachable = members.iter().filter(|m| !ctx.is_unreachable(&m.server.id));
     let versions = versions.or_any_if_missing(reachable.map(|m| &*m.server.version));
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -171,41 +171,44 @@
         running.map(|r| r.order.clone()).collect()
     }
 
-    /// Rule for the versions that may run a request now.
+    /// Rule for the versions that may run a request on this route now. `trial_part` is asked for this entry's part of the
+    /// requests that a trial may have beside its share.
     pub(crate) fn version_rule(
         &self,
         service: &str,
+        route: &str,
         head: &RequestHead,
         now: Duration,
+        trial_part: impl FnOnce() -> f64,
     ) -> VersionRule {
         let inner = self.lock();
-        let roll_out = inner.roll_outs.get(service);
-        roll_out.map_or(VersionRule::Any, |roll_out| roll_out.version_rule(head, now, &self.config))
+        let Some(roll_out) = inner.roll_outs.get(service) else {
+            return VersionRule::Any;
+        };
+        roll_out.version_rule(route, head, now, &self.config, trial_part)
     }
 
-    /// Logs a request of a session that is sent to a version on trial. The logs of all entries then
-    /// show when the session first reached that version.
-    pub(crate) fn log_trial_session(
-        &self,
-        server: &BackendServer,
-        head: &RequestHead,
-        now: Duration,
-    ) {
-        let Some(session) = &head.session else {
+    /// Records that a request is sent to a server. Requests without a session count in the trial's budget. Those of a
+    /// session that go to a version on trial are logged: the logs of all entries then show when the session first
+    /// reached that version.
+    pub(crate) fn record_send(&self, server: &BackendServer, head: &RequestHead, now: Duration) {
+        let mut inner = self.lock();
+        let roll_out = inner.roll_outs.get_mut(&server.service);
+        let Some(roll_out) = roll_out.filter(|r| r.is_on_trial(now, &self.config)) else {
             return;
         };
-        let inner = self.lock();
-        let Some(roll_out) = inner.roll_outs.get(&server.service) else {
+        let is_new = roll_out.order.to == server.version;
+        let Some(session) = &head.session else {
+            roll_out.count_trial_send(is_new);
             return;
         };
-        if roll_out.order.to != server.version || !roll_out.is_on_trial(now, &self.config) {
-            return;
+        if is_new {
+            let (request, service, version) = (&head.id, &server.service, &server.version);
+            let age = roll_out.age(now).as_millis();
+            event::SESSION_ON_TRIAL.log(format_args!(
+                "request={request} session={session} service={service} version={version} roll_out_ms={age}"
+            ));
         }
-        let (request, service, version) = (&head.id, &server.service, &server.version);
-        let age = roll_out.age(now).as_millis();
-        event::SESSION_ON_TRIAL.log(format_args!(
-            "request={request} session={session} service={service} version={version} roll_out_ms={age}"
-        ));
     }
 
     /// Records the outcome of an attempt of a request on this route.
--- a/src/router/roll_outs/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -14,13 +14,15 @@
     platform::store::is_first,
     policy::{
         exposure::{
-            ExposureConfig, is_in_share, is_past_trial, may_complete, request_share, session_share,
+            ExposureConfig, MAX_SAMPLE_SHARE, is_in_share, is_past_trial, may_complete,
+            request_share, session_share, trial_progress,
         },
         roll_out::Evidence,
         route_evidence::{
             MAX_ROUTES, OTHER_ROUTES, RouteEvidence, RouteKey, VersionCounts, route_key,
         },
         run_outcome::RunOutcome,
+        trial_budget::TrialBudget,
         version_verdict::{VerdictConfig, VersionVerdict},
     },
     router::roll_outs::version_rule::VersionRule,
@@ -126,6 +128,9 @@
     /// Names of the routes of which this entry has evidence.
     route_names: BTreeMap<RouteKey, Box<str>>,
     pub(crate) verdict: VersionVerdict,
+    /// Requests of the trial. None for an order that was found at the start: the process before this one on the Host may
+    /// have used them.
+    budget: Option<TrialBudget>,
     /// Whether the fleet has had servers of the new version.
     pub(crate) has_servers: bool,
 }
@@ -146,16 +151,19 @@
             reported: HashMap::new(),
             route_names: BTreeMap::new(),
             verdict: VersionVerdict::default(),
+            budget: (!is_found).then(|| TrialBudget::new(rand::rng().random())),
             has_servers: false,
         }
     }
 
-    /// Rule for the versions that may run a request now.
+    /// Rule for the versions that may run a request on this route now.
     pub(crate) fn version_rule(
         &self,
+        route: &str,
         head: &RequestHead,
         now: Duration,
         config: &ExposureConfig,
+        trial_part: impl FnOnce() -> f64,
     ) -> VersionRule {
         let new = VersionRule::Only(self.order.to.clone());
         let old = VersionRule::Except(self.order.to.clone());
@@ -171,11 +179,31 @@
         }
         let share = match head.session {
             Some(_) => session_share(elapsed, duration, config),
-            None => request_share(elapsed, duration, config),
+            None => {
+                let sample_share = self.sample_share(route, now, config, trial_part());
+                request_share(elapsed, duration, config).max(sample_share)
+            }
         };
         if is_in_share(head.session_key(), &self.order.to, share) { new } else { old }
     }
 
+    /// Share of the requests without a session that the trial's budget allows on a route.
+    fn sample_share(&self, route: &str, now: Duration, config: &ExposureConfig, part: f64) -> f64 {
+        let progress = trial_progress(self.age(now), self.order.duration, config);
+        let has_left = |budget: &TrialBudget| budget.has_left(progress, config.trial_share, part);
+        if progress >= 1.0 || !self.budget.as_ref().is_some_and(has_left) {
+            return 0.0;
+        }
+        self.verdict.sample_share(route_key(route), MAX_SAMPLE_SHARE)
+    }
+
+    /// Counts a request without a session that is sent during the trial.
+    pub(crate) fn count_trial_send(&mut self, is_new: bool) {
+        if let Some(budget) = &mut self.budget {
+            budget.record(is_new);
+        }
+    }
+
     /// Whether the progress is still unknown; a known end is final.
     pub(crate) fn is_unknown(&self) -> bool {
         self.found_at.is_some() && self.progress == RollOutProgress::Running
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -24,6 +24,7 @@
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
         overload::{Overload, retry_after},
         shutdown::can_finish,
+        trial_budget::budget_part,
         windowed_retry_budget::{RetryLimits, WindowedRetryBudget},
     },
     router::{
@@ -393,6 +394,15 @@
         self.extra_share.lock().expect("no panics under the lock").entries()
     }
 
+    /// This entry's part of the requests that a trial may have beside its share.
+    pub(crate) fn trial_part(&self) -> f64 {
+        let entries = match self.entries() {
+            0 => self.place().map_or(0, |place| place.entries),
+            entries => entries,
+        };
+        budget_part(self.settings.load().exposure_tolerance, entries)
+    }
+
     /// Limits of the retry budgets; the extra retries are shared among all entries.
     pub(super) fn retry_limits(&self) -> RetryLimits {
         let settings = self.settings.load();
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -352,3 +352,19 @@
     assert_eq!(answer.status, 200);
     assert!(!new.requests().is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_of_few_requests_uses_the_number_that_is_tolerated_beside_the_share() {
+    let (_old, new, site) = start_with_two_versions(GOOD).await;
+    site.store.put("op", "rollout/app", &order("v2", 4.0));
+    wait_until("the roll-out is in progress", || state(&site) == "in_progress").await;
+
+    for i in 0..60 {
+        site.request("GET", &format!("/safe/{i}"), "").await;
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    // 20 of the 30 requests that are tolerated, and 0.06 of all.
+    let exposed = new.requests().len();
+    assert!((10..=30).contains(&exposed), "{exposed} requests reached the new version");
+}
