Roll-outs: slowness is judged by the usual time of the route under other versions

Cause, from times logged in a trial build: the usual time was learned over all routes of a service and from the version on trial too.

The times that versions are compared with are learned by model, or by route where there is none, and never from a version on trial. Estimates for placing and patience are as before. An answer may be slow from 50 ms on (100 before): services that answer in 10 ms were never slow.

a_version_that_is_slow_on_a_fast_route_is_found_beside_a_slow_route was red before: 0 of 53 answers that took 60 ms where 5 are usual counted as slow.

--- a/src/policy/timing.rs
+++ b/src/policy/timing.rs
@@ -31,7 +31,7 @@
 /// Time before which no stream counts as slow, in seconds.
 const MIN_SLOW_STREAM_TIME: f64 = 0.3;
 /// Time before which no head counts as slow, whatever was expected, in seconds.
-const MIN_SLOW_HEAD_TIME: f64 = 0.1;
+const MIN_SLOW_HEAD_TIME: f64 = 0.05;
 
 /// Timing of one model, or of a service without models; all times are in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -22,6 +22,7 @@
         request::{
             request_context::RequestContext,
             response_wait::{ResponseWait, wait_for_response},
+            selection::usual_time_key,
         },
         servers::connection::{self, Checkout, ConnectError, Connection},
     },
@@ -142,6 +143,8 @@
     pub(crate) headers: AttemptHeaders<'a>,
     /// Whether the request must not run more than once.
     pub(crate) is_once_only: bool,
+    /// Model that is asked, if any.
+    pub(crate) model: Option<&'a str>,
     /// Key under which response times are learned: the model, or the service if there is none.
     pub(crate) latency_key: &'a str,
     /// Prefixes of the prompt that other requests may share.
@@ -199,13 +202,16 @@
     }
     let (tokens, elapsed) = (plan.uncached_tokens, started_at.elapsed());
     let speed = plan.member.state().speed;
-    let is_slow = router
-        .speed_estimates
-        .get(plan.latency_key)
-        .is_slow_head(tokens, elapsed.div_f64(speed.present(router.now())));
+    let at_present_speed = elapsed.div_f64(speed.present(router.now()));
+    let usual_key = usual_time_key(ctx, plan.model);
+    let is_slow = router.usual_times.get(usual_key).is_slow_head(tokens, at_present_speed);
     if head.kind == ResponseKind::Success {
         let at_usual_speed = elapsed.div_f64(speed.lasting());
         router.speed_estimates.record_head_time(plan.latency_key, tokens, ahead, at_usual_speed);
+        // A version that is being rolled out must not influence the times that it is measured by.
+        if !router.roll_outs.is_on_trial(&plan.member.server) {
+            router.usual_times.record_head_time(usual_key, tokens, ahead, at_usual_speed);
+        }
     }
     let member = plan.member.clone();
     if head.kind != ResponseKind::Success || framing.is_err() {
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -192,6 +192,7 @@
             last_event_id: params.last_event_id,
         },
         is_once_only: !ctx.route.is_idempotent(),
+        model: params.model,
         latency_key: key,
         prefixes: &prefixes,
         cached_prefix_count,
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -22,7 +22,7 @@
             refusal::Refusal,
             request_context::{AttemptParams, RequestContext},
             response_wait::{ResponseWait, wait_for_response},
-            selection::latency_key,
+            selection::usual_time_key,
             stages::{self, StageResponse},
             stream_queue::{CallerGone, StreamQueue, stream_queue},
         },
@@ -369,7 +369,7 @@
         // version that is being rolled out must not influence the mean that it is measured by.
         if run.gaps > 0 && !roll_outs.is_on_trial(server) {
             let interval = (run.elapsed() / run.gaps).div_f64(response.member.time_factor());
-            self.router.speed_estimates.record_event_interval(self.latency_key(), interval);
+            self.router.usual_times.record_event_interval(self.usual_time_key(), interval);
         }
         if !run.is_counted {
             roll_outs.record_outcome(server, &self.ctx.route.name, RunOutcome::Good);
@@ -377,11 +377,11 @@
     }
 
     fn timing(&self) -> TimingEstimate {
-        self.router.speed_estimates.get(self.latency_key())
+        self.router.usual_times.get(self.usual_time_key())
     }
 
-    fn latency_key(&self) -> &str {
-        latency_key(&self.ctx, AttemptParams { model: self.model.as_deref(), last_event_id: None })
+    fn usual_time_key(&self) -> &str {
+        usual_time_key(&self.ctx, self.model.as_deref())
     }
 
     /// Records the latency of a complete stream in metrics, and logs it if it missed its route's objectives.
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -200,3 +200,9 @@
 pub(crate) fn latency_key<'a>(ctx: &'a RequestContext, params: AttemptParams<'a>) -> &'a str {
     params.model.or(ctx.req.head.model.as_deref()).unwrap_or(&ctx.service)
 }
+
+/// Key under which the usual response times are learned that a new version is compared with: the model, or the route if
+/// there is none. Routes of one service may take very different times.
+pub(crate) fn usual_time_key<'a>(ctx: &'a RequestContext, model: Option<&'a str>) -> &'a str {
+    model.or(ctx.req.head.model.as_deref()).unwrap_or(&ctx.route.name)
+}
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -107,6 +107,8 @@
     pub(crate) usage: UsageMeter,
     /// Measured speed of the models.
     pub(crate) speed_estimates: TimingEstimates,
+    /// Times that new versions are compared with.
+    pub(crate) usual_times: TimingEstimates,
     /// The link to another entry that this one follows instead of the store.
     pub(crate) peer_link: PeerLink,
     /// Prometheus metrics.
@@ -155,6 +157,7 @@
             extra_share: Mutex::new(ExtraShare::new(CLOCK_ORIGIN)),
             overloads: Mutex::default(),
             speed_estimates: TimingEstimates::default(),
+            usual_times: TimingEstimates::default(),
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
             view_changed: Notify::new(),
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -368,3 +368,29 @@
     let exposed = new.requests().len();
     assert!((10..=30).contains(&exposed), "{exposed} requests reached the new version");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_is_slow_on_a_fast_route_is_found_beside_a_slow_route() {
+    let start = async |id: &str, once: u64| {
+        let script = move |req: &ReceivedRequest| {
+            let ms = if req.request_line.contains("/safe/") { 80 } else { once };
+            Action::RespondAfter { body: "good", delay: Duration::from_millis(ms) }
+        };
+        Server::start(id, script).await
+    };
+    let (old, new) = (start("i-1", 5).await, start("i-2", 60).await);
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    site.store.put("op", "rollout/app", &order("v2", 40.0));
+    wait_until("the roll-out is in progress", || state(&site) == "in_progress").await;
+
+    let is_found = || site.entry.router.dump()["roll_outs"][0]["held"] == true;
+    for i in 0..1_000 {
+        let (method, route) = if i % 4 == 0 { ("GET", "safe") } else { ("POST", "once") };
+        site.request(method, &format!("/{route}/{i}"), "").await;
+        if is_found() {
+            break;
+        }
+    }
+
+    assert!(is_found(), "{}", site.entry.router.dump()["roll_outs"]);
+}
