Roll-outs: a slow answer counts as soon as it is overdue, and timeouts of a busy server each

Cause: an answer was evidence only when it ended, so that in a short roll-out only the quick ones of a slow version counted; a stream whose head was slow counted as slow and, at its end, as good; and timeouts of one server counted once in two seconds, though it answered other requests in between.

An attempt counts as slow when it passes the time from which an answer is slow; how it ends counts as before. Overdue attempts and timeouts count once in two seconds only while nothing comes from the server, as when it is gone.

--- a/src/policy/route_evidence.rs
+++ b/src/policy/route_evidence.rs
@@ -50,10 +50,11 @@
     pub fn record(&mut self, route: RouteKey, is_new: bool, outcome: RunOutcome) {
         let counts = self.counts_mut(route);
         let evidence = if is_new { &mut counts.new } else { &mut counts.old };
-        evidence.answers += 1;
+        let is_slow = matches!(outcome, RunOutcome::Slow | RunOutcome::Overdue);
+        evidence.answers += u64::from(outcome != RunOutcome::Overdue);
         evidence.failures += u64::from(outcome == RunOutcome::Failed);
-        evidence.rated += u64::from(outcome != RunOutcome::Failed);
-        evidence.poor += u64::from(outcome == RunOutcome::Slow);
+        evidence.rated += u64::from(is_slow || outcome == RunOutcome::Good);
+        evidence.poor += u64::from(is_slow);
     }
 
     /// Adds counts of one route.
--- a/src/policy/run_outcome.rs
+++ b/src/policy/run_outcome.rs
@@ -8,6 +8,10 @@
     Good,
     /// Failed or interrupted.
     Failed,
-    /// Several times slower than usual.
+    /// Complete, but several times slower than usual.
     Slow,
+    /// Not complete yet, though it took several times longer than usual. Another outcome follows when it ends.
+    Overdue,
+    /// Complete after it was counted as overdue.
+    CompleteAfterOverdue,
 }
--- a/src/policy/timing.rs
+++ b/src/policy/timing.rs
@@ -79,13 +79,17 @@
 
     /// Whether a response head took several times longer than expected.
     pub fn is_slow_head(&self, prompt_tokens: u64, took: Duration) -> bool {
-        let Some(mean) = self.mean_head_time else {
-            return false;
-        };
+        self.slow_head_time(prompt_tokens).is_some_and(|slow| took > slow)
+    }
+
+    /// Time after which a response head is several times later than expected; none before the first answer.
+    pub fn slow_head_time(&self, prompt_tokens: u64) -> Option<Duration> {
+        let mean = self.mean_head_time?;
         let has_prompt = prompt_tokens > 0;
         let prefill_time = self.prefill_token_time * prompt_tokens as f64;
         let prefill_time = if has_prompt { FIXED_HEAD_TIME + prefill_time } else { 0.0 };
-        took.as_secs_f64() > (mean.max(prefill_time) * SLOW_HEAD_FACTOR).max(MIN_SLOW_HEAD_TIME)
+        let seconds = (mean.max(prefill_time) * SLOW_HEAD_FACTOR).max(MIN_SLOW_HEAD_TIME);
+        Some(Duration::from_secs_f64(seconds))
     }
 
     /// Records a stream's mean time between two events.
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -1,12 +1,17 @@
 //! One attempt: sends a request to one BackendServer and waits for the head of the response.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    pin::{Pin, pin},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::Request as HttpRequest;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     platform::{
@@ -81,6 +86,8 @@
     pub(crate) sent_at: Duration,
     /// Whether its head took several times longer than usual.
     pub(crate) is_slow: bool,
+    /// Whether that was counted while the head was awaited.
+    pub(crate) was_overdue: bool,
     connection: Connection,
     _outstanding: OutstandingGuard,
 }
@@ -183,7 +190,8 @@
     router.count_unavailable_send(plan.member, ctx.send_kind());
     // The runtime's clock stops during a suspension of the Host, which says nothing about the server's speed.
     let started_at = Instant::now();
-    let outcome = send_request(router, ctx, plan, sent_at, can_fail_over).await;
+    let sending = pin!(send_request(router, ctx, plan, sent_at, can_fail_over));
+    let (outcome, was_overdue) = record_if_overdue(router, ctx, plan, sent_at, sending).await;
     if let Err(e) = &outcome {
         record_error(router, plan.member, e);
         plan.member.state().prefixes.forget(plan.new_prefixes());
@@ -204,7 +212,8 @@
     let speed = plan.member.state().speed;
     let at_present_speed = elapsed.div_f64(speed.present(router.now()));
     let usual_key = usual_time_key(ctx, plan.model);
-    let is_slow = router.usual_times.get(usual_key).is_slow_head(tokens, at_present_speed);
+    let is_slow =
+        was_overdue || router.usual_times.get(usual_key).is_slow_head(tokens, at_present_speed);
     if head.kind == ResponseKind::Success {
         let at_usual_speed = elapsed.div_f64(speed.lasting());
         router.speed_estimates.record_head_time(plan.latency_key, tokens, ahead, at_usual_speed);
@@ -225,11 +234,35 @@
         member,
         sent_at,
         is_slow,
+        was_overdue,
         connection,
         _outstanding: outstanding,
     })
 }
 
+/// Waits for the outcome of an attempt, and counts it against the version as soon as it is several times later than
+/// usual: in a short roll-out, many slow answers end too late to count. Returns whether it was counted.
+async fn record_if_overdue<T>(
+    router: &Router,
+    ctx: &RequestContext,
+    plan: &AttemptPlan<'_>,
+    sent_at: Duration,
+    mut attempt: Pin<&mut impl Future<Output = T>>,
+) -> (T, bool) {
+    let usual = router.usual_times.get(usual_time_key(ctx, plan.model));
+    let Some(slow) = usual.slow_head_time(plan.uncached_tokens) else {
+        return (attempt.await, false);
+    };
+    let speed = plan.member.state().speed.present(router.now());
+    if let Ok(outcome) = timeout(slow.mul_f64(speed), attempt.as_mut()).await {
+        return (outcome, false);
+    }
+    let (server, route, now) = (&plan.member.server, &ctx.route.name, router.now());
+    let was_counted =
+        router.roll_outs.record_overdue(server, route, plan.member.is_silent(sent_at), now);
+    (attempt.await, was_counted)
+}
+
 /// Records which prefixes of the prompt the server will have cached, and reports them to the other entries.
 fn record_prompt_sent(router: &Router, plan: &AttemptPlan<'_>) {
     let now = router.now();
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -273,14 +273,16 @@
         }
         Err(AttemptError::Timeout) => {
             record_lost(router, ctx, member, sent_at, LossCause::Abandoned);
-            return router.roll_outs.record_timeout(&member.server, &ctx.route.name, router.now());
+            let (route, is_silent) = (&ctx.route.name, member.is_silent(sent_at));
+            return router.roll_outs.record_timeout(&member.server, route, is_silent, router.now());
         }
         Ok(response) if response.head.kind == ResponseKind::Success => {
-            // Recorded at the end of the body, except for a stream whose head was already slow.
-            if !response.is_slow || ctx.route.kind != RouteKind::Stream {
+            // Recorded at the end of the body, except that the head of a stream was slow.
+            let is_stream = ctx.route.kind == RouteKind::Stream;
+            if !is_stream || !response.is_slow || response.was_overdue {
                 return;
             }
-            RunOutcome::Slow
+            RunOutcome::Overdue
         }
         _ => RunOutcome::Failed,
     };
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -98,7 +98,7 @@
     let Some(read) = wait_for_response(router, &wait, read, || false).await else {
         // The deadline has passed, or the server has restarted.
         record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
-        router.roll_outs.record_timeout(&server.server, &ctx.route.name, router.now());
+        router.roll_outs.record_timeout(&server.server, &ctx.route.name, true, router.now());
         return Err(());
     };
     read
@@ -133,7 +133,11 @@
         }
     };
     if response.head.kind == ResponseKind::Success {
-        let outcome = if response.is_slow { RunOutcome::Slow } else { RunOutcome::Good };
+        let outcome = match (response.was_overdue, response.is_slow) {
+            (true, _) => RunOutcome::CompleteAfterOverdue,
+            (false, true) => RunOutcome::Slow,
+            (false, false) => RunOutcome::Good,
+        };
         router.roll_outs.record_outcome(&response.member.server, &ctx.route.name, outcome);
         router.record_answered_parts(ctx);
     }
@@ -271,7 +275,12 @@
             StreamError::Silent => {
                 server.record_failure(router.now());
                 record_lost(router, ctx, server, sent_at, LossCause::Abandoned);
-                router.roll_outs.record_timeout(&server.server, &ctx.route.name, router.now());
+                router.roll_outs.record_timeout(
+                    &server.server,
+                    &ctx.route.name,
+                    true,
+                    router.now(),
+                );
             }
             _ => record_broken_connection(router, ctx, server, sent_at).await,
         }
@@ -297,7 +306,7 @@
     /// Relays the events of one server until its stream is complete.
     async fn relay_events(&mut self, mut response: OpenResponse) -> Result<(), StreamError> {
         let mut splitter = EventSplitter::default();
-        let mut run = RunTiming::default();
+        let mut run = RunTiming { is_counted: response.is_slow, ..RunTiming::default() };
         loop {
             let timeouts = self.timeouts(&response.member);
             let next = pin!(response.body.frame());
@@ -359,7 +368,7 @@
         }
         run.is_counted = true;
         let route = &self.ctx.route.name;
-        self.router.roll_outs.record_outcome(&response.member.server, route, RunOutcome::Slow);
+        self.router.roll_outs.record_outcome(&response.member.server, route, RunOutcome::Overdue);
     }
 
     /// Records a complete run as evidence for its version, and learns the time between its events.
@@ -371,9 +380,9 @@
             let interval = (run.elapsed() / run.gaps).div_f64(response.member.time_factor());
             self.router.usual_times.record_event_interval(self.usual_time_key(), interval);
         }
-        if !run.is_counted {
-            roll_outs.record_outcome(server, &self.ctx.route.name, RunOutcome::Good);
-        }
+        let outcome =
+            if run.is_counted { RunOutcome::CompleteAfterOverdue } else { RunOutcome::Good };
+        roll_outs.record_outcome(server, &self.ctx.route.name, outcome);
     }
 
     fn timing(&self) -> TimingEstimate {
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -24,18 +24,36 @@
     telemetry::{Metrics, event},
 };
 
-/// Time in which several timeouts of one server count once: one long prompt may delay many streams.
-const TIMEOUT_DEDUP_WINDOW: Duration = Duration::from_secs(2);
-/// Number of servers with recorded timeouts from which expired ones are removed.
-const MAX_TIMEOUTS: usize = 4_096;
+/// Time in which what one silent server does counts once: one long prompt may delay many streams.
+const DEDUP_WINDOW: Duration = Duration::from_secs(2);
+/// Number of servers from which expired records are removed.
+const MAX_SERVERS: usize = 4_096;
 
 #[derive(Debug, Default)]
 struct Inner {
     roll_outs: HashMap<Box<str>, RollOut>,
     /// Withdrawn orders by service. A store that is restored from a backup may still have them.
     withdrawn: HashMap<Box<str>, RollOutOrder>,
-    /// When a timeout of each server was last counted.
-    timeouts: HashMap<Box<str>, Duration>,
+    timeouts: LastCounted,
+    overdue: LastCounted,
+}
+
+/// When something of each server was last counted.
+#[derive(Debug, Default)]
+struct LastCounted(HashMap<Box<str>, Duration>);
+
+impl LastCounted {
+    /// Whether nothing of this server was counted within [`DEDUP_WINDOW`]; if so, it is counted now.
+    fn is_first(&mut self, server: &str, now: Duration) -> bool {
+        if self.0.get(server).is_some_and(|at| now < *at + DEDUP_WINDOW) {
+            return false;
+        }
+        if self.0.len() >= MAX_SERVERS {
+            self.0.retain(|_, at| now < *at + DEDUP_WINDOW);
+        }
+        self.0.insert(server.into(), now);
+        true
+    }
 }
 
 /// All roll-outs, shared by the control and the traffic thread.
@@ -218,23 +236,33 @@
         }
     }
 
-    /// Records that a server did not answer in time. All requests that wait for a server time out
-    /// together, so its timeouts within [`TIMEOUT_DEDUP_WINDOW`] count as one failure.
-    pub(crate) fn record_timeout(&self, server: &BackendServer, route: &str, now: Duration) {
-        {
-            let mut inner = self.lock();
-            let counted_at = inner.timeouts.entry(server.id.clone()).or_default();
-            let is_duplicate =
-                *counted_at > Duration::ZERO && now < *counted_at + TIMEOUT_DEDUP_WINDOW;
-            if is_duplicate {
-                return;
-            }
-            *counted_at = now;
-            if inner.timeouts.len() > MAX_TIMEOUTS {
-                inner.timeouts.retain(|_, counted_at| now < *counted_at + TIMEOUT_DEDUP_WINDOW);
-            }
+    /// Records that an attempt got no answer in time. All requests that wait for a server that is silent time out together,
+    /// so its timeouts within [`DEDUP_WINDOW`] count as one failure.
+    pub(crate) fn record_timeout(
+        &self,
+        server: &BackendServer,
+        route: &str,
+        is_silent: bool,
+        now: Duration,
+    ) {
+        if !is_silent || self.lock().timeouts.is_first(&server.id, now) {
+            self.record_outcome(server, route, RunOutcome::Failed);
+        }
+    }
+
+    /// Records that an attempt is overdue; returns whether it counts. Those at a silent server count like its timeouts.
+    pub(crate) fn record_overdue(
+        &self,
+        server: &BackendServer,
+        route: &str,
+        is_silent: bool,
+        now: Duration,
+    ) -> bool {
+        let counts = !is_silent || self.lock().overdue.is_first(&server.id, now);
+        if counts {
+            self.record_outcome(server, route, RunOutcome::Overdue);
         }
-        self.record_outcome(server, route, RunOutcome::Failed);
+        counts
     }
 
     /// This entry's evidence on the roll-outs in progress, for its next report.
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -273,6 +273,11 @@
         }
     }
 
+    /// Whether nothing was received from the server since a request was sent.
+    pub(crate) fn is_silent(&self, sent_at: Duration) -> bool {
+        self.received_at() <= sent_at
+    }
+
     /// Records that requests were lost, so that the next data shows that the server runs again.
     pub(crate) fn await_recovery(&self) {
         self.state().awaits_recovery = true;
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -55,7 +55,7 @@
     if has_ended(router, member).await {
         // All requests on the server failed together, which is one failure of the version rather than one per
         // request.
-        router.roll_outs.record_timeout(&member.server, &ctx.route.name, router.now());
+        router.roll_outs.record_timeout(&member.server, &ctx.route.name, true, router.now());
     } else {
         router.roll_outs.record_outcome(&member.server, &ctx.route.name, RunOutcome::Failed);
     }
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -394,3 +395,36 @@
 
     assert!(is_found(), "{}", site.entry.router.dump()["roll_outs"]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_slow_version_count_before_they_begin() {
+    let stream = Action::Stream { last_event: 4, is_complete: true, confidence: 90 };
+    let old = start_server("i-1", stream.clone()).await;
+    let served = AtomicUsize::new(0);
+    let script = move |_: &ReceivedRequest| {
+        let is_late = served.fetch_add(1, Ordering::Relaxed) % 2 == 1;
+        if is_late { Action::Hang } else { stream.clone() }
+    };
+    let new = Server::start("i-2", script).await;
+    let site = Site::start(&[(&old, "llm", "v1"), (&new, "llm", "v2")]).await;
+    let order = json!({"service": "llm", "to": "v2", "duration-s": 8.0});
+    site.store.put("op", "rollout/llm", &order);
+    let is_ordered = || site.store.read("status", "rollout/llm").is_some();
+    wait_until("the roll-out is in progress", is_ordered).await;
+    let send = |i: u64| {
+        let site = &site;
+        async move {
+            sleep(Duration::from_millis(15 * i)).await;
+            site.request("POST", &format!("/plain/{i}"), "").await
+        }
+    };
+
+    let are_counted = wait_until("slow streams are counted", || {
+        let dump = &site.entry.router.dump()["roll_outs"][0];
+        dump["slow"].as_u64() >= Some(3) && dump["failures"] == 0
+    });
+    tokio::select! {
+        _ = join_all((0..300).map(send)) => panic!("{}", site.entry.router.dump()["roll_outs"]),
+        () = are_counted => {}
+    }
+}
