Roll-outs: routes that can't get worse or are rare do not prevent completion

The risk counts what is left to lose on a route, and its share of the answers twice: for how likely a fault concerns the route, and for what it would do. A rate over 0.9 is not tested. The trial samples by what is still needed.

--- a/src/load/roll_out_curve.rs
+++ b/src/load/roll_out_curve.rs
@@ -289,12 +289,16 @@
     let two = vec![(0.45, 0.14), (0.55, 0.004)];
     let two_swapped = vec![(0.55, 0.004), (0.45, 0.14)];
     let five = vec![(0.3, 0.004), (0.25, 0.0), (0.2, 0.05), (0.05, 0.0), (0.2, 0.2)];
+    // With a route that always fails, and rare ones.
+    let uneven =
+        vec![(0.38, 0.004), (0.12, 0.0), (0.08, 1.0), (0.03, 0.0), (0.01, 0.0), (0.38, 0.14)];
     let service =
         |rate, routes: &Vec<_>, entries| SimulatedService { rate, routes: routes.clone(), entries };
     vec![
         service(5.0, &two, 3),
         service(13.0, &two, 3),
         service(13.0, &two_swapped, 3),
+        service(16.0, &uneven, 3),
         service(45.0, &two_swapped, 4),
         service(45.0, &five, 30),
         service(165.0, &five, 385),
--- a/src/policy/version_verdict.rs
+++ b/src/policy/version_verdict.rs
@@ -17,6 +17,10 @@
 
 /// Answers of the old version on a route from which its rates are known well enough to compare with.
 const MIN_OLD_ANSWERS: u64 = 10;
+/// Rate of failures or slow answers from which a route can't be tested, and has little to lose.
+const MAX_TESTABLE_RATE: f64 = 0.9;
+/// Smallest part of the greatest sample that a route gets: a route that was shown to be good may turn bad.
+const MIN_SAMPLE_PART: f64 = 0.2;
 /// Bound of the sums that show that a version is not worse, beyond what completion needs. It limits how many good
 /// answers can hide that a version has turned bad.
 const MAX_SURPLUS: f64 = 1.0;
@@ -39,44 +43,71 @@
     pub const DEFAULT: Self = Self {
         guard: Guard { step_samples: 1, tolerated_rise: 0.15, false_hold: 0.1 },
         detectable_rise: 0.35,
-        completion_risk: 0.002,
+        completion_risk: 0.004,
     };
 }
 
-/// Shows that a rate has not risen.
+/// Bad and all answers of one version on a route.
 #[derive(Clone, Copy, Debug, Default)]
-struct NoRiseTest {
+struct Counts {
     bad: u64,
     all: u64,
+}
+
+impl Counts {
+    fn failures(evidence: Evidence) -> Self {
+        Self { bad: evidence.failures, all: evidence.answers }
+    }
+
+    fn slow(evidence: Evidence) -> Self {
+        Self { bad: evidence.poor, all: evidence.rated }
+    }
+
+    /// Estimate of the rate, never 0 or 1.
+    fn rate(self) -> f64 {
+        (self.bad as f64 + 0.5) / (self.all as f64 + 1.5)
+    }
+}
+
+/// Shows that a rate has not risen.
+#[derive(Clone, Copy, Debug, Default)]
+struct NoRiseTest {
+    seen: Counts,
     /// Log-likelihood ratio of the old rate against a risen one, from 0 to a maximum: a version that turns bad soon
     /// uses up what its good answers have added.
     sum: f64,
+    /// Part that a risen rate has in the risk: the share of the requests that it may concern, twice, see
+    /// [`VersionVerdict::risk`].
+    weight: f64,
+    /// How many answers are needed until the part in the risk is small enough, on average.
+    needed: f64,
 }
 
 impl NoRiseTest {
-    /// Adds the answers of the new version since the last call; both are counts of bad and of all answers.
-    fn observe(&mut self, old: (u64, u64), new: (u64, u64), max: f64, config: &VerdictConfig) {
-        let bad = new.0.saturating_sub(self.bad) as f64;
-        let good = new.1.saturating_sub(self.all) as f64 - bad;
-        (self.bad, self.all) = new;
-        let base = (old.0 as f64 + 0.5) / (old.1 as f64 + 1.5);
-        let risen = base + config.detectable_rise * (1.0 - base);
-        let ratio = good * ((1.0 - base) / (1.0 - risen)).ln() - bad * (risen / base).ln();
-        self.sum = (self.sum + ratio).clamp(0.0, max);
-    }
-
-    /// How many answers of a version that is not worse bring the sum to `max`, on average.
-    fn answers_needed(&self, old: (u64, u64), max: f64, config: &VerdictConfig) -> f64 {
-        let base = (old.0 as f64 + 0.5) / (old.1 as f64 + 1.5);
-        let risen = base + config.detectable_rise * (1.0 - base);
-        let information =
-            base * (base / risen).ln() + (1.0 - base) * ((1.0 - base) / (1.0 - risen)).ln();
-        (max - self.sum).max(0.0) / information.max(f64::EPSILON)
+    /// Adds the answers of the new version since the last call. `share` is the route's share of all answers, and
+    /// `max_risk` what each test may leave of the risk.
+    fn observe(&mut self, old: Counts, new: Counts, share: f64, max_risk: f64, rise: f64) {
+        let base = old.rate();
+        if base > MAX_TESTABLE_RATE {
+            (self.weight, self.needed) = (0.0, 0.0);
+            return;
+        }
+        let risen = base + rise * (1.0 - base);
+        let (bad_ratio, good_ratio) = ((base / risen).ln(), ((1.0 - base) / (1.0 - risen)).ln());
+        self.weight = share.powi(2) * (1.0 - base);
+        let needed = (self.weight / max_risk).ln().max(0.0);
+        let bad = new.bad.saturating_sub(self.seen.bad) as f64;
+        let good = new.all.saturating_sub(self.seen.all) as f64 - bad;
+        self.seen = new;
+        self.sum += good * good_ratio + bad * bad_ratio;
+        self.sum = self.sum.clamp(0.0, needed + MAX_SURPLUS);
+        let information = base * bad_ratio + (1.0 - base) * good_ratio;
+        self.needed = (needed - self.sum).max(0.0) / information;
     }
 
-    /// Probability ratio that remains for a risen rate.
-    fn remaining(&self) -> f64 {
-        (-self.sum).exp()
+    /// What remains of the risk.
+    fn risk(&self) -> f64 {
+        self.weight * (-self.sum).exp()
     }
 }
 
@@ -88,29 +119,33 @@
     pace: NoRiseTest,
     /// Its share of the answers.
     share: f64,
-    /// How many answers of the new version are still needed to complete it, on average.
-    needed: f64,
 }
 
 impl RouteTest {
-    /// `max` bounds the sums that show that the version is not worse.
-    fn observe(&mut self, counts: VersionCounts, max: f64, config: &VerdictConfig) {
+    fn observe(&mut self, counts: VersionCounts, all: u64, max_risk: f64, config: &VerdictConfig) {
         let VersionCounts { old, new } = counts;
+        let share = |answers: u64| answers as f64 / all as f64;
+        self.share = share(old.answers + new.answers);
         if old.answers < MIN_OLD_ANSWERS {
+            // Nothing is known of its rates, so all of it is at risk.
+            self.failures.weight = self.share.powi(2);
             return;
         }
         self.worse.observe(old, new, &config.guard);
-        let failures = |e: Evidence| (e.failures, e.answers);
-        self.failures.observe(failures(old), failures(new), max, config);
-        let pace = |e: Evidence| (e.poor, e.rated);
-        self.pace.observe(pace(old), pace(new), max, config);
-        let needed = self.failures.answers_needed(failures(old), max, config);
-        self.needed = needed.max(self.pace.answers_needed(pace(old), max, config));
+        let (failures, slow) = (Counts::failures, Counts::slow);
+        let rise = config.detectable_rise;
+        self.failures.observe(failures(old), failures(new), self.share, max_risk, rise);
+        let rated = share(old.rated + new.rated);
+        self.pace.observe(slow(old), slow(new), rated, max_risk, rise);
+    }
+
+    fn risk(&self) -> f64 {
+        self.failures.risk() + self.pace.risk()
     }
 
-    /// Weight of the route in the risk.
-    fn weight(&self) -> f64 {
-        self.share.powi(2)
+    /// How many answers of the new version are needed for each request of the route.
+    fn need(&self) -> f64 {
+        self.failures.needed.max(self.pace.needed) / self.share.max(f64::EPSILON)
     }
 }
 
@@ -128,12 +163,10 @@
     pub fn observe(&mut self, evidence: &RouteEvidence, config: &VerdictConfig) {
         let VersionCounts { old, new } = evidence.total();
         self.total.observe(old, new, &config.guard);
-        let (all, routes) = ((old.answers + new.answers) as f64, evidence.iter().count() as f64);
-        for (key, counts) in evidence.iter() {
-            let route = self.routes.entry(key).or_default();
-            route.share = (counts.old.answers + counts.new.answers) as f64 / all;
-            let needed = (route.weight() * 2.0 * routes / config.completion_risk).ln().max(0.0);
-            route.observe(counts, needed + MAX_SURPLUS, config);
+        let all = old.answers + new.answers;
+        let max_risk = config.completion_risk / (2.0 * evidence.iter().count() as f64);
+        for (route, counts) in evidence.iter() {
+            self.routes.entry(route).or_default().observe(counts, all, max_risk, config);
         }
         self.is_worse |= self.strength(config) >= 1.0;
     }
@@ -154,12 +187,12 @@
     /// Share of a route's requests, up to `max`, that the trial should sample: more where more answers are needed, so that
     /// all routes are decided at the same time.
     pub fn sample_share(&self, route: RouteKey, max: f64) -> f64 {
-        let need = |r: &RouteTest| r.needed / r.share.max(f64::EPSILON);
-        let greatest = self.routes.values().map(need).fold(0.0, f64::max);
-        let Some(route) = self.routes.get(&route).filter(|_| greatest > 0.0) else {
+        let greatest = self.routes.values().map(RouteTest::need).fold(0.0, f64::max);
+        let Some(route) = self.routes.get(&route) else {
             return max;
         };
-        max * need(route) / greatest
+        let need = if greatest > 0.0 { route.need() / greatest } else { 1.0 };
+        max * need.max(MIN_SAMPLE_PART)
     }
 
     /// Whether the version was shown to be no worse.
@@ -168,13 +201,12 @@
     }
 
     /// Risk of completing the version: the share of the requests that a bad version would affect, times the probability
-    /// ratio that remains for it, summed over routes that may be bad. Each is weighted by its share of the requests
-    /// twice: for how likely a fault concerns it, and for what the fault would do.
+    /// ratio that remains for it, summed over what may be bad. The share counts twice: for how likely a fault concerns
+    /// a route, and for what it would do.
     pub fn risk(&self) -> f64 {
         if self.routes.is_empty() {
             return 1.0;
         }
-        let risk = |r: &RouteTest| r.weight() * (r.failures.remaining() + r.pace.remaining());
-        self.routes.values().map(risk).sum()
+        self.routes.values().map(RouteTest::risk).sum()
     }
 }
--- a/src/router/roll_outs/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -83,7 +83,7 @@
     /// The evidence by route.
     pub(crate) fn by_route(&self) -> RouteEvidence {
         let mut evidence = RouteEvidence::default();
-        if self.routes.is_empty() {
+        if self.routes.is_empty() && self.old.answers + self.new.answers > 0 {
             evidence.add(OTHER_ROUTES, VersionCounts { old: self.old, new: self.new });
         }
         self.routes.iter().for_each(|route| evidence.add(route.0, route.counts()));
--- a/tests/roll_out_verdicts.rs
+++ b/tests/roll_out_verdicts.rs
@@ -138,3 +138,17 @@
         assert!((10..=30).contains(&used), "{entries} entries use {used}");
     }
 }
+
+#[test]
+fn a_route_that_always_fails_does_not_prevent_completion() {
+    let config = VerdictConfig::DEFAULT;
+    let (mut evidence, mut verdict) = (RouteEvidence::default(), VersionVerdict::default());
+    record(&mut evidence, "sound", false, 900, 1_000);
+    record(&mut evidence, "broken", false, 100, 1);
+    record(&mut evidence, "sound", true, 90, 1_000);
+    record(&mut evidence, "broken", true, 10, 1);
+
+    verdict.observe(&evidence, &config);
+
+    assert!(verdict.is_no_worse(&config), "risk {}", verdict.risk());
+}
