Roll-outs: repeats of a request are no evidence

A request that fails on one server mostly fails on the next one, so each counted twice, and the trial's sample could take a repeat of a request that had just failed on the old version.

Only attempts that follow no failed one count and may be sampled. a_request_that_fails_at_each_attempt_counts_once_as_evidence was red before: 40 answers of 20 requests.

--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -257,9 +257,7 @@
     if let Ok(outcome) = timeout(slow.mul_f64(speed), attempt.as_mut()).await {
         return (outcome, false);
     }
-    let (server, route, now) = (&plan.member.server, &ctx.route.name, router.now());
-    let was_counted =
-        router.roll_outs.record_overdue(server, route, plan.member.is_silent(sent_at), now);
+    let was_counted = router.record_overdue(ctx, plan.member, sent_at);
     (attempt.await, was_counted)
 }
 
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -164,6 +164,7 @@
     member: &Arc<Member>,
     params: AttemptParams<'_>,
 ) -> Result<OpenResponse, AttemptError> {
+    ctx.is_repeat = ctx.has_lost_attempt();
     let allows_failover = ctx.route.is_idempotent() && ctx.runs_left() > 1;
     let key = latency_key(ctx, params);
     let timing = router.speed_estimates.get(key);
@@ -273,8 +274,7 @@
         }
         Err(AttemptError::Timeout) => {
             record_lost(router, ctx, member, sent_at, LossCause::Abandoned);
-            let (route, is_silent) = (&ctx.route.name, member.is_silent(sent_at));
-            return router.roll_outs.record_timeout(&member.server, route, is_silent, router.now());
+            return router.record_run_timeout(ctx, member, sent_at);
         }
         Ok(response) if response.head.kind == ResponseKind::Success => {
             // Recorded at the end of the body, except that the head of a stream was slow.
@@ -286,5 +286,5 @@
         }
         _ => RunOutcome::Failed,
     };
-    router.roll_outs.record_outcome(&member.server, &ctx.route.name, outcome);
+    router.record_run(ctx, member, outcome);
 }
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod serve;
 pub(crate) mod stages;
 pub(crate) mod stream_queue;
+pub(crate) mod version_evidence;
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -98,7 +98,7 @@
     let Some(read) = wait_for_response(router, &wait, read, || false).await else {
         // The deadline has passed, or the server has restarted.
         record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
-        router.roll_outs.record_timeout(&server.server, &ctx.route.name, true, router.now());
+        router.record_server_failure(ctx, &server);
         return Err(());
     };
     read
@@ -138,7 +138,7 @@
             (false, true) => RunOutcome::Slow,
             (false, false) => RunOutcome::Good,
         };
-        router.roll_outs.record_outcome(&response.member.server, &ctx.route.name, outcome);
+        router.record_run(ctx, &response.member, outcome);
         router.record_answered_parts(ctx);
     }
     router.record_complete_answer(ctx);
@@ -275,12 +275,7 @@
             StreamError::Silent => {
                 server.record_failure(router.now());
                 record_lost(router, ctx, server, sent_at, LossCause::Abandoned);
-                router.roll_outs.record_timeout(
-                    &server.server,
-                    &ctx.route.name,
-                    true,
-                    router.now(),
-                );
+                router.record_server_failure(ctx, server);
             }
             _ => record_broken_connection(router, ctx, server, sent_at).await,
         }
@@ -367,22 +362,20 @@
             return;
         }
         run.is_counted = true;
-        let route = &self.ctx.route.name;
-        self.router.roll_outs.record_outcome(&response.member.server, route, RunOutcome::Overdue);
+        self.router.record_run(&self.ctx, &response.member, RunOutcome::Overdue);
     }
 
     /// Records a complete run as evidence for its version, and learns the time between its events.
     fn record_complete_run(&self, response: &OpenResponse, run: &RunTiming) {
-        let (server, roll_outs) = (&response.member.server, &self.router.roll_outs);
         // Slow runs are included in the mean: without them it would fall, and more runs would count as slow. A
         // version that is being rolled out must not influence the mean that it is measured by.
-        if run.gaps > 0 && !roll_outs.is_on_trial(server) {
+        if run.gaps > 0 && !self.router.roll_outs.is_on_trial(&response.member.server) {
             let interval = (run.elapsed() / run.gaps).div_f64(response.member.time_factor());
             self.router.usual_times.record_event_interval(self.usual_time_key(), interval);
         }
         let outcome =
             if run.is_counted { RunOutcome::CompleteAfterOverdue } else { RunOutcome::Good };
-        roll_outs.record_outcome(server, &self.ctx.route.name, outcome);
+        self.router.record_run(&self.ctx, &response.member, outcome);
     }
 
     fn timing(&self) -> TimingEstimate {
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -41,6 +41,8 @@
     pub(crate) attempts: Vec<AttemptState>,
     /// Attempts that may have run on a server.
     pub(crate) runs: u32,
+    /// Whether the current attempt repeats one that failed.
+    pub(crate) is_repeat: bool,
     /// Attempts that reached a server.
     pub(crate) deliveries: u32,
     /// Whether a retry was taken from the budget and not used yet.
@@ -77,6 +79,7 @@
             _in_flight: in_flight,
             attempts,
             runs: 0,
+            is_repeat: false,
             deliveries: 0,
             has_retry: false,
             tried_servers,
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -52,7 +52,8 @@
     let settings = router.settings.load();
     // Evaluated for each attempt, since a roll-out may have begun since the last one.
     let (route, head, now) = (&ctx.route.name, &ctx.req.head, router.now());
-    let part = || router.trial_part();
+    // A random sample has no repeats, which are mostly of requests that fail.
+    let part = || (!ctx.has_lost_attempt()).then(|| router.trial_part());
     let versions = router.roll_outs.version_rule(&ctx.service, route, head, now, part);
     let members = fleet.of_service(&ctx.service);
     let reachable = members.iter().filter(|m| !ctx.is_unreachable(&m.server.id));
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -190,14 +190,14 @@
     }
 
     /// Rule for the versions that may run a request on this route now. `trial_part` is asked for this entry's part of the
-    /// requests that a trial may have beside its share.
+    /// requests that a trial may have beside its share; none if the request must not be one of them.
     pub(crate) fn version_rule(
         &self,
         service: &str,
         route: &str,
         head: &RequestHead,
         now: Duration,
-        trial_part: impl FnOnce() -> f64,
+        trial_part: impl FnOnce() -> Option<f64>,
     ) -> VersionRule {
         let inner = self.lock();
         let Some(roll_out) = inner.roll_outs.get(service) else {
--- a/src/router/roll_outs/roll_out_state.rs
+++ b/src/router/roll_outs/roll_out_state.rs
@@ -163,7 +163,7 @@
         head: &RequestHead,
         now: Duration,
         config: &ExposureConfig,
-        trial_part: impl FnOnce() -> f64,
+        trial_part: impl FnOnce() -> Option<f64>,
     ) -> VersionRule {
         let new = VersionRule::Only(self.order.to.clone());
         let old = VersionRule::Except(self.order.to.clone());
@@ -180,7 +180,8 @@
         let share = match head.session {
             Some(_) => session_share(elapsed, duration, config),
             None => {
-                let sample_share = self.sample_share(route, now, config, trial_part());
+                let sample = |part| self.sample_share(route, now, config, part);
+                let sample_share = trial_part().map_or(0.0, sample);
                 request_share(elapsed, duration, config).max(sample_share)
             }
         };
--- a/src/router/servers/server_ends.rs
+++ b/src/router/servers/server_ends.rs
@@ -48,16 +48,16 @@
         return;
     }
     if running.is_none() {
-        router.roll_outs.record_outcome(&member.server, &ctx.route.name, RunOutcome::Failed);
+        router.record_run(ctx, member, RunOutcome::Failed);
         return;
     }
     record_lost(router, ctx, member, sent_at, LossCause::Disconnected);
     if has_ended(router, member).await {
         // All requests on the server failed together, which is one failure of the version rather than one per
         // request.
-        router.roll_outs.record_timeout(&member.server, &ctx.route.name, true, router.now());
+        router.record_server_failure(ctx, member);
     } else {
-        router.roll_outs.record_outcome(&member.server, &ctx.route.name, RunOutcome::Failed);
+        router.record_run(ctx, member, RunOutcome::Failed);
     }
 }
 
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -428,3 +428,20 @@
         () = are_counted => {}
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_fails_at_each_attempt_counts_once_as_evidence() {
+    let (old, new) = (start_server("i-1", FAILS).await, start_server("i-2", FAILS).await);
+    let site = Site::start(&[(&old, "app", "v1"), (&new, "app", "v2")]).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    wait_until("the roll-out is in progress", || state(&site) == "in_progress").await;
+
+    for i in 0..20 {
+        site.request("GET", &format!("/safe/{i}"), "").await;
+    }
+
+    let route = &site.entry.router.dump()["roll_outs"][0]["routes_of_all"][0];
+    let count = |name: &str| route[name].as_u64().unwrap();
+    assert_eq!(count("answers") + count("old_answers"), 20, "{route}");
+    assert!(old.requests().len() + new.requests().len() > 20, "no request was repeated");
+}
