Roll-outs: the pace of a stream is judged when it is complete, or when it is far behind

A complete stream is slow at twice the usual time between events, one that goes on from 2 s on at three times; a head behind a prompt at six times the usual in place of four. No test of its own: the change is one of rates.

--- a/src/policy/timing.rs
+++ b/src/policy/timing.rs
@@ -25,11 +25,18 @@
 /// An answer whose head takes this many times longer than expected counts against its version. Bad versions
 /// take several times as long, while queueing seldom doubles the time.
 const SLOW_HEAD_FACTOR: f64 = 4.0;
+/// The same for answers to prompts, which wait behind other prompts more often.
+const SLOW_PROMPT_FACTOR: f64 = 6.0;
 /// A stream whose events take this many times longer than the mean counts against its version. Streams of a
 /// good version do so, too, beside long prompts; the rate is therefore compared with that of the old version.
 const SLOW_STREAM_FACTOR: f64 = 2.0;
 /// Time before which no stream counts as slow, in seconds.
 const MIN_SLOW_STREAM_TIME: f64 = 0.3;
+/// A stream that is not complete yet counts against its version if its events take this many times longer: many wait
+/// for a long prompt and then catch up.
+const OVERDUE_STREAM_FACTOR: f64 = 3.0;
+/// Time before which no such stream counts, in seconds.
+const MIN_OVERDUE_STREAM_TIME: f64 = 2.0;
 /// Time before which no head counts as slow, whatever was expected, in seconds.
 const MIN_SLOW_HEAD_TIME: f64 = 0.05;
 
@@ -88,7 +95,8 @@
         let has_prompt = prompt_tokens > 0;
         let prefill_time = self.prefill_token_time * prompt_tokens as f64;
         let prefill_time = if has_prompt { FIXED_HEAD_TIME + prefill_time } else { 0.0 };
-        let seconds = (mean.max(prefill_time) * SLOW_HEAD_FACTOR).max(MIN_SLOW_HEAD_TIME);
+        let factor = if has_prompt { SLOW_PROMPT_FACTOR } else { SLOW_HEAD_FACTOR };
+        let seconds = (mean.max(prefill_time) * factor).max(MIN_SLOW_HEAD_TIME);
         Some(Duration::from_secs_f64(seconds))
     }
 
@@ -99,13 +107,21 @@
         *mean += (event_interval - *mean) * MEAN_STEP;
     }
 
-    /// Whether this number of intervals between events took several times longer than usual.
+    /// Whether a complete stream with this number of intervals between events took several times longer than usual.
     pub fn is_slow_stream(&self, intervals: u32, took: Duration) -> bool {
-        let Some(mean) = self.mean_event_interval else {
-            return false;
-        };
-        let expected = mean * f64::from(intervals) * SLOW_STREAM_FACTOR;
-        took.as_secs_f64() > expected.max(MIN_SLOW_STREAM_TIME)
+        let slow = self.usual_stream_time(intervals).map(|usual| usual * SLOW_STREAM_FACTOR);
+        slow.is_some_and(|slow| took.as_secs_f64() > slow.max(MIN_SLOW_STREAM_TIME))
+    }
+
+    /// Whether a stream that goes on has taken several times longer than usual for this number of intervals.
+    pub fn is_overdue_stream(&self, intervals: u32, took: Duration) -> bool {
+        let slow = self.usual_stream_time(intervals).map(|usual| usual * OVERDUE_STREAM_FACTOR);
+        slow.is_some_and(|slow| took.as_secs_f64() > slow.max(MIN_OVERDUE_STREAM_TIME))
+    }
+
+    /// Mean time of this number of intervals between events, in seconds; none before the first stream.
+    fn usual_stream_time(&self, intervals: u32) -> Option<f64> {
+        self.mean_event_interval.map(|mean| mean * f64::from(intervals))
     }
 
     /// Prefill time of one token on an engine with no other prompts.
--- a/src/policy/version_verdict.rs
+++ b/src/policy/version_verdict.rs
@@ -84,9 +84,9 @@
 }
 
 impl NoRiseTest {
-    /// Adds the answers of the new version since the last call. `share` is the route's share of all answers, and
-    /// `max_risk` what each test may leave of the risk.
-    fn observe(&mut self, old: Counts, new: Counts, share: f64, max_risk: f64, rise: f64) {
+    /// Adds the answers of the new version since the last call. `weight` is that of a fault that concerns all answers of
+    /// the route, and `max_risk` what each test may leave of the risk.
+    fn observe(&mut self, old: Counts, new: Counts, weight: f64, max_risk: f64, rise: f64) {
         let base = old.rate();
         if base > MAX_TESTABLE_RATE {
             (self.weight, self.needed) = (0.0, 0.0);
@@ -94,7 +94,7 @@
         }
         let risen = base + rise * (1.0 - base);
         let (bad_ratio, good_ratio) = ((base / risen).ln(), ((1.0 - base) / (1.0 - risen)).ln());
-        self.weight = share.powi(2) * (1.0 - base);
+        self.weight = weight * (1.0 - base);
         let needed = (self.weight / max_risk).ln().max(0.0);
         let bad = new.bad.saturating_sub(self.seen.bad) as f64;
         let good = new.all.saturating_sub(self.seen.all) as f64 - bad;
@@ -134,9 +134,10 @@
         self.worse.observe(old, new, &config.guard);
         let (failures, slow) = (Counts::failures, Counts::slow);
         let rise = config.detectable_rise;
-        self.failures.observe(failures(old), failures(new), self.share, max_risk, rise);
-        let rated = share(old.rated + new.rated);
-        self.pace.observe(slow(old), slow(new), rated, max_risk, rise);
+        let weight = self.share.powi(2);
+        self.failures.observe(failures(old), failures(new), weight, max_risk, rise);
+        let weight = share(old.rated + new.rated).powi(2);
+        self.pace.observe(slow(old), slow(new), weight, max_risk, rise);
     }
 
     fn risk(&self) -> f64 {
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -358,7 +358,7 @@
     fn check_pace(&self, response: &OpenResponse, run: &mut RunTiming) {
         run.record_event(Instant::now());
         let elapsed = run.elapsed().div_f64(response.member.time_factor());
-        if run.is_counted || !self.timing().is_slow_stream(run.gaps, elapsed) {
+        if run.is_counted || !self.timing().is_overdue_stream(run.gaps, elapsed) {
             return;
         }
         run.is_counted = true;
@@ -367,14 +367,20 @@
 
     /// Records a complete run as evidence for its version, and learns the time between its events.
     fn record_complete_run(&self, response: &OpenResponse, run: &RunTiming) {
+        let elapsed = run.elapsed().div_f64(response.member.time_factor());
+        let outcome = if run.is_counted {
+            RunOutcome::CompleteAfterOverdue
+        } else if self.timing().is_slow_stream(run.gaps, elapsed) {
+            RunOutcome::Slow
+        } else {
+            RunOutcome::Good
+        };
         // Slow runs are included in the mean: without them it would fall, and more runs would count as slow. A
         // version that is being rolled out must not influence the mean that it is measured by.
         if run.gaps > 0 && !self.router.roll_outs.is_on_trial(&response.member.server) {
-            let interval = (run.elapsed() / run.gaps).div_f64(response.member.time_factor());
+            let interval = elapsed / run.gaps;
             self.router.usual_times.record_event_interval(self.usual_time_key(), interval);
         }
-        let outcome =
-            if run.is_counted { RunOutcome::CompleteAfterOverdue } else { RunOutcome::Good };
         self.router.record_run(&self.ctx, &response.member, outcome);
     }
 
