Roll-outs: a verdict is conditional on its order, and a status of another order is not taken for its own

Cause, read in the code and shown by a test that orders the events: an entry that has not read a later order yet reads the status of that one. It took the later order's verdict for its own, so that it sent all requests to a version that was never completed; where the version differs, it wrote its own verdict over the newer one, since only the row of the status was compared.

A status counts for an order only with the same version, a verdict is written together with the unchanged row of the start, and a start is not written over that of a later order, nor taken as written when another row came first.

verdicts_on_an_older_and_a_newer_order_are_not_mistaken_for_each_other was red before (Completed in place of Running), and with the check of the version alone (the status was v2's in place of v3's).

--- a/src/router/roll_outs/roll_out_driver.rs
+++ b/src/router/roll_outs/roll_out_driver.rs
@@ -44,6 +44,13 @@
     began_ms: u64,
 }
 
+impl RollOutRow {
+    /// Version of the roll-out's order.
+    fn order(&self) -> StoreVersion {
+        StoreVersion { era: self.era, revision: self.revision }
+    }
+}
+
 /// Known rows of the store about roll-outs.
 #[derive(Debug, Default)]
 struct KnownRows {
@@ -82,11 +89,17 @@
     /// Progress of an order in the store and when it began; none if it has not been started.
     fn progress(&self, order: &RollOutOrder) -> Option<(RollOutProgress, u64)> {
         let (_, own) = self.own.get(&order.service)?;
-        if (StoreVersion { era: own.era, revision: own.revision }) != order.written_at {
+        if own.order() != order.written_at {
             return None;
         }
         let (_, status) = self.status.get(&order.service)?;
-        Some((status.progress, own.began_ms))
+        // The status may be newer than the known row of the start, and belong to a later order.
+        (status.to == order.to).then_some((status.progress, own.began_ms))
+    }
+
+    /// Whether a later order for the service has been started.
+    fn is_outdated(&self, order: &RollOutOrder) -> bool {
+        self.own.get(&order.service).is_some_and(|(_, own)| own.order() > order.written_at)
     }
 
     /// Moves to a newer era and discards all rows of the old one. Returns whether the era is newer.
@@ -197,8 +210,8 @@
     }
 }
 
-/// Ensures that an order is started. Returns whether the store answered; otherwise the next check
-/// retries.
+/// Ensures that an order is started. Returns whether its start, or that of a later order, is in the
+/// store; otherwise the next check retries.
 async fn try_start(
     router: &Router,
     store: &StoreClient,
@@ -210,7 +223,7 @@
         // The feeds log that the store is unreachable.
         router.metrics.count_store_error("roll_out");
     }
-    outcome.is_ok()
+    outcome.is_ok() && (known.progress(order).is_some() || known.is_outdated(order))
 }
 
 /// Applies rows about roll-outs that the followed entry forwarded.
@@ -263,7 +276,7 @@
     order: &RollOutOrder,
 ) -> crate::platform::Result<()> {
     let now = read_rows(router, store, known).await?;
-    if known.progress(order).is_none() {
+    if known.progress(order).is_none() && !known.is_outdated(order) {
         write_state(router, store, known, order, now, RollOutProgress::Running).await?;
         read_rows(router, store, known).await?;
     }
@@ -363,7 +376,8 @@
     router.roll_outs.apply_store_state(&order.service, order.written_at, Some(began), progress);
 }
 
-/// Writes a verdict, unless another entry has written one.
+/// Writes a verdict, unless another entry has written one or the row of the start belongs to another order: this entry
+/// may not have read the order yet that has replaced its own.
 async fn write_verdict(
     router: &Router,
     store: &StoreClient,
@@ -371,13 +385,29 @@
     verdict: &Verdict,
 ) -> crate::platform::Result<()> {
     let order = &verdict.order;
-    let put = Put {
-        table: Table::Status,
-        key: roll_out_status_key(&order.service),
-        expected: known.status_version(&order.service),
-        value: encode_status(&verdict.status),
+    let own = known.own.get(&order.service).filter(|(_, own)| own.order() == order.written_at);
+    let Some((own_version, own)) = own else {
+        let now = read_rows(router, store, known).await?;
+        apply_known(router, known, order, now);
+        return Ok(());
     };
-    let outcome = store.write(&[put], known.era).await?;
+    let key = roll_out_status_key(&order.service);
+    let puts = [
+        // Unchanged; makes the write conditional on the order.
+        Put {
+            table: Table::Own,
+            key: key.clone(),
+            expected: *own_version,
+            value: serde_json::to_vec(own).expect("numbers serialize to JSON"),
+        },
+        Put {
+            table: Table::Status,
+            key,
+            expected: known.status_version(&order.service),
+            value: encode_status(&verdict.status),
+        },
+    ];
+    let outcome = store.write(&puts, known.era).await?;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
     event::ROLL_OUT_MOVED.log(format_args!(
         "service={} progress={:?} written={is_written} {}",
--- a/tests/platform/roll_outs.rs
+++ b/tests/platform/roll_outs.rs
@@ -445,3 +445,30 @@
     assert_eq!(count("answers") + count("old_answers"), 20, "{route}");
     assert!(old.requests().len() + new.requests().len() > 20, "no request was repeated");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verdicts_on_an_older_and_a_newer_order_are_not_mistaken_for_each_other() {
+    let (_old, _new, site) = start_with_two_versions(FAILS).await;
+    site.store.put("op", "rollout/app", &order("v2", 600.0));
+    wait_until("the roll-out is in progress", || state(&site) == "in_progress").await;
+    // Another entry has started and completed a later order that this one has not read yet.
+    let later = json!({"revision": 1_000_000, "era": 0, "began_ms": 1});
+    site.store.put("mintmoor", "rollout/app", &later);
+    site.store.put("status", "rollout/app", &json!({"state": "completed", "to": "v3"}));
+    // The entry reads the statuses every 1.6 s.
+    sleep(Duration::from_millis(2_500)).await;
+    let progress = site.entry.router.dump()["roll_outs"][0]["progress"].clone();
+    assert_eq!(progress, "Running", "the verdict on the later order was taken for this one's");
+
+    let is_held = || site.entry.router.dump()["roll_outs"][0]["held"] == true;
+    for i in 0..2_000 {
+        site.request("GET", &format!("/safe/{i}"), "").await;
+        if is_held() {
+            break;
+        }
+    }
+    assert!(is_held());
+    sleep(Duration::from_secs(1)).await;
+
+    assert_eq!(site.store.read("status", "rollout/app").unwrap()["to"], "v3");
+}
