Roll-outs: the exposure that a deployment allows is read and kept

Trial and end shrink until both together stay within nine tenths of the allowed share; nothing changes at 0.15. a_version_gets_no_more_than_the_share_that_the_deployment_allows checks 0.15, 0.0975 and 0.05 (before, 0.13 whatever is allowed).

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -40,6 +40,8 @@
     pub retry_extra: f64,
     /// Window over which both are counted.
     pub retry_window: Duration,
+    /// Share of all requests of its service that a bad version may get during its roll-out, 0 to 1.
+    pub exposure_share: f64,
     /// Requests that a version under roll-out may get, over all entries, beside its share of all requests.
     pub exposure_tolerance: f64,
     /// Memory that the process may use, in bytes.
@@ -124,6 +126,7 @@
     retry_ratio: Option<f64>,
     retry_extra: Option<f64>,
     retry_window_s: Option<f64>,
+    exposure_share: Option<f64>,
     exposure_tolerance: Option<f64>,
     lease_ms: Option<f64>,
     /// Length of a usage window.
@@ -161,6 +164,7 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 20.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+const DEFAULT_EXPOSURE_SHARE: f64 = 0.15;
 const DEFAULT_EXPOSURE_TOLERANCE: f64 = 30.0;
 const DEFAULT_MEMORY_MB: u64 = 256;
 const DEFAULT_LEASE_MS: f64 = 3_000.0;
@@ -228,6 +232,7 @@
         retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
         retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
         retry_window,
+        exposure_share: bounds.exposure_share.unwrap_or(DEFAULT_EXPOSURE_SHARE),
         exposure_tolerance: bounds.exposure_tolerance.unwrap_or(DEFAULT_EXPOSURE_TOLERANCE),
         expects_overload: doc.contracts.iter().any(|contract| **contract == *PRESSURE_CONTRACT),
         memory_limit: doc.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
--- a/src/policy/exposure.rs
+++ b/src/policy/exposure.rs
@@ -13,6 +13,9 @@
 /// Maximum share of the requests that take part in a trial while its budget lasts, so that they are a random sample.
 pub const MAX_SAMPLE_SHARE: f64 = 0.5;
 
+/// Part of the allowed exposure that is used; traffic may fall during a roll-out.
+const USED_EXPOSURE: f64 = 0.9;
+
 /// How the share of the new version grows over a roll-out; settings under `roll_out`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExposureConfig {
@@ -47,6 +50,24 @@
 }
 
 impl ExposureConfig {
+    /// The configuration for a deployment that allows a bad version this share of all requests of a roll-out: trial and
+    /// end shrink until both together stay below it.
+    #[must_use]
+    pub fn within(self, exposure_share: f64) -> Self {
+        let growth = (self.all_from - self.grows_from) / 2.0;
+        let exposed = self.trial_share * self.grows_from + growth + (1.0 - self.all_from);
+        let factor = (exposure_share * USED_EXPOSURE / exposed.max(1e-3)).min(1.0);
+        let later = |from: f64| 1.0 - (1.0 - from) * factor;
+        let all_from = later(self.all_from);
+        Self {
+            trial_share: self.trial_share * factor,
+            sessions_from: self.sessions_from,
+            grows_from: later(self.grows_from),
+            all_from,
+            complete_from: self.complete_from.max(all_from),
+        }
+    }
+
     /// Share of the sessions during the trial. The trial of sessions is shorter, but gets as many requests as
     /// with [`Self::trial_share`] from the start, so that it shows as much and exposes no more. Its share
     /// grows from zero, to limit what a large fleet sends to a bad version before its entries detect it: 449
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -135,6 +135,7 @@
     /// An entry that has no configuration yet.
     pub fn new(settings: HostSettings, policy: RouteSettings) -> Self {
         let (tx, rx) = mpsc::channel(TRIAL_QUEUE);
+        let exposure = policy.exposure.within(settings.exposure_share);
         Self {
             memory: MemoryBudget::new(settings.memory_limit),
             settings: ArcSwap::from_pointee(settings),
@@ -143,7 +144,7 @@
             evacuations: Evacuations::default(),
             own_place: OwnPlace::default(),
             shared_limits: SharedLimits::default(),
-            roll_outs: RollOuts::new(policy.exposure),
+            roll_outs: RollOuts::new(exposure),
             policy,
             table_views: TableViews::default(),
             load_reports: LoadReports::default(),
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -57,6 +57,7 @@
         retry_ratio: 4.0,
         retry_extra: 52.0,
         retry_window: Duration::from_secs(10),
+        exposure_share: 0.15,
         exposure_tolerance: 30.0,
         duties: None,
         expects_overload: false,
--- a/tests/roll_out_verdicts.rs
+++ b/tests/roll_out_verdicts.rs
@@ -1,9 +1,12 @@
 //! Verdicts on simulated roll-outs: no bad version is completed, none gets more requests than allowed, and a good one
 //! with enough traffic is completed in time.
 
+use std::time::Duration;
+
 use mintmoor::{
     load::{SimulatedService, VersionFault, roll_out_point},
     policy::{
+        exposure::{ExposureConfig, request_share, session_share},
         route_evidence::{MAX_ROUTES, OTHER_ROUTES, RouteEvidence, VersionCounts, route_key},
         run_outcome::RunOutcome,
         trial_budget::{TrialBudget, budget_part},
@@ -152,3 +155,18 @@
 
     assert!(verdict.is_no_worse(&config), "risk {}", verdict.risk());
 }
+
+#[test]
+fn a_version_gets_no_more_than_the_share_that_the_deployment_allows() {
+    let duration = Duration::from_secs(100);
+    for allowed in [0.15, 0.0975, 0.05] {
+        let config = ExposureConfig::default().within(allowed);
+        let mean = |share: fn(Duration, Duration, &ExposureConfig) -> f64| {
+            let at = |step: u64| share(Duration::from_millis(100 * step), duration, &config);
+            (0..1_000).map(at).sum::<f64>() / 1_000.0
+        };
+
+        assert!(mean(request_share) <= allowed, "{allowed}: {}", mean(request_share));
+        assert!(mean(session_share) <= allowed, "{allowed}: {}", mean(session_share));
+    }
+}
