--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_rustls::{HttpsConnector, HttpsConnectorBuilder};
 use hyper_util::{
@@ -22,6 +22,9 @@
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of a response, in bytes: the largest tables take a few megabytes, and a process has 160 MB or more.
+const MAX_BODY: usize = 32 << 20;
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -112,7 +115,11 @@
         let work = async {
             let res = self.open(method, uri, headers, body).await?;
             let (parts, body) = res.into_parts();
-            let body = body.collect().await.map_err(|e| lost(e.to_string()))?.to_bytes();
+            let body = Limited::new(body, MAX_BODY)
+                .collect()
+                .await
+                .map_err(|e| lost(e.to_string()))?
+                .to_bytes();
             Ok(HttpReply { status: parts.status, headers: parts.headers, body })
         };
         let Ok(reply) = tokio::time::timeout(timeout, work).await else {
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -82,6 +83,11 @@
     /// Sends the response of another action with these header lines. A body with a length is sent in chunks instead if
     /// one of them is [`CHUNKED`].
     WithHeaders { lines: &'static str, action: Box<Action> },
+    /// Sends `head`, in which `{signed}` stands for the headers that identify the response, then `unit` again and again
+    /// until the connection is closed.
+    Endless { head: &'static str, unit: &'static str },
+    /// Sends what a `Raw` response would send, without its last `missing` bytes, then closes or resets the connection.
+    Cut { missing: usize, resets: bool, status_line: &'static str, headers: String, body: String },
     /// Sends the same complete response twice.
     Duplicate,
     /// Terminates the whole process, either after it has sent the response head of a stream or
@@ -93,6 +99,8 @@
 pub const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 /// Value of `X-Confidence` at which an answer is not escalated to a larger model.
 const CONFIDENT: u8 = 90;
+/// Bytes of one write of a response without an end.
+const ENDLESS_WRITE: usize = 16 << 10;
 /// Pause between the events of a stream without an end.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -371,27 +379,65 @@
         Action::Raw { status_line, headers, body, keeps_connection } => {
             (format!("{status_line}\r\n{signed}{headers}\r\n{body}"), keeps_connection)
         }
+        Action::Endless { head, unit } => return send_endless(stream, &signed, head, unit).await,
+        Action::Cut { missing, resets, status_line, headers, body } => {
+            let whole = format!("{status_line}\r\n{signed}{headers}\r\n{body}");
+            return send_cut(stream, &whole, missing, resets).await;
+        }
         Action::Duplicate => {
             let once = reply(200, &signed, "once");
             (format!("{once}{once}"), true)
         }
+        action => return respond_with_stream(stream, request, action, &signed).await,
+    };
+    stream.write_all(bytes.as_bytes()).await.is_ok() && keeps_connection
+}
+
+/// Carries out an action that sends a stream.
+async fn respond_with_stream(
+    stream: &mut TcpStream,
+    request: &ReceivedRequest,
+    action: Action,
+    signed: &str,
+) -> bool {
+    match action {
         Action::Stream { last_event, is_complete, confidence } => {
-            return send_burst(stream, request, &signed, last_event, is_complete, confidence).await;
+            send_burst(stream, request, signed, last_event, is_complete, confidence).await
         }
         Action::PacedStream { last_event, interval } => {
-            return send_paced(stream, &signed, last_event, interval, CONFIDENT).await;
+            send_paced(stream, signed, last_event, interval, CONFIDENT).await
         }
         Action::LargeStream { last_event, event_bytes } => {
-            return send_large(stream, &signed, last_event, event_bytes).await;
+            send_large(stream, signed, last_event, event_bytes).await
         }
         Action::EndlessStream => {
-            return send_paced(stream, &signed, u64::MAX, EVENT_INTERVAL, CONFIDENT).await;
+            send_paced(stream, signed, u64::MAX, EVENT_INTERVAL, CONFIDENT).await
         }
         Action::EndlessStreamWithConfidence { confidence } => {
-            return send_paced(stream, &signed, u64::MAX, EVENT_INTERVAL, confidence).await;
+            send_paced(stream, signed, u64::MAX, EVENT_INTERVAL, confidence).await
         }
-    };
-    stream.write_all(bytes.as_bytes()).await.is_ok() && keeps_connection
+        action => unreachable!("{action:?} is no stream"),
+    }
+}
+
+/// Sends a head and then a unit again and again, until the connection is closed.
+async fn send_endless(stream: &mut TcpStream, signed: &str, head: &str, unit: &str) -> bool {
+    let units = unit.repeat(ENDLESS_WRITE / unit.len());
+    let mut sent = stream.write_all(head.replace("{signed}", signed).as_bytes()).await;
+    while sent.is_ok() {
+        sent = stream.write_all(units.as_bytes()).await;
+    }
+    false
+}
+
+/// Sends a response without its last bytes, then resets the connection or leaves it to be closed.
+async fn send_cut(stream: &mut TcpStream, whole: &str, missing: usize, resets: bool) -> bool {
+    if resets {
+        SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    let sent = &whole[..whole.len().saturating_sub(missing)];
+    let _ = stream.write_all(sent.as_bytes()).await;
+    false
 }
 
 /// Sends the head of a stream, and waits until it has reached the entry.
