Servers: the read buffer of a connection is limited to 64 KiB

A server that sends the size of a chunk without an end kept its connection after the caller had been answered (over 20 s, debug build, /safe/): what is read in one turn grew with the library's buffer, which goes up to 400 KiB. It is part of what slow readers hold, too.

Bytes without an end behind a complete response are dropped with the connection.

--- a/src/router/servers/connection.rs
+++ b/src/router/servers/connection.rs
@@ -23,6 +23,9 @@
 /// The same for a request that must not run twice. It is shorter because a server that closes an idle connection
 /// just as the request is sent would leave it unknown whether the request ran.
 const MAX_IDLE_TIME_ONCE_ONLY: Duration = Duration::from_millis(800);
+/// Maximum size of a response head, and of what is read of a body and not yet relayed, in bytes: heads take one or two
+/// kilobytes.
+const MAX_READ_BUFFER: usize = 64 << 10;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 16;
 
@@ -90,7 +93,9 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(1);
     socket.set_tcp_keepalive(&probes)?;
-    let (connection, work) = http1::handshake(TokioIo::new(ServerStream::new(stream)?)).await?;
+    let io = TokioIo::new(ServerStream::new(stream)?);
+    let (connection, work) =
+        http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(io).await?;
     // Errors of the connection task can be ignored: the request that is waiting on the connection fails as well.
     tokio::spawn(async move { drop(work.await) });
     Ok(connection)
