--- a/src/policy/version_verdict.rs
+++ b/src/policy/version_verdict.rs
@@ -76,8 +76,7 @@
     /// Log-likelihood ratio of the old rate against a risen one, from 0 to a maximum: a version that turns bad soon
     /// uses up what its good answers have added.
     sum: f64,
-    /// Part that a risen rate has in the risk: the share of the requests that it may concern, twice, see
-    /// [`VersionVerdict::risk`].
+    /// Part that a risen rate has in the risk before any answer, see [`VersionVerdict::risk`].
     weight: f64,
     /// How many answers are needed until the part in the risk is small enough, on average.
     needed: f64,
@@ -95,14 +94,14 @@
         let risen = base + rise * (1.0 - base);
         let (bad_ratio, good_ratio) = ((base / risen).ln(), ((1.0 - base) / (1.0 - risen)).ln());
         self.weight = weight * (1.0 - base);
-        let needed = (self.weight / max_risk).ln().max(0.0);
+        let goal = (self.weight / max_risk).ln().max(0.0);
         let bad = new.bad.saturating_sub(self.seen.bad) as f64;
         let good = new.all.saturating_sub(self.seen.all) as f64 - bad;
         self.seen = new;
         self.sum += good * good_ratio + bad * bad_ratio;
-        self.sum = self.sum.clamp(0.0, needed + MAX_SURPLUS);
+        self.sum = self.sum.clamp(0.0, goal + MAX_SURPLUS);
         let information = base * bad_ratio + (1.0 - base) * good_ratio;
-        self.needed = (needed - self.sum).max(0.0) / information;
+        self.needed = (goal - self.sum).max(0.0) / information;
     }
 
     /// What remains of the risk.
@@ -164,7 +163,8 @@
     pub fn observe(&mut self, evidence: &RouteEvidence, config: &VerdictConfig) {
         let VersionCounts { old, new } = evidence.total();
         self.total.observe(old, new, &config.guard);
-        let all = old.answers + new.answers;
+        // An overdue attempt is rated before it is an answer.
+        let all = (old.answers + new.answers).max(1);
         let max_risk = config.completion_risk / (2.0 * evidence.iter().count() as f64);
         for (route, counts) in evidence.iter() {
             self.routes.entry(route).or_default().observe(counts, all, max_risk, config);
