--- a/tests/clients/requests.rs
+++ b/tests/clients/requests.rs
@@ -1,8 +1,16 @@
 //! Clients that send requests slowly, without an end, or in an expensive form.
 
+use std::net::SocketAddr;
+
+use futures_util::future::join_all;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
 use crate::{
     crowd::{Behaviour, Crowd},
-    site::request_bytes,
+    site::{request_bytes, request_bytes_with_id},
     system::{SMALL_MACHINE, System},
 };
 
@@ -11,6 +19,9 @@
 /// Size of a body that stays unfinished, below the largest that the configuration allows.
 const UNFINISHED_BODY: usize = 60 << 10;
 
+/// Clients whose requests all have names of their own, requests of each, and bytes of a name.
+const NAMES: (usize, usize, usize) = (16, 400, 8 << 10);
+
 /// Plays a crowd that sends requests, and checks what must hold beside it and after it.
 async fn play(size: usize, behaviour: Behaviour) {
     let mut system = System::start(SMALL_MACHINE).await;
@@ -75,3 +86,34 @@
     let request = request_bytes("POST", "/chat/p", &headers, "");
     play(64, Behaviour::sending(request.replace("Connection: close\r\n", "").repeat(20))).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_all_name_another_model_stay_within_the_memory() {
+    let mut system = System::start(SMALL_MACHINE).await;
+
+    let caller = system.caller();
+    join_all((0..NAMES.0).map(|client| name_models(caller, client))).await;
+    system.assert_ordinary_callers_are_served().await;
+    system.process.assert_within_limits();
+
+    system.assert_largest_request_is_served().await;
+    system.process.assert_within_limits();
+}
+
+/// Sends requests on one connection, each with another model, session and prompt part.
+async fn name_models(caller: SocketAddr, client: usize) {
+    let mut stream = TcpStream::connect(caller).await.unwrap();
+    for number in 0..NAMES.1 {
+        let name = format!("{client}-{number}-{}", "x".repeat(NAMES.2));
+        let headers = format!(
+            "X-Model: {name}\r\nX-Session-Id: {client}-{number}\r\nX-Prefix-Hash: {client:x}{number:x}:9\r\n"
+        );
+        let id = format!("n-{client}-{number}");
+        let request = request_bytes_with_id(&id, "GET", "/safe/n", &headers, "");
+        stream.write_all(request.replace("Connection: close\r\n", "").as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"good") {
+            assert!(stream.read_buf(&mut answer).await.unwrap() > 0, "the connection ended");
+        }
+    }
+}
