Connections of callers are bounded by memory and descriptors

Callers saw: none of them is served once clients that say nothing have taken the descriptors or the memory.

Cause: the accept loop took whatever came, `max-fds` of the platform's file was not read, an unfinished head may take 16 KB, and a caller had to take one byte in ten seconds only.

Change: the connections of callers are in one table, limited by a sixth of the memory (40 KB each) and half of the sockets. At the limit the connection that has gone longest without a request that is served is closed for the new one, which works behind a balancer too. A caller that takes less than 1,024 bytes a second over ten seconds is cut off. An idle connection no longer keeps the state of a request. Event 530 and mintmoor_callers_cut replace event 524 and mintmoor_callers_stalled.

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -46,6 +46,8 @@
     pub exposure_tolerance: f64,
     /// Memory that the process may use, in bytes.
     pub memory_limit: u64,
+    /// File descriptors that the process may use.
+    pub descriptor_limit: usize,
     /// The duty that one entry at a time performs for the platform; `None` if there is none.
     pub duties: Option<DutySettings>,
     /// Whether callers are expected to compete for too little capacity, so that overload control is needed.
@@ -149,6 +151,7 @@
 #[serde(rename_all = "kebab-case")]
 struct LimitsDoc {
     memory_mb: Option<u64>,
+    max_fds: Option<usize>,
 }
 
 #[derive(Default, Deserialize)]
@@ -167,6 +170,7 @@
 const DEFAULT_EXPOSURE_SHARE: f64 = 0.15;
 const DEFAULT_EXPOSURE_TOLERANCE: f64 = 30.0;
 const DEFAULT_MEMORY_MB: u64 = 256;
+const DEFAULT_MAX_FDS: usize = 4_096;
 const DEFAULT_LEASE_MS: f64 = 3_000.0;
 const DEFAULT_USAGE_WINDOW_S: f64 = 5.0;
 const DEFAULT_USAGE_DELAY_S: f64 = 10.0;
@@ -236,6 +240,7 @@
         exposure_tolerance: bounds.exposure_tolerance.unwrap_or(DEFAULT_EXPOSURE_TOLERANCE),
         expects_overload: doc.contracts.iter().any(|contract| **contract == *PRESSURE_CONTRACT),
         memory_limit: doc.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
+        descriptor_limit: doc.limits.max_fds.unwrap_or(DEFAULT_MAX_FDS),
         duties,
     })
 }
--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -1,6 +1,6 @@
 //! Listeners of an entry: one for callers and one for the load balancer's readiness check.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use axum::{Router as HttpRouter, http::StatusCode, routing::get};
 use hyper::{server::conn::http1, service::service_fn};
@@ -13,12 +13,15 @@
     sync::watch,
     time::Instant,
 };
-use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     router::{
         Router,
         accept_gate::AcceptGate,
+        callers::{
+            caller_connection::CutReason, caller_stream::CallerStream,
+            connection_table::OpenConnection,
+        },
         request::serve::{DEFAULT_LIMITS, serve},
     },
     telemetry::{admin, event},
@@ -28,9 +31,6 @@
 const MIN_READ_BUFFER: usize = 8 << 10;
 /// Pause after a failed accept: when file descriptors have run out, an immediate retry fails again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time after which a caller that takes nothing of its response is cut off: longer than an interrupted link is borne,
-/// shorter than most callers wait for an answer.
-const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a connection stays usable beyond the idle timeout that callers are told.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
@@ -52,7 +52,10 @@
         match accepted {
             // Dropping the connection closes it unread.
             Ok(_) if !gate.admit() => {}
-            Ok((stream, caller)) => serve_connection(&router, &gate, stream, caller, &connections),
+            Ok((stream, caller)) => match router.connections.open(caller) {
+                Some(open) => serve_connection(&router, &gate, stream, open, &connections),
+                None => router.record_cut(caller, CutReason::Connections),
+            },
             Err(e) => {
                 event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -68,7 +71,7 @@
     router: &Arc<Router>,
     gate: &Arc<AcceptGate>,
     stream: TcpStream,
-    caller: SocketAddr,
+    open: OpenConnection,
     connections: &GracefulShutdown,
 ) {
     let accepted_at = Instant::now();
@@ -77,44 +80,40 @@
         event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
         return;
     }
-    let mut stream = TimeoutStream::new(stream);
-    stream.set_write_timeout(Some(CALLER_STALL_TIMEOUT));
+    let caller = open.connection.clone();
+    let stream = CallerStream::new(stream, caller.clone(), router.policy.callers);
     let table = router.table.load();
     let limits = table.as_ref().as_ref().and_then(|t| t.limits).unwrap_or(DEFAULT_LIMITS);
     let (serving, router, connected_at) = (router.clone(), router.clone(), router.now());
     let gate = gate.clone();
+    let served = caller.clone();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper also applies this timeout to the time between requests, so it has to be the longer of the two.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_SLACK)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
         .serve_connection(
-            TokioIo::new(Box::pin(stream)),
-            service_fn(move |req| serve(serving.clone(), req, connected_at)),
+            TokioIo::new(stream),
+            service_fn(move |req| serve(serving.clone(), req, served.clone(), connected_at)),
         );
     let connection = connections.watch(connection);
-    // Other connection errors can be ignored: if a request was in flight, its handling fails as well.
     tokio::spawn(async move {
+        // Leaves the table once the connection is closed.
+        let _open = open;
         if gate.is_too_late(accepted_at) {
             return;
         }
-        if let Err(e) = connection.await
-            && is_stalled(&e)
-        {
-            router.metrics.callers_stalled.inc();
-            event::CALLER_STALLED.log(format_args!("caller={caller}"));
+        tokio::select! {
+            // Connection errors can be ignored: if a request was in flight, its handling fails as well.
+            _ = connection => {}
+            () = caller.wait_until_cut() => {}
+        }
+        if let Some(reason) = caller.cut_reason() {
+            router.record_cut(caller.address, reason);
         }
     });
 }
 
-/// Whether a connection ended because its caller took nothing for [`CALLER_STALL_TIMEOUT`].
-fn is_stalled(e: &hyper::Error) -> bool {
-    let source = std::error::Error::source(e);
-    source
-        .and_then(|source| source.downcast_ref::<std::io::Error>())
-        .is_some_and(|e| e.kind() == std::io::ErrorKind::TimedOut)
-}
-
 /// Serves the load balancer's readiness check, and metrics and the state dump on the same address.
 pub(crate) async fn serve_readiness(
     router: Arc<Router>,
--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -1,16 +1,28 @@
 //! Metrics that are computed on demand, and the state dump of an entry.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use serde_json::{Value, json};
 
 use crate::{
     policy::{quarantine::Suspect, server_speed::ServerSpeed},
-    router::Router,
-    telemetry::{admin::AdminHandlers, log::dropped_lines, metrics::ServiceLabels},
+    router::{Router, callers::caller_connection::CutReason},
+    telemetry::{admin::AdminHandlers, event, log::dropped_lines, metrics::ServiceLabels},
 };
 
 impl Router {
+    /// Counts a connection that was closed before its response was complete, and logs the first in each second.
+    pub(crate) fn record_cut(&self, caller: SocketAddr, reason: CutReason) {
+        self.metrics.count_caller_cut(reason.name());
+        if let Some(unlogged) = self.cut_log.admit(self.now()) {
+            let (reason, held) = (reason.name(), self.held_bytes());
+            event::CALLER_CUT.log(format_args!(
+                "caller={caller} reason={reason} held={held} connections={} unlogged={unlogged}",
+                self.connections.len()
+            ));
+        }
+    }
+
     /// Updates the gauges that are not maintained as events occur.
     fn refresh_gauges(&self) {
         let now = self.now();
@@ -52,6 +64,8 @@
         let factors: Vec<f64> = speeds.filter(ServerSpeed::is_known).map(|s| s.lasting()).collect();
         self.metrics.set_server_speeds(&factors);
         self.metrics.held_bytes.set(i64::try_from(self.held_bytes()).unwrap_or(i64::MAX));
+        let open = i64::try_from(self.connections.len()).unwrap_or(i64::MAX);
+        self.metrics.caller_connections.set(open);
         self.roll_outs.update_metrics(&self.metrics);
     }
 
--- a/src/router/request/in_flight.rs
+++ b/src/router/request/in_flight.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::router::{Router, request::memory_budget::HeldBytes};
+use crate::router::{
+    Router, callers::caller_connection::CallerConnection, request::memory_budget::HeldBytes,
+};
 
 /// Counts a request as in flight until it is dropped.
 #[derive(Debug)]
@@ -10,14 +12,24 @@
     router: Arc<Router>,
     /// When the request arrived, on the entry's clock.
     pub(crate) arrived_at: Duration,
+    /// The connection on which it arrived.
+    connection: Arc<CallerConnection>,
     /// Memory that its body uses.
     held_body: Option<HeldBytes>,
+    /// Whether it was received in full.
+    is_received: bool,
 }
 
 impl InFlightGuard {
-    pub(crate) fn new(router: &Arc<Router>) -> Self {
+    pub(crate) fn new(router: &Arc<Router>, connection: &Arc<CallerConnection>) -> Self {
         router.record_request_started();
-        Self { router: router.clone(), arrived_at: router.now(), held_body: None }
+        Self {
+            router: router.clone(),
+            arrived_at: router.now(),
+            connection: connection.clone(),
+            held_body: None,
+            is_received: false,
+        }
     }
 
     /// Counts further bytes of the body as held; `None` if the process holds too much.
@@ -29,10 +41,19 @@
         }
         Some(())
     }
+
+    /// Records that the request was received in full.
+    pub(crate) fn mark_received(&mut self) {
+        self.connection.record_request_begun();
+        self.is_received = true;
+    }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        if self.is_received {
+            self.connection.record_request_ended();
+        }
         self.router.record_request_finished();
     }
 }
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -13,6 +13,7 @@
     policy::exposure::hash_fraction,
     router::{
         Router,
+        callers::caller_connection::CallerConnection,
         request::{
             body::ResponseBody,
             in_flight::InFlightGuard,
@@ -37,10 +38,13 @@
 pub(crate) async fn serve(
     router: Arc<Router>,
     req: HttpRequest<Incoming>,
+    connection: Arc<CallerConnection>,
     connected_at: Duration,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let id: Box<str> = request_id(req.headers()).unwrap_or("-").into();
-    let mut res = match try_serve(&router, req, connected_at).await {
+    // Boxed, so that an idle connection doesn't keep the state of a request.
+    let serving = Box::pin(try_serve(&router, req, &connection, connected_at));
+    let mut res = match serving.await {
         Ok(res) => {
             router.metrics.count_request("", "ok");
             res
@@ -61,10 +65,11 @@
 async fn try_serve(
     router: &Arc<Router>,
     req: HttpRequest<Incoming>,
+    connection: &Arc<CallerConnection>,
     connected_at: Duration,
 ) -> Result<Response<ResponseBody>, Refusal> {
     router.notice_suspension();
-    let mut in_flight = InFlightGuard::new(router);
+    let mut in_flight = InFlightGuard::new(router, connection);
     let (parts, body) = req.into_parts();
     let head = parse_request_head(&parts.method, &parts.uri, &parts.headers)?;
     router.wait_for_view().await;
@@ -78,6 +83,7 @@
         return Err(Refusal::Leaving { retry_after });
     }
     let body = read_body(&mut in_flight, body, &table.limits.unwrap_or(DEFAULT_LIMITS)).await?;
+    in_flight.mark_received();
     let max_wait = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let service = choose_service(&route, &head);
     router.record_request(&service);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -19,6 +19,7 @@
     clock::Clock,
     platform::host_settings::HostSettings,
     policy::{
+        connection_limit::max_connections,
         exposure::hash_fraction,
         extra_share::ExtraShare,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
@@ -29,6 +30,7 @@
     },
     router::{
         Fleet,
+        callers::connection_table::ConnectionTable,
         duties::usage_meter::UsageMeter,
         peers::{
             load_reports::LoadReports, own_place::OwnPlace, peer_link::PeerLink,
@@ -43,7 +45,7 @@
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
-    telemetry::{Metrics, event},
+    telemetry::{Metrics, event, log_rate::LogRate},
 };
 
 /// Time until the load balancer has noticed that this entry is no longer ready: two checks one second apart, plus a
@@ -101,6 +103,8 @@
     pub(crate) speed_reports: SpeedReports,
     /// Requests during which servers crashed, as entries report them to each other.
     pub(crate) quarantine: SharedQuarantine,
+    /// Open connections of callers.
+    pub(crate) connections: Arc<ConnectionTable>,
     /// Memory that requests and responses may use while they are held.
     pub(crate) memory: MemoryBudget,
     /// Counts of the requests that begin to run, for the report of usage.
@@ -111,6 +115,8 @@
     pub(crate) usual_times: TimingEstimates,
     /// The link to another entry that this one follows instead of the store.
     pub(crate) peer_link: PeerLink,
+    /// Limits the log lines on connections of callers that are cut.
+    pub(crate) cut_log: LogRate,
     /// Prometheus metrics.
     pub metrics: Metrics,
     /// Retry budgets by service.
@@ -136,8 +142,16 @@
     pub fn new(settings: HostSettings, policy: RouteSettings) -> Self {
         let (tx, rx) = mpsc::channel(TRIAL_QUEUE);
         let exposure = policy.exposure.within(settings.exposure_share);
+        let limits = policy.callers;
+        let limit = max_connections(
+            settings.memory_limit,
+            settings.descriptor_limit,
+            limits.connection_bytes,
+        );
+        let connections = Arc::new(ConnectionTable::new(limit));
         Self {
             memory: MemoryBudget::new(settings.memory_limit),
+            connections,
             settings: ArcSwap::from_pointee(settings),
             table: ArcSwap::from_pointee(None),
             fleet: ArcSwap::from_pointee(Fleet::default()),
@@ -153,6 +167,7 @@
             quarantine: SharedQuarantine::default(),
             usage: UsageMeter::new(CLOCK_ORIGIN),
             peer_link: PeerLink::default(),
+            cut_log: LogRate::default(),
             metrics: Metrics::default(),
             retry_budgets: Mutex::default(),
             extra_share: Mutex::new(ExtraShare::new(CLOCK_ORIGIN)),
--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -5,8 +5,9 @@
 
 use crate::{
     policy::{
-        escalation::EscalationConfig, exposure::ExposureConfig, overload_control::OverloadControl,
-        placement::PlacementConfig, reservation::ReservationConfig,
+        caller_pace::CallerLimits, escalation::EscalationConfig, exposure::ExposureConfig,
+        overload_control::OverloadControl, placement::PlacementConfig,
+        reservation::ReservationConfig,
     },
     settings::{SettingsError, reader::Reader},
     telemetry::log::LogLevel,
@@ -25,6 +26,8 @@
     pub overload_control: OverloadControl,
     /// Queue for the largest model at which requests give way to more urgent ones under overload control.
     pub reservation: ReservationConfig,
+    /// What callers may use, and how fast they have to be.
+    pub callers: CallerLimits,
     /// Port on the Host's address that serves metrics and the state dump, in addition to the readiness
     /// address.
     pub metrics_port: Option<u16>,
@@ -67,6 +70,7 @@
         from: get_number(&mut r, "overload.reserve_from", bounds.from, 10.0),
         full: get_number(&mut r, "overload.reserve_full", bounds.full, 10.0),
     };
+    let callers = get_callers(&mut r, &defaults.callers);
     let metrics_port = r.get_optional("listen.metrics_port", "a port number");
     let expected = "error, warn, info or debug";
     let log_level = r.get("log.level", expected, Some(defaults.log_level)).unwrap_or_default();
@@ -89,11 +93,24 @@
         placement,
         overload_control,
         reservation,
+        callers,
         metrics_port,
         log_level,
     })
 }
 
+fn get_callers(r: &mut Reader<'_>, callers: &CallerLimits) -> CallerLimits {
+    CallerLimits {
+        min_bytes_per_s: r
+            .get("callers.min_bytes_per_s", "a whole number", Some(callers.min_bytes_per_s))
+            .unwrap_or(callers.min_bytes_per_s),
+        period: get_millis(r, "callers.period_ms", callers.period),
+        yield_after: get_millis(r, "callers.yield_after_ms", callers.yield_after),
+        evict_after: get_millis(r, "callers.evict_after_ms", callers.evict_after),
+        connection_bytes: get_positive(r, "callers.connection_bytes", callers.connection_bytes),
+    }
+}
+
 fn get_escalation(r: &mut Reader<'_>, cascade: &EscalationConfig) -> EscalationConfig {
     EscalationConfig {
         confident: get_number(r, "cascade.confident", cascade.confident, 100.0),
@@ -133,6 +150,12 @@
     value
 }
 
+fn get_millis(r: &mut Reader<'_>, key: &str, default: Duration) -> Duration {
+    let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+    let millis = r.get(key, "a whole number of milliseconds", Some(default)).unwrap_or(default);
+    Duration::from_millis(millis)
+}
+
 fn get_micros(r: &mut Reader<'_>, key: &str, default: Duration) -> Duration {
     let default = u64::try_from(default.as_micros()).unwrap_or(u64::MAX);
     let micros = r.get(key, "a whole number of microseconds", Some(default)).unwrap_or(default);
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -99,12 +99,12 @@
     RETRY_AFTER_UNREADABLE = 521, Error, "A BackendServer asked for a pause that is neither a number of seconds nor a date; it is ignored.";
     HEADER_UNREAD = 522, Warn, "An answer has an unknown header; logged once per name.";
     PAUSE_ENDED = 523, Info, "A BackendServer answers again after a pause that it had asked for.";
-    CALLER_STALLED = 524, Warn, "A caller took nothing of its response for ten seconds and was cut off.";
     SUSPECT_COUNTED = 525, Info, "Another server end counts against a request or prompt part that was present at two or more; it is not refused yet.";
     SERVER_PACE_UNREADABLE = 526, Error, "A BackendServer reports how long work takes on its machine as something that can't be right; it is ignored.";
     PART_QUARANTINED = 527, Error, "Servers ended while running different requests with the same part of the prompt; requests with it are sent to no more servers.";
     LENGTH_IGNORED = 528, Warn, "A response has a length beside its chunks; the chunks are passed on, the length is ignored, and the connection is closed.";
     QUARANTINE_LOCK_HELD = 529, Warn, "The records of crashing requests were locked for long, which holds up all requests of this entry.";
+    CALLER_CUT = 530, Warn, "The connection of a caller was closed before its response was complete; logged once a second.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; this entry sends it no new sessions.";
     ROLL_OUT_MOVED = 601, Info, "The next step of a roll-out was written to the store.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write of a roll-out step conflicted with a newer write and was dropped.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -98,6 +98,13 @@
     pub cause: String,
 }
 
+/// Labels of connections of callers that were cut.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CutLabels {
+    /// `memory`, `connections`, `yield`, `deadline` or `slow`.
+    pub reason: String,
+}
+
 /// Labels of usage reports sent to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct UsageReportLabels {
@@ -216,8 +223,10 @@
     pub lengths_ignored: Counter,
     /// Bytes of requests and responses held for slow callers and servers.
     pub held_bytes: Gauge,
-    /// Connections of callers that were closed because the caller took nothing of its response.
-    pub callers_stalled: Counter,
+    /// Connections of callers that were closed before their response was complete, by reason.
+    pub callers_cut: Family<CutLabels, Counter>,
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
     /// New connections of callers that were closed unread.
     pub connections_unread: Counter,
     /// Whether this entry holds the lease of the usage duty: 1 or 0.
@@ -287,7 +296,8 @@
             unread_header_names: Arc::default(),
             held_bytes: Gauge::default(),
             lengths_ignored: Counter::default(),
-            callers_stalled: Counter::default(),
+            callers_cut: Family::default(),
+            caller_connections: Gauge::default(),
             connections_unread: Counter::default(),
             duty_held: Gauge::default(),
             usage_reports: Family::default(),
@@ -403,8 +413,10 @@
     fn register_memory(&self, registry: &mut Registry) {
         let held = self.held_bytes.clone();
         registry.register("held_bytes", "Bytes held for slow callers and servers", held);
-        let stalled = self.callers_stalled.clone();
-        registry.register("callers_stalled", "Callers cut off since they read nothing", stalled);
+        let cut = self.callers_cut.clone();
+        registry.register("callers_cut", "Connections of callers that were cut", cut);
+        let open = self.caller_connections.clone();
+        registry.register("caller_connections", "Open connections of callers", open);
         let unread = self.connections_unread.clone();
         registry.register("connections_unread", "New connections closed unread", unread);
     }
@@ -459,6 +471,11 @@
         self.unavailable_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a connection of a caller that was cut.
+    pub fn count_caller_cut(&self, reason: &str) {
+        self.callers_cut.get_or_create(&CutLabels { reason: reason.into() }).inc();
+    }
+
     /// Counts servers that were excluded from a selection.
     pub fn count_avoided_servers(&self, cause: &str, servers: u64) {
         self.servers_avoided
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod event;
 pub mod log;
+pub mod log_rate;
 pub mod metrics;
 
 pub use event::EventKind;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -62,6 +62,7 @@
         duties: None,
         expects_overload: false,
         memory_limit: 256 << 20,
+        descriptor_limit: 4_096,
     }
 }
 
