Whole responses and request bodies count until they are gone

Callers saw: a process that ran out of memory while 64 clients read responses of 3 MB slowly or not at all.

Cause: read_to_end and buffer_stream collected up to 4 MB each, and nothing counted them; what was held for a request's body ended with its handler; a full account was never emptied, so that bodies were refused for as long as slow ones stayed.

Change: the bytes of a response carry what is held for them, block by block, until hyper has written the last copy. A known length is held before the first byte is read. Bodies are collected in blocks of one size, which the allocator can use again.

--- a/src/router/callers/connection_table.rs
+++ b/src/router/callers/connection_table.rs
@@ -7,10 +7,11 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use crate::{
-    policy::connection_eviction::longest_unused,
+    policy::connection_eviction::{largest_holder, longest_unused},
     router::callers::caller_connection::{CallerConnection, ConnectionId, CutReason},
 };
 
@@ -66,6 +67,22 @@
         Some(OpenConnection { table: self.clone(), connection })
     }
 
+    /// Closes the connection that has held most memory for longest, unless those that are being closed already hold
+    /// as much as is needed. Returns whether memory is becoming free.
+    pub(crate) fn make_room(&self, needed: usize, for_id: ConnectionId, grace: Duration) -> bool {
+        let connections = self.lock();
+        let closing = connections.values().filter(|c| c.cut_reason().is_some());
+        if closing.map(|c| c.held_bytes()).sum::<usize>() >= needed {
+            return true;
+        }
+        let others = uncut(&connections).filter(|(c, _)| c.id != for_id);
+        let Some(holder) = largest_holder(others, grace) else {
+            return false;
+        };
+        holder.cut(CutReason::Memory);
+        true
+    }
+
     /// Number of open connections.
     pub(crate) fn len(&self) -> usize {
         self.lock().len()
--- a/src/router/request/body.rs
+++ b/src/router/request/body.rs
@@ -1,17 +1,15 @@
 //! Bodies of responses to callers.
 
 use std::{
-    convert::Infallible,
     pin::Pin,
     task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::Full;
 use tokio::{sync::mpsc, task::JoinHandle};
 
-use crate::router::request::stream_queue::StreamPart;
+use crate::router::request::{held_body::HeldBody, stream_queue::StreamPart};
 
 /// The stream can't be completed, so the caller's connection must be closed without the terminating chunk.
 #[derive(Debug, thiserror::Error)]
@@ -64,15 +62,16 @@
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) enum ResponseBody {
-    /// Fully buffered.
-    Buffered(Full<Bytes>),
+    /// Stored as a whole.
+    Held(HeldBody),
     /// Streamed event by event.
     Stream(StreamBody),
 }
 
 impl ResponseBody {
-    pub(crate) fn buffered(bytes: impl Into<Bytes>) -> Self {
-        Self::Buffered(Full::new(bytes.into()))
+    /// A body of the entry's own.
+    pub(crate) fn short(bytes: impl Into<Bytes>) -> Self {
+        Self::Held(HeldBody::uncounted(bytes.into()))
     }
 }
 
@@ -85,16 +84,21 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
         match self.get_mut() {
-            Self::Buffered(body) => {
-                Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {})
-            }
+            Self::Held(body) => Poll::Ready(body.next_block().map(|block| Ok(Frame::data(block)))),
             Self::Stream(stream) => stream.poll_part(cx),
         }
     }
 
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Held(body) => body.len() == 0,
+            Self::Stream(_) => false,
+        }
+    }
+
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(body) => body.size_hint(),
+            Self::Held(body) => SizeHint::with_exact(body.len() as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/src/router/request/in_flight.rs
+++ b/src/router/request/in_flight.rs
@@ -13,9 +13,9 @@
     /// When the request arrived, on the entry's clock.
     pub(crate) arrived_at: Duration,
     /// The connection on which it arrived.
-    connection: Arc<CallerConnection>,
+    pub(crate) connection: Arc<CallerConnection>,
     /// Memory that its body uses.
-    held_body: Option<HeldBytes>,
+    held_body: HeldBytes,
     /// Whether it was received in full.
     is_received: bool,
 }
@@ -27,23 +27,26 @@
             router: router.clone(),
             arrived_at: router.now(),
             connection: connection.clone(),
-            held_body: None,
+            held_body: HeldBytes::default(),
             is_received: false,
         }
     }
 
     /// Counts further bytes of the body as held; `None` if the process holds too much.
-    pub(crate) fn hold_body(&mut self, bytes: usize) -> Option<()> {
-        let more = self.router.memory.try_hold(bytes)?;
-        match &mut self.held_body {
-            Some(held) => held.merge(more),
-            None => self.held_body = Some(more),
-        }
+    pub(crate) async fn hold_body(&mut self, bytes: usize) -> Option<()> {
+        let more = self.router.memory.hold_or_refuse(&self.connection, bytes).await?;
+        self.held_body.merge(more);
         Some(())
     }
 
-    /// Records that the request was received in full.
+    /// Ends the counting of bytes that the body used while it was read.
+    pub(crate) fn release_body(&mut self, bytes: usize) {
+        drop(self.held_body.split(bytes));
+    }
+
+    /// Records that the request was received in full: what happens next is up to servers.
     pub(crate) fn mark_received(&mut self) {
+        self.held_body.release_caller();
         self.connection.record_request_begun();
         self.is_received = true;
     }
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -155,7 +155,7 @@
 
     /// The complete response: status, body, and `Retry-After` for a 503.
     pub(crate) fn response(self) -> Response<ResponseBody> {
-        let mut res = Response::new(ResponseBody::buffered(format!("{self}\n")));
+        let mut res = Response::new(ResponseBody::short(format!("{self}\n")));
         *res.status_mut() = self.status();
         if res.status() == StatusCode::SERVICE_UNAVAILABLE {
             let seconds = format!("{:.3}", self.retry_after().as_secs_f64());
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -4,7 +4,8 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use http::{Response, header::CONTENT_LENGTH};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
 use crate::{
@@ -19,6 +20,7 @@
             attempt::OpenResponse,
             body::{ResponseBody, StreamBody},
             dispatch::{lost_refusal, reserve_failover, send_with_failover},
+            held_body::{HeldBody, HeldBodyWriter},
             refusal::Refusal,
             request_context::{AttemptParams, RequestContext},
             response_wait::{ResponseWait, wait_for_response},
@@ -107,7 +109,7 @@
 /// A response with the status and headers of a server's response and an empty body. The body that replaces it
 /// determines the framing: its length if that is known, else chunks.
 fn response_with_head(response: &OpenResponse) -> Response<ResponseBody> {
-    let mut res = Response::new(ResponseBody::buffered(""));
+    let mut res = Response::new(ResponseBody::short(""));
     *res.status_mut() = response.head.status;
     *res.headers_mut() = response.head.headers.clone();
     if let BodyFraming::NoBody { described_length: Some(length) } = response.framing {
@@ -123,10 +125,10 @@
     mut response: OpenResponse,
 ) -> Result<Response<ResponseBody>, ()> {
     let mut res = response_with_head(&response);
-    let body = Limited::new(&mut response.body, MAX_BUFFERED_BODY).collect().await;
+    let body = store_body(router, ctx, &mut response.body).await;
     let is_cut_off = || may_be_cut_off(router, &response.member, response.framing);
     let body = match body {
-        Ok(body) if !is_cut_off().await => body,
+        Some(body) if !is_cut_off().await => body,
         _ => {
             record_broken_connection(router, ctx, &response.member, response.sent_at).await;
             return Err(());
@@ -142,11 +144,35 @@
         router.record_answered_parts(ctx);
     }
     router.record_complete_answer(ctx);
-    *res.body_mut() = ResponseBody::buffered(body.to_bytes());
+    *res.body_mut() = ResponseBody::Held(body);
     response.finish(router.now());
     Ok(res)
 }
 
+/// Stores the body of a response; `None` if it is interrupted or too large.
+async fn store_body(
+    router: &Router,
+    ctx: &RequestContext,
+    body: &mut Incoming,
+) -> Option<HeldBody> {
+    let len = body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
+    if len.is_some_and(|len| len > MAX_BUFFERED_BODY) {
+        return None;
+    }
+    let connection = &ctx.in_flight.connection;
+    let mut stored = HeldBodyWriter::new(&router.memory, connection, len).await;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if stored.len() + data.len() > MAX_BUFFERED_BODY {
+            return None;
+        }
+        stored.push(&data).await;
+    }
+    Some(stored.finish())
+}
+
 /// Why a server's stream was not read to its end.
 #[derive(Debug, thiserror::Error)]
 enum StreamError {
@@ -342,7 +368,8 @@
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
-                let queued = self.queue.push(event.bytes, &self.router.memory).await;
+                let connection = &self.ctx.in_flight.connection;
+                let queued = self.queue.push(event.bytes, &self.router.memory, connection).await;
                 queued.map_err(|CallerGone| StreamError::CallerGone)?;
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.timing.record_event(self.router.now());
--- /dev/null
+++ b/src/router/request/request_body.rs
@@ -0,0 +1,83 @@
+//! Reads the bodies of callers' requests.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    router::request::{in_flight::InFlightGuard, refusal::Refusal},
+    routing::CallerLimits,
+};
+
+/// Size of the blocks in which a body is collected, in bytes. All have the same size, so that the memory of one body
+/// serves the next.
+const BLOCK: usize = 8 << 10;
+
+/// Reads the request's body within the size and time limits.
+pub(crate) async fn read_body(
+    in_flight: &mut InFlightGuard,
+    body: Incoming,
+    limits: &CallerLimits,
+) -> Result<Bytes, Refusal> {
+    let read = collect_body(in_flight, body, limits.body_bytes);
+    timeout(limits.idle_timeout, read).await.map_err(|_| Refusal::BodyTimeout)?
+}
+
+/// Collects a body as it arrives. Its memory counts before it is allocated, and grows with what has arrived.
+async fn collect_body(
+    in_flight: &mut InFlightGuard,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let mut blocks: Vec<BytesMut> = Vec::new();
+    let mut len = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Refusal::Malformed)?.into_data() else {
+            continue;
+        };
+        len += data.len();
+        if len > max_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        append(in_flight, &mut blocks, &data).await?;
+    }
+    if blocks.len() <= 1 {
+        return Ok(blocks.pop().unwrap_or_default().freeze());
+    }
+    join(in_flight, &blocks, len).await
+}
+
+async fn append(
+    in_flight: &mut InFlightGuard,
+    blocks: &mut Vec<BytesMut>,
+    mut data: &[u8],
+) -> Result<(), Refusal> {
+    while !data.is_empty() {
+        let room = blocks.last().map_or(0, |block| BLOCK - block.len());
+        if room == 0 {
+            in_flight.hold_body(BLOCK).await.ok_or(Refusal::OutOfMemory)?;
+            blocks.push(BytesMut::with_capacity(BLOCK));
+            continue;
+        }
+        let (fitting, rest) = data.split_at(room.min(data.len()));
+        blocks.last_mut().expect("it has room").extend_from_slice(fitting);
+        data = rest;
+    }
+    Ok(())
+}
+
+/// Copies the blocks of a complete body into one.
+async fn join(
+    in_flight: &mut InFlightGuard,
+    blocks: &[BytesMut],
+    len: usize,
+) -> Result<Bytes, Refusal> {
+    in_flight.hold_body(len).await.ok_or(Refusal::OutOfMemory)?;
+    let mut joined = BytesMut::with_capacity(len);
+    for block in blocks {
+        joined.extend_from_slice(block);
+    }
+    in_flight.release_body(blocks.len() * BLOCK);
+    Ok(joined.freeze())
+}
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -37,7 +37,7 @@
     /// When the request arrived.
     pub(crate) arrived_at: Duration,
     /// Counts the request as in flight until its response has been relayed.
-    _in_flight: InFlightGuard,
+    pub(crate) in_flight: InFlightGuard,
     pub(crate) attempts: Vec<AttemptState>,
     /// Attempts that may have run on a server.
     pub(crate) runs: u32,
@@ -76,7 +76,7 @@
             deadline: in_flight.arrived_at + max_wait,
             head_deadline: None,
             arrived_at: in_flight.arrived_at,
-            _in_flight: in_flight,
+            in_flight,
             attempts,
             runs: 0,
             is_repeat: false,
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -2,11 +2,9 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request as HttpRequest, Response, Version, header::CONNECTION};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::{
     platform::request_headers::{parse_request_head, request_id},
@@ -16,9 +14,11 @@
         callers::caller_connection::CallerConnection,
         request::{
             body::ResponseBody,
+            held_body::HeldBodyWriter,
             in_flight::InFlightGuard,
             refusal::Refusal,
             relay::{self, MAX_BUFFERED_BODY},
+            request_body::read_body,
             request_context::RequestContext,
         },
     },
@@ -89,16 +89,32 @@
     router.record_request(&service);
     let req = Request { head, body };
     let ctx = RequestContext::new(req, route, service, organisation, max_wait, in_flight);
-    let res = relay::respond(router, ctx).await?;
-    if parts.version < Version::HTTP_11 { buffer_stream(res).await } else { Ok(res) }
+    // Boxed, so that a request whose body is awaited has no memory for its response yet.
+    let res = Box::pin(relay::respond(router, ctx)).await?;
+    if parts.version >= Version::HTTP_11 || !matches!(res.body(), ResponseBody::Stream(_)) {
+        return Ok(res);
+    }
+    store_stream(router, connection, res).await
 }
 
-/// Reads a response to its end. HTTP/1.0 has no chunks, so that an interrupted stream would look complete to its caller.
-async fn buffer_stream(res: Response<ResponseBody>) -> Result<Response<ResponseBody>, Refusal> {
-    let (parts, body) = res.into_parts();
-    let body = Limited::new(body, MAX_BUFFERED_BODY).collect().await;
-    let body = body.map_err(|_| Refusal::Lost)?;
-    Ok(Response::from_parts(parts, ResponseBody::buffered(body.to_bytes())))
+/// Reads a stream to its end. HTTP/1.0 has no chunks, so that an interrupted stream would look complete to its caller.
+async fn store_stream(
+    router: &Router,
+    connection: &Arc<CallerConnection>,
+    res: Response<ResponseBody>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let (parts, mut body) = res.into_parts();
+    let mut stored = HeldBodyWriter::new(&router.memory, connection, None).await;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Refusal::Lost)?.into_data() else {
+            continue;
+        };
+        if stored.len() + data.len() > MAX_BUFFERED_BODY {
+            return Err(Refusal::Lost);
+        }
+        stored.push(&data).await;
+    }
+    Ok(Response::from_parts(parts, ResponseBody::Held(stored.finish())))
 }
 
 /// Finds the request's route and authenticates its Organisation.
@@ -117,36 +133,6 @@
     Ok((route.clone(), organisation))
 }
 
-/// Reads the request's body within the size and time limits.
-async fn read_body(
-    in_flight: &mut InFlightGuard,
-    body: Incoming,
-    limits: &CallerLimits,
-) -> Result<Bytes, Refusal> {
-    let read = collect_body(in_flight, body, limits.body_bytes);
-    timeout(limits.idle_timeout, read).await.map_err(|_| Refusal::BodyTimeout)?
-}
-
-/// Collects the parts of a body as they arrive. Each counts as held memory, also while the rest is awaited.
-async fn collect_body(
-    in_flight: &mut InFlightGuard,
-    mut body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, Refusal> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Refusal::Malformed)?.into_data() else {
-            continue;
-        };
-        if collected.len() + data.len() > max_bytes {
-            return Err(Refusal::BodyTooLarge);
-        }
-        in_flight.hold_body(data.len()).ok_or(Refusal::OutOfMemory)?;
-        collected.extend_from_slice(&data);
-    }
-    Ok(collected.freeze())
-}
-
 /// Chooses the route's target service by weight. All requests of a session get the same service.
 fn choose_service(route: &Route, head: &RequestHead) -> Box<str> {
     let total: f64 = route.targets.iter().map(|target| target.weight).sum();
--- a/src/router/request/stream_queue.rs
+++ b/src/router/request/stream_queue.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use crate::router::request::memory_budget::{HeldBytes, MemoryBudget};
+use crate::router::{
+    callers::caller_connection::CallerConnection,
+    request::memory_budget::{HeldBytes, MemoryBudget},
+};
 
 /// Maximum number of bytes held for one caller: several times the longest answers seen, which have 60 KB.
 const MAX_QUEUED: u32 = 256 << 10;
@@ -52,13 +55,18 @@
 
 impl StreamQueue {
     /// Queues events, waiting while too many bytes are held for this caller or for all callers.
-    pub(crate) async fn push(&self, bytes: Bytes, budget: &MemoryBudget) -> Result<(), CallerGone> {
+    pub(crate) async fn push(
+        &self,
+        bytes: Bytes,
+        budget: &MemoryBudget,
+        connection: &Arc<CallerConnection>,
+    ) -> Result<(), CallerGone> {
         let size = bytes.len() + EVENT_OVERHEAD;
         // A caller that has taken all earlier events never waits for those that have not.
         let is_empty = self.free.available_permits() == MAX_QUEUED as usize;
         let permits = u32::try_from(size).unwrap_or(u32::MAX).min(MAX_QUEUED);
         let queued = self.free.clone().acquire_many_owned(permits).await.map_err(|_| CallerGone)?;
-        let held = if is_empty { None } else { Some(budget.hold(size).await) };
+        let held = if is_empty { None } else { Some(budget.hold(connection, size).await) };
         let events = QueuedEvents { bytes, _queued: queued, _held: held };
         self.parts.send(StreamPart::Events(events)).map_err(|_| CallerGone)
     }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -149,8 +149,10 @@
             limits.connection_bytes,
         );
         let connections = Arc::new(ConnectionTable::new(limit));
+        let memory =
+            MemoryBudget::new(settings.memory_limit, connections.clone(), limits.evict_after);
         Self {
-            memory: MemoryBudget::new(settings.memory_limit),
+            memory,
             connections,
             settings: ArcSwap::from_pointee(settings),
             table: ArcSwap::from_pointee(None),
