Events in progress and queued events count before they are stored

Callers saw: a process beyond its memory while others read streams of large events slowly.

Cause: an event in progress, up to 1 MB a stream, was in no account, an empty queue let one event through without it, and what an event took ended when hyper got it. A small event also kept the buffer that it was received in.

Change: the buffer of an event in progress is held before it grows; events carry what is held for them; small ones are copied. A caller that is behind is cut off at the deadline of its request. The end of an event is searched with memchr. The read buffer of a connection to a server is 32 KB, half of before.

--- a/src/router/request/body.rs
+++ b/src/router/request/body.rs
@@ -41,7 +41,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
         match ready!(self.parts.poll_recv(cx)) {
-            Some(StreamPart::Events(events)) => Poll::Ready(Some(Ok(Frame::data(events.bytes)))),
+            Some(StreamPart::Events(events)) => Poll::Ready(Some(Ok(Frame::data(events)))),
             Some(StreamPart::End) => Poll::Ready(None),
             None if self.has_yielded => Poll::Ready(Some(Err(StreamInterrupted))),
             None => {
--- a/src/router/request/event_stream.rs
+++ b/src/router/request/event_stream.rs
@@ -1,6 +1,13 @@
 //! Splits a byte stream into server-sent events, so that only complete events are forwarded.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use memchr::memchr_iter;
+
+/// Size from which an event keeps the buffer that it was received in, in bytes; smaller ones are copied, since each
+/// would keep all of it.
+const MIN_SHARED: usize = 16 << 10;
+/// Smallest size of the buffer, in bytes.
+const MIN_CAPACITY: usize = 4 << 10;
 
 /// A complete event, unmodified.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +32,32 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// The capacity that the buffer needs for further bytes; `None` if they fit.
+    pub(crate) fn needed_capacity(&mut self, bytes: usize) -> Option<usize> {
+        if self.buf.try_reclaim(bytes) {
+            return None;
+        }
+        let pending = self.buf.len();
+        Some((pending + bytes).max(pending + pending / 2).max(MIN_CAPACITY))
+    }
+
+    /// Moves the incomplete event to a buffer with this capacity.
+    pub(crate) fn grow(&mut self, capacity: usize) {
+        let mut buf = BytesMut::with_capacity(capacity);
+        buf.extend_from_slice(&self.buf);
+        self.buf = buf;
+    }
+
+    /// Whether a buffer is so small that every stream may have one.
+    pub(crate) fn is_small(capacity: usize) -> bool {
+        capacity <= MIN_CAPACITY
+    }
+
+    /// Whether an event of this size keeps the buffer that it was received in.
+    pub(crate) fn is_shared(len: usize) -> bool {
+        len >= MIN_SHARED
+    }
+
     /// Removes and returns the next complete event, if one has been received.
     pub fn next_event(&mut self) -> Option<Event> {
         let start = self.scanned.saturating_sub(3);
@@ -33,10 +66,19 @@
             return None;
         };
         self.scanned = 0;
-        let bytes = self.buf.split_to(end).freeze();
+        let bytes = self.take(end);
         Some(Event { id: read_id(&bytes), bytes })
     }
 
+    fn take(&mut self, len: usize) -> Bytes {
+        if Self::is_shared(len) {
+            return self.buf.split_to(len).freeze();
+        }
+        let bytes = Bytes::copy_from_slice(&self.buf[..len]);
+        self.buf.advance(len);
+        bytes
+    }
+
     /// Whether the buffer holds an incomplete event.
     pub fn is_inside_event(&self) -> bool {
         !self.buf.is_empty()
@@ -50,15 +92,11 @@
 
 /// End of the first empty line; lines may end in LF or CRLF.
 fn find_end(buf: &[u8]) -> Option<usize> {
-    for i in 0..buf.len() {
-        if buf[i..].starts_with(b"\n\n") {
-            return Some(i + 2);
-        }
-        if buf[i..].starts_with(b"\n\r\n") {
-            return Some(i + 3);
-        }
-    }
-    None
+    memchr_iter(b'\n', buf).find_map(|i| match &buf[i + 1..] {
+        [b'\n', ..] => Some(i + 2),
+        [b'\r', b'\n', ..] => Some(i + 3),
+        _ => None,
+    })
 }
 
 fn read_id(event: &[u8]) -> Option<u64> {
--- a/src/router/request/held_body.rs
+++ b/src/router/request/held_body.rs
@@ -3,6 +3,7 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::router::{
     callers::caller_connection::CallerConnection,
@@ -18,12 +19,18 @@
 pub(crate) struct HeldBuffer {
     bytes: Bytes,
     _held: HeldBytes,
+    /// Room that they take in a queue.
+    _room: Option<OwnedSemaphorePermit>,
 }
 
 impl HeldBuffer {
     /// Makes the bytes carry what is held for them.
-    pub(crate) fn attach(bytes: Bytes, held: HeldBytes) -> Bytes {
-        Bytes::from_owner(Self { bytes, _held: held })
+    pub(crate) fn attach(
+        bytes: Bytes,
+        held: HeldBytes,
+        room: Option<OwnedSemaphorePermit>,
+    ) -> Bytes {
+        Bytes::from_owner(Self { bytes, _held: held, _room: room })
     }
 }
 
@@ -119,7 +126,7 @@
         let block = std::mem::take(&mut self.block).freeze();
         let held = self.held.split(block.len());
         self.body.len += block.len();
-        self.body.blocks.push_back(HeldBuffer::attach(block, held));
+        self.body.blocks.push_back(HeldBuffer::attach(block, held, None));
     }
 
     /// The stored body.
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -3,10 +3,11 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http::{Response, header::CONTENT_LENGTH};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     policy::{
@@ -16,17 +17,19 @@
     },
     router::{
         EventSplitter, Member, Router,
+        callers::caller_connection::CutReason,
         request::{
             attempt::OpenResponse,
             body::{ResponseBody, StreamBody},
             dispatch::{lost_refusal, reserve_failover, send_with_failover},
             held_body::{HeldBody, HeldBodyWriter},
+            memory_budget::HeldBytes,
             refusal::Refusal,
             request_context::{AttemptParams, RequestContext},
             response_wait::{ResponseWait, wait_for_response},
             selection::usual_time_key,
             stages::{self, StageResponse},
-            stream_queue::{CallerGone, StreamQueue, stream_queue},
+            stream_queue::{CallerGone, EVENT_OVERHEAD, StreamQueue, stream_queue},
         },
         servers::{
             lost_requests::LossCause,
@@ -41,6 +44,8 @@
 pub(crate) const MAX_BUFFERED_BODY: usize = 4 << 20;
 /// Maximum size of one event of a stream, in bytes.
 const MAX_EVENT: usize = 1 << 20;
+/// Interval at which it is checked whether a caller that is behind is still served.
+const BEHIND_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Runs a request and returns the response for its caller.
 pub(crate) async fn respond(
@@ -188,7 +193,7 @@
     MissingEvent,
     #[error("an event is too large")]
     TooLarge,
-    #[error("the caller is gone")]
+    #[error("the caller is gone, or too slow")]
     CallerGone,
     #[error("the request was quarantined because servers crashed while running it")]
     Quarantined,
@@ -327,6 +332,7 @@
     /// Relays the events of one server until its stream is complete.
     async fn relay_events(&mut self, mut response: OpenResponse) -> Result<(), StreamError> {
         let mut splitter = EventSplitter::default();
+        let mut held = HeldBytes::default();
         let mut run = RunTiming { is_counted: response.is_slow, ..RunTiming::default() };
         loop {
             let timeouts = self.timeouts(&response.member);
@@ -365,12 +371,18 @@
                 continue;
             };
             response.member.record_received(self.router.now());
+            if let Some(capacity) = splitter.needed_capacity(data.len()) {
+                let counted = if EventSplitter::is_small(capacity) { 0 } else { capacity };
+                held = self.hold(counted).await?;
+                splitter.grow(capacity);
+            }
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
-                let connection = &self.ctx.in_flight.connection;
-                let queued = self.queue.push(event.bytes, &self.router.memory, connection).await;
-                queued.map_err(|CallerGone| StreamError::CallerGone)?;
+                let len = event.bytes.len();
+                let is_shared = EventSplitter::is_shared(len);
+                let held = if is_shared { held.split(len) } else { self.hold(len).await? };
+                self.queue_event(event.bytes, held).await?;
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.timing.record_event(self.router.now());
                 self.check_pace(&response, &mut run);
@@ -381,6 +393,46 @@
         }
     }
 
+    /// Holds bytes for the caller, until the deadline of its request at the latest.
+    async fn hold(&self, bytes: usize) -> Result<HeldBytes, StreamError> {
+        let (router, connection) = (&self.router, &self.ctx.in_flight.connection);
+        if let Some(held) = router.memory.try_hold(connection, bytes) {
+            return Ok(held);
+        }
+        let held = router.memory.hold(connection, bytes);
+        let held = router.clock.timeout_at(self.ctx.deadline, held).await;
+        held.ok_or_else(|| self.cut_caller(CutReason::Deadline))
+    }
+
+    /// Queues an event for the caller. A caller that is behind is cut off at its deadline.
+    async fn queue_event(&mut self, bytes: Bytes, mut held: HeldBytes) -> Result<(), StreamError> {
+        held.merge(self.hold(EVENT_OVERHEAD).await?);
+        let size = bytes.len() + EVENT_OVERHEAD;
+        let room = loop {
+            if let Some(room) = self.queue.try_reserve(size) {
+                break room;
+            }
+            if let Some(reason) = self.reason_to_cut() {
+                return Err(self.cut_caller(reason));
+            }
+            if let Ok(room) = timeout(BEHIND_CHECK_INTERVAL, self.queue.reserve(size)).await {
+                break room;
+            }
+        };
+        self.queue.push(bytes, held, room).map_err(|CallerGone| StreamError::CallerGone)
+    }
+
+    /// Why a caller that is behind is not waited for any longer.
+    fn reason_to_cut(&self) -> Option<CutReason> {
+        (self.router.now() >= self.ctx.deadline).then_some(CutReason::Deadline)
+    }
+
+    /// Closes the connection of a caller that is too slow, with everything that is held for it.
+    fn cut_caller(&self, reason: CutReason) -> StreamError {
+        self.ctx.in_flight.connection.cut(reason);
+        StreamError::CallerGone
+    }
+
     /// Counts a run as slow against its version as soon as its events arrive far too slowly.
     fn check_pace(&self, response: &OpenResponse, run: &mut RunTiming) {
         run.record_event(Instant::now());
--- a/src/router/request/stream_queue.rs
+++ b/src/router/request/stream_queue.rs
@@ -8,33 +8,22 @@
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use crate::router::{
-    callers::caller_connection::CallerConnection,
-    request::memory_budget::{HeldBytes, MemoryBudget},
-};
+use crate::router::request::{held_body::HeldBuffer, memory_budget::HeldBytes};
 
 /// Maximum number of bytes held for one caller: several times the longest answers seen, which have 60 KB.
 const MAX_QUEUED: u32 = 256 << 10;
 /// Memory that an event uses besides its bytes.
-const EVENT_OVERHEAD: usize = 128;
+pub(crate) const EVENT_OVERHEAD: usize = 128;
 
 /// Part of a streamed response.
 #[derive(Debug)]
 pub(crate) enum StreamPart {
-    /// One or more complete server-sent events.
-    Events(QueuedEvents),
+    /// One or more complete server-sent events; they count as held until the last copy of them is gone.
+    Events(Bytes),
     /// The stream is complete.
     End,
 }
 
-/// Events in a queue; they count as held until this is dropped.
-#[derive(Debug)]
-pub(crate) struct QueuedEvents {
-    pub(crate) bytes: Bytes,
-    _queued: OwnedSemaphorePermit,
-    _held: Option<HeldBytes>,
-}
-
 /// The caller's response has ended.
 #[derive(Debug)]
 pub(crate) struct CallerGone;
@@ -54,20 +43,25 @@
 }
 
 impl StreamQueue {
-    /// Queues events, waiting while too many bytes are held for this caller or for all callers.
-    pub(crate) async fn push(
+    /// Reserves room for this number of bytes, if the queue has it.
+    pub(crate) fn try_reserve(&self, size: usize) -> Option<OwnedSemaphorePermit> {
+        self.free.clone().try_acquire_many_owned(permits(size)).ok()
+    }
+
+    /// Reserves room for this number of bytes as soon as the caller has taken enough.
+    pub(crate) async fn reserve(&self, size: usize) -> OwnedSemaphorePermit {
+        let room = self.free.clone().acquire_many_owned(permits(size)).await;
+        room.expect("the semaphore is never closed")
+    }
+
+    /// Queues events in reserved room, with what is held for them.
+    pub(crate) fn push(
         &self,
         bytes: Bytes,
-        budget: &MemoryBudget,
-        connection: &Arc<CallerConnection>,
+        held: HeldBytes,
+        room: OwnedSemaphorePermit,
     ) -> Result<(), CallerGone> {
-        let size = bytes.len() + EVENT_OVERHEAD;
-        // A caller that has taken all earlier events never waits for those that have not.
-        let is_empty = self.free.available_permits() == MAX_QUEUED as usize;
-        let permits = u32::try_from(size).unwrap_or(u32::MAX).min(MAX_QUEUED);
-        let queued = self.free.clone().acquire_many_owned(permits).await.map_err(|_| CallerGone)?;
-        let held = if is_empty { None } else { Some(budget.hold(connection, size).await) };
-        let events = QueuedEvents { bytes, _queued: queued, _held: held };
+        let events = HeldBuffer::attach(bytes, held, Some(room));
         self.parts.send(StreamPart::Events(events)).map_err(|_| CallerGone)
     }
 
@@ -77,3 +71,8 @@
         let _ = self.parts.send(StreamPart::End);
     }
 }
+
+/// Permits for this number of bytes; more than the queue takes count as all of it.
+fn permits(size: usize) -> u32 {
+    u32::try_from(size).unwrap_or(u32::MAX).min(MAX_QUEUED)
+}
--- a/src/router/servers/connection.rs
+++ b/src/router/servers/connection.rs
@@ -25,7 +25,7 @@
 const MAX_IDLE_TIME_ONCE_ONLY: Duration = Duration::from_millis(800);
 /// Maximum size of a response head, and of what is read of a body and not yet relayed, in bytes: heads take one or two
 /// kilobytes.
-const MAX_READ_BUFFER: usize = 64 << 10;
+const MAX_READ_BUFFER: usize = 32 << 10;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 16;
 
