A response that waits for its caller or for memory gives way at its server

Callers saw: no stream is served in 90 s while 64 clients read endless streams slowly and the server has 8 slots.

Cause: a stream whose queue is full stops reading from its server, which then keeps a slot for it until its caller has taken all, or the stream's deadline. Nobody else gets the slot.

Evidence: endless_streams_that_are_read_slowly_leave_room_for_others, with servers that run 8 requests at a time as their rows say: red on ("an ordinary stream request is not served"). Before the servers of these tests had slots it was green.

Change: a stream that has been behind, or a response that has waited for memory, for 250 ms is given up when another request of this entry waits for the same server to begin; its caller's connection is closed, so that it can't look complete, and the server is not blamed. While nobody waits, nothing changes.

--- a/src/policy/caller_pace.rs
+++ b/src/policy/caller_pace.rs
@@ -12,7 +12,7 @@
     pub min_bytes_per_s: u64,
     /// Period over which that rate is measured.
     pub period: Duration,
-    /// Time for which a stream's caller may be behind while other requests wait for the stream's server.
+    /// Time for which a response may wait for its caller, or for memory, while other requests wait for its server.
     pub yield_after: Duration,
     /// Time for which a connection may hold memory that other connections need.
     pub evict_after: Duration,
@@ -25,7 +25,7 @@
         Self {
             min_bytes_per_s: 1_024,
             period: Duration::from_secs(10),
-            yield_after: Duration::from_millis(500),
+            yield_after: Duration::from_millis(250),
             evict_after: Duration::from_secs(1),
             connection_bytes: 40 << 10,
         }
--- a/src/router/callers/caller_connection.rs
+++ b/src/router/callers/caller_connection.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// A request's wait for memory.
+pub(crate) struct MemoryWait<'a> {
+    connection: &'a CallerConnection,
+}
+
+impl Drop for MemoryWait<'_> {
+    fn drop(&mut self) {
+        self.connection.lock().waits_since = None;
+    }
+}
+
 /// A connection of a caller.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
@@ -59,6 +70,8 @@
     held_bytes: usize,
     /// When `held_bytes` was last zero.
     held_since: Instant,
+    /// Since when one of its requests has been waiting for memory.
+    waits_since: Option<Instant>,
     /// Requests that were received in full and are being served.
     requests: usize,
     /// When `requests` was last above zero.
@@ -69,8 +82,14 @@
 impl CallerConnection {
     pub(crate) fn new(id: ConnectionId, address: SocketAddr) -> Self {
         let now = Instant::now();
-        let state =
-            State { held_bytes: 0, held_since: now, requests: 0, unused_since: now, cut: None };
+        let state = State {
+            held_bytes: 0,
+            held_since: now,
+            waits_since: None,
+            requests: 0,
+            unused_since: now,
+            cut: None,
+        };
         Self { id, address, state: Mutex::new(state), cut: Notify::new() }
     }
 
@@ -93,6 +112,17 @@
         state.held_bytes = state.held_bytes.saturating_sub(bytes);
     }
 
+    /// Records that a request waits for memory, until the returned guard is dropped.
+    pub(crate) fn record_wait(&self) -> MemoryWait<'_> {
+        self.lock().waits_since = Some(Instant::now());
+        MemoryWait { connection: self }
+    }
+
+    /// Since when a request has been waiting for memory, if one does.
+    pub(crate) fn waits_for_memory_since(&self) -> Option<Instant> {
+        self.lock().waits_since
+    }
+
     /// Records that a request has been received in full.
     pub(crate) fn record_request_begun(&self) {
         self.lock().requests += 1;
--- a/src/router/request/memory_budget.rs
+++ b/src/router/request/memory_budget.rs
@@ -167,6 +167,7 @@
             return held;
         }
         let wanted = self.clamp(bytes);
+        let _wait = connection.record_wait();
         let evict = async {
             loop {
                 self.connections.make_room(bytes, connection.id, self.evict_after);
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -130,7 +130,8 @@
     mut response: OpenResponse,
 ) -> Result<Response<ResponseBody>, ()> {
     let mut res = response_with_head(&response);
-    let body = store_body(router, ctx, &mut response.body).await;
+    let storing = store_body(router, ctx, &mut response.body);
+    let body = yield_to_others(router, ctx, &response.member, storing).await;
     let is_cut_off = || may_be_cut_off(router, &response.member, response.framing);
     let body = match body {
         Some(body) if !is_cut_off().await => body,
@@ -154,6 +155,28 @@
     Ok(res)
 }
 
+/// Stores a response, unless it waits for memory while other requests wait for its server: then its caller's connection
+/// is closed, and this never returns.
+async fn yield_to_others<T>(
+    router: &Router,
+    ctx: &RequestContext,
+    server: &Member,
+    storing: impl Future<Output = T>,
+) -> T {
+    let mut storing = pin!(storing);
+    let (limits, connection) = (&router.policy.callers, &ctx.in_flight.connection);
+    loop {
+        if let Ok(stored) = timeout(BEHIND_CHECK_INTERVAL, storing.as_mut()).await {
+            return stored;
+        }
+        let waits_for = connection.waits_for_memory_since().map(|since| since.elapsed());
+        if waits_for.is_some_and(|waited| limits.yields(waited, server.is_awaited())) {
+            connection.cut(CutReason::Yield);
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Stores the body of a response; `None` if it is interrupted or too large.
 async fn store_body(
     router: &Router,
@@ -371,18 +394,10 @@
                 continue;
             };
             response.member.record_received(self.router.now());
-            if let Some(capacity) = splitter.needed_capacity(data.len()) {
-                let counted = if EventSplitter::is_small(capacity) { 0 } else { capacity };
-                held = self.hold(counted).await?;
-                splitter.grow(capacity);
-            }
-            splitter.push(&data);
+            self.buffer(&data, &mut splitter, &mut held).await?;
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
-                let len = event.bytes.len();
-                let is_shared = EventSplitter::is_shared(len);
-                let held = if is_shared { held.split(len) } else { self.hold(len).await? };
-                self.queue_event(event.bytes, held).await?;
+                self.queue_event(event.bytes, &mut held, &response.member).await?;
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.timing.record_event(self.router.now());
                 self.check_pace(&response, &mut run);
@@ -404,15 +419,43 @@
         held.ok_or_else(|| self.cut_caller(CutReason::Deadline))
     }
 
-    /// Queues an event for the caller. A caller that is behind is cut off at its deadline.
-    async fn queue_event(&mut self, bytes: Bytes, mut held: HeldBytes) -> Result<(), StreamError> {
-        held.merge(self.hold(EVENT_OVERHEAD).await?);
+    /// Adds bytes to the event in progress, whose buffer counts as held for the caller.
+    async fn buffer(
+        &self,
+        data: &[u8],
+        splitter: &mut EventSplitter,
+        held: &mut HeldBytes,
+    ) -> Result<(), StreamError> {
+        if let Some(capacity) = splitter.needed_capacity(data.len()) {
+            let counted = if EventSplitter::is_small(capacity) { 0 } else { capacity };
+            *held = self.hold(counted).await?;
+            splitter.grow(capacity);
+        }
+        splitter.push(data);
+        Ok(())
+    }
+
+    /// Queues an event for the caller; `buffered` is what is held for the buffer that it was received in. A caller that is behind is cut off at its deadline, or earlier if its stream
+    /// holds up others.
+    async fn queue_event(
+        &mut self,
+        bytes: Bytes,
+        buffered: &mut HeldBytes,
+        server: &Member,
+    ) -> Result<(), StreamError> {
         let size = bytes.len() + EVENT_OVERHEAD;
+        let held = if EventSplitter::is_shared(bytes.len()) {
+            let mut held = buffered.split(bytes.len());
+            held.merge(self.hold(EVENT_OVERHEAD).await?);
+            held
+        } else {
+            self.hold(size).await?
+        };
         let room = loop {
             if let Some(room) = self.queue.try_reserve(size) {
                 break room;
             }
-            if let Some(reason) = self.reason_to_cut() {
+            if let Some(reason) = self.reason_to_cut(server) {
                 return Err(self.cut_caller(reason));
             }
             if let Ok(room) = timeout(BEHIND_CHECK_INTERVAL, self.queue.reserve(size)).await {
@@ -423,8 +466,13 @@
     }
 
     /// Why a caller that is behind is not waited for any longer.
-    fn reason_to_cut(&self) -> Option<CutReason> {
-        (self.router.now() >= self.ctx.deadline).then_some(CutReason::Deadline)
+    fn reason_to_cut(&self, server: &Member) -> Option<CutReason> {
+        if self.router.now() >= self.ctx.deadline {
+            return Some(CutReason::Deadline);
+        }
+        let behind_for = self.queue.behind_since()?.elapsed();
+        let yields = self.router.policy.callers.yields(behind_for, server.is_awaited());
+        yields.then_some(CutReason::Yield)
     }
 
     /// Closes the connection of a caller that is too slow, with everything that is held for it.
--- a/src/router/request/stream_queue.rs
+++ b/src/router/request/stream_queue.rs
@@ -6,7 +6,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+    time::Instant,
+};
 
 use crate::router::request::{held_body::HeldBuffer, memory_budget::HeldBytes};
 
@@ -33,19 +36,28 @@
 pub(crate) struct StreamQueue {
     parts: mpsc::UnboundedSender<StreamPart>,
     free: Arc<Semaphore>,
+    /// Since when the caller has been behind by more than half of the queue, after the queue was full.
+    behind_since: Option<Instant>,
 }
 
 /// Creates a queue; the other end is for the response's body.
 pub(crate) fn stream_queue() -> (StreamQueue, mpsc::UnboundedReceiver<StreamPart>) {
     let (parts, received) = mpsc::unbounded_channel();
     let free = Arc::new(Semaphore::new(MAX_QUEUED as usize));
-    (StreamQueue { parts, free }, received)
+    (StreamQueue { parts, free, behind_since: None }, received)
 }
 
 impl StreamQueue {
     /// Reserves room for this number of bytes, if the queue has it.
-    pub(crate) fn try_reserve(&self, size: usize) -> Option<OwnedSemaphorePermit> {
-        self.free.clone().try_acquire_many_owned(permits(size)).ok()
+    pub(crate) fn try_reserve(&mut self, size: usize) -> Option<OwnedSemaphorePermit> {
+        if self.free.available_permits() >= MAX_QUEUED as usize / 2 {
+            self.behind_since = None;
+        }
+        let room = self.free.clone().try_acquire_many_owned(permits(size)).ok();
+        if room.is_none() {
+            self.behind_since.get_or_insert_with(Instant::now);
+        }
+        room
     }
 
     /// Reserves room for this number of bytes as soon as the caller has taken enough.
@@ -65,6 +77,11 @@
         self.parts.send(StreamPart::Events(events)).map_err(|_| CallerGone)
     }
 
+    /// Since when the caller has been behind, if it is.
+    pub(crate) fn behind_since(&self) -> Option<Instant> {
+        self.behind_since
+    }
+
     /// Ends the stream as complete.
     pub(crate) fn end(&self) {
         // A failed send means that the caller is gone, which no longer matters.
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -262,6 +262,11 @@
         state.failure_rate.record(true, now);
     }
 
+    /// Whether a request of this entry waits for the server to begin its response.
+    pub(crate) fn is_awaited(&self) -> bool {
+        self.state().unanswered > 0
+    }
+
     /// Records that data was received from the server.
     pub(crate) fn record_received(&self, now: Duration) {
         let mut state = self.state();
--- a/tests/clients/system.rs
+++ b/tests/clients/system.rs
@@ -20,6 +20,8 @@
 pub const LARGE_BODY: usize = 3 << 20;
 /// Size of an ordinary request's body, below the largest that the configuration allows, 64 KB.
 const ORDINARY_BODY: usize = 30 << 10;
+/// Requests that a server runs at a time, as its row in the store says.
+const SLOTS: usize = 8;
 /// Events of an ordinary stream.
 const ORDINARY_EVENTS: u64 = 3;
 /// Stops a test that hangs.
@@ -51,6 +53,9 @@
         let turn = ONE_AT_A_TIME.lock().await;
         let app = Server::start("i-app", respond).await;
         let llm = Server::start("i-llm", respond).await;
+        for server in [&app, &llm] {
+            server.limit_slots(SLOTS);
+        }
         let store = store_with_servers(&[(&app, "app", "v1")]).await;
         list_server(&store, &llm, "llm", "v1", "ready");
         let process = Process::start(store.address, limits);
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -15,7 +15,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Semaphore, watch},
     time::sleep,
 };
 
@@ -132,6 +132,8 @@
     limit_headers: Arc<Mutex<Vec<String>>>,
     /// Header lines added to all its responses.
     extra_headers: Arc<Mutex<Vec<String>>>,
+    /// Requests that it can run at a time; further ones wait.
+    slots: Arc<Semaphore>,
     /// While this is set, the server rejects every request with this `Retry-After`.
     retry_after: Arc<Mutex<Option<String>>>,
     /// Number of the current incarnation, from 0, and its state.
@@ -154,6 +156,7 @@
             active_requests: Arc::default(),
             limit_headers: Arc::default(),
             extra_headers: Arc::default(),
+            slots: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             retry_after: Arc::default(),
             process: Arc::new(watch::Sender::new((0, ProcessState::Running))),
             next_listener: Arc::default(),
@@ -211,6 +214,12 @@
         states.wait_for(condition).await.expect("the server handle holds the sender");
     }
 
+    /// Limits the requests that it runs at a time.
+    #[allow(dead_code, reason = "used by tests/clients only")]
+    pub fn limit_slots(&self, slots: usize) {
+        self.slots.forget_permits(Semaphore::MAX_PERMITS - slots);
+    }
+
     /// Adds a `Server-Limit` header line for each of these values to all further responses; an empty
     /// slice removes the header.
     pub fn advertise_limit(&self, lines: &[&str]) {
@@ -270,6 +279,7 @@
         while let Some(request) = read_request(&mut stream).await {
             self.requests.lock().unwrap().push(request.clone());
             self.active_requests.fetch_add(1, Ordering::SeqCst);
+            let slot = self.slots.acquire().await.expect("the semaphore is never closed");
             let retry_after = self.retry_after.lock().unwrap().clone();
             let action = match retry_after {
                 Some(retry_after) => Action::NotExecutedRetryAfter { retry_after },
@@ -281,6 +291,7 @@
             );
             let keeps_connection =
                 respond(&mut stream, &request, action, &self.header_lines()).await;
+            drop(slot);
             if crashes {
                 let incarnation = self.process.borrow().0;
                 self.crash();
