--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -18,6 +18,7 @@
     router::{
         Router,
         accept_gate::AcceptGate,
+        admin_listen::serve_admin,
         callers::{
             caller_connection::CutReason, caller_stream::CallerStream,
             connection_table::OpenConnection,
@@ -30,7 +31,7 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_READ_BUFFER: usize = 8 << 10;
 /// Pause after a failed accept: when file descriptors have run out, an immediate retry fails again.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a connection stays usable beyond the idle timeout that callers are told.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
@@ -115,10 +116,7 @@
 }
 
 /// Serves the load balancer's readiness check, and metrics and the state dump on the same address.
-pub(crate) async fn serve_readiness(
-    router: Arc<Router>,
-    listener: TcpListener,
-) -> std::io::Result<()> {
+pub(crate) async fn serve_readiness(router: Arc<Router>, listener: TcpListener) {
     let readiness_router = router.clone();
     let ready = get(move || {
         let is_ready = readiness_router.is_ready();
@@ -127,5 +125,5 @@
     let app = HttpRouter::new()
         .route(crate::platform::READINESS_PATH, ready)
         .merge(admin::router(router.admin()));
-    axum::serve(listener, app).await
+    serve_admin(router, listener, app).await;
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,6 +5,7 @@
 //! (`peers`), and reports usage to the platform (`duties`). The design is in docs/decisions/0008.
 
 mod accept_gate;
+mod admin_listen;
 mod callers;
 mod duties;
 mod listen;
--- a/src/router/request/held_body.rs
+++ b/src/router/request/held_body.rs
@@ -48,7 +48,10 @@
 }
 
 impl HeldBody {
-    /// A body of the entry's own, too short to count.
+    /// Longest body that need not count, in bytes: what a connection uses in any case is many times as much.
+    pub(crate) const MAX_UNCOUNTED: usize = 1 << 10;
+
+    /// A body that is too short to count, or whose bytes carry what is held for them.
     pub(crate) fn uncounted(bytes: Bytes) -> Self {
         Self { len: bytes.len(), blocks: VecDeque::from([bytes]) }
     }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,7 +12,7 @@
         store::StoreClient,
     },
     router::{
-        Router,
+        Router, admin_listen,
         duties::usage_reporter,
         listen,
         peers::{links, peer_follower, seed_reporter},
@@ -97,23 +97,14 @@
     }
     let (closing, is_closing) = watch::channel(false);
     let callers = tokio::spawn(listen::serve_callers(router.clone(), callers, is_closing));
-    let readiness_router = router.clone();
-    tokio::spawn(async move {
-        if let Err(e) = listen::serve_readiness(readiness_router, readiness).await {
-            event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
-        }
-    });
+    tokio::spawn(listen::serve_readiness(router.clone(), readiness));
     Ok(RunningRouter { router, addresses, closing, _ending: ending, callers })
 }
 
 /// Serves metrics, the state dump and the release of quarantined requests on the admin address.
 fn serve_admin(router: &Arc<Router>, listener: TcpListener) {
     let app = admin::router(router.admin()).merge(quarantine_release::routes(router.clone()));
-    tokio::spawn(async move {
-        if let Err(e) = axum::serve(listener, app).await {
-            event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
-        }
-    });
+    tokio::spawn(admin_listen::serve_admin(router.clone(), listener, app));
 }
 
 /// Runs the control tasks until the entry stops.
