Links that have sent nothing give way to newer ones

Callers saw: an entry without descriptors, or without links to the others.

Cause: the address for other entries took 800 connections whatever `max-fds` says; a handshake that doesn't end kept its place for a second, a new one was refused. A first message could have 64 MB, the library's default.

The first message of 60 MB was not shown to do harm: its test was green before.

Change: a quarter of the descriptors, 800 at most; at the limit the link that has gone longest without a first message is closed. Messages have 1 MB at most, the read buffer 8 KB. Links that ended are logged once a second.

--- a/src/router/peers/links.rs
+++ b/src/router/peers/links.rs
@@ -16,11 +16,14 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, broadcast::error::RecvError},
+    sync::broadcast::error::RecvError,
     task::JoinSet,
     time::{sleep, timeout},
 };
-use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
 
 use crate::{
     ids::StoreVersion,
@@ -28,6 +31,7 @@
     protocol::{Error, Result, decode, encode},
     router::{
         Router,
+        callers::{caller_connection::CallerConnection, connection_table::ConnectionTable},
         peers::{
             messages::{PeerMessage, PeerRequest, Report},
             urgent_updates::UrgentUpdates,
@@ -54,6 +58,13 @@
 /// opens two links to it, one to report and one to follow; a limit of 400 left the last entries
 /// without a link.
 const MAX_LINKS: usize = 800;
+/// Part of the process's descriptors that links may use.
+const DESCRIPTOR_PART: usize = 4;
+/// Maximum size of a message of another entry, in bytes. The largest are reports of all records of crashing requests,
+/// which take a third of it.
+const MAX_MESSAGE: usize = 1 << 20;
+/// Size of the buffer that is allocated for reading from a link, in bytes.
+const READ_BUFFER: usize = 8 << 10;
 
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
@@ -73,12 +84,13 @@
 
 /// Accepts and serves links from other entries.
 pub(crate) async fn serve_peers(router: Arc<Router>, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(MAX_LINKS));
+    let limit = MAX_LINKS.min(router.settings.load().descriptor_limit / DESCRIPTOR_PART);
+    let connections = Arc::new(ConnectionTable::new(limit));
     // Dropping the set ends the links together with the control thread's work.
     let mut links = JoinSet::new();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(e) => {
                 event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
                 sleep(ACCEPT_RETRY_PAUSE).await;
@@ -86,26 +98,51 @@
             }
         };
         while links.try_join_next().is_some() {}
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            event::PEER_FAILED.log(format_args!("cause=\"limit of {MAX_LINKS} links reached\""));
+        let Some(open) = connections.open(address) else {
+            log_failed_link(&router, format_args!("limit of {limit} links reached"));
             continue;
         };
         let router = router.clone();
         links.spawn(async move {
-            let _permit = permit;
-            if let Err(e) = serve_link(&router, stream).await {
-                event::PEER_FAILED.log(format_args!("cause=\"{e}\""));
+            let connection = &open.connection;
+            tokio::select! {
+                served = serve_link(&router, stream, connection) => {
+                    if let Err(e) = served {
+                        log_failed_link(&router, format_args!("{e}"));
+                    }
+                }
+                () = connection.wait_until_cut() => {
+                    log_failed_link(&router, format_args!("closed for another link"));
+                }
             }
         });
     }
 }
 
-/// Serves one link until the other entry closes it.
-async fn serve_link(router: &Router, stream: TcpStream) -> Result<()> {
+/// Logs a link of another entry that ended, at most once a second: whoever reaches the address can cause it.
+fn log_failed_link(router: &Router, cause: std::fmt::Arguments<'_>) {
+    if let Some(unlogged) = router.link_log.admit(router.now()) {
+        event::PEER_FAILED.log(format_args!("cause=\"{cause}\" unlogged={unlogged}"));
+    }
+}
+
+/// Serves one link until the other entry closes it. Until its first message it gives way to newer ones.
+async fn serve_link(
+    router: &Router,
+    stream: TcpStream,
+    connection: &CallerConnection,
+) -> Result<()> {
     stream.set_nodelay(true)?;
-    let mut socket =
-        timeout(OPEN_TIMEOUT, accept_async(stream)).await.map_err(|_| timed_out())??;
-    match timeout(OPEN_TIMEOUT, receive_message(&mut socket)).await.map_err(|_| timed_out())?? {
+    let config = WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+        .read_buffer_size(READ_BUFFER);
+    let accepted = accept_async_with_config(stream, Some(config));
+    let mut socket = timeout(OPEN_TIMEOUT, accepted).await.map_err(|_| timed_out())??;
+    let first = timeout(OPEN_TIMEOUT, receive_message(&mut socket));
+    let first = first.await.map_err(|_| timed_out())??;
+    connection.record_request_begun();
+    match first {
         PeerRequest::Follow { version, era, only_in, host } => {
             let version = StoreVersion { era, revision: version };
             serve_follower(router, socket, version, only_in.as_deref(), &host).await
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -117,6 +117,8 @@
     pub(crate) peer_link: PeerLink,
     /// Limits the log lines on connections of callers that are cut.
     pub(crate) cut_log: LogRate,
+    /// Limits the log lines on links of other entries that ended.
+    pub(crate) link_log: LogRate,
     /// Prometheus metrics.
     pub metrics: Metrics,
     /// Retry budgets by service.
@@ -170,6 +172,7 @@
             usage: UsageMeter::new(CLOCK_ORIGIN),
             peer_link: PeerLink::default(),
             cut_log: LogRate::default(),
+            link_log: LogRate::default(),
             metrics: Metrics::default(),
             retry_budgets: Mutex::default(),
             extra_share: Mutex::new(ExtraShare::new(CLOCK_ORIGIN)),
