The kernel's buffers have fixed sizes

Callers saw: nothing yet; the platform counts what is received and not read towards a process's memory.

Cause: without a size the kernel lets the receive buffer of each connection grow to megabytes, and the send buffer of a caller takes as much of a stream before it shows that the caller is behind.

Change: 32 KB are received for a connection before it is read, 128 KB sent before they are taken.

--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -8,6 +8,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -32,6 +33,11 @@
 const MIN_READ_BUFFER: usize = 8 << 10;
 /// Pause after a failed accept: when file descriptors have run out, an immediate retry fails again.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// What the kernel may receive from a caller before it is read, in bytes; it counts towards the process's memory.
+const RECEIVE_BUFFER: usize = 32 << 10;
+/// What the kernel may hold of a response that its caller has not taken, in bytes. With more, the kernel would take
+/// megabytes of a stream before it shows that its caller is behind.
+const SEND_BUFFER: usize = 128 << 10;
 /// Time for which a connection stays usable beyond the idle timeout that callers are told.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
@@ -67,6 +73,15 @@
     connections.shutdown().await;
 }
 
+/// Sets the options of a caller's connection.
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    // Nagle's algorithm would hold back a small event until the caller has acknowledged the previous one.
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.set_send_buffer_size(SEND_BUFFER)
+}
+
 /// Serves the requests of one connection in a task of its own.
 fn serve_connection(
     router: &Arc<Router>,
@@ -76,8 +91,7 @@
     connections: &GracefulShutdown,
 ) {
     let accepted_at = Instant::now();
-    // Nagle's algorithm would hold back a small event until the caller has acknowledged the previous one.
-    if let Err(e) = stream.set_nodelay(true) {
+    if let Err(e) = configure(&stream) {
         event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\""));
         return;
     }
--- a/src/router/servers/connection.rs
+++ b/src/router/servers/connection.rs
@@ -7,7 +7,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpSocket, time::timeout};
 
 use crate::router::{Member, servers::server_stream::ServerStream};
 
@@ -26,6 +26,9 @@
 /// Maximum size of a response head, and of what is read of a body and not yet relayed, in bytes: heads take one or two
 /// kilobytes.
 const MAX_READ_BUFFER: usize = 32 << 10;
+/// What the kernel may receive for a connection before it is read, in bytes. It counts towards the process's memory, and
+/// by itself the kernel lets it grow to several megabytes. A round trip of 3 ms leaves 10 MB a second.
+const RECEIVE_BUFFER: u32 = 32 << 10;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 16;
 
@@ -82,7 +85,10 @@
 
 /// Opens a new connection.
 pub(crate) async fn connect(member: &Member) -> Result<Connection, ConnectError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(member.server.address))
+    let address = member.server.address;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    let stream = timeout(CONNECT_TIMEOUT, socket.connect(address))
         .await
         .map_err(|_| ConnectError::Timeout)??;
     stream.set_nodelay(true)?;
