Log lines have 4 KB at most

Callers saw: a process beyond its memory when its log is read slowly and requests have long ids.

Cause: at most 2,048 lines wait, but a line repeats a request's id, which may have as many bytes as a head.

Change: the details of a line end after 4 KB.

--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -1,9 +1,12 @@
 //! Numbered log events. `docs/EVENTS.md` lists them; `tests/catalogue.rs` compares that list with this one.
 
-use std::fmt::Arguments;
+use std::fmt::{Arguments, Display, Formatter, Result, Write};
 
 use spdlog::Level;
 
+/// Longest details of a log line, in bytes. They may repeat what a peer sent, and thousands of lines may wait.
+const MAX_DETAILS: usize = 4 << 10;
+
 /// A kind of event.
 #[derive(Clone, Copy, Debug)]
 pub struct EventKind {
@@ -21,7 +24,42 @@
     /// Logs an event of this kind with its details.
     pub fn log(&self, details: Arguments<'_>) {
         let (code, name) = (self.code, self.name);
-        spdlog::log!(self.level, "{} {}", name, details, kv: { code });
+        spdlog::log!(self.level, "{} {}", name, Truncated(details), kv: { code });
+    }
+}
+
+/// Details of a log line, without what is beyond the limit.
+struct Truncated<'a>(Arguments<'a>);
+
+impl Display for Truncated<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        let mut limited = LimitedWriter { f, left: MAX_DETAILS, is_cut: false };
+        let written = limited.write_fmt(self.0);
+        if limited.is_cut { f.write_str("...") } else { written }
+    }
+}
+
+/// Fails once more than the allowed number of bytes is written.
+struct LimitedWriter<'a, 'b> {
+    f: &'a mut Formatter<'b>,
+    left: usize,
+    is_cut: bool,
+}
+
+impl Write for LimitedWriter<'_, '_> {
+    fn write_str(&mut self, text: &str) -> Result {
+        let mut end = text.len().min(self.left);
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        let fitting = &text[..end];
+        self.f.write_str(fitting)?;
+        self.left -= fitting.len();
+        if fitting.len() < text.len() {
+            self.is_cut = true;
+            return Err(std::fmt::Error);
+        }
+        Ok(())
     }
 }
 
--- a/tests/clients/process.rs
+++ b/tests/clients/process.rs
@@ -35,6 +35,14 @@
     pub grace_s: u64,
 }
 
+/// Where a process writes its log.
+#[derive(Clone, Copy)]
+pub enum Log {
+    File,
+    /// A pipe from which nothing is read.
+    UnreadPipe,
+}
+
 /// A running process.
 pub struct Process {
     pub limits: Limits,
@@ -66,7 +74,7 @@
 
 impl Process {
     /// Starts an entry that uses this store.
-    pub fn start(store: SocketAddr, limits: Limits) -> Self {
+    pub fn start(store: SocketAddr, limits: Limits, log: Log) -> Self {
         let host = unique_host();
         let [caller, readiness, peer] =
             [CALLER_PORT, READINESS_PORT, PEER_PORT].map(|port| SocketAddr::new(host, port));
@@ -76,7 +84,7 @@
         );
         let dir = tempfile::tempdir().unwrap();
         std::fs::write(dir.path().join("host.yaml"), text).unwrap();
-        let child = spawn(dir.path());
+        let child = spawn(dir.path(), log);
         let pid = child.id().unwrap();
         let peak = Arc::new(Peak::default());
         let sampling = tokio::task::spawn_blocking({
@@ -137,13 +145,17 @@
     }
 }
 
-fn spawn(dir: &Path) -> Child {
-    let log = File::create(dir.join("log")).unwrap();
+fn spawn(dir: &Path, log: Log) -> Child {
+    let file = File::create(dir.join("log")).unwrap();
+    let stdout = match log {
+        Log::File => file.try_clone().unwrap().into(),
+        Log::UnreadPipe => Stdio::piped(),
+    };
     Command::new(env!("CARGO_BIN_EXE_mintmoor"))
         .arg("route")
         .env("MINTMOOR_CONFIG", dir.join("host.yaml"))
-        .stdout(log.try_clone().unwrap())
-        .stderr(log)
+        .stdout(stdout)
+        .stderr(file)
         .stdin(Stdio::null())
         .kill_on_drop(true)
         .spawn()
--- a/tests/clients/requests.rs
+++ b/tests/clients/requests.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     crowd::{Behaviour, Crowd},
+    process::Log,
     site::{request_bytes, request_bytes_with_id},
     system::{SMALL_MACHINE, System},
 };
@@ -87,6 +88,19 @@
     play(64, Behaviour::sending(request.replace("Connection: close\r\n", "").repeat(20))).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn long_ids_in_log_lines_that_nobody_reads_stay_within_the_memory() {
+    let mut system = System::start_with_log(SMALL_MACHINE, Log::UnreadPipe).await;
+    let request = request_bytes_with_id(&"x".repeat(14 << 10), "GET", "/no-route", "", "");
+    let behaviour = Behaviour::sending(request.replace("Connection: close\r\n", "").repeat(100));
+
+    let crowd = Crowd::start(system.caller(), 64, &behaviour);
+    crowd.settle(64).await;
+    system.assert_ordinary_callers_are_served().await;
+    system.process.assert_within_limits();
+    drop(crowd);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_all_name_another_model_stay_within_the_memory() {
     let mut system = System::start(SMALL_MACHINE).await;
--- a/tests/clients/system.rs
+++ b/tests/clients/system.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    process::{Limits, Process},
+    process::{Limits, Log, Process},
     server::{Action, ReceivedRequest, Server},
     site::{events, list_server, request_bytes, request_bytes_with_id, store_with_servers},
     store::Store,
@@ -50,6 +50,11 @@
 impl System {
     /// Starts a system and waits until it serves.
     pub async fn start(limits: Limits) -> Self {
+        Self::start_with_log(limits, Log::File).await
+    }
+
+    /// Like [`System::start`], with a log that goes there.
+    pub async fn start_with_log(limits: Limits, log: Log) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
         let app = Server::start("i-app", respond).await;
         let llm = Server::start("i-llm", respond).await;
@@ -58,7 +63,7 @@
         }
         let store = store_with_servers(&[(&app, "app", "v1")]).await;
         list_server(&store, &llm, "llm", "v1", "ready");
-        let process = Process::start(store.address, limits);
+        let process = Process::start(store.address, limits, log);
         let system = Self { process, _servers: [app, llm], _store: store, _turn: turn };
         system.assert_ordinary_callers_are_served().await;
         system
