--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -155,8 +155,8 @@
     Ok(res)
 }
 
-/// Stores a response, unless it waits for memory while other requests wait for its server: then its caller's connection
-/// is closed, and this never returns.
+/// Performs work that stores a response, unless it waits for memory while other requests wait for its server: then its
+/// caller's connection is closed, and this never returns.
 async fn yield_to_others<T>(
     router: &Router,
     ctx: &RequestContext,
@@ -394,7 +394,7 @@
                 continue;
             };
             response.member.record_received(self.router.now());
-            self.buffer(&data, &mut splitter, &mut held).await?;
+            self.buffer(&data, &mut splitter, &mut held, &response.member).await?;
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
                 self.queue_event(event.bytes, &mut held, &response.member).await?;
@@ -408,13 +408,14 @@
         }
     }
 
-    /// Holds bytes for the caller, until the deadline of its request at the latest.
-    async fn hold(&self, bytes: usize) -> Result<HeldBytes, StreamError> {
+    /// Holds bytes for the caller, waiting until the deadline of its request at the latest.
+    async fn hold(&self, bytes: usize, server: &Member) -> Result<HeldBytes, StreamError> {
         let (router, connection) = (&self.router, &self.ctx.in_flight.connection);
         if let Some(held) = router.memory.try_hold(connection, bytes) {
             return Ok(held);
         }
-        let held = router.memory.hold(connection, bytes);
+        let held =
+            yield_to_others(router, &self.ctx, server, router.memory.hold(connection, bytes));
         let held = router.clock.timeout_at(self.ctx.deadline, held).await;
         held.ok_or_else(|| self.cut_caller(CutReason::Deadline))
     }
@@ -425,18 +426,19 @@
         data: &[u8],
         splitter: &mut EventSplitter,
         held: &mut HeldBytes,
+        server: &Member,
     ) -> Result<(), StreamError> {
         if let Some(capacity) = splitter.needed_capacity(data.len()) {
             let counted = if EventSplitter::is_small(capacity) { 0 } else { capacity };
-            *held = self.hold(counted).await?;
+            *held = self.hold(counted, server).await?;
             splitter.grow(capacity);
         }
         splitter.push(data);
         Ok(())
     }
 
-    /// Queues an event for the caller; `buffered` is what is held for the buffer that it was received in. A caller that is behind is cut off at its deadline, or earlier if its stream
-    /// holds up others.
+    /// Queues an event for the caller; `buffered` is what is held for the buffer that it was received in. A caller that
+    /// is behind is cut off at its deadline, or earlier if its stream holds up others.
     async fn queue_event(
         &mut self,
         bytes: Bytes,
@@ -446,10 +448,10 @@
         let size = bytes.len() + EVENT_OVERHEAD;
         let held = if EventSplitter::is_shared(bytes.len()) {
             let mut held = buffered.split(bytes.len());
-            held.merge(self.hold(EVENT_OVERHEAD).await?);
+            held.merge(self.hold(EVENT_OVERHEAD, server).await?);
             held
         } else {
-            self.hold(size).await?
+            self.hold(size, server).await?
         };
         let room = loop {
             if let Some(room) = self.queue.try_reserve(size) {
