--- a/src/router/request/held_body.rs
+++ b/src/router/request/held_body.rs
@@ -77,6 +77,8 @@
     block: BytesMut,
     /// What is held for bytes that are not in finished blocks.
     held: HeldBytes,
+    /// Whether all of the body is held from the beginning.
+    is_len_known: bool,
 }
 
 impl<'a> HeldBodyWriter<'a> {
@@ -88,7 +90,8 @@
         len: Option<usize>,
     ) -> Self {
         let held = budget.hold(connection, len.unwrap_or(0)).await;
-        Self { budget, connection, body: HeldBody::default(), block: BytesMut::new(), held }
+        let (body, block) = (HeldBody::default(), BytesMut::new());
+        Self { budget, connection, body, block, held, is_len_known: len.is_some() }
     }
 
     /// Bytes stored so far.
@@ -115,9 +118,9 @@
             self.finish_block();
         }
         let used = self.block.len();
-        let more = wanted.max(used).clamp(MIN_BLOCK, BLOCK - used.min(BLOCK - MIN_BLOCK));
+        let more = wanted.max(used).max(MIN_BLOCK).min(BLOCK - used);
         let missing = (used + more).saturating_sub(self.held.len());
-        if missing > 0 {
+        if missing > 0 && !self.is_len_known {
             self.held.merge(self.budget.hold(self.connection, missing).await);
         }
         let mut block = BytesMut::with_capacity(used + more);
--- a/src/router/request/in_flight.rs
+++ b/src/router/request/in_flight.rs
@@ -39,11 +39,6 @@
         Some(())
     }
 
-    /// Ends the counting of bytes that the body used while it was read.
-    pub(crate) fn release_body(&mut self, bytes: usize) {
-        drop(self.held_body.split(bytes));
-    }
-
     /// Records that the request was received in full: what happens next is up to servers.
     pub(crate) fn mark_received(&mut self) {
         self.held_body.release_caller();
--- a/src/router/request/request_body.rs
+++ b/src/router/request/request_body.rs
@@ -42,10 +42,7 @@
         }
         append(in_flight, &mut blocks, &data).await?;
     }
-    if blocks.len() <= 1 {
-        return Ok(blocks.pop().unwrap_or_default().freeze());
-    }
-    join(in_flight, &blocks, len).await
+    Ok(join(blocks, len))
 }
 
 async fn append(
@@ -67,17 +64,15 @@
     Ok(())
 }
 
-/// Copies the blocks of a complete body into one.
-async fn join(
-    in_flight: &mut InFlightGuard,
-    blocks: &[BytesMut],
-    len: usize,
-) -> Result<Bytes, Refusal> {
-    in_flight.hold_body(len).await.ok_or(Refusal::OutOfMemory)?;
+/// Moves the blocks of a complete body into one. Each is freed as soon as it is copied, so that what is held for them
+/// is enough.
+fn join(mut blocks: Vec<BytesMut>, len: usize) -> Bytes {
+    if blocks.len() <= 1 {
+        return blocks.pop().unwrap_or_default().freeze();
+    }
     let mut joined = BytesMut::with_capacity(len);
     for block in blocks {
-        joined.extend_from_slice(block);
+        joined.extend_from_slice(&block);
     }
-    in_flight.release_body(blocks.len() * BLOCK);
-    Ok(joined.freeze())
+    joined.freeze()
 }
