--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod duty_service;
 mod faults;
+mod idle_clients;
 mod process;
 mod proxy;
 mod record;
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -24,6 +24,7 @@
     callers::Callers,
     duty_service::DutyService,
     faults::{Disruption, draw_disruption},
+    idle_clients,
     process::{DUTY_LEASE_MS, Entry, loopback_host},
     proxy::Proxy,
     record::{
@@ -413,6 +414,7 @@
     for number in 0..CALLERS_PER_ENTRY * system.entries.len() as u64 {
         caller_tasks.spawn(callers.clone().run_caller(seed * 1_000 + number));
     }
+    let idle_clients = idle_clients::start(seed, &callers.entries);
     let balancer = tokio::spawn(run_health_checks(system.clone(), callers.clone()));
     system.order_roll_out(duration);
     tokio::join!(
@@ -421,6 +423,7 @@
         run_unavailability(&system, seed),
         run_crashing_part(&callers, seed, duration * u32::from(has_crashing_part))
     );
+    drop(idle_clients);
     let mut violations = check_recovery(&system, &callers).await;
     repeat_crashing_requests(&system, &callers).await;
     run_crashing_part(&callers, seed, FINAL_REPEAT_DURATION * u32::from(has_crashing_part)).await;
