--- a/src/policy/caller_pace.rs
+++ b/src/policy/caller_limits.rs
@@ -1,11 +1,11 @@
-//! Decides when a caller takes its response too slowly.
+//! What callers may use, and when one takes its response too slowly.
 //!
 //! A limit on silence alone is met by a byte from time to time, so callers have to take a minimum of bytes in each
 //! period, as with the minimum data rates of Kestrel and of Apache's mod_reqtimeout.
 
 use std::time::Duration;
 
-/// How fast callers have to take their responses. `docs/SETTINGS.md` has the keys and defaults.
+/// What callers may use, and how fast they have to be (docs/decisions/0023). `docs/SETTINGS.md` has the keys and defaults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Bytes per second that a caller has to take of a response that is ready.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,7 +8,7 @@
 pub mod answer_timeout;
 pub mod attempt;
 pub mod availability;
-pub mod caller_pace;
+pub mod caller_limits;
 pub mod cascade;
 pub mod charge;
 pub mod choice;
--- a/src/router/admin_listen.rs
+++ b/src/router/admin_listen.rs
@@ -108,8 +108,8 @@
 /// Holds an answer if it fits; answers as short as those of the readiness check always do.
 fn hold(router: &Router, connection: &Arc<CallerConnection>, bytes: Bytes) -> Option<HeldBody> {
     if bytes.len() <= HeldBody::MAX_UNCOUNTED {
-        return Some(HeldBody::uncounted(bytes));
+        return Some(HeldBody::from_bytes(bytes));
     }
     let held = router.memory.try_hold(connection, bytes.len())?;
-    Some(HeldBody::uncounted(HeldBuffer::attach(bytes, held, None)))
+    Some(HeldBody::from_bytes(HeldBuffer::attach(bytes, held, None)))
 }
--- a/src/router/callers/caller_stream.rs
+++ b/src/router/callers/caller_stream.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    policy::caller_pace::CallerLimits,
+    policy::caller_limits::CallerLimits,
     router::callers::caller_connection::{CallerConnection, CutReason},
 };
 
--- a/src/router/callers/connection_table.rs
+++ b/src/router/callers/connection_table.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    policy::connection_eviction::{largest_holder, longest_unused},
+    policy::connection_eviction::{ConnectionUse, largest_holder, longest_unused},
     router::callers::caller_connection::{CallerConnection, ConnectionId, CutReason},
 };
 
@@ -92,7 +92,6 @@
 /// The connections that are not being closed, with what they use.
 fn uncut(
     connections: &Connections,
-) -> impl Iterator<Item = (&Arc<CallerConnection>, crate::policy::connection_eviction::ConnectionUse)>
-{
+) -> impl Iterator<Item = (&Arc<CallerConnection>, ConnectionUse)> {
     connections.values().filter(|c| c.cut_reason().is_none()).map(|c| (c, c.usage()))
 }
--- a/src/router/request/body.rs
+++ b/src/router/request/body.rs
@@ -71,7 +71,7 @@
 impl ResponseBody {
     /// A body of the entry's own.
     pub(crate) fn short(bytes: impl Into<Bytes>) -> Self {
-        Self::Held(HeldBody::uncounted(bytes.into()))
+        Self::Held(HeldBody::from_bytes(bytes.into()))
     }
 }
 
--- a/src/router/request/held_body.rs
+++ b/src/router/request/held_body.rs
@@ -52,7 +52,7 @@
     pub(crate) const MAX_UNCOUNTED: usize = 1 << 10;
 
     /// A body that is too short to count, or whose bytes carry what is held for them.
-    pub(crate) fn uncounted(bytes: Bytes) -> Self {
+    pub(crate) fn from_bytes(bytes: Bytes) -> Self {
         Self { len: bytes.len(), blocks: VecDeque::from([bytes]) }
     }
 
--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     policy::{
-        caller_pace::CallerLimits, escalation::EscalationConfig, exposure::ExposureConfig,
+        caller_limits::CallerLimits, escalation::EscalationConfig, exposure::ExposureConfig,
         overload_control::OverloadControl, placement::PlacementConfig,
         reservation::ReservationConfig,
     },
