An event no longer keeps the buffer that it was received in

Callers saw: a process beyond its memory at the limit of connections, all of them with streams that nobody reads.

Cause: events of 16 KB and more were slices of the buffer of the event in progress, which has half as much again, so that what a stream kept was up to twice what was counted.

Evidence: 800 clients with streams of 3 MB in events of 50 KB before a process of 110 MB: 121 and 96 MB resident, 131 and 106 with unread bytes (debug; a release build 127 and 122, and 112 MB for 51 MB held of 200 streams).

Change: events are copied into memory of their size, counted before the copy; a large buffer is freed once it is empty.

--- a/src/router/request/event_stream.rs
+++ b/src/router/request/event_stream.rs
@@ -3,9 +3,6 @@
 use bytes::{Buf, Bytes, BytesMut};
 use memchr::memchr_iter;
 
-/// Size from which an event keeps the buffer that it was received in, in bytes; smaller ones are copied, since each
-/// would keep all of it.
-const MIN_SHARED: usize = 16 << 10;
 /// Smallest size of the buffer, in bytes.
 const MIN_CAPACITY: usize = 4 << 10;
 
@@ -53,9 +50,13 @@
         capacity <= MIN_CAPACITY
     }
 
-    /// Whether an event of this size keeps the buffer that it was received in.
-    pub(crate) fn is_shared(len: usize) -> bool {
-        len >= MIN_SHARED
+    /// Frees a large buffer that is empty; returns whether it did.
+    pub(crate) fn free_if_empty(&mut self) -> bool {
+        let is_freed = self.buf.is_empty() && !Self::is_small(self.buf.capacity());
+        if is_freed {
+            self.buf = BytesMut::new();
+        }
+        is_freed
     }
 
     /// Removes and returns the next complete event, if one has been received.
@@ -70,10 +71,8 @@
         Some(Event { id: read_id(&bytes), bytes })
     }
 
+    /// Removes an event. It is copied: a slice would keep all of the buffer.
     fn take(&mut self, len: usize) -> Bytes {
-        if Self::is_shared(len) {
-            return self.buf.split_to(len).freeze();
-        }
         let bytes = Bytes::copy_from_slice(&self.buf[..len]);
         self.buf.advance(len);
         bytes
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -397,11 +397,14 @@
             self.buffer(&data, &mut splitter, &mut held, &response.member).await?;
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
-                self.queue_event(event.bytes, &mut held, &response.member).await?;
+                self.queue_event(event.bytes, &response.member).await?;
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.timing.record_event(self.router.now());
                 self.check_pace(&response, &mut run);
             }
+            if splitter.free_if_empty() {
+                held = HeldBytes::default();
+            }
             if splitter.pending() > MAX_EVENT {
                 return Err(StreamError::TooLarge);
             }
@@ -437,22 +440,11 @@
         Ok(())
     }
 
-    /// Queues an event for the caller; `buffered` is what is held for the buffer that it was received in. A caller that
-    /// is behind is cut off at its deadline, or earlier if its stream holds up others.
-    async fn queue_event(
-        &mut self,
-        bytes: Bytes,
-        buffered: &mut HeldBytes,
-        server: &Member,
-    ) -> Result<(), StreamError> {
+    /// Queues an event for the caller. A caller that is behind is cut off at its deadline, or earlier if its stream holds
+    /// up others.
+    async fn queue_event(&mut self, bytes: Bytes, server: &Member) -> Result<(), StreamError> {
         let size = bytes.len() + EVENT_OVERHEAD;
-        let held = if EventSplitter::is_shared(bytes.len()) {
-            let mut held = buffered.split(bytes.len());
-            held.merge(self.hold(EVENT_OVERHEAD, server).await?);
-            held
-        } else {
-            self.hold(size, server).await?
-        };
+        let held = self.hold(size, server).await?;
         let room = loop {
             if let Some(room) = self.queue.try_reserve(size) {
                 break room;
