The read buffer of a connection to a server has 8 KB

Cause: a connection to a server keeps its read buffer, a part of a body on its way to the relay and one that waits there: several times the buffer, which was 32 KB, for each stream that waits for its caller.

Change: the smallest buffer that hyper accepts.

--- a/src/router/servers/connection.rs
+++ b/src/router/servers/connection.rs
@@ -23,9 +23,9 @@
 /// The same for a request that must not run twice. It is shorter because a server that closes an idle connection
 /// just as the request is sent would leave it unknown whether the request ran.
 const MAX_IDLE_TIME_ONCE_ONLY: Duration = Duration::from_millis(800);
-/// Maximum size of a response head, and of what is read of a body and not yet relayed, in bytes: heads take one or two
-/// kilobytes.
-const MAX_READ_BUFFER: usize = 32 << 10;
+/// Maximum size of a response head, and of what is read of a body and not yet relayed, in bytes: the smallest that hyper
+/// accepts, since every connection may keep several times as much; heads take one or two kilobytes.
+const MAX_READ_BUFFER: usize = 8 << 10;
 /// What the kernel may receive for a connection before it is read, in bytes. It counts towards the process's memory, and
 /// by itself the kernel lets it grow to several megabytes. A round trip of 3 ms leaves 10 MB a second.
 const RECEIVE_BUFFER: u32 = 32 << 10;
--- a/tests/clients/responses.rs
+++ b/tests/clients/responses.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     crowd::{Behaviour, Crowd, Reading},
+    process::Limits,
     system::{SMALL_MACHINE, System},
 };
 
@@ -66,3 +67,16 @@
 async fn endless_streams_that_are_read_slowly_leave_room_for_others() {
     play(CLIENTS, Behaviour::requesting("endless", "POST", "/chat/s", Reading::Drip)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_readers_at_the_limit_of_connections_stay_within_the_memory() {
+    let limits = Limits { memory_mb: 110, ..SMALL_MACHINE };
+    let mut system = System::start(limits).await;
+    let behaviour = Behaviour::requesting("large-events", "POST", "/chat/s", Reading::Nothing);
+
+    let crowd = Crowd::start(system.caller(), 800, &behaviour);
+    crowd.settle(800).await;
+    system.assert_ordinary_callers_are_served().await;
+    system.process.assert_within_limits();
+    drop(crowd);
+}
