--- a/tests/clients/requests.rs
+++ b/tests/clients/requests.rs
@@ -12,7 +12,7 @@
     crowd::{Behaviour, Crowd},
     process::Log,
     site::{request_bytes, request_bytes_with_id},
-    system::{SMALL_MACHINE, System},
+    system::{SMALL_MACHINE, System, play_crowd},
 };
 
 /// Bytes of a header line that keeps a head below the largest allowed one, 16 KB.
@@ -23,20 +23,6 @@
 /// Clients whose requests all have names of their own, requests of each, and bytes of a name.
 const NAMES: (usize, usize, usize) = (16, 400, 8 << 10);
 
-/// Plays a crowd that sends requests, and checks what must hold beside it and after it.
-async fn play(size: usize, behaviour: Behaviour) {
-    let mut system = System::start(SMALL_MACHINE).await;
-
-    let crowd = Crowd::start(system.caller(), size, &behaviour);
-    crowd.settle(size).await;
-    system.assert_ordinary_callers_are_served().await;
-    system.process.assert_within_limits();
-    drop(crowd);
-
-    system.assert_largest_request_is_served().await;
-    system.process.assert_within_limits();
-}
-
 /// The head of a request with a body in chunks.
 fn chunked_head() -> String {
     let request = request_bytes("POST", "/once/c", "", "");
@@ -47,37 +33,48 @@
 async fn heads_that_never_end_stay_within_the_memory() {
     let head =
         format!("GET /safe/h HTTP/1.1\r\nHost: h.example\r\nX-Long: {}", "x".repeat(LONG_LINE));
-    play(1_280, Behaviour::sending(head)).await;
+    play_crowd(SMALL_MACHINE, 1_280, Behaviour::sending(head)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_that_never_end_leave_room_for_others() {
     let request = request_bytes("POST", "/once/b", "", &"x".repeat(UNFINISHED_BODY));
-    play(384, Behaviour::sending(&request.as_bytes()[..request.len() - 1])).await;
+    play_crowd(SMALL_MACHINE, 384, Behaviour::sending(&request.as_bytes()[..request.len() - 1]))
+        .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_of_one_byte_chunks_stay_within_the_memory() {
     let behaviour = Behaviour::sending(chunked_head()).repeating("1\r\nx\r\n".repeat(100));
-    play(64, behaviour).await;
+    play_crowd(SMALL_MACHINE, 64, behaviour).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn chunk_extensions_without_end_stay_within_the_memory() {
     let head = format!("{}1;", chunked_head());
-    play(64, Behaviour::sending(head).repeating("x".repeat(1_000))).await;
+    play_crowd(SMALL_MACHINE, 64, Behaviour::sending(head).repeating("x".repeat(1_000))).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn trailers_without_end_stay_within_the_memory() {
     let head = format!("{}0\r\n", chunked_head());
-    play(64, Behaviour::sending(head).repeating("X-Trailer: x\r\n".repeat(50))).await;
+    play_crowd(
+        SMALL_MACHINE,
+        64,
+        Behaviour::sending(head).repeating("X-Trailer: x\r\n".repeat(50)),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn clients_that_wait_to_be_told_to_continue_and_then_say_nothing_do_no_harm() {
     let head = request_bytes("POST", "/once/e", "Expect: 100-continue\r\n", "");
-    play(384, Behaviour::sending(head.replace("Content-Length: 0", "Content-Length: 60000"))).await;
+    play_crowd(
+        SMALL_MACHINE,
+        384,
+        Behaviour::sending(head.replace("Content-Length: 0", "Content-Length: 60000")),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -85,7 +82,12 @@
     let parts: Vec<String> = (0..1_000).map(|part| format!("{part:x}:{part}")).collect();
     let headers = format!("X-Model: small\r\nX-Prefix-Hash: {}\r\n", parts.join(","));
     let request = request_bytes("POST", "/chat/p", &headers, "");
-    play(64, Behaviour::sending(request.replace("Connection: close\r\n", "").repeat(20))).await;
+    play_crowd(
+        SMALL_MACHINE,
+        64,
+        Behaviour::sending(request.replace("Connection: close\r\n", "").repeat(20)),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/clients/responses.rs
+++ b/tests/clients/responses.rs
@@ -3,46 +3,48 @@
 use crate::{
     crowd::{Behaviour, Crowd, Reading},
     process::Limits,
-    system::{SMALL_MACHINE, System},
+    system::{SMALL_MACHINE, System, play_crowd},
 };
 
 /// Clients of a crowd.
 const CLIENTS: usize = 64;
 
-/// Plays a crowd that asks for long responses, and checks what must hold beside it and after it.
-async fn play(size: usize, behaviour: Behaviour) {
-    let mut system = System::start(SMALL_MACHINE).await;
-
-    let crowd = Crowd::start(system.caller(), size, &behaviour);
-    crowd.settle(size).await;
-    system.assert_ordinary_callers_are_served().await;
-    system.process.assert_within_limits();
-    drop(crowd);
-
-    system.assert_largest_request_is_served().await;
-    system.process.assert_within_limits();
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_responses_that_nobody_reads_stay_within_the_memory() {
-    play(CLIENTS, Behaviour::requesting("whole", "GET", "/safe/w", Reading::Nothing)).await;
+    play_crowd(
+        SMALL_MACHINE,
+        CLIENTS,
+        Behaviour::requesting("whole", "GET", "/safe/w", Reading::Nothing),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_responses_that_are_read_slowly_stay_within_the_memory() {
-    play(CLIENTS, Behaviour::requesting("whole", "GET", "/safe/w", Reading::Drip)).await;
+    play_crowd(
+        SMALL_MACHINE,
+        CLIENTS,
+        Behaviour::requesting("whole", "GET", "/safe/w", Reading::Drip),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn failures_of_streams_that_nobody_reads_stay_within_the_memory() {
-    play(CLIENTS, Behaviour::requesting("failure", "POST", "/plain/f", Reading::Nothing)).await;
+    play_crowd(
+        SMALL_MACHINE,
+        CLIENTS,
+        Behaviour::requesting("failure", "POST", "/plain/f", Reading::Nothing),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_for_http_1_0_that_nobody_reads_stay_within_the_memory() {
     let request = Behaviour::requesting("large-events", "POST", "/plain/s", Reading::Nothing);
     let request = String::from_utf8(request.sends.to_vec()).unwrap();
-    play(CLIENTS, Behaviour::sending(request.replace("HTTP/1.1", "HTTP/1.0"))).await;
+    play_crowd(SMALL_MACHINE, CLIENTS, Behaviour::sending(request.replace("HTTP/1.1", "HTTP/1.0")))
+        .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -50,22 +52,37 @@
     let request = Behaviour::requesting("whole", "GET", "/safe/w", Reading::Nothing);
     let request = String::from_utf8(request.sends.to_vec()).unwrap();
     let request = request.replace("Connection: close\r\n", "");
-    play(16, Behaviour::sending(request.repeat(30))).await;
+    play_crowd(SMALL_MACHINE, 16, Behaviour::sending(request.repeat(30))).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_huge_events_that_nobody_reads_stay_within_the_memory() {
-    play(CLIENTS, Behaviour::requesting("huge-events", "POST", "/chat/s", Reading::Nothing)).await;
+    play_crowd(
+        SMALL_MACHINE,
+        CLIENTS,
+        Behaviour::requesting("huge-events", "POST", "/chat/s", Reading::Nothing),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_large_events_that_are_read_slowly_leave_room_for_others() {
-    play(CLIENTS, Behaviour::requesting("large-events", "POST", "/chat/s", Reading::Drip)).await;
+    play_crowd(
+        SMALL_MACHINE,
+        CLIENTS,
+        Behaviour::requesting("large-events", "POST", "/chat/s", Reading::Drip),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_streams_that_are_read_slowly_leave_room_for_others() {
-    play(CLIENTS, Behaviour::requesting("endless", "POST", "/chat/s", Reading::Drip)).await;
+    play_crowd(
+        SMALL_MACHINE,
+        CLIENTS,
+        Behaviour::requesting("endless", "POST", "/chat/s", Reading::Drip),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/clients/system.rs
+++ b/tests/clients/system.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    crowd::{Behaviour, Crowd},
     process::{Limits, Log, Process},
     server::{Action, ReceivedRequest, Server},
     site::{events, list_server, request_bytes, request_bytes_with_id, store_with_servers},
@@ -47,6 +48,20 @@
     _turn: MutexGuard<'static, ()>,
 }
 
+/// Plays a crowd on the address of callers, and checks what must hold beside it and after it.
+pub async fn play_crowd(limits: Limits, size: usize, behaviour: Behaviour) {
+    let mut system = System::start(limits).await;
+
+    let crowd = Crowd::start(system.caller(), size, &behaviour);
+    crowd.settle(size).await;
+    system.assert_ordinary_callers_are_served().await;
+    system.process.assert_within_limits();
+    drop(crowd);
+
+    system.assert_largest_request_is_served().await;
+    system.process.assert_within_limits();
+}
+
 impl System {
     /// Starts a system and waits until it serves.
     pub async fn start(limits: Limits) -> Self {
