Control work of an entry in a file of its own; a harness for processes in tests

src/router/run.rs starts and stops an entry, src/router/control.rs is what its control thread does. tests/process runs the real program: settings file, log, signals, exit codes. No logic changes.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod accept_gate;
 mod admin_listen;
 mod callers;
+mod control;
 mod duties;
 mod listen;
 mod observability;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,15 +12,9 @@
         store::StoreClient,
     },
     router::{
-        Router, admin_listen,
-        duties::usage_reporter,
-        listen,
-        peers::{links, peer_follower, seed_reporter},
-        quarantine::{quarantine_release, quarantine_row},
-        roll_outs::roll_out_driver,
-        servers::server_table,
+        Router, admin_listen, control, listen,
+        quarantine::quarantine_release,
         state::{KILL_MARGIN, READINESS_LAG},
-        store::orders,
     },
     settings::RouteSettings,
     telemetry::{admin, event},
@@ -79,7 +73,7 @@
     let host_address = host.caller_address.ip();
     let store = StoreClient::new(HttpClient::default(), &host.store_address);
     let router = Arc::new(Router::new(host, policy));
-    let control = router.clone();
+    let controlled = router.clone();
     let peers = match router.settings.load().peer_address {
         Some(address) => Some(std::net::TcpListener::bind(address)?),
         None => None,
@@ -90,7 +84,7 @@
         peer: peers.as_ref().map(std::net::TcpListener::local_addr).transpose()?,
     };
     let (ending, has_ended) = watch::channel(false);
-    thread::spawn("control", move || run_control(control, store, peers, has_ended))?;
+    thread::spawn("control", move || control::run(controlled, store, peers, has_ended))?;
     if let Some(port) = policy.metrics_port {
         let address = (host_address, port);
         serve_admin(&router, TcpListener::bind(address).await?);
@@ -107,49 +101,6 @@
     tokio::spawn(admin_listen::serve_admin(router.clone(), listener, app));
 }
 
-/// Runs the control tasks until the entry stops.
-async fn run_control(
-    router: Arc<Router>,
-    store: StoreClient,
-    peers: Option<std::net::TcpListener>,
-    mut has_ended: watch::Receiver<bool>,
-) {
-    let work = async {
-        tokio::join!(
-            orders::follow_orders(&router, &store),
-            server_table::follow_servers(&router, &store),
-            roll_out_driver::drive_roll_outs(&router, &store),
-            serve_peers(router.clone(), peers),
-            peer_follower::follow_peers(&router),
-            seed_reporter::report_to_seeds(&router),
-            follow_quarantine(&router, &store),
-            usage_reporter::report_usage(&router, &store),
-        )
-    };
-    tokio::select! {
-        _ = work => {}
-        // An error means that the sender was dropped without `stop`, which ends the entry as well.
-        _ = has_ended.wait_for(|ended| *ended) => {}
-    }
-}
-
-async fn follow_quarantine(router: &Arc<Router>, store: &StoreClient) {
-    if let Some(trials) = router.take_trial_requests() {
-        quarantine_row::sync_row(router, store, trials).await;
-    }
-}
-
-async fn serve_peers(router: Arc<Router>, listener: Option<std::net::TcpListener>) {
-    let Some(listener) = listener else {
-        return;
-    };
-    let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
-    match listener {
-        Ok(listener) => links::serve_peers(router, listener).await,
-        Err(e) => event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\"")),
-    }
-}
-
 impl RunningRouter {
     /// Applies new text of the platform's settings file. Text that can't be parsed is logged and ignored.
     pub fn reload(&self, text: &str) {
--- /dev/null
+++ b/tests/process/ends.rs
@@ -0,0 +1,1 @@
+//! Ends of a process: panics, threads that end, signals.
--- /dev/null
+++ b/tests/process/faulty_servers.rs
@@ -0,0 +1,1 @@
+//! Servers that send what is no answer.
--- /dev/null
+++ b/tests/process/harness.rs
@@ -0,0 +1,172 @@
+//! An entry as a process of the real program, and what can be seen of it from outside.
+
+use std::{
+    fs::{File, OpenOptions},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::{ExitStatus, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    process::{Child, Command},
+    time::{sleep, timeout},
+};
+
+pub const CALLER_PORT: u16 = 7301;
+pub const READINESS_PORT: u16 = 7302;
+pub const PEER_PORT: u16 = 7303;
+/// Port for metrics, from the policy settings of the tests.
+pub const METRICS_PORT: u16 = 7304;
+/// Longest wait for a condition. It only stops tests that hang: no test measures time by it.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A Host with a loopback address of its own: the settings file, the policy file, and the log to which all of its
+/// processes append.
+pub struct Host {
+    pub ip: IpAddr,
+    dir: TempDir,
+}
+
+/// A process of the real program; killed when dropped.
+pub struct Process {
+    child: Child,
+    pid: Pid,
+}
+
+/// A loopback address of its own for each Host of each run.
+fn unique_ip() -> IpAddr {
+    static STARTED: AtomicU16 = AtomicU16::new(0);
+    let run = std::process::id().to_be_bytes();
+    let [_, number] = STARTED.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 1 + run[2] % 127, run[3], 10 + number))
+}
+
+impl Host {
+    /// A Host with complete settings for an entry that uses this store.
+    pub fn new(store: SocketAddr) -> Self {
+        let host = Self { ip: unique_ip(), dir: tempfile::tempdir().unwrap() };
+        host.write_settings(&host.settings(store));
+        let policy = format!("[listen]\nmetrics_port = {METRICS_PORT}\n");
+        std::fs::write(host.dir.path().join("policy.toml"), policy).unwrap();
+        host
+    }
+
+    /// Complete text of the platform's settings file.
+    pub fn settings(&self, store: SocketAddr) -> String {
+        let ip = self.ip;
+        format!(
+            "node-name: \"edge-1\"\nzone: \"zone-a\"\nlisten:\n  frontend: \"{ip}:{CALLER_PORT}\"\n  readiness: \"{ip}:{READINESS_PORT}\"\n  control-plane: \"{ip}:{PEER_PORT}\"\nseeds:\n  - \"{ip}:{PEER_PORT}\"\nlimits:\n  memory-mb: 110\n  max-fds: 4100\nbounds:\n  grace-s: 4\n  contact-ms: 3000\n  retry-ratio: 4.0\n  retry-extra: 52\n  retry-window-s: 10\nplatform:\n  address: \"{store}\"\n"
+        )
+    }
+
+    /// Replaces the platform's settings file.
+    pub fn write_settings(&self, text: &str) {
+        std::fs::write(self.dir.path().join("host.yaml"), text).unwrap();
+    }
+
+    pub fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    /// Starts a process.
+    pub fn spawn(&self) -> Process {
+        let log = self.dir.path().join("log");
+        let log: File = OpenOptions::new().create(true).append(true).open(log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_mintmoor"))
+            .args(["route", "--policy"])
+            .arg(self.dir.path().join("policy.toml"))
+            .env("MINTMOOR_CONFIG", self.dir.path().join("host.yaml"))
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .stdin(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let pid = Pid::from_raw(i32::try_from(child.id().unwrap()).unwrap()).unwrap();
+        Process { child, pid }
+    }
+
+    /// Standard output and standard error of all processes so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.dir.path().join("log")).unwrap_or_default()
+    }
+
+    /// Whether the load balancer's check is answered with 200.
+    pub async fn is_ready(&self) -> bool {
+        self.get(READINESS_PORT, "/-/readyz").await.starts_with("HTTP/1.1 200")
+    }
+
+    /// Waits until the load balancer's check is answered with 200.
+    pub async fn wait_until_ready(&self) {
+        self.wait_until("ready", async || self.is_ready().await).await;
+    }
+
+    /// Waits for a condition.
+    pub async fn wait_until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
+        let work = async {
+            while !holds().await {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        let waited = timeout(WAIT_TIMEOUT, work).await;
+        waited.unwrap_or_else(|_| panic!("not {what} in time\n{}", self.log()));
+    }
+
+    /// The whole response to a GET on one of the Host's ports; empty if there is none.
+    pub async fn get(&self, port: u16, path: &str) -> String {
+        let head = format!("GET {path} HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n");
+        ask(self.address(port), &head).await
+    }
+}
+
+impl Process {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(self.pid, signal).unwrap();
+    }
+
+    /// The process's exit status if it has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    /// Waits until the process has ended.
+    pub async fn wait(&mut self) -> ExitStatus {
+        timeout(WAIT_TIMEOUT, self.child.wait()).await.expect("the process did not end").unwrap()
+    }
+
+    /// Asserts that the process has not ended.
+    pub fn assert_lives(&mut self, host: &Host) {
+        let ended = self.ended();
+        assert_eq!(ended, None, "the process ended\n{}", host.log());
+    }
+
+    /// Peak of the process's resident memory, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid.as_raw_nonzero()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or("0 kB");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kilobytes << 10
+    }
+}
+
+/// Sends a request on a connection of its own and reads until it ends; what arrived before an error counts.
+pub async fn ask(address: SocketAddr, request: &str) -> String {
+    let Ok(Ok(mut stream)) = timeout(WAIT_TIMEOUT, TcpStream::connect(address)).await else {
+        return String::new();
+    };
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return String::new();
+    }
+    let mut raw = Vec::new();
+    let _ = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut raw)).await;
+    String::from_utf8_lossy(&raw).into_owned()
+}
--- /dev/null
+++ b/tests/process/odd_rows.rs
@@ -0,0 +1,1 @@
+//! Rows of the store that can't be read.
--- /dev/null
+++ b/tests/process/planned_stops.rs
@@ -0,0 +1,1 @@
+//! Requests during a planned stop.
--- /dev/null
+++ b/tests/process/settings_files.rs
@@ -0,0 +1,1 @@
+//! Settings files that are incomplete or have values of another type.
