Tests: bodies that compete for memory arrive one after the other

Its two bodies arrive at once and may each hold half of the memory; then both need more and both are refused, which the log shows within one millisecond, so that nothing is held and the wait for it has no end. 24 of 400 runs of the test on hung after this pair of lines, at a load of 15 to 20. The second body now starts once most of the first one is held.

--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -99,9 +99,10 @@
         // All of the body but its last byte.
         caller.write_all(&whole.as_bytes()[..whole.len() - 1]).await.unwrap();
         callers.push(caller);
+        // One after the other: two at once may each hold half of the memory, and both are refused.
+        wait_until("most of a body has arrived", || site.entry.router.held_bytes() > 30 << 10)
+            .await;
     }
-    wait_until("part of the bodies has arrived", || site.entry.router.held_bytes() > 30 << 10)
-        .await;
 
     let refused = site.send(&whole).await;
     drop(callers);
