An answered request can be explained at once

Cause: the task that serves a chat hands the answer over and keeps the story after that, so a caller on another thread may ask in between. Now the story is kept before the last part of the answer is handed over.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -66,6 +66,7 @@
     charged: Vec<ChargedAttempt>,
     session: RequestSession,
     stage: usize,
+    is_story_kept: bool,
 }
 
 /// An answer of a stage.
@@ -93,6 +94,7 @@
             charged: Vec::new(),
             session,
             stage: 0,
+            is_story_kept: false,
         }
     }
 
@@ -111,6 +113,7 @@
         match claims::claim(self.entry, key, id, print, deadline).await? {
             Claimed::Replay(answer) => {
                 self.attempts.explain("answered from the saved result".into());
+                self.keep_story("ok");
                 self.send_reply(Ok(Reply::Saved(answer)));
                 Ok(())
             }
@@ -387,6 +390,7 @@
         let head = self.reply_head(&answer.version);
         self.charge(Delivery::Whole, Some(&answer.finished.link)).await;
         let completion = answer.answer.clone().into_completion(self.req.head.id, &answer.version);
+        self.keep_story("ok");
         if answer.passed_on {
             if let Some(stream) = self.stream.take() {
                 let _ = stream.send(StreamItem::Done).await;
@@ -451,10 +455,18 @@
         }
     }
 
-    /// Gives the final answer if none has been given, and keeps the story.
+    /// Counts the request and keeps its story, once. To be called before the caller has the whole answer, since the
+    /// caller may ask for the story right after it.
+    fn keep_story(&mut self, code: &str) {
+        if !std::mem::replace(&mut self.is_story_kept, true) {
+            keep_story(self.entry, &self.req.head, &self.req.model, code, &mut self.attempts);
+        }
+    }
+
+    /// Keeps the story of a request that was not answered, and gives its failure as the final answer.
     fn close(&mut self, res: Result<(), ApiError>) {
         let code = res.as_ref().map_or_else(|e| e.code, |()| "ok");
-        keep_story(self.entry, &self.req.head, &self.req.model, code, &mut self.attempts);
+        self.keep_story(code);
         let Err(e) = res else { return };
         if let Some(stream) = self.stream.take() {
             let body = e.body();
