An address that can't be bound yet no longer ends an entry's process

Seen by callers: a process that was started while another one used any of its four addresses, or before the Host had the address, ended at once with code 2, said neither which address nor logged an event, and served nobody.

Cause: router::start bound the addresses one after the other and returned the first error.

Fix: each address has a Listener that waits for it with exponential backoff (20 ms to 500 ms, with jitter) for as long as the process runs, independently of the others. The first failure and then one of twenty is logged with purpose, address and cause (LISTEN_WAITS, 111), and so is each address that is served (LISTENING, 112). The first attempt is still made by router::start, which no longer fails. An entry is ready only while the address for callers is bound, and a planned stop of an entry whose callers can't connect ends at once. An address that is changed in the settings file is used by a listener that still waits. If a task that accepts connections panics, that is logged and the address is served again after a second. The control thread is started again if the system allows no thread (THREAD_WAITS, 119). The listener for other entries now has a backlog of 1024 connections, as the others (128).

No test covers a control thread that can't be started.

--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -108,7 +108,7 @@
         None => RouteSettings::default(),
     };
     log::init_async_stdout(policy.log_level).wrap_err("log")?;
-    let running = router::start(RouterSettings { host, policy }).await?;
+    let running = router::start(RouterSettings { host, policy }).await;
     loop {
         tokio::select! {
             () = stop.next() => break,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod answer_timeout;
 pub mod attempt;
 pub mod availability;
+pub mod backoff;
 pub mod caller_limits;
 pub mod cascade;
 pub mod charge;
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -2,35 +2,36 @@
 
 use std::sync::Arc;
 
-use tokio::{net::TcpListener, sync::watch};
+use tokio::sync::watch;
 
 use crate::{
     platform::store::StoreClient,
     router::{
         Router,
         duties::usage_reporter,
+        listeners::Listener,
         peers::{links, peer_follower, seed_reporter},
         quarantine::quarantine_row,
         roll_outs::roll_out_driver,
         servers::server_table,
         store::orders,
     },
-    telemetry::event,
 };
 
 /// Runs the control tasks until the entry stops.
 pub(crate) async fn run(
     router: Arc<Router>,
     store: StoreClient,
-    peers: Option<std::net::TcpListener>,
+    peers: Listener,
     mut has_ended: watch::Receiver<bool>,
 ) {
+    let is_ending = has_ended.clone();
     let work = async {
         tokio::join!(
             orders::follow_orders(&router, &store),
             server_table::follow_servers(&router, &store),
             roll_out_driver::drive_roll_outs(&router, &store),
-            serve_peers(router.clone(), peers),
+            serve_peers(&router, peers, is_ending),
             peer_follower::follow_peers(&router),
             seed_reporter::report_to_seeds(&router),
             follow_quarantine(&router, &store),
@@ -50,13 +51,10 @@
     }
 }
 
-async fn serve_peers(router: Arc<Router>, listener: Option<std::net::TcpListener>) {
-    let Some(listener) = listener else {
-        return;
-    };
-    let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
-    match listener {
-        Ok(listener) => links::serve_peers(router, listener).await,
-        Err(e) => event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\"")),
+async fn serve_peers(router: &Arc<Router>, peers: Listener, has_ended: watch::Receiver<bool>) {
+    // Settings without such an address are those of an entry that nobody links to.
+    if peers.address().is_some() {
+        let serve = |listener| links::serve_peers(router.clone(), listener);
+        peers.keep_serving(has_ended, serve).await;
     }
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -10,6 +10,8 @@
 mod control;
 mod duties;
 mod listen;
+mod listen_purpose;
+mod listeners;
 mod observability;
 mod peers;
 mod quarantine;
@@ -20,6 +22,8 @@
 mod state;
 mod store;
 
+pub use listen_purpose::ListenPurpose;
+pub use listeners::Listener;
 pub use quarantine::quarantine_release::Released;
 pub use request::event_stream::EventSplitter;
 pub use run::{RouterAddresses, RouterSettings, RunningRouter, start};
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep};
+use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
 use crate::{
     control::thread,
@@ -11,8 +11,11 @@
         host_settings::{self, HostSettings},
         store::StoreClient,
     },
+    policy::backoff::Backoff,
     router::{
         Router, admin_listen, control, listen,
+        listen_purpose::ListenPurpose,
+        listeners::Listener,
         quarantine::quarantine_release,
         state::{KILL_MARGIN, READINESS_LAG},
     },
@@ -34,7 +37,7 @@
     pub policy: RouteSettings,
 }
 
-/// Addresses on which an entry on the platform listens.
+/// Addresses on which an entry on the platform listens, or will once they can be bound.
 #[derive(Clone, Copy, Debug)]
 pub struct RouterAddresses {
     /// For callers.
@@ -50,7 +53,7 @@
 pub struct RunningRouter {
     /// State of the entry.
     pub router: Arc<Router>,
-    /// Addresses that were bound.
+    /// Addresses that are bound, or will be.
     pub addresses: RouterAddresses,
     closing: watch::Sender<bool>,
     /// Stops the control thread when dropped.
@@ -58,47 +61,96 @@
     callers: JoinHandle<()>,
 }
 
-/// Starts an entry on the current runtime, with a control thread of its own.
-///
-/// # Errors
-/// If an address can't be bound or the control thread can't be spawned.
-pub async fn start(settings: RouterSettings) -> std::io::Result<RunningRouter> {
+/// Starts an entry on the current runtime, with a control thread of its own. Addresses that can't be bound yet are
+/// waited for in the background.
+pub async fn start(settings: RouterSettings) -> RunningRouter {
     let RouterSettings { host, policy } = settings;
-    let callers = TcpListener::bind(host.caller_address).await?;
-    let readiness = TcpListener::bind(host.readiness_address).await?;
     event::PROCESS_STARTED.log(format_args!(
         "role=entry host={} zone={} caller={} readiness={} store={}",
         host.host, host.zone, host.caller_address, host.readiness_address, host.store_address
     ));
-    let host_address = host.caller_address.ip();
     let store = StoreClient::new(HttpClient::default(), &host.store_address);
+    let caller_address = host.caller_address;
+    let readiness_address = host.readiness_address;
     let router = Arc::new(Router::new(host, policy));
-    let controlled = router.clone();
-    let peers = match router.settings.load().peer_address {
-        Some(address) => Some(std::net::TcpListener::bind(address)?),
-        None => None,
-    };
+    let callers = bind(&router, ListenPurpose::Callers).await;
+    let readiness = bind(&router, ListenPurpose::Readiness).await;
+    let peers = bind(&router, ListenPurpose::Entries).await;
+    let metrics = bind(&router, ListenPurpose::Metrics).await;
     let addresses = RouterAddresses {
-        caller: callers.local_addr()?,
-        readiness: readiness.local_addr()?,
-        peer: peers.as_ref().map(std::net::TcpListener::local_addr).transpose()?,
+        caller: callers.address().unwrap_or(caller_address),
+        readiness: readiness.address().unwrap_or(readiness_address),
+        peer: peers.address(),
     };
-    let (ending, has_ended) = watch::channel(false);
-    thread::spawn("control", move || control::run(controlled, store, peers, has_ended))?;
-    if let Some(port) = policy.metrics_port {
-        let address = (host_address, port);
-        serve_admin(&router, TcpListener::bind(address).await?);
-    }
     let (closing, is_closing) = watch::channel(false);
-    let callers = tokio::spawn(listen::serve_callers(router.clone(), callers, is_closing));
-    tokio::spawn(listen::serve_readiness(router.clone(), readiness));
-    Ok(RunningRouter { router, addresses, closing, _ending: ending, callers })
+    tokio::spawn(keep_serving_readiness(router.clone(), readiness, is_closing.clone()));
+    if metrics.address().is_some() {
+        tokio::spawn(keep_serving_metrics(router.clone(), metrics, is_closing.clone()));
+    }
+    let callers = tokio::spawn(keep_serving_callers(router.clone(), callers, is_closing));
+    let (ending, has_ended) = watch::channel(false);
+    spawn_control(&router, store, peers, has_ended).await;
+    RunningRouter { router, addresses, closing, _ending: ending, callers }
+}
+
+/// A listener after the first attempt to bind its address.
+async fn bind(router: &Arc<Router>, purpose: ListenPurpose) -> Listener {
+    let mut listener = Listener::new(router, purpose);
+    listener.try_bind().await;
+    listener
+}
+
+async fn keep_serving_callers(
+    router: Arc<Router>,
+    callers: Listener,
+    closing: watch::Receiver<bool>,
+) {
+    let is_closing = closing.clone();
+    let serve = |listener| listen::serve_callers(router.clone(), listener, is_closing.clone());
+    callers.keep_serving(closing, serve).await;
+}
+
+async fn keep_serving_readiness(
+    router: Arc<Router>,
+    readiness: Listener,
+    closing: watch::Receiver<bool>,
+) {
+    let serve = |listener| listen::serve_readiness(router.clone(), listener);
+    readiness.keep_serving(closing, serve).await;
 }
 
 /// Serves metrics, the state dump and the release of quarantined requests on the admin address.
-fn serve_admin(router: &Arc<Router>, listener: TcpListener) {
+async fn keep_serving_metrics(
+    router: Arc<Router>,
+    metrics: Listener,
+    closing: watch::Receiver<bool>,
+) {
     let app = admin::router(router.admin()).merge(quarantine_release::routes(router.clone()));
-    tokio::spawn(admin_listen::serve_admin(router.clone(), listener, app));
+    let serve = |listener| admin_listen::serve_admin(router.clone(), listener, app.clone());
+    metrics.keep_serving(closing, serve).await;
+}
+
+/// Starts the control thread, as soon as the system allows one more thread.
+async fn spawn_control(
+    router: &Arc<Router>,
+    store: StoreClient,
+    mut peers: Listener,
+    has_ended: watch::Receiver<bool>,
+) {
+    let mut backoff = Backoff::default();
+    loop {
+        let (controlled, store, has_ended) = (router.clone(), store.clone(), has_ended.clone());
+        let work = move || control::run(controlled, store, peers, has_ended);
+        let Err(e) = thread::spawn("control", work) else {
+            return;
+        };
+        if backoff.is_logged() {
+            event::THREAD_WAITS.log(format_args!("thread=control cause=\"{e}\""));
+        }
+        sleep(backoff.record_failure(rand::random())).await;
+        // The thread that did not start had taken the listener.
+        peers = Listener::new(router, ListenPurpose::Entries);
+    }
 }
 
 impl RunningRouter {
@@ -118,6 +170,9 @@
     /// were cut off.
     pub async fn stop(self) -> usize {
         let router = &self.router;
+        if !router.listens_to_callers() && router.in_flight() == 0 {
+            return self.stop_unserved();
+        }
         let started_at = router.now();
         let elapsed = || router.now().saturating_sub(started_at);
         router.begin_stop();
@@ -137,4 +192,13 @@
         event::PROCESS_STOPPED.log(format_args!("cut={cut}"));
         cut
     }
+
+    /// Ends an entry that no caller can reach, so that there is nobody to wait for.
+    fn stop_unserved(self) -> usize {
+        self.router.begin_stop();
+        event::PROCESS_LEAVING.log(format_args!("in_flight=0"));
+        self.closing.send_replace(true);
+        event::PROCESS_STOPPED.log(format_args!("cut=0"));
+        0
+    }
 }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, OnceLock,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -32,6 +32,7 @@
         Fleet,
         callers::connection_table::ConnectionTable,
         duties::usage_meter::UsageMeter,
+        listen_purpose::ListenPurpose,
         peers::{
             load_reports::LoadReports, own_place::OwnPlace, peer_link::PeerLink,
             prefix_reports::PrefixReports, shared_limits::SharedLimits,
@@ -128,6 +129,8 @@
     /// How long no server of a service could accept requests, by service; determines `Retry-After`.
     overloads: Mutex<HashMap<Box<str>, Overload>>,
     lifecycle: Mutex<Lifecycle>,
+    /// Whether the address for callers is bound.
+    listens_to_callers: AtomicBool,
     in_flight: AtomicUsize,
     /// Wakes waiting requests when the configuration, the servers or other awaited data change.
     view_changed: Notify,
@@ -180,6 +183,7 @@
             speed_estimates: TimingEstimates::default(),
             usual_times: TimingEstimates::default(),
             lifecycle: Mutex::new(lifecycle::start()),
+            listens_to_callers: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             view_changed: Notify::new(),
             stop_started_at: OnceLock::new(),
@@ -306,7 +310,19 @@
 
     /// Whether the load balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        self.is_in(LifecycleState::Serving {})
+        self.listens_to_callers() && self.is_in(LifecycleState::Serving {})
+    }
+
+    /// Whether callers can connect.
+    pub(crate) fn listens_to_callers(&self) -> bool {
+        self.listens_to_callers.load(Ordering::Relaxed)
+    }
+
+    /// Records whether an address of this entry is bound.
+    pub(crate) fn set_listening(&self, purpose: ListenPurpose, is_bound: bool) {
+        if purpose == ListenPurpose::Callers {
+            self.listens_to_callers.store(is_bound, Ordering::Relaxed);
+        }
     }
 
     /// Records the start of a planned stop.
@@ -339,7 +355,7 @@
 
     /// Whether the process is stopping or has stopped.
     pub fn is_leaving(&self) -> bool {
-        !self.is_ready() && !self.is_in(LifecycleState::Starting {})
+        !self.is_in(LifecycleState::Serving {}) && !self.is_in(LifecycleState::Starting {})
     }
 
     fn is_in(&self, state: LifecycleState) -> bool {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -80,7 +80,7 @@
 }
 
 events! {
-    PROCESS_STARTED = 100, Info, "The process has loaded its settings and is listening.";
+    PROCESS_STARTED = 100, Info, "The process has loaded its settings and begins to listen.";
     PROCESS_READY = 101, Info, "The process has a configuration and accepts work.";
     PROCESS_LEAVING = 102, Info, "A planned stop has begun; no new work is accepted.";
     PROCESS_STOPPED = 103, Info, "The process exits; the counts tell what was cut off.";
@@ -91,6 +91,9 @@
     HOST_RESUMED = 108, Warn, "The Host was suspended; data received before the suspension counts as stale.";
     ACCEPT_PAUSED = 109, Warn, "The process lacks processor time; new connections are closed unread, so that their callers turn to another entry.";
     ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
+    LISTEN_WAITS = 111, Warn, "An address can't be served yet; the attempt is repeated, and the other addresses are served meanwhile.";
+    LISTENING = 112, Info, "An address is bound and served.";
+    THREAD_WAITS = 119, Warn, "A thread can't be started yet; the attempt is repeated.";
     LINK_UP = 200, Info, "A link to a peer was established and authenticated.";
     LINK_DOWN = 201, Warn, "A link was lost; its attempts count as lost.";
     LINK_REFUSED = 202, Warn, "A peer failed to authenticate or sent invalid frames.";
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -155,7 +155,7 @@
         let mut host = host_settings(&store);
         change(&mut host);
         let settings = RouterSettings { host, policy: RouteSettings::default() };
-        let entry = router::start(settings).await.unwrap();
+        let entry = router::start(settings).await;
         let RouterAddresses { caller, readiness, .. } = entry.addresses;
         Self { store, entry, caller, readiness }
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -10,6 +10,7 @@
     control::membership::{Scope, is_assigned, select_links},
     platform::{Host, HostState, Role},
     policy::{
+        backoff::Backoff,
         cascade::{CascadeEstimates, StageOutlook, expected_cost, is_good_enough, start_stage},
         choice::{Pool, ServerLoad, choose_server, time_to_first_token},
         concurrency_limit::AdaptiveConcurrencyLimit,
@@ -453,3 +454,35 @@
         "an entry that is not in the list has every duty"
     );
 }
+
+#[test]
+fn delays_between_attempts_grow_up_to_a_bound_and_never_end() {
+    let mut backoff = Backoff::default();
+    let delays: Vec<Duration> = (0..100).map(|_| backoff.record_failure(0.5)).collect();
+
+    assert!(delays.is_sorted());
+    assert!(delays[0] < delays[1]);
+    assert_eq!(delays[98], delays[99]);
+    assert!(delays[99] <= Duration::from_millis(500));
+}
+
+#[test]
+fn delays_between_attempts_differ_by_chance() {
+    let delays = [0.0, 1.0].map(|draw| Backoff::default().record_failure(draw));
+
+    assert!(Duration::ZERO < delays[0] && delays[0] < delays[1]);
+}
+
+#[test]
+fn failed_attempts_are_logged_first_and_then_rarely() {
+    let mut backoff = Backoff::default();
+    let mut logged = Vec::new();
+    for attempt in 0..50 {
+        if backoff.is_logged() {
+            logged.push(attempt);
+        }
+        backoff.record_failure(0.5);
+    }
+
+    assert_eq!(logged, [0, 20, 40]);
+}
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fs::{File, OpenOptions},
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
     process::{ExitStatus, Stdio},
     sync::atomic::{AtomicU16, Ordering},
     time::Duration,
@@ -54,7 +55,7 @@
         let host = Self { ip: unique_ip(), dir: tempfile::tempdir().unwrap() };
         host.write_settings(&host.settings(store));
         let policy = format!("[listen]\nmetrics_port = {METRICS_PORT}\n");
-        std::fs::write(host.dir.path().join("policy.toml"), policy).unwrap();
+        std::fs::write(host.policy_file(), policy).unwrap();
         host
     }
 
@@ -68,27 +69,48 @@
 
     /// Replaces the platform's settings file.
     pub fn write_settings(&self, text: &str) {
-        std::fs::write(self.dir.path().join("host.yaml"), text).unwrap();
+        std::fs::write(self.settings_file(), text).unwrap();
     }
 
     pub fn address(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.ip, port)
     }
 
+    /// Path of the platform's settings file.
+    pub fn settings_file(&self) -> PathBuf {
+        self.dir.path().join("host.yaml")
+    }
+
+    /// Path of the policy file.
+    pub fn policy_file(&self) -> PathBuf {
+        self.dir.path().join("policy.toml")
+    }
+
+    /// Listens on one of the Host's ports in place of an entry.
+    pub fn occupy(&self, port: u16) -> TcpListener {
+        TcpListener::bind(self.address(port)).unwrap()
+    }
+
     /// Starts a process.
     pub fn spawn(&self) -> Process {
+        self.spawn_changed(|_| {})
+    }
+
+    /// Starts a process with changed arguments or environment.
+    pub fn spawn_changed(&self, change: impl FnOnce(&mut Command)) -> Process {
         let log = self.dir.path().join("log");
         let log: File = OpenOptions::new().create(true).append(true).open(log).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_mintmoor"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mintmoor"));
+        command
             .args(["route", "--policy"])
-            .arg(self.dir.path().join("policy.toml"))
-            .env("MINTMOOR_CONFIG", self.dir.path().join("host.yaml"))
+            .arg(self.policy_file())
+            .env("MINTMOOR_CONFIG", self.settings_file())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
             .stdin(Stdio::null())
-            .kill_on_drop(true)
-            .spawn()
-            .unwrap();
+            .kill_on_drop(true);
+        change(&mut command);
+        let child = command.spawn().unwrap();
         let pid = Pid::from_raw(i32::try_from(child.id().unwrap()).unwrap()).unwrap();
         Process { child, pid }
     }
@@ -108,6 +130,17 @@
         self.wait_until("ready", async || self.is_ready().await).await;
     }
 
+    /// Waits until the processes have logged this text.
+    pub async fn wait_until_logged(&self, text: &str) {
+        self.wait_until(&format!("logged: {text}"), async || self.log().contains(text)).await;
+    }
+
+    /// Waits until something listens on one of the Host's ports.
+    pub async fn wait_until_served(&self, port: u16) {
+        let address = self.address(port);
+        self.wait_until("served", async || TcpStream::connect(address).await.is_ok()).await;
+    }
+
     /// Waits for a condition.
     pub async fn wait_until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
         let work = async {
@@ -142,6 +175,13 @@
         timeout(WAIT_TIMEOUT, self.child.wait()).await.expect("the process did not end").unwrap()
     }
 
+    /// Asks the process to stop and asserts that it ends with code 0.
+    pub async fn assert_stops(&mut self, host: &Host) {
+        self.signal(Signal::TERM);
+        let ended = self.wait().await;
+        assert!(ended.success(), "{ended}\n{}", host.log());
+    }
+
     /// Asserts that the process has not ended.
     pub fn assert_lives(&mut self, host: &Host) {
         let ended = self.ended();
