An entry's process waits for a usable settings file instead of ending

Cause: run_route read and parsed the file once, before it started the log, and returned the error.

Fix: the log is started first. The file is then read until it can be parsed, with the backoff of the listeners; SETTINGS_UNREADABLE (107) names file and cause at the first attempt and at one of twenty. SIGTERM or SIGINT ends the wait, and any other part of the start, with code 0. What only a person can change (no path of the settings file, a wrong policy file) still ends the process with code 2 before that. The log's thread is waited for as well (THREAD_WAITS, 119): the crate's pool panics if it can't start it, so init_async_stdout asks for a thread first.

Evidence: tests/process/starts.rs with the real program. No test covers a log thread that can't be started.

--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -6,10 +6,14 @@
 use mintmoor::{
     agent, entry,
     entry::RoutingPolicy,
-    platform::host_settings::{self, SETTINGS_VARIABLE},
+    platform::host_settings::{self, HostSettings, SETTINGS_VARIABLE},
+    policy::backoff::Backoff,
     router::{self, RouterSettings, RunningRouter},
     settings::{RouteSettings, load_agent, load_entry, load_route},
-    telemetry::log,
+    telemetry::{
+        event,
+        log::{self, LogLevel},
+    },
 };
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -89,7 +93,8 @@
 /// Time between looks at a settings file that may change without a signal.
 const FILE_CHECK: Duration = Duration::from_secs(2);
 
-/// Runs an entry on the users' platform until it is asked to stop.
+/// Runs an entry on the users' platform until it is asked to stop. What a person has to change ends it with an error;
+/// what may pass is waited for.
 pub(crate) async fn run_route(args: &RouteArgs) -> Result<Ending> {
     // First of all: a signal that comes before its handler ends the process, also one to reload.
     let mut stop = StopSignals::listen()?;
@@ -101,14 +106,18 @@
             .into(),
     };
     let name = file.display().to_string();
-    let mut text = read(&name)?;
-    let host = host_settings::parse(&text).wrap_err_with(|| name.clone())?;
     let policy = match &args.policy {
         Some(file) => load_route(file, &read(file)?)?,
         None => RouteSettings::default(),
     };
-    log::init_async_stdout(policy.log_level).wrap_err("log")?;
-    let running = router::start(RouterSettings { host, policy }).await;
+    let started = tokio::select! {
+        started = start_route(&name, policy) => started,
+        () = stop.next() => {
+            event::PROCESS_STOPPED.log(format_args!("cut=0"));
+            return Ok(Ending::Good);
+        }
+    };
+    let (running, mut text) = started;
     loop {
         tokio::select! {
             () = stop.next() => break,
@@ -122,6 +131,40 @@
     Ok(Ending::of(cut == 0))
 }
 
+/// Starts an entry once its settings file is usable; returns it with the file's text.
+async fn start_route(name: &str, policy: RouteSettings) -> (RunningRouter, String) {
+    start_log(policy.log_level).await;
+    let (host, text) = wait_for_settings(name).await;
+    (router::start(RouterSettings { host, policy }).await, text)
+}
+
+/// Starts the log, as soon as the system allows its thread.
+async fn start_log(level: LogLevel) {
+    let mut backoff = Backoff::default();
+    while let Err(e) = log::init_async_stdout(level) {
+        if backoff.is_logged() {
+            event::THREAD_WAITS.log(format_args!("thread=log cause=\"{e}\""));
+        }
+        tokio::time::sleep(backoff.record_failure(rand::random())).await;
+    }
+}
+
+/// Reads the settings file until it is usable. At the start it may still be missing, or be in the middle of being
+/// written.
+async fn wait_for_settings(name: &str) -> (HostSettings, String) {
+    let mut backoff = Backoff::default();
+    loop {
+        match read(name).and_then(|text| Ok((host_settings::parse(&text)?, text))) {
+            Ok(settings) => return settings,
+            Err(e) if backoff.is_logged() => {
+                event::SETTINGS_UNREADABLE.log(format_args!("file={name} cause=\"{e:#}\""));
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(backoff.record_failure(rand::random())).await;
+    }
+}
+
 /// Reloads when asked, or when the file's text is another than before.
 fn reload_changed(running: &RunningRouter, name: &str, text: &mut String, is_asked: bool) {
     // A file that can't be read counts as empty, and the reload tells that it can't be used.
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -87,7 +87,7 @@
     PROCESS_CUT_SHORT = 104, Warn, "A second signal or the end of the grace period aborted running requests.";
     ACCEPT_FAILED = 105, Warn, "A connection could not be accepted.";
     SETTINGS_RELOADED = 106, Info, "The settings file was reloaded.";
-    SETTINGS_UNREADABLE = 107, Error, "The settings file could not be reloaded; the previous settings stay in force.";
+    SETTINGS_UNREADABLE = 107, Error, "The settings file can't be used; the previous settings stay in force, and a process that starts waits for a usable file.";
     HOST_RESUMED = 108, Warn, "The Host was suspended; data received before the suspension counts as stale.";
     ACCEPT_PAUSED = 109, Warn, "The process lacks processor time; new connections are closed unread, so that their callers turn to another entry.";
     ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Why the log can't be started.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The system allows no more threads.
+    #[error("no thread: {0}")]
+    Thread(#[from] std::io::Error),
+    /// The sink or the logger can't be created.
+    #[error("{0}")]
+    Logger(#[from] spdlog::Error),
+}
+
 /// Logs to standard error.
 ///
 /// # Errors
@@ -100,7 +111,10 @@
 ///
 /// # Errors
 /// If the thread, the sink or the logger can't be created.
-pub fn init_async_stdout(level: LogLevel) -> Result<(), spdlog::Error> {
+pub fn init_async_stdout(level: LogLevel) -> Result<(), LogError> {
+    // The pool panics if it can't start its thread, so first find out whether the system allows one more.
+    let probe = std::thread::Builder::new().spawn(|| {})?;
+    probe.join().map_err(|_| std::io::Error::other("the thread did not end properly"))?;
     let out = StdStreamSink::builder()
         .std_stream(StdStream::Stdout)
         .formatter(JsonFormatter::new())
--- a/tests/process/starts.rs
+++ b/tests/process/starts.rs
@@ -1,4 +1,4 @@
-//! Starts while something is missing that may still come: a free address.
+//! Starts while something is missing that may still come: a free address, a complete settings file.
 
 use rustix::process::Signal;
 
@@ -48,6 +48,36 @@
     process.assert_stops(&host).await;
 }
 
+/// A process without a usable settings file lives, logs that, and starts once the file is complete.
+async fn assert_waits_for_settings(unusable: impl FnOnce(&Host, &str)) {
+    let store = store().await;
+    let host = Host::new(store.address);
+    let settings = host.settings(store.address);
+    unusable(&host, &settings);
+
+    let mut process = host.spawn();
+    host.wait_until_logged("SETTINGS_UNREADABLE").await;
+    process.signal(Signal::HUP);
+    process.assert_lives(&host);
+    host.write_settings(&settings);
+
+    host.wait_until_ready().await;
+    process.assert_stops(&host).await;
+}
+
+/// A process that can't start before a person has changed something ends with code 2 and names it.
+async fn assert_refuses(
+    host: &Host,
+    named: &str,
+    change: impl FnOnce(&mut tokio::process::Command),
+) {
+    let mut process = host.spawn_changed(change);
+    let ended = process.wait().await;
+
+    assert_eq!(ended.code(), Some(2), "{}", host.log());
+    assert!(host.log().contains(named), "{}", host.log());
+}
+
 #[tokio::test]
 async fn a_process_serves_and_ends_with_code_0_when_it_is_asked_to_stop() {
     let host = Host::new(store().await.address);
@@ -189,3 +219,55 @@
     assert!(host.get(METRICS_PORT, "/metrics").await.contains("mintmoor_in_flight 0"));
     successor.assert_stops(&host).await;
 }
+
+#[tokio::test]
+async fn a_process_waits_for_a_settings_file_that_is_empty() {
+    assert_waits_for_settings(|host, _| host.write_settings("")).await;
+}
+
+#[tokio::test]
+async fn a_process_waits_for_a_settings_file_that_is_half_written() {
+    assert_waits_for_settings(|host, whole| host.write_settings(&whole[..whole.len() / 2])).await;
+}
+
+#[tokio::test]
+async fn a_process_waits_for_a_settings_file_that_is_missing() {
+    assert_waits_for_settings(|host, _| std::fs::remove_file(host.settings_file()).unwrap()).await;
+}
+
+#[tokio::test]
+async fn a_process_without_usable_settings_ends_with_code_0_when_it_is_asked_to_stop() {
+    let host = Host::new(store().await.address);
+    host.write_settings("");
+
+    let mut process = host.spawn();
+    host.wait_until_logged("SETTINGS_UNREADABLE").await;
+
+    process.assert_stops(&host).await;
+}
+
+#[tokio::test]
+async fn a_missing_path_of_the_settings_file_ends_the_process() {
+    let host = Host::new(store().await.address);
+
+    assert_refuses(&host, "MINTMOOR_CONFIG", |command| {
+        command.env_remove("MINTMOOR_CONFIG");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_policy_file_with_an_unknown_key_ends_the_process() {
+    let host = Host::new(store().await.address);
+    std::fs::write(host.policy_file(), "[listen]\nno_such_key = 1\n").unwrap();
+
+    assert_refuses(&host, "listen.no_such_key", |_| {}).await;
+}
+
+#[tokio::test]
+async fn a_policy_file_that_is_missing_ends_the_process() {
+    let host = Host::new(store().await.address);
+    std::fs::remove_file(host.policy_file()).unwrap();
+
+    assert_refuses(&host, &host.policy_file().display().to_string(), |_| {}).await;
+}
