--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -97,6 +97,27 @@
     }
 }
 
+#[test]
+fn unknown_command_is_named_and_ends_with_the_code_for_wrong_use() {
+    let output = run_mintmoor(&["rout"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr_of(&output).contains("rout"), "{}", stderr_of(&output));
+}
+
+#[test]
+fn missing_command_ends_with_the_code_for_wrong_use() {
+    let output = run_mintmoor(&[]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr_of(&output).contains("mintmoor --help"), "{}", stderr_of(&output));
+}
+
+#[test]
+fn help_of_a_command_is_printed_and_no_failure() {
+    let output = run_mintmoor(&["route", "--help"]);
+    assert!(output.status.success());
+    assert!(String::from_utf8(output.stdout).unwrap().contains("--policy"));
+}
+
 #[test]
 fn unknown_policy_error_lists_the_known_policies() {
     let output =
--- a/tests/process/starts.rs
+++ b/tests/process/starts.rs
@@ -256,6 +256,16 @@
     .await;
 }
 
+#[tokio::test]
+async fn an_unknown_option_ends_the_process() {
+    let host = Host::new(store().await.address);
+
+    assert_refuses(&host, "--no-such-option", |command| {
+        command.arg("--no-such-option");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_policy_file_with_an_unknown_key_ends_the_process() {
     let host = Host::new(store().await.address);
