route installs its signal handlers before it parses its arguments

Seen by operators: SIGHUP or SIGTERM within about 2 ms of a start ends the process by the signal's default action.

Cause: until main runs there is no handler, and ours stood after the parsing of the arguments.

Fix: for `route` the runtime and the handlers come first, that for SIGHUP before the others.

--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -42,6 +42,19 @@
     }
 }
 
+/// The signals that an entry on the users' platform handles.
+pub(crate) struct RouteSignals {
+    stop: StopSignals,
+    reload: Signal,
+}
+
+impl RouteSignals {
+    /// Installs the handlers. Needs the context of a runtime.
+    pub(crate) fn listen() -> Result<Self> {
+        Ok(Self { reload: signal(SignalKind::hangup())?, stop: StopSignals::listen()? })
+    }
+}
+
 /// Waits for a signal that asks for a planned stop.
 pub(crate) async fn wait_for_stop() -> Result<()> {
     StopSignals::listen()?.next().await;
@@ -95,10 +108,8 @@
 
 /// Runs an entry on the users' platform until it is asked to stop. What a person has to change ends it with an error;
 /// what may pass is waited for.
-pub(crate) async fn run_route(args: &RouteArgs) -> Result<Ending> {
-    // First of all: a signal that comes before its handler ends the process, also one to reload.
-    let mut stop = StopSignals::listen()?;
-    let mut reload = signal(SignalKind::hangup())?;
+pub(crate) async fn run_route(args: &RouteArgs, signals: RouteSignals) -> Result<Ending> {
+    let RouteSignals { mut stop, mut reload } = signals;
     let file: PathBuf = match &args.settings {
         Some(file) => file.into(),
         None => std::env::var(SETTINGS_VARIABLE)
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -182,6 +182,15 @@
         assert!(ended.success(), "{ended}\n{}", host.log());
     }
 
+    /// Whether the process has a handler for a signal.
+    pub fn handles(&self, signal: Signal) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid.as_raw_nonzero()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).unwrap_or("0");
+        let handled = u64::from_str_radix(line.trim(), 16).unwrap();
+        handled & (1 << (signal.as_raw() - 1)) != 0
+    }
+
     /// Asserts that the process has not ended.
     pub fn assert_lives(&mut self, host: &Host) {
         let ended = self.ended();
--- a/tests/process/starts.rs
+++ b/tests/process/starts.rs
@@ -281,3 +281,15 @@
 
     assert_refuses(&host, &host.policy_file().display().to_string(), |_| {}).await;
 }
+
+#[tokio::test]
+async fn signals_that_come_during_the_start_are_handled() {
+    let host = Host::new(store().await.address);
+    let mut process = host.spawn();
+
+    host.wait_until("handling SIGHUP", async || process.handles(Signal::HUP)).await;
+    process.signal(Signal::HUP);
+
+    process.assert_lives(&host);
+    process.assert_stops(&host).await;
+}
