--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -80,17 +80,20 @@
 }
 
 events! {
-    PROCESS_STARTED = 100, Info, "The process has loaded its settings and is listening.";
+    PROCESS_STARTED = 100, Info, "The process has loaded its settings and begins to listen.";
     PROCESS_READY = 101, Info, "The process has a configuration and accepts work.";
     PROCESS_LEAVING = 102, Info, "A planned stop has begun; no new work is accepted.";
     PROCESS_STOPPED = 103, Info, "The process exits; the counts tell what was cut off.";
     PROCESS_CUT_SHORT = 104, Warn, "A second signal or the end of the grace period aborted running requests.";
     ACCEPT_FAILED = 105, Warn, "A connection could not be accepted.";
     SETTINGS_RELOADED = 106, Info, "The settings file was reloaded.";
-    SETTINGS_UNREADABLE = 107, Error, "The settings file could not be reloaded; the previous settings stay in force.";
+    SETTINGS_UNREADABLE = 107, Error, "The settings file can't be used; the previous settings stay in force, and a process that starts waits for a usable file.";
     HOST_RESUMED = 108, Warn, "The Host was suspended; data received before the suspension counts as stale.";
     ACCEPT_PAUSED = 109, Warn, "The process lacks processor time; new connections are closed unread, so that their callers turn to another entry.";
     ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
+    LISTEN_WAITS = 111, Warn, "An address can't be served yet; the attempt is repeated, and the other addresses are served meanwhile.";
+    LISTENING = 112, Info, "An address is bound and served.";
+    THREAD_WAITS = 119, Warn, "A thread can't be started yet; the attempt is repeated.";
     LINK_UP = 200, Info, "A link to a peer was established and authenticated.";
     LINK_DOWN = 201, Warn, "A link was lost; its attempts count as lost.";
     LINK_REFUSED = 202, Warn, "A peer failed to authenticate or sent invalid frames.";
