Locks stay usable after a panic

One panic under a lock made every later user of that lock panic too, on both threads: std's mutexes are poisoned, and all users expected that nothing panics there. crate::sync::Mutex gives the guard in any case.

Mechanical: the expects are gone and the imports are changed, in the route path and what it shares.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -10,16 +10,15 @@
 use std::{
     future::Future,
     pin::pin,
-    sync::{
-        Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
 use rustix::time::{ClockId, clock_gettime};
 use tokio::{sync::watch, time::sleep};
 
+use crate::sync::Mutex;
+
 /// Least difference between boot time and monotonic time that counts as a suspension. The two clocks are
 /// read one after the other, and a process preempted in between sees a difference of some milliseconds.
 const MIN_SUSPENSION: Duration = Duration::from_millis(150);
@@ -88,8 +87,7 @@
     /// the length of the suspension.
     pub fn detect_suspension(&self) -> Option<Duration> {
         let suspended = {
-            let mut last_readings =
-                self.last_readings.lock().expect("no code panics while holding this lock");
+            let mut last_readings = self.last_readings.lock();
             let now = ClockReadings { monotonic: Instant::now(), boottime: self.since_boot() };
             let previous = std::mem::replace(&mut *last_readings, now);
             let monotonic = now.monotonic.saturating_duration_since(previous.monotonic);
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -1,6 +1,6 @@
 //! Active configuration of a process, kept up to date from the store and from peers.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
@@ -11,6 +11,7 @@
     platform::{Result, TableClient},
     protocol::ConfigUpdate,
     resources::{Change, ConfigLog, Object, Snapshot},
+    sync::Mutex,
     telemetry::{Metrics, event},
 };
 
@@ -65,22 +66,17 @@
 
     /// Changes after a revision; `None` if some of them are no longer kept.
     pub fn changes_after(&self, revision: Revision) -> Option<Vec<Change>> {
-        self.log.lock().expect("no code panics while holding this lock").changes_after(revision)
+        self.log.lock().changes_after(revision)
     }
 
     /// All active objects.
     pub fn objects(&self) -> Vec<Object> {
-        self.log
-            .lock()
-            .expect("no code panics while holding this lock")
-            .objects()
-            .cloned()
-            .collect()
+        self.log.lock().objects().cloned().collect()
     }
 
     /// Update that brings a peer from `revision` to the active revision; `None` if it is not behind.
     pub fn update_for(&self, revision: Revision) -> Option<ConfigUpdate> {
-        let log = self.log.lock().expect("no code panics while holding this lock");
+        let log = self.log.lock();
         if revision >= log.revision() {
             return None;
         }
@@ -95,7 +91,7 @@
 
     /// Applies the parts of an update that are newer than the active revision; returns whether there were any.
     pub fn apply(&self, update: ConfigUpdate) -> bool {
-        let mut log = self.log.lock().expect("no code panics while holding this lock");
+        let mut log = self.log.lock();
         let before = log.revision();
         match update {
             ConfigUpdate::Delta(changes) => {
--- a/src/control/pull.rs
+++ b/src/control/pull.rs
@@ -1,9 +1,8 @@
 //! Limits a process to one outstanding pull, a request to a peer for missing configuration.
 
-use std::{
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
+
+use crate::sync::Mutex;
 
 /// Time after which an unanswered pull no longer blocks the next one.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -17,7 +16,7 @@
 impl PullSlot {
     /// Occupies the slot; returns false if a recent pull is still outstanding.
     pub fn try_acquire(&self) -> bool {
-        let mut asked_at = self.asked_at.lock().expect("no code panics while holding this lock");
+        let mut asked_at = self.asked_at.lock();
         if asked_at.is_some_and(|since| since.elapsed() < PULL_TIMEOUT) {
             return false;
         }
@@ -27,6 +26,6 @@
 
     /// Frees the slot after a response has arrived.
     pub fn release(&self) {
-        *self.asked_at.lock().expect("no code panics while holding this lock") = None;
+        *self.asked_at.lock() = None;
     }
 }
--- a/src/control/store_health.rs
+++ b/src/control/store_health.rs
@@ -1,15 +1,12 @@
 //! Tracks whether the platform's table and object services answer this process.
 
-use std::{
-    future::Future,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
 use crate::{
     platform::Result,
+    sync::Mutex,
     telemetry::{Metrics, event},
 };
 
@@ -41,7 +38,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
-        self.failing_since.lock().expect("no code panics while holding this lock")
+        self.failing_since.lock()
     }
 
     /// Awaits a call, counts it in the metrics and records whether it succeeded.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod policy;
 pub mod resources;
 pub mod routing;
+pub mod sync;
 
 pub mod agent;
 pub mod control;
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -1,12 +1,6 @@
 //! Client of the platform's list of Hosts, which lags behind the actual state.
 
-use std::{
-    fmt,
-    io::Read,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{fmt, io::Read, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use flate2::read::GzDecoder;
@@ -19,6 +13,7 @@
 use crate::{
     ids::ServerId,
     platform::{Error, HttpClient, HttpReply, ReplyFuture, Result, http_client::check_status},
+    sync::Mutex,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -106,7 +101,7 @@
 ) -> Result<Option<Vec<Host>>> {
     let mut headers = HeaderMap::new();
     headers.insert(ACCEPT_ENCODING, HeaderValue::from_static("gzip"));
-    if let Some(etag) = etag.lock().expect("no code panics while holding this lock").clone() {
+    if let Some(etag) = etag.lock().clone() {
         headers.insert(IF_NONE_MATCH, etag);
     }
     let reply = http.call(Method::GET, &uri, headers, Bytes::new(), TIMEOUT).await?;
@@ -117,8 +112,7 @@
     let body = decompress(&reply)?;
     let hosts = serde_json::from_slice(&body)
         .map_err(|e| Error::Unreadable(format!("{uri}: {e}").into()))?;
-    *etag.lock().expect("no code panics while holding this lock") =
-        reply.headers.get(ETAG).cloned();
+    *etag.lock() = reply.headers.get(ETAG).cloned();
     Ok(Some(hosts))
 }
 
--- a/src/router/accept_gate.rs
+++ b/src/router/accept_gate.rs
@@ -1,16 +1,13 @@
 //! Measures how late ready tasks run, and closes new connections unread while that is too late.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
 };
 
-use crate::{policy::accept_control::AcceptControl, router::Router, telemetry::event};
+use crate::{policy::accept_control::AcceptControl, router::Router, sync::Mutex, telemetry::event};
 
 /// Time between two measurements: a fraction of the delay that matters.
 const MEASURE_INTERVAL: Duration = Duration::from_millis(30);
@@ -53,7 +50,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().expect("no code panics while holding this lock")
+        self.state.lock()
     }
 
     /// Admits a connection that was just accepted, or returns false if it is to be closed.
--- a/src/router/callers/caller_connection.rs
+++ b/src/router/callers/caller_connection.rs
@@ -1,13 +1,10 @@
 //! What one connection of a caller uses, and why it is closed.
 
-use std::{
-    net::SocketAddr,
-    sync::{Mutex, MutexGuard},
-};
+use std::{net::SocketAddr, sync::MutexGuard};
 
 use tokio::{sync::Notify, time::Instant};
 
-use crate::policy::connection_eviction::ConnectionUse;
+use crate::{policy::connection_eviction::ConnectionUse, sync::Mutex};
 
 /// Identifies a connection of a caller for the lifetime of the process.
 pub(crate) type ConnectionId = u64;
@@ -94,7 +91,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no code panics while holding this lock")
+        self.state.lock()
     }
 
     /// Counts bytes as held for this caller.
--- a/src/router/callers/connection_table.rs
+++ b/src/router/callers/connection_table.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -13,6 +13,7 @@
 use crate::{
     policy::connection_eviction::{ConnectionUse, largest_holder, longest_unused},
     router::callers::caller_connection::{CallerConnection, ConnectionId, CutReason},
+    sync::Mutex,
 };
 
 /// Connections beyond the limit that may exist while others are being closed to make room for them.
@@ -47,7 +48,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Connections> {
-        self.connections.lock().expect("no code panics while holding this lock")
+        self.connections.lock()
     }
 
     /// Adds a connection that was accepted. At the limit, the connection that has gone longest without a request that
--- a/src/router/duties/usage_meter.rs
+++ b/src/router/duties/usage_meter.rs
@@ -1,9 +1,6 @@
 //! Counting of the requests that begin to run, here and in the other entries.
 
-use std::{
-    sync::Mutex,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt;
 
@@ -17,6 +14,7 @@
     },
     router::Router,
     routing::Organisation,
+    sync::Mutex,
 };
 
 /// Time by which a request may be recorded later than it began: until the answer of an application service. Longer
@@ -60,7 +58,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Estimated true time at `now` on the entry's clock.
--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -42,7 +42,7 @@
         self.metrics.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
         self.metrics.quarantined_parts.set(i64::try_from(parts).unwrap_or(i64::MAX));
         let terms = self.retry_limits();
-        let mut retry_budgets = self.retry_budgets.lock().expect("no panics under the lock");
+        let mut retry_budgets = self.retry_budgets.lock();
         for (service, budget) in retry_budgets.iter_mut() {
             let labels = ServiceLabels { service: service.to_string() };
             self.metrics
--- a/src/router/peers/load_reports.rs
+++ b/src/router/peers/load_reports.rs
@@ -4,13 +4,14 @@
 //! given server only every few seconds. So each entry reports the load that it puts on each server
 //! to the seeds, and the seeds add the reports up and pass the sums on (docs/decisions/0010).
 
-use std::{collections::HashMap, sync::Mutex, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     policy::place::{ObservedEntry, Place, place_among},
     router::Fleet,
+    sync::Mutex,
 };
 
 /// Time after which a report is ignored: three missed reports.
@@ -87,7 +88,7 @@
 
 impl LoadReports {
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Collects and stores the load that this entry has on the servers, for its next report.
--- a/src/router/peers/own_place.rs
+++ b/src/router/peers/own_place.rs
@@ -1,11 +1,12 @@
 //! This entry's rank among all entries, by which they divide the few requests that a limited server
 //! accepts.
 
-use std::{sync::Mutex, time::Duration};
+use std::time::Duration;
 
 use crate::{
     policy::place::{ObservedEntry, Place, PlaceTracker, SETTLE_TIME},
     router::{Router, peers::messages::ReportedPlace},
+    sync::Mutex,
 };
 
 /// This entry's rank as reported by the seeds.
@@ -18,18 +19,18 @@
     /// Records a rank reported by a seed.
     pub(crate) fn record(&self, reported: ReportedPlace, now: Duration) {
         let ReportedPlace { rank, entries, sees_all } = reported;
-        let mut tracker = self.tracker.lock().expect("no code panics while holding this lock");
+        let mut tracker = self.tracker.lock();
         tracker.update(Place { rank, entries }, sees_all, now);
     }
 
     /// Last reported number of entries that share, also before the rank is settled.
     pub(crate) fn entries(&self) -> Option<u32> {
-        self.tracker.lock().expect("no code panics while holding this lock").entries()
+        self.tracker.lock().entries()
     }
 
     /// This entry's rank; none until it is settled.
     fn get(&self, now: Duration) -> Option<Place> {
-        self.tracker.lock().expect("no code panics while holding this lock").get(now)
+        self.tracker.lock().get(now)
     }
 }
 
--- a/src/router/peers/peer_link.rs
+++ b/src/router/peers/peer_link.rs
@@ -2,12 +2,12 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    sync::{Mutex, MutexGuard},
+    sync::MutexGuard,
 };
 
 use tokio::sync::Notify;
 
-use crate::{platform::store::Table, router::store::table_views::TableUpdate};
+use crate::{platform::store::Table, router::store::table_views::TableUpdate, sync::Mutex};
 
 /// Maximum number of pending updates of a table. A full queue means that its reader has stopped,
 /// and a new link starts with all rows anyway.
@@ -31,7 +31,7 @@
 
 impl PeerLink {
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Sets whether the other entry is up to date with the store. Returns whether that changed.
--- a/src/router/peers/prefix_reports.rs
+++ b/src/router/peers/prefix_reports.rs
@@ -5,13 +5,16 @@
 //! nothing. So each entry reports what it sent to the seeds, and the seeds pass it on with their
 //! heartbeats (docs/decisions/0011).
 
-use std::{sync::Mutex, time::Duration};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::router::{
-    Fleet,
-    peers::update_log::{UpdateLog, UpdateLogLimits},
+use crate::{
+    router::{
+        Fleet,
+        peers::update_log::{UpdateLog, UpdateLogLimits},
+    },
+    sync::Mutex,
 };
 
 /// Prefixes stored for links that are new or behind; 40 KB. At 1,000 requests per second, a quarter
@@ -62,7 +65,7 @@
 
 impl PrefixReports {
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Records a prefix that this entry sent.
--- a/src/router/peers/shared_limits.rs
+++ b/src/router/peers/shared_limits.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Mutex, MutexGuard,
+        MutexGuard,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -26,6 +26,7 @@
         rate_limit::{AdvertisedLimit, Rate},
     },
     router::Fleet,
+    sync::Mutex,
 };
 
 /// Maximum number of limits in one message, 1.4 KB; the others follow in the next messages.
@@ -107,7 +108,7 @@
 
 impl SharedLimits {
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Number of servers that currently advertise a limit.
--- a/src/router/peers/speed_reports.rs
+++ b/src/router/peers/speed_reports.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Mutex, MutexGuard},
+    sync::MutexGuard,
     time::Duration,
 };
 
@@ -17,6 +17,7 @@
 use crate::{
     policy::server_speed::{SharedSpeed, TimeFactor, is_believed},
     router::{Fleet, Member, servers::member::should_log},
+    sync::Mutex,
 };
 
 /// Maximum number of speeds in one message, 5 KB; the others follow in the next messages, so that
@@ -139,7 +140,7 @@
 
 impl SpeedReports {
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Records the factor in a server's answer to this entry; returns whether it is news to the
--- a/src/router/peers/timed_mutex.rs
+++ b/src/router/peers/timed_mutex.rs
@@ -3,12 +3,14 @@
 use std::{
     ops::{Deref, DerefMut},
     sync::{
-        Mutex, MutexGuard,
+        MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
+use crate::sync::Mutex;
+
 /// A mutex between the control thread and the thread that serves callers: while one of them holds it for long, the
 /// other one stands still.
 #[derive(Debug, Default)]
@@ -41,7 +43,7 @@
 impl<T> TimedMutex<T> {
     pub(super) fn lock(&self) -> TimedGuard<'_, T> {
         let asked_at = Instant::now();
-        let guard = self.inner.lock().expect("no code panics while holding this lock");
+        let guard = self.inner.lock();
         let acquired_at = Instant::now();
         self.acquired.fetch_add(1, Ordering::Relaxed);
         add(&self.waited_ns, acquired_at - asked_at);
--- a/src/router/quarantine/refusal_waiters.rs
+++ b/src/router/quarantine/refusal_waiters.rs
@@ -2,12 +2,12 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
 };
 
 use tokio::sync::Notify;
 
-use crate::policy::quarantine::Suspect;
+use crate::{policy::quarantine::Suspect, sync::Mutex};
 
 /// Requests at work by their suspects, so that a refusal wakes those that it concerns. Waking all of them for each note
 /// would cost notes times requests at work, and a mass crash has many of both (docs/incidents/0025).
@@ -48,7 +48,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Suspect, Vec<Arc<Notify>>>> {
-        self.by_suspect.lock().expect("no code panics while holding this lock")
+        self.by_suspect.lock()
     }
 }
 
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -79,7 +79,7 @@
 
     /// The receiver of trial requests for the control thread; none after the first call.
     pub(crate) fn take_trial_requests(&self) -> Option<mpsc::Receiver<TrialRequest>> {
-        self.trials.1.lock().expect("no code panics while holding this lock").take()
+        self.trials.1.lock().take()
     }
 
     /// Whether this entry receives updates from no other entry.
--- a/src/router/roll_outs/roll_out.rs
+++ b/src/router/roll_outs/roll_out.rs
@@ -4,11 +4,7 @@
 //! version. The verdict is a conditional write to the store, so it is given once, whichever entry
 //! writes it, and no lease is needed (docs/decisions/0008).
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serde_json::{Value, json};
 use tokio::sync::Notify;
@@ -21,6 +17,7 @@
         version_rule::VersionRule,
     },
     routing::{BackendServer, RequestHead, RollOutOrder, RollOutProgress},
+    sync::Mutex,
     telemetry::{Metrics, event},
 };
 
@@ -71,7 +68,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no code panics while holding this lock")
+        self.inner.lock()
     }
 
     /// Adds an order and returns whether it is new. `is_found` marks one that was there when the
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -1,7 +1,7 @@
 //! One BackendServer of the fleet, and what this entry has learned about it.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -25,6 +25,7 @@
     },
     router::servers::{connection::IdleConnection, lost_requests::LostRequests},
     routing::BackendServer,
+    sync::Mutex,
 };
 
 /// Outlier ejection of servers. A server is ejected after two consecutive failures: a single lost response is common
@@ -194,12 +195,12 @@
 
     /// Locks the state of this incarnation.
     pub(crate) fn state(&self) -> MutexGuard<'_, ServerState> {
-        self.incarnation.state.lock().expect("no panics under the lock")
+        self.incarnation.state.lock()
     }
 
     /// Locks the list of requests that got no response from it.
     pub(crate) fn lost_requests(&self) -> MutexGuard<'_, LostRequests> {
-        self.incarnation.lost_requests.lock().expect("no panics under the lock")
+        self.incarnation.lost_requests.lock()
     }
 
     /// Acquires the right to check whether the server listens, so that one task checks at a time.
--- a/src/router/servers/server_table.rs
+++ b/src/router/servers/server_table.rs
@@ -20,9 +20,9 @@
 
 /// Follows the store's table of servers and publishes a new fleet whenever it changes.
 pub(crate) async fn follow_servers(router: &Router, store: &StoreClient) {
-    let listing = std::sync::Mutex::new(Listing::default());
+    let listing = crate::sync::Mutex::new(Listing::default());
     let apply = |rows: Rows, extent: Extent, reachability: &StoreReachability| {
-        let mut listing = listing.lock().expect("no panics under the lock");
+        let mut listing = listing.lock();
         listing.apply(
             &rows,
             extent,
@@ -37,7 +37,7 @@
         loop {
             sleep(RETRY_PAUSE).await;
             router.notice_suspension();
-            let mut listing = listing.lock().expect("no panics under the lock");
+            let mut listing = listing.lock();
             if listing.expire(router.now()) {
                 publish_fleet(router, &listing);
             }
--- a/src/router/servers/timing_estimates.rs
+++ b/src/router/servers/timing_estimates.rs
@@ -1,12 +1,8 @@
 //! Learned speeds of models: prompt processing and token generation.
 
-use std::{
-    collections::HashMap,
-    sync::{Mutex, MutexGuard},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::MutexGuard, time::Duration};
 
-use crate::policy::timing::TimingEstimate;
+use crate::{policy::timing::TimingEstimate, sync::Mutex};
 
 /// Maximum number of names for which times are learned: several times the models, services and routes of the largest
 /// deployment. Callers choose the names of models.
@@ -64,7 +60,7 @@
 
 impl TimingEstimates {
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no code panics while holding this lock")
+        self.state.lock()
     }
 
     /// The current estimate, or the initial one if nothing was learned.
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, OnceLock,
+        Arc, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -45,6 +45,7 @@
     },
     routing::{Route, RoutingTable},
     settings::RouteSettings,
+    sync::Mutex,
     telemetry::{Metrics, event, log_rate::LogRate},
 };
 
@@ -225,7 +226,7 @@
 
     /// Advances the state machine of the process's lifecycle.
     pub fn advance(&self, event: LifecycleEvent) {
-        self.lifecycle.lock().expect("no panics under the lock").handle(&event);
+        self.lifecycle.lock().handle(&event);
     }
 
     /// Puts a configuration in force.
@@ -343,7 +344,7 @@
     }
 
     fn is_in(&self, state: LifecycleState) -> bool {
-        *self.lifecycle.lock().expect("no panics under the lock").state() == state
+        *self.lifecycle.lock().state() == state
     }
 
     /// Bytes of requests and responses that are held for slow callers and servers.
@@ -371,14 +372,14 @@
     /// Counts a caller's request towards the retry budget of its service.
     pub(crate) fn record_request(&self, service: &str) {
         let terms = self.retry_limits();
-        let mut retry_budgets = self.retry_budgets.lock().expect("no panics under the lock");
+        let mut retry_budgets = self.retry_budgets.lock();
         retry_budgets.entry(service.into()).or_default().record_request(&terms, self.now());
     }
 
     /// Takes one retry from the service's budget; false if the budget is exhausted.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let terms = self.retry_limits();
-        let mut retry_budgets = self.retry_budgets.lock().expect("no panics under the lock");
+        let mut retry_budgets = self.retry_budgets.lock();
         let is_taken =
             retry_budgets.entry(service.into()).or_default().try_retry(&terms, self.now());
         self.metrics.count_retry(service, is_taken);
@@ -387,7 +388,7 @@
 
     /// Records that no server of a service could accept a request; returns the `Retry-After` for its caller.
     pub(crate) fn record_overload(&self, service: &str, request_id: &str) -> Duration {
-        let mut overloads = self.overloads.lock().expect("no panics under the lock");
+        let mut overloads = self.overloads.lock();
         let lasted = overloads.entry(service.into()).or_default().record_refusal(self.now());
         retry_after(lasted, hash_fraction(request_id, service))
     }
@@ -395,7 +396,7 @@
     /// Whether the service's budget still allows a retry.
     pub(crate) fn has_retry_left(&self, service: &str) -> bool {
         let terms = self.retry_limits();
-        let mut retry_budgets = self.retry_budgets.lock().expect("no panics under the lock");
+        let mut retry_budgets = self.retry_budgets.lock();
         retry_budgets.entry(service.into()).or_default().remaining(&terms, self.now()) >= 1.0
     }
 
@@ -409,13 +410,13 @@
     pub(crate) fn record_entries(&self, entries: usize) {
         let seeds = self.settings.load().seed_peers.len();
         let entries = u32::try_from(entries.max(seeds)).unwrap_or(u32::MAX);
-        let mut share = self.extra_share.lock().expect("no panics under the lock");
+        let mut share = self.extra_share.lock();
         share.record_entries(entries, self.now());
     }
 
     /// Number of entries that this one knows of.
     pub(super) fn entries(&self) -> u32 {
-        self.extra_share.lock().expect("no panics under the lock").entries()
+        self.extra_share.lock().entries()
     }
 
     /// This entry's part of the requests that a trial may have beside its share.
@@ -431,7 +432,7 @@
     pub(super) fn retry_limits(&self) -> RetryLimits {
         let settings = self.settings.load();
         let window = settings.retry_window;
-        let share = self.extra_share.lock().expect("no panics under the lock");
+        let share = self.extra_share.lock();
         let extra = settings.retry_extra * share.fraction(window, self.now());
         RetryLimits { ratio: settings.retry_ratio, extra, window }
     }
--- a/src/router/store/table_views.rs
+++ b/src/router/store/table_views.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Mutex,
     time::Duration,
 };
 
@@ -12,6 +11,7 @@
     ids::{Era, StoreVersion},
     platform::store::{Row, Rows, Table},
     router::store::compressed_rows::CompressedUpdate,
+    sync::Mutex,
 };
 
 /// Updates buffered for a slow subscriber; one that falls further behind has to reconnect.
@@ -106,7 +106,7 @@
         is_whole: bool,
         is_amended: bool,
     ) {
-        let mut tables = self.tables.lock().expect("no code panics while holding this lock");
+        let mut tables = self.tables.lock();
         let view = tables.entry(table).or_default();
         view.version = rows.version;
         view.store_now = rows.now;
@@ -146,7 +146,7 @@
         &self,
         version: StoreVersion,
     ) -> (Vec<CompressedUpdate>, broadcast::Receiver<CompressedUpdate>) {
-        let mut tables = self.tables.lock().expect("no code panics while holding this lock");
+        let mut tables = self.tables.lock();
         let is_wanted = |(table, view): &(&Table, &mut TableView)| {
             let is_always_sent = matches!(table, Table::Own | Table::Status);
             is_always_sent || view.is_amended || view.version > version
@@ -163,7 +163,7 @@
 
     /// Records that the store answered a call about a table.
     pub(crate) fn record_answer(&self, table: Table, now: Duration) {
-        let mut tables = self.tables.lock().expect("no code panics while holding this lock");
+        let mut tables = self.tables.lock();
         let view = tables.entry(table).or_default();
         view.answered_at = now;
         view.is_lost = false;
@@ -171,24 +171,24 @@
 
     /// Records that a call about a table failed.
     pub(crate) fn record_failure(&self, table: Table) {
-        let mut tables = self.tables.lock().expect("no code panics while holding this lock");
+        let mut tables = self.tables.lock();
         tables.entry(table).or_default().is_lost = true;
     }
 
     /// Whether the last call about any table failed.
     pub(crate) fn is_store_lost(&self) -> bool {
-        let tables = self.tables.lock().expect("no code panics while holding this lock");
+        let tables = self.tables.lock();
         tables.values().any(|view| view.is_lost)
     }
 
     /// Records a message from the entry that this one follows.
     pub(crate) fn record_peer_message(&self, now: Duration) {
-        *self.peer_message_at.lock().expect("no code panics while holding this lock") = now;
+        *self.peer_message_at.lock() = now;
     }
 
     /// Time of the last message from the entry that this one follows.
     pub(crate) fn peer_message_at(&self) -> Duration {
-        *self.peer_message_at.lock().expect("no code panics while holding this lock")
+        *self.peer_message_at.lock()
     }
 
     /// Time up to which every table is applied or, if later, time of the last message from the
@@ -199,26 +199,26 @@
 
     /// Time up to which every table is applied: the oldest of the tables' last answers.
     pub(crate) fn applied_at(&self) -> Duration {
-        let tables = self.tables.lock().expect("no code panics while holding this lock");
+        let tables = self.tables.lock();
         let answered = tables.values().map(|view| view.answered_at).filter(|at| !at.is_zero());
         answered.min().unwrap_or_default()
     }
 
     /// Newest transaction applied to the table that is furthest behind.
     pub(crate) fn oldest_version(&self) -> StoreVersion {
-        let tables = self.tables.lock().expect("no code panics while holding this lock");
+        let tables = self.tables.lock();
         tables.values().map(|view| view.version).min().unwrap_or_default()
     }
 
     /// Newest known era of the store.
     pub(crate) fn era(&self) -> Era {
-        let tables = self.tables.lock().expect("no code panics while holding this lock");
+        let tables = self.tables.lock();
         tables.values().map(|view| view.version.era).max().unwrap_or_default()
     }
 
     /// Latest known rows of a table.
     pub(crate) fn rows(&self, table: Table) -> Vec<Row> {
-        let tables = self.tables.lock().expect("no code panics while holding this lock");
+        let tables = self.tables.lock();
         tables.get(&table).map(|view| view.rows.values().cloned().collect()).unwrap_or_default()
     }
 }
--- a/src/telemetry/log_rate.rs
+++ b/src/telemetry/log_rate.rs
@@ -1,6 +1,8 @@
 //! Limits the log lines of events that peers can cause as often as they like.
 
-use std::{sync::Mutex, time::Duration};
+use std::time::Duration;
+
+use crate::sync::Mutex;
 
 /// Time between two lines.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -18,7 +20,7 @@
 impl LogRate {
     /// Whether an event is logged; returns how many were not logged since the last line.
     pub fn admit(&self, now: Duration) -> Option<u64> {
-        let mut state = self.0.lock().expect("no code panics while holding this lock");
+        let mut state = self.0.lock();
         if now < state.next_at {
             state.unlogged += 1;
             return None;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, atomic::AtomicU64},
+    sync::{Arc, atomic::AtomicU64},
 };
 
 use prometheus_client::{
@@ -16,6 +16,8 @@
     registry::Registry,
 };
 
+use crate::sync::Mutex;
+
 /// Labels of a finished request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -320,7 +322,7 @@
 
 impl Metrics {
     fn register(&self) {
-        let mut registry = self.registry.lock().expect("no panics under the lock");
+        let mut registry = self.registry.lock();
         registry.register("requests", "Requests answered", self.requests.clone());
         registry.register("attempts", "Attempts ended", self.attempts.clone());
         let first_token = self.first_token.clone();
@@ -514,7 +516,7 @@
     /// Counts an answer with an unknown header. Returns true for the first answer with this name, as long
     /// as the maximum number of names is not reached.
     pub fn count_unread_header(&self, name: &str) -> bool {
-        let mut names = self.unread_header_names.lock().expect("no panics under the lock");
+        let mut names = self.unread_header_names.lock();
         let is_new = !names.contains(name) && names.len() < MAX_UNREAD_HEADER_NAMES;
         if is_new {
             names.insert(name.into());
@@ -562,7 +564,7 @@
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
-        let registry = self.registry.lock().expect("no panics under the lock");
+        let registry = self.registry.lock();
         encode(&mut text, &registry).expect("writing to a String never fails");
         text
     }
