A panic is logged with thread, place and message

A panic left a line without a number on standard error and nothing in the log; whoever reads the log saw a process that ended or did nothing, without a cause. The hook logs event 120, one a second, and writes the first eight to standard error, which is seen also if the process is aborted with lines in its queue. A panic of the logger itself is not logged. An end by a panic of the main task has an event (123) and code 101, as before.

--- a/src/router/observability.rs
+++ b/src/router/observability.rs
@@ -7,7 +7,7 @@
 use crate::{
     policy::{quarantine::Suspect, server_speed::ServerSpeed},
     router::{Router, callers::caller_connection::CutReason},
-    telemetry::{admin::AdminHandlers, event, log::dropped_lines, metrics::ServiceLabels},
+    telemetry::{admin::AdminHandlers, event, log::dropped_lines, metrics::ServiceLabels, panics},
 };
 
 impl Router {
@@ -30,6 +30,7 @@
         self.metrics.feed_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
         let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
         self.metrics.log_lines_dropped.set(dropped);
+        self.metrics.panics.set(i64::try_from(panics::count()).unwrap_or(i64::MAX));
         self.metrics.entries.set(self.entries().into());
         let lost = i64::try_from(self.prefix_reports.lost()).unwrap_or(i64::MAX);
         self.metrics.kept_notes_lost.set(lost);
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -91,6 +91,11 @@
     HOST_RESUMED = 108, Warn, "The Host was suspended; data received before the suspension counts as stale.";
     ACCEPT_PAUSED = 109, Warn, "The process lacks processor time; new connections are closed unread, so that their callers turn to another entry.";
     ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
+    PANICKED = 120, Error, "Code of this program panicked; other events tell what became of its task.";
+    TASK_PANICKED = 121, Error, "A task ended by a panic; it is started again after a delay.";
+    CONTROL_ENDED = 122, Error, "The control thread's work ended by a panic; it is started again after a delay, and callers are served as before.";
+    PROCESS_PANICKED = 123, Error, "The process exits with code 101, since its main task panicked.";
+    REQUEST_PANICKED = 124, Error, "A request's task panicked; its caller got status 500.";
     LINK_UP = 200, Info, "A link to a peer was established and authenticated.";
     LINK_DOWN = 201, Warn, "A link was lost; its attempts count as lost.";
     LINK_REFUSED = 202, Warn, "A peer failed to authenticate or sent invalid frames.";
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -15,6 +15,8 @@
     sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
 };
 
+use crate::telemetry::panics;
+
 /// Format of the log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogFormat {
@@ -82,6 +84,7 @@
         .flush_level_filter(LevelFilter::All)
         .build_arc()?;
     spdlog::set_default_logger(Arc::clone(&logger));
+    panics::install_hook();
     Ok(())
 }
 
@@ -121,5 +124,6 @@
         .level_filter(LevelFilter::MoreSevereEqual(level.0))
         .build_arc()?;
     spdlog::set_default_logger(logger);
+    panics::install_hook();
     Ok(())
 }
--- a/src/telemetry/log_rate.rs
+++ b/src/telemetry/log_rate.rs
@@ -18,6 +18,11 @@
 }
 
 impl LogRate {
+    /// A limit under which nothing has been logged yet.
+    pub const fn new() -> Self {
+        Self(Mutex::new(State { next_at: Duration::ZERO, unlogged: 0 }))
+    }
+
     /// Whether an event is logged; returns how many were not logged since the last line.
     pub fn admit(&self, now: Duration) -> Option<u64> {
         let mut state = self.0.lock();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -77,6 +77,13 @@
     pub outcome: String,
 }
 
+/// Labels of panics of supervised tasks.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TaskLabels {
+    /// Name of the task.
+    pub task: String,
+}
+
 /// Labels of sends to servers that accept few requests: cold servers and those that advertise a rate limit.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitedSendLabels {
@@ -169,6 +176,10 @@
     pub held_back: Family<HeldBackLabels, Counter>,
     /// Log lines dropped because too many were waiting.
     pub log_lines_dropped: Gauge,
+    /// Panics of all threads and tasks.
+    pub panics: Gauge,
+    /// Tasks that were started again after a panic, by task.
+    pub tasks_restarted: Family<TaskLabels, Counter>,
     /// Age of the latest data from the store, in milliseconds.
     pub feed_age_ms: Gauge,
     /// Rows of BackendServers that currently can't be parsed.
@@ -270,6 +281,8 @@
             stages: Family::default(),
             held_back: Family::default(),
             log_lines_dropped: Gauge::default(),
+            panics: Gauge::default(),
+            tasks_restarted: Family::default(),
             feed_age_ms: Gauge::default(),
             rows_unreadable: Gauge::default(),
             entries: Gauge::default(),
@@ -334,6 +347,9 @@
         registry.register("held_back", help, self.held_back.clone());
         let dropped = self.log_lines_dropped.clone();
         registry.register("log_lines_dropped", "Log lines dropped", dropped);
+        registry.register("panics", "Panics of threads and tasks", self.panics.clone());
+        let restarted = self.tasks_restarted.clone();
+        registry.register("tasks_restarted", "Tasks started again after a panic", restarted);
         registry.register("feed_age_ms", "Age of the store's last word", self.feed_age_ms.clone());
         let unreadable = self.rows_unreadable.clone();
         registry.register("rows_unreadable", "Rows of servers that can't be read", unreadable);
@@ -455,6 +471,11 @@
         self.held_back.get_or_create(&labels).inc();
     }
 
+    /// Counts a task that is started again after a panic.
+    pub fn count_task_restart(&self, task: &str) {
+        self.tasks_restarted.get_or_create(&TaskLabels { task: task.into() }).inc();
+    }
+
     /// Counts a retry that the budget allowed or denied.
     pub fn count_retry(&self, service: &str, is_taken: bool) {
         let outcome = if is_taken { "taken" } else { "denied" };
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -5,6 +5,7 @@
 pub mod log;
 pub mod log_rate;
 pub mod metrics;
+pub mod panics;
 
 pub use event::EventKind;
 pub use metrics::Metrics;
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -71,4 +71,5 @@
     metrics.count_usage_report("accepted");
     metrics.count_store_call("c");
     metrics.count_store_error("c");
+    metrics.count_task_restart("t");
 }
