Control tasks go on after a panic

A panic of one of the eight control tasks ended all of them and their thread: the process served from old tables for ever, and nothing showed it. Each task is now supervised: event 121, mintmoor_tasks_restarted, restart after 0.1 to 10 s with jitter. The thread itself is too (event 122), on a new runtime. What a task needs again survives: the receiver of trials, the listener for other entries; a followed table is read from the store, since a link doesn't send its rows twice; the link counts as ended when its task does. The tasks that a task spawns for good (reports to a seed, the accept gate's measurement) are supervised as well.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,4 +5,5 @@
 pub mod membership;
 pub mod pull;
 pub mod store_health;
+pub mod supervisor;
 pub mod thread;
--- a/src/router/accept_gate.rs
+++ b/src/router/accept_gate.rs
@@ -7,7 +7,10 @@
     time::{Instant, sleep},
 };
 
-use crate::{policy::accept_control::AcceptControl, router::Router, sync::Mutex, telemetry::event};
+use crate::{
+    control::supervisor::supervise, policy::accept_control::AcceptControl, router::Router,
+    sync::Mutex, telemetry::event,
+};
 
 /// Time between two measurements: a fraction of the delay that matters.
 const MEASURE_INTERVAL: Duration = Duration::from_millis(30);
@@ -40,15 +43,19 @@
     pub(crate) fn spawn_measuring(self: &Arc<Self>) -> JoinSet<()> {
         let (gate, mut tasks) = (self.clone(), JoinSet::new());
         tasks.spawn(async move {
-            loop {
-                let ready_at = Instant::now() + MEASURE_INTERVAL;
-                sleep(MEASURE_INTERVAL).await;
-                gate.lock().control.record(ready_at.elapsed(), gate.started_at.elapsed());
-            }
+            supervise("accept gate", &gate.router.metrics, || gate.measure()).await;
         });
         tasks
     }
 
+    async fn measure(&self) {
+        loop {
+            let ready_at = Instant::now() + MEASURE_INTERVAL;
+            sleep(MEASURE_INTERVAL).await;
+            self.lock().control.record(ready_at.elapsed(), self.started_at.elapsed());
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock()
     }
--- a/src/router/callers/caller_connection.rs
+++ b/src/router/callers/caller_connection.rs
@@ -128,7 +128,7 @@
     /// Records the end of a request that was received in full.
     pub(crate) fn record_request_ended(&self) {
         let mut state = self.lock();
-        state.requests -= 1;
+        state.requests = state.requests.saturating_sub(1);
         state.unused_since = Instant::now();
     }
 
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -1,10 +1,11 @@
 //! Control work of an entry, on a thread of its own.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{net::TcpListener, sync::watch, time::sleep};
 
 use crate::{
+    control::supervisor::supervise,
     platform::store::StoreClient,
     router::{
         Router,
@@ -18,23 +19,27 @@
     telemetry::event,
 };
 
-/// Runs the control tasks until the entry stops.
+/// Pause after the listener for other entries could not be used: descriptors may be short for a moment.
+const LISTEN_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Runs the control tasks until the entry stops. A task that panics is started again; the others go on.
 pub(crate) async fn run(
     router: Arc<Router>,
     store: StoreClient,
-    peers: Option<std::net::TcpListener>,
+    peers: Option<Arc<std::net::TcpListener>>,
     mut has_ended: watch::Receiver<bool>,
 ) {
+    let (router, store, metrics) = (&router, &store, &router.metrics);
     let work = async {
         tokio::join!(
-            orders::follow_orders(&router, &store),
-            server_table::follow_servers(&router, &store),
-            roll_out_driver::drive_roll_outs(&router, &store),
-            serve_peers(router.clone(), peers),
-            peer_follower::follow_peers(&router),
-            seed_reporter::report_to_seeds(&router),
-            follow_quarantine(&router, &store),
-            usage_reporter::report_usage(&router, &store),
+            supervise("orders", metrics, || orders::follow_orders(router, store)),
+            supervise("servers", metrics, || server_table::follow_servers(router, store)),
+            supervise("roll-outs", metrics, || roll_out_driver::drive_roll_outs(router, store)),
+            supervise("peers", metrics, || serve_peers(router.clone(), peers.clone())),
+            supervise("follower", metrics, || peer_follower::follow_peers(router)),
+            supervise("seed reports", metrics, || seed_reporter::report_to_seeds(router)),
+            supervise("quarantine", metrics, || quarantine_row::sync_row(router, store)),
+            supervise("usage", metrics, || usage_reporter::report_usage(router, store)),
         )
     };
     tokio::select! {
@@ -44,19 +49,20 @@
     }
 }
 
-async fn follow_quarantine(router: &Arc<Router>, store: &StoreClient) {
-    if let Some(trials) = router.take_trial_requests() {
-        quarantine_row::sync_row(router, store, trials).await;
-    }
-}
-
-async fn serve_peers(router: Arc<Router>, listener: Option<std::net::TcpListener>) {
+async fn serve_peers(router: Arc<Router>, listener: Option<Arc<std::net::TcpListener>>) {
     let Some(listener) = listener else {
         return;
     };
-    let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
-    match listener {
-        Ok(listener) => links::serve_peers(router, listener).await,
-        Err(e) => event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\"")),
+    loop {
+        // The listener itself is kept for a restart of this task.
+        let accepting = listener.try_clone().and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            TcpListener::from_std(listener)
+        });
+        match accepting {
+            Ok(accepting) => return links::serve_peers(router, accepting).await,
+            Err(e) => event::ACCEPT_FAILED.log(format_args!("cause=\"{e}\"")),
+        }
+        sleep(LISTEN_RETRY_PAUSE).await;
     }
 }
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -65,8 +65,19 @@
     }
 }
 
+/// Ends the link for the readers of the tables when the task that serves it ends, also by a panic; they turn to the
+/// store.
+struct EndLinkOnDrop<'a>(&'a Router);
+
+impl Drop for EndLinkOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.peer_link.clear();
+    }
+}
+
 /// Follows another entry whenever a link is needed.
 pub(crate) async fn follow_peers(router: &Router) {
+    let _end = EndLinkOnDrop(router);
     let mut seeds = SeedRotation::default();
     loop {
         if router.needs_link() && follow_next(router, &mut seeds).await {
--- a/src/router/peers/seed_reporter.rs
+++ b/src/router/peers/seed_reporter.rs
@@ -10,6 +10,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::{
+    control::supervisor::supervise,
     protocol::{Error, Result, decode},
     router::{
         Router,
@@ -49,7 +50,7 @@
             links.abort_all();
             for seed in &others {
                 let host = settings.host.clone();
-                links.spawn(report_with_retries(router.clone(), *seed, host, reports.subscribe()));
+                links.spawn(report_supervised(router.clone(), *seed, host, reports.subscribe()));
             }
             linked_seeds = others;
         }
@@ -82,6 +83,17 @@
     }
 }
 
+/// Reports to one seed forever; without it, the seed would count this entry as gone.
+async fn report_supervised(
+    router: Arc<Router>,
+    seed: SocketAddr,
+    host: Box<str>,
+    reports: watch::Receiver<Report>,
+) {
+    let report = || report_with_retries(router.clone(), seed, host.clone(), reports.clone());
+    supervise("seed link", &router.metrics, report).await;
+}
+
 /// Reports to one seed forever, reconnecting after errors.
 async fn report_with_retries(
     router: Arc<Router>,
--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -174,11 +174,8 @@
 }
 
 /// Keeps the store's row and this entry's quarantine in sync, forever.
-pub(crate) async fn sync_row(
-    router: &Arc<Router>,
-    store: &StoreClient,
-    mut trials: mpsc::Receiver<TrialRequest>,
-) {
+pub(crate) async fn sync_row(router: &Arc<Router>, store: &StoreClient) {
+    let mut trials = router.trial_requests().await;
     let mut changes = router.quarantine.changes();
     wait_for_link(router).await;
     let mut stored = None;
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{MutexGuard, mpsc, oneshot},
     time::timeout,
 };
 
@@ -77,9 +77,9 @@
         QuarantineTrial::take(self, suspects)
     }
 
-    /// The receiver of trial requests for the control thread; none after the first call.
-    pub(crate) fn take_trial_requests(&self) -> Option<mpsc::Receiver<TrialRequest>> {
-        self.trials.1.lock().take()
+    /// The receiver of trial requests for the control thread, until the guard is dropped.
+    pub(crate) async fn trial_requests(&self) -> MutexGuard<'_, mpsc::Receiver<TrialRequest>> {
+        self.trials.1.lock().await
     }
 
     /// Whether this entry receives updates from no other entry.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -84,7 +84,11 @@
         peer: peers.as_ref().map(std::net::TcpListener::local_addr).transpose()?,
     };
     let (ending, has_ended) = watch::channel(false);
-    thread::spawn("control", move || control::run(controlled, store, peers, has_ended))?;
+    let (peers, restarted) = (peers.map(Arc::new), router.clone());
+    let count = move || restarted.metrics.count_task_restart("control");
+    thread::spawn_supervised("control", count, move || {
+        control::run(controlled.clone(), store.clone(), peers.clone(), has_ended.clone())
+    })?;
     if let Some(port) = policy.metrics_port {
         let address = (host_address, port);
         serve_admin(&router, TcpListener::bind(address).await?);
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -136,8 +136,9 @@
     stop_started_at: OnceLock<Duration>,
     /// The entry's clock. All times of the request path are readings of it.
     pub clock: Clock,
-    /// Queue of requests for quarantine trials; the control thread takes the receiver.
-    pub(crate) trials: (mpsc::Sender<TrialRequest>, Mutex<Option<mpsc::Receiver<TrialRequest>>>),
+    /// Queue of requests for quarantine trials; one task of the control thread at a time holds the receiver.
+    pub(crate) trials:
+        (mpsc::Sender<TrialRequest>, tokio::sync::Mutex<mpsc::Receiver<TrialRequest>>),
 }
 
 impl Router {
@@ -185,7 +186,7 @@
             view_changed: Notify::new(),
             stop_started_at: OnceLock::new(),
             clock: Clock::starting_at(CLOCK_ORIGIN),
-            trials: (tx, Mutex::new(Some(rx))),
+            trials: (tx, tokio::sync::Mutex::new(rx)),
         }
     }
 
--- a/src/router/store/feed.rs
+++ b/src/router/store/feed.rs
@@ -183,9 +183,11 @@
 ) {
     let (position, reachability) = (TablePosition::default(), StoreReachability::default());
     let mut followed = FollowedTable { table, position, reachability };
+    // After a panic of this task. A link has sent the rows before, and doesn't send them again.
+    let mut is_lacking_rows = router.table_views.has(table);
     wait_for_first_link(router).await;
     loop {
-        if router.follows_link() {
+        if router.follows_link() && !is_lacking_rows {
             followed.follow_link(router, &mut apply).await;
             continue;
         }
@@ -225,6 +227,7 @@
             sleep(RETRY_PAUSE).await;
             continue;
         }
+        is_lacking_rows = false;
         record_applied(router, table);
         if is_first {
             wait_for_link(router, LINK_WAIT_AFTER_READ).await;
--- a/src/router/store/table_views.rs
+++ b/src/router/store/table_views.rs
@@ -156,6 +156,11 @@
         (views, self.updates.subscribe())
     }
 
+    /// Whether rows of a table have been applied.
+    pub(crate) fn has(&self, table: Table) -> bool {
+        self.tables.lock().get(&table).is_some_and(|view| view.version != StoreVersion::default())
+    }
+
     /// Whether other entries follow this one.
     pub(crate) fn has_subscribers(&self) -> bool {
         self.updates.receiver_count() > 0
