A request whose task panics gets status 500

The caller's connection ended without a response, and with it later requests on it, which a balancer may send for others. Refusal 'panicked', event 124; what the request held is released by unwinding. 500 and not 503: a server may have run the request.

--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod relay;
 pub(crate) mod request_body;
 pub(crate) mod request_context;
+mod request_panic;
 pub(crate) mod response_wait;
 pub(crate) mod selection;
 pub(crate) mod serve;
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -80,6 +80,9 @@
     /// A server may have run the request.
     #[error("it was sent and no answer came in time")]
     TimedOut,
+    /// This program failed while it served the request, which a server may have run.
+    #[error("it ended by an internal error")]
+    Panicked,
 }
 
 impl From<HeadError> for Refusal {
@@ -116,6 +119,7 @@
             | Self::PartQuarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Panicked => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -138,6 +142,7 @@
             Self::PartQuarantined { .. } => "part_ends_servers",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
+            Self::Panicked => "panicked",
         }
     }
 
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -20,6 +20,7 @@
             relay::{self, MAX_BUFFERED_BODY},
             request_body::read_body,
             request_context::RequestContext,
+            request_panic::refuse_on_panic,
         },
     },
     routing::{CallerLimits, Organisation, Request, RequestHead, Route, RoutingTable},
@@ -44,7 +45,7 @@
     let id: Box<str> = request_id(req.headers()).unwrap_or("-").into();
     // Boxed, so that an idle connection doesn't keep the state of a request.
     let serving = Box::pin(try_serve(&router, req, &connection, connected_at));
-    let mut res = match serving.await {
+    let mut res = match refuse_on_panic(&id, serving).await {
         Ok(res) => {
             router.metrics.count_request("", "ok");
             res
