Listeners of callers, readiness and metrics go on after a panic

The task that accepts connections ended by a panic of its own code: the process lived and took no more callers, or the balancer saw it as gone. Their loops are supervised like the control tasks, the sockets stay open meanwhile.

--- a/src/router/admin_listen.rs
+++ b/src/router/admin_listen.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
+    control::supervisor::supervise,
     router::{
         Router,
         callers::{
@@ -50,6 +51,16 @@
 pub(crate) async fn serve_admin(router: Arc<Router>, listener: TcpListener, app: axum::Router) {
     let connections = Arc::new(ConnectionTable::new(MAX_CONNECTIONS));
     let app = TowerToHyperService::new(app);
+    let accept = || accept_connections(&router, &listener, &connections, &app);
+    supervise("admin address", &router.metrics, accept).await;
+}
+
+async fn accept_connections(
+    router: &Arc<Router>,
+    listener: &TcpListener,
+    connections: &Arc<ConnectionTable>,
+    app: &App,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
--- a/src/router/listen.rs
+++ b/src/router/listen.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    control::supervisor::supervise,
     router::{
         Router,
         accept_gate::AcceptGate,
@@ -46,21 +47,35 @@
 pub(crate) async fn serve_callers(
     router: Arc<Router>,
     listener: TcpListener,
-    mut closing: watch::Receiver<bool>,
+    closing: watch::Receiver<bool>,
 ) {
     let connections = GracefulShutdown::new();
     let gate = Arc::new(AcceptGate::new(router.clone()));
     let _measuring = gate.spawn_measuring();
+    let accept = || accept_callers(&router, &gate, &listener, &connections, closing.clone());
+    supervise("callers", &router.metrics, accept).await;
+    drop(listener);
+    connections.shutdown().await;
+}
+
+/// Accepts connections until `closing` turns true.
+async fn accept_callers(
+    router: &Arc<Router>,
+    gate: &Arc<AcceptGate>,
+    listener: &TcpListener,
+    connections: &GracefulShutdown,
+    mut closing: watch::Receiver<bool>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => break,
+            _ = closing.wait_for(|closing| *closing) => return,
         };
         match accepted {
             // Dropping the connection closes it unread.
             Ok(_) if !gate.admit() => {}
             Ok((stream, caller)) => match router.connections.open(caller) {
-                Some(open) => serve_connection(&router, &gate, stream, open, &connections),
+                Some(open) => serve_connection(router, gate, stream, open, connections),
                 None => router.record_cut(caller, CutReason::Connections),
             },
             Err(e) => {
@@ -69,8 +84,6 @@
             }
         }
     }
-    drop(listener);
-    connections.shutdown().await;
 }
 
 /// Sets the options of a caller's connection.
