Signals that nobody sends as an end don't end a process

SIGUSR1, SIGUSR2, SIGALRM and SIGXFSZ (a log file at its size limit) ended route by their default action, without a line. SIGQUIT, SIGABRT, SIGXCPU and SIGKILL end a process as before: who sends them means that.

--- a/src/bin/mintmoor/main.rs
+++ b/src/bin/mintmoor/main.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod process;
 mod remote;
+mod signals;
 mod standin;
 
 use std::{io::Write, panic::catch_unwind, process::ExitCode};
--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::{args::RouteArgs, ending::Ending};
+use crate::{args::RouteArgs, ending::Ending, signals};
 
 /// The signals that ask for a planned stop; a second one ends the grace.
 struct StopSignals {
@@ -94,6 +94,7 @@
     // First of all: a signal that comes before its handler ends the process, also one to reload.
     let mut stop = StopSignals::listen()?;
     let mut reload = signal(SignalKind::hangup())?;
+    signals::ignore_unmeant()?;
     let file: PathBuf = match &args.settings {
         Some(file) => file.into(),
         None => std::env::var(SETTINGS_VARIABLE)
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit};
 use tempfile::TempDir;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -71,6 +71,11 @@
         std::fs::write(self.dir.path().join("host.yaml"), text).unwrap();
     }
 
+    /// Replaces the operator's policy file.
+    pub fn write_policy(&self, text: &str) {
+        std::fs::write(self.dir.path().join("policy.toml"), text).unwrap();
+    }
+
     pub fn address(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.ip, port)
     }
@@ -79,12 +84,18 @@
     pub fn spawn(&self) -> Process {
         let log = self.dir.path().join("log");
         let log: File = OpenOptions::new().create(true).append(true).open(log).unwrap();
+        self.spawn_with(log.try_clone().unwrap().into(), log.into())
+    }
+
+    /// Starts a process with this standard output and standard error.
+    pub fn spawn_with(&self, stdout: Stdio, stderr: Stdio) -> Process {
         let child = Command::new(env!("CARGO_BIN_EXE_mintmoor"))
             .args(["route", "--policy"])
             .arg(self.dir.path().join("policy.toml"))
             .env("MINTMOOR_CONFIG", self.dir.path().join("host.yaml"))
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
+            .env_remove("MALLOC_ARENA_MAX")
+            .stdout(stdout)
+            .stderr(stderr)
             .stdin(Stdio::null())
             .kill_on_drop(true)
             .spawn()
@@ -132,6 +143,12 @@
         kill_process(self.pid, signal).unwrap();
     }
 
+    /// Lowers or raises a limit of the running process.
+    pub fn limit(&self, resource: Resource, current: Option<u64>) {
+        let maximum = getrlimit(resource).maximum;
+        prlimit(Some(self.pid), resource, Rlimit { current, maximum }).unwrap();
+    }
+
     /// The process's exit status if it has ended.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
