A stored case whose ends are in no order no longer ends the control thread

The row of crashing requests may hold six ends of which the last is earlier than the first (an older writer, a clock that was set back, an odd row). Comparing it with the known cases subtracted a later time from an earlier one: the control thread panicked, on each entry that reads the row and again after each start, and the entry served from old tables for ever. Counts of trials don't overflow.

--- a/src/policy/quarantine/trials.rs
+++ b/src/policy/quarantine/trials.rs
@@ -120,7 +120,7 @@
             return None;
         }
         self.records.update(*suspect, |record| {
-            (record.trials, record.tried_at) = (record.trials + 1, now);
+            (record.trials, record.tried_at) = (record.trials.saturating_add(1), now);
         });
         self.case(suspect)
     }
--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -135,7 +135,7 @@
                 stored.ends.iter().any(|(known, _)| known == incarnation)
             };
             let span = |ends: &[(IncarnationHash, Duration)]| match ends {
-                [(_, first), .., (_, last)] => *last - *first,
+                [(_, first), .., (_, last)] => last.saturating_sub(*first),
                 _ => Duration::ZERO,
             };
             let is_enough = stored.ends.len() >= MAX_ENDS && span(&stored.ends) >= ENOUGH_SPAN;
@@ -329,7 +329,7 @@
             // Cleared in the meantime, or among too many cases.
             return Ok(false);
         };
-        (tried.trials, tried.tried_at) = (tried.trials + 1, router.now());
+        (tried.trials, tried.tried_at) = (tried.trials.saturating_add(1), router.now());
     }
     let doc = RowDoc { cases: cases.iter().map(|case| stored.encode(case)).collect() };
     let value = serde_json::to_vec(&doc).expect("strings and numbers serialize to JSON");
--- a/tests/platform/panics.rs
+++ b/tests/platform/panics.rs
@@ -6,6 +6,7 @@
     platform::host_settings::DutySettings,
     routing::{Route, RoutingTable},
 };
+use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -104,3 +105,23 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_case_whose_ends_are_in_no_order_does_not_end_the_task_that_reads_it() {
+    let server = start_server("i-1", GOOD).await;
+    let store = store_with_servers(&[(&server, "app", "v1")]).await;
+    let ends: Vec<_> = (1..=6).map(|i| json!([format!("{i:x}"), 6_000 - 900 * i])).collect();
+    let suspect = format!("{:032x}", u128::MAX - 7);
+    let case =
+        json!({"fingerprint": suspect, "ends": ends, "trials": u32::MAX, "tried_ms": u64::MAX});
+    store.put("mintmoor", "quarantine", &json!({"cases": [case]}));
+
+    let site = Site::start_with_store(store).await;
+    site.wait_for_servers(1).await;
+    let router = &site.entry.router;
+    wait_until("the case is known", || router.dump()["quarantine"][0].is_object()).await;
+    let calls = site.store.calls();
+    wait_until("the row is read again", || site.store.calls() > calls + 3).await;
+
+    assert!(!router.metrics.render().contains("task=\"quarantine\""));
+}
