A reported number of entries near 2^32 doesn't overflow

Another entry reports how many entries there are; two sums with it overflowed, which panics in builds with overflow checks and wraps in a release. Whoever reaches the address for other entries can report it.

--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -102,7 +102,7 @@
             (self.place, self.fewer_since) = (Some(place), None);
             return;
         }
-        let is_majority = sees_all && place.entries * 2 > self.peak.0;
+        let is_majority = sees_all && u64::from(place.entries) * 2 > u64::from(self.peak.0);
         let lost = known.entries - place.entries;
         let is_minor_loss = lost as usize <= max_minor_change(known.entries as usize);
         let delay = if is_minor_loss { MINOR_LOSS_DELAY } else { MAJOR_LOSS_DELAY };
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -137,7 +137,9 @@
     // The hash is scaled rather than taken modulo, so that one more entry moves the first sender
     // by one position at most.
     let first = ((u128::from(server) * u128::from(entries)) >> 64) as u32;
-    (place.rank + entries - first) % entries
+    // In 64 bits, since another entry may report any number.
+    let index = u64::from(place.rank) + u64::from(entries - first);
+    (index % u64::from(entries)) as u32
 }
 
 /// Times of this entry's rate-limited sends to one server within the last window.
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -5,7 +5,7 @@
 
 use mintmoor::policy::{
     known_limit::{KnownLimit, LimitChange, LimitReport},
-    place::Place,
+    place::{Place, PlaceTracker},
     rate_limit::{
         AdvertisedLimit, Allowance, MIN_ADVERTISED_RATE, SlidingWindowLog, allowance,
         probe_allowance,
@@ -191,3 +191,21 @@
         }
     }
 }
+
+#[test]
+fn a_place_among_more_entries_than_there_can_be_does_not_panic() {
+    for rank in [0, 1, u32::MAX / 2, u32::MAX - 1] {
+        let place = Place { rank, entries: u32::MAX };
+        let mut tracker = PlaceTracker::default();
+        for entries in [u32::MAX, u32::MAX - 1] {
+            tracker.update(Place { rank: 0, entries }, true, Duration::ZERO);
+        }
+
+        for server in [0, 1 << 60, u64::MAX] {
+            let allowance = allowance(f64::MAX, place, server);
+            let probe = probe_allowance(1.0, place, server, Duration::from_secs(60));
+            assert!(allowance.is_some_and(|allowance| allowance.sends == 1), "{allowance:?}");
+            assert!(probe.is_none_or(|probe| probe.sends == 1), "{probe:?}");
+        }
+    }
+}
