--- a/src/bin/mintmoor/process.rs
+++ b/src/bin/mintmoor/process.rs
@@ -18,7 +18,7 @@
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::{args::RouteArgs, ending::Ending};
+use crate::{args::RouteArgs, ending::Ending, signals};
 
 /// The signals that ask for a planned stop; a second one ends the grace.
 struct StopSignals {
@@ -110,6 +110,7 @@
 /// what may pass is waited for.
 pub(crate) async fn run_route(args: &RouteArgs, signals: RouteSignals) -> Result<Ending> {
     let RouteSignals { mut stop, mut reload } = signals;
+    signals::ignore_unmeant()?;
     let file: PathBuf = match &args.settings {
         Some(file) => file.into(),
         None => std::env::var(SETTINGS_VARIABLE)
--- a/src/router/accept_gate.rs
+++ b/src/router/accept_gate.rs
@@ -1,16 +1,16 @@
 //! Measures how late ready tasks run, and closes new connections unread while that is too late.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
 };
 
-use crate::{policy::accept_control::AcceptControl, router::Router, telemetry::event};
+use crate::{
+    control::supervisor::supervise, policy::accept_control::AcceptControl, router::Router,
+    sync::Mutex, telemetry::event,
+};
 
 /// Time between two measurements: a fraction of the delay that matters.
 const MEASURE_INTERVAL: Duration = Duration::from_millis(30);
@@ -43,17 +43,21 @@
     pub(crate) fn spawn_measuring(self: &Arc<Self>) -> JoinSet<()> {
         let (gate, mut tasks) = (self.clone(), JoinSet::new());
         tasks.spawn(async move {
-            loop {
-                let ready_at = Instant::now() + MEASURE_INTERVAL;
-                sleep(MEASURE_INTERVAL).await;
-                gate.lock().control.record(ready_at.elapsed(), gate.started_at.elapsed());
-            }
+            supervise("accept gate", &gate.router.metrics, || gate.measure()).await;
         });
         tasks
     }
 
+    async fn measure(&self) {
+        loop {
+            let ready_at = Instant::now() + MEASURE_INTERVAL;
+            sleep(MEASURE_INTERVAL).await;
+            self.lock().control.record(ready_at.elapsed(), self.started_at.elapsed());
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().expect("no code panics while holding this lock")
+        self.state.lock()
     }
 
     /// Admits a connection that was just accepted, or returns false if it is to be closed.
--- a/src/router/listeners.rs
+++ b/src/router/listeners.rs
@@ -72,6 +72,7 @@
                 return;
             };
             self.log_waiting(&e);
+            self.router.metrics.count_task_restart(&self.purpose.to_string());
             tokio::select! {
                 () = sleep(RESTART_DELAY) => {}
                 _ = closing.wait_for(|closing| *closing) => return,
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -20,6 +20,7 @@
         state::{KILL_MARGIN, READINESS_LAG},
     },
     settings::RouteSettings,
+    sync::Mutex,
     telemetry::{admin, event},
 };
 
@@ -134,22 +135,25 @@
 async fn spawn_control(
     router: &Arc<Router>,
     store: StoreClient,
-    mut peers: Listener,
+    peers: Listener,
     has_ended: watch::Receiver<bool>,
 ) {
+    let peers = Arc::new(Mutex::new(Some(peers)));
     let mut backoff = Backoff::default();
     loop {
-        let (controlled, store, has_ended) = (router.clone(), store.clone(), has_ended.clone());
-        let work = move || control::run(controlled, store, peers, has_ended);
-        let Err(e) = thread::spawn("control", work) else {
+        let restarted = router.clone();
+        let count = move || restarted.metrics.count_task_restart("control");
+        let (router, store) = (router.clone(), store.clone());
+        let (peers, has_ended) = (peers.clone(), has_ended.clone());
+        let work =
+            move || control::run(router.clone(), store.clone(), peers.clone(), has_ended.clone());
+        let Err(e) = thread::spawn_supervised("control", count, work) else {
             return;
         };
         if backoff.is_logged() {
             event::THREAD_WAITS.log(format_args!("thread=control cause=\"{e}\""));
         }
         sleep(backoff.record_failure(rand::random())).await;
-        // The thread that did not start had taken the listener.
-        peers = Listener::new(router, ListenPurpose::Entries);
     }
 }
 
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -94,6 +94,11 @@
     LISTEN_WAITS = 111, Warn, "An address can't be served yet; the attempt is repeated, and the other addresses are served meanwhile.";
     LISTENING = 112, Info, "An address is bound and served.";
     THREAD_WAITS = 119, Warn, "A thread can't be started yet; the attempt is repeated.";
+    PANICKED = 120, Error, "Code of this program panicked; other events tell what became of its task.";
+    TASK_PANICKED = 121, Error, "A task ended by a panic; it is started again after a delay.";
+    CONTROL_ENDED = 122, Error, "The control thread's work ended by a panic; it is started again after a delay, and callers are served as before.";
+    PROCESS_PANICKED = 123, Error, "The process exits with code 101, since its main task panicked.";
+    REQUEST_PANICKED = 124, Error, "A request's task panicked; its caller got status 500.";
     LINK_UP = 200, Info, "A link to a peer was established and authenticated.";
     LINK_DOWN = 201, Warn, "A link was lost; its attempts count as lost.";
     LINK_REFUSED = 202, Warn, "A peer failed to authenticate or sent invalid frames.";
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,6 +22,8 @@
 mod kept_caller;
 mod limited_pool;
 mod listeners;
+mod odd_numbers;
+mod panics;
 mod peers;
 mod pool;
 mod rate_limits;
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit};
 use tempfile::TempDir;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -72,6 +72,11 @@
         std::fs::write(self.settings_file(), text).unwrap();
     }
 
+    /// Replaces the operator's policy file.
+    pub fn write_policy(&self, text: &str) {
+        std::fs::write(self.policy_file(), text).unwrap();
+    }
+
     pub fn address(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.ip, port)
     }
@@ -100,13 +105,28 @@
     pub fn spawn_changed(&self, change: impl FnOnce(&mut Command)) -> Process {
         let log = self.dir.path().join("log");
         let log: File = OpenOptions::new().create(true).append(true).open(log).unwrap();
+        self.spawn_command(log.try_clone().unwrap().into(), log.into(), change)
+    }
+
+    /// Starts a process with this standard output and standard error.
+    pub fn spawn_with(&self, stdout: Stdio, stderr: Stdio) -> Process {
+        self.spawn_command(stdout, stderr, |_| {})
+    }
+
+    fn spawn_command(
+        &self,
+        stdout: Stdio,
+        stderr: Stdio,
+        change: impl FnOnce(&mut Command),
+    ) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_mintmoor"));
         command
             .args(["route", "--policy"])
             .arg(self.policy_file())
             .env("MINTMOOR_CONFIG", self.settings_file())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
+            .env_remove("MALLOC_ARENA_MAX")
+            .stdout(stdout)
+            .stderr(stderr)
             .stdin(Stdio::null())
             .kill_on_drop(true);
         change(&mut command);
@@ -165,6 +185,12 @@
         kill_process(self.pid, signal).unwrap();
     }
 
+    /// Lowers or raises a limit of the running process.
+    pub fn limit(&self, resource: Resource, current: Option<u64>) {
+        let maximum = getrlimit(resource).maximum;
+        prlimit(Some(self.pid), resource, Rlimit { current, maximum }).unwrap();
+    }
+
     /// The process's exit status if it has ended.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
