One odd row of the store no longer makes its table unreadable

Callers saw: with one odd row among the servers, a running process learned of no change any more and one that started had no server; with one among the operator's rows there was no configuration (503).

Cause: a reply was parsed as one typed document, so the first value that serde_json rejects (nested 200 deep, 1e400, half of a surrogate pair), or a row with a missing or odd field, ended the parse of all rows. Keys went into URLs as they are, so '&', '#', '%', a space or 64 KB at the end of a page made the URL another one or invalid.

Of the values 7 were red: 1e400, half a pair, not UTF-8, an unknown escape, NaN, depth 200 and 100,000; no harm before: 2^64, -1, 1.5, null, a list, an object, text that is not base64. Of the whole rows 36 were red: odd numbers as version, mark of removal, key or table; keys or fields missing or twice; anything that is not an object.

Why it works: the reply is only split at commas outside brackets and quotes, without recursion, and each part is parsed by itself. Rows keep an empty document if their value can't be decoded. Green after: 15 tests of row_env, both of odd_rows.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,8 +17,10 @@
 mod ratings;
 pub mod request_headers;
 pub mod response_headers;
+pub mod row_envelope;
 pub mod store;
 mod table;
+mod unreadable_rows;
 
 pub use engine::EngineOrder;
 pub use error::{Error, Result};
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store, which keeps rows in tables and offers a feed of changes and transactions.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
@@ -9,7 +9,12 @@
 
 use crate::{
     ids::{Era, Revision, StoreVersion},
-    platform::{Error, HttpClient, HttpReply, Result},
+    platform::{
+        Error, HttpClient, HttpReply, Result,
+        http_client::check_status,
+        row_envelope::{RowsReply, parse_written_version},
+        unreadable_rows::UnreadableRows,
+    },
 };
 
 /// A table of the store.
@@ -126,33 +131,6 @@
     EraMismatch,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct RowDoc {
-    table: Table,
-    key: Box<str>,
-    /// Base64 text; another writer may have stored any JSON value.
-    #[serde(default)]
-    value: serde_json::Value,
-    #[serde(default)]
-    ver: Revision,
-    #[serde(default)]
-    removed: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct RowsDoc {
-    #[serde(default)]
-    rows: Vec<RowDoc>,
-    #[serde(default)]
-    truncated: bool,
-    #[serde(default)]
-    ver: Revision,
-    #[serde(default)]
-    now_ms: f64,
-}
-
 #[derive(Serialize)]
 struct Expected<'a> {
     table: Table,
@@ -191,12 +169,13 @@
 pub struct StoreClient {
     http: HttpClient,
     base: Box<str>,
+    unreadable: Arc<UnreadableRows>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at this address, `IP:PORT`.
     pub fn new(http: HttpClient, address: &str) -> Self {
-        Self { http, base: format!("http://{address}/-/").into() }
+        Self { http, base: format!("http://{address}/-/").into(), unreadable: Arc::default() }
     }
 
     /// Reads all rows of a table.
@@ -213,7 +192,8 @@
     /// When the call fails.
     pub async fn read_row(&self, table: Table, key: &str) -> Result<Rows> {
         // The range ends before the smallest key that sorts after this one.
-        let mut rows = self.read_rows(table, &format!("&from={key}&to={key}%00")).await?;
+        let key_text = encode_query(key);
+        let mut rows = self.read_rows(table, &format!("&from={key_text}&to={key_text}%00")).await?;
         rows.rows.retain(|row| *row.key == *key && !row.is_removed);
         Ok(rows)
     }
@@ -222,30 +202,34 @@
     async fn read_rows(&self, table: Table, range: &str) -> Result<Rows> {
         let mut all =
             Rows { rows: Vec::new(), version: StoreVersion::default(), now: Duration::ZERO };
-        let mut from = String::new();
+        let mut next: Option<Box<str>> = None;
         loop {
-            let page = if from.is_empty() { range } else { &from };
+            let from = next.as_deref().map(|from| format!("&from={}", encode_query(from)));
+            let page = from.as_deref().unwrap_or(range);
             let path = format!("rows-get?table={}&part={page}", table.name());
             let reply = self.get(&path, CALL_TIMEOUT).await?;
-            let doc = parse_rows(&path, &reply)?;
             let era = parse_era(&reply);
-            if from.is_empty() {
+            let doc = self.parse_rows(&path, &reply, table, era)?;
+            if next.is_none() {
                 // Later pages may be newer; the feed then repeats those changes.
-                all.version = StoreVersion { era, revision: doc.ver };
-                all.now = parse_clock(doc.now_ms);
+                all.version = StoreVersion { era, revision: doc.version };
+                all.now = doc.now;
             }
             if era != all.version.era {
                 return Err(Error::Unreadable(
                     "the store was restored from a backup during the read".into(),
                 ));
             }
-            let more = doc.truncated;
-            all.rows.extend(doc.rows.into_iter().map(|row| decode_row(row, era)));
-            let Some(last) = all.rows.last().filter(|_| more) else {
+            all.rows.extend(doc.rows);
+            if !doc.is_truncated {
                 return Ok(all);
-            };
-            // The smallest key that sorts after the last one read.
-            from = format!("&from={}%00", last.key);
+            }
+            // Without progress the same page would be read for ever, and without its rest the list would seem
+            // complete.
+            if doc.next_page <= next {
+                return Err(Error::Unreadable("no row of a page has a later key".into()));
+            }
+            next = doc.next_page;
         }
     }
 
@@ -268,16 +252,14 @@
         if reply.status == StatusCode::GONE {
             return Ok(FeedReply::ResyncRequired);
         }
-        let doc = parse_rows(&path, &reply)?;
+        let doc = self.parse_rows(&path, &reply, table, era)?;
         if parse_era(&reply) != era {
             // After the restore, other writers reused the revisions that are known here, so these changes
             // don't continue from them.
             return Ok(FeedReply::ResyncRequired);
         }
-        let rows = doc.rows.into_iter().map(|row| decode_row(row, era)).collect();
-        let version = StoreVersion { era, revision: doc.ver.max(after) };
-        let now = parse_clock(doc.now_ms);
-        Ok(FeedReply::Changes(Rows { rows, version, now }))
+        let version = StoreVersion { era, revision: doc.version.max(after) };
+        Ok(FeedReply::Changes(Rows { rows: doc.rows, version, now: doc.now }))
     }
 
     /// Writes rows in one transaction if each has its expected version, as read in `era`.
@@ -314,7 +296,8 @@
         if reply.status == StatusCode::PRECONDITION_FAILED {
             return Ok(WriteOutcome::Conflict);
         }
-        let version = parse_rows("rows-tx", &reply)?.ver;
+        check_status("rows-tx", &reply)?;
+        let version = parse_written_version(&reply.body)?;
         Ok(if parse_era(&reply) == era {
             WriteOutcome::Written(version)
         } else {
@@ -326,21 +309,40 @@
         let uri = format!("{}{path}", self.base);
         self.http.call(Method::GET, &uri, HeaderMap::new(), Bytes::new(), timeout).await
     }
-}
 
-fn parse_rows(path: &str, reply: &HttpReply) -> Result<RowsDoc> {
-    super::http_client::check_status(path, reply)?;
-    parse_body(path, reply)
-}
+    /// Parses a reply with rows, and logs and counts those that are left out.
+    fn parse_rows(
+        &self,
+        path: &str,
+        reply: &HttpReply,
+        table: Table,
+        era: Era,
+    ) -> Result<RowsReply> {
+        check_status(path, reply)?;
+        let doc = RowsReply::parse(&reply.body, table, era)
+            .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))?;
+        self.unreadable.record(table, &doc);
+        Ok(doc)
+    }
 
-fn parse_body(path: &str, reply: &HttpReply) -> Result<RowsDoc> {
-    serde_json::from_slice(&reply.body)
-        .map_err(|e| Error::Unreadable(format!("{path}: {e}").into()))
+    /// Returns and resets the number of rows that were left out, since their keys can't be read.
+    pub fn take_skipped_rows(&self) -> u64 {
+        self.unreadable.take_skipped()
+    }
 }
 
-/// Reading of the store's clock; zero if it is no time.
-fn parse_clock(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
+/// Text as the value of a query parameter.
+fn encode_query(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b'/' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
 }
 
 /// Era reported by a response; 0 if it reports none.
@@ -348,10 +350,3 @@
     let reported = reply.headers.get(ERA_HEADER).and_then(|value| value.to_str().ok());
     reported.and_then(|text| text.trim().parse().ok()).unwrap_or_default()
 }
-
-/// Converts a row. If its bytes can't be decoded, its document is empty: parsing that document then
-/// reports an error, and the other rows of the table stay usable.
-fn decode_row(doc: RowDoc, era: Era) -> Row {
-    let value = doc.value.as_str().and_then(|text| STANDARD.decode(text).ok()).unwrap_or_default();
-    Row { table: doc.table, key: doc.key, value, version: doc.ver, era, is_removed: doc.removed }
-}
--- a/src/router/store/feed.rs
+++ b/src/router/store/feed.rs
@@ -198,6 +198,7 @@
             _ = wakes.changed() => continue,
             answer = query_store(router, store, table, followed.position.at, is_urgent) => answer,
         };
+        router.metrics.rows_skipped.inc_by(store.take_skipped_rows());
         if router.notice_suspension() {
             continue;
         }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -171,6 +171,8 @@
     pub feed_age_ms: Gauge,
     /// Rows of BackendServers that currently can't be parsed.
     pub rows_unreadable: Gauge,
+    /// Rows of the store that were left out, since their keys can't be read.
+    pub rows_skipped: Counter,
     /// Entries known to this entry.
     pub entries: Gauge,
     /// Notes about cached prompt prefixes that other entries did not receive.
@@ -270,6 +272,7 @@
             log_lines_dropped: Gauge::default(),
             feed_age_ms: Gauge::default(),
             rows_unreadable: Gauge::default(),
+            rows_skipped: Counter::default(),
             entries: Gauge::default(),
             kept_notes_lost: Gauge::default(),
             quarantine_notes_lost: Gauge::default(),
@@ -335,6 +338,8 @@
         registry.register("feed_age_ms", "Age of the store's last word", self.feed_age_ms.clone());
         let unreadable = self.rows_unreadable.clone();
         registry.register("rows_unreadable", "Rows of servers that can't be read", unreadable);
+        let help = "Rows without a readable key";
+        registry.register("rows_skipped", help, self.rows_skipped.clone());
         registry.register("entries", "Entries known of", self.entries.clone());
         let lost = self.kept_notes_lost.clone();
         registry.register("kept_notes_lost", "Notes on kept parts that were lost", lost);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -11,7 +11,7 @@
 use axum::{
     Json, Router,
     extract::{Query, State},
-    http::StatusCode,
+    http::{HeaderName, StatusCode, header::CONTENT_TYPE},
     middleware::map_response_with_state,
     response::{IntoResponse, Response},
     routing::{get, post},
@@ -50,13 +50,18 @@
     Bytes(Vec<u8>),
     /// Returned as this JSON instead of as base64 text, so that clients cannot decode it.
     Malformed(Value),
+    /// Returned as these bytes in place of JSON.
+    Raw(Vec<u8>),
+    /// These bytes are returned in place of the whole row.
+    RawRow(Vec<u8>),
 }
 
 impl RowValue {
-    fn to_json(&self) -> Value {
+    fn to_json(&self) -> Vec<u8> {
         match self {
-            RowValue::Bytes(bytes) => STANDARD.encode(bytes).into(),
-            RowValue::Malformed(value) => value.clone(),
+            RowValue::Bytes(bytes) => format!("\"{}\"", STANDARD.encode(bytes)).into_bytes(),
+            RowValue::Malformed(value) => serde_json::to_vec(value).unwrap(),
+            RowValue::Raw(text) | RowValue::RawRow(text) => text.clone(),
         }
     }
 }
@@ -100,6 +105,17 @@
     fn answer(&self, body: Value) -> Response {
         ([(ERA, self.era.to_string())], Json(body)).into_response()
     }
+
+    /// A response with these rows and the current version and era.
+    fn answer_rows(&self, rows: &[Vec<u8>], truncated: bool, now_ms: u64) -> Response {
+        let version = self.version;
+        let mut body = b"{\"rows\":[".to_vec();
+        body.extend(rows.join(&b","[..]));
+        let rest = format!("],\"truncated\":{truncated},\"ver\":{version},\"now-ms\":{now_ms}}}");
+        body.extend(rest.into_bytes());
+        let kind = (CONTENT_TYPE, "application/json".into());
+        ([(HeaderName::from_static(ERA), self.era.to_string()), kind], body).into_response()
+    }
 }
 
 /// A running store; clones share its contents.
@@ -145,6 +161,16 @@
         self.put_value(table, key, RowValue::Malformed(shown.clone()));
     }
 
+    /// Puts a row whose value is returned as these bytes instead of as base64 text.
+    pub fn put_raw(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_value(table, key, RowValue::Raw(value.into()));
+    }
+
+    /// Puts a row that is returned as these bytes; `key` only determines its place.
+    pub fn put_raw_row(&self, table: &str, key: &str, row: &[u8]) {
+        self.put_value(table, key, RowValue::RawRow(row.into()));
+    }
+
     fn put_value(&self, table: &str, key: &str, document: RowValue) {
         self.rows.lock().unwrap().put(table, key, document);
         self.changed.notify_waiters();
@@ -259,8 +285,12 @@
     res
 }
 
-fn row_doc(table: &str, key: &str, document: &RowValue, version: u64) -> Value {
-    json!({"table": table, "part": "", "key": key, "value": document.to_json(), "ver": version})
+fn row_doc(table: &str, key: &str, document: &RowValue, version: u64) -> Vec<u8> {
+    if let RowValue::RawRow(row) = document {
+        return row.clone();
+    }
+    let rest = json!({"table": table, "part": "", "key": key, "ver": version}).to_string();
+    [b"{\"value\":", &*document.to_json(), b",", &rest.as_bytes()[1..]].concat()
 }
 
 /// Serves one page of a table's rows.
@@ -275,14 +305,11 @@
         .rows
         .iter()
         .filter(|((t, key), _)| *t == params["table"] && *key >= from && is_before_end(key));
-    let mut found: Vec<Value> =
+    let mut found: Vec<Vec<u8>> =
         of_table.map(|((t, key), (value, version))| row_doc(t, key, value, *version)).collect();
     let truncated = found.len() > rows.page_size;
     found.truncate(rows.page_size);
-    let body = json!({
-        "rows": found, "truncated": truncated, "ver": rows.version, "now-ms": store.now_ms()
-    });
-    rows.answer(body)
+    rows.answer_rows(&found, truncated, store.now_ms())
 }
 
 /// Serves a table's changes after a version; waits for the first one, at most as long as asked.
@@ -311,12 +338,14 @@
             return Some(StatusCode::GONE.into_response());
         }
         let new = rows.changes.iter().filter(|(v, t, ..)| *v > after && t == table);
-        let docs: Vec<Value> = new
+        let docs: Vec<Vec<u8>> = new
             .map(|(version, t, key, is_removed)| {
                 match rows.rows.get(&(t.clone(), key.clone())).filter(|_| !is_removed) {
                     Some((value, _)) => row_doc(t, key, value, *version),
                     None => {
                         json!({"table": t, "part": "", "key": key, "ver": version, "removed": true})
+                            .to_string()
+                            .into_bytes()
                     }
                 }
             })
@@ -324,8 +353,7 @@
         if docs.is_empty() && !has_waited {
             return None;
         }
-        let body = json!({"rows": docs, "ver": rows.version, "now-ms": self.now_ms()});
-        Some(rows.answer(body))
+        Some(rows.answer_rows(&docs, false, self.now_ms()))
     }
 }
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,9 @@
 mod harness;
 mod odd_rows;
 mod planned_stops;
+#[path = "../platform/row_values.rs"]
+#[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
+mod row_values;
 #[path = "../platform/server.rs"]
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod server;
