--- a/src/platform/row_envelope.rs
+++ b/src/platform/row_envelope.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base64::{Engine, engine::general_purpose::STANDARD};
+use memchr::memchr2;
 use serde::de::DeserializeOwned;
 
 use crate::{
@@ -176,13 +177,8 @@
 
 /// Fields of a reply; an error if its text is not one complete object.
 fn parse_reply<'a, const N: usize>(body: &'a [u8], names: [&str; N]) -> Result<[Field<'a>; N]> {
-    let mut place = Place::default();
     let text = body.trim_ascii();
-    let ends = text.iter().position(|byte| {
-        place.advance(*byte);
-        place.is_between_parts()
-    });
-    let is_complete = ends.is_some_and(|end| end + 1 == text.len());
+    let is_complete = value_end(text).is_some_and(|end| end + 1 == text.len());
     let fields = is_complete.then(|| parse_fields(text, names)).flatten();
     fields.ok_or_else(|| Error::Unreadable("the reply is not an object".into()))
 }
@@ -212,45 +208,47 @@
 
 /// Name and value of a part of an object.
 fn split_name(part: &[u8]) -> Option<(Box<str>, &[u8])> {
-    let mut place = Place::default();
-    let end = part.iter().position(|byte| {
-        place.advance(*byte);
-        place.is_between_parts()
-    })?;
-    let (name, rest) = part.split_at(end + 1);
+    let (name, rest) = part.split_at(value_end(part)? + 1);
     let value = rest.trim_ascii_start().strip_prefix(b":")?;
     Some((serde_json::from_slice(name).ok()?, value.trim_ascii()))
 }
 
-/// Where in a JSON text a reader is.
-#[derive(Clone, Copy, Debug, Default)]
-struct Place {
-    depth: usize,
-    is_in_text: bool,
-    is_escaped: bool,
-}
-
-impl Place {
-    fn advance(&mut self, byte: u8) {
-        if self.is_escaped {
-            self.is_escaped = false;
-            return;
-        }
-        match byte {
-            b'\\' if self.is_in_text => self.is_escaped = true,
-            b'"' => self.is_in_text = !self.is_in_text,
-            _ if self.is_in_text => {}
-            b'{' | b'[' => self.depth += 1,
-            b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+/// Position of the first byte outside texts at which `stop` returns true, given the byte and the depth after it. A text
+/// counts as its closing quote.
+fn scan(text: &[u8], stop: fn(u8, usize) -> bool) -> Option<usize> {
+    let (mut at, mut depth) = (0, 0_usize);
+    while at < text.len() {
+        match text[at] {
+            b'"' => at = closing_quote(text, at + 1)?,
+            b'{' | b'[' => depth += 1,
+            b'}' | b']' => depth = depth.saturating_sub(1),
             _ => {}
         }
+        if stop(text[at], depth) {
+            return Some(at);
+        }
+        at += 1;
     }
+    None
+}
 
-    fn is_between_parts(self) -> bool {
-        self.depth == 0 && !self.is_in_text
+/// Position of the quote that ends the text which begins here.
+fn closing_quote(text: &[u8], mut from: usize) -> Option<usize> {
+    loop {
+        let at = from + memchr2(b'"', b'\\', text.get(from..)?)?;
+        if text[at] == b'"' {
+            return Some(at);
+        }
+        // The byte after a backslash is part of the text.
+        from = at + 2;
     }
 }
 
+/// Position of the last byte of the value with which a text begins.
+fn value_end(text: &[u8]) -> Option<usize> {
+    scan(text, |_, depth| depth == 0)
+}
+
 /// The parts of the inside of a list or an object, without the white space around them.
 struct Parts<'a> {
     rest: Option<&'a [u8]>,
@@ -267,11 +265,7 @@
 
     fn next(&mut self) -> Option<&'a [u8]> {
         let text = self.rest?;
-        let mut place = Place::default();
-        let comma = text.iter().position(|byte| {
-            place.advance(*byte);
-            *byte == b',' && place.is_between_parts()
-        });
+        let comma = scan(text, |byte, depth| byte == b',' && depth == 0);
         self.rest = comma.map(|at| &text[at + 1..]);
         Some(text[..comma.unwrap_or(text.len())].trim_ascii())
     }
