A follower keeps its link when rows on it can't be read, and asks the store

Callers saw: an odd update from another entry makes its followers open the link again and again, each time with all rows, and none of the load, limits or records of crashes arrive meanwhile.

Cause: an update that could not be decompressed or decoded closed the link; the next link begins with the same rows. Rows above 8 MiB were sent whole and cut by the receiver without a word, which then failed to decode them.

--- a/src/router/peers/mod.rs
+++ b/src/router/peers/mod.rs
@@ -14,5 +14,6 @@
 pub(crate) mod shared_quarantine;
 pub(crate) mod speed_reports;
 mod timed_mutex;
+mod unread_tables;
 pub(crate) mod update_log;
 pub(crate) mod urgent_updates;
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -13,6 +13,7 @@
         peers::{
             links::{OPEN_TIMEOUT, connect, other_seeds, receive_message, send_message, timed_out},
             messages::{PeerMessage, PeerRequest},
+            unread_tables::UnreadTables,
         },
     },
     telemetry::event,
@@ -130,6 +131,7 @@
         return Ok(LeaveReason::OtherZone);
     }
     let mut current_at = router.now();
+    let mut unread = UnreadTables::default();
     while router.needs_link() {
         let heartbeat = tokio::select! {
             biased;
@@ -140,11 +142,15 @@
         if router.notice_suspension() {
             return Err(host_suspended());
         }
-        let is_current = apply_heartbeat(router, heartbeat)?;
+        let is_peer_current = apply_heartbeat(router, heartbeat, &mut unread)?;
+        let is_current = is_peer_current && unread.is_empty();
         if router.peer_link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
-        if is_current {
+        if unread.is_retry_due(router.now()) {
+            return Err(Error::ConnectionFailed("the peer's rows can't be read".into()));
+        }
+        if is_peer_current {
             current_at = router.now();
         } else if router.now() >= current_at + grace {
             return Err(Error::ConnectionFailed("the peer has lost the store".into()));
@@ -158,7 +164,11 @@
 }
 
 /// Applies a heartbeat. Returns whether the store answers the sender.
-fn apply_heartbeat(router: &Router, message: PeerMessage) -> Result<bool> {
+fn apply_heartbeat(
+    router: &Router,
+    message: PeerMessage,
+    unread: &mut UnreadTables,
+) -> Result<bool> {
     let PeerMessage::Beat {
         is_current,
         updates,
@@ -176,9 +186,7 @@
         return Err(Error::ConnectionFailed("expected a heartbeat".into()));
     };
     for update in updates {
-        if !router.peer_link.push(update.decompress()?) {
-            return Err(Error::ConnectionFailed("update queue is full".into()));
-        }
+        unread.receive(router, &update)?;
     }
     router.table_views.record_peer_message(router.now());
     if entries > 0 {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -109,6 +109,7 @@
     ZONE_EVACUATED = 307, Warn, "The operator ordered the evacuation of an AvailabilityZone; its servers get no more requests.";
     ZONE_TAKEN_BACK = 308, Info, "The evacuation order for an AvailabilityZone was withdrawn; its servers get requests again.";
     ORDER_UNREAD = 309, Warn, "The operator wrote an order of an unknown kind; logged once per kind.";
+    PEER_ROWS_UNREADABLE = 310, Error, "Rows that another entry forwards can't be read or were held back; this entry asks the store instead.";
     STORE_UNREACHABLE = 400, Warn, "The table or object service does not respond; operations that need it wait or are rejected.";
     STORE_BACK = 401, Info, "The table or object service responds again.";
     CLAIM_LOST_REPLY = 402, Info, "The reply to writing a claim was lost; reading the claim back determines the outcome.";
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -41,4 +41,5 @@
 mod store_updates;
 mod streams;
 mod unavailable_servers;
+mod unreadable_updates;
 mod urgent_updates;
