One odd field of the configuration no longer makes all of it unreadable

Callers saw: one number out of range or of another type in the operator's configuration, or one odd route, service or tenant, and a process that starts has no configuration: 503 to everything.

Cause: the configuration was parsed as one typed document.

Why it works: the document is split as the store's replies are, and each field is read by itself with its default. What a field permits is never wider than written: a route whose destination is unknown keeps its prefix and is closed, a tenant that can't be read grants nothing (docs/decisions/0024).

--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -1,20 +1,18 @@
 //! Parses the documents that the operator and the BackendServers keep in the store, and builds those that
 //! report to the operator.
 
-use std::{collections::HashMap, net::SocketAddr, num::NonZeroU32, sync::Arc, time::Duration};
+use std::{net::SocketAddr, num::NonZeroU32, time::Duration};
 
 use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::{
-    ids::Revision,
     platform::{
         Error, Result,
+        configuration::{MAX_COLD_MS, parse_configuration},
         store::{Row, Table},
     },
-    policy::cold_start::ColdStartLimit,
     routing::{
-        BackendServer, CallerLimits, Organisation, RollOutOrder, RollOutProgress, RollOutStatus,
-        Route, RouteKind, RoutingTable, StartTime, Target,
+        BackendServer, RollOutOrder, RollOutProgress, RollOutStatus, RoutingTable, StartTime,
     },
 };
 
@@ -38,111 +36,8 @@
     EvacuationWithdrawn(Box<str>),
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct ConfigDoc {
-    version: Revision,
-    #[serde(default)]
-    routes: Vec<RouteDoc>,
-    #[serde(default)]
-    services: Vec<ServiceDoc>,
-    limits: Option<LimitsDoc>,
-    tenants: Option<Vec<OrganisationDoc>>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct ServiceDoc {
-    name: Box<str>,
-    /// Missing for services that run no model.
-    engine: Option<EngineDoc>,
-    /// Requests per second that a cold server accepts; 0 or missing if servers start warm.
-    #[serde(default)]
-    cold_per_s: f64,
-    /// Time for which a server is cold after its start.
-    #[serde(default)]
-    cold_start_s: f64,
-}
-
 /// Upper bound for durations in documents, in seconds: a day.
 const MAX_SECONDS: f64 = 86_400.0;
-/// Upper bound for cold times, which are seconds in practice. A row may come from another writer, and an
-/// unbounded number can't be converted to a duration.
-const MAX_COLD_MS: f64 = 3_600_000.0;
-
-impl ServiceDoc {
-    fn cold_start_limit(&self) -> Option<ColdStartLimit> {
-        let duration = milliseconds((self.cold_start_s * 1e3).min(MAX_COLD_MS));
-        (self.cold_per_s > 0.0)
-            .then_some(ColdStartLimit { sends_per_second: self.cold_per_s, duration })
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct EngineDoc {
-    /// Capacity in tokens, not bytes; shared by running requests and cached prompt parts.
-    kv_capacity: Option<u64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct RouteDoc {
-    name: Box<str>,
-    host: Box<str>,
-    prefix: Box<str>,
-    route_kind: Option<Box<str>>,
-    timeout_ms: Option<f64>,
-    target_latency_ms: Option<f64>,
-    /// Maximum pause between events, although the name refers to inter-token latency.
-    itl_target_ms: Option<f64>,
-    #[serde(default)]
-    priority: u8,
-    /// Models of the cascade, from smallest to largest.
-    #[serde(default)]
-    sizes: Vec<Box<str>>,
-    /// Single target service; missing if `split` lists several.
-    service: Option<Box<str>>,
-    #[serde(default)]
-    split: Vec<SplitDoc>,
-    max_attempts: Option<u32>,
-    /// Names of regions, not of zones.
-    #[serde(default)]
-    allowed_regions: Vec<Box<str>>,
-    #[serde(default)]
-    public: bool,
-    #[serde(default)]
-    sticky: bool,
-    #[serde(default)]
-    resumable: bool,
-}
-
-#[derive(Deserialize)]
-struct SplitDoc {
-    service: Box<str>,
-    weight: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct LimitsDoc {
-    max_header_bytes: usize,
-    max_body_bytes: usize,
-    header_timeout_ms: u64,
-    idle_timeout_ms: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct OrganisationDoc {
-    name: Box<str>,
-    #[serde(default)]
-    api_keys: Vec<Box<str>>,
-    priority: Option<u8>,
-    #[serde(default)]
-    allowed_regions: Vec<Box<str>>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct RollOutDoc {
@@ -199,9 +94,6 @@
     name: Box<str>,
 }
 
-/// Timeout of routes that don't set one.
-const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
-
 /// Parses a row of the operator; `None` for unknown kinds of rows and a deleted configuration.
 ///
 /// # Errors
@@ -229,8 +121,9 @@
     if !is_config_key(&row.key) || row.is_removed {
         return Ok(None);
     }
-    let doc: ConfigDoc = parse(row)?;
-    Ok(Some(OperatorChange::Configuration(Box::new(build_routing_table(doc)))))
+    let table = parse_configuration(&row.value)
+        .ok_or_else(|| unreadable(row, &"no object with a version and a list of routes"))?;
+    Ok(Some(OperatorChange::Configuration(Box::new(table))))
 }
 
 /// Kind of an operator's row, the first segment of its key, if this adapter doesn't know it.
@@ -323,99 +216,8 @@
     Error::Unreadable(format!("{table:?} row {}: {e}", row.key).into())
 }
 
-fn build_routing_table(doc: ConfigDoc) -> RoutingTable {
-    let mut routes: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
-    for route in doc.routes {
-        let host = route.host.clone();
-        routes.entry(host).or_default().push(Arc::new(build_route(route)));
-    }
-    for routes_of_host in routes.values_mut() {
-        routes_of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
-    }
-    let cold_starts =
-        doc.services.iter().filter_map(|s| Some((s.name.clone(), s.cold_start_limit()?))).collect();
-    let kv_cache = |service: ServiceDoc| Some((service.name, service.engine?.kv_capacity?));
-    RoutingTable {
-        version: doc.version,
-        shortest_objectives: shortest_objectives(routes.values().flatten()),
-        routes,
-        kv_cache_tokens: doc.services.into_iter().filter_map(kv_cache).collect(),
-        cold_starts,
-        organisations_by_key: doc.tenants.map(index_organisations),
-        limits: doc.limits.as_ref().map(build_limits),
-    }
-}
-
-/// The shortest objective of the routes with a cascade, by the service that they go to.
-fn shortest_objectives<'a>(
-    routes: impl Iterator<Item = &'a Arc<Route>>,
-) -> HashMap<Box<str>, Duration> {
-    let mut shortest = HashMap::new();
-    for route in routes.filter(|route| !route.cascade.is_empty()) {
-        for target in &route.targets {
-            let objective = shortest.entry(target.service.clone()).or_insert(route.objective);
-            *objective = route.objective.min(*objective);
-        }
-    }
-    shortest
-}
-
-fn build_route(doc: RouteDoc) -> Route {
-    let mut targets: Vec<Target> =
-        doc.split.into_iter().map(|s| Target { service: s.service, weight: s.weight }).collect();
-    if let Some(service) = doc.service {
-        targets.push(Target { service, weight: 1.0 });
-    }
-    let timeout = doc.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-    Route {
-        name: doc.name,
-        prefix: doc.prefix,
-        targets,
-        kind: match doc.route_kind.as_deref() {
-            Some("safe") => RouteKind::Idempotent,
-            Some("stream") => RouteKind::Stream,
-            // Unknown kinds are treated as non-idempotent, the safest assumption.
-            _ => RouteKind::AtMostOnce,
-        },
-        timeout: milliseconds(timeout),
-        objective: milliseconds(doc.target_latency_ms.unwrap_or(timeout)),
-        max_event_gap: doc.itl_target_ms.map(milliseconds),
-        priority: doc.priority,
-        max_attempts: doc.max_attempts.unwrap_or(1).max(1),
-        is_public: doc.public,
-        is_sticky: doc.sticky,
-        is_resumable: doc.resumable,
-        permitted_regions: doc.allowed_regions,
-        cascade: doc.sizes,
-    }
-}
-
-fn index_organisations(docs: Vec<OrganisationDoc>) -> HashMap<Box<str>, Arc<Organisation>> {
-    let mut keys = HashMap::new();
-    for doc in docs {
-        let organisation = Arc::new(Organisation {
-            name: doc.name,
-            priority: doc.priority,
-            permitted_regions: doc.allowed_regions,
-        });
-        for key in doc.api_keys {
-            keys.insert(key, organisation.clone());
-        }
-    }
-    keys
-}
-
-fn build_limits(doc: &LimitsDoc) -> CallerLimits {
-    CallerLimits {
-        header_bytes: doc.max_header_bytes,
-        body_bytes: doc.max_body_bytes,
-        header_timeout: Duration::from_millis(doc.header_timeout_ms),
-        idle_timeout: Duration::from_millis(doc.idle_timeout_ms),
-    }
-}
-
 /// A duration of a document. Numbers below 0 and above a day are cut to that range: no such time is meant, and a
 /// larger one would overflow when it is added to a clock.
-fn milliseconds(ms: f64) -> Duration {
+pub(crate) fn milliseconds(ms: f64) -> Duration {
     Duration::from_secs_f64((ms / 1e3).clamp(0.0, MAX_SECONDS))
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! [`crate::entry`] and [`crate::agent`] use these four clients. [`crate::router`] uses the [`store`] with its
 //! [`documents`], the [`host_settings`] and the header modules instead.
 
+mod configuration;
 pub mod documents;
 pub mod duties;
 mod engine;
@@ -13,6 +14,7 @@
 pub mod host_settings;
 mod hosts;
 mod http_client;
+mod json_parts;
 mod objects;
 mod ratings;
 pub mod request_headers;
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -114,6 +114,17 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// One version of the operator's configuration; replaced as a whole.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RoutingTable {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod host_suspension;
 mod kept_caller;
 mod limited_pool;
+mod odd_configurations;
 mod peers;
 mod pool;
 mod rate_limits;
