An unusable optional setting falls to its default

A process ended with code 2 at its start, or ignored a reload, if one optional value of the platform's file was no whole number, was negative or had another type: memory-mb 110.0, 110.5, -1, 1e400 or a list, retry-extra a list, contact-ms -5, zones a number, contracts a string. .inf as retry-ratio was taken and put the retry budget out of force.

Cause: the file was read as one typed document, so that one value failed all of it.

Now each value is read by itself; one that can't be read or is out of range has its default, and event 113 names key, value and default. Required addresses remain errors that name the key.

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -2,9 +2,14 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use serde::Deserialize;
-
-use crate::routing::Region;
+use crate::{
+    platform::{
+        settings_reader::{NO_DEFAULT, Number, SettingsReader},
+        settings_values::{self, Found},
+    },
+    routing::Region,
+    telemetry::event,
+};
 
 /// Environment variable with the path of the file.
 pub const SETTINGS_VARIABLE: &str = "MINTMOOR_CONFIG";
@@ -81,210 +86,163 @@
     Values(Vec<String>),
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Doc {
-    #[serde(default)]
-    node_name: Box<str>,
-    #[serde(default)]
-    zone: Box<str>,
-    /// Region of each zone.
-    #[serde(default)]
-    zones: HashMap<Box<str>, Region>,
-    #[serde(default)]
-    listen: ListenDoc,
-    #[serde(default)]
-    seeds: Vec<Box<str>>,
-    /// Parts of the platform's rules that are in force.
-    #[serde(default)]
-    contracts: Vec<Box<str>>,
-    #[serde(default)]
-    limits: LimitsDoc,
-    #[serde(default)]
-    bounds: BoundsDoc,
-    #[serde(default)]
-    platform: PlatformDoc,
-    /// The duty service; missing if the deployment has no duties.
-    cloud: Option<DutiesDoc>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct ListenDoc {
-    /// Address at which callers connect.
-    frontend: Option<Box<str>>,
-    readiness: Option<Box<str>>,
-    /// Address that the platform reserves for traffic between entries.
-    control_plane: Option<Box<str>>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct BoundsDoc {
-    grace_s: Option<f64>,
-    drain_ms: Option<f64>,
-    /// Time after a disruption from which the platform enforces all bounds again.
-    contact_ms: Option<f64>,
-    retry_ratio: Option<f64>,
-    retry_extra: Option<f64>,
-    retry_window_s: Option<f64>,
-    exposure_share: Option<f64>,
-    exposure_tolerance: Option<f64>,
-    lease_ms: Option<f64>,
-    /// Length of a usage window.
-    report_window_s: Option<f64>,
-    usage_delay_s: Option<f64>,
+/// A value of the file that can't be used, and what is in force instead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IgnoredSetting {
+    /// Path of its key, such as `limits.memory-mb`.
+    pub key: Box<str>,
+    /// Beginning of the value.
+    pub value: Box<str>,
+    /// What is in force instead, in the unit of the key; `none` if the part is left out.
+    pub default: Box<str>,
 }
 
-/// The duty service.
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct DutiesDoc {
-    address: Option<Box<str>>,
-    #[serde(default)]
-    duties: Vec<Box<str>>,
-    duty_per_s: Option<f64>,
-}
-
-/// Limits of the process.
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct LimitsDoc {
-    memory_mb: Option<u64>,
-    max_fds: Option<usize>,
+/// Shortest of the times that are waited for or divided by, in seconds; one of zero is a mistake.
+const MIN_SECONDS: f64 = 1e-3;
+/// The same in milliseconds.
+const MIN_MS: f64 = MIN_SECONDS * 1e3;
+/// Fewest calls per second of a duty.
+const MIN_CALLS_PER_S: f64 = 1e-3;
+/// Longest duration in the file, in seconds; larger numbers are mistakes.
+const MAX_SECONDS: f64 = 86_400.0;
+/// The same in milliseconds.
+const MAX_MS: f64 = MAX_SECONDS * 1e3;
+/// Largest number of requests and requests per second.
+const MAX_REQUESTS: f64 = 1e12;
+/// Largest memory, in MB.
+const MAX_MEMORY_MB: f64 = 1e9;
+/// Largest number of descriptors.
+const MAX_FDS: f64 = 1e9;
+/// Bytes in a MB of the file.
+const MB: f64 = 1_048_576.0;
+
+const fn bound(key: &'static str, default: f64, min: f64, max: f64) -> Number {
+    Number { section: "bounds", key, default, min, max }
 }
 
-#[derive(Default, Deserialize)]
-struct PlatformDoc {
-    /// Address of the store.
-    address: Option<Box<str>>,
+const fn limit(key: &'static str, default: f64, max: f64) -> Number {
+    Number { section: "limits", key, default, min: 1.0, max }
 }
 
-// Defaults for bounds that the file omits: the values of the first two deployments.
-const DEFAULT_GRACE_S: f64 = 8.0;
-const DEFAULT_DRAIN_MS: f64 = 2_000.0;
-const DEFAULT_CONTACT_MS: f64 = 3_000.0;
-const DEFAULT_RETRY_RATIO: f64 = 0.1;
-const DEFAULT_RETRY_EXTRA: f64 = 20.0;
-const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
-const DEFAULT_EXPOSURE_SHARE: f64 = 0.15;
-const DEFAULT_EXPOSURE_TOLERANCE: f64 = 30.0;
-const DEFAULT_MEMORY_MB: u64 = 256;
-const DEFAULT_MAX_FDS: usize = 4_096;
-const DEFAULT_LEASE_MS: f64 = 3_000.0;
-const DEFAULT_USAGE_WINDOW_S: f64 = 5.0;
-const DEFAULT_USAGE_DELAY_S: f64 = 10.0;
-const DEFAULT_DUTY_CALLS_PER_S: f64 = 50.0;
+// The defaults are the values of the first two deployments.
+const GRACE_S: Number = bound("grace-s", 8.0, 0.0, MAX_SECONDS);
+const DRAIN_MS: Number = bound("drain-ms", 2_000.0, 0.0, MAX_MS);
+/// Time after a disruption from which the platform enforces all bounds again.
+const CONTACT_MS: Number = bound("contact-ms", 3_000.0, MIN_MS, MAX_MS);
+const RETRY_RATIO: Number = bound("retry-ratio", 0.1, 0.0, MAX_REQUESTS);
+const RETRY_EXTRA: Number = bound("retry-extra", 20.0, 0.0, MAX_REQUESTS);
+const RETRY_WINDOW_S: Number = bound("retry-window-s", 10.0, MIN_SECONDS, MAX_SECONDS);
+const EXPOSURE_SHARE: Number = bound("exposure-share", 0.15, 0.0, 1.0);
+const EXPOSURE_TOLERANCE: Number = bound("exposure-tolerance", 30.0, 0.0, MAX_REQUESTS);
+const MEMORY_MB: Number = limit("memory-mb", 256.0, MAX_MEMORY_MB);
+const DESCRIPTORS: Number = limit("max-fds", 4_096.0, MAX_FDS);
+const LEASE_MS: Number = bound("lease-ms", 3_000.0, MIN_MS, MAX_MS);
+const USAGE_WINDOW_S: Number = bound("report-window-s", 5.0, MIN_SECONDS, MAX_SECONDS);
+const USAGE_DELAY_S: Number = bound("usage-delay-s", 10.0, MIN_SECONDS, MAX_SECONDS);
+const DUTY_CALLS_PER_S: Number = Number {
+    section: "cloud",
+    key: "duty-per-s",
+    default: 50.0,
+    min: MIN_CALLS_PER_S,
+    max: MAX_REQUESTS,
+};
 
-/// Name of the duty to report the usage of Organisations.
-const USAGE_DUTY: &str = "usage";
 /// Part of the rules under which callers compete for capacity.
 const PRESSURE_CONTRACT: &str = "pressure";
-/// Longest duration in the file, in seconds; larger numbers are mistakes.
-const MAX_SECONDS: f64 = 86_400.0;
+/// Name of the duty to report the usage of Organisations.
+const USAGE_DUTY: &str = "usage";
 
-/// Parses the text of the settings file.
+/// Parses the text of the settings file, and logs each value that is ignored.
 ///
 /// # Errors
-/// Reports all missing and invalid values together.
+/// As [`read`].
 pub fn parse(text: &str) -> Result<HostSettings, HostSettingsError> {
-    let doc: Doc = serde_saphyr::from_str(text)
+    let (settings, ignored) = read(text)?;
+    for IgnoredSetting { key, value, default } in ignored {
+        event::SETTING_IGNORED.log(format_args!("key={key} value={value:?} default={default}"));
+    }
+    Ok(settings)
+}
+
+/// Reads the text of the settings file. An optional value that can't be read or is out of range has its default, and is
+/// returned beside the settings: it must not keep a process from starting, nor a reload from taking the other values.
+///
+/// # Errors
+/// Reports all required values that are missing or invalid together.
+pub fn read(text: &str) -> Result<(HostSettings, Vec<IgnoredSetting>), HostSettingsError> {
+    settings_values::check_syntax(text)
         .map_err(|e| HostSettingsError::Syntax(e.to_string().into()))?;
     let mut problems = Vec::new();
-    let caller_address =
-        parse_address("listen.frontend", doc.listen.frontend.as_deref(), &mut problems);
-    let readiness_address =
-        parse_address("listen.readiness", doc.listen.readiness.as_deref(), &mut problems);
-    if doc.platform.address.is_none() {
-        problems.push("platform.address is missing".into());
-    }
-    let duties = parse_duties(doc.cloud, &doc.bounds, &mut problems);
+    let caller_address = required_address(text, "frontend", &mut problems);
+    let readiness_address = required_address(text, "readiness", &mut problems);
+    let store_address = required(text, "platform", "address", &mut problems);
     let (Some(caller_address), Some(readiness_address), Some(store_address)) =
-        (caller_address, readiness_address, doc.platform.address)
+        (caller_address, readiness_address, store_address)
     else {
         return Err(HostSettingsError::Values(problems));
     };
-    let bounds = doc.bounds;
-    let mut seconds = |key: &str, value: Option<f64>, default: f64, unit: f64| {
-        let value = value.unwrap_or(default);
-        if (0.0..=MAX_SECONDS / unit).contains(&value) {
-            return Duration::from_secs_f64(value * unit);
-        }
-        problems.push(format!("bounds.{key} is {value}; expected a time of at most a day"));
-        Duration::ZERO
-    };
-    let shutdown_grace = seconds("grace-s", bounds.grace_s, DEFAULT_GRACE_S, 1.0);
-    let drain_time = seconds("drain-ms", bounds.drain_ms, DEFAULT_DRAIN_MS, 1e-3);
-    let catch_up_time = seconds("contact-ms", bounds.contact_ms, DEFAULT_CONTACT_MS, 1e-3);
-    let retry_window =
-        seconds("retry-window-s", bounds.retry_window_s, DEFAULT_RETRY_WINDOW_S, 1.0);
-    if !problems.is_empty() {
-        return Err(HostSettingsError::Values(problems));
-    }
-    Ok(HostSettings {
-        host: doc.node_name,
-        zone: doc.zone,
-        regions: doc.zones,
+    let mut reader = SettingsReader { text, ignored: Vec::new() };
+    reader.check_sections();
+    let settings = HostSettings {
+        host: reader.name("node-name"),
+        zone: reader.name("zone"),
+        regions: reader.regions(),
         caller_address,
         readiness_address,
-        peer_address: doc.listen.control_plane.and_then(|text| text.parse().ok()),
-        seed_peers: doc.seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
+        peer_address: reader.address("listen", "control-plane"),
+        seed_peers: reader.seeds(),
         store_address,
-        shutdown_grace,
-        drain_time,
-        catch_up_time,
-        retry_ratio: bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
-        retry_extra: bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
-        retry_window,
-        exposure_share: bounds.exposure_share.unwrap_or(DEFAULT_EXPOSURE_SHARE),
-        exposure_tolerance: bounds.exposure_tolerance.unwrap_or(DEFAULT_EXPOSURE_TOLERANCE),
-        expects_overload: doc.contracts.iter().any(|contract| **contract == *PRESSURE_CONTRACT),
-        memory_limit: doc.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
-        descriptor_limit: doc.limits.max_fds.unwrap_or(DEFAULT_MAX_FDS),
-        duties,
-    })
+        shutdown_grace: reader.seconds(&GRACE_S),
+        drain_time: reader.milliseconds(&DRAIN_MS),
+        catch_up_time: reader.milliseconds(&CONTACT_MS),
+        retry_ratio: reader.number(&RETRY_RATIO),
+        retry_extra: reader.number(&RETRY_EXTRA),
+        retry_window: reader.seconds(&RETRY_WINDOW_S),
+        exposure_share: reader.number(&EXPOSURE_SHARE),
+        exposure_tolerance: reader.number(&EXPOSURE_TOLERANCE),
+        expects_overload: reader.texts(&["contracts"]).contains(&PRESSURE_CONTRACT.into()),
+        memory_limit: (reader.number(&MEMORY_MB) * MB) as u64,
+        descriptor_limit: reader.number(&DESCRIPTORS) as usize,
+        duties: read_duties(&mut reader),
+    };
+    Ok((settings, reader.ignored))
 }
 
-/// Settings of the duties, if the file names a duty service and a duty that is known here.
-fn parse_duties(
-    doc: Option<DutiesDoc>,
-    bounds: &BoundsDoc,
-    problems: &mut Vec<String>,
-) -> Option<DutySettings> {
-    let doc = doc.filter(|doc| doc.duties.iter().any(|duty| **duty == *USAGE_DUTY))?;
-    let address = parse_address("cloud.address", doc.address.as_deref(), problems)?;
-    let mut positive = |key: &str, value: Option<f64>, default: f64, max: f64| {
-        let value = value.unwrap_or(default);
-        if value > 0.0 && value <= max {
-            return value;
-        }
-        problems.push(format!("{key} is {value}; expected a number above 0, at most {max}"));
-        default
-    };
-    let max = MAX_SECONDS;
-    let window =
-        positive("bounds.report-window-s", bounds.report_window_s, DEFAULT_USAGE_WINDOW_S, max);
-    let delay = positive("bounds.usage-delay-s", bounds.usage_delay_s, DEFAULT_USAGE_DELAY_S, max);
-    let lease = positive("bounds.lease-ms", bounds.lease_ms, DEFAULT_LEASE_MS, max * 1e3) / 1e3;
-    let calls_per_second =
-        positive("cloud.duty-per-s", doc.duty_per_s, DEFAULT_DUTY_CALLS_PER_S, f64::MAX);
-    Some(DutySettings {
-        address,
-        calls_per_second,
-        lease: Duration::from_secs_f64(lease),
-        usage_window: Duration::from_secs_f64(window),
-        usage_delay: Duration::from_secs_f64(delay),
-    })
+/// A required value as text.
+fn required(text: &str, section: &str, key: &str, problems: &mut Vec<String>) -> Option<Box<str>> {
+    match settings_values::read(text, &[section, key]) {
+        Found::Value(value) => return Some(value),
+        Found::Missing => problems.push(format!("{section}.{key} is missing")),
+        Found::Other(value) => problems.push(format!("{section}.{key} `{value}` is not a text")),
+    }
+    None
 }
 
-fn parse_address(key: &str, value: Option<&str>, problems: &mut Vec<String>) -> Option<SocketAddr> {
-    let Some(text) = value else {
-        problems.push(format!("{key} is missing"));
+/// A required address on which the process listens.
+fn required_address(text: &str, key: &str, problems: &mut Vec<String>) -> Option<SocketAddr> {
+    let value = required(text, "listen", key, problems)?;
+    let Ok(address) = value.parse() else {
+        let value = settings_values::cut(&value);
+        problems.push(format!("listen.{key} `{value}` is not an IP address with a port"));
         return None;
     };
-    let parsed = text.parse().ok();
-    if parsed.is_none() {
-        problems.push(format!("{key} `{text}` is not an IP address with a port"));
+    Some(address)
+}
+
+/// Settings of the duties, if the file names a duty service and a duty that is known here.
+fn read_duties(reader: &mut SettingsReader<'_>) -> Option<DutySettings> {
+    if !reader.texts(&["cloud", "duties"]).contains(&USAGE_DUTY.into()) {
+        return None;
     }
-    parsed
+    let Some(address) = reader.address("cloud", "address") else {
+        reader.ignore(&["cloud", "duties"], USAGE_DUTY.into(), NO_DEFAULT);
+        return None;
+    };
+    Some(DutySettings {
+        address,
+        calls_per_second: reader.number(&DUTY_CALLS_PER_S),
+        lease: reader.milliseconds(&LEASE_MS),
+        usage_window: reader.seconds(&USAGE_WINDOW_S),
+        usage_delay: reader.seconds(&USAGE_DELAY_S),
+    })
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,6 +17,8 @@
 mod ratings;
 pub mod request_headers;
 pub mod response_headers;
+mod settings_reader;
+mod settings_values;
 pub mod store;
 mod table;
 
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -91,6 +91,7 @@
     HOST_RESUMED = 108, Warn, "The Host was suspended; data received before the suspension counts as stale.";
     ACCEPT_PAUSED = 109, Warn, "The process lacks processor time; new connections are closed unread, so that their callers turn to another entry.";
     ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
+    SETTING_IGNORED = 113, Warn, "An optional value of the platform's settings file can't be used; its default is in force.";
     LINK_UP = 200, Info, "A link to a peer was established and authenticated.";
     LINK_DOWN = 201, Warn, "A link was lost; its attempts count as lost.";
     LINK_REFUSED = 202, Warn, "A peer failed to authenticate or sent invalid frames.";
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod framing;
 mod framing_properties;
 mod hanging_servers;
+mod host_settings;
 mod host_suspension;
 mod kept_caller;
 mod limited_pool;
