A response with a status outside 100 to 599 is a failure of its server

Callers got statuses 600 and 999 of a server as they were, on all kinds of route; with X-Not-Executed, a request that must run once was sent four times.

Cause: hyper takes any three digits, and nothing here checked the range (RFC 9110, section 15).

Such a response is now of a kind of its own: it proves nothing about its request, is not passed on, clears no suspicion, counts as a failure of its server and version, and is repeated only where a lost response is.

--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -1,6 +1,6 @@
 //! Parses the heads of BackendServers' responses; each header is decoded once, here.
 
-use std::time::SystemTime;
+use std::{ops::RangeInclusive, time::SystemTime};
 
 use http::{HeaderMap, HeaderName, StatusCode, header};
 
@@ -28,6 +28,9 @@
 const LEAVING: &str = "server-leaving";
 const CONFIDENCE: &str = "x-confidence";
 
+/// Statuses of HTTP; others are a server's failure.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Response headers that this adapter reads.
 const READ_HEADERS: [&str; 11] = [
     SIGNATURE,
@@ -96,6 +99,9 @@
     is_signed: bool,
     request_id: &str,
 ) -> ResponseKind {
+    if !STATUSES.contains(&status.as_u16()) {
+        return ResponseKind::InvalidStatus;
+    }
     if header_text(headers, REQUEST_ID).is_some_and(|id| id != request_id) {
         return ResponseKind::WrongRequest;
     }
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -128,6 +128,9 @@
     /// The response is not the server's response to this request; the request may have run.
     #[error("the response comes from another server or belongs to another request")]
     WrongResponse,
+    /// The response has a status that HTTP doesn't define; the request may have run.
+    #[error("the response has the status {0}, which is none of HTTP")]
+    InvalidStatus(http::StatusCode),
     /// The response can't be read as the server meant it; the request may have run.
     #[error("the response can't be read: {0}")]
     Framing(#[from] FramingError),
@@ -298,6 +301,7 @@
             Err(AttemptError::OtherServer)
         }
         ResponseKind::WrongRequest | ResponseKind::Unsigned => Err(AttemptError::WrongResponse),
+        ResponseKind::InvalidStatus => Err(AttemptError::InvalidStatus(head.status)),
     }
 }
 
@@ -310,9 +314,11 @@
     request_id: &str,
     sent_at: Duration,
 ) {
-    let is_wrong_response =
-        matches!(head.kind, ResponseKind::WrongRequest | ResponseKind::Unsigned) || !is_framed;
-    if is_wrong_response || (head.status.is_server_error() && !head.announces_rejection()) {
+    let is_unusable = matches!(
+        head.kind,
+        ResponseKind::WrongRequest | ResponseKind::Unsigned | ResponseKind::InvalidStatus
+    ) || !is_framed;
+    if is_unusable || (head.status.is_server_error() && !head.announces_rejection()) {
         member.record_failure(router.now());
     } else if !head.announces_rejection() {
         router.record_answer(member);
--- a/src/routing/response.rs
+++ b/src/routing/response.rs
@@ -20,6 +20,8 @@
     /// The server's signature is missing, or the body has a content encoding that was not requested: an
     /// intermediary produced or altered the response.
     Unsigned,
+    /// The status is none of HTTP (RFC 9110, section 15), so nothing in the response can be relied on.
+    InvalidStatus,
 }
 
 impl ResponseKind {
