--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod cut_heads;
 mod duties;
 mod duty_service;
+mod early_answers;
 mod endless_bytes;
 mod evacuations;
 mod framing;
