A connection to a server yields after 64 KB

64 requests to servers that send the size of a chunk without an end (zeros) kept the only thread of a process: no other request was answered within 30 s after their deadlines of 0.7 s, with a debug build; the connections were dropped one by one, 38 were open after 24 s.

Cause: the size is read byte by byte for as long as the socket has bytes, and tokio lets a task read 128 times, a megabyte, before it has to yield.

The stream of a connection now reports that nothing is there after 64 KB and wakes its task, so that deadlines, which drop the connection, have their turn.

--- a/src/router/servers/server_stream.rs
+++ b/src/router/servers/server_stream.rs
@@ -13,18 +13,24 @@
     net::TcpStream,
 };
 
+/// Bytes that are read in one turn of a connection's task, before other tasks have theirs. A server may send without a
+/// pause, and what reads its bytes one by one, such as the size of a chunk, would keep the thread.
+const MAX_TURN: usize = 64 << 10;
+
 /// A stream whose close discards what the kernel has not delivered. A connection is closed when its request is given
 /// up, or when it is idle. Closed in order, it would still deliver what a partition holds up, and the server would run
 /// what was sent elsewhere in the meantime (docs/incidents/0027).
 #[derive(Debug)]
 pub(crate) struct ServerStream {
     stream: TcpStream,
+    /// Bytes read since there was nothing to read, or since the last turn.
+    read_in_turn: usize,
 }
 
 impl ServerStream {
     pub(crate) fn new(stream: TcpStream) -> Result<Self> {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-        Ok(Self { stream })
+        Ok(Self { stream, read_in_turn: 0 })
     }
 
     fn inner(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
@@ -34,11 +40,20 @@
 
 impl AsyncRead for ServerStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        self.inner().poll_read(cx, buf)
+        if self.read_in_turn >= MAX_TURN {
+            self.read_in_turn = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let filled = buf.filled().len();
+        let polled = self.as_mut().inner().poll_read(cx, buf);
+        let read = buf.filled().len() - filled;
+        self.read_in_turn = if polled.is_pending() { 0 } else { self.read_in_turn + read };
+        polled
     }
 }
 
