Responses of the store share 16 MB while they are read

A store that sent bodies without an end took a process with 48 MB to 115,548 KB: each of its feeds read up to 32 MB at a time.

Cause: only one response was limited, and by more than a small machine has.

All responses of a client now share 16 MB while they are read, one has at most 12 MB, and they are stored in blocks, since a growing buffer is copied. A response that finds no room fails like one that is lost, and the feed asks again.

--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_rustls::{HttpsConnector, HttpsConnectorBuilder};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio_rustls::rustls::{ClientConfig, RootCertStore, crypto::ring};
 
 use crate::platform::{Error, Result};
@@ -22,8 +23,14 @@
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of a response, in bytes: the largest tables take a few megabytes, and a process has 160 MB or more.
-const MAX_BODY: usize = 32 << 20;
+/// Maximum size of a response, in bytes; the largest tables take a few megabytes.
+const MAX_BODY: usize = 12 << 20;
+/// Bytes that all responses of a client may take while they are read. More than for the largest one, so that a response
+/// without an end leaves room for others.
+const MAX_READING: usize = 16 << 20;
+/// Size of the blocks in which a response is stored while it is read, in bytes. One that grows would be copied, and take
+/// twice the memory.
+const BLOCK: usize = 64 << 10;
 
 /// A complete response.
 #[derive(Clone, Debug)]
@@ -40,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpsConnector<HttpConnector>, Full<Bytes>>,
+    /// Bytes of responses that may still be read.
+    readable: Arc<Semaphore>,
 }
 
 impl Default for HttpClient {
@@ -73,7 +82,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .build(connector);
-        Self { client }
+        Self { client, readable: Arc::new(Semaphore::new(MAX_READING)) }
     }
 
     /// Sends a request and returns when the response headers have arrived.
@@ -115,11 +124,7 @@
         let work = async {
             let res = self.open(method, uri, headers, body).await?;
             let (parts, body) = res.into_parts();
-            let body = Limited::new(body, MAX_BODY)
-                .collect()
-                .await
-                .map_err(|e| lost(e.to_string()))?
-                .to_bytes();
+            let body = self.read_body(body).await.map_err(lost)?;
             Ok(HttpReply { status: parts.status, headers: parts.headers, body })
         };
         let Ok(reply) = tokio::time::timeout(timeout, work).await else {
@@ -128,6 +133,39 @@
         reply
     }
 
+    /// Reads a body up to the limits; the error says why it can't be read.
+    async fn read_body(&self, mut body: Incoming) -> std::result::Result<Bytes, String> {
+        let mut blocks: Vec<Vec<u8>> = Vec::new();
+        let mut held: Option<SemaphorePermit<'_>> = None;
+        let mut len = 0;
+        while let Some(frame) = body.frame().await {
+            // Trailers are of no use here.
+            let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
+            len += data.len();
+            if len > MAX_BODY {
+                return Err(format!("the response has more than {MAX_BODY} bytes"));
+            }
+            let bytes = u32::try_from(data.len()).map_err(|e| e.to_string())?;
+            let room = self.readable.try_acquire_many(bytes);
+            let room = room.map_err(|_| format!("responses have more than {MAX_READING} bytes"))?;
+            match &mut held {
+                Some(held) => held.merge(room),
+                None => held = Some(room),
+            }
+            match blocks.last_mut() {
+                Some(block) if block.capacity() - block.len() >= data.len() => {
+                    block.extend_from_slice(&data);
+                }
+                _ => {
+                    let mut block = Vec::with_capacity(BLOCK.max(data.len()));
+                    block.extend_from_slice(&data);
+                    blocks.push(block);
+                }
+            }
+        }
+        Ok(blocks.concat().into())
+    }
+
     /// Sends a JSON request and parses a JSON response.
     ///
     /// # Errors
--- a/tests/platform/endless_bytes.rs
+++ b/tests/platform/endless_bytes.rs
@@ -90,7 +90,7 @@
 }
 
 /// Most bytes of one response of the store that may be read, with those that the sockets hold.
-const MAX_STORE_BYTES: usize = 80 << 20;
+const MAX_STORE_BYTES: usize = 40 << 20;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_of_the_store_without_an_end_is_read_up_to_a_limit() {
--- a/tests/process/faulty_servers.rs
+++ b/tests/process/faulty_servers.rs
@@ -1,4 +1,4 @@
-//! Servers and other entries that send bytes without an end: the process lives within its memory, and answers
+//! Servers, a store and another entry that send bytes without an end: the process lives within its memory, and answers
 //! requests to sound servers beside them.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -6,8 +6,9 @@
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::{sleep, timeout},
 };
 
@@ -189,6 +190,64 @@
     }
 }
 
+/// What a store sends to each request.
+type EndlessReply = Option<(&'static str, &'static str)>;
+
+/// Starts a front of a store, which passes everything on as long as it has no endless reply of its own.
+async fn start_front(store: SocketAddr) -> (SocketAddr, watch::Sender<EndlessReply>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, replies) = watch::channel::<EndlessReply>(None);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut replies = replies.clone();
+            tokio::spawn(async move {
+                let reply = *replies.borrow_and_update();
+                let serve = async {
+                    match reply {
+                        Some((head, unit)) => send_endless(stream, head, unit).await,
+                        None => {
+                            let mut other = TcpStream::connect(store).await.unwrap();
+                            let _ = copy_bidirectional(&mut stream, &mut other).await;
+                        }
+                    }
+                };
+                tokio::select! {
+                    () = serve => {}
+                    _ = replies.changed() => {}
+                }
+            });
+        }
+    });
+    (address, sender)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_sends_without_an_end_leaves_memory_for_others() {
+    let replies = [
+        ("", "a"),
+        ("HTTP/1.1 200 X\r\nA: ", "b"),
+        ("HTTP/1.1 200 X\r\n", "A: b\r\n"),
+        ("HTTP/1.1 200 X\r\n\r\n", "z"),
+        ("HTTP/1.1 200 X\r\nContent-Length: 1000000000000\r\n\r\n{\"rows\":[", "[],"),
+        ("HTTP/1.1 500 X\r\n\r\n", "z"),
+        ("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n[\r\n"),
+    ];
+    let platform = Platform::start(&[]).await;
+    let (front, reply) = start_front(platform.store.address).await;
+    let (host, mut process) = start(front, &[]).await;
+    for (head, unit) in replies {
+        reply.send_replace(Some((head, unit)));
+        sleep(STAY).await;
+
+        assert_sound_servers_answer(&host).await;
+        assert_lives_within(&mut process, &host, &format!("{head:?} {unit:?}"));
+    }
+    reply.send_replace(None);
+    sleep(RETURN_PAUSE).await;
+    assert_sound_servers_answer(&host).await;
+}
+
 /// How another entry sends without an end.
 #[derive(Clone, Copy, Debug)]
 enum Entry {
