--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,6 +20,8 @@
 pub mod request_headers;
 pub mod response_headers;
 pub mod row_envelope;
+mod settings_reader;
+mod settings_values;
 pub mod store;
 mod table;
 mod unreadable_rows;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -93,6 +93,7 @@
     ACCEPT_RESUMED = 110, Info, "All new connections are served again.";
     LISTEN_WAITS = 111, Warn, "An address can't be served yet; the attempt is repeated, and the other addresses are served meanwhile.";
     LISTENING = 112, Info, "An address is bound and served.";
+    SETTING_IGNORED = 113, Warn, "An optional value of the platform's settings file can't be used; its default is in force.";
     THREAD_WAITS = 119, Warn, "A thread can't be started yet; the attempt is repeated.";
     PANICKED = 120, Error, "Code of this program panicked; other events tell what became of its task.";
     TASK_PANICKED = 121, Error, "A task ended by a panic; it is started again after a delay.";
