Planned stop: requests at work get their final answer before the process ends

Callers saw: requests that were at work at the end of the grace were cut with no answer, streams and single responses alike, and the process ended with code 1.

Cause: the time at which a request gives up was set from its own deadline when the wait began. Nothing told a waiting request of a stop, so that the end of the grace came as the end of the process.

Why it works: a planned stop has one end, 0.3 s before that of the grace. Each wait for a server ends there at the latest; a stop wakes all waits, as a suspension of the Host does, and they compute their end again. What a server did not answer by then is answered 504 and is no evidence against it or its version; a stream is broken off. The process ends 0.1 s before the grace does at the latest, so that answers are written before.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -47,6 +47,8 @@
     last_readings: Mutex<ClockReadings>,
     /// Number of suspensions detected.
     suspensions: watch::Sender<u64>,
+    /// Number of times that all waiters had to look at the time and their deadlines again.
+    wakes: watch::Sender<u64>,
     /// When the last suspension was detected, in milliseconds on this clock; 0 if there was none.
     last_resumed_ms: AtomicU64,
     /// Suspended time simulated by tests, in milliseconds.
@@ -65,6 +67,7 @@
                 boottime: created_at,
             }),
             suspensions: watch::Sender::new(0),
+            wakes: watch::Sender::new(0),
             last_resumed_ms: AtomicU64::new(0),
             simulated_ms: AtomicU64::new(0),
         }
@@ -100,6 +103,7 @@
         }
         self.last_resumed_ms.store(self.now().as_millis() as u64, Ordering::Release);
         self.suspensions.send_modify(|count| *count += 1);
+        self.wake_waiters();
         Some(suspended)
     }
 
@@ -113,22 +117,44 @@
         self.suspensions.subscribe()
     }
 
+    /// Makes all waiters look at the time and their deadlines again.
+    pub fn wake_waiters(&self) {
+        self.wakes.send_modify(|count| *count += 1);
+    }
+
     /// Runs `work` until a point in time on this clock; `None` once that has passed, also when it passed
     /// while the Host was suspended. Output that is ready takes precedence over the timeout.
     pub async fn timeout_at<F: Future>(&self, deadline: Duration, work: F) -> Option<F::Output> {
+        self.timeout_until(|| Some(deadline), work).await
+    }
+
+    /// Like [`Clock::timeout_at`], with a deadline that is computed again when waiters are woken
+    /// ([`Clock::wake_waiters`]). While there is none, no timer runs.
+    pub async fn timeout_until<F: Future>(
+        &self,
+        deadline: impl Fn() -> Option<Duration>,
+        work: F,
+    ) -> Option<F::Output> {
         let mut work = pin!(work);
-        let mut suspensions = self.subscribe_suspensions();
+        let mut wakes = self.wakes.subscribe();
         loop {
-            let left = deadline.saturating_sub(self.now());
+            let deadline = deadline();
+            let left = deadline.map(|deadline| deadline.saturating_sub(self.now()));
+            let passed = async {
+                match left {
+                    Some(left) => sleep(left).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 biased;
                 output = work.as_mut() => return Some(output),
-                () = sleep(left) => {
-                    if self.now() >= deadline {
+                () = passed => {
+                    if deadline.is_some_and(|deadline| self.now() >= deadline) {
                         return None;
                     }
                 }
-                _ = suspensions.changed() => {}
+                _ = wakes.changed() => {}
             }
         }
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod listen;
 mod observability;
 mod peers;
+mod planned_stop;
 mod quarantine;
 mod request;
 mod roll_outs;
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -85,6 +85,9 @@
     /// No response head arrived in time; the request may have run.
     #[error("no response in time")]
     Timeout,
+    /// The planned stop of this process ended before a response head arrived; the request may have run.
+    #[error("no response before the process ends")]
+    CutShort,
     /// Servers crashed while running it, and it was quarantined while this attempt waited; it may have run.
     #[error("the request was quarantined because servers crashed while running it")]
     Quarantined,
@@ -310,6 +313,8 @@
         | AttemptError::Quarantined => {}
         // Recorded by `server_ends`, once it is known whether the server crashed.
         AttemptError::Lost(_) => {}
+        // The server had less time than it may take.
+        AttemptError::CutShort => {}
         AttemptError::NotSent(ConnectError::Refused(_)) => member.record_unreachable(router.now()),
         _ => member.record_failure(router.now()),
     }
@@ -344,8 +349,10 @@
         }
         let send = pin!(connection.try_send_request(message));
         let sent = wait_for_response(router, &wait, send, &mut can_fail_over).await;
-        let given_up = || {
-            if router.is_refused(ctx) { AttemptError::Quarantined } else { AttemptError::Timeout }
+        let given_up = || match (router.is_refused(ctx), router.has_stop_ended()) {
+            (true, _) => AttemptError::Quarantined,
+            (false, true) => AttemptError::CutShort,
+            (false, false) => AttemptError::Timeout,
         };
         let sent = sent.ok_or_else(given_up)?;
         let mut e = match sent {
--- a/src/router/request/buffered.rs
+++ b/src/router/request/buffered.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Reads a response to its end, until the request's deadline at the latest. All bodies that are read as a whole are
+/// Reads a response to its end, until the request's deadline or the end of a planned stop at the latest. All bodies that are read as a whole are
 /// read here: a server may hang within any of them (docs/incidents/0024).
 pub(super) async fn read_until_deadline(
     router: &Router,
@@ -67,9 +67,11 @@
     };
     let read = pin!(read_to_end(router, ctx, response));
     let Some(read) = wait_for_response(router, &wait, read, || false).await else {
-        // The deadline has passed, or the server has restarted.
+        // The deadline has passed, the planned stop has ended, or the server has restarted.
         record_lost(router, ctx, &server, sent_at, LossCause::Abandoned);
-        router.record_server_failure(ctx, &server);
+        if !router.has_stop_ended() {
+            router.record_server_failure(ctx, &server);
+        }
         return Err(());
     };
     read
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -126,7 +126,7 @@
         && ctx.runs_left() > 0
         && ctx.deliveries < MAX_DELIVERIES
         && ctx.attempts.len() < MAX_ATTEMPTS
-        && router.now() + MIN_TIME_LEFT < ctx.attempt_deadline()
+        && router.now() + MIN_TIME_LEFT < router.limit_to_stop(ctx.attempt_deadline())
         && !router.is_refused(ctx)
         && !(ctx.is_quarantine_trial() && ctx.runs > 0)
 }
@@ -272,6 +272,9 @@
         Err(AttemptError::Lost(_)) => {
             return record_broken_connection(router, ctx, member, sent_at).await;
         }
+        Err(AttemptError::CutShort) => {
+            return record_lost(router, ctx, member, sent_at, LossCause::Abandoned);
+        }
         Err(AttemptError::Timeout) => {
             record_lost(router, ctx, member, sent_at, LossCause::Abandoned);
             return router.record_run_timeout(ctx, member, sent_at);
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -79,6 +79,8 @@
     CutOff,
     #[error("no event in time")]
     Silent,
+    #[error("the process is about to end")]
+    CutShort,
     #[error("an event is missing")]
     MissingEvent,
     #[error("an event is too large")]
@@ -141,6 +143,10 @@
             StreamError::Quarantined => {
                 record_lost(router, ctx, server, sent_at, LossCause::Disconnected);
             }
+            // The server had less time than it may take.
+            StreamError::CutShort => {
+                record_lost(router, ctx, server, sent_at, LossCause::Abandoned);
+            }
             StreamError::Silent => {
                 server.record_failure(router.now());
                 record_lost(router, ctx, server, sent_at, LossCause::Abandoned);
@@ -173,6 +179,10 @@
         let mut held = HeldBytes::default();
         let mut run = RunTiming { is_counted: response.is_slow, ..RunTiming::default() };
         loop {
+            // A server that always has more to send must not outlast the stop.
+            if self.router.has_stop_ended() {
+                return Err(StreamError::CutShort);
+            }
             let timeouts = self.timeouts(&response.member);
             let next = pin!(response.body.frame());
             let deadline = self.ctx.deadline;
@@ -190,10 +200,7 @@
             if has_retry {
                 self.ctx.mark_retry_taken();
             }
-            let is_quarantined = || !has_begun && self.router.is_refused(&self.ctx);
-            let given_up =
-                || if is_quarantined() { StreamError::Quarantined } else { StreamError::Silent };
-            let Some(frame) = frame.ok_or_else(given_up)? else {
+            let Some(frame) = frame.ok_or_else(|| self.reason_to_give_up(has_begun))? else {
                 if splitter.is_inside_event() {
                     return Err(StreamError::TruncatedEvent);
                 }
@@ -226,6 +233,17 @@
         }
     }
 
+    /// Why a server's stream is not waited for any longer.
+    fn reason_to_give_up(&self, has_begun: bool) -> StreamError {
+        if !has_begun && self.router.is_refused(&self.ctx) {
+            StreamError::Quarantined
+        } else if self.router.has_stop_ended() {
+            StreamError::CutShort
+        } else {
+            StreamError::Silent
+        }
+    }
+
     /// Holds bytes for the caller, waiting until the deadline of its request at the latest.
     async fn hold(&self, bytes: usize, server: &Member) -> Result<HeldBytes, StreamError> {
         let (router, connection) = (&self.router, &self.ctx.in_flight.connection);
@@ -234,7 +252,7 @@
         }
         let held =
             yield_to_others(router, &self.ctx, server, router.memory.hold(connection, bytes));
-        let held = router.clock.timeout_at(self.ctx.deadline, held).await;
+        let held = router.timeout_at(self.ctx.deadline, held).await;
         held.ok_or_else(|| self.cut_caller(CutReason::Deadline))
     }
 
@@ -276,7 +294,7 @@
 
     /// Why a caller that is behind is not waited for any longer.
     fn reason_to_cut(&self, server: &Member) -> Option<CutReason> {
-        if self.router.now() >= self.ctx.deadline {
+        if self.ctx.time_left(&self.router).is_zero() {
             return Some(CutReason::Deadline);
         }
         let behind_for = self.queue.behind_since()?.elapsed();
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -152,12 +152,12 @@
         self.route.max_attempts.saturating_sub(self.runs)
     }
 
-    /// Time until the deadline.
+    /// Time until the deadline or the end of a planned stop.
     pub(crate) fn time_left(&self, router: &Router) -> Duration {
-        self.deadline.saturating_sub(router.now())
+        router.limit_to_stop(self.deadline).saturating_sub(router.now())
     }
 
-    /// When the next attempt has to have begun to respond.
+    /// When the next attempt has to have begun to respond, if no planned stop ends before.
     pub(crate) fn attempt_deadline(&self) -> Duration {
         self.head_deadline.unwrap_or(self.deadline)
     }
--- a/src/router/request/response_wait.rs
+++ b/src/router/request/response_wait.rs
@@ -21,13 +21,13 @@
     pub(crate) sent_at: Duration,
     /// How long the server may be silent; `None` if no other server may be tried.
     pub(crate) timeouts: Option<AnswerTimeouts>,
-    /// When to give up in any case, on the entry's clock.
+    /// When to give up in any case, on the entry's clock; the end of a planned stop may come before.
     pub(crate) deadline: Duration,
     /// Whether part of the response has arrived, which shows that the server runs the request.
     pub(crate) has_begun: bool,
 }
 
-/// Waits for `work`. Returns `None` at the deadline, when the server has restarted, when the request is
+/// Waits for `work`. Returns `None` at the deadline, at the end of a planned stop, when the server has restarted, when the request is
 /// quarantined before the response has begun, when the server has been too slow, or when it has been silent on
 /// all its connections for longer than a healthy server is. A slow or silent server is abandoned only if
 /// `can_fail_over` returns true: a slow response is better than none.
@@ -62,18 +62,17 @@
 ) -> Option<F::Output> {
     let ResponseWait { member, deadline, .. } = *wait;
     let Some(timeouts) = wait.timeouts else {
-        return router.clock.timeout_at(deadline, work).await;
+        return router.timeout_at(deadline, work).await;
     };
     let started_at = router.now();
     let slow_at = started_at + timeouts.slow;
     let mut next_check = slow_at.min(started_at + timeouts.silent);
     loop {
-        if let Some(output) = router.clock.timeout_at(deadline.min(next_check), work.as_mut()).await
-        {
+        if let Some(output) = router.timeout_at(deadline.min(next_check), work.as_mut()).await {
             return Some(output);
         }
         let now = router.now();
-        if now >= deadline {
+        if now >= router.limit_to_stop(deadline) {
             return None;
         }
         let silent_since = member.received_at().max(started_at);
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,16 +12,13 @@
         store::StoreClient,
     },
     router::{
-        Router, admin_listen, control, listen,
+        Router, admin_listen, control, listen, planned_stop::READINESS_LAG,
         quarantine::quarantine_release,
-        state::{KILL_MARGIN, READINESS_LAG},
     },
     settings::RouteSettings,
     telemetry::{admin, event},
 };
 
-/// Time before the end of the grace period at which idle connections are closed.
-const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(700);
 /// Interval at which a stopping entry checks whether requests are still in flight.
 const IN_FLIGHT_POLL: Duration = Duration::from_millis(50);
 
@@ -114,23 +111,19 @@
     }
 
     /// Performs a planned stop: reports unready at once, keeps accepting requests until the load balancer has
-    /// noticed, and lets requests in flight finish within the grace period. Returns the number of requests that
-    /// were cut off.
+    /// noticed, and lets requests in flight finish within the grace period; those that can't end before it get their
+    /// final answer. Returns the number of requests that were cut off.
     pub async fn stop(self) -> usize {
         let router = &self.router;
-        let started_at = router.now();
-        let elapsed = || router.now().saturating_sub(started_at);
-        router.begin_stop();
+        let stop = router.begin_stop();
         event::PROCESS_LEAVING.log(format_args!("in_flight={}", router.in_flight()));
-        sleep(READINESS_LAG).await;
-        let grace = router.settings.load().shutdown_grace;
+        sleep(READINESS_LAG.min(stop.idle_close_at().saturating_sub(router.now()))).await;
         // The load balancer still sends callers here if no other entry is ready.
-        while router.in_flight() > 0 && elapsed() < grace.saturating_sub(IDLE_CLOSE_MARGIN) {
+        while router.in_flight() > 0 && router.now() < stop.idle_close_at() {
             sleep(IN_FLIGHT_POLL).await;
         }
         self.closing.send_replace(true);
-        let last = grace.saturating_sub(KILL_MARGIN);
-        while !self.callers.is_finished() && elapsed() < last {
+        while !self.callers.is_finished() && router.now() < stop.exit_at() {
             sleep(IN_FLIGHT_POLL).await;
         }
         let cut = router.in_flight();
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -24,7 +24,7 @@
         extra_share::ExtraShare,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
         overload::{Overload, retry_after},
-        shutdown::can_finish,
+        shutdown::PlannedStop,
         trial_budget::budget_part,
         windowed_retry_budget::{RetryLimits, WindowedRetryBudget},
     },
@@ -43,22 +43,11 @@
         servers::{evacuations::Evacuations, timing_estimates::TimingEstimates},
         store::table_views::TableViews,
     },
-    routing::{Route, RoutingTable},
+    routing::RoutingTable,
     settings::RouteSettings,
     telemetry::{Metrics, event, log_rate::LogRate},
 };
 
-/// Time until the load balancer has noticed that this entry is no longer ready: two checks one second apart, plus a
-/// margin.
-pub(crate) const READINESS_LAG: Duration = Duration::from_millis(2_500);
-/// `Retry-After` while the load balancer sends new connections to other entries.
-const RETRY_OTHER_ENTRY: Duration = Duration::from_millis(50);
-/// Time from the exit of a process until its successor on the same Host accepts requests; 0.5 to 0.6 s in the logs
-/// of the first sites.
-const RESTART_TIME: Duration = Duration::from_millis(700);
-/// Time before the end of the grace period at which the remaining requests are cut off.
-pub(crate) const KILL_MARGIN: Duration = Duration::from_millis(300);
-
 /// Reading of the entry's clock when the process starts. It is not zero, so that earlier times such as the start of
 /// a roll-out in progress can be represented; no time of interest lies more than a day back.
 const CLOCK_ORIGIN: Duration = Duration::from_secs(24 * 60 * 60);
@@ -131,8 +120,8 @@
     in_flight: AtomicUsize,
     /// Wakes waiting requests when the configuration, the servers or other awaited data change.
     view_changed: Notify,
-    /// When a planned stop began.
-    stop_started_at: OnceLock<Duration>,
+    /// The planned stop, once it has begun.
+    pub(super) planned_stop: OnceLock<PlannedStop>,
     /// The entry's clock. All times of the request path are readings of it.
     pub clock: Clock,
     /// Queue of requests for quarantine trials; the control thread takes the receiver.
@@ -182,7 +171,7 @@
             lifecycle: Mutex::new(lifecycle::start()),
             in_flight: AtomicUsize::new(0),
             view_changed: Notify::new(),
-            stop_started_at: OnceLock::new(),
+            planned_stop: OnceLock::new(),
             clock: Clock::starting_at(CLOCK_ORIGIN),
             trials: (tx, Mutex::new(Some(rx))),
         }
@@ -309,34 +298,6 @@
         self.is_in(LifecycleState::Serving {})
     }
 
-    /// Records the start of a planned stop.
-    pub(crate) fn begin_stop(&self) {
-        self.stop_started_at.get_or_init(|| self.now());
-        self.advance(LifecycleEvent::Leave);
-    }
-
-    /// Whether a request on this route is still accepted: during a planned stop, only if it can finish in time.
-    pub(crate) fn accepts(&self, route: &Route) -> bool {
-        let Some(stop_started_at) = self.stop_started_at.get() else {
-            return true;
-        };
-        let end =
-            *stop_started_at + self.settings.load().shutdown_grace.saturating_sub(KILL_MARGIN);
-        can_finish(route, end.saturating_sub(self.now()))
-    }
-
-    /// `Retry-After` for a caller that a stopping entry rejects. The load balancer sends new connections here
-    /// only until it notices the stop, or if no other entry is ready; in the latter case the caller has to wait
-    /// for the next process on this Host.
-    pub(crate) fn leaving_retry_after(&self, connected_at: Duration) -> Duration {
-        let stop_started_at = self.stop_started_at.get().copied().unwrap_or_default();
-        if connected_at < stop_started_at + READINESS_LAG {
-            return RETRY_OTHER_ENTRY;
-        }
-        (stop_started_at + self.settings.load().shutdown_grace + RESTART_TIME)
-            .saturating_sub(self.now())
-    }
-
     /// Whether the process is stopping or has stopped.
     pub fn is_leaving(&self) -> bool {
         !self.is_ready() && !self.is_in(LifecycleState::Starting {})
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -44,6 +44,8 @@
     RespondAfter { body: &'static str, delay: Duration },
     /// Sends a complete response after a delay, with the request's id as its body.
     EchoIdAfter { delay: Duration },
+    /// Carries out another action after a delay.
+    Delayed { delay: Duration, action: Box<Action> },
     /// Sends less of the body than `Content-Length` says, then closes the connection.
     Truncated,
     /// Sends 503 with `X-Not-Executed`: the request was not run.
@@ -370,6 +372,10 @@
     let (bytes, keeps_connection) = match action {
         Action::RespondAfter { body, .. } => (reply(200, &signed, body), true),
         Action::EchoIdAfter { .. } => (reply(200, &signed, id), true),
+        Action::Delayed { delay, action } => {
+            sleep(delay).await;
+            return Box::pin(respond(stream, request, *action, lines)).await;
+        }
         Action::WithHeaders { lines: more, action } => {
             return Box::pin(respond(stream, request, *action, &format!("{lines}{more}"))).await;
         }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -249,7 +249,7 @@
 }
 
 impl Answer {
-    fn parse(raw: &[u8]) -> Self {
+    pub fn parse(raw: &[u8]) -> Self {
         let text = String::from_utf8_lossy(raw).into_owned();
         let Some((head, rest)) = text.split_once("\r\n\r\n") else {
             return Self::default();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -14,6 +14,7 @@
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod site;
 mod starts;
+mod stopping_entry;
 #[path = "../platform/store.rs"]
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod store;
