Planned stop: nothing is sent to a server that can't end before the process does

Callers saw: in calm, requests that came late in the grace of a planned stop were passed on and cut at its end, among them requests that may not be repeated.

Cause: whether a request can finish was asked once, when its head had arrived, by the timeout of its route. A body that ended later, an attempt after a rejection or a failure, a larger model and a failover were sent whatever was left.

Why it works: PlannedStop::latest_start says until when work may be sent so that it ends before the stop does, by the request's own deadline. It is asked when the head has arrived, while the body arrives, before the trial of a quarantined request is claimed, before each attempt and once more when its connection is open, before a larger model is asked and before a slow server is given up. What is not sent is refused 503, or ends with the smaller model's answer. Where the caller would get a failure otherwise, an attempt needs the route's objective only.

--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::routing::{Route, RouteKind};
+use crate::routing::RouteKind;
 
 /// Maximum duration of a stream. With a grace period of 8 s no stream is accepted later than 2.8 s after
 /// the request to stop: from 3 s on, a stream that is cut off counts as lost. Streams of the smallest model,
@@ -27,6 +27,20 @@
     pub grace: Duration,
 }
 
+/// Work that is about to be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PendingSend {
+    /// Kind of its route.
+    pub kind: RouteKind,
+    /// When the timeout of its caller or its route ends.
+    pub deadline: Duration,
+    /// The operator's objective for its duration, or for the time to the first event of a stream.
+    pub objective: Duration,
+    /// Whether its caller gets a failure without it, since an earlier attempt may have run. Otherwise the caller gets
+    /// a refusal that promises that nothing ran, or the answer of a smaller model.
+    pub replaces_failure: bool,
+}
+
 impl PlannedStop {
     /// When each request that is still waiting gets its final answer.
     pub fn end(&self) -> Duration {
@@ -42,13 +56,18 @@
     pub fn exit_at(&self) -> Duration {
         self.started_at + self.grace.saturating_sub(EXIT_MARGIN)
     }
-}
 
-/// Whether a request on this route can be completed in the time left.
-pub fn can_finish(route: &Route, time_left: Duration) -> bool {
-    let max_time = match route.kind {
-        RouteKind::Stream => MAX_STREAM_TIME,
-        RouteKind::Idempotent | RouteKind::AtMostOnce => route.timeout,
-    };
-    time_left > max_time
+    /// Until when work may be sent so that it ends before the stop does; zero if it can't. What a failure would
+    /// replace needs only its usual time, because waiting costs its caller nothing more.
+    pub fn latest_start(&self, work: &PendingSend) -> Duration {
+        let end = self.end();
+        if work.deadline <= end {
+            return work.deadline;
+        }
+        match work.kind {
+            _ if work.replaces_failure => end.saturating_sub(work.objective),
+            RouteKind::Stream => end.saturating_sub(MAX_STREAM_TIME),
+            RouteKind::Idempotent | RouteKind::AtMostOnce => Duration::ZERO,
+        }
+    }
 }
--- a/src/router/planned_stop.rs
+++ b/src/router/planned_stop.rs
@@ -4,10 +4,14 @@
 
 use crate::{
     policy::{
+        attempt::{RequestOutcome, request_outcome},
         lifecycle::LifecycleEvent,
-        shutdown::{PlannedStop, can_finish},
+        shutdown::{PendingSend, PlannedStop},
+    },
+    router::{
+        Router,
+        request::{refusal::Refusal, request_context::RequestContext},
     },
-    router::Router,
     routing::Route,
 };
 
@@ -45,27 +49,70 @@
         self.clock.timeout_until(|| Some(self.limit_to_stop(deadline)), work).await
     }
 
+    /// Runs `work` until the end of a planned stop; without one, for as long as it takes.
+    pub(crate) async fn until_stop_ends<F: Future>(&self, work: F) -> Option<F::Output> {
+        self.clock.timeout_until(|| self.planned_stop.get().map(PlannedStop::end), work).await
+    }
+
     /// Whether the time for answers in a planned stop is over. What is given up then is no evidence against its server.
     pub(crate) fn has_stop_ended(&self) -> bool {
         self.planned_stop.get().is_some_and(|stop| self.now() >= stop.end())
     }
 
-    /// Whether a request on this route is still accepted: during a planned stop, only if it can finish in time.
-    pub(crate) fn accepts(&self, route: &Route) -> bool {
-        let left = |stop: &PlannedStop| stop.end().saturating_sub(self.now());
-        self.planned_stop.get().is_none_or(|stop| can_finish(route, left(stop)))
+    /// Until when a request with this deadline may be sent for the first time; `None` if no planned stop has begun.
+    pub(crate) fn latest_first_send(&self, route: &Route, deadline: Duration) -> Option<Duration> {
+        let stop = self.planned_stop.get()?;
+        let work = PendingSend {
+            kind: route.kind,
+            deadline,
+            objective: route.objective,
+            replaces_failure: false,
+        };
+        Some(stop.latest_start(&work))
+    }
+
+    /// Whether a request with this deadline is still accepted: during a planned stop, only if it can finish in time.
+    pub(crate) fn accepts(&self, route: &Route, deadline: Duration) -> bool {
+        self.latest_first_send(route, deadline).is_none_or(|latest| self.now() < latest)
+    }
+
+    /// Whether the next attempt of a request can still be made: during a planned stop, only if it can finish in time.
+    pub(crate) fn may_send(&self, ctx: &RequestContext) -> bool {
+        let has_fallback = ctx.head_deadline.is_some();
+        let has_failed = request_outcome(&ctx.attempts) != RequestOutcome::NotRun;
+        self.can_finish(ctx, has_failed && !has_fallback)
+    }
+
+    /// Whether a request that is given up at one server can still be answered by another.
+    pub(crate) fn may_send_again(&self, ctx: &RequestContext) -> bool {
+        self.can_finish(ctx, ctx.head_deadline.is_none())
+    }
+
+    /// Whether a larger model can still answer a request for which the answer of a smaller one is at hand.
+    pub(crate) fn may_escalate(&self, ctx: &RequestContext) -> bool {
+        self.can_finish(ctx, false)
+    }
+
+    fn can_finish(&self, ctx: &RequestContext, replaces_failure: bool) -> bool {
+        let Some(stop) = self.planned_stop.get() else {
+            return true;
+        };
+        let (kind, objective) = (ctx.route.kind, ctx.route.objective);
+        let work = PendingSend { kind, deadline: ctx.deadline, objective, replaces_failure };
+        self.now() < stop.latest_start(&work)
     }
 
-    /// `Retry-After` for a caller that a stopping entry rejects. The load balancer sends new connections here
-    /// only until it notices the stop, or if no other entry is ready; in the latter case the caller has to wait
-    /// for the next process on this Host.
-    pub(crate) fn leaving_retry_after(&self, connected_at: Duration) -> Duration {
+    /// The refusal of a request that a stopping entry doesn't run. The load balancer sends new connections here only
+    /// until it notices the stop, or if no other entry is ready; in the latter case the caller has to wait for the next
+    /// process on this Host.
+    pub(crate) fn leaving_refusal(&self, connected_at: Duration) -> Refusal {
         let Some(stop) = self.planned_stop.get() else {
-            return RETRY_OTHER_ENTRY;
+            return Refusal::Leaving { retry_after: RETRY_OTHER_ENTRY };
         };
         if connected_at < stop.started_at + READINESS_LAG {
-            return RETRY_OTHER_ENTRY;
+            return Refusal::Leaving { retry_after: RETRY_OTHER_ENTRY };
         }
-        (stop.started_at + stop.grace + RESTART_TIME).saturating_sub(self.now())
+        let next_at = stop.started_at + stop.grace + RESTART_TIME;
+        Refusal::Leaving { retry_after: next_at.saturating_sub(self.now()) }
     }
 }
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -73,6 +73,9 @@
     /// The server became unavailable while the connection was opened, so nothing was sent.
     #[error("not sent: the server is {0}")]
     Unavailable(UnavailableCause),
+    /// A planned stop of this process leaves too little time, so nothing was sent.
+    #[error("not sent: the process is about to end")]
+    Leaving,
     /// The server declared that it did not run the request.
     #[error("the server refused it with status {0}")]
     Refused(http::StatusCode),
@@ -104,7 +107,11 @@
     pub(crate) fn proves_not_run(&self) -> bool {
         matches!(
             self,
-            Self::NotSent(_) | Self::Unavailable(_) | Self::Refused(_) | Self::OtherServer
+            Self::NotSent(_)
+                | Self::Unavailable(_)
+                | Self::Leaving
+                | Self::Refused(_)
+                | Self::OtherServer
         )
     }
 }
@@ -313,8 +320,8 @@
         | AttemptError::Quarantined => {}
         // Recorded by `server_ends`, once it is known whether the server crashed.
         AttemptError::Lost(_) => {}
-        // The server had less time than it may take.
-        AttemptError::CutShort => {}
+        // The server had less time than it may take, or none.
+        AttemptError::CutShort | AttemptError::Leaving => {}
         AttemptError::NotSent(ConnectError::Refused(_)) => member.record_unreachable(router.now()),
         _ => member.record_failure(router.now()),
     }
@@ -340,10 +347,14 @@
         deadline: plan.deadline,
         has_begun: false,
     };
-    let mut checkout = connection::check_out(plan.member, router.now(), plan.is_once_only).await?;
+    let opening = connection::check_out(plan.member, router.now(), plan.is_once_only);
+    let mut checkout = router.until_stop_ends(opening).await.ok_or(AttemptError::Leaving)??;
     loop {
         let Checkout { mut connection, is_reused } = checkout;
-        // The server may have become unavailable while the connection was opened.
+        // The server may have become unavailable, or a planned stop begun, while the connection was opened.
+        if !router.may_send(ctx) {
+            return Err(AttemptError::Leaving);
+        }
         if let Some(cause) = router.stops_send(plan.member) {
             return Err(AttemptError::Unavailable(cause));
         }
@@ -364,7 +375,8 @@
             return Err(AttemptError::Lost(e.into_error()));
         };
         message = unsent;
-        let connection = connection::connect(plan.member).await?;
+        let opening = connection::connect(plan.member);
+        let connection = router.until_stop_ends(opening).await.ok_or(AttemptError::Leaving)??;
         checkout = Checkout { connection, is_reused: false };
     }
 }
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -99,6 +99,9 @@
             if let Some(refusal) = router.quarantine_refusal(ctx) {
                 return refusal;
             }
+            if !router.may_send(ctx) {
+                return router.leaving_refusal(ctx.in_flight.connected_at);
+            }
             let retry_after = router.record_overload(&ctx.service, &ctx.req.head.id);
             let Some((wait, Availability::Closed { cause, .. })) = first else {
                 return Refusal::NotRun { retry_after };
@@ -127,6 +130,7 @@
         && ctx.deliveries < MAX_DELIVERIES
         && ctx.attempts.len() < MAX_ATTEMPTS
         && router.now() + MIN_TIME_LEFT < router.limit_to_stop(ctx.attempt_deadline())
+        && router.may_send(ctx)
         && !router.is_refused(ctx)
         && !(ctx.is_quarantine_trial() && ctx.runs > 0)
 }
@@ -152,8 +156,9 @@
     params: AttemptParams<'_>,
     current: &str,
 ) -> bool {
-    select_server(router, ctx, params, |server| server != current && !ctx.has_tried(server))
-        .is_some()
+    router.may_send_again(ctx)
+        && select_server(router, ctx, params, |server| server != current && !ctx.has_tried(server))
+            .is_some()
         && router.take_retry(&ctx.service)
 }
 
@@ -234,7 +239,7 @@
     ctx.tried_servers.push(member.server.id.clone());
     match result {
         Err(AttemptError::NotSent(_)) => ctx.unreachable_servers.push(member.server.id.clone()),
-        Err(AttemptError::Unavailable(_)) => {}
+        Err(AttemptError::Unavailable(_) | AttemptError::Leaving) => {}
         _ => {
             ctx.deliveries += 1;
             ctx.has_retry = has_retry;
--- a/src/router/request/in_flight.rs
+++ b/src/router/request/in_flight.rs
@@ -12,6 +12,8 @@
     router: Arc<Router>,
     /// When the request arrived, on the entry's clock.
     pub(crate) arrived_at: Duration,
+    /// When the connection on which it arrived was opened.
+    pub(crate) connected_at: Duration,
     /// The connection on which it arrived.
     pub(crate) connection: Arc<CallerConnection>,
     /// Memory that its body uses.
@@ -21,11 +23,16 @@
 }
 
 impl InFlightGuard {
-    pub(crate) fn new(router: &Arc<Router>, connection: &Arc<CallerConnection>) -> Self {
+    pub(crate) fn new(
+        router: &Arc<Router>,
+        connection: &Arc<CallerConnection>,
+        connected_at: Duration,
+    ) -> Self {
         router.record_request_started();
         Self {
             router: router.clone(),
             arrived_at: router.now(),
+            connected_at,
             connection: connection.clone(),
             held_body: HeldBytes::default(),
             is_received: false,
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -64,7 +64,7 @@
         route: Arc<Route>,
         service: Box<str>,
         organisation: Option<Arc<Organisation>>,
-        max_wait: Duration,
+        deadline: Duration,
         in_flight: InFlightGuard,
     ) -> Self {
         let (attempts, tried_servers) = (Vec::new(), Vec::new());
@@ -73,7 +73,7 @@
             route,
             service,
             organisation,
-            deadline: in_flight.arrived_at + max_wait,
+            deadline,
             head_deadline: None,
             arrived_at: in_flight.arrived_at,
             in_flight,
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -65,7 +65,7 @@
     connected_at: Duration,
 ) -> Result<Response<ResponseBody>, Refusal> {
     router.notice_suspension();
-    let mut in_flight = InFlightGuard::new(router, connection);
+    let mut in_flight = InFlightGuard::new(router, connection, connected_at);
     let (parts, body) = req.into_parts();
     let head = parse_request_head(&parts.method, &parts.uri, &parts.headers)?;
     router.wait_for_view().await;
@@ -74,17 +74,23 @@
         return Err(Refusal::NoConfiguration);
     };
     let (route, organisation) = admit(table, &head)?;
-    if !router.accepts(&route) {
-        let retry_after = router.leaving_retry_after(connected_at);
-        return Err(Refusal::Leaving { retry_after });
+    let max_wait = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = in_flight.arrived_at + max_wait;
+    if !router.accepts(&route, deadline) {
+        return Err(router.leaving_refusal(connected_at));
     }
-    let body = read_body(&mut in_flight, body, &table.limits.unwrap_or(DEFAULT_LIMITS)).await?;
+    let limits = table.limits.unwrap_or(DEFAULT_LIMITS);
+    let reading = read_body(&mut in_flight, body, &limits);
+    let latest = || router.latest_first_send(&route, deadline);
+    let Some(body) = router.clock.timeout_until(latest, reading).await else {
+        return Err(router.leaving_refusal(connected_at));
+    };
+    let body = body?;
     in_flight.mark_received();
-    let max_wait = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let service = choose_service(&route, &head);
     router.record_request(&service);
     let req = Request { head, body };
-    let ctx = RequestContext::new(req, route, service, organisation, max_wait, in_flight);
+    let ctx = RequestContext::new(req, route, service, organisation, deadline, in_flight);
     // Boxed, so that a request whose body is awaited has no memory for its response yet.
     let res = Box::pin(relay::respond(router, ctx)).await?;
     if parts.version >= Version::HTTP_11 || !matches!(res.body(), ResponseBody::Stream(_)) {
--- a/src/router/request/stages.rs
+++ b/src/router/request/stages.rs
@@ -53,7 +53,8 @@
         let response = next?;
         let input = escalation_input(router, ctx, params, stage, &response);
         let next = next_stage(router, ctx, &input);
-        let Some(next) = next.filter(|_| router.has_retry_left(&ctx.service)) else {
+        let may_escalate = |_: &_| router.has_retry_left(&ctx.service) && router.may_escalate(ctx);
+        let Some(next) = next.filter(may_escalate) else {
             router.metrics.count_stage(model.as_deref().unwrap_or("-"), "passed");
             return Ok(StageResponse { response, model });
         };
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -15,13 +15,13 @@
             HoldReason, Reservation, ReservationConfig, StageDecision, decide, reserved_threshold,
         },
         roll_out::{Evidence, Finding, VersionTest},
-        shutdown::can_finish,
+        shutdown::{PendingSend, PlannedStop},
         timing::TimingEstimate,
         windowed_retry_budget::{RetryLimits, WindowedRetryBudget},
     },
     resources::Guard,
     router::EventSplitter,
-    routing::{PromptPart, Route, RouteKind},
+    routing::{PromptPart, RouteKind},
 };
 use proptest::prelude::*;
 
@@ -570,32 +570,40 @@
     );
 }
 
-fn route(kind: RouteKind) -> Route {
-    Route {
-        name: "r".into(),
-        prefix: "/r/".into(),
-        targets: Vec::new(),
-        kind,
-        timeout: Duration::from_secs(2),
-        objective: Duration::from_millis(300),
-        max_event_gap: None,
-        priority: 0,
-        max_attempts: 2,
-        is_public: false,
-        is_sticky: false,
-        is_resumable: true,
-        permitted_regions: Vec::new(),
-        cascade: Vec::new(),
-    }
+/// Work with this deadline of which nothing has run.
+fn first_send(kind: RouteKind, deadline: Duration) -> PendingSend {
+    PendingSend { kind, deadline, objective: Duration::from_millis(300), replaces_failure: false }
 }
 
 #[test]
 fn a_stopping_entry_accepts_what_it_can_finish() {
-    let time_left = Duration::from_secs(3);
+    let stop = PlannedStop { started_at: Duration::from_secs(100), grace: Duration::from_secs(8) };
+    let end = stop.end();
+    let late = end + MS;
+
+    assert!(end < stop.exit_at() && stop.exit_at() < stop.started_at + stop.grace);
+    assert!(stop.idle_close_at() < end);
+    for kind in [RouteKind::Idempotent, RouteKind::AtMostOnce, RouteKind::Stream] {
+        // Its answer is due before the end, however long its server takes.
+        assert_eq!(stop.latest_start(&first_send(kind, end)), end);
+    }
+    assert!(stop.latest_start(&first_send(RouteKind::AtMostOnce, late)) < stop.started_at);
+    assert!(stop.latest_start(&first_send(RouteKind::Idempotent, late)) < stop.started_at);
+    let stream = stop.latest_start(&first_send(RouteKind::Stream, late));
+    assert!(stream <= end - Duration::from_secs(3), "a stream may take as long");
+    assert!(stream >= end - Duration::from_secs(5), "streams are accepted early in the grace");
+    assert!(stream < stop.started_at + Duration::from_secs(3), "later ones count as lost");
+}
 
-    assert!(can_finish(&route(RouteKind::AtMostOnce), time_left));
-    assert!(!can_finish(&route(RouteKind::Stream), time_left));
-    assert!(can_finish(&route(RouteKind::Stream), Duration::from_secs(5)));
+#[test]
+fn a_stopping_entry_retries_what_would_fail_otherwise() {
+    let stop = PlannedStop { started_at: Duration::from_secs(100), grace: Duration::from_secs(8) };
+    let late = stop.end() + MS;
+
+    for kind in [RouteKind::Idempotent, RouteKind::Stream] {
+        let retry = PendingSend { replaces_failure: true, ..first_send(kind, late) };
+        assert_eq!(stop.latest_start(&retry), stop.end() - retry.objective);
+    }
 }
 
 #[test]
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,6 +22,7 @@
 mod kept_caller;
 mod limited_pool;
 mod peers;
+mod planned_stops;
 mod pool;
 mod rate_limits;
 mod requests;
--- a/tests/process/planned_stops.rs
+++ b/tests/process/planned_stops.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     server::{Action, ReceivedRequest, Server},
-    site::{Answer, start_server},
+    site::{Answer, start_server, start_server_with_first_act},
     stopping_entry::{Caller, GRACE, LONG_MS, StoppingEntry, is_stream, kept_request, request},
 };
 
@@ -81,6 +81,26 @@
     begun
 }
 
+/// Guards against requests that are sent on without time for their answers, because their bodies ended late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_ends_after_the_stop_began_is_not_sent_on_if_its_request_may_outlast_it() {
+    let mut entry = start(Action::Hang, GRACE, LONG_MS).await;
+    let before = begin_bodies(&entry, "before", "").await;
+    let expecting = begin_bodies(&entry, "expecting", "Expect: 100-continue\r\n").await;
+    sleep(LEAD).await;
+
+    entry.begin_stop();
+    let after = begin_bodies(&entry, "after", "").await;
+    let begun = before.into_iter().chain(expecting).chain(after).collect();
+    let answers = finish_bodies(&entry, begun).await;
+
+    for (path, answer) in &answers {
+        entry.assert_answered(path, answer);
+        assert_eq!(answer.status, 503, "{path}");
+    }
+    entry.assert_ends_in_order().await;
+}
+
 /// Guards against answers that are lost where the timeout ends within the grace.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_ends_in_time_is_sent_on_and_answered() {
@@ -244,6 +264,42 @@
     }
 }
 
+/// Guards against a once-only request that a second server gets when there is no time left for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_once_only_request_that_is_rejected_late_is_refused_instead_of_sent_again() {
+    let (one, two) = late_failures("app", Action::NotExecuted, LEAD + GRACE / 2).await;
+    let mut entry = StoppingEntry::start(&[(&one, "app"), (&two, "app")], GRACE, LONG_MS).await;
+    let caller = entry.request("/once/a").await;
+    entry.wait_until_received("/once/a").await;
+
+    entry.begin_stop();
+    let answer = caller.answer().await;
+
+    assert_eq!((answer.status, answer.is_whole), (503, true));
+    assert!(answer.head.contains("retry-after: "), "{}", answer.head);
+    assert_eq!(entry.received("/once/a"), 1, "the server that rejected it");
+    entry.assert_ends_in_order().await;
+}
+
+/// Guards against a larger model that is asked when it can't end: the smaller one's answer is at hand.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_larger_model_that_would_begin_late_is_not_asked() {
+    let small = Action::Stream { last_event: 3, is_complete: true, confidence: 10 };
+    let delay = LEAD + GRACE / 2;
+    let small = Action::Delayed { delay, action: Box::new(small) };
+    let llm = start_server_with_first_act("i-llm", small, Action::Hang).await;
+    let mut entry = StoppingEntry::start(&[(&llm, "llm")], GRACE, LONG_MS).await;
+    let caller = entry.request("/chat/a").await;
+    entry.wait_until_received("/chat/a").await;
+
+    entry.begin_stop();
+    let answer = caller.answer().await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(entry.received("/chat/a"), 1, "only the smallest model");
+    entry.assert_ends_in_order().await;
+}
+
 /// Guards against requests that are taken from a kept connection and lost with it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_request_on_a_kept_connection_is_answered_or_not_sent_on() {
--- a/tests/process/stopping_entry.rs
+++ b/tests/process/stopping_entry.rs
@@ -22,6 +22,9 @@
 /// Timeout of routes and callers that outlasts every grace of the tests, in milliseconds.
 pub const LONG_MS: u64 = 20_000;
 
+/// The interim response to `Expect: 100-continue`.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// An entry as a process, its servers, and the SIGTERM that it gets.
 pub struct StoppingEntry {
     pub host: Host,
@@ -157,7 +160,7 @@
         // What arrived before an error counts.
         let read = timeout(WAIT_TIMEOUT, self.stream.read_to_end(&mut raw)).await;
         let _ = read.expect("the connection did not end");
-        Answer::parse(&raw)
+        Answer::parse(raw.strip_prefix(CONTINUE).unwrap_or(&raw))
     }
 
     /// Reads until this text has arrived; false if the connection ends before.
