--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod listeners;
 mod observability;
 mod peers;
+mod planned_stop;
 mod quarantine;
 mod request;
 mod roll_outs;
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -25,6 +25,7 @@
         Member, Router,
         peers::prefix_reports::ReportedPrefix,
         request::{
+            outstanding::OutstandingGuard,
             request_context::RequestContext,
             response_wait::{ResponseWait, wait_for_response},
             selection::usual_time_key,
@@ -35,44 +36,6 @@
     telemetry::event,
 };
 
-/// Counts a request in the load of its server until it is dropped.
-#[derive(Debug)]
-pub(crate) struct OutstandingGuard {
-    member: Arc<Member>,
-    /// Prefill time of its prompt.
-    prefill_time: Duration,
-    /// Whether its response has begun.
-    has_begun: bool,
-}
-
-impl OutstandingGuard {
-    fn new(member: &Arc<Member>, prefill_time: Duration) -> Self {
-        let mut state = member.state();
-        state.load.own_requests += 1;
-        state.unanswered += 1;
-        state.backlog += prefill_time;
-        drop(state);
-        Self { member: member.clone(), prefill_time, has_begun: false }
-    }
-
-    /// Records that the response has begun or is no longer awaited.
-    fn mark_begun(&mut self) {
-        if std::mem::replace(&mut self.has_begun, true) {
-            return;
-        }
-        let mut state = self.member.state();
-        state.unanswered -= 1;
-        state.backlog = state.backlog.saturating_sub(self.prefill_time);
-    }
-}
-
-impl Drop for OutstandingGuard {
-    fn drop(&mut self) {
-        self.mark_begun();
-        self.member.state().load.own_requests -= 1;
-    }
-}
-
 /// A response whose head has arrived and whose body is still being received.
 ///
 /// Dropping it closes the connection, which makes the server stop its work.
@@ -110,6 +73,9 @@
     /// The server became unavailable while the connection was opened, so nothing was sent.
     #[error("not sent: the server is {0}")]
     Unavailable(UnavailableCause),
+    /// A planned stop of this process leaves too little time, so nothing was sent.
+    #[error("not sent: the process is about to end")]
+    Leaving,
     /// The server declared that it did not run the request.
     #[error("the server refused it with status {0}")]
     Refused(http::StatusCode),
@@ -122,6 +88,9 @@
     /// No response head arrived in time; the request may have run.
     #[error("no response in time")]
     Timeout,
+    /// The planned stop of this process ended before a response head arrived; the request may have run.
+    #[error("no response before the process ends")]
+    CutShort,
     /// Servers crashed while running it, and it was quarantined while this attempt waited; it may have run.
     #[error("the request was quarantined because servers crashed while running it")]
     Quarantined,
@@ -141,7 +110,11 @@
     pub(crate) fn proves_not_run(&self) -> bool {
         matches!(
             self,
-            Self::NotSent(_) | Self::Unavailable(_) | Self::Refused(_) | Self::OtherServer
+            Self::NotSent(_)
+                | Self::Unavailable(_)
+                | Self::Leaving
+                | Self::Refused(_)
+                | Self::OtherServer
         )
     }
 }
@@ -353,6 +326,8 @@
         | AttemptError::Quarantined => {}
         // Recorded by `server_ends`, once it is known whether the server crashed.
         AttemptError::Lost(_) => {}
+        // The server had less time than it may take, or none.
+        AttemptError::CutShort | AttemptError::Leaving => {}
         AttemptError::NotSent(ConnectError::Refused(_)) => member.record_unreachable(router.now()),
         _ => member.record_failure(router.now()),
     }
@@ -378,17 +353,23 @@
         deadline: plan.deadline,
         has_begun: false,
     };
-    let mut checkout = connection::check_out(plan.member, router.now(), plan.is_once_only).await?;
+    let opening = connection::check_out(plan.member, router.now(), plan.is_once_only);
+    let mut checkout = router.until_stop_ends(opening).await.ok_or(AttemptError::Leaving)??;
     loop {
         let Checkout { mut connection, is_reused } = checkout;
-        // The server may have become unavailable while the connection was opened.
+        // The server may have become unavailable, or a planned stop begun, while the connection was opened.
+        if !router.may_send(ctx) {
+            return Err(AttemptError::Leaving);
+        }
         if let Some(cause) = router.stops_send(plan.member) {
             return Err(AttemptError::Unavailable(cause));
         }
         let send = pin!(connection.try_send_request(message));
         let sent = wait_for_response(router, &wait, send, &mut can_fail_over).await;
-        let given_up = || {
-            if router.is_refused(ctx) { AttemptError::Quarantined } else { AttemptError::Timeout }
+        let given_up = || match (router.is_refused(ctx), router.has_stop_ended()) {
+            (true, _) => AttemptError::Quarantined,
+            (false, true) => AttemptError::CutShort,
+            (false, false) => AttemptError::Timeout,
         };
         let sent = sent.ok_or_else(given_up)?;
         let mut e = match sent {
@@ -400,7 +381,8 @@
             return Err(AttemptError::Lost(e.into_error()));
         };
         message = unsent;
-        let connection = connection::connect(plan.member).await?;
+        let opening = connection::connect(plan.member);
+        let connection = router.until_stop_ends(opening).await.ok_or(AttemptError::Leaving)??;
         checkout = Checkout { connection, is_reused: false };
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -348,16 +348,7 @@
         registry.register("stages", "Cascade stages by outcome", self.stages.clone());
         let help = "Requests held back from the largest model";
         registry.register("held_back", help, self.held_back.clone());
-        let dropped = self.log_lines_dropped.clone();
-        registry.register("log_lines_dropped", "Log lines dropped", dropped);
-        registry.register("panics", "Panics of threads and tasks", self.panics.clone());
-        let restarted = self.tasks_restarted.clone();
-        registry.register("tasks_restarted", "Tasks started again after a panic", restarted);
-        registry.register("feed_age_ms", "Age of the store's last word", self.feed_age_ms.clone());
-        let unreadable = self.rows_unreadable.clone();
-        registry.register("rows_unreadable", "Rows of servers that can't be read", unreadable);
-        let help = "Rows without a readable key";
-        registry.register("rows_skipped", help, self.rows_skipped.clone());
+        self.register_process(&mut registry);
         registry.register("entries", "Entries known of", self.entries.clone());
         let lost = self.kept_notes_lost.clone();
         registry.register("kept_notes_lost", "Notes on kept parts that were lost", lost);
@@ -402,6 +393,19 @@
         registry.register("store_errors", "Platform calls that failed", self.store_errors.clone());
     }
 
+    fn register_process(&self, registry: &mut Registry) {
+        let dropped = self.log_lines_dropped.clone();
+        registry.register("log_lines_dropped", "Log lines dropped", dropped);
+        registry.register("panics", "Panics of threads and tasks", self.panics.clone());
+        let restarted = self.tasks_restarted.clone();
+        registry.register("tasks_restarted", "Tasks started again after a panic", restarted);
+        registry.register("feed_age_ms", "Age of the store's last word", self.feed_age_ms.clone());
+        let unreadable = self.rows_unreadable.clone();
+        registry.register("rows_unreadable", "Rows of servers that can't be read", unreadable);
+        let help = "Rows without a readable key";
+        registry.register("rows_skipped", help, self.rows_skipped.clone());
+    }
+
     fn register_quarantine(&self, registry: &mut Registry) {
         let lost = self.quarantine_notes_lost.clone();
         registry.register("quarantine_notes_lost", "Notes on ends of servers that were lost", lost);
--- a/src/telemetry/panics.rs
+++ b/src/telemetry/panics.rs
@@ -1,6 +1,7 @@
 //! Logs panics as events.
 
 use std::{
+    any::Any,
     cell::Cell,
     io::Write,
     panic::{PanicHookInfo, take_hook},
@@ -74,5 +75,11 @@
 fn describe<'a>(info: &'a PanicHookInfo<'_>) -> (String, String, &'a str) {
     let thread = std::thread::current().name().unwrap_or("unnamed").to_owned();
     let place = info.location().map_or_else(|| "unknown".into(), ToString::to_string);
-    (thread, place, info.payload_as_str().unwrap_or("a value that is not text"))
+    (thread, place, message(info.payload()))
+}
+
+fn message(payload: &(dyn Any + Send)) -> &str {
+    let text = payload.downcast_ref::<&str>().copied();
+    text.or_else(|| payload.downcast_ref::<String>().map(String::as_str))
+        .unwrap_or("a value that is not text")
 }
--- a/tests/platform/early_answers.rs
+++ b/tests/platform/early_answers.rs
@@ -79,7 +79,10 @@
             let response = self.response.replace("{id}", &id);
             stream.get_mut().write_all(response.as_bytes()).await.ok()?;
             match self.then {
-                Then::Close(pause) => return Some(sleep(pause).await),
+                Then::Close(pause) => {
+                    sleep(pause).await;
+                    return Some(());
+                }
                 Then::Reset(pause) => {
                     sleep(pause).await;
                     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -29,6 +29,7 @@
 mod odd_statuses;
 mod panics;
 mod peers;
+mod planned_stops;
 mod pool;
 mod rate_limits;
 mod requests;
