--- a/tests/platform/planned_stops.rs
+++ b/tests/platform/planned_stops.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     server::{Action, Server},
-    site::{Site, request_bytes, start_server, store_with_servers, wait_until},
+    site::{
+        Answer, Site, events, request_bytes, start_server, start_server_with_first_act,
+        store_with_servers, wait_until,
+    },
 };
 
 /// Starts an entry with this grace and one server of a service.
@@ -74,6 +77,27 @@
     assert_eq!(cut, 0);
 }
 
+/// Guards against streams that are given up though there is time to resume them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_early_in_a_stop_is_resumed() {
+    let broken = Action::Stream { last_event: 2, is_complete: false, confidence: 90 };
+    let delay = Duration::from_millis(300);
+    let broken = Action::Delayed { delay, action: Box::new(broken) };
+    let rest = Action::Stream { last_event: 4, is_complete: true, confidence: 90 };
+    let server = start_server_with_first_act("i-1", broken, rest).await;
+    let site = start_site(&server, "llm", Duration::from_secs(4)).await;
+    let mut caller = begin(&site, "/chat/a").await;
+    wait_until("it is at work", || server.active_requests() == 1).await;
+
+    let stopping = tokio::spawn(site.entry.stop());
+    let mut raw = Vec::new();
+    caller.read_to_end(&mut raw).await.unwrap();
+
+    let answer = Answer::parse(&raw);
+    assert_eq!((answer.status, &*answer.body, answer.is_whole), (200, &*events(4), true));
+    assert_eq!(stopping.await.unwrap(), 0);
+}
+
 /// Guards against a process that is killed because the load balancer's lag is longer than its grace.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_is_over_within_a_grace_that_is_shorter_than_the_readiness_lag() {
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -45,7 +45,6 @@
     /// Sends a complete response after a delay, with the request's id as its body.
     EchoIdAfter { delay: Duration },
     /// Carries out another action after a delay.
-    #[allow(dead_code, reason = "used by tests/process only")]
     Delayed { delay: Duration, action: Box<Action> },
     /// Sends less of the body than `Content-Length` says, then closes the connection.
     Truncated,
