--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod odd_rows;
 mod planned_stops;
+mod restarts;
 #[path = "../platform/server.rs"]
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod server;
