--- a/src/telemetry/panics.rs
+++ b/src/telemetry/panics.rs
@@ -74,5 +74,7 @@
 fn describe<'a>(info: &'a PanicHookInfo<'_>) -> (String, String, &'a str) {
     let thread = std::thread::current().name().unwrap_or("unnamed").to_owned();
     let place = info.location().map_or_else(|| "unknown".into(), ToString::to_string);
-    (thread, place, info.payload_as_str().unwrap_or("a value that is not text"))
+    let text = info.payload().downcast_ref::<&str>().copied();
+    let text = text.or_else(|| info.payload().downcast_ref::<String>().map(String::as_str));
+    (thread, place, text.unwrap_or("a value that is not text"))
 }
