Soak: starts while the addresses can't be bound yet

One entry is restarted in series: its successor starts while the former process is in its grace, or while something else uses some of its addresses; it must not end by itself.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,7 @@
 mod process;
 mod proxy;
 mod record;
+mod restarts;
 #[path = "../platform/server.rs"]
 #[allow(dead_code, reason = "shared with tests/platform, which uses the rest")]
 mod server;
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -61,6 +61,11 @@
         SocketAddr::new(self.host, CALLER_PORT)
     }
 
+    /// All addresses on which the process listens.
+    pub fn addresses(&self) -> [SocketAddr; 3] {
+        [CALLER_PORT, READINESS_PORT, PEER_PORT].map(|port| SocketAddr::new(self.host, port))
+    }
+
     fn settings_path(&self) -> PathBuf {
         self.dir.join(format!("{}.yaml", self.name))
     }
@@ -101,11 +106,21 @@
     /// ends the process, and the platform would restart it.
     pub async fn respawn(&mut self) {
         self.spawn();
+        self.wait_until_listening().await;
+    }
+
+    /// Waits until something listens on the address for callers, or the process has exited.
+    pub async fn wait_until_listening(&mut self) {
         while TcpStream::connect(self.caller()).await.is_err() && !self.has_exited() {
             sleep(Duration::from_millis(5)).await;
         }
     }
 
+    /// Hands over the process, so that another one can be started beside it.
+    pub fn take_process(&mut self) -> Option<Child> {
+        self.child.take()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(Child::id);
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -31,6 +31,7 @@
         CONTACT_BOUND, CRASHING_BODY_PREFIX, CRASHING_PART_PREFIX, EVENTS_PER_STREAM, Execution,
         NEW_VERSION, OLD_VERSION, OrderedRollOut, ROLLED_OUT_SERVICE, RateLimitSpan, Record,
     },
+    restarts,
     server::{Action, ReceivedRequest, Server},
     site::{configuration, server_row},
     store::Store,
@@ -417,14 +418,15 @@
     let idle_clients = idle_clients::start(seed, &callers.entries);
     let balancer = tokio::spawn(run_health_checks(system.clone(), callers.clone()));
     system.order_roll_out(duration);
-    tokio::join!(
+    let (mut violations, ..) = tokio::join!(
+        restarts::run(&system, seed, duration),
         run_disruptions(&system, seed, duration),
         run_rate_limits(&system, seed),
         run_unavailability(&system, seed),
         run_crashing_part(&callers, seed, duration * u32::from(has_crashing_part))
     );
     drop(idle_clients);
-    let mut violations = check_recovery(&system, &callers).await;
+    violations.extend(check_recovery(&system, &callers).await);
     repeat_crashing_requests(&system, &callers).await;
     run_crashing_part(&callers, seed, FINAL_REPEAT_DURATION * u32::from(has_crashing_part)).await;
     callers.is_stopped.store(true, Ordering::SeqCst);
