One odd element no longer spoils the lists of Hosts, objects and quarantined requests

Callers saw: one case that can't be read in the row of quarantined requests, and entries that all restart send crashing requests to servers again; one odd Host or name, and the whole list is an error.

--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -18,7 +18,11 @@
 
 use crate::{
     ids::ServerId,
-    platform::{Error, HttpClient, HttpReply, ReplyFuture, Result, http_client::check_status},
+    platform::{
+        Error, HttpClient, HttpReply, ReplyFuture, Result, http_client::check_status,
+        json_parts::parse_list,
+    },
+    telemetry::event,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -115,8 +119,11 @@
     }
     check_status(&uri, &reply)?;
     let body = decompress(&reply)?;
-    let hosts = serde_json::from_slice(&body)
-        .map_err(|e| Error::Unreadable(format!("{uri}: {e}").into()))?;
+    let (hosts, unreadable) =
+        parse_list(&body).ok_or_else(|| Error::Unreadable(format!("{uri}: not a list").into()))?;
+    if unreadable > 0 {
+        event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"Hosts\" unreadable={unreadable}"));
+    }
     *etag.lock().expect("no code panics while holding this lock") =
         reply.headers.get(ETAG).cloned();
     Ok(Some(hosts))
--- a/src/platform/json_parts.rs
+++ b/src/platform/json_parts.rs
@@ -72,6 +72,21 @@
     is_whole.then_some(number as u64)
 }
 
+/// The elements of a list that can be read, and the number of the others; none if the text is not one complete list.
+pub(crate) fn parse_list<T: DeserializeOwned>(text: &[u8]) -> Option<(Vec<T>, usize)> {
+    let text = text.trim_ascii();
+    let is_complete = value_end(text)? + 1 == text.len();
+    let parts = is_complete.then_some(Field::Text(text))?.list()?;
+    let (mut elements, mut unreadable) = (Vec::new(), 0);
+    for part in parts {
+        match serde_json::from_slice(part) {
+            Ok(element) => elements.push(element),
+            Err(_) => unreadable += 1,
+        }
+    }
+    Some((elements, unreadable))
+}
+
 /// The fields with these names; none if the text is not one complete object.
 pub(crate) fn parse_object<'a, const N: usize>(
     text: &'a [u8],
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,7 +14,7 @@
 pub mod host_settings;
 mod hosts;
 mod http_client;
-mod json_parts;
+pub(crate) mod json_parts;
 mod objects;
 mod ratings;
 pub mod request_headers;
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -5,7 +5,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 
-use crate::platform::{Error, HttpClient, ReplyFuture, Result, http_client::check_status};
+use crate::{
+    platform::{
+        Error, HttpClient, ReplyFuture, Result, http_client::check_status, json_parts::parse_list,
+    },
+    telemetry::event,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -120,9 +125,15 @@
     check_status(&uri, &reply)?;
     match req {
         ObjectRequest::Get(_) => Ok(ObjectReply::Object(Some(reply.body))),
-        ObjectRequest::List(_) => serde_json::from_slice(&reply.body)
-            .map(ObjectReply::Names)
-            .map_err(|e| Error::Unreadable(format!("{uri}: {e}").into())),
+        ObjectRequest::List(_) => {
+            let (names, unreadable) = parse_list(&reply.body)
+                .ok_or_else(|| Error::Unreadable(format!("{uri}: not a list").into()))?;
+            if unreadable > 0 {
+                let details = format_args!("cause=\"names of objects\" unreadable={unreadable}");
+                event::DOCUMENT_UNREADABLE.log(details);
+            }
+            Ok(ObjectReply::Names(names))
+        }
         ObjectRequest::Put(..) | ObjectRequest::Delete(_) => Ok(ObjectReply::Done),
     }
 }
--- a/src/router/quarantine/quarantine_row.rs
+++ b/src/router/quarantine/quarantine_row.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     ids::{Era, Revision},
-    platform::store::{Put, Row, Rows, StoreClient, Table, WriteOutcome},
+    platform::{
+        json_parts::{Field, parse_list, parse_object},
+        store::{Put, Row, Rows, StoreClient, Table, WriteOutcome},
+    },
     policy::quarantine::{Case, IncarnationHash, Suspect},
     router::Router,
     telemetry::event,
@@ -61,9 +64,8 @@
     tried_ms: u64,
 }
 
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Serialize)]
 struct RowDoc {
-    #[serde(default)]
     cases: Vec<CaseDoc>,
 }
 
@@ -152,19 +154,29 @@
     /// Applies the row as the store returned it.
     fn load(&mut self, router: &Router, row: Option<&Row>) {
         self.version = row.map_or(0, |row| row.version);
-        let doc = match row.map(|row| serde_json::from_slice::<RowDoc>(&row.value)) {
-            Some(Ok(doc)) => doc,
-            Some(Err(e)) => {
-                event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"row {ROW_KEY}: {e}\""));
-                RowDoc::default()
-            }
-            None => RowDoc::default(),
-        };
-        self.cases = doc.cases.iter().filter_map(|doc| self.decode(doc)).collect();
+        let docs = row.map(|row| parse_cases(&row.value)).unwrap_or_default();
+        self.cases = docs.iter().filter_map(|doc| self.decode(doc)).collect();
         router.quarantine.apply_cases(&self.cases, self.clocks.error, router.now());
     }
 }
 
+/// Parses the cases of the row; those that can't be read are left out, and lost at the next write of the row.
+fn parse_cases(value: &[u8]) -> Vec<CaseDoc> {
+    let cases = match parse_object(value, ["cases"]) {
+        Some([Field::Missing]) => return Vec::new(),
+        Some([Field::Text(list)]) => parse_list(list),
+        Some([Field::Repeated]) | None => None,
+    };
+    let is_list = cases.is_some();
+    let (cases, unreadable) = cases.unwrap_or_default();
+    if !is_list || unreadable > 0 {
+        event::DOCUMENT_UNREADABLE.log(format_args!(
+            "cause=\"cases of the row {ROW_KEY}\" is_list={is_list} unreadable={unreadable}"
+        ));
+    }
+    cases
+}
+
 /// The ends of a case that the row holds: the first one, which shows how long they have lasted, and the last ones, which
 /// may be a single event.
 fn kept_ends(case: &Case) -> impl Iterator<Item = &(IncarnationHash, Duration)> {
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -95,7 +95,7 @@
 }
 
 /// Sends the crashing request to an entry until it refuses the request as quarantined.
-async fn until_refused(site: &Arc<Site>, path: &str) -> Answer {
+pub async fn until_refused(site: &Arc<Site>, path: &str) -> Answer {
     for _ in 0..100 {
         let answer = post(site, path, CRASHING_BODY).await;
         if answer.status == 503 && answer.body.contains("servers ended") {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,6 +22,7 @@
 mod kept_caller;
 mod limited_pool;
 mod odd_configurations;
+mod odd_lists;
 mod peers;
 mod pool;
 mod rate_limits;
