--- a/src/router/servers/listing.rs
+++ b/src/router/servers/listing.rs
@@ -17,7 +17,7 @@
     },
     router::store::restore::Extent,
     routing::BackendServer,
-    telemetry::event,
+    telemetry::{event, log_rate::LogRate},
 };
 
 /// Time for which it is remembered that a server left. A store is restored from a copy that is some seconds old.
@@ -37,8 +37,10 @@
     /// Departed servers that a restored store lists, and the time by which it would have dropped them if they are
     /// gone.
     unconfirmed: HashMap<Box<str>, (BackendServer, Duration)>,
-    /// Rows that can't be parsed, by key, with their revision, so that each revision is logged once.
+    /// Rows that can't be parsed, by key, with their revision, so that each revision is logged at most once.
     unreadable: HashMap<Box<str>, Revision>,
+    /// Limits the log lines about them: another writer may write any number of rows.
+    log: LogRate,
 }
 
 impl Listing {
@@ -90,7 +92,11 @@
         let known = self.servers.get(&row.key).and_then(|server| server.started_at);
         match parse_server_row(row) {
             Ok(server) if known.is_some() && server.started_at.is_none() => {
-                self.reject_row(row, "the row has no start time, unlike the server's earlier rows");
+                self.reject_row(
+                    row,
+                    "the row has no start time, unlike the server's earlier rows",
+                    now,
+                );
             }
             // A write of an earlier incarnation that reached the store after the first one of the current
             // incarnation.
@@ -108,17 +114,18 @@
                 self.unreadable.remove(&server.id);
                 self.servers.insert(server.id.clone(), server);
             }
-            Err(e) => self.reject_row(row, &e.to_string()),
+            Err(e) => self.reject_row(row, &e.to_string(), now),
         }
     }
 
     /// Treats a row as written by something other than its server. The server is not used until its row can be read
     /// again.
-    fn reject_row(&mut self, row: &Row, cause: &str) {
+    fn reject_row(&mut self, row: &Row, cause: &str, now: Duration) {
         self.missing.remove(&row.key);
         self.servers.remove(&row.key);
-        if self.unreadable.insert(row.key.clone(), row.version) != Some(row.version) {
-            event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{cause}\""));
+        let is_new = self.unreadable.insert(row.key.clone(), row.version) != Some(row.version);
+        if is_new && let Some(unlogged) = self.log.admit(now) {
+            event::DOCUMENT_UNREADABLE.log(format_args!("cause=\"{cause}\" unlogged={unlogged}"));
         }
     }
 
--- a/tests/platform/odd_configurations.rs
+++ b/tests/platform/odd_configurations.rs
@@ -10,6 +10,9 @@
     },
     routing::{RouteKind, RoutingTable},
 };
+use proptest::prelude::*;
+
+use crate::row_envelope_properties::balanced_text;
 
 const SOUND_ROUTE: &str =
     r#"{"name": "sound", "host": "h", "prefix": "/", "service": "app", "public": true}"#;
@@ -208,3 +211,23 @@
         assert!(parse(text).is_none(), "{text}");
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn any_bytes_are_a_configuration_or_an_error(value in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let key = "config".into();
+        let _ = parse_operator_row(&Row { table: Table::Orders, key, value, version: 1, era: 0, is_removed: false });
+    }
+
+    #[test]
+    fn sound_routes_beside_any_odd_text_are_read(odd in balanced_text()) {
+        let table = parse(&format!(
+            r#"{{"version": 3, "x": {odd}, "routes": [{odd}, {SOUND_ROUTE}, {odd}], "services": [{odd}],
+                "limits": {odd}, "tenants": {odd}}}"#
+        ));
+        let table = table.unwrap();
+        prop_assert_eq!(&*table.route("h", "/b").unwrap().name, "sound");
+    }
+}
--- a/tests/platform/row_envelope_properties.rs
+++ b/tests/platform/row_envelope_properties.rs
@@ -31,7 +31,7 @@
     ["\"table\"", "\"key\"", "\"value\"", "\"ver\"", "\"removed\"", "\"x\"", "\"k\\u0065y\"", "7"];
 
 /// Text whose brackets and quotes are balanced.
-fn balanced_text() -> impl Strategy<Value = String> {
+pub fn balanced_text() -> impl Strategy<Value = String> {
     let leaf = select(&LEAVES[..]).prop_map(String::from);
     leaf.prop_recursive(6, 64, 6, |inner| {
         let field =
