--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -25,6 +25,7 @@
 mod limited_pool;
 mod listeners;
 mod odd_configurations;
+mod odd_lists;
 mod odd_numbers;
 mod odd_statuses;
 mod panics;
