Tests of settings generate YAML only, and uploads run one at a time

The property tests of settings failed now and then for values that are no YAML at all (an escaped quote, a lone dash, an empty element of a list), which no reader takes. The uploads of 3 MB ran on four routes at a time and loaded the machine beside other tests.

--- a/tests/platform/early_answers.rs
+++ b/tests/platform/early_answers.rs
@@ -5,7 +5,6 @@
     time::Duration,
 };
 
-use futures_util::future::join_all;
 use serde_json::json;
 use socket2::SockRef;
 use tokio::{
@@ -79,7 +78,10 @@
             let response = self.response.replace("{id}", &id);
             stream.get_mut().write_all(response.as_bytes()).await.ok()?;
             match self.then {
-                Then::Close(pause) => return Some(sleep(pause).await),
+                Then::Close(pause) => {
+                    sleep(pause).await;
+                    return None;
+                }
                 Then::Reset(pause) => {
                     sleep(pause).await;
                     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
@@ -163,10 +165,11 @@
     for pause in [0, 30, 300].map(Duration::from_millis) {
         for then in [Then::Close(pause), Then::Reset(pause)] {
             for response in &responses {
-                let checks = ROUTES.map(|route| gets_part(response, then, route));
-                let whole = join_all(checks).await;
+                for route in ROUTES {
+                    let is_whole = gets_part(response, then, route).await;
 
-                assert_eq!(whole, [false; 4], "{then:?} {response}");
+                    assert!(!is_whole, "{route:?} {then:?} {response}");
+                }
             }
         }
     }
@@ -178,10 +181,11 @@
     for pause in [0, 30, 300].map(Duration::from_millis) {
         for version in ["1.1", "1.0"] {
             let response = head(version, "") + &events(2);
-            let checks = ROUTES.map(|route| gets_part(&response, Then::Reset(pause), route));
-            let whole = join_all(checks).await;
+            for route in ROUTES {
+                let is_whole = gets_part(&response, Then::Reset(pause), route).await;
 
-            assert_eq!(whole, [false; 4], "{pause:?} {version}");
+                assert!(!is_whole, "{route:?} {pause:?} {version}");
+            }
         }
     }
 }
--- a/tests/platform/host_settings.rs
+++ b/tests/platform/host_settings.rs
@@ -312,8 +312,8 @@
         any::<i128>().prop_map(|number| number.to_string()),
         (0..10_000_u32).prop_map(|number| number.to_string()),
         "[0-9]{1,400}(\\.[0-9]{1,40})?(e[0-9]{1,4})?",
-        "[ -~]{0,40}".prop_map(|text| format!("{text:?}").replace("\\'", "'")),
-        "[a-zA-Z.~_-]{0,20}",
+        "[ -~]{0,40}".prop_map(|text| format!("{text:?}")),
+        "[a-zA-Z][a-zA-Z.~_-]{0,20}",
         "10\\.1\\.0\\.[0-9]{1,4}:[0-9]{1,6}",
         prop::sample::select(vec![
             ".nan",
@@ -321,7 +321,6 @@
             "-.inf",
             "null",
             "~",
-            "",
             "true",
             "no",
             "0x10",
