starts.rs: the test of a successor waits for each address it looks at

a_successor_that_starts_within_the_grace_of_its_former_process_takes_over failed once in 5 runs of the file at a load of 19: it asked for metrics right after the entry was ready. Each address is regained by itself, up to half a second after the other process is gone, so readiness doesn't tell that metrics are served. The test now waits until the address is served and asserts the same of it.

--- a/tests/process/starts.rs
+++ b/tests/process/starts.rs
@@ -216,6 +216,7 @@
     host.wait_until_ready().await;
     successor.assert_lives(&host);
     assert_callers_are_served(&host).await;
+    host.wait_until_served(METRICS_PORT).await;
     assert!(host.get(METRICS_PORT, "/metrics").await.contains("mintmoor_in_flight 0"));
     successor.assert_stops(&host).await;
 }
