--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -23,11 +23,10 @@
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of a response, in bytes; the largest tables take a few megabytes.
-const MAX_BODY: usize = 12 << 20;
-/// Bytes that all responses of a client may take while they are read. More than for the largest one, so that a response
-/// without an end leaves room for others.
+/// Bytes that all responses of a client may take while they are read; the largest tables take a few megabytes.
 const MAX_READING: usize = 16 << 20;
+/// Part of these bytes that one response may take, so that one without an end leaves room for others.
+const RESPONSE_PART: f64 = 0.75;
 /// Size of the blocks in which a response is stored while it is read, in bytes. One that grows would be copied, and take
 /// twice the memory.
 const BLOCK: usize = 64 << 10;
@@ -49,6 +48,8 @@
     client: Client<HttpsConnector<HttpConnector>, Full<Bytes>>,
     /// Bytes of responses that may still be read.
     readable: Arc<Semaphore>,
+    /// Maximum size of a response, in bytes.
+    max_body: usize,
 }
 
 impl Default for HttpClient {
@@ -82,7 +83,17 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .build(connector);
-        Self { client, readable: Arc::new(Semaphore::new(MAX_READING)) }
+        Self { client, readable: Arc::new(Semaphore::new(0)), max_body: 0 }
+            .reading_at_most(MAX_READING)
+    }
+
+    /// Limits the bytes of all responses that are read at a time, to less than the default.
+    #[must_use]
+    pub fn reading_at_most(mut self, bytes: usize) -> Self {
+        let bytes = bytes.min(MAX_READING);
+        self.readable = Arc::new(Semaphore::new(bytes));
+        self.max_body = (bytes as f64 * RESPONSE_PART) as usize;
+        self
     }
 
     /// Sends a request and returns when the response headers have arrived.
@@ -142,12 +153,12 @@
             // Trailers are of no use here.
             let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
             len += data.len();
-            if len > MAX_BODY {
-                return Err(format!("the response has more than {MAX_BODY} bytes"));
+            if len > self.max_body {
+                return Err(format!("the response has more than {} bytes", self.max_body));
             }
             let bytes = u32::try_from(data.len()).map_err(|e| e.to_string())?;
             let room = self.readable.try_acquire_many(bytes);
-            let room = room.map_err(|_| format!("responses have more than {MAX_READING} bytes"))?;
+            let room = room.map_err(|_| "other responses take the memory for responses")?;
             match &mut held {
                 Some(held) => held.merge(room),
                 None => held = Some(room),
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -21,6 +21,8 @@
     telemetry::{admin, event},
 };
 
+/// Part of the process's memory that responses of the store may take while they are read.
+const STORE_PART: u64 = 8;
 /// Interval at which a stopping entry checks whether requests are still in flight.
 const IN_FLIGHT_POLL: Duration = Duration::from_millis(50);
 
@@ -65,7 +67,9 @@
         "role=entry host={} zone={} caller={} readiness={} store={}",
         host.host, host.zone, host.caller_address, host.readiness_address, host.store_address
     ));
-    let store = StoreClient::new(HttpClient::default(), &host.store_address);
+    let reading = usize::try_from(host.memory_limit / STORE_PART).unwrap_or(usize::MAX);
+    let http = HttpClient::default().reading_at_most(reading);
+    let store = StoreClient::new(http, &host.store_address);
     let caller_address = host.caller_address;
     let readiness_address = host.readiness_address;
     let router = Arc::new(Router::new(host, policy));
