A process that callers can't reach yet is no entry of the system

Found by review, reading: a successor that waits for the addresses of its former process reports its (empty) load under the same Host, so that other entries undercount the load of the one that serves, for its grace; a process that never gets its address counts as an entry and may take the duty. Reports to seeds and the duty now begin once callers can connect.

--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -37,9 +37,9 @@
             supervise("roll-outs", metrics, || roll_out_driver::drive_roll_outs(router, store)),
             supervise("peers", metrics, || serve_peers(router, &peers, is_ending.clone())),
             supervise("follower", metrics, || peer_follower::follow_peers(router)),
-            supervise("seed reports", metrics, || seed_reporter::report_to_seeds(router)),
+            supervise("seed reports", metrics, || report_to_seeds(router)),
             supervise("quarantine", metrics, || quarantine_row::sync_row(router, store)),
-            supervise("usage", metrics, || usage_reporter::report_usage(router, store)),
+            supervise("usage", metrics, || report_usage(router, store)),
         )
     };
     tokio::select! {
@@ -63,3 +63,13 @@
         peers.keep_serving(has_ended, serve).await;
     }
 }
+
+async fn report_to_seeds(router: &Arc<Router>) {
+    router.wait_until_listening().await;
+    seed_reporter::report_to_seeds(router).await;
+}
+
+async fn report_usage(router: &Arc<Router>, store: &StoreClient) {
+    router.wait_until_listening().await;
+    usage_reporter::report_usage(router, store).await;
+}
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -4,14 +4,14 @@
     collections::HashMap,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     time::timeout,
 };
 
@@ -120,7 +120,7 @@
     overloads: Mutex<HashMap<Box<str>, Overload>>,
     lifecycle: Mutex<Lifecycle>,
     /// Whether the address for callers is bound.
-    listens_to_callers: AtomicBool,
+    listens_to_callers: watch::Sender<bool>,
     in_flight: AtomicUsize,
     /// Wakes waiting requests when the configuration, the servers or other awaited data change.
     view_changed: Notify,
@@ -174,7 +174,7 @@
             speed_estimates: TimingEstimates::default(),
             usual_times: TimingEstimates::default(),
             lifecycle: Mutex::new(lifecycle::start()),
-            listens_to_callers: AtomicBool::new(false),
+            listens_to_callers: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
             view_changed: Notify::new(),
             planned_stop: OnceLock::new(),
@@ -306,13 +306,21 @@
 
     /// Whether callers can connect.
     pub(crate) fn listens_to_callers(&self) -> bool {
-        self.listens_to_callers.load(Ordering::Relaxed)
+        *self.listens_to_callers.borrow()
+    }
+
+    /// Waits until callers can connect. Until then another process may serve on this Host, and what all entries share is
+    /// its part to report and to perform.
+    pub(crate) async fn wait_until_listening(&self) {
+        let mut listens = self.listens_to_callers.subscribe();
+        // The sender is part of this router, so it can't be gone.
+        let _ = listens.wait_for(|listens| *listens).await;
     }
 
     /// Records whether an address of this entry is bound.
     pub(crate) fn set_listening(&self, purpose: ListenPurpose, is_bound: bool) {
         if purpose == ListenPurpose::Callers {
-            self.listens_to_callers.store(is_bound, Ordering::Relaxed);
+            self.listens_to_callers.send_replace(is_bound);
         }
     }
 
--- a/tests/platform/peers.rs
+++ b/tests/platform/peers.rs
@@ -3,11 +3,11 @@
 //!
 //! Most entries here have a store of their own, so that tests can see where an entry's state comes from.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use futures_util::SinkExt;
 use serde_json::{Value, json};
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 use tokio_tungstenite::{WebSocketStream, client_async, tungstenite::Message};
 
 use crate::{
@@ -245,6 +245,30 @@
     }
 }
 
+/// Otherwise it would replace the reports of the former process on its Host, which still serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_waits_for_its_address_is_no_entry_yet() {
+    let seed = Site::start_seed(store_after_changes(1).await, None).await;
+    let occupant = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let waiting = Site::start_with_settings(store_after_changes(1).await, |host| {
+        host.caller_address = occupant.local_addr().unwrap();
+        host.seed_peers = seed.entry.addresses.peer.into_iter().collect();
+    })
+    .await;
+    wait_until("the waiting process has a configuration", || version(&waiting) > 0).await;
+    let other = Site::start_follower(store_after_changes(1).await, &seed).await;
+    let entries = |site: &Site| site.entry.router.dump()["entries"].as_u64().unwrap();
+
+    wait_until("both know of each other", || entries(&seed) >= 2 && entries(&other) == 2).await;
+    for _ in 0..30 {
+        assert_eq!(entries(&seed), 2);
+        sleep(Duration::from_millis(50)).await;
+    }
+    drop(occupant);
+
+    wait_until("the process that serves is counted", || entries(&seed) == 3).await;
+}
+
 /// Opens a link to an entry and sends one message on it.
 async fn open_link(peer: SocketAddr, asked: &Value) -> WebSocketStream<TcpStream> {
     let stream = TcpStream::connect(peer).await.unwrap();
