A stop is possible while the control thread can't be started; a listener's task ends with its owner

Found by review, reading, not played: callers are served before the control thread runs, and SIGTERM while the system allowed no thread dropped them without a planned stop. A task that serves an address outlived the listener that started it, and its successor would have waited for the address for ever.

--- a/src/router/listeners.rs
+++ b/src/router/listeners.rs
@@ -5,7 +5,7 @@
 
 use std::{fmt::Display, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::{net::TcpListener, sync::watch, time::sleep};
+use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::sleep};
 
 use crate::{
     policy::backoff::Backoff,
@@ -66,9 +66,12 @@
             };
             self.backoff = Backoff::default();
             self.router.set_listening(self.purpose, true);
-            let served = tokio::spawn(serve(listener)).await;
+            // Ends with this future, so that the address is free for the one that takes its place.
+            let mut serving = JoinSet::new();
+            serving.spawn(serve(listener));
+            let served = serving.join_next().await;
             self.router.set_listening(self.purpose, false);
-            let Err(e) = served else {
+            let Some(Err(e)) = served else {
                 return;
             };
             self.log_waiting(&e);
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -89,7 +89,8 @@
     }
     let callers = tokio::spawn(keep_serving_callers(router.clone(), callers, is_closing));
     let (ending, has_ended) = watch::channel(false);
-    spawn_control(&router, store, peers, has_ended).await;
+    // Callers are served already, so a stop has to be possible while this thread can't be started yet.
+    tokio::spawn(spawn_control(router.clone(), store, peers, has_ended));
     RunningRouter { router, addresses, closing, _ending: ending, callers }
 }
 
@@ -132,7 +133,7 @@
 
 /// Starts the control thread, as soon as the system allows one more thread.
 async fn spawn_control(
-    router: &Arc<Router>,
+    router: Arc<Router>,
     store: StoreClient,
     peers: Listener,
     has_ended: watch::Receiver<bool>,
