--- a/src/router/request/buffered.rs
+++ b/src/router/request/buffered.rs
@@ -49,8 +49,8 @@
     }
 }
 
-/// Reads a response to its end, until the request's deadline or the end of a planned stop at the latest. All bodies that are read as a whole are
-/// read here: a server may hang within any of them (docs/incidents/0024).
+/// Reads a response to its end, until the request's deadline or the end of a planned stop at the latest. All bodies that
+/// are read as a whole are read here: a server may hang within any of them (docs/incidents/0024).
 pub(super) async fn read_until_deadline(
     router: &Router,
     ctx: &RequestContext,
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -45,6 +45,7 @@
 
 /// Maximum size of one event of a stream, in bytes.
 const MAX_EVENT: usize = 1 << 20;
+
 /// Runs a request and returns the response for its caller.
 pub(crate) async fn respond(
     router: &Arc<Router>,
--- a/src/router/request/response_wait.rs
+++ b/src/router/request/response_wait.rs
@@ -27,9 +27,9 @@
     pub(crate) has_begun: bool,
 }
 
-/// Waits for `work`. Returns `None` at the deadline, at the end of a planned stop, when the server has restarted, when the request is
-/// quarantined before the response has begun, when the server has been too slow, or when it has been silent on
-/// all its connections for longer than a healthy server is. A slow or silent server is abandoned only if
+/// Waits for `work`. Returns `None` at the deadline, at the end of a planned stop, when the server has restarted, when
+/// the request is quarantined before the response has begun, when the server has been too slow, or when it has been
+/// silent on all its connections for longer than a healthy server is. A slow or silent server is abandoned only if
 /// `can_fail_over` returns true: a slow response is better than none.
 pub(crate) async fn wait_for_response<F: Future>(
     router: &Router,
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -78,7 +78,7 @@
 }
 
 /// Directories and files of which `mintmoor route` consists.
-const ROUTE_SOURCES: [&str; 10] = [
+const ROUTE_SOURCES: [&str; 14] = [
     "src/router",
     "src/platform",
     "src/control",
@@ -87,8 +87,12 @@
     "src/telemetry",
     "src/clock.rs",
     "src/sync.rs",
+    "src/protocol",
+    "src/settings",
     "src/bin/mintmoor/main.rs",
+    "src/bin/mintmoor/app.rs",
     "src/bin/mintmoor/process.rs",
+    "src/bin/mintmoor/signals.rs",
 ];
 /// What panics or ends the process when it is reached. Tests of `debug_assert` don't run in a release.
 const PANICKING: [&str; 10] = [
