Tests: one codec for messages of links

unreadable_updates had a copy of decode and encode from urgent_updates. Behaviour and assertions are the same.

--- a/tests/platform/unreadable_updates.rs
+++ b/tests/platform/unreadable_updates.rs
@@ -12,12 +12,13 @@
 use futures_util::{SinkExt, StreamExt};
 use mintmoor::ids::Revision;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 
 use crate::{
     server::Action,
     site::{Site, configuration, list_server, start_server, store_with_servers, wait_until},
     store::Store,
+    urgent_updates::{decode, encode},
 };
 
 const GOOD: Action = Action::Respond { status: 200, body: "good" };
@@ -32,19 +33,6 @@
     follows: Arc<AtomicUsize>,
 }
 
-fn decode(message: &Message) -> Option<Value> {
-    let Message::Binary(data) = message else {
-        return None;
-    };
-    ciborium::from_reader(&data[..]).ok()
-}
-
-fn encode(value: &Value) -> Message {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).unwrap();
-    Message::binary(bytes)
-}
-
 /// Replaces the rows of all updates of a message by bytes that are no rows.
 fn damage_rows(value: &mut Value) {
     match value {
--- a/tests/platform/urgent_updates.rs
+++ b/tests/platform/urgent_updates.rs
@@ -19,14 +19,14 @@
 /// Fields that the faulty seed leaves out of its updates.
 const OMITTED_FIELDS: [&str; 2] = ["ends", "limits"];
 
-fn decode(message: &Message) -> Option<Value> {
+pub fn decode(message: &Message) -> Option<Value> {
     let Message::Binary(data) = message else {
         return None;
     };
     ciborium::from_reader(&data[..]).ok()
 }
 
-fn encode(value: &Value) -> Message {
+pub fn encode(value: &Value) -> Message {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).unwrap();
     Message::binary(bytes)
