A server's status that promises "not run" is passed on only with proof

Cause: a signed response without X-Not-Executed is the server's failure, and a failure was returned with its status whatever that promises.

Change: such a failure ends the attempt of a once-only request as one that may have run; the caller gets the entry's own 502, and event 505 has the status. The entry's own 408 and 503 are built from a NotRunProof, which only the log of the attempts gives. A 421 that bears the server's signature and no X-Not-Executed is a failure as well: a rejection bears none.

--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -105,10 +105,12 @@
     if header_text(headers, REQUEST_ID).is_some_and(|id| id != request_id) {
         return ResponseKind::WrongRequest;
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
+    let is_declared_unrun = headers.contains_key(NOT_EXECUTED);
+    // A rejection bears no signature. The signature is that of a server that may have run the request.
+    if status == StatusCode::MISDIRECTED_REQUEST && (is_declared_unrun || !is_signed) {
         return ResponseKind::WrongServer;
     }
-    if headers.contains_key(NOT_EXECUTED) {
+    if is_declared_unrun {
         return ResponseKind::NotRun;
     }
     if !is_signed || headers.contains_key(header::CONTENT_ENCODING) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod announcements;
 pub mod answer_timeout;
 pub mod attempt;
+pub mod attempt_log;
 pub mod availability;
 pub mod backoff;
 pub mod caller_limits;
--- a/src/router/planned_stop.rs
+++ b/src/router/planned_stop.rs
@@ -4,13 +4,16 @@
 
 use crate::{
     policy::{
-        attempt::{RequestOutcome, request_outcome},
+        attempt_log::AttemptLog,
         lifecycle::LifecycleEvent,
         shutdown::{PendingSend, PlannedStop},
     },
     router::{
         Router,
-        request::{refusal::Refusal, request_context::RequestContext},
+        request::{
+            refusal::{NotRunCause, Refusal},
+            request_context::RequestContext,
+        },
     },
     routing::Route,
 };
@@ -79,7 +82,7 @@
     /// Whether the next attempt of a request can still be made: during a planned stop, only if it can finish in time.
     pub(crate) fn may_send(&self, ctx: &RequestContext) -> bool {
         let has_fallback = ctx.head_deadline.is_some();
-        let has_failed = request_outcome(&ctx.attempts) != RequestOutcome::NotRun;
+        let has_failed = ctx.attempts.prove_not_run().is_none();
         self.can_finish(ctx, has_failed && !has_fallback)
     }
 
@@ -105,14 +108,14 @@
     /// The refusal of a request that a stopping entry doesn't run. The load balancer sends new connections here only
     /// until it notices the stop, or if no other entry is ready; in the latter case the caller has to wait for the next
     /// process on this Host.
-    pub(crate) fn leaving_refusal(&self, connected_at: Duration) -> Refusal {
-        let Some(stop) = self.planned_stop.get() else {
-            return Refusal::Leaving { retry_after: RETRY_OTHER_ENTRY };
-        };
-        if connected_at < stop.started_at + READINESS_LAG {
-            return Refusal::Leaving { retry_after: RETRY_OTHER_ENTRY };
-        }
-        let next_at = stop.started_at + stop.grace + RESTART_TIME;
-        Refusal::Leaving { retry_after: next_at.saturating_sub(self.now()) }
+    pub(crate) fn leaving_refusal(&self, connected_at: Duration, attempts: &AttemptLog) -> Refusal {
+        let awaited = self
+            .planned_stop
+            .get()
+            .filter(|stop| connected_at >= stop.started_at + READINESS_LAG)
+            .map(|stop| stop.started_at + stop.grace + RESTART_TIME);
+        let retry_after =
+            awaited.map_or(RETRY_OTHER_ENTRY, |next_at| next_at.saturating_sub(self.now()));
+        Refusal::not_run(NotRunCause::Leaving { retry_after }, attempts)
     }
 }
--- a/src/router/quarantine/suspected_requests.rs
+++ b/src/router/quarantine/suspected_requests.rs
@@ -12,7 +12,10 @@
     router::{
         Released, Router,
         quarantine::{quarantine_row::TrialRequest, quarantine_trial::QuarantineTrial},
-        request::{refusal::Refusal, request_context::RequestContext},
+        request::{
+            refusal::{NotRunCause, Refusal},
+            request_context::RequestContext,
+        },
     },
     telemetry::event,
 };
@@ -129,10 +132,11 @@
             Suspect::Part(part) => Some(*part),
             Suspect::Request(_) => None,
         });
-        Some(match part {
-            Some(part) => Refusal::PartQuarantined { part, retry_after },
-            None => Refusal::Quarantined { retry_after },
-        })
+        let cause = match part {
+            Some(part) => NotRunCause::PartQuarantined { part, retry_after },
+            None => NotRunCause::Quarantined { retry_after },
+        };
+        Some(Refusal::not_run(cause, &ctx.attempts))
     }
 
     /// Clears a request or prompt part by its fingerprint as shown in the state dump. Other entries are informed.
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -97,6 +97,10 @@
     /// The response is not the server's response to this request; the request may have run.
     #[error("the response comes from another server or belongs to another request")]
     WrongResponse,
+    /// The server answered a request that may run only once with a status that promises that it did not run, without
+    /// proof of that; the request may have run.
+    #[error("the server answered {0}, which promises without proof that the request did not run")]
+    UnprovedPromise(http::StatusCode),
     /// The response has a status that HTTP doesn't define; the request may have run.
     #[error("the response has the status {0}, which is none of HTTP")]
     InvalidStatus(http::StatusCode),
@@ -202,7 +206,7 @@
     if head.kind != ResponseKind::Success || framing.is_err() {
         member.state().prefixes.forget(plan.new_prefixes());
     }
-    check_kind(&head, &member)?;
+    check_kind(&head, &member, plan.is_once_only)?;
     Ok(OpenResponse {
         head,
         framing: framing?,
@@ -265,7 +269,14 @@
 }
 
 /// Turns responses that are not the server's result for this request into errors.
-fn check_kind(head: &ResponseHead, member: &Member) -> Result<(), AttemptError> {
+fn check_kind(
+    head: &ResponseHead,
+    member: &Member,
+    is_once_only: bool,
+) -> Result<(), AttemptError> {
+    if is_once_only && head.is_unproved_promise() {
+        return Err(AttemptError::UnprovedPromise(head.status));
+    }
     match head.kind {
         ResponseKind::Success | ResponseKind::Failure => Ok(()),
         ResponseKind::NotRun => Err(AttemptError::Refused(head.status)),
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -6,7 +6,7 @@
     platform::request_headers::AttemptHeaders,
     policy::{
         answer_timeout::head_timeouts,
-        attempt::{self, AttemptEvent, AttemptState, RequestOutcome, may_retry, request_outcome},
+        attempt::{self, AttemptEvent, AttemptState},
         availability::{Availability, UnavailableCause},
         run_outcome::RunOutcome,
     },
@@ -14,7 +14,7 @@
         Member, Router,
         request::{
             attempt::{AttemptError, AttemptPlan, OpenResponse, send},
-            refusal::Refusal,
+            refusal::{NotRunCause, Refusal},
             request_context::{AttemptParams, RequestContext},
             selection::{first_available, latency_key, prefixes, select_server},
         },
@@ -94,28 +94,28 @@
     ctx: &RequestContext,
     first: Option<(Duration, Availability)>,
 ) -> Refusal {
-    match request_outcome(&ctx.attempts) {
-        RequestOutcome::NotRun => {
-            if let Some(refusal) = router.quarantine_refusal(ctx) {
-                return refusal;
-            }
-            if !router.may_send(ctx) {
-                return router.leaving_refusal(ctx.in_flight.connected_at);
-            }
-            let retry_after = router.record_overload(&ctx.service, &ctx.req.head.id);
-            let Some((wait, Availability::Closed { cause, .. })) = first else {
-                return Refusal::NotRun { retry_after };
-            };
-            if cause == UnavailableCause::RateLimited {
-                router.metrics.count_limited_send("refused");
-                return Refusal::RateLimited { retry_after: retry_after.max(wait) };
-            }
-            // The spread in `retry_after` keeps callers from returning all at once when the first server is
-            // available.
-            Refusal::Unavailable { cause, retry_after: wait + retry_after }
-        }
-        _ => lost_refusal(router, ctx),
+    if ctx.attempts.prove_not_run().is_none() {
+        return lost_refusal(router, ctx);
+    }
+    if let Some(refusal) = router.quarantine_refusal(ctx) {
+        return refusal;
     }
+    if !router.may_send(ctx) {
+        return router.leaving_refusal(ctx.in_flight.connected_at, &ctx.attempts);
+    }
+    let retry_after = router.record_overload(&ctx.service, &ctx.req.head.id);
+    let cause = match first {
+        Some((wait, Availability::Closed { cause: UnavailableCause::RateLimited, .. })) => {
+            router.metrics.count_limited_send("refused");
+            NotRunCause::RateLimited { retry_after: retry_after.max(wait) }
+        }
+        // The spread in `retry_after` keeps callers from returning all at once when the first server is available.
+        Some((wait, Availability::Closed { cause, .. })) => {
+            NotRunCause::Unavailable { cause, retry_after: wait + retry_after }
+        }
+        _ => NotRunCause::NoServer { retry_after },
+    };
+    Refusal::not_run(cause, &ctx.attempts)
 }
 
 /// The refusal for a request that a server may have run, and whose response is lost.
@@ -125,7 +125,7 @@
 
 /// Whether the state of a request allows another attempt.
 fn is_attempt_allowed(router: &Router, ctx: &RequestContext) -> bool {
-    may_retry(&ctx.attempts, ctx.route.is_idempotent())
+    ctx.attempts.may_retry(ctx.route.is_idempotent())
         && ctx.runs_left() > 0
         && ctx.deliveries < MAX_DELIVERIES
         && ctx.attempts.len() < MAX_ATTEMPTS
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -5,52 +5,43 @@
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::{
-    platform::request_headers::HeadError, policy::availability::UnavailableCause,
-    router::request::body::ResponseBody, routing::PartId,
+    platform::request_headers::HeadError,
+    policy::{
+        attempt_log::{AttemptLog, NotRunProof},
+        availability::UnavailableCause,
+    },
+    router::request::body::ResponseBody,
+    routing::PartId,
 };
 
-/// Why a request gets a response from the entry instead of from a server.
+/// Why a request was not run.
 ///
 /// The error text is the body of the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
-pub(crate) enum Refusal {
-    #[error("the request can't be distinguished from others")]
-    Malformed,
-    #[error("the body has a transfer coding other than chunked")]
-    UnsupportedCoding,
-    #[error("no route")]
-    NoRoute,
-    #[error("no key, or one that no organisation has")]
-    UnknownKey,
-    #[error("the body is too large")]
-    BodyTooLarge,
+pub(crate) enum NotRunCause {
     #[error("the body did not arrive in time")]
     BodyTimeout,
-    /// Slow callers hold too much memory; no server ran the request or will run it.
+    /// Slow callers hold too much memory.
     #[error("no memory for its body now")]
     OutOfMemory,
-    /// No server ran the request or will run it.
     #[error("no configuration yet")]
     NoConfiguration,
-    /// No server ran the request or will run it.
     #[error("the process is about to end")]
     Leaving {
         /// Time until an entry is expected to accept the request.
         retry_after: Duration,
     },
-    /// No server ran the request or will run it.
     #[error("no server can take it, back in {retry_after:?}")]
-    NotRun {
+    NoServer {
         /// Time until a server is expected to accept the request.
         retry_after: Duration,
     },
-    /// All servers are at their rate limit; none ran the request or will run it.
+    /// All servers are at their rate limit.
     #[error("its servers take no more requests now, back in {retry_after:?}")]
     RateLimited {
         /// Time until one of them is expected to accept the request.
         retry_after: Duration,
     },
-    /// No server ran the request or will run it.
     #[error("all its servers are {cause}, back in {retry_after:?}")]
     Unavailable {
         /// Why the server that becomes available first is unavailable now.
@@ -58,13 +49,13 @@
         /// Time until that server is expected to accept the request.
         retry_after: Duration,
     },
-    /// Servers crashed while running the request before; it was not run this time.
+    /// Servers crashed while running the request before.
     #[error("servers ended under this request, which is refused for {retry_after:?}")]
     Quarantined {
         /// Time until the request may be sent again.
         retry_after: Duration,
     },
-    /// Servers crashed while running other requests with this prompt part; the request was not run.
+    /// Servers crashed while running other requests with this prompt part.
     #[error(
         "servers ended under requests with part {part:x} of its prompt, which are refused for {retry_after:?}"
     )]
@@ -74,6 +65,61 @@
         /// Time until a request with it may be sent again.
         retry_after: Duration,
     },
+}
+
+impl NotRunCause {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    fn code(self) -> &'static str {
+        match self {
+            Self::BodyTimeout => "slow_body",
+            Self::OutOfMemory => "out_of_memory",
+            Self::NoConfiguration => "no_configuration",
+            Self::Leaving { .. } => "leaving",
+            Self::NoServer { .. } => "not_run",
+            Self::RateLimited { .. } => "limited",
+            Self::Unavailable { .. } => "unavailable",
+            Self::Quarantined { .. } => "ends_servers",
+            Self::PartQuarantined { .. } => "part_ends_servers",
+        }
+    }
+
+    fn retry_after(self) -> Duration {
+        match self {
+            Self::Leaving { retry_after }
+            | Self::NoServer { retry_after }
+            | Self::RateLimited { retry_after }
+            | Self::Unavailable { retry_after, .. }
+            | Self::Quarantined { retry_after }
+            | Self::PartQuarantined { retry_after, .. } => retry_after,
+            Self::BodyTimeout | Self::OutOfMemory | Self::NoConfiguration => DEFAULT_RETRY_AFTER,
+        }
+    }
+}
+
+/// Why a request gets a response from the entry instead of from a server.
+///
+/// The error text is the body of the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub(crate) enum Refusal {
+    #[error("the request can't be distinguished from others")]
+    Malformed,
+    #[error("the body has a transfer coding other than chunked")]
+    UnsupportedCoding,
+    #[error("no route")]
+    NoRoute,
+    #[error("no key, or one that no organisation has")]
+    UnknownKey,
+    #[error("the body is too large")]
+    BodyTooLarge,
+    /// No server ran the request or will run it, which the status of the response promises.
+    #[error("{0}")]
+    NotRun(NotRunCause, NotRunProof),
     /// A server may have run the request.
     #[error("it was sent and its answer is lost")]
     Lost,
@@ -96,10 +142,16 @@
     }
 }
 
-/// `Retry-After` of refusals that do not carry their own, such as [`Refusal::NoConfiguration`].
+/// `Retry-After` of refusals that do not carry their own, such as [`NotRunCause::NoConfiguration`].
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 impl Refusal {
+    /// Refuses a request that did not run. One that an attempt may have run is lost instead, whatever the cause: the
+    /// status of the former is a promise, upon which the caller sends the request again.
+    pub(crate) fn not_run(cause: NotRunCause, attempts: &AttemptLog) -> Self {
+        attempts.prove_not_run().map_or(Self::Lost, |proof| Self::NotRun(cause, proof))
+    }
+
     /// HTTP status of the response.
     pub(crate) fn status(self) -> StatusCode {
         match self {
@@ -108,15 +160,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::OutOfMemory
-            | Self::NoConfiguration
-            | Self::Leaving { .. }
-            | Self::NotRun { .. }
-            | Self::RateLimited { .. }
-            | Self::Unavailable { .. }
-            | Self::Quarantined { .. }
-            | Self::PartQuarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(cause, _) => cause.status(),
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Panicked => StatusCode::INTERNAL_SERVER_ERROR,
@@ -131,15 +175,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "too_large",
-            Self::BodyTimeout => "slow_body",
-            Self::OutOfMemory => "out_of_memory",
-            Self::NoConfiguration => "no_configuration",
-            Self::Leaving { .. } => "leaving",
-            Self::NotRun { .. } => "not_run",
-            Self::RateLimited { .. } => "limited",
-            Self::Unavailable { .. } => "unavailable",
-            Self::Quarantined { .. } => "ends_servers",
-            Self::PartQuarantined { .. } => "part_ends_servers",
+            Self::NotRun(cause, _) => cause.code(),
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
             Self::Panicked => "panicked",
@@ -148,12 +184,7 @@
 
     fn retry_after(self) -> Duration {
         match self {
-            Self::Leaving { retry_after }
-            | Self::NotRun { retry_after }
-            | Self::RateLimited { retry_after }
-            | Self::Unavailable { retry_after, .. }
-            | Self::Quarantined { retry_after }
-            | Self::PartQuarantined { retry_after, .. } => retry_after,
+            Self::NotRun(cause, _) => cause.retry_after(),
             _ => DEFAULT_RETRY_AFTER,
         }
     }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -53,7 +53,7 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     // The body may have ended late, and a trial that isn't made would be lost to other entries.
     if !router.may_send(&ctx) {
-        return Err(router.leaving_refusal(ctx.in_flight.connected_at));
+        return Err(router.leaving_refusal(ctx.in_flight.connected_at, &ctx.attempts));
     }
     ctx.quarantine_trial = router.claim_trial(&ctx).await;
     if ctx.route.kind != RouteKind::Stream {
--- a/src/router/request/request_body.rs
+++ b/src/router/request/request_body.rs
@@ -6,7 +6,11 @@
 use tokio::time::timeout;
 
 use crate::{
-    router::request::{in_flight::InFlightGuard, refusal::Refusal},
+    policy::attempt_log::AttemptLog,
+    router::request::{
+        in_flight::InFlightGuard,
+        refusal::{NotRunCause, Refusal},
+    },
     routing::CallerLimits,
 };
 
@@ -19,9 +23,11 @@
     in_flight: &mut InFlightGuard,
     body: Incoming,
     limits: &CallerLimits,
+    attempts: &AttemptLog,
 ) -> Result<Bytes, Refusal> {
-    let read = collect_body(in_flight, body, limits.body_bytes);
-    timeout(limits.idle_timeout, read).await.map_err(|_| Refusal::BodyTimeout)?
+    let read = collect_body(in_flight, body, limits.body_bytes, attempts);
+    let read = timeout(limits.idle_timeout, read).await;
+    read.map_err(|_| Refusal::not_run(NotRunCause::BodyTimeout, attempts))?
 }
 
 /// Collects a body as it arrives. Its memory counts before it is allocated, and grows with what has arrived.
@@ -29,6 +35,7 @@
     in_flight: &mut InFlightGuard,
     mut body: Incoming,
     max_bytes: usize,
+    attempts: &AttemptLog,
 ) -> Result<Bytes, Refusal> {
     let mut blocks: Vec<BytesMut> = Vec::new();
     let mut len = 0;
@@ -40,20 +47,22 @@
         if len > max_bytes {
             return Err(Refusal::BodyTooLarge);
         }
-        append(in_flight, &mut blocks, &data).await?;
+        let appended = append(in_flight, &mut blocks, &data).await;
+        appended.ok_or_else(|| Refusal::not_run(NotRunCause::OutOfMemory, attempts))?;
     }
     Ok(join(blocks, len))
 }
 
+/// Appends data to the blocks; `None` if the process holds too much.
 async fn append(
     in_flight: &mut InFlightGuard,
     blocks: &mut Vec<BytesMut>,
     mut data: &[u8],
-) -> Result<(), Refusal> {
+) -> Option<()> {
     while !data.is_empty() {
         let room = blocks.last().map_or(0, |block| BLOCK - block.len());
         if room == 0 {
-            in_flight.hold_body(BLOCK).await.ok_or(Refusal::OutOfMemory)?;
+            in_flight.hold_body(BLOCK).await?;
             blocks.push(BytesMut::with_capacity(BLOCK));
             continue;
         }
@@ -61,7 +70,7 @@
         blocks.last_mut().expect("it has room").extend_from_slice(fitting);
         data = rest;
     }
-    Ok(())
+    Some(())
 }
 
 /// Moves the blocks of a complete body into one. Each is freed as soon as it is copied, so that what is held for them
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -6,10 +6,7 @@
 };
 
 use crate::{
-    policy::{
-        attempt::{self, AttemptEvent, AttemptState},
-        quarantine::Suspect,
-    },
+    policy::{attempt_log::AttemptLog, quarantine::Suspect},
     router::{
         Router, quarantine::quarantine_trial::QuarantineTrial, request::in_flight::InFlightGuard,
     },
@@ -38,7 +35,7 @@
     pub(crate) arrived_at: Duration,
     /// Counts the request as in flight until its response has been relayed.
     pub(crate) in_flight: InFlightGuard,
-    pub(crate) attempts: Vec<AttemptState>,
+    pub(crate) attempts: AttemptLog,
     /// Attempts that may have run on a server.
     pub(crate) runs: u32,
     /// Whether the current attempt repeats one that failed.
@@ -67,7 +64,6 @@
         deadline: Duration,
         in_flight: InFlightGuard,
     ) -> Self {
-        let (attempts, tried_servers) = (Vec::new(), Vec::new());
         Self {
             req,
             route,
@@ -77,12 +73,12 @@
             head_deadline: None,
             arrived_at: in_flight.arrived_at,
             in_flight,
-            attempts,
+            attempts: AttemptLog::default(),
             runs: 0,
             is_repeat: false,
             deliveries: 0,
             has_retry: false,
-            tried_servers,
+            tried_servers: Vec::new(),
             unreachable_servers: Vec::new(),
             quarantine_trial: None,
             suspects: OnceLock::new(),
@@ -115,7 +111,7 @@
 
     /// Whether an attempt that a server may have run got no complete response.
     pub(crate) fn has_lost_attempt(&self) -> bool {
-        self.attempts.contains(&AttemptState::Unknown {})
+        self.attempts.has_lost_attempt()
     }
 
     /// The prompt parts that other requests may share, for log lines: hexadecimal ids separated by commas.
@@ -192,9 +188,7 @@
 
     /// Records that the response to the last attempt was lost.
     pub(crate) fn mark_last_attempt_lost(&mut self) {
-        if let Some(last) = self.attempts.last_mut() {
-            *last = attempt::advance(*last, AttemptEvent::LinkLost);
-        }
+        self.attempts.mark_last_lost();
     }
 
     /// Priority of the Organisation, or else of the route.
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -8,14 +8,20 @@
 
 use crate::{
     platform::request_headers::{parse_request_head, request_id},
-    policy::exposure::hash_fraction,
+    policy::{attempt_log::AttemptLog, exposure::hash_fraction},
     router::{
         Router,
         callers::caller_connection::CallerConnection,
         request::{
-            body::ResponseBody, buffered::MAX_BUFFERED_BODY, held_body::HeldBodyWriter,
-            in_flight::InFlightGuard, refusal::Refusal, relay, request_body::read_body,
-            request_context::RequestContext, request_panic::refuse_on_panic,
+            body::ResponseBody,
+            buffered::MAX_BUFFERED_BODY,
+            held_body::HeldBodyWriter,
+            in_flight::InFlightGuard,
+            refusal::{NotRunCause, Refusal},
+            relay,
+            request_body::read_body,
+            request_context::RequestContext,
+            request_panic::refuse_on_panic,
         },
     },
     routing::{CallerLimits, Organisation, Request, RequestHead, Route, RoutingTable},
@@ -65,25 +71,27 @@
     connected_at: Duration,
 ) -> Result<Response<ResponseBody>, Refusal> {
     router.notice_suspension();
+    // Attempts are made only once there is a context, which has a log of its own.
+    let attempts = AttemptLog::default();
     let mut in_flight = InFlightGuard::new(router, connection, connected_at);
     let (parts, body) = req.into_parts();
     let head = parse_request_head(&parts.method, &parts.uri, &parts.headers)?;
     router.wait_for_view().await;
     let table = router.table.load_full();
     let Some(table) = table.as_ref() else {
-        return Err(Refusal::NoConfiguration);
+        return Err(Refusal::not_run(NotRunCause::NoConfiguration, &attempts));
     };
     let (route, organisation) = admit(table, &head)?;
     let max_wait = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = in_flight.arrived_at + max_wait;
     if !router.accepts(&route, deadline) {
-        return Err(router.leaving_refusal(connected_at));
+        return Err(router.leaving_refusal(connected_at, &attempts));
     }
     let limits = table.limits.unwrap_or(DEFAULT_LIMITS);
-    let reading = read_body(&mut in_flight, body, &limits);
+    let reading = read_body(&mut in_flight, body, &limits, &attempts);
     let latest = || router.latest_first_send(&route, deadline);
     let Some(body) = router.clock.timeout_until(latest, reading).await else {
-        return Err(router.leaving_refusal(connected_at));
+        return Err(router.leaving_refusal(connected_at, &attempts));
     };
     let body = body?;
     in_flight.mark_received();
--- a/src/routing/response.rs
+++ b/src/routing/response.rs
@@ -13,7 +13,8 @@
     Failure,
     /// The server did not run the request and never will: it is full, stopping or the deadline has passed.
     NotRun,
-    /// Another server than expected uses the address; the request did not run.
+    /// A rejection that bears no signature: another server than expected uses the address, or this one doesn't take the
+    /// request; it did not run.
     WrongServer,
     /// The response belongs to another request; nothing is known about this one.
     WrongRequest,
@@ -57,7 +58,23 @@
     pub closes_connection: bool,
 }
 
+/// Whether a status promises that the request did not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 impl ResponseHead {
+    /// Whether the status promises that the request did not run although nothing in the response proves it.
+    pub fn is_unproved_promise(&self) -> bool {
+        self.kind == ResponseKind::Failure && promises_not_run(self.status)
+    }
+
     /// Whether the server rejected the request and announced the reason or the duration. Such a rejection is
     /// not counted as a failure, since the announcement already keeps further requests away.
     pub fn announces_rejection(&self) -> bool {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -50,5 +50,6 @@
 mod store_updates;
 mod streams;
 mod unavailable_servers;
+mod unproved_promises;
 mod unreadable_updates;
 mod urgent_updates;
