Links between entries: their age is proved by round trips

Cause: a follower took the arrival of a heartbeat for the age of what it says. A link that is slow but never silent for 0.9 s made its data arbitrarily old while it counted as current, and the follower didn't ask the store.

Change: a follower sends a reading of its own clock with its request and after each heartbeat, and each heartbeat returns the last one received; what the follower has is no older. When that is more than 1 s ago, the link no longer replaces the store (event 208), at once also between two messages; it does again below 0.6 s. Entries of earlier versions return no reading; their messages count as fresh, as before.

The relays of unreadable_updates.rs and urgent_updates.rs passed on one direction of a link only, which no link does; they pass on both now, with the same assertions.

--- /dev/null
+++ b/src/policy/link_age.rs
@@ -0,0 +1,77 @@
+//! Age of what an entry receives over a link to another one, proved by round trips.
+//!
+//! The arrival of a message says nothing about its age: on a link whose queue fills, messages arrive later and later
+//! without a gap. So the receiver sends readings of its own clock, and the other side returns the last one that it has
+//! received: what it sends with that is no older. No clock of another Host takes part. Leases are measured in the same
+//! way, from before the question (C. Gray and D. Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for
+//! Distributed File Cache Consistency", 1989).
+
+use std::time::Duration;
+
+/// Greatest age of what a link proves, after which it no longer replaces the store. A followed entry may pause 800 ms
+/// between changed servers, a call to the store takes some milliseconds, and a leaving server may receive requests for
+/// 2 s (`drain-ms`); docs/CAPACITY.md has the sum.
+pub const MAX_LINK_AGE: Duration = Duration::from_millis(1_000);
+
+/// Age below which a late link replaces the store again. It is lower, so that a link at the limit doesn't alternate.
+const PROMPT_LINK_AGE: Duration = Duration::from_millis(600);
+
+/// A reading of a receiver's clock, in microseconds; the sender only returns it.
+pub type ProbeTime = u64;
+
+/// What a link has proved so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkAge {
+    /// Time on the receiver's clock at or after which the newest message was composed.
+    proved_at: Duration,
+}
+
+impl LinkAge {
+    /// A link whose first question is sent now: what answers it is no older.
+    pub fn new(now: Duration) -> Self {
+        Self { proved_at: now }
+    }
+
+    /// The probe to send now.
+    pub fn probe(now: Duration) -> ProbeTime {
+        u64::try_from(now.as_micros()).unwrap_or(ProbeTime::MAX)
+    }
+
+    /// Records a message that returns a probe. One that this receiver can't have sent is ignored.
+    pub fn record_echo(&mut self, probe: ProbeTime, now: Duration) {
+        let sent_at = Duration::from_micros(probe);
+        if sent_at <= now {
+            self.proved_at = self.proved_at.max(sent_at);
+        }
+    }
+
+    /// Records a message of a sender that returns no probes: its age is unknown and counts as none.
+    pub fn record_arrival(&mut self, now: Duration) {
+        self.proved_at = self.proved_at.max(now);
+    }
+
+    /// Time on the receiver's clock up to which what was received is complete.
+    pub fn proved_at(&self) -> Duration {
+        self.proved_at
+    }
+
+    /// From when on the link is late unless another message is received.
+    pub fn late_at(&self) -> Duration {
+        self.proved_at + MAX_LINK_AGE
+    }
+
+    /// Whether what was received may be too old to replace the store.
+    pub fn is_late(&self, now: Duration) -> bool {
+        now >= self.late_at()
+    }
+
+    /// Whether a late link is prompt again.
+    pub fn is_prompt(&self, now: Duration) -> bool {
+        self.age(now) < PROMPT_LINK_AGE
+    }
+
+    /// Age of what was received.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.proved_at)
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,6 +28,7 @@
 pub mod known_limit;
 pub mod lease;
 pub mod lifecycle;
+pub mod link_age;
 pub mod load;
 pub mod outlier;
 pub mod overload;
--- a/src/router/peers/links.rs
+++ b/src/router/peers/links.rs
@@ -16,7 +16,6 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::broadcast::error::RecvError,
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -33,7 +32,8 @@
         Router,
         callers::{caller_connection::CallerConnection, connection_table::ConnectionTable},
         peers::{
-            messages::{PeerMessage, PeerRequest, Report},
+            follower_link::{FollowRequest, serve_follower},
+            messages::{PeerRequest, Report},
             urgent_updates::UrgentUpdates,
         },
     },
@@ -44,14 +44,14 @@
 /// regions.
 pub(crate) const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between heartbeats on a link.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which changes are collected before they are reported. Dozens of entries observe the
 /// same server crash within 10 ms, and each message also carries the load, 3 KB. A request that
 /// crashes servers may reach any entry within a tenth of a second.
 pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(30);
 /// Time without a message after which a link is closed: three heartbeats. The store is asked
 /// immediately afterwards, and a new configuration has to be in force within two seconds.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
+pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum number of links that one entry serves. If only one seed is left, each of 360 entries
@@ -143,11 +143,12 @@
     let first = first.await.map_err(|_| timed_out())??;
     connection.record_request_begun();
     match first {
-        PeerRequest::Follow { version, era, only_in, host } => {
+        PeerRequest::Follow { version, era, only_in, host, probe } => {
             let version = StoreVersion { era, revision: version };
-            serve_follower(router, socket, version, only_in.as_deref(), &host).await
+            serve_follower(router, socket, FollowRequest { version, only_in, host, probe }).await
         }
         PeerRequest::Report { host, report } => serve_reporter(router, socket, &host, report).await,
+        PeerRequest::Probe(_) => Err(Error::ConnectionFailed("expected a request".into())),
     }
 }
 
@@ -195,7 +196,7 @@
             };
             match request {
                 PeerRequest::Report { report, .. } => break report,
-                PeerRequest::Follow { .. } => {
+                PeerRequest::Follow { .. } | PeerRequest::Probe(_) => {
                     return Err(Error::ConnectionFailed("expected a report".into()));
                 }
             }
@@ -203,74 +204,6 @@
     }
 }
 
-/// Sends heartbeats with the store's updates to a follower until it closes the link.
-async fn serve_follower(
-    router: &Router,
-    mut socket: Socket,
-    version: StoreVersion,
-    only_in: Option<&str>,
-    host: &str,
-) -> Result<()> {
-    let zone = router.settings.load().zone.clone();
-    let is_zone_accepted = only_in.is_none_or(|wanted| *wanted == *zone);
-    send_message(&mut socket, &PeerMessage::Welcome { zone }).await?;
-    if !is_zone_accepted {
-        return Ok(());
-    }
-    let (mut updates, mut changes) = router.table_views.subscribe(version);
-    let (mut next_kept, mut next_end, mut next_limit, mut next_speed) = (0, None, 0, 0);
-    let mut quarantine_changes = router.quarantine.changes();
-    let mut limit_changes = router.shared_limits.urgent_changes();
-    loop {
-        let is_current = router.is_current();
-        let loads = router.load_reports.sums(router.now());
-        let (kept, next) = router.prefix_reports.all_since(next_kept, router.now());
-        next_kept = next;
-        quarantine_changes.mark_unchanged();
-        let (ends, next) = router.quarantine.all_since(next_end, router.now());
-        next_end = Some(next);
-        limit_changes.mark_unchanged();
-        let (limits, next) = router.shared_limits.all_since(next_limit);
-        next_limit = next;
-        let (speeds, next) = router.speed_reports.all_since(next_speed);
-        next_speed = next;
-        let entries = router.load_reports.entry_count(router.now());
-        let heartbeat = PeerMessage::Beat {
-            is_current,
-            updates,
-            entries,
-            place: router.place_of(host),
-            loads,
-            kept,
-            ends,
-            is_informed: router.quarantine.is_informed(),
-            limits,
-            speeds,
-            true_time: router.shared_true_time(),
-        };
-        send_message(&mut socket, &heartbeat).await?;
-        updates = tokio::select! {
-            update = changes.recv() => match update {
-                Ok(update) => vec![update],
-                Err(RecvError::Lagged(_) | RecvError::Closed) => return Ok(()),
-            },
-            () = sleep(HEARTBEAT_INTERVAL) => Vec::new(),
-            _ = quarantine_changes.changed() => {
-                sleep(BATCH_DELAY).await;
-                Vec::new()
-            }
-            _ = limit_changes.changed() => {
-                sleep(BATCH_DELAY).await;
-                Vec::new()
-            }
-            message = socket.next() => match message {
-                Some(Ok(Message::Close(_))) | None => return Ok(()),
-                Some(message) => { message?; Vec::new() }
-            },
-        };
-    }
-}
-
 pub(crate) async fn send_message<T: Serialize>(socket: &mut Socket, message: &T) -> Result<()> {
     let message = Message::binary(encode(message));
     timeout(SILENCE_TIMEOUT, socket.send(message)).await.map_err(|_| timed_out())??;
--- a/src/router/peers/messages.rs
+++ b/src/router/peers/messages.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     ids::{Era, Revision},
-    policy::usage::{TrueMs, UsageReport},
+    policy::{
+        link_age::ProbeTime,
+        usage::{TrueMs, UsageReport},
+    },
     router::{
         peers::{
             load_reports::ServerLoad, prefix_reports::ReportedPrefix,
@@ -36,7 +39,12 @@
         /// Name of the follower's Host, under which it also reports.
         #[serde(default)]
         host: Box<str>,
+        /// The first probe; absent from followers that send none.
+        #[serde(default)]
+        probe: Option<ProbeTime>,
     },
+    /// A follower's probe, sent after each heartbeat; the next heartbeat returns the last one received.
+    Probe(ProbeTime),
     /// The sender's load, observations and roll-out evidence. Sent repeatedly on a link of its own.
     Report { host: Box<str>, report: Report },
 }
@@ -117,6 +125,10 @@
         /// The sender's estimate of true time; absent if nobody reports usage.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         true_time: Option<TrueMs>,
+        /// The last probe of the follower that was received before this heartbeat was composed; absent from entries
+        /// that don't send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        probe: Option<ProbeTime>,
     },
     /// Urgent updates for a reporting entry, in addition to the heartbeats of the entry that it
     /// follows: that one may be suspended or cut off, and switching to another one takes a second
--- a/src/router/peers/mod.rs
+++ b/src/router/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What entries tell each other, and the links between them.
 
+pub(crate) mod follower_link;
 pub(crate) mod links;
 pub(crate) mod load_reports;
 pub(crate) mod messages;
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -7,11 +7,15 @@
 use crate::{
     ids::StoreVersion,
     platform::host_settings::HostSettings,
+    policy::link_age::LinkAge,
     protocol::{Error, Result},
     router::{
         Router,
         peers::{
-            links::{OPEN_TIMEOUT, connect, other_seeds, receive_message, send_message, timed_out},
+            links::{
+                OPEN_TIMEOUT, Socket, connect, other_seeds, receive_message, send_message,
+                timed_out,
+            },
             messages::{PeerMessage, PeerRequest},
             unread_tables::UnreadTables,
         },
@@ -28,6 +32,10 @@
 /// Another seed may have lost the store for only a moment.
 const CUT_OFF_SEED_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which a link that is late is kept: it still tells the load of the servers, and a new one would send all that
+/// is known again.
+const LATE_LINK_GRACE: Duration = Duration::from_secs(1);
+
 /// Why an entry stops following a peer without an error.
 enum LeaveReason {
     /// The peer is in another AvailabilityZone, and the zones of some seeds are still unknown.
@@ -132,7 +140,10 @@
     let own_zone = router.settings.load().zone.clone();
     let only_in = requires_own_zone.then(|| own_zone.clone());
     let host = router.settings.load().host.clone();
-    send_message(&mut socket, &PeerRequest::Follow { version, era, only_in, host }).await?;
+    let mut age = LinkAge::new(router.now());
+    let probe = Some(LinkAge::probe(router.now()));
+    let request = PeerRequest::Follow { version, era, only_in, host, probe };
+    send_message(&mut socket, &request).await?;
     let PeerMessage::Welcome { zone } = receive_message(&mut socket).await? else {
         return Err(Error::ConnectionFailed("expected a welcome message".into()));
     };
@@ -141,35 +152,97 @@
     if !is_own_zone && requires_own_zone {
         return Ok(LeaveReason::OtherZone);
     }
-    let mut current_at = router.now();
+    let mut leaving = LeaveTimes::new(router.now(), grace);
     let mut unread = UnreadTables::default();
     while router.needs_link() {
         let heartbeat = tokio::select! {
             biased;
             _ = wakes.changed() => return Err(host_suspended()),
-            heartbeat = receive_message(&mut socket) => heartbeat?,
+            heartbeat = receive_until_late(router, &mut socket, &age) => heartbeat?,
         };
         // Messages that were waiting while the Host was suspended are outdated.
         if router.notice_suspension() {
             return Err(host_suspended());
         }
-        let is_peer_current = apply_heartbeat(router, heartbeat, &mut unread)?;
-        let is_current = is_peer_current && unread.is_empty();
+        let mut is_peer_current = leaving.is_peer_current;
+        if let Some(heartbeat) = heartbeat {
+            is_peer_current = apply_heartbeat(router, heartbeat, &mut unread, &mut age)?;
+            let probe = LinkAge::probe(router.now());
+            send_message(&mut socket, &PeerRequest::Probe(probe)).await?;
+        }
+        if leaving.record(router.now(), is_peer_current, &age) {
+            let age_ms = age.age(router.now()).as_millis();
+            event::PEER_LATE.log(format_args!("peer={peer} age_ms={age_ms}"));
+        }
+        let is_current = leaving.is_link_current() && unread.is_empty();
         if router.peer_link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
         if unread.is_retry_due(router.now()) {
             return Err(Error::ConnectionFailed("the peer's rows can't be read".into()));
         }
-        if is_peer_current {
-            current_at = router.now();
-        } else if router.now() >= current_at + grace {
-            return Err(Error::ConnectionFailed("the peer has lost the store".into()));
+        if let Some(cause) = leaving.reason_to_leave(router.now()) {
+            return Err(Error::ConnectionFailed(cause.into()));
         }
     }
     Ok(LeaveReason::Unwanted)
 }
 
+/// Since when a link has not replaced the store, and how long it may stay so.
+struct LeaveTimes {
+    /// Time for which a peer that has lost the store is followed.
+    grace: Duration,
+    /// When the peer last said that it reaches the store.
+    peer_current_at: Duration,
+    is_peer_current: bool,
+    /// Since when what arrives is too old.
+    late_since: Option<Duration>,
+}
+
+impl LeaveTimes {
+    fn new(now: Duration, grace: Duration) -> Self {
+        Self { grace, peer_current_at: now, is_peer_current: false, late_since: None }
+    }
+
+    /// Records the state of the link. Returns whether it became late.
+    fn record(&mut self, now: Duration, is_peer_current: bool, age: &LinkAge) -> bool {
+        self.is_peer_current = is_peer_current;
+        if is_peer_current {
+            self.peer_current_at = now;
+        }
+        let was_late = self.late_since.is_some();
+        if age.is_late(now) {
+            self.late_since.get_or_insert(now);
+        } else if age.is_prompt(now) {
+            self.late_since = None;
+        }
+        !was_late && self.late_since.is_some()
+    }
+
+    fn is_link_current(&self) -> bool {
+        self.is_peer_current && self.late_since.is_none()
+    }
+
+    fn reason_to_leave(&self, now: Duration) -> Option<&'static str> {
+        if !self.is_peer_current && now >= self.peer_current_at + self.grace {
+            return Some("the peer has lost the store");
+        }
+        let is_late = self.late_since.is_some_and(|since| now >= since + LATE_LINK_GRACE);
+        is_late.then_some("what the peer sends arrives too late")
+    }
+}
+
+/// Waits for the next message; `None` when the link becomes late before it arrives.
+async fn receive_until_late(
+    router: &Router,
+    socket: &mut Socket,
+    age: &LinkAge,
+) -> Result<Option<PeerMessage>> {
+    let late_at = (!age.is_late(router.now())).then(|| age.late_at());
+    let received = router.clock.timeout_until(|| late_at, receive_message(socket)).await;
+    received.transpose()
+}
+
 fn host_suspended() -> Error {
     Error::ConnectionFailed("host was suspended".into())
 }
@@ -179,6 +252,7 @@
     router: &Router,
     message: PeerMessage,
     unread: &mut UnreadTables,
+    age: &mut LinkAge,
 ) -> Result<bool> {
     let PeerMessage::Beat {
         is_current,
@@ -192,6 +266,7 @@
         limits,
         speeds,
         true_time,
+        probe,
     } = message
     else {
         return Err(Error::ConnectionFailed("expected a heartbeat".into()));
@@ -199,7 +274,11 @@
     for update in updates {
         unread.receive(router, &update)?;
     }
-    router.table_views.record_peer_message(router.now());
+    match probe {
+        Some(probe) => age.record_echo(probe, router.now()),
+        None => age.record_arrival(router.now()),
+    }
+    router.table_views.record_peer_message(router.now(), age.proved_at());
     if entries > 0 {
         router.record_entries(entries);
     }
--- a/src/router/store/feed.rs
+++ b/src/router/store/feed.rs
@@ -11,7 +11,10 @@
         documents::is_config_key,
         store::{FeedReply, Rows, StoreClient, Table},
     },
-    policy::replication::{TablePosition, UpdateAction, UpdateHeader},
+    policy::{
+        link_age::MAX_LINK_AGE,
+        replication::{TablePosition, UpdateAction, UpdateHeader},
+    },
     router::{
         Router,
         store::{
@@ -166,10 +169,10 @@
         // The followed entry reaches the store, so it no longer matters whether this one does.
         self.reachability.record_answer(self.table, router.now());
         self.apply_pending(router, apply);
-        record_applied(router, self.table);
+        record_applied(router, self.table, router.table_views.peer_data_at());
         match router.peer_link.next(self.table).await {
             Some(update) => apply_update(router, update, self, apply),
-            None => wait_for_link(router, RELINK_WAIT).await,
+            None => wait_for_link(router, relink_wait(router)).await,
         }
     }
 }
@@ -194,6 +197,7 @@
         router.metrics.count_store_call("follow");
         let is_urgent = followed.reachability.is_lost || !router.is_view_fresh();
         let mut wakes = router.clock.subscribe_suspensions();
+        let asked_at = router.now();
         let answer = tokio::select! {
             biased;
             // The Host was suspended, and the wait of this call is long over.
@@ -229,7 +233,7 @@
             continue;
         }
         is_lacking_rows = false;
-        record_applied(router, table);
+        record_applied(router, table, asked_at);
         if is_first {
             wait_for_link(router, LINK_WAIT_AFTER_READ).await;
         } else if has_changes && !followed.reachability.is_lost {
@@ -239,11 +243,10 @@
     }
 }
 
-/// Records that all received rows of a table are applied; after a suspension, requests may be
-/// waiting for that.
-fn record_applied(router: &Router, table: Table) {
+/// Records that the rows of a table are applied as of a time; after a suspension, requests may be waiting for that.
+fn record_applied(router: &Router, table: Table, as_of: Duration) {
     let was_fresh = router.is_view_fresh();
-    router.table_views.record_answer(table, router.now());
+    router.table_views.record_answer(table, as_of);
     if !was_fresh {
         router.wake_waiters();
     }
@@ -263,6 +266,12 @@
     }
 }
 
+/// Time to wait for a new link after one has ended or is late: less if what it has sent is old already.
+fn relink_wait(router: &Router) -> Duration {
+    let late_at = router.table_views.peer_data_at() + MAX_LINK_AGE;
+    RELINK_WAIT.min(late_at.saturating_sub(router.now()))
+}
+
 /// Waits for a link that replaces the store, if this entry may follow another one. The store is
 /// asked if the wait times out.
 async fn wait_for_link(router: &Router, max_wait: Duration) {
--- a/src/router/store/table_views.rs
+++ b/src/router/store/table_views.rs
@@ -80,6 +80,8 @@
     updates: broadcast::Sender<CompressedUpdate>,
     /// Time of the last message from the entry that this one follows.
     peer_message_at: Mutex<Duration>,
+    /// Time up to which that entry's data was received.
+    peer_data_at: Mutex<Duration>,
 }
 
 impl Default for TableViews {
@@ -88,6 +90,7 @@
             tables: Mutex::default(),
             updates: broadcast::Sender::new(UPDATE_BUFFER),
             peer_message_at: Mutex::default(),
+            peer_data_at: Mutex::default(),
         }
     }
 }
@@ -166,11 +169,11 @@
         self.updates.receiver_count() > 0
     }
 
-    /// Records that the store answered a call about a table.
-    pub(crate) fn record_answer(&self, table: Table, now: Duration) {
+    /// Records that the rows of a table are known as of a time, at which the store was asked or later.
+    pub(crate) fn record_answer(&self, table: Table, as_of: Duration) {
         let mut tables = self.tables.lock();
         let view = tables.entry(table).or_default();
-        view.answered_at = now;
+        view.answered_at = as_of;
         view.is_lost = false;
     }
 
@@ -186,9 +189,10 @@
         tables.values().any(|view| view.is_lost)
     }
 
-    /// Records a message from the entry that this one follows.
-    pub(crate) fn record_peer_message(&self, now: Duration) {
+    /// Records a message from the entry that this one follows, which arrives now and is no older than `proved_at`.
+    pub(crate) fn record_peer_message(&self, now: Duration, proved_at: Duration) {
         *self.peer_message_at.lock() = now;
+        *self.peer_data_at.lock() = proved_at;
     }
 
     /// Time of the last message from the entry that this one follows.
@@ -196,10 +200,14 @@
         *self.peer_message_at.lock()
     }
 
-    /// Time up to which every table is applied or, if later, time of the last message from the
-    /// followed entry.
+    /// Time up to which the followed entry's data was received.
+    pub(crate) fn peer_data_at(&self) -> Duration {
+        *self.peer_data_at.lock()
+    }
+
+    /// Time up to which every table is applied or, if later, up to which the followed entry's data was received.
     pub(crate) fn answered_at(&self) -> Duration {
-        self.applied_at().max(self.peer_message_at())
+        self.applied_at().max(self.peer_data_at())
     }
 
     /// Time up to which every table is applied: the oldest of the tables' last answers.
--- a/tests/platform/unreadable_updates.rs
+++ b/tests/platform/unreadable_updates.rs
@@ -18,7 +18,7 @@
     server::Action,
     site::{Site, configuration, list_server, start_server, store_with_servers, wait_until},
     store::Store,
-    urgent_updates::{decode, encode},
+    urgent_updates::{decode, encode, relay_messages},
 };
 
 const GOOD: Action = Action::Respond { status: 200, body: "good" };
@@ -64,11 +64,7 @@
     let stream = TcpStream::connect(seed).await.ok()?;
     let (mut seed, _) = client_async("ws://seed/", stream).await.ok()?;
     seed.send(encode(&asked)).await.ok()?;
-    loop {
-        let mut message = decode(&seed.next().await?.ok()?)?;
-        damage(&mut message);
-        socket.send(encode(&message)).await.ok()?;
-    }
+    relay_messages(socket, seed, damage).await
 }
 
 impl Relay {
--- a/tests/platform/urgent_updates.rs
+++ b/tests/platform/urgent_updates.rs
@@ -62,10 +62,24 @@
     let stream = TcpStream::connect(healthy).await.ok()?;
     let (mut seed, _) = client_async(format!("ws://{healthy}/"), stream).await.ok()?;
     seed.send(encode(&asked)).await.ok()?;
+    relay_messages(socket, seed, remove_omitted_fields).await
+}
+
+/// Relays the messages of a link in both directions, those of the seed with a change, until it ends.
+pub async fn relay_messages(
+    mut follower: WebSocketStream<TcpStream>,
+    mut seed: WebSocketStream<TcpStream>,
+    change: fn(&mut Value),
+) -> Option<()> {
     loop {
-        let mut update = decode(&seed.next().await?.ok()?)?;
-        remove_omitted_fields(&mut update);
-        socket.send(encode(&update)).await.ok()?;
+        tokio::select! {
+            message = seed.next() => {
+                let mut message = decode(&message?.ok()?)?;
+                change(&mut message);
+                follower.send(encode(&message)).await.ok()?;
+            }
+            message = follower.next() => seed.send(message?.ok()?).await.ok()?,
+        }
     }
 }
 
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -180,6 +180,10 @@
 }
 
 impl Process {
+    pub fn id(&self) -> Pid {
+        self.pid
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         kill_process(self.pid, signal).unwrap();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod faulty_servers;
 mod harness;
+mod late_links;
 mod odd_rows;
 mod planned_stops;
 mod restarts;
