A link's age may use up half of the shortest bound on the age of data

Cause: the limit of 1 s is half of the bound of the small deployments (2 s); the large ones state 4 and 5 s (`drain-ms`, `config-apply-ms`), and their entries have less of a processor to read heartbeats with.

Change: the limit follows from the settings, with 1 s as the least. `config-apply-ms` is read for it (2,000 where it is missing).

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -37,6 +37,8 @@
     pub shutdown_grace: Duration,
     /// Time for which a server keeps serving after it announced that it drains.
     pub drain_time: Duration,
+    /// Time after the acknowledgement of a configuration from which it must be in force.
+    pub config_apply_time: Duration,
     /// Time within which a Host has to catch up after a disruption.
     pub catch_up_time: Duration,
     /// Retry budget: retries allowed per request.
@@ -127,6 +129,7 @@
 // The defaults are the values of the first two deployments.
 const GRACE_S: Number = bound("grace-s", 8.0, 0.0, MAX_SECONDS);
 const DRAIN_MS: Number = bound("drain-ms", 2_000.0, 0.0, MAX_MS);
+const CONFIG_APPLY_MS: Number = bound("config-apply-ms", 2_000.0, 0.0, MAX_MS);
 /// Time after a disruption from which the platform enforces all bounds again.
 const CONTACT_MS: Number = bound("contact-ms", 3_000.0, MIN_MS, MAX_MS);
 const RETRY_RATIO: Number = bound("retry-ratio", 0.1, 0.0, MAX_REQUESTS);
@@ -194,6 +197,7 @@
         store_address,
         shutdown_grace: reader.seconds(&GRACE_S),
         drain_time: reader.milliseconds(&DRAIN_MS),
+        config_apply_time: reader.milliseconds(&CONFIG_APPLY_MS),
         catch_up_time: reader.milliseconds(&CONTACT_MS),
         retry_ratio: reader.number(&RETRY_RATIO),
         retry_extra: reader.number(&RETRY_EXTRA),
--- a/src/policy/link_age.rs
+++ b/src/policy/link_age.rs
@@ -8,13 +8,15 @@
 
 use std::time::Duration;
 
-/// Greatest age of what a link proves, after which it no longer replaces the store. A followed entry may pause 800 ms
-/// between changed servers, a call to the store takes some milliseconds, and a leaving server may receive requests for
-/// 2 s (`drain-ms`); docs/CAPACITY.md has the sum.
-pub const MAX_LINK_AGE: Duration = Duration::from_millis(1_000);
-
-/// Age below which a late link replaces the store again. It is lower, so that a link at the limit doesn't alternate.
-const PROMPT_LINK_AGE: Duration = Duration::from_millis(600);
+/// Part of the shortest bound on the age of data that a link may use up. The rest is for the followed entry, which may
+/// pause 800 ms between changed servers, and for the call to the store; docs/CAPACITY.md has the sum.
+const LINK_PART: f64 = 0.5;
+/// Smallest limit of a link's age: two heartbeats of 300 ms, between which nothing is proved, and as much as a third for
+/// round trips and waiting for the processor.
+const MIN_LIMIT: Duration = Duration::from_millis(1_000);
+/// Part of the limit below which a late link replaces the store again. It is lower than 1, so that a link at the limit
+/// doesn't alternate.
+const PROMPT_PART: f64 = 0.6;
 
 /// A reading of a receiver's clock, in microseconds; the sender only returns it.
 pub type ProbeTime = u64;
@@ -24,12 +26,19 @@
 pub struct LinkAge {
     /// Time on the receiver's clock at or after which the newest message was composed.
     proved_at: Duration,
+    /// Age from which on the link no longer replaces the store.
+    limit: Duration,
+}
+
+/// The limit of a link's age where changes must be in force after `bound`.
+pub fn max_link_age(bound: Duration) -> Duration {
+    bound.mul_f64(LINK_PART).max(MIN_LIMIT)
 }
 
 impl LinkAge {
     /// A link whose first question is sent now: what answers it is no older.
-    pub fn new(now: Duration) -> Self {
-        Self { proved_at: now }
+    pub fn new(now: Duration, limit: Duration) -> Self {
+        Self { proved_at: now, limit }
     }
 
     /// The probe to send now.
@@ -57,7 +66,7 @@
 
     /// From when on the link is late unless another message is received.
     pub fn late_at(&self) -> Duration {
-        self.proved_at + MAX_LINK_AGE
+        self.proved_at + self.limit
     }
 
     /// Whether what was received may be too old to replace the store.
@@ -67,7 +76,7 @@
 
     /// Whether a late link is prompt again.
     pub fn is_prompt(&self, now: Duration) -> bool {
-        self.age(now) < PROMPT_LINK_AGE
+        self.age(now) < self.limit.mul_f64(PROMPT_PART)
     }
 
     /// Age of what was received.
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -140,7 +140,7 @@
     let own_zone = router.settings.load().zone.clone();
     let only_in = requires_own_zone.then(|| own_zone.clone());
     let host = router.settings.load().host.clone();
-    let mut age = LinkAge::new(router.now());
+    let mut age = LinkAge::new(router.now(), router.max_link_age());
     let probe = Some(LinkAge::probe(router.now()));
     let request = PeerRequest::Follow { version, era, only_in, host, probe };
     send_message(&mut socket, &request).await?;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -23,6 +23,7 @@
         exposure::hash_fraction,
         extra_share::ExtraShare,
         lifecycle::{self, Lifecycle, LifecycleEvent, LifecycleState},
+        link_age::max_link_age,
         overload::{Overload, retry_after},
         shutdown::PlannedStop,
         trial_budget::budget_part,
@@ -264,6 +265,12 @@
         !self.is_seed() && self.peer_link.is_current()
     }
 
+    /// Age of a followed entry's data from which on the store is asked instead.
+    pub(crate) fn max_link_age(&self) -> Duration {
+        let settings = self.settings.load();
+        max_link_age(settings.drain_time.min(settings.config_apply_time))
+    }
+
     /// Whether this entry's data is current, so that others may follow it.
     pub(crate) fn is_current(&self) -> bool {
         self.table.load().is_some() && !self.table_views.is_store_lost()
--- a/src/router/store/feed.rs
+++ b/src/router/store/feed.rs
@@ -11,10 +11,7 @@
         documents::is_config_key,
         store::{FeedReply, Rows, StoreClient, Table},
     },
-    policy::{
-        link_age::MAX_LINK_AGE,
-        replication::{TablePosition, UpdateAction, UpdateHeader},
-    },
+    policy::replication::{TablePosition, UpdateAction, UpdateHeader},
     router::{
         Router,
         store::{
@@ -268,7 +265,7 @@
 
 /// Time to wait for a new link after one has ended or is late: less if what it has sent is old already.
 fn relink_wait(router: &Router) -> Duration {
-    let late_at = router.table_views.peer_data_at() + MAX_LINK_AGE;
+    let late_at = router.table_views.peer_data_at() + router.max_link_age();
     RELINK_WAIT.min(late_at.saturating_sub(router.now()))
 }
 
--- a/tests/platform/host_settings.rs
+++ b/tests/platform/host_settings.rs
@@ -21,7 +21,7 @@
 limits: {max-fds: 4200, cores: 1}
 data-dir: null
 a-new-field: {x: [1, 2]}
-bounds: {grace-s: 8, drain-ms: 2500, retry-ratio: 0.9, retry-extra: 52, retry-window-s: 10, session-s: 5}
+bounds: {grace-s: 8, drain-ms: 2500, config-apply-ms: 3500, retry-ratio: 0.9, retry-extra: 52, retry-window-s: 10, session-s: 5}
 platform: {address: "10.200.1.7:8223", form: "table"}
 "#;
 
@@ -34,6 +34,7 @@
     assert_eq!(settings.seed_peers.len(), 2);
     assert_eq!(settings.shutdown_grace, Duration::from_secs(8));
     assert_eq!(settings.drain_time, Duration::from_millis(2_500));
+    assert_eq!(settings.config_apply_time, Duration::from_millis(3_500));
     assert_eq!(&*settings.store_address, "10.200.1.7:8223");
 }
 
@@ -106,6 +107,7 @@
     for (key, default, unusable) in [
         ("grace-s", "8", ["-1", "1e300", "[8]", "{a: 8}", "soon"]),
         ("drain-ms", "2000", ["-1", "1e300", ".nan", "86400001", "2s"]),
+        ("config-apply-ms", "2000", ["-1", "1e300", ".nan", "86400001", "2s"]),
         ("contact-ms", "3000", ["-5", ".nan", "0", "1e400", "true"]),
         ("retry-ratio", "0.1", [".nan", ".inf", "-0.1", "1e400", "-.inf"]),
         ("retry-extra", "20", [".nan", "[52]", "-1", "1e400", "x"]),
@@ -298,7 +300,7 @@
 seeds: ${seeds}
 contracts: ${contracts}
 limits: {max-fds: ${max-fds}, memory-mb: ${memory-mb}}
-bounds: {grace-s: ${grace-s}, drain-ms: ${drain-ms}, contact-ms: ${contact-ms}, retry-ratio: ${retry-ratio}, retry-extra: ${retry-extra}, retry-window-s: ${retry-window-s}, exposure-share: ${exposure-share}, exposure-tolerance: ${exposure-tolerance}, lease-ms: ${lease-ms}, report-window-s: ${report-window-s}, usage-delay-s: ${usage-delay-s}}
+bounds: {grace-s: ${grace-s}, drain-ms: ${drain-ms}, config-apply-ms: ${config-apply-ms}, contact-ms: ${contact-ms}, retry-ratio: ${retry-ratio}, retry-extra: ${retry-extra}, retry-window-s: ${retry-window-s}, exposure-share: ${exposure-share}, exposure-tolerance: ${exposure-tolerance}, lease-ms: ${lease-ms}, report-window-s: ${report-window-s}, usage-delay-s: ${usage-delay-s}}
 cloud: {address: ${address}, duties: ${duties}, duty-per-s: ${duty-per-s}}
 platform: {address: "10.200.1.7:8223"}
 unknown: ${unknown}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -51,6 +51,7 @@
         store_address: store.address.to_string().into(),
         shutdown_grace: Duration::from_secs(4),
         drain_time: Duration::from_secs(2),
+        config_apply_time: Duration::from_secs(2),
         catch_up_time: Duration::from_secs(3),
         // More retries than deployments allow: an entry that has just started has no share of
         // `retry_extra` yet, and the retry budget has tests of its own.
