A seed that loses the store tells its followers at once

Cause: followers learned it with the next heartbeat, up to 0.3 s later. A poll of a seed ends 1.5 s after it was sent at the latest, and a follower waits up to 0.3 s for another seed, 2.1 s in all, where 2 s are allowed.

Change: the loss makes a heartbeat due, as changed rows do. The sum is 1.8 s. The time as of which a table is known no longer goes back when a link takes over from the store.

--- a/src/router/peers/follower_link.rs
+++ b/src/router/peers/follower_link.rs
@@ -49,6 +49,7 @@
     changes: broadcast::Receiver<CompressedUpdate>,
     quarantine_changes: watch::Receiver<u64>,
     limit_changes: watch::Receiver<u64>,
+    store_lost_changes: watch::Receiver<bool>,
     next_kept: u64,
     next_end: Option<u64>,
     next_limit: u64,
@@ -79,6 +80,7 @@
         changes,
         quarantine_changes: router.quarantine.changes(),
         limit_changes: router.shared_limits.urgent_changes(),
+        store_lost_changes: router.table_views.store_lost_changes(),
         next_kept: 0,
         next_end: None,
         next_limit: 0,
@@ -108,6 +110,7 @@
         let (ends, next) = router.quarantine.all_since(self.next_end, now);
         self.next_end = Some(next);
         self.limit_changes.mark_unchanged();
+        self.store_lost_changes.mark_unchanged();
         let (limits, next) = router.shared_limits.all_since(self.next_limit);
         self.next_limit = next;
         let (speeds, next) = router.speed_reports.all_since(self.next_speed);
@@ -163,6 +166,8 @@
                     sleep(BATCH_DELAY).await;
                     is_due = true;
                 }
+                // The follower asks the store itself as soon as it learns that this entry can't.
+                _ = self.store_lost_changes.changed(), if !is_due => is_due = true,
                 () = sleep_until(regular + SILENCE_TIMEOUT), if is_due => return Err(timed_out()),
                 message = self.socket.next() => match message {
                     Some(Ok(Message::Close(_))) | None => return Ok(None),
--- a/src/router/store/table_views.rs
+++ b/src/router/store/table_views.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use tokio::sync::broadcast;
+use tokio::sync::{broadcast, watch};
 
 use crate::{
     ids::{Era, StoreVersion},
@@ -78,6 +78,8 @@
 pub(crate) struct TableViews {
     tables: Mutex<HashMap<Table, TableView>>,
     updates: broadcast::Sender<CompressedUpdate>,
+    /// Whether the last call about any table failed.
+    is_store_lost: watch::Sender<bool>,
     /// Time of the last message from the entry that this one follows.
     peer_message_at: Mutex<Duration>,
     /// Time up to which that entry's data was received.
@@ -89,6 +91,7 @@
         Self {
             tables: Mutex::default(),
             updates: broadcast::Sender::new(UPDATE_BUFFER),
+            is_store_lost: watch::Sender::new(false),
             peer_message_at: Mutex::default(),
             peer_data_at: Mutex::default(),
         }
@@ -169,24 +172,35 @@
         self.updates.receiver_count() > 0
     }
 
-    /// Records that the rows of a table are known as of a time, at which the store was asked or later.
+    /// Records that the rows of a table are known as of a time, at which the store was asked, or a seed that follows it.
     pub(crate) fn record_answer(&self, table: Table, as_of: Duration) {
         let mut tables = self.tables.lock();
         let view = tables.entry(table).or_default();
-        view.answered_at = as_of;
+        view.answered_at = view.answered_at.max(as_of);
         view.is_lost = false;
+        self.publish_store_lost(&tables);
     }
 
     /// Records that a call about a table failed.
     pub(crate) fn record_failure(&self, table: Table) {
         let mut tables = self.tables.lock();
         tables.entry(table).or_default().is_lost = true;
+        self.publish_store_lost(&tables);
+    }
+
+    fn publish_store_lost(&self, tables: &HashMap<Table, TableView>) {
+        let is_lost = tables.values().any(|view| view.is_lost);
+        self.is_store_lost.send_if_modified(|before| std::mem::replace(before, is_lost) != is_lost);
     }
 
     /// Whether the last call about any table failed.
     pub(crate) fn is_store_lost(&self) -> bool {
-        let tables = self.tables.lock();
-        tables.values().any(|view| view.is_lost)
+        *self.is_store_lost.borrow()
+    }
+
+    /// Subscribes to changes of [`Self::is_store_lost`].
+    pub(crate) fn store_lost_changes(&self) -> watch::Receiver<bool> {
+        self.is_store_lost.subscribe()
     }
 
     /// Records a message from the entry that this one follows, which arrives now and is no older than `proved_at`.
