--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -107,8 +107,8 @@
     PEER_VIEW_TAKEN = 204, Info, "The store does not respond; newer data that another entry has read from it was adopted.";
     PEER_FOLLOWED = 205, Info, "This entry gets its data from another entry that reaches the store, instead of from the store.";
     PEER_LEFT = 206, Info, "The followed entry stopped responding or lost the store; the store is queried again.";
-    PEER_LATE = 208, Warn, "What the followed entry sends arrives too late; the store is asked until it arrives in time again.";
     PEER_SPEED_UNREADABLE = 207, Error, "Another entry reports a server's speed that can't be right; it is ignored.";
+    PEER_LATE = 208, Warn, "What the followed entry sends arrives too late; the store is asked until it arrives in time again.";
     CONFIG_ADVANCED = 300, Info, "A newer configuration revision is in force in this process.";
     CONFIG_OLDER_SHOWN = 301, Error, "The store returned an older revision than the one in force; it is ignored.";
     CONFIG_CHANGED = 302, Info, "A change by an operator or a leased job was accepted.";
