Probes are sent only to entries that return them

Cause: an entry of an earlier version answers each message of a follower by a heartbeat, and a probe follows each heartbeat: a loop at the speed of the link while versions are mixed. Found by reading; in peer_probes::an_entry_that_returns_no_probes_is_followed_and_sent_none the follower sent 9 probes in 2.5 s without the condition, and none with it (its relay answers none of them, so that there is no loop).

Change: a probe is sent after a heartbeat that returned one; the first goes with the request. What decides whether a link replaces the store is a pure type now (policy/followed_link.rs), with tests in tests/link_age.rs.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,6 +24,7 @@
 pub mod extra_share;
 pub mod failure_rate;
 pub mod fair_queue;
+pub mod followed_link;
 pub mod gate;
 pub mod known_limit;
 pub mod lease;
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -7,7 +7,7 @@
 use crate::{
     ids::StoreVersion,
     platform::host_settings::HostSettings,
-    policy::link_age::LinkAge,
+    policy::{followed_link::FollowedLink, link_age::LinkAge},
     protocol::{Error, Result},
     router::{
         Router,
@@ -32,10 +32,6 @@
 /// Another seed may have lost the store for only a moment.
 const CUT_OFF_SEED_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which a link that is late is kept: it still tells the load of the servers, and a new one would send all that
-/// is known again.
-const LATE_LINK_GRACE: Duration = Duration::from_secs(1);
-
 /// Why an entry stops following a peer without an error.
 enum LeaveReason {
     /// The peer is in another AvailabilityZone, and the zones of some seeds are still unknown.
@@ -140,7 +136,7 @@
     let own_zone = router.settings.load().zone.clone();
     let only_in = requires_own_zone.then(|| own_zone.clone());
     let host = router.settings.load().host.clone();
-    let mut age = LinkAge::new(router.now(), router.max_link_age());
+    let mut link = FollowedLink::new(router.now(), router.max_link_age(), grace);
     let probe = Some(LinkAge::probe(router.now()));
     let request = PeerRequest::Follow { version, era, only_in, host, probe };
     send_message(&mut socket, &request).await?;
@@ -152,93 +148,48 @@
     if !is_own_zone && requires_own_zone {
         return Ok(LeaveReason::OtherZone);
     }
-    let mut leaving = LeaveTimes::new(router.now(), grace);
     let mut unread = UnreadTables::default();
     while router.needs_link() {
         let heartbeat = tokio::select! {
             biased;
             _ = wakes.changed() => return Err(host_suspended()),
-            heartbeat = receive_until_late(router, &mut socket, &age) => heartbeat?,
+            heartbeat = receive_until_late(router, &mut socket, &link) => heartbeat?,
         };
         // Messages that were waiting while the Host was suspended are outdated.
         if router.notice_suspension() {
             return Err(host_suspended());
         }
-        let mut is_peer_current = leaving.is_peer_current;
         if let Some(heartbeat) = heartbeat {
-            is_peer_current = apply_heartbeat(router, heartbeat, &mut unread, &mut age)?;
-            let probe = LinkAge::probe(router.now());
-            send_message(&mut socket, &PeerRequest::Probe(probe)).await?;
+            apply_heartbeat(router, heartbeat, &mut unread, &mut link)?;
+            if let Some(probe) = link.next_probe(router.now()) {
+                send_message(&mut socket, &PeerRequest::Probe(probe)).await?;
+            }
         }
-        if leaving.record(router.now(), is_peer_current, &age) {
-            let age_ms = age.age(router.now()).as_millis();
+        if link.update_lateness(router.now()) {
+            let age_ms = link.age().age(router.now()).as_millis();
             event::PEER_LATE.log(format_args!("peer={peer} age_ms={age_ms}"));
         }
-        let is_current = leaving.is_link_current() && unread.is_empty();
+        let is_current = link.is_current() && unread.is_empty();
         if router.peer_link.set_current(is_current) && is_current {
             event::PEER_FOLLOWED.log(format_args!("peer={peer}"));
         }
         if unread.is_retry_due(router.now()) {
             return Err(Error::ConnectionFailed("the peer's rows can't be read".into()));
         }
-        if let Some(cause) = leaving.reason_to_leave(router.now()) {
+        if let Some(cause) = link.reason_to_leave(router.now()) {
             return Err(Error::ConnectionFailed(cause.into()));
         }
     }
     Ok(LeaveReason::Unwanted)
 }
 
-/// Since when a link has not replaced the store, and how long it may stay so.
-struct LeaveTimes {
-    /// Time for which a peer that has lost the store is followed.
-    grace: Duration,
-    /// When the peer last said that it reaches the store.
-    peer_current_at: Duration,
-    is_peer_current: bool,
-    /// Since when what arrives is too old.
-    late_since: Option<Duration>,
-}
-
-impl LeaveTimes {
-    fn new(now: Duration, grace: Duration) -> Self {
-        Self { grace, peer_current_at: now, is_peer_current: false, late_since: None }
-    }
-
-    /// Records the state of the link. Returns whether it became late.
-    fn record(&mut self, now: Duration, is_peer_current: bool, age: &LinkAge) -> bool {
-        self.is_peer_current = is_peer_current;
-        if is_peer_current {
-            self.peer_current_at = now;
-        }
-        let was_late = self.late_since.is_some();
-        if age.is_late(now) {
-            self.late_since.get_or_insert(now);
-        } else if age.is_prompt(now) {
-            self.late_since = None;
-        }
-        !was_late && self.late_since.is_some()
-    }
-
-    fn is_link_current(&self) -> bool {
-        self.is_peer_current && self.late_since.is_none()
-    }
-
-    fn reason_to_leave(&self, now: Duration) -> Option<&'static str> {
-        if !self.is_peer_current && now >= self.peer_current_at + self.grace {
-            return Some("the peer has lost the store");
-        }
-        let is_late = self.late_since.is_some_and(|since| now >= since + LATE_LINK_GRACE);
-        is_late.then_some("what the peer sends arrives too late")
-    }
-}
-
 /// Waits for the next message; `None` when the link becomes late before it arrives.
 async fn receive_until_late(
     router: &Router,
     socket: &mut Socket,
-    age: &LinkAge,
+    link: &FollowedLink,
 ) -> Result<Option<PeerMessage>> {
-    let late_at = (!age.is_late(router.now())).then(|| age.late_at());
+    let late_at = link.late_at(router.now());
     let received = router.clock.timeout_until(|| late_at, receive_message(socket)).await;
     received.transpose()
 }
@@ -247,13 +198,13 @@
     Error::ConnectionFailed("host was suspended".into())
 }
 
-/// Applies a heartbeat. Returns whether the store answers the sender.
+/// Applies a heartbeat.
 fn apply_heartbeat(
     router: &Router,
     message: PeerMessage,
     unread: &mut UnreadTables,
-    age: &mut LinkAge,
-) -> Result<bool> {
+    link: &mut FollowedLink,
+) -> Result<()> {
     let PeerMessage::Beat {
         is_current,
         updates,
@@ -274,11 +225,8 @@
     for update in updates {
         unread.receive(router, &update)?;
     }
-    match probe {
-        Some(probe) => age.record_echo(probe, router.now()),
-        None => age.record_arrival(router.now()),
-    }
-    router.table_views.record_peer_message(router.now(), age.proved_at());
+    link.record_heartbeat(router.now(), is_current, probe);
+    router.table_views.record_peer_message(router.now(), link.age().proved_at());
     if entries > 0 {
         router.record_entries(entries);
     }
@@ -298,5 +246,5 @@
     if is_informed && router.quarantine.mark_informed() {
         router.wake_waiters();
     }
-    Ok(is_current)
+    Ok(())
 }
--- a/tests/link_age.rs
+++ b/tests/link_age.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use mintmoor::policy::link_age::{LinkAge, ProbeTime, max_link_age};
+use mintmoor::policy::{
+    followed_link::FollowedLink,
+    link_age::{LinkAge, ProbeTime, max_link_age},
+};
 use proptest::prelude::*;
 
 /// Interval between heartbeats.
@@ -75,3 +78,48 @@
         assert_eq!(max_link_age(Duration::from_millis(bound)), Duration::from_millis(limit));
     }
 }
+
+/// A link that was opened at time 0 and has just returned its first probe.
+fn followed_link() -> FollowedLink {
+    let mut link = FollowedLink::new(Duration::ZERO, max_link_age(BOUND), Duration::ZERO);
+    link.record_heartbeat(HEARTBEAT, true, Some(LinkAge::probe(Duration::ZERO)));
+    link
+}
+
+#[test]
+fn a_late_link_replaces_the_store_again_once_it_is_prompt() {
+    let mut link = followed_link();
+    let limit = max_link_age(BOUND);
+    assert!(!link.update_lateness(HEARTBEAT) && link.is_current());
+
+    assert!(link.update_lateness(limit));
+    assert!(!link.is_current());
+    // Young enough to be in time, not to be prompt.
+    link.record_heartbeat(limit + HEARTBEAT, true, Some(LinkAge::probe(limit / 2)));
+    assert!(!link.update_lateness(limit + HEARTBEAT) && !link.is_current());
+    link.record_heartbeat(2 * limit, true, Some(LinkAge::probe(2 * limit - HEARTBEAT)));
+    assert!(!link.update_lateness(2 * limit) && link.is_current());
+}
+
+#[test]
+fn a_late_link_is_left_after_a_second_and_one_without_the_store_at_once() {
+    let mut link = followed_link();
+    let limit = max_link_age(BOUND);
+    link.update_lateness(limit);
+
+    assert_eq!(link.reason_to_leave(limit + Duration::from_millis(999)), None);
+    assert!(link.reason_to_leave(limit + Duration::from_millis(1_000)).is_some());
+    link.record_heartbeat(limit, false, None);
+    assert!(link.reason_to_leave(limit).is_some());
+}
+
+#[test]
+fn a_sender_that_returns_no_probes_gets_none_and_counts_by_arrival() {
+    let mut link = FollowedLink::new(Duration::ZERO, max_link_age(BOUND), Duration::ZERO);
+    assert_eq!(link.next_probe(HEARTBEAT), None);
+
+    link.record_heartbeat(3 * BOUND, true, None);
+
+    assert_eq!(link.next_probe(3 * BOUND), None);
+    assert!(!link.update_lateness(3 * BOUND) && link.is_current());
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -29,6 +29,7 @@
 mod odd_numbers;
 mod odd_statuses;
 mod panics;
+mod peer_probes;
 mod peers;
 mod planned_stops;
 mod pool;
