Entry: a service's own status that promises is not passed on for calls that run once

Such a call gets 502 `outcome_unknown` now.

faults::a_services_own_promise_is_not_passed_on_for_a_call_that_runs_once was red before (408 before 502); all of tests/faults passed after.

--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -29,6 +29,7 @@
         claim::{ClaimState, SavedAnswer},
     },
     resources::{BackendKind, Snapshot},
+    routing::promises_not_run,
 };
 
 /// A call of a plain service.
@@ -144,6 +145,10 @@
     let finished =
         res.map_err(|e: StageError| describe_failure(&e, attempts.verdict(), &req.name))?;
     charge(entry, req, &name, &finished).await;
+    if !req.head.repeatable && is_promise(finished.status) {
+        let status = finished.status;
+        return Err(ApiError::outcome_unknown(&format!("the service answered {status}")));
+    }
     let Collector::Raw(body) = collector else {
         return Err(ApiError::not_found(&req.name));
     };
@@ -151,6 +156,12 @@
     Ok(SavedAnswer { status: finished.status, body })
 }
 
+/// Whether the caller would take a status for the promise that the call was not carried out; a service's own status
+/// proves nothing of the kind.
+fn is_promise(status: u16) -> bool {
+    StatusCode::from_u16(status).is_ok_and(promises_not_run)
+}
+
 async fn charge(entry: &Entry, req: &ServiceRequest, name: &ObjectId, finished: &Finished) {
     let attempt = ChargedAttempt {
         version: name.clone(),
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -10,7 +10,7 @@
     Json, Router,
     body::Bytes,
     extract::{Path, State},
-    http::{HeaderMap, Method},
+    http::{HeaderMap, Method, StatusCode},
     routing::any,
 };
 
@@ -19,12 +19,14 @@
 pub struct ServiceStandin {
     calls: Arc<Mutex<HashMap<Bytes, u64>>>,
     work: Duration,
+    /// Status with which calls are answered once they were carried out; 200 unless set.
+    status: Arc<Mutex<StatusCode>>,
 }
 
 impl ServiceStandin {
     /// A service whose calls take `work`.
     pub fn new(work: Duration) -> Self {
-        Self { calls: Arc::default(), work }
+        Self { calls: Arc::default(), work, status: Arc::default() }
     }
 
     /// How often a call with each body was carried out.
@@ -32,6 +34,11 @@
         self.calls.lock().expect("no panics under the lock").clone()
     }
 
+    /// Answers all further calls with this status, after it has carried them out.
+    pub fn answer_with(&self, status: StatusCode) {
+        *self.status.lock().expect("no panics under the lock") = status;
+    }
+
     /// The HTTP face.
     pub fn router(&self) -> Router {
         Router::new().route("/{*path}", any(echo)).with_state(self.clone())
@@ -44,7 +51,7 @@
     Path(path): Path<String>,
     headers: HeaderMap,
     body: Bytes,
-) -> Json<serde_json::Value> {
+) -> (StatusCode, Json<serde_json::Value>) {
     let call = {
         let mut calls = service.calls.lock().expect("no panics under the lock");
         let count = calls.entry(body.clone()).or_default();
@@ -53,11 +60,13 @@
     };
     tokio::time::sleep(service.work).await;
     let request = headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("");
-    Json(serde_json::json!({
+    let status = *service.status.lock().expect("no panics under the lock");
+    let answer = serde_json::json!({
         "call": call,
         "method": method.as_str(),
         "path": path,
         "request": request,
         "body": String::from_utf8_lossy(&body),
-    }))
+    });
+    (status, Json(answer))
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use common::{chat, wait_until};
-use http::Method;
+use http::{Method, StatusCode};
 use mintmoor::{
     load::{ChatOutcome, Client},
     local::{Fleet, LocalSystem, caller_key, operator_key},
@@ -316,6 +316,27 @@
     assert_eq!(after - before, 12, "one stage and one run for each");
 }
 
+/// Guards against a service's own status that tells the caller of a call that runs once to make it again under another key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_services_own_promise_is_not_passed_on_for_a_call_that_runs_once() {
+    let system = start().await;
+    let client = client(&system, 0);
+    let key = caller_key("ricarica/tills");
+    for status in [408, 421, 429, 503] {
+        let carried_out =
+            || -> u64 { system.services.values().flat_map(|s| s.calls().into_values()).sum() };
+        let before = carried_out();
+        let own = StatusCode::from_u16(status).unwrap();
+        system.services.values().for_each(|service| service.answer_with(own));
+
+        let id = format!("promise-{status}");
+        let outcome = client.service(&key, "confirm/topup", Some(&id), id.clone().into()).await;
+
+        assert_eq!((outcome.status, &*outcome.code), (502, "outcome_unknown"), "{status}");
+        assert_eq!(carried_out() - before, 1, "{status}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeat_that_comes_before_the_end_was_written_gets_the_answer() {
     let system = start().await;
