--- a/src/policy/link_age.rs
+++ b/src/policy/link_age.rs
@@ -2,8 +2,8 @@
 //!
 //! The arrival of a message says nothing about its age: on a link whose queue fills, messages arrive later and later
 //! without a gap. So the receiver sends readings of its own clock, and the other side returns the last one that it has
-//! received: what it sends with that is no older. No clock of another Host takes part. Leases are measured in the same
-//! way, from before the question (C. Gray and D. Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for
+//! received: what it sends with that is no older. No clock of another Host takes part (docs/decisions/0026). Leases are
+//! measured in the same way, from before the question (C. Gray and D. Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for
 //! Distributed File Cache Consistency", 1989).
 
 use std::time::Duration;
@@ -24,7 +24,7 @@
 /// What a link has proved so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkAge {
-    /// Time on the receiver's clock at or after which the newest message was composed.
+    /// Time on the receiver's clock at or after which the newest message was composed, as far as is proved.
     proved_at: Duration,
     /// Age from which on the link no longer replaces the store.
     limit: Duration,
--- a/src/router/peers/follower_link.rs
+++ b/src/router/peers/follower_link.rs
@@ -1,5 +1,7 @@
-//! Serving an entry that follows this one.
+//! Serving an entry that follows this one: heartbeats with everything that is newer than the one before
+//! (docs/decisions/0009 and 0026).
 
+use futures_util::StreamExt;
 use tokio::{
     sync::{
         broadcast::{self, error::RecvError},
@@ -9,8 +11,6 @@
 };
 use tokio_tungstenite::tungstenite::Message;
 
-use futures_util::StreamExt;
-
 use crate::{
     ids::StoreVersion,
     policy::link_age::ProbeTime,
@@ -33,11 +33,13 @@
 
 /// What an entry asks for when it follows another one.
 pub(crate) struct FollowRequest {
+    /// Version of the newest rows that it has.
     pub(crate) version: StoreVersion,
     /// AvailabilityZone that this entry must be in, if any.
     pub(crate) only_in: Option<Box<str>>,
     /// Name of the follower's Host.
     pub(crate) host: Box<str>,
+    /// Its first probe; none from followers that send none.
     pub(crate) probe: Option<ProbeTime>,
 }
 
@@ -131,7 +133,7 @@
         }
     }
 
-    /// Whether the next heartbeat would be sent at once, as far as is known.
+    /// Whether a heartbeat that is sent now doesn't wait behind others, as far as is known.
     fn may_send(&self) -> bool {
         self.probe.is_none() || self.unanswered < MAX_UNANSWERED
     }
--- a/src/router/peers/peer_follower.rs
+++ b/src/router/peers/peer_follower.rs
@@ -120,8 +120,8 @@
     others.len() > 1 && (was_followed || !is_round_complete)
 }
 
-/// Follows a peer while it sends heartbeats and a link is needed. A peer in another zone is left
-/// immediately if `requires_own_zone`, and a peer that has lost the store is left after `grace`.
+/// Follows a peer while it sends heartbeats and a link is needed. A peer in another zone is left immediately if
+/// `requires_own_zone`, one that has lost the store after `grace`, and one whose data arrives too late after a while.
 async fn follow_peer(
     router: &Router,
     peer: SocketAddr,
@@ -130,20 +130,8 @@
     grace: Duration,
 ) -> Result<LeaveReason> {
     let mut wakes = router.clock.subscribe_suspensions();
-    let deadline = Instant::now() + OPEN_TIMEOUT;
-    let mut socket = timeout_at(deadline, connect(peer)).await.map_err(|_| timed_out())??;
-    let StoreVersion { era, revision: version } = router.table_views.oldest_version();
-    let own_zone = router.settings.load().zone.clone();
-    let only_in = requires_own_zone.then(|| own_zone.clone());
-    let host = router.settings.load().host.clone();
-    let mut link = FollowedLink::new(router.now(), router.max_link_age(), grace);
-    let probe = Some(LinkAge::probe(router.now()));
-    let request = PeerRequest::Follow { version, era, only_in, host, probe };
-    send_message(&mut socket, &request).await?;
-    let PeerMessage::Welcome { zone } = receive_message(&mut socket).await? else {
-        return Err(Error::ConnectionFailed("expected a welcome message".into()));
-    };
-    let is_own_zone = zone == own_zone;
+    let (mut socket, mut link, zone) = open_link(router, peer, requires_own_zone, grace).await?;
+    let is_own_zone = zone == router.settings.load().zone;
     zones.insert(peer, zone);
     if !is_own_zone && requires_own_zone {
         return Ok(LeaveReason::OtherZone);
@@ -183,6 +171,30 @@
     Ok(LeaveReason::Unwanted)
 }
 
+/// Opens a link to a peer and asks to follow it; also returns the peer's zone. The peer sends nothing more if it is in
+/// another zone and `requires_own_zone`.
+async fn open_link(
+    router: &Router,
+    peer: SocketAddr,
+    requires_own_zone: bool,
+    grace: Duration,
+) -> Result<(Socket, FollowedLink, Box<str>)> {
+    let deadline = Instant::now() + OPEN_TIMEOUT;
+    let mut socket = timeout_at(deadline, connect(peer)).await.map_err(|_| timed_out())??;
+    let StoreVersion { era, revision: version } = router.table_views.oldest_version();
+    let settings = router.settings.load_full();
+    let only_in = requires_own_zone.then(|| settings.zone.clone());
+    let host = settings.host.clone();
+    let link = FollowedLink::new(router.now(), router.max_link_age(), grace);
+    let probe = Some(LinkAge::probe(router.now()));
+    let request = PeerRequest::Follow { version, era, only_in, host, probe };
+    send_message(&mut socket, &request).await?;
+    let PeerMessage::Welcome { zone } = receive_message(&mut socket).await? else {
+        return Err(Error::ConnectionFailed("expected a welcome message".into()));
+    };
+    Ok((socket, link, zone))
+}
+
 /// Waits for the next message; `None` when the link becomes late before it arrives.
 async fn receive_until_late(
     router: &Router,
