--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -203,7 +203,10 @@
 
     /// Waits until the process has ended.
     pub async fn wait(&mut self) -> ExitStatus {
-        timeout(WAIT_TIMEOUT, self.child.wait()).await.expect("the process did not end").unwrap()
+        let Ok(ended) = timeout(WAIT_TIMEOUT, self.child.wait()).await else {
+            panic!("the process did not end\n{}", self.status());
+        };
+        ended.unwrap()
     }
 
     /// Asks the process to stop and asserts that it ends with code 0.
@@ -213,10 +216,15 @@
         assert!(ended.success(), "{ended}\n{}", host.log());
     }
 
+    /// What the kernel tells of the process: whether it is stopped or a zombie, and its pending signals.
+    fn status(&self) -> String {
+        let path = format!("/proc/{}/status", self.pid.as_raw_nonzero());
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Whether the process has a handler for a signal.
     pub fn handles(&self, signal: Signal) -> bool {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid.as_raw_nonzero()));
-        let status = status.unwrap_or_default();
+        let status = self.status();
         let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).unwrap_or("0");
         let handled = u64::from_str_radix(line.trim(), 16).unwrap();
         handled & (1 << (signal.as_raw() - 1)) != 0
@@ -230,8 +238,7 @@
 
     /// Peak of the process's resident memory, in bytes.
     pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid.as_raw_nonzero()));
-        let status = status.unwrap_or_default();
+        let status = self.status();
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or("0 kB");
         let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
         kilobytes << 10
--- a/tests/process/late_links.rs
+++ b/tests/process/late_links.rs
@@ -427,6 +427,8 @@
     let (route, server) = longest_delays(&fleet, &servers, Delay::NONE, 3 * BOUND, &stopped).await;
 
     stopping.abort();
+    // No signal may be sent once the processes are gone: their ids may be those of others.
+    assert!(stopping.await.unwrap_err().is_cancelled());
     println!("by the former route: {route:?}, to a leaving server: {server:?}");
     assert!(route <= BOUND && server <= BOUND, "{route:?}, {server:?}");
 }
