A 421 no longer closes a server for good

Cause: each 421 set `is_replaced` at its server, as if another server had the address; only a row with another address cleared it, and the state had no end and no time to return. A 421 is about the request as often as about the server.

Change: who sent a 421 is a typed answer (policy/misdirected_by.rs): the server itself if it names itself, or has signed a response on the same connection, or on any one since that connection was opened; another server if it names another id; else unknown. - Another: closed for 4.4 s, doubled to 8.8 s, then one request at a time; a signed response ends it (policy/address_owner.rs; events 531, 532). - Itself: nothing is recorded about the server. After two such servers, or if none is left, the caller gets 421, unless this entry chose the model. - Unknown: a last resort for 0.5 s, never closed: the request may be the cause. A request is not sent again to a server at whose address it was rejected so. A 421 no longer counts as health, received data or load of the server; the load in responses that aren't the server's own is ignored. The connection on which the server itself rejected a request is kept.

Metric mintmoor_misdirected{by}.

--- a/src/platform/response_headers.rs
+++ b/src/platform/response_headers.rs
@@ -27,18 +27,21 @@
 /// Present with a value other than `0` while the server drains.
 const LEAVING: &str = "server-leaving";
 const CONFIDENCE: &str = "x-confidence";
+/// Id of the server that sent the response. The platform's documentation shows it in responses to health checks only.
+const SERVER_ID: &str = "x-instance-id";
 
 /// Statuses of HTTP; others are a server's failure.
 const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// Response headers that this adapter reads.
-const READ_HEADERS: [&str; 11] = [
+const READ_HEADERS: [&str; 12] = [
     SIGNATURE,
     NOT_EXECUTED,
     LOAD,
     RATE_LIMIT,
     LEAVING,
     CONFIDENCE,
+    SERVER_ID,
     REQUEST_ID,
     "retry-after",
     "connection",
@@ -47,7 +50,7 @@
 ];
 /// Known response headers that are only passed on: they are meant for the caller or not needed here
 /// (docs/incidents/0013).
-const PASSED_ON_HEADERS: [&str; 18] = [
+const PASSED_ON_HEADERS: [&str; 17] = [
     "allow",
     "cache-control",
     "content-language",
@@ -64,7 +67,6 @@
     "www-authenticate",
     KEEP_ALIVE,
     "x-cold-ms",
-    "x-instance-id",
     "x-weight-versions",
 ];
 
@@ -79,10 +81,13 @@
     let passed_on = without_connection_headers(headers);
     // A signature that `Connection` names ends at this hop, so that the caller's response would have none.
     let is_signed = passed_on.contains_key(SIGNATURE);
+    let kind = classify_response(status, headers, is_signed, request_id);
+    let names_sender = kind == ResponseKind::Misdirected;
     ResponseHead {
-        kind: classify_response(status, headers, is_signed, request_id),
+        kind,
         status,
         headers: passed_on,
+        rejected_by: names_sender.then(|| parse_server_id(headers)).flatten(),
         confidence: header_number(headers, CONFIDENCE).and_then(|value| u8::try_from(value).ok()),
         load: header_text(headers, LOAD).and_then(parse_load),
         rate_limit: parse_rate_limit(headers),
@@ -108,7 +113,7 @@
     let is_declared_unrun = headers.contains_key(NOT_EXECUTED);
     // A rejection bears no signature. The signature is that of a server that may have run the request.
     if status == StatusCode::MISDIRECTED_REQUEST && (is_declared_unrun || !is_signed) {
-        return ResponseKind::WrongServer;
+        return ResponseKind::Misdirected;
     }
     if is_declared_unrun {
         return ResponseKind::NotRun;
@@ -119,6 +124,11 @@
     if status.is_success() { ResponseKind::Success } else { ResponseKind::Failure }
 }
 
+/// Id of the server that sent a response; an empty one names nobody.
+fn parse_server_id(headers: &HeaderMap) -> Option<Box<str>> {
+    header_text(headers, SERVER_ID).filter(|id| !id.is_empty()).map(Into::into)
+}
+
 /// Rate limit advertised by a response; the smallest if there are several, since the server accepts at
 /// least that.
 fn parse_rate_limit(headers: &HeaderMap) -> AdvertisedLimit {
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -5,7 +5,9 @@
 
 use std::{fmt, time::Duration};
 
-use crate::policy::{announcements::Announcements, send_window::SendWindow};
+use crate::policy::{
+    address_owner::AddressOwner, announcements::Announcements, send_window::SendWindow,
+};
 
 /// A draining server is a last resort for the drain time divided by this. The rest of the drain
 /// time covers requests in transit and late updates of the server's row.
@@ -14,7 +16,7 @@
 /// Why a server should not be sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum UnavailableCause {
-    /// A different server answers at its address.
+    /// A different server answered at its address a moment ago.
     Replaced,
     /// The operator has evacuated its AvailabilityZone.
     Evacuated,
@@ -22,7 +24,8 @@
     Draining,
     /// It asked for a pause.
     Paused,
-    /// Its pause ended recently, and as many requests as allowed are unanswered.
+    /// Its pause ended recently, or a different server had its address, and as many requests as allowed are
+    /// unanswered.
     Recovering,
     /// This entry's send window for it is full.
     Full,
@@ -30,11 +33,13 @@
     RateLimited,
     /// It was ejected as an outlier, for example after consecutive failures.
     Ejected,
+    /// A request sent to it was rejected as misdirected, and it is not known whether by this server.
+    Unidentified,
 }
 
 impl UnavailableCause {
     /// All variants, in the order of their declaration.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Replaced,
         Self::Evacuated,
         Self::Draining,
@@ -43,6 +48,7 @@
         Self::Full,
         Self::RateLimited,
         Self::Ejected,
+        Self::Unidentified,
     ];
 
     /// The name used in logs, metrics and the state dump.
@@ -56,6 +62,7 @@
             Self::Full => "full",
             Self::RateLimited => "rate_limited",
             Self::Ejected => "ejected",
+            Self::Unidentified => "unidentified",
         }
     }
 }
@@ -100,8 +107,8 @@
 /// Inputs of the decision about one server; times are on the entry's clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Signals {
-    /// Whether a different server answered at its address.
-    pub is_replaced: bool,
+    /// Who answers at its address.
+    pub address: AddressOwner,
     /// Whether its AvailabilityZone is evacuated.
     pub is_evacuated: bool,
     /// Since when the server's row has listed it as draining.
@@ -124,10 +131,10 @@
 
 /// Decides whether a server may be sent a request.
 pub fn decide(signals: &Signals, now: Duration) -> Availability {
-    let Signals { announced, .. } = signals;
+    let Signals { address, announced, .. } = signals;
     let closed = |cause, until| Availability::Closed { cause, until };
-    if signals.is_replaced {
-        return closed(UnavailableCause::Replaced, None);
+    if let Some(until) = address.closed_until(now) {
+        return closed(UnavailableCause::Replaced, Some(until));
     }
     if signals.is_evacuated {
         return closed(UnavailableCause::Evacuated, None);
@@ -143,6 +150,9 @@
     if announced.is_recovering(now) && signals.unanswered > announced.answers_since_pause() {
         return closed(UnavailableCause::Recovering, None);
     }
+    if address.is_on_trial() && signals.unanswered > 0 {
+        return closed(UnavailableCause::Recovering, None);
+    }
     if !signals.window.allows_another(signals.in_flight, now) {
         return closed(UnavailableCause::Full, None);
     }
@@ -164,6 +174,9 @@
     if signals.is_ejected {
         return Availability::LastResort(UnavailableCause::Ejected);
     }
+    if address.is_doubted(now) {
+        return Availability::LastResort(UnavailableCause::Unidentified);
+    }
     Availability::Open
 }
 
@@ -197,13 +210,13 @@
         }
     }
 
-    /// Preference of the server, lowest first; `None` if it must not be used. An ejected server
-    /// may answer, while one that drains or whose rate limit is not shared yet is spared if
-    /// another one can take the request.
+    /// Preference of the server, lowest first; `None` if it must not be used. An ejected or
+    /// unidentified server may answer, while one that drains or whose rate limit is not shared yet
+    /// is spared if another one can take the request.
     fn tier(self) -> Option<u8> {
         match self {
             Self::Open => Some(0),
-            Self::LastResort(UnavailableCause::Ejected) => Some(1),
+            Self::LastResort(UnavailableCause::Ejected | UnavailableCause::Unidentified) => Some(1),
             Self::LastResort(_) => Some(2),
             Self::Closed { .. } => None,
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! in `tests/model/`, the property tests and the benchmarks run the same code as production.
 
 pub mod accept_control;
+pub mod address_owner;
 pub mod announcements;
 pub mod answer_timeout;
 pub mod attempt;
@@ -31,6 +32,7 @@
 pub mod lifecycle;
 pub mod link_age;
 pub mod load;
+pub mod misdirected_by;
 pub mod outlier;
 pub mod overload;
 pub mod overload_control;
--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::Request as HttpRequest;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout};
 
 use crate::{
@@ -19,7 +19,8 @@
         response_headers::parse_response_head,
     },
     policy::{
-        answer_timeout::AnswerTimeouts, availability::UnavailableCause, prefix_cache::PromptPrefix,
+        answer_timeout::AnswerTimeouts, availability::UnavailableCause,
+        misdirected_by::MisdirectedBy, prefix_cache::PromptPrefix,
     },
     router::{
         Member, Router,
@@ -27,13 +28,13 @@
         request::{
             outstanding::OutstandingGuard,
             request_context::RequestContext,
+            response_head::{record_head, record_head_time},
             response_wait::{ResponseWait, wait_for_response},
             selection::usual_time_key,
         },
         servers::connection::{self, Checkout, ConnectError, Connection},
     },
-    routing::{BodyFraming, FramingError, Request, ResponseHead, ResponseKind, RouteKind},
-    telemetry::event,
+    routing::{BodyFraming, FramingError, Request, ResponseHead, ResponseKind},
 };
 
 /// A response whose head has arrived and whose body is still being received.
@@ -79,9 +80,9 @@
     /// The server declared that it did not run the request.
     #[error("the server refused it with status {0}")]
     Refused(http::StatusCode),
-    /// Another server listens at the address.
-    #[error("another server has the address")]
-    OtherServer,
+    /// A server rejected it with status 421: another one than expected, or this one because of the request.
+    #[error("the request was rejected as misdirected, by {0}")]
+    Misdirected(MisdirectedBy),
     /// The connection failed after the request was sent; it may have run.
     #[error("the connection ended: {0}")]
     Lost(#[from] hyper::Error),
@@ -118,7 +119,7 @@
                 | Self::Unavailable(_)
                 | Self::Leaving
                 | Self::Refused(_)
-                | Self::OtherServer
+                | Self::Misdirected(_)
         )
     }
 }
@@ -176,42 +177,32 @@
         record_error(router, plan.member, e);
         plan.member.state().prefixes.forget(plan.new_prefixes());
     }
-    let (connection, res) = outcome?;
+    let (mut connection, res) = outcome?;
     outstanding.mark_begun();
-    plan.member.record_received(router.now());
     let (parts, body) = res.into_parts();
     let head = parse_response_head(parts.status, &parts.headers, &ctx.req.head.id);
     let framing = BodyFraming::of_response(&ctx.req.head.method, parts.status, &parts.headers);
-    record_framing(router, plan.member, framing, &ctx.req.head.id);
-    record_response_head(router, plan.member, &head, framing.is_ok(), &ctx.req.head.id, sent_at);
-    record_usage(router, ctx, &head, sent_at);
-    if let Some(load) = head.load {
-        router.record_load(plan.member, load, sent_at);
+    if head.kind != ResponseKind::Success || framing.is_err() {
+        plan.member.state().prefixes.forget(plan.new_prefixes());
     }
-    let (tokens, elapsed) = (plan.uncached_tokens, started_at.elapsed());
-    let speed = plan.member.state().speed;
-    let at_present_speed = elapsed.div_f64(speed.present(router.now()));
-    let usual_key = usual_time_key(ctx, plan.model);
-    let is_slow =
-        was_overdue || router.usual_times.get(usual_key).is_slow_head(tokens, at_present_speed);
-    if head.kind == ResponseKind::Success {
-        let at_usual_speed = elapsed.div_f64(speed.lasting());
-        router.speed_estimates.record_head_time(plan.latency_key, tokens, ahead, at_usual_speed);
-        // A version that is being rolled out must not influence the times that it is measured by.
-        if !router.roll_outs.is_on_trial(&plan.member.server) {
-            router.usual_times.record_head_time(usual_key, tokens, ahead, at_usual_speed);
+    if head.kind == ResponseKind::Misdirected {
+        let by = router.record_misdirected(plan.member, &connection, &head, &ctx.req.head.id);
+        let allows_reuse = framing.is_ok_and(BodyFraming::allows_reuse) && !head.closes_connection;
+        if by == MisdirectedBy::Itself && allows_reuse && body.is_end_stream() {
+            connection::check_in(plan.member, connection, router.now());
         }
+        return Err(AttemptError::Misdirected(by));
     }
-    let member = plan.member.clone();
-    if head.kind != ResponseKind::Success || framing.is_err() {
-        member.state().prefixes.forget(plan.new_prefixes());
-    }
-    check_kind(&head, &member, plan.is_once_only)?;
+    connection.is_signed |= head.kind.is_signed();
+    record_head(router, ctx, plan.member, &head, framing, sent_at);
+    let is_slow =
+        record_head_time(router, ctx, plan, &head, ahead, started_at.elapsed()) || was_overdue;
+    check_kind(&head, plan.is_once_only)?;
     Ok(OpenResponse {
         head,
         framing: framing?,
         body,
-        member,
+        member: plan.member.clone(),
         sent_at,
         is_slow,
         was_overdue,
@@ -256,84 +247,26 @@
     }
 }
 
-/// Counts a request as usage of its Organisation when its first run begins. The head of a stream arrives with its first event; other responses
-/// arrive when the run has ended, and servers rarely queue those requests.
-fn record_usage(router: &Router, ctx: &RequestContext, head: &ResponseHead, sent_at: Duration) {
-    if !matches!(head.kind, ResponseKind::Success | ResponseKind::Failure) {
-        return;
-    }
-    let began_at = if ctx.route.kind == RouteKind::Stream { router.now() } else { sent_at };
-    if ctx.record_run_start(began_at) {
-        router.record_usage(ctx.organisation.as_deref(), began_at);
-    }
-}
-
 /// Turns responses that are not the server's result for this request into errors.
-fn check_kind(
-    head: &ResponseHead,
-    member: &Member,
-    is_once_only: bool,
-) -> Result<(), AttemptError> {
+fn check_kind(head: &ResponseHead, is_once_only: bool) -> Result<(), AttemptError> {
     if is_once_only && head.is_unproved_promise() {
         return Err(AttemptError::UnprovedPromise(head.status));
     }
     match head.kind {
         ResponseKind::Success | ResponseKind::Failure => Ok(()),
         ResponseKind::NotRun => Err(AttemptError::Refused(head.status)),
-        ResponseKind::WrongServer => {
-            member.state().is_replaced = true;
-            Err(AttemptError::OtherServer)
-        }
+        ResponseKind::Misdirected => Err(AttemptError::Misdirected(MisdirectedBy::Unknown)),
         ResponseKind::WrongRequest | ResponseKind::Unsigned => Err(AttemptError::WrongResponse),
         ResponseKind::InvalidStatus => Err(AttemptError::InvalidStatus(head.status)),
     }
 }
 
-/// Updates what is known about the server from the head of its response.
-fn record_response_head(
-    router: &Router,
-    member: &Member,
-    head: &ResponseHead,
-    is_framed: bool,
-    request_id: &str,
-    sent_at: Duration,
-) {
-    let is_unusable = matches!(
-        head.kind,
-        ResponseKind::WrongRequest | ResponseKind::Unsigned | ResponseKind::InvalidStatus
-    ) || !is_framed;
-    if is_unusable || (head.status.is_server_error() && !head.announces_rejection()) {
-        member.record_failure(router.now());
-    } else if !head.announces_rejection() {
-        router.record_answer(member);
-    }
-    if head.kind.is_authentic() {
-        router.record_advertised_limit(member, head, sent_at);
-        router.record_announcements(member, head, request_id);
-        router.record_unread_headers(member, head);
-    }
-}
-
-/// Counts a response whose length is ignored because its body is chunked.
-fn record_framing(
-    router: &Router,
-    member: &Member,
-    framing: Result<BodyFraming, FramingError>,
-    request_id: &str,
-) {
-    if framing == Ok(BodyFraming::Chunked { has_length: true }) {
-        router.metrics.lengths_ignored.inc();
-        let id = &member.server.id;
-        event::LENGTH_IGNORED.log(format_args!("server={id} request={request_id}"));
-    }
-}
-
 /// Counts an error against the server, if it is the server's fault.
 fn record_error(router: &Router, member: &Member, e: &AttemptError) {
     match e {
         AttemptError::Unavailable(_)
         | AttemptError::Refused(_)
-        | AttemptError::OtherServer
+        | AttemptError::Misdirected(_)
         | AttemptError::Quarantined => {}
         // Recorded by `server_ends`, once it is known whether the server crashed.
         AttemptError::Lost(_) => {}
@@ -364,7 +297,7 @@
         deadline: plan.deadline,
         has_begun: false,
     };
-    let opening = connection::check_out(plan.member, router.now(), plan.is_once_only);
+    let opening = connection::check_out(plan.member, &router.clock, plan.is_once_only);
     let mut checkout = router.until_stop_ends(opening).await.ok_or(AttemptError::Leaving)??;
     loop {
         let Checkout { mut connection, is_reused } = checkout;
@@ -375,7 +308,7 @@
         if let Some(cause) = router.stops_send(plan.member) {
             return Err(AttemptError::Unavailable(cause));
         }
-        let send = pin!(connection.try_send_request(message));
+        let send = pin!(connection.sender.try_send_request(message));
         let sent = wait_for_response(router, &wait, send, &mut can_fail_over).await;
         let given_up = || match (router.is_refused(ctx), router.has_stop_ended()) {
             (true, _) => AttemptError::Quarantined,
@@ -392,7 +325,7 @@
             return Err(AttemptError::Lost(e.into_error()));
         };
         message = unsent;
-        let opening = connection::connect(plan.member);
+        let opening = connection::connect(plan.member, &router.clock);
         let connection = router.until_stop_ends(opening).await.ok_or(AttemptError::Leaving)??;
         checkout = Checkout { connection, is_reused: false };
     }
--- a/src/router/request/dispatch.rs
+++ b/src/router/request/dispatch.rs
@@ -16,7 +16,7 @@
             attempt::{AttemptError, AttemptPlan, OpenResponse, send},
             refusal::{NotRunCause, Refusal},
             request_context::{AttemptParams, RequestContext},
-            selection::{first_available, latency_key, prefixes, select_server},
+            selection::{first_available, has_server_left, latency_key, prefixes, select_server},
         },
         servers::{
             availability::SendPermit,
@@ -37,6 +37,9 @@
 /// Maximum number of times that servers are selected again because one became available in the meantime. Other requests
 /// may take its place each time.
 const MAX_RECHECKS: u32 = 3;
+/// Number of servers that have to reject a request as misdirected before it is not sent to any further one. The first
+/// may not have loaded a model that others have.
+const MAX_REJECTING_SERVERS: usize = 2;
 /// Minimum time before the deadline with which another attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -60,11 +63,11 @@
                 rechecks += 1;
                 continue;
             }
-            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, first));
+            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, params, first));
         };
         if ctx.deliveries > 0 && !ctx.take_retry(router) {
             let first = first_available(router, ctx, params);
-            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, first));
+            return failed.ok_or_else(|| refusal_after_attempts(router, ctx, params, first));
         }
         match router.acquire_send(&member) {
             SendPermit::Unlimited => {}
@@ -92,6 +95,7 @@
 fn refusal_after_attempts(
     router: &Router,
     ctx: &RequestContext,
+    params: AttemptParams<'_>,
     first: Option<(Duration, Availability)>,
 ) -> Refusal {
     if ctx.attempts.prove_not_run().is_none() {
@@ -103,6 +107,9 @@
     if !router.may_send(ctx) {
         return router.leaving_refusal(ctx.in_flight.connected_at, &ctx.attempts);
     }
+    if is_misdirected(router, ctx, params) {
+        return Refusal::not_run(NotRunCause::Misdirected, &ctx.attempts);
+    }
     let retry_after = router.record_overload(&ctx.service, &ctx.req.head.id);
     let cause = match first {
         Some((wait, Availability::Closed { cause: UnavailableCause::RateLimited, .. })) => {
@@ -118,6 +125,15 @@
     Refusal::not_run(cause, &ctx.attempts)
 }
 
+/// Whether the request itself is the reason for which servers rejected it as misdirected. If this entry chose the model,
+/// that choice may be the reason.
+fn is_misdirected(router: &Router, ctx: &RequestContext, params: AttemptParams<'_>) -> bool {
+    let rejecting = ctx.rejecting_servers();
+    params.model.is_none()
+        && rejecting > 0
+        && (rejecting >= MAX_REJECTING_SERVERS || !has_server_left(router, ctx, params))
+}
+
 /// The refusal for a request that a server may have run, and whose response is lost.
 pub(crate) fn lost_refusal(router: &Router, ctx: &RequestContext) -> Refusal {
     if ctx.time_left(router) < MIN_TIME_LEFT { Refusal::TimedOut } else { Refusal::Lost }
@@ -128,6 +144,7 @@
     ctx.attempts.may_retry(ctx.route.is_idempotent())
         && ctx.runs_left() > 0
         && ctx.deliveries < MAX_DELIVERIES
+        && ctx.rejecting_servers() < MAX_REJECTING_SERVERS
         && ctx.attempts.len() < MAX_ATTEMPTS
         && router.now() + MIN_TIME_LEFT < router.limit_to_stop(ctx.attempt_deadline())
         && router.may_send(ctx)
@@ -145,7 +162,7 @@
         return None;
     }
     let untried = select_server(router, ctx, params, |server| !ctx.has_tried(server));
-    untried.or_else(|| select_server(router, ctx, params, |server| !ctx.is_unreachable(server)))
+    untried.or_else(|| select_server(router, ctx, params, |server| !ctx.is_excluded(server)))
 }
 
 /// Whether the request can be moved from its current server to an untried one; if so, takes the retry that this needs
@@ -237,6 +254,9 @@
     router.metrics.count_attempt(&member.server.version, outcome);
     ctx.attempts.push(state);
     ctx.tried_servers.push(member.server.id.clone());
+    if let Err(AttemptError::Misdirected(by)) = result {
+        ctx.misdirected.push((member.server.id.clone(), *by));
+    }
     match result {
         Err(AttemptError::NotSent(_)) => ctx.unreachable_servers.push(member.server.id.clone()),
         Err(AttemptError::Unavailable(_) | AttemptError::Leaving) => {}
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod request_body;
 pub(crate) mod request_context;
 mod request_panic;
+mod response_head;
 pub(crate) mod response_wait;
 pub(crate) mod selection;
 pub(crate) mod serve;
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -26,6 +26,9 @@
     OutOfMemory,
     #[error("no configuration yet")]
     NoConfiguration,
+    /// Servers rejected it as misdirected, and were themselves the ones that were meant.
+    #[error("its servers do not take it")]
+    Misdirected,
     #[error("the process is about to end")]
     Leaving {
         /// Time until an entry is expected to accept the request.
@@ -71,6 +74,7 @@
     fn status(self) -> StatusCode {
         match self {
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::Misdirected => StatusCode::MISDIRECTED_REQUEST,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -80,6 +84,7 @@
             Self::BodyTimeout => "slow_body",
             Self::OutOfMemory => "out_of_memory",
             Self::NoConfiguration => "no_configuration",
+            Self::Misdirected => "misdirected",
             Self::Leaving { .. } => "leaving",
             Self::NoServer { .. } => "not_run",
             Self::RateLimited { .. } => "limited",
@@ -97,7 +102,9 @@
             | Self::Unavailable { retry_after, .. }
             | Self::Quarantined { retry_after }
             | Self::PartQuarantined { retry_after, .. } => retry_after,
-            Self::BodyTimeout | Self::OutOfMemory | Self::NoConfiguration => DEFAULT_RETRY_AFTER,
+            Self::BodyTimeout | Self::OutOfMemory | Self::NoConfiguration | Self::Misdirected => {
+                DEFAULT_RETRY_AFTER
+            }
         }
     }
 }
--- a/src/router/request/relay.rs
+++ b/src/router/request/relay.rs
@@ -221,6 +221,7 @@
                 continue;
             };
             response.member.record_received(self.router.now());
+            response.member.record_signed(self.router.now());
             self.buffer(&data, &mut splitter, &mut held, &response.member).await?;
             while let Some(event) = splitter.next_event() {
                 self.check_order(event.id)?;
--- a/src/router/request/request_context.rs
+++ b/src/router/request/request_context.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    policy::{attempt_log::AttemptLog, quarantine::Suspect},
+    policy::{attempt_log::AttemptLog, misdirected_by::MisdirectedBy, quarantine::Suspect},
     router::{
         Router, quarantine::quarantine_trial::QuarantineTrial, request::in_flight::InFlightGuard,
     },
@@ -47,6 +47,8 @@
     pub(crate) tried_servers: Vec<Box<str>>,
     /// Servers that could not be reached.
     pub(crate) unreachable_servers: Vec<Box<str>>,
+    /// Servers at whose addresses the request was rejected with status 421, and by whom.
+    pub(crate) misdirected: Vec<(Box<str>, MisdirectedBy)>,
     /// Set if this is a trial of a quarantined request: it is run once to see whether it still crashes servers.
     pub(crate) quarantine_trial: Option<QuarantineTrial>,
     /// Computed on first use, since most requests never need them.
@@ -80,6 +82,7 @@
             has_retry: false,
             tried_servers: Vec::new(),
             unreachable_servers: Vec::new(),
+            misdirected: Vec::new(),
             quarantine_trial: None,
             suspects: OnceLock::new(),
             first_run_at: OnceLock::new(),
@@ -171,6 +174,18 @@
         self.unreachable_servers.iter().any(|id| **id == *server)
     }
 
+    /// Whether another attempt at a server is pointless: it could not be reached, or the request was rejected there with
+    /// status 421, which doesn't change within moments.
+    pub(crate) fn is_excluded(&self, server: &str) -> bool {
+        self.is_unreachable(server) || self.misdirected.iter().any(|(id, _)| **id == *server)
+    }
+
+    /// Number of servers that don't take the request: they rejected it themselves with status 421.
+    pub(crate) fn rejecting_servers(&self) -> usize {
+        let is_rejecting = |(_, by): &&(_, MisdirectedBy)| *by == MisdirectedBy::Itself;
+        self.misdirected.iter().filter(is_rejecting).count()
+    }
+
     /// Value of the `send` label in metrics for the next attempt.
     pub(crate) fn send_kind(&self) -> &'static str {
         if self.attempts.is_empty() { "first" } else { "further" }
--- a/src/router/request/selection.rs
+++ b/src/router/request/selection.rs
@@ -84,14 +84,24 @@
     let check = router.availability_check(&ctx.service);
     let fleet = router.fleet.load();
     let members = eligible_servers(router, ctx, params, &fleet).into_iter();
-    let waits =
-        members.filter(|member| !ctx.is_unreachable(&member.server.id)).filter_map(|member| {
-            let availability = check.availability(member);
-            Some((availability.wait(check.now())?, availability))
-        });
+    let waits = members.filter(|member| !ctx.is_excluded(&member.server.id)).filter_map(|member| {
+        let availability = check.availability(member);
+        Some((availability.wait(check.now())?, availability))
+    });
     waits.min_by_key(|(wait, _)| *wait)
 }
 
+/// Whether a server is eligible, available or not, at which another attempt is not pointless.
+pub(crate) fn has_server_left(
+    router: &Router,
+    ctx: &RequestContext,
+    params: AttemptParams<'_>,
+) -> bool {
+    let fleet = router.fleet.load();
+    let members = eligible_servers(router, ctx, params, &fleet);
+    members.iter().any(|member| !ctx.is_excluded(&member.server.id))
+}
+
 /// The servers that may be sent requests now, reduced to the best tier of availability. Servers whose roll-out order
 /// may not have been read yet are used only if there are no others.
 fn available_servers<'a>(
--- a/src/router/request/stages.rs
+++ b/src/router/request/stages.rs
@@ -60,6 +60,8 @@
         };
         router.metrics.count_stage(model.as_deref().unwrap_or("-"), "escalated");
         ctx.head_deadline = Some(router.now() + escalation_timeout(&input));
+        // These servers may have the larger model.
+        ctx.misdirected.clear();
         fallback = Some(StageResponse { response, model });
         stage = next;
     }
--- a/src/router/servers/connection.rs
+++ b/src/router/servers/connection.rs
@@ -9,7 +9,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpSocket, time::timeout};
 
-use crate::router::{Member, servers::server_stream::ServerStream};
+use crate::{
+    clock::Clock,
+    router::{Member, servers::server_stream::ServerStream},
+};
 
 /// Timeout for opening a TCP connection. The round trip between zones takes about a millisecond, so after a lost
 /// packet it is faster to try the next server than to wait for the retransmission.
@@ -32,8 +35,16 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 16;
 
-/// The sending half of an open connection.
-pub(crate) type Connection = SendRequest<Full<Bytes>>;
+/// An open connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    /// Its sending half.
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// When it was opened, on the entry's clock.
+    pub(crate) opened_at: Duration,
+    /// Whether the server has signed a response on it.
+    pub(crate) is_signed: bool,
+}
 
 /// A pooled connection and when it became idle.
 #[derive(Debug)]
@@ -62,13 +73,13 @@
 /// Returns an idle connection to a server, or opens a new one.
 pub(crate) async fn check_out(
     member: &Member,
-    now: Duration,
+    clock: &Clock,
     is_once_only: bool,
 ) -> Result<Checkout, ConnectError> {
-    if let Some(connection) = take_idle(member, now, is_once_only) {
+    if let Some(connection) = take_idle(member, clock.now(), is_once_only) {
         return Ok(Checkout { connection, is_reused: true });
     }
-    Ok(Checkout { connection: connect(member).await?, is_reused: false })
+    Ok(Checkout { connection: connect(member, clock).await?, is_reused: false })
 }
 
 fn take_idle(member: &Member, now: Duration, is_once_only: bool) -> Option<Connection> {
@@ -76,7 +87,7 @@
     let mut state = member.state();
     state
         .idle_connections
-        .retain(|idle| now < idle.since + MAX_IDLE_TIME && idle.connection.is_ready());
+        .retain(|idle| now < idle.since + MAX_IDLE_TIME && idle.connection.sender.is_ready());
     // Prefer the connection that has been idle longest: if its server wrongly sent a second response to the last
     // request, that response has arrived by now and `is_ready` has excluded the connection.
     let i = state.idle_connections.iter().position(|idle| now < idle.since + max_idle_time)?;
@@ -84,7 +95,7 @@
 }
 
 /// Opens a new connection.
-pub(crate) async fn connect(member: &Member) -> Result<Connection, ConnectError> {
+pub(crate) async fn connect(member: &Member, clock: &Clock) -> Result<Connection, ConnectError> {
     let address = member.server.address;
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
@@ -100,11 +111,11 @@
         .with_retries(1);
     socket.set_tcp_keepalive(&probes)?;
     let io = TokioIo::new(ServerStream::new(stream)?);
-    let (connection, work) =
-        http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(io).await?;
+    let opened_at = clock.now();
+    let (sender, work) = http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(io).await?;
     // Errors of the connection task can be ignored: the request that is waiting on the connection fails as well.
     tokio::spawn(async move { drop(work.await) });
-    Ok(connection)
+    Ok(Connection { sender, opened_at, is_signed: false })
 }
 
 /// Returns a connection to the pool after its response was read to the end.
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -11,10 +11,12 @@
 
 use crate::{
     policy::{
+        address_owner::{AddressChange, AddressOwner},
         announcements::Announcements,
         availability::Signals,
         failure_rate::FailureRate,
         load::LoadEstimate,
+        misdirected_by::{MisdirectedBy, RejectionEvidence},
         outlier::{OutlierConfig, OutlierDetector},
         placement::{Candidate, hash_id},
         prefix_cache::{CachedPrefixes, PromptPrefix},
@@ -23,7 +25,10 @@
         send_window::SendWindow,
         server_speed::{ServerSpeed, TimeFactor},
     },
-    router::servers::{connection::IdleConnection, lost_requests::LostRequests},
+    router::servers::{
+        connection::{Connection, IdleConnection},
+        lost_requests::LostRequests,
+    },
     routing::BackendServer,
     sync::Mutex,
 };
@@ -77,8 +82,8 @@
     pub(crate) received_at: Duration,
     /// Whether requests were lost and no data was received since.
     awaits_recovery: bool,
-    /// Whether another server responded at its address.
-    pub(crate) is_replaced: bool,
+    /// Whether it still has its address.
+    pub(crate) address: AddressOwner,
     /// Recent sends of this entry while the server was rate-limited.
     limited_sends: SlidingWindowLog,
     /// When an unreadable rate limit of it was last logged.
@@ -140,7 +145,7 @@
     /// The same incarnation with a newer listing.
     pub(crate) fn with_listing(&self, server: BackendServer, now: Duration) -> Self {
         if server.address != self.server.address {
-            self.state().is_replaced = false;
+            self.state().address.record_move();
         }
         let since = self.draining_since.unwrap_or(now);
         Self {
@@ -268,7 +273,7 @@
         self.state().unanswered > 0
     }
 
-    /// Records that data was received from the server.
+    /// Records that data was received from the server's address.
     pub(crate) fn record_received(&self, now: Duration) {
         let mut state = self.state();
         state.received_at = now;
@@ -279,6 +284,35 @@
         }
     }
 
+    /// Records data of a signed response.
+    pub(crate) fn record_signed(&self, now: Duration) -> Option<AddressChange> {
+        self.state().address.record_signed(now)
+    }
+
+    /// Records a 421 response.
+    pub(crate) fn record_misdirected(
+        &self,
+        by: MisdirectedBy,
+        now: Duration,
+    ) -> Option<AddressChange> {
+        self.state().address.record_misdirected(by, now)
+    }
+
+    /// Identifies the sender of a 421 response on this connection, which names this id or none.
+    pub(crate) fn identify_rejection(
+        &self,
+        connection: &Connection,
+        named: Option<&str>,
+    ) -> MisdirectedBy {
+        MisdirectedBy::identify(&RejectionEvidence {
+            expected: &self.server.id,
+            named,
+            is_signed_connection: connection.is_signed,
+            opened_at: connection.opened_at,
+            signed_at: self.state().address.signed_at(),
+        })
+    }
+
     /// Whether nothing was received from the server since a request was sent.
     pub(crate) fn is_silent(&self, sent_at: Duration) -> bool {
         self.received_at() <= sent_at
@@ -365,7 +399,7 @@
     pub fn signals(&self, now: Duration) -> Signals {
         let state = self.state();
         Signals {
-            is_replaced: state.is_replaced,
+            address: state.address,
             row_draining_since: self.draining_since,
             announced: state.announced,
             unanswered: state.unanswered,
@@ -415,6 +449,8 @@
             "cold_ms": self.cold_until.saturating_sub(now).as_millis() as u64,
             "failure_rate": state.failure_rate.get(now),
             "out": state.outlier.is_ejected(now),
+            "replaced_ms": state.address.closed_until(now).map(|until| age_ms(now, until)),
+            "unidentified": state.address.is_doubted(now),
             "draining_ms": state.announced.draining_since().map(|since| age_ms(since, now)),
             "paused_ms": state.announced.paused_until().saturating_sub(now).as_millis() as u64,
             "idle_connections": state.idle_connections.len(),
--- a/src/router/servers/mod.rs
+++ b/src/router/servers/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod listing;
 pub(crate) mod lost_requests;
 pub(crate) mod member;
+mod misdirected;
 pub(crate) mod reported_load;
 pub(crate) mod server_ends;
 mod server_stream;
--- a/src/routing/response.rs
+++ b/src/routing/response.rs
@@ -13,9 +13,9 @@
     Failure,
     /// The server did not run the request and never will: it is full, stopping or the deadline has passed.
     NotRun,
-    /// A rejection that bears no signature: another server than expected uses the address, or this one doesn't take the
+    /// A rejection with status 421: another server than expected uses the address, or this one doesn't take the
     /// request; it did not run.
-    WrongServer,
+    Misdirected,
     /// The response belongs to another request; nothing is known about this one.
     WrongRequest,
     /// The server's signature is missing, or the body has a content encoding that was not requested: an
@@ -31,6 +31,11 @@
     pub fn is_authentic(self) -> bool {
         matches!(self, Self::Success | Self::Failure | Self::NotRun)
     }
+
+    /// Whether the server signed the response. Another one at its address would have rejected the request.
+    pub fn is_signed(self) -> bool {
+        matches!(self, Self::Success | Self::Failure)
+    }
 }
 
 /// Head of a response.
@@ -42,6 +47,8 @@
     pub status: StatusCode,
     /// Headers to pass on: all except those that concern only the server's connection.
     pub headers: HeaderMap,
+    /// Id of the server that sent a 421 response, if it names itself.
+    pub rejected_by: Option<Box<str>>,
     /// Confidence of the model in its answer, 0 to 100.
     pub confidence: Option<u8>,
     /// Load reported by the server.
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -154,6 +154,8 @@
     LENGTH_IGNORED = 528, Warn, "A response has a length beside its chunks; the chunks are passed on, the length is ignored, and the connection is closed.";
     QUARANTINE_LOCK_HELD = 529, Warn, "The records of crashing requests were locked for long, which holds up all requests of this entry.";
     CALLER_CUT = 530, Warn, "The connection of a caller was closed before its response was complete; logged once a second.";
+    SERVER_REPLACED = 531, Warn, "Another server answers at a BackendServer's address; it gets no requests until a trial shows that it is back.";
+    SERVER_CONFIRMED = 532, Info, "A BackendServer answers again at an address at which another server had answered.";
     VERSION_HELD = 600, Warn, "A version under roll-out is suspect; this entry sends it no new sessions.";
     ROLL_OUT_MOVED = 601, Info, "The next step of a roll-out was written to the store.";
     ROLL_OUT_LEFT = 602, Info, "The guard's write of a roll-out step conflicted with a newer write and was dropped.";
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -107,6 +107,13 @@
     pub cause: String,
 }
 
+/// Labels of attempts that were rejected with status 421.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MisdirectedLabels {
+    /// Who rejected it: the server `itself`, `another` or `unknown`.
+    pub by: String,
+}
+
 /// Labels of connections of callers that were cut.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CutLabels {
@@ -224,6 +231,8 @@
     pub unavailable_sends: Family<UnavailableSendLabels, Counter>,
     /// Servers excluded from a selection because they are unavailable.
     pub servers_avoided: Family<AvoidedServerLabels, Counter>,
+    /// Attempts rejected with status 421.
+    pub misdirected: Family<MisdirectedLabels, Counter>,
     /// Known servers that have reported how long work takes on their machines.
     pub servers_of_known_speed: Gauge,
     /// Smallest and largest time factor of these servers.
@@ -307,6 +316,7 @@
             servers_paused: Gauge::default(),
             unavailable_sends: Family::default(),
             servers_avoided: Family::default(),
+            misdirected: Family::default(),
             servers_of_known_speed: Gauge::default(),
             server_time_factor: Family::default(),
             speed_reports: Family::default(),
@@ -370,6 +380,8 @@
         registry.register("unavailable_sends", "Sends to unavailable servers", sends);
         let avoided = self.servers_avoided.clone();
         registry.register("servers_avoided", "Servers left out of a choice", avoided);
+        let misdirected = self.misdirected.clone();
+        registry.register("misdirected", "Attempts rejected with status 421", misdirected);
         let unread = self.unread_headers.clone();
         registry.register("unread_headers", "Answers with a header nothing reads", unread);
         let ignored = self.lengths_ignored.clone();
@@ -515,6 +527,11 @@
             .inc_by(servers);
     }
 
+    /// Counts an attempt that was rejected with status 421.
+    pub fn count_misdirected(&self, by: &str) {
+        self.misdirected.get_or_create(&MisdirectedLabels { by: by.into() }).inc();
+    }
+
     /// Counts reports on the speed of servers.
     pub fn count_speed_reports(&self, outcome: &str, reports: u64) {
         if reports > 0 {
--- a/tests/availability.rs
+++ b/tests/availability.rs
@@ -3,11 +3,15 @@
 use std::time::{Duration, SystemTime};
 
 use mintmoor::policy::{
+    address_owner::{AddressOwner, DOUBT_TIME, MAX_CLOSURE},
     announcements::Announcements,
     availability::{
         Availability, RateSignal, Signals, UnavailableCause, decide, retain_first_tier,
     },
+    misdirected_by::{MisdirectedBy, RejectionEvidence},
+    outlier::{OutlierConfig, OutlierDetector},
     retry_after::{MAX_PAUSE, RetryAfter},
+    send_window::SendWindow,
 };
 use proptest::prelude::*;
 
@@ -119,10 +123,12 @@
         decide(&signals, NOW),
         Availability::Closed { cause: UnavailableCause::Evacuated, until: None }
     );
-    signals.is_replaced = true;
+    signals.address.record_misdirected(MisdirectedBy::AnotherServer, NOW);
+    let until = signals.address.closed_until(NOW);
+    assert!(until.is_some());
     assert_eq!(
         decide(&signals, NOW),
-        Availability::Closed { cause: UnavailableCause::Replaced, until: None }
+        Availability::Closed { cause: UnavailableCause::Replaced, until }
     );
 }
 
@@ -248,3 +254,193 @@
         }
     }
 }
+
+/// When a state that takes a server out of use ends.
+enum End {
+    /// At the latest after this time, without any news.
+    After(Duration),
+    /// When the platform or the operator says so: nothing that a request or a response says.
+    ByOrder,
+}
+
+/// A server in the state that gives this cause, and when the state ends.
+fn unavailable(cause: UnavailableCause) -> (Signals, End) {
+    let mut signals = signals();
+    let end = match cause {
+        UnavailableCause::Replaced => {
+            for _ in 0..10 {
+                signals.address.record_misdirected(MisdirectedBy::AnotherServer, NOW);
+            }
+            End::After(MAX_CLOSURE)
+        }
+        UnavailableCause::Unidentified => {
+            signals.address.record_misdirected(MisdirectedBy::Unknown, NOW);
+            End::After(DOUBT_TIME)
+        }
+        UnavailableCause::Evacuated => {
+            signals.is_evacuated = true;
+            End::ByOrder
+        }
+        UnavailableCause::Draining => {
+            signals.announced.record_draining(NOW);
+            End::ByOrder
+        }
+        UnavailableCause::Paused => {
+            signals.announced.record_pause(MAX_PAUSE, NOW);
+            End::After(MAX_PAUSE)
+        }
+        UnavailableCause::Recovering => {
+            signals.announced.record_pause(Duration::ZERO, NOW);
+            signals.unanswered = 1;
+            End::After(5 * SECOND)
+        }
+        UnavailableCause::Full => {
+            signals.window.record_rejection(0, NOW);
+            signals.in_flight = 1;
+            End::After(30 * SECOND)
+        }
+        UnavailableCause::RateLimited => {
+            signals.rate = RateSignal::Share(NOW + SECOND);
+            End::After(SECOND)
+        }
+        UnavailableCause::Ejected => {
+            signals.is_ejected = true;
+            // The detector, and not this decision, keeps the time: see the test below.
+            End::ByOrder
+        }
+    };
+    (signals, end)
+}
+
+fn cause_of(availability: Availability) -> Option<UnavailableCause> {
+    match availability {
+        Availability::Open => None,
+        Availability::LastResort(cause) | Availability::Closed { cause, .. } => Some(cause),
+    }
+}
+
+/// Guards against a state that requests can cause and that nothing ends (docs/incidents/0033).
+#[test]
+fn every_state_that_takes_a_server_out_of_use_ends() {
+    for cause in UnavailableCause::ALL {
+        let (signals, end) = unavailable(cause);
+
+        assert_eq!(cause_of(decide(&signals, NOW)), Some(cause));
+        match end {
+            End::After(time) => assert_eq!(decide(&signals, NOW + time), Availability::Open),
+            End::ByOrder => assert_eq!(cause_of(decide(&signals, 2 * NOW)), Some(cause)),
+        }
+    }
+}
+
+#[test]
+fn an_ejection_ends_however_many_failures_came_before() {
+    let config = OutlierConfig::default();
+    let mut outlier = OutlierDetector::default();
+    for _ in 0..100 {
+        outlier.record_failure(&config, NOW);
+    }
+
+    assert!(outlier.should_skip(NOW));
+    assert!(!outlier.should_skip(NOW + config.max_ejection));
+}
+
+#[test]
+fn a_full_window_does_not_close_an_idle_server() {
+    let mut window = SendWindow::default();
+    window.record_rejection(0, NOW);
+
+    assert!(window.allows_another(0, NOW));
+}
+
+/// A 421 response of an unnamed sender on a new connection to a server that has signed nothing yet.
+fn unnamed_rejection() -> RejectionEvidence<'static> {
+    RejectionEvidence {
+        expected: "i-1",
+        named: None,
+        is_signed_connection: false,
+        opened_at: NOW,
+        signed_at: None,
+    }
+}
+
+#[test]
+fn a_rejection_is_of_the_server_itself_only_with_proof() {
+    let before = NOW.checked_sub(SECOND);
+    let cases = [
+        (unnamed_rejection(), MisdirectedBy::Unknown),
+        (RejectionEvidence { named: Some("i-1"), ..unnamed_rejection() }, MisdirectedBy::Itself),
+        (
+            RejectionEvidence { named: Some("i-2"), ..unnamed_rejection() },
+            MisdirectedBy::AnotherServer,
+        ),
+        (
+            RejectionEvidence {
+                named: Some("i-2"),
+                is_signed_connection: true,
+                ..unnamed_rejection()
+            },
+            MisdirectedBy::AnotherServer,
+        ),
+        (
+            RejectionEvidence { is_signed_connection: true, ..unnamed_rejection() },
+            MisdirectedBy::Itself,
+        ),
+        (RejectionEvidence { signed_at: before, ..unnamed_rejection() }, MisdirectedBy::Unknown),
+        (RejectionEvidence { signed_at: Some(NOW), ..unnamed_rejection() }, MisdirectedBy::Itself),
+    ];
+    for (evidence, by) in cases {
+        assert_eq!(MisdirectedBy::identify(&evidence), by, "{evidence:?}");
+    }
+}
+
+/// What happens to a server's address, each after some time in ms.
+#[derive(Clone, Copy, Debug)]
+enum AddressEvent {
+    Misdirected(MisdirectedBy),
+    Signed,
+}
+
+fn address_events() -> impl Strategy<Value = Vec<(u64, AddressEvent)>> {
+    let event = prop_oneof![
+        Just(AddressEvent::Misdirected(MisdirectedBy::AnotherServer)),
+        Just(AddressEvent::Misdirected(MisdirectedBy::Unknown)),
+        Just(AddressEvent::Misdirected(MisdirectedBy::Itself)),
+        Just(AddressEvent::Signed),
+    ];
+    prop::collection::vec((0u64..5_000, event), 0..40)
+}
+
+proptest! {
+    #[test]
+    fn only_another_server_closes_a_server_and_only_for_a_time(events in address_events()) {
+        let (mut address, mut now) = (AddressOwner::default(), NOW);
+        for (after, event) in events {
+            now += Duration::from_millis(after);
+            let before = address.closed_until(now);
+            match event {
+                AddressEvent::Misdirected(by) => {
+                    address.record_misdirected(by, now);
+                }
+                AddressEvent::Signed => {
+                    address.record_signed(now);
+                }
+            }
+            let until = address.closed_until(now);
+            match event {
+                AddressEvent::Misdirected(MisdirectedBy::AnotherServer) => {
+                    prop_assert!(until.is_some_and(|until| until <= now + MAX_CLOSURE));
+                    prop_assert!(before.is_none() || until == before, "a closure is longer");
+                }
+                AddressEvent::Misdirected(MisdirectedBy::Unknown) => {
+                    prop_assert_eq!(until, before);
+                    prop_assert!(!address.is_doubted(now + DOUBT_TIME));
+                }
+                AddressEvent::Misdirected(MisdirectedBy::Itself) | AddressEvent::Signed => {
+                    prop_assert_eq!(decide(&Signals { address, ..signals() }, now), Availability::Open);
+                    prop_assert!(!address.is_on_trial());
+                }
+            }
+        }
+    }
+}
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -66,6 +66,7 @@
     metrics.count_retry("s", true);
     metrics.count_unavailable_send("draining", "first");
     metrics.count_avoided_servers("paused", 1);
+    metrics.count_misdirected("itself");
     metrics.count_caller_cut("memory");
     metrics.set_server_speeds(&[0.55]);
     metrics.count_held_back(0, "reserved");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -24,6 +24,7 @@
 mod kept_caller;
 mod limited_pool;
 mod listeners;
+mod misdirected_requests;
 mod odd_configurations;
 mod odd_lists;
 mod odd_numbers;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -54,6 +54,8 @@
     NotExecutedRetryAfter { retry_after: String },
     /// Sends 421 with the id of another server: the address now belongs to that one.
     Misrouted,
+    /// Sends a response without a signature and without a body: the request was not run.
+    Reject { status: u16, headers: &'static str },
     /// Sends a complete response with the id of another request.
     WrongRequestId,
     /// Sends a response without the signature header `X-Instance-Stamp`.
@@ -398,6 +400,9 @@
             (reply(503, &head, ""), true)
         }
         Action::Misrouted => (reply(421, &format!("X-Instance-Id: i-other\r\n{lines}"), ""), true),
+        Action::Reject { status, headers } => {
+            (reply(status, &format!("X-Request-Id: {id}\r\n{headers}{lines}"), ""), true)
+        }
         Action::WrongRequestId => {
             let head = format!("X-Request-Id: other\r\nX-Instance-Stamp: s\r\n{lines}");
             (reply(200, &head, "no"), true)
