A model that a route's cascade doesn't have is rejected at once

What callers saw: a request that names such a model was sent to up to five servers, each of which rejected it with 421; with many of them the others' retries and new connections go to requests that no server can take.

Cause: an entry knows the models of a route, but passed any name on.

Change: 421 of the entry's own, proved not to have run, before the body is read (refusal `unknown_model`). A named model of the cascade and routes without one are sent on as before. A value that is no text no longer counts as absent.

--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -115,7 +115,7 @@
             .and_then(|value| value.strip_prefix(AUTH_SCHEME))
             .map(|key| key.trim().into()),
         caller_timeout: header_number(headers, TIME_LEFT).map(Duration::from_millis),
-        model: header_text(headers, MODEL).filter(|model| *model != ANY_MODEL).map(Into::into),
+        model: headers.get(MODEL).filter(|model| *model != ANY_MODEL).map(lossy_text),
         prompt_tokens,
         max_answer_tokens,
         prompt_parts: header_text(headers, PROMPT_PARTS)
@@ -176,6 +176,11 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// A header's value; bytes that are no text are replaced, so that the value is not taken for a missing one.
+fn lossy_text(value: &HeaderValue) -> Box<str> {
+    String::from_utf8_lossy(value.as_bytes()).into()
+}
+
 pub(super) fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
     header_text(headers, name)?.trim().parse().ok()
 }
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -26,6 +26,9 @@
     OutOfMemory,
     #[error("no configuration yet")]
     NoConfiguration,
+    /// The caller names a model that the cascade of its route doesn't have.
+    #[error("the route has no such model")]
+    UnknownModel,
     /// Servers rejected it as misdirected, and were themselves the ones that were meant.
     #[error("its servers do not take it")]
     Misdirected,
@@ -74,7 +77,7 @@
     fn status(self) -> StatusCode {
         match self {
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::Misdirected => StatusCode::MISDIRECTED_REQUEST,
+            Self::UnknownModel | Self::Misdirected => StatusCode::MISDIRECTED_REQUEST,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -84,6 +87,7 @@
             Self::BodyTimeout => "slow_body",
             Self::OutOfMemory => "out_of_memory",
             Self::NoConfiguration => "no_configuration",
+            Self::UnknownModel => "unknown_model",
             Self::Misdirected => "misdirected",
             Self::Leaving { .. } => "leaving",
             Self::NoServer { .. } => "not_run",
@@ -102,9 +106,11 @@
             | Self::Unavailable { retry_after, .. }
             | Self::Quarantined { retry_after }
             | Self::PartQuarantined { retry_after, .. } => retry_after,
-            Self::BodyTimeout | Self::OutOfMemory | Self::NoConfiguration | Self::Misdirected => {
-                DEFAULT_RETRY_AFTER
-            }
+            Self::BodyTimeout
+            | Self::OutOfMemory
+            | Self::NoConfiguration
+            | Self::UnknownModel
+            | Self::Misdirected => DEFAULT_RETRY_AFTER,
         }
     }
 }
--- a/src/router/request/serve.rs
+++ b/src/router/request/serve.rs
@@ -82,6 +82,9 @@
         return Err(Refusal::not_run(NotRunCause::NoConfiguration, &attempts));
     };
     let (route, organisation) = admit(table, &head)?;
+    if head.model.as_ref().is_some_and(|model| !route.may_name(model)) {
+        return Err(Refusal::not_run(NotRunCause::UnknownModel, &attempts));
+    }
     let max_wait = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = in_flight.arrived_at + max_wait;
     if !router.accepts(&route, deadline) {
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -88,6 +88,11 @@
             RouteKind::Stream => self.is_resumable,
         }
     }
+
+    /// Whether a caller may name a model: one of the cascade, or any if the route has none.
+    pub fn may_name(&self, model: &str) -> bool {
+        self.cascade.is_empty() || self.cascade.iter().any(|stage| **stage == *model)
+    }
 }
 
 /// Organisation as declared by the operator.
--- a/tests/platform/misdirected_requests.rs
+++ b/tests/platform/misdirected_requests.rs
@@ -156,6 +156,26 @@
     assert!(rejecting.requests().len() >= ODD_REQUESTS, "the server is not used any more");
 }
 
+/// Guards against requests that go from server to server though none can take them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_that_the_cascade_does_not_have_is_rejected_at_once() {
+    let servers = start_choosy_servers(1, "").await;
+    let site = start_site(&servers).await;
+    for model in ["huge", "", "**", "\u{ff}"] {
+        let answer = site.request("POST", "/chat/a", &format!("X-Model: {model}\r\n")).await;
+
+        assert_eq!((answer.status, answer.is_whole), (421, true), "{model:?}");
+    }
+    assert!(servers[0].requests().is_empty());
+    for headers in ["X-Model: *\r\n", "X-Model: small\r\n", "X-Model: large\r\n", ""] {
+        let answer = site.request("POST", "/chat/a", headers).await;
+
+        assert_eq!(answer.status, 200, "{headers:?}");
+    }
+    let answer = site.request("POST", "/plain/a", "X-Model: huge\r\n").await;
+    assert_eq!(answer.status, 200, "a route without a cascade takes any model");
+}
+
 /// Guards against 421 to a caller who left the choice of the model to the entry: it asks again elsewhere at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cascade_that_no_server_has_is_refused_with_a_time_to_return() {
