A request that a server does not run no longer counts as an answer

What callers saw: a server that fails all requests stays in use while one caller's requests are rejected by it with 400 or 429 in between.

Cause: a rejection below 500 without Retry-After counted as an answer: it set the consecutive failures back, lowered the failure rate, and counted towards the answers after a pause, which rejections are not meant to do.

Change: such a rejection counts for nothing.

--- a/src/router/request/response_head.rs
+++ b/src/router/request/response_head.rs
@@ -74,7 +74,8 @@
     ) || !is_framed;
     if is_unusable || (head.status.is_server_error() && !head.announces_rejection()) {
         member.record_failure(router.now());
-    } else if !head.announces_rejection() {
+    } else if head.kind != ResponseKind::NotRun && !head.announces_rejection() {
+        // A request that the server did not run says nothing about those that it runs.
         router.record_answer(member);
     }
 }
--- a/tests/platform/misdirected_requests.rs
+++ b/tests/platform/misdirected_requests.rs
@@ -298,3 +298,22 @@
     let (started, answer) = (Instant::now(), site.request("POST", "/plain/a", "").await);
     assert_eq!(answer.status, 200, "{:?}", started.elapsed());
 }
+
+/// Guards against a failing server that looks healthy because of requests that it doesn't run.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_requests_between_failed_ones_do_not_make_a_server_healthy() {
+    for status in [400, 429] {
+        let script = move |request: &ReceivedRequest| match request.header("x-odd") {
+            "" => Action::Respond { status: 500, body: "failed" },
+            _ => Action::Reject { status, headers: "X-Not-Executed: 1\r\n" },
+        };
+        let server = Server::start("i-0", script).await;
+        let site = start_site(std::slice::from_ref(&server)).await;
+
+        for headers in ["", ODD, "", ODD] {
+            site.request("POST", "/plain/a", headers).await;
+        }
+
+        assert_eq!(dumped(&site, "out"), [true], "{status}");
+    }
+}
