mintmoor entry: a request that an engine rejects is no failure of the engine

What callers saw: some requests with a field that the engine can't read (400 to their caller) take its servers out of use for all: three in a row eject one at the entry for up to 30 s, five in a row make its agent report it as unhealthy.

Cause: every status but a success counted as the server's failure.

--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -280,7 +280,8 @@
         }
     }
 
-    fn dump(&self) -> serde_json::Value {
+    /// The state dump.
+    pub fn dump(&self) -> serde_json::Value {
         let links: Vec<_> = self
             .links
             .lock()
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -308,7 +308,8 @@
         }
     }
 
-    fn dump(&self) -> serde_json::Value {
+    /// The state dump.
+    pub fn dump(&self) -> serde_json::Value {
         let now = self.now();
         let links: Vec<_> = self
             .all_links()
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,7 +13,7 @@
 pub use body_framing::{BodyFraming, FramingError, has_unsupported_coding};
 pub use fingerprint::Fingerprint;
 pub use request::{PartId, PromptPart, Request, RequestHead};
-pub use response::{ResponseHead, ResponseKind, promises_not_run};
+pub use response::{ResponseHead, ResponseKind, describes_request, promises_not_run};
 pub use roll_out::{RollOutOrder, RollOutProgress, RollOutStatus};
 pub use table::{
     CallerLimits, Organisation, Region, Route, RouteKind, RoutingTable, Target, is_permitted_region,
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -583,3 +583,32 @@
     assert!(steps.contains("chose") && steps.contains("expected first token"), "{steps}");
     assert!(foreign.is_err());
 }
+
+/// Guards against one caller's odd requests that take servers out of use: the engine's 4xx counted as its failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_engines_reject_make_no_server_unhealthy() {
+    let system = start().await;
+    let body = json!({
+        "model": "swift", "stream": true, "resume": 5,
+        "messages": [{ "role": "user", "content": "why has my recharge not landed" }],
+    });
+    let mut headers = http::HeaderMap::new();
+    let key = caller_key("ricarica/kiosks");
+    headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+    let uri = format!("{}/v1/chat/completions", system.urls[0].0);
+    let http = mintmoor::platform::HttpClient::default();
+
+    for _ in 0..20 {
+        let odd = body.to_string().into_bytes().into();
+        let res = http.open(Method::POST, &uri, headers.clone(), odd).await.unwrap();
+        assert_eq!(res.status(), StatusCode::BAD_REQUEST);
+    }
+
+    let agents = system.agents.lock().unwrap();
+    let failures: Vec<_> =
+        agents.values().map(|a| a.agent.dump()["failures_in_a_row"].clone()).collect();
+    assert!(failures.iter().all(|failures| *failures == 0), "{failures:?}");
+    let entries = system.entries.lock().unwrap();
+    let dumps: Vec<String> = entries.iter().flatten().map(|e| e.entry.dump().to_string()).collect();
+    assert!(dumps.iter().all(|dump| !dump.contains("\"out\":true")), "{dumps:?}");
+}
