--- a/tests/platform/misdirected_requests.rs
+++ b/tests/platform/misdirected_requests.rs
@@ -38,18 +38,18 @@
 }
 
 /// A rejection with status 421.
-fn misdirected(headers: &'static str) -> Action {
-    Action::Reject { status: 421, headers }
+fn misdirected(headers: &str) -> Action {
+    Action::Reject { status: 421, headers: headers.into() }
 }
 
 /// Starts model servers that reject odd requests with status 421 and these headers.
 async fn start_choosy_servers(number: usize, headers: &str) -> Vec<Server> {
     let mut servers = Vec::new();
     for n in 0..number {
-        let headers: &'static str = headers.replace("{n}", &n.to_string()).leak();
+        let headers = headers.replace("{n}", &n.to_string());
         let script = move |request: &ReceivedRequest| match request.header("x-odd") {
             "" => serve(),
-            _ => misdirected(headers),
+            _ => misdirected(&headers),
         };
         servers.push(Server::start(&format!("i-{n}"), script).await);
     }
@@ -305,7 +305,7 @@
     for status in [400, 429] {
         let script = move |request: &ReceivedRequest| match request.header("x-odd") {
             "" => Action::Respond { status: 500, body: "failed" },
-            _ => Action::Reject { status, headers: "X-Not-Executed: 1\r\n" },
+            _ => Action::Reject { status, headers: "X-Not-Executed: 1\r\n".into() },
         };
         let server = Server::start("i-0", script).await;
         let site = start_site(std::slice::from_ref(&server)).await;
--- a/tests/platform/server.rs
+++ b/tests/platform/server.rs
@@ -55,7 +55,7 @@
     /// Sends 421 with the id of another server: the address now belongs to that one.
     Misrouted,
     /// Sends a response without a signature and without a body: the request was not run.
-    Reject { status: u16, headers: &'static str },
+    Reject { status: u16, headers: String },
     /// Sends a complete response with the id of another request.
     WrongRequestId,
     /// Sends a response without the signature header `X-Instance-Stamp`.
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use crate::record::{Exchange, Outcome, Record, RequestKind, WITHDRAWN_KEY};
+use crate::record::{Exchange, ODD_HEADER, Outcome, Record, RequestKind, WITHDRAWN_KEY};
 
 /// Longest time that a caller waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -34,6 +34,9 @@
 /// Number of sessions that callers use: so many that an entry has not seen most of them recently.
 const SESSION_COUNT: u32 = 400;
 
+/// One request in this many is odd: the servers reject it with status 421.
+const ODD_REQUEST_INTERVAL: u64 = 40;
+
 /// Time between two sends of a repeated request.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -159,8 +162,13 @@
         let kind = [RequestKind::Idempotent, RequestKind::NonIdempotent, RequestKind::Stream]
             [rng.random_range(0..3)];
         let key = if rng.random_range(0..10) == 0 { WITHDRAWN_KEY } else { "key-1" };
-        let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
-        let req = build_request(&id, kind, key, rng.random_range(0..SESSION_COUNT), "asked", None);
+        let number = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = format!("soak-{number}");
+        let session = rng.random_range(0..SESSION_COUNT);
+        let mut req = build_request(&id, kind, key, session, "asked", None);
+        if number.is_multiple_of(ODD_REQUEST_INTERVAL) {
+            req.headers_mut().insert(ODD_HEADER, HeaderValue::from(number));
+        }
         self.send_recorded(sender, RequestInfo { id, kind, entry, key }, req).await
     }
 
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -416,6 +416,8 @@
     }
 }
 
+/// Header of requests that the servers don't take; its value is a number.
+pub const ODD_HEADER: &str = "x-odd";
 /// The key that is withdrawn during the soak.
 pub const WITHDRAWN_KEY: &str = "key-2";
 
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -29,7 +29,8 @@
     proxy::Proxy,
     record::{
         CONTACT_BOUND, CRASHING_BODY_PREFIX, CRASHING_PART_PREFIX, EVENTS_PER_STREAM, Execution,
-        NEW_VERSION, OLD_VERSION, OrderedRollOut, ROLLED_OUT_SERVICE, RateLimitSpan, Record,
+        NEW_VERSION, ODD_HEADER, OLD_VERSION, OrderedRollOut, ROLLED_OUT_SERVICE, RateLimitSpan,
+        Record,
     },
     restarts,
     server::{Action, ReceivedRequest, Server},
@@ -279,6 +280,9 @@
     let rng = std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ number as u64));
     let is_rejecting = Arc::new(AtomicBool::default());
     let is_rejecting_now = is_rejecting.clone();
+    // A server may name itself, declare that the request did not run, or say nothing.
+    let misdirected =
+        [format!("X-Instance-Id: {id}\r\n"), "X-Not-Executed: 1\r\n".into(), String::new()];
     let script = move |request: &ReceivedRequest| {
         record.arrivals.lock().unwrap().push((server_id.clone(), request.received_at));
         if is_rejecting_now.load(Ordering::SeqCst) {
@@ -287,6 +291,10 @@
             record.rejections.lock().unwrap().push(rejection);
             return Action::NotExecutedRetryAfter { retry_after: RETRY_AFTER.into() };
         }
+        if let Ok(number) = request.header(ODD_HEADER).parse::<usize>() {
+            let headers = misdirected[number % misdirected.len()].clone();
+            return Action::Reject { status: 421, headers };
+        }
         let crash_cause = crash_cause(request);
         let act = match crash_cause {
             Some(_) => Action::Crash { after_head: true },
