--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -9,7 +9,7 @@
 use mintmoor::{
     load::{ChatOutcome, Client},
     local::{Fleet, LocalSystem, caller_key, operator_key},
-    platform::{TableClient, Transaction},
+    platform::{HttpClient, TableClient, Transaction},
     policy::claim::{Claim, ClaimState},
     resources::Kind,
     standin::{
@@ -63,6 +63,19 @@
     .await;
 }
 
+/// Sends a chat request with this body to the first entry; returns its response without reading the body.
+async fn post_chat(
+    system: &LocalSystem,
+    http: &HttpClient,
+    body: &Value,
+) -> http::Response<hyper::body::Incoming> {
+    let mut headers = http::HeaderMap::new();
+    let key = caller_key("ricarica/kiosks");
+    headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+    let uri = format!("{}/v1/chat/completions", system.urls[0].0);
+    http.open(Method::POST, &uri, headers, body.to_string().into_bytes().into()).await.unwrap()
+}
+
 async fn ask(client: &Client, session: Option<&str>, tag: &str) -> ChatOutcome {
     let mut call = chat("ricarica/kiosks", "swift", tag);
     call.session = session.map(Into::into);
@@ -536,14 +549,9 @@
         "model": "swift", "stream": true, "max_tokens": 40,
         "messages": [{ "role": "user", "content": "why has my recharge not landed" }],
     });
-    let mut headers = http::HeaderMap::new();
-    let key = caller_key("ricarica/kiosks");
-    headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
-    let uri = format!("{}/v1/chat/completions", system.urls[0].0);
     // A client of its own, so that dropping it closes the connection.
-    let http = mintmoor::platform::HttpClient::default();
-    let res =
-        http.open(Method::POST, &uri, headers, body.to_string().into_bytes().into()).await.unwrap();
+    let http = HttpClient::default();
+    let res = post_chat(&system, &http, &body).await;
     let mut answer = res.into_body();
     http_body_util::BodyExt::frame(&mut answer).await.unwrap().unwrap();
 
@@ -592,15 +600,10 @@
         "model": "swift", "stream": true, "resume": 5,
         "messages": [{ "role": "user", "content": "why has my recharge not landed" }],
     });
-    let mut headers = http::HeaderMap::new();
-    let key = caller_key("ricarica/kiosks");
-    headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
-    let uri = format!("{}/v1/chat/completions", system.urls[0].0);
-    let http = mintmoor::platform::HttpClient::default();
+    let http = HttpClient::default();
 
     for _ in 0..20 {
-        let odd = body.to_string().into_bytes().into();
-        let res = http.open(Method::POST, &uri, headers.clone(), odd).await.unwrap();
+        let res = post_chat(&system, &http, &body).await;
         assert_eq!(res.status(), StatusCode::BAD_REQUEST);
     }
 
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -280,9 +280,6 @@
     let rng = std::sync::Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ number as u64));
     let is_rejecting = Arc::new(AtomicBool::default());
     let is_rejecting_now = is_rejecting.clone();
-    // A server may name itself, declare that the request did not run, or say nothing.
-    let misdirected =
-        [format!("X-Instance-Id: {id}\r\n"), "X-Not-Executed: 1\r\n".into(), String::new()];
     let script = move |request: &ReceivedRequest| {
         record.arrivals.lock().unwrap().push((server_id.clone(), request.received_at));
         if is_rejecting_now.load(Ordering::SeqCst) {
@@ -291,17 +288,14 @@
             record.rejections.lock().unwrap().push(rejection);
             return Action::NotExecutedRetryAfter { retry_after: RETRY_AFTER.into() };
         }
-        if let Ok(number) = request.header(ODD_HEADER).parse::<usize>() {
-            let headers = misdirected[number % misdirected.len()].clone();
-            return Action::Reject { status: 421, headers };
-        }
         let crash_cause = crash_cause(request);
         let act = match crash_cause {
             Some(_) => Action::Crash { after_head: true },
+            None if is_odd(request) => reject_odd(request, &server_id),
             None if version == NEW_VERSION => Action::EchoIdAfter { delay: NEW_VERSION_DELAY },
             None => draw_act(&mut rng.lock().unwrap(), service),
         };
-        if !matches!(act, Action::NotExecuted) {
+        if !matches!(act, Action::NotExecuted | Action::Reject { .. }) {
             let execution = Execution {
                 id: request.header("x-request-id").into(),
                 session: request.header("session").into(),
@@ -345,6 +339,22 @@
 /// answers as in the old version, three of its first eighteen failed, and the roll-out was rightly rolled back.
 const NEW_VERSION_DELAY: Duration = Duration::from_millis(20);
 
+/// Whether a request is one that the servers don't take.
+fn is_odd(request: &ReceivedRequest) -> bool {
+    !request.header(ODD_HEADER).is_empty()
+}
+
+/// Rejects a request with 421. The response names the server, declares that the request did not run, or says neither.
+fn reject_odd(request: &ReceivedRequest, server: &str) -> Action {
+    let number: usize = request.header(ODD_HEADER).parse().unwrap();
+    let headers = match number % 3 {
+        0 => format!("X-Instance-Id: {server}\r\n"),
+        1 => "X-Not-Executed: 1\r\n".into(),
+        _ => String::new(),
+    };
+    Action::Reject { status: 421, headers }
+}
+
 /// What makes a request crash servers, if it does: its body or a part of its prompt.
 fn crash_cause(request: &ReceivedRequest) -> Option<String> {
     let body = String::from_utf8_lossy(&request.body);
