--- a/src/router/request/attempt.rs
+++ b/src/router/request/attempt.rs
@@ -254,8 +254,7 @@
     }
     match head.kind {
         ResponseKind::Success | ResponseKind::Failure => Ok(()),
-        ResponseKind::NotRun => Err(AttemptError::Refused(head.status)),
-        ResponseKind::Misdirected => Err(AttemptError::Misdirected(MisdirectedBy::Unknown)),
+        ResponseKind::NotRun | ResponseKind::Misdirected => Err(AttemptError::Refused(head.status)),
         ResponseKind::WrongRequest | ResponseKind::Unsigned => Err(AttemptError::WrongResponse),
         ResponseKind::InvalidStatus => Err(AttemptError::InvalidStatus(head.status)),
     }
--- a/src/router/servers/member.rs
+++ b/src/router/servers/member.rs
@@ -284,7 +284,7 @@
         }
     }
 
-    /// Records data of a signed response.
+    /// Records data of a signed response, which proves that the server has its address.
     pub(crate) fn record_signed(&self, now: Duration) -> Option<AddressChange> {
         self.state().address.record_signed(now)
     }
